--- /dev/null
+++ b/steering/reasons.go
@@ -0,0 +1,48 @@
+package steering
+
+import "net/http"
+
+// ReasonInfo documents a refusal reason for callers and operators.
+type ReasonInfo struct {
+	// Status is the HTTP status that the refusal travels under.
+	Status int
+	// Meaning says what happened.
+	Meaning string
+	// Remedy says what to do.
+	Remedy string
+}
+
+// Reasons documents every refusal reason. `heatherlock why` prints it and the
+// metrics page is generated from it.
+var Reasons = map[Reason]ReasonInfo{
+	ReasonNoService:     {http.StatusNotFound, "no Service object matches the request's host or Heatherlock-Service header", "name a declared service, or apply a Service object"},
+	ReasonNoTarget:      {http.StatusServiceUnavailable, "no reachable place has a target for the service", "apply a Place with targets for the service, or end the planned stops that hold them"},
+	ReasonNotReady:      {http.StatusServiceUnavailable, "this entry VM has no configuration yet", "ask another entry VM; check that this one reaches a peer or the platform"},
+	ReasonLeaving:       {http.StatusServiceUnavailable, "this entry VM is leaving", "look up entry VMs again"},
+	ReasonStopped:       {http.StatusServiceUnavailable, "a planned stop covers every place that could serve the request", "come back after the stop, or delete the PlannedStop"},
+	ReasonQueueFull:     {http.StatusServiceUnavailable, "the queue for this service is full", "come back after the time given"},
+	ReasonNoSlot:        {http.StatusServiceUnavailable, "no target slot can come free before the deadline", "come back after the time given, or allow a longer deadline"},
+	ReasonDeadline:      {http.StatusGatewayTimeout, "the request's deadline passed", "allow a longer deadline; repeat only if the request is idempotent or was not run"},
+	ReasonLinkFull:      {http.StatusServiceUnavailable, "the place's link limit for work from elsewhere is reached", "come back after the time given, or raise the Place's linkInFlight"},
+	ReasonCapReached:    {http.StatusServiceUnavailable, "the cap of the shift that brought the request here is reached", "come back after the time given, or raise the Cap"},
+	ReasonRampLimited:   {http.StatusServiceUnavailable, "the receiving place is still warming up", "come back after the time given"},
+	ReasonShed:          {http.StatusServiceUnavailable, "targets refused the request without running it", "come back after the time given; check the targets' real slots against the Place"},
+	ReasonTargetFailed:  {http.StatusBadGateway, "the target could not be reached or broke off before answering", "repeat only if the request is idempotent or was not run"},
+	ReasonTargetDied:    {http.StatusBadGateway, "the target went away while it held the request", "repeat only if the request is idempotent"},
+	ReasonPoison:        {http.StatusUnprocessableEntity, "requests like this one took down targets that ran them", "do not repeat it; have the service's owner inspect the request"},
+	ReasonRetryBudget:   {http.StatusServiceUnavailable, "the first try was not run and the retry budget is spent", "come back after the time given"},
+	ReasonHopLimit:      {http.StatusLoopDetected, "the request was already handed over between zones once", "come back after the time given"},
+	ReasonPeerDown:      {http.StatusServiceUnavailable, "the entry VM that would have to take the request cannot be reached", "come back after the time given"},
+	ReasonHomeGone:      {http.StatusConflict, "the entry VM that issued the key is gone, and with it the outcome", "check the outcome with the service itself; the request is not run again under this key"},
+	ReasonKeyEvicted:    {http.StatusConflict, "the outcome of this key is no longer kept", "check the outcome with the service itself; the request is not run again under this key"},
+	ReasonKeyMismatch:   {http.StatusUnprocessableEntity, "the key was used before with a different request", "use a fresh key for each request"},
+	ReasonKeyBusy:       {http.StatusConflict, "the same key is running and its answer cannot be shared", "come back after the time given with the same key"},
+	ReasonAnswerTooBig:  {http.StatusConflict, "the request ran, but its answer was too large to keep", "read the outcome from the service itself"},
+	ReasonAnswerCut:     {http.StatusBadGateway, "the target's answer ended early", "repeat only if the request is idempotent"},
+	ReasonAnswerCrossed: {http.StatusBadGateway, "the target answered a different request", "repeat only if the request is idempotent; inspect the target"},
+	ReasonBadRequest:    {http.StatusBadRequest, "the request is malformed", "correct the part named in the detail"},
+	ReasonBodyTooLarge:  {http.StatusRequestEntityTooLarge, "the body is larger than the service allows", "send less, or raise the Service's maxBodyBytes"},
+	ReasonSlowSender:    {http.StatusRequestTimeout, "the caller sent its body too slowly", "send again over a better link"},
+	ReasonConnections:   {http.StatusServiceUnavailable, "this entry VM has as many connections as it allows", "use another entry VM of the look-up answer"},
+	ReasonCancelled:     {499, "the caller went away", "none needed"},
+}
