Add the platform's HTTP client, its budget and the in-memory stand-in

Cause: every part that keeps something needs the platform, and the parts must be testable with its faults: down, slow, lost replies, cut-off zones, stale reads.

Change: platform.Client speaks the HTTP form of platform.API with typed errors (a write without a reply is Unknown unless the dial failed); platform.Budget bounds calls per entry VM and pauses with jittered doubling after failures; standin/platform keeps objects in memory under one revision.

--- /dev/null
+++ b/standin/platform/budget_test.go
@@ -0,0 +1,87 @@
+package platform
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"heatherlock/platform"
+)
+
+// Symptom: the platform comes back and is at once driven over its rates again.
+// Sequence: it is down for ten minutes while a fleet's loops keep calling,
+// then it recovers. Cause: loops that repeat without pause, or all pause alike.
+func TestOutageAndItsEndCauseNoStampede(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const callers = 60
+		store := NewStore(Options{})
+		stop := make(chan struct{})
+		for i := range callers {
+			random := rand.New(rand.NewPCG(1, uint64(i))).Float64
+			api := platform.NewBudget(store.As(fmt.Sprintf("vm-%d", i), "zone"), platform.BudgetConfig{Random: random})
+			go func() {
+				for {
+					select {
+					case <-stop:
+						return
+					case <-time.After(100 * time.Millisecond):
+						_, _, _ = api.List(t.Context())
+					}
+				}
+			}()
+		}
+		time.Sleep(10 * time.Second)
+		healthy := peak(store.Seconds())
+		store.Down(true)
+		time.Sleep(10 * time.Minute)
+		down := store.Seconds()[len(store.Seconds())-60:]
+		store.Down(false)
+		time.Sleep(time.Minute)
+		after := store.Seconds()[len(store.Seconds())-60:]
+		close(stop)
+		synctest.Wait()
+
+		assert.Assert(t, peak(down) <= callers/3, "calls/s while down: %d", peak(down))
+		assert.Assert(t, peak(after) <= healthy, "calls/s after the end %d, before %d", peak(after), healthy)
+		assert.Equal(t, store.Counts().Throttled, int64(0))
+	})
+}
+
+func peak(seconds []Second) int64 {
+	var most int64
+	for _, s := range seconds {
+		most = max(most, s.Total)
+	}
+	return most
+}
+
+func TestBudgetRefusesLocallyWithTimeToComeBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := NewStore(Options{})
+		api := platform.NewBudget(store.As("vm", "zone"), platform.BudgetConfig{ReadsPerSecond: 1, Burst: 2})
+		_, _ = api.Get(t.Context(), "Cap", "sur")
+		_, _ = api.Get(t.Context(), "Cap", "sur")
+		_, err := api.Get(t.Context(), "Cap", "sur") // waits a second for its turn
+		assert.Equal(t, platform.KindOf(err), platform.NotFound)
+		store.Down(true)
+		time.Sleep(2 * time.Second)
+		_, err = api.Get(t.Context(), "Cap", "sur")
+		assert.Equal(t, platform.KindOf(err), platform.Unavailable)
+		arrived := store.Counts().Total
+		_, err = api.Get(t.Context(), "Cap", "sur")
+		var e *platform.Error
+		assert.Assert(t, asError(err, &e))
+		assert.Assert(t, e.RetryAfter > 0)
+		assert.Equal(t, store.Counts().Total, arrived)
+	})
+}
+
+func asError(err error, e **platform.Error) bool {
+	var ok bool
+	*e, ok = err.(*platform.Error)
+	return ok
+}
--- /dev/null
+++ b/standin/platform/handler.go
@@ -0,0 +1,146 @@
+package platform
+
+import (
+	"encoding/json"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"heatherlock/platform"
+)
+
+// maxWatchWait bounds how long a watch over HTTP may wait.
+const maxWatchWait = time.Minute
+
+// statuses maps error kinds to HTTP statuses.
+var statuses = map[platform.ErrorKind]int{
+	platform.Invalid:     http.StatusBadRequest,
+	platform.NotFound:    http.StatusNotFound,
+	platform.Conflict:    http.StatusConflict,
+	platform.Gone:        http.StatusGone,
+	platform.TooLarge:    http.StatusRequestEntityTooLarge,
+	platform.Throttled:   http.StatusTooManyRequests,
+	platform.Unavailable: http.StatusServiceUnavailable,
+}
+
+// Handler serves the store over HTTP.
+func (s *Store) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /objects", s.serve(list))
+	mux.HandleFunc("GET /objects/{kind}/{name}", s.serve(get))
+	mux.HandleFunc("POST /objects/{kind}/{name}", s.serve(create))
+	mux.HandleFunc("PUT /objects/{kind}/{name}", s.serve(update))
+	mux.HandleFunc("DELETE /objects/{kind}/{name}", s.serve(remove))
+	mux.HandleFunc("GET /watch", s.serve(watch))
+	mux.HandleFunc("GET /vms", s.serve(vms))
+	return mux
+}
+
+// operation answers one request with a body to encode, or an error.
+type operation func(api platform.API, r *http.Request) (any, error)
+
+func (s *Store) serve(f operation) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		api := s.As(r.Header.Get(platform.HeaderClient), r.Header.Get(platform.HeaderZone))
+		body, err := f(api, r)
+		if errors.Is(err, errReplyLost) || errors.Is(err, errCutOff) {
+			panic(http.ErrAbortHandler) // breaks the connection without a reply
+		}
+		if err != nil {
+			writeError(w, err)
+			return
+		}
+		w.Header().Set("Content-Type", "application/json")
+		_ = json.NewEncoder(w).Encode(body)
+	}
+}
+
+func writeError(w http.ResponseWriter, err error) {
+	status := http.StatusInternalServerError
+	var e *platform.Error
+	if errors.As(err, &e) {
+		status = statuses[e.Kind]
+		w.Header().Set(platform.HeaderRetryAfterMs, strconv.FormatInt(e.RetryAfter.Milliseconds(), 10))
+	}
+	http.Error(w, err.Error(), status)
+}
+
+func invalid(err error) error { return failure(platform.Invalid, err) }
+
+func list(api platform.API, r *http.Request) (any, error) {
+	objects, revision, err := api.List(r.Context(), r.URL.Query()["kind"]...)
+	return platform.ListReply{Revision: revision, Objects: objects}, err
+}
+
+func get(api platform.API, r *http.Request) (any, error) {
+	return api.Get(r.Context(), r.PathValue("kind"), r.PathValue("name"))
+}
+
+// readValue reads one byte more than allowed, so that the store refuses it.
+func readValue(r *http.Request) (json.RawMessage, error) {
+	value, err := io.ReadAll(io.LimitReader(r.Body, platform.MaxValueBytes+1))
+	if err != nil {
+		return nil, invalid(err)
+	}
+	return value, nil
+}
+
+func create(api platform.API, r *http.Request) (any, error) {
+	value, err := readValue(r)
+	if err != nil {
+		return nil, err
+	}
+	return api.Create(r.Context(), r.PathValue("kind"), r.PathValue("name"), value)
+}
+
+func ifMatch(r *http.Request) (int64, error) {
+	version, err := strconv.ParseInt(r.Header.Get(platform.HeaderIfMatch), 10, 64)
+	if err != nil {
+		return 0, invalid(errors.Wrap(err, "header If-Match must hold the version"))
+	}
+	return version, nil
+}
+
+func update(api platform.API, r *http.Request) (any, error) {
+	version, err := ifMatch(r)
+	if err != nil {
+		return nil, err
+	}
+	value, err := readValue(r)
+	if err != nil {
+		return nil, err
+	}
+	return api.Update(r.Context(), r.PathValue("kind"), r.PathValue("name"), version, value)
+}
+
+func remove(api platform.API, r *http.Request) (any, error) {
+	version, err := ifMatch(r)
+	if err != nil {
+		return nil, err
+	}
+	revision, err := api.Delete(r.Context(), r.PathValue("kind"), r.PathValue("name"), version)
+	return platform.RevisionReply{Revision: revision}, err
+}
+
+func watch(api platform.API, r *http.Request) (any, error) {
+	query := r.URL.Query()
+	since, err := strconv.ParseInt(query.Get("since"), 10, 64)
+	if err != nil {
+		return nil, invalid(errors.Wrap(err, "query since"))
+	}
+	waitMs, err := strconv.ParseInt(query.Get("waitMs"), 10, 64)
+	if err != nil || waitMs < 0 {
+		return nil, invalid(errors.Errorf("query waitMs: %q", query.Get("waitMs")))
+	}
+	wait := min(time.Duration(waitMs)*time.Millisecond, maxWatchWait)
+	events, revision, err := api.Watch(r.Context(), since, wait, query["kind"]...)
+	return platform.WatchReply{Revision: revision, Events: events}, err
+}
+
+func vms(api platform.API, r *http.Request) (any, error) {
+	list, err := api.VMs(r.Context())
+	return platform.VMsReply{VMs: list}, err
+}
--- /dev/null
+++ b/standin/platform/http_test.go
@@ -0,0 +1,109 @@
+package platform
+
+import (
+	"context"
+	"encoding/json"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+	"gotest.tools/v3/assert"
+
+	"heatherlock/platform"
+)
+
+// start serves a store on loopback and returns a client of zone norte-a.
+func start(t *testing.T, scope tally.Scope) (*Store, *platform.Client) {
+	store := NewStore(Options{})
+	server := httptest.NewServer(store.Handler())
+	t.Cleanup(server.Close)
+	client, err := platform.NewClient(platform.ClientConfig{URL: server.URL, VM: "norte-a-1", Zone: "norte-a", Scope: scope})
+	assert.NilError(t, err)
+	return store, client
+}
+
+func TestClientRoundTrips(t *testing.T) {
+	scope := tally.NewTestScope("", nil)
+	store, client := start(t, scope)
+	ctx := t.Context()
+	created, err := client.Create(ctx, "Place", "baños/norte", json.RawMessage(`{"a": 1}`))
+	assert.NilError(t, err)
+	updated, err := client.Update(ctx, "Place", "baños/norte", created.Version, json.RawMessage(`{"a":2}`))
+	assert.NilError(t, err)
+	_, err = client.Update(ctx, "Place", "baños/norte", created.Version, json.RawMessage(`{"a":3}`))
+	assert.Equal(t, platform.KindOf(err), platform.Conflict)
+	objects, revision, err := client.List(ctx, "Place", "Cap")
+	assert.NilError(t, err)
+	assert.DeepEqual(t, objects, []platform.Object{updated})
+	assert.Equal(t, revision, updated.Version)
+	events, revision, err := client.Watch(ctx, created.Version, time.Second)
+	assert.NilError(t, err)
+	assert.DeepEqual(t, events, []platform.Event{{Object: updated}})
+	removed, err := client.Delete(ctx, "Place", "baños/norte", updated.Version)
+	assert.NilError(t, err)
+	assert.Equal(t, removed, revision+1)
+	_, err = client.Get(ctx, "Place", "baños/norte")
+	assert.Equal(t, platform.KindOf(err), platform.NotFound)
+	store.Compact(removed)
+	_, _, err = client.Watch(ctx, created.Version, 0)
+	assert.Equal(t, platform.KindOf(err), platform.Gone)
+	assert.Equal(t, store.Counts().ByClient["norte-a-1"], int64(8))
+	assert.Equal(t, scope.Snapshot().Counters()["platform_calls+op=update"].Value(), int64(2))
+	assert.Equal(t, scope.Snapshot().Counters()["platform_errors+kind=conflict,op=update"].Value(), int64(1))
+}
+
+// Symptom: a purchase cap is applied twice, or an accepted write is reported
+// as failed. Sequence: the platform stores the write, then its reply is lost.
+// Cause: a client that takes every broken exchange for "not stored". The
+// client must say unknown, so that the writer reads back.
+func TestLostReplyIsUnknown(t *testing.T) {
+	store, client := start(t, nil)
+	store.LoseReplies(1)
+	_, err := client.Create(t.Context(), "Cap", "sur", json.RawMessage(`1`))
+	assert.Equal(t, platform.KindOf(err), platform.Unknown)
+	stored, err := client.Get(t.Context(), "Cap", "sur")
+	assert.NilError(t, err)
+	assert.Equal(t, stored.Version, int64(1))
+}
+
+// Symptom: operators are told "unknown" for writes that cannot have happened,
+// and go looking for them. Sequence: nothing listens at the platform's
+// address. Cause: a failed dial and a broken exchange treated alike.
+func TestFailedDialIsUnavailable(t *testing.T) {
+	server := httptest.NewServer(nil)
+	url := server.URL
+	server.Close()
+	client, err := platform.NewClient(platform.ClientConfig{URL: url})
+	assert.NilError(t, err)
+	_, err = client.Create(t.Context(), "Cap", "sur", json.RawMessage(`1`))
+	assert.Equal(t, platform.KindOf(err), platform.Unavailable)
+}
+
+func TestCutOffOverHTTP(t *testing.T) {
+	store, client := start(t, nil)
+	store.CutOff("norte-a", true)
+	_, err := client.Create(t.Context(), "Cap", "sur", json.RawMessage(`1`))
+	assert.Equal(t, platform.KindOf(err), platform.Unknown)
+	_, err = client.Get(t.Context(), "Cap", "sur")
+	assert.Equal(t, platform.KindOf(err), platform.Unavailable)
+	store.CutOff("norte-a", false)
+	_, err = client.Get(t.Context(), "Cap", "sur")
+	assert.Equal(t, platform.KindOf(err), platform.NotFound)
+}
+
+func TestDeadlineOfSlowPlatform(t *testing.T) {
+	store, client := start(t, nil)
+	store.Slow(time.Hour)
+	ctx, cancel := context.WithTimeout(t.Context(), 20*time.Millisecond)
+	defer cancel()
+	_, err := client.Get(ctx, "Cap", "sur")
+	assert.Equal(t, platform.KindOf(err), platform.Unavailable)
+	assert.ErrorIs(t, err, context.DeadlineExceeded)
+}
+
+func TestBadURLNamesTheField(t *testing.T) {
+	_, err := platform.NewClient(platform.ClientConfig{URL: "10.0.0.1:80"})
+	assert.Equal(t, platform.KindOf(err), platform.Invalid)
+	assert.ErrorContains(t, err, "platform.url")
+}
--- /dev/null
+++ b/standin/platform/session.go
@@ -0,0 +1,231 @@
+package platform
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"heatherlock/platform"
+)
+
+// session is the store as one caller sees it.
+type session struct {
+	store  *Store
+	client string
+	zone   string
+}
+
+var _ platform.API = session{}
+
+// As returns the store as one caller in one zone sees it.
+func (s *Store) As(client, zone string) platform.API {
+	return session{store: s, client: client, zone: zone}
+}
+
+// errReplyLost marks a write that took effect and whose reply is dropped.
+var errReplyLost = errors.New("the reply was lost")
+
+// errCutOff marks a call from a zone that is cut off.
+var errCutOff = errors.New("the zone is cut off from the platform")
+
+// enter counts a call, holds it back while the store is slow and refuses it
+// when a fault or a rate says so.
+func (c session) enter(ctx context.Context, op string) error {
+	c.store.mu.Lock()
+	now := time.Now()
+	c.store.counters.arrived(op, c.client, now)
+	slow := c.store.faults.slow
+	c.store.mu.Unlock()
+	if err := sleep(ctx, slow); err != nil {
+		return failure(platform.Unavailable, err)
+	}
+	c.store.mu.Lock()
+	defer c.store.mu.Unlock()
+	if err := c.blocked(); err != nil {
+		return err
+	}
+	if !c.allow(op, now) {
+		c.store.counters.counts.Throttled++
+		return &platform.Error{Kind: platform.Throttled, RetryAfter: throttleRetry, Err: errors.New("over the rate")}
+	}
+	return nil
+}
+
+func sleep(ctx context.Context, d time.Duration) error {
+	if d <= 0 {
+		return ctx.Err()
+	}
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// blocked returns why no call of this caller gets through; Store.mu is held.
+func (c session) blocked() error {
+	if c.store.faults.cut[c.zone] {
+		return failure(platform.Unavailable, errCutOff)
+	}
+	if c.store.faults.down {
+		return failure(platform.Unavailable, errors.New("the platform is down"))
+	}
+	return nil
+}
+
+func (c session) allow(op string, now time.Time) bool {
+	if platform.IsWrite(op) {
+		return c.store.writes.AllowN(now, 1)
+	}
+	return c.store.reads.AllowN(now, 1)
+}
+
+// read runs f under the lock once the call may enter.
+func (c session) read(ctx context.Context, op, object string, f func() error) error {
+	if err := c.enter(ctx, op); err != nil {
+		return named(err, op, object)
+	}
+	c.store.mu.Lock()
+	defer c.store.mu.Unlock()
+	return named(f(), op, object)
+}
+
+// write runs f like read does and then loses the reply if the switch says so.
+func (c session) write(ctx context.Context, op, object string, f func() error) error {
+	return c.read(ctx, op, object, func() error {
+		if err := f(); err != nil {
+			return err
+		}
+		if c.store.loseReply() {
+			return failure(platform.Unknown, errReplyLost)
+		}
+		return nil
+	})
+}
+
+// named fills in the call that an error belongs to.
+func named(err error, op, object string) error {
+	var e *platform.Error
+	if !errors.As(err, &e) {
+		return err
+	}
+	e.Op = op
+	e.Object = object
+	return e
+}
+
+// Get implements platform.API.
+func (c session) Get(ctx context.Context, kind, name string) (object platform.Object, err error) {
+	err = c.read(ctx, platform.OpGet, kind+"/"+name, func() error {
+		found := false
+		object, found = c.store.at(objectKey{kind, name}, c.store.readRevision())
+		if !found {
+			object = platform.Object{}
+			return failure(platform.NotFound, nil)
+		}
+		return nil
+	})
+	return object, err
+}
+
+// List implements platform.API.
+func (c session) List(ctx context.Context, kinds ...string) (objects []platform.Object, revision int64, err error) {
+	err = c.read(ctx, platform.OpList, "", func() error {
+		revision = c.store.readRevision()
+		objects = c.store.list(kinds, revision)
+		return nil
+	})
+	return objects, revision, err
+}
+
+// Create implements platform.API.
+func (c session) Create(ctx context.Context, kind, name string, value json.RawMessage) (object platform.Object, err error) {
+	err = c.write(ctx, platform.OpCreate, kind+"/"+name, func() error {
+		value, err := checkValue(value)
+		if err == nil {
+			object, err = c.store.create(objectKey{kind, name}, value)
+		}
+		return err
+	})
+	return onSuccess(object, err), err
+}
+
+// Update implements platform.API.
+func (c session) Update(ctx context.Context, kind, name string, version int64, value json.RawMessage) (object platform.Object, err error) {
+	err = c.write(ctx, platform.OpUpdate, kind+"/"+name, func() error {
+		value, err := checkValue(value)
+		if err == nil {
+			object, err = c.store.update(objectKey{kind, name}, version, value)
+		}
+		return err
+	})
+	return onSuccess(object, err), err
+}
+
+// Delete implements platform.API.
+func (c session) Delete(ctx context.Context, kind, name string, version int64) (revision int64, err error) {
+	err = c.write(ctx, platform.OpDelete, kind+"/"+name, func() error {
+		revision, err = c.store.remove(objectKey{kind, name}, version)
+		return err
+	})
+	return onSuccess(revision, err), err
+}
+
+// onSuccess hides a result whose reply was lost.
+func onSuccess[T any](result T, err error) T {
+	if err != nil {
+		var none T
+		return none
+	}
+	return result
+}
+
+// Watch implements platform.API.
+func (c session) Watch(ctx context.Context, since int64, wait time.Duration, kinds ...string) ([]platform.Event, int64, error) {
+	if err := c.enter(ctx, platform.OpWatch); err != nil {
+		return nil, 0, named(err, platform.OpWatch, "")
+	}
+	timeout := time.NewTimer(wait)
+	defer timeout.Stop()
+	for {
+		events, revision, changed, err := c.poll(since, kinds)
+		if err != nil {
+			return nil, 0, named(err, platform.OpWatch, "")
+		}
+		if len(events) > 0 {
+			return events, revision, nil
+		}
+		select {
+		case <-changed:
+		case <-timeout.C:
+			return events, revision, nil
+		case <-ctx.Done():
+			return nil, 0, named(failure(platform.Unavailable, ctx.Err()), platform.OpWatch, "")
+		}
+	}
+}
+
+// poll looks once for events and returns the channel that the next change closes.
+func (c session) poll(since int64, kinds []string) ([]platform.Event, int64, chan struct{}, error) {
+	c.store.mu.Lock()
+	defer c.store.mu.Unlock()
+	if err := c.blocked(); err != nil {
+		return nil, 0, nil, err
+	}
+	events, err := c.store.eventsAfter(since, kinds)
+	return events, c.store.revision, c.store.changed, err
+}
+
+// VMs implements platform.API.
+func (c session) VMs(ctx context.Context) (vms []platform.VM, err error) {
+	err = c.read(ctx, platform.OpVMs, "", func() error {
+		vms = c.store.vms.at(time.Now())
+		return nil
+	})
+	return vms, err
+}
--- /dev/null
+++ b/standin/platform/store.go
@@ -0,0 +1,258 @@
+package platform
+
+import (
+	"bytes"
+	"encoding/json"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/go-faster/errors"
+	"golang.org/x/time/rate"
+
+	"heatherlock/platform"
+)
+
+// Defaults of the stand-in's options.
+const (
+	DefaultWritesPerSecond = 500
+	DefaultReadsPerSecond  = 2000
+	DefaultKeptEvents      = 10000
+)
+
+// Options sets the bounds of a store; zero fields take the defaults.
+type Options struct {
+	WritesPerSecond int
+	ReadsPerSecond  int
+	// KeptEvents is how many changes a watch can go back over.
+	KeptEvents int
+}
+
+type objectKey struct{ kind, name string }
+
+// record is the state of one object from a revision on.
+type record struct {
+	revision int64
+	object   platform.Object
+	deleted  bool
+}
+
+// Store is the stand-in's state. All methods are safe for concurrent use.
+type Store struct {
+	mu       sync.Mutex
+	revision int64
+	// compacted is the oldest revision that a watch may start from.
+	compacted int64
+	events    []platform.Event
+	kept      int
+	// history holds the records of each object, newest last, as far back as
+	// stale reads may go.
+	history map[objectKey][]record
+	// changed is closed and replaced at each change of objects or faults.
+	changed chan struct{}
+
+	faults   faults
+	counters counters
+	vms      vmHistory
+	reads    *rate.Limiter
+	writes   *rate.Limiter
+}
+
+// NewStore returns an empty store.
+func NewStore(o Options) *Store {
+	if o.WritesPerSecond <= 0 {
+		o.WritesPerSecond = DefaultWritesPerSecond
+	}
+	if o.ReadsPerSecond <= 0 {
+		o.ReadsPerSecond = DefaultReadsPerSecond
+	}
+	if o.KeptEvents <= 0 {
+		o.KeptEvents = DefaultKeptEvents
+	}
+	return &Store{
+		kept:     o.KeptEvents,
+		history:  map[objectKey][]record{},
+		changed:  make(chan struct{}),
+		counters: newCounters(),
+		faults:   newFaults(),
+		reads:    rate.NewLimiter(rate.Limit(o.ReadsPerSecond), o.ReadsPerSecond),
+		writes:   rate.NewLimiter(rate.Limit(o.WritesPerSecond), o.WritesPerSecond),
+	}
+}
+
+// Revision returns the revision of the last change.
+func (s *Store) Revision() int64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.revision
+}
+
+// Compact forgets the events up to revision; watches from before it get Gone.
+func (s *Store) Compact(revision int64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.compact(min(revision, s.revision))
+}
+
+// compact drops events and history that no read needs any more.
+func (s *Store) compact(revision int64) {
+	if revision <= s.compacted {
+		return
+	}
+	s.compacted = revision
+	first := s.firstEventAfter(revision)
+	s.events = slices.Clone(s.events[first:])
+	for key, records := range s.history {
+		s.trim(key, records)
+	}
+}
+
+// trim keeps the newest record at or before the compacted revision and all
+// later ones.
+func (s *Store) trim(key objectKey, records []record) {
+	keep := 0
+	for i, r := range records {
+		if r.revision <= s.compacted {
+			keep = i
+		}
+	}
+	records = records[keep:]
+	if len(records) == 1 && records[0].deleted && records[0].revision <= s.compacted {
+		delete(s.history, key)
+		return
+	}
+	s.history[key] = slices.Clone(records)
+}
+
+func (s *Store) firstEventAfter(revision int64) int {
+	first, _ := slices.BinarySearchFunc(s.events, revision+1, func(e platform.Event, r int64) int {
+		return int(e.Object.Version - r)
+	})
+	return first
+}
+
+// at returns the object as it was at a revision.
+func (s *Store) at(key objectKey, revision int64) (platform.Object, bool) {
+	records := s.history[key]
+	for i := len(records) - 1; i >= 0; i-- {
+		if records[i].revision <= revision {
+			return records[i].object, !records[i].deleted
+		}
+	}
+	return platform.Object{}, false
+}
+
+// put stores a change as the next revision and wakes the watches.
+func (s *Store) put(key objectKey, value json.RawMessage, deleted bool) platform.Object {
+	s.revision++
+	object := platform.Object{Kind: key.kind, Name: key.name, Version: s.revision, Value: value}
+	s.history[key] = append(s.history[key], record{revision: s.revision, object: object, deleted: deleted})
+	s.events = append(s.events, platform.Event{Object: object, Deleted: deleted})
+	if len(s.events) > 2*s.kept {
+		s.compact(s.events[len(s.events)-s.kept].Object.Version - 1)
+	}
+	s.wake()
+	return object
+}
+
+func (s *Store) wake() {
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+func (s *Store) create(key objectKey, value json.RawMessage) (platform.Object, error) {
+	if old, ok := s.at(key, s.revision); ok {
+		return platform.Object{}, failure(platform.Conflict, errors.Errorf("exists at version %d", old.Version))
+	}
+	return s.put(key, value, false), nil
+}
+
+func (s *Store) update(key objectKey, version int64, value json.RawMessage) (platform.Object, error) {
+	if err := s.check(key, version); err != nil {
+		return platform.Object{}, err
+	}
+	return s.put(key, value, false), nil
+}
+
+func (s *Store) remove(key objectKey, version int64) (int64, error) {
+	if err := s.check(key, version); err != nil {
+		return 0, err
+	}
+	return s.put(key, nil, true).Version, nil
+}
+
+// check compares the version a writer gives with the stored one.
+func (s *Store) check(key objectKey, version int64) error {
+	old, ok := s.at(key, s.revision)
+	if !ok {
+		return failure(platform.NotFound, nil)
+	}
+	if old.Version != version {
+		return failure(platform.Conflict, errors.Errorf("version %d given, %d stored", version, old.Version))
+	}
+	return nil
+}
+
+// list returns the objects of the kinds at a revision, sorted.
+func (s *Store) list(kinds []string, revision int64) []platform.Object {
+	objects := []platform.Object{}
+	for key := range s.history {
+		if !wanted(kinds, key.kind) {
+			continue
+		}
+		if object, ok := s.at(key, revision); ok {
+			objects = append(objects, object)
+		}
+	}
+	slices.SortFunc(objects, func(a, b platform.Object) int {
+		if c := strings.Compare(a.Kind, b.Kind); c != 0 {
+			return c
+		}
+		return strings.Compare(a.Name, b.Name)
+	})
+	return objects
+}
+
+// eventsAfter returns the changes of the kinds after a revision.
+func (s *Store) eventsAfter(since int64, kinds []string) ([]platform.Event, error) {
+	if since < s.compacted {
+		return nil, failure(platform.Gone, errors.Errorf("revision %d given, oldest kept %d", since, s.compacted))
+	}
+	if since > s.revision {
+		return nil, failure(platform.Invalid, errors.Errorf("revision %d given, newest %d", since, s.revision))
+	}
+	events := []platform.Event{}
+	for _, e := range s.events[s.firstEventAfter(since):] {
+		if wanted(kinds, e.Object.Kind) {
+			events = append(events, e)
+		}
+	}
+	return events, nil
+}
+
+// wanted tells whether a filter of kinds lets a kind through; an empty filter
+// lets everything through.
+func wanted(kinds []string, kind string) bool {
+	return len(kinds) == 0 || slices.Contains(kinds, kind)
+}
+
+// checkValue returns the value in compact form or why it cannot be stored.
+func checkValue(value json.RawMessage) (json.RawMessage, error) {
+	if len(value) > platform.MaxValueBytes {
+		return nil, failure(platform.TooLarge, errors.Errorf("%d bytes, at most %d", len(value), platform.MaxValueBytes))
+	}
+	var compact bytes.Buffer
+	if err := json.Compact(&compact, value); err != nil {
+		return nil, failure(platform.Invalid, errors.Wrap(err, "value is no JSON"))
+	}
+	return compact.Bytes(), nil
+}
+
+// failure returns an error whose call is filled in by the caller.
+func failure(kind platform.ErrorKind, cause error) *platform.Error {
+	return &platform.Error{Kind: kind, Err: cause}
+}
+
+// throttleRetry is the time to come back that a throttled call is given.
+const throttleRetry = 500 * time.Millisecond
--- /dev/null
+++ b/standin/platform/vms.go
@@ -0,0 +1,92 @@
+package platform
+
+import (
+	"maps"
+	"slices"
+	"strings"
+	"time"
+
+	"heatherlock/platform"
+)
+
+// vmHistory keeps each state of the list of VMs with the time it began, so
+// that reads can lag; Store.mu guards it.
+type vmHistory struct {
+	lag    time.Duration
+	states []vmList
+}
+
+type vmList struct {
+	from time.Time
+	vms  map[string]platform.VM
+}
+
+// maxVMStates bounds the history.
+const maxVMStates = 4096
+
+// SetVM puts a VM into the list or replaces its line.
+func (s *Store) SetVM(vm platform.VM) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := time.Now()
+	if vm.Since.IsZero() {
+		vm.Since = now
+	}
+	vms := maps.Clone(s.vms.latest())
+	if vms == nil {
+		vms = map[string]platform.VM{}
+	}
+	vms[vm.Name] = vm
+	s.vms.push(now, vms)
+}
+
+// SetVMState changes the state of a listed VM.
+func (s *Store) SetVMState(name string, state platform.VMState) {
+	s.mu.Lock()
+	vm, ok := s.vms.latest()[name]
+	s.mu.Unlock()
+	if !ok {
+		return
+	}
+	vm.State = state
+	vm.Since = time.Time{}
+	s.SetVM(vm)
+}
+
+// SetVMLag makes reads of the list answer as of lag ago.
+func (s *Store) SetVMLag(lag time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.vms.lag = lag
+}
+
+func (h *vmHistory) latest() map[string]platform.VM {
+	if len(h.states) == 0 {
+		return nil
+	}
+	return h.states[len(h.states)-1].vms
+}
+
+func (h *vmHistory) push(now time.Time, vms map[string]platform.VM) {
+	if n := len(h.states); n > 0 && h.lag == 0 {
+		h.states = h.states[n-1:]
+	}
+	h.states = append(h.states, vmList{from: now, vms: vms})
+	if len(h.states) > maxVMStates {
+		h.states = slices.Clone(h.states[len(h.states)-maxVMStates/2:])
+	}
+}
+
+// at returns the list as of lag ago, sorted by name.
+func (h *vmHistory) at(now time.Time) []platform.VM {
+	seen := now.Add(-h.lag)
+	list := []platform.VM{}
+	for i := len(h.states) - 1; i >= 0; i-- {
+		if !h.states[i].from.After(seen) {
+			list = slices.AppendSeq(list, maps.Values(h.states[i].vms))
+			break
+		}
+	}
+	slices.SortFunc(list, func(a, b platform.VM) int { return strings.Compare(a.Name, b.Name) })
+	return list
+}
