--- /dev/null
+++ b/standin/witness/callers.go
@@ -0,0 +1,128 @@
+package witness
+
+import "time"
+
+// Kind says what a caller's request is, as far as the promises differ.
+type Kind uint8
+
+// Kinds of request.
+const (
+	KindRead     Kind = iota // idempotent
+	KindPurchase             // non-idempotent, runs at most once
+	KindUpload               // non-idempotent, with a long body
+)
+
+// Answer says how a caller's try ended.
+type Answer uint8
+
+// Ends of a try as its caller saw them.
+const (
+	AnswerWhole   Answer = iota // the whole answer to its own request
+	AnswerWrong                 // bytes of another answer, or fewer than declared, passed off as whole
+	AnswerRefused               // the system's own typed refusal
+	AnswerBroken                // the connection broke, which the caller could tell
+)
+
+// Try is one try of a caller.
+type Try struct {
+	Request string
+	Try     string
+	Kind    Kind
+	Start   time.Time
+	End     time.Time
+	Answer  Answer
+	// Reason and Ran are those of a refusal.
+	Reason string
+	Ran    string
+	// EntryVM is the one the caller sent to.
+	EntryVM string
+	// Excused marks a try that a planted fault cut, not the system: its entry
+	// VM was killed while it held the try.
+	Excused bool
+	// SentBytes and SentSum describe the body sent.
+	SentBytes int64
+	SentSum   string
+}
+
+// RanNo is the wire form of "not run" in a refusal.
+const RanNo = "no"
+
+type callerRecord struct {
+	tries     int
+	answers   map[Answer]int
+	refusals  map[string]int
+	notRun    map[string]string // try -> reason of the claim
+	purchases map[string]bool
+	uploads   map[string]*uploadRecord
+	broken    int // broken tries that no planted fault excuses
+	excused   int
+	uncut     int // tries carried to their end while a planned stop ran
+}
+
+// uploadRecord is what a caller knows of one upload over all its tries.
+type uploadRecord struct {
+	bytes int64
+	sum   string
+	acked bool
+	cut   int
+}
+
+func newCallerRecord() callerRecord {
+	return callerRecord{
+		answers:   map[Answer]int{},
+		refusals:  map[string]int{},
+		notRun:    map[string]string{},
+		purchases: map[string]bool{},
+		uploads:   map[string]*uploadRecord{},
+	}
+}
+
+// Answered records the end of a caller's try.
+func (w *Witness) Answered(t Try) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	c := &w.callers
+	c.tries++
+	c.answers[t.Answer]++
+	if t.Answer == AnswerRefused {
+		c.refusals[t.Reason]++
+	}
+	if t.Answer == AnswerRefused && t.Ran == RanNo {
+		c.notRun[t.Try] = t.Reason
+	}
+	if t.Answer == AnswerBroken && !t.Excused {
+		c.broken++
+	}
+	if t.Answer == AnswerBroken && t.Excused {
+		c.excused++
+	}
+	switch t.Kind {
+	case KindPurchase:
+		c.purchases[t.Request] = true
+	case KindUpload:
+		c.upload(t)
+	}
+}
+
+func (c *callerRecord) upload(t Try) {
+	u, ok := c.uploads[t.Request]
+	if !ok {
+		u = &uploadRecord{}
+		c.uploads[t.Request] = u
+	}
+	u.bytes, u.sum = t.SentBytes, t.SentSum
+	switch t.Answer {
+	case AnswerWhole:
+		u.acked = true
+	case AnswerWrong:
+		u.cut++
+	case AnswerBroken:
+		if !t.Excused {
+			u.cut++
+		}
+	case AnswerRefused:
+		if t.Ran != RanNo {
+			u.cut++
+		}
+	}
+}
