--- /dev/null
+++ b/node/listeners.go
@@ -0,0 +1,107 @@
+package node
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/go-faster/errors"
+	"golang.org/x/net/netutil"
+
+	"heatherlock/node/static"
+)
+
+// Limits of the operator and peer listeners, which only known programs use.
+const (
+	controlHeaderBytes   = 64 << 10
+	controlHeaderTimeout = 5 * time.Second
+	idleTimeout          = 90 * time.Second
+)
+
+// Addresses are the addresses that a daemon's listeners were bound to.
+type Addresses struct {
+	Caller   string
+	Peer     string
+	Operator string
+}
+
+// listeners are bound before anything else starts, so that the daemon's own
+// addresses are known to the parts that advertise them.
+type listeners struct {
+	caller   net.Listener
+	peer     net.Listener
+	operator net.Listener
+}
+
+func listen(s static.Settings) (*listeners, error) {
+	l := &listeners{}
+	var err error
+	if l.caller, err = bind("callerListen", s.CallerListen); err != nil {
+		return nil, err
+	}
+	if l.peer, err = bind("peerListen", s.PeerListen); err != nil {
+		l.close()
+		return nil, err
+	}
+	if l.operator, err = bind("operatorListen", s.OperatorListen); err != nil {
+		l.close()
+		return nil, err
+	}
+	return l, nil
+}
+
+func bind(field, address string) (net.Listener, error) {
+	l, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, errors.Wrapf(err, "node: listen on %s; choose a free address of this VM", field)
+	}
+	return l, nil
+}
+
+func (l *listeners) addresses() Addresses {
+	return Addresses{
+		Caller:   l.caller.Addr().String(),
+		Peer:     l.peer.Addr().String(),
+		Operator: l.operator.Addr().String(),
+	}
+}
+
+func (l *listeners) close() {
+	for _, one := range []net.Listener{l.caller, l.peer, l.operator} {
+		if one != nil {
+			_ = one.Close()
+		}
+	}
+}
+
+// serve runs a server until it is shut down. Each listener has its own bound
+// on connections: a flood of callers then leaves peers and operators theirs.
+func serve(server *http.Server, listener net.Listener, connections int) error {
+	err := server.Serve(netutil.LimitListener(listener, connections))
+	if errors.Is(err, http.ErrServerClosed) {
+		return nil
+	}
+	return err
+}
+
+// controlServer serves a listener that only known programs use.
+func controlServer(handler http.Handler) *http.Server {
+	return &http.Server{
+		Handler:           handler,
+		ReadHeaderTimeout: controlHeaderTimeout,
+		IdleTimeout:       idleTimeout,
+		MaxHeaderBytes:    controlHeaderBytes,
+	}
+}
+
+// shutdown closes idle connections and waits for busy ones until ctx ends.
+func shutdown(ctx context.Context, servers ...*http.Server) error {
+	var failed error
+	for _, server := range servers {
+		if err := server.Shutdown(ctx); err != nil && failed == nil {
+			failed = err
+		}
+	}
+	return failed
+}
