--- a/node/seam/seam.go
+++ b/node/seam/seam.go
@@ -120,8 +120,20 @@
 // CapGate admits work against the caps of the shifts that bring it here.
 type CapGate interface {
 	// Admit takes a permit of every cap that binds work of service from home
-	// into place. The error is a *steering.Refusal with ReasonCapReached.
-	Admit(ctx context.Context, service steering.Service, home, place steering.Place) error
+	// into place. A cap bounds what starts in a window, so Admit is called for
+	// each try, with the target's slot in hand, right before the request is
+	// sent: a wait between Admit and the start would bunch starts up. The error
+	// is a *steering.Refusal with ReasonCapReached.
+	Admit(ctx context.Context, service steering.Service, home, place steering.Place) (CapPermit, error)
+}
+
+// CapPermit is the right to start one request under the caps that bind it.
+type CapPermit interface {
+	// Done must be called exactly once, as soon as the try was sent or given
+	// up. A sent permit's window counts from this call; one that was not sent
+	// (no byte left for the target) is free again as if never taken. A permit
+	// that is never done stays taken.
+	Done(sent bool)
 }
 
 // Remote gives hints about other zones; hints save refused round trips and
--- a/steering/routing/snapshot.go
+++ b/steering/routing/snapshot.go
@@ -121,5 +121,7 @@
 	Shifts   map[string]*Shift
 	Caps     map[string]*Cap
 	Stops    map[string]*Stop
-	Blocks   BlockTable // never nil
+	Seats    map[string]*CapSeats      // by cap
+	Progress map[string]*ShiftProgress // by shift
+	Blocks   BlockTable                // never nil
 }
