Add the slot pool: admission, queue and learned limits

Cause: targets have 3 to 4 slots, so a request more or less matters, and the declared slots, reports and the truth differ. Change: steering/pool grants slots, queues by class, origin and deadline, refuses early with a paced time to come back, learns lower limits from sheds, doubts frozen reports and keeps a slot taken while the target may still run a request whose caller went away.

--- /dev/null
+++ b/steering/pool/estimate.go
@@ -0,0 +1,103 @@
+package pool
+
+import (
+	"time"
+
+	"heatherlock/steering"
+)
+
+// serviceTimes tracks how long slots are held.
+type serviceTimes struct {
+	mean   float64 // nanoseconds; decides throughput
+	median float64 // nanoseconds; decides what one request will take
+}
+
+const (
+	meanWeight = 1.0 / 32
+	// medianStep moves the median by this part of itself per sample.
+	medianStep = 1.0 / 32
+	minMedian  = float64(10 * time.Microsecond)
+)
+
+func newServiceTimes(first time.Duration) serviceTimes {
+	return serviceTimes{mean: float64(first), median: float64(first)}
+}
+
+// add takes one sample. The median is kept apart from the mean: a few uploads
+// of a minute would otherwise refuse every short request of the same service
+// whose deadline is shorter than the mean.
+func (s *serviceTimes) add(d time.Duration) {
+	x := float64(d)
+	s.mean += (x - s.mean) * meanWeight
+	step := s.median * medianStep
+	if x > s.median {
+		s.median += step
+	} else {
+		s.median = max(minMedian, s.median-step)
+	}
+}
+
+func (s *serviceTimes) typical() time.Duration {
+	return time.Duration(min(s.median, s.mean))
+}
+
+func (t *target) addServiceTime(d time.Duration) {
+	x := float64(d)
+	if t.serviceTime == 0 {
+		t.serviceTime = x
+		return
+	}
+	t.serviceTime += (x - t.serviceTime) * meanWeight
+}
+
+// waitFor estimates how long a new request of a rank would wait for a slot:
+// everything queued ahead of it and itself, at the pool's throughput.
+func (p *Pool) waitFor(rank int) time.Duration {
+	ahead := 0
+	for r := 0; r <= rank; r++ {
+		ahead += len(p.queues[r])
+	}
+	slots := max(1, p.slots)
+	return time.Duration(float64(ahead+1) * p.times.mean / float64(slots))
+}
+
+func (p *Pool) maxWait(foreign bool) time.Duration {
+	if foreign {
+		return p.cfg.ForeignMaxWait
+	}
+	return p.cfg.MaxWait
+}
+
+func (p *Pool) queueLimit() int {
+	return int(p.cfg.QueuePerSlot * float64(max(1, p.slots)))
+}
+
+func (p *Pool) refuse(at instant, reason steering.Reason, wait time.Duration) Decision {
+	return Decision{Verdict: Refused, Reason: reason, RetryAfter: p.comeBack(at, wait)}
+}
+
+// comeBack returns when a refused caller should try again.
+//
+// If all refused callers were told the same time, they would return as one
+// burst and be refused again. Each refusal therefore pushes the next caller's
+// time on by what one slot needs, so that they return at the pool's own pace.
+func (p *Pool) comeBack(at instant, wait time.Duration) time.Duration {
+	pace := time.Duration(p.times.mean / float64(max(1, p.slots)))
+	earliest := at + max(wait, minRetryAfter)
+	p.returns = max(p.returns+pace, earliest)
+	if p.returns > at+p.cfg.RetryAfterMax {
+		p.returns = earliest
+	}
+	return min(p.returns-at, p.cfg.RetryAfterMax)
+}
+
+// refuseUnservable refuses a request that no declared target may serve.
+func (p *Pool) refuseUnservable() Decision {
+	reason := steering.ReasonNoTarget
+	for i := range p.targets {
+		if p.targets[i].declared {
+			reason = steering.ReasonStopped
+		}
+	}
+	return Decision{Verdict: Refused, Reason: reason, RetryAfter: p.cfg.RetryAfterMax}
+}
--- /dev/null
+++ b/steering/pool/pool_test.go
@@ -0,0 +1,425 @@
+package pool
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"heatherlock/steering"
+	"heatherlock/steering/routing"
+)
+
+var start = time.Unix(1_000_000, 0)
+
+// modelTarget and modelWaiter are an independent account of a pool: plain
+// lists, searched from end to end.
+type modelTarget struct {
+	name     steering.Target
+	slots    int
+	stopped  bool
+	closed   bool
+	inFlight int
+}
+
+type modelWaiter struct {
+	ticket   Ticket
+	rank     int
+	giveUp   time.Time
+	deadline time.Time
+	avoid    []steering.Target
+}
+
+// machine drives a pool and the model side by side.
+type machine struct {
+	pool    *Pool
+	now     time.Time
+	targets []*modelTarget
+	waiters []modelWaiter
+	held    map[GrantID]*modelTarget
+	order   []GrantID
+	// exact holds while nothing happened that the model does not follow:
+	// learned limits, reports and lingering requests.
+	exact bool
+}
+
+func newMachine(t *rapid.T) *machine {
+	m := &machine{now: start, held: map[GrantID]*modelTarget{}, exact: rapid.Bool().Draw(t, "exact")}
+	m.pool = New(start, Config{
+		Choice:       Choice(rapid.IntRange(0, int(ChooseFirst)).Draw(t, "choice")),
+		QueuePerSlot: rapid.SampledFrom([]float64{-1, 0.5, 4}).Draw(t, "queue"),
+		ServiceTime:  10 * time.Millisecond,
+	})
+	for i := range rapid.IntRange(1, 5).Draw(t, "targets") {
+		m.targets = append(m.targets, &modelTarget{
+			name:  steering.Target(fmt.Sprintf("t%d", i)),
+			slots: rapid.IntRange(1, 4).Draw(t, "slots"),
+		})
+	}
+	m.declare(t)
+	return m
+}
+
+func (m *machine) target(name steering.Target) *modelTarget {
+	i := slices.IndexFunc(m.targets, func(t *modelTarget) bool { return t.name == name })
+	return m.targets[i]
+}
+
+func (m *machine) declare(t *rapid.T) {
+	var declared []routing.Target
+	for _, target := range m.targets {
+		declared = append(declared, routing.Target{Name: target.name, Slots: target.slots})
+	}
+	stopped := func(name steering.Target) bool { return m.target(name).stopped }
+	m.apply(t, m.pool.SetTargets(m.now, declared, stopped))
+}
+
+// servable says whether the model would give a request a slot.
+func (m *machine) servable(avoid []steering.Target) bool {
+	return slices.ContainsFunc(m.targets, func(t *modelTarget) bool {
+		return !t.stopped && !t.closed && t.inFlight < t.slots && !slices.Contains(avoid, t.name)
+	})
+}
+
+// first returns the waiter that has to be served next, or -1.
+func (m *machine) first() int {
+	best := -1
+	for i, w := range m.waiters {
+		if !m.servable(w.avoid) {
+			continue
+		}
+		if best < 0 || w.rank < m.waiters[best].rank ||
+			w.rank == m.waiters[best].rank && w.giveUp.Before(m.waiters[best].giveUp) {
+			best = i
+		}
+	}
+	return best
+}
+
+func (m *machine) grant(t *rapid.T, id GrantID, name steering.Target, avoid []steering.Target) {
+	target := m.target(name)
+	assert.Assert(t, m.held[id] == nil, "grant %d given twice", id)
+	assert.Assert(t, !target.stopped && !target.closed, "%s gets nothing new", name)
+	assert.Assert(t, !slices.Contains(avoid, name), "%s was to be avoided", name)
+	target.inFlight++
+	assert.Assert(t, target.inFlight <= target.slots, "%s is over its slots", name)
+	m.held[id] = target
+	m.order = append(m.order, id)
+}
+
+func (m *machine) remove(t *rapid.T, ticket Ticket) modelWaiter {
+	i := slices.IndexFunc(m.waiters, func(w modelWaiter) bool { return w.ticket == ticket })
+	assert.Assert(t, i >= 0, "ticket %d answered, but it does not wait", ticket)
+	w := m.waiters[i]
+	m.waiters = slices.Delete(m.waiters, i, i+1)
+	return w
+}
+
+// apply follows what a call did to waiting requests.
+func (m *machine) apply(t *rapid.T, e Effects) {
+	for _, d := range e.Dropped {
+		m.remove(t, d.Ticket)
+		assert.Assert(t, d.RetryAfter > 0, "a refusal has to say when to come back")
+	}
+	for _, s := range e.Served {
+		if m.exact {
+			first := m.waiters[m.first()]
+			chosen := m.waiters[slices.IndexFunc(m.waiters, func(w modelWaiter) bool { return w.ticket == s.Ticket })]
+			assert.Equal(t, chosen.rank, first.rank, "served out of order")
+			assert.Assert(t, chosen.giveUp.Equal(first.giveUp), "served out of order")
+		}
+		w := m.remove(t, s.Ticket)
+		assert.Assert(t, m.now.Before(w.deadline), "served after its deadline")
+		m.grant(t, s.Grant, s.Target.Name, w.avoid)
+	}
+}
+
+func (m *machine) Acquire(t *rapid.T) {
+	r := Request{
+		Class:    routing.Criticality(rapid.IntRange(0, 2).Draw(t, "class")),
+		Foreign:  rapid.Bool().Draw(t, "foreign"),
+		Deadline: m.now.Add(time.Duration(rapid.IntRange(-1, 200).Draw(t, "deadline")) * time.Millisecond),
+	}
+	for _, target := range m.targets {
+		if rapid.IntRange(0, 3).Draw(t, "avoid") == 0 {
+			r.Avoid = append(r.Avoid, target.name)
+		}
+	}
+	usable := slices.ContainsFunc(m.targets, func(t *modelTarget) bool { return !t.stopped })
+	typical := m.pool.times.typical()
+	d := m.pool.Acquire(m.now, r)
+	if m.exact {
+		mustGrant := m.servable(r.Avoid) && r.Deadline.After(m.now)
+		assert.Equal(t, d.Verdict == Granted, mustGrant, "a free slot is granted at once, and only that")
+	}
+	switch d.Verdict {
+	case Granted:
+		m.grant(t, d.Grant, d.Target.Name, r.Avoid)
+	case Queued:
+		assert.Assert(t, usable, "queued although nothing can ever serve it")
+		giveUp := r.Deadline.Add(-typical)
+		assert.Assert(t, giveUp.After(m.now), "queued although it can't be served in time")
+		m.waiters = append(m.waiters, modelWaiter{d.Ticket, rankOf(&r), giveUp, r.Deadline, r.Avoid})
+	case Refused:
+		assert.Assert(t, d.RetryAfter > 0 || d.Reason == steering.ReasonDeadline)
+	}
+}
+
+func (m *machine) Release(t *rapid.T) {
+	if len(m.order) == 0 {
+		t.Skip("nothing held")
+	}
+	i := rapid.IntRange(0, len(m.order)-1).Draw(t, "grant")
+	id := m.order[i]
+	o := Outcome{ReportedInFlight: NoReport, ReportedSlots: NoReport}
+	if !m.exact {
+		o.End = End(rapid.IntRange(0, int(EndOrphaned)).Draw(t, "end"))
+		o.ReportedInFlight = rapid.IntRange(NoReport, 5).Draw(t, "reported")
+		o.ReportedSlots = rapid.IntRange(NoReport, 5).Draw(t, "reportedSlots")
+	}
+	m.order = slices.Delete(m.order, i, i+1)
+	m.held[id].inFlight--
+	delete(m.held, id)
+	m.apply(t, m.pool.Release(m.now, id, o))
+	m.apply(t, m.pool.Release(m.now, id, o)) // repeated: no effect
+}
+
+func (m *machine) Cancel(t *rapid.T) {
+	if len(m.waiters) == 0 {
+		t.Skip("nobody waits")
+	}
+	w := m.waiters[rapid.IntRange(0, len(m.waiters)-1).Draw(t, "waiter")]
+	if m.pool.Cancel(w.ticket) {
+		m.remove(t, w.ticket)
+	}
+	assert.Assert(t, !m.pool.Cancel(w.ticket))
+}
+
+func (m *machine) Stop(t *rapid.T) {
+	target := rapid.SampledFrom(m.targets).Draw(t, "target")
+	target.stopped = !target.stopped
+	m.declare(t)
+}
+
+func (m *machine) Close(t *rapid.T) {
+	target := rapid.SampledFrom(m.targets).Draw(t, "target")
+	target.closed = !target.closed
+	m.apply(t, m.pool.SetClosed(m.now, target.name, target.closed))
+}
+
+func (m *machine) Learn(t *rapid.T) {
+	if m.exact {
+		t.Skip("the model follows no reports")
+	}
+	target := rapid.SampledFrom(m.targets).Draw(t, "target")
+	if rapid.Bool().Draw(t, "share") {
+		m.apply(t, m.pool.SetShare(m.now, target.name, rapid.Float64Range(0, 1).Draw(t, "share")))
+		return
+	}
+	m.apply(t, m.pool.Report(m.now, target.name, rapid.IntRange(0, 5).Draw(t, "inFlight"), rapid.IntRange(0, 5).Draw(t, "slots")))
+}
+
+func (m *machine) Pass(t *rapid.T) {
+	m.now = m.now.Add(time.Duration(rapid.IntRange(1, 300).Draw(t, "ms")) * time.Millisecond)
+	m.apply(t, m.pool.Tick(m.now))
+}
+
+// Check holds after every action.
+func (m *machine) Check(t *rapid.T) {
+	p := m.pool
+	inFlight, free, slots := 0, 0, 0
+	for i := range p.targets {
+		target := &p.targets[i]
+		inFlight += target.inFlight
+		free += target.room(p.now)
+		if target.open(p.now) {
+			slots += target.capacity()
+		}
+		assert.Assert(t, target.limit >= 1 && target.limit <= target.Slots, "limit %d of %d", target.limit, target.Slots)
+	}
+	pending := len(p.effects.pending)
+	assert.Equal(t, p.inFlight, inFlight)
+	assert.Equal(t, p.inFlight, len(m.held))
+	assert.Equal(t, p.free, free)
+	assert.Equal(t, p.slots, slots)
+	assert.Equal(t, p.queued, len(m.waiters)-pending)
+	m.apply(t, p.Tick(m.now))
+	for _, w := range m.waiters {
+		assert.Assert(t, w.deadline.After(m.now), "the queue holds a request past its deadline")
+		assert.Assert(t, !m.exact || !m.servable(w.avoid), "a slot is free while a request waits for it")
+	}
+}
+
+// Promise: no target ever gets more than its slots, waiting requests are
+// served by class, origin and deadline, none waits past its deadline, and a
+// free slot is never kept from a request that may use it.
+func TestPoolAgainstModel(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := newMachine(t)
+		t.Repeat(map[string]func(*rapid.T){
+			"Acquire": m.Acquire, "Acquire2": m.Acquire, "Release": m.Release, "Cancel": m.Cancel,
+			"Stop": m.Stop, "Close": m.Close, "Learn": m.Learn, "Pass": m.Pass, "": m.Check,
+		})
+	})
+}
+
+func twoOf(slots int) []routing.Target {
+	return []routing.Target{{Name: "a", Slots: slots}, {Name: "b", Slots: slots}}
+}
+
+var noReport = Outcome{ReportedInFlight: NoReport, ReportedSlots: NoReport}
+
+// Symptom: a target with two working slots out of four declared refuses every
+// third request. Sequence: the pool fills its four slots, the target sheds.
+// Cause: the pool believed the configuration. The limit has to settle at two,
+// try three only now and then, and find the truth once the target is mended.
+func TestLimitFollowsTruth(t *testing.T) {
+	const working = 2
+	now := start
+	p := New(now, Config{})
+	p.SetTargets(now, []routing.Target{{Name: "a", Slots: 4}}, nil)
+	run := func(d time.Duration, truth int) (sheds int) {
+		for end := now.Add(d); now.Before(end); {
+			var held []GrantID
+			for {
+				decision := p.Acquire(now, Request{Deadline: now.Add(time.Second)})
+				if decision.Verdict != Granted {
+					p.Cancel(decision.Ticket)
+					break
+				}
+				held = append(held, decision.Grant)
+			}
+			now = now.Add(20 * time.Millisecond)
+			for i := len(held) - 1; i >= 0; i-- {
+				o := noReport
+				if i >= truth {
+					o.End = EndShed
+					sheds++
+				}
+				p.Release(now, held[i], o)
+			}
+			p.Tick(now)
+		}
+		return sheds
+	}
+	run(5*time.Second, working)
+	assert.Assert(t, p.Limit("a") <= working+1)
+	sheds := run(time.Minute, working)
+	assert.Assert(t, sheds <= 60, "%d sheds in a minute of 6000 requests", sheds)
+	run(5*time.Minute, 4)
+	assert.Equal(t, p.Limit("a"), 4)
+}
+
+// Symptom: a target serves well while callers queue. Sequence: its load report
+// freezes at "all slots in use". Cause: the report outranked what the pool saw
+// at first hand.
+func TestFrozenReportIsDoubted(t *testing.T) {
+	now := start
+	p := New(now, Config{})
+	p.SetTargets(now, []routing.Target{{Name: "a", Slots: 4}}, nil)
+	peak := 0
+	for range 200 {
+		var held []GrantID
+		for {
+			d := p.Acquire(now, Request{Deadline: now.Add(time.Second)})
+			if d.Verdict != Granted {
+				p.Cancel(d.Ticket)
+				break
+			}
+			held = append(held, d.Grant)
+		}
+		peak = max(peak, len(held))
+		assert.Assert(t, len(held) > 0, "a report alone must not take the last slot")
+		now = now.Add(20 * time.Millisecond)
+		for _, id := range held {
+			p.Release(now, id, Outcome{ReportedInFlight: 8, ReportedSlots: 4})
+		}
+		p.Tick(now)
+	}
+	assert.Equal(t, peak, 4)
+}
+
+// Symptom: a target runs more than its slots after callers go away. Sequence:
+// requests time out, their slots are given out again, the target still runs
+// the first ones. Cause: an end at the caller's side is no end at the target.
+func TestUncertainEndKeepsTheSlot(t *testing.T) {
+	now := start
+	p := New(now, Config{Linger: time.Second})
+	p.SetTargets(now, twoOf(1), nil)
+	first := p.Acquire(now, Request{Deadline: now.Add(time.Second)})
+	o := noReport
+	o.End = EndUncertain
+	p.Release(now, first.Grant, o)
+	assert.Equal(t, p.Free(), 1)
+	p.Report(now, first.Target.Name, 0, NoReport)
+	assert.Equal(t, p.Free(), 2, "the target's own word that it is idle ends the wait")
+	again := p.Acquire(now, Request{Deadline: now.Add(time.Second)})
+	p.Release(now, again.Grant, o)
+	p.Tick(now.Add(time.Second))
+	assert.Equal(t, p.Free(), 2, "the wait is bounded")
+}
+
+// Symptom: a full queue of sheddable work turns away a pass check. Cause: the
+// bound was first come, first served.
+func TestFullQueueMakesRoomForCriticalWork(t *testing.T) {
+	now := start
+	p := New(now, Config{QueuePerSlot: 1})
+	p.SetTargets(now, twoOf(1), nil)
+	sheddable := Request{Class: routing.Sheddable, Deadline: now.Add(time.Second)}
+	var last Decision
+	for range 4 {
+		last = p.Acquire(now, sheddable)
+	}
+	assert.Equal(t, last.Verdict, Queued)
+	assert.Equal(t, p.Acquire(now, sheddable).Reason, steering.ReasonQueueFull)
+	critical := p.Acquire(now, Request{Class: routing.Critical, Deadline: now.Add(time.Second)})
+	assert.Equal(t, critical.Verdict, Queued)
+	e := p.Tick(now)
+	assert.Equal(t, len(e.Dropped), 1)
+	assert.Equal(t, e.Dropped[0].Reason, steering.ReasonQueueFull)
+}
+
+// Symptom: refused callers come back as one burst and are refused again.
+// Cause: all were told the same time.
+func TestRefusedCallersAreToldDifferentTimes(t *testing.T) {
+	now := start
+	p := New(now, Config{QueuePerSlot: -1})
+	p.SetTargets(now, twoOf(1), nil)
+	seen := map[time.Duration]bool{}
+	for range 12 {
+		d := p.Acquire(now, Request{Deadline: now.Add(time.Second)})
+		if d.Verdict == Refused {
+			assert.Assert(t, !seen[d.RetryAfter], "%v told twice", d.RetryAfter)
+			seen[d.RetryAfter] = true
+		}
+	}
+	assert.Equal(t, len(seen), 10)
+}
+
+func BenchmarkAcquireRelease(b *testing.B) {
+	for _, n := range []int{20, 200, 2000} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			p := New(start, Config{})
+			var targets []routing.Target
+			for i := range n {
+				targets = append(targets, routing.Target{Name: steering.Target(fmt.Sprint("target-", i)), Slots: 4})
+			}
+			p.SetTargets(start, targets, nil)
+			held := make([]GrantID, 0, 4*n)
+			for range 3 * n {
+				held = append(held, p.Acquire(start, Request{Deadline: start.Add(time.Hour)}).Grant)
+			}
+			b.ReportAllocs()
+			b.ResetTimer()
+			for i := range b.N {
+				now := start.Add(time.Duration(i) * time.Microsecond)
+				slot := i * 7919 % len(held)
+				p.Release(now, held[slot], noReport)
+				held[slot] = p.Acquire(now, Request{Deadline: now.Add(time.Hour)}).Grant
+			}
+		})
+	}
+}
