Keep outcomes of keyed requests in a bounded table

A caller that repeats a purchase must never have it run twice, while the memory for outcomes is bounded and a forgotten key looks like one never seen. The key prefix now carries the minute of issue; the table seals an epoch before it forgets an outcome of it, and a key that is absent runs only when its epoch is open. seam.LookupEntry.KeyPrefix becomes a steering.KeyPrefix (once.PrefixAt), and answers carry Heatherlock-Key-Prefix.

--- a/node/seam/seam.go
+++ b/node/seam/seam.go
@@ -168,7 +168,7 @@
 type LookupEntry struct {
 	VM        steering.VM
 	Address   string
-	KeyPrefix steering.Incarnation // empty when not heard from yet
+	KeyPrefix steering.KeyPrefix // once.PrefixAt; empty when not heard from yet
 }
 
 // Leaver tells whether this entry VM is leaving.
--- a/steering/ids.go
+++ b/steering/ids.go
@@ -19,12 +19,19 @@
 type VM string
 
 // Incarnation names one process life of an entry VM. It is random, is never
-// reused, and prefixes every request key that the process issues.
+// reused, and begins the prefix of every request key that the process issues.
+// It holds ASCII letters and digits only.
 type Incarnation string
 
 // RequestID is unique per request and is echoed by targets and peers.
 type RequestID string
 
-// Key is a request key: "<incarnation>.<unique part>". Empty means that the
+// KeyPrefix is what a caller puts before the dot of a request key:
+// "<incarnation>-<epoch>", where the epoch is the minute of issue. It comes from
+// a look-up answer or from the Heatherlock-Key-Prefix header of any answer, and
+// is fit for fresh keys for some minutes only; package once says why.
+type KeyPrefix string
+
+// Key is a request key: "<key prefix>.<unique part>". Empty means that the
 // caller gave none.
 type Key string
--- a/steering/reasons.go
+++ b/steering/reasons.go
@@ -37,6 +37,7 @@
 	ReasonKeyEvicted:    {http.StatusConflict, "the outcome of this key is no longer kept", "check the outcome with the service itself; the request is not run again under this key"},
 	ReasonKeyMismatch:   {http.StatusUnprocessableEntity, "the key was used before with a different request", "use a fresh key for each request"},
 	ReasonKeyBusy:       {http.StatusConflict, "the same key is running and its answer cannot be shared", "come back after the time given with the same key"},
+	ReasonKeysFull:      {http.StatusServiceUnavailable, "this entry VM keeps as many request keys as its memory bound allows", "come back after the time given with the same key, or raise limits.outcomeBytes"},
 	ReasonAnswerTooBig:  {http.StatusConflict, "the request ran, but its answer was too large to keep", "read the outcome from the service itself"},
 	ReasonAnswerCut:     {http.StatusBadGateway, "the target's answer ended early", "repeat only if the request is idempotent"},
 	ReasonAnswerCrossed: {http.StatusBadGateway, "the target answered a different request", "repeat only if the request is idempotent; inspect the target"},
--- a/steering/refusal.go
+++ b/steering/refusal.go
@@ -59,6 +59,7 @@
 	ReasonKeyEvicted    Reason = "key_evicted"
 	ReasonKeyMismatch   Reason = "key_mismatch"
 	ReasonKeyBusy       Reason = "key_busy"
+	ReasonKeysFull      Reason = "keys_full"
 	ReasonAnswerTooBig  Reason = "answer_not_kept"
 	ReasonAnswerCut     Reason = "answer_cut"
 	ReasonAnswerCrossed Reason = "answer_crossed"
