Check objects and lay out the client's command line

An operator's mistake should be told where it is made, with the field and the remedy, and before anything is stored.

api/check: schema by kin-openapi with unknown fields refused (a misspelt field would silently mean its default), all problems at once; rules over the whole set, judged as the difference that a change makes, so that an old fault of another object blocks nobody. metadata.writeId is added so that a writer can recognise its own write after a lost reply. cmd: one frame for subcommands with documented exit codes, and the three that need no running system: check, explain, why.

Fuzzing Decode for 20 s: 206422 executions, no failure. Speed not measured.

--- a/api/oas/oas_json_gen.go
+++ b/api/oas/oas_json_gen.go
@@ -1552,6 +1552,12 @@
 			s.ChangedAt.Encode(e, json.EncodeDateTime)
 		}
 	}
+	{
+		if s.WriteId.Set {
+			e.FieldStart("writeId")
+			s.WriteId.Encode(e)
+		}
+	}
 	{
 		if s.Override.Set {
 			e.FieldStart("override")
@@ -1560,12 +1566,13 @@
 	}
 }
 
-var jsonFieldsNameOfMetadata = [5]string{
+var jsonFieldsNameOfMetadata = [6]string{
 	0: "name",
 	1: "version",
 	2: "changedBy",
 	3: "changedAt",
-	4: "override",
+	4: "writeId",
+	5: "override",
 }
 
 // Decode decodes Metadata from json.
@@ -1617,6 +1624,16 @@
 			}(); err != nil {
 				return errors.Wrap(err, "decode field \"changedAt\"")
 			}
+		case "writeId":
+			if err := func() error {
+				s.WriteId.Reset()
+				if err := s.WriteId.Decode(d); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"writeId\"")
+			}
 		case "override":
 			if err := func() error {
 				s.Override.Reset()
--- a/api/oas/oas_schemas_gen.go
+++ b/api/oas/oas_schemas_gen.go
@@ -575,6 +575,8 @@
 	// Who made the last change.
 	ChangedBy OptString   `json:"changedBy"`
 	ChangedAt OptDateTime `json:"changedAt"`
+	// Chosen by the writer for each change, so that it recognises its own write after a lost reply.
+	WriteId OptString `json:"writeId"`
 	// The reason recorded when a change was accepted in spite of a promise it breaks.
 	Override OptString `json:"override"`
 }
@@ -599,6 +601,11 @@
 	return s.ChangedAt
 }
 
+// GetWriteId returns the value of WriteId.
+func (s *Metadata) GetWriteId() OptString {
+	return s.WriteId
+}
+
 // GetOverride returns the value of Override.
 func (s *Metadata) GetOverride() OptString {
 	return s.Override
@@ -624,6 +631,11 @@
 	s.ChangedAt = val
 }
 
+// SetWriteId sets the value of WriteId.
+func (s *Metadata) SetWriteId(val OptString) {
+	s.WriteId = val
+}
+
 // SetOverride sets the value of Override.
 func (s *Metadata) SetOverride(val OptString) {
 	s.Override = val
--- a/api/oas/oas_validators_gen.go
+++ b/api/oas/oas_validators_gen.go
@@ -476,6 +476,36 @@
 			Error: err,
 		})
 	}
+	if err := func() error {
+		if value, ok := s.WriteId.Get(); ok {
+			if err := func() error {
+				if err := (validate.String{
+					MinLength:     0,
+					MinLengthSet:  false,
+					MaxLength:     64,
+					MaxLengthSet:  true,
+					Email:         false,
+					Hostname:      false,
+					Regex:         nil,
+					MinNumeric:    0,
+					MinNumericSet: false,
+					MaxNumeric:    0,
+					MaxNumericSet: false,
+				}).Validate(string(value)); err != nil {
+					return errors.Wrap(err, "string")
+				}
+				return nil
+			}(); err != nil {
+				return err
+			}
+		}
+		return nil
+	}(); err != nil {
+		failures = append(failures, validate.FieldError{
+			Name:  "writeId",
+			Error: err,
+		})
+	}
 	if len(failures) > 0 {
 		return &validate.Error{Fields: failures}
 	}
--- /dev/null
+++ b/cmd/heatherlock/commands.go
@@ -0,0 +1,24 @@
+package main
+
+import (
+	"heatherlock/cmd/internal/command"
+	"heatherlock/cmd/internal/offline"
+)
+
+// version is set by the linker: -ldflags "-X main.version=v1.2.3".
+var version = "development"
+
+// program lists every subcommand. To add one, write a package under
+// cmd/internal with a function that returns a command.Command, and name it here.
+func program() command.Program {
+	return command.Program{
+		Name:        "heatherlock",
+		Description: "Declare what traffic should do, watch it until it holds, and see why something was refused.",
+		Version:     version,
+		Commands: []command.Command{
+			offline.Check(),
+			offline.Explain(),
+			offline.Why(),
+		},
+	}
+}
--- /dev/null
+++ b/cmd/internal/offline/doc.go
@@ -0,0 +1,3 @@
+// Package offline holds the subcommands that need no running system: check,
+// explain and why.
+package offline
