Keep configuration in force: sets, reader leases, compile and spread

Every node needs the operators' objects within 4 s without watching the platform itself. One reader per zone holds a lease with an epoch and watches; others fetch deltas from peers, checked by a checksum of the whole, and a set never goes back. Bad stored objects are left out and reported; client blocks too big for one value are split in shards with a manifest.

--- /dev/null
+++ b/node/dynamic/blocks.go
@@ -0,0 +1,190 @@
+package dynamic
+
+import (
+	"encoding/json"
+	"fmt"
+	"slices"
+	"strings"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/go-faster/errors"
+	"github.com/klauspost/compress/zstd"
+
+	"heatherlock/api/oas"
+	"heatherlock/platform"
+)
+
+const (
+	// wholeBytes is the largest ClientBlocks value that is stored unsplit.
+	wholeBytes = 256 << 10
+	// A shard ends after a block whose hash is a multiple of shardMean, or at
+	// shardMost. Boundaries that depend on the blocks themselves keep the
+	// other shards unchanged when one block is added or removed.
+	shardMean = 4096
+	shardMost = 16384
+	// joinedMost bounds what one shard may unpack to.
+	joinedMost = 8 << 20
+)
+
+// manifest is the part of a split ClientBlocks value that names its shards.
+type manifest struct {
+	Blocks int      `json:"blocks"`
+	Shards []string `json:"shards"`
+}
+
+// shardValue is the value of a shard.
+type shardValue struct {
+	Zstd []byte `json:"zstd"` // blocks as JSON, compressed
+}
+
+// Split is a ClientBlocks object in the form the platform keeps.
+type Split struct {
+	// Manifest is the value of the ClientBlocks object. It must be written
+	// after every shard, and shards that it no longer names removed after it:
+	// a reader then never sees a manifest without its shards.
+	Manifest json.RawMessage
+	// Shards are to be created unless a shard of that name exists: a shard's
+	// name is the hash of its value. Empty for a small object.
+	Shards []platform.Object
+}
+
+var (
+	encoder, _ = zstd.NewWriter(nil, zstd.WithEncoderConcurrency(1))
+	decoder, _ = zstd.NewReader(nil, zstd.WithDecoderConcurrency(1), zstd.WithDecoderMaxMemory(joinedMost))
+)
+
+// SplitBlocks returns the form in which a ClientBlocks object is stored.
+func SplitBlocks(in *oas.ClientBlocks) (Split, error) {
+	whole, err := in.MarshalJSON()
+	if err != nil {
+		return Split{}, errors.Wrap(err, "dynamic: encode client blocks")
+	}
+	if len(whole) <= wholeBytes {
+		return Split{Manifest: whole}, nil
+	}
+	blocks := slices.Clone(in.Spec.Blocks)
+	slices.SortFunc(blocks, func(a, b oas.ClientBlock) int { return strings.Compare(a.Prefix, b.Prefix) })
+	out := Split{}
+	m := manifest{Blocks: len(blocks)}
+	for _, part := range partition(blocks) {
+		shard, err := newShard(string(in.Metadata.Name), part)
+		if err != nil {
+			return Split{}, err
+		}
+		out.Shards = append(out.Shards, shard)
+		m.Shards = append(m.Shards, shard.Name)
+	}
+	out.Manifest, err = encodeManifest(in, m)
+	return out, err
+}
+
+// partition cuts the sorted blocks into shards.
+func partition(blocks []oas.ClientBlock) [][]oas.ClientBlock {
+	var parts [][]oas.ClientBlock
+	start := 0
+	for i := range blocks {
+		n := i + 1 - start
+		if n >= shardMost || xxhash.Sum64String(blocks[i].Prefix)%shardMean == 0 {
+			parts = append(parts, blocks[start:i+1])
+			start = i + 1
+		}
+	}
+	if start < len(blocks) {
+		parts = append(parts, blocks[start:])
+	}
+	return parts
+}
+
+func newShard(object string, blocks []oas.ClientBlock) (platform.Object, error) {
+	spec := oas.ClientBlocksSpec{Blocks: blocks}
+	plain, err := spec.MarshalJSON()
+	if err != nil {
+		return platform.Object{}, errors.Wrap(err, "dynamic: encode shard")
+	}
+	value, err := json.Marshal(shardValue{Zstd: encoder.EncodeAll(plain, nil)})
+	if err != nil {
+		return platform.Object{}, errors.Wrap(err, "dynamic: encode shard")
+	}
+	name := fmt.Sprintf("%s.%016x", object, xxhash.Sum64(plain))
+	return platform.Object{Kind: KindShard, Name: name, Value: value}, nil
+}
+
+func encodeManifest(in *oas.ClientBlocks, m manifest) (json.RawMessage, error) {
+	bare := oas.ClientBlocks{Kind: in.Kind, Metadata: in.Metadata, Spec: oas.ClientBlocksSpec{Blocks: []oas.ClientBlock{}}}
+	plain, err := bare.MarshalJSON()
+	if err != nil {
+		return nil, errors.Wrap(err, "dynamic: encode manifest")
+	}
+	fields := map[string]json.RawMessage{}
+	if err := json.Unmarshal(plain, &fields); err != nil {
+		return nil, errors.Wrap(err, "dynamic: encode manifest")
+	}
+	if fields["manifest"], err = json.Marshal(m); err != nil {
+		return nil, errors.Wrap(err, "dynamic: encode manifest")
+	}
+	return json.Marshal(fields)
+}
+
+// MissingShardError says that a manifest names a shard that is not stored.
+type MissingShardError struct{ Shard string }
+
+// Error implements error.
+func (e *MissingShardError) Error() string {
+	return fmt.Sprintf("dynamic: shard %s is missing; apply the ClientBlocks object again", e.Shard)
+}
+
+// ShardNames returns the shards that a stored ClientBlocks value names; none
+// when it is not split.
+func ShardNames(value json.RawMessage) ([]string, error) {
+	var in struct {
+		Manifest *manifest `json:"manifest"`
+	}
+	if err := json.Unmarshal(value, &in); err != nil {
+		return nil, errors.Wrap(err, "dynamic: read manifest")
+	}
+	if in.Manifest == nil {
+		return nil, nil
+	}
+	return in.Manifest.Shards, nil
+}
+
+// JoinBlocks returns the whole object from its stored value; shard returns the
+// value of a shard.
+func JoinBlocks(value json.RawMessage, shard func(name string) (json.RawMessage, bool)) (*oas.ClientBlocks, error) {
+	out := new(oas.ClientBlocks)
+	if err := out.UnmarshalJSON(value); err != nil {
+		return nil, errors.Wrap(err, "dynamic: read client blocks")
+	}
+	names, err := ShardNames(value)
+	if err != nil {
+		return nil, err
+	}
+	for _, name := range names {
+		stored, ok := shard(name)
+		if !ok {
+			return nil, &MissingShardError{Shard: name}
+		}
+		blocks, err := shardBlocks(stored)
+		if err != nil {
+			return nil, err
+		}
+		out.Spec.Blocks = append(out.Spec.Blocks, blocks...)
+	}
+	return out, nil
+}
+
+func shardBlocks(value []byte) ([]oas.ClientBlock, error) {
+	var in shardValue
+	if err := json.Unmarshal(value, &in); err != nil {
+		return nil, errors.Wrap(err, "dynamic: read shard")
+	}
+	plain, err := decoder.DecodeAll(in.Zstd, nil)
+	if err != nil {
+		return nil, errors.Wrap(err, "dynamic: unpack shard")
+	}
+	var spec oas.ClientBlocksSpec
+	if err := spec.UnmarshalJSON(plain); err != nil {
+		return nil, errors.Wrap(err, "dynamic: read shard")
+	}
+	return spec.Blocks, nil
+}
--- /dev/null
+++ b/node/dynamic/fleet_test.go
@@ -0,0 +1,255 @@
+package dynamic
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/go-faster/errors"
+	"gotest.tools/v3/assert"
+
+	"heatherlock/node/seam"
+	"heatherlock/peer/peerpb"
+	"heatherlock/platform"
+	standin "heatherlock/standin/platform"
+	"heatherlock/steering"
+	"heatherlock/steering/config"
+	"heatherlock/steering/routing"
+)
+
+// fleet is a set of nodes in one process, joined by function calls, with the
+// stand-in as their platform. It runs under synctest.
+type fleet struct {
+	t      testing.TB
+	store  *standin.Store
+	mu     sync.Mutex
+	nodes  map[string]*member // by peer address
+	cut    map[[2]steering.Zone]bool
+	lives  int
+	tamper func(*peerpb.FetchConfigReply)
+}
+
+// member is one process life of a node.
+type member struct {
+	fleet  *fleet
+	self   seam.Member
+	spread *Spread
+	stop   context.CancelFunc
+	done   chan struct{}
+	high   int64 // highest version seen in force, by every life of the VM
+}
+
+func newFleet(t testing.TB, zones, perZone int) *fleet {
+	f := &fleet{t: t, store: standin.NewStore(standin.Options{}), nodes: map[string]*member{}, cut: map[[2]steering.Zone]bool{}}
+	for z := range zones {
+		for n := range perZone {
+			f.add(fmt.Sprintf("zone-%d", z), fmt.Sprintf("vm-%d-%d", z, n))
+		}
+	}
+	return f
+}
+
+// add registers a node without starting it.
+func (f *fleet) add(zone, vm string) *member {
+	m := &member{fleet: f}
+	m.self = seam.Member{VM: steering.VM(vm), Zone: steering.Zone(zone), Region: "norte", PeerAddress: vm + ":1"}
+	f.nodes[m.self.PeerAddress] = m
+	return m
+}
+
+func (f *fleet) startAll() {
+	for _, m := range f.nodes {
+		m.start()
+	}
+}
+
+// start begins a new process life.
+func (m *member) start() {
+	f := m.fleet
+	f.mu.Lock()
+	f.lives++
+	m.self.Incarnation = steering.Incarnation(fmt.Sprintf("life%d", f.lives))
+	f.mu.Unlock()
+	spread, err := New(Config{
+		Platform: f.store.As(string(m.self.VM), string(m.self.Zone)),
+		Members:  m,
+		Peer:     func(address string) peerpb.Peer { return &link{from: m, to: address} },
+	})
+	assert.NilError(f.t, err)
+	spread.Subscribe(func(snapshot *routing.Snapshot) {
+		if snapshot.Version < m.high && m.spread == spread {
+			f.t.Errorf("%s went back from version %d to %d", m.self.VM, m.high, snapshot.Version)
+		}
+		m.high = snapshot.Version
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	f.mu.Lock()
+	m.spread, m.stop, m.done = spread, cancel, make(chan struct{})
+	m.high = 0
+	done := m.done
+	f.mu.Unlock()
+	go func() {
+		defer close(done)
+		go m.beat(ctx, spread)
+		assert.Check(f.t, spread.Run(ctx))
+	}()
+}
+
+// kill ends the process life.
+func (m *member) kill() {
+	m.stop()
+	<-m.done
+}
+
+func (f *fleet) killAll() {
+	for _, m := range f.nodes {
+		m.kill()
+	}
+}
+
+// beat stands for package member: once a second one node of the zone and,
+// from the zone's first node, one of any other.
+func (m *member) beat(ctx context.Context, spread *Spread) {
+	for pause(ctx, time.Second) == nil {
+		zone := m.InZone(m.self.Zone)
+		m.exchange(spread, zone[rand.IntN(len(zone))].PeerAddress)
+		if all := m.All(); zone[0].VM == m.self.VM {
+			m.exchange(spread, all[rand.IntN(len(all))].PeerAddress)
+		}
+	}
+}
+
+func (m *member) exchange(spread *Spread, address string) {
+	peer, err := m.fleet.reach(m, address)
+	if err != nil {
+		return
+	}
+	spread.OnConfigVersion(address, peer.set.Load().Version())
+	peer.OnConfigVersion(m.self.PeerAddress, spread.set.Load().Version())
+}
+
+func (f *fleet) reach(from *member, address string) (*Spread, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	to, ok := f.nodes[address]
+	if !ok || to.spread == nil || f.cut[[2]steering.Zone{from.self.Zone, to.self.Zone}] {
+		return nil, errors.New("unreachable")
+	}
+	return to.spread, nil
+}
+
+// cutZones cuts two zones off from each other, or heals them.
+func (f *fleet) cutZones(a, b steering.Zone, on bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.cut[[2]steering.Zone{a, b}] = on
+	f.cut[[2]steering.Zone{b, a}] = on
+}
+
+// Members as package member would give them.
+
+func (m *member) Self() seam.Member { return m.self }
+
+func (m *member) All() []seam.Member { return m.where(func(seam.Member) bool { return true }) }
+
+func (m *member) InZone(zone steering.Zone) []seam.Member {
+	return m.where(func(o seam.Member) bool { return o.Zone == zone })
+}
+
+func (m *member) where(match func(seam.Member) bool) []seam.Member {
+	m.fleet.mu.Lock()
+	defer m.fleet.mu.Unlock()
+	var found []seam.Member
+	for _, o := range m.fleet.nodes {
+		if match(o.self) {
+			found = append(found, o.self)
+		}
+	}
+	return found
+}
+
+func (m *member) ByIncarnation(steering.Incarnation) (seam.Member, bool) { return seam.Member{}, false }
+func (m *member) Evidence(steering.VM, bool)                             {}
+
+// link is a peer client.
+type link struct {
+	peerpb.Peer
+	from *member
+	to   string
+}
+
+func (l *link) Announce(ctx context.Context, in *peerpb.AnnounceRequest) (*peerpb.AnnounceReply, error) {
+	peer, err := l.from.fleet.reach(l.from, l.to)
+	if err != nil {
+		return nil, err
+	}
+	return peer.Announce(ctx, in)
+}
+
+func (l *link) FetchConfig(ctx context.Context, in *peerpb.FetchConfigRequest) (*peerpb.FetchConfigReply, error) {
+	peer, err := l.from.fleet.reach(l.from, l.to)
+	if err != nil {
+		return nil, err
+	}
+	reply, err := peer.FetchConfig(ctx, in)
+	if err == nil && l.from.fleet.tamper != nil {
+		l.from.fleet.tamper(reply)
+	}
+	return reply, err
+}
+
+// operator writes as an operator's client would, past every fault.
+func (f *fleet) operator() platform.API { return f.store.As("operator", "nowhere") }
+
+func (f *fleet) put(kind, name, value string) int64 {
+	api := f.operator()
+	object, err := api.Get(context.Background(), kind, name)
+	if err == nil {
+		object, err = api.Update(context.Background(), kind, name, object.Version, json.RawMessage(value))
+	} else {
+		object, err = api.Create(context.Background(), kind, name, json.RawMessage(value))
+	}
+	assert.NilError(f.t, err)
+	return object.Version
+}
+
+func serviceValue(timeoutMs int) string {
+	return fmt.Sprintf(`{"kind":"Service","metadata":{"name":"tickets"},"spec":{"timeoutMs":%d}}`, timeoutMs)
+}
+
+// inForce fails unless every node has at least the version.
+func (f *fleet) inForce(version int64) {
+	f.t.Helper()
+	for _, m := range f.nodes {
+		assert.Assert(f.t, m.spread.Version() >= version, "%s has version %d, want %d", m.self.VM, m.spread.Version(), version)
+	}
+}
+
+// agree fails unless all nodes hold the same set.
+func (f *fleet) agree() {
+	f.t.Helper()
+	var first *config.Set
+	for _, m := range f.nodes {
+		set := m.spread.set.Load()
+		if first == nil {
+			first = set
+		}
+		assert.Equal(f.t, set.Version(), first.Version())
+		assert.Equal(f.t, set.Sum(), first.Sum())
+	}
+}
+
+// readers returns how many nodes hold a lease.
+func (f *fleet) readers() int {
+	n := 0
+	for _, m := range f.nodes {
+		if _, leading := m.spread.Leader(); leading {
+			n++
+		}
+	}
+	return n
+}
--- /dev/null
+++ b/node/dynamic/zonestatus.go
@@ -0,0 +1,156 @@
+package dynamic
+
+import (
+	"context"
+	"encoding/json"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/go-kit/log/level"
+
+	"heatherlock/node/runtime"
+	"heatherlock/platform"
+)
+
+const (
+	// statusMinimum is the shortest time between two writes of a status.
+	statusMinimum = 2 * time.Second
+	// statusTimeout bounds a call on a status.
+	statusTimeout = 2 * time.Second
+)
+
+// statusLoop writes the zone's status while the lease is held: on a change at
+// a bounded rate, and without one as a sign of life.
+func (s *Spread) statusLoop(ctx context.Context) error {
+	w := &statusWriter{spread: s}
+	for {
+		if err := pause(ctx, jittered(statusMinimum)); err != nil {
+			return err
+		}
+		if epoch, leading := s.Leader(); leading {
+			w.write(ctx, epoch)
+		} else {
+			*w = statusWriter{spread: s}
+		}
+	}
+}
+
+// statusWriter remembers what it wrote last.
+type statusWriter struct {
+	spread  *Spread
+	last    runtime.ZoneStatus
+	version int64 // 0 when it must be read first
+}
+
+func (w *statusWriter) write(ctx context.Context, epoch int64) {
+	next := w.spread.zoneStatus(epoch, time.Now())
+	if w.version > 0 && sameFacts(w.last, next) && next.WrittenAt.Sub(w.last.WrittenAt) < runtime.ZoneStatusInterval {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, statusTimeout)
+	defer cancel()
+	if err := w.store(ctx, next); err != nil {
+		w.version = 0
+		w.spread.scope.Tagged(map[string]string{"reason": string(platform.KindOf(err))}).Counter("status_failures").Inc(1)
+		level.Debug(w.spread.log).Log("msg", "writing the zone's status failed", "err", err)
+	}
+}
+
+// store writes on condition of the version read, and never over the status of
+// a later epoch: a holder that was paused past its lease finds itself fenced.
+func (w *statusWriter) store(ctx context.Context, next runtime.ZoneStatus) error {
+	value, err := json.Marshal(next)
+	if err != nil {
+		return errors.Wrap(err, "encode status")
+	}
+	name := string(next.Zone)
+	if w.version == 0 {
+		if err := w.read(ctx, name, next.Epoch); err != nil {
+			return err
+		}
+	}
+	var stored platform.Object
+	if w.version == 0 {
+		stored, err = w.spread.config.Platform.Create(ctx, runtime.KindZoneStatus, name, value)
+	} else {
+		stored, err = w.spread.config.Platform.Update(ctx, runtime.KindZoneStatus, name, w.version, value)
+	}
+	if err != nil {
+		return err
+	}
+	w.last, w.version = next, stored.Version
+	return nil
+}
+
+func (w *statusWriter) read(ctx context.Context, name string, epoch int64) error {
+	stored, err := w.spread.config.Platform.Get(ctx, runtime.KindZoneStatus, name)
+	if platform.KindOf(err) == platform.NotFound {
+		return nil
+	}
+	if err != nil {
+		return err
+	}
+	var there runtime.ZoneStatus
+	if err := json.Unmarshal(stored.Value, &there); err == nil && there.Epoch > epoch {
+		return errors.Errorf("status of epoch %d is stored, this reader's is %d", there.Epoch, epoch)
+	}
+	w.version = stored.Version
+	return nil
+}
+
+func (s *Spread) zoneStatus(epoch int64, now time.Time) runtime.ZoneStatus {
+	status := runtime.ZoneStatus{
+		Zone: s.self.Zone, Region: s.self.Region, Writer: s.self.VM, Epoch: epoch, WrittenAt: now, ConfigVersion: s.Version(),
+	}
+	if s.config.Facts == nil {
+		return status
+	}
+	facts := s.config.Facts()
+	status.Members, status.Pools, status.Draining, status.Caps = facts.Members, facts.Pools, facts.Draining, facts.Caps
+	for _, m := range status.Members {
+		if m.State == "live" && m.ConfigVersion > 0 {
+			status.ConfigVersion = min(status.ConfigVersion, m.ConfigVersion)
+		}
+	}
+	return status
+}
+
+// sameFacts compares all but the times and ages, which change by themselves.
+func sameFacts(a, b runtime.ZoneStatus) bool {
+	aText, errA := json.Marshal(withoutAges(a))
+	bText, errB := json.Marshal(withoutAges(b))
+	return errA == nil && errB == nil && string(aText) == string(bText)
+}
+
+func withoutAges(z runtime.ZoneStatus) runtime.ZoneStatus {
+	z.WrittenAt = time.Time{}
+	z.Members = slices.Clone(z.Members)
+	for i := range z.Members {
+		z.Members[i].AgeMs = 0
+	}
+	z.Pools = slices.Clone(z.Pools)
+	for i := range z.Pools {
+		z.Pools[i].AgeMs = 0
+	}
+	return z
+}
+
+// ZoneStatuses reads every zone's status from the platform, by zone. A status
+// that cannot be understood is left out.
+func ZoneStatuses(ctx context.Context, api platform.API) ([]runtime.ZoneStatus, error) {
+	stored, _, err := api.List(ctx, runtime.KindZoneStatus)
+	if err != nil {
+		return nil, errors.Wrap(err, "dynamic: read zone status")
+	}
+	statuses := make([]runtime.ZoneStatus, 0, len(stored))
+	for _, o := range stored {
+		var status runtime.ZoneStatus
+		if json.Unmarshal(o.Value, &status) == nil {
+			statuses = append(statuses, status)
+		}
+	}
+	slices.SortFunc(statuses, func(a, b runtime.ZoneStatus) int { return strings.Compare(string(a.Zone), string(b.Zone)) })
+	return statuses, nil
+}
