Judge a stop only when work could still have gone to its target

Cause: a stopped target that gets no work proves nothing when its whole place gets none; a sender's own deadline looked like a cut. Change: the witness asks for later work at the same place and service, knows entry VM lives that ended, unsent tries and targets' own errors, and reports the peak use of each pool. Not measured.

--- a/standin/witness/callers.go
+++ b/standin/witness/callers.go
@@ -21,6 +21,8 @@
 	AnswerWrong                 // bytes of another answer, or fewer than declared, passed off as whole
 	AnswerRefused               // the system's own typed refusal
 	AnswerBroken                // the connection broke, which the caller could tell
+	AnswerFailed                // the target's own error answer
+	AnswerUnsent                // nothing was sent: no connection
 )
 
 // Try is one try of a caller.
--- a/standin/witness/config.go
+++ b/standin/witness/config.go
@@ -1,6 +1,9 @@
 package witness
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // Stop is a planned stop of a target, as its operator saw it.
 type Stop struct {
@@ -59,6 +62,17 @@
 	}
 }
 
+// ConfigGone drops an entry VM whose process ended: nothing can be in force
+// there any more.
+func (w *Witness) ConfigGone(entryVM string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for i := range w.configs.accepted {
+		a := &w.configs.accepted[i]
+		a.expect = slices.DeleteFunc(slices.Clone(a.expect), func(vm string) bool { return vm == entryVM })
+	}
+}
+
 // ConfigPending reports whether an accepted change is not yet seen everywhere.
 func (w *Witness) ConfigPending() bool {
 	w.mu.Lock()
--- a/standin/witness/judge_test.go
+++ b/standin/witness/judge_test.go
@@ -18,6 +18,7 @@
 func scene() *Witness {
 	w := New()
 	w.Declare("tickets-1", "sur-a", "tickets", 2)
+	w.Declare("tickets-2", "sur-a", "tickets", 0)
 	w.ConfigAccepted(7, at(0), []string{"vm-1", "vm-2"})
 	w.ConfigSeen("vm-1", 7, at(100))
 	w.ConfigSeen("vm-2", 7, at(200))
@@ -30,6 +31,7 @@
 	w.Received(e, 10, "sum")
 	w.Answered(Try{Request: "u1", Try: "u1/1", Kind: KindUpload, SentBytes: 10, SentSum: "sum"})
 	w.Stopped(Stop{Target: "tickets-1", Accepted: at(3500)})
+	w.Finished(w.Started(Start{At: at(7000), Target: "tickets-2", Request: "r9", Try: "r9/1"}), at(7010), EndAnswered)
 	return w
 }
 
--- a/standin/witness/record.go
+++ b/standin/witness/record.go
@@ -1,6 +1,8 @@
 package witness
 
 import (
+	"cmp"
+	"slices"
 	"sync"
 	"time"
 )
@@ -55,6 +57,7 @@
 type poolRecord struct {
 	slots   int
 	running int
+	peak    int // most running at once
 	over    int // most requests over slots at once
 }
 
@@ -126,7 +129,9 @@
 	if t, ok := w.targets[s.Target]; ok {
 		e.Place, e.Service = t.place, t.service
 		t.running++
-		w.pools[t.pool].running++
+		p := w.pools[t.pool]
+		p.running++
+		p.peak = max(p.peak, p.running)
 	}
 	return e
 }
@@ -166,6 +171,28 @@
 	return running
 }
 
+// PoolUse says how much of a place's slots for a service was used.
+type PoolUse struct {
+	Place   string `json:"place"`
+	Service string `json:"service"`
+	Slots   int    `json:"slots"`
+	Peak    int    `json:"peak"` // most running at once
+}
+
+// Use returns the use of every place and service, ordered by their names.
+func (w *Witness) Use() []PoolUse {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	var all []PoolUse
+	for p, r := range w.pools {
+		all = append(all, PoolUse{Place: p.place, Service: p.service, Slots: r.slots, Peak: r.peak})
+	}
+	slices.SortFunc(all, func(a, b PoolUse) int {
+		return cmp.Or(cmp.Compare(a.Service, b.Service), cmp.Compare(a.Place, b.Place))
+	})
+	return all
+}
+
 // Executions returns how many executions have started.
 func (w *Witness) Executions() int {
 	w.mu.Lock()
