--- a/cmd/heatherlock/commands.go
+++ b/cmd/heatherlock/commands.go
@@ -3,6 +3,7 @@
 import (
 	"heatherlock/cmd/internal/command"
 	"heatherlock/cmd/internal/offline"
+	"heatherlock/cmd/internal/quickstart"
 )
 
 // version is set by the linker: -ldflags "-X main.version=v1.2.3".
@@ -19,6 +20,7 @@
 			offline.Check(),
 			offline.Explain(),
 			offline.Why(),
+			quickstart.Command(),
 		},
 	}
 }
--- /dev/null
+++ b/cmd/internal/quickstart/faults.go
@@ -0,0 +1,136 @@
+package quickstart
+
+import (
+	"context"
+	"strings"
+	"time"
+
+	"heatherlock/standin/target"
+)
+
+// Fault is something planted in a run.
+type Fault string
+
+// Faults that a run can be watched under.
+const (
+	FaultPlatformDown   Fault = "platform-down"
+	FaultPlatformSlow   Fault = "platform-slow"
+	FaultReplyLost      Fault = "reply-lost"
+	FaultKillEntryVM    Fault = "kill-entry-vm"
+	FaultCutZone        Fault = "cut-zone"
+	FaultCrashRequest   Fault = "crash-request"
+	FaultLyingHealth    Fault = "lying-health"
+	FaultFewerSlots     Fault = "fewer-slots"
+	FaultShortAnswers   Fault = "short-answers"
+	FaultCrossedAnswers Fault = "crossed-answers"
+	FaultLateAnswers    Fault = "late-answers"
+	FaultTargetErrors   Fault = "target-errors"
+)
+
+// AllFaults lists them.
+var AllFaults = []Fault{
+	FaultPlatformDown, FaultPlatformSlow, FaultReplyLost, FaultKillEntryVM, FaultCutZone, FaultCrashRequest,
+	FaultLyingHealth, FaultFewerSlots, FaultShortAnswers, FaultCrossedAnswers, FaultLateAnswers, FaultTargetErrors,
+}
+
+// Sizes of planted faults.
+const (
+	slowPlatform = 500 * time.Millisecond
+	lostReplies  = 20
+	faultyEvery  = 10
+	lateAnswer   = 300 * time.Millisecond
+)
+
+// plant switches a fault on and returns what switches it off.
+func (s *system) plant(ctx context.Context, f Fault, callers *traffic) (heal func()) {
+	switch f {
+	case FaultPlatformDown:
+		s.store.Down(true)
+		return func() { s.store.Down(false) }
+	case FaultPlatformSlow:
+		s.store.Slow(slowPlatform)
+		return func() { s.store.Slow(0) }
+	case FaultReplyLost:
+		s.store.LoseReplies(lostReplies)
+		return func() { s.store.LoseReplies(0) }
+	case FaultCutZone:
+		zone := s.faultZone()
+		s.store.CutOff(zone, true)
+		return func() { s.store.CutOff(zone, false) }
+	case FaultKillEntryVM:
+		return s.killEntryVM()
+	case FaultCrashRequest:
+		callers.sendCrashing(ctx)
+		return func() {}
+	}
+	return s.plantAtTargets(targetFaults(f))
+}
+
+// faultZone is the first zone: neither the shift nor the planned stop is
+// there, so that the run can tell what a fault did from what they did.
+func (s *system) faultZone() string { return s.deployment.Zones[0].Name }
+
+func targetFaults(f Fault) target.Faults {
+	switch f {
+	case FaultLyingHealth:
+		return target.Faults{Health: target.HealthBad, Load: &target.Load{InFlight: 99, Slots: 1}}
+	case FaultFewerSlots:
+		return target.Faults{WorkingSlots: 1}
+	case FaultShortAnswers:
+		return target.Faults{ShortEvery: faultyEvery}
+	case FaultCrossedAnswers:
+		return target.Faults{CrossedEvery: faultyEvery}
+	case FaultLateAnswers:
+		return target.Faults{Late: lateAnswer}
+	case FaultTargetErrors:
+		return target.Faults{FailEvery: 2}
+	}
+	return target.Faults{}
+}
+
+func (s *system) plantAtTargets(f target.Faults) (heal func()) {
+	zone := s.faultZone()
+	set := func(f target.Faults) {
+		for _, t := range s.deployment.Targets() {
+			if t.Place == zone {
+				s.targets.Targets[t.Name].SetFaults(f)
+			}
+		}
+	}
+	set(f)
+	return func() { set(target.Faults{}) }
+}
+
+// killer ends without leaving.
+type killer interface{ Kill() }
+
+// killEntryVM ends the first entry VM of the fault's zone without any leave,
+// as a failed VM ends, and later starts a replacement.
+func (s *system) killEntryVM() (heal func()) {
+	name := s.faultZone() + "-1"
+	s.mu.Lock()
+	v, ok := s.vms[name]
+	if ok {
+		s.kills = append(s.kills, kill{vm: name, at: time.Now()})
+		delete(s.vms, name)
+	}
+	s.mu.Unlock()
+	if !ok {
+		return func() {}
+	}
+	if k, ok := any(v.node).(killer); ok {
+		k.Kill()
+	}
+	v.stop()
+	s.witness.ConfigGone(v.lifeName())
+	return func() { _, _ = s.start(v.EntryVM, v.life+1) }
+}
+
+func contains(via, vm string) bool {
+	for name := range strings.SplitSeq(via, ",") {
+		if strings.TrimSpace(name) == vm {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/cmd/internal/quickstart/options.go
@@ -0,0 +1,64 @@
+package quickstart
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"time"
+
+	"heatherlock/standin/deploy"
+)
+
+// Bounds of the options.
+const (
+	minFor     = 2 * time.Second
+	maxFor     = 10 * time.Minute
+	maxLoad    = 3
+	defaultFor = 10 * time.Second
+	// defaultLoad is the share of the targets' slots that callers keep busy.
+	defaultLoad = 0.35
+)
+
+// Options are the choices of a run.
+type Options struct {
+	For        time.Duration
+	Seed       uint64
+	JSONFile   string
+	Keep       bool
+	Deployment string
+	// Load is the share of all target slots that the callers' work needs.
+	Load   float64
+	Faults []Fault
+	// LogFile takes the entry VMs' logs; empty drops them.
+	LogFile string
+}
+
+// Defaults returns the options of a run without flags.
+func Defaults() Options {
+	return Options{For: defaultFor, Seed: 1, Deployment: deploy.ChileName, Load: defaultLoad}
+}
+
+// Check reports the first option out of bounds, with the remedy.
+func (o Options) Check() error {
+	if o.For < minFor || o.For > maxFor {
+		return fmt.Errorf("quickstart: --for %s is out of bounds; give %s to %s", o.For, minFor, maxFor)
+	}
+	if o.Load <= 0 || o.Load > maxLoad {
+		return fmt.Errorf("quickstart: --load %g is out of bounds; give more than 0 and at most %d", o.Load, maxLoad)
+	}
+	for _, f := range o.Faults {
+		if !slices.Contains(AllFaults, f) {
+			return fmt.Errorf("quickstart: no fault %q; use %s", f, faultNames())
+		}
+	}
+	_, err := deploy.Named(o.Deployment)
+	return err
+}
+
+func faultNames() string {
+	names := make([]string, len(AllFaults))
+	for i, f := range AllFaults {
+		names[i] = string(f)
+	}
+	return strings.Join(names, ", ")
+}
--- /dev/null
+++ b/cmd/internal/quickstart/run.go
@@ -0,0 +1,167 @@
+package quickstart
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"sync"
+	"time"
+
+	"github.com/go-kit/log"
+
+	"heatherlock/standin/deploy"
+)
+
+// The moments of a run, as shares of its length. The planned stop comes early,
+// so that the time after it is long enough to show late work.
+const (
+	shiftAt   = 0.05
+	stopAt    = 0.2
+	faultAt   = 0.35
+	faultEnds = 0.7
+)
+
+// closePatience bounds the entry VMs' graceful leave at the end.
+const closePatience = 3 * time.Second
+
+// Screen is where a run shows itself.
+type Screen struct {
+	Out io.Writer
+	// Live is set when Out is a terminal.
+	Live bool
+}
+
+// Run runs the deployment and judges it. The report is complete when the
+// error is nil, whether or not the promises held.
+func Run(ctx context.Context, o Options, screen Screen) (*Report, error) {
+	if err := o.Check(); err != nil {
+		return nil, err
+	}
+	logger, closeLog, err := openLog(o.LogFile)
+	if err != nil {
+		return nil, err
+	}
+	defer closeLog()
+	d, err := deploy.Named(o.Deployment)
+	if err != nil {
+		return nil, err
+	}
+	s, err := newSystem(d, o.Seed, logger)
+	if err != nil {
+		return nil, err
+	}
+	defer s.close(closePatience)
+	r := &running{options: o, system: s, screen: screen}
+	report, err := r.run(ctx)
+	if err != nil {
+		return nil, err
+	}
+	report.WriteText(screen.Out)
+	if o.JSONFile != "" {
+		if err := report.WriteJSON(o.JSONFile); err != nil {
+			return nil, err
+		}
+	}
+	if o.Keep {
+		r.keep(ctx)
+	}
+	return report, nil
+}
+
+func openLog(path string) (log.Logger, func(), error) {
+	if path == "" {
+		return log.NewNopLogger(), func() {}, nil
+	}
+	file, err := os.Create(path)
+	if err != nil {
+		return nil, nil, fmt.Errorf("quickstart: --log: %w; name a file that can be written", err)
+	}
+	return log.NewJSONLogger(log.NewSyncWriter(file)), func() { _ = file.Close() }, nil
+}
+
+// running is a run under way.
+type running struct {
+	options  Options
+	system   *system
+	screen   Screen
+	operator *operator
+	traffic  *traffic
+	// notDone lists steps of the plan that failed, with why.
+	mu      sync.Mutex
+	notDone []string
+}
+
+func (r *running) run(ctx context.Context) (*Report, error) {
+	if err := r.system.startAll(); err != nil {
+		return nil, err
+	}
+	if err := r.declare(ctx); err != nil {
+		return nil, err
+	}
+	r.traffic = newTraffic(r.system, r.options.Load, r.options.Seed)
+	defer r.traffic.close()
+	begun := time.Now()
+	r.work(ctx, begun)
+	return r.report(time.Since(begun)), nil
+}
+
+func (r *running) declare(ctx context.Context) (err error) {
+	if r.operator, err = newOperator(r.system); err != nil {
+		return err
+	}
+	if err := r.operator.declareDeployment(ctx); err != nil {
+		return err
+	}
+	if err := r.operator.waitInForce(ctx); err != nil {
+		return err
+	}
+	return r.system.waitReady(ctx)
+}
+
+// work sends the callers' work and carries out the plan beside it, then waits
+// for what is under way.
+func (r *running) work(ctx context.Context, begun time.Time) {
+	load, end := context.WithDeadline(ctx, begun.Add(r.options.For))
+	defer end()
+	watch, endWatch := context.WithCancel(ctx)
+	defer endWatch()
+	var beside sync.WaitGroup
+	beside.Go(func() { r.operator.watch(watch) })
+	beside.Go(func() { r.showProgress(watch, begun) })
+	beside.Go(func() { r.plan(load, begun) })
+	r.traffic.run(load)
+	r.traffic.wait()
+	endWatch()
+	beside.Wait()
+}
+
+func (r *running) plan(ctx context.Context, begun time.Time) {
+	at := func(share float64) bool {
+		return sleepUntil(ctx, begun.Add(time.Duration(share*float64(r.options.For))))
+	}
+	if !at(shiftAt) {
+		return
+	}
+	r.note("shift", r.operator.shift(ctx, r.options.Load))
+	if !at(stopAt) {
+		return
+	}
+	r.note("planned stop", r.operator.plannedStop(ctx))
+	if len(r.options.Faults) == 0 || !at(faultAt) {
+		return
+	}
+	for _, f := range r.options.Faults {
+		defer r.system.plant(ctx, f, r.traffic)()
+	}
+	at(faultEnds)
+}
+
+func (r *running) note(step string, err error) {
+	if err == nil {
+		return
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.notDone = append(r.notDone, step+": "+err.Error())
+}
--- /dev/null
+++ b/cmd/internal/quickstart/system.go
@@ -0,0 +1,216 @@
+package quickstart
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/go-kit/log"
+
+	"heatherlock/node"
+	"heatherlock/node/static"
+	platformapi "heatherlock/platform"
+	"heatherlock/standin/deploy"
+	"heatherlock/standin/platform"
+	"heatherlock/standin/witness"
+	"heatherlock/steering"
+)
+
+// readyTimeout bounds the wait for every entry VM to be ready.
+const readyTimeout = 15 * time.Second
+
+// crashMarker marks the requests that crash targets.
+const crashMarker = "crash-this-target"
+
+// system is the running deployment.
+type system struct {
+	deployment deploy.Deployment
+	witness    *witness.Witness
+	store      *platform.Store
+	server     *http.Server
+	url        string
+	targets    *deploy.Running
+	log        log.Logger
+
+	mu    sync.Mutex
+	vms   map[string]*entryVM
+	kills []kill
+}
+
+// entryVM is one process life of an entry VM.
+type entryVM struct {
+	deploy.EntryVM
+	life      int
+	node      *node.Node
+	addresses node.Addresses
+	stop      context.CancelFunc
+	done      chan error
+}
+
+// lifeName tells the lives of one entry VM apart.
+func (v *entryVM) lifeName() string { return fmt.Sprintf("%s#%d", v.Name, v.life) }
+
+// kill is the moment at which a planted fault ended an entry VM.
+type kill struct {
+	vm string
+	at time.Time
+}
+
+func newSystem(d deploy.Deployment, seed uint64, logger log.Logger) (*system, error) {
+	s := &system{deployment: d, witness: witness.New(), store: platform.NewStore(platform.Options{}), vms: map[string]*entryVM{}, log: logger}
+	targets, err := d.StartTargets(seed, crashMarker, s.witness)
+	if err != nil {
+		return nil, err
+	}
+	s.targets = targets
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		targets.Close()
+		return nil, errors.Wrap(err, "quickstart: listen for the platform stand-in")
+	}
+	s.url = "http://" + listener.Addr().String()
+	s.server = &http.Server{Handler: s.store.Handler(), ReadHeaderTimeout: 5 * time.Second}
+	go func() { _ = s.server.Serve(listener) }()
+	return s, nil
+}
+
+// startAll starts every entry VM.
+func (s *system) startAll() error {
+	for _, e := range s.deployment.EntryVMs() {
+		if _, err := s.start(e, 0); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (s *system) start(e deploy.EntryVM, life int) (*entryVM, error) {
+	n, err := node.New(s.settings(e), node.Options{Log: log.With(s.log, "life", life), Version: "quickstart"})
+	if err != nil {
+		return nil, errors.Wrapf(err, "quickstart: start entry VM %s", e.Name)
+	}
+	ctx, stop := context.WithCancel(context.Background())
+	v := &entryVM{EntryVM: e, life: life, node: n, addresses: n.Addresses(), stop: stop, done: make(chan error, 1)}
+	s.store.SetVM(platformapi.VM{
+		Name: e.Name, Zone: e.Zone, Region: e.Region, State: platformapi.VMLive,
+		CallerAddress: v.addresses.Caller, PeerAddress: v.addresses.Peer, OperatorAddress: v.addresses.Operator,
+	})
+	s.mu.Lock()
+	s.vms[e.Name] = v
+	s.mu.Unlock()
+	go func() { v.done <- n.Run(ctx) }()
+	return v, nil
+}
+
+func (s *system) settings(e deploy.EntryVM) static.Settings {
+	settings := static.Settings{
+		VM: steering.VM(e.Name), Zone: steering.Zone(e.Zone), Region: steering.Region(e.Region),
+		CallerListen: "127.0.0.1:0", PeerListen: "127.0.0.1:0", OperatorListen: "127.0.0.1:0",
+		Platform: static.Platform{URL: s.url},
+	}
+	for _, v := range s.all() {
+		settings.Seeds = append(settings.Seeds, v.addresses.Peer)
+	}
+	return settings
+}
+
+// all returns the entry VMs that run, in the deployment's order.
+func (s *system) all() []*entryVM {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var all []*entryVM
+	for _, e := range s.deployment.EntryVMs() {
+		if v, ok := s.vms[e.Name]; ok {
+			all = append(all, v)
+		}
+	}
+	return all
+}
+
+// lives names every process life that runs.
+func (s *system) lives() []string {
+	var names []string
+	for _, v := range s.all() {
+		names = append(names, v.lifeName())
+	}
+	return names
+}
+
+// callerAddresses lists entry VMs for look-ups, those of the zone first.
+func (s *system) callerAddresses(zone string) []string {
+	var near, far []string
+	for _, v := range s.all() {
+		if v.Zone == zone {
+			near = append(near, v.addresses.Caller)
+			continue
+		}
+		far = append(far, v.addresses.Caller)
+	}
+	return append(near, far...)
+}
+
+// waitReady waits until every entry VM says that it is ready.
+func (s *system) waitReady(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, readyTimeout)
+	defer cancel()
+	for _, v := range s.all() {
+		for !ready(ctx, v.addresses.Operator) {
+			select {
+			case err := <-v.done:
+				return errors.Wrapf(err, "quickstart: entry VM %s ended at start", v.Name)
+			case <-ctx.Done():
+				return fmt.Errorf("quickstart: entry VM %s was not ready within %s; see its log (--log FILE)", v.Name, readyTimeout)
+			case <-time.After(20 * time.Millisecond):
+			}
+		}
+	}
+	return nil
+}
+
+func ready(ctx context.Context, operator string) bool {
+	r, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+operator+"/readyz", nil)
+	if err != nil {
+		return false
+	}
+	reply, err := http.DefaultClient.Do(r)
+	if err != nil {
+		return false
+	}
+	_ = reply.Body.Close()
+	return reply.StatusCode == http.StatusOK
+}
+
+// excused reports whether a planted fault ended one of the entry VMs on the
+// path of a try while it ran.
+func (s *system) excused(vm, via string, from, to time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, k := range s.kills {
+		onPath := k.vm == vm || contains(via, k.vm)
+		if onPath && !k.at.Before(from) && !k.at.After(to) {
+			return true
+		}
+	}
+	return false
+}
+
+// close stops everything; entry VMs leave gracefully for at most patience.
+func (s *system) close(patience time.Duration) {
+	all := s.all()
+	for _, v := range all {
+		v.stop()
+	}
+	limit := time.After(patience)
+	for _, v := range all {
+		select {
+		case <-v.done:
+		case <-limit:
+		}
+	}
+	s.targets.Close()
+	_ = s.server.Close()
+}
