--- a/steering/pool/pool_test.go
+++ b/steering/pool/pool_test.go
@@ -43,13 +43,17 @@
 	order   []GrantID
 	// exact holds while nothing happened that the model does not follow:
 	// learned limits, reports and lingering requests.
-	exact bool
+	exact  bool
+	choice Choice
+	picky  int // of 4: how likely a request avoids a target
 }
 
 func newMachine(t *rapid.T) *machine {
 	m := &machine{now: start, held: map[GrantID]*modelTarget{}, exact: rapid.Bool().Draw(t, "exact")}
+	m.choice = Choice(rapid.IntRange(0, int(ChooseFirst)).Draw(t, "choice"))
+	m.picky = rapid.IntRange(0, 3).Draw(t, "picky")
 	m.pool = New(start, Config{
-		Choice:       Choice(rapid.IntRange(0, int(ChooseFirst)).Draw(t, "choice")),
+		Choice:       m.choice,
 		QueuePerSlot: rapid.SampledFrom([]float64{-1, 0.5, 4}).Draw(t, "queue"),
 		ServiceTime:  10 * time.Millisecond,
 	})
@@ -104,12 +108,25 @@
 	assert.Assert(t, m.held[id] == nil, "grant %d given twice", id)
 	assert.Assert(t, !target.stopped && !target.closed, "%s gets nothing new", name)
 	assert.Assert(t, !slices.Contains(avoid, name), "%s was to be avoided", name)
+	if m.exact && m.choice == ChooseLeastLoaded {
+		m.checkLeastLoaded(t, target, avoid)
+	}
 	target.inFlight++
 	assert.Assert(t, target.inFlight <= target.slots, "%s is over its slots", name)
 	m.held[id] = target
 	m.order = append(m.order, id)
 }
 
+func (m *machine) checkLeastLoaded(t *rapid.T, chosen *modelTarget, avoid []steering.Target) {
+	for _, other := range m.targets {
+		if other.stopped || other.closed || slices.Contains(avoid, other.name) {
+			continue
+		}
+		assert.Assert(t, chosen.inFlight*other.slots <= other.inFlight*chosen.slots,
+			"%s was chosen although %s has a smaller share in use", chosen.name, other.name)
+	}
+}
+
 func (m *machine) remove(t *rapid.T, ticket Ticket) modelWaiter {
 	i := slices.IndexFunc(m.waiters, func(w modelWaiter) bool { return w.ticket == ticket })
 	assert.Assert(t, i >= 0, "ticket %d answered, but it does not wait", ticket)
@@ -139,12 +156,12 @@
 
 func (m *machine) Acquire(t *rapid.T) {
 	r := Request{
-		Class:    routing.Criticality(rapid.IntRange(0, 2).Draw(t, "class")),
-		Foreign:  rapid.Bool().Draw(t, "foreign"),
+		Class:    rapid.SampledFrom([]routing.Criticality{0, 1, 1, 1, 2}).Draw(t, "class"),
+		Foreign:  rapid.IntRange(0, 4).Draw(t, "foreign") == 0,
 		Deadline: m.now.Add(time.Duration(rapid.IntRange(-1, 200).Draw(t, "deadline")) * time.Millisecond),
 	}
 	for _, target := range m.targets {
-		if rapid.IntRange(0, 3).Draw(t, "avoid") == 0 {
+		if rapid.IntRange(0, 3).Draw(t, "avoid") < m.picky {
 			r.Avoid = append(r.Avoid, target.name)
 		}
 	}
@@ -168,6 +185,13 @@
 	}
 }
 
+// Burst makes queues long enough for their order to show.
+func (m *machine) Burst(t *rapid.T) {
+	for range rapid.IntRange(4, 16).Draw(t, "burst") {
+		m.Acquire(t)
+	}
+}
+
 func (m *machine) Release(t *rapid.T) {
 	if len(m.order) == 0 {
 		t.Skip("nothing held")
@@ -260,12 +284,31 @@
 	rapid.Check(t, func(t *rapid.T) {
 		m := newMachine(t)
 		t.Repeat(map[string]func(*rapid.T){
-			"Acquire": m.Acquire, "Acquire2": m.Acquire, "Release": m.Release, "Cancel": m.Cancel,
+			"Acquire": m.Acquire, "Burst": m.Burst, "Release": m.Release, "Cancel": m.Cancel,
 			"Stop": m.Stop, "Close": m.Close, "Learn": m.Learn, "Pass": m.Pass, "": m.Check,
 		})
 	})
 }
 
+// Promise: the search past avoided targets and past waiters that avoid the
+// free target finds what a search through all of them finds.
+func TestSearchPastAvoided(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := &machine{now: start, held: map[GrantID]*modelTarget{}, exact: true, picky: 3}
+		m.pool = New(start, Config{QueuePerSlot: 10, ServiceTime: time.Millisecond})
+		for i := range 12 {
+			m.targets = append(m.targets, &modelTarget{name: steering.Target(fmt.Sprint("t", i)), slots: 4})
+		}
+		m.declare(t)
+		for range rapid.IntRange(5, 80).Draw(t, "requests") {
+			m.Acquire(t)
+		}
+		for len(m.order) > 0 {
+			m.Release(t)
+		}
+	})
+}
+
 func twoOf(slots int) []routing.Target {
 	return []routing.Target{{Name: "a", Slots: slots}, {Name: "b", Slots: slots}}
 }
