--- a/cmd/heatherlock/commands.go
+++ b/cmd/heatherlock/commands.go
@@ -2,7 +2,6 @@
 
 import (
 	"heatherlock/cmd/internal/command"
-	"heatherlock/cmd/internal/load"
 	"heatherlock/cmd/internal/offline"
 	"heatherlock/cmd/internal/quickstart"
 )
@@ -21,7 +20,6 @@
 			offline.Check(),
 			offline.Explain(),
 			offline.Why(),
-			load.Command(),
 			quickstart.Command(),
 		},
 	}
--- a/cmd/internal/quickstart/faults.go
+++ b/cmd/internal/quickstart/faults.go
@@ -1,6 +1,7 @@
 package quickstart
 
 import (
+	"context"
 	"strings"
 	"time"
 
@@ -41,7 +42,7 @@
 )
 
 // plant switches a fault on and returns what switches it off.
-func (s *system) plant(f Fault, sendCrashing func()) (heal func()) {
+func (s *system) plant(ctx context.Context, f Fault, callers *traffic) (heal func()) {
 	switch f {
 	case FaultPlatformDown:
 		s.store.Down(true)
@@ -59,7 +60,7 @@
 	case FaultKillEntryVM:
 		return s.killEntryVM()
 	case FaultCrashRequest:
-		sendCrashing()
+		callers.sendCrashing(ctx)
 		return func() {}
 	}
 	return s.plantAtTargets(targetFaults(f))
--- a/cmd/internal/traffic/results.go
+++ b/cmd/internal/quickstart/results.go
@@ -1,7 +1,6 @@
-package traffic
+package quickstart
 
 import (
-	"maps"
 	"sync"
 	"time"
 
@@ -20,15 +19,14 @@
 
 // results counts how requests ended after all their tries.
 type results struct {
-	mu       sync.Mutex
-	counts   Counts
-	refusals map[string]int
-	latency  map[string]*hdrhistogram.Histogram
+	mu      sync.Mutex
+	counts  counts
+	latency map[string]*hdrhistogram.Histogram
 }
 
-// Counts are requests by their end; Requests is the sum of the others but
+// counts are requests by their end; Requests is the sum of the others but
 // Dropped.
-type Counts struct {
+type counts struct {
 	Requests int
 	Answered int
 	Refused  int
@@ -40,9 +38,7 @@
 	Dropped int
 }
 
-func newResults() *results {
-	return &results{refusals: map[string]int{}, latency: map[string]*hdrhistogram.Histogram{}}
-}
+func newResults() *results { return &results{latency: map[string]*hdrhistogram.Histogram{}} }
 
 func (r *results) drop() {
 	r.mu.Lock()
@@ -60,7 +56,6 @@
 		_ = r.histogram(service).RecordValue(max(took.Microseconds(), minLatencyUs))
 	case witness.AnswerRefused:
 		r.counts.Refused++
-		r.refusals[result.Reason]++
 	case witness.AnswerWrong:
 		r.counts.Wrong++
 	case witness.AnswerBroken:
@@ -81,9 +76,8 @@
 	return h
 }
 
-// Counts returns the counts so far.
-func (t *Traffic) Counts() Counts {
-	r := t.results
+// snapshot returns the counts so far.
+func (r *results) snapshot() counts {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	return r.counts
@@ -97,9 +91,7 @@
 	Count int64   `json:"count"`
 }
 
-// Latencies returns the latency of each service so far.
-func (t *Traffic) Latencies() map[string]Latency {
-	r := t.results
+func (r *results) latencies() map[string]Latency {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	all := map[string]Latency{}
@@ -114,25 +106,4 @@
 	return all
 }
 
-// Refusals returns the final refusals by reason so far.
-func (t *Traffic) Refusals() map[string]int {
-	r := t.results
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return maps.Clone(r.refusals)
-}
-
-// Histogram returns a copy of a service's latencies in microseconds, or nil
-// when it had no whole answer.
-func (t *Traffic) Histogram(service string) *hdrhistogram.Histogram {
-	r := t.results
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	h, ok := r.latency[service]
-	if !ok {
-		return nil
-	}
-	return hdrhistogram.Import(h.Export())
-}
-
 func milliseconds(us int64) float64 { return float64(us) / 1000 }
--- a/cmd/internal/quickstart/run.go
+++ b/cmd/internal/quickstart/run.go
@@ -10,8 +10,6 @@
 
 	"github.com/go-kit/log"
 
-	"heatherlock/cmd/internal/caller"
-	"heatherlock/cmd/internal/traffic"
 	"heatherlock/standin/deploy"
 )
 
@@ -88,8 +86,7 @@
 	system   *system
 	screen   Screen
 	operator *operator
-	callers  map[string][]*caller.Caller
-	traffic  *traffic.Traffic
+	traffic  *traffic
 	// notDone lists steps of the plan that failed, with why.
 	mu      sync.Mutex
 	notDone []string
@@ -102,8 +99,8 @@
 	if err := r.declare(ctx); err != nil {
 		return nil, err
 	}
-	r.startCallers()
-	defer r.closeCallers()
+	r.traffic = newTraffic(r.system, r.options.Load, r.options.Seed)
+	defer r.traffic.close()
 	begun := time.Now()
 	r.work(ctx, begun)
 	return r.report(time.Since(begun)), nil
@@ -133,15 +130,15 @@
 	beside.Go(func() { r.operator.watch(watch) })
 	beside.Go(func() { r.showProgress(watch, begun) })
 	beside.Go(func() { r.plan(load, begun) })
-	r.traffic.Run(load)
-	r.traffic.Wait()
+	r.traffic.run(load)
+	r.traffic.wait()
 	endWatch()
 	beside.Wait()
 }
 
 func (r *running) plan(ctx context.Context, begun time.Time) {
 	at := func(share float64) bool {
-		return traffic.SleepUntil(ctx, begun.Add(time.Duration(share*float64(r.options.For))))
+		return sleepUntil(ctx, begun.Add(time.Duration(share*float64(r.options.For))))
 	}
 	if !at(shiftAt) {
 		return
@@ -155,7 +152,7 @@
 		return
 	}
 	for _, f := range r.options.Faults {
-		defer r.system.plant(f, r.sendCrashing)()
+		defer r.system.plant(ctx, f, r.traffic)()
 	}
 	at(faultEnds)
 }
--- /dev/null
+++ b/node/forward/refuse.go
@@ -0,0 +1,123 @@
+package forward
+
+import (
+	"encoding/json"
+	"net/http"
+	"strconv"
+	"time"
+
+	"heatherlock/steering"
+)
+
+// Times to come back of refusals that the data path makes itself.
+const (
+	notReadyRetry   = time.Second
+	peerDownRetry   = time.Second
+	connectionRetry = time.Second
+	defaultTimeout  = 30 * time.Second
+)
+
+// problem is the body of a refusal (RFC 9457).
+type problem struct {
+	Type         string `json:"type"`
+	Title        string `json:"title"`
+	Status       int    `json:"status"`
+	Reason       string `json:"reason"`
+	Ran          string `json:"ran"`
+	Detail       string `json:"detail"`
+	Remedy       string `json:"remedy"`
+	RetryAfterMs int64  `json:"retryAfterMs,omitempty"`
+	RequestID    string `json:"requestId"`
+}
+
+// refuse sends the final answer of a request that has none from a target.
+func (x *exchange) refuse(refusal *steering.Refusal) {
+	final := *refusal
+	x.worsen(final.Ran)
+	if final.Ran == steering.RanNo {
+		final.Ran = x.ranSoFar()
+	}
+	x.f.counters.refuse(final.Reason)
+	if final.Reason == steering.ReasonCancelled {
+		x.abort = true // nobody is there to read it
+		return
+	}
+	x.ownHeaders(x.f.selfName)
+	if x.origin == fromZone {
+		x.freeHeader()
+	}
+	if x.body != nil && !x.body.ended.Load() || x.body == nil && x.r.ContentLength != 0 {
+		// Else the server reads on before it sends the answer, and a slow
+		// sender would be told late.
+		x.w.Header().Set("Connection", "close")
+	}
+	x.writeProblem(&final)
+}
+
+// ranSoFar says what "not run" has to be weakened to: an earlier try may have
+// run, and a key that was not looked up may have run before.
+func (x *exchange) ranSoFar() steering.Ran {
+	if x.ran != steering.RanNo {
+		return x.ran
+	}
+	if !x.claimed && x.origin != fromZone && x.key != "" {
+		return steering.RanUnknown
+	}
+	return steering.RanNo
+}
+
+func (x *exchange) writeProblem(r *steering.Refusal) {
+	status := http.StatusServiceUnavailable
+	meaning := string(r.Reason)
+	if info, ok := steering.Reasons[r.Reason]; ok {
+		status, meaning = info.Status, info.Meaning
+	}
+	h := x.w.Header()
+	h.Set(headerReason, string(r.Reason))
+	h.Set(headerRan, r.Ran.String())
+	if r.RetryAfter > 0 {
+		h.Set(headerRetryAfter, strconv.FormatInt(ceilMs(r.RetryAfter), 10))
+		h.Set("Retry-After", strconv.FormatInt(ceilSeconds(r.RetryAfter), 10))
+	}
+	text, _ := json.Marshal(problem{
+		Type: "about:blank", Title: meaning, Status: status, Reason: string(r.Reason), Ran: r.Ran.String(),
+		Detail: r.Detail, Remedy: r.Remedy(), RetryAfterMs: ceilMs(r.RetryAfter), RequestID: string(x.id),
+	})
+	h.Set("Content-Type", "application/problem+json")
+	h.Set("Content-Length", strconv.Itoa(len(text)))
+	x.committed = true
+	x.w.WriteHeader(status)
+	if x.r.Method != http.MethodHead {
+		_, _ = x.w.Write(text)
+	}
+}
+
+// ownHeaders sets the headers that every answer carries.
+func (x *exchange) ownHeaders(via string) {
+	h := x.w.Header()
+	h[headerRequestID] = []string{string(x.id)}
+	h[headerVia] = []string{via}
+	h[headerIncarnation] = x.f.incarnationValue
+	h[headerKeyPrefix] = x.f.keyPrefix(x.started)
+	if x.f.leaver.Leaving() {
+		h["Connection"] = closeValue
+	}
+}
+
+// freeHeader tells the entry VM that handed the request over how many slots
+// are left here.
+func (x *exchange) freeHeader() {
+	if x.service == nil {
+		return
+	}
+	free, _ := x.f.admitter.Headroom(x.place, x.service.Name)
+	x.w.Header().Set(headerFree, strconv.Itoa(free))
+}
+
+func ceilMs(d time.Duration) int64 {
+	return int64((d + time.Millisecond - 1) / time.Millisecond)
+}
+
+func ceilSeconds(d time.Duration) int64 {
+	return int64((d + time.Second - 1) / time.Second)
+}
--- /dev/null
+++ b/node/forward/try.go
@@ -0,0 +1,182 @@
+package forward
+
+import (
+	"net/http"
+	"net/http/httptrace"
+	"net/textproto"
+	"net/url"
+	"time"
+
+	"heatherlock/node/seam"
+	"heatherlock/steering"
+)
+
+// leg is where one try goes.
+type leg struct {
+	transport http.RoundTripper
+	scheme    string
+	address   string // host:port
+	prefix    string // before the request's path
+	via       string // entry VMs on the way, for the answer
+	// peer marks an entry VM; its answers carry this system's headers.
+	peer bool
+	// mark sets the headers of this leg.
+	mark func(http.Header)
+	// hint, when set, reads what a peer's answer says besides.
+	hint func(http.Header)
+	// begun is called once, as soon as it is known whether anything was sent:
+	// when the answer begins or the try is given up.
+	begun func(sent bool)
+}
+
+// ending says how one try ended.
+type ending struct {
+	kind    seam.OutcomeKind
+	refusal *steering.Refusal // nil when an answer went to the caller
+	// reported are the target's own figures; -1 when it gave none.
+	inFlight, slots int
+	// died marks a target that broke off with the request in its hands.
+	died bool
+}
+
+// relayed reports that an answer went to the caller, whole or cut.
+func (e ending) relayed() bool { return e.refusal == nil }
+
+func ended(kind seam.OutcomeKind, refusal *steering.Refusal) ending {
+	return ending{kind: kind, refusal: refusal, inFlight: -1, slots: -1}
+}
+
+// try sends the request along one leg and relays the answer.
+func (x *exchange) try(l *leg) ending {
+	payload, ok := x.openBody()
+	if !ok {
+		l.begun(false)
+		return ended(seam.OutcomeCancelled, steering.Refuse(steering.ReasonTargetFailed, 0, "part of the body is already spent on an earlier try"))
+	}
+	conn := &exchangeConn{onClose: payload.interrupt}
+	defer conn.release()
+	res, err := l.transport.RoundTrip(x.outgoing(l, payload, conn))
+	if err != nil {
+		sent := conn.giveUp()
+		l.begun(sent)
+		payload.detach()
+		result := x.failed(err, sent)
+		result.died = result.kind == seam.OutcomeBroken && conn.idleBefore() < staleAfter
+		return result
+	}
+	l.begun(true)
+	result := x.answer(l, res, conn)
+	if !result.relayed() {
+		payload.detach()
+	}
+	return result
+}
+
+func (x *exchange) openBody() (*tryBody, bool) {
+	if x.body == nil {
+		return nil, true
+	}
+	return x.body.open()
+}
+
+// outgoing builds the request of one leg.
+func (x *exchange) outgoing(l *leg, payload *tryBody, conn *exchangeConn) *http.Request {
+	header := make(http.Header, len(x.r.Header)+extraHeaders)
+	copyEndToEnd(header, x.r.Header)
+	withoutTargetReplay(header)
+	if _, ok := header["User-Agent"]; !ok {
+		header["User-Agent"] = noValue // else the HTTP client adds its own
+	}
+	if hasToken(x.r.Header["Te"], "trailers") {
+		header["Te"] = trailersValue
+	}
+	header["Via"] = append(append([]string(nil), header["Via"]...), x.f.viaValue)
+	if l.peer && payload != nil && payload.whole != nil {
+		// The body can be sent once only; the peer says first that it takes it.
+		header["Expect"] = continueValue
+	}
+	l.mark(header)
+	out := &http.Request{
+		Method: x.r.Method, URL: x.address(l), Host: x.r.Host, Header: header,
+		Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
+	}
+	x.attach(out, payload)
+	trace := &httptrace.ClientTrace{GotConn: conn.got, Got1xxResponse: x.interim}
+	return out.WithContext(httptrace.WithClientTrace(x.ctx, trace))
+}
+
+// extraHeaders is room for the headers that a leg adds.
+const extraHeaders = 8
+
+var (
+	noValue       = []string{""}
+	trailersValue = []string{"trailers"}
+	closeValue    = []string{"close"}
+	continueValue = []string{"100-continue"}
+)
+
+func (x *exchange) address(l *leg) *url.URL {
+	u := *x.r.URL
+	u.Scheme, u.Host, u.User = l.scheme, l.address, nil
+	if l.prefix != "" {
+		u.Path = l.prefix + u.Path
+		if u.RawPath != "" {
+			u.RawPath = l.prefix + u.RawPath
+		}
+	}
+	return &u
+}
+
+// interim relays 1xx answers. 100 is made by the server itself when the body
+// is first read, and 101 never comes since upgrades are refused.
+func (x *exchange) interim(code int, header textproto.MIMEHeader) error {
+	if code == http.StatusContinue || code == http.StatusSwitchingProtocols || x.committed {
+		return nil
+	}
+	to := x.w.Header()
+	copyEndToEnd(to, http.Header(header))
+	x.w.WriteHeader(code)
+	clear(to)
+	return nil
+}
+
+// tryTarget runs one try on a granted target.
+func (x *exchange) tryTarget(grant seam.Grant, permit seam.CapPermit) ending {
+	target := grant.Target()
+	x.tried = append(x.tried, target.Name)
+	started := time.Now()
+	result := x.try(&leg{
+		transport: x.f.targets,
+		scheme:    "http",
+		address:   target.Address,
+		via:       x.f.selfName,
+		mark:      x.markTarget,
+		begun:     permit.Done,
+	})
+	grant.Done(seam.Outcome{
+		Kind: result.kind, Latency: time.Since(started),
+		ReportedInFlight: result.inFlight, ReportedSlots: result.slots,
+	})
+	x.noteDeath(target.Name, result)
+	return result
+}
+
+// staleAfter is the idle time from which a connection may just have been
+// closed by its target's own idle limit as the request was sent. That tells
+// nothing about what the request does to targets.
+const staleAfter = time.Second
+
+// noteDeath tells the suspects how the target fared with this request.
+func (x *exchange) noteDeath(target steering.Target, result ending) {
+	switch {
+	case result.kind == seam.OutcomeOK:
+		x.f.suspects.Survived(x.key, x.fingerprint, target, time.Now())
+	case result.died:
+		x.f.suspects.Broke(x.key, x.fingerprint, target, time.Now())
+	}
+}
+
+func (x *exchange) markTarget(h http.Header) {
+	h[targetRequestID] = []string{string(x.id)}
+	h[targetDeadline] = []string{x.remainingMs()}
+}
