--- a/api/oas/oas_json_gen.go
+++ b/api/oas/oas_json_gen.go
@@ -1344,14 +1344,28 @@
 		e.FieldStart("configVersion")
 		e.Int64(s.ConfigVersion)
 	}
+	{
+		if s.Incarnation.Set {
+			e.FieldStart("incarnation")
+			s.Incarnation.Encode(e)
+		}
+	}
+	{
+		if s.OperatorAddress.Set {
+			e.FieldStart("operatorAddress")
+			s.OperatorAddress.Encode(e)
+		}
+	}
 }
 
-var jsonFieldsNameOfMemberStatus = [5]string{
+var jsonFieldsNameOfMemberStatus = [7]string{
 	0: "vm",
 	1: "zone",
 	2: "state",
 	3: "ageMs",
 	4: "configVersion",
+	5: "incarnation",
+	6: "operatorAddress",
 }
 
 // Decode decodes MemberStatus from json.
@@ -1421,6 +1435,26 @@
 			}(); err != nil {
 				return errors.Wrap(err, "decode field \"configVersion\"")
 			}
+		case "incarnation":
+			if err := func() error {
+				s.Incarnation.Reset()
+				if err := s.Incarnation.Decode(d); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"incarnation\"")
+			}
+		case "operatorAddress":
+			if err := func() error {
+				s.OperatorAddress.Reset()
+				if err := s.OperatorAddress.Decode(d); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"operatorAddress\"")
+			}
 		default:
 			return d.Skip()
 		}
--- a/api/oas/oas_schemas_gen.go
+++ b/api/oas/oas_schemas_gen.go
@@ -64,8 +64,11 @@
 
 // Ref: #/components/schemas/CapSpec
 type CapSpec struct {
-	Shift    string   `json:"shift"`
-	Requests int      `json:"requests"`
+	// The Shift that is bounded.
+	Shift string `json:"shift"`
+	// Most requests in any window, over all entry VMs.
+	Requests int `json:"requests"`
+	// Length of the window.
 	WindowMs OptInt64 `json:"windowMs"`
 }
 
@@ -103,7 +106,8 @@
 type ClientBlock struct {
 	// CIDR, for example 10.1.0.0/16.
 	Prefix string `json:"prefix"`
-	Place  string `json:"place"`
+	// Home place of the callers in the block.
+	Place string `json:"place"`
 }
 
 // GetPrefix returns the value of Prefix.
@@ -460,6 +464,9 @@
 	// Age of this fact.
 	AgeMs         int64 `json:"ageMs"`
 	ConfigVersion int64 `json:"configVersion"`
+	// Process life of the entry VM; request keys it issued start with it.
+	Incarnation     OptString `json:"incarnation"`
+	OperatorAddress OptString `json:"operatorAddress"`
 }
 
 // GetVM returns the value of VM.
@@ -487,6 +494,16 @@
 	return s.ConfigVersion
 }
 
+// GetIncarnation returns the value of Incarnation.
+func (s *MemberStatus) GetIncarnation() OptString {
+	return s.Incarnation
+}
+
+// GetOperatorAddress returns the value of OperatorAddress.
+func (s *MemberStatus) GetOperatorAddress() OptString {
+	return s.OperatorAddress
+}
+
 // SetVM sets the value of VM.
 func (s *MemberStatus) SetVM(val string) {
 	s.VM = val
@@ -512,6 +529,16 @@
 	s.ConfigVersion = val
 }
 
+// SetIncarnation sets the value of Incarnation.
+func (s *MemberStatus) SetIncarnation(val OptString) {
+	s.Incarnation = val
+}
+
+// SetOperatorAddress sets the value of OperatorAddress.
+func (s *MemberStatus) SetOperatorAddress(val OptString) {
+	s.OperatorAddress = val
+}
+
 type MemberStatusState string
 
 const (
@@ -1437,8 +1464,10 @@
 
 // Ref: #/components/schemas/PlaceSpec
 type PlaceSpec struct {
+	// Region that the zone belongs to.
 	Region string `json:"region"`
-	Zone   string `json:"zone"`
+	// Availability zone whose entry VMs send to the targets.
+	Zone string `json:"zone"`
 	// Most requests from other zones at once; 0 sets no limit.
 	LinkInFlight OptInt       `json:"linkInFlight"`
 	Targets      []TargetSpec `json:"targets"`
@@ -1583,10 +1612,12 @@
 
 // Ref: #/components/schemas/PlannedStopSpec
 type PlannedStopSpec struct {
+	// What will stop.
 	What PlannedStopSpecWhat `json:"what"`
 	Name string              `json:"name"`
 	// At once when left out.
-	At       OptDateTime `json:"at"`
+	At OptDateTime `json:"at"`
+	// When it should be over; passing it is reported and cuts nothing by itself.
 	Deadline OptDateTime `json:"deadline"`
 	// Cut what is still in flight at the deadline.
 	CutAtDeadline OptBool `json:"cutAtDeadline"`
@@ -1642,6 +1673,7 @@
 	s.CutAtDeadline = val
 }
 
+// What will stop.
 type PlannedStopSpecWhat string
 
 const (
@@ -2023,7 +2055,8 @@
 	// What is served first when not all work fits.
 	Criticality OptServiceSpecCriticality `json:"criticality"`
 	// Deadline of a request that brings none.
-	TimeoutMs    OptInt64 `json:"timeoutMs"`
+	TimeoutMs OptInt64 `json:"timeoutMs"`
+	// Largest body of a request.
 	MaxBodyBytes OptInt64 `json:"maxBodyBytes"`
 	// Methods that run at most once.
 	NonIdempotentMethods []string `json:"nonIdempotentMethods"`
@@ -2208,9 +2241,12 @@
 	// A place, zone or region.
 	From string `json:"from"`
 	// A place, zone or region.
-	To          string `json:"to"`
-	Percent     int    `json:"percent"`
+	To string `json:"to"`
+	// Share of the callers that is to be moved in the end.
+	Percent int `json:"percent"`
+	// Most that moves in one step.
 	StepPercent OptInt `json:"stepPercent"`
+	// Least time between two steps.
 	StepSeconds OptInt `json:"stepSeconds"`
 }
 
@@ -2279,8 +2315,10 @@
 	Name    string `json:"name"`
 	Service string `json:"service"`
 	// Host:port.
-	Address        string `json:"address"`
-	Slots          int    `json:"slots"`
+	Address string `json:"address"`
+	// Requests that the target can run at once.
+	Slots int `json:"slots"`
+	// Connections that the target accepts.
 	MaxConnections OptInt `json:"maxConnections"`
 }
 
--- a/cmd/heatherlock/commands.go
+++ b/cmd/heatherlock/commands.go
@@ -2,6 +2,7 @@
 
 import (
 	"heatherlock/cmd/internal/command"
+	"heatherlock/cmd/internal/load"
 	"heatherlock/cmd/internal/offline"
 	"heatherlock/cmd/internal/quickstart"
 )
@@ -20,6 +21,7 @@
 			offline.Check(),
 			offline.Explain(),
 			offline.Why(),
+			load.Command(),
 			quickstart.Command(),
 		},
 	}
--- a/cmd/internal/caller/caller.go
+++ b/cmd/internal/caller/caller.go
@@ -148,3 +148,9 @@
 	}
 	return fmt.Sprintf("%s.%s-%d", prefix, c.config.Source, c.keys.Add(1))
 }
+
+// Reach looks a service up, to see that an entry VM answers.
+func (c *Caller) Reach(ctx context.Context, service string) error {
+	_, err := c.book.entries(ctx, service)
+	return err
+}
--- a/cmd/internal/quickstart/faults.go
+++ b/cmd/internal/quickstart/faults.go
@@ -1,7 +1,6 @@
 package quickstart
 
 import (
-	"context"
 	"strings"
 	"time"
 
@@ -42,7 +41,7 @@
 )
 
 // plant switches a fault on and returns what switches it off.
-func (s *system) plant(ctx context.Context, f Fault, callers *traffic) (heal func()) {
+func (s *system) plant(f Fault, sendCrashing func()) (heal func()) {
 	switch f {
 	case FaultPlatformDown:
 		s.store.Down(true)
@@ -60,7 +59,7 @@
 	case FaultKillEntryVM:
 		return s.killEntryVM()
 	case FaultCrashRequest:
-		callers.sendCrashing(ctx)
+		sendCrashing()
 		return func() {}
 	}
 	return s.plantAtTargets(targetFaults(f))
--- a/cmd/internal/quickstart/operator.go
+++ b/cmd/internal/quickstart/operator.go
@@ -8,6 +8,7 @@
 	"github.com/go-faster/errors"
 
 	"heatherlock/api/oas"
+	"heatherlock/cmd/internal/traffic"
 	"heatherlock/standin/deploy"
 	"heatherlock/standin/witness"
 )
@@ -163,7 +164,7 @@
 	d := o.system.deployment
 	service := d.Services[0]
 	from, to := d.PlacesOf(d.ShiftFrom), d.PlacesOf(d.ShiftTo)
-	rate := (&traffic{system: o.system, load: load}).rate(service) * float64(len(from)) * shiftPercent / 100
+	rate := traffic.ZoneRate(d, service, load) * float64(len(from)) * shiftPercent / 100
 	limit := witness.CapLimit{Service: service.Name, From: from, To: to, Requests: max(1, int(rate*capShare)), Window: capWindow}
 	shift := oas.Shift{
 		Kind: string(oas.KindShift), Metadata: oas.Metadata{Name: shiftName},
--- a/cmd/internal/quickstart/progress.go
+++ b/cmd/internal/quickstart/progress.go
@@ -18,9 +18,9 @@
 		return
 	}
 	for ctx.Err() == nil {
-		c := r.traffic.results.snapshot()
+		c := r.traffic.Counts()
 		fmt.Fprintf(r.screen.Out, "\r\x1b[K%5.1fs  %d requests  %d answered  %d refused  %d under way  shift %d%% moved",
-			time.Since(begun).Seconds(), c.Requests, c.Answered, c.Refused, r.traffic.carried.Load(), r.operator.progress(ctx))
+			time.Since(begun).Seconds(), c.Requests, c.Answered, c.Refused, r.traffic.Carried(), r.operator.progress(ctx))
 		select {
 		case <-ctx.Done():
 		case <-time.After(progressEvery):
--- a/cmd/internal/quickstart/report.go
+++ b/cmd/internal/quickstart/report.go
@@ -9,6 +9,7 @@
 	"slices"
 	"time"
 
+	"heatherlock/cmd/internal/traffic"
 	"heatherlock/standin/deploy"
 	"heatherlock/standin/witness"
 )
@@ -41,18 +42,18 @@
 	// TargetOverPeak is the most requests over one target's slots at once.
 	TargetOverPeak int `json:"target_over_peak"`
 	// TargetRefusals counts requests that targets shed.
-	TargetRefusals int                `json:"target_refusals"`
-	TargetsLost    int                `json:"targets_lost"`
-	Uploads        int                `json:"uploads"`
-	UploadsCut     int                `json:"uploads_cut"`
-	Excused        int                `json:"broken_by_planted_kill"`
-	NewWorkAfter   float64            `json:"new_work_after_drain_s"`
-	DrainTime      float64            `json:"drain_time_s"`
-	ConfigSlowest  float64            `json:"config_in_force_s"`
-	Refusals       map[string]int     `json:"refusals"`
-	LatencyMs      map[string]Latency `json:"latency_ms"`
-	Headroom       []witness.PoolUse  `json:"headroom"`
-	Promises       []PromiseResult    `json:"promises"`
+	TargetRefusals int                        `json:"target_refusals"`
+	TargetsLost    int                        `json:"targets_lost"`
+	Uploads        int                        `json:"uploads"`
+	UploadsCut     int                        `json:"uploads_cut"`
+	Excused        int                        `json:"broken_by_planted_kill"`
+	NewWorkAfter   float64                    `json:"new_work_after_drain_s"`
+	DrainTime      float64                    `json:"drain_time_s"`
+	ConfigSlowest  float64                    `json:"config_in_force_s"`
+	Refusals       map[string]int             `json:"refusals"`
+	LatencyMs      map[string]traffic.Latency `json:"latency_ms"`
+	Headroom       []witness.PoolUse          `json:"headroom"`
+	Promises       []PromiseResult            `json:"promises"`
 	services       []deploy.Service
 }
 
@@ -72,7 +73,7 @@
 func (r *running) report(took time.Duration) *Report {
 	s := r.system
 	v := s.witness.Judge(time.Now(), r.operator.caps)
-	c := r.traffic.results.snapshot()
+	c := r.traffic.Counts()
 	report := &Report{
 		Deployment: s.deployment.Name, Seed: r.options.Seed, Seconds: took.Seconds(), Faults: r.options.Faults,
 		NotDone: r.notDone, Requests: c.Requests, Answered: c.Answered, Refused: c.Refused, Wrong: v.Wrong,
@@ -83,7 +84,7 @@
 		TargetsLost: s.targets.Crashes(), Uploads: v.Uploads, UploadsCut: v.UploadsCut, Excused: v.Excused,
 		NewWorkAfter: v.NewWorkAfterStop.Seconds(), DrainTime: v.DrainTime.Seconds(),
 		ConfigSlowest: v.ConfigSlowest.Seconds(), Refusals: v.Refusals,
-		LatencyMs: r.traffic.results.latencies(), Headroom: s.witness.Use(), services: s.deployment.Services,
+		LatencyMs: r.traffic.Latencies(), Headroom: s.witness.Use(), services: s.deployment.Services,
 	}
 	for _, f := range v.Findings {
 		report.Promises = append(report.Promises, PromiseResult{Finding: f, Result: resultOf(f)})
--- a/cmd/internal/quickstart/run.go
+++ b/cmd/internal/quickstart/run.go
@@ -10,6 +10,8 @@
 
 	"github.com/go-kit/log"
 
+	"heatherlock/cmd/internal/caller"
+	"heatherlock/cmd/internal/traffic"
 	"heatherlock/standin/deploy"
 )
 
@@ -86,7 +88,8 @@
 	system   *system
 	screen   Screen
 	operator *operator
-	traffic  *traffic
+	callers  map[string][]*caller.Caller
+	traffic  *traffic.Traffic
 	// notDone lists steps of the plan that failed, with why.
 	mu      sync.Mutex
 	notDone []string
@@ -99,8 +102,8 @@
 	if err := r.declare(ctx); err != nil {
 		return nil, err
 	}
-	r.traffic = newTraffic(r.system, r.options.Load, r.options.Seed)
-	defer r.traffic.close()
+	r.startCallers()
+	defer r.closeCallers()
 	begun := time.Now()
 	r.work(ctx, begun)
 	return r.report(time.Since(begun)), nil
@@ -130,15 +133,15 @@
 	beside.Go(func() { r.operator.watch(watch) })
 	beside.Go(func() { r.showProgress(watch, begun) })
 	beside.Go(func() { r.plan(load, begun) })
-	r.traffic.run(load)
-	r.traffic.wait()
+	r.traffic.Run(load)
+	r.traffic.Wait()
 	endWatch()
 	beside.Wait()
 }
 
 func (r *running) plan(ctx context.Context, begun time.Time) {
 	at := func(share float64) bool {
-		return sleepUntil(ctx, begun.Add(time.Duration(share*float64(r.options.For))))
+		return traffic.SleepUntil(ctx, begun.Add(time.Duration(share*float64(r.options.For))))
 	}
 	if !at(shiftAt) {
 		return
@@ -152,7 +155,7 @@
 		return
 	}
 	for _, f := range r.options.Faults {
-		defer r.system.plant(ctx, f, r.traffic)()
+		defer r.system.plant(f, r.sendCrashing)()
 	}
 	at(faultEnds)
 }
--- a/cmd/internal/quickstart/results.go
+++ b/cmd/internal/traffic/results.go
@@ -1,6 +1,7 @@
-package quickstart
+package traffic
 
 import (
+	"maps"
 	"sync"
 	"time"
 
@@ -19,14 +20,15 @@
 
 // results counts how requests ended after all their tries.
 type results struct {
-	mu      sync.Mutex
-	counts  counts
-	latency map[string]*hdrhistogram.Histogram
+	mu       sync.Mutex
+	counts   Counts
+	refusals map[string]int
+	latency  map[string]*hdrhistogram.Histogram
 }
 
-// counts are requests by their end; Requests is the sum of the others but
+// Counts are requests by their end; Requests is the sum of the others but
 // Dropped.
-type counts struct {
+type Counts struct {
 	Requests int
 	Answered int
 	Refused  int
@@ -38,7 +40,9 @@
 	Dropped int
 }
 
-func newResults() *results { return &results{latency: map[string]*hdrhistogram.Histogram{}} }
+func newResults() *results {
+	return &results{refusals: map[string]int{}, latency: map[string]*hdrhistogram.Histogram{}}
+}
 
 func (r *results) drop() {
 	r.mu.Lock()
@@ -56,6 +60,7 @@
 		_ = r.histogram(service).RecordValue(max(took.Microseconds(), minLatencyUs))
 	case witness.AnswerRefused:
 		r.counts.Refused++
+		r.refusals[result.Reason]++
 	case witness.AnswerWrong:
 		r.counts.Wrong++
 	case witness.AnswerBroken:
@@ -76,8 +81,9 @@
 	return h
 }
 
-// snapshot returns the counts so far.
-func (r *results) snapshot() counts {
+// Counts returns the counts so far.
+func (t *Traffic) Counts() Counts {
+	r := t.results
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	return r.counts
@@ -91,7 +97,9 @@
 	Count int64   `json:"count"`
 }
 
-func (r *results) latencies() map[string]Latency {
+// Latencies returns the latency of each service so far.
+func (t *Traffic) Latencies() map[string]Latency {
+	r := t.results
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	all := map[string]Latency{}
@@ -106,4 +114,25 @@
 	return all
 }
 
+// Refusals returns the final refusals by reason so far.
+func (t *Traffic) Refusals() map[string]int {
+	r := t.results
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return maps.Clone(r.refusals)
+}
+
+// Histogram returns a copy of a service's latencies in microseconds, or nil
+// when it had no whole answer.
+func (t *Traffic) Histogram(service string) *hdrhistogram.Histogram {
+	r := t.results
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	h, ok := r.latency[service]
+	if !ok {
+		return nil
+	}
+	return hdrhistogram.Import(h.Export())
+}
+
 func milliseconds(us int64) float64 { return float64(us) / 1000 }
--- /dev/null
+++ b/node/member/vmlist.go
@@ -0,0 +1,78 @@
+package member
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"github.com/go-kit/log/level"
+
+	"heatherlock/platform"
+)
+
+// firstListWithin spreads the first reads of a fleet that starts together.
+const firstListWithin = 2 * time.Second
+
+// readLists reads the platform's list of VMs once at the start and then, only
+// while this member has the duty for its zone, at a low rate. What it finds
+// reaches the others in beats.
+func (m *Members) readLists(ctx context.Context) {
+	if m.config.Platform == nil {
+		return
+	}
+	wait := time.Duration(m.config.Random(int(firstListWithin)))
+	backoff := platform.NewBackoff(m.config.ListEvery, listBackoffMax, m.random)
+	first := true
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(wait):
+		}
+		wait = m.config.ListEvery/2 + time.Duration(m.config.Random(int(m.config.ListEvery)))
+		if !first && !m.hasListDuty(time.Now()) {
+			continue
+		}
+		if err := m.readList(ctx); err != nil {
+			wait = backoff.Next()
+			continue
+		}
+		first = false
+		backoff.Reset()
+	}
+}
+
+// listBackoffMax bounds the pause after failed reads of the list.
+const listBackoffMax = time.Minute
+
+// random adapts Config.Random for a backoff.
+func (m *Members) random() float64 {
+	const steps = 1 << 20
+	return float64(m.config.Random(steps)) / steps
+}
+
+func (m *Members) hasListDuty(now time.Time) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return slices.Contains(m.duty("list", 1, now), m.self.VM)
+}
+
+func (m *Members) readList(ctx context.Context) error {
+	begun := time.Now()
+	vms, err := m.config.Platform.VMs(ctx)
+	if err != nil {
+		m.scope.Counter("list_failed").Inc(1)
+		level.Debug(m.logger).Log("event", "list", "err", err)
+		return err
+	}
+	now := time.Now()
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.noticePause(now)
+	m.settle(begun)
+	m.scope.Counter("list_read").Inc(1)
+	if m.view.Platform(listedFrom(vms), now) {
+		m.publish(now)
+	}
+	return nil
+}
--- /dev/null
+++ b/node/member/wire.go
@@ -0,0 +1,161 @@
+package member
+
+import (
+	"time"
+
+	"heatherlock/node/seam"
+	"heatherlock/peer/peerpb"
+	"heatherlock/platform"
+	"heatherlock/steering"
+	"heatherlock/steering/membership"
+)
+
+// states maps the decision's states to the seam's.
+var states = map[membership.State]seam.MemberState{
+	membership.StateLive:    seam.MemberLive,
+	membership.StateSuspect: seam.MemberSuspect,
+	membership.StateLeaving: seam.MemberLeaving,
+	membership.StateGone:    seam.MemberGone,
+}
+
+// stateNames are the words of logs and counters.
+var stateNames = map[seam.MemberState]string{
+	seam.MemberLive: "live", seam.MemberSuspect: "suspect", seam.MemberLeaving: "leaving", seam.MemberGone: "gone",
+}
+
+func toSeam(m membership.Member) seam.Member {
+	return seam.Member{
+		VM: m.VM, Incarnation: m.Incarnation, Zone: m.Place.Zone, Region: m.Place.Region,
+		CallerAddress: m.Place.CallerAddress, PeerAddress: m.Place.PeerAddress, OperatorAddress: m.Place.OperatorAddress,
+		State: states[m.State], Heard: m.Heard,
+	}
+}
+
+// wireStatus uses the seam's numbers on the wire; MemberSuspect never travels.
+var wireStatus = map[membership.Status]uint32{
+	membership.Live:    uint32(seam.MemberLive),
+	membership.Leaving: uint32(seam.MemberLeaving),
+	membership.Gone:    uint32(seam.MemberGone),
+}
+
+func factToWire(f membership.Fact) *peerpb.MemberFact {
+	return &peerpb.MemberFact{
+		Vm: string(f.VM), Incarnation: string(f.Incarnation), Zone: string(f.Place.Zone), Region: string(f.Place.Region),
+		CallerAddress: f.Place.CallerAddress, PeerAddress: f.Place.PeerAddress, OperatorAddress: f.Place.OperatorAddress,
+		State: wireStatus[f.Status], Beat: f.Load.Beat, ConfigVersion: f.ConfigVersion,
+		StartedUnixNano: uint64(f.Started), InFlight: f.Load.InFlight,
+	}
+}
+
+func factFromWire(w *peerpb.MemberFact) membership.Fact {
+	f := membership.Fact{
+		VM:   steering.VM(w.Vm),
+		Life: membership.Life{Started: int64(w.StartedUnixNano), Incarnation: steering.Incarnation(w.Incarnation)},
+		Place: membership.Place{Zone: steering.Zone(w.Zone), Region: steering.Region(w.Region), CallerAddress: w.CallerAddress,
+			PeerAddress: w.PeerAddress, OperatorAddress: w.OperatorAddress},
+		ConfigVersion: w.ConfigVersion,
+		Load:          membership.Load{Beat: w.Beat, InFlight: w.InFlight},
+	}
+	switch seam.MemberState(w.State) {
+	case seam.MemberLeaving:
+		f.Status = membership.Leaving
+	case seam.MemberGone:
+		f.Status = membership.Gone
+	}
+	return f
+}
+
+func factsToWire(facts []membership.Fact) []*peerpb.MemberFact {
+	wire := make([]*peerpb.MemberFact, len(facts))
+	for i, f := range facts {
+		wire[i] = factToWire(f)
+	}
+	return wire
+}
+
+// doubtBit marks a doubted member in a packed beat.
+const doubtBit = 1
+
+func livenessToWire(beats []membership.Beat, configVersion int64) *peerpb.Liveness {
+	w := &peerpb.Liveness{}
+	for _, b := range beats {
+		packed := b.Beat << 1
+		if b.Doubted {
+			packed |= doubtBit
+		}
+		w.Member = append(w.Member, uint32(b.ID))
+		w.Beat = append(w.Beat, packed)
+		w.ConfigLag = append(w.ConfigLag, uint32(max(0, configVersion-b.ConfigVersion)))
+	}
+	return w
+}
+
+// livenessFromWire drops entries that lack a part.
+func livenessFromWire(w *peerpb.Liveness, configVersion int64) []membership.Beat {
+	n := min(len(w.GetMember()), len(w.GetBeat()), len(w.GetConfigLag()))
+	beats := make([]membership.Beat, n)
+	for i := range n {
+		beats[i] = membership.Beat{
+			ID: membership.ID(w.Member[i]), Beat: w.Beat[i] >> 1, Doubted: w.Beat[i]&doubtBit != 0,
+			ConfigVersion: configVersion - int64(w.ConfigLag[i]),
+		}
+	}
+	return beats
+}
+
+func reportToWire(r membership.Report) *peerpb.ZoneReport {
+	w := &peerpb.ZoneReport{Reporter: uint32(r.Reporter), Beat: r.Beat, ConfigVersion: r.ConfigVersion}
+	for _, id := range r.Doubted {
+		w.Doubted = append(w.Doubted, uint32(id))
+	}
+	return w
+}
+
+func reportFromWire(w *peerpb.ZoneReport) membership.Report {
+	r := membership.Report{Reporter: membership.ID(w.Reporter), Beat: w.Beat, ConfigVersion: w.ConfigVersion}
+	for _, id := range w.Doubted {
+		r.Doubted = append(r.Doubted, membership.ID(id))
+	}
+	return r
+}
+
+func bucketsToWire(b membership.Buckets) []uint32 { return b[:] }
+
+// bucketsFromWire returns false for a message without buckets.
+func bucketsFromWire(w []uint32) (membership.Buckets, bool) {
+	var b membership.Buckets
+	if len(w) != len(b) {
+		return b, false
+	}
+	copy(b[:], w)
+	return b, true
+}
+
+// listedStatus maps the platform's words.
+var listedStatus = map[platform.VMState]membership.Status{
+	platform.VMLive:    membership.Live,
+	platform.VMLeaving: membership.Leaving,
+	platform.VMGone:    membership.Gone,
+}
+
+// listedFrom leaves out lines whose state is not known.
+func listedFrom(vms []platform.VM) []membership.Listed {
+	var list []membership.Listed
+	for _, vm := range vms {
+		status, ok := listedStatus[vm.State]
+		if !ok {
+			continue
+		}
+		list = append(list, membership.Listed{
+			VM: steering.VM(vm.Name), Status: status, Since: vm.Since,
+			Place: membership.Place{Zone: steering.Zone(vm.Zone), Region: steering.Region(vm.Region),
+				CallerAddress: vm.CallerAddress, PeerAddress: vm.PeerAddress, OperatorAddress: vm.OperatorAddress},
+		})
+	}
+	return list
+}
+
+// ageMs rounds an age up, so that a fact never gets younger on its way.
+func ageMs(age time.Duration) uint32 {
+	return uint32(max(0, (age+time.Millisecond-1)/time.Millisecond))
+}
--- /dev/null
+++ b/node/operator/audit.go
@@ -0,0 +1,145 @@
+package operator
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"reflect"
+	"slices"
+	"time"
+
+	"github.com/go-kit/log/level"
+
+	"heatherlock/api/check"
+	"heatherlock/api/oas"
+)
+
+const (
+	// maxDiffFields bounds the fields that one audit line lists.
+	maxDiffFields = 40
+	// maxDiffValue bounds the length of a value in it.
+	maxDiffValue = 80
+)
+
+// audit logs an accepted change: who, what, which version, which fields.
+// Objects hold no secrets, and neither does the line.
+func (s *Server) audit(ctx context.Context, c change, before oas.Object, existed bool, version int64) {
+	action, after := "create", c.object
+	switch {
+	case len(c.value) == 0:
+		action, after = "delete", oas.Object{}
+	case existed:
+		action = "update"
+	}
+	if !existed {
+		before = oas.Object{}
+	}
+	s.scope.Tagged(map[string]string{"action": action, "kind": string(c.ref.Kind)}).Counter("operator_changes").Inc(1)
+	_ = level.Info(s.log).Log("msg", "change accepted", "audit", true, "who", identity(ctx), "action", action,
+		"object", c.ref.String(), "version", version, "from_version", c.base, "override", c.override,
+		"diff", Diff(before, after))
+}
+
+// Diff lists the fields of spec that differ, as "path: old -> new", sorted.
+// Either object may be empty.
+func Diff(before, after oas.Object) []string {
+	old, now := flatten(before), flatten(after)
+	var lines []string
+	for path, value := range now {
+		if was, known := old[path]; !known {
+			lines = append(lines, fmt.Sprintf("%s: added %s", path, value))
+		} else if was != value {
+			lines = append(lines, fmt.Sprintf("%s: %s -> %s", path, was, value))
+		}
+	}
+	for path, was := range old {
+		if _, kept := now[path]; !kept {
+			lines = append(lines, fmt.Sprintf("%s: removed %s", path, was))
+		}
+	}
+	slices.Sort(lines)
+	if len(lines) > maxDiffFields {
+		more := len(lines) - maxDiffFields
+		lines = append(lines[:maxDiffFields], fmt.Sprintf("and %d more fields", more))
+	}
+	return lines
+}
+
+// flatten returns each leaf of an object's spec by its path.
+func flatten(o oas.Object) map[string]string {
+	leaves := map[string]string{}
+	if o.Type == "" {
+		return leaves
+	}
+	raw, err := o.MarshalJSON()
+	if err != nil {
+		return leaves
+	}
+	var fields struct {
+		Spec any `json:"spec"`
+	}
+	if json.Unmarshal(raw, &fields) != nil {
+		return leaves
+	}
+	walk("spec", fields.Spec, leaves)
+	return leaves
+}
+
+func walk(path string, value any, leaves map[string]string) {
+	switch v := value.(type) {
+	case map[string]any:
+		for name, field := range v {
+			walk(path+"."+name, field, leaves)
+		}
+	case []any:
+		for i, item := range v {
+			walk(fmt.Sprintf("%s[%s]", path, label(i, item)), item, leaves)
+		}
+	default:
+		text := fmt.Sprint(v)
+		if len(text) > maxDiffValue {
+			text = text[:maxDiffValue] + "..."
+		}
+		leaves[path] = text
+	}
+}
+
+// label names an item of a list by its name, so that removing the first item
+// does not show as a change of every other.
+func label(i int, item any) string {
+	fields, ok := item.(map[string]any)
+	if !ok {
+		return fmt.Sprint(i)
+	}
+	for _, key := range []string{"name", "prefix"} {
+		if name, ok := fields[key].(string); ok {
+			return name
+		}
+	}
+	return fmt.Sprint(i)
+}
+
+// sameSpec tells whether two objects declare the same.
+func sameSpec(a, b oas.Object) bool { return reflect.DeepEqual(flatten(a), flatten(b)) }
+
+// facts gathers what is known beside the objects.
+func (s *Server) facts(set check.Set) check.Facts {
+	facts := check.Facts{Now: time.Now(), EntryVMs: map[string]string{}, PermitsInUse: map[string]int{}}
+	for _, m := range s.runtime.Members() {
+		if m.State != Gone {
+			facts.EntryVMs[m.VM] = m.Zone
+		}
+	}
+	if len(facts.EntryVMs) == 0 {
+		facts.EntryVMs = nil
+	}
+	for _, ref := range set.Refs() {
+		if ref.Kind != oas.KindCap {
+			continue
+		}
+		if fact, ok := s.runtime.Cap(ref.Name); ok {
+			facts.PermitsInUse[ref.Name] = fact.PermitsInUse
+		}
+	}
+	return facts
+}
--- /dev/null
+++ b/node/operator/problem.go
@@ -0,0 +1,160 @@
+package operator
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/ogen-go/ogen/ogenerrors"
+
+	"heatherlock/api/check"
+	"heatherlock/api/oas"
+	"heatherlock/platform"
+)
+
+// statuses maps each reason to its HTTP status.
+var statuses = map[oas.ProblemReason]int{
+	oas.ProblemReasonInvalid:        http.StatusUnprocessableEntity,
+	oas.ProblemReasonNotFound:       http.StatusNotFound,
+	oas.ProblemReasonExists:         http.StatusConflict,
+	oas.ProblemReasonConflict:       http.StatusConflict,
+	oas.ProblemReasonBreaksPromise:  http.StatusUnprocessableEntity,
+	oas.ProblemReasonUnavailable:    http.StatusServiceUnavailable,
+	oas.ProblemReasonOutcomeUnknown: http.StatusGatewayTimeout,
+	oas.ProblemReasonUnauthorized:   http.StatusUnauthorized,
+	oas.ProblemReasonTooLarge:       http.StatusRequestEntityTooLarge,
+	oas.ProblemReasonGone:           http.StatusGone,
+	oas.ProblemReasonInternal:       http.StatusInternalServerError,
+}
+
+// Error is a refusal in the words of the API.
+type Error struct {
+	Problem oas.Problem
+	Err     error // cause, for the log; may be nil
+}
+
+// Error implements error; the message ends with the remedy.
+func (e *Error) Error() string {
+	return fmt.Sprintf("operator: %s: %s; %s", e.Problem.Reason, e.Problem.Message, e.Problem.Remedy)
+}
+
+// Unwrap returns the cause.
+func (e *Error) Unwrap() error { return e.Err }
+
+func refuse(reason oas.ProblemReason, remedy, format string, args ...any) *Error {
+	return &Error{Problem: oas.Problem{Reason: reason, Message: fmt.Sprintf(format, args...), Remedy: remedy}}
+}
+
+// refuseProblems turns failed checks into a refusal, or nil if an override
+// covers them.
+func refuseProblems(problems check.Problems, own check.Ref, override string) *Error {
+	var e *Error
+	switch problems.Class() {
+	case check.Invalid:
+		e = refuse(oas.ProblemReasonInvalid, "correct the fields named", "%s has %d problems", own, len(problems))
+	case check.BreaksPromise:
+		if override != "" {
+			return nil
+		}
+		e = refuse(oas.ProblemReasonBreaksPromise, "change it so that nothing is lost, or override with a reason, which is recorded", "%s would break a promise", own)
+	default:
+		return nil
+	}
+	for _, p := range problems {
+		field := p.Field
+		if p.Object != own {
+			field = p.Object.String() + " " + p.Field
+		}
+		e.Problem.Fields = append(e.Problem.Fields, oas.FieldProblem{Field: field, Message: p.Message, Remedy: p.Remedy})
+	}
+	return e
+}
+
+// fromPlatform turns a failed platform call into a refusal.
+func fromPlatform(err error, ref check.Ref) *Error {
+	var pe *platform.Error
+	if !errors.As(err, &pe) {
+		e := refuse(oas.ProblemReasonInternal, "try again; look into the entry VM's log", "unexpected failure")
+		e.Err = err
+		return e
+	}
+	var e *Error
+	switch pe.Kind {
+	case platform.NotFound:
+		e = refuse(oas.ProblemReasonNotFound, "list the kind to see what there is", "there is no %s", ref)
+	case platform.Conflict:
+		e = refuse(oas.ProblemReasonConflict, "get it again and repeat the change on its new version", "%s was changed by somebody else first", ref)
+	case platform.Gone:
+		e = refuse(oas.ProblemReasonGone, "list again and watch from the list's version", "the version to watch from is too old")
+	case platform.TooLarge:
+		e = tooLarge(ref)
+	case platform.Unavailable, platform.Throttled:
+		e = refuse(oas.ProblemReasonUnavailable, "come back after the time given; nothing was changed, and the configuration in force stays", "the platform does not answer (%s)", pe.Kind)
+		e.Problem.RetryAfterMs = oas.NewOptInt64(max(pe.RetryAfter, comeBack).Milliseconds())
+	case platform.Unknown:
+		e = refuse(oas.ProblemReasonOutcomeUnknown, "get the object and compare", "the platform broke off; %s may have been changed", ref)
+	default:
+		e = refuse(oas.ProblemReasonInternal, "look into the entry VM's log", "the platform refused the call (%s)", pe.Kind)
+	}
+	e.Err = err
+	return e
+}
+
+// unreadable is the refusal for a read that may have failed in any way: it
+// changed nothing, whatever the platform says.
+func unreadable(err error, ref check.Ref) *Error {
+	if platform.KindOf(err) != platform.Unknown {
+		return fromPlatform(err, ref)
+	}
+	e := refuse(oas.ProblemReasonUnavailable, "come back after the time given", "the platform broke off while reading")
+	e.Problem.RetryAfterMs = oas.NewOptInt64(comeBack.Milliseconds())
+	e.Err = err
+	return e
+}
+
+func tooLarge(ref check.Ref) *Error {
+	return refuse(oas.ProblemReasonTooLarge, "split it, for example one ClientBlocks object per region", "%s is larger than the %d bytes that the platform keeps", ref, maxObjectBytes)
+}
+
+// respond converts a refusal to what ogen sends.
+func respond(e *Error) *oas.ProblemStatusCode {
+	return &oas.ProblemStatusCode{StatusCode: statuses[e.Problem.Reason], Response: e.Problem}
+}
+
+// writeProblem sends a refusal outside ogen.
+func writeProblem(w http.ResponseWriter, status int, e *Error) {
+	body, err := e.Problem.MarshalJSON()
+	if err != nil {
+		body, _ = json.Marshal(map[string]string{"reason": string(oas.ProblemReasonInternal)})
+	}
+	w.Header().Set("Content-Type", "application/json; charset=utf-8")
+	if ms, ok := e.Problem.RetryAfterMs.Get(); ok {
+		seconds := (time.Duration(ms)*time.Millisecond + time.Second - 1) / time.Second
+		w.Header().Set("Retry-After", fmt.Sprint(int64(seconds)))
+	}
+	w.WriteHeader(status)
+	_, _ = w.Write(body)
+}
+
+// handleDecodeError answers requests that ogen could not read.
+func handleDecodeError(_ context.Context, w http.ResponseWriter, _ *http.Request, err error) {
+	status := ogenerrors.ErrorCode(err)
+	reason, remedy := oas.ProblemReasonInvalid, "correct the request; see `heatherlock explain`"
+	if status >= http.StatusInternalServerError {
+		reason, remedy = oas.ProblemReasonInternal, "look into the entry VM's log"
+	}
+	writeProblem(w, status, refuse(reason, remedy, "%s", bounded(err.Error())))
+}
+
+// maxMessageBytes bounds what a message repeats of a request.
+const maxMessageBytes = 400
+
+func bounded(s string) string {
+	if len(s) <= maxMessageBytes {
+		return s
+	}
+	return s[:maxMessageBytes] + "..."
+}
--- /dev/null
+++ b/node/operator/status.go
@@ -0,0 +1,214 @@
+package operator
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"sync"
+	"time"
+
+	"heatherlock/api/check"
+	"heatherlock/api/oas"
+)
+
+// Types of condition.
+const (
+	ConditionAccepted      = "Accepted"      // no rule is broken
+	ConditionInForce       = "InForce"       // every zone has this version
+	ConditionShiftComplete = "ShiftComplete" // the whole percent has moved
+	ConditionDrained       = "Drained"       // nothing is in flight any more
+	ConditionInTime        = "InTime"        // the deadline has not passed with work left
+	ConditionCapHolding    = "CapHolding"    // no more permits are used than the cap gives
+)
+
+// Conditions lists the types of condition that each kind can have.
+var Conditions = map[oas.Kind][]string{
+	oas.KindService:      {ConditionAccepted, ConditionInForce},
+	oas.KindPlace:        {ConditionAccepted, ConditionInForce},
+	oas.KindClientBlocks: {ConditionAccepted, ConditionInForce},
+	oas.KindShift:        {ConditionAccepted, ConditionInForce, ConditionShiftComplete},
+	oas.KindCap:          {ConditionAccepted, ConditionInForce, ConditionCapHolding},
+	oas.KindPlannedStop:  {ConditionAccepted, ConditionInForce, ConditionDrained, ConditionInTime},
+}
+
+// withStatus returns the object with its status as seen now.
+func (s *Server) withStatus(ctx context.Context, o oas.Object) oas.Object {
+	b := statusBuilder{server: s, ref: check.RefOf(o), version: versionOf(o)}
+	b.accepted(ctx, o)
+	inForce := b.inForce()
+	switch o.Type {
+	case oas.ShiftObject:
+		b.shift(o.Shift)
+	case oas.CapObject:
+		b.cap(o.Cap)
+	case oas.PlannedStopObject:
+		b.stop(o.PlannedStop, inForce)
+	}
+	check.StatusOf(&o).SetTo(b.status)
+	return o
+}
+
+// statusBuilder composes the status of one object.
+type statusBuilder struct {
+	server  *Server
+	ref     check.Ref
+	version int64
+	status  oas.ObjectStatus
+}
+
+func (b *statusBuilder) add(kind string, holds bool, reason, format string, args ...any) {
+	b.status.Conditions = append(b.status.Conditions, oas.Condition{
+		Type: kind, Status: holds, Reason: reason, Message: fmt.Sprintf(format, args...),
+		Since:           b.server.since.seen(b.ref, kind, holds, time.Now()),
+		ObservedVersion: b.version,
+	})
+}
+
+func (b *statusBuilder) accepted(ctx context.Context, o oas.Object) {
+	if p, broken := b.server.problemOf(ctx, b.ref); broken {
+		b.add(ConditionAccepted, false, "Invalid", "%s: %s; %s", p.Field, p.Message, p.Remedy)
+		return
+	}
+	if reason, ok := check.MetadataOf(&o).Override.Get(); ok {
+		b.add(ConditionAccepted, true, "Overridden", "accepted in spite of a promise it breaks: %s", reason)
+		return
+	}
+	b.add(ConditionAccepted, true, "Checked", "no rule is broken")
+}
+
+// inForce tells for each zone whether it has this version. A zone that is cut
+// off keeps the version it had; it is named, not left out.
+func (b *statusBuilder) inForce() bool {
+	zones := b.server.runtime.Zones()
+	var behind, cutOff []string
+	for _, z := range zones {
+		one := oas.ZoneInForce{Zone: z.Zone, InForce: z.ConfigVersion >= b.version}
+		if !z.CutOffSince.IsZero() {
+			one.CutOffSince = oas.NewOptDateTime(z.CutOffSince)
+			cutOff = append(cutOff, z.Zone)
+		}
+		if !one.InForce {
+			behind = append(behind, z.Zone)
+		}
+		b.status.Zones = append(b.status.Zones, one)
+	}
+	switch {
+	case len(zones) == 0:
+		b.add(ConditionInForce, false, "NothingKnown", "no zone has been heard from yet")
+	case len(behind) == 0:
+		b.add(ConditionInForce, true, "Everywhere", "in force in all %d zones", len(zones))
+	case len(cutOff) > 0:
+		b.add(ConditionInForce, false, "ZonesCutOff", "not yet in %s; cut off: %s", strings.Join(behind, ", "), strings.Join(cutOff, ", "))
+	default:
+		b.add(ConditionInForce, false, "Spreading", "not yet in %s", strings.Join(behind, ", "))
+	}
+	return len(zones) > 0 && len(behind) == 0
+}
+
+func (b *statusBuilder) shift(shift oas.Shift) {
+	fact, known := b.server.runtime.Shift(b.ref.Name)
+	if !known {
+		b.add(ConditionShiftComplete, false, "NothingKnown", "this entry VM has not seen the shift yet")
+		return
+	}
+	b.status.MovedPercent = oas.NewOptInt(fact.MovedPercent)
+	b.status.HeldBy = oas.NewOptString(fact.HeldBy)
+	b.status.RemainingSeconds = oas.NewOptInt(int((fact.Remaining + time.Second - 1) / time.Second))
+	switch {
+	case fact.MovedPercent == shift.Spec.Percent:
+		b.add(ConditionShiftComplete, true, "Moved", "%d%% moved", fact.MovedPercent)
+	case fact.HeldBy != "":
+		b.add(ConditionShiftComplete, false, "Held", "%d%% of %d%% moved; held back by %s", fact.MovedPercent, shift.Spec.Percent, fact.HeldBy)
+	default:
+		b.add(ConditionShiftComplete, false, "Moving", "%d%% of %d%% moved", fact.MovedPercent, shift.Spec.Percent)
+	}
+}
+
+func (b *statusBuilder) cap(limit oas.Cap) {
+	fact, known := b.server.runtime.Cap(b.ref.Name)
+	if !known {
+		b.add(ConditionCapHolding, false, "NothingKnown", "no use of the cap has been reported yet")
+		return
+	}
+	b.status.PermitsInUse = oas.NewOptInt(fact.PermitsInUse)
+	holds := fact.PermitsInUse <= limit.Spec.Requests
+	reason := "Holding"
+	if !holds {
+		reason = "Exceeded"
+	}
+	b.add(ConditionCapHolding, holds, reason, "%d of %d permits in use", fact.PermitsInUse, limit.Spec.Requests)
+}
+
+func (b *statusBuilder) stop(stop oas.PlannedStop, inForce bool) {
+	now := time.Now()
+	fact, known := b.server.runtime.Stop(b.ref.Name)
+	if known {
+		b.status.InFlight = oas.NewOptInt(fact.InFlight)
+	}
+	drained := false
+	switch at := stop.Spec.At.Or(time.Time{}); {
+	case at.After(now):
+		b.add(ConditionDrained, false, "NotYet", "starts at %s", at.Format(time.RFC3339))
+	case !inForce:
+		b.add(ConditionDrained, false, "Spreading", "not yet in force in every zone")
+	case !known:
+		b.add(ConditionDrained, false, "NothingKnown", "nothing has been reported of what is stopped")
+	case !fact.Complete:
+		b.add(ConditionDrained, false, "NotAllHeard", "%d in flight, not every entry VM has reported", fact.InFlight)
+	case fact.InFlight > 0:
+		b.add(ConditionDrained, false, "InFlight", "%d requests still in flight", fact.InFlight)
+	default:
+		drained = true
+		b.add(ConditionDrained, true, "Empty", "nothing is in flight")
+	}
+	b.inTime(stop.Spec, drained, now)
+}
+
+func (b *statusBuilder) inTime(spec oas.PlannedStopSpec, drained bool, now time.Time) {
+	deadline, set := spec.Deadline.Get()
+	switch {
+	case !set:
+		b.add(ConditionInTime, true, "NoDeadline", "no deadline was set")
+	case drained || now.Before(deadline):
+		b.add(ConditionInTime, true, "BeforeDeadline", "the deadline is %s", deadline.Format(time.RFC3339))
+	case spec.CutAtDeadline.Or(false):
+		b.add(ConditionInTime, false, "DeadlinePassed", "the deadline %s has passed; what is in flight is cut, as declared", deadline.Format(time.RFC3339))
+	default:
+		b.add(ConditionInTime, false, "DeadlinePassed", "the deadline %s has passed; nothing is cut", deadline.Format(time.RFC3339))
+	}
+}
+
+// maxTracked bounds the conditions whose start is remembered.
+const maxTracked = 20000
+
+// sinceTracker remembers since when each condition has been as it is.
+type sinceTracker struct {
+	mu    sync.Mutex
+	known map[conditionKey]conditionSince
+}
+
+type conditionKey struct {
+	ref  check.Ref
+	kind string
+}
+
+type conditionSince struct {
+	holds bool
+	since time.Time
+}
+
+// seen returns since when the condition has been as given.
+func (t *sinceTracker) seen(ref check.Ref, kind string, holds bool, now time.Time) time.Time {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	key := conditionKey{ref, kind}
+	if was, ok := t.known[key]; ok && was.holds == holds {
+		return was.since
+	}
+	if t.known == nil || len(t.known) >= maxTracked {
+		t.known = map[conditionKey]conditionSince{}
+	}
+	now = now.UTC().Truncate(time.Millisecond)
+	t.known[key] = conditionSince{holds, now}
+	return now
+}
--- /dev/null
+++ b/steering/membership/report.go
@@ -0,0 +1,96 @@
+package membership
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+
+	"heatherlock/steering"
+)
+
+// Report is what one member says of its whole zone.
+type Report struct {
+	Reporter      ID
+	Beat          uint32
+	ConfigVersion int64 // lowest in force in the zone
+	Doubted       []ID
+}
+
+type report struct {
+	Report
+	heard time.Time
+}
+
+// HearReport takes in a report of another member. One report per zone is kept,
+// the last that arrived. A report that its reporter has since renewed is
+// ignored, so that relays do not make old news look fresh; so is one of a
+// reporter whose fact has not come yet.
+func (v *View) HearReport(r Report, now time.Time) {
+	e, ok := v.ids[r.Reporter]
+	if !ok || e.VM == v.self || r.Beat <= e.reportBeat {
+		return
+	}
+	e.reportBeat = r.Beat
+	v.reports[e.Place.Zone] = &report{Report: r, heard: now}
+}
+
+// OwnReport is what this observer says of its zone.
+func (v *View) OwnReport(beat uint32, now time.Time) Report {
+	r := Report{Reporter: v.entries[v.self].id, Beat: beat, ConfigVersion: v.entries[v.self].ConfigVersion}
+	for _, e := range v.inZone(v.zone) {
+		m := v.member(e, now)
+		switch {
+		case e.Known() && e.Status != Gone && (m.State == StateSuspect || m.State == StateGone):
+			r.Doubted = append(r.Doubted, e.id)
+		case m.State == StateLive:
+			r.ConfigVersion = min(r.ConfigVersion, e.ConfigVersion)
+		}
+	}
+	return r
+}
+
+// Reports returns up to limit fresh reports of other zones. The offset rotates
+// through them, so that each gets its turn.
+func (v *View) Reports(limit, offset int, now time.Time) []Report {
+	var fresh []Report
+	for _, zone := range slices.Sorted(maps.Keys(v.reports)) {
+		r := v.reports[zone]
+		if zone != v.zone && now.Sub(r.heard) <= v.params.ZoneSilentAfter {
+			fresh = append(fresh, r.Report)
+		}
+	}
+	if len(fresh) <= limit {
+		return fresh
+	}
+	start := offset % len(fresh)
+	return append(slices.Clone(fresh[start:]), fresh[:start]...)[:limit]
+}
+
+// ZoneStatus is what this observer knows of a zone.
+type ZoneStatus struct {
+	Zone steering.Zone
+	// Heard is when the zone's newest report arrived; now for the own zone,
+	// zero when none has.
+	Heard time.Time
+	// ConfigVersion is the lowest version in force in the zone.
+	ConfigVersion int64
+	// Silent says that no report has arrived for Params.ZoneSilentAfter.
+	Silent bool
+}
+
+// Zones returns the status of every zone with a member, in order of name.
+func (v *View) Zones(now time.Time) []ZoneStatus {
+	zones := map[steering.Zone]ZoneStatus{}
+	for _, e := range v.entries {
+		z := ZoneStatus{Zone: e.Place.Zone, Silent: true}
+		if r := v.reports[z.Zone]; r != nil {
+			z.Heard, z.ConfigVersion = r.heard, r.ConfigVersion
+			z.Silent = now.Sub(r.heard) > v.params.ZoneSilentAfter
+		}
+		zones[z.Zone] = z
+	}
+	own := v.OwnReport(0, now)
+	zones[v.zone] = ZoneStatus{Zone: v.zone, Heard: now, ConfigVersion: own.ConfigVersion}
+	return slices.SortedFunc(maps.Values(zones), func(a, b ZoneStatus) int { return cmp.Compare(a.Zone, b.Zone) })
+}
--- /dev/null
+++ b/steering/membership/view_test.go
@@ -0,0 +1,217 @@
+package membership
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"heatherlock/steering"
+)
+
+var start = time.Unix(1_700_000_000, 0)
+
+var zones = []steering.Zone{"norte-a", "norte-b", "sur-a"}
+
+// drawFact draws facts with few distinct values, so that they often meet.
+func drawFact(t *rapid.T) Fact {
+	vm := rapid.SampledFrom([]steering.VM{"a", "b", "c", "d"}).Draw(t, "vm")
+	f := Fact{VM: vm, Status: Status(rapid.IntRange(0, 2).Draw(t, "status"))}
+	if n := rapid.Int64Range(0, 3).Draw(t, "life"); n > 0 {
+		f.Life = Life{Started: n / 2, Incarnation: steering.Incarnation(fmt.Sprint("i", n))}
+	}
+	f.Place = Place{Zone: rapid.SampledFrom(zones).Draw(t, "zone"), PeerAddress: rapid.SampledFrom([]string{"x", "y"}).Draw(t, "address")}
+	f.ConfigVersion = rapid.Int64Range(0, 3).Draw(t, "config")
+	f.Load = Load{Beat: rapid.Uint64Range(0, 2).Draw(t, "beat"), InFlight: rapid.Int32Range(0, 2).Draw(t, "inFlight")}
+	return f
+}
+
+func TestJoinLaws(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		a, b, c := drawFact(t), drawFact(t), drawFact(t)
+		b.VM, c.VM = a.VM, a.VM
+		assert.Equal(t, Join(a, b), Join(b, a))
+		assert.Equal(t, Join(a, Join(b, c)), Join(Join(a, b), c))
+		assert.Equal(t, Join(a, a), a)
+		joined := Join(a, b)
+		assert.Assert(t, joined.Life.Compare(a.Life) >= 0, "an old incarnation came back")
+		if joined.Life == a.Life {
+			assert.Assert(t, joined.Status >= a.Status, "a leaving member came back")
+		}
+	})
+}
+
+func self() Fact {
+	return Fact{VM: "self", Life: Life{Started: 1, Incarnation: "s"}, Place: Place{Zone: "norte-a"}}
+}
+
+func facts(v *View) []Fact {
+	var facts []Fact
+	for _, e := range v.sorted() {
+		facts = append(facts, e.Fact)
+	}
+	return facts
+}
+
+// Views that saw the same facts in any order, with any repeats, are equal, and
+// equal views have equal digests.
+func TestMergeIsOrderIndependent(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		live := []Fact{} // a tombstone of an unknown VM is not kept, so begin with live facts
+		for _, vm := range []steering.VM{"a", "b", "c", "d"} {
+			live = append(live, Fact{VM: vm})
+		}
+		drawn := rapid.SliceOfN(rapid.Custom(drawFact), 0, 20).Draw(t, "facts")
+		repeated := append(slices.Clone(drawn), drawn...)
+		shuffled := rapid.Permutation(repeated).Draw(t, "shuffled")
+		a, b := NewView(self(), Params{}, start), NewView(self(), Params{}, start)
+		for _, f := range append(slices.Clone(live), drawn...) {
+			a.Merge(f, start)
+		}
+		for _, f := range append(slices.Clone(live), shuffled...) {
+			b.Merge(f, start)
+		}
+		assert.DeepEqual(t, facts(a), facts(b))
+		assert.Equal(t, a.Digest(), b.Digest())
+		assert.Equal(t, a.Buckets(), b.Buckets())
+	})
+}
+
+// Exchanging the facts of differing buckets makes two views equal at once.
+func TestBucketsSynchronize(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		a, b := NewView(self(), Params{}, start), NewView(self(), Params{}, start)
+		for _, f := range rapid.SliceOfN(rapid.Custom(drawFact), 0, 20).Draw(t, "a") {
+			a.Merge(f, start)
+		}
+		for _, f := range rapid.SliceOfN(rapid.Custom(drawFact), 0, 20).Draw(t, "b") {
+			b.Merge(f, start)
+		}
+		theirs := a.Buckets()
+		for _, f := range a.Differing(b.Buckets(), 100) {
+			b.Merge(f, start)
+		}
+		for _, f := range b.Differing(theirs, 100) {
+			a.Merge(f, start)
+		}
+		assert.Equal(t, a.Digest(), b.Digest())
+	})
+}
+
+func stateOf(v *View, vm steering.VM, now time.Time) State {
+	for _, m := range v.Members(now) {
+		if m.VM == vm {
+			return m.State
+		}
+	}
+	return StateGone
+}
+
+func near(vm steering.VM) Fact {
+	return Fact{VM: vm, Life: Life{Started: 1, Incarnation: steering.Incarnation(vm)}, Place: Place{Zone: "norte-a"}}
+}
+
+func far(vm steering.VM) Fact {
+	f := near(vm)
+	f.Place.Zone = "sur-a"
+	return f
+}
+
+// Symptom: a replaced VM's old process gets work again. Sequence: VM a is
+// replaced under its old name; a message about the old process, and a platform
+// list older than the replacement, arrive last. Cause: taking the last message
+// for the newest.
+func TestReplacedVMStaysReplaced(t *testing.T) {
+	v := NewView(self(), Params{}, start)
+	older, newer := near("a"), near("a")
+	newer.Life = Life{Started: start.UnixNano(), Incarnation: "a2"}
+	v.Merge(older, start)
+	v.Merge(newer, start)
+	v.Merge(older, start)
+	v.Platform([]Listed{{VM: "a", Status: Gone, Since: start.Add(-time.Second)}}, start)
+	assert.Equal(t, facts(v)[0].Incarnation, steering.Incarnation("a2"))
+	assert.Equal(t, stateOf(v, "a", start), StateLive)
+	v.Platform([]Listed{{VM: "a", Status: Gone, Since: start.Add(time.Second)}}, start)
+	assert.Equal(t, stateOf(v, "a", start), StateGone)
+	v.Hear(Beat{ID: newer.ID(), Beat: 99}, start)
+	v.Merge(newer, start)
+	assert.Equal(t, stateOf(v, "a", start), StateGone)
+}
+
+// Symptom: a member that only one other cannot reach loses its work in the
+// whole zone. Sequence: the link from self to a breaks while a beats on; another
+// member relays its own doubt. Cause: spreading doubt without looking at beats.
+func TestDoubtYieldsToBeats(t *testing.T) {
+	v := NewView(self(), Params{}, start)
+	a := near("a")
+	v.Merge(a, start)
+	now := start.Add(time.Second)
+	v.Hear(Beat{ID: a.ID(), Beat: 5}, now)
+	v.Hear(Beat{ID: a.ID(), Beat: 5, Doubted: true}, now.Add(100*time.Millisecond))
+	assert.Equal(t, stateOf(v, "a", now), StateLive)
+	now = now.Add(time.Second)
+	v.Hear(Beat{ID: a.ID(), Beat: 5, Doubted: true}, now)
+	assert.Equal(t, stateOf(v, "a", now), StateSuspect)
+	v.Hear(Beat{ID: a.ID(), Beat: 6}, now)
+	assert.Equal(t, stateOf(v, "a", now), StateLive)
+	v.Direct("a", false, now)
+	assert.Equal(t, stateOf(v, "a", now), StateSuspect)
+	assert.Equal(t, v.Beats(10, now)[0].Doubted, true)
+	v.Direct("a", true, now.Add(1))
+	assert.Equal(t, stateOf(v, "a", now), StateLive)
+}
+
+func TestSilenceAndReports(t *testing.T) {
+	v := NewView(self(), Params{}, start)
+	a, b, c := near("a"), far("b"), far("c")
+	v.Merge(a, start)
+	v.Merge(b, start)
+	v.Merge(c, start)
+	now := start.Add(DefaultSuspectAfter + 1)
+	assert.Equal(t, stateOf(v, "a", now), StateSuspect)
+	now = start.Add(DefaultZoneSilentAfter + 1)
+	assert.Equal(t, stateOf(v, "b", now), StateSuspect)
+	v.HearReport(Report{Reporter: b.ID(), Beat: 3, Doubted: []ID{c.ID()}, ConfigVersion: 7}, now)
+	assert.Equal(t, stateOf(v, "b", now), StateLive)
+	assert.Equal(t, stateOf(v, "c", now), StateSuspect)
+	status := v.Zones(now)
+	assert.Equal(t, status[1], ZoneStatus{Zone: "sur-a", Heard: now, ConfigVersion: 7})
+
+	// A relay of a report that was renewed since makes nothing fresh.
+	later := now.Add(DefaultZoneSilentAfter + 1)
+	v.HearReport(Report{Reporter: b.ID(), Beat: 3}, later)
+	assert.Equal(t, stateOf(v, "b", later), StateSuspect)
+
+	// What another pause of this process added to the silence does not count.
+	v.Credit(DefaultZoneSilentAfter, later)
+	assert.Equal(t, stateOf(v, "b", later), StateLive)
+	assert.Equal(t, stateOf(v, "b", now.Add(DefaultGoneAfter+DefaultZoneSilentAfter+1)), StateGone)
+}
+
+func TestReplacedSelfNotices(t *testing.T) {
+	v := NewView(self(), Params{}, start)
+	assert.Equal(t, v.Replaced(), false)
+	v.Platform([]Listed{{VM: "self", Status: Gone, Since: start}}, start)
+	assert.Equal(t, v.Replaced(), true)
+	w := NewView(self(), Params{}, start)
+	next := self()
+	next.Life = Life{Started: 2, Incarnation: "s2"}
+	w.Merge(next, start)
+	assert.Equal(t, w.Replaced(), true)
+}
+
+func TestForgetKeepsTombstonesForADay(t *testing.T) {
+	v := NewView(self(), Params{}, start)
+	v.Merge(near("a"), start)
+	gone := near("a")
+	gone.Status = Gone
+	v.Merge(gone, start)
+	v.Forget(start.Add(DefaultForgetAfter))
+	assert.Equal(t, len(facts(v)), 2)
+	v.Forget(start.Add(DefaultForgetAfter + 1))
+	assert.Equal(t, len(facts(v)), 1)
+	assert.Equal(t, v.Digest(), NewView(self(), Params{}, start).Digest())
+}
--- /dev/null
+++ b/steering/poison/poison_test.go
@@ -0,0 +1,223 @@
+package poison
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"heatherlock/steering"
+)
+
+var start = time.Date(2026, 6, 1, 12, 0, 0, 0, time.UTC)
+
+const (
+	testVMs      = 3
+	testTargets  = 6
+	testCulprits = 2
+	testMarks    = 10
+)
+
+// sent is a request in a target's hands.
+type sent struct {
+	vm      int
+	mark    int
+	verdict Verdict
+}
+
+// region is a region of entry VMs whose callers repeat one after the other. It
+// is the reference: it counts the targets that each request really took down.
+type region struct {
+	now    time.Time
+	lists  [testVMs]*List
+	hands  map[steering.Target][]sent
+	flying [testMarks]int
+	losses [testMarks]int // targets lost with the request in hand
+}
+
+func newRegion(cfg Config) *region {
+	g := &region{now: start, hands: map[steering.Target][]sent{}}
+	for i := range g.lists {
+		g.lists[i] = New(cfg)
+	}
+	return g
+}
+
+func markOf(i int) Mark {
+	return Mark{Content: ID(100 + i), Key: ID(200 + i), Whole: true}
+}
+
+func targetOf(i int) steering.Target {
+	return steering.Target(fmt.Sprintf("t%d", i))
+}
+
+// push carries what one entry VM learnt to the others, as happens before the
+// caller gets its answer.
+func (g *region) push(from int) {
+	facts := g.lists[from].TakeChanged()
+	for i, l := range g.lists {
+		if i != from {
+			l.Learn(g.now, facts)
+			l.Learn(g.now, facts) // a message may come twice
+		}
+	}
+}
+
+func (g *region) end(s sent, target steering.Target, e Ending) {
+	g.flying[s.mark]--
+	g.lists[s.vm].End(g.now, markOf(s.mark), s.verdict, target, e)
+}
+
+func (g *region) lose(target steering.Target) {
+	for _, s := range g.hands[target] {
+		g.losses[s.mark]++
+		g.end(s, target, Lost)
+	}
+	g.hands[target] = nil
+	for vm := range g.lists {
+		g.push(vm)
+	}
+}
+
+func (g *region) send(t *rapid.T) {
+	vm := rapid.IntRange(0, testVMs-1).Draw(t, "vm")
+	mark := rapid.IntRange(0, testMarks-1).Draw(t, "mark")
+	if g.flying[mark] > 0 {
+		t.Skip("its caller still waits")
+	}
+	v := g.lists[vm].Check(g.now, markOf(mark))
+	if v.Kind == Refuse {
+		assert.Assert(t, g.losses[mark] >= 2, "request %d is refused after %d losses", mark, g.losses[mark])
+		assert.Equal(t, v.Refusal.Ran, steering.RanNo)
+		return
+	}
+	assert.Assert(t, v.Kind != Wait, "nothing like it is in flight")
+	target := targetOf(rapid.IntRange(0, testTargets-1).Draw(t, "target"))
+	for _, avoid := range v.Avoid {
+		if target == avoid {
+			g.lists[vm].End(g.now, markOf(mark), v, "", Neither)
+			return
+		}
+	}
+	g.flying[mark]++
+	g.lists[vm].Trying(markOf(mark), target)
+	g.hands[target] = append(g.hands[target], sent{vm, mark, v})
+	if mark < testCulprits {
+		g.lose(target)
+		assert.Assert(t, g.losses[mark] <= 2, "request %d took down a third target", mark)
+	}
+}
+
+func (g *region) finish(t *rapid.T) {
+	target := targetOf(rapid.IntRange(0, testTargets-1).Draw(t, "target"))
+	if len(g.hands[target]) == 0 {
+		t.Skip("it holds nothing")
+	}
+	s := g.hands[target][0]
+	g.hands[target] = g.hands[target][1:]
+	g.end(s, target, Finished)
+	g.push(s.vm)
+	g.losses[s.mark] = 0
+}
+
+// agree holds the entry VMs to one verdict, whatever each saw itself.
+func (g *region) agree(t *rapid.T) {
+	for mark := range testMarks {
+		if g.flying[mark] > 0 {
+			continue
+		}
+		first, _ := g.lists[0].held(g.now, markOf(mark))
+		for _, l := range g.lists[1:] {
+			count, _ := l.held(g.now, markOf(mark))
+			assert.Assert(t, (count >= 2) == (first >= 2), "request %d: %d losses here, %d there", mark, first, count)
+		}
+	}
+}
+
+// TestAtMostTwoTargetsLost is the promise for every interleaving of culprits,
+// innocents, repeats through other entry VMs and targets lost for no reason.
+func TestAtMostTwoTargetsLost(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		g := newRegion(Config{MassTargets: 1000})
+		t.Repeat(map[string]func(*rapid.T){
+			"send":   g.send,
+			"resend": g.send,
+			"finish": g.finish,
+			"lose": func(t *rapid.T) {
+				g.lose(targetOf(rapid.IntRange(0, testTargets-1).Draw(t, "target")))
+			},
+			"wait": func(t *rapid.T) {
+				g.now = g.now.Add(time.Duration(rapid.IntRange(1, 3000).Draw(t, "ms")) * time.Millisecond)
+			},
+			"": g.agree,
+		})
+	})
+}
+
+// Symptom: after a zone failed, nobody in the region can read the schedule.
+// Sequence: copies of one popular request are in hand on every target of the
+// zone as they go. Cause: each loss counts against the request, though it
+// finished normally elsewhere just before.
+func TestPopularRequestSurvivesZoneLoss(t *testing.T) {
+	l := New(Config{})
+	schedule := Mark{Content: 1, Whole: true}
+	l.End(start, schedule, Verdict{}, "t0", Finished)
+	now := start.Add(time.Second)
+	for i := range 20 {
+		l.End(now, schedule, Verdict{}, targetOf(i), Lost)
+	}
+	v := l.Check(now, schedule)
+	assert.Equal(t, v.Kind, Trial)
+	assert.Equal(t, l.Check(now, schedule).Kind, Wait)
+	l.End(now, schedule, v, "elsewhere", Finished)
+	assert.Equal(t, l.Check(now, schedule).Kind, Clear)
+}
+
+// Symptom: a pass check is refused for an hour after a rack failed. Sequence:
+// its first target and the target of its retry are lost with the rest of the
+// rack. Cause: losses with a common cause count as the request's own.
+func TestMassLossHoldsBackBriefly(t *testing.T) {
+	l := New(Config{})
+	pass := markOf(1)
+	l.End(start, pass, Verdict{}, "t0", Lost)
+	v := l.Check(start, pass)
+	l.End(start.Add(100*time.Millisecond), pass, v, "t1", Lost)
+	assert.Equal(t, l.Check(start.Add(time.Minute), pass).Kind, Refuse)
+	l.End(start.Add(200*time.Millisecond), markOf(2), Verdict{}, "t2", Lost)
+	refused := l.Check(start.Add(time.Second), pass)
+	assert.Equal(t, refused.Kind, Refuse)
+	assert.Assert(t, refused.Refusal.RetryAfter > 0)
+	assert.Equal(t, l.Check(start.Add(time.Minute), pass).Kind, Clear)
+}
+
+func TestRecordsAreBounded(t *testing.T) {
+	l := New(Config{MaxRecords: 8})
+	for i := range 100 {
+		l.End(start.Add(time.Duration(i)*time.Minute), markOf(i), Verdict{}, "t0", Lost)
+	}
+	assert.Assert(t, len(l.records) <= 8)
+	last := start.Add(99 * time.Minute)
+	assert.Equal(t, l.Check(last, markOf(99)).Kind, Trial)
+	assert.Assert(t, len(l.Facts(last, 3)) == 3)
+}
+
+func BenchmarkCheckAndFinish(b *testing.B) {
+	l := New(Config{})
+	l.End(start, markOf(1), Verdict{}, "t0", Lost)
+	m := markOf(2)
+	b.ReportAllocs()
+	for b.Loop() {
+		v := l.Check(start, m)
+		l.End(start, m, v, "t1", Finished)
+	}
+}
+
+func BenchmarkFingerprint(b *testing.B) {
+	c := Content{Service: "tickets", Method: "POST", URI: "/purchases", Headers: make([]string, 8), Body: make([]byte, 512)}
+	b.ReportAllocs()
+	for b.Loop() {
+		c.Sum()
+	}
+}
--- /dev/null
+++ b/steering/poison/share.go
@@ -0,0 +1,130 @@
+package poison
+
+import (
+	"sort"
+	"time"
+
+	"heatherlock/steering"
+)
+
+// Fact is what entry VMs tell each other: targets lost with a request in hand,
+// or, with no target, that a like request finished normally.
+type Fact struct {
+	ID     ID
+	Target steering.Target // empty: cleared
+	Deaths uint32
+	Alone  bool // lost on trial
+	Age    time.Duration
+}
+
+// maxFactDeaths bounds what one fact can hold against a request.
+const maxFactDeaths = 16
+
+// factOf returns the fact of one loss.
+func (l *List) factOf(id ID, target steering.Target, now time.Time) Fact {
+	for _, n := range l.records[id].losses {
+		if n.target == target {
+			return Fact{ID: id, Target: target, Deaths: n.deaths, Alone: n.alone, Age: now.Sub(n.at)}
+		}
+	}
+	return Fact{ID: id}
+}
+
+// TakeChanged returns the facts that came up here since the last call, to be
+// sent to the peers of the region at once.
+func (l *List) TakeChanged() []Fact {
+	changed := l.changed
+	l.changed = nil
+	return changed
+}
+
+// Facts returns at most limit facts, newest first, for peers that missed them.
+func (l *List) Facts(now time.Time, limit int) []Fact {
+	var facts []Fact
+	for id, r := range l.records {
+		facts = r.appendFacts(facts, id, now, l.cfg)
+	}
+	sort.Slice(facts, func(i, j int) bool { return newer(facts[i], facts[j]) })
+	return facts[:min(limit, len(facts))]
+}
+
+func newer(a, b Fact) bool {
+	if a.Age != b.Age {
+		return a.Age < b.Age
+	}
+	if a.ID != b.ID {
+		return a.ID < b.ID
+	}
+	return a.Target < b.Target
+}
+
+func (r *record) appendFacts(facts []Fact, id ID, now time.Time, cfg Config) []Fact {
+	if !r.cleared.IsZero() && now.Sub(r.cleared) < cfg.KeepFor {
+		facts = append(facts, Fact{ID: id, Age: now.Sub(r.cleared)})
+	}
+	for _, n := range r.losses {
+		if now.Before(n.until(cfg)) {
+			facts = append(facts, Fact{ID: id, Target: n.target, Deaths: n.deaths, Alone: n.alone, Age: now.Sub(n.at)})
+		}
+	}
+	return facts
+}
+
+// Learn takes in facts of a peer. Learning one twice changes nothing.
+func (l *List) Learn(now time.Time, facts []Fact) {
+	for _, f := range facts {
+		if f.ID == 0 || f.Age < 0 || f.Age >= l.cfg.KeepFor {
+			continue
+		}
+		if f.Target == "" {
+			l.learnCleared(now.Add(-f.Age), f.ID)
+			continue
+		}
+		l.learnLoss(now, f)
+	}
+}
+
+// learnCleared drops the losses up to the time of the normal finish.
+func (l *List) learnCleared(at time.Time, id ID) {
+	r, ok := l.records[id]
+	if !ok || at.Before(r.cleared) {
+		return
+	}
+	r.cleared = at
+	kept := r.losses[:0]
+	for _, n := range r.losses {
+		if n.at.After(at) {
+			kept = append(kept, n)
+		}
+	}
+	r.losses = kept
+}
+
+func (l *List) learnLoss(now time.Time, f Fact) {
+	at := now.Add(-f.Age)
+	weak := l.massLoss(now, f.Target, at)
+	r := l.record(now, f.ID)
+	if at.Before(r.cleared) {
+		return
+	}
+	n := loss{target: f.Target, deaths: min(f.Deaths, maxFactDeaths), at: at, weak: weak, alone: f.Alone}
+	r.merge(n)
+}
+
+// merge takes the larger count of losses of a target, since both sides may have
+// counted the same ones.
+func (r *record) merge(n loss) {
+	for i := range r.losses {
+		known := &r.losses[i]
+		if known.target != n.target {
+			continue
+		}
+		known.deaths = max(known.deaths, n.deaths)
+		known.alone = known.alone || n.alone
+		if n.at.After(known.at.Add(sameLoss)) {
+			known.at, known.weak = n.at, n.weak
+		}
+		return
+	}
+	r.losses = append(r.losses, n)
+}
--- /dev/null
+++ b/steering/spill/table_test.go
@@ -0,0 +1,132 @@
+package spill
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"heatherlock/steering"
+)
+
+var start = time.Unix(1_700_000_000, 0)
+
+const service = steering.Service("tickets")
+
+func pool(p steering.Place) Pool { return Pool{Place: p, Service: service} }
+
+// machine checks every order against plain rules kept beside the table.
+type machine struct {
+	table  *Table
+	now    time.Time
+	closed map[steering.Place]time.Time
+	free   map[steering.Place]int
+	at     map[steering.Place]time.Time
+	places []Candidate
+}
+
+func (m *machine) drawPlace(t *rapid.T) steering.Place {
+	return rapid.SampledFrom(m.places).Draw(t, "place").Place
+}
+
+func (m *machine) Learn(t *rapid.T) {
+	p := m.drawPlace(t)
+	free := rapid.IntRange(0, 9).Draw(t, "free")
+	at := m.now.Add(-time.Duration(rapid.IntRange(0, 8000).Draw(t, "ageMs")) * time.Millisecond)
+	m.table.Learn(pool(p), free, at)
+	if !at.Before(m.at[p]) {
+		m.free[p], m.at[p] = free, at
+	}
+}
+
+func (m *machine) Refused(t *rapid.T) {
+	p := m.drawPlace(t)
+	after := time.Duration(rapid.IntRange(0, 20000).Draw(t, "retryAfterMs")) * time.Millisecond
+	m.table.Refused(pool(p), after, m.now)
+	m.closed[p] = m.now.Add(min(max(after, DefaultMinBackoff), DefaultMaxBackoff))
+	m.free[p], m.at[p] = 0, m.now
+}
+
+func (m *machine) Pass(t *rapid.T) {
+	m.now = m.now.Add(time.Duration(rapid.IntRange(1, 3000).Draw(t, "ms")) * time.Millisecond)
+}
+
+func (m *machine) Forget(*rapid.T) { m.table.Forget(m.now) }
+
+func (m *machine) Check(t *rapid.T) {
+	order := m.table.Order(service, m.places, m.now)
+	distance := map[steering.Place]int{}
+	for _, c := range m.places {
+		distance[c.Place] = c.Distance
+		closed := m.now.Before(m.closed[c.Place])
+		if closed {
+			assert.Assert(t, !slices.Contains(order, c.Place), "%s refused and is offered", c.Place)
+		}
+		if m.now.Sub(m.closed[c.Place]) > DefaultMaxBackoff {
+			assert.Assert(t, slices.Contains(order, c.Place), "%s is missing", c.Place)
+		}
+	}
+	last := -1
+	for _, p := range order {
+		freshAndFull := m.free[p] == 0 && m.now.Sub(m.at[p]) < DefaultFadeAfter
+		if freshAndFull {
+			continue // may stand behind farther ones
+		}
+		assert.Assert(t, distance[p] >= last, "order %v", order)
+		last = distance[p]
+	}
+}
+
+func TestOrderKeepsItsRules(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := &machine{table: NewTable(Params{}), now: start, closed: map[steering.Place]time.Time{},
+			free: map[steering.Place]int{}, at: map[steering.Place]time.Time{}}
+		for i := range 6 {
+			m.places = append(m.places, Candidate{Place: steering.Place(fmt.Sprint("p", i)), Distance: i / 2})
+		}
+		t.Repeat(rapid.StateMachineActions(m))
+	})
+}
+
+// firsts counts how often each place comes first in n orders.
+func firsts(table *Table, candidates []Candidate, n int, now time.Time) map[steering.Place]int {
+	count := map[steering.Place]int{}
+	for range n {
+		count[table.Order(service, candidates, now)[0]]++
+	}
+	return count
+}
+
+// Symptom: places in turn are flooded and then idle. Sequence: all senders see
+// the same figures and choose the place with the most free slots until the
+// figures change. Cause: choosing the best instead of sharing by headroom.
+func TestWorkIsSharedInProportion(t *testing.T) {
+	table := NewTable(Params{})
+	candidates := []Candidate{{Place: "a"}, {Place: "b"}, {Place: "c"}}
+	table.Learn(pool("a"), 12, start)
+	table.Learn(pool("b"), 4, start)
+	table.Learn(pool("c"), 0, start)
+	count := firsts(table, candidates, 4000, start)
+	assert.Assert(t, count["a"] > 2850 && count["a"] < 3150, "%v", count)
+	assert.Assert(t, count["b"] > 850 && count["b"] < 1150, "%v", count)
+	assert.Equal(t, count["c"], 0)
+
+	old := firsts(table, candidates, 3000, start.Add(DefaultFadeAfter))
+	for _, c := range candidates {
+		assert.Assert(t, old[c.Place] > 900 && old[c.Place] < 1100, "old hints still count: %v", old)
+	}
+}
+
+func TestWorkSentCountsAgainstTheHint(t *testing.T) {
+	table := NewTable(Params{})
+	candidates := []Candidate{{Place: "near"}, {Place: "far", Distance: 1}}
+	table.Learn(pool("near"), 2, start)
+	for range 2 {
+		assert.Equal(t, table.Order(service, candidates, start)[0], steering.Place("near"))
+		table.Sent(pool("near"))
+	}
+	assert.Equal(t, table.Order(service, candidates, start)[0], steering.Place("far"))
+}
