Count the targets that one request takes down

Cause: a request that crashes targets must be told from the innocents that die with it, and a run without one must not pass for it. Change: the witness judges losses per request and region when a run plans such requests; tries cut by a planted kill of an entry VM on their path are excused; tests of quickstart's report. Not measured.

--- a/cmd/internal/caller/caller_test.go
+++ b/cmd/internal/caller/caller_test.go
@@ -128,7 +128,7 @@
 	from := New(Config{Bootstrap: []string{e.address}, Reporter: w})
 	defer from.Close()
 	from.Do(t.Context(), Request{ID: "r", Service: "s", Kind: witness.KindUpload, Timeout: time.Second, AnswerBytes: 64, UploadBytes: 1000})
-	v := w.Judge(time.Now(), nil)
+	v := w.Judge(time.Now(), witness.Planned{})
 	assert.Equal(t, v.Tries, 2)
 	assert.Equal(t, v.Refusals["no_slot"], 1)
 	assert.Equal(t, v.Uploads, 1)
--- a/cmd/internal/caller/errand.go
+++ b/cmd/internal/caller/errand.go
@@ -100,14 +100,13 @@
 		via, err = e.exchange(r, &t)
 	}
 	t.End = time.Now()
-	if err == nil {
-		return t
-	}
-	t.Answer = witness.AnswerBroken
 	if unsent(err) {
 		t.Answer = witness.AnswerUnsent
+	} else if err != nil {
+		t.Answer = witness.AnswerBroken
 	}
-	if excused := e.caller.config.Excused; excused != nil {
+	cut := err != nil || t.Answer == witness.AnswerRefused && t.Ran != witness.RanNo
+	if excused := e.caller.config.Excused; excused != nil && cut {
 		t.Excused = excused(vm.VM, via, t.Start, t.End)
 	}
 	return t
--- a/cmd/internal/quickstart/report.go
+++ b/cmd/internal/quickstart/report.go
@@ -72,7 +72,9 @@
 
 func (r *running) report(took time.Duration) *Report {
 	s := r.system
-	v := s.witness.Judge(time.Now(), r.operator.caps)
+	v := s.witness.Judge(time.Now(), witness.Planned{
+		Caps: r.operator.caps, Crashes: slices.Contains(r.options.Faults, FaultCrashRequest),
+	})
 	c := r.traffic.Counts()
 	report := &Report{
 		Deployment: s.deployment.Name, Seed: r.options.Seed, Seconds: took.Seconds(), Faults: r.options.Faults,
@@ -81,7 +83,7 @@
 		Purchases: v.Purchases, RunTwice: v.PurchasesRunTwice, NotRunRan: v.NotRunButRan,
 		Cap: v.Cap, CapPeak: v.CapPeak, CapAdmitted: v.CapAdmitted,
 		OverloadPeak: v.OverloadPeak, TargetOverPeak: v.TargetOverPeak, TargetRefusals: v.TargetRefusals,
-		TargetsLost: s.targets.Crashes(), Uploads: v.Uploads, UploadsCut: v.UploadsCut, Excused: v.Excused,
+		TargetsLost: v.TargetsLost, Uploads: v.Uploads, UploadsCut: v.UploadsCut, Excused: v.Excused,
 		NewWorkAfter: v.NewWorkAfterStop.Seconds(), DrainTime: v.DrainTime.Seconds(),
 		ConfigSlowest: v.ConfigSlowest.Seconds(), Refusals: v.Refusals,
 		LatencyMs: r.traffic.Latencies(), Headroom: s.witness.Use(), services: s.deployment.Services,
--- /dev/null
+++ b/cmd/internal/quickstart/report_test.go
@@ -0,0 +1,79 @@
+package quickstart
+
+import (
+	"bytes"
+	"encoding/json"
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"heatherlock/cmd/internal/traffic"
+	"heatherlock/standin/deploy"
+	"heatherlock/standin/witness"
+)
+
+// idle is a run in which nothing has happened yet.
+func idle() *running {
+	s := &system{deployment: deploy.Chile(), witness: witness.New(), targets: &deploy.Running{}}
+	return &running{options: Defaults(), system: s, operator: &operator{system: s}, traffic: traffic.New(nil, 1, "")}
+}
+
+// Symptom: a run passes in which a promise was never put to the test. Cause:
+// nothing seen counted as held.
+func TestNotExercisedIsNoPass(t *testing.T) {
+	report := idle().report(time.Second)
+	assert.Check(t, !report.Held)
+	for _, p := range report.Promises {
+		assert.Equal(t, p.Result, resultNotExercised)
+	}
+	var text bytes.Buffer
+	report.WriteText(&text)
+	assert.Check(t, bytes.Contains(text.Bytes(), []byte("0 promises broken, 10 not exercised")))
+}
+
+// Symptom: a run exits 0 although a purchase ran twice. Cause: a finding that
+// does not reach the report.
+func TestBreachReachesTheReport(t *testing.T) {
+	r := idle()
+	w := r.system.witness
+	w.Declare("tickets-1", "norte-a", "tickets", 3)
+	for range 2 {
+		e := w.Started(witness.Start{At: time.Now(), Target: "tickets-1", Request: "p", Try: "p/1"})
+		w.Finished(e, time.Now(), witness.EndAnswered)
+	}
+	w.Answered(witness.Try{Request: "p", Try: "p/1", Kind: witness.KindPurchase})
+	report := r.report(time.Second)
+	assert.Check(t, !report.Held)
+	assert.Equal(t, report.RunTwice, 1)
+	path := filepath.Join(t.TempDir(), "r.json")
+	assert.NilError(t, report.WriteJSON(path))
+	raw, err := os.ReadFile(path)
+	assert.NilError(t, err)
+	var keys map[string]any
+	assert.NilError(t, json.Unmarshal(raw, &keys))
+	for _, key := range []string{"requests", "answered", "refused", "wrong_answers", "purchases", "purchases_run_twice", "not_run_but_ran", "cap", "cap_peak", "overload_peak", "uploads", "uploads_cut", "new_work_after_drain_s", "latency_ms"} {
+		_, ok := keys[key]
+		assert.Check(t, ok, key)
+	}
+	assert.Equal(t, keys["purchases_run_twice"], 1.0)
+}
+
+func TestOptionsOutOfBounds(t *testing.T) {
+	cases := map[string]func(*Options){
+		"--for 1s":               func(o *Options) { o.For = time.Second },
+		"--for 1h":               func(o *Options) { o.For = time.Hour },
+		"--load 0":               func(o *Options) { o.Load = 0 },
+		"--load 9":               func(o *Options) { o.Load = 9 },
+		"no fault \"x\"":         func(o *Options) { o.Faults = []Fault{"x"} },
+		"no deployment \"peru\"": func(o *Options) { o.Deployment = "peru" },
+	}
+	for want, spoil := range cases {
+		o := Defaults()
+		spoil(&o)
+		assert.ErrorContains(t, o.Check(), want)
+	}
+	assert.NilError(t, Defaults().Check())
+}
--- a/cmd/internal/quickstart/system.go
+++ b/cmd/internal/quickstart/system.go
@@ -67,6 +67,7 @@
 		return nil, err
 	}
 	s.targets = targets
+	s.witness.Regions(d.Regions())
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		targets.Close()
--- a/standin/deploy/deploy.go
+++ b/standin/deploy/deploy.go
@@ -154,6 +154,15 @@
 	return places
 }
 
+// Regions returns the region of each place.
+func (d Deployment) Regions() map[string]string {
+	regions := map[string]string{}
+	for _, z := range d.Zones {
+		regions[z.Name] = z.Region
+	}
+	return regions
+}
+
 // Host returns the host name by which callers name a service.
 func (d Deployment) Host(service string) string {
 	return strings.Join([]string{service, d.Name, "example"}, ".")
--- a/standin/deploy/objects.go
+++ b/standin/deploy/objects.go
@@ -135,15 +135,6 @@
 	return addresses
 }
 
-// Crashes returns how often targets crashed.
-func (r *Running) Crashes() int {
-	n := 0
-	for _, t := range r.Targets {
-		n += t.Crashes()
-	}
-	return n
-}
-
 // Close stops every target.
 func (r *Running) Close() {
 	for _, t := range r.Targets {
--- a/standin/target/serve.go
+++ b/standin/target/serve.go
@@ -146,13 +146,13 @@
 func (t *Target) execute(x *run, r *http.Request) witness.End {
 	if marker := t.config.CrashMarker; marker != "" && r.Header.Get(HeaderCrash) == marker {
 		t.crash(x.life)
-		return witness.EndCrashed
+		return witness.EndCulprit
 	}
 	scan := &markerReader{Reader: r.Body, marker: []byte(t.config.CrashMarker)}
 	sum, size, err := witness.Sum(scan)
 	if scan.found {
 		t.crash(x.life)
-		return witness.EndCrashed
+		return witness.EndCulprit
 	}
 	if err != nil {
 		return x.ended()
--- a/standin/witness/callers.go
+++ b/standin/witness/callers.go
@@ -123,7 +123,7 @@
 			u.cut++
 		}
 	case AnswerRefused:
-		if t.Ran != RanNo {
+		if t.Ran != RanNo && !t.Excused {
 			u.cut++
 		}
 	}
--- a/standin/witness/judge.go
+++ b/standin/witness/judge.go
@@ -14,6 +14,8 @@
 	// ConfigGrace is the time within which an accepted configuration is in
 	// force everywhere.
 	ConfigGrace = 4 * time.Second
+	// MaxLost is how many targets of a region one request may take down.
+	MaxLost = 2
 )
 
 // Promise names a promise of the system.
@@ -31,6 +33,7 @@
 	PromiseUploads    Promise = "uploads arrive whole"
 	PromiseConfigFast Promise = "configuration is in force within seconds"
 	PromiseNoRevert   Promise = "configuration never reverts"
+	PromiseFewLost    Promise = "one request takes down two targets at most"
 )
 
 // CapLimit is a cap as its operator declared it. Work of Service from a home
@@ -87,6 +90,8 @@
 	TargetRefusals    int
 	Uploads           int
 	UploadsCut        int
+	// TargetsLost counts targets that died of a request.
+	TargetsLost int
 	// NewWorkAfterStop is how long after its acceptance a planned stop's
 	// target was last given new work.
 	NewWorkAfterStop time.Duration
@@ -106,13 +111,20 @@
 	return slices.ContainsFunc(v.Findings, func(f Finding) bool { return f.Broken > 0 })
 }
 
+// Planned says what a run had planned that the promises depend on.
+type Planned struct {
+	Caps []CapLimit
+	// Crashes is set when requests that crash targets were to be sent.
+	Crashes bool
+}
+
 // Judge weighs everything reported against the promises.
-func (w *Witness) Judge(now time.Time, caps []CapLimit) Verdict {
+func (w *Witness) Judge(now time.Time, planned Planned) Verdict {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	v := w.countCallers()
 	findings := []func(*Verdict) Finding{
-		func(v *Verdict) Finding { return w.judgeCaps(v, caps) },
+		func(v *Verdict) Finding { return w.judgeCaps(v, planned.Caps) },
 		w.judgeOverload,
 		w.judgeWhole,
 		w.judgeNotRun,
@@ -123,6 +135,9 @@
 		func(v *Verdict) Finding { return w.judgeConfig(v, now) },
 		w.judgeReverts,
 	}
+	if planned.Crashes {
+		findings = append(findings, w.judgeLost)
+	}
 	for _, judge := range findings {
 		v.Findings = append(v.Findings, judge(&v))
 	}
@@ -297,7 +312,7 @@
 			}
 			f.Observed++
 			v.DrainTime = max(v.DrainTime, e.Ended.Sub(s.Accepted))
-			if e.How == EndCancelled || e.How == EndCrashed {
+			if e.How == EndCancelled || e.How == EndCrashed || e.How == EndCulprit {
 				f.Broken++
 				f.Detail = fmt.Sprintf("%s was cut at %s", e.Try, s.Target)
 			}
@@ -358,6 +373,27 @@
 	return f
 }
 
+func (w *Witness) judgeLost(v *Verdict) Finding {
+	type loss struct{ request, region string }
+	f := Finding{Promise: PromiseFewLost}
+	lost := map[loss]int{}
+	for _, e := range w.executions {
+		if e.How != EndCulprit {
+			continue
+		}
+		f.Observed++
+		l := loss{e.Request, w.regions[e.Place]}
+		lost[l]++
+		if lost[l] > MaxLost {
+			f.Broken++
+			f.Detail = fmt.Sprintf("request %s took down %d targets of %s", l.request, lost[l], l.region)
+		}
+	}
+	f.Exercised = f.Observed > 0
+	v.TargetsLost = f.Observed
+	return f
+}
+
 func (w *Witness) judgeReverts(*Verdict) Finding {
 	f := Finding{Promise: PromiseNoRevert, Observed: len(w.configs.seen), Broken: w.configs.reverts}
 	f.Exercised = len(w.configs.accepted) > 0 && f.Observed > 0
--- a/standin/witness/judge_test.go
+++ b/standin/witness/judge_test.go
@@ -30,11 +30,17 @@
 	e := w.run("u1", "sur-a", 3100, 900, EndAnswered)
 	w.Received(e, 10, "sum")
 	w.Answered(Try{Request: "u1", Try: "u1/1", Kind: KindUpload, SentBytes: 10, SentSum: "sum"})
+	w.crash("crash")
+	w.crash("crash")
 	w.Stopped(Stop{Target: "tickets-1", Accepted: at(3500)})
 	w.Finished(w.Started(Start{At: at(7000), Target: "tickets-2", Request: "r9", Try: "r9/1"}), at(7010), EndAnswered)
 	return w
 }
 
+func (w *Witness) crash(request string) {
+	w.Finished(w.Started(Start{At: at(60), Target: "tickets-1", Request: request}), at(70), EndCulprit)
+}
+
 func (w *Witness) run(request, home string, startMs, forMs int, how End) *Execution {
 	w.Offered("tickets-1")
 	e := w.Started(Start{At: at(startMs), Target: "tickets-1", Request: request, Try: request + "/1", Home: home})
@@ -42,7 +48,9 @@
 	return e
 }
 
-func judge(w *Witness) Verdict { return w.Judge(at(9000), []CapLimit{testCap}) }
+var testPlan = Planned{Caps: []CapLimit{testCap}, Crashes: true}
+
+func judge(w *Witness) Verdict { return w.Judge(at(9000), testPlan) }
 
 func TestEveryPromiseHolds(t *testing.T) {
 	v := judge(scene())
@@ -110,6 +118,7 @@
 		{"configuration never seen", PromiseConfigFast, func(w *Witness) {
 			w.ConfigAccepted(9, at(8000), []string{"vm-2"})
 		}},
+		{"one request crashes a third target", PromiseFewLost, func(w *Witness) { w.crash("crash") }},
 		{"configuration reverts", PromiseNoRevert, func(w *Witness) {
 			w.ConfigSeen("vm-1", 6, at(300))
 		}},
--- a/standin/witness/record.go
+++ b/standin/witness/record.go
@@ -17,6 +17,7 @@
 	EndCancelled            // the sender went away or stopped sending
 	EndDeadline             // the deadline passed at the target
 	EndCrashed              // the target died with it
+	EndCulprit              // the target died of it
 )
 
 // Start describes an execution that begins.
@@ -71,6 +72,7 @@
 	callers    callerRecord
 	stops      []Stop
 	configs    configRecord
+	regions    map[string]string // by place
 }
 
 // New returns an empty witness.
@@ -98,6 +100,13 @@
 	r.slots += slots
 }
 
+// Regions tells the witness which region each place is in.
+func (w *Witness) Regions(byPlace map[string]string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.regions = byPlace
+}
+
 // Offered records that a request reached a target, whether or not the target
 // then refuses it. Counting offers, not runs, shows overload that a target's
 // own shedding would hide.
