--- a/cmd/heatherlock/commands.go
+++ b/cmd/heatherlock/commands.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"heatherlock/cmd/internal/benchpath"
 	"heatherlock/cmd/internal/command"
 	"heatherlock/cmd/internal/load"
 	"heatherlock/cmd/internal/offline"
@@ -21,6 +22,9 @@
 			offline.Check(),
 			offline.Explain(),
 			offline.Why(),
+			command.Group("bench", "measure parts of the system on this machine",
+				benchpath.Command(),
+			),
 			load.Command(),
 			quickstart.Command(),
 		},
