Grant slots from one owner per pool

Cause: several entry VMs of a zone share targets of 3 to 4 slots; each counting for itself pushes them over their slots. Change: node/admit counts a pool at one owner, found by rendezvous hashing; others ask it for grants and send to the target themselves. A new owner asks members what they hold and targets what they run; one that was paused starts over; lost releases are found by asking holders; a hung owner is passed over; the link into a place is a pool with one target. In the pool, a load read no longer frees a lingering slot while requests of ours may be on their way.

--- /dev/null
+++ b/node/admit/hosted.go
@@ -0,0 +1,379 @@
+package admit
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"heatherlock/steering"
+	"heatherlock/steering/pool"
+	"heatherlock/steering/routing"
+)
+
+// role is this entry VM's part in a pool.
+type role uint8
+
+const (
+	roleOther  role = iota // another entry VM counts the pool
+	roleTaking             // asking what is in use before counting
+	roleOwner              // counting and granting
+)
+
+// answerKind says how a waiting ask ended.
+type answerKind uint8
+
+const (
+	answerGranted answerKind = iota
+	answerRefused
+	answerMoved       // the entry VM asked does not count the pool
+	answerUnreachable // the entry VM asked did not answer
+)
+
+type answer struct {
+	kind    answerKind
+	slot    slot
+	refusal *steering.Refusal
+}
+
+// issued is a grant as the owner knows it.
+type issued struct {
+	id         pool.GrantID
+	ask        string
+	holder     holder
+	target     steering.Target
+	checkAt    time.Time
+	checkAfter time.Duration
+}
+
+// waiting is a queued ask.
+type waiting struct {
+	ask    ask
+	answer chan answer // of capacity one
+}
+
+// hosted is one pool at this entry VM, whoever owns it. What was learned of
+// its targets is kept while another entry VM owns it.
+type hosted struct {
+	key        poolKey
+	newGrant   func() string
+	checkAfter time.Duration
+
+	mu      sync.Mutex
+	role    role
+	term    int           // grows with each change of role
+	changed chan struct{} // closed at each change of role
+	class   routing.Criticality
+	pool    *pool.Pool
+	waiting map[pool.Ticket]waiting
+	issued  map[string]*issued
+	early   map[string]bool // released while taking, before they were adopted
+}
+
+func newHosted(key poolKey, now time.Time, cfg *Config, newGrant func() string) *hosted {
+	return &hosted{
+		key:        key,
+		newGrant:   newGrant,
+		checkAfter: cfg.CheckAfter,
+		changed:    make(chan struct{}),
+		pool:       pool.New(now, cfg.Pool),
+		waiting:    map[pool.Ticket]waiting{},
+		issued:     map[string]*issued{},
+		early:      map[string]bool{},
+	}
+}
+
+// acquire asks this entry VM's own count of the pool. It returns answerMoved
+// when another entry VM counts it.
+func (h *hosted) acquire(ctx context.Context, a ask) answer {
+	h.mu.Lock()
+	for h.role == roleTaking {
+		changed := h.changed
+		h.mu.Unlock()
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return cancelled(ctx)
+		}
+		h.mu.Lock()
+	}
+	if h.role != roleOwner {
+		h.mu.Unlock()
+		return answer{kind: answerMoved}
+	}
+	a.class = h.classOf(a)
+	d := h.pool.Acquire(time.Now(), pool.Request{Class: a.class, Foreign: a.foreign, Deadline: a.deadline, Avoid: a.avoid})
+	switch d.Verdict {
+	case pool.Granted:
+		s := h.issue(d.Grant, a, d.Target)
+		h.mu.Unlock()
+		return answer{kind: answerGranted, slot: s}
+	case pool.Refused:
+		h.mu.Unlock()
+		return answer{kind: answerRefused, refusal: h.refusal(d.Reason, d.RetryAfter)}
+	}
+	w := waiting{ask: a, answer: make(chan answer, 1)}
+	h.waiting[d.Ticket] = w
+	h.mu.Unlock()
+	return h.wait(ctx, d.Ticket, w)
+}
+
+// classOf returns the class of an ask: a link serves work of every class, a
+// pool of targets that of its service.
+func (h *hosted) classOf(a ask) routing.Criticality {
+	if h.key.isLink() {
+		return a.class
+	}
+	return h.class
+}
+
+func (h *hosted) wait(ctx context.Context, ticket pool.Ticket, w waiting) answer {
+	select {
+	case got := <-w.answer:
+		return got
+	case <-ctx.Done():
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	select {
+	case got := <-w.answer: // answered meanwhile
+		if got.kind == answerGranted {
+			h.end(got.slot.grant, unsent())
+		}
+	default:
+		h.pool.Cancel(ticket)
+		delete(h.waiting, ticket)
+	}
+	return cancelled(ctx)
+}
+
+// unsent is the outcome of a grant that was never used.
+func unsent() pool.Outcome {
+	return pool.Outcome{End: pool.EndUnreachable, ReportedInFlight: pool.NoReport, ReportedSlots: pool.NoReport}
+}
+
+func cancelled(ctx context.Context) answer {
+	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		return answer{kind: answerRefused, refusal: tooLate()}
+	}
+	return answer{kind: answerRefused, refusal: steering.Refuse(steering.ReasonCancelled, 0, "the caller went away while waiting for a slot")}
+}
+
+func tooLate() *steering.Refusal {
+	return steering.Refuse(steering.ReasonDeadline, 0, "the deadline passed while waiting for a slot")
+}
+
+func (h *hosted) refusal(reason steering.Reason, retryAfter time.Duration) *steering.Refusal {
+	if h.key.isLink() {
+		return steering.Refuse(steering.ReasonLinkFull, retryAfter, fmt.Sprintf("link into place %s", h.key.place))
+	}
+	return steering.Refuse(reason, retryAfter, fmt.Sprintf("service %s at place %s", h.key.service, h.key.place))
+}
+
+// issue records a grant. The caller holds mu.
+func (h *hosted) issue(id pool.GrantID, a ask, target routing.Target) slot {
+	grant := h.newGrant()
+	h.issued[grant] = &issued{
+		id: id, ask: a.id, holder: a.holder, target: target.Name,
+		checkAt: time.Now().Add(h.checkAfter), checkAfter: h.checkAfter,
+	}
+	return slot{grant: grant, target: target}
+}
+
+// release ends a grant; one that is not known is ignored.
+func (h *hosted) release(grant string, o pool.Outcome) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.end(grant, o)
+}
+
+// end gives a grant's slot back. The caller holds mu.
+func (h *hosted) end(grant string, o pool.Outcome) {
+	known, ok := h.issued[grant]
+	if !ok {
+		if h.role == roleTaking {
+			h.early[grant] = true
+		}
+		return
+	}
+	delete(h.issued, grant)
+	h.settle(h.pool.Release(time.Now(), known.id, o))
+}
+
+// settle answers the waiting asks that a call on the pool served or dropped.
+// The caller holds mu.
+func (h *hosted) settle(e pool.Effects) {
+	for _, d := range e.Dropped {
+		h.reply(d.Ticket, answer{kind: answerRefused, refusal: h.refusal(d.Reason, d.RetryAfter)})
+	}
+	for _, s := range e.Served {
+		w := h.waiting[s.Ticket]
+		h.reply(s.Ticket, answer{kind: answerGranted, slot: h.issue(s.Grant, w.ask, s.Target)})
+	}
+}
+
+func (h *hosted) reply(ticket pool.Ticket, a answer) {
+	h.waiting[ticket].answer <- a
+	delete(h.waiting, ticket)
+}
+
+// configure takes the declared targets and the stopped ones.
+func (h *hosted) configure(w wanted, stopped func(steering.Target) bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.class = w.class
+	h.settle(h.pool.SetTargets(time.Now(), w.targets, stopped))
+}
+
+// tick lets time act on the pool.
+func (h *hosted) tick() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	now := time.Now()
+	if next, ok := h.pool.Next(); ok && !next.After(now) {
+		h.settle(h.pool.Tick(now))
+	}
+}
+
+// setRole changes this entry VM's part in the pool. The caller holds mu.
+func (h *hosted) setRole(r role) {
+	h.role = r
+	h.term++
+	clear(h.early)
+	close(h.changed)
+	h.changed = make(chan struct{})
+}
+
+// startTaking stops granting until open is called with the term returned.
+// Grants and waiting asks of an earlier term are let go: holders tell what
+// they have.
+func (h *hosted) startTaking() (term int) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.letGo()
+	h.setRole(roleTaking)
+	return h.term
+}
+
+// leave stops counting the pool.
+func (h *hosted) leave() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.role == roleOther {
+		return
+	}
+	h.letGo()
+	h.setRole(roleOther)
+}
+
+// letGo forgets grants and sends waiting asks elsewhere. The caller holds mu.
+func (h *hosted) letGo() {
+	for ticket := range h.waiting {
+		h.pool.Cancel(ticket)
+		h.reply(ticket, answer{kind: answerMoved})
+	}
+	for grant, known := range h.issued {
+		delete(h.issued, grant)
+		h.pool.Release(time.Now(), known.id, unsent())
+	}
+}
+
+// holding is a slot in use that a member told about.
+type holding struct {
+	grant  string
+	ask    string
+	target steering.Target
+	holder holder
+}
+
+// open starts counting with what is in use: what other members told, and what
+// own returns of this entry VM's own holdings. It does nothing when the role
+// changed since the term began.
+//
+// A grant may end between the moment its holder told of it and this call. It
+// would then stay counted for ever. Such ends are remembered, and own holdings
+// are read here, where none can end unseen.
+func (h *hosted) open(term int, told []holding, own func() []holding, loads map[steering.Target]Load) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.term != term || h.role != roleTaking {
+		return false
+	}
+	now := time.Now()
+	for _, in := range append(told, own()...) {
+		if !h.early[in.grant] {
+			h.adopt(now, in)
+		}
+	}
+	for target, load := range loads {
+		h.settle(h.pool.Report(now, target, load.InFlight, load.Slots))
+	}
+	h.setRole(roleOwner)
+	return true
+}
+
+// adopt counts a slot that an earlier owner granted. The caller holds mu.
+func (h *hosted) adopt(now time.Time, in holding) {
+	if _, known := h.issued[in.grant]; known {
+		return
+	}
+	id, ok := h.pool.Hold(now, in.target)
+	if !ok {
+		return
+	}
+	h.issued[in.grant] = &issued{
+		id: id, ask: in.ask, holder: in.holder, target: in.target,
+		checkAt: now.Add(h.checkAfter), checkAfter: h.checkAfter,
+	}
+}
+
+// state returns the role and its term.
+func (h *hosted) state() (role, int) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.role, h.term
+}
+
+// stats returns the pool's state; ok is false while another entry VM counts it.
+func (h *hosted) stats(draining []pool.Draining) (s pool.Stats, left []pool.Draining, ok bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.role != roleOwner {
+		return pool.Stats{}, nil, false
+	}
+	return h.pool.Stats(), h.pool.Draining(draining), true
+}
+
+func (h *hosted) free() int {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.pool.Free()
+}
+
+// targets returns the declared targets.
+func (h *hosted) targets() []routing.Target {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.pool.Targets(nil)
+}
+
+// uncertain returns targets that may run work that nobody waits for.
+func (h *hosted) uncertain() []routing.Target {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.role != roleOwner {
+		return nil
+	}
+	return h.pool.Lingering(nil)
+}
+
+// report takes loads that targets told.
+func (h *hosted) report(loads map[steering.Target]Load) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for target, load := range loads {
+		h.settle(h.pool.Report(time.Now(), target, load.InFlight, load.Slots))
+	}
+}
--- /dev/null
+++ b/node/admit/load.go
@@ -0,0 +1,63 @@
+package admit
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+
+	"github.com/go-faster/errors"
+)
+
+// Load is a target's own word on what it runs.
+type Load struct {
+	InFlight int  `json:"inFlight"`
+	Slots    int  `json:"slots"`
+	Draining bool `json:"draining"`
+}
+
+// LoadReader asks a target for its load.
+type LoadReader interface {
+	// ReadLoad reads the load of the target at address, host:port.
+	ReadLoad(ctx context.Context, address string) (Load, error)
+}
+
+// HTTPLoads reads loads from the targets' load endpoint.
+type HTTPLoads struct {
+	Client *http.Client // http.DefaultClient when nil
+}
+
+// maxLoadBytes bounds the answer of a load endpoint.
+const maxLoadBytes = 4096
+
+// ReadLoad implements LoadReader.
+func (h HTTPLoads) ReadLoad(ctx context.Context, address string) (Load, error) {
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+"/load", nil)
+	if err != nil {
+		return Load{}, errors.Wrap(err, "admit: load request")
+	}
+	client := h.Client
+	if client == nil {
+		client = http.DefaultClient
+	}
+	reply, err := client.Do(request)
+	if err != nil {
+		return Load{}, errors.Wrap(err, "admit: read load")
+	}
+	defer func() { _ = reply.Body.Close() }()
+	if reply.StatusCode != http.StatusOK {
+		return Load{}, errors.Errorf("admit: load endpoint of %s answered %s; check the target", address, reply.Status)
+	}
+	return decodeLoad(io.LimitReader(reply.Body, maxLoadBytes))
+}
+
+func decodeLoad(r io.Reader) (Load, error) {
+	var load Load
+	if err := json.NewDecoder(r).Decode(&load); err != nil {
+		return Load{}, errors.Wrap(err, "admit: decode load")
+	}
+	if load.InFlight < 0 || load.Slots < 0 {
+		return Load{}, errors.New("admit: negative load reported; check the target")
+	}
+	return load, nil
+}
--- /dev/null
+++ b/node/admit/take.go
@@ -0,0 +1,148 @@
+package admit
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/go-kit/log/level"
+
+	"heatherlock/node/seam"
+	"heatherlock/peer/peerpb"
+	"heatherlock/steering"
+	"heatherlock/steering/routing"
+)
+
+// take begins to count a pool: it finds out what is in use, in the background,
+// and then grants. Asks that arrive meanwhile wait.
+func (a *Admit) take(h *hosted) {
+	term := h.startTaking()
+	a.metrics.takeovers.Inc(1)
+	a.goWork(func(ctx context.Context) {
+		begun := time.Now()
+		held := a.gather(ctx, h.key, begun.Add(a.cfg.AgreeFor))
+		loads := a.readLoads(ctx, h.targets())
+		if h.open(term, held, func() []holding { return a.holdings(h.key) }, loads) {
+			level.Info(a.cfg.Log).Log("msg", "counting slots of a pool", "place", h.key.place, "service", h.key.service,
+				"held", len(held), "loads", len(loads), "took", time.Since(begun))
+		}
+	})
+}
+
+// survey is what the zone's members say of a pool.
+type survey struct {
+	held   []holding
+	agreed bool // nobody counts the pool or names another owner
+}
+
+// gather asks the zone's members what they hold until they agree that this
+// entry VM owns the pool, or until the time is up.
+//
+// Two entry VMs that count one pool offer its targets twice their slots; the
+// targets' sheds would show it. A member that still names another owner, or
+// counts the pool itself, has a view that will soon change, or knows better
+// than this one. Waiting is bounded, because a zone must serve what it can even
+// when its members never agree.
+func (a *Admit) gather(ctx context.Context, key poolKey, until time.Time) []holding {
+	for {
+		s := a.survey(ctx, key)
+		if s.agreed {
+			return s.held
+		}
+		if !time.Now().Before(until) {
+			a.metrics.disagreements.Inc(1)
+			return s.held
+		}
+		if !sleep(ctx, agreeRetry) {
+			return s.held
+		}
+	}
+}
+
+func (a *Admit) survey(ctx context.Context, key poolKey) survey {
+	s := survey{agreed: true}
+	var mu sync.Mutex
+	var calls sync.WaitGroup
+	for _, m := range a.cfg.Members.All() {
+		if m.Zone != a.zone || m.VM == a.self.vm || m.State == seam.MemberGone {
+			continue
+		}
+		calls.Go(func() {
+			reply, err := a.askHoldings(ctx, m, key)
+			if err != nil {
+				return
+			}
+			mu.Lock()
+			defer mu.Unlock()
+			s.take(m.VM, reply, a.self.vm)
+		})
+	}
+	calls.Wait()
+	return s
+}
+
+func (s *survey) take(from steering.VM, reply *peerpb.HoldingsReply, self steering.VM) {
+	if reply.Granting || reply.OwnerVm != string(self) {
+		s.agreed = false
+	}
+	for _, in := range reply.Held {
+		s.held = append(s.held, holding{
+			grant:  in.Grant,
+			ask:    in.RequestId,
+			target: steering.Target(in.Target),
+			holder: holder{from, steering.Incarnation(reply.Incarnation)},
+		})
+	}
+}
+
+// askHoldings bounds the call by twice the peer timeout, since the callee may
+// itself probe a member that does not answer us.
+func (a *Admit) askHoldings(ctx context.Context, m seam.Member, key poolKey) (*peerpb.HoldingsReply, error) {
+	callCtx, cancel := context.WithTimeout(ctx, 2*a.cfg.PeerTimeout)
+	defer cancel()
+	return a.cfg.Peers.To(m.PeerAddress).Holdings(callCtx, &peerpb.HoldingsRequest{
+		Place:       string(key.place),
+		Service:     string(key.service),
+		FromVm:      string(a.self.vm),
+		Unreachable: a.reach.unreachable(),
+	})
+}
+
+// holdings returns what this entry VM itself holds of a pool.
+func (a *Admit) holdings(key poolKey) []holding {
+	grants, _ := a.held.of(key)
+	own := make([]holding, 0, len(grants))
+	for _, g := range grants {
+		own = append(own, holding{grant: g.slot.grant, ask: g.ask, target: g.slot.target.Name, holder: a.self})
+	}
+	return own
+}
+
+// readLoads asks targets for their load; those that do not answer are left
+// out.
+func (a *Admit) readLoads(ctx context.Context, targets []routing.Target) map[steering.Target]Load {
+	loads := make(map[steering.Target]Load, len(targets))
+	var mu sync.Mutex
+	var reads sync.WaitGroup
+	slots := make(chan struct{}, parallelReads)
+	for _, t := range targets {
+		if t.Address == "" {
+			continue
+		}
+		reads.Go(func() {
+			slots <- struct{}{}
+			defer func() { <-slots }()
+			callCtx, cancel := context.WithTimeout(ctx, a.cfg.PeerTimeout)
+			defer cancel()
+			load, err := a.cfg.Loads.ReadLoad(callCtx, t.Address)
+			if err != nil {
+				return
+			}
+			mu.Lock()
+			defer mu.Unlock()
+			loads[t.Name] = load
+		})
+	}
+	reads.Wait()
+	return loads
+}
--- a/steering/pool/state.go
+++ b/steering/pool/state.go
@@ -108,3 +108,24 @@
 	}
 	return to
 }
+
+// Targets appends the declared targets.
+func (p *Pool) Targets(to []routing.Target) []routing.Target {
+	for i := range p.targets {
+		if p.targets[i].declared {
+			to = append(to, p.targets[i].Target)
+		}
+	}
+	return to
+}
+
+// Lingering appends the targets that may still run requests whose ends were
+// uncertain. Their own reports settle it.
+func (p *Pool) Lingering(to []routing.Target) []routing.Target {
+	for i := range p.targets {
+		if p.targets[i].lingering > 0 {
+			to = append(to, p.targets[i].Target)
+		}
+	}
+	return to
+}
--- a/steering/pool/target.go
+++ b/steering/pool/target.go
@@ -171,9 +171,9 @@
 	if t.extra == 0 {
 		t.doubt = 0
 	}
-	if inFlight <= t.inFlight {
-		t.lingering = 0
-	}
+	// Requests of ours may be on their way to the target, so what it runs
+	// beyond them is not known; only that no more linger than it runs at all.
+	t.lingering = min(t.lingering, inFlight)
 }
 
 // successesBeforeDoubt is how many requests in a row must succeed on a target
