--- a/node/dynamic/blocks.go
+++ b/node/dynamic/blocks.go
@@ -14,17 +14,21 @@
 	"heatherlock/platform"
 )
 
-const (
-	// wholeBytes is the largest ClientBlocks value that is stored unsplit.
-	wholeBytes = 256 << 10
-	// A shard ends after a block whose hash is a multiple of shardMean, or at
-	// shardMost. Boundaries that depend on the blocks themselves keep the
+// joinedMost bounds what one shard may unpack to.
+const joinedMost = 8 << 20
+
+// sharding says how a ClientBlocks object is split.
+type sharding struct {
+	// whole is the largest value, in bytes, that is stored unsplit.
+	whole int
+	// A shard ends after a block whose hash is a multiple of mean, or after
+	// most blocks. Boundaries that depend on the blocks themselves keep the
 	// other shards unchanged when one block is added or removed.
-	shardMean = 4096
-	shardMost = 16384
-	// joinedMost bounds what one shard may unpack to.
-	joinedMost = 8 << 20
-)
+	mean uint64
+	most int
+}
+
+var defaultSharding = sharding{whole: 256 << 10, mean: 4096, most: 16384}
 
 // manifest is the part of a split ClientBlocks value that names its shards.
 type manifest struct {
@@ -54,19 +58,21 @@
 )
 
 // SplitBlocks returns the form in which a ClientBlocks object is stored.
-func SplitBlocks(in *oas.ClientBlocks) (Split, error) {
+func SplitBlocks(in *oas.ClientBlocks) (Split, error) { return defaultSharding.split(in) }
+
+func (s sharding) split(in *oas.ClientBlocks) (Split, error) {
 	whole, err := in.MarshalJSON()
 	if err != nil {
 		return Split{}, errors.Wrap(err, "dynamic: encode client blocks")
 	}
-	if len(whole) <= wholeBytes {
+	if len(whole) <= s.whole {
 		return Split{Manifest: whole}, nil
 	}
 	blocks := slices.Clone(in.Spec.Blocks)
 	slices.SortFunc(blocks, func(a, b oas.ClientBlock) int { return strings.Compare(a.Prefix, b.Prefix) })
 	out := Split{}
 	m := manifest{Blocks: len(blocks)}
-	for _, part := range partition(blocks) {
+	for _, part := range s.partition(blocks) {
 		shard, err := newShard(string(in.Metadata.Name), part)
 		if err != nil {
 			return Split{}, err
@@ -79,12 +85,12 @@
 }
 
 // partition cuts the sorted blocks into shards.
-func partition(blocks []oas.ClientBlock) [][]oas.ClientBlock {
+func (s sharding) partition(blocks []oas.ClientBlock) [][]oas.ClientBlock {
 	var parts [][]oas.ClientBlock
 	start := 0
 	for i := range blocks {
 		n := i + 1 - start
-		if n >= shardMost || xxhash.Sum64String(blocks[i].Prefix)%shardMean == 0 {
+		if n >= s.most || xxhash.Sum64String(blocks[i].Prefix)%s.mean == 0 {
 			parts = append(parts, blocks[start:i+1])
 			start = i + 1
 		}
--- a/node/dynamic/fleet_test.go
+++ b/node/dynamic/fleet_test.go
@@ -12,6 +12,7 @@
 	"github.com/go-faster/errors"
 	"gotest.tools/v3/assert"
 
+	"heatherlock/node/runtime"
 	"heatherlock/node/seam"
 	"heatherlock/peer/peerpb"
 	"heatherlock/platform"
@@ -31,6 +32,7 @@
 	cut    map[[2]steering.Zone]bool
 	lives  int
 	tamper func(*peerpb.FetchConfigReply)
+	facts  func() runtime.ZoneFacts
 }
 
 // member is one process life of a node.
@@ -40,7 +42,61 @@
 	spread *Spread
 	stop   context.CancelFunc
 	done   chan struct{}
-	high   int64 // highest version seen in force, by every life of the VM
+	high   int64 // highest version that this life had in force
+	gate   gate
+}
+
+// gate holds up everything a process does towards the outside while it is
+// shut, before and after each call: the process is paused.
+type gate struct {
+	mu   sync.Mutex
+	shut chan struct{} // nil while open
+}
+
+func (g *gate) pass() {
+	g.mu.Lock()
+	shut := g.shut
+	g.mu.Unlock()
+	if shut != nil {
+		<-shut
+	}
+}
+
+func (g *gate) close() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.shut = make(chan struct{})
+}
+
+func (g *gate) open() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	close(g.shut)
+	g.shut = nil
+}
+
+// gated is the platform as a process that may be paused sees it.
+type gated struct {
+	platform.API
+	gate *gate
+}
+
+func (g gated) Get(ctx context.Context, kind, name string) (platform.Object, error) {
+	g.gate.pass()
+	defer g.gate.pass()
+	return g.API.Get(ctx, kind, name)
+}
+
+func (g gated) Update(ctx context.Context, kind, name string, version int64, value json.RawMessage) (platform.Object, error) {
+	g.gate.pass()
+	defer g.gate.pass()
+	return g.API.Update(ctx, kind, name, version, value)
+}
+
+func (g gated) Watch(ctx context.Context, since int64, wait time.Duration, kinds ...string) ([]platform.Event, int64, error) {
+	g.gate.pass()
+	defer g.gate.pass()
+	return g.API.Watch(ctx, since, wait, kinds...)
 }
 
 func newFleet(t testing.TB, zones, perZone int) *fleet {
@@ -75,8 +131,9 @@
 	m.self.Incarnation = steering.Incarnation(fmt.Sprintf("life%d", f.lives))
 	f.mu.Unlock()
 	spread, err := New(Config{
-		Platform: f.store.As(string(m.self.VM), string(m.self.Zone)),
+		Platform: gated{f.store.As(string(m.self.VM), string(m.self.Zone)), &m.gate},
 		Members:  m,
+		Facts:    f.facts,
 		Peer:     func(address string) peerpb.Peer { return &link{from: m, to: address} },
 	})
 	assert.NilError(f.t, err)
@@ -124,6 +181,7 @@
 }
 
 func (m *member) exchange(spread *Spread, address string) {
+	m.gate.pass()
 	peer, err := m.fleet.reach(m, address)
 	if err != nil {
 		return
@@ -183,6 +241,7 @@
 }
 
 func (l *link) Announce(ctx context.Context, in *peerpb.AnnounceRequest) (*peerpb.AnnounceReply, error) {
+	l.from.gate.pass()
 	peer, err := l.from.fleet.reach(l.from, l.to)
 	if err != nil {
 		return nil, err
@@ -191,6 +250,7 @@
 }
 
 func (l *link) FetchConfig(ctx context.Context, in *peerpb.FetchConfigRequest) (*peerpb.FetchConfigReply, error) {
+	l.from.gate.pass()
 	peer, err := l.from.fleet.reach(l.from, l.to)
 	if err != nil {
 		return nil, err
@@ -243,13 +303,38 @@
 	}
 }
 
-// readers returns how many nodes hold a lease.
-func (f *fleet) readers() int {
-	n := 0
+// readers returns the nodes that hold a lease.
+func (f *fleet) readers() []*member {
+	var found []*member
 	for _, m := range f.nodes {
 		if _, leading := m.spread.Leader(); leading {
-			n++
+			found = append(found, m)
 		}
 	}
-	return n
+	return found
 }
+
+// readerOf returns the node that reads for a zone.
+func (f *fleet) readerOf(zone steering.Zone) *member {
+	for _, m := range f.readers() {
+		if m.self.Zone == zone {
+			return m
+		}
+	}
+	f.t.Fatalf("no reader in %s", zone)
+	return nil
+}
+
+// running starts a fleet with one service and waits until it has settled.
+func running(t testing.TB, zones, perZone int) *fleet {
+	f := newFleet(t, zones, perZone)
+	f.put(KindService, "tickets", serviceValue(1000))
+	f.startAll()
+	time.Sleep(settled)
+	assert.Equal(t, len(f.readers()), zones)
+	return f
+}
+
+// settled is the time in which a reader is found after any fault ends: a term,
+// a few polls and the longest pause after failures.
+const settled = 30 * time.Second
--- a/node/dynamic/reader.go
+++ b/node/dynamic/reader.go
@@ -8,7 +8,6 @@
 	"github.com/go-faster/errors"
 	"github.com/go-kit/log/level"
 
-	"heatherlock/peer/peerpb"
 	"heatherlock/platform"
 	"heatherlock/steering/config"
 )
@@ -29,8 +28,6 @@
 	// unconfirmedMost is how long a node that is not the reader goes on
 	// without a word from any peer before it asks the platform itself.
 	unconfirmedMost = 30 * time.Second
-	// auditInterval is the time between comparisons of checksums.
-	auditInterval = time.Minute
 )
 
 // start takes the highest configuration that peers and platform give. A peer's
@@ -197,37 +194,3 @@
 	}
 	return s.list(ctx)
 }
-
-// auditLoop compares checksums with a member now and then. Two sets of one
-// version that differ show that one of them went wrong, which deltas would
-// carry on for ever; the platform's own reading then decides.
-func (s *Spread) auditLoop(ctx context.Context) error {
-	for {
-		if err := pause(ctx, jittered(auditInterval)); err != nil {
-			return err
-		}
-		members := s.config.Members.InZone(s.self.Zone)
-		if len(members) == 0 {
-			continue
-		}
-		s.audit(ctx, members[rand.IntN(len(members))].PeerAddress)
-	}
-}
-
-func (s *Spread) audit(ctx context.Context, address string) {
-	if address == "" || address == s.self.PeerAddress {
-		return
-	}
-	ours := s.set.Load()
-	limited, cancel := context.WithTimeout(ctx, fetchTimeout)
-	defer cancel()
-	reply, err := s.config.Peer(address).FetchConfig(limited, &peerpb.FetchConfigRequest{HaveVersion: ours.Version()})
-	if err != nil || reply.GetVersion() != ours.Version() || reply.GetChecksum() == ours.Sum() {
-		return
-	}
-	s.scope.Counter("audit_mismatches").Inc(1)
-	level.Error(s.log).Log("msg", "configuration differs from a member's at the same version; reading the platform", "peer", address, "version", ours.Version())
-	if _, err := s.list(ctx); err != nil {
-		level.Warn(s.log).Log("msg", "reading the platform failed", "err", err)
-	}
-}
