Assemble the daemon from its parts and run the whole path

A daemon answered health checks and nothing else.

The daemon now wires the view of the members, configuration, look-ups, slot pools, hints about other zones, the data path and the resource API; serves callers, peers and operators on listeners of their own; says when it is ready; and leaves in order: out of look-ups, then late arrivals for their time to live, then what it carries. Parts that are not in the tree yet (permits of caps, stored answers, suspects) are stood in for by ones that refuse more.

Keys of quickstart's callers held dots from their address and were refused.

--- a/cmd/internal/caller/caller.go
+++ b/cmd/internal/caller/caller.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"strings"
 	"sync/atomic"
 	"time"
 
@@ -146,7 +147,8 @@
 	if prefix == "" {
 		return ""
 	}
-	return fmt.Sprintf("%s.%s-%d", prefix, c.config.Source, c.keys.Add(1))
+	source := strings.NewReplacer(".", "-", ":", "-").Replace(c.config.Source.String())
+	return fmt.Sprintf("%s.%s-%08d", prefix, source, c.keys.Add(1))
 }
 
 // Reach looks a service up, to see that an entry VM answers.
--- a/node/forward/answer.go
+++ b/node/forward/answer.go
@@ -114,19 +114,21 @@
 const maxRetryAfter = time.Hour
 
 func retryAfter(h http.Header) time.Duration {
-	seconds, err := strconv.Atoi(first(h, "Retry-After"))
-	if err != nil || seconds < 0 {
-		return 0
-	}
-	return min(time.Duration(seconds)*time.Second, maxRetryAfter)
+	return span(first(h, "Retry-After"), time.Second)
 }
 
 func ownRetryAfter(h http.Header) time.Duration {
-	ms, err := strconv.ParseInt(first(h, headerRetryAfter), 10, 32)
-	if err != nil || ms < 0 {
+	return span(first(h, headerRetryAfter), time.Millisecond)
+}
+
+// span reads a count of units. It is bounded before it is multiplied, since a
+// product that overflows would come out as a time in the past.
+func span(text string, unit time.Duration) time.Duration {
+	count, err := strconv.ParseInt(text, 10, 64)
+	if err != nil || count < 0 {
 		return 0
 	}
-	return min(time.Duration(ms)*time.Millisecond, maxRetryAfter)
+	return time.Duration(min(count, int64(maxRetryAfter/unit))) * unit
 }
 
 // parseRan reads the wire form; anything unknown means unknown.
--- a/node/forward/conn.go
+++ b/node/forward/conn.go
@@ -82,7 +82,7 @@
 	dialTimeout       = 2 * time.Second
 	idleConnTimeout   = 30 * time.Second
 	keepAlivePeriod   = 15 * time.Second
-	idlePerHost       = 128
+	idlePerPeer       = 64
 	answerHeaderBytes = 256 << 10
 	// targetContinueWait is how long a target may leave Expect: 100-continue
 	// unanswered before the body is sent anyway (RFC 9110 section 10.1.1).
@@ -100,9 +100,26 @@
 	return dialer.DialContext
 }
 
+// targetTransport returns the HTTP client for targets, which bound their
+// connections.
+func targetTransport(open Dial, perTarget int) *http.Transport {
+	t := newTransport(open, targetContinueWait)
+	t.MaxConnsPerHost = perTarget
+	t.MaxIdleConnsPerHost = perTarget
+	return t
+}
+
+// peerTransport returns the HTTP client for hand-overs to entry VMs; with
+// config it speaks TLS.
+func peerTransport(open Dial, config *tls.Config) *http.Transport {
+	t := newTransport(open, peerContinueWait)
+	t.TLSClientConfig = config
+	t.MaxIdleConnsPerHost = idlePerPeer
+	return t
+}
+
 // newTransport returns an HTTP client whose connections count their bytes.
-// With config it speaks TLS.
-func newTransport(open Dial, continueWait time.Duration, config *tls.Config) *http.Transport {
+func newTransport(open Dial, continueWait time.Duration) *http.Transport {
 	dial := func(ctx context.Context, network, address string) (net.Conn, error) {
 		inner, err := open(ctx, network, address)
 		if err != nil {
@@ -112,10 +129,8 @@
 	}
 	return &http.Transport{
 		DialContext:            dial,
-		TLSClientConfig:        config,
 		TLSHandshakeTimeout:    dialTimeout,
 		DisableCompression:     true,
-		MaxIdleConnsPerHost:    idlePerHost,
 		IdleConnTimeout:        idleConnTimeout,
 		ExpectContinueTimeout:  continueWait,
 		MaxResponseHeaderBytes: answerHeaderBytes,
--- a/node/listeners.go
+++ b/node/listeners.go
@@ -2,11 +2,14 @@
 
 import (
 	"context"
+	stdlog "log"
 	"net"
 	"net/http"
 	"time"
 
 	"github.com/go-faster/errors"
+	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
 	"golang.org/x/net/netutil"
 
 	"heatherlock/node/static"
@@ -85,16 +88,45 @@
 	return err
 }
 
+// newServers makes the servers of a daemon's listeners.
+func (n *Node) newServers() *servers {
+	data := n.parts.forward
+	logs := quietLog(n.log)
+	return &servers{
+		caller: &http.Server{
+			Handler:     callerHandler(n.parts),
+			ConnContext: data.ConnContext,
+			ConnState:   data.ConnState,
+			// The bound of the settings is checked by the data path, which can
+			// say so; the server's own answer could not.
+			MaxHeaderBytes:               2 * n.settings.Limits.HeaderBytes,
+			ReadHeaderTimeout:            n.settings.Limits.HeaderTimeout(),
+			IdleTimeout:                  idleTimeout,
+			DisableGeneralOptionsHandler: true,
+			ErrorLog:                     logs,
+		},
+		peer:     controlServer(peerHandler(n.parts), logs),
+		operator: controlServer(n.operatorHandler(), logs),
+	}
+}
+
 // controlServer serves a listener that only known programs use.
-func controlServer(handler http.Handler) *http.Server {
+func controlServer(handler http.Handler, logs *stdlog.Logger) *http.Server {
 	return &http.Server{
 		Handler:           handler,
 		ReadHeaderTimeout: controlHeaderTimeout,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    controlHeaderBytes,
+		ErrorLog:          logs,
 	}
 }
 
+// quietLog turns the server's complaints about single connections into debug
+// lines.
+func quietLog(logger log.Logger) *stdlog.Logger {
+	return stdlog.New(log.NewStdlibAdapter(level.Debug(logger)), "", 0)
+}
+
 // shutdown closes idle connections and waits for busy ones until ctx ends.
 func shutdown(ctx context.Context, servers ...*http.Server) error {
 	var failed error
--- a/node/member/wire.go
+++ b/node/member/wire.go
@@ -27,7 +27,7 @@
 	return seam.Member{
 		VM: m.VM, Incarnation: m.Incarnation, Zone: m.Place.Zone, Region: m.Place.Region,
 		CallerAddress: m.Place.CallerAddress, PeerAddress: m.Place.PeerAddress, OperatorAddress: m.Place.OperatorAddress,
-		State: states[m.State], Heard: m.Heard,
+		State: states[m.State], Heard: m.Heard, ConfigVersion: m.ConfigVersion, InFlight: int(m.Load.InFlight),
 	}
 }
 
--- a/node/node.go
+++ b/node/node.go
@@ -4,6 +4,7 @@
 	"context"
 	"crypto/rand"
 	"net/http"
+	"time"
 
 	"github.com/go-faster/errors"
 	"github.com/go-kit/log"
@@ -29,17 +30,22 @@
 type Node struct {
 	settings    static.Settings
 	incarnation steering.Incarnation
+	started     time.Time
 	log         log.Logger
 	version     string
 	listeners   *listeners
+	servers     *servers
 	metrics     *telemetry.Metrics
+	parts       *parts
+	killed      context.Context
+	kill        context.CancelFunc
 }
 
 // incarnationLength gives 80 random bits, so that no two process lives meet.
 const incarnationLength = 16
 
-// New checks the settings and binds the listeners. The daemon serves once Run
-// is called; call Close instead if it never is.
+// New checks the settings, binds the listeners and makes the parts. The daemon
+// serves once Run is called; call Close instead if it never is.
 func New(settings static.Settings, options Options) (*Node, error) {
 	settings = settings.WithDefaults()
 	if err := settings.Check(); err != nil {
@@ -55,11 +61,18 @@
 	n := &Node{
 		settings:    settings,
 		incarnation: steering.Incarnation(rand.Text()[:incarnationLength]),
+		started:     time.Now(),
 		version:     options.Version,
 		listeners:   bound,
 		metrics:     telemetry.New(string(settings.VM), string(settings.Zone)),
 	}
 	n.log = log.With(options.Log, "vm", settings.VM, "incarnation", n.incarnation)
+	n.killed, n.kill = context.WithCancel(context.Background())
+	if n.parts, err = n.build(options); err != nil {
+		n.Close()
+		return nil, err
+	}
+	n.servers = n.newServers()
 	return n, nil
 }
 
@@ -75,23 +88,81 @@
 	_ = n.metrics.Close()
 }
 
-// Run serves until ctx ends, then leaves gracefully.
+// Kill ends the daemon as a crash would: connections break, nobody is told.
+func (n *Node) Kill() { n.kill() }
+
+// Run serves until ctx ends or a planned stop covers this entry VM, then
+// leaves: it finishes what it carries before it returns.
 func (n *Node) Run(ctx context.Context) error {
 	defer n.Close()
 	level.Info(n.log).Log("msg", "daemon starts", "version", n.version, "zone", n.settings.Zone,
 		"caller", n.Addresses().Caller, "peer", n.Addresses().Peer, "operator", n.Addresses().Operator)
-	operator := controlServer(n.operatorHandler())
-	group, groupCtx := errgroup.WithContext(ctx)
+	// The control loops and servers outlive ctx: requests in flight and peers
+	// need them until the daemon has left.
+	work, stop := context.WithCancel(n.killed)
+	defer stop()
+	group, work := errgroup.WithContext(work)
+	n.serveAll(group)
+	n.controlLoops(group, work)
 	group.Go(func() error {
-		return serve(operator, n.listeners.operator, n.settings.Limits.OperatorConnections)
+		defer stop()
+		n.untilLeft(ctx, work)
+		return n.servers.end(n.killed)
 	})
-	group.Go(func() error {
-		<-groupCtx.Done()
-		return shutdown(context.WithoutCancel(ctx), operator)
-	})
-	if err := group.Wait(); err != nil && !errors.Is(err, http.ErrServerClosed) {
+	if err := group.Wait(); err != nil && !errors.Is(err, context.Canceled) {
 		return errors.Wrap(err, "node")
 	}
 	level.Info(n.log).Log("msg", "daemon ends")
 	return nil
 }
+
+// untilLeft returns when the daemon has left, failed or was killed.
+func (n *Node) untilLeft(ctx, work context.Context) {
+	wait, stop := context.WithCancel(ctx)
+	defer stop()
+	defer context.AfterFunc(work, stop)()
+	n.waitForStop(wait)
+	n.leave(work)
+}
+
+// controlLoops runs the loops of the parts until ctx ends.
+func (n *Node) controlLoops(group *errgroup.Group, ctx context.Context) {
+	loops := []func(context.Context) error{
+		n.parts.members.Run, n.parts.configs.Run, n.parts.lookups.Run, n.parts.admit.Run,
+	}
+	for _, loop := range loops {
+		group.Go(func() error { return loop(ctx) })
+	}
+}
+
+// serveAll serves the three listeners.
+func (n *Node) serveAll(group *errgroup.Group) {
+	limits := n.settings.Limits
+	group.Go(func() error { return serve(n.servers.caller, n.listeners.caller, callerBound(limits)) })
+	group.Go(func() error { return serve(n.servers.peer, n.listeners.peer, limits.PeerConnections) })
+	group.Go(func() error { return serve(n.servers.operator, n.listeners.operator, limits.OperatorConnections) })
+}
+
+// callerBound leaves room above the limit for connections that are told of it.
+func callerBound(limits static.Limits) int {
+	const room, share = 16, 8
+	return limits.CallerConnections + limits.CallerConnections/share + room
+}
+
+// servers are the HTTP servers of the three listeners.
+type servers struct {
+	caller, peer, operator *http.Server
+}
+
+// end lets the servers finish what they carry; once ctx ends, connections
+// break.
+func (s *servers) end(ctx context.Context) error {
+	all := []*http.Server{s.caller, s.peer, s.operator}
+	if err := shutdown(ctx, all...); err == nil {
+		return nil
+	}
+	for _, one := range all {
+		_ = one.Close()
+	}
+	return nil
+}
--- a/node/operator.go
+++ b/node/operator.go
@@ -2,12 +2,31 @@
 
 import "net/http"
 
-// operatorHandler serves health and metrics on the operators' listener.
+// operatorHandler serves the operators' listener. Health and metrics are open,
+// so that probes and collectors need no token; they hold no secrets.
 func (n *Node) operatorHandler() http.Handler {
 	mux := http.NewServeMux()
 	mux.Handle("GET /metrics", n.metrics.Handler())
-	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) {
-		_, _ = w.Write([]byte("ok\n"))
-	})
+	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { say(w, http.StatusOK, "ok") })
+	mux.HandleFunc("GET /readyz", n.readyz)
+	mux.Handle("/", n.parts.operator.Handler())
 	return mux
 }
+
+// readyz says whether callers may be sent here.
+func (n *Node) readyz(w http.ResponseWriter, _ *http.Request) {
+	switch {
+	case n.parts.leaver.Leaving():
+		say(w, http.StatusServiceUnavailable, "leaving")
+	case n.parts.configs.Snapshot() == nil:
+		say(w, http.StatusServiceUnavailable, "no configuration yet: neither a peer nor the platform gave one")
+	default:
+		say(w, http.StatusOK, "ready")
+	}
+}
+
+func say(w http.ResponseWriter, status int, text string) {
+	w.Header().Set("Content-Type", "text/plain; charset=utf-8")
+	w.WriteHeader(status)
+	_, _ = w.Write([]byte(text + "\n"))
+}
--- /dev/null
+++ b/node/parts.go
@@ -0,0 +1,146 @@
+package node
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"heatherlock/node/admit"
+	"heatherlock/node/dynamic"
+	"heatherlock/node/forward"
+	"heatherlock/node/lookups"
+	"heatherlock/node/member"
+	"heatherlock/node/operator"
+	"heatherlock/node/seam"
+	"heatherlock/peer"
+	"heatherlock/peer/peerpb"
+	"heatherlock/platform"
+)
+
+// parts are what a daemon is made of. They refer to each other through the
+// interfaces in package seam; parts that need one made later reach it through
+// a hook, which runs only after all are made.
+type parts struct {
+	platform *platform.Budget
+	members  *member.Members
+	remote   *member.Remote
+	configs  *dynamic.Spread
+	lookups  *lookups.Lookups
+	admit    *admit.Admit
+	forward  *forward.Forwarder
+	operator *operator.Server
+	leaver   *leaver
+	board    *poolBoard
+}
+
+// build makes the parts of a daemon whose listeners are bound.
+func (n *Node) build(options Options) (*parts, error) {
+	p := &parts{leaver: &leaver{}, board: newPoolBoard()}
+	var err error
+	if p.platform, err = n.platformAPI(options.Platform); err != nil {
+		return nil, err
+	}
+	clients := peer.NewClients(nil)
+	p.members = member.New(member.Config{
+		Self: n.self(), Started: n.started, Seeds: n.settings.Seeds, Platform: p.platform, Peers: clients,
+		Hooks: n.hooks(p), Scope: n.metrics.Scope, Logger: n.log,
+	})
+	if err := n.buildControl(p, clients); err != nil {
+		return nil, err
+	}
+	n.buildDataPath(p)
+	p.operator, err = operator.New(operator.Config{
+		VM: string(n.settings.VM), Zone: string(n.settings.Zone), Platform: p.platform, Runtime: &facts{node: n, parts: p},
+		Tokens: operatorTokens(n.settings), Log: n.log, Scope: n.metrics.Scope,
+	})
+	if err != nil {
+		return nil, errors.Wrap(err, "node")
+	}
+	return p, nil
+}
+
+// buildControl makes the parts that follow configuration and slots.
+func (n *Node) buildControl(p *parts, clients *peer.Clients) (err error) {
+	p.configs, err = dynamic.New(dynamic.Config{
+		Platform: p.platform, Members: p.members, Peer: clients.To, Seeds: n.settings.Seeds,
+		Facts: (&facts{node: n, parts: p}).zone, Scope: n.metrics.Scope, Log: n.log,
+	})
+	if err != nil {
+		return errors.Wrap(err, "node")
+	}
+	p.remote = member.NewRemote(member.RemoteConfig{Members: p.members, Configs: p.configs, Scope: n.metrics.Scope})
+	p.lookups, err = lookups.New(lookups.Config{Configs: p.configs, Members: p.members, Scope: n.metrics.Scope, Log: n.log})
+	if err != nil {
+		return errors.Wrap(err, "node")
+	}
+	p.admit = admit.New(admit.Config{
+		Members: p.members, Configs: p.configs, Peers: clients,
+		// Calls of Acquire wait in the owner's queue and would hold up beats.
+		AcquirePeers: peer.NewClients(peer.NewHTTPClient(nil)),
+		Loads:        admit.HTTPLoads{Client: &http.Client{Timeout: loadTimeout}},
+		Scope:        n.metrics.Scope, Log: n.log,
+	})
+	return nil
+}
+
+// loadTimeout bounds a read of a target's load.
+const loadTimeout = time.Second
+
+func (n *Node) buildDataPath(p *parts) {
+	p.forward = forward.New(forward.Config{
+		Self: p.members.Self(), Limits: n.settings.Limits, Configs: p.configs, Members: p.members,
+		Admitter: p.admit, Caps: closedCaps{p.configs}, Remote: p.remote, Looker: p.lookups, Leaver: p.leaver,
+		Outcomes: newOutcomes(n.incarnation, n.started, n.settings.Limits), Suspects: noSuspects{},
+		Retries: newRetries(), Scope: n.metrics.Scope, Log: n.log,
+	})
+}
+
+// platformAPI returns the platform's client within its call budget.
+func (n *Node) platformAPI(given platform.API) (*platform.Budget, error) {
+	if given == nil {
+		client, err := platform.NewClient(platform.ClientConfig{
+			URL: n.settings.Platform.URL, VM: string(n.settings.VM), Zone: string(n.settings.Zone),
+			Timeout: n.settings.Platform.Timeout(), Scope: n.metrics.Scope,
+		})
+		if err != nil {
+			return nil, errors.Wrap(err, "node")
+		}
+		given = client
+	}
+	return platform.NewBudget(given, platform.BudgetConfig{Scope: n.metrics.Scope}), nil
+}
+
+// hooks connect the view of the members with the parts that feed on beats.
+func (n *Node) hooks(p *parts) member.Hooks {
+	return member.Hooks{
+		Pools: func() []*peerpb.PoolFact { return p.admit.Pools() },
+		OnPools: func(told []*peerpb.PoolFact) {
+			p.remote.OnPools(told)
+			p.admit.ObservePools(told)
+			p.board.note(told, time.Now())
+		},
+		ConfigVersion:   func() int64 { return p.configs.Version() },
+		OnConfigVersion: func(address string, version int64) { p.configs.OnConfigVersion(address, version) },
+		InFlight:        func() int32 { return int32(p.forward.InFlight()) },
+	}
+}
+
+// self is this entry VM as others shall know it.
+func (n *Node) self() seam.Member {
+	bound := n.Addresses()
+	return seam.Member{
+		VM: n.settings.VM, Incarnation: n.incarnation, Zone: n.settings.Zone, Region: n.settings.Region,
+		CallerAddress:   or(n.settings.CallerAdvertise, bound.Caller),
+		PeerAddress:     or(n.settings.PeerAdvertise, bound.Peer),
+		OperatorAddress: or(n.settings.OperatorAdvertise, bound.Operator),
+		State:           seam.MemberLive,
+	}
+}
+
+func or(given, fallback string) string {
+	if given != "" {
+		return given
+	}
+	return fallback
+}
--- a/node/seam/seam.go
+++ b/node/seam/seam.go
@@ -44,6 +44,10 @@
 	State           MemberState
 	// Heard is when first-hand or relayed evidence last arrived.
 	Heard time.Time
+	// ConfigVersion is the highest version known to be in force there.
+	ConfigVersion int64
+	// InFlight is what it last said to carry.
+	InFlight int
 }
 
 // Members gives this entry VM's view of the others.
