Test that a lagging read cannot pass another operator's change off as one's own

The earlier test also passed without the rule that replaces a write id that came with the version read. A set read before the first write, met by the conflict after it, shows the fault: without the rule the second operator was told accepted. Measured: fails with the rule taken out, passes with it.

--- a/node/operator/operator_test.go
+++ b/node/operator/operator_test.go
@@ -21,6 +21,7 @@
 
 	"heatherlock/api/check"
 	"heatherlock/api/oas"
+	"heatherlock/platform"
 	standin "heatherlock/standin/platform"
 )
 
@@ -136,27 +137,43 @@
 	assert.Equal(t, store.Revision(), int64(0))
 }
 
+// lagging answers lists as they were when it was made.
+type lagging struct {
+	platform.API
+	objects  []platform.Object
+	revision int64
+}
+
+func (l lagging) List(context.Context, ...string) ([]platform.Object, int64, error) {
+	return l.objects, l.revision, nil
+}
+
 // Symptom: of two operators who change one object, both are told "accepted" and
-// one change is gone. Sequence: both read version 1; both send the write id
-// they read back; the second is taken for the first's own repeat. Cause: a
-// write id that does not belong to one change.
+// one change is gone. Sequence: both read version 1 and send back the write id
+// they read; the second one's entry VM reads the set just before the first
+// write, meets the conflict, reads the object and finds "its own" write id.
+// Cause: a write id that does not belong to one change.
 func TestRacingOperatorsSeeBothVersions(t *testing.T) {
 	store := standin.NewStore(standin.Options{})
-	s := newServer(t, store, &fakeRuntime{})
+	s, other := newServer(t, store, &fakeRuntime{}), newServer(t, store, &fakeRuntime{})
 	read, err := create(s, newService(t, 100))
 	assert.NilError(t, err)
 	first, second := read, read
 	first.Service.Spec.TimeoutMs = oas.NewOptInt64(200)
-	second.Service.Spec.TimeoutMs = oas.NewOptInt64(200)
 	second.Service.Spec.Hosts = []string{"b.example"}
+	objects, revision, err := other.platform.List(context.Background(), smallKinds...)
+	assert.NilError(t, err)
 	_, err = update(s, first, "")
 	assert.NilError(t, err)
-	_, err = update(s, second, "")
-	assert.Equal(t, reasonOf(err), oas.ProblemReasonConflict)
-	var e *Error
-	assert.Assert(t, errors.As(err, &e))
-	assert.Equal(t, e.Problem.Stored.Value.Service.Spec.TimeoutMs.Value, int64(200))
-	assert.DeepEqual(t, e.Problem.Yours.Value.Service.Spec.Hosts, []string{"b.example"})
+	for _, api := range []platform.API{other.platform, lagging{other.platform, objects, revision}} {
+		other.platform = api
+		_, err = update(other, second, "")
+		assert.Equal(t, reasonOf(err), oas.ProblemReasonConflict, "%v", err)
+		var e *Error
+		assert.Assert(t, errors.As(err, &e))
+		assert.Equal(t, e.Problem.Stored.Value.Service.Spec.TimeoutMs.Value, int64(200))
+		assert.DeepEqual(t, e.Problem.Yours.Value.Service.Spec.Hosts, []string{"b.example"})
+	}
 }
 
 // Under any mixture of lost replies, outages, stale reads and racing operators:
