--- a/cmd/heatherlock/client_test.go
+++ b/cmd/heatherlock/client_test.go
@@ -68,14 +68,14 @@
 	return e
 }
 
-// parsing serialises the parts of Main that use flaggy's package variable.
-type client struct{ addresses string }
+// commandLine runs commands against entry VMs.
+type commandLine struct{ addresses string }
 
-func (c client) run(stdin string, args ...string) (code command.Code, out, errOut string) {
+func (c commandLine) run(stdin string, args ...string) (code command.Code, out, errOut string) {
 	return c.runFor(context.Background(), stdin, args...)
 }
 
-func (c client) runFor(ctx context.Context, stdin string, args ...string) (command.Code, string, string) {
+func (c commandLine) runFor(ctx context.Context, stdin string, args ...string) (command.Code, string, string) {
 	var out, errOut bytes.Buffer
 	if c.addresses != "" {
 		args = append(args, "--entry-vm", c.addresses)
@@ -91,7 +91,7 @@
 func TestExamplesCanBeAppliedAndReadBack(t *testing.T) {
 	for _, name := range []string{"chile", "prairies"} {
 		store := standin.NewStore(unbounded())
-		c := client{startEntryVM(t, store, "a").URL}
+		c := commandLine{startEntryVM(t, store, "a").URL}
 		dir := filepath.Join(examplesDir, name)
 		code, _, errOut := c.run("", "apply", "-f", dir, "--dry-run")
 		assert.Equal(t, code, command.OK, errOut)
@@ -131,7 +131,7 @@
 		`{"kind":"Shift","metadata":{"name":"s"},"spec":{"from":"centro","to":"sur","percent":50}}`,
 		`{"kind":"Cap","metadata":{"name":"s"},"spec":{"shift":"s","requests":9}}`)
 	store := standin.NewStore(unbounded())
-	c := client{startEntryVM(t, store, "a").URL}
+	c := commandLine{startEntryVM(t, store, "a").URL}
 	rapid.Check(t, func(rt *rapid.T) {
 		began := store.Revision()
 		code, _, errOut := c.run(strings.Join(rapid.Permutation(all).Draw(rt, "order"), "\n"), "apply", "-f", "-")
@@ -163,7 +163,7 @@
 func TestApplySurvivesEntryVMsThatBreakOff(t *testing.T) {
 	store := standin.NewStore(unbounded())
 	first, second := startEntryVM(t, store, "a"), startEntryVM(t, store, "b")
-	c := client{first.URL + "," + second.URL}
+	c := commandLine{first.URL + "," + second.URL}
 	first.cutAfter.Store(2)
 	second.cutAfter.Store(1)
 	code, out, errOut := c.run("", "apply", "-f", filepath.Join(examplesDir, "chile"))
@@ -203,7 +203,7 @@
 func TestWatchResumesWithNothingMissedOrRepeated(t *testing.T) {
 	store := standin.NewStore(unbounded())
 	vms := []*entryVM{startEntryVM(t, store, "a"), startEntryVM(t, store, "b")}
-	c := client{vms[0].URL + "," + vms[1].URL}
+	c := commandLine{vms[0].URL + "," + vms[1].URL}
 	ctx, cancel := context.WithCancel(context.Background())
 	out, done := &lines{}, make(chan command.Code)
 	go func() {
@@ -238,14 +238,14 @@
 
 func TestExitCodes(t *testing.T) {
 	store := standin.NewStore(unbounded())
-	up := client{startEntryVM(t, store, "a").URL}
+	up := commandLine{startEntryVM(t, store, "a").URL}
 	code, _, errOut := up.run("", "apply", "-f", filepath.Join(examplesDir, "chile"))
 	assert.Equal(t, code, command.OK, errOut)
-	none, nowhere := client{}, client{"127.0.0.1:1"}
+	none, nowhere := commandLine{}, commandLine{"127.0.0.1:1"}
 	t.Setenv("HEATHERLOCK_ENTRY_VMS", "")
 	service := `{"kind":"Service","metadata":{"name":"tickets","version":%d},"spec":{"timeoutMs":7}}`
 	cases := []struct {
-		c     client
+		c     commandLine
 		stdin string
 		args  string
 		code  command.Code
@@ -260,9 +260,12 @@
 		{none, "{}", "check -f -", command.Refused},
 		{none, "", "why --reason nonsense", command.Usage},
 		{none, "", "why --reason cap_reached", command.OK},
+		{none, "", "why --key nonsense", command.Refused},
+		{none, "", "why --key abc-29000000.12345678", command.OK},
+		{up, "", "why --key abc-29000000.12345678", command.OK},
 		{none, "", "explain Shift.spec.percent", command.OK},
 		{none, "", "explain Shift.spec.nonsense", command.Usage},
-		{client{"http://%zz"}, "", "get Shift", command.Usage},
+		{commandLine{"http://%zz"}, "", "get Shift", command.Usage},
 		{up, "", "get Nonsense", command.Usage},
 		{up, "", "get Shift -o xml", command.Usage},
 		{up, "", "get Shift --nonsense", command.Usage},
--- a/cmd/internal/client/options.go
+++ b/cmd/internal/client/options.go
@@ -48,6 +48,11 @@
 	sub.Duration(&o.Timeout, "", "call-timeout", "bound on one call to one entry VM")
 }
 
+// Given reports whether any entry VM is named, by flag or environment.
+func (o Options) Given() bool {
+	return len(o.EntryVMs) > 0 || os.Getenv(EnvEntryVMs) != ""
+}
+
 // addresses returns the base URL of each entry VM.
 func (o Options) addresses() ([]string, error) {
 	given := o.EntryVMs
--- a/node/static/settings.go
+++ b/node/static/settings.go
@@ -8,18 +8,24 @@
 
 // Settings is everything a daemon is told at start.
 type Settings struct {
-	VM     steering.VM     `json:"vm" check:"required"`
-	Zone   steering.Zone   `json:"zone" check:"required"`
+	// VM names this entry VM as the platform's list does.
+	VM steering.VM `json:"vm" check:"required"`
+	// Zone is the availability zone that it runs in.
+	Zone steering.Zone `json:"zone" check:"required"`
+	// Region is the region of the zone.
 	Region steering.Region `json:"region" check:"required"`
 
-	// The listen addresses are IP:port; port 0 takes a free port.
-	CallerListen   string `json:"callerListen" check:"required"`
-	PeerListen     string `json:"peerListen" check:"required"`
+	// CallerListen is the IP:port for callers; port 0 takes a free port.
+	CallerListen string `json:"callerListen" check:"required"`
+	// PeerListen is the IP:port for other entry VMs; port 0 takes a free port.
+	PeerListen string `json:"peerListen" check:"required"`
+	// OperatorListen is the IP:port for operators; port 0 takes a free port.
 	OperatorListen string `json:"operatorListen" check:"required"`
-	// The advertised addresses are told to callers and peers; empty means the
-	// address that was bound.
-	CallerAdvertise   string `json:"callerAdvertise"`
-	PeerAdvertise     string `json:"peerAdvertise"`
+	// CallerAdvertise is told to callers; empty means the address bound.
+	CallerAdvertise string `json:"callerAdvertise"`
+	// PeerAdvertise is told to other entry VMs; empty means the address bound.
+	PeerAdvertise string `json:"peerAdvertise"`
+	// OperatorAdvertise is told to operators; empty means the address bound.
 	OperatorAdvertise string `json:"operatorAdvertise"`
 
 	Platform       Platform        `json:"platform" check:"required"`
@@ -32,8 +38,10 @@
 
 // Platform says how to reach the platform's object API.
 type Platform struct {
-	URL       string `json:"url" check:"required"`
-	TimeoutMs int    `json:"timeoutMs"`
+	// URL is the base of the object API, http or https.
+	URL string `json:"url" check:"required"`
+	// TimeoutMs bounds each call; a watch may take its wait in addition.
+	TimeoutMs int `json:"timeoutMs"`
 }
 
 // Timeout bounds one call that is not a watch.
@@ -53,12 +61,18 @@
 // Certificates names PEM files, or holds the PEM text itself. With none set
 // the listener speaks plain HTTP.
 type Certificates struct {
+	// CertFile is the listener's certificate.
 	CertFile string `json:"certFile"`
-	KeyFile  string `json:"keyFile" check:"secret"`
-	CAFile   string `json:"caFile"`
-	Cert     string `json:"cert"`
-	Key      string `json:"key" check:"secret"`
-	CA       string `json:"ca"`
+	// KeyFile is the key of the certificate.
+	KeyFile string `json:"keyFile" check:"secret"`
+	// CAFile is the authority whose client certificates are let in.
+	CAFile string `json:"caFile"`
+	// Cert is the text in place of certFile.
+	Cert string `json:"cert"`
+	// Key is the text in place of keyFile.
+	Key string `json:"key" check:"secret"`
+	// CA is the text in place of caFile.
+	CA string `json:"ca"`
 }
 
 // Empty reports whether nothing is set.
@@ -67,21 +81,32 @@
 // OperatorToken lets an operator in by a bearer token, of which only the
 // SHA-256 is kept.
 type OperatorToken struct {
-	Name   string `json:"name" check:"required"`
+	// Name is who is named in the audit log.
+	Name string `json:"name" check:"required"`
+	// SHA256 is the hash of the token in hex: printf %s TOKEN | sha256sum.
 	SHA256 string `json:"sha256" check:"required"`
 }
 
 // Limits bounds what callers can make a daemon hold.
 type Limits struct {
-	CallerConnections    int   `json:"callerConnections"`
-	HeaderBytes          int   `json:"headerBytes"`
-	HeaderTimeoutMs      int   `json:"headerTimeoutMs"`
-	BodyMinBytesPerSec   int   `json:"bodyMinBytesPerSecond"`
-	OutcomeBytes         int64 `json:"outcomeBytes"`
-	OutcomeTTLMs         int   `json:"outcomeTTLMs"`
-	OperatorConnections  int   `json:"operatorConnections"`
-	PeerConnections      int   `json:"peerConnections"`
-	ConnectionsPerTarget int   `json:"connectionsPerTarget"`
+	// CallerConnections bounds the open connections of callers.
+	CallerConnections int `json:"callerConnections"`
+	// HeaderBytes bounds the header of a caller's request.
+	HeaderBytes int `json:"headerBytes"`
+	// HeaderTimeoutMs bounds the time a caller takes to send it.
+	HeaderTimeoutMs int `json:"headerTimeoutMs"`
+	// BodyMinBytesPerSec is the slowest that a caller may send a body.
+	BodyMinBytesPerSec int `json:"bodyMinBytesPerSecond"`
+	// OutcomeBytes bounds the memory for outcomes of request keys.
+	OutcomeBytes int64 `json:"outcomeBytes"`
+	// OutcomeTTLMs is how long the outcome of a request key is kept.
+	OutcomeTTLMs int `json:"outcomeTTLMs"`
+	// OperatorConnections bounds the open connections of operators.
+	OperatorConnections int `json:"operatorConnections"`
+	// PeerConnections bounds the open connections of other entry VMs.
+	PeerConnections int `json:"peerConnections"`
+	// ConnectionsPerTarget bounds the connections to one target.
+	ConnectionsPerTarget int `json:"connectionsPerTarget"`
 }
 
 // HeaderTimeout bounds the time a caller takes to send a request's header.
