Declare the shift, its cap, then how much it moves

Cause: a cap must name a shift that exists, and the shift must bring nothing before its bound is there. Change: the shift starts at 0 %.

--- a/cmd/internal/quickstart/faults.go
+++ b/cmd/internal/quickstart/faults.go
@@ -100,9 +100,6 @@
 	return func() { set(target.Faults{}) }
 }
 
-// killer ends without leaving.
-type killer interface{ Kill() }
-
 // killEntryVM ends the first entry VM of the fault's zone without any leave,
 // as a failed VM ends, and later starts a replacement.
 func (s *system) killEntryVM() (heal func()) {
@@ -117,9 +114,7 @@
 	if !ok {
 		return func() {}
 	}
-	if k, ok := any(v.node).(killer); ok {
-		k.Kill()
-	}
+	v.node.Kill()
 	v.stop()
 	s.witness.ConfigGone(v.lifeName())
 	return func() { _, _ = s.start(v.EntryVM, v.life+1) }
--- a/cmd/internal/quickstart/operator.go
+++ b/cmd/internal/quickstart/operator.go
@@ -169,7 +169,7 @@
 	shift := oas.Shift{
 		Kind: string(oas.KindShift), Metadata: oas.Metadata{Name: shiftName},
 		Spec: oas.ShiftSpec{
-			Service: oas.NewOptString(service.Name), From: d.ShiftFrom, To: d.ShiftTo, Percent: shiftPercent,
+			Service: oas.NewOptString(service.Name), From: d.ShiftFrom, To: d.ShiftTo,
 			StepPercent: oas.NewOptInt(shiftStepPercent), StepSeconds: oas.NewOptInt(shiftStepSeconds),
 		},
 	}
@@ -177,14 +177,31 @@
 		Kind: string(oas.KindCap), Metadata: oas.Metadata{Name: capName},
 		Spec: oas.CapSpec{Shift: shiftName, Requests: limit.Requests, WindowMs: oas.NewOptInt64(capWindow.Milliseconds())},
 	}
-	// The cap comes first: the shift brings nothing before its bound is there.
-	if err := o.create(ctx, oas.NewCapObject(bound)); err != nil {
+	// A cap names its shift, so the shift comes first and moves nothing until
+	// its bound is there.
+	shift.Spec.Percent = 0
+	if err := o.create(ctx, oas.NewShiftObject(shift)); err != nil {
 		return err
 	}
-	if err := o.create(ctx, oas.NewShiftObject(shift)); err != nil {
+	if err := o.create(ctx, oas.NewCapObject(bound)); err != nil {
 		return err
 	}
 	o.caps = append(o.caps, limit)
+	return o.raise(ctx)
+}
+
+// raise sets the percent of the shift that is to be moved.
+func (o *operator) raise(ctx context.Context) error {
+	stored, err := o.client.GetObject(ctx, oas.GetObjectParams{Kind: oas.KindShift, Name: shiftName})
+	if err != nil {
+		return describe(err, string(oas.KindShift), shiftName)
+	}
+	stored.Shift.Spec.Percent = shiftPercent
+	updated, err := o.client.UpdateObject(ctx, stored, oas.UpdateObjectParams{Kind: oas.KindShift, Name: shiftName})
+	if err != nil {
+		return describe(err, string(oas.KindShift), shiftName)
+	}
+	o.system.witness.ConfigAccepted(versionOf(updated), time.Now(), o.system.lives())
 	return nil
 }
 
