Hand work over to the pool's owner, not to a second hash's choice

Cause: forward ranked a zone's entry VMs by its own weights while look-ups and admission use steering/ownership; the two orders differ, so a handed-over request mostly met an entry VM that had to ask the owner for a grant.

The saved message's time is not measured. Conclusion: one order of entry VMs is left in the code.

--- a/node/forward/handover.go
+++ b/node/forward/handover.go
@@ -2,13 +2,13 @@
 
 import (
 	"net/http"
+	"slices"
 	"strconv"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"heatherlock/node/seam"
 	"heatherlock/steering"
+	"heatherlock/steering/ownership"
 )
 
 // maxSpills bounds the places asked after the own zone refused.
@@ -87,22 +87,23 @@
 	return x.tryPeer(l, member), true
 }
 
-// chooseMember spreads pools over a zone's entry VMs by rendezvous hashing, as
-// the owner of a pool is chosen, so that the request mostly meets its owner.
+// chooseMember returns the entry VM of a zone that owns the pool, as far as
+// this entry VM's view tells. Any other one would have to ask the owner for a
+// grant, one message more within the deadline of a request that already
+// crossed a link between zones.
 func chooseMember(members []seam.Member, place steering.Place, service steering.Service) (seam.Member, bool) {
-	var best seam.Member
-	var bestWeight uint64
-	found := false
+	usable := make([]steering.VM, 0, len(members))
 	for _, member := range members {
-		if member.State != seam.MemberLive || member.PeerAddress == "" {
-			continue
-		}
-		weight := xxhash.Sum64String(string(place) + "/" + string(service) + "/" + string(member.VM))
-		if !found || weight > bestWeight {
-			best, bestWeight, found = member, weight, true
+		if member.State == seam.MemberLive && member.PeerAddress != "" {
+			usable = append(usable, member.VM)
 		}
 	}
-	return best, found
+	owner := ownership.First(place, service, usable, 1)
+	if len(owner) == 0 {
+		return seam.Member{}, false
+	}
+	i := slices.IndexFunc(members, func(m seam.Member) bool { return m.VM == owner[0] })
+	return members[i], true
 }
 
 // passHome hands a keyed request to the incarnation that issued the key. No
