Serve repeats of a key from the outcome table

Claim now joins repeats of a running key to its one execution, replays kept answers and bounds the memory of answers that are still being received. The stand-in in the daemon, which kept no answers, is gone.

--- a/node/forward/contracts.go
+++ b/node/forward/contracts.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"heatherlock/steering"
+	"heatherlock/steering/once"
 	"heatherlock/steering/routing"
 )
 
@@ -32,12 +33,7 @@
 }
 
 // Answer is a whole stored answer.
-type Answer struct {
-	Status  int
-	Header  http.Header
-	Body    []byte
-	Trailer http.Header
-}
+type Answer = once.Answer
 
 // Suspects remembers requests whose tries coincided with their target's death.
 type Suspects interface {
--- /dev/null
+++ b/node/forward/once.go
@@ -0,0 +1,215 @@
+package forward
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/uber-go/tally/v4"
+
+	"heatherlock/node/static"
+	"heatherlock/steering"
+	"heatherlock/steering/once"
+)
+
+// recordingShare is the part of limits.outcomeBytes that answers still being
+// received may take besides the table: 1/4. Were it not bounded, thousands of
+// slow answers at once would take far more memory than the table itself.
+const recordingShare = 4
+
+// OutcomesConfig is what NewOutcomes needs.
+type OutcomesConfig struct {
+	Incarnation steering.Incarnation
+	Started     time.Time
+	Limits      static.Limits
+	Scope       tally.Scope
+}
+
+// KeyOutcomes implements Outcomes: the table of package once, with a wait for
+// repeats of a key that is running.
+type KeyOutcomes struct {
+	maxRecording int64
+	recording    atomic.Int64
+	decisions    map[once.DecisionKind]tally.Counter
+	entries      tally.Gauge
+	bytes        tally.Gauge
+	evicted      tally.Gauge
+	early        tally.Gauge
+	dropped      tally.Gauge
+
+	mu      sync.Mutex
+	table   *once.Table
+	flights map[steering.Key]*flight
+}
+
+// flight is a key that is being executed. Its result is set before done closes.
+type flight struct {
+	done    chan struct{}
+	answer  *Answer // nil when it is not kept
+	refusal *steering.Refusal
+}
+
+var _ Outcomes = (*KeyOutcomes)(nil)
+
+// NewOutcomes returns the outcomes of one incarnation's keys.
+func NewOutcomes(c OutcomesConfig) *KeyOutcomes {
+	names := map[once.DecisionKind]string{
+		once.Execute: "execute", once.Join: "join", once.Replay: "replay", once.Refuse: "refuse", once.Foreign: "foreign",
+	}
+	o := &KeyOutcomes{
+		maxRecording: c.Limits.OutcomeBytes / recordingShare,
+		decisions:    make(map[once.DecisionKind]tally.Counter, len(names)),
+		entries:      c.Scope.Gauge("key_entries"),
+		bytes:        c.Scope.Gauge("key_bytes"),
+		evicted:      c.Scope.Gauge("key_evictions"),
+		early:        c.Scope.Gauge("key_evictions_early"),
+		dropped:      c.Scope.Gauge("key_answers_dropped"),
+		flights:      make(map[steering.Key]*flight),
+		table: once.New(once.Config{
+			Incarnation: c.Incarnation, Start: c.Started,
+			MaxBytes: c.Limits.OutcomeBytes, KeepFor: c.Limits.OutcomeTTL(),
+		}),
+	}
+	for kind, name := range names {
+		o.decisions[kind] = c.Scope.Tagged(map[string]string{"decision": name}).Counter("key_decisions")
+	}
+	return o
+}
+
+// Claim implements Outcomes.
+func (o *KeyOutcomes) Claim(ctx context.Context, key steering.Key, fingerprint uint64) (Recorder, *Answer, *steering.Refusal) {
+	decision, running := o.begin(key, once.Fingerprint(fingerprint))
+	switch decision.Kind {
+	case once.Execute:
+		return &keyRecorder{outcomes: o, run: decision.Run}, nil, nil
+	case once.Join:
+		return running.wait(ctx)
+	case once.Replay:
+		return nil, decision.Answer, nil
+	case once.Foreign:
+		return nil, nil, once.HomeGone(decision.Home)
+	}
+	return nil, nil, decision.Refusal
+}
+
+func (o *KeyOutcomes) begin(key steering.Key, fingerprint once.Fingerprint) (once.Decision, *flight) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	decision := o.table.Begin(time.Now(), key, fingerprint)
+	o.decisions[decision.Kind].Inc(1)
+	if decision.Kind == once.Execute {
+		o.flights[key] = &flight{done: make(chan struct{})}
+	}
+	return decision, o.flights[key]
+}
+
+// wait returns what the running execution ended with. A repeat shares it and
+// never starts another one, also when it was proved not run: its caller is told
+// so and decides.
+func (f *flight) wait(ctx context.Context) (Recorder, *Answer, *steering.Refusal) {
+	select {
+	case <-f.done:
+		return nil, f.answer, f.refusal
+	case <-ctx.Done():
+	}
+	if errors.Is(context.Cause(ctx), errDeadline) {
+		refusal := steering.Unknown(steering.ReasonDeadline, "the same key is still running")
+		refusal.RetryAfter = time.Second
+		return nil, nil, refusal
+	}
+	return nil, nil, steering.Unknown(steering.ReasonCancelled, "the caller went away while the same key was running")
+}
+
+// finish ends a run and lets its repeats go on.
+func (o *KeyOutcomes) finish(run once.Run, outcome once.Outcome, refusal *steering.Refusal) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if !o.table.Finish(time.Now(), run, outcome) {
+		return
+	}
+	f := o.flights[run.Key]
+	delete(o.flights, run.Key)
+	f.answer, f.refusal = outcome.Answer, refusal
+	close(f.done)
+	o.report()
+}
+
+func (o *KeyOutcomes) report() {
+	s := o.table.Stats()
+	o.entries.Update(float64(s.Entries))
+	o.bytes.Update(float64(s.Bytes))
+	o.evicted.Update(float64(s.Evicted))
+	o.early.Update(float64(s.EvictedEarly))
+	o.dropped.Update(float64(s.AnswersDropped))
+}
+
+// keyRecorder records the one execution of a key. Its answer is kept only while
+// it is small enough.
+type keyRecorder struct {
+	outcomes *KeyOutcomes
+	run      once.Run
+	answer   Answer
+	tooBig   bool
+	reserved int64
+}
+
+// Head implements Recorder.
+func (r *keyRecorder) Head(status int, header http.Header) {
+	r.answer.Status = status
+	r.answer.Header = make(http.Header, len(header))
+	copyEndToEnd(r.answer.Header, header)
+}
+
+// Body implements Recorder.
+func (r *keyRecorder) Body(p []byte) {
+	if r.tooBig {
+		return
+	}
+	size := int64(len(r.answer.Body) + len(p))
+	if size > once.DefaultMaxAnswerBytes || !r.reserve(int64(len(p))) {
+		r.tooBig = true
+		r.answer.Body = nil
+		r.release()
+		return
+	}
+	r.answer.Body = append(r.answer.Body, p...)
+}
+
+func (r *keyRecorder) reserve(n int64) bool {
+	r.reserved += n
+	return r.outcomes.recording.Add(n) <= r.outcomes.maxRecording
+}
+
+func (r *keyRecorder) release() {
+	r.outcomes.recording.Add(-r.reserved)
+	r.reserved = 0
+}
+
+// Whole implements Recorder.
+func (r *keyRecorder) Whole(trailer http.Header) {
+	r.release()
+	r.answer.Trailer = trailer.Clone()
+	if r.tooBig || r.answer.Size() > once.DefaultMaxAnswerBytes {
+		r.outcomes.finish(r.run, once.Outcome{Kind: once.Done}, answerNotKept())
+		return
+	}
+	answer := r.answer
+	r.outcomes.finish(r.run, once.Outcome{Kind: once.Done, Answer: &answer}, nil)
+}
+
+func answerNotKept() *steering.Refusal {
+	return &steering.Refusal{Reason: steering.ReasonAnswerTooBig, Ran: steering.RanYes, Detail: "the request ran to its end"}
+}
+
+// Refused implements Recorder.
+func (r *keyRecorder) Refused(refusal *steering.Refusal) {
+	r.release()
+	outcome := once.Outcome{Kind: once.Unknown, Refusal: refusal}
+	if refusal.Ran == steering.RanNo {
+		outcome = once.Outcome{Kind: once.NotRun}
+	}
+	r.outcomes.finish(r.run, outcome, refusal)
+}
--- a/node/parts.go
+++ b/node/parts.go
@@ -114,8 +114,11 @@
 	p.forward = forward.New(forward.Config{
 		Self: p.members.Self(), Limits: n.settings.Limits, Configs: p.configs, Members: p.members,
 		Admitter: p.admit, Caps: closedCaps{p.configs}, Remote: p.remote, Looker: p.lookups, Leaver: p.leaver,
-		Outcomes: newOutcomes(n.incarnation, n.started, n.settings.Limits), Suspects: noSuspects{},
-		Retries: newRetries(), Dial: dial, Scope: n.metrics.Scope, Log: n.log,
+		Outcomes: forward.NewOutcomes(forward.OutcomesConfig{
+			Incarnation: n.incarnation, Started: n.started, Limits: n.settings.Limits, Scope: n.metrics.Scope,
+		}),
+		Suspects: noSuspects{},
+		Retries:  newRetries(), Dial: dial, Scope: n.metrics.Scope, Log: n.log,
 	})
 }
 
--- a/node/thin.go
+++ b/node/thin.go
@@ -2,15 +2,11 @@
 
 import (
 	"context"
-	"net/http"
 	"sync"
 	"time"
 
-	"heatherlock/node/forward"
 	"heatherlock/node/seam"
-	"heatherlock/node/static"
 	"heatherlock/steering"
-	"heatherlock/steering/once"
 	"heatherlock/steering/retry"
 	"heatherlock/steering/routing"
 )
@@ -50,59 +46,6 @@
 
 func (freePermit) Done(bool) {}
 
-// outcomes keeps no answers: a repeated key is told that its outcome is
-// unknown.
-type outcomes struct {
-	mu    sync.Mutex
-	table *once.Table
-}
-
-func newOutcomes(incarnation steering.Incarnation, started time.Time, limits static.Limits) *outcomes {
-	return &outcomes{table: once.New(once.Config{
-		Incarnation: incarnation, Start: started, MaxBytes: limits.OutcomeBytes, KeepFor: limits.OutcomeTTL(),
-	})}
-}
-
-func (o *outcomes) Claim(_ context.Context, key steering.Key, fingerprint uint64) (forward.Recorder, *forward.Answer, *steering.Refusal) {
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	decision := o.table.Begin(time.Now(), key, once.Fingerprint(fingerprint))
-	switch decision.Kind {
-	case once.Execute:
-		return &recorder{outcomes: o, run: decision.Run}, nil, nil
-	case once.Refuse:
-		return nil, nil, decision.Refusal
-	}
-	return nil, nil, steering.Unknown(steering.ReasonKeyBusy, "the key is running")
-}
-
-func (o *outcomes) finish(run once.Run, outcome once.Outcome) {
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	o.table.Finish(time.Now(), run, outcome)
-}
-
-// recorder ends one run.
-type recorder struct {
-	outcomes *outcomes
-	run      once.Run
-}
-
-func (r *recorder) Head(int, http.Header) {}
-func (r *recorder) Body([]byte)           {}
-
-func (r *recorder) Whole(http.Header) {
-	r.outcomes.finish(r.run, once.Outcome{Kind: once.Done})
-}
-
-func (r *recorder) Refused(refusal *steering.Refusal) {
-	if refusal.Ran == steering.RanNo {
-		r.outcomes.finish(r.run, once.Outcome{Kind: once.NotRun})
-		return
-	}
-	r.outcomes.finish(r.run, once.Outcome{Kind: once.Unknown, Refusal: refusal})
-}
-
 // noSuspects suspects nobody.
 type noSuspects struct{}
 
