Make quickstart small enough for a busy machine and exercise 'not run'

Cause: at 0.35 of the slots and 1 MB uploads the run needs more than a shared machine gives and the emulator starves the entry VMs; callers that gave up looked like broken answers; nothing was refused, so 'not run' went untried.

--- a/cmd/internal/caller/caller.go
+++ b/cmd/internal/caller/caller.go
@@ -34,6 +34,9 @@
 	maxIdle = 32
 	// minWait is the shortest pause before a repeat.
 	minWait = 5 * time.Millisecond
+	// answerGrace is how long after its deadline a caller still waits for the
+	// system to say what became of the request.
+	answerGrace = 500 * time.Millisecond
 )
 
 // Reporter takes the caller's word on each try.
@@ -110,22 +113,21 @@
 
 // Do carries a request to its end: one try, and repeats by the rules.
 func (c *Caller) Do(ctx context.Context, r Request) Result {
-	ctx, cancel := context.WithTimeout(ctx, r.Timeout)
+	ctx, cancel := context.WithTimeout(ctx, r.Timeout+answerGrace)
 	defer cancel()
-	e := &errand{caller: c, request: r}
+	e := &errand{caller: c, request: r, deadline: time.Now().Add(r.Timeout)}
 	e.sum, e.size = r.uploadSum()
 	for e.result.Tries < maxTries {
 		again, wait := e.try(ctx)
-		if !again || !pause(ctx, wait) {
+		if !again || !e.pause(ctx, wait) {
 			break
 		}
 	}
 	return e.result
 }
 
-func pause(ctx context.Context, d time.Duration) bool {
-	deadline, ok := ctx.Deadline()
-	if ok && time.Until(deadline) <= d {
+func (e *errand) pause(ctx context.Context, d time.Duration) bool {
+	if time.Until(e.deadline) <= d {
 		return false
 	}
 	timer := time.NewTimer(max(d, minWait))
--- a/cmd/internal/caller/errand.go
+++ b/cmd/internal/caller/errand.go
@@ -19,6 +19,8 @@
 type errand struct {
 	caller  *Caller
 	request Request
+	// deadline is the end of the time that the caller allows.
+	deadline time.Time
 	// key stays the same over the tries: it is how the system knows a repeat.
 	key    string
 	sum    string
@@ -100,10 +102,8 @@
 		via, err = e.exchange(r, &t)
 	}
 	t.End = time.Now()
-	if unsent(err) {
-		t.Answer = witness.AnswerUnsent
-	} else if err != nil {
-		t.Answer = witness.AnswerBroken
+	if err != nil {
+		t.Answer = endOf(err)
 	}
 	cut := err != nil || t.Answer == witness.AnswerRefused && t.Ran != witness.RanNo
 	if excused := e.caller.config.Excused; excused != nil && cut {
@@ -112,6 +112,17 @@
 	return t
 }
 
+// endOf classifies a try without an answer.
+func endOf(err error) witness.Answer {
+	switch {
+	case unsent(err):
+		return witness.AnswerUnsent
+	case errors.Is(err, context.DeadlineExceeded):
+		return witness.AnswerLate
+	}
+	return witness.AnswerBroken
+}
+
 // unsent reports an error from before the first byte left.
 func unsent(err error) bool {
 	var op *net.OpError
@@ -143,7 +154,7 @@
 func (e *errand) setHeaders(r *http.Request, try string) {
 	h := r.Header
 	h.Set(headerService, e.request.Service)
-	h.Set(headerTimeoutMs, strconv.FormatInt(e.remaining(r.Context()).Milliseconds(), 10))
+	h.Set(headerTimeoutMs, strconv.FormatInt(e.remaining().Milliseconds(), 10))
 	h.Set(witness.HeaderRequest, e.request.ID)
 	h.Set(witness.HeaderTry, try)
 	h.Set(witness.HeaderHome, e.caller.config.Home)
@@ -156,12 +167,8 @@
 	}
 }
 
-func (e *errand) remaining(ctx context.Context) time.Duration {
-	deadline, ok := ctx.Deadline()
-	if !ok {
-		return e.request.Timeout
-	}
-	return max(time.Until(deadline), time.Millisecond)
+func (e *errand) remaining() time.Duration {
+	return max(time.Until(e.deadline), time.Millisecond)
 }
 
 // exchange sends the request, reads the answer and classifies it.
--- a/cmd/internal/load/report.go
+++ b/cmd/internal/load/report.go
@@ -30,6 +30,7 @@
 	Broken    int                        `json:"broken_off"`
 	Failed    int                        `json:"failed"`
 	Unsent    int                        `json:"unsent"`
+	Late      int                        `json:"no_answer_in_time"`
 	Dropped   int                        `json:"dropped_by_emulator"`
 	Refusals  map[string]int             `json:"refusals"`
 	LatencyMs map[string]traffic.Latency `json:"latency_ms"`
@@ -42,7 +43,7 @@
 	r := &Report{
 		Deployment: o.Deployment, Seed: o.Seed, RateAsked: o.Rate, RateSent: float64(c.Requests) / sent.Seconds(),
 		Seconds: whole.Seconds(), Requests: c.Requests, Answered: c.Answered, Refused: c.Refused, Wrong: c.Wrong,
-		Broken: c.Broken, Failed: c.Failed, Unsent: c.Unsent, Dropped: c.Dropped,
+		Broken: c.Broken, Failed: c.Failed, Unsent: c.Unsent, Late: c.Late, Dropped: c.Dropped,
 		Refusals: t.Refusals(), LatencyMs: t.Latencies(), histograms: map[string]*hdrhistogram.Histogram{},
 	}
 	for service := range r.LatencyMs {
@@ -67,8 +68,8 @@
 func (r *Report) WriteText(w io.Writer) {
 	fmt.Fprintf(w, "%s, seed %d: %d requests in %.1f s (%.0f a second asked, %.0f sent)\n",
 		r.Deployment, r.Seed, r.Requests, r.Seconds, r.RateAsked, r.RateSent)
-	fmt.Fprintf(w, "%d answered, %d refused, %d wrong, %d failed by targets, %d broken off, %d not sent, %d dropped by the emulator\n",
-		r.Answered, r.Refused, r.Wrong, r.Failed, r.Broken, r.Unsent, r.Dropped)
+	fmt.Fprintf(w, "%d answered, %d refused, %d wrong, %d failed by targets, %d broken off, %d without answer in time, %d not sent, %d dropped by the emulator\n",
+		r.Answered, r.Refused, r.Wrong, r.Failed, r.Broken, r.Late, r.Unsent, r.Dropped)
 	fmt.Fprintf(w, "\n%-14s %10s %10s %10s %10s\n", "service", "p50 ms", "p99 ms", "max ms", "answers")
 	for _, service := range slices.Sorted(maps.Keys(r.LatencyMs)) {
 		l := r.LatencyMs[service]
--- a/cmd/internal/quickstart/callers.go
+++ b/cmd/internal/quickstart/callers.go
@@ -1,8 +1,12 @@
 package quickstart
 
 import (
+	"fmt"
+	"time"
+
 	"heatherlock/cmd/internal/caller"
 	"heatherlock/cmd/internal/traffic"
+	"heatherlock/standin/deploy"
 )
 
 // Sizes of the callers.
@@ -11,6 +15,10 @@
 	// crashingCallers is how many callers send the request that crashes
 	// targets.
 	crashingCallers = 3
+	// rushRequests are sent at once by one zone's callers, each with so little
+	// time that the deployment's slots cannot take them all.
+	rushRequests = 250
+	rushTimeout  = 150 * time.Millisecond
 )
 
 // startCallers makes the callers of every zone and the streams of their work.
@@ -43,6 +51,23 @@
 	}
 }
 
+// rush has one zone's callers buy all at once, more than all places can run in
+// the time allowed: some must be refused, and those must not run.
+func (r *running) rush() {
+	d := r.system.deployment
+	zone := d.Zones[len(d.Zones)-1].Name
+	for _, s := range d.Services {
+		if s.Work != deploy.WorkPurchase {
+			continue
+		}
+		for i := range rushRequests {
+			request := traffic.RequestFor(s, fmt.Sprintf("rush-%s-%d", s.Name, i))
+			request.Timeout = rushTimeout
+			r.traffic.SendOne(r.callers[zone][i%callersPerZone], request)
+		}
+	}
+}
+
 // sendCrashing has callers send a request that crashes each target it reaches,
 // and send it again by the rules, through different entry VMs.
 func (r *running) sendCrashing() {
--- a/cmd/internal/quickstart/command.go
+++ b/cmd/internal/quickstart/command.go
@@ -39,7 +39,7 @@
 		}
 		var err error
 		if o.Load, err = strconv.ParseFloat(load, 64); err != nil {
-			return command.Failf(command.Usage, "give a number such as 0.35", "--load %q is not a number", load)
+			return command.Failf(command.Usage, "give a number such as 0.15", "--load %q is not a number", load)
 		}
 		return run(ctx, o, io)
 	}
--- a/cmd/internal/quickstart/options.go
+++ b/cmd/internal/quickstart/options.go
@@ -16,7 +16,7 @@
 	maxLoad    = 3
 	defaultFor = 10 * time.Second
 	// defaultLoad is the share of the targets' slots that callers keep busy.
-	defaultLoad = 0.35
+	defaultLoad = 0.15
 )
 
 // Options are the choices of a run.
--- a/cmd/internal/quickstart/report.go
+++ b/cmd/internal/quickstart/report.go
@@ -29,6 +29,7 @@
 	BrokenOff   int      `json:"broken_off"`
 	Failed      int      `json:"failed"`
 	Unsent      int      `json:"unsent"`
+	Late        int      `json:"no_answer_in_time"`
 	Dropped     int      `json:"dropped_by_emulator"`
 	Tries       int      `json:"tries"`
 	Purchases   int      `json:"purchases"`
@@ -79,7 +80,7 @@
 	report := &Report{
 		Deployment: s.deployment.Name, Seed: r.options.Seed, Seconds: took.Seconds(), Faults: r.options.Faults,
 		NotDone: r.notDone, Requests: c.Requests, Answered: c.Answered, Refused: c.Refused, Wrong: v.Wrong,
-		BrokenOff: c.Broken, Failed: c.Failed, Unsent: c.Unsent, Dropped: c.Dropped, Tries: v.Tries,
+		BrokenOff: c.Broken, Failed: c.Failed, Unsent: c.Unsent, Late: c.Late, Dropped: c.Dropped, Tries: v.Tries,
 		Purchases: v.Purchases, RunTwice: v.PurchasesRunTwice, NotRunRan: v.NotRunButRan,
 		Cap: v.Cap, CapPeak: v.CapPeak, CapAdmitted: v.CapAdmitted,
 		OverloadPeak: v.OverloadPeak, TargetOverPeak: v.TargetOverPeak, TargetRefusals: v.TargetRefusals,
@@ -123,8 +124,8 @@
 	if len(r.Faults) > 0 {
 		fmt.Fprintf(w, ", faults %v", r.Faults)
 	}
-	fmt.Fprintf(w, "\n\n%d requests in %d tries: %d answered, %d refused, %d failed by targets, %d broken off, %d not sent\n",
-		r.Requests, r.Tries, r.Answered, r.Refused, r.Failed, r.BrokenOff, r.Unsent)
+	fmt.Fprintf(w, "\n\n%d requests in %d tries: %d answered, %d refused, %d failed by targets, %d broken off, %d without answer in time, %d not sent\n",
+		r.Requests, r.Tries, r.Answered, r.Refused, r.Failed, r.BrokenOff, r.Late, r.Unsent)
 	if r.Dropped > 0 {
 		fmt.Fprintf(w, "%d more were due and never sent: the emulator carried too many\n", r.Dropped)
 	}
--- a/cmd/internal/quickstart/run.go
+++ b/cmd/internal/quickstart/run.go
@@ -12,6 +12,7 @@
 
 	"heatherlock/cmd/internal/caller"
 	"heatherlock/cmd/internal/traffic"
+	"heatherlock/node/telemetry"
 	"heatherlock/standin/deploy"
 )
 
@@ -22,11 +23,9 @@
 	stopAt    = 0.2
 	faultAt   = 0.35
 	faultEnds = 0.7
+	rushAt    = 0.8
 )
 
-// closePatience bounds the entry VMs' graceful leave at the end.
-const closePatience = 3 * time.Second
-
 // Screen is where a run shows itself.
 type Screen struct {
 	Out io.Writer
@@ -53,7 +52,7 @@
 	if err != nil {
 		return nil, err
 	}
-	defer s.close(closePatience)
+	defer s.close()
 	r := &running{options: o, system: s, screen: screen}
 	report, err := r.run(ctx)
 	if err != nil {
@@ -79,7 +78,7 @@
 	if err != nil {
 		return nil, nil, fmt.Errorf("quickstart: --log: %w; name a file that can be written", err)
 	}
-	return log.NewJSONLogger(log.NewSyncWriter(file)), func() { _ = file.Close() }, nil
+	return telemetry.NewLogger(file, "debug"), func() { _ = file.Close() }, nil
 }
 
 // running is a run under way.
@@ -151,6 +150,14 @@
 		return
 	}
 	r.note("planned stop", r.operator.plannedStop(ctx))
+	r.plantFaults(at)
+	if at(rushAt) {
+		r.rush()
+	}
+}
+
+// plantFaults plants the faults asked for and heals them.
+func (r *running) plantFaults(at func(share float64) bool) {
 	if len(r.options.Faults) == 0 || !at(faultAt) {
 		return
 	}
--- a/cmd/internal/quickstart/system.go
+++ b/cmd/internal/quickstart/system.go
@@ -199,18 +199,12 @@
 	return false
 }
 
-// close stops everything; entry VMs leave gracefully for at most patience.
-func (s *system) close(patience time.Duration) {
-	all := s.all()
-	for _, v := range all {
+// close ends everything at once: nothing is under way any more.
+func (s *system) close() {
+	for _, v := range s.all() {
+		v.node.Kill()
 		v.stop()
-	}
-	limit := time.After(patience)
-	for _, v := range all {
-		select {
-		case <-v.done:
-		case <-limit:
-		}
+		<-v.done
 	}
 	s.targets.Close()
 	_ = s.server.Close()
--- a/cmd/internal/traffic/results.go
+++ b/cmd/internal/traffic/results.go
@@ -36,6 +36,7 @@
 	Broken   int
 	Failed   int
 	Unsent   int
+	Late     int
 	// Dropped requests were never sent: the emulator carried too many.
 	Dropped int
 }
@@ -69,6 +70,8 @@
 		r.counts.Failed++
 	case witness.AnswerUnsent:
 		r.counts.Unsent++
+	case witness.AnswerLate:
+		r.counts.Late++
 	}
 }
 
--- a/standin/witness/callers.go
+++ b/standin/witness/callers.go
@@ -23,6 +23,7 @@
 	AnswerBroken                // the connection broke, which the caller could tell
 	AnswerFailed                // the target's own error answer
 	AnswerUnsent                // nothing was sent: no connection
+	AnswerLate                  // none by the caller's own deadline: it went away
 )
 
 // Try is one try of a caller.
