--- a/node/forward/exchange.go
+++ b/node/forward/exchange.go
@@ -38,7 +38,6 @@
 	keyHome  steering.Incarnation // that issued the key
 	home     steering.Place
 	place    steering.Place // wanted by the entry VM that handed it over
-	owner    string         // incarnation that keeps the key's outcome
 	// atMostOnce marks a method that the service declares non-idempotent.
 	atMostOnce  bool
 	fingerprint uint64
