--- a/node/member/gossip.go
+++ b/node/member/gossip.go
@@ -44,12 +44,17 @@
 	return ctx.Err()
 }
 
+const (
+	// jitterPercent is how much a loop's pause varies either way.
+	jitterPercent = 10
+	jitterChoices = 2*jitterPercent + 1
+)
+
 // every calls f at a rate, each time a little jittered so that members do not
 // fall into step.
 func (m *Members) every(ctx context.Context, d time.Duration, f func(context.Context)) {
-	const jitterPercent = 10
 	for {
-		jitter := d * time.Duration(m.config.Random(2*jitterPercent+1)-jitterPercent) / 100
+		jitter := d * time.Duration(m.config.Random(jitterChoices)-jitterPercent) / 100
 		select {
 		case <-ctx.Done():
 			return
@@ -77,25 +82,20 @@
 }
 
 // nearPartner chooses whom to exchange with; m.mu is held. Every third time it
-// is a member that could not be reached, if there is one, so that it comes
-// back soon; else each member of the zone in its turn, in random order; and a
-// seed while nobody is known.
+// is a member that is due to be called again, if there is one; else each
+// member of the zone in its turn, in random order; and a seed while nobody is
+// known.
 func (m *Members) nearPartner(now time.Time) (partner, bool) {
 	const retryEach = 3
-	var unreached []partner
+	if due := m.view.Retry(now); len(due) > 0 && m.beat%retryEach == 0 {
+		return m.partnerOf(due[m.config.Random(len(due))])
+	}
 	usable := map[steering.VM]partner{}
 	for _, member := range m.view.Members(now) {
 		p, ok := m.partnerOf(member)
-		if !ok || p.far {
-			continue
+		if ok && !p.far && !member.Failed.After(member.Reached) {
+			usable[p.vm] = p
 		}
-		usable[p.vm] = p
-		if member.Failed.After(member.Reached) {
-			unreached = append(unreached, p)
-		}
-	}
-	if len(unreached) > 0 && m.beat%retryEach == 0 {
-		return unreached[m.config.Random(len(unreached))], true
 	}
 	if p, ok := m.nextInRound(usable); ok {
 		return p, true
--- a/steering/membership/reach.go
+++ b/steering/membership/reach.go
@@ -38,15 +38,23 @@
 type Beat struct {
 	ID   ID
 	Beat uint32
-	// Doubted says that the sender, or somebody it heard from, failed to reach
-	// the member after this beat.
+	// Doubted says that the sender's last call to the member failed.
 	Doubted       bool
 	ConfigVersion int64
 }
 
-// doubtMinAge is the silence below which a relayed doubt is ignored: a member
-// that was heard this recently is at most cut off from the doubter.
-const doubtMinAge = 500 * time.Millisecond
+const (
+	// doubtMinAge is the silence below which a relayed doubt is ignored: a
+	// member that was heard this recently is at most cut off from the doubter.
+	doubtMinAge = 500 * time.Millisecond
+	// doubtCheckEach is how often at most a relayed doubt is checked.
+	doubtCheckEach = 2 * time.Second
+	// retryMin and retryMax bound the time between two calls of a member that
+	// could not be reached; it grows with the time since it last could.
+	retryMin      = time.Second
+	retryMax      = 30 * time.Second
+	retryFraction = 4
+)
 
 // Hear takes in a beat. An unknown incarnation is ignored until its fact comes.
 func (v *View) Hear(b Beat, now time.Time) {
@@ -64,6 +72,31 @@
 	}
 }
 
+// Retry returns the members of the own zone to call next, ahead of their turn.
+//
+// A relayed doubt is only a reason to call: taking it for evidence would let
+// one member with a broken link take others out of the zone's work. A member
+// that this observer could not reach is called again at growing intervals, but
+// soon once a beat of it arrives.
+func (v *View) Retry(now time.Time) []Member {
+	var due []Member
+	for _, e := range v.inZone(v.zone) {
+		if e.VM != v.self && e.Status != Gone && e.dueForRetry(now) {
+			due = append(due, v.member(e, now))
+		}
+	}
+	return due
+}
+
+func (e *entry) dueForRetry(now time.Time) bool {
+	if !e.unreached() {
+		return e.doubted() && now.Sub(e.reached) >= doubtCheckEach
+	}
+	since := now.Sub(e.failed)
+	pause := min(now.Sub(latest(e.reached, e.learned))/retryFraction, retryMax)
+	return since >= retryMin && (e.heard.After(e.failed) || since >= pause)
+}
+
 // Direct records how a call of this observer to a member ended.
 func (v *View) Direct(vm steering.VM, reachable bool, now time.Time) {
 	e, ok := v.entries[vm]
@@ -72,6 +105,7 @@
 	}
 	if reachable {
 		e.reached = now
+		e.doubtBeat = 0
 		return
 	}
 	e.failed = now
@@ -97,7 +131,7 @@
 		if now.Sub(e.heard) > v.params.GoneAfter {
 			continue
 		}
-		beats = append(beats, Beat{ID: e.id, Beat: e.beat, Doubted: e.unreached() || e.doubted(), ConfigVersion: e.ConfigVersion})
+		beats = append(beats, Beat{ID: e.id, Beat: e.beat, Doubted: e.unreached(), ConfigVersion: e.ConfigVersion})
 	}
 	return beats
 }
@@ -140,10 +174,9 @@
 	return v.stateFar(e, silence, now)
 }
 
-// stateNear judges a member of the own zone: first-hand evidence first, then
-// relayed doubt, then silence.
+// stateNear judges a member of the own zone by first-hand evidence and silence.
 func (v *View) stateNear(e *entry, silence time.Duration) State {
-	if e.unreached() || e.doubted() || silence > v.params.SuspectAfter {
+	if e.unreached() || silence > v.params.SuspectAfter {
 		return StateSuspect
 	}
 	return StateLive
--- a/steering/membership/report.go
+++ b/steering/membership/report.go
@@ -41,7 +41,7 @@
 	for _, e := range v.inZone(v.zone) {
 		m := v.member(e, now)
 		switch {
-		case e.Known() && e.Status != Gone && (m.State == StateSuspect || m.State == StateGone):
+		case e.Known() && e.Status != Gone && e.lost(m.State, now):
 			r.Doubted = append(r.Doubted, e.id)
 		case m.State == StateLive:
 			r.ConfigVersion = min(r.ConfigVersion, e.ConfigVersion)
@@ -50,6 +50,19 @@
 	return r
 }
 
+// reportDoubtAge is the silence from which a member that the reporter cannot
+// reach is doubted in its report.
+const reportDoubtAge = time.Second
+
+// lost tells whether the zone, not only this observer, has lost a member: one
+// that this observer cannot reach but that beats on is not doubted.
+func (e *entry) lost(state State, now time.Time) bool {
+	if state != StateSuspect && state != StateGone {
+		return false
+	}
+	return now.Sub(latest(e.heard, e.learned)) >= reportDoubtAge
+}
+
 // Reports returns up to limit fresh reports of other zones. The offset rotates
 // through them, so that each gets its turn.
 func (v *View) Reports(limit, offset int, now time.Time) []Report {
