Measure the time from a change to everywhere, and show what a zone is known to have

bench operators changes a Service of its own on a running system and asks each entry VM itself.

Status: a member has at least its zone's lowest version, whatever older news of it says. Quickstart prints commands as they are now.

--- a/cmd/heatherlock/commands.go
+++ b/cmd/heatherlock/commands.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"heatherlock/cmd/internal/benchoperators"
 	"heatherlock/cmd/internal/benchpath"
 	"heatherlock/cmd/internal/command"
 	"heatherlock/cmd/internal/load"
@@ -33,6 +34,7 @@
 			offline.Why(),
 			command.Group("bench", "measure parts of the system on this machine",
 				benchpath.Command(),
+				benchoperators.Command(),
 			),
 			load.Command(),
 			quickstart.Command(),
--- a/cmd/internal/quickstart/progress.go
+++ b/cmd/internal/quickstart/progress.go
@@ -31,16 +31,21 @@
 
 // keep leaves the system running and says what can be tried on it.
 func (r *running) keep(ctx context.Context) {
-	v := r.system.all()[0]
+	all := r.system.all()
+	v := all[0]
 	fmt.Fprintf(r.screen.Out, `
-The system goes on running; end it with Ctrl-C. Try:
+The system goes on running; end it with Ctrl-C. Try in another terminal:
 
-  heatherlock status --server %[1]s
-  heatherlock get Place --server %[1]s
-  heatherlock get PlannedStop %[2]s --server %[1]s
-  heatherlock watch Shift %[3]s --server %[1]s
+  export HEATHERLOCK_ENTRY_VMS=%[1]s,%[7]s
+  heatherlock status
+  heatherlock get Place
+  heatherlock get PlannedStop %[2]s
+  heatherlock watch Shift %[3]s
   heatherlock load --entry %[4]s --deployment %[5]s --for 10s
   curl -H 'Heatherlock-Service: %[6]s' http://%[4]s/
-`, v.addresses.Operator, stopName, shiftName, v.addresses.Caller, r.system.deployment.Name, r.system.deployment.Services[0].Name)
+
+The status page is http://%[1]s/
+`, v.addresses.Operator, stopName, shiftName, v.addresses.Caller, r.system.deployment.Name, r.system.deployment.Services[0].Name,
+		all[len(all)-1].addresses.Operator)
 	<-ctx.Done()
 }
--- a/node/operator/deployment.go
+++ b/node/operator/deployment.go
@@ -23,11 +23,16 @@
 		Zones:             []oas.ZoneStatus{},
 		Places:            []oas.PlaceStatus{},
 	}
-	for _, m := range s.runtime.Members() {
-		d.Members = append(d.Members, memberStatus(m))
-	}
+	inZone := map[string]int64{}
 	for _, z := range s.runtime.Zones() {
 		d.Zones = append(d.Zones, zoneStatus(z))
+		inZone[z.Zone] = z.ConfigVersion
+	}
+	for _, m := range s.runtime.Members() {
+		// Every member of a zone has at least the zone's lowest version; news
+		// of a single far member travel more seldom.
+		m.ConfigVersion = max(m.ConfigVersion, inZone[m.Zone])
+		d.Members = append(d.Members, memberStatus(m))
 	}
 	d.Places = placeStatuses(s.runtime.Pools())
 	slices.SortFunc(d.Members, func(a, b oas.MemberStatus) int {
