Let a killed entry VM tell nobody

Symptom: after Kill, peers saw the entry VM as leaving, so failure tests and quickstart tried a graceful leave in place of a crash. Cause: the end of Run's contexts led into leave(), which tells the peers first. Change: a kill ends without it; the test of a kill under load asks a peer, and failed before.

--- a/node/failure_test.go
+++ b/node/failure_test.go
@@ -136,6 +136,8 @@
 		_, err := f.send(caller, errand{method: "POST", vm: victim, service: "tickets", key: key})
 		assert.Assert(t, err != nil, "the caller must see the connection break")
 		f.crash(victim)
+		time.Sleep(100 * time.Millisecond)
+		assert.Assert(t, f.state(other, victim) != "leaving", "a killed entry VM said that it leaves")
 		f.get(f.caller("a"), other)
 		repeat := errand{method: "POST", vm: other, service: "tickets", key: key}
 		got, err := f.send(caller, repeat)
--- a/node/fleet_test.go
+++ b/node/fleet_test.go
@@ -306,6 +306,24 @@
 	return answer.Version
 }
 
+// state returns what one entry VM says of another.
+func (f *fleet) state(vm, of string) string {
+	f.t.Helper()
+	answer, err := f.caller(f.daemons[vm].zone).Get("http://" + f.daemons[vm].Addresses().Operator + "/v1/status")
+	assert.NilError(f.t, err)
+	defer answer.Body.Close()
+	var status struct {
+		Members []struct{ VM, State string }
+	}
+	assert.NilError(f.t, json.NewDecoder(answer.Body).Decode(&status))
+	for _, m := range status.Members {
+		if m.VM == of {
+			return m.State
+		}
+	}
+	return ""
+}
+
 // trickle is a body that comes piece by piece, with its digest and size.
 func trickle(pieces int, every time.Duration) (body io.Reader, sum string, size int64) {
 	piece := bytes.Repeat([]byte("x"), 8<<10)
--- a/node/node.go
+++ b/node/node.go
@@ -133,6 +133,9 @@
 	defer stop()
 	defer context.AfterFunc(work, stop)()
 	n.waitForStop(wait)
+	if n.killed.Err() != nil {
+		return // a crash tells nobody
+	}
 	n.leave(work)
 }
 
