Authenticate entry VMs to each other by certificates

Cause: the peer listener took anybody's word, so a stranger on the network could enter the view, be offered to callers and take requests over; and the settings' certificates had no effect.

The daemon uses it for its peer and operator listeners and for hand-overs.

Cost of handshakes not measured.

--- a/node/fleet_test.go
+++ b/node/fleet_test.go
@@ -40,6 +40,8 @@
 	mu      sync.Mutex
 	keys    int
 	tries   int
+	// certificates, if set, gives each entry VM its own.
+	certificates func(vm string) static.TLS
 }
 
 // daemon is one process life of an entry VM.
@@ -58,10 +60,16 @@
 // inFleet runs a failure test in virtual time and checks that every promise
 // that the witness judges was kept.
 func inFleet(t *testing.T, f func(f *fleet)) {
+	inPreparedFleet(t, func(*fleet) {}, f)
+}
+
+// inPreparedFleet is inFleet with a say before the first daemon starts.
+func inPreparedFleet(t *testing.T, prepare, f func(f *fleet)) {
 	synctest.Test(t, func(t *testing.T) {
 		fl := &fleet{t: t, net: memnet.New(), store: platform.NewStore(platform.Options{}), witness: witness.New(),
 			daemons: map[string]*daemon{}, targets: map[string]*target.Target{}}
 		t.Cleanup(fl.close)
+		prepare(fl)
 		fl.startTargets()
 		fl.declareAll()
 		for _, zone := range zones {
@@ -165,6 +173,9 @@
 	for _, other := range f.daemons {
 		settings.Seeds = append(settings.Seeds, other.Addresses().Peer)
 	}
+	if f.certificates != nil {
+		settings.TLS = f.certificates(vm)
+	}
 	n, err := node.New(settings, node.Options{Platform: f.store.As(vm, zone), Listen: host.Listen, Dial: host.Dial})
 	assert.NilError(f.t, err)
 	ctx, stop := context.WithCancel(context.Background())
--- a/node/listeners.go
+++ b/node/listeners.go
@@ -13,6 +13,7 @@
 	"golang.org/x/net/netutil"
 
 	"heatherlock/node/static"
+	"heatherlock/node/tlsconf"
 )
 
 // Limits of the operator and peer listeners, which only known programs use.
@@ -84,7 +85,12 @@
 // serve runs a server until it is shut down. Each listener has its own bound
 // on connections: a flood of callers then leaves peers and operators theirs.
 func serve(server *http.Server, listener net.Listener, connections int) error {
-	err := server.Serve(netutil.LimitListener(listener, connections))
+	limited := netutil.LimitListener(listener, connections)
+	serveOn := server.Serve
+	if server.TLSConfig != nil {
+		serveOn = func(l net.Listener) error { return server.ServeTLS(l, "", "") }
+	}
+	err := serveOn(limited)
 	if errors.Is(err, http.ErrServerClosed) {
 		return nil
 	}
@@ -108,20 +114,25 @@
 			DisableGeneralOptionsHandler: true,
 			ErrorLog:                     logs,
 		},
-		peer:     controlServer(peerHandler(n.parts), logs),
-		operator: controlServer(n.operatorHandler(), logs),
+		peer:     controlServer(peerHandler(n.parts), n.parts.peerTLS, logs),
+		operator: controlServer(n.operatorHandler(), n.parts.operatorTLS, logs),
 	}
 }
 
-// controlServer serves a listener that only known programs use.
-func controlServer(handler http.Handler, logs *stdlog.Logger) *http.Server {
-	return &http.Server{
+// controlServer serves a listener that only known programs use, with TLS where
+// certificates are set.
+func controlServer(handler http.Handler, certificates *tlsconf.Source, logs *stdlog.Logger) *http.Server {
+	server := &http.Server{
 		Handler:           handler,
 		ReadHeaderTimeout: controlHeaderTimeout,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    controlHeaderBytes,
 		ErrorLog:          logs,
 	}
+	if certificates != nil {
+		server.TLSConfig = certificates.Server()
+	}
+	return server
 }
 
 // quietLog turns the server's complaints about single connections into debug
--- a/node/node.go
+++ b/node/node.go
@@ -15,6 +15,7 @@
 	"heatherlock/node/forward"
 	"heatherlock/node/static"
 	"heatherlock/node/telemetry"
+	"heatherlock/node/tlsconf"
 	"heatherlock/platform"
 	"heatherlock/steering"
 )
@@ -144,6 +145,11 @@
 	loops := []func(context.Context) error{
 		n.parts.members.Run, n.parts.configs.Run, n.parts.lookups.Run, n.parts.admit.Run,
 	}
+	for _, certificates := range []*tlsconf.Source{n.parts.peerTLS, n.parts.operatorTLS} {
+		if certificates != nil {
+			loops = append(loops, certificates.Run)
+		}
+	}
 	for _, loop := range loops {
 		group.Go(func() error { return loop(ctx) })
 	}
--- a/node/parts.go
+++ b/node/parts.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"crypto/tls"
 	"net/http"
 	"time"
 
@@ -13,6 +14,7 @@
 	"heatherlock/node/member"
 	"heatherlock/node/operator"
 	"heatherlock/node/seam"
+	"heatherlock/node/tlsconf"
 	"heatherlock/peer"
 	"heatherlock/peer/peerpb"
 	"heatherlock/platform"
@@ -33,6 +35,10 @@
 	leaver   *leaver
 	board    *poolBoard
 	clients  []*http.Client // whose idle connections end with the daemon
+
+	// peerTLS and operatorTLS are nil where the settings give no certificates.
+	peerTLS     *tlsconf.Source
+	operatorTLS *tlsconf.Source
 }
 
 // close drops idle connections.
@@ -50,8 +56,11 @@
 	if p.platform, err = n.platformAPI(options.Platform); err != nil {
 		return nil, err
 	}
+	if err = n.buildTLS(p); err != nil {
+		return nil, errors.Wrap(err, "node")
+	}
 	// Calls of Acquire wait in the owner's queue and would hold up beats.
-	calls, acquires := peerClient(options.Dial), peerClient(options.Dial)
+	calls, acquires := peerClient(options.Dial, p.peerClientTLS()), peerClient(options.Dial, p.peerClientTLS())
 	if waiting, ok := acquires.Transport.(*http.Transport); ok {
 		waiting.MaxConnsPerHost = admit.MaxAsks
 	}
@@ -105,8 +114,8 @@
 }
 
 // peerClient returns the HTTP client for calls between entry VMs.
-func peerClient(dial forward.Dial) *http.Client {
-	client := peer.NewHTTPClient(nil)
+func peerClient(dial forward.Dial, tlsConfig *tls.Config) *http.Client {
+	client := peer.NewHTTPClient(tlsConfig)
 	if transport, ok := client.Transport.(*http.Transport); ok && dial != nil {
 		transport.DialContext = dial
 	}
@@ -121,6 +130,7 @@
 			Incarnation: n.incarnation, Started: n.started, Limits: n.settings.Limits, Scope: n.metrics.Scope,
 		}),
 		Suspects: noSuspects{},
+		PeerTLS:  p.peerClientTLS(),
 		Retries:  newRetries(), Dial: dial, Scope: n.metrics.Scope, Log: n.log,
 	})
 }
@@ -140,6 +150,27 @@
 	return platform.NewBudget(given, platform.BudgetConfig{Scope: n.metrics.Scope}), nil
 }
 
+// buildTLS reads the certificates of the listeners that authenticate.
+func (n *Node) buildTLS(p *parts) (err error) {
+	certificates := n.settings.TLS
+	p.peerTLS, err = tlsconf.New(tlsconf.Config{Role: tlsconf.Peer, Field: "tls.peer", Certificates: certificates.Peer,
+		Scope: n.metrics.Scope, Logger: n.log})
+	if err != nil {
+		return err
+	}
+	p.operatorTLS, err = tlsconf.New(tlsconf.Config{Role: tlsconf.Operator, Field: "tls.operator", Certificates: certificates.Operator,
+		Scope: n.metrics.Scope, Logger: n.log})
+	return err
+}
+
+// peerClientTLS is nil where peers speak plain HTTP.
+func (p *parts) peerClientTLS() *tls.Config {
+	if p.peerTLS == nil {
+		return nil
+	}
+	return p.peerTLS.Client()
+}
+
 // hooks connect the view of the members with the parts that feed on beats.
 func (n *Node) hooks(p *parts) member.Hooks {
 	return member.Hooks{
