Cut zones off for real and change configuration in the middle of a run

Cause: cut-zone cut the platform only, and no configuration was accepted while a fault was in force. Change: entry VMs dial through a network that swallows dials and breaks connections across a cut; the operator retunes a service during the fault, and while the platform is down that must be refused; a plan step that went wrong fails the run.

--- a/cmd/internal/quickstart/faults.go
+++ b/cmd/internal/quickstart/faults.go
@@ -55,7 +55,11 @@
 	case FaultCutZone:
 		zone := s.faultZone()
 		s.store.CutOff(zone, true)
-		return func() { s.store.CutOff(zone, false) }
+		s.network.cutOff(zone)
+		return func() {
+			s.network.cutOff("")
+			s.store.CutOff(zone, false)
+		}
 	case FaultKillEntryVM:
 		return s.killEntryVM()
 	case FaultCrashRequest:
@@ -115,9 +119,11 @@
 		return func() {}
 	}
 	v.node.Kill()
-	v.stop()
 	s.witness.ConfigGone(v.lifeName())
-	return func() { _, _ = s.start(v.EntryVM, v.life+1) }
+	return func() {
+		v.stop()
+		_, _ = s.start(v.EntryVM, v.life+1)
+	}
 }
 
 func contains(via, vm string) bool {
--- a/cmd/internal/quickstart/operator.go
+++ b/cmd/internal/quickstart/operator.go
@@ -43,7 +43,9 @@
 }
 
 func newOperator(s *system) (*operator, error) {
-	client, err := s.operatorClient(s.all()[0])
+	// Faults strike the first zone; the operator talks to the last one.
+	all := s.all()
+	client, err := s.operatorClient(all[len(all)-1])
 	if err != nil {
 		return nil, err
 	}
@@ -190,6 +192,24 @@
 	return o.raise(ctx)
 }
 
+// retune makes a change in the middle of a run, so that faults meet one: it
+// adds one to the retries that the first service allows. While the platform is
+// out it must be refused, with when to come back.
+func (o *operator) retune(ctx context.Context) error {
+	name := oas.ObjectName(o.system.deployment.Services[0].Name)
+	stored, err := o.client.GetObject(ctx, oas.GetObjectParams{Kind: oas.KindService, Name: name})
+	if err != nil {
+		return describe(err, string(oas.KindService), string(name))
+	}
+	stored.Service.Spec.RetryPercent = oas.NewOptInt(stored.Service.Spec.RetryPercent.Value + 1)
+	updated, err := o.client.UpdateObject(ctx, stored, oas.UpdateObjectParams{Kind: oas.KindService, Name: name})
+	if err != nil {
+		return describe(err, string(oas.KindService), string(name))
+	}
+	o.system.witness.ConfigAccepted(versionOf(updated), time.Now(), o.system.reachable())
+	return nil
+}
+
 // raise sets the percent of the shift that is to be moved.
 func (o *operator) raise(ctx context.Context) error {
 	stored, err := o.client.GetObject(ctx, oas.GetObjectParams{Kind: oas.KindShift, Name: shiftName})
--- a/cmd/internal/quickstart/report.go
+++ b/cmd/internal/quickstart/report.go
@@ -92,7 +92,7 @@
 	for _, f := range v.Findings {
 		report.Promises = append(report.Promises, PromiseResult{Finding: f, Result: resultOf(f)})
 	}
-	report.Held = v.Held()
+	report.Held = v.Held() && len(report.NotDone) == 0
 	return report
 }
 
@@ -186,8 +186,8 @@
 			idle++
 		}
 	}
-	if broken+idle == 0 {
+	if broken+idle+len(r.NotDone) == 0 {
 		return "every promise held"
 	}
-	return fmt.Sprintf("%d promises broken, %d not exercised", broken, idle)
+	return fmt.Sprintf("%d promises broken, %d not exercised, %d steps not done", broken, idle, len(r.NotDone))
 }
--- a/cmd/internal/quickstart/report_test.go
+++ b/cmd/internal/quickstart/report_test.go
@@ -31,7 +31,7 @@
 	}
 	var text bytes.Buffer
 	report.WriteText(&text)
-	assert.Check(t, bytes.Contains(text.Bytes(), []byte("0 promises broken, 10 not exercised")))
+	assert.Check(t, bytes.Contains(text.Bytes(), []byte("0 promises broken, 10 not exercised, 0 steps not done")))
 }
 
 // Symptom: a run exits 0 although a purchase ran twice. Cause: a finding that
--- a/cmd/internal/quickstart/run.go
+++ b/cmd/internal/quickstart/run.go
@@ -5,9 +5,11 @@
 	"fmt"
 	"io"
 	"os"
+	"slices"
 	"sync"
 	"time"
 
+	"github.com/go-faster/errors"
 	"github.com/go-kit/log"
 
 	"heatherlock/cmd/internal/caller"
@@ -22,6 +24,7 @@
 	shiftAt   = 0.05
 	stopAt    = 0.2
 	faultAt   = 0.35
+	retuneAt  = 0.5
 	faultEnds = 0.7
 	rushAt    = 0.8
 )
@@ -89,7 +92,8 @@
 	operator *operator
 	callers  map[string][]*caller.Caller
 	traffic  *traffic.Traffic
-	// notDone lists steps of the plan that failed, with why.
+	// notDone lists steps of the plan that went otherwise than they must, with
+	// why.
 	mu      sync.Mutex
 	notDone []string
 }
@@ -150,23 +154,38 @@
 		return
 	}
 	r.note("planned stop", r.operator.plannedStop(ctx))
-	r.plantFaults(at)
+	r.plantFaults(ctx, at)
 	if at(rushAt) {
 		r.rush()
 	}
 }
 
-// plantFaults plants the faults asked for and heals them.
-func (r *running) plantFaults(at func(share float64) bool) {
-	if len(r.options.Faults) == 0 || !at(faultAt) {
+// plantFaults plants the faults asked for and heals them,
+// and has the operator change something meanwhile.
+func (r *running) plantFaults(ctx context.Context, at func(share float64) bool) {
+	if !at(faultAt) {
 		return
 	}
 	for _, f := range r.options.Faults {
 		defer r.system.plant(f, r.sendCrashing)()
 	}
+	if at(retuneAt) {
+		r.noteChange(r.operator.retune(ctx))
+	}
 	at(faultEnds)
 }
 
+// noteChange takes a refusal for what it should be while the platform is out.
+func (r *running) noteChange(err error) {
+	if slices.Contains(r.options.Faults, FaultPlatformDown) == (err != nil) {
+		return
+	}
+	if err == nil {
+		err = errors.New("accepted while the platform was out")
+	}
+	r.note("change", err)
+}
+
 func (r *running) note(step string, err error) {
 	if err == nil {
 		return
--- a/cmd/internal/quickstart/system.go
+++ b/cmd/internal/quickstart/system.go
@@ -34,6 +34,7 @@
 	server     *http.Server
 	url        string
 	targets    *deploy.Running
+	network    *network
 	log        log.Logger
 
 	mu    sync.Mutex
@@ -61,13 +62,17 @@
 }
 
 func newSystem(d deploy.Deployment, seed uint64, logger log.Logger) (*system, error) {
-	s := &system{deployment: d, witness: witness.New(), store: platform.NewStore(platform.Options{}), vms: map[string]*entryVM{}, log: logger}
+	s := &system{deployment: d, witness: witness.New(), network: newNetwork(), store: platform.NewStore(platform.Options{}), vms: map[string]*entryVM{}, log: logger}
 	targets, err := d.StartTargets(seed, crashMarker, s.witness)
 	if err != nil {
 		return nil, err
 	}
 	s.targets = targets
 	s.witness.Regions(d.Regions())
+	addresses := targets.Addresses()
+	for _, t := range d.Targets() {
+		s.network.place(t.Place, addresses[t.Name])
+	}
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		targets.Close()
@@ -90,12 +95,15 @@
 }
 
 func (s *system) start(e deploy.EntryVM, life int) (*entryVM, error) {
-	n, err := node.New(s.settings(e), node.Options{Log: log.With(s.log, "life", life), Version: "quickstart"})
+	n, err := node.New(s.settings(e), node.Options{
+		Log: log.With(s.log, "life", life), Version: "quickstart", Dial: s.network.from(e.Zone),
+	})
 	if err != nil {
 		return nil, errors.Wrapf(err, "quickstart: start entry VM %s", e.Name)
 	}
 	ctx, stop := context.WithCancel(context.Background())
 	v := &entryVM{EntryVM: e, life: life, node: n, addresses: n.Addresses(), stop: stop, done: make(chan error, 1)}
+	s.network.place(e.Zone, v.addresses.Caller, v.addresses.Peer, v.addresses.Operator)
 	s.store.SetVM(platformapi.VM{
 		Name: e.Name, Zone: e.Zone, Region: e.Region, State: platformapi.VMLive,
 		CallerAddress: v.addresses.Caller, PeerAddress: v.addresses.Peer, OperatorAddress: v.addresses.Operator,
@@ -141,6 +149,17 @@
 	return names
 }
 
+// reachable names the process lives that are not cut off.
+func (s *system) reachable() []string {
+	var names []string
+	for _, v := range s.all() {
+		if !s.network.isCut(v.Zone) {
+			names = append(names, v.lifeName())
+		}
+	}
+	return names
+}
+
 // callerAddresses lists entry VMs for look-ups, those of the zone first.
 func (s *system) callerAddresses(zone string) []string {
 	var near, far []string
