--- a/node/dynamic/compile.go
+++ b/node/dynamic/compile.go
@@ -54,6 +54,7 @@
 	c.eachOf(KindShift, c.shift)
 	c.eachOf(KindShiftProgress, c.progress)
 	c.eachOf(KindCap, c.cap)
+	c.eachOf(KindCapSeats, c.seats)
 	c.eachOf(KindPlannedStop, c.stop)
 	c.blocks(previousSet, previous)
 	return c.out
@@ -70,6 +71,8 @@
 		Shifts:   map[string]*routing.Shift{},
 		Caps:     map[string]*routing.Cap{},
 		Stops:    map[string]*routing.Stop{},
+		Seats:    map[string]*routing.CapSeats{},
+		Progress: map[string]*routing.ShiftProgress{},
 		Blocks:   table,
 	}
 }
@@ -230,19 +233,33 @@
 // progress sets the percent a shift has moved. The progress of a shift that
 // was deleted is no problem: it is removed a moment later.
 func (c *compiler) progress(o config.Object) error {
-	var in ShiftProgress
+	var in routing.ShiftProgress
 	if err := json.Unmarshal(o.Value, &in); err != nil {
 		return err
 	}
 	if in.Moved < 0 || in.Moved > 100 {
 		return fmt.Errorf("moved is %d, not within 0 to 100", in.Moved)
 	}
+	in.Version = o.Version
+	c.out.snapshot.Progress[o.Name] = &in
 	if shift, ok := c.out.snapshot.Shifts[o.Name]; ok {
 		shift.Moved = in.Moved
 	}
 	return nil
 }
 
+// seats keeps the division of a cap's permits, also of a cap that is not
+// declared any more: its holders must still clear their seats.
+func (c *compiler) seats(o config.Object) error {
+	var in routing.CapSeats
+	if err := json.Unmarshal(o.Value, &in); err != nil {
+		return err
+	}
+	in.Version = o.Version
+	c.out.snapshot.Seats[o.Name] = &in
+	return nil
+}
+
 func (c *compiler) cap(o config.Object) error {
 	var in oas.Cap
 	if err := decode(o, &in); err != nil {
--- a/node/dynamic/kinds.go
+++ b/node/dynamic/kinds.go
@@ -1,5 +1,7 @@
 package dynamic
 
+import "heatherlock/steering/routing"
+
 // Kinds of object that spread to every node.
 const (
 	KindService      = "Service"
@@ -13,9 +15,9 @@
 	KindShard = "ClientBlocksShard"
 	// KindShiftProgress holds the percent a shift has moved; its name is the
 	// shift's.
-	KindShiftProgress = "ShiftProgress"
+	KindShiftProgress = routing.KindShiftProgress
 	// KindCapSeats holds the seats of a cap; its name is the cap's.
-	KindCapSeats = "CapSeats"
+	KindCapSeats = routing.KindCapSeats
 	// KindLease holds the reader lease of a zone and is not spread.
 	KindLease = "Lease"
 )
@@ -27,9 +29,3 @@
 		KindShard, KindShiftProgress, KindCapSeats,
 	}
 }
-
-// ShiftProgress is the value of a ShiftProgress object.
-type ShiftProgress struct {
-	// Moved is the percent in force, 0 to 100.
-	Moved int `json:"moved"`
-}
--- a/steering/caps/fleet_test.go
+++ b/steering/caps/fleet_test.go
@@ -68,6 +68,7 @@
 	to      *node
 	nonce   uint64
 	permits int
+	term    time.Duration
 }
 
 var epoch = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
--- a/steering/caps/loan.go
+++ b/steering/caps/loan.go
@@ -46,27 +46,24 @@
 // maxGiven bounds the remembered answers. Beyond it requests get nothing.
 const maxGiven = 4096
 
-// Ask starts a request for a loan and returns it; only one can be out. The
-// term runs from now, the moment of sending: a repeat of the request must carry
-// the same nonce and does not restart it.
-func (h *Holder) Ask(now time.Time, want int) (LoanAsk, bool) {
-	at := h.at(now)
-	if h.asked.out && at < h.asked.sent+h.terms.usable() {
-		return LoanAsk{}, false
-	}
-	h.asked = ask{nonce: h.asked.nonce + 1, sent: at, rule: h.rule.Version, want: want, out: true}
-	return LoanAsk{Nonce: h.asked.nonce, Version: h.rule.Version, Permits: want}, true
+// Ask starts a request for a loan and returns it. The term runs from now, the
+// moment of sending: a repeat of the request must carry the same nonce and does
+// not restart it. Only one request is out: the answer to an earlier one is not
+// taken any more.
+func (h *Holder) Ask(now time.Time, want int) LoanAsk {
+	h.asked = ask{nonce: h.asked.nonce + 1, sent: h.at(now), rule: h.rule.Version, want: want, out: true}
+	return LoanAsk{Nonce: h.asked.nonce, Version: h.rule.Version, Permits: want}
 }
 
-// Granted takes the answer to a request for a loan. Answers to other requests,
-// repeats and answers after the term are ignored: their permits are not used.
-// It returns the number of permits gained.
-func (h *Holder) Granted(now time.Time, nonce uint64, permits int) int {
+// Granted takes the answer to a request for a loan: a number of permits and
+// the lender's term. Answers to other requests, repeats and answers after the
+// term are ignored: their permits are not used. It returns the number gained.
+func (h *Holder) Granted(now time.Time, nonce uint64, permits int, term time.Duration) int {
 	if !h.asked.out || nonce != h.asked.nonce {
 		return 0
 	}
 	h.asked.out = false
-	until := h.asked.sent + h.terms.usable()
+	until := h.asked.sent + min(term, h.terms.Term) - h.terms.Margin
 	if h.asked.rule != h.rule.Version || h.at(now) >= until || permits <= 0 {
 		return 0
 	}
@@ -76,6 +73,23 @@
 	return n
 }
 
+// Shortfall returns how many permits the own demand of a window lacks.
+func (h *Holder) Shortfall(now time.Time) int {
+	at := h.settle(now)
+	need := h.demand.perWindow(at, h.terms.Window)
+	need += (need + 7) / 8
+	return need - (h.Own() - h.lent.total - h.fresh.total) - h.borrowed()
+}
+
+// borrowed returns the permits of the loans that run.
+func (h *Holder) borrowed() int {
+	n := 0
+	for _, l := range h.loans {
+		n += l.free + l.held + l.used.total
+	}
+	return n
+}
+
 // Lend answers a request for a loan with the number of permits lent. Only
 // permits that are free now are lent, and they are not used here until the loan
 // is surely over. Nothing is lent before the seats record a window as long as
--- a/steering/caps/terms.go
+++ b/steering/caps/terms.go
@@ -53,8 +53,5 @@
 // last loan are a window old.
 func (t Terms) SeatWait() time.Duration { return t.loan() }
 
-// usable is how long a borrower may use a loan, from sending its request.
-func (t Terms) usable() time.Duration { return t.Term - t.Margin }
-
 // granule is the resolution of the books.
 func (t Terms) granule() time.Duration { return max(t.Window/granules, 1) }
