Refuse requests that take down targets, at every entry VM of the region

A crash-causing request that its caller repeats through another entry VM took down a target there too. Each try now enters package poison's list; a broken or silent connection is followed by a probe of the target, a loss is told to the region's entry VMs (new call Suspect, only when a target was lost) before the caller gets its answer, and suspects are tried alone. Budgets of package retry replace the stand-in: per service and place, denials counted by reason.

--- a/node/forward/conn.go
+++ b/node/forward/conn.go
@@ -148,7 +148,6 @@
 	mu   sync.Mutex
 	conn *countedConn
 	base int64 // bytes sent on it before this try
-	idle time.Duration
 }
 
 // got is called by the HTTP client when it has chosen a connection.
@@ -165,7 +164,7 @@
 	conn.follow(e.onClose)
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.conn, e.base, e.idle = conn, base, info.IdleTime
+	e.conn, e.base = conn, base
 }
 
 // giveUp closes the connection, so that no other exchange ever uses it, and
@@ -189,10 +188,3 @@
 		conn.follow(nil)
 	}
 }
-
-// idleBefore returns how long the connection had been idle before this try.
-func (e *exchangeConn) idleBefore() time.Duration {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	return e.idle
-}
--- a/node/forward/contracts.go
+++ b/node/forward/contracts.go
@@ -7,6 +7,8 @@
 
 	"heatherlock/steering"
 	"heatherlock/steering/once"
+	"heatherlock/steering/poison"
+	"heatherlock/steering/retry"
 	"heatherlock/steering/routing"
 )
 
@@ -35,20 +37,41 @@
 // Answer is a whole stored answer.
 type Answer = once.Answer
 
-// Suspects remembers requests whose tries coincided with their target's death.
+// TryEnd says how a try ended, as far as its target's health is concerned.
+type TryEnd uint8
+
+// Ends of a try.
+const (
+	// TryNothing tells nothing of the target: refused, not sent, cancelled.
+	TryNothing TryEnd = iota
+	// TryWhole is a whole answer that is no failure.
+	TryWhole
+	// TryBroken is a connection that broke with the request in hand.
+	TryBroken
+	// TrySilent is a deadline that passed with the request in hand.
+	TrySilent
+)
+
+// Suspects remembers requests that were in hand when their target was lost.
 type Suspects interface {
-	// Check returns a refusal for a request that took down targets before.
-	Check(key steering.Key, fingerprint uint64, now time.Time) *steering.Refusal
-	// Broke records that the target broke off while it held the request.
-	Broke(key steering.Key, fingerprint uint64, target steering.Target, now time.Time)
-	// Survived records a whole answer.
-	Survived(key steering.Key, fingerprint uint64, target steering.Target, now time.Time)
+	// Enter asks for leave to try a request, before any target gets it. It
+	// waits while a like request is tried alone, until ctx ends. After a nil
+	// refusal the caller must call End; the targets in Verdict.Avoid are not
+	// to get it.
+	Enter(ctx context.Context, m poison.Mark) (poison.Verdict, *steering.Refusal)
+	// Trying names the target of the try.
+	Trying(m poison.Mark, v poison.Verdict, target steering.Target)
+	// End records how the try ended. When the target was lost, the region's
+	// entry VMs know of it once End returns.
+	End(m poison.Mark, v poison.Verdict, target routing.Target, e TryEnd)
 }
 
-// Retries holds the retry budgets of services.
+// Retries holds the retry budgets of pools.
 type Retries interface {
-	// FirstTry counts a first try of a service.
-	FirstTry(service *routing.Service, now time.Time)
-	// Allow takes one retry out of the budget, or reports that it is spent.
-	Allow(service *routing.Service, now time.Time) bool
+	// First counts a first try, which pays percent hundredths of a further one.
+	First(pool retry.Pool, percent int)
+	// Retry decides about a try after a failed one, and pays for it.
+	Retry(now time.Time, r retry.Request, t retry.Tries, ran steering.Ran) retry.Denial
+	// Hedge decides about a second try beside a slow one, and pays for it.
+	Hedge(now time.Time, r retry.Request, t retry.Tries) retry.Denial
 }
--- a/node/forward/exchange.go
+++ b/node/forward/exchange.go
@@ -9,6 +9,8 @@
 	"github.com/go-faster/errors"
 
 	"heatherlock/steering"
+	"heatherlock/steering/poison"
+	"heatherlock/steering/retry"
 	"heatherlock/steering/routing"
 )
 
@@ -41,7 +43,9 @@
 	// atMostOnce marks a method that the service declares non-idempotent.
 	atMostOnce  bool
 	fingerprint uint64
-	body        *body // nil when there is none
+	mark        poison.Mark
+	pool        retry.Pool // that got the first try
+	body        *body      // nil when there is none
 
 	ctx      context.Context
 	cancel   context.CancelCauseFunc
--- a/node/forward/fakes_test.go
+++ b/node/forward/fakes_test.go
@@ -18,6 +18,8 @@
 	"heatherlock/node/static"
 	"heatherlock/standin/memnet"
 	"heatherlock/steering"
+	"heatherlock/steering/poison"
+	"heatherlock/steering/retry"
 	"heatherlock/steering/routing"
 )
 
@@ -215,15 +217,23 @@
 	return false
 }
 
-func (e *entry) Headroom(steering.Place, steering.Service) (int, time.Duration)       { return 7, 0 }
-func (e *entry) Owner(steering.Place, steering.Service) (seam.Member, bool)           { return e.self, true }
-func (e *entry) Hint(steering.Place, steering.Service, int)                           {}
-func (e *entry) Refused(steering.Place, steering.Service, time.Duration)              {}
-func (e *entry) FirstTry(*routing.Service, time.Time)                                 {}
-func (e *entry) Allow(*routing.Service, time.Time) bool                               { return e.allow }
-func (e *entry) Check(steering.Key, uint64, time.Time) *steering.Refusal              { return nil }
-func (e *entry) Broke(steering.Key, uint64, steering.Target, time.Time)               {}
-func (e *entry) Survived(steering.Key, uint64, steering.Target, time.Time)            {}
+func (e *entry) Headroom(steering.Place, steering.Service) (int, time.Duration) { return 7, 0 }
+func (e *entry) Owner(steering.Place, steering.Service) (seam.Member, bool)     { return e.self, true }
+func (e *entry) Hint(steering.Place, steering.Service, int)                     {}
+func (e *entry) Refused(steering.Place, steering.Service, time.Duration)        {}
+func (e *entry) First(retry.Pool, int)                                          {}
+func (e *entry) Retry(now time.Time, r retry.Request, t retry.Tries, ran steering.Ran) retry.Denial {
+	if !e.allow {
+		return retry.DenyBudget
+	}
+	return retry.NewBudgets().Retry(now, r, t, ran)
+}
+func (e *entry) Hedge(time.Time, retry.Request, retry.Tries) retry.Denial { return retry.DenyBudget }
+func (e *entry) Enter(context.Context, poison.Mark) (v poison.Verdict, r *steering.Refusal) {
+	return v, nil
+}
+func (e *entry) Trying(poison.Mark, poison.Verdict, steering.Target)                  {}
+func (e *entry) End(poison.Mark, poison.Verdict, routing.Target, TryEnd)              {}
 func (e *entry) Home(netip.Addr) (steering.Place, bool)                               { return "p-a", true }
 func (e *entry) Lookup(netip.Addr, steering.Service) (a seam.LookupAnswer, err error) { return a, nil }
 func (e *entry) Candidates(steering.Service, steering.Place) []steering.Place {
--- a/node/forward/identify.go
+++ b/node/forward/identify.go
@@ -10,10 +10,9 @@
 	"strings"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"heatherlock/steering"
 	"heatherlock/steering/once"
+	"heatherlock/steering/poison"
 	"heatherlock/steering/routing"
 )
 
@@ -123,7 +122,7 @@
 // readBody checks the body's declared length and reads a small body ahead.
 func (x *exchange) readBody() *steering.Refusal {
 	if x.r.Body == nil || x.r.Body == http.NoBody {
-		x.fingerprint = x.contentPrint(nil)
+		x.fingerprintBody(nil, true)
 		return nil
 	}
 	if limit := x.service.MaxBodyBytes; limit > 0 && x.r.ContentLength > limit {
@@ -141,23 +140,31 @@
 			return refusal
 		}
 	}
-	x.fingerprint = x.contentPrint(x.body.small)
+	x.fingerprintBody(x.body.small, x.body.ahead)
 	return nil
 }
 
-// contentPrint hashes what makes two requests the same work: service, method,
-// path and query, length and a small body's bytes. A large body counts by its
-// length alone, since it is never held.
-func (x *exchange) contentPrint(small []byte) uint64 {
-	var digest xxhash.Digest
-	digest.Reset()
-	_, _ = digest.WriteString(string(x.service.Name))
-	_, _ = digest.WriteString("\n" + x.r.Method + "\n")
-	_, _ = digest.WriteString(x.r.URL.RequestURI())
-	var length [20]byte
-	_, _ = digest.Write(strconv.AppendInt(append(length[:0], '\n'), x.r.ContentLength, 10))
-	_, _ = digest.Write(small)
-	return digest.Sum64()
+// marked are the headers that change what a target does with a request. The
+// credentials are among them: two callers that read their own data by one path
+// do not send the same request.
+var marked = [...]string{
+	"Authorization", "Cookie", "Content-Type", "Content-Encoding",
+	"Accept", "Accept-Encoding", "Accept-Language", "Range",
+}
+
+// fingerprintBody notes what makes two requests the same work, given the
+// beginning of the body, and whether that is all of it.
+func (x *exchange) fingerprintBody(begin []byte, whole bool) {
+	var headers [len(marked)]string
+	for i, name := range marked {
+		headers[i] = first(x.r.Header, name)
+	}
+	content := poison.Content{
+		Service: x.service.Name, Method: x.r.Method, URI: x.r.URL.RequestURI(),
+		Headers: headers[:], Length: x.r.ContentLength, Body: begin,
+	}
+	x.mark = poison.Mark{Content: content.Sum(), Key: poison.KeyID(x.key), Whole: whole}
+	x.fingerprint = uint64(x.mark.Content)
 }
 
 // findHome finds the place that the caller belongs to. A peer that hands a
--- a/node/forward/once.go
+++ b/node/forward/once.go
@@ -36,13 +36,14 @@
 	decisions    map[once.DecisionKind]tally.Counter
 	entries      tally.Gauge
 	bytes        tally.Gauge
-	evicted      tally.Gauge
-	early        tally.Gauge
-	dropped      tally.Gauge
+	evicted      tally.Counter
+	early        tally.Counter
+	dropped      tally.Counter
 
-	mu      sync.Mutex
-	table   *once.Table
-	flights map[steering.Key]*flight
+	mu       sync.Mutex
+	table    *once.Table
+	flights  map[steering.Key]*flight
+	reported once.Stats
 }
 
 // flight is a key that is being executed. Its result is set before done closes.
@@ -64,9 +65,9 @@
 		decisions:    make(map[once.DecisionKind]tally.Counter, len(names)),
 		entries:      c.Scope.Gauge("key_entries"),
 		bytes:        c.Scope.Gauge("key_bytes"),
-		evicted:      c.Scope.Gauge("key_evictions"),
-		early:        c.Scope.Gauge("key_evictions_early"),
-		dropped:      c.Scope.Gauge("key_answers_dropped"),
+		evicted:      c.Scope.Counter("key_evictions"),
+		early:        c.Scope.Counter("key_evictions_early"),
+		dropped:      c.Scope.Counter("key_answers_dropped"),
 		flights:      make(map[steering.Key]*flight),
 		table: once.New(once.Config{
 			Incarnation: c.Incarnation, Start: c.Started,
@@ -141,9 +142,10 @@
 	s := o.table.Stats()
 	o.entries.Update(float64(s.Entries))
 	o.bytes.Update(float64(s.Bytes))
-	o.evicted.Update(float64(s.Evicted))
-	o.early.Update(float64(s.EvictedEarly))
-	o.dropped.Update(float64(s.AnswersDropped))
+	o.evicted.Inc(int64(s.Evicted - o.reported.Evicted))
+	o.early.Inc(int64(s.EvictedEarly - o.reported.EvictedEarly))
+	o.dropped.Inc(int64(s.AnswersDropped - o.reported.AnswersDropped))
+	o.reported = s
 }
 
 // keyRecorder records the one execution of a key. Its answer is kept only while
--- /dev/null
+++ b/node/forward/poison.go
@@ -0,0 +1,276 @@
+package forward
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
+	"github.com/uber-go/tally/v4"
+
+	"heatherlock/node/seam"
+	"heatherlock/peer/peerpb"
+	"heatherlock/steering"
+	"heatherlock/steering/poison"
+	"heatherlock/steering/routing"
+)
+
+// Bounds of what happens when a target seems lost.
+const (
+	// probeTimeout bounds the question whether the target still lives. A crashed
+	// process refuses connections at once.
+	probeTimeout = 250 * time.Millisecond
+	// shareTimeout bounds how long a caller's answer waits for the region's
+	// entry VMs to know what its request did.
+	shareTimeout = 250 * time.Millisecond
+	// maxSharedFacts bounds the facts of one message.
+	maxSharedFacts = 256
+	// probePath is the target's health endpoint; any answer shows that it lives.
+	probePath = "/healthz"
+)
+
+// SuspectsConfig is what NewSuspects needs.
+type SuspectsConfig struct {
+	Self    seam.Member
+	Members seam.Members
+	// Peers gives a client for a peer listener's address.
+	Peers interface {
+		To(address string) peerpb.Peer
+	}
+	Poison poison.Config
+	Dial   Dial // nil means a net.Dialer
+	Scope  tally.Scope
+	Log    log.Logger
+}
+
+// RegionSuspects implements Suspects with the list of package poison, shared
+// with the entry VMs of the region.
+//
+// The caller of a request that took down a target may repeat it at once through
+// another entry VM, faster than beats spread the news. Therefore its answer is
+// held back, for at most shareTimeout, until the region's live entry VMs have
+// been told. Messages are sent only when a target was lost or a suspect cleared.
+type RegionSuspects struct {
+	config   SuspectsConfig
+	prober   *http.Client
+	counters suspectCounters
+
+	mu      sync.Mutex
+	list    *poison.List
+	verdict chan struct{} // closed when a trial ends
+
+	sharing sync.Mutex // one round of messages at a time
+}
+
+type suspectCounters struct {
+	losses, survived, trials, told, untold tally.Counter
+}
+
+var _ Suspects = (*RegionSuspects)(nil)
+
+// NewSuspects returns an empty memory of suspects.
+func NewSuspects(c SuspectsConfig) *RegionSuspects {
+	if c.Dial == nil {
+		c.Dial = netDial()
+	}
+	return &RegionSuspects{
+		config: c,
+		// No connection is kept: only a new one shows that the process listens.
+		prober: &http.Client{
+			Timeout:   probeTimeout,
+			Transport: &http.Transport{DialContext: c.Dial, DisableKeepAlives: true},
+		},
+		counters: suspectCounters{
+			losses:   c.Scope.Counter("suspect_losses"),
+			survived: c.Scope.Counter("suspect_targets_survived"),
+			trials:   c.Scope.Counter("suspect_trials"),
+			told:     c.Scope.Counter("suspect_peers_told"),
+			untold:   c.Scope.Counter("suspect_peers_not_told"),
+		},
+		list:    poison.New(c.Poison),
+		verdict: make(chan struct{}),
+	}
+}
+
+// Enter implements Suspects.
+func (s *RegionSuspects) Enter(ctx context.Context, m poison.Mark) (poison.Verdict, *steering.Refusal) {
+	for {
+		verdict, ended := s.check(m)
+		switch verdict.Kind {
+		case poison.Refuse:
+			return verdict, verdict.Refusal
+		case poison.Wait:
+			if refusal := awaitTrial(ctx, ended); refusal != nil {
+				return verdict, refusal
+			}
+			continue
+		case poison.Trial:
+			s.counters.trials.Inc(1)
+		}
+		return verdict, nil
+	}
+}
+
+func (s *RegionSuspects) check(m poison.Mark) (poison.Verdict, <-chan struct{}) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.list.Check(time.Now(), m), s.verdict
+}
+
+func awaitTrial(ctx context.Context, ended <-chan struct{}) *steering.Refusal {
+	select {
+	case <-ended:
+		return nil
+	case <-ctx.Done():
+	}
+	if errors.Is(context.Cause(ctx), errDeadline) {
+		return steering.Refuse(steering.ReasonDeadline, 0, "a like request is tried alone since a target was lost with it")
+	}
+	return steering.Refuse(steering.ReasonCancelled, 0, "the caller went away")
+}
+
+// Trying implements Suspects.
+func (s *RegionSuspects) Trying(m poison.Mark, v poison.Verdict, target steering.Target) {
+	if v.Kind != poison.Trial {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.list.Trying(m, target)
+}
+
+// End implements Suspects.
+func (s *RegionSuspects) End(m poison.Mark, v poison.Verdict, target routing.Target, e TryEnd) {
+	switch e {
+	case TryWhole:
+		if s.record(m, v, target.Name, poison.Finished) {
+			go s.share()
+		}
+	case TryBroken:
+		s.judge(m, v, target)
+	case TrySilent:
+		// The caller's deadline has passed, so its answer can't wait.
+		go s.judge(m, v, target)
+	default:
+		s.record(m, v, target.Name, poison.Neither)
+	}
+}
+
+// judge finds out whether the target was lost. A broken connection alone does
+// not show it: a sick target or a bad link breaks connections too, and holding
+// that against requests would refuse innocent ones in a brown-out.
+func (s *RegionSuspects) judge(m poison.Mark, v poison.Verdict, target routing.Target) {
+	if s.alive(target.Address) {
+		s.counters.survived.Inc(1)
+		s.record(m, v, target.Name, poison.Neither)
+		return
+	}
+	s.counters.losses.Inc(1)
+	level.Warn(s.config.Log).Log("msg", "target lost with a request in hand", "target", target.Name, "content", uint64(m.Content))
+	s.record(m, v, target.Name, poison.Lost)
+	s.share()
+}
+
+func (s *RegionSuspects) alive(address string) bool {
+	res, err := s.prober.Get("http://" + address + probePath)
+	if err != nil {
+		return false
+	}
+	_, _ = io.CopyN(io.Discard, res.Body, discardBytes)
+	_ = res.Body.Close()
+	return true
+}
+
+// record ends a try and reports whether there is news for peers.
+func (s *RegionSuspects) record(m poison.Mark, v poison.Verdict, target steering.Target, e poison.Ending) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.list.End(time.Now(), m, v, target, e)
+	if v.Kind == poison.Trial {
+		close(s.verdict)
+		s.verdict = make(chan struct{})
+	}
+	return s.list.HasChanged()
+}
+
+// share tells the region's entry VMs what came up here. While one round is on
+// its way, later news gathers for the next: however many targets are lost at
+// once, each peer gets one message per round.
+func (s *RegionSuspects) share() {
+	s.sharing.Lock()
+	defer s.sharing.Unlock()
+	s.mu.Lock()
+	facts := s.list.TakeChanged()
+	s.mu.Unlock()
+	if len(facts) == 0 {
+		return
+	}
+	if len(facts) > maxSharedFacts {
+		facts = facts[len(facts)-maxSharedFacts:]
+	}
+	request := &peerpb.SuspectRequest{FromVm: string(s.config.Self.VM), Facts: factsToWire(facts)}
+	ctx, cancel := context.WithTimeout(context.Background(), shareTimeout)
+	defer cancel()
+	var calls sync.WaitGroup
+	for _, member := range s.config.Members.All() {
+		if s.tells(member) {
+			calls.Go(func() { s.tell(ctx, member.PeerAddress, request) })
+		}
+	}
+	calls.Wait()
+}
+
+// tells reports the members that must know. Those that are not seen as live
+// learn by beats once they are back.
+func (s *RegionSuspects) tells(m seam.Member) bool {
+	return m.VM != s.config.Self.VM && m.Region == s.config.Self.Region && m.PeerAddress != "" &&
+		(m.State == seam.MemberLive || m.State == seam.MemberLeaving)
+}
+
+func (s *RegionSuspects) tell(ctx context.Context, address string, request *peerpb.SuspectRequest) {
+	if _, err := s.config.Peers.To(address).Suspect(ctx, request); err != nil {
+		s.counters.untold.Inc(1)
+		return
+	}
+	s.counters.told.Inc(1)
+}
+
+// Facts returns the newest facts, for beats.
+func (s *RegionSuspects) Facts() []*peerpb.SuspectFact {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return factsToWire(s.list.Facts(time.Now(), maxSharedFacts))
+}
+
+// Learn takes in facts of another entry VM.
+func (s *RegionSuspects) Learn(facts []*peerpb.SuspectFact) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.list.Learn(time.Now(), factsFromWire(facts))
+}
+
+func factsToWire(facts []poison.Fact) []*peerpb.SuspectFact {
+	wire := make([]*peerpb.SuspectFact, 0, len(facts))
+	for _, f := range facts {
+		wire = append(wire, &peerpb.SuspectFact{
+			Fingerprint: uint64(f.ID), Deaths: f.Deaths, AgeMs: uint32(f.Age.Milliseconds()),
+			Target: string(f.Target), Alone: f.Alone,
+		})
+	}
+	return wire
+}
+
+func factsFromWire(wire []*peerpb.SuspectFact) []poison.Fact {
+	facts := make([]poison.Fact, 0, min(len(wire), maxSharedFacts))
+	for _, f := range wire[:min(len(wire), maxSharedFacts)] {
+		facts = append(facts, poison.Fact{
+			ID: poison.ID(f.Fingerprint), Target: steering.Target(f.Target), Deaths: f.Deaths, Alone: f.Alone,
+			Age: time.Duration(f.AgeMs) * time.Millisecond,
+		})
+	}
+	return facts
+}
--- a/node/forward/run.go
+++ b/node/forward/run.go
@@ -8,14 +8,12 @@
 
 	"heatherlock/node/seam"
 	"heatherlock/steering"
+	"heatherlock/steering/routing"
 )
 
 // run executes the request: in this zone, and in another one when this zone
 // refuses. It returns nil once an answer went to the caller.
 func (x *exchange) run() *steering.Refusal {
-	if refusal := x.f.suspects.Check(x.key, x.fingerprint, x.started); refusal != nil {
-		return refusal
-	}
 	refusal := x.runHere()
 	if refusal == nil || !x.maySpill(refusal) {
 		return refusal
@@ -29,15 +27,11 @@
 	if refusal != nil {
 		return refusal
 	}
-	if x.origin != fromZone {
-		x.f.retries.FirstTry(x.service, x.started)
-	}
 	for {
-		grant, permit, refusal := x.admitAny(places)
+		result, refusal := x.tryOnce(places)
 		if refusal != nil {
 			return refusal
 		}
-		result := x.tryTarget(grant, permit)
 		if result.relayed() {
 			return nil
 		}
@@ -48,6 +42,21 @@
 	}
 }
 
+// tryOnce runs one try on a target of the places; refusal means that there was
+// none.
+func (x *exchange) tryOnce(places []steering.Place) (result ending, refusal *steering.Refusal) {
+	verdict, refusal := x.f.suspects.Enter(x.ctx, x.mark)
+	if refusal != nil {
+		return ending{}, refusal
+	}
+	grant, permit, refusal := x.admitAny(places, verdict.Avoid)
+	if refusal != nil {
+		x.f.suspects.End(x.mark, verdict, routing.Target{}, TryNothing)
+		return ending{}, refusal
+	}
+	return x.tryTarget(grant, permit, verdict), nil
+}
+
 // localPlaces returns the places of this zone that serve the request, the one
 // to ask first in front.
 func (x *exchange) localPlaces() ([]steering.Place, *steering.Refusal) {
@@ -83,10 +92,10 @@
 
 // admitAny asks the places in turn and returns the first one's refusal when
 // none admits.
-func (x *exchange) admitAny(places []steering.Place) (seam.Grant, seam.CapPermit, *steering.Refusal) {
+func (x *exchange) admitAny(places []steering.Place, avoid []steering.Target) (seam.Grant, seam.CapPermit, *steering.Refusal) {
 	var firstRefusal *steering.Refusal
 	for _, place := range places {
-		grant, permit, refusal := x.admit(place)
+		grant, permit, refusal := x.admit(place, avoid)
 		if refusal == nil {
 			return grant, permit, nil
 		}
@@ -102,10 +111,10 @@
 
 // admit takes a slot and then the cap permits: a permit counts the start of a
 // request, so nothing may wait between the two.
-func (x *exchange) admit(place steering.Place) (seam.Grant, seam.CapPermit, *steering.Refusal) {
+func (x *exchange) admit(place steering.Place, avoid []steering.Target) (seam.Grant, seam.CapPermit, *steering.Refusal) {
 	grant, err := x.f.admitter.Acquire(x.ctx, seam.AdmitRequest{
 		ID: x.id, Service: x.service.Name, Place: place, Deadline: x.deadline,
-		Home: x.home, Foreign: x.origin == fromZone, Avoid: x.tried,
+		Home: x.home, Foreign: x.origin == fromZone, Avoid: append(avoid, x.tried...),
 	})
 	if err != nil {
 		return nil, nil, asRefusal(err)
@@ -139,51 +148,3 @@
 	}
 	return false
 }
-
-// mayRetry decides whether a try that brought no answer is followed by another
-// one. Only the entry VM that first got the request retries, once.
-func (x *exchange) mayRetry(refusal *steering.Refusal) bool {
-	if x.retryAhead {
-		x.retryAhead = false
-		return true
-	}
-	switch refusal.Reason {
-	case steering.ReasonShed, steering.ReasonTargetFailed, steering.ReasonTargetDied,
-		steering.ReasonAnswerCut, steering.ReasonAnswerCrossed:
-	default:
-		return false
-	}
-	if refusal.Ran != steering.RanNo && x.atMostOnce {
-		return false
-	}
-	return x.allowRetry(refusal.Reason)
-}
-
-// worthRepeating reports a failure answer for which another target is tried
-// instead; the retry is then taken out of the budget.
-func (x *exchange) worthRepeating(status int) bool {
-	switch status {
-	case 502, 503, 504:
-	default:
-		return false
-	}
-	x.retryAhead = !x.atMostOnce && x.allowRetry(steering.ReasonTargetFailed)
-	return x.retryAhead
-}
-
-func (x *exchange) allowRetry(reason steering.Reason) bool {
-	if x.origin == fromZone || x.retried || !x.bodyUntouched() || x.remaining() <= 0 {
-		return false
-	}
-	if !x.f.retries.Allow(x.service, time.Now()) {
-		x.f.counters.retry(steering.ReasonRetryBudget)
-		return false
-	}
-	x.retried = true
-	x.f.counters.retry(reason)
-	return true
-}
-
-func (x *exchange) bodyUntouched() bool {
-	return x.body == nil || x.body.ahead || !x.body.begun.Load()
-}
--- a/node/forward/try.go
+++ b/node/forward/try.go
@@ -9,6 +9,7 @@
 
 	"heatherlock/node/seam"
 	"heatherlock/steering"
+	"heatherlock/steering/poison"
 )
 
 // leg is where one try goes.
@@ -61,7 +62,7 @@
 		l.begun(sent)
 		payload.detach()
 		result := x.failed(err, sent)
-		result.died = result.kind == seam.OutcomeBroken && conn.idleBefore() < staleAfter
+		result.died = result.kind == seam.OutcomeBroken
 		return result
 	}
 	l.begun(true)
@@ -141,9 +142,11 @@
 }
 
 // tryTarget runs one try on a granted target.
-func (x *exchange) tryTarget(grant seam.Grant, permit seam.CapPermit) ending {
+func (x *exchange) tryTarget(grant seam.Grant, permit seam.CapPermit, verdict poison.Verdict) ending {
 	target := grant.Target()
+	x.countFirst(target)
 	x.tried = append(x.tried, target.Name)
+	x.f.suspects.Trying(x.mark, verdict, target.Name)
 	started := time.Now()
 	result := x.try(&leg{
 		transport: x.f.targets,
@@ -157,7 +160,7 @@
 		Kind: slotOutcome(result), Latency: time.Since(started),
 		ReportedInFlight: result.inFlight, ReportedSlots: result.slots,
 	})
-	x.noteDeath(target.Name, result)
+	x.f.suspects.End(x.mark, verdict, target, result.tryEnd())
 	return result
 }
 
@@ -171,19 +174,17 @@
 	return result.kind
 }
 
-// staleAfter is the idle time from which a connection may just have been
-// closed by its target's own idle limit as the request was sent. That tells
-// nothing about what the request does to targets.
-const staleAfter = time.Second
-
-// noteDeath tells the suspects how the target fared with this request.
-func (x *exchange) noteDeath(target steering.Target, result ending) {
+// tryEnd says what the try showed of its target's health.
+func (e ending) tryEnd() TryEnd {
 	switch {
-	case result.kind == seam.OutcomeOK:
-		x.f.suspects.Survived(x.key, x.fingerprint, target, time.Now())
-	case result.died:
-		x.f.suspects.Broke(x.key, x.fingerprint, target, time.Now())
+	case e.died:
+		return TryBroken
+	case e.kind == seam.OutcomeOK:
+		return TryWhole
+	case e.kind == seam.OutcomeTimeout:
+		return TrySilent
 	}
+	return TryNothing
 }
 
 func (x *exchange) markTarget(h http.Header) {
--- a/node/parts.go
+++ b/node/parts.go
@@ -30,6 +30,7 @@
 	configs  *dynamic.Spread
 	lookups  *lookups.Lookups
 	admit    *admit.Admit
+	suspects *forward.RegionSuspects
 	forward  *forward.Forwarder
 	operator *operator.Server
 	leaver   *leaver
@@ -78,7 +79,7 @@
 		Members: p.members, Configs: p.configs, Peers: clients, AcquirePeers: peer.NewClients(acquires),
 		Loads: admit.HTTPLoads{Client: loads}, Scope: n.metrics.Scope, Log: n.log,
 	})
-	n.buildDataPath(p, options.Dial)
+	n.buildDataPath(p, clients, options.Dial)
 	p.operator, err = operator.New(operator.Config{
 		VM: string(n.settings.VM), Zone: string(n.settings.Zone), Platform: p.platform, Runtime: &facts{node: n, parts: p},
 		Tokens: operatorTokens(n.settings), Log: n.log, Scope: n.metrics.Scope,
@@ -122,16 +123,18 @@
 	return client
 }
 
-func (n *Node) buildDataPath(p *parts, dial forward.Dial) {
+func (n *Node) buildDataPath(p *parts, clients *peer.Clients, dial forward.Dial) {
+	p.suspects = forward.NewSuspects(forward.SuspectsConfig{
+		Self: p.members.Self(), Members: p.members, Peers: clients, Dial: dial, Scope: n.metrics.Scope, Log: n.log,
+	})
 	p.forward = forward.New(forward.Config{
 		Self: p.members.Self(), Limits: n.settings.Limits, Configs: p.configs, Members: p.members,
 		Admitter: p.admit, Caps: closedCaps{p.configs}, Remote: p.remote, Looker: p.lookups, Leaver: p.leaver,
 		Outcomes: forward.NewOutcomes(forward.OutcomesConfig{
 			Incarnation: n.incarnation, Started: n.started, Limits: n.settings.Limits, Scope: n.metrics.Scope,
 		}),
-		Suspects: noSuspects{},
-		PeerTLS:  p.peerClientTLS(),
-		Retries:  newRetries(), Dial: dial, Scope: n.metrics.Scope, Log: n.log,
+		Suspects: p.suspects, Retries: forward.NewRetries(p.configs, n.metrics.Scope),
+		PeerTLS: p.peerClientTLS(), Dial: dial, Scope: n.metrics.Scope, Log: n.log,
 	})
 }
 
@@ -180,6 +183,8 @@
 			p.admit.ObservePools(told)
 			p.board.note(told, time.Now())
 		},
+		Suspects:        func() []*peerpb.SuspectFact { return p.suspects.Facts() },
+		OnSuspects:      func(told []*peerpb.SuspectFact) { p.suspects.Learn(told) },
 		ConfigVersion:   func() int64 { return p.configs.Version() },
 		OnConfigVersion: func(address string, version int64) { p.configs.OnConfigVersion(address, version) },
 		InFlight:        func() int32 { return int32(p.forward.InFlight()) },
--- a/node/peerserver.go
+++ b/node/peerserver.go
@@ -34,6 +34,12 @@
 	return s.parts.configs.Announce(ctx, in)
 }
 
+// Suspect implements peerpb.Peer.
+func (s peerServer) Suspect(_ context.Context, in *peerpb.SuspectRequest) (*peerpb.SuspectReply, error) {
+	s.parts.suspects.Learn(in.Facts)
+	return &peerpb.SuspectReply{}, nil
+}
+
 // Acquire implements peerpb.Peer.
 func (s peerServer) Acquire(ctx context.Context, in *peerpb.AcquireRequest) (*peerpb.AcquireReply, error) {
 	return s.parts.admit.Server().Acquire(ctx, in)
--- a/node/thin.go
+++ b/node/thin.go
@@ -2,13 +2,9 @@
 
 import (
 	"context"
-	"sync"
-	"time"
 
 	"heatherlock/node/seam"
 	"heatherlock/steering"
-	"heatherlock/steering/retry"
-	"heatherlock/steering/routing"
 )
 
 // The types in this file stand in for parts that are not in the tree yet. Each
@@ -45,30 +41,3 @@
 type freePermit struct{}
 
 func (freePermit) Done(bool) {}
-
-// noSuspects suspects nobody.
-type noSuspects struct{}
-
-func (noSuspects) Check(steering.Key, uint64, time.Time) *steering.Refusal   { return nil }
-func (noSuspects) Broke(steering.Key, uint64, steering.Target, time.Time)    {}
-func (noSuspects) Survived(steering.Key, uint64, steering.Target, time.Time) {}
-
-// retries keeps the budgets behind a lock.
-type retries struct {
-	mu      sync.Mutex
-	budgets *retry.Budgets
-}
-
-func newRetries() *retries { return &retries{budgets: retry.NewBudgets()} }
-
-func (r *retries) FirstTry(service *routing.Service, _ time.Time) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.budgets.First(retry.Pool{Service: service.Name}, service.RetryPercent)
-}
-
-func (r *retries) Allow(service *routing.Service, _ time.Time) bool {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return r.budgets.TakeRetry(retry.Pool{Service: service.Name})
-}
--- a/steering/poison/share.go
+++ b/steering/poison/share.go
@@ -30,6 +30,9 @@
 	return Fact{ID: id}
 }
 
+// HasChanged reports whether TakeChanged has anything to return.
+func (l *List) HasChanged() bool { return len(l.changed) > 0 }
+
 // TakeChanged returns the facts that came up here since the last call, to be
 // sent to the peers of the region at once.
 func (l *List) TakeChanged() []Fact {
--- a/steering/retry/decide.go
+++ b/steering/retry/decide.go
@@ -53,6 +53,9 @@
 	DenyNotHedged Denial = "not_idempotent"
 )
 
+// Denials lists every denial.
+var Denials = []Denial{DenyHop, DenyExtra, DenyMayRun, DenyBody, DenyDeadline, DenyBudget, DenyNotHedged}
+
 // Retry decides whether a request whose last try failed is tried again, and
 // pays for it. ran says what is known about the execution of that try.
 func (b *Budgets) Retry(now time.Time, r Request, t Tries, ran steering.Ran) Denial {
