Tell a culprit from what it shares with harmless requests

A request whose harm lies in a header shares its content with everybody else's: by content alone it either goes unrecognised, because the others finish, or takes the page with it. Losses are now held against the content together with each header too; an ID with which something finished lately, or the content beside a harmful header, is explained by the culprit's own ID and not refused. Records are kept a quarter of an hour instead of an hour, which bounds what a coincidence can hold back.

--- a/node/forward/identify.go
+++ b/node/forward/identify.go
@@ -165,6 +165,24 @@
 	}
 	x.mark = poison.Mark{Content: content.Sum(), Key: poison.KeyID(x.key), Whole: whole}
 	x.fingerprint = uint64(x.mark.Content)
+	for name, values := range x.r.Header {
+		if isTrait(name) && len(values) > 0 {
+			x.mark.AddTrait(name, values[0])
+		}
+	}
+}
+
+// isTrait reports the headers that reach a target and are neither in the
+// content fingerprint nor new with each request by their nature.
+func isTrait(name string) bool {
+	if isHopByHop(name) || strings.HasPrefix(name, ownPrefix) || slices.Contains(marked[:], name) {
+		return false
+	}
+	switch name {
+	case targetRequestID, "Content-Length", "Date", "Traceparent", "Tracestate", "User-Agent", "Via", "Expect":
+		return false
+	}
+	return true
 }
 
 // findHome finds the place that the caller belongs to. A peer that hands a
--- a/node/forward/poison.go
+++ b/node/forward/poison.go
@@ -28,7 +28,9 @@
 	// entry VMs to know what its request did.
 	shareTimeout = 250 * time.Millisecond
 	// maxSharedFacts bounds the facts of one message.
-	maxSharedFacts = 256
+	maxSharedFacts = 1024
+	// factsPerBeat is how far Facts moves on, at most what a beat carries.
+	factsPerBeat = 4
 	// probePath is the target's health endpoint; any answer shows that it lives.
 	probePath = "/healthz"
 )
@@ -62,6 +64,7 @@
 	mu      sync.Mutex
 	list    *poison.List
 	verdict chan struct{} // closed when a trial ends
+	turn    int           // where Facts begins
 
 	sharing sync.Mutex // one round of messages at a time
 }
@@ -239,11 +242,17 @@
 	s.counters.told.Inc(1)
 }
 
-// Facts returns the newest facts, for beats.
+// Facts returns what is known, for beats. A beat carries a few facts only, so
+// each call begins with other ones.
 func (s *RegionSuspects) Facts() []*peerpb.SuspectFact {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return factsToWire(s.list.Facts(time.Now(), maxSharedFacts))
+	facts := factsToWire(s.list.Facts(time.Now(), maxSharedFacts))
+	if len(facts) == 0 {
+		return nil
+	}
+	s.turn = (s.turn + factsPerBeat) % len(facts)
+	return append(facts[s.turn:], facts[:s.turn]...)
 }
 
 // Learn takes in facts of another entry VM.
@@ -258,7 +267,7 @@
 	for _, f := range facts {
 		wire = append(wire, &peerpb.SuspectFact{
 			Fingerprint: uint64(f.ID), Deaths: f.Deaths, AgeMs: uint32(f.Age.Milliseconds()),
-			Target: string(f.Target), Alone: f.Alone,
+			Target: string(f.Target), Alone: f.Alone, Explained: f.Explained,
 		})
 	}
 	return wire
@@ -268,7 +277,7 @@
 	facts := make([]poison.Fact, 0, min(len(wire), maxSharedFacts))
 	for _, f := range wire[:min(len(wire), maxSharedFacts)] {
 		facts = append(facts, poison.Fact{
-			ID: poison.ID(f.Fingerprint), Target: steering.Target(f.Target), Deaths: f.Deaths, Alone: f.Alone,
+			ID: poison.ID(f.Fingerprint), Target: steering.Target(f.Target), Deaths: f.Deaths, Alone: f.Alone, Explained: f.Explained,
 			Age: time.Duration(f.AgeMs) * time.Millisecond,
 		})
 	}
--- a/steering/poison/doc.go
+++ b/steering/poison/doc.go
@@ -6,7 +6,8 @@
 // notice targets dying one after the other with the same request in hand.
 //
 // A loss is recorded against every request that the lost target held, under the
-// request's content fingerprint and under its key. Most of them are innocent,
+// request's content fingerprint, under its key, and under the fingerprint with
+// each further header: the harm may lie in a header that others do not send. Most of them are innocent,
 // so suspicion has to narrow:
 //
 //   - a like request that finishes normally clears the suspicion;
@@ -17,9 +18,13 @@
 //     that everybody reads) is refused only when a trial on its own is lost;
 //     the copies that were in flight when a zone failed count once;
 //   - losses amid a mass loss (several targets within a second) are weak: two
-//     of them hold a request back for seconds, not for an hour.
+//     of them hold a request back for seconds, not for a quarter of an hour;
+//   - what a harmful request shares with harmless ones (its page, when the harm
+//     is in a header) is suspected but not refused.
 //
-// Limits. Copies already sent when the first loss becomes known cannot be
+// Limits. Two targets lost for another reason, one after the other, with requests
+// of the same content in hand and none finished in between, hold that content
+// back for KeepFor. Copies already sent when the first loss becomes known cannot be
 // recalled. A request that changes its content and its key with each repeat is
 // a new request. Of a body larger than FingerprintBytes only the beginning and
 // the length are known before it is sent, so such a request is never cleared by
--- a/steering/poison/fingerprint.go
+++ b/steering/poison/fingerprint.go
@@ -16,13 +16,58 @@
 // ID identifies like requests. All entry VMs compute the same one.
 type ID uint64
 
-// Mark is how a request is remembered.
+// MaxTraits bounds the headers by which a request is remembered.
+const MaxTraits = 12
+
+// Mark is how a request is remembered: by its content, by its key, and by its
+// content together with each further header. What takes down a target may be in
+// a header, and some headers differ with each repeat; a header that does harm is
+// the one with which no request ever finishes.
 type Mark struct {
 	Content ID
 	// Key is the ID of the request's key; zero when it has none.
 	Key ID
 	// Whole says that the whole body went into Content.
 	Whole bool
+
+	traits [MaxTraits]ID
+	count  int
+}
+
+// AddTrait remembers the request by a header too. Of more than MaxTraits the
+// smallest IDs stay, so that the order of headers does not matter.
+func (m *Mark) AddTrait(name, value string) {
+	d := xxhash.NewWithSeed(uint64(m.Content))
+	writePart(d, name)
+	writePart(d, value)
+	id := nonZero(d.Sum64())
+	if m.count < MaxTraits {
+		m.traits[m.count] = id
+		m.count++
+		return
+	}
+	largest := 0
+	for i := range m.traits {
+		if m.traits[i] > m.traits[largest] {
+			largest = i
+		}
+	}
+	m.traits[largest] = min(m.traits[largest], id)
+}
+
+// maxIDs is the most IDs that a mark has.
+const maxIDs = MaxTraits + 2
+
+// ids returns all IDs of the mark in buf.
+func (m *Mark) ids(buf *[maxIDs]ID) []ID {
+	n := copy(buf[:], m.traits[:m.count])
+	buf[n] = m.Content
+	n++
+	if m.Key != 0 {
+		buf[n] = m.Key
+		n++
+	}
+	return buf[:n]
 }
 
 // Content is what goes into a content fingerprint.
--- a/steering/poison/list.go
+++ b/steering/poison/list.go
@@ -10,12 +10,12 @@
 // Defaults of Config.
 const (
 	DefaultLimit       = 2
-	DefaultKeepFor     = time.Hour
+	DefaultKeepFor     = 15 * time.Minute
 	DefaultWeakFor     = 30 * time.Second
 	DefaultProvenFor   = 10 * time.Minute
 	DefaultMassWindow  = time.Second
 	DefaultMassTargets = 3
-	DefaultMaxRecords  = 4096
+	DefaultMaxRecords  = 8192
 )
 
 // sameLoss is the time within which losses of one target are one loss.
@@ -45,6 +45,7 @@
 	setDefault(&c.MassWindow, DefaultMassWindow)
 	setDefault(&c.MassTargets, DefaultMassTargets)
 	setDefault(&c.MaxRecords, DefaultMaxRecords)
+	c.MaxRecords = max(c.MaxRecords, 2*maxIDs)
 	return c
 }
 
@@ -104,8 +105,11 @@
 type record struct {
 	losses  []loss
 	cleared time.Time // losses up to here no longer count
-	onTrial bool
-	trialOn steering.Target
+	// explained says that another ID of the lost requests accounts for the
+	// losses: this one is suspected still, but not refused.
+	explained bool
+	onTrial   bool
+	trialOn   steering.Target
 }
 
 // List remembers requests that were in hand when targets were lost. It is not
@@ -175,12 +179,13 @@
 	if !m.Whole {
 		return
 	}
-	l.proven.add(m.Content, now)
-	if len(l.records) == 0 {
-		return
+	var buf [maxIDs]ID
+	for _, id := range m.ids(&buf) {
+		l.proven.add(id, now)
+		if len(l.records) > 0 {
+			l.clear(now, id)
+		}
 	}
-	l.clear(now, m.Content)
-	l.clear(now, m.Key)
 }
 
 func (l *List) clear(now time.Time, id ID) {
@@ -190,21 +195,43 @@
 	}
 	r.cleared = now
 	r.losses = nil
+	r.explained = false
 	l.changed = append(l.changed, Fact{ID: id})
 }
 
 func (l *List) lost(now time.Time, m Mark, target steering.Target, alone bool) {
 	weak := l.massLoss(now, target, now)
-	for _, id := range [...]ID{m.Content, m.Key} {
-		if id == 0 {
-			continue
-		}
+	var buf [maxIDs]ID
+	for _, id := range m.ids(&buf) {
 		r := l.record(now, id)
 		r.add(loss{target: target, deaths: 1, at: now, weak: weak, alone: alone})
+	}
+	l.explain(now, m)
+	for _, id := range m.ids(&buf) {
 		l.changed = append(l.changed, l.factOf(id, target, now))
 	}
 }
 
+// explain settles which IDs of a lost request account for its losses. When a
+// request with a harmful header takes down two targets, everything it shares
+// with harmless requests was there too. Were that refused as well, nobody could
+// read the page any more, and as nothing with it could finish, it would stay so.
+func (l *List) explain(now time.Time, m Mark) {
+	culprit := false
+	for _, id := range m.traits[:m.count] {
+		r, ok := l.records[id]
+		culprit = culprit || ok && !l.isProven(now, id) && r.count(now, l.cfg, false) >= l.cfg.Limit
+	}
+	var buf [maxIDs]ID
+	for _, id := range m.ids(&buf) {
+		l.records[id].explained = culprit && (id == m.Content || l.isProven(now, id))
+	}
+}
+
+func (l *List) isProven(now time.Time, id ID) bool {
+	return l.proven.has(id, now.Add(-l.cfg.ProvenFor))
+}
+
 // add records a loss. Losses of one target close in time are one loss: several
 // copies of a request may be in its hands. A trial was sent after the earlier
 // loss was known, so its loss is always another one.
@@ -241,6 +268,9 @@
 	if proven {
 		together = min(together, 1)
 	}
+	if r.explained {
+		return min(together+alone, cfg.Limit-1)
+	}
 	return together + alone
 }
 
@@ -252,16 +282,16 @@
 	return n.at.Add(cfg.KeepFor)
 }
 
-// held returns the losses held against a request by its content or its key,
-// and when the first of them is forgotten.
+// held returns the most losses held against a request by any of its IDs, and
+// when the first of them is forgotten.
 func (l *List) held(now time.Time, m Mark) (count int, until time.Time) {
-	for _, id := range [...]ID{m.Content, m.Key} {
+	var buf [maxIDs]ID
+	for _, id := range m.ids(&buf) {
 		r, ok := l.records[id]
 		if !ok {
 			continue
 		}
-		proven := id == m.Content && l.proven.has(id, now.Add(-l.cfg.ProvenFor))
-		if n := r.count(now, l.cfg, proven); n > count {
+		if n := r.count(now, l.cfg, l.isProven(now, id)); n > count {
 			count = n
 			until = r.firstForgotten(now, l.cfg)
 		}
@@ -307,11 +337,11 @@
 }
 
 func (l *List) eachRecord(m Mark, f func(*record)) {
-	if r, ok := l.records[m.Content]; ok {
-		f(r)
-	}
-	if r, ok := l.records[m.Key]; ok && m.Key != 0 {
-		f(r)
+	var buf [maxIDs]ID
+	for _, id := range m.ids(&buf) {
+		if r, ok := l.records[id]; ok {
+			f(r)
+		}
 	}
 }
 
--- a/steering/poison/mass.go
+++ b/steering/poison/mass.go
@@ -43,7 +43,7 @@
 
 // provenSlots is the number of fingerprints whose normal finish is remembered,
 // a power of two; 16 bytes each.
-const provenSlots = 1 << 13
+const provenSlots = 1 << 15
 
 type provenSlot struct {
 	id ID
--- a/steering/poison/share.go
+++ b/steering/poison/share.go
@@ -14,7 +14,9 @@
 	Target steering.Target // empty: cleared
 	Deaths uint32
 	Alone  bool // lost on trial
-	Age    time.Duration
+	// Explained says that another ID accounts for the loss.
+	Explained bool
+	Age       time.Duration
 }
 
 // maxFactDeaths bounds what one fact can hold against a request.
@@ -24,12 +26,16 @@
 func (l *List) factOf(id ID, target steering.Target, now time.Time) Fact {
 	for _, n := range l.records[id].losses {
 		if n.target == target {
-			return Fact{ID: id, Target: target, Deaths: n.deaths, Alone: n.alone, Age: now.Sub(n.at)}
+			return l.records[id].fact(id, n, now)
 		}
 	}
 	return Fact{ID: id}
 }
 
+func (r *record) fact(id ID, n loss, now time.Time) Fact {
+	return Fact{ID: id, Target: n.target, Deaths: n.deaths, Alone: n.alone, Explained: r.explained, Age: now.Sub(n.at)}
+}
+
 // HasChanged reports whether TakeChanged has anything to return.
 func (l *List) HasChanged() bool { return len(l.changed) > 0 }
 
@@ -67,7 +73,7 @@
 	}
 	for _, n := range r.losses {
 		if now.Before(n.until(cfg)) {
-			facts = append(facts, Fact{ID: id, Target: n.target, Deaths: n.deaths, Alone: n.alone, Age: now.Sub(n.at)})
+			facts = append(facts, r.fact(id, n, now))
 		}
 	}
 	return facts
@@ -112,6 +118,7 @@
 	}
 	n := loss{target: f.Target, deaths: min(f.Deaths, maxFactDeaths), at: at, weak: weak, alone: f.Alone}
 	r.merge(n)
+	r.explained = f.Explained
 }
 
 // merge takes the larger count of losses of a target, since both sides may have
