Compare ways to share slots; probe slow owners; bound waits by service time

Cause: the way to share slots, the bound on waits and the choice among targets were assumptions. Change: 'heatherlock bench balance' and 'bench decide'.

--- a/cmd/heatherlock/commands.go
+++ b/cmd/heatherlock/commands.go
@@ -1,6 +1,8 @@
 package main
 
 import (
+	"heatherlock/cmd/internal/benchbalance"
+	"heatherlock/cmd/internal/benchdecide"
 	"heatherlock/cmd/internal/benchlookup"
 	"heatherlock/cmd/internal/benchoperators"
 	"heatherlock/cmd/internal/benchpath"
@@ -35,6 +37,8 @@
 			offline.Why(),
 			command.Group("bench", "measure parts of the system on this machine",
 				benchlookup.Command(),
+				benchbalance.Command(),
+				benchdecide.Command(),
 				benchpath.Command(),
 				benchoperators.Command(),
 			),
--- /dev/null
+++ b/cmd/internal/benchbalance/bench.go
@@ -0,0 +1,107 @@
+package benchbalance
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"os"
+	"text/tabwriter"
+	"time"
+)
+
+// Options are the choices of a run.
+type Options struct {
+	Seed uint64
+	// For is the simulated time that each run is measured.
+	For      time.Duration
+	JSONFile string
+}
+
+// Defaults returns the options of a run without flags.
+func Defaults() Options { return Options{Seed: 1, For: 20 * time.Second} }
+
+// Check reports an option out of bounds.
+func (o Options) Check() error {
+	if o.For < time.Second || o.For > 10*time.Minute {
+		return fmt.Errorf("bench: --for %s is out of bounds; give 1s to 10m", o.For)
+	}
+	return nil
+}
+
+// Report holds the figures of all experiments.
+type Report struct {
+	Seed     uint64  `json:"seed"`
+	Seconds  float64 `json:"seconds"`
+	Ways     []Row   `json:"ways"`
+	Uneven   []Row   `json:"uneven"`
+	Faults   []Row   `json:"faults"`
+	Choice   []Row   `json:"choice"`
+	Waits    []Row   `json:"waits"`
+	Holding  []Row   `json:"holding_time"`
+	Dividing []Row   `json:"dividing"`
+	Spill    []Spill `json:"spill"`
+}
+
+// Run runs all experiments.
+func Run(o Options) Report {
+	return Report{
+		Seed: o.Seed, Seconds: o.For.Seconds(),
+		Ways:     compareWays(o),
+		Uneven:   compareUneven(o),
+		Faults:   compareFaults(o),
+		Choice:   compareChoice(o),
+		Waits:    compareWaits(o),
+		Holding:  compareHolding(o),
+		Dividing: compareDividing(o),
+		Spill:    compareSpill(o),
+	}
+}
+
+// WriteText writes the report as tables.
+func (r Report) WriteText(w io.Writer) {
+	fmt.Fprintf(w, "seed %d, %.0f s simulated per line; 20 targets of 4 slots, mean service 50 ms alone\n", r.Seed, r.Seconds)
+	writeRows(w, "Ways to share slots, requests spread evenly", r.Ways)
+	writeRows(w, "Half of all requests at one of 22 entry VMs", r.Uneven)
+	writeRows(w, "Faults: the 5 s after one", r.Faults)
+	writeRows(w, "Choice among targets with a free slot", r.Choice)
+	writeRows(w, "How long a request may wait, one zone alone", r.Waits)
+	writeRows(w, "How long a borrowed slot is kept", r.Holding)
+	writeRows(w, "Dividing at fixed times or at once, half of all requests at one of 22 entry VMs", r.Dividing)
+	writeSpills(w, r.Spill)
+}
+
+func writeRows(w io.Writer, title string, rows []Row) {
+	fmt.Fprintf(w, "\n%s\n", title)
+	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', tabwriter.AlignRight)
+	fmt.Fprintln(t, "entry VMs\tload %\tp50 ms\tp99 ms\tanswered %\trefused %\tlost %\tover slots /1000\tidle while waiting %\tmessages/request\tbusiest VM %\t  way\t")
+	for _, r := range rows {
+		fmt.Fprintf(t, "%d\t%.0f\t%.1f\t%.1f\t%.2f\t%.2f\t%.2f\t%.1f\t%.2f\t%.2f\t%.0f\t  %s\t\n", r.EntryVM, 100*r.Load, r.P50Ms, r.P99Ms,
+			r.AnsweredPercent, r.RefusedPercent, r.LostPercent, r.OverSlots, r.IdlePercent, r.Messages, r.BusiestPercent, r.Way)
+	}
+	_ = t.Flush()
+}
+
+func writeSpills(w io.Writer, spills []Spill) {
+	fmt.Fprintf(w, "\nWaiting in the own queue or going to another zone at %.0f %% load\n", 100*otherLoad)
+	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', tabwriter.AlignRight)
+	fmt.Fprintln(t, "other zone\tload %\twaits at most ms\tspilled %\trefused %\tp50 ms\tp99 ms\t")
+	for _, s := range spills {
+		fmt.Fprintf(t, "%s\t%.0f\t%.0f\t%.1f\t%.2f\t%.1f\t%.1f\t\n", s.OtherZone, 100*s.Load, s.MaxWaitMs, s.SpilledPercent, s.RefusedPercent, s.P50Ms, s.P99Ms)
+	}
+	_ = t.Flush()
+}
+
+// filePermissions of a report.
+const filePermissions = 0o644
+
+// WriteJSON writes the report to a file as one JSON object.
+func (r Report) WriteJSON(file string) error {
+	encoded, err := json.MarshalIndent(r, "", "  ")
+	if err != nil {
+		return fmt.Errorf("bench: encode the report: %w", err)
+	}
+	if err := os.WriteFile(file, append(encoded, '\n'), filePermissions); err != nil {
+		return fmt.Errorf("bench: write the report: %w", err)
+	}
+	return nil
+}
--- a/node/admit/acquire.go
+++ b/node/admit/acquire.go
@@ -143,14 +143,15 @@
 
 // acquireFrom asks another entry VM.
 func (a *Admit) acquireFrom(ctx context.Context, owner seam.Member, vouched steering.VM, key poolKey, request ask) answer {
-	if !a.asks.take(owner.VM) {
-		return answer{kind: answerRefused, refusal: steering.Refuse(steering.ReasonQueueFull, peerRetryAfter, fmt.Sprintf("calls to %s, which counts the slots", owner.VM))}
-	}
-	defer a.asks.give(owner.VM)
 	a.metrics.asked.Inc(1)
 	wait := min(a.cfg.MaxWait+a.cfg.AskSlack, time.Until(request.deadline))
 	callCtx, cancel := context.WithTimeout(ctx, wait)
 	defer cancel()
+	open := a.asks.take(owner, cancel)
+	if open == nil {
+		return answer{kind: answerRefused, refusal: steering.Refuse(steering.ReasonQueueFull, peerRetryAfter, fmt.Sprintf("calls to %s, which counts the slots", owner.VM))}
+	}
+	defer a.asks.give(open)
 	reply, err := a.cfg.AcquirePeers.To(owner.PeerAddress).Acquire(callCtx, acquireRequest(key, request, a.reach.unreachable()))
 	if err == nil {
 		return a.readReply(owner, vouched, key, reply)
--- a/node/admit/admit.go
+++ b/node/admit/admit.go
@@ -29,7 +29,7 @@
 	back    *releaser
 	facts   facts
 	reach   reach
-	asks    askLimit
+	asks    asks
 
 	mu       sync.Mutex
 	snapshot *routing.Snapshot
@@ -95,6 +95,7 @@
 		a.follow(h)
 		h.tick()
 	}
+	a.probeSlow()
 	a.noticePause() // this very round may have been interrupted
 	a.ticked.Store(time.Now().UnixNano())
 }
--- a/node/admit/admit_test.go
+++ b/node/admit/admit_test.go
@@ -190,8 +190,11 @@
 		}
 		time.Sleep(time.Second)
 		frozen := z.pause(owner)
-		time.Sleep(2 * time.Second)
 		before := z.servedSoFar()
+		time.Sleep(time.Second)
+		assert.Assert(t, z.servedSoFar()-before > 100, "served %d in the second in which the owner hung", z.servedSoFar()-before)
+		time.Sleep(time.Second)
+		before = z.servedSoFar()
 		time.Sleep(5 * time.Second)
 		possible := int(5 * time.Second / service * 12)
 		assert.Assert(t, z.servedSoFar()-before > possible*7/10, "served %d of %d possible", z.servedSoFar()-before, possible)
--- a/node/admit/config.go
+++ b/node/admit/config.go
@@ -42,6 +42,8 @@
 	ForeignMaxWait time.Duration // 100 ms
 	// AskSlack is how long a reply of the owner may take beyond that wait.
 	AskSlack time.Duration // 300 ms
+	// ProbeAfter is when an owner whose reply is not there yet is probed.
+	ProbeAfter time.Duration // 100 ms
 	// PeerTimeout bounds short calls to entry VMs and load reads.
 	PeerTimeout time.Duration // 200 ms
 	// AgreeFor bounds how long a new owner waits for others to see it the
@@ -64,10 +66,15 @@
 	defaultMaxWait        = 500 * time.Millisecond
 	defaultForeignMaxWait = 100 * time.Millisecond
 	defaultAskSlack       = 300 * time.Millisecond
+	defaultProbeAfter     = 100 * time.Millisecond
 	defaultPeerTimeout    = 200 * time.Millisecond
 	defaultAgreeFor       = 2 * time.Second
 	defaultCheckAfter     = 2 * time.Second
 
+	// defaultWaitPart bounds the wait in a queue by the mean service time. See
+	// docs/measurements/balance.md: longer waits serve hardly more.
+	defaultWaitPart = 1
+
 	// agreeRetry is the pause between two rounds of asking who owns a pool.
 	agreeRetry = 100 * time.Millisecond
 	// settleRetry is the pause before asking again after a changed owner.
@@ -104,9 +111,13 @@
 	orDefault(&c.MaxWait, defaultMaxWait)
 	orDefault(&c.ForeignMaxWait, defaultForeignMaxWait)
 	orDefault(&c.AskSlack, defaultAskSlack)
+	orDefault(&c.ProbeAfter, defaultProbeAfter)
 	orDefault(&c.PeerTimeout, defaultPeerTimeout)
 	orDefault(&c.AgreeFor, defaultAgreeFor)
 	orDefault(&c.CheckAfter, defaultCheckAfter)
+	if c.Pool.WaitPart == 0 {
+		c.Pool.WaitPart = defaultWaitPart
+	}
 	c.Pool.MaxWait = c.MaxWait
 	c.Pool.ForeignMaxWait = c.ForeignMaxWait
 	return c
--- a/node/admit/judge.go
+++ b/node/admit/judge.go
@@ -197,8 +197,10 @@
 // endOf says what the end of a request means for its slot.
 func endOf(kind seam.OutcomeKind) pool.End {
 	switch kind {
-	case seam.OutcomeOK, seam.OutcomeFailed:
+	case seam.OutcomeOK:
 		return pool.EndDone
+	case seam.OutcomeFailed:
+		return pool.EndFailed
 	case seam.OutcomeShed:
 		return pool.EndShed
 	case seam.OutcomeUnreachable, seam.OutcomeUnused:
--- a/node/admit/reach.go
+++ b/node/admit/reach.go
@@ -4,6 +4,7 @@
 	"context"
 	"slices"
 	"sync"
+	"time"
 
 	"heatherlock/node/seam"
 	"heatherlock/peer/peerpb"
@@ -62,12 +63,6 @@
 	return names
 }
 
-// failed notes that a member did not answer.
-func (a *Admit) failed(m seam.Member) {
-	a.reach.set(m, true)
-	a.cfg.Members.Evidence(m.VM, false)
-}
-
 // probe asks a member for any answer and notes whether it came.
 func (a *Admit) probe(ctx context.Context, m seam.Member) bool {
 	callCtx, cancel := context.WithTimeout(ctx, a.cfg.PeerTimeout)
@@ -118,31 +113,98 @@
 	return seam.Member{}, false
 }
 
-// askLimit counts the calls of Acquire that wait at each entry VM.
-type askLimit struct {
-	mu   sync.Mutex
-	open map[steering.VM]int
+// failed notes that a member did not answer, and gives up what waits for it.
+func (a *Admit) failed(m seam.Member) {
+	a.reach.set(m, true)
+	a.cfg.Members.Evidence(m.VM, false)
+	a.asks.giveUp(m.VM)
 }
 
-// take returns false when MaxAsks calls wait there already.
-func (l *askLimit) take(vm steering.VM) bool {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if l.open == nil {
-		l.open = map[steering.VM]int{}
+// probeSlow probes the owners whose replies take long.
+//
+// A reply may rightly take as long as the queue's longest wait. Were that also
+// the bound on noticing an owner that hangs, every request for its pools would
+// stall for that long; with a probe it is less than half.
+func (a *Admit) probeSlow() {
+	for _, m := range a.asks.slow(time.Now().Add(-a.cfg.ProbeAfter)) {
+		a.goWork(func(ctx context.Context) {
+			defer a.asks.probed(m.VM)
+			a.probe(ctx, m)
+		})
 	}
-	if l.open[vm] >= MaxAsks {
-		return false
+}
+
+// asks are the calls of Acquire that wait at other entry VMs.
+type asks struct {
+	mu      sync.Mutex
+	open    map[steering.VM]map[*openAsk]bool
+	probing map[steering.VM]bool
+}
+
+type openAsk struct {
+	to    seam.Member
+	since time.Time
+	stop  context.CancelFunc
+}
+
+// take returns nil when MaxAsks calls wait there already.
+func (s *asks) take(to seam.Member, stop context.CancelFunc) *openAsk {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if len(s.open[to.VM]) >= MaxAsks {
+		return nil
 	}
-	l.open[vm]++
-	return true
+	if s.open == nil {
+		s.open = map[steering.VM]map[*openAsk]bool{}
+		s.probing = map[steering.VM]bool{}
+	}
+	if s.open[to.VM] == nil {
+		s.open[to.VM] = map[*openAsk]bool{}
+	}
+	ask := &openAsk{to: to, since: time.Now(), stop: stop}
+	s.open[to.VM][ask] = true
+	return ask
 }
 
-func (l *askLimit) give(vm steering.VM) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.open[vm]--
-	if l.open[vm] == 0 {
-		delete(l.open, vm)
+func (s *asks) give(ask *openAsk) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.open[ask.to.VM], ask)
+	if len(s.open[ask.to.VM]) == 0 {
+		delete(s.open, ask.to.VM)
 	}
 }
+
+func (s *asks) giveUp(vm steering.VM) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for ask := range s.open[vm] {
+		ask.stop()
+	}
+}
+
+// slow returns the entry VMs at which a call waits since before the given time,
+// and which are not being probed already.
+func (s *asks) slow(before time.Time) (to []seam.Member) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for vm, open := range s.open {
+		if s.probing[vm] {
+			continue
+		}
+		for ask := range open {
+			if ask.since.Before(before) {
+				s.probing[vm] = true
+				to = append(to, ask.to)
+				break
+			}
+		}
+	}
+	return to
+}
+
+func (s *asks) probed(vm steering.VM) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.probing, vm)
+}
--- a/node/admit/take.go
+++ b/node/admit/take.go
@@ -64,8 +64,8 @@
 	var mu sync.Mutex
 	var calls sync.WaitGroup
 	for _, m := range a.cfg.Members.All() {
-		if m.Zone != a.zone || m.VM == a.self.vm || m.State == seam.MemberGone {
-			continue
+		if m.Zone != a.zone || m.VM == a.self.vm || m.State == seam.MemberGone || a.reach.isDown(m.VM) {
+			continue // what a silent member holds shows in the targets' loads
 		}
 		calls.Go(func() {
 			reply, err := a.askHoldings(ctx, m, key)
--- a/steering/health/tracker.go
+++ b/steering/health/tracker.go
@@ -56,6 +56,7 @@
 type subject struct {
 	name        steering.Target
 	state       chart.State
+	look        look
 	evidence    evidence
 	reportedTil time.Time // a reported sickness counts until then
 	until       time.Time // end of an ejected target's wait
@@ -85,6 +86,7 @@
 	subjects map[steering.Target]*subject
 	order    []*subject // by name, so that equal input gives equal decisions
 	ejected  int
+	looks    [looks]int // targets by look
 	doubting bool
 	changes  []Change
 }
@@ -128,12 +130,15 @@
 		return t.changes
 	}
 	s.evidence.add(now, o, t.cfg.HalfLife)
+	t.classify(s)
 	if s.state == Trial {
 		t.observeTrial(s, o)
 		return t.changes
 	}
-	if t.doubting || s.evidence.sick(&t.cfg) {
+	if t.doubt() {
 		t.judge()
+	} else {
+		t.judgeOne(s)
 	}
 	return t.changes
 }
@@ -225,55 +230,90 @@
 	if err != nil {
 		return // the event means nothing in this state
 	}
+	if s.state == Ejected {
+		t.ejected--
+	}
+	if state == Ejected {
+		t.ejected++
+	}
 	s.state = state
-	t.recount()
+	t.classify(s)
 	t.changes = append(t.changes, Change{s.name, state})
 }
 
 func (t *Tracker) recount() {
 	t.ejected = 0
+	t.looks = [looks]int{}
 	for _, s := range t.order {
+		t.looks[s.look]++
 		if s.state == Ejected {
 			t.ejected++
 		}
 	}
 }
 
-// judge ejects what looks sick, or doubts the signal when most does.
+// judge looks at every target anew.
 func (t *Tracker) judge() {
-	dead, sick := t.count()
-	reachable := len(t.order) - dead
+	for _, s := range t.order {
+		s.evidence.fade(t.now, t.cfg.HalfLife)
+		t.classify(s)
+	}
+	t.doubt()
+	for _, s := range t.order {
+		t.judgeOne(s)
+	}
+}
+
+// doubt decides whether most targets look sick, and says whether that changed.
+func (t *Tracker) doubt() bool {
+	sick := t.looks[looksSick]
+	reachable := len(t.order) - t.looks[looksDead]
+	was := t.doubting
 	switch {
 	case !t.doubting && 2*sick > reachable:
 		t.doubting = true
 	case t.doubting && 2*sick < reachable:
 		t.doubting = false
 	}
-	for _, s := range t.order {
-		isDead := s.evidence.dead(&t.cfg)
-		switch {
-		case t.doubting && !isDead:
+	return t.doubting != was
+}
+
+// judgeOne ejects a target that looks sick, or gives it work while that is
+// doubted.
+func (t *Tracker) judgeOne(s *subject) {
+	switch {
+	case t.doubting && s.look != looksDead:
+		if s.state == Ejected || s.state == Trial {
 			t.fire(s, eventDoubted)
-		case s.state != Trial && s.state != Ejected && s.evidence.sick(&t.cfg):
-			t.fire(s, eventFailing)
 		}
+	case s.state != Trial && s.state != Ejected && s.evidence.sick(&t.cfg):
+		t.fire(s, eventFailing)
 	}
 }
 
-// count returns how many targets are dead, and how many others look sick. An
-// ejected target counts as it did when it was ejected: its evidence fades only
-// because it gets no work.
-func (t *Tracker) count() (dead, sick int) {
-	for _, s := range t.order {
-		s.evidence.fade(t.now, t.cfg.HalfLife)
-		switch {
-		case s.evidence.dead(&t.cfg):
-			dead++
-		case s.state == Ejected || s.evidence.sick(&t.cfg):
-			sick++
-		}
+// look is how a target appears in the count that doubt rests on.
+type look uint8
+
+const (
+	looksWell look = iota
+	looksSick
+	looksDead
+	looks // their number
+)
+
+// classify counts a target as it looks now. An ejected target counts as it did
+// when it was ejected: its evidence fades only because it gets no work.
+func (t *Tracker) classify(s *subject) {
+	t.looks[s.look]--
+	switch {
+	case s.evidence.dead(&t.cfg):
+		s.look = looksDead
+	case s.state == Ejected || s.evidence.sick(&t.cfg):
+		s.look = looksSick
+	default:
+		s.look = looksWell
 	}
-	return dead, sick
+	t.looks[s.look]++
 }
 
 // mayEject keeps a floor of targets: half of them, or one when the others
--- a/steering/health/tracker_test.go
+++ b/steering/health/tracker_test.go
@@ -177,3 +177,26 @@
 	assert.Assert(t, !tr.Doubting())
 	assert.Assert(t, wasted*20 < total, "%d of %d requests went to dead targets", wasted, total)
 }
+
+// The counts that doubt rests on are kept step by step; they have to stay what
+// counting afresh gives.
+func TestCountsAreKept(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		all := names(5)
+		now := start
+		tr := New(Config{})
+		tr.SetTargets(now, all, false)
+		for range rapid.IntRange(1, 200).Draw(t, "events") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 400).Draw(t, "ms")) * time.Millisecond)
+			o := rapid.SampledFrom([]Outcome{Success, Failure, Unreachable}).Draw(t, "outcome")
+			tr.Observe(now, rapid.SampledFrom(all).Draw(t, "target"), o)
+			if rapid.Bool().Draw(t, "tick") {
+				tr.Tick(now)
+			}
+			kept, ejected := tr.looks, tr.ejected
+			tr.recount()
+			assert.Equal(t, tr.looks, kept)
+			assert.Equal(t, tr.ejected, ejected)
+		}
+	})
+}
--- a/steering/pool/config.go
+++ b/steering/pool/config.go
@@ -5,14 +5,14 @@
 // Choice says which of the targets with a free slot gets the next request.
 type Choice uint8
 
-// Ways to choose a target.
+// Ways to choose a target. docs/measurements/balance.md compares them.
 const (
-	// ChooseLeastLoaded takes the target with the smallest share of its slots
-	// in use, the least recently used one among equals.
-	ChooseLeastLoaded Choice = iota
 	// ChooseFastest takes the target with the smallest product of its mean
 	// service time and the requests it would then run.
-	ChooseFastest
+	ChooseFastest Choice = iota
+	// ChooseLeastLoaded takes the target with the smallest share of its slots
+	// in use, the least recently used one among equals.
+	ChooseLeastLoaded
 	// ChooseFirst takes the target used least recently, whatever its load.
 	ChooseFirst
 )
@@ -27,6 +27,11 @@
 	// MaxWait refuses a request whose estimated wait is longer, so that another
 	// place can still serve it promptly. Zero leaves only the deadline.
 	MaxWait time.Duration
+	// WaitPart also bounds the wait to this part of the mean service time, but
+	// not below MinWait. Zero sets no such bound. A longer queue serves no more
+	// requests, it only serves them later.
+	WaitPart float64
+	MinWait  time.Duration // 25 ms
 	// ForeignMaxWait is MaxWait for work from other zones, which has already
 	// spent time on its way and can be refused at less cost.
 	ForeignMaxWait time.Duration // MaxWait
@@ -53,6 +58,7 @@
 
 const (
 	defaultQueuePerSlot  = 4
+	defaultMinWait       = 25 * time.Millisecond
 	defaultServiceTime   = 50 * time.Millisecond
 	defaultLinger        = 500 * time.Millisecond
 	defaultOrphanLinger  = 5 * time.Second
@@ -79,6 +85,7 @@
 	if c.ForeignMaxWait == 0 {
 		c.ForeignMaxWait = c.MaxWait
 	}
+	orDefault(&c.MinWait, defaultMinWait)
 	orDefault(&c.ServiceTime, defaultServiceTime)
 	orDefault(&c.Linger, defaultLinger)
 	orDefault(&c.OrphanLinger, defaultOrphanLinger)
--- a/steering/pool/estimate.go
+++ b/steering/pool/estimate.go
@@ -41,13 +41,37 @@
 	return time.Duration(min(s.median, s.mean))
 }
 
+// targetWeight is larger than meanWeight, because one target gets fewer
+// samples than the pool.
+const targetWeight = 1.0 / 8
+
+// failurePenalty is how many mean service times a failure counts for. A target
+// that fails each request at once always has the fewest in flight and looks
+// fastest; most requests would go to it, and the rate of failures would show
+// it. The penalty makes it look slow.
+const failurePenalty = 10
+
 func (t *target) addServiceTime(d time.Duration) {
-	x := float64(d)
-	if t.serviceTime == 0 {
-		t.serviceTime = x
+	t.serviceTime += (float64(d) - t.serviceTime) * targetWeight
+}
+
+const (
+	// leanEvery and leanWeight pull what is known of a target's speed towards
+	// the pool's mean, so that one that was slow once is tried again.
+	leanEvery  = time.Second
+	leanWeight = 1.0 / 16
+)
+
+// lean lets what is known of the targets' speeds fade.
+func (p *Pool) lean(at instant) {
+	if at < p.leanAt {
 		return
 	}
-	t.serviceTime += (x - t.serviceTime) * meanWeight
+	p.leanAt = at + leanEvery
+	for i := range p.targets {
+		t := &p.targets[i]
+		t.serviceTime += (p.times.mean - t.serviceTime) * leanWeight
+	}
 }
 
 // waitFor estimates how long a new request of a rank would wait for a slot:
@@ -65,11 +89,21 @@
 	return max(1, min(p.slots, p.ceiling))
 }
 
+// maxWait returns the bound on the wait, or zero when there is none but the
+// deadline.
 func (p *Pool) maxWait(foreign bool) time.Duration {
+	bound := p.cfg.MaxWait
 	if foreign {
-		return p.cfg.ForeignMaxWait
+		bound = p.cfg.ForeignMaxWait
+	}
+	if p.cfg.WaitPart == 0 {
+		return bound
+	}
+	part := max(p.cfg.MinWait, time.Duration(p.cfg.WaitPart*p.times.mean))
+	if bound == 0 {
+		return part
 	}
-	return p.cfg.MaxWait
+	return min(bound, part)
 }
 
 func (p *Pool) queueLimit() int {
--- a/steering/pool/pool.go
+++ b/steering/pool/pool.go
@@ -43,6 +43,7 @@
 	wake     instant // when time alone may change a target's room
 
 	times   serviceTimes
+	leanAt  instant // when speeds of targets fade next
 	returns instant // when the last refused caller was told to come back
 
 	effects Effects
@@ -250,6 +251,9 @@
 	switch o.End {
 	case EndShed:
 		t.shed(at, &p.cfg)
+	case EndFailed:
+		p.times.add(held)
+		t.addServiceTime(time.Duration(failurePenalty * p.times.mean))
 	case EndDone:
 		p.times.add(held)
 		t.addServiceTime(held)
@@ -272,6 +276,7 @@
 // that waited too long are dropped.
 func (p *Pool) Tick(now time.Time) Effects {
 	at := p.begin(now)
+	p.lean(at)
 	if at >= p.wake {
 		p.wake = never
 		for i := range p.targets {
--- a/steering/pool/pool_test.go
+++ b/steering/pool/pool_test.go
@@ -305,7 +305,8 @@
 func TestSearchPastAvoided(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		m := &machine{now: start, ceiling: NoCeiling, held: map[GrantID]*modelTarget{}, exact: true, picky: 3}
-		m.pool = New(start, Config{QueuePerSlot: 10, ServiceTime: time.Millisecond})
+		m.choice = ChooseLeastLoaded
+		m.pool = New(start, Config{Choice: m.choice, QueuePerSlot: 10, ServiceTime: time.Millisecond})
 		for i := range 12 {
 			m.targets = append(m.targets, &modelTarget{name: steering.Target(fmt.Sprint("t", i)), slots: 4})
 		}
@@ -415,6 +416,59 @@
 	assert.Equal(t, p.Free(), 2, "the wait is bounded")
 }
 
+// Symptom: most requests fail although five of six targets are well. Sequence:
+// one target fails each request at once, so that it always has free slots and
+// looks fastest. Cause: quick failures counted as speed.
+func TestTargetThatFailsAtOnceDrawsNoMoreWork(t *testing.T) {
+	now := start
+	p := New(now, Config{ServiceTime: 50 * time.Millisecond})
+	var declared []routing.Target
+	for i := range 6 {
+		declared = append(declared, routing.Target{Name: steering.Target(fmt.Sprint("t", i)), Slots: 4})
+	}
+	p.SetTargets(now, declared, nil)
+	type running struct {
+		id   GrantID
+		ends time.Time
+		bad  bool
+	}
+	var all []running
+	failed, sent := 0, 0
+	for range 20_000 {
+		now = now.Add(time.Millisecond)
+		for i := len(all) - 1; i >= 0; i-- {
+			if all[i].ends.After(now) {
+				continue
+			}
+			o := noReport
+			if all[i].bad {
+				o.End = EndFailed
+			}
+			p.Release(now, all[i].id, o)
+			all = slices.Delete(all, i, i+1)
+		}
+		if sent%5 == 0 {
+			p.Tick(now)
+		}
+		if now.UnixMilli()%5 != 0 {
+			continue
+		}
+		d := p.Acquire(now, Request{Deadline: now.Add(time.Second)})
+		if d.Verdict != Granted {
+			continue
+		}
+		sent++
+		bad := d.Target.Name == "t0"
+		r := running{id: d.Grant, ends: now.Add(50 * time.Millisecond), bad: bad}
+		if bad {
+			failed++
+			r.ends = now.Add(time.Millisecond)
+		}
+		all = append(all, r)
+	}
+	assert.Assert(t, failed*2 <= sent, "%d of %d requests went to the target that fails", failed, sent)
+}
+
 // Symptom: a full queue of sheddable work turns away a pass check. Cause: the
 // bound was first come, first served.
 func TestFullQueueMakesRoomForCriticalWork(t *testing.T) {
--- a/steering/pool/state.go
+++ b/steering/pool/state.go
@@ -26,7 +26,7 @@
 	i, ok := p.byName[declared.Name]
 	if !ok {
 		i = p.newTarget()
-		p.targets[i] = target{Target: declared, share: 1, limit: declared.Slots, ready: notReady, regrowAt: never}
+		p.targets[i] = target{Target: declared, share: 1, limit: declared.Slots, ready: notReady, regrowAt: never, serviceTime: p.times.mean}
 		p.byName[declared.Name] = i
 		return i
 	}
--- a/steering/pool/target.go
+++ b/steering/pool/target.go
@@ -52,7 +52,7 @@
 	pausedUntil instant
 	pauseAfter  time.Duration
 
-	serviceTime float64 // mean, nanoseconds; 0 before the first
+	serviceTime float64 // mean, nanoseconds; the pool's before the first
 }
 
 // open says whether the target may get new work at all.
--- a/steering/pool/types.go
+++ b/steering/pool/types.go
@@ -77,8 +77,10 @@
 
 // Ways a granted request ends.
 const (
-	// EndDone is any end after which the target no longer runs the request.
+	// EndDone is a whole answer.
 	EndDone End = iota
+	// EndFailed is an answer that says that the request failed.
+	EndFailed
 	// EndShed is the target's typed refusal.
 	EndShed
 	// EndUnreachable means that no byte was sent.
