--- a/standin/witness/judge.go
+++ b/standin/witness/judge.go
@@ -216,7 +216,7 @@
 	for p, r := range w.pools {
 		if r.over > 0 {
 			f.Broken++
-			f.Detail = fmt.Sprintf("%s at %s: %d over its %d slots", p.service, p.place, r.over, r.slots)
+			f.Detail = fmt.Sprintf("%s at %s: %d over its %d slots at %s", p.service, p.place, r.over, r.slots, r.overAt.Format("15:04:05.000"))
 		}
 		v.OverloadPeak = max(v.OverloadPeak, r.over)
 	}
--- a/standin/witness/record.go
+++ b/standin/witness/record.go
@@ -60,6 +60,7 @@
 	running int
 	peak    int // most running at once
 	over    int // most requests over slots at once
+	overAt  time.Time
 }
 
 // Witness collects reports. Its methods may be called from any goroutine.
@@ -119,7 +120,9 @@
 	}
 	t.over = max(t.over, t.running+1-t.slots)
 	p := w.pools[t.pool]
-	p.over = max(p.over, p.running+1-p.slots)
+	if over := p.running + 1 - p.slots; over > p.over {
+		p.over, p.overAt = over, time.Now()
+	}
 }
 
 // Refused records that a target refused a request without running it.
