Hold seats of caps on the platform and lend permits between entry VMs

Cause: work under a cap was refused whole, for no part held permits.

node/capshare keeps this entry VM's seat of each cap by conditional writes, admits under it from memory, and asks other holders for loans through Borrow, waiting 25 ms at most. Seats of VMs that the platform lists as gone are cleared by a zone's reader; a line of the list counts only when it was read a lag after the holder was first seen. The daemon uses it in place of the gate that refused all.

Failure tests in virtual time with lost messages: one busy entry VM of four is let through more than twice its own seat; an entry VM dies during an outage and is replaced while replies to writes are lost; a cap is lowered while no seat can be written. With the lowering or the loans taken out, the tests fail.

--- a/node/facts.go
+++ b/node/facts.go
@@ -203,8 +203,11 @@
 	return false
 }
 
-// Cap implements operator.Runtime.
-func (f *facts) Cap(string) (operator.CapFact, bool) { return operator.CapFact{}, false }
+// Cap implements operator.Runtime: the permits of this entry VM that are in use.
+func (f *facts) Cap(name string) (operator.CapFact, bool) {
+	use, known := f.parts.caps.Use(name)
+	return operator.CapFact{PermitsInUse: use.InUse}, known
+}
 
 // zone is what the zone's status on the platform says besides the version.
 func (f *facts) zone() runtime.ZoneFacts {
--- a/node/parts.go
+++ b/node/parts.go
@@ -8,6 +8,7 @@
 	"github.com/go-faster/errors"
 
 	"heatherlock/node/admit"
+	"heatherlock/node/capshare"
 	"heatherlock/node/dynamic"
 	"heatherlock/node/forward"
 	"heatherlock/node/lookups"
@@ -31,6 +32,7 @@
 	lookups  *lookups.Lookups
 	admit    *admit.Admit
 	suspects *forward.RegionSuspects
+	caps     *capshare.Caps
 	forward  *forward.Forwarder
 	operator *operator.Server
 	leaver   *leaver
@@ -50,6 +52,12 @@
 	}
 }
 
+// leading says whether this entry VM is its zone's reader.
+func (p *parts) leading() bool {
+	_, leading := p.configs.Leader()
+	return leading
+}
+
 // build makes the parts of a daemon whose listeners are bound.
 func (n *Node) build(options Options) (*parts, error) {
 	p := &parts{leaver: &leaver{}, board: newPoolBoard()}
@@ -79,6 +87,13 @@
 		Members: p.members, Configs: p.configs, Peers: clients, AcquirePeers: peer.NewClients(acquires),
 		Loads: admit.HTTPLoads{Client: loads}, Scope: n.metrics.Scope, Log: n.log,
 	})
+	p.caps, err = capshare.New(capshare.Config{
+		Configs: p.configs, Members: p.members, Platform: p.platform, Peer: clients.To,
+		Leading: p.leading, Scope: n.metrics.Scope, Log: n.log,
+	})
+	if err != nil {
+		return nil, errors.Wrap(err, "node")
+	}
 	n.buildDataPath(p, clients, options.Dial)
 	p.operator, err = operator.New(operator.Config{
 		VM: string(n.settings.VM), Zone: string(n.settings.Zone), Platform: p.platform, Runtime: &facts{node: n, parts: p},
@@ -129,7 +144,7 @@
 	})
 	p.forward = forward.New(forward.Config{
 		Self: p.members.Self(), Limits: n.settings.Limits, Configs: p.configs, Members: p.members,
-		Admitter: p.admit, Caps: closedCaps{p.configs}, Remote: p.remote, Looker: p.lookups, Leaver: p.leaver,
+		Admitter: p.admit, Caps: p.caps, Remote: p.remote, Looker: p.lookups, Leaver: p.leaver,
 		Outcomes: forward.NewOutcomes(forward.OutcomesConfig{
 			Incarnation: n.incarnation, Started: n.started, Limits: n.settings.Limits, Scope: n.metrics.Scope,
 		}),
--- a/node/peerserver.go
+++ b/node/peerserver.go
@@ -5,8 +5,6 @@
 	"net/http"
 	"strings"
 
-	"github.com/twitchtv/twirp"
-
 	"heatherlock/node/forward"
 	"heatherlock/node/lookups"
 	"heatherlock/peer/peerpb"
@@ -56,8 +54,8 @@
 }
 
 // Borrow implements peerpb.Peer.
-func (s peerServer) Borrow(context.Context, *peerpb.BorrowRequest) (*peerpb.BorrowReply, error) {
-	return nil, twirp.NewError(twirp.Unimplemented, "no permits here")
+func (s peerServer) Borrow(ctx context.Context, in *peerpb.BorrowRequest) (*peerpb.BorrowReply, error) {
+	return s.parts.caps.Borrow(ctx, in)
 }
 
 // peerHandler serves calls and handed-over requests. The path of a handed-over
