Measure processor time per request in bench path

Cause: on a shared machine the rates of direct and hop vary by more than their ratio; the target stand-in spent 32 KB of garbage on each bodyless request.

--- a/cmd/internal/benchpath/bench.go
+++ b/cmd/internal/benchpath/bench.go
@@ -52,6 +52,9 @@
 	// AddedP50Ms and Ratio are medians over the rounds.
 	AddedP50Ms float64 `json:"added_p50_ms"`
 	Ratio      float64 `json:"throughput_ratio"`
+	// CPURatio is the processor time of a direct call over that of one through
+	// an entry VM: the throughput ratio of saturated cores.
+	CPURatio float64 `json:"cpu_ratio"`
 }
 
 // Upload is the memory used while one upload streams through.
@@ -106,6 +109,7 @@
 		p.Hop = loop(ctx, workers, o.Round, func(ctx context.Context) error { return r.get(ctx, hop, r.hopURL()) })
 		p.AddedP50Ms = float64(p.Hop.P50Us-p.Direct.P50Us) / 1000
 		p.Ratio = p.Hop.PerSecond / p.Direct.PerSecond
+		p.CPURatio = p.Direct.CPUUs / p.Hop.CPUUs
 		pairs[i] = p
 	}
 	slices.SortFunc(pairs, func(a, b Pair) int {
@@ -157,7 +161,7 @@
 // WriteText writes the report as tables.
 func (r *Report) WriteText(w io.Writer) {
 	fmt.Fprintf(w, "%d cores shared by callers, entry VM and target; 1 KB answers, keep-alive\n\n", r.Cores)
-	fmt.Fprintf(w, "%-22s %10s %10s %12s %8s\n", "", "p50 us", "p99 us", "per second", "errors")
+	fmt.Fprintf(w, "%-22s %10s %10s %12s %8s %8s\n", "", "p50 us", "p99 us", "per second", "cpu us", "errors")
 	for _, p := range []Pair{r.Single, r.Many} {
 		p.Direct.write(w, fmt.Sprintf("direct, %d workers", p.Workers))
 		p.Hop.write(w, fmt.Sprintf("one hop, %d workers", p.Workers))
@@ -165,6 +169,7 @@
 	r.Lookups.write(w, "look-ups")
 	fmt.Fprintf(w, "\nadded p50, 1 worker: %.3f ms (goal at most %.1f): %s\n", r.Single.AddedP50Ms, goalAddedP50Ms, met(r.Single.AddedP50Ms <= goalAddedP50Ms))
 	fmt.Fprintf(w, "throughput, %d workers: %.2f of direct (goal at least %.1f): %s\n", r.Many.Workers, r.Many.Ratio, goalThroughputRatio, met(r.Many.Ratio >= goalThroughputRatio))
+	fmt.Fprintf(w, "processor time of a direct call: %.2f of one through the entry VM\n", r.Many.CPURatio)
 	fmt.Fprintf(w, "look-ups: %.0f a second (goal %d): %s\n\n", r.Lookups.PerSecond, goalLookups, met(r.Lookups.PerSecond >= goalLookups))
 	for _, u := range r.Uploads {
 		fmt.Fprintf(w, "upload of %2d MB: heap rises %.1f MB direct, %.1f MB through the entry VM (%.2f s)\n", u.Megabytes, u.DirectHeap, u.HopHeap, u.Seconds)
@@ -172,7 +177,7 @@
 }
 
 func (l Loop) write(w io.Writer, name string) {
-	fmt.Fprintf(w, "%-22s %10d %10d %12.0f %8d\n", name, l.P50Us, l.P99Us, l.PerSecond, l.Errors)
+	fmt.Fprintf(w, "%-22s %10d %10d %12.0f %8.0f %8d\n", name, l.P50Us, l.P99Us, l.PerSecond, l.CPUUs, l.Errors)
 }
 
 func met(ok bool) string {
--- a/cmd/internal/benchpath/client.go
+++ b/cmd/internal/benchpath/client.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"runtime"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
@@ -72,6 +73,10 @@
 	PerSecond float64 `json:"per_second"`
 	Count     int64   `json:"count"`
 	Errors    int64   `json:"errors"`
+	// CPUUs is the processor time that the whole process spent for each
+	// request: callers, entry VM and target. Unlike the rate it does not
+	// depend on what else the machine does.
+	CPUUs float64 `json:"cpu_us"`
 }
 
 // loop has workers repeat do for a time.
@@ -82,7 +87,7 @@
 	var mu sync.Mutex
 	sum := hdrhistogram.New(1, 60_000_000, 3)
 	errors := int64(0)
-	begun := time.Now()
+	begun, spent := time.Now(), processorTime()
 	for range workers {
 		all.Go(func() {
 			h, failed := repeat(ctx, limited, do)
@@ -93,10 +98,11 @@
 		})
 	}
 	all.Wait()
-	took := time.Since(begun)
+	took, used := time.Since(begun), processorTime()-spent
 	return Loop{
 		P50Us: sum.ValueAtQuantile(50), P99Us: sum.ValueAtQuantile(99), Count: sum.TotalCount(), Errors: errors,
 		PerSecond: float64(sum.TotalCount()) / took.Seconds(),
+		CPUUs:     float64(used.Microseconds()) / float64(max(1, sum.TotalCount())),
 	}
 }
 
@@ -115,6 +121,15 @@
 	return h, failed
 }
 
+// processorTime returns the processor time that this process has used.
+func processorTime() time.Duration {
+	var u syscall.Rusage
+	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &u); err != nil {
+		return 0
+	}
+	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
+}
+
 // heapPeak runs f and returns how far the heap in use rose above its start.
 func heapPeak(f func() error) (bytes int64, err error) {
 	runtime.GC()
--- a/cmd/internal/benchpath/rig.go
+++ b/cmd/internal/benchpath/rig.go
@@ -140,11 +140,9 @@
 }
 
 func (r *rig) close() {
+	r.node.Kill()
+	<-r.done
 	r.stop()
-	select {
-	case <-r.done:
-	case <-time.After(readyTimeout):
-	}
 	_ = r.target.Close()
 	_ = r.server.Close()
 }
--- a/standin/target/serve.go
+++ b/standin/target/serve.go
@@ -148,6 +148,9 @@
 		t.crash(x.life)
 		return witness.EndCulprit
 	}
+	if r.Body == http.NoBody {
+		return t.serveInSlot(x)
+	}
 	scan := &markerReader{Reader: r.Body, marker: []byte(t.config.CrashMarker)}
 	sum, size, err := witness.Sum(scan)
 	if scan.found {
@@ -158,6 +161,11 @@
 		return x.ended()
 	}
 	t.config.Witness.Received(x.Execution, size, sum)
+	return t.serveInSlot(x)
+}
+
+// serveInSlot spends the service time.
+func (t *Target) serveInSlot(x *run) witness.End {
 	if !x.sleep(t.serviceTime(x)) {
 		return x.ended()
 	}
