Drive shifts in paced steps, and back in steps when they are taken away

Cause: nothing moved a declared shift.

steering/shift decides one step at a time: at most one per interval or time to live of look-ups, whichever is longer, held by busy or silent receivers, a cap that refuses, a planned stop, or another shift's turn at the same place. Steps back are paced and never held.

--- a/node/capshare/capshare.go
+++ b/node/capshare/capshare.go
@@ -195,3 +195,11 @@
 	defer sh.mu.Unlock()
 	return Use{Own: sh.holder.Own(), InUse: sh.holder.InUse(now), Free: sh.holder.Free(now)}, true
 }
+
+// Refused returns how many requests a cap refused here so far.
+func (k *Caps) Refused(name string) int64 {
+	if sh := k.share(name); sh != nil {
+		return sh.refused.Load()
+	}
+	return 0
+}
--- a/node/capshare/gate.go
+++ b/node/capshare/gate.go
@@ -168,6 +168,7 @@
 
 func (k *Caps) refuse(short *shortage) error {
 	k.metrics.refused.Inc(1)
+	short.sh.refused.Add(1)
 	return steering.Refuse(steering.ReasonCapReached, short.next,
 		fmt.Sprintf("cap %s of %d per window has no free permit here", short.sh.name, short.limit))
 }
--- a/node/capshare/share.go
+++ b/node/capshare/share.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"heatherlock/node/seam"
@@ -21,6 +22,7 @@
 	// are missing.
 	changed chan struct{}
 	hungry  chan struct{}
+	refused atomic.Int64 // requests refused so far
 
 	mu     sync.Mutex
 	holder *caps.Holder
--- a/node/dynamic/compile.go
+++ b/node/dynamic/compile.go
@@ -15,6 +15,7 @@
 	"heatherlock/steering/config"
 	"heatherlock/steering/lookup"
 	"heatherlock/steering/routing"
+	"heatherlock/steering/shift"
 )
 
 // Problem is a stored object, or a part of one, that was left out.
@@ -210,28 +211,29 @@
 	if err := decode(o, &in); err != nil {
 		return err
 	}
-	shift := &routing.Shift{
+	declared := &routing.Shift{
 		Name:    o.Name,
 		Version: o.Version,
 		Service: steering.Service(in.Spec.Service.Value),
+		Route:   routing.Route{From: in.Spec.From, To: in.Spec.To},
 		From:    routing.Resolve(c.out.snapshot.Places, in.Spec.From),
 		To:      routing.Resolve(c.out.snapshot.Places, in.Spec.To),
 		Percent: in.Spec.Percent,
 		Step:    in.Spec.StepPercent.Value,
 		Every:   time.Duration(in.Spec.StepSeconds.Value) * time.Second,
 	}
-	if len(shift.From) == 0 {
+	if len(declared.From) == 0 {
 		return &referenceError{detail: fmt.Sprintf("from names no place, zone or region: %q", in.Spec.From)}
 	}
-	if len(shift.To) == 0 {
+	if len(declared.To) == 0 {
 		return &referenceError{detail: fmt.Sprintf("to names no place, zone or region: %q", in.Spec.To)}
 	}
-	c.out.snapshot.Shifts[shift.Name] = shift
+	c.out.snapshot.Shifts[declared.Name] = declared
 	return nil
 }
 
-// progress sets the percent a shift has moved. The progress of a shift that
-// was deleted is no problem: it is removed a moment later.
+// progress sets the percent a shift has moved, and keeps a shift that was
+// deleted in force until it has gone back.
 func (c *compiler) progress(o config.Object) error {
 	var in routing.ShiftProgress
 	if err := json.Unmarshal(o.Value, &in); err != nil {
@@ -242,8 +244,8 @@
 	}
 	in.Version = o.Version
 	c.out.snapshot.Progress[o.Name] = &in
-	if shift, ok := c.out.snapshot.Shifts[o.Name]; ok {
-		shift.Moved = in.Moved
+	if inForce := shift.InForce(o.Name, c.out.snapshot.Shifts[o.Name], &in, c.out.snapshot.Places); inForce != nil {
+		c.out.snapshot.Shifts[o.Name] = inForce
 	}
 	return nil
 }
--- a/node/facts.go
+++ b/node/facts.go
@@ -6,6 +6,7 @@
 	"heatherlock/node/operator"
 	"heatherlock/node/runtime"
 	"heatherlock/node/seam"
+	"heatherlock/node/shiftdriver"
 	"heatherlock/node/static"
 	"heatherlock/steering"
 	"heatherlock/steering/routing"
@@ -120,15 +121,28 @@
 	if s == nil || s.Shifts[name] == nil {
 		return operator.ShiftFact{}, false
 	}
-	shift := s.Shifts[name]
-	fact := operator.ShiftFact{MovedPercent: shift.Moved}
-	if shift.Step > 0 && shift.Moved < shift.Percent {
-		steps := (shift.Percent - shift.Moved + shift.Step - 1) / shift.Step
-		fact.Remaining = time.Duration(steps) * shift.Every
+	fact := operator.ShiftFact{MovedPercent: s.Shifts[name].Moved}
+	if progress := s.Progress[name]; progress != nil {
+		fact.HeldBy = progress.HeldBy
+		fact.Remaining = time.Duration(progress.RemainingSeconds) * time.Second
 	}
 	return fact, true
 }
 
+// receivers is the newest word on every pool, for the pace of shifts.
+func (f *facts) receivers() []shiftdriver.Pool {
+	now := time.Now()
+	var pools []shiftdriver.Pool
+	for _, entry := range f.pools(now) {
+		pools = append(pools, shiftdriver.Pool{
+			Place: steering.Place(entry.fact.Place), Service: steering.Service(entry.fact.Service),
+			Slots: int(entry.fact.Slots), InUse: int(entry.fact.InFlight), Queued: int(entry.fact.Queued),
+			Age: ageOf(entry.at, now),
+		})
+	}
+	return pools
+}
+
 // Stop implements operator.Runtime: what the stopped targets still run, by the
 // newest word of the pools that hold them.
 func (f *facts) Stop(name string) (operator.StopFact, bool) {
--- a/node/parts.go
+++ b/node/parts.go
@@ -15,10 +15,12 @@
 	"heatherlock/node/member"
 	"heatherlock/node/operator"
 	"heatherlock/node/seam"
+	"heatherlock/node/shiftdriver"
 	"heatherlock/node/tlsconf"
 	"heatherlock/peer"
 	"heatherlock/peer/peerpb"
 	"heatherlock/platform"
+	"heatherlock/steering/lookup"
 )
 
 // parts are what a daemon is made of. They refer to each other through the
@@ -33,6 +35,7 @@
 	admit    *admit.Admit
 	suspects *forward.RegionSuspects
 	caps     *capshare.Caps
+	shifts   *shiftdriver.Driver
 	forward  *forward.Forwarder
 	operator *operator.Server
 	leaver   *leaver
@@ -94,6 +97,14 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "node")
 	}
+	p.shifts, err = shiftdriver.New(shiftdriver.Config{
+		Configs: p.configs, Members: p.members, Platform: p.platform, Leader: p.configs.Leader,
+		Pools: (&facts{node: n, parts: p}).receivers, CapRefusals: p.caps.Refused, TTL: lookup.DefaultTTL,
+		Scope: n.metrics.Scope, Log: n.log,
+	})
+	if err != nil {
+		return nil, errors.Wrap(err, "node")
+	}
 	n.buildDataPath(p, clients, options.Dial)
 	p.operator, err = operator.New(operator.Config{
 		VM: string(n.settings.VM), Zone: string(n.settings.Zone), Platform: p.platform, Runtime: &facts{node: n, parts: p},
--- a/steering/routing/snapshot.go
+++ b/steering/routing/snapshot.go
@@ -55,6 +55,7 @@
 	Name    string
 	Version int64
 	Service steering.Service // empty means every service
+	Route   Route
 	From    []steering.Place // resolved from a place, zone or region
 	To      []steering.Place
 	Percent int // where the shift is to end, 0..100
@@ -63,6 +64,13 @@
 	Moved   int // percent in force now, from the shift's progress object
 }
 
+// Route names where a shift moves work from and to, as declared: each a place,
+// zone or region.
+type Route struct {
+	From string `json:"from"`
+	To   string `json:"to"`
+}
+
 // Cap bounds the work that a shift brings into its receiving places: at most
 // Requests admitted in any window of length Window, over all entry VMs.
 type Cap struct {
--- a/steering/routing/written.go
+++ b/steering/routing/written.go
@@ -39,16 +39,27 @@
 	Version int64 `json:"-"`
 	// ShiftVersion is the version of the Shift that the driver followed.
 	ShiftVersion int64 `json:"shiftVersion"`
+	// Service and Route are what Moved applies to, and Step and EverySeconds
+	// how it goes back: work that was moved goes back in steps also when the
+	// shift was deleted or now names another route.
+	Service      steering.Service `json:"service,omitempty"`
+	Route        Route            `json:"route"`
+	Step         int              `json:"step"`
+	EverySeconds int64            `json:"everySeconds"`
 	// Moved is the percent in force.
 	Moved int `json:"moved"`
 	// State is the state of the shift's chart.
 	State string `json:"state"`
 	// HeldBy says what holds the shift back; empty when nothing does.
 	HeldBy string `json:"heldBy,omitempty"`
+	// WaitsForTurn is set when another shift into one of the places steps first.
+	WaitsForTurn bool `json:"waitsForTurn,omitempty"`
 	// RemainingSeconds estimates the time left.
 	RemainingSeconds int64 `json:"remainingSeconds"`
-	// Since is when Moved last changed, on the driver's clock.
+	// Since is when Moved last changed, on the driver's clock; zero before.
 	Since time.Time `json:"since"`
+	// Forward is set when that change was a step forward.
+	Forward bool `json:"forward"`
 	// Driver is the entry VM that wrote this, Epoch its lease's epoch.
 	Driver steering.VM `json:"driver"`
 	Epoch  int64       `json:"epoch"`
--- /dev/null
+++ b/steering/shift/inforce.go
@@ -0,0 +1,36 @@
+package shift
+
+import (
+	"time"
+
+	"heatherlock/steering"
+	"heatherlock/steering/routing"
+)
+
+// InForce returns the shift that a node applies: the declared one with the
+// percent it has moved. While work is still moved on a route that is no longer
+// declared, the old route stays in force with 0 as its aim. It returns nil when
+// nothing is declared or moved.
+func InForce(name string, declared *routing.Shift, progress *routing.ShiftProgress, places map[steering.Place]*routing.Place) *routing.Shift {
+	if progress == nil || progress.Moved == 0 {
+		return declared
+	}
+	if declared != nil && sameRoute(declared, progress) {
+		moved := *declared
+		moved.Moved = progress.Moved
+		return &moved
+	}
+	from, to := routing.Resolve(places, progress.Route.From), routing.Resolve(places, progress.Route.To)
+	if len(from) == 0 || len(to) == 0 {
+		return declared // the places of the old route are gone
+	}
+	return &routing.Shift{
+		Name: name, Version: progress.ShiftVersion, Service: progress.Service, Route: progress.Route,
+		From: from, To: to, Step: progress.Step, Every: time.Duration(progress.EverySeconds) * time.Second,
+		Moved: progress.Moved,
+	}
+}
+
+func sameRoute(declared *routing.Shift, progress *routing.ShiftProgress) bool {
+	return declared.Service == progress.Service && declared.Route == progress.Route
+}
