Draw the status page again part by part, and show it in the pages

Seen in headless Chromium: the script fetched the whole page and the browser complained of the style of another reply each time; now it fetches what it draws.

--- a/node/operator/page.go
+++ b/node/operator/page.go
@@ -56,8 +56,12 @@
 	wanted, _ := strconv.ParseInt(r.URL.Query().Get("version"), 10, 64)
 	data := pageData{Nonce: rand.Text(), Now: time.Now().UTC().Truncate(time.Second), Status: s.deployment()}
 	s.addObjects(r.Context(), &data, wanted)
+	part := "page"
+	if r.URL.Query().Get("part") == "main" {
+		part = "main" // what the script draws again
+	}
 	var body bytes.Buffer
-	if err := pageTemplate.Execute(&body, data); err != nil {
+	if err := pageTemplate.ExecuteTemplate(&body, part, data); err != nil {
 		writeProblem(w, http.StatusInternalServerError, fromPlatform(err, check.Ref{}))
 		return
 	}
