Wait briefly first, and longer once no other zone took the request

Cause: a bound of one service time turned away most of a burst that could have been served within 500 ms; a bound of 500 ms made every request wait 250 ms under lasting overload although another zone had room. Change: a request waits up to one service time, then goes to another zone, and when that refuses waits up to 500 ms in its own, unless the queue has been standing for 500 ms (seam.AdmitRequest.Patient). Times to come back are spread over at most 1 s; 5 s held work back long after a burst.

--- a/cmd/internal/benchbalance/bench.go
+++ b/cmd/internal/benchbalance/bench.go
@@ -37,6 +37,7 @@
 	Faults   []Row   `json:"faults"`
 	Choice   []Row   `json:"choice"`
 	Waits    []Row   `json:"waits"`
+	Bursts   []Row   `json:"bursts"`
 	Holding  []Row   `json:"holding_time"`
 	Dividing []Row   `json:"dividing"`
 	Spill    []Spill `json:"spill"`
@@ -51,6 +52,7 @@
 		Faults:   compareFaults(o),
 		Choice:   compareChoice(o),
 		Waits:    compareWaits(o),
+		Bursts:   compareBursts(o),
 		Holding:  compareHolding(o),
 		Dividing: compareDividing(o),
 		Spill:    compareSpill(o),
@@ -65,6 +67,7 @@
 	writeRows(w, "Faults: the 5 s after one", r.Faults)
 	writeRows(w, "Choice among targets with a free slot", r.Choice)
 	writeRows(w, "How long a request may wait, one zone alone", r.Waits)
+	writeRows(w, fmt.Sprintf("How long a request may wait when %d more arrive at once every %s", burstSize, burstEvery), r.Bursts)
 	writeRows(w, "How long a borrowed slot is kept", r.Holding)
 	writeRows(w, "Dividing at fixed times or at once, half of all requests at one of 22 entry VMs", r.Dividing)
 	writeSpills(w, r.Spill)
@@ -82,11 +85,15 @@
 }
 
 func writeSpills(w io.Writer, spills []Spill) {
-	fmt.Fprintf(w, "\nWaiting in the own queue or going to another zone at %.0f %% load\n", 100*otherLoad)
+	fmt.Fprint(w, "\nWaiting in the own queue, or going to another zone\n")
 	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', tabwriter.AlignRight)
-	fmt.Fprintln(t, "other zone\tload %\twaits at most ms\tspilled %\trefused %\tp50 ms\tp99 ms\t")
+	fmt.Fprintln(t, "other zone\tits load %\tload %\twaits at most ms\tspilled %\trefused %\tp50 ms\tp99 ms\t")
 	for _, s := range spills {
-		fmt.Fprintf(t, "%s\t%.0f\t%.0f\t%.1f\t%.2f\t%.1f\t%.1f\t\n", s.OtherZone, 100*s.Load, s.MaxWaitMs, s.SpilledPercent, s.RefusedPercent, s.P50Ms, s.P99Ms)
+		wait := fmt.Sprintf("%.0f", s.MaxWaitMs)
+		if s.Patient {
+			wait += ", then 500"
+		}
+		fmt.Fprintf(t, "%s\t%.0f\t%.0f\t%s\t%.1f\t%.2f\t%.1f\t%.1f\t\n", s.OtherZone, 100*s.OtherLoad, 100*s.Load, wait, s.SpilledPercent, s.RefusedPercent, s.P50Ms, s.P99Ms)
 	}
 	_ = t.Flush()
 }
--- a/cmd/internal/benchbalance/counted.go
+++ b/cmd/internal/benchbalance/counted.go
@@ -34,7 +34,7 @@
 		c.whole = c.whole && (slots(t) == 0 || slots(t) == z.targets[t].slots)
 	}
 	c.pool = pool.New(z.clock(), pool.Config{
-		Choice: z.Choice, QueuePerSlot: z.Queue, MaxWait: z.MaxWait, ServiceTime: meanService,
+		Choice: z.Choice, QueuePerSlot: z.Queue, MaxWait: z.MaxWait, WaitPart: z.WaitPart, ServiceTime: meanService,
 	})
 	c.pool.SetTargets(z.clock(), z.declared(slots), nil)
 	return c
@@ -43,11 +43,15 @@
 // acquire asks for a slot; exactly one of granted and refused is called, now
 // or later.
 func (c *counted) acquire(r *request, granted func(pool.GrantID, int), refused func()) {
+	c.ask(r, c.z.Patient, granted, refused)
+}
+
+func (c *counted) ask(r *request, patient bool, granted func(pool.GrantID, int), refused func()) {
 	var avoid []steering.Target
 	for _, t := range r.tried {
 		avoid = append(avoid, targetName(t))
 	}
-	d := c.pool.Acquire(c.z.clock(), pool.Request{Deadline: epoch.Add(r.deadline), Avoid: avoid})
+	d := c.pool.Acquire(c.z.clock(), pool.Request{Deadline: epoch.Add(r.deadline), Avoid: avoid, Patient: patient})
 	switch d.Verdict {
 	case pool.Granted:
 		granted(d.Grant, targetIndex(d.Target.Name))
--- a/cmd/internal/benchbalance/experiment.go
+++ b/cmd/internal/benchbalance/experiment.go
@@ -186,6 +186,31 @@
 	return rows
 }
 
+// compareBursts compares bounds on the wait when 240 requests arrive at once
+// every few seconds, and when the load is too high throughout.
+func compareBursts(o Options) (rows []Row) {
+	bounds := []struct {
+		name    string
+		part    float64
+		patient bool
+	}{
+		{"one service time", 1, false},
+		{"500 ms", 0, false},
+		{"500 ms, one service time in a standing queue", 1, true},
+	}
+	for _, load := range loads {
+		for _, b := range bounds {
+			p := base(o)
+			p.Load, p.Burst, p.WaitPart, p.Patient = load, burstSize, b.part, b.patient
+			rows = append(rows, run(entrant{"wait up to " + b.name, lookupAffinity, func(z *zone) way { return newOwner(z, 0, false) }}, p))
+		}
+	}
+	return rows
+}
+
+// burstSize is three times the slots.
+const burstSize = 240
+
 // compareHolding varies how long a borrowed slot is kept: the minimum holding
 // time that the paper on fractional scheduling uses against thrashing.
 func compareHolding(o Options) (rows []Row) {
--- a/cmd/internal/benchbalance/spill.go
+++ b/cmd/internal/benchbalance/spill.go
@@ -10,7 +10,9 @@
 // Spill is one run of two zones, where the second takes what the first
 // refuses.
 type Spill struct {
-	OtherZone      string  `json:"other_zone"`
+	OtherZone string `json:"other_zone"`
+	// Patient says that a request waits up to 500 ms once both zones refused.
+	Patient        bool    `json:"patient"`
 	Load           float64 `json:"load"`
 	OtherLoad      float64 `json:"other_load"`
 	MaxWaitMs      float64 `json:"max_wait_ms"` // 0: nothing waits
@@ -36,36 +38,43 @@
 
 var spillLoads = []float64{0.85, 1.10, 1.40}
 
-// otherLoad is what the other zone does for its own callers.
-const otherLoad = 0.5
+// otherLoads are what the other zone does for its own callers.
+var otherLoads = []float64{0.5, 1.0}
 
 func compareSpill(o Options) (all []Spill) {
 	for _, to := range distances {
-		for _, load := range spillLoads {
-			for _, wait := range waits {
-				s := runSpill(o, to.oneWay, load, wait)
-				s.OtherZone = to.name
-				all = append(all, s)
+		for _, other := range otherLoads {
+			for _, load := range spillLoads {
+				for _, wait := range waits {
+					all = append(all, runSpill(o, to.name, to.oneWay, other, load, wait, false))
+				}
+				all = append(all, runSpill(o, to.name, to.oneWay, other, load, meanService, true))
 			}
 		}
 	}
 	return all
 }
 
-func runSpill(o Options, oneWay time.Duration, load float64, wait time.Duration) Spill {
+func runSpill(o Options, name string, oneWay time.Duration, other, load float64, wait time.Duration, patient bool) Spill {
 	p := base(o)
-	p.Load, p.MaxWait = load, wait
-	if wait == 0 {
+	p.Load = load
+	switch {
+	case patient:
+		p.WaitPart = float64(wait) / float64(meanService)
+	case wait == 0:
 		p.Queue = -1
+	default:
+		p.MaxWait = wait
 	}
 	z := newZone(p)
 	w := newSpilling(z, oneWay)
+	w.patient = patient
 	z.start(w)
-	w.startOther(seeded(p.Seed, 3))
+	w.startOther(seeded(p.Seed, 3), other)
 	z.sim.run(warmTime + p.For)
 	r := row("", z)
 	return Spill{
-		Load: load, OtherLoad: otherLoad, MaxWaitMs: ms(wait),
+		OtherZone: name, Patient: patient, Load: load, OtherLoad: other, MaxWaitMs: ms(wait),
 		SpilledPercent: percent(w.spilled, z.tally.arrived),
 		RefusedPercent: r.RefusedPercent, P50Ms: r.P50Ms, P99Ms: r.P99Ms,
 	}
@@ -79,6 +88,7 @@
 	near    *counted
 	far     *counted
 	spilled int
+	patient bool
 }
 
 func newSpilling(z *zone, oneWay time.Duration) *spilling {
@@ -116,20 +126,34 @@
 				back(func() { w.z.finish(r) })
 			})
 		}, func() {
-			back(func() { w.z.refuse(r) })
+			back(func() { w.comeBack(r) })
 		})
 	})
 }
 
+// comeBack ends a request that no zone took at once.
+func (w *spilling) comeBack(r *request) {
+	if !w.patient {
+		w.z.refuse(r)
+		return
+	}
+	w.near.ask(r, true, func(id pool.GrantID, target int) {
+		w.z.send(r, target, func(ran bool, reported int) {
+			w.near.release(id, ran, reported)
+			w.z.answered(r, ran)
+		})
+	}, func() { w.z.refuse(r) })
+}
+
 // startOther lets the other zone's own requests arrive; they are not counted.
-func (w *spilling) startOther(rng *rand.Rand) {
+func (w *spilling) startOther(rng *rand.Rand, load float64) {
 	var next func()
 	next = func() {
 		r := &request{deadline: w.z.now + w.z.Deadline, work: rng.ExpFloat64()}
 		w.far.acquire(r, func(id pool.GrantID, target int) {
 			w.z.send(r, target, func(ran bool, reported int) { w.far.release(id, ran, reported) })
 		}, func() {})
-		gap := rng.ExpFloat64() / (otherLoad * w.z.capacity())
+		gap := rng.ExpFloat64() / (load * w.z.capacity())
 		w.z.after(time.Duration(gap*float64(time.Second)), next)
 	}
 	w.z.after(0, next)
--- a/cmd/internal/benchbalance/zone.go
+++ b/cmd/internal/benchbalance/zone.go
@@ -25,6 +25,8 @@
 	// Deadline is how long a caller waits.
 	Deadline time.Duration
 	MaxWait  time.Duration // bound on the queue's wait; 0 leaves the deadline
+	WaitPart float64       // bound on it as a part of the mean service time
+	Patient  bool          // requests wait up to MaxWait while the queue is not a standing one
 	Queue    float64       // waiting requests per slot; negative for none
 	Choice   pool.Choice
 	// SlowTargets is the part of targets that take twice as long.
@@ -33,6 +35,8 @@
 	Hold time.Duration
 	// AskTimeout is when an owner that does not answer is passed over.
 	AskTimeout time.Duration
+	// Burst is how many requests arrive at once every burstEvery.
+	Burst int
 	// Uneven gives the first entry VM this part of all requests.
 	Uneven float64
 }
@@ -152,6 +156,31 @@
 		z.after(gap(), next)
 	}
 	z.after(gap(), next)
+	z.burst()
+}
+
+// burstEvery is the time between two bursts.
+const burstEvery = 4 * time.Second
+
+// burst lets Burst requests arrive within a few milliseconds, again and again.
+func (z *zone) burst() {
+	if z.Burst == 0 {
+		return
+	}
+	rng := seeded(z.Seed, 4)
+	var again func()
+	again = func() {
+		for i := range z.Burst {
+			z.after(time.Duration(rng.IntN(int(10*time.Millisecond))), func() {
+				z.accept(&request{
+					id: -1 - i, arrived: z.now, deadline: z.now + z.Deadline,
+					vm: z.entry(), work: rng.ExpFloat64(),
+				})
+			})
+		}
+		z.after(burstEvery, again)
+	}
+	z.after(burstEvery, again)
 }
 
 // entry chooses the entry VM a request arrives at; entry VM 0 owns the pool.
--- a/node/admit/acquire.go
+++ b/node/admit/acquire.go
@@ -116,6 +116,7 @@
 		holder:   a.self,
 		class:    a.class(r.Service),
 		foreign:  r.Foreign,
+		patient:  r.Patient,
 		deadline: r.Deadline,
 	}
 	if !key.isLink() {
@@ -176,6 +177,7 @@
 		Service:         string(key.service),
 		DeadlineMs:      time.Until(request.deadline).Milliseconds(),
 		Foreign:         request.foreign,
+		Patient:         request.patient,
 		Criticality:     uint32(request.class),
 		Unreachable:     unreachable,
 	}
--- a/node/admit/config.go
+++ b/node/admit/config.go
@@ -36,7 +36,8 @@
 	// PauseLimit is how late upkeep may be before this entry VM takes itself
 	// for one that was paused.
 	PauseLimit time.Duration // 1 s
-	// MaxWait bounds the wait in an owner's queue.
+	// MaxWait bounds the wait in an owner's queue of a request that no other
+	// place takes. Others wait for at most about one service time.
 	MaxWait time.Duration // 500 ms
 	// ForeignMaxWait bounds it for work from other zones.
 	ForeignMaxWait time.Duration // 100 ms
--- a/node/admit/hosted.go
+++ b/node/admit/hosted.go
@@ -112,7 +112,7 @@
 		return answer{kind: answerMoved}
 	}
 	a.class = h.classOf(a)
-	d := h.pool.Acquire(time.Now(), pool.Request{Class: a.class, Foreign: a.foreign, Deadline: a.deadline, Avoid: a.avoid})
+	d := h.pool.Acquire(time.Now(), pool.Request{Class: a.class, Foreign: a.foreign, Patient: a.patient, Deadline: a.deadline, Avoid: a.avoid})
 	switch d.Verdict {
 	case pool.Granted:
 		s := h.issue(d.Grant, a, d.Target)
--- a/node/admit/key.go
+++ b/node/admit/key.go
@@ -66,6 +66,7 @@
 	holder   holder
 	class    routing.Criticality
 	foreign  bool
+	patient  bool
 	deadline time.Time
 	avoid    []steering.Target
 }
--- a/node/admit/server.go
+++ b/node/admit/server.go
@@ -41,6 +41,7 @@
 		holder:   holder{steering.VM(r.FromVm), steering.Incarnation(r.FromIncarnation)},
 		class:    routing.Criticality(min(r.Criticality, uint32(routing.Sheddable))),
 		foreign:  r.Foreign,
+		patient:  r.Patient,
 		deadline: time.Now().Add(time.Duration(r.DeadlineMs) * time.Millisecond),
 	}
 	for _, t := range r.Avoid {
--- a/node/forward/exchange.go
+++ b/node/forward/exchange.go
@@ -53,6 +53,7 @@
 	recorder Recorder // nil unless this is the execution of a key
 
 	claimed bool // the key was looked up
+	patient bool // no other zone took the request
 
 	tried      []steering.Target
 	retried    bool         // the one retry was allowed
--- a/node/forward/run.go
+++ b/node/forward/run.go
@@ -11,14 +11,26 @@
 	"heatherlock/steering/routing"
 )
 
-// run executes the request: in this zone, and in another one when this zone
-// refuses. It returns nil once an answer went to the caller.
+// run executes the request: in this zone, in another one when this zone
+// refuses, and, when no zone takes it at once, by waiting longer here. It returns nil once an answer went to the caller.
 func (x *exchange) run() *steering.Refusal {
 	refusal := x.runHere()
 	if refusal == nil || !x.maySpill(refusal) {
 		return refusal
 	}
-	return x.spill(refusal)
+	own := refusal
+	refusal = x.spill(own)
+	if refusal == nil || !waitingHelps(own.Reason) || !x.maySpill(refusal) {
+		return refusal
+	}
+	x.patient = true
+	return x.runHere()
+}
+
+// waitingHelps says whether a place that refused for a reason may still serve
+// the request a little later.
+func waitingHelps(reason steering.Reason) bool {
+	return reason == steering.ReasonNoSlot || reason == steering.ReasonQueueFull || reason == steering.ReasonRampLimited
 }
 
 // runHere tries targets of this zone.
@@ -114,7 +126,7 @@
 func (x *exchange) admit(place steering.Place, avoid []steering.Target) (seam.Grant, seam.CapPermit, *steering.Refusal) {
 	grant, err := x.f.admitter.Acquire(x.ctx, seam.AdmitRequest{
 		ID: x.id, Service: x.service.Name, Place: place, Deadline: x.deadline,
-		Home: x.home, Foreign: x.origin == fromZone, Avoid: append(avoid, x.tried...),
+		Home: x.home, Foreign: x.origin == fromZone, Patient: x.patient, Avoid: append(avoid, x.tried...),
 	})
 	if err != nil {
 		return nil, nil, asRefusal(err)
--- a/node/seam/seam.go
+++ b/node/seam/seam.go
@@ -76,6 +76,8 @@
 	Foreign bool
 	// Avoid lists targets that already had this request.
 	Avoid []steering.Target
+	// Patient marks a request that no other place takes: it may wait longer.
+	Patient bool
 }
 
 // Outcome tells the pool how a granted request ended.
--- a/steering/pool/config.go
+++ b/steering/pool/config.go
@@ -28,10 +28,14 @@
 	// place can still serve it promptly. Zero leaves only the deadline.
 	MaxWait time.Duration
 	// WaitPart also bounds the wait to this part of the mean service time, but
-	// not below MinWait. Zero sets no such bound. A longer queue serves no more
-	// requests, it only serves them later.
+	// not below MinWait. Zero sets no such bound.
 	WaitPart float64
 	MinWait  time.Duration // 25 ms
+	// StandingAfter is the time for which a queue must not have been empty to
+	// be a standing one. A burst is worth waiting out for who has nowhere else
+	// to go; in a standing queue a longer wait serves nobody more, it only
+	// serves all of them later, so that there patience counts no more.
+	StandingAfter time.Duration // 500 ms
 	// ForeignMaxWait is MaxWait for work from other zones, which has already
 	// spent time on its way and can be refused at less cost.
 	ForeignMaxWait time.Duration // MaxWait
@@ -53,11 +57,12 @@
 	ShedPause    time.Duration // 100 ms
 	ShedPauseMax time.Duration // 5 s
 	// RetryAfterMax bounds the time to come back that a refusal gives.
-	RetryAfterMax time.Duration // 5 s
+	RetryAfterMax time.Duration // 1 s
 }
 
 const (
 	defaultQueuePerSlot  = 4
+	defaultStandingAfter = 500 * time.Millisecond
 	defaultMinWait       = 25 * time.Millisecond
 	defaultServiceTime   = 50 * time.Millisecond
 	defaultLinger        = 500 * time.Millisecond
@@ -67,7 +72,7 @@
 	defaultRegrowMax     = time.Minute
 	defaultShedPause     = 100 * time.Millisecond
 	defaultShedPauseMax  = 5 * time.Second
-	defaultRetryAfterMax = 5 * time.Second
+	defaultRetryAfterMax = time.Second
 
 	// minRetryAfter keeps a refused caller from coming back at once.
 	minRetryAfter = 20 * time.Millisecond
@@ -85,6 +90,7 @@
 	if c.ForeignMaxWait == 0 {
 		c.ForeignMaxWait = c.MaxWait
 	}
+	orDefault(&c.StandingAfter, defaultStandingAfter)
 	orDefault(&c.MinWait, defaultMinWait)
 	orDefault(&c.ServiceTime, defaultServiceTime)
 	orDefault(&c.Linger, defaultLinger)
--- a/steering/pool/estimate.go
+++ b/steering/pool/estimate.go
@@ -91,12 +91,12 @@
 
 // maxWait returns the bound on the wait, or zero when there is none but the
 // deadline.
-func (p *Pool) maxWait(foreign bool) time.Duration {
+func (p *Pool) maxWait(at instant, r *Request) time.Duration {
 	bound := p.cfg.MaxWait
-	if foreign {
+	if r.Foreign {
 		bound = p.cfg.ForeignMaxWait
 	}
-	if p.cfg.WaitPart == 0 {
+	if p.cfg.WaitPart == 0 || r.Patient && !p.standing(at) {
 		return bound
 	}
 	part := max(p.cfg.MinWait, time.Duration(p.cfg.WaitPart*p.times.mean))
@@ -106,6 +106,11 @@
 	return min(bound, part)
 }
 
+// standing says whether the queue has not been empty for long.
+func (p *Pool) standing(at instant) bool {
+	return p.queued > 0 && at-p.emptyAt > p.cfg.StandingAfter
+}
+
 func (p *Pool) queueLimit() int {
 	return int(p.cfg.QueuePerSlot * float64(p.workingSlots()))
 }
--- a/steering/pool/pool.go
+++ b/steering/pool/pool.go
@@ -43,6 +43,7 @@
 	wake     instant // when time alone may change a target's room
 
 	times   serviceTimes
+	emptyAt instant // when the queue was empty last
 	leanAt  instant // when speeds of targets fade next
 	returns instant // when the last refused caller was told to come back
 
@@ -150,7 +151,7 @@
 		return p.refuse(at, steering.ReasonNoSlot, wait)
 	}
 	giveUp := deadline - p.times.typical()
-	if bound := p.maxWait(r.Foreign); bound > 0 {
+	if bound := p.maxWait(at, r); bound > 0 {
 		if wait > bound {
 			return p.refuse(at, steering.ReasonNoSlot, wait)
 		}
--- a/steering/pool/queue.go
+++ b/steering/pool/queue.go
@@ -68,6 +68,9 @@
 
 // enqueue adds a waiting request and returns its ticket.
 func (p *Pool) enqueue(rank int, giveUp instant, avoid []steering.Target) Ticket {
+	if p.queued == 0 {
+		p.emptyAt = p.now
+	}
 	w := p.newWaiter()
 	p.waiters[w].rank = rank
 	p.waiters[w].giveUp = giveUp
--- a/steering/pool/types.go
+++ b/steering/pool/types.go
@@ -12,7 +12,10 @@
 	Class routing.Criticality
 	// Foreign marks work that came from another zone. It waits behind the
 	// zone's own work of the same class.
-	Foreign  bool
+	Foreign bool
+	// Patient marks a request that no other place takes. Its wait is bounded
+	// by MaxWait alone, unless the queue has been standing.
+	Patient  bool
 	Deadline time.Time
 	// Avoid lists targets that must not be chosen. The pool keeps the slice
 	// while the request waits; it must not change.
