Hedge slow idempotent requests within a budget, and cancel the loser

A request that a slow target holds waited for it although another target was idle. After Service.hedgeAfterMs a second try goes to another target of the pool when the budget and a free slot allow it; the first usable answer is relayed and the other try cancelled. Interim answers are not relayed while two tries run.

--- a/node/forward/counters.go
+++ b/node/forward/counters.go
@@ -21,16 +21,18 @@
 // counters are made once, since looking a tally counter up by its labels costs
 // more than forwarding a small header.
 type counters struct {
-	scope    tally.Scope
-	refused  map[steering.Reason]tally.Counter
-	retried  map[steering.Reason]tally.Counter
-	spilled  tally.Counter
-	handed   tally.Counter // to the home of a key, or while leaving
-	replayed tally.Counter
-	aborted  tally.Counter // answers cut after they began
-	inFlight tally.Gauge
-	carried  atomic.Int64
-	services sync.Map // steering.Service -> *serviceCounters
+	scope     tally.Scope
+	refused   map[steering.Reason]tally.Counter
+	retried   map[steering.Reason]tally.Counter
+	spilled   tally.Counter
+	handed    tally.Counter // to the home of a key, or while leaving
+	replayed  tally.Counter
+	hedges    tally.Counter
+	hedgesWon tally.Counter
+	aborted   tally.Counter // answers cut after they began
+	inFlight  tally.Gauge
+	carried   atomic.Int64
+	services  sync.Map // steering.Service -> *serviceCounters
 }
 
 // serviceCounters count one service's requests.
@@ -42,14 +44,16 @@
 
 func newCounters(scope tally.Scope) *counters {
 	c := &counters{
-		scope:    scope,
-		refused:  make(map[steering.Reason]tally.Counter, len(steering.Reasons)),
-		retried:  make(map[steering.Reason]tally.Counter, len(steering.Reasons)),
-		spilled:  scope.Counter("spilled"),
-		handed:   scope.Counter("handed_over"),
-		replayed: scope.Counter("answers_replayed"),
-		aborted:  scope.Counter("answers_aborted"),
-		inFlight: scope.Gauge("in_flight"),
+		scope:     scope,
+		refused:   make(map[steering.Reason]tally.Counter, len(steering.Reasons)),
+		retried:   make(map[steering.Reason]tally.Counter, len(steering.Reasons)),
+		spilled:   scope.Counter("spilled"),
+		handed:    scope.Counter("handed_over"),
+		replayed:  scope.Counter("answers_replayed"),
+		hedges:    scope.Counter("hedges"),
+		hedgesWon: scope.Counter("hedges_won"),
+		aborted:   scope.Counter("answers_aborted"),
+		inFlight:  scope.Gauge("in_flight"),
 	}
 	for reason := range steering.Reasons {
 		tagged := scope.Tagged(map[string]string{"reason": string(reason)})
--- a/node/forward/poison_test.go
+++ b/node/forward/poison_test.go
@@ -73,6 +73,8 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.server = &http.Server{Handler: f}
+	f.w.mu.Lock()
+	defer f.w.mu.Unlock()
 	f.w.serve(targetAddress(f.name), f.server)
 }
 
--- a/node/forward/run.go
+++ b/node/forward/run.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"context"
 	"slices"
 	"time"
 
@@ -61,7 +62,7 @@
 	if refusal != nil {
 		return ending{}, refusal
 	}
-	grant, permit, refusal := x.admitAny(places, verdict.Avoid)
+	grant, permit, refusal := x.admitAny(x.ctx, places, verdict.Avoid)
 	if refusal != nil {
 		x.f.suspects.End(x.mark, verdict, routing.Target{}, TryNothing)
 		return ending{}, refusal
@@ -104,10 +105,10 @@
 
 // admitAny asks the places in turn and returns the first one's refusal when
 // none admits.
-func (x *exchange) admitAny(places []steering.Place, avoid []steering.Target) (seam.Grant, seam.CapPermit, *steering.Refusal) {
+func (x *exchange) admitAny(ctx context.Context, places []steering.Place, avoid []steering.Target) (seam.Grant, seam.CapPermit, *steering.Refusal) {
 	var firstRefusal *steering.Refusal
 	for _, place := range places {
-		grant, permit, refusal := x.admit(place, avoid)
+		grant, permit, refusal := x.admit(ctx, place, avoid)
 		if refusal == nil {
 			return grant, permit, nil
 		}
@@ -123,15 +124,15 @@
 
 // admit takes a slot and then the cap permits: a permit counts the start of a
 // request, so nothing may wait between the two.
-func (x *exchange) admit(place steering.Place, avoid []steering.Target) (seam.Grant, seam.CapPermit, *steering.Refusal) {
-	grant, err := x.f.admitter.Acquire(x.ctx, seam.AdmitRequest{
+func (x *exchange) admit(ctx context.Context, place steering.Place, avoid []steering.Target) (seam.Grant, seam.CapPermit, *steering.Refusal) {
+	grant, err := x.f.admitter.Acquire(ctx, seam.AdmitRequest{
 		ID: x.id, Service: x.service.Name, Place: place, Deadline: x.deadline,
 		Home: x.home, Foreign: x.origin == fromZone, Patient: x.patient, Avoid: append(avoid, x.tried...),
 	})
 	if err != nil {
 		return nil, nil, asRefusal(err)
 	}
-	permit, err := x.f.caps.Admit(x.ctx, x.service.Name, x.home, place)
+	permit, err := x.f.caps.Admit(ctx, x.service.Name, x.home, place)
 	if err != nil {
 		grant.Done(seam.Outcome{Kind: seam.OutcomeUnused, ReportedInFlight: -1, ReportedSlots: -1})
 		return nil, nil, asRefusal(err)
--- a/node/forward/try.go
+++ b/node/forward/try.go
@@ -1,11 +1,11 @@
 package forward
 
 import (
+	"context"
 	"net/http"
 	"net/http/httptrace"
 	"net/textproto"
 	"net/url"
-	"time"
 
 	"heatherlock/node/seam"
 	"heatherlock/steering"
@@ -28,6 +28,8 @@
 	// begun is called once, as soon as it is known whether anything was sent:
 	// when the answer begins or the try is given up.
 	begun func(sent bool)
+	// quiet keeps interim answers back: another try runs beside this one.
+	quiet bool
 }
 
 // ending says how one try ended.
@@ -47,28 +49,54 @@
 	return ending{kind: kind, refusal: refusal, inFlight: -1, slots: -1}
 }
 
+// sending is a try whose answer has begun or that has failed.
+type sending struct {
+	leg     *leg
+	id      string
+	conn    *exchangeConn
+	payload *tryBody
+	res     *http.Response // nil after a failure
+	err     error
+	sent    bool    // any byte left
+	unsent  *ending // the try could not be made at all
+}
+
 // try sends the request along one leg and relays the answer.
 func (x *exchange) try(l *leg) ending {
+	return x.receive(x.send(x.ctx, l))
+}
+
+// send sends the request and waits for the answer to begin.
+func (x *exchange) send(ctx context.Context, l *leg) *sending {
 	payload, ok := x.openBody()
+	s := &sending{leg: l, id: string(x.id), payload: payload, conn: &exchangeConn{onClose: payload.interrupt}}
 	if !ok {
 		l.begun(false)
-		return ended(seam.OutcomeCancelled, steering.Refuse(steering.ReasonTargetFailed, 0, "part of the body is already spent on an earlier try"))
+		spent := ended(seam.OutcomeCancelled, steering.Refuse(steering.ReasonTargetFailed, 0, "part of the body is already spent on an earlier try"))
+		s.unsent = &spent
+		return s
+	}
+	s.res, s.err = l.transport.RoundTrip(x.outgoing(ctx, l, payload, s.conn))
+	s.sent = s.err == nil || s.conn.giveUp()
+	l.begun(s.sent)
+	return s
+}
+
+// receive judges what a try brought and relays an answer.
+func (x *exchange) receive(s *sending) ending {
+	defer s.conn.release()
+	if s.unsent != nil {
+		return *s.unsent
 	}
-	conn := &exchangeConn{onClose: payload.interrupt}
-	defer conn.release()
-	res, err := l.transport.RoundTrip(x.outgoing(l, payload, conn))
-	if err != nil {
-		sent := conn.giveUp()
-		l.begun(sent)
-		payload.detach()
-		result := x.failed(err, sent)
+	if s.err != nil {
+		s.payload.detach()
+		result := x.failed(s.err, s.sent)
 		result.died = result.kind == seam.OutcomeBroken
 		return result
 	}
-	l.begun(true)
-	result := x.answer(l, res, conn)
+	result := x.answer(s.leg, s.res, s.conn)
 	if !result.relayed() {
-		payload.detach()
+		s.payload.detach()
 	}
 	return result
 }
@@ -81,7 +109,7 @@
 }
 
 // outgoing builds the request of one leg.
-func (x *exchange) outgoing(l *leg, payload *tryBody, conn *exchangeConn) *http.Request {
+func (x *exchange) outgoing(ctx context.Context, l *leg, payload *tryBody, conn *exchangeConn) *http.Request {
 	header := make(http.Header, len(x.r.Header)+extraHeaders)
 	copyEndToEnd(header, x.r.Header)
 	withoutTargetReplay(header)
@@ -102,8 +130,11 @@
 		Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
 	}
 	x.attach(out, payload)
-	trace := &httptrace.ClientTrace{GotConn: conn.got, Got1xxResponse: x.interim}
-	return out.WithContext(httptrace.WithClientTrace(x.ctx, trace))
+	trace := &httptrace.ClientTrace{GotConn: conn.got}
+	if !l.quiet {
+		trace.Got1xxResponse = x.interim
+	}
+	return out.WithContext(httptrace.WithClientTrace(ctx, trace))
 }
 
 // extraHeaders is room for the headers that a leg adds.
@@ -143,25 +174,13 @@
 
 // tryTarget runs one try on a granted target.
 func (x *exchange) tryTarget(grant seam.Grant, permit seam.CapPermit, verdict poison.Verdict) ending {
-	target := grant.Target()
-	x.countFirst(target)
-	x.tried = append(x.tried, target.Name)
-	x.f.suspects.Trying(x.mark, verdict, target.Name)
-	started := time.Now()
-	result := x.try(&leg{
-		transport: x.f.targets,
-		scheme:    "http",
-		address:   target.Address,
-		via:       x.f.selfName,
-		mark:      x.markTarget,
-		begun:     permit.Done,
-	})
-	grant.Done(seam.Outcome{
-		Kind: slotOutcome(result), Latency: time.Since(started),
-		ReportedInFlight: result.inFlight, ReportedSlots: result.slots,
-	})
-	x.f.suspects.End(x.mark, verdict, target, result.tryEnd())
-	return result
+	a := x.begin(grant, permit, verdict)
+	x.countFirst(a.target)
+	x.tried = append(x.tried, a.target.Name)
+	if delay := x.hedgeDelay(verdict); delay > 0 {
+		return x.race(a, delay)
+	}
+	return x.settle(a, x.send(x.ctx, a.leg))
 }
 
 // slotOutcome is what the pool is told. A caller that went away before a byte
