--- a/cmd/internal/quickstart/callers.go
+++ b/cmd/internal/quickstart/callers.go
@@ -1,6 +1,7 @@
 package quickstart
 
 import (
+	"context"
 	"fmt"
 	"time"
 
@@ -12,9 +13,12 @@
 // Sizes of the callers.
 const (
 	callersPerZone = 24
-	// crashingCallers is how many callers send the request that crashes
-	// targets.
-	crashingCallers = 3
+	// crashingRepeats is how often the request that crashes targets is sent
+	// again after its caller's own tries have ended.
+	crashingRepeats = 5
+	// stopUploads are under way in each zone of the region in which a target
+	// is to stop, so that the stop meets some.
+	stopUploads = 6
 	// rushRequests are sent at once by one zone's callers, each with so little
 	// time that the deployment's slots cannot take them all.
 	rushRequests = 250
@@ -63,18 +67,43 @@
 		for i := range rushRequests {
 			request := traffic.RequestFor(s, fmt.Sprintf("rush-%s-%d", s.Name, i))
 			request.Timeout = rushTimeout
-			r.traffic.SendOne(r.callers[zone][i%callersPerZone], request)
+			r.traffic.Send(traffic.Errand{From: r.callers[zone][i%callersPerZone], Request: request})
 		}
 	}
 }
 
-// sendCrashing has callers send a request that crashes each target it reaches,
-// and send it again by the rules, through different entry VMs.
+// sendUploads has uploads under way in the region that the shift leaves, and
+// waits until a target there runs one.
+func (r *running) sendUploads(ctx context.Context) {
+	d := r.system.deployment
+	for _, s := range d.Services {
+		if s.Work != deploy.WorkUpload {
+			continue
+		}
+		for _, place := range d.PlacesOf(d.ShiftFrom) {
+			for i := range stopUploads {
+				request := traffic.RequestFor(s, fmt.Sprintf("stop-%s-%s-%d", s.Name, place, i))
+				r.traffic.Send(traffic.Errand{From: r.callers[place][i], Request: request})
+			}
+		}
+	}
+	for ctx.Err() == nil && !r.operator.uploading() {
+		time.Sleep(uploadPoll)
+	}
+}
+
+// uploadPoll is the pause between two looks at what targets run.
+const uploadPoll = 5 * time.Millisecond
+
+// sendCrashing sends a request that crashes each target it reaches, again and
+// again, through different callers and so through different entry VMs.
 func (r *running) sendCrashing() {
 	s := r.system.deployment.Services[0]
 	request := traffic.RequestFor(s, "crashing")
 	request.CrashMarker = crashMarker
-	for _, from := range r.callers[r.system.faultZone()][:crashingCallers] {
-		r.traffic.SendOne(from, request)
+	var errands []traffic.Errand
+	for _, from := range r.callers[r.system.faultZone()][:1+crashingRepeats] {
+		errands = append(errands, traffic.Errand{From: from, Request: request})
 	}
+	r.traffic.Send(errands...)
 }
--- a/cmd/internal/quickstart/operator.go
+++ b/cmd/internal/quickstart/operator.go
@@ -240,6 +240,11 @@
 	return nil
 }
 
+// uploading reports whether a target that may be stopped runs an upload.
+func (o *operator) uploading() bool {
+	return o.system.witness.Running()[o.busiestUploadTarget()] > 0
+}
+
 func (o *operator) busiestUploadTarget() string {
 	d := o.system.deployment
 	running := o.system.witness.Running()
--- a/cmd/internal/quickstart/run.go
+++ b/cmd/internal/quickstart/run.go
@@ -153,6 +153,7 @@
 	if !at(stopAt) {
 		return
 	}
+	r.sendUploads(ctx)
 	r.note("planned stop", r.operator.plannedStop(ctx))
 	r.plantFaults(ctx, at)
 	if at(rushAt) {
--- a/cmd/internal/traffic/traffic.go
+++ b/cmd/internal/traffic/traffic.go
@@ -135,12 +135,20 @@
 	})
 }
 
-// SendOne sends one request beside the streams.
-func (t *Traffic) SendOne(from *caller.Caller, r caller.Request) {
+// Errand is a request that one caller sends beside the streams.
+type Errand struct {
+	From    *caller.Caller
+	Request caller.Request
+}
+
+// Send sends errands one after another, beside the streams.
+func (t *Traffic) Send(errands ...Errand) {
 	t.running.Go(func() {
-		due := time.Now()
-		result := from.Do(context.Background(), r)
-		t.results.add(r.Service, result, time.Since(due))
+		for _, e := range errands {
+			due := time.Now()
+			result := e.From.Do(context.Background(), e.Request)
+			t.results.add(e.Request.Service, result, time.Since(due))
+		}
 	})
 }
 
