Run the quickstart's judgement over entry VMs that are processes of their own

Cause: quickstart runs twelve entry VMs in one process, so nothing showed the daemons as they will run, killed, frozen and restarted by the system.

--- a/cmd/internal/quickstart/command.go
+++ b/cmd/internal/quickstart/command.go
@@ -31,6 +31,7 @@
 	sub.String(&load, "l", "load", "share of all target slots that the callers' work needs; above 1 is over capacity")
 	sub.String(&faults, "x", "fault", "plant faults, comma between: "+faultNames())
 	sub.String(&o.LogFile, "", "log", "write the entry VMs' logs to this file")
+	sub.String(&o.Processes, "", "processes", "write the entry VMs' settings to this directory and wait until heatherlockd runs for each")
 	return func(ctx context.Context, io command.IO) error {
 		for name := range strings.SplitSeq(faults, ",") {
 			if name != "" {
--- a/cmd/internal/quickstart/faults.go
+++ b/cmd/internal/quickstart/faults.go
@@ -107,23 +107,12 @@
 // killEntryVM ends the first entry VM of the fault's zone without any leave,
 // as a failed VM ends, and later starts a replacement.
 func (s *system) killEntryVM() (heal func()) {
-	name := s.faultZone() + "-1"
-	s.mu.Lock()
-	v, ok := s.vms[name]
-	if ok {
-		s.kills = append(s.kills, kill{vm: name, at: time.Now()})
-		delete(s.vms, name)
-	}
-	s.mu.Unlock()
+	v, ok := s.lose(s.faultZone()+"-1", time.Now())
 	if !ok {
 		return func() {}
 	}
-	v.node.Kill()
-	s.witness.ConfigGone(v.lifeName())
-	return func() {
-		v.stop()
-		_, _ = s.start(v.EntryVM, v.life+1)
-	}
+	v.end()
+	return func() { _, _ = s.start(v.EntryVM, v.life+1) }
 }
 
 func contains(via, vm string) bool {
--- a/cmd/internal/quickstart/options.go
+++ b/cmd/internal/quickstart/options.go
@@ -31,6 +31,9 @@
 	Faults []Fault
 	// LogFile takes the entry VMs' logs; empty drops them.
 	LogFile string
+	// Processes is a directory for the settings of entry VMs that somebody
+	// else runs as processes; empty runs them in this process.
+	Processes string
 }
 
 // Defaults returns the options of a run without flags.
@@ -46,6 +49,12 @@
 	if o.Load <= 0 || o.Load > maxLoad {
 		return fmt.Errorf("quickstart: --load %g is out of bounds; give more than 0 and at most %d", o.Load, maxLoad)
 	}
+	if o.Processes != "" && slices.Contains(o.Faults, FaultKillEntryVM) {
+		return fmt.Errorf("quickstart: --fault %s needs entry VMs in this process; kill the process instead", FaultKillEntryVM)
+	}
+	if o.Processes != "" && slices.Contains(o.Faults, FaultCutZone) {
+		return fmt.Errorf("quickstart: --fault %s needs entry VMs in this process; freeze processes instead", FaultCutZone)
+	}
 	for _, f := range o.Faults {
 		if !slices.Contains(AllFaults, f) {
 			return fmt.Errorf("quickstart: no fault %q; use %s", f, faultNames())
--- a/cmd/internal/quickstart/run.go
+++ b/cmd/internal/quickstart/run.go
@@ -51,7 +51,7 @@
 	if err != nil {
 		return nil, err
 	}
-	s, err := newSystem(d, o.Seed, logger)
+	s, err := newSystem(d, o.Seed, logger, o.Processes)
 	if err != nil {
 		return nil, err
 	}
@@ -136,6 +136,9 @@
 	beside.Go(func() { r.operator.watch(watch) })
 	beside.Go(func() { r.showProgress(watch, begun) })
 	beside.Go(func() { r.plan(load, begun) })
+	if r.system.processes != nil {
+		beside.Go(func() { r.system.processes.follow(watch, r.system) })
+	}
 	r.traffic.Run(load)
 	r.traffic.Wait()
 	endWatch()
--- a/cmd/internal/quickstart/system.go
+++ b/cmd/internal/quickstart/system.go
@@ -36,6 +36,7 @@
 	targets    *deploy.Running
 	network    *network
 	log        log.Logger
+	processes  *processes // nil when entry VMs run in this process
 
 	mu    sync.Mutex
 	vms   map[string]*entryVM
@@ -46,23 +47,28 @@
 type entryVM struct {
 	deploy.EntryVM
 	life      int
-	node      *node.Node
 	addresses node.Addresses
-	stop      context.CancelFunc
-	done      chan error
+	// end ends the life at once, as a failed VM ends, and waits for it.
+	end func()
+	// done yields the error that the life ended with by itself; nil when the
+	// entry VM is a process of its own.
+	done chan error
 }
 
 // lifeName tells the lives of one entry VM apart.
 func (v *entryVM) lifeName() string { return fmt.Sprintf("%s#%d", v.Name, v.life) }
 
-// kill is the moment at which a planted fault ended an entry VM.
+// kill is the time within which a planted fault ended an entry VM.
 type kill struct {
-	vm string
-	at time.Time
+	vm        string
+	at, until time.Time
 }
 
-func newSystem(d deploy.Deployment, seed uint64, logger log.Logger) (*system, error) {
+func newSystem(d deploy.Deployment, seed uint64, logger log.Logger, dir string) (*system, error) {
 	s := &system{deployment: d, witness: witness.New(), network: newNetwork(), store: platform.NewStore(platform.Options{}), vms: map[string]*entryVM{}, log: logger}
+	if dir != "" {
+		s.processes = &processes{dir: dir}
+	}
 	targets, err := d.StartTargets(seed, crashMarker, s.witness)
 	if err != nil {
 		return nil, err
@@ -91,10 +97,16 @@
 			return err
 		}
 	}
+	if s.processes != nil {
+		return s.processes.wait(s)
+	}
 	return nil
 }
 
 func (s *system) start(e deploy.EntryVM, life int) (*entryVM, error) {
+	if s.processes != nil {
+		return s.processes.expect(s, e, life)
+	}
 	n, err := node.New(s.settings(e), node.Options{
 		Log: log.With(s.log, "life", life), Version: "quickstart", Dial: s.network.from(e.Zone),
 	})
@@ -102,17 +114,46 @@
 		return nil, errors.Wrapf(err, "quickstart: start entry VM %s", e.Name)
 	}
 	ctx, stop := context.WithCancel(context.Background())
-	v := &entryVM{EntryVM: e, life: life, node: n, addresses: n.Addresses(), stop: stop, done: make(chan error, 1)}
+	v := &entryVM{EntryVM: e, life: life, addresses: n.Addresses(), done: make(chan error, 1)}
+	v.end = func() {
+		n.Kill()
+		stop()
+		<-v.done
+	}
 	s.network.place(e.Zone, v.addresses.Caller, v.addresses.Peer, v.addresses.Operator)
+	s.add(v)
+	go func() { v.done <- n.Run(ctx) }()
+	return v, nil
+}
+
+// add lists an entry VM with the platform and here.
+func (s *system) add(v *entryVM) {
 	s.store.SetVM(platformapi.VM{
-		Name: e.Name, Zone: e.Zone, Region: e.Region, State: platformapi.VMLive,
+		Name: v.Name, Zone: v.Zone, Region: v.Region, State: platformapi.VMLive,
 		CallerAddress: v.addresses.Caller, PeerAddress: v.addresses.Peer, OperatorAddress: v.addresses.Operator,
 	})
 	s.mu.Lock()
-	s.vms[e.Name] = v
+	s.vms[v.Name] = v
 	s.mu.Unlock()
-	go func() { v.done <- n.Run(ctx) }()
-	return v, nil
+}
+
+// lose notes that a fault ended a life of an entry VM and returns it.
+func (s *system) lose(name string, at time.Time) (*entryVM, bool) {
+	until := at
+	if s.processes != nil {
+		until = at.Add(killWithin)
+	}
+	s.mu.Lock()
+	v, ok := s.vms[name]
+	if ok {
+		s.kills = append(s.kills, kill{vm: name, at: at, until: until})
+		delete(s.vms, name)
+	}
+	s.mu.Unlock()
+	if ok {
+		s.witness.ConfigGone(v.lifeName())
+	}
+	return v, ok
 }
 
 func (s *system) settings(e deploy.EntryVM) static.Settings {
@@ -175,6 +216,9 @@
 
 // waitReady waits until every entry VM says that it is ready.
 func (s *system) waitReady(ctx context.Context) error {
+	if s.processes != nil {
+		return nil // startAll waited for the processes
+	}
 	ctx, cancel := context.WithTimeout(ctx, readyTimeout)
 	defer cancel()
 	for _, v := range s.all() {
@@ -211,7 +255,7 @@
 	defer s.mu.Unlock()
 	for _, k := range s.kills {
 		onPath := k.vm == vm || contains(via, k.vm)
-		if onPath && !k.at.Before(from) && !k.at.After(to) {
+		if onPath && !k.until.Before(from) && !k.at.After(to) {
 			return true
 		}
 	}
@@ -221,9 +265,7 @@
 // close ends everything at once: nothing is under way any more.
 func (s *system) close() {
 	for _, v := range s.all() {
-		v.node.Kill()
-		v.stop()
-		<-v.done
+		v.end()
 	}
 	s.targets.Close()
 	_ = s.server.Close()
