--- a/node/forward/fakes_test.go
+++ b/node/forward/fakes_test.go
@@ -36,6 +36,8 @@
 
 // listen takes an address, from its present listener where it has one.
 func (w *world) listen(address string) net.Listener {
+	w.listening.Lock()
+	defer w.listening.Unlock()
 	if old := w.listeners[address]; old != nil {
 		_ = old.Close()
 	}
@@ -67,6 +69,7 @@
 	mu        sync.Mutex
 	runs      map[string]int // by target
 	handlers  map[string]http.HandlerFunc
+	listening sync.Mutex
 	listeners map[string]net.Listener
 }
 
