Hold callers who read slowly to the rate of those who send

A caller that stopped reading left the entry VM waiting in a write for ever, with the target's slot held behind it: a handful of them held a whole pool. A caller that read steadily but slowly was cut at the deadline, which should only bound the time until the answer begins.

Writes of long answers now have a deadline from the same rate that bounds slow senders; a caller under it is broken off and counted as slow_reader. The deadline is disarmed when the answer begins. The test fails without either change.

Not measured.

--- a/node/forward/body.go
+++ b/node/forward/body.go
@@ -40,7 +40,7 @@
 // is kept in failure.
 func (b *body) Read(p []byte) (int, error) {
 	now := time.Now()
-	if deadline, change := b.pace.arm(now); change {
+	if deadline, change := b.pace.arm(now, 0); change {
 		_ = b.control.SetReadDeadline(deadline)
 	}
 	if b.interrupted.Load() {
@@ -192,26 +192,32 @@
 	return pace{bytesPerSecond: int64(bytesPerSecond), slack: paceSlack}
 }
 
-// arm returns the deadline of the next read and whether it must be set anew.
-// It is moved seldom, because setting it costs about as much as a small read.
-func (p *pace) arm(now time.Time) (time.Time, bool) {
+// arm returns the deadline of the next read, or of a write of n bytes, and
+// whether it must be set anew. It is moved seldom, because setting it costs
+// about as much as a small read.
+func (p *pace) arm(now time.Time, n int) (time.Time, bool) {
 	if p.bytesPerSecond == 0 {
 		return time.Time{}, false
 	}
+	allowed := p.slack + p.worth(n)
 	left := p.armed.Sub(now)
-	if left > p.slack/2 && left <= p.slack {
+	if left > p.slack/2+p.worth(n) && left <= allowed {
 		return p.armed, false
 	}
-	p.armed = now.Add(p.slack)
+	p.armed = now.Add(allowed)
 	return p.armed, true
 }
 
+// worth is the time that n bytes may take at the least rate.
+func (p *pace) worth(n int) time.Duration {
+	return time.Duration(n) * time.Second / time.Duration(p.bytesPerSecond)
+}
+
 func (p *pace) moved(n int, waited time.Duration) {
 	if p.bytesPerSecond == 0 {
 		return
 	}
-	earned := time.Duration(int64(n)) * time.Second / time.Duration(p.bytesPerSecond)
-	p.slack = min(paceSlack, p.slack-waited+earned)
+	p.slack = min(paceSlack, p.slack-waited+p.worth(n))
 }
 
 func (p *pace) spent() bool { return p.bytesPerSecond > 0 && p.slack <= 0 }
--- a/node/forward/exchange.go
+++ b/node/forward/exchange.go
@@ -60,6 +60,7 @@
 	retryAhead bool         // and has not been made yet
 	ran        steering.Ran // worst over all tries
 	committed  bool         // the answer's header went to the caller
+	taker      *taker
 	callerGone bool
 	abort      bool // break the caller's connection off
 }
--- a/node/forward/relay.go
+++ b/node/forward/relay.go
@@ -38,7 +38,11 @@
 		conn.giveUp()
 		return x.cutBeforeStart(err)
 	}
+	// The deadline bounds the time until here.
+	x.timer.Stop()
 	x.commit(l, res)
+	x.taker = newTaker(x.w, x.f.limits.BodyMinBytesPerSec)
+	defer x.taker.release()
 	x.forwardPiece(buf[:n], false)
 	if !whole {
 		if err := x.stream(res, buf[:]); err != nil {
@@ -123,11 +127,12 @@
 func (x *exchange) stream(res *http.Response, buf []byte) error {
 	flush := res.ContentLength < 0
 	if flush {
-		x.flush()
+		x.taker.flush()
 	}
 	for {
 		x.timer.Reset(answerStall)
 		n, err := res.Body.Read(buf)
+		x.timer.Stop() // time spent on the caller is bounded by the taker
 		x.forwardPiece(buf[:n], flush)
 		if err == io.EOF {
 			return nil
@@ -153,18 +158,8 @@
 	if x.callerGone {
 		return
 	}
-	if _, err := x.w.Write(p); err != nil {
+	if err := x.taker.write(p, flush); err != nil {
 		x.callerGone = true
-		return
-	}
-	if flush {
-		x.flush()
-	}
-}
-
-func (x *exchange) flush() {
-	if flusher, ok := x.w.(http.Flusher); ok {
-		flusher.Flush()
 	}
 }
 
@@ -207,6 +202,10 @@
 	if x.recorder != nil {
 		x.recorder.Refused(cut)
 	}
+	if x.callerGone && x.taker.slow {
+		x.f.counters.refuse(steering.ReasonSlowReader)
+		return ended(seam.OutcomeCancelled, nil)
+	}
 	if errors.Is(err, errCallerGone) || errors.Is(context.Cause(x.ctx), context.Canceled) {
 		x.f.counters.refuse(steering.ReasonCancelled)
 		return ended(seam.OutcomeCancelled, nil)
--- a/node/forward/whole_test.go
+++ b/node/forward/whole_test.go
@@ -423,6 +423,41 @@
 	})
 }
 
+// Symptom: every slot of a target is in use while it does nothing. Sequence:
+// callers ask for long answers and stop reading. Cause: a write that waits for
+// the caller for ever. A caller that reads slowly but steadily gets all of it.
+func TestSlowReaders(t *testing.T) {
+	inWorld(t, func(t *testing.T, w *world) {
+		const size = 40 * relayBuffer
+		w.target("t1", func(rw http.ResponseWriter, r *http.Request) { _, _ = rw.Write(make([]byte, size)) })
+		get := func() *http.Response {
+			r, _ := http.NewRequest("GET", "http://"+callerA+"/", nil)
+			r.Host = "tickets.example"
+			res, err := w.client.Do(r)
+			assert.NilError(t, err)
+			return res
+		}
+		steady := get()
+		read, buf := 0, make([]byte, relayBuffer)
+		for {
+			n, err := steady.Body.Read(buf)
+			read += n
+			if err != nil {
+				break
+			}
+			time.Sleep(time.Duration(n) * time.Second / 1500) // the bound is 1024 a second
+		}
+		assert.Equal(t, read, size)
+
+		stalled := get()
+		time.Sleep(paceSlack + relayBuffer*time.Second/1024 + time.Second)
+		w.settled() // with the caller still connected
+		_, err := io.Copy(io.Discard, stalled.Body)
+		assert.Assert(t, err != nil, "a cut answer passed for whole")
+		assert.Equal(t, counted(w.a, "refusals"), int64(1))
+	})
+}
+
 // Symptom: an oversized or malformed request hangs, or ends without a reason.
 func TestLimitsAreTyped(t *testing.T) {
 	inWorld(t, func(t *testing.T, w *world) {
--- a/steering/reasons.go
+++ b/steering/reasons.go
@@ -44,6 +44,7 @@
 	ReasonBadRequest:    {http.StatusBadRequest, "the request is malformed", "correct the part named in the detail"},
 	ReasonBodyTooLarge:  {http.StatusRequestEntityTooLarge, "the body is larger than the service allows", "send less, or raise the Service's maxBodyBytes"},
 	ReasonSlowSender:    {http.StatusRequestTimeout, "the caller sent its body too slowly", "send again over a better link"},
+	ReasonSlowReader:    {http.StatusRequestTimeout, "the caller took the answer too slowly, and the connection was broken off", "ask again over a better link; only counted, since the answer had begun"},
 	ReasonConnections:   {http.StatusServiceUnavailable, "this entry VM has as many connections as it allows", "use another entry VM of the look-up answer"},
 	ReasonCancelled:     {499, "the caller went away", "none needed"},
 }
--- a/steering/refusal.go
+++ b/steering/refusal.go
@@ -66,6 +66,7 @@
 	ReasonBadRequest    Reason = "bad_request"
 	ReasonBodyTooLarge  Reason = "body_too_large"
 	ReasonSlowSender    Reason = "slow_sender"
+	ReasonSlowReader    Reason = "slow_reader"
 	ReasonConnections   Reason = "too_many_connections"
 	ReasonCancelled     Reason = "cancelled"
 )
