Move the shift in one step, and send the crashing request at once and again

Cause: with two steps and the look-ups' time to live a run of 10 s saw little shifted work; one caller that sends a request again reused the try's name. Change: one step of 50 %; tries are counted over the process; three callers send the crashing request at the same moment and again.

--- a/cmd/internal/caller/errand.go
+++ b/cmd/internal/caller/errand.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -15,6 +16,9 @@
 	"heatherlock/standin/witness"
 )
 
+// tries counts the tries of this process.
+var tries atomic.Int64
+
 // errand is one request with its tries.
 type errand struct {
 	caller  *Caller
@@ -153,8 +157,10 @@
 
 // tryID names one try. Several callers may send the same request; were their
 // tries named alike, a refusal to one would be judged by the run of another.
+// One caller may also send it again later, so tries are counted over the
+// process.
 func (e *errand) tryID() string {
-	return fmt.Sprintf("%s/%s/%d", e.request.ID, e.caller.config.Source, e.result.Tries)
+	return fmt.Sprintf("%s/%s/%d", e.request.ID, e.caller.config.Source, tries.Add(1))
 }
 
 func (e *errand) setHeaders(r *http.Request, try string) {
--- a/cmd/internal/quickstart/callers.go
+++ b/cmd/internal/quickstart/callers.go
@@ -13,9 +13,10 @@
 // Sizes of the callers.
 const (
 	callersPerZone = 24
-	// crashingRepeats is how often the request that crashes targets is sent
-	// again after its caller's own tries have ended.
-	crashingRepeats = 5
+	// crashingAtOnce callers send the request that crashes targets at the same
+	// moment, and each crashingRepeats times again, one after another.
+	crashingAtOnce  = 3
+	crashingRepeats = 2
 	// stopUploads are under way in each zone of the region in which a target
 	// is to stop, so that the stop meets some.
 	stopUploads = 6
@@ -95,15 +96,18 @@
 // uploadPoll is the pause between two looks at what targets run.
 const uploadPoll = 5 * time.Millisecond
 
-// sendCrashing sends a request that crashes each target it reaches, again and
-// again, through different callers and so through different entry VMs.
+// sendCrashing sends a request that crashes each target it reaches, at once and
+// again and again, through different callers and so different entry VMs.
 func (r *running) sendCrashing() {
 	s := r.system.deployment.Services[0]
 	request := traffic.RequestFor(s, "crashing")
 	request.CrashMarker = crashMarker
-	var errands []traffic.Errand
-	for _, from := range r.callers[r.system.faultZone()][:1+crashingRepeats] {
-		errands = append(errands, traffic.Errand{From: from, Request: request})
+	callers := r.callers[r.system.faultZone()]
+	for i := range crashingAtOnce {
+		var errands []traffic.Errand
+		for j := range 1 + crashingRepeats {
+			errands = append(errands, traffic.Errand{From: callers[(i+j)%len(callers)], Request: request})
+		}
+		r.traffic.Send(errands...)
 	}
-	r.traffic.Send(errands...)
 }
--- a/cmd/internal/quickstart/operator.go
+++ b/cmd/internal/quickstart/operator.go
@@ -20,7 +20,7 @@
 	stopName  = "quickstart-stop"
 
 	shiftPercent     = 50
-	shiftStepPercent = 25
+	shiftStepPercent = 50
 	shiftStepSeconds = 1
 	capWindow        = time.Second
 	// capShare is the cap as a share of the work that the whole shift would
