Let a state chart decide which tries of a request may be sent

What may be sent next and what may be said of a request's execution was spread over the data path as a variable that each place had to weaken. A race of two tries counts as the least certain of them: a hedge whose second try broke could be called not run.

A rapid test fires events in any order against a count of the tries that may have run. The data path's tests now fail when the chart refuses a step.

--- a/node/forward/exchange.go
+++ b/node/forward/exchange.go
@@ -10,6 +10,7 @@
 
 	"heatherlock/steering"
 	"heatherlock/steering/poison"
+	"heatherlock/steering/request"
 	"heatherlock/steering/retry"
 	"heatherlock/steering/routing"
 )
@@ -56,10 +57,10 @@
 	patient bool // no other zone took the request
 
 	tried      []steering.Target
-	retried    bool         // the one retry was allowed
-	retryAhead bool         // and has not been made yet
-	ran        steering.Ran // worst over all tries
-	committed  bool         // the answer's header went to the caller
+	retried    bool // the one retry was allowed
+	retryAhead bool // and has not been made yet
+	life       request.Life
+	committed  bool // the answer's header went to the caller
 	taker      *taker
 	callerGone bool
 	abort      bool // break the caller's connection off
@@ -103,10 +104,3 @@
 func (x *exchange) remainingMs() string {
 	return strconv.FormatInt(max(1, x.remaining().Milliseconds()), 10)
 }
-
-// worsen keeps the least certain of what is known about the tries.
-func (x *exchange) worsen(ran steering.Ran) {
-	if ran != steering.RanNo && x.ran == steering.RanNo {
-		x.ran = ran
-	}
-}
--- a/node/forward/fakes_test.go
+++ b/node/forward/fakes_test.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
 	"github.com/uber-go/tally/v4"
 
 	"heatherlock/node/seam"
@@ -116,6 +117,18 @@
 	return w
 }
 
+// faults is a log that fails the test when the program itself is at fault.
+func (w *world) faults() log.Logger {
+	return log.LoggerFunc(func(keyvals ...any) error {
+		for _, v := range keyvals {
+			if v == level.ErrorValue() {
+				w.t.Errorf("fault: %v", keyvals)
+			}
+		}
+		return nil
+	})
+}
+
 func target(name, place string) routing.Target {
 	return routing.Target{Name: steering.Target(name), Service: "tickets", Place: steering.Place(place), Address: targetAddress(name)}
 }
@@ -126,7 +139,7 @@
 		down: map[steering.VM]bool{}, stored: map[steering.Key]*fakeRun{}, scope: tally.NewTestScope("", nil)}
 	e.Forwarder = New(Config{
 		Self: m, Limits: static.Settings{}.WithDefaults().Limits, Configs: e, Members: e, Admitter: e, Caps: e, Remote: e,
-		Looker: e, Leaver: e, Outcomes: e, Suspects: e, Retries: e, Dial: w.net.Dial, Scope: e.scope, Log: log.NewNopLogger(),
+		Looker: e, Leaver: e, Outcomes: e, Suspects: e, Retries: e, Dial: w.net.Dial, Scope: e.scope, Log: w.faults(),
 	})
 	w.serve([]string{callerA, callerB}[i], &http.Server{
 		Handler: e, ConnContext: e.ConnContext, ConnState: e.ConnState, DisableGeneralOptionsHandler: true,
--- a/node/forward/handover.go
+++ b/node/forward/handover.go
@@ -9,6 +9,7 @@
 	"heatherlock/node/seam"
 	"heatherlock/steering"
 	"heatherlock/steering/ownership"
+	"heatherlock/steering/request"
 )
 
 // maxSpills bounds the places asked after the own zone refused.
@@ -21,7 +22,7 @@
 	if x.origin == fromZone || refusal.Ran != steering.RanNo || !passesElsewhere(refusal.Reason) {
 		return false
 	}
-	if x.atMostOnce && x.ran != steering.RanNo {
+	if x.atMostOnce && x.life.Ran() != steering.RanNo {
 		return false
 	}
 	return x.bodyUntouched() && x.remaining() > 0 && x.r.URL.Path != "*"
@@ -43,7 +44,6 @@
 			x.f.counters.spilled.Inc(1)
 			return nil
 		}
-		x.worsen(result.refusal.Ran)
 		if result.refusal.Ran != steering.RanNo || !passesElsewhere(result.refusal.Reason) {
 			return result.refusal
 		}
@@ -152,7 +152,11 @@
 
 // tryPeer runs one try through a peer and keeps what it showed at first hand.
 func (x *exchange) tryPeer(l *leg, member seam.Member) ending {
+	if !x.fire(request.Send) {
+		return ended(seam.OutcomeCancelled, mayNotSend())
+	}
 	result := x.try(l)
+	x.endTry(result)
 	switch result.kind {
 	case seam.OutcomeUnreachable:
 		x.f.members.Evidence(member.VM, false)
@@ -195,7 +199,6 @@
 	if result.relayed() {
 		return nil, true
 	}
-	x.worsen(result.refusal.Ran)
 	if result.refusal.Ran == steering.RanNo && x.bodyUntouched() && x.remaining() > 0 {
 		return nil, false // serve it here after all
 	}
--- a/node/forward/hedge.go
+++ b/node/forward/hedge.go
@@ -159,16 +159,29 @@
 		return result
 	}
 	rest := <-other.done
-	if rest == nil || !usable(rest) {
-		if rest != nil {
-			x.drop(other.attempt, rest, false)
-		}
+	if rest == nil {
 		return x.settle(came.attempt, s)
 	}
+	if !usable(rest) {
+		dropped := x.drop(other.attempt, rest, false)
+		return worse(x.settle(came.attempt, s), dropped)
+	}
 	x.drop(came.attempt, s, false)
 	return x.settle(other.attempt, rest)
 }
 
+// worse returns the end of a try, weakened when the other try of the race may
+// have run.
+func worse(result, other ending) ending {
+	if result.relayed() || result.refusal.Ran != steering.RanNo || other.refusal.Ran == steering.RanNo {
+		return result
+	}
+	weakened := *result.refusal
+	weakened.Ran = steering.RanUnknown
+	result.refusal = &weakened
+	return result
+}
+
 // usable reports an answer worth relaying while another try still runs.
 func usable(s *sending) bool {
 	if s.err != nil || s.unsent != nil {
@@ -183,7 +196,7 @@
 }
 
 // drop accounts for a try whose answer is not relayed.
-func (x *exchange) drop(a *attempt, s *sending, cancelled bool) {
+func (x *exchange) drop(a *attempt, s *sending, cancelled bool) ending {
 	result := ended(seam.OutcomeCancelled, steering.Unknown(steering.ReasonCancelled, "another try answered first"))
 	switch {
 	case s.unsent != nil:
@@ -195,10 +208,15 @@
 		result.refusal = steering.Refuse(steering.ReasonCancelled, 0, "another try answered first")
 	case s.err == nil:
 		x.discard(s.res, s.conn)
-		if !usable(s) {
+		switch {
+		case usable(s):
+		case first(s.res.Header, targetNotRun) == "true":
+			result = ended(seam.OutcomeShed, steering.Refuse(steering.ReasonShed, 0, "the target refused without running it"))
+		default:
 			result.kind = seam.OutcomeFailed
 		}
 	}
 	s.conn.release()
 	x.account(a, result)
+	return result
 }
--- a/node/forward/identify.go
+++ b/node/forward/identify.go
@@ -61,6 +61,7 @@
 	}
 	x.counters = x.f.counters.service(x.service.Name)
 	x.atMostOnce = slices.Contains(x.service.NonIdempotent, x.r.Method)
+	x.life.Idempotent = !x.atMostOnce
 	return nil
 }
 
--- a/node/forward/keyed.go
+++ b/node/forward/keyed.go
@@ -47,9 +47,8 @@
 	x.outlive()
 	refusal = x.run()
 	if refusal != nil {
-		x.worsen(refusal.Ran)
 		final := *refusal
-		final.Ran = x.ran
+		final.Ran = x.atLeast(final.Ran)
 		recorder.Refused(&final)
 	}
 	finished = true
--- a/node/forward/refuse.go
+++ b/node/forward/refuse.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"heatherlock/steering"
+	"heatherlock/steering/request"
 )
 
 // Times to come back of refusals that the data path makes itself.
@@ -33,10 +34,10 @@
 // refuse sends the final answer of a request that has none from a target.
 func (x *exchange) refuse(refusal *steering.Refusal) {
 	final := *refusal
-	x.worsen(final.Ran)
 	if final.Ran == steering.RanNo {
 		final.Ran = x.ranSoFar()
 	}
+	x.fire(request.Refuse)
 	x.f.counters.refuse(final.Reason)
 	if final.Reason == steering.ReasonCancelled {
 		x.abort = true // nobody is there to read it
@@ -57,8 +58,8 @@
 // ranSoFar says what "not run" has to be weakened to: an earlier try may have
 // run, and a key that was not looked up may have run before.
 func (x *exchange) ranSoFar() steering.Ran {
-	if x.ran != steering.RanNo {
-		return x.ran
+	if ran := x.atLeast(steering.RanNo); ran != steering.RanNo {
+		return ran
 	}
 	if !x.claimed && x.origin != fromZone && x.key != "" {
 		return steering.RanUnknown
--- a/node/forward/relay.go
+++ b/node/forward/relay.go
@@ -11,6 +11,7 @@
 
 	"heatherlock/node/seam"
 	"heatherlock/steering"
+	"heatherlock/steering/request"
 )
 
 // relayBuffer is the piece in which answers are streamed. An answer of known
@@ -51,6 +52,7 @@
 		}
 	}
 	x.finishTrailers(res)
+	x.fire(request.Whole)
 	if x.recorder != nil {
 		x.recorder.Whole(res.Trailer)
 	}
@@ -113,6 +115,7 @@
 		x.freeHeader()
 	}
 	x.committed = true
+	x.fire(request.Answer)
 	x.w.WriteHeader(res.StatusCode)
 	if x.recorder != nil {
 		x.recorder.Head(res.StatusCode, res.Header)
@@ -198,6 +201,7 @@
 // cutAfterStart is an answer that ended in the caller's hands.
 func (x *exchange) cutAfterStart(err error) ending {
 	x.abort = true
+	x.fire(request.CutShort)
 	cut := steering.Unknown(steering.ReasonAnswerCut, err.Error())
 	if x.recorder != nil {
 		x.recorder.Refused(cut)
--- a/node/forward/run.go
+++ b/node/forward/run.go
@@ -9,6 +9,7 @@
 
 	"heatherlock/node/seam"
 	"heatherlock/steering"
+	"heatherlock/steering/request"
 	"heatherlock/steering/routing"
 )
 
@@ -48,7 +49,6 @@
 		if result.relayed() {
 			return nil
 		}
-		x.worsen(result.refusal.Ran)
 		if !x.mayRetry(result.refusal) {
 			return result.refusal
 		}
@@ -67,7 +67,15 @@
 		x.f.suspects.End(x.mark, verdict, routing.Target{}, TryNothing)
 		return ending{}, refusal
 	}
-	return x.tryTarget(grant, permit, verdict), nil
+	if !x.fire(request.Send) {
+		grant.Done(seam.Outcome{Kind: seam.OutcomeUnused, ReportedInFlight: -1, ReportedSlots: -1})
+		permit.Done(false)
+		x.f.suspects.End(x.mark, verdict, routing.Target{}, TryNothing)
+		return ending{}, mayNotSend()
+	}
+	result = x.tryTarget(grant, permit, verdict)
+	x.endTry(result)
+	return result, nil
 }
 
 // localPlaces returns the places of this zone that serve the request, the one
--- /dev/null
+++ b/steering/request/request_test.go
@@ -0,0 +1,55 @@
+package request
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/golden"
+	"pgregory.net/rapid"
+
+	"heatherlock/steering"
+	"heatherlock/steering/chart"
+)
+
+func TestChartPage(t *testing.T) {
+	golden.Assert(t, Chart().Markdown(), "../../../docs/charts/request.md")
+}
+
+// TestNothingRunsTwice fires events in any order. The reference counts the tries
+// that may have run.
+func TestNothingRunsTwice(t *testing.T) {
+	events := []chart.Event{Send, ProvedNotRun, MayHaveRun, Answer, Whole, CutShort, Refuse}
+	rapid.Check(t, func(t *rapid.T) {
+		l := Life{Idempotent: rapid.Bool().Draw(t, "idempotent")}
+		inHand, mayHaveRun := 0, 0
+		for range rapid.IntRange(1, 30).Draw(t, "events") {
+			event := rapid.SampledFrom(events).Draw(t, "event")
+			if l.Fire(event) != nil {
+				continue
+			}
+			switch event {
+			case Send:
+				assert.Assert(t, inHand == 0, "two tries at once")
+				inHand++
+				assert.Assert(t, l.Idempotent || mayHaveRun == 0, "a second try after one that may have run")
+			case ProvedNotRun:
+				inHand--
+			case MayHaveRun, Answer:
+				inHand--
+				mayHaveRun++
+			}
+			assert.Equal(t, l.Ran() == steering.RanNo, inHand+mayHaveRun == 0, "%s says %s", l.State(), l.Ran())
+			assert.Assert(t, l.Ran() != steering.RanYes || mayHaveRun > 0)
+		}
+	})
+}
+
+func BenchmarkLife(b *testing.B) {
+	b.ReportAllocs()
+	for b.Loop() {
+		l := Life{}
+		for _, event := range []chart.Event{Send, Answer, Whole} {
+			_ = l.Fire(event)
+		}
+	}
+}
