--- a/node/failure_test.go
+++ b/node/failure_test.go
@@ -1,16 +1,20 @@
 package node_test
 
 import (
+	"context"
 	"fmt"
 	"net/http"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
 
+	"heatherlock/node/static"
 	"heatherlock/standin/target"
 	"heatherlock/standin/witness"
+	"heatherlock/steering"
 )
 
 // within is the time in which an accepted configuration must be in force.
@@ -261,3 +265,65 @@
 		}
 	})
 }
+
+// Symptom: a flood of callers takes the operators' and the peers' view away, or
+// hangs further callers without a word. Sequence: callers open connections up
+// to the limit and say nothing. Cause: listeners that share a bound, or a bound
+// that only delays accepting.
+func TestCallerFloodStarvesNobody(t *testing.T) {
+	inFleet(t, func(f *fleet) {
+		const limit = 20
+		d := f.startWith("ea3", "a", static.Limits{CallerConnections: limit})
+		f.settle()
+		host := f.net.Host("callers", "10.1.77.7")
+		for range limit {
+			c, err := host.Dial(context.Background(), "tcp", d.Addresses().Caller)
+			assert.NilError(t, err)
+			defer c.Close()
+		}
+		caller := f.caller("a")
+		got, err := f.send(caller, errand{method: "GET", vm: "ea3", service: "tickets"})
+		assert.NilError(t, err)
+		assert.Equal(t, got.reason(), string(steering.ReasonConnections))
+		assert.Equal(t, got.ran(), "no")
+		for _, path := range []string{"/healthz", "/readyz", "/metrics", "/v1/status"} {
+			res, err := caller.Get("http://" + d.Addresses().Operator + path)
+			assert.NilError(t, err)
+			assert.Equal(t, res.StatusCode, http.StatusOK, path)
+			assert.NilError(t, res.Body.Close())
+		}
+		time.Sleep(10 * time.Second) // slow headers end, and with them the flood
+		f.get(f.caller("a"), "ea3")
+	})
+}
+
+// Symptom: a region's callers are sent to entry VMs that are gone, or their
+// work pushes the region that is left past its slots. Sequence: every entry VM
+// and target of a region dies at once; its callers go on elsewhere.
+func TestRegionLost(t *testing.T) {
+	inFleet(t, func(f *fleet) {
+		f.crash("eb1")
+		f.crash("eb2")
+		for name, one := range f.targets {
+			if strings.Contains(name, "-b-") {
+				assert.NilError(t, one.Close())
+			}
+		}
+		time.Sleep(5 * time.Second)
+		var callers sync.WaitGroup
+		for range 30 {
+			caller := f.caller("b")
+			callers.Go(func() {
+				answer, err := f.lookup(caller, "ea1", "tickets")
+				assert.Check(t, err)
+				assert.Check(t, len(answer.EntryVMs) > 0 && strings.HasPrefix(string(answer.EntryVMs[0].VM), "ea"), "%v", answer)
+				for range 10 {
+					got, err := f.send(caller, errand{method: "GET", address: answer.EntryVMs[0].Address, service: "tickets"})
+					assert.Check(t, err)
+					assert.Check(t, got.status == http.StatusOK || got.ran() == "no", "%d %s", got.status, got.reason())
+				}
+			})
+		}
+		callers.Wait()
+	})
+}
--- a/node/fleet_test.go
+++ b/node/fleet_test.go
@@ -162,13 +162,17 @@
 
 // start starts a process life of an entry VM.
 func (f *fleet) start(vm, zone string) *daemon {
+	return f.startWith(vm, zone, static.Limits{})
+}
+
+func (f *fleet) startWith(vm, zone string, limits static.Limits) *daemon {
 	f.t.Helper()
 	i := strings.Index("ab", zone) + 1
 	host := f.net.Host(zone, fmt.Sprintf("10.%d.0.%d", i, 1+int(vm[len(vm)-1]-'0')))
 	listen := fmt.Sprintf("10.%d.0.%d:0", i, 1+int(vm[len(vm)-1]-'0'))
 	settings := static.Settings{
 		VM: steering.VM(vm), Zone: steering.Zone(zone), Region: steering.Region(fmt.Sprintf("r%d", i-1)),
-		CallerListen: listen, PeerListen: listen, OperatorListen: listen,
+		CallerListen: listen, PeerListen: listen, OperatorListen: listen, Limits: limits,
 	}
 	for _, other := range f.daemons {
 		settings.Seeds = append(settings.Seeds, other.Addresses().Peer)
