Say 'not run' of a key only after looking it up

A repeat of a purchase that had run was refused as 'not run' when it met an entry VM without a configuration, a header limit or a body limit; its caller would have bought again under a fresh key. And a 'not run' that the key's home had proved was weakened to 'unknown' on its way back.

Refusals before the look-up of a well-formed key say 'unknown'; home's answer is passed on as it is.

--- a/node/forward/handover.go
+++ b/node/forward/handover.go
@@ -120,12 +120,13 @@
 	if result.relayed() {
 		return nil
 	}
-	if result.refusal.Reason == steering.ReasonPeerDown {
+	if result.kind == seam.OutcomeUnreachable {
 		// Nothing was sent now, but the key may have run there before.
 		refusal := steering.Unknown(steering.ReasonPeerDown, "the entry VM that issued the key cannot be reached")
 		refusal.RetryAfter = peerDownRetry
 		return refusal
 	}
+	x.claimed = result.kind == seam.OutcomeShed // home has looked the key up
 	return result.refusal
 }
 
--- a/node/forward/refuse.go
+++ b/node/forward/refuse.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"heatherlock/steering"
+	"heatherlock/steering/once"
 	"heatherlock/steering/request"
 )
 
@@ -61,12 +62,27 @@
 	if ran := x.atLeast(steering.RanNo); ran != steering.RanNo {
 		return ran
 	}
-	if !x.claimed && x.origin != fromZone && x.key != "" {
+	if x.mayHaveRunBefore() {
 		return steering.RanUnknown
 	}
 	return steering.RanNo
 }
 
+// mayHaveRunBefore reports a key whose outcome was not looked up, because the
+// request was refused too early or its home did not answer. A caller that is
+// told "not run" of its repeat would send the work again under a fresh key.
+func (x *exchange) mayHaveRunBefore() bool {
+	if x.claimed || x.origin == fromZone || x.service != nil && !x.atMostOnce {
+		return false
+	}
+	key := first(x.r.Header, headerKey)
+	if key == "" {
+		return false
+	}
+	_, err := once.ParseKey(steering.Key(key))
+	return err == nil // a malformed key never ran
+}
+
 func (x *exchange) writeProblem(r *steering.Refusal) {
 	status := http.StatusServiceUnavailable
 	meaning := string(r.Reason)
