Let several target faults stand together; stretch service times for high loads

Cause: a second fault at the targets replaced the first; loads near the slots needed more requests than a shared machine carries.

--- a/cmd/internal/quickstart/command.go
+++ b/cmd/internal/quickstart/command.go
@@ -29,6 +29,7 @@
 	sub.Bool(&o.Keep, "k", "keep", "leave the system running and print commands to try on it")
 	sub.String(&o.Deployment, "d", "deployment", "chile or prairies")
 	sub.String(&load, "l", "load", "share of all target slots that the callers' work needs; above 1 is over capacity")
+	sub.Int(&o.Stretch, "", "stretch", "multiply service times, so that a high load needs fewer requests of this machine")
 	sub.String(&faults, "x", "fault", "plant faults, comma between: "+faultNames())
 	sub.String(&o.LogFile, "", "log", "write the entry VMs' logs to this file")
 	sub.String(&o.Processes, "", "processes", "write the entry VMs' settings to this directory and wait until heatherlockd runs for each")
--- a/cmd/internal/quickstart/faults.go
+++ b/cmd/internal/quickstart/faults.go
@@ -37,6 +37,8 @@
 	slowPlatform = 500 * time.Millisecond
 	lostReplies  = 20
 	faultyEvery  = 10
+	crossedEvery = 7
+	failEvery    = 2
 	lateAnswer   = 300 * time.Millisecond
 )
 
@@ -66,42 +68,46 @@
 		sendCrashing()
 		return func() {}
 	}
-	return s.plantAtTargets(targetFaults(f))
+	return s.plantAtTargets(f)
 }
 
 // faultZone is the first zone: neither the shift nor the planned stop is
 // there, so that the run can tell what a fault did from what they did.
 func (s *system) faultZone() string { return s.deployment.Zones[0].Name }
 
-func targetFaults(f Fault) target.Faults {
+// add sets the switches of one fault beside those already set.
+func (f Fault) add(to *target.Faults) {
 	switch f {
 	case FaultLyingHealth:
-		return target.Faults{Health: target.HealthBad, Load: &target.Load{InFlight: 99, Slots: 1}}
+		to.Health, to.Load = target.HealthBad, &target.Load{InFlight: 99, Slots: 1}
 	case FaultFewerSlots:
-		return target.Faults{WorkingSlots: 1}
+		to.WorkingSlots = 1
 	case FaultShortAnswers:
-		return target.Faults{ShortEvery: faultyEvery}
+		to.ShortEvery = faultyEvery
 	case FaultCrossedAnswers:
-		return target.Faults{CrossedEvery: faultyEvery}
+		to.CrossedEvery = crossedEvery
 	case FaultLateAnswers:
-		return target.Faults{Late: lateAnswer}
+		to.Late = lateAnswer
 	case FaultTargetErrors:
-		return target.Faults{FailEvery: 2}
+		to.FailEvery = failEvery
 	}
-	return target.Faults{}
 }
 
-func (s *system) plantAtTargets(f target.Faults) (heal func()) {
+// plantAtTargets adds a fault to those of the zone's targets; the first heal
+// takes all of them away.
+func (s *system) plantAtTargets(f Fault) (heal func()) {
+	f.add(&s.atTargets)
+	s.setTargets(s.atTargets)
+	return func() { s.setTargets(target.Faults{}) }
+}
+
+func (s *system) setTargets(f target.Faults) {
 	zone := s.faultZone()
-	set := func(f target.Faults) {
-		for _, t := range s.deployment.Targets() {
-			if t.Place == zone {
-				s.targets.Targets[t.Name].SetFaults(f)
-			}
+	for _, t := range s.deployment.Targets() {
+		if t.Place == zone {
+			s.targets.Targets[t.Name].SetFaults(f)
 		}
 	}
-	set(f)
-	return func() { set(target.Faults{}) }
 }
 
 // killEntryVM ends the first entry VM of the fault's zone without any leave,
--- a/cmd/internal/quickstart/options.go
+++ b/cmd/internal/quickstart/options.go
@@ -14,6 +14,7 @@
 	minFor     = 2 * time.Second
 	maxFor     = 10 * time.Minute
 	maxLoad    = 3
+	maxStretch = 20
 	defaultFor = 10 * time.Second
 	// defaultLoad is the share of the targets' slots that callers keep busy.
 	defaultLoad = 0.15
@@ -29,6 +30,9 @@
 	// Load is the share of all target slots that the callers' work needs.
 	Load   float64
 	Faults []Fault
+	// Stretch multiplies the stand-ins' service times, so that the same share
+	// of the slots needs fewer requests of this machine.
+	Stretch int
 	// LogFile takes the entry VMs' logs; empty drops them.
 	LogFile string
 	// Processes is a directory for the settings of entry VMs that somebody
@@ -38,7 +42,7 @@
 
 // Defaults returns the options of a run without flags.
 func Defaults() Options {
-	return Options{For: defaultFor, Seed: 1, Deployment: deploy.ChileName, Load: defaultLoad}
+	return Options{For: defaultFor, Seed: 1, Deployment: deploy.ChileName, Load: defaultLoad, Stretch: 1}
 }
 
 // Check reports the first option out of bounds, with the remedy.
@@ -55,6 +59,9 @@
 	if o.Processes != "" && slices.Contains(o.Faults, FaultCutZone) {
 		return fmt.Errorf("quickstart: --fault %s needs entry VMs in this process; freeze processes instead", FaultCutZone)
 	}
+	if o.Stretch < 1 || o.Stretch > maxStretch {
+		return fmt.Errorf("quickstart: --stretch %d is out of bounds; give 1 to %d", o.Stretch, maxStretch)
+	}
 	for _, f := range o.Faults {
 		if !slices.Contains(AllFaults, f) {
 			return fmt.Errorf("quickstart: no fault %q; use %s", f, faultNames())
--- a/cmd/internal/quickstart/report_test.go
+++ b/cmd/internal/quickstart/report_test.go
@@ -67,6 +67,7 @@
 		"--for 1h":               func(o *Options) { o.For = time.Hour },
 		"--load 0":               func(o *Options) { o.Load = 0 },
 		"--load 9":               func(o *Options) { o.Load = 9 },
+		"--stretch 0":            func(o *Options) { o.Stretch = 0 },
 		"no fault \"x\"":         func(o *Options) { o.Faults = []Fault{"x"} },
 		"no deployment \"peru\"": func(o *Options) { o.Deployment = "peru" },
 	}
--- a/cmd/internal/quickstart/run.go
+++ b/cmd/internal/quickstart/run.go
@@ -51,7 +51,7 @@
 	if err != nil {
 		return nil, err
 	}
-	s, err := newSystem(d, o.Seed, logger, o.Processes)
+	s, err := newSystem(d.Stretched(o.Stretch), o.Seed, logger, o.Processes)
 	if err != nil {
 		return nil, err
 	}
--- a/cmd/internal/quickstart/system.go
+++ b/cmd/internal/quickstart/system.go
@@ -16,6 +16,7 @@
 	platformapi "heatherlock/platform"
 	"heatherlock/standin/deploy"
 	"heatherlock/standin/platform"
+	"heatherlock/standin/target"
 	"heatherlock/standin/witness"
 	"heatherlock/steering"
 )
@@ -35,6 +36,7 @@
 	url        string
 	targets    *deploy.Running
 	network    *network
+	atTargets  target.Faults // planted at the targets of one zone
 	log        log.Logger
 	processes  *processes // nil when entry VMs run in this process
 
--- a/standin/deploy/deploy.go
+++ b/standin/deploy/deploy.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/netip"
+	"slices"
 	"strings"
 	"time"
 
@@ -109,6 +110,15 @@
 	return all
 }
 
+// Stretched returns the deployment with service times n times as long.
+func (d Deployment) Stretched(n int) Deployment {
+	d.Services = slices.Clone(d.Services)
+	for i := range d.Services {
+		d.Services[i].ServiceTime *= time.Duration(n)
+	}
+	return d
+}
+
 // EntryVMs returns two entry VMs for each zone.
 func (d Deployment) EntryVMs() []EntryVM {
 	var all []EntryVM
