Read the beginning of a large body before it is sent

A request with a body over 16 KB was known by the body's length alone, so two uploads of one length looked alike: to the outcome table, which could not tell another request under the same key, and to the memory of culprits. The first 16 KB of a body of known length now go into the fingerprint before a slot is taken.

--- a/node/forward/body.go
+++ b/node/forward/body.go
@@ -11,12 +11,13 @@
 	"github.com/go-faster/errors"
 
 	"heatherlock/steering"
+	"heatherlock/steering/poison"
 )
 
 // smallBody is the largest body that is read before a slot is taken. A body
 // within it can be sent again after a try that was not run, and its sender
 // cannot hold a target's slot by sending slowly.
-const smallBody = 16 << 10
+const smallBody = poison.FingerprintBytes
 
 // body is a caller's request body with its limits.
 type body struct {
@@ -26,6 +27,7 @@
 	pace    pace
 	read    int64
 	small   []byte // the whole body, when it was read ahead
+	lead    []byte // its beginning, read for the fingerprint and not yet sent
 	ahead   bool   // small holds the whole body
 	ended   atomic.Bool
 	begun   atomic.Bool
@@ -39,6 +41,11 @@
 // Read reads from the caller within the limits. On failure the refusal to send
 // is kept in failure.
 func (b *body) Read(p []byte) (int, error) {
+	if len(b.lead) > 0 {
+		n := copy(p, b.lead)
+		b.lead = b.lead[n:]
+		return n, nil
+	}
 	now := time.Now()
 	if deadline, change := b.pace.arm(now, 0); change {
 		_ = b.control.SetReadDeadline(deadline)
@@ -99,16 +106,34 @@
 
 // readAhead reads a body of known small length whole.
 func (b *body) readAhead(length int64) *steering.Refusal {
+	buf, refusal := b.readFirst(length)
+	if refusal != nil {
+		return refusal
+	}
+	b.finish()
+	b.small, b.ahead = buf, true
+	return nil
+}
+
+// readLead reads the beginning of a longer body, so that a request that took
+// down targets is recognised before another one gets any of it.
+func (b *body) readLead() *steering.Refusal {
+	buf, refusal := b.readFirst(smallBody)
+	if refusal == nil {
+		b.lead = buf
+	}
+	return refusal
+}
+
+func (b *body) readFirst(length int64) ([]byte, *steering.Refusal) {
 	buf := make([]byte, length)
 	if _, err := io.ReadFull(b, buf); err != nil {
 		if r := b.failure.Load(); r != nil {
-			return &steering.Refusal{Reason: r.Reason, Ran: steering.RanNo, Detail: r.Detail}
+			return nil, &steering.Refusal{Reason: r.Reason, Ran: steering.RanNo, Detail: r.Detail}
 		}
-		return steering.Refuse(steering.ReasonCancelled, 0, "the caller's body ended early")
+		return nil, steering.Refuse(steering.ReasonCancelled, 0, "the caller's body ended early")
 	}
-	b.finish()
-	b.small, b.ahead = buf, true
-	return nil
+	return buf, nil
 }
 
 // finish reads the end mark behind a body of known length, so that the server
--- a/node/forward/identify.go
+++ b/node/forward/identify.go
@@ -136,15 +136,30 @@
 		limit:   x.service.MaxBodyBytes,
 		pace:    newPace(x.f.limits.BodyMinBytesPerSec),
 	}
-	if x.r.ContentLength > 0 && x.r.ContentLength <= smallBody && x.r.Header["Expect"] == nil {
-		if refusal := x.body.readAhead(x.r.ContentLength); refusal != nil {
-			return refusal
-		}
+	if refusal := x.readBeginning(); refusal != nil {
+		return refusal
+	}
+	if x.body.ahead {
+		x.fingerprintBody(x.body.small, true)
+		return nil
 	}
-	x.fingerprintBody(x.body.small, x.body.ahead)
+	x.fingerprintBody(x.body.lead, false)
 	return nil
 }
 
+// readBeginning reads what is read before a slot is taken: a small body whole,
+// and the beginning of a larger one. A body of unknown length may wait for an
+// answer to its first part, and one with Expect waits to be asked for.
+func (x *exchange) readBeginning() *steering.Refusal {
+	switch length := x.r.ContentLength; {
+	case length <= 0 || x.r.Header["Expect"] != nil:
+		return nil
+	case length <= smallBody:
+		return x.body.readAhead(length)
+	}
+	return x.body.readLead()
+}
+
 // marked are the headers that change what a target does with a request. The
 // credentials are among them: two callers that read their own data by one path
 // do not send the same request.
--- a/node/forward/once_test.go
+++ b/node/forward/once_test.go
@@ -94,6 +94,10 @@
 		other := w.buy(t.Context(), w.a, key, "2")
 		assert.Equal(t, other.reason+" "+other.ran, "key_mismatch unknown")
 		assert.Equal(t, w.ran("t1")+w.ran("t2")+w.ran("t3"), 1)
+
+		long, large := freshKey("INCA", "purchase2"), strings.Repeat("x", smallBody+1)
+		assert.Equal(t, w.buy(t.Context(), w.a, long, large).text, "POST /buy "+large)
+		assert.Equal(t, w.buy(t.Context(), w.a, long, "y"+large[1:]).reason, "key_mismatch")
 	})
 }
 
--- a/steering/poison/fingerprint.go
+++ b/steering/poison/fingerprint.go
@@ -11,7 +11,7 @@
 // FingerprintBytes is how much of a body goes into a fingerprint. The sender
 // holds this much back until it is known, so that a suspect is recognised
 // before a target gets any of it.
-const FingerprintBytes = 64 << 10
+const FingerprintBytes = 16 << 10
 
 // ID identifies like requests. All entry VMs compute the same one.
 type ID uint64
