Ask entry VMs that appear later what they hold of a pool

Cause: two entry VMs of a zone that do not know each other yet both count a pool; the owner by their common view asked what others hold only when it began to count, so it never learned what the other had granted. Change: a process life of the zone that was not asked makes the owner take the pool afresh.

--- a/node/admit/admit.go
+++ b/node/admit/admit.go
@@ -91,8 +91,12 @@
 func (a *Admit) upkeep() {
 	a.noticePause()
 	a.restop()
+	mates := a.mates()
 	for _, h := range a.pools() {
 		a.follow(h)
+		if h.newcomer(mates) {
+			a.take(h)
+		}
 		h.tick()
 	}
 	a.probeSlow()
--- a/node/admit/hosted.go
+++ b/node/admit/hosted.go
@@ -74,6 +74,7 @@
 	waiting map[pool.Ticket]waiting
 	issued  map[string]*issued
 	early   map[string]bool // released while taking, before they were adopted
+	asked   lives           // asked what they hold when counting began
 	judge   judge
 }
 
@@ -316,14 +317,14 @@
 // A grant may end between the moment its holder told of it and this call. It
 // would then stay counted for ever. Such ends are remembered, and own holdings
 // are read here, where none can end unseen.
-func (h *hosted) open(term int, told []holding, own func() []holding, loads map[steering.Target]Load) bool {
+func (h *hosted) open(term int, told survey, own func() []holding, loads map[steering.Target]Load) bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if h.term != term || h.role != roleTaking {
 		return false
 	}
 	now := time.Now()
-	for _, in := range append(told, own()...) {
+	for _, in := range append(told.held, own()...) {
 		if !h.early[in.grant] {
 			h.adopt(now, in)
 		}
@@ -331,6 +332,7 @@
 	for target, load := range loads {
 		h.reported(now, target, load)
 	}
+	h.asked = told.asked
 	h.setRole(roleOwner)
 	return true
 }
--- a/node/admit/take.go
+++ b/node/admit/take.go
@@ -20,9 +20,10 @@
 	a.metrics.takeovers.Inc(1)
 	a.goWork(func(ctx context.Context) {
 		begun := time.Now()
-		held := a.gather(ctx, h.key, begun.Add(a.cfg.AgreeFor))
+		s := a.gather(ctx, h.key, begun.Add(a.cfg.AgreeFor))
+		held := s.held
 		loads := a.readLoads(ctx, h.targets())
-		if h.open(term, held, func() []holding { return a.holdings(h.key) }, loads) {
+		if h.open(term, s, func() []holding { return a.holdings(h.key) }, loads) {
 			level.Info(a.cfg.Log).Log("msg", "counting slots of a pool", "place", h.key.place, "service", h.key.service,
 				"held", len(held), "loads", len(loads), "took", time.Since(begun))
 		}
@@ -33,8 +34,12 @@
 type survey struct {
 	held   []holding
 	agreed bool // nobody counts the pool or names another owner
+	asked  lives
 }
 
+// lives are the members that were asked, with the process life that answered.
+type lives map[steering.VM]steering.Incarnation
+
 // gather asks the zone's members what they hold until they agree that this
 // entry VM owns the pool, or until the time is up.
 //
@@ -43,30 +48,30 @@
 // counts the pool itself, has a view that will soon change, or knows better
 // than this one. Waiting is bounded, because a zone must serve what it can even
 // when its members never agree.
-func (a *Admit) gather(ctx context.Context, key poolKey, until time.Time) []holding {
+func (a *Admit) gather(ctx context.Context, key poolKey, until time.Time) survey {
 	for {
 		s := a.survey(ctx, key)
 		if s.agreed {
-			return s.held
+			return s
 		}
 		if !time.Now().Before(until) {
 			a.metrics.disagreements.Inc(1)
-			return s.held
+			return s
 		}
 		if !sleep(ctx, agreeRetry) {
-			return s.held
+			return s
 		}
 	}
 }
 
 func (a *Admit) survey(ctx context.Context, key poolKey) survey {
-	s := survey{agreed: true}
+	s := survey{agreed: true, asked: lives{}}
 	var mu sync.Mutex
 	var calls sync.WaitGroup
-	for _, m := range a.cfg.Members.All() {
-		if m.Zone != a.zone || m.VM == a.self.vm || m.State == seam.MemberGone || a.reach.isDown(m.VM) {
-			continue // what a silent member holds shows in the targets' loads
-		}
+	for _, m := range a.mates() {
+		s.asked[m.VM] = m.Incarnation
+	}
+	for _, m := range a.mates() {
 		calls.Go(func() {
 			reply, err := a.askHoldings(ctx, m, key)
 			if err != nil {
@@ -81,10 +86,47 @@
 	return s
 }
 
+// mates returns the other members of the zone that may hold slots. What a
+// silent member holds shows in the targets' loads.
+func (a *Admit) mates() []seam.Member {
+	var mates []seam.Member
+	for _, m := range a.cfg.Members.All() {
+		if m.Zone == a.zone && m.VM != a.self.vm && m.State != seam.MemberGone && !a.reach.isDown(m.VM) {
+			mates = append(mates, m)
+		}
+	}
+	return mates
+}
+
+// newcomer reports whether the view holds a process life of the zone that was
+// not asked when this entry VM began to count a pool.
+//
+// Until two entry VMs know of each other, both may count a pool. The one that
+// goes on counting it must learn what the other granted, or targets are offered
+// more than their slots until that work has ended; their sheds would show it.
+func (h *hosted) newcomer(mates []seam.Member) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.role != roleOwner {
+		return false
+	}
+	present := lives{}
+	for _, m := range mates {
+		known, asked := h.asked[m.VM]
+		if !asked || m.Incarnation != "" && m.Incarnation != known {
+			return true
+		}
+		present[m.VM] = known
+	}
+	h.asked = present // one that comes back is asked again
+	return false
+}
+
 func (s *survey) take(from steering.VM, reply *peerpb.HoldingsReply, self steering.VM) {
 	if reply.Granting || reply.OwnerVm != string(self) {
 		s.agreed = false
 	}
+	s.asked[from] = steering.Incarnation(reply.Incarnation)
 	for _, in := range reply.Held {
 		s.held = append(s.held, holding{
 			grant:  in.Grant,
