Spend less memory on each forwarded request

Header maps stay within one small block, the writer to the caller is part of the exchange and makes its controller only for long answers, and a target's own load figures are not passed on to callers.

--- a/node/forward/exchange.go
+++ b/node/forward/exchange.go
@@ -61,7 +61,7 @@
 	retryAhead bool // and has not been made yet
 	life       request.Life
 	committed  bool // the answer's header went to the caller
-	taker      *taker
+	taker      taker
 	callerGone bool
 	abort      bool // break the caller's connection off
 }
--- a/node/forward/relay.go
+++ b/node/forward/relay.go
@@ -93,6 +93,8 @@
 	h := x.w.Header()
 	copyEndToEnd(h, res.Header)
 	delete(h, targetRequestID)
+	delete(h, targetInFlight) // between the target and its zone
+	delete(h, targetSlots)
 	if x.callerID != nil {
 		h[targetRequestID] = x.callerID
 	}
--- a/node/forward/taker.go
+++ b/node/forward/taker.go
@@ -19,14 +19,14 @@
 // senders bounds slow readers.
 type taker struct {
 	w       http.ResponseWriter
-	control *http.ResponseController
+	control *http.ResponseController // made when it is needed
 	pace    pace
 	armed   bool
 	slow    bool // the write deadline passed
 }
 
-func newTaker(w http.ResponseWriter, bytesPerSecond int) *taker {
-	return &taker{w: w, control: http.NewResponseController(w), pace: newPace(bytesPerSecond)}
+func newTaker(w http.ResponseWriter, bytesPerSecond int) taker {
+	return taker{w: w, pace: newPace(bytesPerSecond)}
 }
 
 var errSlowReader = errors.New("forward: the caller reads too slowly")
@@ -39,7 +39,7 @@
 	}
 	_, err := t.w.Write(p)
 	if err == nil && flush {
-		err = t.control.Flush()
+		err = t.controller().Flush()
 	}
 	if !t.armed {
 		return err
@@ -53,12 +53,12 @@
 	return err
 }
 
-func (t *taker) flush() { _ = t.control.Flush() }
+func (t *taker) flush() { _ = t.controller().Flush() }
 
 func (t *taker) arm(now time.Time, n int) {
 	deadline, change := t.pace.arm(now, n)
 	if change {
-		_ = t.control.SetWriteDeadline(deadline)
+		_ = t.controller().SetWriteDeadline(deadline)
 		t.armed = true
 	}
 }
@@ -69,3 +69,10 @@
 		_ = t.control.SetWriteDeadline(time.Time{})
 	}
 }
+
+func (t *taker) controller() *http.ResponseController {
+	if t.control == nil {
+		t.control = http.NewResponseController(t.w)
+	}
+	return t.control
+}
--- a/node/forward/try.go
+++ b/node/forward/try.go
@@ -110,7 +110,7 @@
 
 // outgoing builds the request of one leg.
 func (x *exchange) outgoing(ctx context.Context, l *leg, payload *tryBody, conn *exchangeConn) *http.Request {
-	header := make(http.Header, len(x.r.Header)+extraHeaders)
+	header := make(http.Header, len(x.r.Header)+legHeaders)
 	copyEndToEnd(header, x.r.Header)
 	withoutTargetReplay(header)
 	if _, ok := header["User-Agent"]; !ok {
@@ -137,8 +137,9 @@
 	return out.WithContext(httptrace.WithClientTrace(ctx, trace))
 }
 
-// extraHeaders is room for the headers that a leg adds.
-const extraHeaders = 8
+// legHeaders is room for the headers that a leg adds. A map of up to eight is
+// one small block; a few more cost four times the memory.
+const legHeaders = 3
 
 var (
 	noValue       = []string{""}
