--- a/node/shiftdriver/driver.go
+++ b/node/shiftdriver/driver.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"maps"
 	"slices"
 	"time"
 
@@ -187,18 +188,11 @@
 }
 
 // drives says whether this entry VM's zone is the first receiving zone with a
-// live entry VM. A shift of which only the record is left is cleared by the
-// first zone there is.
+// live entry VM.
 func (d *Driver) drives(s *routing.Snapshot, name string) bool {
 	var zones []steering.Zone
-	if inForce := s.Shifts[name]; inForce != nil {
-		for _, to := range inForce.To {
-			if place := s.Places[to]; place != nil {
-				zones = append(zones, place.Zone)
-			}
-		}
-	} else {
-		for _, place := range s.Places {
+	for _, to := range receivingPlaces(s, name) {
+		if place := s.Places[to]; place != nil {
 			zones = append(zones, place.Zone)
 		}
 	}
@@ -214,6 +208,18 @@
 	return false
 }
 
+// receivingPlaces lists the places a shift moves work to, or did when only its
+// record is left; every place when those are gone too.
+func receivingPlaces(s *routing.Snapshot, name string) []steering.Place {
+	if inForce := s.Shifts[name]; inForce != nil {
+		return inForce.To
+	}
+	if to := routing.Resolve(s.Places, s.Progress[name].Route.To); len(to) > 0 {
+		return to
+	}
+	return slices.Collect(maps.Keys(s.Places))
+}
+
 // record writes a decision on condition of the record it was made from.
 func (d *Driver) record(ctx context.Context, s *routing.Snapshot, name string, decision shift.Decision, epoch int64, now time.Time) error {
 	ctx, stop := context.WithTimeout(ctx, writeTimeout)
