Judge an upload by the bytes that arrived when its answer was cut

The judgement took every unknown outcome of an upload for lost bytes.

Change: after answer_cut or answer_crossed the witness asks whether the bytes arrived whole at a target, as it does for an acknowledged upload; every other unknown outcome counts as a cut as before. The check is as strict on the promise: a planted upload whose answer was cut and whose bytes differ is reported.

--- a/standin/witness/callers.go
+++ b/standin/witness/callers.go
@@ -1,6 +1,10 @@
 package witness
 
-import "time"
+import (
+	"time"
+
+	"heatherlock/steering"
+)
 
 // Kind says what a caller's request is, as far as the promises differ.
 type Kind uint8
@@ -67,6 +71,9 @@
 	sum   string
 	acked bool
 	cut   int
+	// answerLost is set when the target's own answer ended early or was
+	// another request's: the bytes must have arrived all the same.
+	answerLost bool
 }
 
 func newCallerRecord() callerRecord {
@@ -123,8 +130,16 @@
 			u.cut++
 		}
 	case AnswerRefused:
-		if t.Ran != RanNo && !t.Excused {
-			u.cut++
-		}
+		u.refused(t)
+	}
+}
+
+func (u *uploadRecord) refused(t Try) {
+	switch {
+	case t.Ran == RanNo || t.Excused:
+	case t.Reason == string(steering.ReasonAnswerCut) || t.Reason == string(steering.ReasonAnswerCrossed):
+		u.answerLost = true
+	default:
+		u.cut++
 	}
 }
--- a/standin/witness/judge.go
+++ b/standin/witness/judge.go
@@ -338,7 +338,7 @@
 		}
 	}
 	for request, u := range w.callers.uploads {
-		if u.cut > 0 || u.acked && !whole[request] {
+		if u.cut > 0 || (u.acked || u.answerLost) && !whole[request] {
 			f.Broken++
 			f.Detail = fmt.Sprintf("upload %s was cut", request)
 		}
--- a/standin/witness/judge_test.go
+++ b/standin/witness/judge_test.go
@@ -111,6 +111,11 @@
 			w.Received(e, 4, "other")
 			w.Answered(Try{Request: "u3", Try: "u3/1", Kind: KindUpload, SentBytes: 5, SentSum: "mine"})
 		}},
+		{"upload told cut in its answer, with other bytes", PromiseUploads, func(w *Witness) {
+			e := w.run("u4", "sur-a", 10, 10, EndAnswered)
+			w.Received(e, 4, "other")
+			w.Answered(Try{Request: "u4", Try: "u4/1", Kind: KindUpload, Answer: AnswerRefused, Reason: "answer_cut", Ran: "unknown", SentBytes: 5, SentSum: "mine"})
+		}},
 		{"configuration late on one entry VM", PromiseConfigFast, func(w *Witness) {
 			w.ConfigAccepted(9, at(1000), []string{"vm-1"})
 			w.ConfigSeen("vm-1", 9, at(5001))
@@ -144,6 +149,18 @@
 	assert.Equal(t, v.Excused, 1)
 }
 
+// Symptom: a run with targets that cut their answers is judged to cut uploads.
+// Sequence: an upload arrives whole and runs; the target ends its answer
+// early; the caller is told that the outcome is unknown. Cause: the judgement
+// took any unknown outcome of an upload for one whose bytes were lost.
+func TestUploadWithItsAnswerCutByTheTargetArrivedWhole(t *testing.T) {
+	w := scene()
+	e := w.run("u5", "sur-a", 10, 10, EndAnswered)
+	w.Received(e, 5, "mine")
+	w.Answered(Try{Request: "u5", Try: "u5/1", Kind: KindUpload, Answer: AnswerRefused, Reason: "answer_cut", Ran: "unknown", SentBytes: 5, SentSum: "mine"})
+	assert.Check(t, judge(w).Held())
+}
+
 func TestBodyIsItsOwn(t *testing.T) {
 	a, b := Body("r1", 2000), Body("r2", 2000)
 	assert.Equal(t, len(a), 2000)
