Let callers who are still sending read a refusal

A refusal that came while its caller was sending was sometimes lost: the connection closed at once, and on TCP the caller's next bytes meet a reset that throws the answer away. A test failed so once in a while.

Refusals with an unread body ask the server for its lingering close.

Not measured.

--- a/node/forward/refuse.go
+++ b/node/forward/refuse.go
@@ -2,8 +2,10 @@
 
 import (
 	"encoding/json"
+	"io"
 	"net/http"
 	"strconv"
+	"strings"
 	"time"
 
 	"heatherlock/steering"
@@ -49,13 +51,25 @@
 		x.freeHeader()
 	}
 	if x.body != nil && !x.body.ended.Load() || x.body == nil && x.r.ContentLength != 0 {
-		// Else the server reads on before it sends the answer, and a slow
-		// sender would be told late.
-		x.w.Header().Set("Connection", "close")
+		closeAfterReading(x.w)
 	}
 	x.writeProblem(&final)
 }
 
+// closeAfterReading makes the server close the connection after the answer, in
+// a way that lets a caller who is still sending read it.
+//
+// Two things go wrong without it. The server reads on before it sends the
+// answer, so that a slow sender is told late. And once it has closed, the
+// caller's next bytes meet a reset, which throws the answer away unread: the
+// caller sees a broken connection in place of the refusal. The server has a
+// lingering close, and takes it for bodies over a limit; a limit of nothing
+// asks for it.
+func closeAfterReading(w http.ResponseWriter) {
+	over := http.MaxBytesReader(w, io.NopCloser(strings.NewReader("over")), 0)
+	_, _ = io.Copy(io.Discard, over)
+}
+
 // ranSoFar says what "not run" has to be weakened to: an earlier try may have
 // run, and a key that was not looked up may have run before.
 func (x *exchange) ranSoFar() steering.Ran {
