--- a/api/check/rules.go
+++ b/api/check/rules.go
@@ -111,6 +111,30 @@
 	}
 }
 
+// lostCap finds shifts that would go on moving callers without their last cap.
+// A shift that was set to 0 percent or deleted goes back step by step, and is
+// bound by its cap until it is there.
+func lostCap(own Ref, before, after Set, facts Facts) Problems {
+	removed, ok := before.Get(own)
+	if !ok || own.Kind != oas.KindCap {
+		return nil
+	}
+	name := removed.Cap.Spec.Shift
+	shift, exists := after.Get(Ref{oas.KindShift, name})
+	moving := facts.MovedPercent[name] > 0 || (exists && shift.Shift.Spec.Percent > 0)
+	for _, other := range after.of(oas.KindCap) {
+		if other.Cap.Spec.Shift == name {
+			return nil
+		}
+	}
+	if !moving {
+		return nil
+	}
+	problems := Problems{}
+	report{own, &problems}.breaks("spec.shift", "set the shift's percent to 0 and wait until it is ShiftComplete, or override", "Shift/%s would go on moving callers without a cap", name)
+	return problems
+}
+
 // lostTargets finds services whose last target goes away with the change.
 func lostTargets(own Ref, before, after Set) Problems {
 	problems := Problems{}
--- a/api/check/set.go
+++ b/api/check/set.go
@@ -17,6 +17,8 @@
 	EntryVMs map[string]string
 	// PermitsInUse maps a cap to the permits in use now.
 	PermitsInUse map[string]int
+	// MovedPercent maps a shift to the percent that it has moved.
+	MovedPercent map[string]int
 }
 
 // Set is the set of all objects. The zero value is empty; With and Without
@@ -143,7 +145,7 @@
 // Delete returns the problems that others would have without the object.
 func (s Set) Delete(facts Facts, ref Ref) Problems {
 	after := s.Without(ref)
-	return merge(change(ref, s.rules(facts), after.rules(facts)), lostTargets(ref, s, after))
+	return merge(change(ref, s.rules(facts), after.rules(facts)), lostTargets(ref, s, after), lostCap(ref, s, after, facts))
 }
 
 // All returns every problem of the set, without regard to how it came about.
--- a/cmd/heatherlock/tutorial_test.go
+++ b/cmd/heatherlock/tutorial_test.go
@@ -103,7 +103,9 @@
 	t.Setenv("HEATHERLOCK_ENTRY_VMS", startQuickstart(t))
 	t.Chdir(root)
 	for _, l := range lessons(t, "docs/tutorial.md") {
+		began := time.Now()
 		code, out, errOut := commandLine{}.run("", l.args...)
+		t.Logf("%s: %v", time.Since(began).Round(time.Millisecond), l.args)
 		assert.Equal(t, code, l.code, "%s:%d: %v\n%s%s", page, l.line, l.args, out, errOut)
 		for _, want := range l.output {
 			assert.Assert(t, printed(out+errOut, want), "%s:%d: %v: no line %q in\n%s%s", page, l.line, l.args, want, out, errOut)
