Mend watch -o json, which ended at the first delete

Symptom: heatherlock watch KIND -o json ended when an object was deleted, without a word on why. Cause: the event was encoded by value; the generated encoder hangs on the pointer, and the plain one fails on the object that a delete does not have. Found by the test of a watch whose history is gone; it failed before.

--- a/cmd/internal/operate/watch.go
+++ b/cmd/internal/operate/watch.go
@@ -48,7 +48,7 @@
 func printer(format string, io command.IO) func(oas.WatchEvent) error {
 	if format == formatJSON {
 		encoder := json.NewEncoder(io.Out)
-		return func(e oas.WatchEvent) error { return encoder.Encode(e) }
+		return func(e oas.WatchEvent) error { return encoder.Encode(&e) }
 	}
 	return func(e oas.WatchEvent) error {
 		line := fmt.Sprintf("%-7d %-7s %s/%s", e.Version, e.Type, e.Kind, e.Name)
