--- a/cmd/heatherlockd/main.go
+++ b/cmd/heatherlockd/main.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	stdlog "log"
 	"os"
 	"os/signal"
@@ -32,17 +33,17 @@
 )
 
 func main() {
-	os.Exit(run())
+	os.Exit(run(os.Args[1:], os.Stdout, os.Stderr))
 }
 
-func run() int {
-	path := readFlags()
-	settings, err := static.Load(path)
+// run is the daemon's life; it returns its exit code.
+func run(args []string, out, problems io.Writer) int {
+	settings, err := static.Load(readFlags(args))
 	if err != nil {
-		fmt.Fprintln(os.Stderr, err)
+		fmt.Fprintln(problems, err)
 		return exitSettings
 	}
-	logger := telemetry.NewLogger(os.Stdout, settings.Log.Level)
+	logger := telemetry.NewLogger(out, settings.Log.Level)
 	// Libraries that complain to the standard logger do so as JSON lines too.
 	stdlog.SetOutput(log.NewStdlibAdapter(level.Warn(logger)))
 	stdlog.SetFlags(0)
@@ -85,12 +86,12 @@
 	}
 }
 
-func readFlags() string {
+func readFlags(args []string) string {
 	var path string
 	flaggy.SetName("heatherlockd")
 	flaggy.SetDescription("entry VM daemon of heatherlock")
 	flaggy.SetVersion(version)
 	flaggy.String(&path, "s", "settings", "JSON file with the daemon's settings")
-	flaggy.Parse()
+	flaggy.ParseArgs(args)
 	return path
 }
