Measure one hop against a direct call and against a bare hop

Cause: the throughput goal is missed, and the reason has to be known. Change: bench path also measures a hop that only relays, made of the same HTTP library; the page of figures.

--- a/cmd/internal/benchpath/bench.go
+++ b/cmd/internal/benchpath/bench.go
@@ -48,7 +48,9 @@
 type Pair struct {
 	Workers int  `json:"workers"`
 	Direct  Loop `json:"direct"`
-	Hop     Loop `json:"hop"`
+	// Bare is a hop that only relays, made of the same library.
+	Bare Loop `json:"bare_hop"`
+	Hop  Loop `json:"hop"`
 	// AddedP50Ms and Ratio are medians over the rounds.
 	AddedP50Ms float64 `json:"added_p50_ms"`
 	Ratio      float64 `json:"throughput_ratio"`
@@ -101,11 +103,12 @@
 // pair lets direct and hop take turns, so that what else the machine does
 // falls on both alike, and gives the round with the median ratio.
 func (r *rig) pair(ctx context.Context, o Options, workers int) Pair {
-	direct, hop := newClient(), newClient()
+	direct, bare, hop := newClient(), newClient(), newClient()
 	pairs := make([]Pair, o.Rounds)
 	for i := range pairs {
 		p := Pair{Workers: workers}
 		p.Direct = loop(ctx, workers, o.Round, func(ctx context.Context) error { return r.get(ctx, direct, r.directURL()) })
+		p.Bare = loop(ctx, workers, o.Round, func(ctx context.Context) error { return r.get(ctx, bare, r.bare.url()) })
 		p.Hop = loop(ctx, workers, o.Round, func(ctx context.Context) error { return r.get(ctx, hop, r.hopURL()) })
 		p.AddedP50Ms = float64(p.Hop.P50Us-p.Direct.P50Us) / 1000
 		p.Ratio = p.Hop.PerSecond / p.Direct.PerSecond
@@ -164,12 +167,14 @@
 	fmt.Fprintf(w, "%-22s %10s %10s %12s %8s %8s\n", "", "p50 us", "p99 us", "per second", "cpu us", "errors")
 	for _, p := range []Pair{r.Single, r.Many} {
 		p.Direct.write(w, fmt.Sprintf("direct, %d workers", p.Workers))
+		p.Bare.write(w, fmt.Sprintf("bare hop, %d workers", p.Workers))
 		p.Hop.write(w, fmt.Sprintf("one hop, %d workers", p.Workers))
 	}
 	r.Lookups.write(w, "look-ups")
 	fmt.Fprintf(w, "\nadded p50, 1 worker: %.3f ms (goal at most %.1f): %s\n", r.Single.AddedP50Ms, goalAddedP50Ms, met(r.Single.AddedP50Ms <= goalAddedP50Ms))
 	fmt.Fprintf(w, "throughput, %d workers: %.2f of direct (goal at least %.1f): %s\n", r.Many.Workers, r.Many.Ratio, goalThroughputRatio, met(r.Many.Ratio >= goalThroughputRatio))
-	fmt.Fprintf(w, "processor time of a direct call: %.2f of one through the entry VM\n", r.Many.CPURatio)
+	fmt.Fprintf(w, "processor time of a direct call: %.2f of one through the entry VM, %.2f of one through a bare hop\n",
+		r.Many.CPURatio, r.Many.Direct.CPUUs/r.Many.Bare.CPUUs)
 	fmt.Fprintf(w, "look-ups: %.0f a second (goal %d): %s\n\n", r.Lookups.PerSecond, goalLookups, met(r.Lookups.PerSecond >= goalLookups))
 	for _, u := range r.Uploads {
 		fmt.Fprintf(w, "upload of %2d MB: heap rises %.1f MB direct, %.1f MB through the entry VM (%.2f s)\n", u.Megabytes, u.DirectHeap, u.HopHeap, u.Seconds)
--- a/cmd/internal/benchpath/rig.go
+++ b/cmd/internal/benchpath/rig.go
@@ -34,6 +34,7 @@
 // rig is one entry VM, one target and the platform stand-in.
 type rig struct {
 	target *target.Target
+	bare   *bareHop
 	server *http.Server
 	node   *node.Node
 	stop   context.CancelFunc
@@ -49,8 +50,13 @@
 	if err != nil {
 		return nil, err
 	}
+	if r.bare, err = startBareHop(r.target.Address()); err != nil {
+		_ = r.target.Close()
+		return nil, err
+	}
 	url, err := r.startPlatform(ctx)
 	if err != nil {
+		r.bare.close()
 		_ = r.target.Close()
 		return nil, err
 	}
@@ -145,4 +151,5 @@
 	r.stop()
 	_ = r.target.Close()
 	_ = r.server.Close()
+	r.bare.close()
 }
