Take an overloaded target for alive

Only a target that takes no connection, or closes it unanswered, is lost now. A whole failure answer also shows that a target lives through a request, so that a failing service is not throttled to two copies at a time. The extended test fails without the change.

--- a/node/forward/contracts.go
+++ b/node/forward/contracts.go
@@ -46,6 +46,8 @@
 	TryNothing TryEnd = iota
 	// TryWhole is a whole answer that is no failure.
 	TryWhole
+	// TryFailure is a whole answer that is a failure of the service.
+	TryFailure
 	// TryBroken is a connection that broke with the request in hand.
 	TryBroken
 	// TrySilent is a deadline that passed with the request in hand.
--- a/node/forward/poison.go
+++ b/node/forward/poison.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"io"
+	"net"
 	"net/http"
+	"net/http/httptrace"
 	"sync"
 	"time"
 
@@ -167,6 +169,8 @@
 // End implements Suspects.
 func (s *RegionSuspects) End(m poison.Mark, v poison.Verdict, target routing.Target, e TryEnd) {
 	switch e {
+	case TryFailure:
+		s.record(m, v, target.Name, poison.Answered)
 	case TryWhole:
 		if s.record(m, v, target.Name, poison.Finished) {
 			go s.share()
@@ -196,10 +200,21 @@
 	s.share()
 }
 
+// alive asks the target over a new connection. A target that takes it but is
+// too slow to answer is overloaded, not lost: were it taken for lost, every
+// request that timed out in an overload would be suspected.
 func (s *RegionSuspects) alive(address string) bool {
-	res, err := s.prober.Get("http://" + address + probePath)
+	connected := false
+	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected = true }}
+	r, err := http.NewRequestWithContext(httptrace.WithClientTrace(context.Background(), trace),
+		http.MethodGet, "http://"+address+probePath, nil)
 	if err != nil {
-		return false
+		return true // an address that can't be asked proves nothing
+	}
+	res, err := s.prober.Do(r)
+	if err != nil {
+		var network net.Error
+		return connected && errors.As(err, &network) && network.Timeout()
 	}
 	_, _ = io.CopyN(io.Discard, res.Body, discardBytes)
 	_ = res.Body.Close()
--- a/node/forward/poison_test.go
+++ b/node/forward/poison_test.go
@@ -184,8 +184,9 @@
 }
 
 // Symptom: in a brown-out innocent requests are refused as culprits. Sequence:
-// targets break connections without dying, twice with the same request. Cause:
-// a broken connection is taken for a lost target.
+// targets break connections without dying, twice with the same request, or are
+// too slow to say that they live. Cause: a broken connection, or an overloaded
+// target, is taken for a lost one.
 func TestBrokenConnectionIsNoLoss(t *testing.T) {
 	inWorld(t, func(t *testing.T, w *world) {
 		w.keepSuspects()
@@ -202,6 +203,17 @@
 		for range 4 {
 			assert.Equal(t, w.send(w.a, "POST", "1").reason, "target_died")
 		}
+		slowAndSick := func(rw http.ResponseWriter, r *http.Request) {
+			if r.URL.Path == probePath {
+				time.Sleep(2 * probeTimeout)
+			}
+			die(rw, r)
+		}
+		w.target("t1", slowAndSick)
+		for range 4 {
+			assert.Equal(t, w.send(w.a, "POST", "2").reason, "target_died")
+		}
+		time.Sleep(time.Second)
 		assert.Equal(t, len(w.a.suspects.(*RegionSuspects).Facts()), 0)
 	})
 }
--- a/node/forward/try.go
+++ b/node/forward/try.go
@@ -201,6 +201,8 @@
 		return TryBroken
 	case e.kind == seam.OutcomeOK:
 		return TryWhole
+	case e.kind == seam.OutcomeFailed:
+		return TryFailure
 	case e.kind == seam.OutcomeTimeout:
 		return TrySilent
 	}
--- a/steering/poison/list.go
+++ b/steering/poison/list.go
@@ -94,6 +94,9 @@
 	Neither Ending = iota
 	// Finished means a whole answer.
 	Finished
+	// Answered means a whole answer that is a failure: the target lived on, but
+	// may have refused the request before it came to the harm.
+	Answered
 	// Lost means that the target went away with the request in hand.
 	Lost
 )
@@ -184,11 +187,24 @@
 	switch e {
 	case Finished:
 		l.finished(now, m)
+	case Answered:
+		l.answered(now, m)
 	case Lost:
 		l.lost(now, m, target, trial)
 	}
 }
 
+// answered notes that targets live through the request. It clears nothing.
+func (l *List) answered(now time.Time, m Mark) {
+	if !m.Whole {
+		return
+	}
+	var buf [maxIDs]ID
+	for _, id := range m.ids(&buf) {
+		l.proven.add(id, now)
+	}
+}
+
 // finished clears what is held against a request that a target finished.
 func (l *List) finished(now time.Time, m Mark) {
 	if !m.Whole {
