--- a/cmd/heatherlock/client_test.go
+++ b/cmd/heatherlock/client_test.go
@@ -3,10 +3,13 @@
 import (
 	"bytes"
 	"context"
+	"crypto/sha256"
+	"encoding/hex"
 	"encoding/json"
 	"fmt"
 	"net/http"
 	"net/http/httptest"
+	"os"
 	"path/filepath"
 	"strings"
 	"sync"
@@ -282,6 +285,36 @@
 	assert.DeepEqual(t, got, map[string]string{"changed": "put", "deleted": "delete", "new": "put"})
 }
 
+// An operator's token lets in from a file or the environment, and shows in no
+// output.
+func TestTokens(t *testing.T) {
+	sum := sha256.Sum256([]byte("secret-token"))
+	store := standin.NewStore(unbounded())
+	s, err := operator.New(operator.Config{
+		Platform: store.As("a", "a"), Runtime: everywhere{store},
+		Tokens: []operator.Token{{Name: "ana", SHA256: hex.EncodeToString(sum[:])}},
+	})
+	assert.NilError(t, err)
+	server := httptest.NewServer(s.Handler())
+	defer server.Close()
+	c := commandLine{server.URL}
+	code, _, errOut := c.run("", "get", "Shift")
+	assert.Equal(t, code, command.Refused, errOut)
+	file := filepath.Join(t.TempDir(), "token")
+	assert.NilError(t, os.WriteFile(file, []byte("secret-token\n"), 0o600))
+	service := `{"kind":"Service","metadata":{"name":"s"},"spec":{}}`
+	code, out, errOut := c.run(service, "apply", "-f", "-", "--token-file", file)
+	assert.Equal(t, code, command.OK, errOut)
+	assert.Assert(t, !strings.Contains(out+errOut, "secret-token"))
+	t.Setenv("HEATHERLOCK_TOKEN", "secret-token")
+	code, out, errOut = c.run("", "get", "Service")
+	assert.Equal(t, code, command.OK, errOut)
+	assert.Assert(t, strings.Contains(out, " ana "), "who made the change is shown: %s", out)
+	t.Setenv("HEATHERLOCK_TOKEN", "wrong")
+	code, _, errOut = c.run("", "get", "Service")
+	assert.Equal(t, code, command.Refused, errOut)
+}
+
 func TestExitCodes(t *testing.T) {
 	store := standin.NewStore(unbounded())
 	up := commandLine{startEntryVM(t, store, "a").URL}
@@ -303,6 +336,11 @@
 		{none, "", "check", command.Usage},
 		{none, "", "check -f nonsense.json", command.Usage},
 		{none, "{", "check -f -", command.Usage},
+		{none, "", "check --settings nonsense.json", command.Usage},
+		{none, "", "check --settings client_test.go", command.Refused},
+		{none, "", "check --settings ../../examples/settings.json", command.OK},
+		{none, "", "completion bash", command.OK},
+		{none, "", "completion nonsense", command.Usage},
 		{none, "{}", "check -f -", command.Refused},
 		{none, "", "why --reason nonsense", command.Usage},
 		{none, "", "why --reason cap_reached", command.OK},
--- a/cmd/internal/offline/check.go
+++ b/cmd/internal/offline/check.go
@@ -3,29 +3,62 @@
 import (
 	"context"
 	"fmt"
+	"os"
 	"time"
 
+	"github.com/go-faster/errors"
 	"github.com/integrii/flaggy"
 
 	"heatherlock/api/check"
 	"heatherlock/cmd/internal/command"
 	"heatherlock/cmd/internal/objects"
+	"heatherlock/node/static"
 )
 
 // Check returns the subcommand that checks objects as one whole set, with the
-// rules that the server applies.
+// rules that the server applies, and settings as the daemon does at start.
 func Check() command.Command {
 	return command.Command{
 		Name:    "check",
-		Summary: "check objects offline, as one whole set",
+		Summary: "check objects offline, as one whole set, or the settings of an entry VM",
 		Declare: func(sub *flaggy.Subcommand) command.Run {
 			var files []string
+			settings := ""
 			sub.StringSlice(&files, "f", "file", "file or directory of JSON objects, or - for standard input; may be repeated")
-			return func(_ context.Context, io command.IO) error { return runCheck(files, io) }
+			sub.String(&settings, "", "settings", "settings file of heatherlockd")
+			return func(_ context.Context, io command.IO) error {
+				if settings != "" {
+					if err := checkSettings(settings, io); err != nil || len(files) == 0 {
+						return err
+					}
+				}
+				return runCheck(files, io)
+			}
 		},
 	}
 }
 
+// checkSettings reports every problem that would keep a daemon from starting.
+func checkSettings(file string, io command.IO) error {
+	raw, err := os.ReadFile(file)
+	if err != nil {
+		return command.Failf(command.Usage, "name a readable file", "%v", err)
+	}
+	_, err = static.Parse(raw)
+	var wrong *static.Error
+	if errors.As(err, &wrong) {
+		for _, p := range wrong.Problems {
+			fmt.Fprintf(io.Err, "%s: %s\n", file, p)
+		}
+		return command.Failf(command.Refused, "", "%d problems in the settings", len(wrong.Problems))
+	}
+	if err != nil {
+		return command.Failf(command.Refused, "", "%v", err)
+	}
+	fmt.Fprintf(io.Out, "%s: no problems\n", file)
+	return nil
+}
+
 func runCheck(files []string, io command.IO) error {
 	items, err := objects.Read(files, io.In)
 	if err != nil {
