Put the deployment's delays on quickstart's links

Cause: quickstart ran over bare loopback, so its latencies left out what the users name first: 1 ms between zones, 20 to 35 ms between regions and 3 ms to callers, and no decision was seen under those delays.

Change: connections of callers and between entry VMs pass a link that delays both directions by the deployment's figures, handshake included; order, bytes and endings are kept (test in virtual time).

--- a/cmd/internal/caller/caller.go
+++ b/cmd/internal/caller/caller.go
@@ -55,8 +55,13 @@
 	// Excused says whether a planted fault killed one of the entry VMs named
 	// (the first, and those of the Via header) between two times. May be nil.
 	Excused func(entryVM, via string, from, to time.Time) bool
+	// Link puts the caller's connections behind a link. May be nil.
+	Link func(Dial) Dial
 }
 
+// Dial opens a connection.
+type Dial = func(ctx context.Context, network, address string) (net.Conn, error)
+
 // Caller is one client address.
 type Caller struct {
 	config Config
@@ -71,8 +76,12 @@
 	if config.Source.IsValid() {
 		dialer.LocalAddr = net.TCPAddrFromAddrPort(netip.AddrPortFrom(config.Source, 0))
 	}
+	dial := dialer.DialContext
+	if config.Link != nil {
+		dial = config.Link(dial)
+	}
 	client := &http.Client{Transport: &http.Transport{
-		DialContext:         dialer.DialContext,
+		DialContext:         dial,
 		MaxIdleConnsPerHost: maxIdle,
 		IdleConnTimeout:     30 * time.Second,
 		DisableCompression:  true,
--- a/cmd/internal/quickstart/callers.go
+++ b/cmd/internal/quickstart/callers.go
@@ -37,6 +37,9 @@
 			r.callers[z.Name] = append(r.callers[z.Name], caller.New(caller.Config{
 				Home: z.Name, Source: traffic.SourceIn(z.Block, i), Bootstrap: bootstrap,
 				Reporter: r.system.witness, Excused: r.system.excused,
+				Link: func(dial caller.Dial) caller.Dial {
+					return r.system.network.overLinks(dial, z.Name, d.Delays.Clients)
+				},
 			}))
 		}
 		for _, s := range d.Services {
--- a/cmd/internal/quickstart/doc.go
+++ b/cmd/internal/quickstart/doc.go
@@ -4,6 +4,10 @@
 // stop run, and ends with the promises and what a witness outside the system
 // counted for each.
 //
-// Limits: links are those of loopback, so latencies leave out the delays
-// between zones and regions; service times are those of the stand-ins.
+// Links between zones, regions and callers have the delays that the deployment
+// names.
+//
+// Limits: bandwidth is that of loopback; service times are those of the
+// stand-ins. Entry VMs that are processes of their own reach each other without
+// delay.
 package quickstart
--- a/cmd/internal/quickstart/network.go
+++ b/cmd/internal/quickstart/network.go
@@ -20,6 +20,8 @@
 	zones map[string]string // zone of an address
 	cut   string
 	conns map[*crossing]bool
+	// delays gives the one-way delay between two zones.
+	delays func(from, to string) time.Duration
 }
 
 // crossing is a connection between two zones.
@@ -29,8 +31,8 @@
 	from, to string
 }
 
-func newNetwork() *network {
-	return &network{zones: map[string]string{}, conns: map[*crossing]bool{}}
+func newNetwork(delays func(from, to string) time.Duration) *network {
+	return &network{zones: map[string]string{}, conns: map[*crossing]bool{}, delays: delays}
 }
 
 // place tells the zone of some addresses.
@@ -43,7 +45,12 @@
 }
 
 // from returns the dial function of a zone's entry VMs.
-func (n *network) from(zone string) func(ctx context.Context, network, address string) (net.Conn, error) {
+func (n *network) from(zone string) dialFunc {
+	return n.overLinks(n.cuttable(zone), zone, 0)
+}
+
+// cuttable returns a dial function whose connections a cut breaks.
+func (n *network) cuttable(zone string) dialFunc {
 	dialer := &net.Dialer{Timeout: dialTimeout}
 	return func(ctx context.Context, network, address string) (net.Conn, error) {
 		to := n.zoneOf(address)
--- a/cmd/internal/quickstart/network_test.go
+++ b/cmd/internal/quickstart/network_test.go
@@ -1,9 +1,13 @@
 package quickstart
 
 import (
+	"bytes"
 	"context"
+	"io"
 	"net"
 	"testing"
+	"testing/synctest"
+	"time"
 
 	"gotest.tools/v3/assert"
 )
@@ -15,7 +19,7 @@
 	assert.NilError(t, err)
 	defer listener.Close()
 	address := listener.Addr().String()
-	n := newNetwork()
+	n := newNetwork(func(string, string) time.Duration { return 0 })
 	n.place("a", address)
 	inside, err := n.from("a")(t.Context(), "tcp", address)
 	assert.NilError(t, err)
@@ -38,3 +42,26 @@
 	assert.NilError(t, err)
 	_ = healed.Close()
 }
+
+// A link delays what it carries, keeps its order and loses nothing that was
+// written before the end.
+func TestLinkDelaysAndKeepsEverything(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const oneWay = 20 * time.Millisecond
+		inner, server := net.Pipe()
+		client := overLink(inner, oneWay)
+		sent := make([]byte, 10*linkPiece+1)
+		for i := range sent {
+			sent[i] = byte(i / 7)
+		}
+		begun := time.Now()
+		go func() {
+			_, _ = client.Write(sent)
+			_ = client.Close()
+		}()
+		got, err := io.ReadAll(server)
+		assert.NilError(t, err)
+		assert.Assert(t, bytes.Equal(got, sent))
+		assert.Equal(t, time.Since(begun), oneWay)
+	})
+}
--- a/cmd/internal/quickstart/system.go
+++ b/cmd/internal/quickstart/system.go
@@ -67,7 +67,7 @@
 }
 
 func newSystem(d deploy.Deployment, seed uint64, logger log.Logger, dir string) (*system, error) {
-	s := &system{deployment: d, witness: witness.New(), network: newNetwork(), store: platform.NewStore(platform.Options{}), vms: map[string]*entryVM{}, log: logger}
+	s := &system{deployment: d, witness: witness.New(), network: newNetwork(d.Delay), store: platform.NewStore(platform.Options{}), vms: map[string]*entryVM{}, log: logger}
 	if dir != "" {
 		s.processes = &processes{dir: dir}
 	}
--- a/standin/deploy/deploy.go
+++ b/standin/deploy/deploy.go
@@ -56,6 +56,18 @@
 	Clients time.Duration
 }
 
+// Delay returns the one-way delay between two zones.
+func (d Deployment) Delay(from, to string) time.Duration {
+	regions := d.Regions()
+	switch {
+	case from == to:
+		return 0
+	case regions[from] == regions[to]:
+		return d.Delays.Zones
+	}
+	return d.Delays.Regions
+}
+
 // Target is one endpoint.
 type Target struct {
 	Name    string
