--- a/node/admit/acquire.go
+++ b/node/admit/acquire.go
@@ -138,7 +138,7 @@
 // its view has just named it.
 func (a *Admit) acquireHere(ctx context.Context, h *hosted, request ask) answer {
 	a.noticePause()
-	a.follow(h)
+	a.followUnlessOwner(h)
 	return h.acquire(ctx, request)
 }
 
--- a/node/admit/admit.go
+++ b/node/admit/admit.go
@@ -12,7 +12,6 @@
 	"heatherlock/peer/peerpb"
 	"heatherlock/steering"
 	"heatherlock/steering/drain"
-	"heatherlock/steering/ownership"
 	"heatherlock/steering/pool"
 	"heatherlock/steering/routing"
 )
@@ -29,6 +28,7 @@
 	back    *releaser
 	facts   facts
 	reach   reach
+	owners  owners
 	asks    asks
 
 	mu       sync.Mutex
@@ -134,9 +134,17 @@
 	return all
 }
 
+// followUnlessOwner spares the owner a look at the view for each request: the
+// next round of upkeep looks anyway.
+func (a *Admit) followUnlessOwner(h *hosted) {
+	if current, _ := h.state(); current != roleOwner {
+		a.follow(h)
+	}
+}
+
 // follow makes this entry VM's role in a pool what its view says.
 func (a *Admit) follow(h *hosted) {
-	owner, known := a.owner(h.key)
+	owner, known := a.lookUpOwner(h.key)
 	mine := known && owner.VM == a.self.vm
 	current, _ := h.state()
 	switch {
@@ -148,28 +156,6 @@
 	}
 }
 
-// owner returns the owner of a pool as this entry VM sees it: the strongest
-// claim among the members in its view that answer it.
-func (a *Admit) owner(key poolKey) (seam.Member, bool) {
-	members := a.cfg.Members.InZone(a.zone)
-	names := make([]steering.VM, 0, len(members))
-	for _, m := range members {
-		if !a.reach.isDown(m.VM) {
-			names = append(names, m.VM)
-		}
-	}
-	first := ownership.First(key.place, key.service, names, 1)
-	if len(first) == 0 {
-		return seam.Member{}, false
-	}
-	for _, m := range members {
-		if m.VM == first[0] {
-			return m, true
-		}
-	}
-	return seam.Member{}, false
-}
-
 // Owner implements seam.Admitter.
 func (a *Admit) Owner(place steering.Place, service steering.Service) (seam.Member, bool) {
 	return a.owner(poolKey{place, service})
--- /dev/null
+++ b/node/admit/hosted_test.go
@@ -0,0 +1,71 @@
+package admit
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+	"gotest.tools/v3/assert"
+
+	"heatherlock/node/seam"
+	"heatherlock/steering/routing"
+)
+
+// Symptom: a new owner offers a target work that it has no slots for, or never
+// uses a slot again. Sequence: members tell what they hold, one of their
+// requests ends, and only then does the count begin. Cause: holdings that were
+// not counted, or were counted although they had ended.
+func TestTakeoverCountsWhatIsHeld(t *testing.T) {
+	cfg := Config{}.withDefaults()
+	m := newMetrics(tally.NoopScope)
+	h := newHosted(poolKey{testPlace, testService}, time.Now(), &cfg, "vm-0", &m, func() string { return "new" })
+	h.configure(wanted{targets: []routing.Target{{Name: "a", Slots: 4}}}, nil)
+	term := h.startTaking()
+	told := []holding{{grant: "x", target: "a"}, {grant: "y", target: "a"}, {grant: "z", target: "a"}}
+	h.release("x", seam.Outcome{ReportedInFlight: -1, ReportedSlots: -1})
+	own := func() []holding { return []holding{{grant: "own", target: "a"}} }
+	assert.Assert(t, h.open(term, survey{held: told}, own, nil))
+	assert.Equal(t, h.free(), 1, "y, z and own are in use")
+	h.release("y", seam.Outcome{ReportedInFlight: -1, ReportedSlots: -1})
+	assert.Equal(t, h.free(), 2)
+	assert.Assert(t, !h.open(term, survey{held: told}, own, nil), "a takeover that was overtaken must not begin to count")
+}
+
+// Symptom: targets are offered work beyond their slots after a takeover.
+// Sequence: the owner decides a grant and is held up before its reply is out;
+// another entry VM counts the pool meanwhile; the reply arrives. Cause: the
+// holder used a grant that the new owner had not counted.
+func TestLateGrantOfAFormerOwnerIsGivenBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		z := newZone(t, 3, targets, slots)
+		defer z.close()
+		time.Sleep(time.Second)
+		owner := z.owner()
+		holder := z.others(owner)[0]
+		granted := make(chan seam.Grant, 1)
+		z.work.Go(func() {
+			grant, err := holder.admit.Acquire(t.Context(), seam.AdmitRequest{Service: testService, Place: testPlace})
+			assert.NilError(t, err)
+			granted <- grant
+		})
+		time.Sleep(oneWay + oneWay/2) // decided, the reply is on its way
+		held := make(chan struct{})
+		z.mu.Lock()
+		z.paused[owner.name] = held
+		z.mu.Unlock()
+		z.setState(owner.name, seam.MemberSuspect)
+		time.Sleep(80 * time.Millisecond)
+		z.mu.Lock()
+		delete(z.paused, owner.name)
+		z.mu.Unlock()
+		close(held)
+		grant := <-granted
+		assert.Equal(t, holder.count("stale_grants"), int64(1))
+		next, _ := holder.admit.Owner(testPlace, testService)
+		assert.Equal(t, next.VM != owner.name, true)
+		grant.Done(notSent())
+		time.Sleep(time.Second)
+		assert.Equal(t, z.free(z.vm(next.VM)), capacity)
+	})
+}
--- a/node/admit/reach.go
+++ b/node/admit/reach.go
@@ -28,17 +28,20 @@
 	return down
 }
 
-func (r *reach) set(m seam.Member, down bool) {
+// set returns whether that is news.
+func (r *reach) set(m seam.Member, down bool) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if !down {
+	_, was := r.down[m.VM]
+	switch {
+	case !down:
 		delete(r.down, m.VM)
-		return
+	case r.down == nil:
+		r.down = map[steering.VM]seam.Member{m.VM: m}
+	default:
+		r.down[m.VM] = m
 	}
-	if r.down == nil {
-		r.down = map[steering.VM]seam.Member{}
-	}
-	r.down[m.VM] = m
+	return was != down
 }
 
 func (r *reach) list() []seam.Member {
@@ -63,6 +66,12 @@
 	return names
 }
 
+func (a *Admit) setReach(m seam.Member, down bool) {
+	if a.reach.set(m, down) {
+		a.owners.forget()
+	}
+}
+
 // probe asks a member for any answer and notes whether it came.
 func (a *Admit) probe(ctx context.Context, m seam.Member) bool {
 	callCtx, cancel := context.WithTimeout(ctx, a.cfg.PeerTimeout)
@@ -72,7 +81,7 @@
 		a.failed(m)
 		return false
 	}
-	a.reach.set(m, false)
+	a.setReach(m, false)
 	a.cfg.Members.Evidence(m.VM, true)
 	return true
 }
@@ -83,7 +92,7 @@
 	for _, m := range a.reach.list() {
 		current, known := a.member(m.VM)
 		if !known || current.State == seam.MemberGone {
-			a.reach.set(m, false)
+			a.setReach(m, false)
 			continue
 		}
 		a.work.Go(func() { a.probe(ctx, current) })
@@ -115,7 +124,7 @@
 
 // failed notes that a member did not answer, and gives up what waits for it.
 func (a *Admit) failed(m seam.Member) {
-	a.reach.set(m, true)
+	a.setReach(m, true)
 	a.cfg.Members.Evidence(m.VM, false)
 	a.asks.giveUp(m.VM)
 }
--- a/node/admit/server.go
+++ b/node/admit/server.go
@@ -30,7 +30,7 @@
 	}
 	a.noticePause()
 	a.confirmDown(ctx, r.Unreachable)
-	a.follow(h)
+	a.followUnlessOwner(h)
 	got := h.acquire(ctx, askOf(r))
 	return a.reply(got, h), nil
 }
--- a/node/admit/zone_test.go
+++ b/node/admit/zone_test.go
@@ -145,7 +145,7 @@
 // zone is several entry VMs over one set of targets, with a network between
 // them that tests can break.
 type zone struct {
-	t       *testing.T
+	t       testing.TB
 	vms     []*entryVM
 	targets map[string]*endpoint // by address
 	configs staticConfig
@@ -162,7 +162,7 @@
 
 var errCut = errors.New("connection refused")
 
-func newZone(t *testing.T, vms, targets, slots int) *zone {
+func newZone(t testing.TB, vms, targets, slots int) *zone {
 	z := &zone{
 		t: t, targets: map[string]*endpoint{}, cut: map[[2]steering.VM]bool{},
 		paused: map[steering.VM]chan struct{}{}, refused: map[steering.Reason]int{},
