--- a/spec/once.pml
+++ b/spec/once.pml
@@ -2,15 +2,15 @@
  * At most once: request keys bound to an incarnation.
  *
  * Entry VM 0 issued the key in its first incarnation, HOME. The caller sends it
- * three times, at once or one after the other, through entry VM 0 or 1. Targets run a request at any time after it was sent to them, also long
- * after the entry VM gave up. Replies get lost, targets refuse without running,
- * the outcome is evicted, entry VM 0 is replaced at any moment, and the two entry
- * VMs are cut off from each other and healed at any moment. Other keys touch
- * this one only by sealing its epoch, which may happen at any moment too.
+ * three times, at once or one after the other, through entry VM 0 or 1. Targets
+ * run a request at any time after it was sent to them, also long after the entry
+ * VM gave up. Replies get lost, targets refuse without running, the outcome is
+ * evicted, entry VM 0 is replaced at any moment, and the two entry VMs are cut
+ * off from each other and healed at any moment. Other keys touch this one only
+ * by sealing its epoch, which may happen at any moment too.
  *
- * Invariants: the key is not executed twice; a send that is told "not run" was not
- * run and never will be; the stored answer is told
- * only when the key ran.
+ * Invariants: the key is not executed twice; a send that is told "not run" was
+ * not run and never will be; the stored answer is told only when the key ran.
  *
  * @break BREAK_RUN_FOREIGN         an entry VM runs a key that another incarnation issued
  * @break BREAK_RUN_ON_CUT          an entry VM that cannot reach home runs the key
