Cut at the deadline of a planned stop whose operator asked for it

A stop with cutAtDeadline was accepted and cut nothing: it waited for the last upload like any other.

Each entry VM now ends its own tries on the targets that such a stop covers, once the deadline has passed: refused as stopped and unknown, or broken off where an answer had begun. The test runs two uploads into two stops, of which only one allows the cut.

Not measured.

--- a/node/failure_test.go
+++ b/node/failure_test.go
@@ -327,3 +327,35 @@
 		callers.Wait()
 	})
 }
+
+// Symptom: a stop that was to be over by a time waits for one upload for ever,
+// or a stop that cuts nothing cuts. Sequence: two uploads run on; the stop of
+// one's target allows a cut at its deadline, the other's does not.
+func TestStopCutsOnlyWhereItsOperatorSaidSo(t *testing.T) {
+	inFleet(t, func(f *fleet) {
+		for i, cut := range []string{"true", "false"} {
+			zone := zones[i]
+			body, _, _ := trickle(30, time.Second)
+			done := make(chan reply, 1)
+			began := time.Now()
+			go func() {
+				got, err := exchange(f.caller(zone), errand{method: "POST", address: f.daemons["e"+zone+"1"].Addresses().Caller,
+					service: "uploads", body: body}, witness.Try{Request: "upload-" + zone, Try: "upload-" + zone})
+				assert.Check(t, err)
+				done <- got
+			}()
+			time.Sleep(2 * time.Second)
+			deadline := time.Now().Add(8 * time.Second).UTC().Format(time.RFC3339)
+			f.declare("PlannedStop", "stop-"+zone, `{"what":"target","name":"`+f.busy("uploads-"+zone)+`","deadline":"`+deadline+`","cutAtDeadline":`+cut+`}`)
+			got := <-done
+			took := time.Since(began)
+			if cut == "true" {
+				assert.Equal(t, got.reason()+" "+got.ran(), "stopped unknown")
+				assert.Assert(t, took >= 9*time.Second && took < 13*time.Second, "%v", took)
+				continue
+			}
+			assert.Equal(t, got.status, http.StatusOK)
+			assert.Assert(t, took >= 30*time.Second, "%v", took)
+		}
+	})
+}
--- a/node/forward/classify.go
+++ b/node/forward/classify.go
@@ -19,6 +19,8 @@
 		}
 	}
 	switch cause := context.Cause(x.ctx); {
+	case errors.Is(cause, errCut):
+		return ended(seam.OutcomeCancelled, wasCut(sent))
 	case errors.Is(cause, errDeadline) && sent:
 		return ended(seam.OutcomeTimeout, steering.Unknown(steering.ReasonDeadline, "the target had the request when the deadline passed"))
 	case errors.Is(cause, errDeadline):
--- a/node/forward/counters.go
+++ b/node/forward/counters.go
@@ -30,6 +30,7 @@
 	hedges    tally.Counter
 	hedgesWon tally.Counter
 	aborted   tally.Counter // answers cut after they began
+	cut       tally.Counter // tries that planned stops cut at their deadline
 	inFlight  tally.Gauge
 	carried   atomic.Int64
 	services  sync.Map // steering.Service -> *serviceCounters
@@ -53,6 +54,7 @@
 		hedges:    scope.Counter("hedges"),
 		hedgesWon: scope.Counter("hedges_won"),
 		aborted:   scope.Counter("answers_aborted"),
+		cut:       scope.Counter("cut_by_stops"),
 		inFlight:  scope.Gauge("in_flight"),
 	}
 	for reason := range steering.Reasons {
--- a/node/forward/forward.go
+++ b/node/forward/forward.go
@@ -63,6 +63,7 @@
 	peers      *http.Transport
 	peerScheme string
 	counters   *counters
+	flights    flights
 	local      localIndex
 	prefixes   prefixCache
 	serial     atomic.Uint64
--- a/node/forward/hedge.go
+++ b/node/forward/hedge.go
@@ -24,14 +24,15 @@
 	verdict poison.Verdict
 	leg     *leg
 	started time.Time
+	cut     context.CancelCauseFunc // ends the exchange
 }
 
 // begin prepares a try on a granted target.
 func (x *exchange) begin(grant seam.Grant, permit seam.CapPermit, verdict poison.Verdict) *attempt {
 	target := grant.Target()
 	x.f.suspects.Trying(x.mark, verdict, target.Name)
-	return &attempt{
-		grant: grant, target: target, verdict: verdict, started: time.Now(),
+	a := &attempt{
+		grant: grant, target: target, verdict: verdict, started: time.Now(), cut: x.cancel,
 		leg: &leg{
 			transport: x.f.targets,
 			scheme:    "http",
@@ -41,10 +42,13 @@
 			begun:     permit.Done,
 		},
 	}
+	x.f.flights.add(a)
+	return a
 }
 
 // account tells the pool and the suspects how a try ended.
 func (x *exchange) account(a *attempt, result ending) {
+	x.f.flights.remove(a)
 	a.grant.Done(seam.Outcome{
 		Kind: slotOutcome(result), Latency: time.Since(a.started),
 		ReportedInFlight: result.inFlight, ReportedSlots: result.slots,
--- a/node/forward/relay.go
+++ b/node/forward/relay.go
@@ -189,6 +189,9 @@
 
 // cutBeforeStart is an answer that ended before any of it went to the caller.
 func (x *exchange) cutBeforeStart(err error) ending {
+	if errors.Is(context.Cause(x.ctx), errCut) {
+		return ended(seam.OutcomeCancelled, wasCut(true))
+	}
 	if errors.Is(context.Cause(x.ctx), errDeadline) {
 		return ended(seam.OutcomeTimeout, steering.Unknown(steering.ReasonDeadline, "the deadline passed within the answer"))
 	}
@@ -212,6 +215,10 @@
 		x.f.counters.refuse(steering.ReasonSlowReader)
 		return ended(seam.OutcomeCancelled, nil)
 	}
+	if errors.Is(context.Cause(x.ctx), errCut) {
+		x.f.counters.refuse(steering.ReasonStopped)
+		return ended(seam.OutcomeCancelled, nil)
+	}
 	if errors.Is(err, errCallerGone) || errors.Is(context.Cause(x.ctx), context.Canceled) {
 		x.f.counters.refuse(steering.ReasonCancelled)
 		return ended(seam.OutcomeCancelled, nil)
