Bound what the memory of culprits costs while a zone fails

Every fact of a mass loss went through all records, a full list dropped one record at a time after looking at all of them, and each beat sorted the whole list. One record keeps 16 losses at most, whatever peers send.

--- a/node/forward/poison.go
+++ b/node/forward/poison.go
@@ -34,6 +34,8 @@
 	shareTimeout = 250 * time.Millisecond
 	// maxSharedFacts bounds the facts of one message.
 	maxSharedFacts = 1024
+	// factsInTurn bounds the facts that beats carry in turn.
+	factsInTurn = 64
 	// factsPerBeat is how far Facts moves on, at most what a beat carries.
 	factsPerBeat = 4
 	// probePath is the target's health endpoint; any answer shows that it lives.
@@ -280,7 +282,7 @@
 func (s *RegionSuspects) Facts() []*peerpb.SuspectFact {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	facts := factsToWire(s.list.Facts(time.Now(), maxSharedFacts))
+	facts := factsToWire(s.list.Facts(time.Now(), factsInTurn))
 	if len(facts) == 0 {
 		return nil
 	}
--- a/steering/poison/list.go
+++ b/steering/poison/list.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 
 	"heatherlock/steering"
@@ -15,7 +16,7 @@
 	DefaultProvenFor   = 10 * time.Minute
 	DefaultMassWindow  = time.Second
 	DefaultMassTargets = 3
-	DefaultMaxRecords  = 8192
+	DefaultMaxRecords  = 4096
 )
 
 // sameLoss is the time within which losses of one target are one loss.
@@ -255,7 +256,9 @@
 	}
 	var buf [maxIDs]ID
 	for _, id := range m.ids(&buf) {
-		l.records[id].explained = culprit && (id == m.Content || l.isProven(now, id))
+		if r, ok := l.records[id]; ok {
+			r.explained = culprit && (id == m.Content || l.isProven(now, id))
+		}
 	}
 }
 
@@ -279,6 +282,16 @@
 		known.alone = known.alone || n.alone
 		return
 	}
+	r.keep(n)
+}
+
+// maxLosses bounds the losses kept in one record; Limit of them decide.
+const maxLosses = 16
+
+func (r *record) keep(n loss) {
+	if len(r.losses) == maxLosses {
+		r.losses = slices.Delete(r.losses, 0, 1)
+	}
 	r.losses = append(r.losses, n)
 }
 
@@ -388,36 +401,3 @@
 	l.records[id] = r
 	return r
 }
-
-// forget drops the records that hold nothing any more, or else the one whose
-// last loss is the longest ago.
-func (l *List) forget(now time.Time) {
-	var oldest ID
-	var oldestAt time.Time
-	before := len(l.records)
-	for id, r := range l.records {
-		if r.onTrial {
-			continue
-		}
-		if r.count(now, l.cfg, false) == 0 {
-			delete(l.records, id)
-			continue
-		}
-		if at := r.lastLoss(); oldestAt.IsZero() || at.Before(oldestAt) {
-			oldest, oldestAt = id, at
-		}
-	}
-	if len(l.records) == before {
-		delete(l.records, oldest)
-	}
-}
-
-func (r *record) lastLoss() time.Time {
-	var last time.Time
-	for _, n := range r.losses {
-		if n.at.After(last) {
-			last = n.at
-		}
-	}
-	return last
-}
--- a/steering/poison/mass.go
+++ b/steering/poison/mass.go
@@ -21,13 +21,16 @@
 		kept = append(kept, n)
 	}
 	l.recent = kept
-	if !known && !at.Before(oldest) {
+	fresh := !known && !at.Before(oldest)
+	if fresh {
 		l.recent = append(l.recent, loss{target: target, at: at})
 	}
 	if len(l.recent) < l.cfg.MassTargets {
 		return false
 	}
-	l.weaken(oldest)
+	if fresh {
+		l.weaken(oldest)
+	}
 	return true
 }
 
--- a/steering/poison/poison_test.go
+++ b/steering/poison/poison_test.go
@@ -282,6 +282,50 @@
 	assert.Assert(t, len(l.Facts(last, 3)) == 3)
 }
 
+// TestLearnTakesAnything gives a list whatever a peer may send.
+func TestLearnTakesAnything(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		l := New(Config{MaxRecords: 40})
+		for range rapid.IntRange(1, 200).Draw(t, "facts") {
+			l.Learn(start, []Fact{{
+				ID:     ID(rapid.Uint64Range(0, 80).Draw(t, "id")),
+				Target: steering.Target(rapid.SampledFrom([]string{"", "t0", "t1", "t2"}).Draw(t, "target")),
+				Deaths: rapid.Uint32().Draw(t, "deaths"), Alone: rapid.Bool().Draw(t, "alone"),
+				Explained: rapid.Bool().Draw(t, "explained"),
+				Age:       time.Duration(rapid.Int64Range(-int64(time.Hour), int64(time.Hour)).Draw(t, "age")),
+			}})
+			m := Mark{Content: ID(rapid.Uint64Range(1, 80).Draw(t, "content")), Whole: true}
+			l.End(start, m, l.Check(start, m, false), "t0", Ending(rapid.IntRange(0, 3).Draw(t, "ending")))
+		}
+		assert.Assert(t, len(l.records) <= 40 && len(l.recent) <= 3)
+	})
+}
+
+// BenchmarkZoneLoss takes in the news of a failed zone: 60 targets with 4
+// requests of 8 IDs each, told by two entry VMs.
+func BenchmarkZoneLoss(b *testing.B) {
+	var facts []Fact
+	for i := range 60 * 4 * 8 {
+		facts = append(facts, Fact{ID: ID(i + 1), Target: targetOf(i / 32), Deaths: 1})
+	}
+	for b.Loop() {
+		l := New(Config{})
+		l.Learn(start, facts)
+		l.Learn(start, facts)
+	}
+}
+
+// BenchmarkFacts lists the facts for a beat when the list is full.
+func BenchmarkFacts(b *testing.B) {
+	l := New(Config{})
+	for i := range DefaultMaxRecords {
+		l.Learn(start, []Fact{{ID: ID(i + 1), Target: targetOf(i / 32), Deaths: 1}})
+	}
+	for b.Loop() {
+		l.Facts(start, 64)
+	}
+}
+
 func BenchmarkCheckAndFinish(b *testing.B) {
 	l := New(Config{})
 	l.End(start, markOf(1), Verdict{}, "t0", Lost)
--- a/steering/poison/share.go
+++ b/steering/poison/share.go
@@ -1,7 +1,8 @@
 package poison
 
 import (
-	"sort"
+	"cmp"
+	"slices"
 	"time"
 
 	"heatherlock/steering"
@@ -24,12 +25,16 @@
 
 // factOf returns the fact of one loss.
 func (l *List) factOf(id ID, target steering.Target, now time.Time) Fact {
-	for _, n := range l.records[id].losses {
+	r, ok := l.records[id]
+	if !ok {
+		return Fact{}
+	}
+	for _, n := range r.losses {
 		if n.target == target {
-			return l.records[id].fact(id, n, now)
+			return r.fact(id, n, now)
 		}
 	}
-	return Fact{ID: id}
+	return Fact{}
 }
 
 func (r *record) fact(id ID, n loss, now time.Time) Fact {
@@ -47,36 +52,61 @@
 	return changed
 }
 
-// Facts returns at most limit facts, newest first, for peers that missed them.
+// Facts returns at most limit facts for peers that missed them: what refuses
+// requests first, and then the newest.
 func (l *List) Facts(now time.Time, limit int) []Fact {
-	var facts []Fact
+	top := topFacts{limit: limit}
 	for id, r := range l.records {
-		facts = r.appendFacts(facts, id, now, l.cfg)
+		refuses := r.count(now, l.cfg, false) >= l.cfg.Limit
+		if !r.cleared.IsZero() && now.Sub(r.cleared) < l.cfg.KeepFor {
+			top.add(Fact{ID: id, Age: now.Sub(r.cleared)}, refuses)
+		}
+		for _, n := range r.losses {
+			if now.Before(n.until(l.cfg)) {
+				top.add(r.fact(id, n, now), refuses)
+			}
+		}
+	}
+	facts := make([]Fact, len(top.ranked))
+	for i, f := range top.ranked {
+		facts[i] = f.Fact
 	}
-	sort.Slice(facts, func(i, j int) bool { return newer(facts[i], facts[j]) })
-	return facts[:min(limit, len(facts))]
+	return facts
 }
 
-func newer(a, b Fact) bool {
-	if a.Age != b.Age {
-		return a.Age < b.Age
+type rankedFact struct {
+	Fact
+	refuses bool
+}
+
+// topFacts keeps the first facts in order, so that a full list is not sorted
+// for each beat.
+type topFacts struct {
+	limit  int
+	ranked []rankedFact
+}
+
+func (t *topFacts) add(f Fact, refuses bool) {
+	fact := rankedFact{f, refuses}
+	full := len(t.ranked) == t.limit
+	if full && (t.limit == 0 || compareFacts(fact, t.ranked[t.limit-1]) >= 0) {
+		return
 	}
-	if a.ID != b.ID {
-		return a.ID < b.ID
+	if full {
+		t.ranked = t.ranked[:t.limit-1]
 	}
-	return a.Target < b.Target
+	at, _ := slices.BinarySearchFunc(t.ranked, fact, compareFacts)
+	t.ranked = slices.Insert(t.ranked, at, fact)
 }
 
-func (r *record) appendFacts(facts []Fact, id ID, now time.Time, cfg Config) []Fact {
-	if !r.cleared.IsZero() && now.Sub(r.cleared) < cfg.KeepFor {
-		facts = append(facts, Fact{ID: id, Age: now.Sub(r.cleared)})
-	}
-	for _, n := range r.losses {
-		if now.Before(n.until(cfg)) {
-			facts = append(facts, r.fact(id, n, now))
+func compareFacts(a, b rankedFact) int {
+	if a.refuses != b.refuses {
+		if a.refuses {
+			return -1
 		}
+		return 1
 	}
-	return facts
+	return cmp.Or(cmp.Compare(a.Age, b.Age), cmp.Compare(a.ID, b.ID), cmp.Compare(a.Target, b.Target))
 }
 
 // Learn takes in facts of a peer. Learning one twice changes nothing.
@@ -136,5 +166,5 @@
 		}
 		return
 	}
-	r.losses = append(r.losses, n)
+	r.keep(n)
 }
