Measure what caps waste; lend for longer

heatherlock bench caps compares equal seats and seats with loans of 1 to 8 windows with one counter that sees everything, in 27 settings. Loans now last 8 windows, up to 30 s, or 4 where the window is longer.

--- a/cmd/heatherlock/commands.go
+++ b/cmd/heatherlock/commands.go
@@ -2,6 +2,7 @@
 
 import (
 	"heatherlock/cmd/internal/benchbalance"
+	"heatherlock/cmd/internal/benchcaps"
 	"heatherlock/cmd/internal/benchdecide"
 	"heatherlock/cmd/internal/benchlookup"
 	"heatherlock/cmd/internal/benchoperators"
@@ -38,6 +39,7 @@
 			command.Group("bench", "measure parts of the system on this machine",
 				benchlookup.Command(),
 				benchbalance.Command(),
+				benchcaps.Command(),
 				benchdecide.Command(),
 				benchpath.Command(),
 				benchoperators.Command(),
--- a/steering/caps/caps_test.go
+++ b/steering/caps/caps_test.go
@@ -13,6 +13,9 @@
 	"heatherlock/steering"
 )
 
+// testTerm keeps loans short, so that their ends meet other events often.
+const testTerm = 2
+
 // Symptom: the receiving place gets more requests in a window than its
 // operator allowed. Sequences that could bring it about: a lender or borrower
 // is paused past a loan's term; messages are lost, doubled or late; a write
@@ -23,9 +26,12 @@
 // believe to hold. The reference counts starts in every window.
 func TestNoWindowExceedsTheCap(t *testing.T) {
 	assert.NilError(t, flag.Set("rapid.steps", "120"))
+	if checks := flag.Lookup("rapid.checks"); checks.Value.String() == checks.DefValue {
+		assert.NilError(t, checks.Value.Set("1500")) // rare sequences need more than the usual 100
+	}
 	rapid.Check(t, func(t *rapid.T) {
-		first := Rule{Version: 1, Requests: rapid.IntRange(1, 8).Draw(t, "requests"), Window: time.Second}
-		f := newFleet(t, first, rapid.IntRange(2, 4).Draw(t, "vms"))
+		first := Rule{Version: 1, Requests: rapid.IntRange(1, 8).Draw(t, "requests"), Window: time.Second, TermWindows: testTerm}
+		f := newFleet(t, first, rapid.IntRange(2, 3).Draw(t, "vms"))
 		f.ref.mark(0, 1, 1)
 		f.converge(t)
 		f.now += time.Minute
@@ -46,6 +52,7 @@
 			"lend":     f.lend,
 			"grant":    f.grant,
 			"loan":     f.loan,
+			"loan2":    f.loan,
 			"rule":     f.changeRule,
 			"kill":     f.killOne,
 			"listed":   f.listGone,
@@ -60,7 +67,7 @@
 }
 
 func (f *fleet) passTime(t *rapid.T) {
-	f.now += time.Duration(rapid.SampledFrom([]int{1, 40, 250, 500, 990, 1004, 1500, 3100, 4200, 9000}).Draw(t, "ms")) * time.Millisecond
+	f.now += time.Duration(rapid.SampledFrom([]int{1, 40, 250, 500, 999, 1004, 1850, 2100, 3120, 20000}).Draw(t, "ms")) * time.Millisecond
 }
 
 func (f *fleet) request(t *rapid.T) {
@@ -200,6 +207,8 @@
 		Version:  int64(len(f.log) + 1),
 		Requests: rapid.IntRange(0, 8).Draw(t, "requests"),
 		Window:   time.Duration(rapid.SampledFrom([]int{500, 1000, 3000}).Draw(t, "window")) * time.Millisecond,
+
+		TermWindows: testTerm,
 	}
 	f.log = append(f.log, revision{rule: rule})
 	f.ref.rules = append(f.ref.rules, rule)
--- a/steering/caps/holder.go
+++ b/steering/caps/holder.go
@@ -7,6 +7,16 @@
 	Version  int64 // of the Cap object
 	Requests int
 	Window   time.Duration
+	// TermWindows is the term of loans in windows, for experiments; 0 takes the
+	// usual one. All holders of a cap must go by the same.
+	TermWindows int
+}
+
+func (r Rule) terms() Terms {
+	if r.TermWindows > 0 {
+		return termsOf(r.Window, time.Duration(r.TermWindows)*r.Window)
+	}
+	return TermsFor(r.Window)
 }
 
 // Holder keeps the books of one incarnation of an entry VM under one cap. It
@@ -44,7 +54,7 @@
 
 // NewHolder returns a holder without permits.
 func NewHolder(now time.Time, rule Rule) *Holder {
-	return &Holder{base: now, rule: rule, terms: TermsFor(rule.Window), given: map[LoanKey]given{}}
+	return &Holder{base: now, rule: rule, terms: rule.terms(), given: map[LoanKey]given{}}
 }
 
 func (h *Holder) at(now time.Time) instant { return now.Sub(h.base) }
@@ -63,7 +73,7 @@
 		return
 	}
 	h.rule = rule
-	h.terms = TermsFor(rule.Window)
+	h.terms = rule.terms()
 	for _, l := range h.loans {
 		l.free = 0
 		l.used = queue{}
@@ -140,7 +150,9 @@
 // seatWait is the wait for permits new in the seat. It follows the longest
 // window the cap has had: their old holder may have followed that one.
 func (h *Holder) seatWait() time.Duration {
-	return TermsFor(max(h.longest, h.rule.Window)).SeatWait()
+	longest := h.rule
+	longest.Window = max(h.longest, h.rule.Window)
+	return longest.terms().SeatWait()
 }
 
 // Arrive counts a request that wants a permit, for the estimate of the own
--- a/steering/caps/terms.go
+++ b/steering/caps/terms.go
@@ -6,13 +6,14 @@
 // thousand: five times what NTP lets a clock slew.
 const maxDrift = 1
 
-// Bounds of a loan's term and margin.
+// Bounds of a loan's term and margin. After each term a lent permit rests for a
+// window, so longer terms waste less; but a permit lent for long is missing when
+// the lender's own demand comes, and the seat of a VM that is gone rests for a
+// whole term. docs/measurements/caps.md weighs it.
 const (
-	// termWindows is the term of a loan in windows: with a window of waiting
-	// after each term, four windows leave four fifths of a lent permit's time
-	// usable. See docs/measurements/caps.md.
-	termWindows = 4
-	maxTerm     = 20 * time.Second
+	termWindows    = 8 // for short windows
+	minTermWindows = 4 // for long ones
+	usualTerm      = 30 * time.Second
 	// marginParts is the margin as a part of the term, far above the drift.
 	marginParts = 20
 	minMargin   = 50 * time.Millisecond
@@ -34,7 +35,10 @@
 
 // TermsFor returns the times for a cap's window.
 func TermsFor(window time.Duration) Terms {
-	term := min(termWindows*window, max(window, maxTerm))
+	return termsOf(window, min(termWindows*window, max(minTermWindows*window, usualTerm)))
+}
+
+func termsOf(window, term time.Duration) Terms {
 	return Terms{Window: window, Term: term, Margin: max(term/marginParts, minMargin)}
 }
 
