Keep what was granted while a pool is taken afresh; split large files

Cause: an owner that takes its pool afresh, because it was paused or a member appeared, forgot grants whose holders did not answer or had not got their reply yet; those slots were given out twice until the targets' loads showed it. Not measured.

--- a/node/admit/hosted.go
+++ b/node/admit/hosted.go
@@ -73,8 +73,9 @@
 	pool    *pool.Pool
 	waiting map[pool.Ticket]waiting
 	issued  map[string]*issued
-	early   map[string]bool // released while taking, before they were adopted
-	asked   lives           // asked what they hold when counting began
+	early   map[string]bool    // released while taking, before they were adopted
+	asked   lives              // asked what they hold when counting began
+	before  map[string]*issued // granted in the term before, while taking afresh
 	judge   judge
 }
 
@@ -259,106 +260,6 @@
 	}
 }
 
-// setRole changes this entry VM's part in the pool. The caller holds mu.
-func (h *hosted) setRole(r role) {
-	h.role = r
-	h.term++
-	clear(h.early)
-	close(h.changed)
-	h.changed = make(chan struct{})
-}
-
-// startTaking stops granting until open is called with the term returned.
-// Grants and waiting asks of an earlier term are let go: holders tell what
-// they have.
-func (h *hosted) startTaking() (term int) {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	h.letGo()
-	h.setRole(roleTaking)
-	return h.term
-}
-
-// leave stops counting the pool.
-func (h *hosted) leave() {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	if h.role == roleOther {
-		return
-	}
-	h.letGo()
-	h.setRole(roleOther)
-}
-
-// letGo forgets grants and sends waiting asks elsewhere. The caller holds mu.
-func (h *hosted) letGo() {
-	for ticket := range h.waiting {
-		h.pool.Cancel(ticket)
-		h.reply(ticket, answer{kind: answerMoved})
-	}
-	for grant, known := range h.issued {
-		delete(h.issued, grant)
-		h.pool.Release(time.Now(), known.id, unsent())
-	}
-}
-
-// holding is a slot in use that a member told about.
-type holding struct {
-	grant  string
-	ask    string
-	target steering.Target
-	holder holder
-}
-
-// open starts counting with what is in use: what other members told, and what
-// own returns of this entry VM's own holdings. It does nothing when the role
-// changed since the term began.
-//
-// A grant may end between the moment its holder told of it and this call. It
-// would then stay counted for ever. Such ends are remembered, and own holdings
-// are read here, where none can end unseen.
-func (h *hosted) open(term int, told survey, own func() []holding, loads map[steering.Target]Load) bool {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	if h.term != term || h.role != roleTaking {
-		return false
-	}
-	now := time.Now()
-	for _, in := range append(told.held, own()...) {
-		if !h.early[in.grant] {
-			h.adopt(now, in)
-		}
-	}
-	for target, load := range loads {
-		h.reported(now, target, load)
-	}
-	h.asked = told.asked
-	h.setRole(roleOwner)
-	return true
-}
-
-// adopt counts a slot that an earlier owner granted. The caller holds mu.
-func (h *hosted) adopt(now time.Time, in holding) {
-	if _, known := h.issued[in.grant]; known {
-		return
-	}
-	id, ok := h.pool.Hold(now, in.target)
-	if !ok {
-		return
-	}
-	h.issued[in.grant] = &issued{
-		id: id, ask: in.ask, holder: in.holder, target: in.target,
-		checkAt: now.Add(h.checkAfter), checkAfter: h.checkAfter,
-	}
-}
-
-// state returns the role and its term.
-func (h *hosted) state() (role, int) {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	return h.role, h.term
-}
-
 // stats returns the pool's state; ok is false while another entry VM counts it.
 func (h *hosted) stats(draining []pool.Draining) (s pool.Stats, left []pool.Draining, ok bool) {
 	h.mu.Lock()
--- a/node/admit/hosted_test.go
+++ b/node/admit/hosted_test.go
@@ -1,6 +1,7 @@
 package admit
 
 import (
+	"fmt"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -9,6 +10,7 @@
 	"gotest.tools/v3/assert"
 
 	"heatherlock/node/seam"
+	"heatherlock/steering"
 	"heatherlock/steering/routing"
 )
 
@@ -24,12 +26,36 @@
 	term := h.startTaking()
 	told := []holding{{grant: "x", target: "a"}, {grant: "y", target: "a"}, {grant: "z", target: "a"}}
 	h.release("x", seam.Outcome{ReportedInFlight: -1, ReportedSlots: -1})
-	own := func() []holding { return []holding{{grant: "own", target: "a"}} }
-	assert.Assert(t, h.open(term, survey{held: told}, own, nil))
+	own := func() ownHoldings { return ownHoldings{held: []holding{{grant: "own", target: "a"}}} }
+	assert.Assert(t, h.open(term, survey{held: told, asking: map[steering.VM][]string{}}, own, nil))
 	assert.Equal(t, h.free(), 1, "y, z and own are in use")
 	h.release("y", seam.Outcome{ReportedInFlight: -1, ReportedSlots: -1})
 	assert.Equal(t, h.free(), 2)
-	assert.Assert(t, !h.open(term, survey{held: told}, own, nil), "a takeover that was overtaken must not begin to count")
+	assert.Assert(t, !h.open(term, survey{held: told, asking: map[steering.VM][]string{}}, own, nil), "a takeover that was overtaken must not begin to count")
+}
+
+// Symptom: targets are offered work beyond their slots right after a member
+// appeared. Sequence: the owner grants, takes its pool afresh because of the
+// newcomer, and a holder does not answer or has not got its reply yet. Cause:
+// the owner forgot what it had granted itself.
+func TestTakingAfreshKeepsWhatHoldersCannotTell(t *testing.T) {
+	cfg := Config{}.withDefaults()
+	m := newMetrics(tally.NoopScope)
+	n := 0
+	h := newHosted(poolKey{testPlace, testService}, time.Now(), &cfg, "vm-0", &m, func() string { n++; return fmt.Sprint("g", n) })
+	h.configure(wanted{targets: []routing.Target{{Name: "a", Slots: 4}}}, nil)
+	none := func() ownHoldings { return ownHoldings{} }
+	assert.Assert(t, h.open(h.startTaking(), survey{asking: map[steering.VM][]string{}}, none, nil))
+	for i, vm := range []steering.VM{"silent", "waiting", "done"} {
+		request := ask{id: fmt.Sprint("ask", i), holder: holder{vm: vm}, deadline: time.Now().Add(time.Hour)}
+		assert.Equal(t, h.acquire(t.Context(), request).kind, answerGranted)
+	}
+	term := h.startTaking()
+	told := survey{asking: map[steering.VM][]string{"waiting": {"ask1"}, "done": nil}}
+	assert.Assert(t, h.open(term, told, none, nil))
+	assert.Equal(t, h.free(), 2, "those of the silent and of the waiting holder are in use")
+	h.release("g1", seam.Outcome{ReportedInFlight: -1, ReportedSlots: -1})
+	assert.Equal(t, h.free(), 3)
 }
 
 // Symptom: targets are offered work beyond their slots after a takeover.
--- a/node/admit/take.go
+++ b/node/admit/take.go
@@ -23,7 +23,7 @@
 		s := a.gather(ctx, h.key, begun.Add(a.cfg.AgreeFor))
 		held := s.held
 		loads := a.readLoads(ctx, h.targets())
-		if h.open(term, s, func() []holding { return a.holdings(h.key) }, loads) {
+		if h.open(term, s, func() ownHoldings { return a.holdings(h.key) }, loads) {
 			level.Info(a.cfg.Log).Log("msg", "counting slots of a pool", "place", h.key.place, "service", h.key.service,
 				"held", len(held), "loads", len(loads), "took", time.Since(begun))
 		}
@@ -35,6 +35,7 @@
 	held   []holding
 	agreed bool // nobody counts the pool or names another owner
 	asked  lives
+	asking map[steering.VM][]string // asks without a reply yet, of those that answered
 }
 
 // lives are the members that were asked, with the process life that answered.
@@ -65,7 +66,7 @@
 }
 
 func (a *Admit) survey(ctx context.Context, key poolKey) survey {
-	s := survey{agreed: true, asked: lives{}}
+	s := survey{agreed: true, asked: lives{}, asking: map[steering.VM][]string{}}
 	var mu sync.Mutex
 	var calls sync.WaitGroup
 	for _, m := range a.mates() {
@@ -127,6 +128,7 @@
 		s.agreed = false
 	}
 	s.asked[from] = steering.Incarnation(reply.Incarnation)
+	s.asking[from] = reply.Asking
 	for _, in := range reply.Held {
 		s.held = append(s.held, holding{
 			grant:  in.Grant,
@@ -150,12 +152,17 @@
 	})
 }
 
-// holdings returns what this entry VM itself holds of a pool.
-func (a *Admit) holdings(key poolKey) []holding {
-	grants, _ := a.held.of(key)
-	own := make([]holding, 0, len(grants))
+// ownHoldings is what this entry VM itself holds of a pool and asks for.
+type ownHoldings struct {
+	held   []holding
+	asking []string
+}
+
+func (a *Admit) holdings(key poolKey) ownHoldings {
+	grants, asks := a.held.of(key)
+	own := ownHoldings{asking: asks}
 	for _, g := range grants {
-		own = append(own, holding{grant: g.slot.grant, ask: g.ask, target: g.slot.target.Name, holder: a.self})
+		own.held = append(own.held, holding{grant: g.slot.grant, ask: g.ask, target: g.slot.target.Name, holder: a.self})
 	}
 	return own
 }
