Put every promise to the test in runs of 5 s

Cause: the check runs quickstart for 5 s; the shift's first work came after that, because callers took their look-up answers all at once and permits new in a seat rest for some five windows of the cap. Change: callers start with partly used look-up answers, the cap's window is 400 ms, uploads are sent once more late in the run, and a run goes on for up to 5 s until work has come under the cap.

--- a/cmd/internal/caller/caller.go
+++ b/cmd/internal/caller/caller.go
@@ -52,6 +52,10 @@
 	// Bootstrap holds the callers' addresses of some entry VMs.
 	Bootstrap []string
 	Reporter  Reporter
+	// Phase is the share of the time to live that has passed when the caller
+	// first uses a look-up answer, 0 up to 1: callers that have used the system
+	// for a while do not look up all at once.
+	Phase float64
 	// Excused says whether a planted fault killed one of the entry VMs named
 	// (the first, and those of the Via header) between two times. May be nil.
 	Excused func(entryVM, via string, from, to time.Time) bool
@@ -86,7 +90,7 @@
 		IdleConnTimeout:     30 * time.Second,
 		DisableCompression:  true,
 	}}
-	return &Caller{config: config, client: client, book: newBook(client, config.Bootstrap)}
+	return &Caller{config: config, client: client, book: newBook(client, config.Bootstrap, config.Phase)}
 }
 
 // Close drops idle connections.
--- a/cmd/internal/caller/caller_test.go
+++ b/cmd/internal/caller/caller_test.go
@@ -122,6 +122,16 @@
 	assert.Equal(t, e.lookups, 2)
 }
 
+func TestFirstAnswerMayBePartlyUsedUp(t *testing.T) {
+	e := startEntry(t, "inc", whole)
+	from := New(Config{Bootstrap: []string{e.address}, Phase: 1})
+	defer from.Close()
+	assert.NilError(t, from.Reach(t.Context(), "s"))
+	assert.NilError(t, from.Reach(t.Context(), "s"))
+	assert.NilError(t, from.Reach(t.Context(), "s"))
+	assert.Equal(t, e.lookups, 2)
+}
+
 func TestTriesAreReported(t *testing.T) {
 	w := witness.New()
 	e := startEntry(t, "inc", refused("no", "1"), whole)
--- a/cmd/internal/caller/lookup.go
+++ b/cmd/internal/caller/lookup.go
@@ -33,6 +33,7 @@
 type book struct {
 	client    *http.Client
 	bootstrap []string
+	phase     float64
 
 	mu      sync.Mutex
 	pages   map[string]page
@@ -45,8 +46,8 @@
 	until  time.Time
 }
 
-func newBook(client *http.Client, bootstrap []string) *book {
-	return &book{client: client, bootstrap: bootstrap, pages: map[string]page{}}
+func newBook(client *http.Client, bootstrap []string, phase float64) *book {
+	return &book{client: client, bootstrap: bootstrap, phase: phase, pages: map[string]page{}}
 }
 
 // entries returns the entry VMs to use for a service, best first.
@@ -66,9 +67,13 @@
 	if err != nil {
 		return nil, err
 	}
+	keep := time.Duration(answer.TTLMs) * time.Millisecond
+	if !ok {
+		keep = time.Duration(float64(keep) * (1 - b.phase))
+	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.pages[service] = page{answer: answer, until: now.Add(time.Duration(answer.TTLMs) * time.Millisecond)}
+	b.pages[service] = page{answer: answer, until: now.Add(keep)}
 	return answer.EntryVMs, nil
 }
 
--- a/cmd/internal/quickstart/callers.go
+++ b/cmd/internal/quickstart/callers.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"math/rand/v2"
 	"time"
 
 	"heatherlock/cmd/internal/caller"
@@ -29,6 +30,7 @@
 // startCallers makes the callers of every zone and the streams of their work.
 func (r *running) startCallers() {
 	d := r.system.deployment
+	phases := rand.New(rand.NewPCG(r.options.Seed, 0))
 	r.callers = map[string][]*caller.Caller{}
 	var streams []traffic.Stream
 	for _, z := range d.Zones {
@@ -36,7 +38,7 @@
 		for i := range callersPerZone {
 			r.callers[z.Name] = append(r.callers[z.Name], caller.New(caller.Config{
 				Home: z.Name, Source: traffic.SourceIn(z.Block, i), Bootstrap: bootstrap,
-				Reporter: r.system.witness, Excused: r.system.excused,
+				Reporter: r.system.witness, Excused: r.system.excused, Phase: phases.Float64(),
 				Link: func(dial caller.Dial) caller.Dial {
 					return r.system.network.overLinks(dial, z.Name, d.Delays.Clients)
 				},
@@ -76,9 +78,8 @@
 	}
 }
 
-// sendUploads has uploads under way in the region that the shift leaves, and
-// waits until a target there runs one.
-func (r *running) sendUploads(ctx context.Context) {
+// sendUploads has uploads under way in the region that the shift leaves.
+func (r *running) sendUploads(name string) {
 	d := r.system.deployment
 	for _, s := range d.Services {
 		if s.Work != deploy.WorkUpload {
@@ -86,11 +87,15 @@
 		}
 		for _, place := range d.PlacesOf(d.ShiftFrom) {
 			for i := range stopUploads {
-				request := traffic.RequestFor(s, fmt.Sprintf("stop-%s-%s-%d", s.Name, place, i))
+				request := traffic.RequestFor(s, fmt.Sprintf("%s-%s-%s-%d", name, s.Name, place, i))
 				r.traffic.Send(traffic.Errand{From: r.callers[place][i], Request: request})
 			}
 		}
 	}
+}
+
+// waitForUpload waits until a target that may be stopped runs an upload.
+func (r *running) waitForUpload(ctx context.Context) {
 	for ctx.Err() == nil && !r.operator.uploading() {
 		time.Sleep(uploadPoll)
 	}
--- a/cmd/internal/quickstart/operator.go
+++ b/cmd/internal/quickstart/operator.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"sync"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -22,7 +23,9 @@
 	shiftPercent     = 50
 	shiftStepPercent = 50
 	shiftStepSeconds = 1
-	capWindow        = time.Second
+	// capWindow is short, because permits new in a seat rest for some five
+	// windows, and a short run has to see them used.
+	capWindow = 400 * time.Millisecond
 	// capShare is the cap as a share of the work that the whole shift would
 	// bring, so that the cap binds.
 	capShare = 0.6
@@ -37,6 +40,7 @@
 type operator struct {
 	system *system
 	client *oas.Client
+	mu     sync.Mutex // guards caps
 	caps   []witness.CapLimit
 	moved  int
 	target string
@@ -167,7 +171,7 @@
 	service := d.Services[0]
 	from, to := d.PlacesOf(d.ShiftFrom), d.PlacesOf(d.ShiftTo)
 	rate := traffic.ZoneRate(d, service, load) * float64(len(from)) * shiftPercent / 100
-	limit := witness.CapLimit{Service: service.Name, From: from, To: to, Requests: max(1, int(rate*capShare)), Window: capWindow}
+	limit := witness.CapLimit{Service: service.Name, From: from, To: to, Requests: max(1, int(rate*capShare*capWindow.Seconds())), Window: capWindow}
 	shift := oas.Shift{
 		Kind: string(oas.KindShift), Metadata: oas.Metadata{Name: shiftName},
 		Spec: oas.ShiftSpec{
@@ -188,10 +192,24 @@
 	if err := o.create(ctx, oas.NewCapObject(bound)); err != nil {
 		return err
 	}
+	o.mu.Lock()
 	o.caps = append(o.caps, limit)
+	o.mu.Unlock()
 	return o.raise(ctx)
 }
 
+// capUsed reports whether the cap has counted work.
+func (o *operator) capUsed() bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	for _, c := range o.caps {
+		if o.system.witness.Bound(c) > 0 {
+			return true
+		}
+	}
+	return false
+}
+
 // retune makes a change in the middle of a run, so that faults meet one: it
 // adds one to the retries that the first service allows. While the platform is
 // out it must be refused, with when to come back.
--- a/cmd/internal/quickstart/run.go
+++ b/cmd/internal/quickstart/run.go
@@ -27,8 +27,15 @@
 	retuneAt  = 0.5
 	faultEnds = 0.7
 	rushAt    = 0.8
+	// uploads are sent once more, so that the stopped target's place has work
+	// that must not go there.
+	lateAt = 0.93
 )
 
+// runOver is how much longer than asked a run may take until the cap has
+// counted something.
+const runOver = 5 * time.Second
+
 // Screen is where a run shows itself.
 type Screen struct {
 	Out io.Writer
@@ -128,11 +135,15 @@
 // work sends the callers' work and carries out the plan beside it, then waits
 // for what is under way.
 func (r *running) work(ctx context.Context, begun time.Time) {
-	load, end := context.WithDeadline(ctx, begun.Add(r.options.For))
+	load, end := context.WithCancel(ctx)
 	defer end()
 	watch, endWatch := context.WithCancel(ctx)
 	defer endWatch()
 	var beside sync.WaitGroup
+	beside.Go(func() {
+		defer end()
+		r.untilExercised(load, begun)
+	})
 	beside.Go(func() { r.operator.watch(watch) })
 	beside.Go(func() { r.showProgress(watch, begun) })
 	beside.Go(func() { r.plan(load, begun) })
@@ -145,6 +156,22 @@
 	beside.Wait()
 }
 
+// untilExercised returns when the run's time is up and the cap has counted
+// something, or the time to run over has passed too. Callers keep look-up
+// answers and permits new in a seat rest, so the shift's first work may come
+// late in a short run.
+func (r *running) untilExercised(ctx context.Context, begun time.Time) {
+	if !traffic.SleepUntil(ctx, begun.Add(r.options.For)) {
+		return
+	}
+	last := begun.Add(r.options.For + runOver)
+	for time.Now().Before(last) && !r.operator.capUsed() {
+		if !traffic.SleepUntil(ctx, time.Now().Add(confirmEvery)) {
+			return
+		}
+	}
+}
+
 func (r *running) plan(ctx context.Context, begun time.Time) {
 	at := func(share float64) bool {
 		return traffic.SleepUntil(ctx, begun.Add(time.Duration(share*float64(r.options.For))))
@@ -156,12 +183,16 @@
 	if !at(stopAt) {
 		return
 	}
-	r.sendUploads(ctx)
+	r.sendUploads("stop")
+	r.waitForUpload(ctx)
 	r.note("planned stop", r.operator.plannedStop(ctx))
 	r.plantFaults(ctx, at)
 	if at(rushAt) {
 		r.rush()
 	}
+	if at(lateAt) {
+		r.sendUploads("late")
+	}
 }
 
 // plantFaults plants the faults asked for and heals them,
--- a/standin/witness/judge.go
+++ b/standin/witness/judge.go
@@ -188,6 +188,13 @@
 	return f
 }
 
+// Bound returns how many executions a cap has counted so far.
+func (w *Witness) Bound(c CapLimit) int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return len(w.boundStarts(c))
+}
+
 func (w *Witness) boundStarts(c CapLimit) []time.Time {
 	var starts []time.Time
 	for _, e := range w.executions {
