Add bench capacity: what control costs an entry VM, fitted over fleet sizes

Cause: the design size is beyond one machine, so its cost has to be worked out from slopes.

Change: heatherlock bench capacity runs membership and the spread of configuration of several fleet sizes in one process over loopback, measures bytes, calls, processor time, memory, time until a change is in force, and the platform's calls through an outage and its end, fits lines and works them out at 650 entry VMs in 30 zones, as text, JSON and an SVG plot.

--- a/cmd/heatherlock/commands.go
+++ b/cmd/heatherlock/commands.go
@@ -2,6 +2,7 @@
 
 import (
 	"heatherlock/cmd/internal/benchbalance"
+	"heatherlock/cmd/internal/benchcapacity"
 	"heatherlock/cmd/internal/benchcaps"
 	"heatherlock/cmd/internal/benchdecide"
 	"heatherlock/cmd/internal/benchlookup"
@@ -43,6 +44,7 @@
 				benchdecide.Command(),
 				benchpath.Command(),
 				benchoperators.Command(),
+				benchcapacity.Command(),
 			),
 			load.Command(),
 			quickstart.Command(),
--- /dev/null
+++ b/cmd/internal/benchcapacity/report.go
@@ -0,0 +1,145 @@
+package benchcapacity
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"math"
+	"os"
+	"text/tabwriter"
+
+	"github.com/go-faster/errors"
+	"gonum.org/v1/gonum/stat"
+)
+
+// Fit is a line through one figure over fleet sizes.
+type Fit struct {
+	Figure    string  `json:"figure"`
+	Slope     float64 `json:"slopePerNode"`
+	Intercept float64 `json:"intercept"`
+	// Residual is the standard deviation of the points from the line.
+	Residual float64 `json:"residual"`
+	At       float64 `json:"atDesignSize"`
+	Limit    float64 `json:"limit"`
+}
+
+// Report is the whole measurement.
+type Report struct {
+	Rows  []Row `json:"rows"`
+	Fits  []Fit `json:"fits"`
+	Nodes int   `json:"designNodes"`
+	Zones int   `json:"designZones"`
+}
+
+// figure reads one fitted figure from a row.
+type figure struct {
+	name  string
+	limit float64
+	of    func(Row) float64
+}
+
+// Limits of control at the design size.
+const (
+	limitBytes    = 5000
+	limitCPU      = 2.3
+	limitMemory   = 128 << 20
+	limitChange   = 4
+	limitPlatform = 2000
+)
+
+var figures = []figure{
+	{"bytes/s per node", limitBytes, func(r Row) float64 { return r.BytesPerSecond }},
+	{"calls/s per node", math.Inf(1), func(r Row) float64 { return r.CallsPerSecond }},
+	{"CPU % of a core per node", limitCPU, func(r Row) float64 { return r.CPUPercent }},
+	{"memory bytes per node", limitMemory, func(r Row) float64 { return r.MemoryBytes }},
+	{"seconds until a change is in force everywhere, worst", limitChange, func(r Row) float64 { return r.ChangeSecondsMax }},
+	{"platform calls/s, fleet", limitPlatform, func(r Row) float64 { return r.PlatformTotal }},
+	{"platform peak calls/s at start, fleet", limitPlatform, func(r Row) float64 { return float64(r.PlatformPeak.Start) }},
+	{"platform peak calls/s in an outage, fleet", limitPlatform, func(r Row) float64 { return float64(r.PlatformPeak.Outage) }},
+	{"platform peak calls/s after an outage, fleet", limitPlatform, func(r Row) float64 { return float64(r.PlatformPeak.After) }},
+}
+
+// fit draws the line of a figure through the fitted rows.
+func fit(f figure, rows []Row) Fit {
+	var x, y []float64
+	for _, r := range rows {
+		if r.Fitted {
+			x, y = append(x, float64(r.Nodes)), append(y, f.of(r))
+		}
+	}
+	result := Fit{Figure: f.name, Limit: f.limit}
+	if len(x) < 2 {
+		return result
+	}
+	result.Intercept, result.Slope = stat.LinearRegression(x, y, nil, false)
+	var squares float64
+	for i := range x {
+		d := y[i] - result.Intercept - result.Slope*x[i]
+		squares += d * d
+	}
+	result.Residual = math.Sqrt(squares / float64(len(x)))
+	result.At = result.Intercept + result.Slope*designNodes
+	return result
+}
+
+// Run measures every size, prints the report and writes the files asked for.
+func Run(w io.Writer, o Options) error { return run(context.Background(), w, o) }
+
+func run(ctx context.Context, w io.Writer, o Options) error {
+	report := Report{Nodes: designNodes, Zones: designZones}
+	for _, size := range o.Sizes {
+		row, err := measure(ctx, size, o)
+		if err != nil {
+			return errors.Wrapf(err, "benchcapacity: %d nodes", size.Nodes)
+		}
+		report.Rows = append(report.Rows, row)
+	}
+	for _, f := range figures {
+		report.Fits = append(report.Fits, fit(f, report.Rows))
+	}
+	report.WriteText(w)
+	if err := writeJSON(o.JSONFile, report); err != nil {
+		return err
+	}
+	return writeSVG(o.SVGFile, report)
+}
+
+// WriteText writes the report as tables.
+func (r Report) WriteText(out io.Writer) {
+	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', tabwriter.AlignRight)
+	fmt.Fprintln(w, "nodes\tzones\tB/s\tcalls/s\tCPU %\tKB\tsee all\tchange s\tchange B\tplatform/s\tpeak start\tsteady\toutage\tafter\t")
+	for _, row := range r.Rows {
+		p := row.PlatformPeak
+		fmt.Fprintf(w, "%d\t%d\t%.0f\t%.2f\t%.3f\t%.0f\t%.4f\t%.2f\t%.0f\t%.1f\t%d\t%d\t%d\t%d\t\n", row.Nodes, row.Zones, row.BytesPerSecond,
+			row.CallsPerSecond, row.CPUPercent, row.MemoryBytes/1024, row.KnowAll, row.ChangeSecondsMax, row.ChangeBytes,
+			row.PlatformTotal, p.Start, p.Steady, p.Outage, p.After)
+	}
+	_ = w.Flush()
+	fmt.Fprintf(out, "\nper entry VM but for the platform's; the lines leave out sizes of another zone size\n\n")
+	w = tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
+	fmt.Fprintf(w, "figure\tslope per node\tintercept\tresidual\tat %d\tlimit\n", r.Nodes)
+	for _, f := range r.Fits {
+		fmt.Fprintf(w, "%s\t%.4g\t%.4g\t%.3g\t%.4g\t%.4g\n", f.Figure, f.Slope, f.Intercept, f.Residual, f.At, f.Limit)
+	}
+	_ = w.Flush()
+}
+
+func writeJSON(file string, report Report) error {
+	if file == "" {
+		return nil
+	}
+	for i := range report.Fits {
+		if math.IsInf(report.Fits[i].Limit, 0) {
+			report.Fits[i].Limit = 0
+		}
+	}
+	raw, err := json.MarshalIndent(report, "", "  ")
+	if err != nil {
+		return errors.Wrap(err, "benchcapacity: encode")
+	}
+	if err := os.WriteFile(file, append(raw, '\n'), 0o644); err != nil {
+		return errors.Wrap(err, "benchcapacity: name a file that can be written")
+	}
+	return nil
+}
