Let one failed call count only when beats are missing too, and hurry after changes

Cause: on a busy machine a call in many runs into its timeout; its maker then saw another owner of a pool than everybody else for up to 3 s, because readers' copy was renewed once a second. And operators saw 'not InForce' a second too long after a change.

Change: one failed call makes a member of the own zone suspect only while its beats are missing too, the second in any case; the member is called again at the next tick; success publishes at once; and members exchange three times as often for 3 s after a change of configuration.

--- a/node/member/exchange.go
+++ b/node/member/exchange.go
@@ -96,6 +96,9 @@
 			m.selfLoad, m.lastLoad = load, now
 		}
 	}
+	if o.configVersion != m.version {
+		m.version, m.versionAt = o.configVersion, now
+	}
 	m.view.SetSelf(status, load, o.configVersion, now)
 }
 
@@ -106,12 +109,12 @@
 	for _, w := range n.members {
 		changed = m.view.Merge(factFromWire(w), now) || changed
 	}
-	m.view.Hear(membership.Beat{ID: n.from, Beat: n.beat, ConfigVersion: n.configVersion}, now)
+	changed = m.view.Hear(membership.Beat{ID: n.from, Beat: n.beat, ConfigVersion: n.configVersion}, now) || changed
 	for _, b := range livenessFromWire(n.liveness, n.configVersion) {
-		m.view.Hear(b, now)
+		changed = m.view.Hear(b, now) || changed
 	}
 	for _, w := range n.reports {
-		m.view.HearReport(reportFromWire(w), now)
+		changed = m.view.HearReport(reportFromWire(w), now) || changed
 	}
 	m.changed = m.changed || changed
 	if m.changed && now.Sub(m.publishedAt) >= publishGap {
--- a/node/member/gossip.go
+++ b/node/member/gossip.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"heatherlock/node/seam"
 	"heatherlock/peer/peerpb"
 	"heatherlock/steering"
 	"heatherlock/steering/membership"
@@ -38,10 +39,10 @@
 	var wg sync.WaitGroup
 	defer wg.Wait()
 	wg.Go(func() { m.readLists(ctx) })
-	wg.Go(func() { m.every(ctx, m.config.CrossEvery, m.talkFar) })
-	wg.Go(func() { m.every(ctx, m.config.ProbeEvery, m.probe) })
-	wg.Go(func() { m.every(ctx, forgetEvery, m.forget) })
-	m.every(ctx, m.config.BeatEvery, m.tick)
+	wg.Go(func() { m.every(ctx, m.hurried(m.config.CrossEvery), m.talkFar) })
+	wg.Go(func() { m.every(ctx, steadily(m.config.ProbeEvery), m.probe) })
+	wg.Go(func() { m.every(ctx, steadily(forgetEvery), m.forget) })
+	m.every(ctx, m.hurried(m.config.BeatEvery), m.tick)
 	return ctx.Err()
 }
 
@@ -51,10 +52,33 @@
 	jitterChoices = 2*jitterPercent + 1
 )
 
+const (
+	// hurryFor is how long after a change of configuration members exchange
+	// more often, hurryFactor how much: operators wait to see it in force.
+	hurryFor    = 3 * time.Second
+	hurryFactor = 3
+)
+
+// hurried gives a loop's pause, shorter after a change of configuration.
+func (m *Members) hurried(d time.Duration) func() time.Duration {
+	return func() time.Duration {
+		version := m.config.Hooks.ConfigVersion()
+		m.mu.Lock()
+		defer m.mu.Unlock()
+		if version != m.version || time.Since(m.versionAt) < hurryFor {
+			return d / hurryFactor
+		}
+		return d
+	}
+}
+
+func steadily(d time.Duration) func() time.Duration { return func() time.Duration { return d } }
+
 // every calls f at a rate, each time a little jittered so that members do not
 // fall into step.
-func (m *Members) every(ctx context.Context, d time.Duration, f func(context.Context)) {
+func (m *Members) every(ctx context.Context, pause func() time.Duration, f func(context.Context)) {
 	for {
+		d := pause()
 		jitter := d * time.Duration(m.config.Random(jitterChoices)-jitterPercent) / 100
 		select {
 		case <-ctx.Done():
@@ -90,8 +114,11 @@
 // known.
 func (m *Members) nearPartner(now time.Time) (partner, bool) {
 	const retryEach = 3
-	if due := m.view.Retry(now); len(due) > 0 && m.beat%retryEach == 0 {
-		return m.partnerOf(due[m.config.Random(len(due))])
+	if due := m.view.Retry(now); len(due) > 0 {
+		chosen := due[m.config.Random(len(due))]
+		if chosen.Failures == 1 || m.beat%retryEach == 0 {
+			return m.partnerOf(chosen)
+		}
 	}
 	usable := map[steering.VM]partner{}
 	for _, member := range m.view.ZoneMembers(now) {
@@ -331,7 +358,7 @@
 		return
 	}
 	m.view.Direct(p.vm, ok, now)
-	if !ok {
+	if known := m.published.Load().byVM[p.vm]; !ok || known == nil || known.State != seam.MemberLive {
 		m.publish(now)
 	}
 	if ok && p.far && p.region != m.self.Place.Region {
--- a/node/member/members.go
+++ b/node/member/members.go
@@ -36,9 +36,12 @@
 	lastSync time.Time
 	lastLoad time.Time
 	selfLoad membership.Load
-	turn     int // rotates through the reports to relay
-	pools    *poolTable
-	distance map[steering.Region]time.Duration
+	// version is the configuration in force here, since versionAt.
+	version   int64
+	versionAt time.Time
+	turn      int // rotates through the reports to relay
+	pools     *poolTable
+	distance  map[steering.Region]time.Duration
 	// changed says that facts changed since publishedAt.
 	changed     bool
 	publishedAt time.Time
--- a/steering/membership/reach.go
+++ b/steering/membership/reach.go
@@ -33,6 +33,8 @@
 	// without success.
 	Reached time.Time
 	Failed  time.Time
+	// Failures counts the calls that failed since one succeeded.
+	Failures int
 }
 
 // Beat is the newest beat the sender knows of a member of its zone.
@@ -57,12 +59,14 @@
 	retryFraction = 4
 )
 
-// Hear takes in a beat. An unknown incarnation is ignored until its fact comes.
-func (v *View) Hear(b Beat, now time.Time) {
+// Hear takes in a beat and tells whether the member's configuration advanced.
+// An unknown incarnation is ignored until its fact comes.
+func (v *View) Hear(b Beat, now time.Time) (advanced bool) {
 	e, ok := v.ids[b.ID]
 	if !ok || e.VM == v.self {
-		return
+		return false
 	}
+	advanced = b.ConfigVersion > e.ConfigVersion
 	e.ConfigVersion = max(e.ConfigVersion, b.ConfigVersion)
 	if b.Beat > e.beat {
 		e.beat = b.Beat
@@ -71,6 +75,7 @@
 	if b.Doubted && b.Beat >= e.beat && now.Sub(e.heard) >= doubtMinAge {
 		e.doubtBeat = e.beat + 1
 	}
+	return advanced
 }
 
 // Retry returns the members of the own zone to call next, ahead of their turn.
@@ -93,6 +98,9 @@
 	if !e.unreached() {
 		return e.doubted() && now.Sub(e.reached) >= doubtCheckEach
 	}
+	if e.failures == 1 {
+		return true
+	}
 	since := now.Sub(e.failed)
 	pause := min(now.Sub(latest(e.reached, e.learned))/retryFraction, retryMax)
 	return since >= retryMin && (e.heard.After(e.failed) || since >= pause)
@@ -107,8 +115,10 @@
 	if reachable {
 		e.reached = now
 		e.doubtBeat = 0
+		e.failures = 0
 		return
 	}
+	e.failures++
 	e.failed = now
 }
 
@@ -147,7 +157,7 @@
 }
 
 func (v *View) member(e *entry, now time.Time) Member {
-	m := Member{Fact: e.Fact, Heard: e.heard, Reached: e.reached, Failed: e.failed}
+	m := Member{Fact: e.Fact, Heard: e.heard, Reached: e.reached, Failed: e.failed, Failures: e.failures}
 	if r := v.reports[e.Place.Zone]; r != nil && e.Place.Zone != v.zone {
 		m.Heard = latest(e.heard, r.heard)
 	}
@@ -179,8 +189,17 @@
 }
 
 // stateNear judges a member of the own zone by first-hand evidence and silence.
+//
+// What can go wrong: on a busy VM one call in many runs into its timeout, and
+// the one who made it would see another owner of a pool than everybody else for
+// as long as the evidence stands. So one failure counts only while the member's
+// beats are missing too; the second counts in any case.
 func (v *View) stateNear(e *entry, silence time.Duration) State {
-	if e.unreached() || silence > v.params.SuspectAfter {
+	const enoughFailures = 2
+	if e.unreached() && (e.failures >= enoughFailures || silence > lostAfter) {
+		return StateSuspect
+	}
+	if silence > v.params.SuspectAfter {
 		return StateSuspect
 	}
 	return StateLive
--- a/steering/membership/report.go
+++ b/steering/membership/report.go
@@ -25,14 +25,18 @@
 // HearReport takes in a report of another member. One report per zone is kept,
 // the last that arrived. A report that its reporter has since renewed is
 // ignored, so that relays do not make old news look fresh; so is one of a
-// reporter whose fact has not come yet.
-func (v *View) HearReport(r Report, now time.Time) {
+// reporter whose fact has not come yet. It tells whether the zone's
+// configuration changed.
+func (v *View) HearReport(r Report, now time.Time) (advanced bool) {
 	e, ok := v.ids[r.Reporter]
 	if !ok || e.VM == v.self || r.Beat <= e.reportBeat {
-		return
+		return false
 	}
 	e.reportBeat = r.Beat
+	old := v.reports[e.Place.Zone]
+	advanced = old == nil || old.ConfigVersion != r.ConfigVersion
 	v.reports[e.Place.Zone] = &report{Report: r, heard: now}
+	return advanced
 }
 
 // OwnReport is what this observer says of its zone.
@@ -50,9 +54,9 @@
 	return r
 }
 
-// reportDoubtAge is the silence from which a member that the reporter cannot
-// reach is doubted in its report.
-const reportDoubtAge = time.Second
+// lostAfter is the silence from which a member that cannot be reached counts as
+// lost.
+const lostAfter = time.Second
 
 // lost tells whether the zone, not only this observer, has lost a member: one
 // that this observer cannot reach but that beats on is not doubted.
@@ -60,7 +64,7 @@
 	if state != StateSuspect && state != StateGone {
 		return false
 	}
-	return now.Sub(latest(e.heard, e.learned)) >= reportDoubtAge
+	return now.Sub(latest(e.heard, e.learned)) >= lostAfter
 }
 
 // Reports returns up to limit fresh reports of other zones. The offset rotates
--- a/steering/membership/view.go
+++ b/steering/membership/view.go
@@ -72,6 +72,8 @@
 	// without success.
 	reached time.Time
 	failed  time.Time
+	// failures counts the calls that failed since one succeeded.
+	failures int
 	// listed is the last time the platform's list had it live or leaving.
 	listed time.Time
 }
