Trace at debug level where each request went

An operator with a request id could only learn that it was refused.

The test follows a request over two entry VMs and looks for its body and token, which must not be there. Not measured.

--- a/node/forward/fakes_test.go
+++ b/node/forward/fakes_test.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"bytes"
 	"context"
 	"io"
 	stdlog "log"
@@ -89,6 +90,7 @@
 	down    map[steering.VM]bool
 	stored  map[steering.Key]*fakeRun
 	scope   tally.TestScope
+	log     bytes.Buffer
 }
 
 func newWorld(t *testing.T) *world {
@@ -118,14 +120,14 @@
 }
 
 // faults is a log that fails the test when the program itself is at fault.
-func (w *world) faults() log.Logger {
+func (w *world) faults(next log.Logger) log.Logger {
 	return log.LoggerFunc(func(keyvals ...any) error {
 		for _, v := range keyvals {
 			if v == level.ErrorValue() {
 				w.t.Errorf("fault: %v", keyvals)
 			}
 		}
-		return nil
+		return next.Log(keyvals...)
 	})
 }
 
@@ -139,7 +141,7 @@
 		down: map[steering.VM]bool{}, stored: map[steering.Key]*fakeRun{}, scope: tally.NewTestScope("", nil)}
 	e.Forwarder = New(Config{
 		Self: m, Limits: static.Settings{}.WithDefaults().Limits, Configs: e, Members: e, Admitter: e, Caps: e, Remote: e,
-		Looker: e, Leaver: e, Outcomes: e, Suspects: e, Retries: e, Dial: w.net.Dial, Scope: e.scope, Log: w.faults(),
+		Looker: e, Leaver: e, Outcomes: e, Suspects: e, Retries: e, Dial: w.net.Dial, Scope: e.scope, Log: w.faults(log.NewJSONLogger(log.NewSyncWriter(&e.log))),
 	})
 	w.serve([]string{callerA, callerB}[i], &http.Server{
 		Handler: e, ConnContext: e.ConnContext, ConnState: e.ConnState, DisableGeneralOptionsHandler: true,
--- a/node/forward/forward.go
+++ b/node/forward/forward.go
@@ -11,7 +11,6 @@
 	"time"
 
 	"github.com/go-kit/log"
-	"github.com/go-kit/log/level"
 	"github.com/uber-go/tally/v4"
 
 	"heatherlock/node/seam"
@@ -68,6 +67,7 @@
 	prefixes   prefixCache
 	serial     atomic.Uint64
 	turn       atomic.Uint64
+	traced     atomic.Uint64
 	open       atomic.Int64 // caller connections
 
 	selfName         string
@@ -163,6 +163,8 @@
 	if refusal != nil {
 		x.logRefusal(refusal)
 		x.refuse(refusal)
+	} else {
+		x.traceAnswer()
 	}
 	if x.counters != nil {
 		x.counters.latency.RecordDuration(time.Since(x.started))
@@ -187,11 +189,6 @@
 	return x.serve()
 }
 
-func (x *exchange) logRefusal(refusal *steering.Refusal) {
-	level.Debug(x.f.log).Log("msg", "request refused", "request", x.id, "reason", refusal.Reason,
-		"ran", refusal.Ran, "detail", refusal.Detail)
-}
-
 // prefixCache keeps the key prefix of the present minute as a header value.
 type prefixCache struct {
 	incarnation steering.Incarnation
--- a/node/forward/handover.go
+++ b/node/forward/handover.go
@@ -84,6 +84,7 @@
 			x.f.remote.Hint(place, x.service.Name, free)
 		}
 	}
+	x.traceHandOver(member.VM, "place "+string(place))
 	return x.tryPeer(l, member), true
 }
 
@@ -141,6 +142,7 @@
 		}
 	}
 	x.f.counters.handed.Inc(1)
+	x.traceHandOver(member.VM, "home of the key, or leaving")
 	return x.tryPeer(l, member)
 }
 
--- a/node/forward/hop_test.go
+++ b/node/forward/hop_test.go
@@ -73,3 +73,22 @@
 		assert.Equal(t, res.Header.Get(headerVia), "ea")
 	})
 }
+
+// Symptom: nobody can say where a request went. Sequence: it is handed over to
+// another zone, with a password in its body and a token in its header. Its way
+// must be in the log under its id, and neither secret.
+func TestTheLogTellsARequestsWayAndNoSecrets(t *testing.T) {
+	inWorld(t, func(t *testing.T, w *world) {
+		w.a.slots["t1"], w.a.slots["t2"] = 0, 0
+		w.target("t3", die)
+		res, _, err := w.do("POST", "/", strings.NewReader("my password"), "Authorization", "Bearer token")
+		refused(t, res, err, steering.ReasonTargetDied, "unknown")
+		id := res.Header.Get(headerRequestID)
+		for _, e := range []*entry{w.a, w.b} {
+			log := e.log.String()
+			assert.Assert(t, strings.Contains(log, `"request refused"`) && strings.Contains(log, id), "%s: %s", e.self.VM, log)
+			assert.Assert(t, !strings.Contains(log, "password") && !strings.Contains(log, "token"), log)
+		}
+		assert.Assert(t, strings.Contains(w.a.log.String(), `"request handed over","request":"`+id+`","to":"eb","why":"place p-b"`), w.a.log.String())
+	})
+}
--- a/node/forward/retry.go
+++ b/node/forward/retry.go
@@ -128,6 +128,7 @@
 	}
 	x.retried = true
 	x.f.counters.retry(reason)
+	x.traceRetry(reason)
 	return true
 }
 
