Say that a cap holds by the permits that entry VMs hold

Asked in a zone without permits, status said that nothing was known of a cap and CapHolding was false; elsewhere it counted one entry VM's part only. The seats are part of the configuration that every entry VM has: CapHolding now compares their sum with the cap.

--- a/api/oas/oas_json_gen.go
+++ b/api/oas/oas_json_gen.go
@@ -2178,6 +2178,12 @@
 			s.InFlight.Encode(e)
 		}
 	}
+	{
+		if s.PermitsHeld.Set {
+			e.FieldStart("permitsHeld")
+			s.PermitsHeld.Encode(e)
+		}
+	}
 	{
 		if s.PermitsInUse.Set {
 			e.FieldStart("permitsInUse")
@@ -2186,14 +2192,15 @@
 	}
 }
 
-var jsonFieldsNameOfObjectStatus = [7]string{
+var jsonFieldsNameOfObjectStatus = [8]string{
 	0: "conditions",
 	1: "zones",
 	2: "movedPercent",
 	3: "heldBy",
 	4: "remainingSeconds",
 	5: "inFlight",
-	6: "permitsInUse",
+	6: "permitsHeld",
+	7: "permitsInUse",
 }
 
 // Decode decodes ObjectStatus from json.
@@ -2280,6 +2287,16 @@
 			}(); err != nil {
 				return errors.Wrap(err, "decode field \"inFlight\"")
 			}
+		case "permitsHeld":
+			if err := func() error {
+				s.PermitsHeld.Reset()
+				if err := s.PermitsHeld.Decode(d); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"permitsHeld\"")
+			}
 		case "permitsInUse":
 			if err := func() error {
 				s.PermitsInUse.Reset()
--- a/api/oas/oas_schemas_gen.go
+++ b/api/oas/oas_schemas_gen.go
@@ -879,7 +879,10 @@
 	RemainingSeconds OptInt `json:"remainingSeconds"`
 	// PlannedStop: requests still in flight.
 	InFlight OptInt `json:"inFlight"`
-	// Cap: permits in use.
+	// Cap: permits that all entry VMs hold together; never more than the cap but while it is being
+	// lowered.
+	PermitsHeld OptInt `json:"permitsHeld"`
+	// Cap: permits in use at the entry VM that answers.
 	PermitsInUse OptInt `json:"permitsInUse"`
 }
 
@@ -913,6 +916,11 @@
 	return s.InFlight
 }
 
+// GetPermitsHeld returns the value of PermitsHeld.
+func (s *ObjectStatus) GetPermitsHeld() OptInt {
+	return s.PermitsHeld
+}
+
 // GetPermitsInUse returns the value of PermitsInUse.
 func (s *ObjectStatus) GetPermitsInUse() OptInt {
 	return s.PermitsInUse
@@ -948,6 +956,11 @@
 	s.InFlight = val
 }
 
+// SetPermitsHeld sets the value of PermitsHeld.
+func (s *ObjectStatus) SetPermitsHeld(val OptInt) {
+	s.PermitsHeld = val
+}
+
 // SetPermitsInUse sets the value of PermitsInUse.
 func (s *ObjectStatus) SetPermitsInUse(val OptInt) {
 	s.PermitsInUse = val
--- a/node/facts.go
+++ b/node/facts.go
@@ -217,10 +217,21 @@
 	return false
 }
 
-// Cap implements operator.Runtime: the permits of this entry VM that are in use.
+// Cap implements operator.Runtime: the permits that all entry VMs hold by the
+// configuration in force, and those in use at this one.
 func (f *facts) Cap(name string) (operator.CapFact, bool) {
-	use, known := f.parts.caps.Use(name)
-	return operator.CapFact{PermitsInUse: use.InUse}, known
+	s := f.parts.configs.Snapshot()
+	if s == nil || s.Caps[name] == nil {
+		return operator.CapFact{}, false
+	}
+	use, _ := f.parts.caps.Use(name)
+	fact := operator.CapFact{PermitsInUse: use.InUse}
+	if seats := s.Seats[name]; seats != nil {
+		for _, seat := range seats.Seats {
+			fact.PermitsHeld += seat.Permits
+		}
+	}
+	return fact, true
 }
 
 // zone is what the zone's status on the platform says besides the version.
--- a/node/operator/runtime.go
+++ b/node/operator/runtime.go
@@ -83,5 +83,8 @@
 
 // CapFact is a cap at work.
 type CapFact struct {
+	// PermitsHeld is the sum over the seats of all entry VMs.
+	PermitsHeld int
+	// PermitsInUse counts those in use at this entry VM.
 	PermitsInUse int
 }
--- a/node/operator/status.go
+++ b/node/operator/status.go
@@ -18,7 +18,7 @@
 	ConditionShiftComplete = "ShiftComplete" // the whole percent has moved
 	ConditionDrained       = "Drained"       // nothing is in flight any more
 	ConditionInTime        = "InTime"        // the deadline has not passed with work left
-	ConditionCapHolding    = "CapHolding"    // no more permits are used than the cap gives
+	ConditionCapHolding    = "CapHolding"    // entry VMs together hold no more permits than the cap gives
 )
 
 // Conditions lists the types of condition that each kind can have.
@@ -127,16 +127,19 @@
 func (b *statusBuilder) cap(limit oas.Cap) {
 	fact, known := b.server.runtime.Cap(b.ref.Name)
 	if !known {
-		b.add(ConditionCapHolding, false, "NothingKnown", "no use of the cap has been reported yet")
+		b.add(ConditionCapHolding, false, "NothingKnown", "this entry VM has not seen the cap yet")
 		return
 	}
+	b.status.PermitsHeld = oas.NewOptInt(fact.PermitsHeld)
 	b.status.PermitsInUse = oas.NewOptInt(fact.PermitsInUse)
-	holds := fact.PermitsInUse <= limit.Spec.Requests
-	reason := "Holding"
-	if !holds {
-		reason = "Exceeded"
+	switch {
+	case fact.PermitsHeld > limit.Spec.Requests:
+		b.add(ConditionCapHolding, false, "Lowering", "entry VMs still hold %d permits, the cap is %d; each gives up what is in use no more", fact.PermitsHeld, limit.Spec.Requests)
+	case fact.PermitsHeld == 0:
+		b.add(ConditionCapHolding, true, "NoPermits", "no entry VM holds a permit of the %d, so that nothing is admitted under the cap", limit.Spec.Requests)
+	default:
+		b.add(ConditionCapHolding, true, "Holding", "entry VMs hold %d of %d permits", fact.PermitsHeld, limit.Spec.Requests)
 	}
-	b.add(ConditionCapHolding, holds, reason, "%d of %d permits in use", fact.PermitsInUse, limit.Spec.Requests)
 }
 
 func (b *statusBuilder) stop(stop oas.PlannedStop, inForce bool) {
