--- a/node/dynamic/zonestatus.go
+++ b/node/dynamic/zonestatus.go
@@ -16,7 +16,7 @@
 
 const (
 	// statusMinimum is the shortest time between two writes of a status.
-	statusMinimum = 2 * time.Second
+	statusMinimum = 5 * time.Second
 	// statusTimeout bounds a call on a status.
 	statusTimeout = 2 * time.Second
 )
