Follow planned stops, entry VMs and loans by their charts; write up caps, shifts and stops

Cause: three life cycles were still spread over conditions in the code, and nothing told of a deadline before its work was cut.

The loan of permits, the entry VM and the planned stop now have charts that the code fires. node/drain follows stops for logs and metrics, and warns a minute before a deadline with work left. The daemon leaves by the entry VM's chart. Design notes weigh caps, shifts and stops; operator pages say what holds a shift, what to do about cap_reached and what each kind of stop does.

Not measured.

--- a/node/facts.go
+++ b/node/facts.go
@@ -9,6 +9,7 @@
 	"heatherlock/node/shiftdriver"
 	"heatherlock/node/static"
 	"heatherlock/steering"
+	"heatherlock/steering/drain"
 	"heatherlock/steering/routing"
 )
 
@@ -157,6 +158,12 @@
 	return f.targetStop(s, stop, time.Now()), true
 }
 
+// remaining is what is known of the work that a stop waits for.
+func (f *facts) remaining(stop string) (drain.Remaining, bool) {
+	fact, known := f.Stop(stop)
+	return drain.Remaining{InFlight: fact.InFlight, Complete: known && fact.Complete}, known
+}
+
 // entryVMStop is complete once the entry VM is gone.
 func (f *facts) entryVMStop(stop *routing.Stop) (operator.StopFact, bool) {
 	for _, m := range f.parts.members.All() {
--- a/node/leave.go
+++ b/node/leave.go
@@ -65,10 +65,11 @@
 	n.parts.leaver.leaving.Store(true)
 	n.parts.members.Leave()
 	level.Info(n.log).Log("msg", "leaving", "inFlight", n.parts.forward.InFlight())
-	lateUntil := time.Now().Add(n.lookupTTL() + lookupMargin)
+	life := drain.NewEntryVM()
+	life.Stop(time.Now(), n.lookupTTL()+lookupMargin)
 	ticker := time.NewTicker(drainPoll)
 	defer ticker.Stop()
-	for time.Now().Before(lateUntil) || n.parts.forward.InFlight() > 0 {
+	for life.Look(time.Now(), n.parts.forward.InFlight()) != drain.Left {
 		select {
 		case <-hurry.Done():
 			return
--- a/node/node.go
+++ b/node/node.go
@@ -143,7 +143,8 @@
 // controlLoops runs the loops of the parts until ctx ends.
 func (n *Node) controlLoops(group *errgroup.Group, ctx context.Context) {
 	loops := []func(context.Context) error{
-		n.parts.members.Run, n.parts.configs.Run, n.parts.lookups.Run, n.parts.admit.Run, n.parts.caps.Run, n.parts.shifts.Run, n.cutLoop,
+		n.parts.members.Run, n.parts.configs.Run, n.parts.lookups.Run, n.parts.admit.Run, n.parts.caps.Run, n.parts.shifts.Run,
+		n.parts.stops.Run, n.cutLoop,
 	}
 	for _, certificates := range []*tlsconf.Source{n.parts.peerTLS, n.parts.operatorTLS} {
 		if certificates != nil {
--- a/node/parts.go
+++ b/node/parts.go
@@ -9,6 +9,7 @@
 
 	"heatherlock/node/admit"
 	"heatherlock/node/capshare"
+	"heatherlock/node/drain"
 	"heatherlock/node/dynamic"
 	"heatherlock/node/forward"
 	"heatherlock/node/lookups"
@@ -36,6 +37,7 @@
 	suspects *forward.RegionSuspects
 	caps     *capshare.Caps
 	shifts   *shiftdriver.Driver
+	stops    *drain.Watch
 	forward  *forward.Forwarder
 	operator *operator.Server
 	leaver   *leaver
@@ -91,19 +93,7 @@
 		Members: p.members, Configs: p.configs, Peers: clients, AcquirePeers: peer.NewClients(acquires),
 		Loads: admit.HTTPLoads{Client: loads}, Scope: n.metrics.Scope, Log: n.log,
 	})
-	p.caps, err = capshare.New(capshare.Config{
-		Configs: p.configs, Members: p.members, Platform: p.platform, Peer: clients.To,
-		Leading: p.leading, Scope: n.metrics.Scope, Log: n.log,
-	})
-	if err != nil {
-		return nil, errors.Wrap(err, "node")
-	}
-	p.shifts, err = shiftdriver.New(shiftdriver.Config{
-		Configs: p.configs, Members: p.members, Platform: p.platform, Leader: p.configs.Leader,
-		Pools: (&facts{node: n, parts: p}).receivers, CapRefusals: p.caps.Refused, TTL: lookup.DefaultTTL,
-		Scope: n.metrics.Scope, Log: n.log,
-	})
-	if err != nil {
+	if err := n.buildMoves(p, clients); err != nil {
 		return nil, errors.Wrap(err, "node")
 	}
 	n.buildDataPath(p, clients, options.Dial)
@@ -134,6 +124,30 @@
 	return nil
 }
 
+// buildMoves makes the parts that move work: caps, shifts and planned stops.
+func (n *Node) buildMoves(p *parts, clients *peer.Clients) (err error) {
+	p.caps, err = capshare.New(capshare.Config{
+		Configs: p.configs, Members: p.members, Platform: p.platform, Peer: clients.To,
+		Leading: p.leading, Scope: n.metrics.Scope, Log: n.log,
+	})
+	if err != nil {
+		return err
+	}
+	known := &facts{node: n, parts: p}
+	p.shifts, err = shiftdriver.New(shiftdriver.Config{
+		Configs: p.configs, Members: p.members, Platform: p.platform, Leader: p.configs.Leader,
+		Pools: known.receivers, CapRefusals: p.caps.Refused, TTL: lookup.DefaultTTL,
+		Scope: n.metrics.Scope, Log: n.log,
+	})
+	if err != nil {
+		return err
+	}
+	p.stops, err = drain.New(drain.Config{
+		Configs: p.configs, Leading: p.leading, Remaining: known.remaining, Scope: n.metrics.Scope, Log: n.log,
+	})
+	return err
+}
+
 // loadTimeout bounds a read of a target's load.
 const loadTimeout = time.Second
 
--- a/steering/caps/holder.go
+++ b/steering/caps/holder.go
@@ -40,11 +40,11 @@
 	lent  queue // lent, wait Terms.loan
 	fresh queue // new in the seat, wait Terms.SeatWait
 
-	loans  []*loan
-	nextID uint64
-	asked  ask
-	given  map[LoanKey]given
-	demand demand
+	loans     []*loan
+	lastNonce uint64
+	asked     *loan // the request that is out, nil when none is
+	given     map[LoanKey]given
+	demand    demand
 }
 
 // Permit is one taken permit. The zero value is an own one.
@@ -75,9 +75,8 @@
 	h.rule = rule
 	h.terms = rule.terms()
 	for _, l := range h.loans {
-		l.free = 0
-		l.used = queue{}
 		l.until = 0
+		l.fire(eventTermOver)
 	}
 }
 
@@ -167,7 +166,7 @@
 		if l.free > 0 {
 			l.free--
 			l.held++
-			return Permit{loan: l.id}, true
+			return Permit{loan: l.nonce}, true
 		}
 	}
 	if h.free == 0 {
--- a/steering/caps/holder_test.go
+++ b/steering/caps/holder_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+	"gotest.tools/v3/golden"
 
 	"heatherlock/steering"
 	"heatherlock/steering/routing"
@@ -41,6 +42,10 @@
 	assert.Assert(t, ok)
 }
 
+func TestLoanChartPageIsCurrent(t *testing.T) {
+	golden.Assert(t, LoanChart(), "../../../docs/charts/caploan.md")
+}
+
 // Symptom: a lower cap is exceeded by borrowed permits. Sequence: a loan is
 // made, then the cap is lowered. Cause: a loan that outlives its cap's version.
 func TestLoansEndWithTheirVersionOfTheCap(t *testing.T) {
--- a/steering/caps/loan.go
+++ b/steering/caps/loan.go
@@ -1,29 +1,26 @@
 package caps
 
 import (
+	"slices"
 	"time"
 
 	"heatherlock/steering"
+	"heatherlock/steering/chart"
 )
 
-// loan is a number of borrowed permits.
+// loan is a number of permits asked for and, once granted, borrowed.
 type loan struct {
-	id    uint64
-	until instant // own clock; not used from then on
+	nonce uint64
+	state chart.State
+	rule  int64 // version of the cap asked under
+	want  int
+	sent  instant // own clock; the term runs from here
+	until instant // not used from then on
 	free  int
 	held  int
 	used  queue
 }
 
-// ask is the request for a loan that is out, if any.
-type ask struct {
-	nonce uint64
-	sent  instant
-	rule  int64
-	want  int
-	out   bool
-}
-
 // LoanKey identifies a request for a loan, so that a repeat is recognised.
 type LoanKey struct {
 	From  steering.Incarnation
@@ -51,26 +48,32 @@
 // not restart it. Only one request is out: the answer to an earlier one is not
 // taken any more.
 func (h *Holder) Ask(now time.Time, want int) LoanAsk {
-	h.asked = ask{nonce: h.asked.nonce + 1, sent: h.at(now), rule: h.rule.Version, want: want, out: true}
-	return LoanAsk{Nonce: h.asked.nonce, Version: h.rule.Version, Permits: want}
+	if h.asked != nil {
+		h.asked.fire(eventReplaced)
+	}
+	h.lastNonce++
+	h.asked = &loan{nonce: h.lastNonce, state: loanLife.Initial(), rule: h.rule.Version, want: want, sent: h.at(now)}
+	return LoanAsk{Nonce: h.lastNonce, Version: h.rule.Version, Permits: want}
 }
 
 // Granted takes the answer to a request for a loan: a number of permits and
 // the lender's term. Answers to other requests, repeats and answers after the
 // term are ignored: their permits are not used. It returns the number gained.
 func (h *Holder) Granted(now time.Time, nonce uint64, permits int, term time.Duration) int {
-	if !h.asked.out || nonce != h.asked.nonce {
+	l := h.asked
+	if l == nil || nonce != l.nonce {
 		return 0
 	}
-	h.asked.out = false
-	until := h.asked.sent + min(term, h.terms.Term) - h.terms.Margin
-	if h.asked.rule != h.rule.Version || h.at(now) >= until || permits <= 0 {
+	h.asked = nil
+	l.until = l.sent + min(term, h.terms.Term) - h.terms.Margin
+	if l.rule != h.rule.Version || h.at(now) >= l.until || permits <= 0 {
+		l.fire(eventSpent)
 		return 0
 	}
-	n := min(permits, h.asked.want)
-	h.nextID++
-	h.loans = append(h.loans, &loan{id: h.nextID, until: until, free: n})
-	return n
+	l.fire(eventGranted)
+	l.free = min(permits, l.want)
+	h.loans = append(h.loans, l)
+	return l.free
 }
 
 // Shortfall returns how many permits the own demand of a window lacks.
@@ -134,36 +137,30 @@
 }
 
 func (h *Holder) settleLoans(now instant) {
-	kept := h.loans[:0]
 	for _, l := range h.loans {
 		if now < l.until {
 			l.free += l.used.pop(now, h.terms.reuse())
-			kept = append(kept, l)
 			continue
 		}
-		l.free = 0
-		l.used = queue{}
-		if l.held > 0 {
-			kept = append(kept, l)
-		}
+		l.fire(eventTermOver)
 	}
-	clear(h.loans[len(kept):])
-	h.loans = kept
+	h.loans = slices.DeleteFunc(h.loans, func(l *loan) bool { return loanLife.Final(l.state) })
 }
 
 func (h *Holder) doneBorrowed(now instant, p Permit, sent bool) {
-	for _, l := range h.loans {
-		if l.id != p.loan {
-			continue
-		}
-		l.held--
-		switch {
-		case now >= l.until:
-		case sent:
-			l.used.push(now, h.terms.granule(), 1)
-		default:
-			l.free++
-		}
+	i := slices.IndexFunc(h.loans, func(l *loan) bool { return l.nonce == p.loan })
+	if i < 0 {
 		return
 	}
+	l := h.loans[i]
+	l.held--
+	switch {
+	case l.state == loanClosing && l.held == 0:
+		l.fire(eventReturned)
+	case l.state == loanClosing || now >= l.until:
+	case sent:
+		l.used.push(now, h.terms.granule(), 1)
+	default:
+		l.free++
+	}
 }
