--- a/node/dynamic/chaos_test.go
+++ b/node/dynamic/chaos_test.go
@@ -13,11 +13,11 @@
 type chaos struct {
 	fleet  *fleet
 	random *rand.Rand
-	paused map[*member]bool
+	paused map[*life]bool
 }
 
 func newChaos(f *fleet, seed uint64) *chaos {
-	return &chaos{fleet: f, random: rand.New(rand.NewPCG(seed, 1)), paused: map[*member]bool{}}
+	return &chaos{fleet: f, random: rand.New(rand.NewPCG(seed, 1)), paused: map[*life]bool{}}
 }
 
 func (c *chaos) zone() steering.Zone {
@@ -28,7 +28,7 @@
 
 // anyone returns a node that is not paused: a paused process cannot be ended
 // by the test, since it does not come to notice.
-func (c *chaos) anyone() *member {
+func (c *chaos) anyone() *life {
 	members := c.fleet.nodes
 	for {
 		m := members[[]string{
--- a/node/dynamic/fleet_test.go
+++ b/node/dynamic/fleet_test.go
@@ -30,15 +30,15 @@
 	t      testing.TB
 	store  *standin.Store
 	mu     sync.Mutex
-	nodes  map[string]*member // by peer address
+	nodes  map[string]*life // by peer address
 	cut    map[[2]steering.Zone]bool
 	lives  int
 	tamper func(*peerpb.FetchConfigReply)
 	facts  func() runtime.ZoneFacts
 }
 
-// member is one process life of a node.
-type member struct {
+// life is one process life of a node.
+type life struct {
 	fleet  *fleet
 	self   seam.Member
 	spread *Spread
@@ -102,7 +102,7 @@
 }
 
 func newFleet(t testing.TB, zones, perZone int) *fleet {
-	f := &fleet{t: t, store: standin.NewStore(standin.Options{}), nodes: map[string]*member{}, cut: map[[2]steering.Zone]bool{}}
+	f := &fleet{t: t, store: standin.NewStore(standin.Options{}), nodes: map[string]*life{}, cut: map[[2]steering.Zone]bool{}}
 	for z := range zones {
 		for n := range perZone {
 			f.add(fmt.Sprintf("zone-%d", z), fmt.Sprintf("vm-%d-%d", z, n))
@@ -112,8 +112,8 @@
 }
 
 // add registers a node without starting it.
-func (f *fleet) add(zone, vm string) *member {
-	m := &member{fleet: f}
+func (f *fleet) add(zone, vm string) *life {
+	m := &life{fleet: f}
 	m.self = seam.Member{VM: steering.VM(vm), Zone: steering.Zone(zone), Region: "norte", PeerAddress: vm + ":1"}
 	f.nodes[m.self.PeerAddress] = m
 	return m
@@ -126,7 +126,7 @@
 }
 
 // start begins a new process life.
-func (m *member) start() {
+func (m *life) start() {
 	f := m.fleet
 	f.mu.Lock()
 	f.lives++
@@ -159,7 +159,7 @@
 }
 
 // kill ends the process life.
-func (m *member) kill() {
+func (m *life) kill() {
 	m.stop()
 	<-m.done
 }
@@ -172,7 +172,7 @@
 
 // beat stands for package member: once a second each node exchanges versions
 // with one of its zone, and the zone's first node with one of each other zone.
-func (m *member) beat(ctx context.Context, spread *Spread) {
+func (m *life) beat(ctx context.Context, spread *Spread) {
 	for pause(ctx, time.Second) == nil {
 		byZone := map[steering.Zone][]seam.Member{}
 		for _, o := range m.All() {
@@ -187,7 +187,7 @@
 	}
 }
 
-func (m *member) exchange(spread *Spread, address string) {
+func (m *life) exchange(spread *Spread, address string) {
 	m.gate.pass()
 	peer, err := m.fleet.reach(m, address)
 	if err != nil {
@@ -197,7 +197,7 @@
 	peer.OnConfigVersion(m.self.PeerAddress, spread.set.Load().Version())
 }
 
-func (f *fleet) reach(from *member, address string) (*Spread, error) {
+func (f *fleet) reach(from *life, address string) (*Spread, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	to, ok := f.nodes[address]
@@ -217,15 +217,15 @@
 
 // Members as package member would give them.
 
-func (m *member) Self() seam.Member { return m.self }
+func (m *life) Self() seam.Member { return m.self }
 
-func (m *member) All() []seam.Member { return m.where(func(seam.Member) bool { return true }) }
+func (m *life) All() []seam.Member { return m.where(func(seam.Member) bool { return true }) }
 
-func (m *member) InZone(zone steering.Zone) []seam.Member {
+func (m *life) InZone(zone steering.Zone) []seam.Member {
 	return m.where(func(o seam.Member) bool { return o.Zone == zone })
 }
 
-func (m *member) where(match func(seam.Member) bool) []seam.Member {
+func (m *life) where(match func(seam.Member) bool) []seam.Member {
 	m.fleet.mu.Lock()
 	defer m.fleet.mu.Unlock()
 	var found []seam.Member
@@ -238,13 +238,13 @@
 	return found
 }
 
-func (m *member) ByIncarnation(steering.Incarnation) (seam.Member, bool) { return seam.Member{}, false }
-func (m *member) Evidence(steering.VM, bool)                             {}
+func (m *life) ByIncarnation(steering.Incarnation) (seam.Member, bool) { return seam.Member{}, false }
+func (m *life) Evidence(steering.VM, bool)                             {}
 
 // link is a peer client.
 type link struct {
 	peerpb.Peer
-	from *member
+	from *life
 	to   string
 }
 
@@ -312,8 +312,8 @@
 }
 
 // readers returns the nodes that hold a lease.
-func (f *fleet) readers() []*member {
-	var found []*member
+func (f *fleet) readers() []*life {
+	var found []*life
 	for _, m := range f.nodes {
 		if _, leading := m.spread.Leader(); leading {
 			found = append(found, m)
@@ -323,7 +323,7 @@
 }
 
 // readerOf returns the node that reads for a zone.
-func (f *fleet) readerOf(zone steering.Zone) *member {
+func (f *fleet) readerOf(zone steering.Zone) *life {
 	for _, m := range f.readers() {
 		if m.self.Zone == zone {
 			return m
--- a/node/dynamic/reader.go
+++ b/node/dynamic/reader.go
@@ -22,6 +22,10 @@
 	startPeers = 3
 	// startAsking bounds the time for asking peers before the platform.
 	startAsking = 6 * time.Second
+	// startSpread is the time over which nodes that start together, and find
+	// no peer with a configuration, begin to read the platform. The first of
+	// them then serve the others.
+	startSpread = 500 * time.Millisecond
 	// startTimeout bounds the wait for the platform when a peer answered: its
 	// configuration is the highest that can be reached.
 	startTimeout = 2 * time.Second
@@ -36,7 +40,12 @@
 func (s *Spread) start(ctx context.Context) error {
 	backoff := platform.NewBackoff(readPauseFirst, readPauseMost, nil)
 	for {
-		s.askPeers(ctx)
+		if s.askPeers(ctx) && s.set.Load().Version() == 0 {
+			if err := pause(ctx, rand.N(startSpread)); err != nil {
+				return err
+			}
+			s.askPeers(ctx)
+		}
 		err := s.readOnce(ctx)
 		if err == nil || s.set.Load().Version() > 0 {
 			s.openUp()
@@ -49,8 +58,9 @@
 	}
 }
 
-// askPeers fetches from a few members, or from seeds while none is known.
-func (s *Spread) askPeers(ctx context.Context) {
+// askPeers fetches from a few members, or from seeds while none is known, and
+// says whether there was anybody to ask.
+func (s *Spread) askPeers(ctx context.Context) bool {
 	ctx, cancel := context.WithTimeout(ctx, startAsking)
 	defer cancel()
 	var addresses []string
@@ -63,18 +73,20 @@
 		addresses = append(addresses, s.config.Seeds...)
 	}
 	rand.Shuffle(len(addresses), func(i, j int) { addresses[i], addresses[j] = addresses[j], addresses[i] })
-	answered := 0
+	asked, answered := 0, 0
 	for _, address := range addresses {
 		if address == s.self.PeerAddress {
 			continue
 		}
+		asked++
 		if s.fetch(ctx, address) {
 			answered++
 		}
 		if answered >= startPeers || ctx.Err() != nil {
-			return
+			break
 		}
 	}
+	return asked > 0
 }
 
 // readOnce reads the platform without waiting for changes.
