Take the test zone's counts under its locks

Cause: with the race detector two tests read counters that others still wrote. Change: accessors. Clean under -race now; the product code had no report.

--- a/node/admit/admit_test.go
+++ b/node/admit/admit_test.go
@@ -201,7 +201,7 @@
 		z.resume(owner, frozen)
 		time.Sleep(settle)
 		assert.Assert(t, z.sheds() <= targets, "%d sheds", z.sheds())
-		assert.Equal(t, z.refused[steering.ReasonPeerDown], 0)
+		assert.Equal(t, z.refusedFor(steering.ReasonPeerDown), 0)
 	})
 }
 
--- a/node/admit/judge_test.go
+++ b/node/admit/judge_test.go
@@ -45,16 +45,18 @@
 			z.callers(e, 6, service, time.Minute)
 		}
 		dead, liar := z.targets["target-0"], z.targets["target-1"]
-		liar.lies = true
 		dead.setDown(true)
 		liar.setDown(true)
+		liar.setLies()
 		time.Sleep(20 * time.Second)
-		assert.Assert(t, dead.missed <= 30, "%d tries on a dead target", dead.missed)
-		assert.Assert(t, liar.missed <= 30, "%d tries on a dead target whose load endpoint answers", liar.missed)
+		before, missed := dead.counts()
+		assert.Assert(t, missed <= 30, "%d tries on a dead target", missed)
+		_, missed = liar.counts()
+		assert.Assert(t, missed <= 30, "%d tries on a dead target whose load endpoint answers", missed)
 		dead.setDown(false)
-		ran := dead.ran
 		time.Sleep(30 * time.Second)
-		assert.Assert(t, dead.ran-ran > 500, "%d requests after it came back", dead.ran-ran)
+		after, _ := dead.counts()
+		assert.Assert(t, after-before > 500, "%d requests after it came back", after-before)
 	})
 }
 
@@ -101,6 +103,8 @@
 			}
 		}
 		time.Sleep(20 * time.Second)
+		mu.Lock()
+		defer mu.Unlock()
 		assert.Equal(t, peak, limit)
 		assert.Assert(t, full > 0)
 	})
@@ -137,7 +141,7 @@
 		assert.Assert(t, atFirst <= capacity/4, "%d of %d slots in use at first", atFirst, capacity)
 		time.Sleep(20 * time.Second)
 		assert.Assert(t, z.running() >= capacity*8/10, "%d of %d slots in use in the end", z.running(), capacity)
-		assert.Assert(t, z.refused[steering.ReasonRampLimited] > 0)
+		assert.Assert(t, z.refusedFor(steering.ReasonRampLimited) > 0)
 	})
 }
 
--- a/node/admit/zone_test.go
+++ b/node/admit/zone_test.go
@@ -67,6 +67,20 @@
 	e.down = down
 }
 
+// setLies makes the load endpoint answer while the target is down.
+func (e *endpoint) setLies() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.lies = true
+}
+
+// counts returns how many requests ran and how many tries met it down.
+func (e *endpoint) counts() (ran, missed int) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.ran, e.missed
+}
+
 func (e *endpoint) finish() {
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -329,6 +343,12 @@
 	return n
 }
 
+func (z *zone) refusedFor(reason steering.Reason) int {
+	z.mu.Lock()
+	defer z.mu.Unlock()
+	return z.refused[reason]
+}
+
 func (z *zone) servedSoFar() int {
 	z.mu.Lock()
 	defer z.mu.Unlock()
