Do not believe reported slots that were just refuted

Cause: a target that falsely reports one slot and 99 requests in flight was used with one slot out of four, and doubt grew by one in eight successes from 99. Change: reported slots count only when the target did not just run more without shedding; reported load counts up to the target's own slots.

--- a/steering/pool/pool_test.go
+++ b/steering/pool/pool_test.go
@@ -88,6 +88,38 @@
 	assert.Equal(t, peak, 4)
 }
 
+// Symptom: a zone refuses work while a target that serves well is used with one
+// slot out of four. Sequence: its reports say one slot and 99 requests in
+// flight. Cause: its word lowered the limit although it ran more than that
+// without shedding.
+func TestReportedSlotsThatAreRefutedDoNotLowerTheLimit(t *testing.T) {
+	now := start
+	p := New(now, Config{})
+	p.SetTargets(now, []routing.Target{{Name: "a", Slots: 4}}, nil)
+	full := 0
+	for range 100 {
+		var held []GrantID
+		for {
+			d := p.Acquire(now, Request{Deadline: now.Add(time.Second)})
+			if d.Verdict != Granted {
+				p.Cancel(d.Ticket)
+				break
+			}
+			held = append(held, d.Grant)
+		}
+		if len(held) == 4 {
+			full++
+		}
+		now = now.Add(20 * time.Millisecond)
+		for _, id := range held {
+			p.Release(now, id, Outcome{ReportedInFlight: 99, ReportedSlots: 1})
+		}
+		p.Tick(now)
+	}
+	assert.Assert(t, full > 50, "all four slots were used in %d of 100 rounds", full)
+	assert.Equal(t, p.Limit("a"), 4)
+}
+
 // Symptom: a target runs more than its slots after callers go away. Sequence:
 // requests time out, their slots are given out again, the target still runs
 // the first ones. Cause: an end at the caller's side is no end at the target.
--- a/steering/pool/target.go
+++ b/steering/pool/target.go
@@ -159,14 +159,15 @@
 // show our own ended requests as somebody else's, and free slots would stay
 // unused. It is therefore compared with the most that was in flight lately.
 func (t *target) report(now instant, inFlight, slots int, cfg *Config) {
-	if slots > 0 && slots < t.limit {
+	t.notePeak(now)
+	peak := max(t.peaks[0], t.peaks[1])
+	if slots > 0 && slots < t.limit && !t.refutes(slots, peak) {
 		t.lower(now, slots, cfg)
 	}
 	if inFlight < 0 {
 		return
 	}
-	t.notePeak(now)
-	t.extra = max(0, inFlight-max(t.peaks[0], t.peaks[1]))
+	t.extra = min(t.Slots, max(0, inFlight-peak)) // more would only take longer to doubt
 	t.extraUntil = now + cfg.ReportFor
 	if t.extra == 0 {
 		t.doubt = 0
@@ -176,6 +177,13 @@
 	t.lingering = min(t.lingering, inFlight)
 }
 
+// refutes says whether the target ran more of ours lately, without shedding,
+// than the slots it reports. A false report would shut out most of a target
+// that serves well; if it is true after all, sheds will lower the limit.
+func (t *target) refutes(slots, peak int) bool {
+	return peak > slots && t.strikes == 0
+}
+
 // successesBeforeDoubt is how many requests in a row must succeed on a target
 // whose reports leave no more room before one more is tried.
 const successesBeforeDoubt = 8
