Give beats time to reach a whole zone before silence counts

Cause: in a quiet zone of 22 members 3 of 58,080 observations took a live member for suspect: a relayed beat can be 2.5 s old, and silence counted from there. And a failed call to a zone that was cut off faded after 5 s although nothing had been heard of the zone since.

Change: silence counts from 4 s, a report doubts from 3 s, and a failed call to another zone stands until the zone is heard again. The test of a paused process takes the platform down meanwhile, because an answer of the platform right after the pause rightly settles it.

--- a/node/member/failure_test.go
+++ b/node/member/failure_test.go
@@ -47,6 +47,7 @@
 		paused := nodes[0]
 		rest := without(nodes, paused)
 		assert.Assert(t, paused.Settled())
+		f.store.Down(true) // so that it is a peer whose answer settles it
 		paused.freeze(30 * time.Second)
 		for _, n := range rest {
 			assert.Assert(t, sees(paused, seam.MemberSuspect)(n), "%s did not miss it", n.vm)
@@ -194,3 +195,27 @@
 		}
 	})
 }
+
+// Symptom: in a zone of the size designed for, live members are suspect now
+// and then, and their pools move for nothing. Sequence: nothing happens for a
+// minute. Cause: a silence that counts before a beat has had time to be
+// relayed to everybody.
+func TestQuietZoneStaysLive(t *testing.T) {
+	run(t, 22, threeZones[:1], func(_ *fleet, nodes []*node) {
+		var oldest time.Duration
+		wrong := 0
+		for range 120 {
+			time.Sleep(500 * time.Millisecond)
+			for _, n := range nodes {
+				for _, m := range n.All() {
+					oldest = max(oldest, time.Since(m.Heard))
+					if m.State != seam.MemberLive {
+						wrong++
+					}
+				}
+			}
+		}
+		t.Logf("oldest beat seen: %s", oldest)
+		assert.Equal(t, wrong, 0, "observations of a live member as suspect, of %d", 120*22*22)
+	})
+}
--- a/steering/membership/reach.go
+++ b/steering/membership/reach.go
@@ -185,7 +185,7 @@
 	if e.Place.Zone == v.zone {
 		return v.stateNear(e, silence)
 	}
-	return v.stateFar(e, silence, now)
+	return v.stateFar(e, m.Heard, silence, now)
 }
 
 // stateNear judges a member of the own zone by first-hand evidence and silence.
@@ -206,9 +206,10 @@
 }
 
 // stateFar judges a member of another zone by what its zone says of it and by
-// first-hand evidence, which fades: few members ever try it again.
-func (v *View) stateFar(e *entry, silence time.Duration, now time.Time) State {
-	if e.unreached() && now.Sub(e.failed) <= v.params.EvidenceHold {
+// first-hand evidence, which fades once its zone is heard again: few members
+// ever try it again.
+func (v *View) stateFar(e *entry, heard time.Time, silence time.Duration, now time.Time) State {
+	if e.unreached() && (now.Sub(e.failed) <= v.params.EvidenceHold || e.failed.After(heard)) {
 		return StateSuspect
 	}
 	if silence > v.params.ZoneSilentAfter {
--- a/steering/membership/report.go
+++ b/steering/membership/report.go
@@ -54,9 +54,13 @@
 	return r
 }
 
-// lostAfter is the silence from which a member that cannot be reached counts as
-// lost.
-const lostAfter = time.Second
+const (
+	// lostAfter is the silence from which one failed call makes a member suspect.
+	lostAfter = time.Second
+	// reportAfter is the silence from which a member that the reporter cannot
+	// reach is doubted in its report; a relayed beat may take most of it.
+	reportAfter = 3 * time.Second
+)
 
 // lost tells whether the zone, not only this observer, has lost a member: one
 // that this observer cannot reach but that beats on is not doubted.
@@ -64,7 +68,7 @@
 	if state != StateSuspect && state != StateGone {
 		return false
 	}
-	return now.Sub(latest(e.heard, e.learned)) >= lostAfter
+	return now.Sub(latest(e.heard, e.learned)) >= reportAfter
 }
 
 // Reports returns up to limit fresh reports of other zones. The offset rotates
--- a/steering/membership/view.go
+++ b/steering/membership/view.go
@@ -8,7 +8,8 @@
 
 // Params sets when silence counts. Zero fields take the defaults.
 type Params struct {
-	// SuspectAfter is how long a member of the own zone may be silent.
+	// SuspectAfter is how long a member of the own zone may be silent. It must
+	// be well over the time that a beat takes to be relayed through a zone.
 	SuspectAfter time.Duration
 	// ZoneSilentAfter is how long no report of another zone may arrive.
 	ZoneSilentAfter time.Duration
@@ -24,7 +25,7 @@
 
 // Defaults of Params.
 const (
-	DefaultSuspectAfter    = 2500 * time.Millisecond
+	DefaultSuspectAfter    = 4 * time.Second
 	DefaultZoneSilentAfter = 10 * time.Second
 	DefaultEvidenceHold    = 5 * time.Second
 	DefaultGoneAfter       = 10 * time.Minute
