Test a cap on whole daemons through replacement and an outage; cheapen Admit

The failure test floods two entry VMs under a cap while the platform goes down and one of them is killed and replaced. The new process cannot write its seat during the outage and lives on loans.

--- a/node/capshare/fleet_test.go
+++ b/node/capshare/fleet_test.go
@@ -31,7 +31,7 @@
 // fleet is a set of entry VMs joined by function calls, with the stand-in as
 // their platform. It runs under synctest.
 type fleet struct {
-	t     *testing.T
+	t     testing.TB
 	store *standin.Store
 	ctx   context.Context
 
@@ -59,7 +59,7 @@
 	snapshot    *routing.Snapshot
 }
 
-func newFleet(t *testing.T, requests int, vms ...string) *fleet {
+func newFleet(t testing.TB, requests int, vms ...string) *fleet {
 	ctx, stop := context.WithCancel(context.Background())
 	f := &fleet{t: t, store: standin.NewStore(standin.Options{}), ctx: ctx}
 	t.Cleanup(func() { stop(); f.running.Wait() })
--- a/node/capshare/gate.go
+++ b/node/capshare/gate.go
@@ -17,56 +17,69 @@
 // region takes.
 const admitWait = 25 * time.Millisecond
 
-// passage is a way that requests take under a shift.
+// passage is a way that requests of a service take under a shift.
 type passage struct {
+	service     steering.Service // empty stands for those not named otherwise
 	home, place steering.Place
 }
 
 // boundTable says which caps bind which requests. It is immutable.
 type boundTable struct {
-	byPassage map[passage][]boundCap
-}
-
-type boundCap struct {
-	service steering.Service // empty means every service
-	share   *share
+	byPassage map[passage][]*share
 }
 
 // newBoundTable lists the caps that bind work admitted in a zone, in order of
 // name.
 func newBoundTable(s *routing.Snapshot, shares map[string]*share, zone steering.Zone) *boundTable {
-	t := &boundTable{byPassage: map[passage][]boundCap{}}
+	t := &boundTable{byPassage: map[passage][]*share{}}
+	services := boundServices(s)
 	for _, name := range capNames(s) {
 		c := s.Caps[name]
 		if c == nil || s.Shifts[c.Shift] == nil || shares[name] == nil {
 			continue
 		}
-		t.add(s, s.Shifts[c.Shift], shares[name], zone)
+		for _, service := range services {
+			t.add(s, s.Shifts[c.Shift], shares[name], service, zone)
+		}
 	}
 	return t
 }
 
-func (t *boundTable) add(s *routing.Snapshot, shift *routing.Shift, sh *share, zone steering.Zone) {
+// boundServices lists the services that shifts name, and the empty one for the
+// rest.
+func boundServices(s *routing.Snapshot) []steering.Service {
+	services := []steering.Service{""}
+	for _, shift := range s.Shifts {
+		if !slices.Contains(services, shift.Service) {
+			services = append(services, shift.Service)
+		}
+	}
+	return services
+}
+
+// add lists a share for a service if its shift moves that service.
+func (t *boundTable) add(s *routing.Snapshot, shift *routing.Shift, sh *share, service steering.Service, zone steering.Zone) {
+	if shift.Service != "" && shift.Service != service {
+		return
+	}
 	for _, to := range shift.To {
 		if place := s.Places[to]; place == nil || place.Zone != zone {
 			continue
 		}
 		for _, from := range shift.From {
-			way := passage{from, to}
-			t.byPassage[way] = append(t.byPassage[way], boundCap{shift.Service, sh})
+			way := passage{service, from, to}
+			t.byPassage[way] = append(t.byPassage[way], sh)
 		}
 	}
 }
 
-// of returns the shares whose caps bind a request.
+// of returns the shares whose caps bind a request; the slice must not be
+// changed.
 func (t *boundTable) of(service steering.Service, home, place steering.Place) []*share {
-	var shares []*share
-	for _, b := range t.byPassage[passage{home, place}] {
-		if b.service == "" || b.service == service {
-			shares = append(shares, b.share)
-		}
+	if shares, named := t.byPassage[passage{service, home, place}]; named {
+		return shares
 	}
-	return shares
+	return t.byPassage[passage{"", home, place}]
 }
 
 // noCap is the permit of a request that no cap binds.
@@ -78,6 +91,8 @@
 type taken struct {
 	shares  []*share
 	permits []caps.Permit
+	// one is where the permit is kept in the usual case of one cap.
+	one [1]caps.Permit
 }
 
 // Done implements seam.CapPermit.
@@ -145,18 +160,12 @@
 
 // take takes a permit of every share, or of none.
 func (k *Caps) take(shares []*share) (*taken, *shortage) {
-	t := &taken{shares: slices.Clone(shares)}
+	t := &taken{shares: shares}
+	t.permits = t.one[:0]
 	for i, sh := range shares {
-		now := time.Now()
-		sh.mu.Lock()
-		permit, ok := sh.holder.Take(now)
-		if ok && sh.holder.Free(now) == 0 {
-			sh.hunger()
-		}
-		short := &shortage{sh: sh, freed: sh.freed, next: sh.holder.NextFree(now), limit: sh.holder.Rule().Requests}
-		sh.mu.Unlock()
-		if !ok {
-			t.shares = t.shares[:i]
+		permit, short := sh.take()
+		if short != nil {
+			t.shares = shares[:i]
 			t.Done(false)
 			return nil, short
 		}
@@ -166,6 +175,21 @@
 	return t, nil
 }
 
+// take takes one permit, and asks for a loan ahead when it was the last.
+func (s *share) take() (caps.Permit, *shortage) {
+	now := time.Now()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	permit, ok := s.holder.Take(now)
+	if !ok {
+		return permit, &shortage{sh: s, freed: s.freed, next: s.holder.NextFree(now), limit: s.holder.Rule().Requests}
+	}
+	if s.holder.Free(now) == 0 {
+		s.hunger()
+	}
+	return permit, nil
+}
+
 func (k *Caps) refuse(short *shortage) error {
 	k.metrics.refused.Inc(1)
 	short.sh.refused.Add(1)
--- a/node/fleet_test.go
+++ b/node/fleet_test.go
@@ -42,6 +42,7 @@
 	tries   int
 	// certificates, if set, gives each entry VM its own.
 	certificates func(vm string) static.TLS
+	planned      witness.Planned
 }
 
 // daemon is one process life of an entry VM.
@@ -113,7 +114,7 @@
 
 func (f *fleet) judge() {
 	f.t.Helper()
-	for _, finding := range f.witness.Judge(time.Now(), witness.Planned{}).Findings {
+	for _, finding := range f.witness.Judge(time.Now(), f.planned).Findings {
 		assert.Equal(f.t, finding.Broken, 0, "%s: %v", finding.Promise, finding)
 	}
 }
@@ -249,6 +250,7 @@
 	service string
 	key     string
 	body    io.Reader
+	home    string // the caller's place, for the witness
 	sum     string // of an upload's body
 	size    int64
 }
@@ -293,6 +295,9 @@
 	r.Header.Set("Heatherlock-Service", e.service)
 	r.Header.Set(witness.HeaderRequest, try.Request)
 	r.Header.Set(witness.HeaderTry, try.Try)
+	if e.home != "" {
+		r.Header.Set(witness.HeaderHome, e.home)
+	}
 	if e.key != "" {
 		r.Header.Set("Heatherlock-Key", e.key)
 	}
