--- a/node/admit/bench_test.go
+++ b/node/admit/bench_test.go
@@ -1,10 +1,14 @@
 package admit
 
 import (
+	"context"
 	"fmt"
+	"net/http/httptest"
 	"testing"
 
 	"heatherlock/node/seam"
+	"heatherlock/peer"
+	"heatherlock/peer/peerpb"
 	"heatherlock/steering"
 )
 
@@ -33,3 +37,53 @@
 		})
 	}
 }
+
+// loopback reaches entry VMs over HTTP on this machine.
+type loopback struct {
+	clients *peer.Clients
+	byVM    map[string]string
+}
+
+func (l *loopback) To(vm string) peerpb.Peer { return l.clients.To(l.byVM[vm]) }
+
+// onlyPools serves the calls that concern pools.
+type onlyPools struct {
+	peerpb.Peer
+	*Server
+}
+
+func (s onlyPools) Acquire(ctx context.Context, r *peerpb.AcquireRequest) (*peerpb.AcquireReply, error) {
+	return s.Server.Acquire(ctx, r)
+}
+
+func (s onlyPools) Release(ctx context.Context, r *peerpb.ReleaseRequest) (*peerpb.ReleaseReply, error) {
+	return s.Server.Release(ctx, r)
+}
+
+func (s onlyPools) Holdings(ctx context.Context, r *peerpb.HoldingsRequest) (*peerpb.HoldingsReply, error) {
+	return s.Server.Holdings(ctx, r)
+}
+
+// BenchmarkAcquireFromOwner is the time of a grant from another entry VM over
+// HTTP on loopback; the release goes back beside the next grant.
+func BenchmarkAcquireFromOwner(b *testing.B) {
+	z := newZone(b, 2, targets, slots)
+	defer z.close()
+	net := &loopback{clients: peer.NewClients(nil), byVM: map[string]string{}}
+	for _, e := range z.vms {
+		server := httptest.NewServer(peerpb.NewPeerServer(onlyPools{Server: e.admit.Server()}))
+		defer server.Close()
+		net.byVM[string(e.name)] = server.Listener.Addr().String()
+	}
+	holder := z.others(z.owner())[0]
+	holder.admit.cfg.Peers, holder.admit.cfg.AcquirePeers = net, net
+	request := seam.AdmitRequest{ID: "r", Service: testService, Place: testPlace}
+	b.ReportAllocs()
+	for b.Loop() {
+		grant, err := holder.admit.Acquire(b.Context(), request)
+		if err != nil {
+			b.Fatal(err)
+		}
+		grant.Done(seam.Outcome{ReportedInFlight: -1, ReportedSlots: -1})
+	}
+}
