Ask newcomers before taking a pool afresh

Cause: taking a pool afresh stops granting until the zone agrees, up to 2 s under overload, and most newcomers hold nothing. Change: a newcomer is asked while granting goes on; only one that counts the pool, names another owner or holds what is not counted here makes the owner take it afresh.

--- a/node/admit/admit.go
+++ b/node/admit/admit.go
@@ -94,9 +94,7 @@
 	mates := a.mates()
 	for _, h := range a.pools() {
 		a.follow(h)
-		if h.newcomer(mates) {
-			a.take(h)
-		}
+		a.greet(h, mates)
 		h.tick()
 	}
 	a.probeSlow()
--- a/node/admit/take.go
+++ b/node/admit/take.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -99,28 +100,61 @@
 	return mates
 }
 
-// newcomer reports whether the view holds a process life of the zone that was
-// not asked when this entry VM began to count a pool.
+// greet asks process lives of the zone that were not asked when this entry VM
+// began to count a pool, and takes the pool afresh when one of them counts it
+// too, names another owner or holds what this entry VM does not know of.
 //
 // Until two entry VMs know of each other, both may count a pool. The one that
 // goes on counting it must learn what the other granted, or targets are offered
 // more than their slots until that work has ended; their sheds would show it.
-func (h *hosted) newcomer(mates []seam.Member) bool {
+// Most newcomers hold nothing, and granting goes on while they are asked.
+func (a *Admit) greet(h *hosted, mates []seam.Member) {
+	for _, m := range h.newcomers(mates) {
+		a.goWork(func(ctx context.Context) {
+			reply, err := a.askHoldings(ctx, m, h.key)
+			if err == nil && !h.agrees(reply) {
+				a.take(h)
+			}
+		})
+	}
+}
+
+// newcomers returns the process lives that were not asked, and notes them as
+// asked. One that goes and comes back is asked again.
+func (h *hosted) newcomers(mates []seam.Member) []seam.Member {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if h.role != roleOwner {
-		return false
+		return nil
 	}
+	var fresh []seam.Member
 	present := lives{}
 	for _, m := range mates {
 		known, asked := h.asked[m.VM]
 		if !asked || m.Incarnation != "" && m.Incarnation != known {
-			return true
+			fresh = append(fresh, m)
+			known = m.Incarnation
 		}
 		present[m.VM] = known
 	}
-	h.asked = present // one that comes back is asked again
-	return false
+	h.asked = present
+	return fresh
+}
+
+// agrees reports whether a member takes this entry VM for the owner and holds
+// nothing that is not counted here.
+func (h *hosted) agrees(reply *peerpb.HoldingsReply) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.role != roleOwner {
+		return true // no longer counted here
+	}
+	if reply.Granting || reply.OwnerVm != string(h.self) {
+		return false
+	}
+	return !slices.ContainsFunc(reply.Held, func(in *peerpb.Holding) bool {
+		return h.issued[in.Grant] == nil
+	})
 }
 
 func (s *survey) take(from steering.VM, reply *peerpb.HoldingsReply, self steering.VM) {
