Free a target's slot once its whole answer is here

A caller that read a short answer slowly kept the slot of a target that was done. The slot is given back, and the target's health told, before the answer goes to the caller. The test fails without the change: the slot stays taken while the caller does not read.

The drawn test of the promises waits for runs that outlive their caller before it sets up the next scene; the race detector had found it did not.

--- a/node/forward/answer.go
+++ b/node/forward/answer.go
@@ -22,7 +22,7 @@
 // targetAnswer refuses an answer to another request and the target's own typed
 // refusal; everything else is the service's answer, errors included.
 func (x *exchange) targetAnswer(l *leg, res *http.Response, conn *exchangeConn) ending {
-	inFlight, slots := reported(res.Header, targetInFlight), reported(res.Header, targetSlots)
+	l.inFlight, l.slots = reported(res.Header, targetInFlight), reported(res.Header, targetSlots)
 	var result ending
 	switch {
 	case crossed(res.Header, targetRequestID, string(x.id), false):
@@ -36,7 +36,7 @@
 	default:
 		result = x.relay(l, res, conn)
 	}
-	result.inFlight, result.slots = inFlight, slots
+	result.inFlight, result.slots = l.inFlight, l.slots
 	return result
 }
 
--- a/node/forward/hedge.go
+++ b/node/forward/hedge.go
@@ -25,6 +25,7 @@
 	leg     *leg
 	started time.Time
 	cut     context.CancelCauseFunc // ends the exchange
+	over    bool                    // the pool and the suspects were told
 }
 
 // begin prepares a try on a granted target.
@@ -42,12 +43,18 @@
 			begun:     permit.Done,
 		},
 	}
+	a.leg.whole = func(result ending) { x.account(a, result) }
 	x.f.flights.add(a)
 	return a
 }
 
-// account tells the pool and the suspects how a try ended.
+// account tells the pool and the suspects how a try ended. The first word
+// counts: a whole answer frees its slot before it goes to the caller.
 func (x *exchange) account(a *attempt, result ending) {
+	if a.over {
+		return
+	}
+	a.over = true
 	x.f.flights.remove(a)
 	a.grant.Done(seam.Outcome{
 		Kind: slotOutcome(result), Latency: time.Since(a.started),
--- a/node/forward/limits_test.go
+++ b/node/forward/limits_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"strconv"
 	"strings"
 	"testing"
 	"testing/synctest"
@@ -96,6 +97,16 @@
 		}
 		assert.Equal(t, read, size)
 
+		w.target("t1", func(rw http.ResponseWriter, r *http.Request) {
+			rw.Header().Set("Content-Length", strconv.Itoa(relayBuffer))
+			_, _ = rw.Write(make([]byte, relayBuffer))
+		})
+		unread := get()
+		synctest.Wait()
+		assert.Equal(t, w.a.busy, 0, "a target that is done is kept by its caller")
+		_, _ = io.Copy(io.Discard, unread.Body)
+
+		w.target("t1", func(rw http.ResponseWriter, r *http.Request) { _, _ = rw.Write(make([]byte, size)) })
 		stalled := get()
 		time.Sleep(paceSlack + relayBuffer*time.Second/1024 + time.Second)
 		w.settled() // with the caller still connected
--- a/node/forward/promises_test.go
+++ b/node/forward/promises_test.go
@@ -194,7 +194,8 @@
 		both.Go(func() { w.perform(l, n, s, 1-s.At) })
 	}
 	both.Wait()
-	time.Sleep(time.Second)
+	time.Sleep(sceneTime + time.Second) // the run of a key outlives its caller
+	synctest.Wait()
 }
 
 // perform sends one request and judges its answer.
--- a/node/forward/relay.go
+++ b/node/forward/relay.go
@@ -41,6 +41,9 @@
 	}
 	// The deadline bounds the time until here.
 	x.timer.Stop()
+	if whole && l.whole != nil {
+		l.whole(ending{kind: kindOf(res.StatusCode), inFlight: l.inFlight, slots: l.slots})
+	}
 	x.commit(l, res)
 	x.taker = newTaker(x.w, x.f.limits.BodyMinBytesPerSec)
 	defer x.taker.release()
@@ -60,10 +63,15 @@
 		conn.giveUp() // the target answered without taking the whole body
 	}
 	x.counters.answered.Inc(1)
-	if res.StatusCode >= http.StatusInternalServerError {
-		return ended(seam.OutcomeFailed, nil)
+	return ended(kindOf(res.StatusCode), nil)
+}
+
+// kindOf classifies a whole answer by its status.
+func kindOf(status int) seam.OutcomeKind {
+	if status >= http.StatusInternalServerError {
+		return seam.OutcomeFailed
 	}
-	return ended(seam.OutcomeOK, nil)
+	return seam.OutcomeOK
 }
 
 // readFirst reads the first piece of an answer, and all of it when it is short
--- a/node/forward/try.go
+++ b/node/forward/try.go
@@ -28,6 +28,11 @@
 	// begun is called once, as soon as it is known whether anything was sent:
 	// when the answer begins or the try is given up.
 	begun func(sent bool)
+	// whole, when set, is called as soon as the whole answer is here; the
+	// caller may still take long to read it.
+	whole func(ending)
+	// inFlight and slots are the target's own figures; -1 when it gave none.
+	inFlight, slots int
 	// quiet keeps interim answers back: another try runs beside this one.
 	quiet bool
 }
