Run quickstart with generated certificates between its entry VMs

Cause: the path that people try first ran without the authentication that a deployment has, so that it was neither shown nor exercised there.

Change: each run makes an authority and a peer's certificate per entry VM.

The cost in latency is not measured.

--- a/cmd/internal/quickstart/system.go
+++ b/cmd/internal/quickstart/system.go
@@ -13,6 +13,7 @@
 
 	"heatherlock/node"
 	"heatherlock/node/static"
+	"heatherlock/node/tlsconf"
 	platformapi "heatherlock/platform"
 	"heatherlock/standin/deploy"
 	"heatherlock/standin/platform"
@@ -29,16 +30,18 @@
 
 // system is the running deployment.
 type system struct {
-	deployment deploy.Deployment
-	witness    *witness.Witness
-	store      *platform.Store
-	server     *http.Server
-	url        string
-	targets    *deploy.Running
-	network    *network
-	atTargets  target.Faults // planted at the targets of one zone
-	log        log.Logger
-	processes  *processes // nil when entry VMs run in this process
+	// certificates are those of the entry VMs' peer listeners, by VM.
+	certificates map[string]static.Certificates
+	deployment   deploy.Deployment
+	witness      *witness.Witness
+	store        *platform.Store
+	server       *http.Server
+	url          string
+	targets      *deploy.Running
+	network      *network
+	atTargets    target.Faults // planted at the targets of one zone
+	log          log.Logger
+	processes    *processes // nil when entry VMs run in this process
 
 	mu    sync.Mutex
 	vms   map[string]*entryVM
@@ -77,6 +80,10 @@
 	}
 	s.targets = targets
 	s.witness.Regions(d.Regions())
+	if s.certificates, err = issue(d); err != nil {
+		targets.Close()
+		return nil, err
+	}
 	addresses := targets.Addresses()
 	for _, t := range d.Targets() {
 		s.network.place(t.Place, addresses[t.Name])
@@ -92,6 +99,25 @@
 	return s, nil
 }
 
+// certificateLife outlasts any run with --keep.
+const certificateLife = 30 * 24 * time.Hour
+
+// issue makes an authority for this run and a peer's certificate per entry VM,
+// so that they authenticate each other as in production.
+func issue(d deploy.Deployment) (map[string]static.Certificates, error) {
+	authority, err := tlsconf.NewAuthority(certificateLife)
+	if err != nil {
+		return nil, errors.Wrap(err, "quickstart: generate certificates")
+	}
+	certificates := map[string]static.Certificates{}
+	for _, e := range d.EntryVMs() {
+		if certificates[e.Name], err = authority.IssuePeer(e.Name); err != nil {
+			return nil, errors.Wrap(err, "quickstart: generate certificates")
+		}
+	}
+	return certificates, nil
+}
+
 // startAll starts every entry VM.
 func (s *system) startAll() error {
 	for _, e := range s.deployment.EntryVMs() {
@@ -163,6 +189,7 @@
 		VM: steering.VM(e.Name), Zone: steering.Zone(e.Zone), Region: steering.Region(e.Region),
 		CallerListen: "127.0.0.1:0", PeerListen: "127.0.0.1:0", OperatorListen: "127.0.0.1:0",
 		Platform: static.Platform{URL: s.url},
+		TLS:      static.TLS{Peer: s.certificates[e.Name]},
 	}
 	for _, v := range s.all() {
 		settings.Seeds = append(settings.Seeds, v.addresses.Peer)
