Give waiting requests up on time

Cause: only the rounds of upkeep, every 50 ms, looked at requests whose wait was over; the time was lost for a try in another zone. Change: a timer for the next one.

--- a/node/admit/hosted.go
+++ b/node/admit/hosted.go
@@ -77,6 +77,7 @@
 	asked   lives              // asked what they hold when counting began
 	before  map[string]*issued // granted in the term before, while taking afresh
 	judge   judge
+	timerAt time.Time // when the timer for waiting asks fires; zero when none is set
 }
 
 func newHosted(key poolKey, now time.Time, cfg *Config, self steering.VM, m *metrics, newGrant func() string) *hosted {
@@ -127,6 +128,7 @@
 	}
 	w := waiting{ask: a, answer: make(chan answer, 1)}
 	h.waiting[d.Ticket] = w
+	h.schedule()
 	h.mu.Unlock()
 	return h.wait(ctx, d.Ticket, w)
 }
@@ -247,6 +249,32 @@
 	}
 }
 
+// schedule sets a timer for the next waiting ask that has to be given up. The
+// rounds of upkeep alone would tell it tens of milliseconds late, which the
+// caller could have spent in another zone. The caller holds mu.
+func (h *hosted) schedule() {
+	next, ok := h.pool.Next()
+	if !ok || !h.timerAt.IsZero() && !next.Before(h.timerAt) {
+		return
+	}
+	h.timerAt = next
+	time.AfterFunc(time.Until(next), func() { h.expire(next) })
+}
+
+// expire gives up waiting asks whose time has come.
+func (h *hosted) expire(due time.Time) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if !h.timerAt.Equal(due) {
+		return // a later timer was replaced by an earlier one
+	}
+	h.timerAt = time.Time{}
+	h.settle(h.pool.Tick(time.Now()))
+	if len(h.waiting) > 0 {
+		h.schedule()
+	}
+}
+
 // tick lets time act on the pool.
 func (h *hosted) tick() {
 	h.mu.Lock()
--- a/node/admit/hosted_test.go
+++ b/node/admit/hosted_test.go
@@ -95,3 +95,23 @@
 		assert.Equal(t, z.free(z.vm(next.VM)), capacity)
 	})
 }
+
+// Symptom: a request that its zone cannot serve reaches another zone tens of
+// milliseconds late. Sequence: it waits in the queue until its bound. Cause:
+// only the rounds of upkeep looked at waiting requests.
+func TestWaitingRequestIsRefusedOnTime(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		z := newZone(t, 1, 1, 1)
+		defer z.close()
+		time.Sleep(time.Second + 20*time.Millisecond) // between two rounds
+		request := seam.AdmitRequest{Service: testService, Place: testPlace}
+		busy, err := z.vms[0].admit.Acquire(t.Context(), request)
+		assert.NilError(t, err)
+		begun := time.Now()
+		_, err = z.vms[0].admit.Acquire(t.Context(), request)
+		assert.Equal(t, err.(*steering.Refusal).Reason, steering.ReasonNoSlot)
+		const serviceTime = 50 * time.Millisecond // assumed before any is measured
+		assert.Equal(t, time.Since(begun), serviceTime)
+		busy.Done(notSent())
+	})
+}
