Show the permits that all holders of a cap use

Cause: the status of a cap counted the permits of whichever entry VM answered.

BorrowReply says how many permits the callee uses; a request for none asks just for that. An entry VM whose operator looks at a cap asks all holders, at most once a second and only then, and shows the sum while all of them answer.

Not measured.

--- a/node/capshare/borrow.go
+++ b/node/capshare/borrow.go
@@ -31,10 +31,15 @@
 	if sh == nil || in.FromIncarnation == "" {
 		return reply, nil
 	}
+	now := time.Now()
 	sh.mu.Lock()
 	defer sh.mu.Unlock()
+	reply.InUse = uint32(sh.holder.InUse(now))
+	if in.Permits == 0 {
+		return reply, nil
+	}
 	key := caps.LoanKey{From: steering.Incarnation(in.FromIncarnation), Nonce: in.Nonce}
-	n := sh.holder.Lend(time.Now(), key, in.CapVersion, int(in.Permits))
+	n := sh.holder.Lend(now, key, in.CapVersion, int(in.Permits))
 	k.metrics.lent.Inc(int64(n))
 	reply.Permits = uint32(n)
 	reply.TermMs = sh.holder.Terms().Term.Milliseconds()
--- a/node/capshare/capshare.go
+++ b/node/capshare/capshare.go
@@ -25,14 +25,17 @@
 	self    seam.Member
 	metrics metrics
 	vms     vmList
+	surveys surveys
 
 	// bound is what Admit reads; it is replaced whole.
 	bound atomic.Pointer[boundTable]
 
 	mu    sync.Mutex
 	byCap map[string]*share
-	// running starts the loops of a share; nil until Run.
+	// running starts the loops of a share, spawn a short piece of work; both are
+	// nil unless Run runs.
 	running func(*share)
+	spawn   func(func(context.Context))
 }
 
 var _ seam.CapGate = (*Caps)(nil)
@@ -50,6 +53,7 @@
 		byCap:   map[string]*share{},
 	}
 	k.vms.firstSeen = map[seatKey]time.Time{}
+	k.surveys.known = map[string]*survey{}
 	k.bound.Store(&boundTable{})
 	if s := c.Configs.Snapshot(); s != nil {
 		k.onSnapshot(s)
@@ -71,11 +75,14 @@
 		<-ctx.Done()
 		k.mu.Lock()
 		defer k.mu.Unlock()
-		k.running = nil
+		k.running, k.spawn = nil, nil
 		return ctx.Err()
 	})
 	k.mu.Lock()
 	k.running = start
+	k.spawn = func(work func(context.Context)) {
+		group.Go(func() error { work(ctx); return nil })
+	}
 	for _, s := range k.byCap {
 		start(s)
 	}
@@ -83,6 +90,17 @@
 	return group.Wait()
 }
 
+// background runs a short piece of work beside Run, and reports whether it does.
+func (k *Caps) background(work func(context.Context)) bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if k.spawn == nil {
+		return false
+	}
+	k.spawn(work)
+	return true
+}
+
 // onSnapshot puts the caps of a snapshot into force at once; the platform is
 // called later, by each share's loop.
 func (k *Caps) onSnapshot(s *routing.Snapshot) {
--- a/node/capshare/capshare_test.go
+++ b/node/capshare/capshare_test.go
@@ -92,6 +92,34 @@
 	})
 }
 
+// Symptom: an operator reads that a cap is hardly used while its requests are
+// refused. Sequence: the entry VM asked holds no permits in use; a holder dies.
+// Cause: a status of one's own permits only, or one that counts the silent as
+// idle.
+func TestTotalCountsAllHolders(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 40, four...)
+		time.Sleep(settle)
+		for range 7 {
+			_, err := f.nodes[3].caps.Admit(f.ctx, service, home, "sur-2")
+			assert.NilError(t, err)
+		}
+		_, known := f.nodes[0].caps.Total(capName)
+		assert.Assert(t, !known, "nobody was asked yet")
+		time.Sleep(time.Second)
+		total, known := f.nodes[0].caps.Total(capName)
+		assert.Assert(t, known)
+		assert.Equal(t, total.InUse, 7)
+		assert.Equal(t, total.Silent, 0)
+		f.kill(f.nodes[1])
+		time.Sleep(2 * time.Second)
+		f.nodes[0].caps.Total(capName)
+		time.Sleep(time.Second)
+		total, _ = f.nodes[0].caps.Total(capName)
+		assert.Equal(t, total.Silent, 1)
+	})
+}
+
 func (n *entryVM) use() Use {
 	use, _ := n.caps.Use(capName)
 	return use
--- a/node/facts.go
+++ b/node/facts.go
@@ -224,21 +224,12 @@
 	return false
 }
 
-// Cap implements operator.Runtime: the permits that all entry VMs hold by the
-// configuration in force, and those in use at this one.
+// Cap implements operator.Runtime: the permits in use, as their holders said
+// within the last seconds. It is unknown until they were asked, and while one
+// of them is silent.
 func (f *facts) Cap(name string) (operator.CapFact, bool) {
-	s := f.parts.configs.Snapshot()
-	if s == nil || s.Caps[name] == nil {
-		return operator.CapFact{}, false
-	}
-	use, _ := f.parts.caps.Use(name)
-	fact := operator.CapFact{PermitsInUse: use.InUse}
-	if seats := s.Seats[name]; seats != nil {
-		for _, seat := range seats.Seats {
-			fact.PermitsHeld += seat.Permits
-		}
-	}
-	return fact, true
+	total, known := f.parts.caps.Total(name)
+	return operator.CapFact{PermitsInUse: total.InUse}, known && total.Silent == 0
 }
 
 // zone is what the zone's status on the platform says besides the version.
