Be ready only once the zone is known

Symptom: one request over the slots of a place within a second of the start of a fleet at loads from 0.6 on. Cause: readiness asked for a configuration only; an entry VM that did not know the others of its zone yet was sent work and counted pools beside their owners. The new test failed before (the mate was not in the view).

--- a/node/failure_test.go
+++ b/node/failure_test.go
@@ -359,3 +359,32 @@
 		}
 	})
 }
+
+// Symptom: targets are offered one request over their slots right after entry
+// VMs start. Sequence: an entry VM has its configuration and says that it is
+// ready before it knows the others of its zone; callers are sent to it, and it
+// counts the zone's pools beside their owners. Cause: readiness that asks for
+// configuration only.
+func TestReadyOnlyOnceTheZoneIsKnown(t *testing.T) {
+	inFleet(t, func(f *fleet) {
+		f.settle()
+		d := f.start("ea3", "a")
+		ready := func() bool {
+			res, err := f.caller("a").Get("http://" + d.Addresses().Operator + "/readyz")
+			assert.NilError(t, err)
+			assert.NilError(t, res.Body.Close())
+			return res.StatusCode == http.StatusOK
+		}
+		for !ready() {
+			time.Sleep(10 * time.Millisecond)
+		}
+		for _, mate := range []string{"ea1", "ea2"} {
+			assert.Equal(t, f.state("ea3", mate), "live")
+		}
+		f.store.Down(true)
+		f.crash("ea3")
+		d = f.start("ea3", "a")
+		time.Sleep(10 * time.Second)
+		assert.Assert(t, ready(), "an outage of the platform keeps an entry VM from getting ready")
+	})
+}
--- a/node/member/members.go
+++ b/node/member/members.go
@@ -24,6 +24,7 @@
 
 	// published is the view that readers use; it is replaced whole.
 	published atomic.Pointer[published]
+	listed    atomic.Bool // the platform's list was read
 
 	mu       sync.Mutex
 	view     *membership.View
--- a/node/member/vmlist.go
+++ b/node/member/vmlist.go
@@ -42,6 +42,9 @@
 	}
 }
 
+// Listed reports whether the platform's list has been read since the start.
+func (m *Members) Listed() bool { return m.listed.Load() }
+
 // listBackoffMax bounds the pause after failed reads of the list.
 const listBackoffMax = time.Minute
 
@@ -71,6 +74,7 @@
 	m.noticePause(now)
 	m.settle(begun)
 	m.scope.Counter("list_read").Inc(1)
+	m.listed.Store(true)
 	if m.view.Platform(listedFrom(vms), now) {
 		m.publish(now)
 	}
