Mend a race between a deadline's timer and an exchange that outlives its caller

Symptom: the race detector stopped the tutorial's test in one of four runs. A timer that had just fired read the cancel function while outlive put the next one in place; at worst it ended the new context at the same deadline. Each timer now holds its own. The data path's property test changed slots while a hedge gave one back; it takes the lock now.

--- a/node/forward/exchange.go
+++ b/node/forward/exchange.go
@@ -75,8 +75,11 @@
 // answer that has begun is bounded by its progress instead, because cutting it
 // would leave the caller with part of an answer.
 func (x *exchange) start(parent context.Context) {
-	x.ctx, x.cancel = context.WithCancelCause(parent)
-	x.timer = time.AfterFunc(time.Until(x.deadline), func() { x.cancel(errDeadline) })
+	ctx, cancel := context.WithCancelCause(parent)
+	x.ctx, x.cancel = ctx, cancel
+	// A timer that has just fired may run while outlive puts the next context
+	// in place; it must end its own.
+	x.timer = time.AfterFunc(time.Until(x.deadline), func() { cancel(errDeadline) })
 }
 
 // outlive lets the exchange go on when the caller goes away: the one execution
--- a/node/forward/promises_test.go
+++ b/node/forward/promises_test.go
@@ -181,11 +181,14 @@
 			place.Targets[at].Address = "10.9.9.9:1"
 		}
 		for _, e := range []*entry{w.a, w.b} {
+			// A hedge of the request before may still give its slot back.
+			e.mu.Lock()
 			e.allow = s.Retries
 			delete(e.slots, steering.Target(name))
 			if s.Full[i] {
 				e.slots[steering.Target(name)] = 0
 			}
+			e.mu.Unlock()
 		}
 	}
 	var both sync.WaitGroup
