Excuse uploads that a planted cut broke at its moment

Cause: at load 1.2 with a zone cut off two uploads on connections across the cut were counted as cut by the system. Change: tries that began before the cut and ended within a second of it are counted apart; a test bounds the excuse.

--- a/cmd/internal/quickstart/faults.go
+++ b/cmd/internal/quickstart/faults.go
@@ -57,6 +57,7 @@
 	case FaultCutZone:
 		zone := s.faultZone()
 		s.store.CutOff(zone, true)
+		s.noteCut(time.Now())
 		s.network.cutOff(zone)
 		return func() {
 			s.network.cutOff("")
--- a/cmd/internal/quickstart/report_test.go
+++ b/cmd/internal/quickstart/report_test.go
@@ -61,6 +61,22 @@
 	assert.Equal(t, keys["purchases_run_twice"], 1.0)
 }
 
+// Symptom: a cut upload passes because some fault was planted some time. Cause:
+// an excuse that reaches further than the moment of the fault and its path.
+func TestExcuses(t *testing.T) {
+	at := time.Now()
+	after := func(s float64) time.Time { return at.Add(time.Duration(s * float64(time.Second))) }
+	s := &system{kills: []kill{{vm: "a-1", at: at, until: at}}}
+	assert.Check(t, s.excused("a-1", "", after(-1), after(1)))
+	assert.Check(t, s.excused("b-1", "b-1, a-1", after(-1), after(1)))
+	assert.Check(t, !s.excused("b-1", "b-1", after(-1), after(1)))
+	assert.Check(t, !s.excused("a-1", "", after(1), after(2)))
+	s.noteCut(after(10))
+	assert.Check(t, s.excused("b-1", "", after(9), after(10.5)))
+	assert.Check(t, !s.excused("b-1", "", after(10.1), after(10.5)), "began after the cut")
+	assert.Check(t, !s.excused("b-1", "", after(9), after(12)), "ended long after the cut")
+}
+
 func TestOptionsOutOfBounds(t *testing.T) {
 	cases := map[string]func(*Options){
 		"--for 1s":               func(o *Options) { o.For = time.Second },
--- a/cmd/internal/quickstart/system.go
+++ b/cmd/internal/quickstart/system.go
@@ -46,6 +46,8 @@
 	mu    sync.Mutex
 	vms   map[string]*entryVM
 	kills []kill
+	// cutAt is when a planted fault cut a zone off.
+	cutAt time.Time
 }
 
 // entryVM is one process life of an entry VM.
@@ -288,7 +290,26 @@
 			return true
 		}
 	}
-	return false
+	return s.cutUnder(from, to)
+}
+
+// cutWithin is how soon after a zone was cut off a try that crossed the cut
+// ends: the cut closes its connection.
+const cutWithin = time.Second
+
+// cutUnder reports whether a try may have been on a connection that a planted
+// cut closed. A refusal does not name the zone it could not reach, so every try
+// that ends right after the cut and began before it counts. The caller holds
+// mu.
+func (s *system) cutUnder(from, to time.Time) bool {
+	return !s.cutAt.IsZero() && from.Before(s.cutAt) && to.After(s.cutAt) && to.Before(s.cutAt.Add(cutWithin))
+}
+
+// noteCut records the moment of a planted cut.
+func (s *system) noteCut(at time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.cutAt = at
 }
 
 // close ends everything at once: nothing is under way any more.
