Measure division of a cap by demand, and reject it

The benchmark gains seats that are divided anew by demand, max-min, every 10 and 30 s. Loans alone are kept.

--- a/cmd/internal/benchcaps/report.go
+++ b/cmd/internal/benchcaps/report.go
@@ -23,6 +23,9 @@
 	{"seats and loans of 2 windows", func(s scene) result { return runShares(s, 2) }},
 	{"seats and loans of 4 windows", func(s scene) result { return runShares(s, 4) }},
 	{"seats and loans of 8 windows", func(s scene) result { return runShares(s, 8) }},
+	{"seats by demand each 10 s", func(s scene) result { return runDivided(s, 0, redivideOften) }},
+	{"seats by demand each 10 s, loans of 8", func(s scene) result { return runDivided(s, 8, redivideOften) }},
+	{"seats by demand each 30 s, loans of 8", func(s scene) result { return runDivided(s, 8, redivideSeldom) }},
 }
 
 // Row is what one way did in one setting.
--- a/cmd/internal/benchcaps/sim.go
+++ b/cmd/internal/benchcaps/sim.go
@@ -84,6 +84,8 @@
 	empty   map[int]time.Duration
 	turn    int
 	round   int
+	arrived int // requests since the seats were last divided
+	seat    int
 }
 
 type pendingAsk struct {
@@ -102,12 +104,18 @@
 	rng   *rand.Rand
 	vms   []*vm
 	now   time.Duration
+	// redivide is how often the seats are divided anew by demand; 0 never.
+	redivide time.Duration
+	version  int64
 	result
 }
 
 // runShares simulates seats, with loans of a term in windows or, for 0, without.
-func runShares(s scene, termWindows int) result {
-	sim := &simulation{scene: s, loans: termWindows > 0, rng: rand.New(rand.NewPCG(s.seed, 1))}
+func runShares(s scene, termWindows int) result { return runDivided(s, termWindows, 0) }
+
+// runDivided is runShares with seats that are divided anew by demand.
+func runDivided(s scene, termWindows int, redivide time.Duration) result {
+	sim := &simulation{scene: s, loans: termWindows > 0, rng: rand.New(rand.NewPCG(s.seed, 1)), redivide: redivide, version: 1}
 	rule := caps.Rule{Version: 1, Requests: s.requests, Window: s.window, TermWindows: termWindows}
 	for i := range s.vms {
 		h := caps.NewHolder(epoch, rule)
@@ -116,7 +124,7 @@
 			seat++
 		}
 		h.Adopt(epoch, 1, seat, s.window)
-		sim.vms = append(sim.vms, &vm{name: steering.Incarnation(fmt.Sprint(i)), holder: h, empty: map[int]time.Duration{}})
+		sim.vms = append(sim.vms, &vm{name: steering.Incarnation(fmt.Sprint(i)), holder: h, seat: seat, empty: map[int]time.Duration{}})
 	}
 	settled := sim.vms[0].holder.Terms().SeatWait() + time.Second
 	for sim.now = settled; sim.now < settled+s.length; sim.now += step {
@@ -128,12 +136,16 @@
 func (s *simulation) time() time.Time { return epoch.Add(s.now) }
 
 func (s *simulation) tick(elapsed time.Duration) {
+	if s.redivide > 0 && elapsed > 0 && elapsed%s.redivide == 0 {
+		s.divide()
+	}
 	arrivals := s.arrivals(s.rng, elapsed)
 	for i, v := range s.vms {
 		s.exchange(v)
 		s.serveWaiting(v)
 		for range arrivals[i] {
 			s.offered++
+			v.arrived++
 			v.holder.Arrive(s.time())
 			if !s.serve(v) {
 				v.waiting = append(v.waiting, s.now)
