Tell both what seats hold of a cap and what is in use

Now both are shown: held by the configuration in force, in use as all holders said, left out while one is silent. Not measured.

--- a/api/oas/oas_schemas_gen.go
+++ b/api/oas/oas_schemas_gen.go
@@ -882,7 +882,8 @@
 	// Cap: permits that all entry VMs hold together; never more than the cap but while it is being
 	// lowered.
 	PermitsHeld OptInt `json:"permitsHeld"`
-	// Cap: permits in use at the entry VM that answers.
+	// Cap: permits in use, as all holders said within the last seconds; left out while one of them is
+	// silent.
 	PermitsInUse OptInt `json:"permitsInUse"`
 }
 
--- a/node/facts.go
+++ b/node/facts.go
@@ -224,12 +224,23 @@
 	return false
 }
 
-// Cap implements operator.Runtime: the permits in use, as their holders said
-// within the last seconds. It is unknown until they were asked, and while one
-// of them is silent.
+// Cap implements operator.Runtime: the permits held by all seats, which the
+// configuration in force says, and those in use, as their holders said within
+// the last seconds. Use is unknown until they were asked, and while one of them
+// is silent.
 func (f *facts) Cap(name string) (operator.CapFact, bool) {
+	s := f.parts.configs.Snapshot()
+	if s == nil || s.Caps[name] == nil {
+		return operator.CapFact{}, false
+	}
 	total, known := f.parts.caps.Total(name)
-	return operator.CapFact{PermitsInUse: total.InUse}, known && total.Silent == 0
+	fact := operator.CapFact{PermitsInUse: total.InUse, InUseKnown: known && total.Silent == 0}
+	if seats := s.Seats[name]; seats != nil {
+		for _, seat := range seats.Seats {
+			fact.PermitsHeld += seat.Permits
+		}
+	}
+	return fact, true
 }
 
 // zone is what the zone's status on the platform says besides the version.
--- a/node/operator/audit.go
+++ b/node/operator/audit.go
@@ -143,7 +143,7 @@
 	for _, ref := range set.Refs() {
 		switch ref.Kind {
 		case oas.KindCap:
-			if fact, ok := s.runtime.Cap(ref.Name); ok {
+			if fact, ok := s.runtime.Cap(ref.Name); ok && fact.InUseKnown {
 				facts.PermitsInUse[ref.Name] = fact.PermitsInUse
 			}
 		case oas.KindShift:
--- a/node/operator/runtime.go
+++ b/node/operator/runtime.go
@@ -85,6 +85,7 @@
 type CapFact struct {
 	// PermitsHeld is the sum over the seats of all entry VMs.
 	PermitsHeld int
-	// PermitsInUse counts those in use at this entry VM.
+	// PermitsInUse counts those in use now, if InUseKnown.
 	PermitsInUse int
+	InUseKnown   bool
 }
--- a/node/operator/status.go
+++ b/node/operator/status.go
@@ -131,7 +131,9 @@
 		return
 	}
 	b.status.PermitsHeld = oas.NewOptInt(fact.PermitsHeld)
-	b.status.PermitsInUse = oas.NewOptInt(fact.PermitsInUse)
+	if fact.InUseKnown {
+		b.status.PermitsInUse = oas.NewOptInt(fact.PermitsInUse)
+	}
 	switch {
 	case fact.PermitsHeld > limit.Spec.Requests:
 		b.add(ConditionCapHolding, false, "Lowering", "entry VMs still hold %d permits, the cap is %d; each gives up what is in use no more", fact.PermitsHeld, limit.Spec.Requests)
