Tell an owner what was granted in its place

Cause: an owner that is silent for a moment is passed over; when it answered again it counted on, without what another had granted meanwhile. Change: whoever stops counting a pool tells the owner, which takes it afresh.

--- a/node/admit/admit.go
+++ b/node/admit/admit.go
@@ -151,9 +151,33 @@
 	case !mine && current != roleOther:
 		a.metrics.handovers.Inc(1)
 		h.leave()
+		a.tellLeft(h.key, owner)
 	}
 }
 
+// tellLeft tells a pool's owner that this entry VM counted the pool until now.
+//
+// An owner that is silent for a moment is passed over, and when it answers again
+// it has counted on without knowing what was granted in its place; targets
+// would be offered that much beyond their slots. Told, it takes the pool afresh.
+func (a *Admit) tellLeft(key poolKey, owner seam.Member) {
+	if owner.PeerAddress == "" || owner.VM == a.self.vm {
+		return
+	}
+	a.goWork(func(ctx context.Context) {
+		for range releaseTries {
+			callCtx, cancel := context.WithTimeout(ctx, a.cfg.PeerTimeout)
+			_, err := a.cfg.Peers.To(owner.PeerAddress).Holdings(callCtx, &peerpb.HoldingsRequest{
+				Place: string(key.place), Service: string(key.service), FromVm: string(a.self.vm), Left: true,
+			})
+			cancel()
+			if err == nil || !sleep(ctx, settleRetry) {
+				return
+			}
+		}
+	})
+}
+
 // Owner implements seam.Admitter.
 func (a *Admit) Owner(place steering.Place, service steering.Service) (seam.Member, bool) {
 	return a.owner(poolKey{place, service})
--- a/node/admit/hosted_test.go
+++ b/node/admit/hosted_test.go
@@ -115,3 +115,35 @@
 		busy.Done(notSent())
 	})
 }
+
+// Symptom: targets are offered twice their slots after a short stall of the
+// network. Sequence: the owner is silent for a second; another counts the pool
+// and grants work that runs on; the owner answers again and counts on. Cause:
+// it never learned what was granted in its place.
+func TestOwnerLearnsWhatWasGrantedInItsPlace(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		z := newZone(t, 3, targets, slots)
+		defer z.close()
+		time.Sleep(time.Second)
+		owner := z.owner()
+		silent := make(chan struct{})
+		z.mu.Lock()
+		z.paused[owner.name] = silent
+		z.mu.Unlock()
+		const long = 10
+		for range long {
+			z.work.Go(func() { z.call(z.others(owner)[0], 20*time.Second) })
+		}
+		time.Sleep(1500 * time.Millisecond)
+		assert.Equal(t, z.running(), long)
+		z.mu.Lock()
+		delete(z.paused, owner.name)
+		z.mu.Unlock()
+		close(silent)
+		time.Sleep(1500 * time.Millisecond)
+		assert.Equal(t, z.free(owner), capacity-long)
+		z.callers(owner, 2*capacity, service, 5*time.Second)
+		time.Sleep(6 * time.Second)
+		assert.Equal(t, z.sheds(), 0)
+	})
+}
--- a/node/admit/server.go
+++ b/node/admit/server.go
@@ -110,6 +110,9 @@
 	if h := a.pool(key); h != nil {
 		a.follow(h)
 		current, _ := h.state()
+		if r.Left && current == roleOwner {
+			a.take(h)
+		}
 		reply.Granting = current == roleOwner
 	}
 	if owner, known := a.owner(key); known {
