Refuse a culprit by its whole signature, not by what it shares

The IDs that reach the bar together are now one signature. A request with all of them is refused; one with some is tried alone and clears those when it finishes. This replaces the special case for pages and proven IDs.

--- a/node/forward/poison.go
+++ b/node/forward/poison.go
@@ -302,7 +302,7 @@
 	for _, f := range facts {
 		wire = append(wire, &peerpb.SuspectFact{
 			Fingerprint: uint64(f.ID), Deaths: f.Deaths, AgeMs: uint32(f.Age.Milliseconds()),
-			Target: string(f.Target), Alone: f.Alone, Explained: f.Explained,
+			Target: string(f.Target), Alone: f.Alone, Signature: uint64(f.Signature),
 		})
 	}
 	return wire
@@ -312,7 +312,7 @@
 	facts := make([]poison.Fact, 0, min(len(wire), maxSharedFacts))
 	for _, f := range wire[:min(len(wire), maxSharedFacts)] {
 		facts = append(facts, poison.Fact{
-			ID: poison.ID(f.Fingerprint), Target: steering.Target(f.Target), Deaths: f.Deaths, Alone: f.Alone, Explained: f.Explained,
+			ID: poison.ID(f.Fingerprint), Target: steering.Target(f.Target), Deaths: f.Deaths, Alone: f.Alone, Signature: poison.ID(f.Signature),
 			Age: time.Duration(f.AgeMs) * time.Millisecond,
 		})
 	}
--- a/steering/poison/doc.go
+++ b/steering/poison/doc.go
@@ -20,7 +20,7 @@
 //   - losses amid a mass loss (several targets within a second) are weak: two
 //     of them hold a request back for seconds, not for a quarter of an hour;
 //   - what a harmful request shares with harmless ones (its page, when the harm
-//     is in a header) is suspected but not refused.
+//     is in a header) is refused only together with the rest of its signature.
 //
 // Limits. Two targets lost for another reason, one after the other, with requests
 // of the same content in hand and none finished in between, hold that content
--- a/steering/poison/forget.go
+++ b/steering/poison/forget.go
@@ -24,7 +24,7 @@
 		switch {
 		case r.onTrial:
 		case r.count(now, l.cfg, false) == 0:
-			delete(l.records, id)
+			l.drop(id)
 		default:
 			held = append(held, lastLoss{id, r.lastLoss()})
 		}
@@ -38,10 +38,15 @@
 		return cmp.Or(a.at.Compare(b.at), cmp.Compare(a.id, b.id))
 	})
 	for _, old := range held[:excess] {
-		delete(l.records, old.id)
+		l.drop(old.id)
 	}
 }
 
+func (l *List) drop(id ID) {
+	l.sign(l.records[id], 0)
+	delete(l.records, id)
+}
+
 func (r *record) lastLoss() time.Time {
 	var last time.Time
 	for _, n := range r.losses {
--- a/steering/poison/list.go
+++ b/steering/poison/list.go
@@ -115,9 +115,9 @@
 type record struct {
 	losses  []loss
 	cleared time.Time // losses up to here no longer count
-	// explained says that another ID of the lost requests accounts for the
-	// losses: this one is suspected still, but not refused.
-	explained bool
+	// signature names the IDs that a culprit is told by; zero means that this
+	// ID alone is enough.
+	signature ID
 	onTrial   bool
 	trialOn   steering.Target
 }
@@ -130,16 +130,19 @@
 	proven  *provenSet
 	recent  []loss // targets lost within the mass window
 	changed []Fact
-	flying  map[ID]int // copies in flight of IDs that did not finish of late
+	// signatures counts the IDs of each signature that are still accused.
+	signatures map[ID]int
+	flying     map[ID]int // copies in flight of IDs that did not finish of late
 }
 
 // New returns an empty list.
 func New(cfg Config) *List {
 	return &List{
-		cfg:     cfg.withDefaults(),
-		records: make(map[ID]*record),
-		proven:  newProvenSet(),
-		flying:  make(map[ID]int),
+		cfg:        cfg.withDefaults(),
+		records:    make(map[ID]*record),
+		proven:     newProvenSet(),
+		flying:     make(map[ID]int),
+		signatures: make(map[ID]int),
 	}
 }
 
@@ -227,7 +230,7 @@
 	}
 	r.cleared = now
 	r.losses = nil
-	r.explained = false
+	l.sign(r, 0)
 	l.changed = append(l.changed, Fact{ID: id})
 }
 
@@ -238,30 +241,12 @@
 		r := l.record(now, id)
 		r.add(loss{target: target, deaths: 1, at: now, weak: weak, alone: alone})
 	}
-	l.explain(now, m)
+	l.accuse(now, m)
 	for _, id := range m.ids(&buf) {
 		l.changed = append(l.changed, l.factOf(id, target, now))
 	}
 }
 
-// explain settles which IDs of a lost request account for its losses. When a
-// request with a harmful header takes down two targets, everything it shares
-// with harmless requests was there too. Were that refused as well, nobody could
-// read the page any more, and as nothing with it could finish, it would stay so.
-func (l *List) explain(now time.Time, m Mark) {
-	culprit := false
-	for _, id := range m.traits[:m.count] {
-		r, ok := l.records[id]
-		culprit = culprit || ok && !l.isProven(now, id) && r.count(now, l.cfg, false) >= l.cfg.Limit
-	}
-	var buf [maxIDs]ID
-	for _, id := range m.ids(&buf) {
-		if r, ok := l.records[id]; ok {
-			r.explained = culprit && (id == m.Content || l.isProven(now, id))
-		}
-	}
-}
-
 func (l *List) isProven(now time.Time, id ID) bool {
 	return l.proven.has(id, now.Add(-l.cfg.ProvenFor))
 }
@@ -312,9 +297,6 @@
 	if proven {
 		together = min(together, 1)
 	}
-	if r.explained {
-		return min(together+alone, cfg.Limit-1)
-	}
 	return together + alone
 }
 
@@ -326,23 +308,6 @@
 	return n.at.Add(cfg.KeepFor)
 }
 
-// held returns the most losses held against a request by any of its IDs, and
-// when the first of them is forgotten.
-func (l *List) held(now time.Time, m Mark) (count int, until time.Time) {
-	var buf [maxIDs]ID
-	for _, id := range m.ids(&buf) {
-		r, ok := l.records[id]
-		if !ok {
-			continue
-		}
-		if n := r.count(now, l.cfg, l.isProven(now, id)); n > count {
-			count = n
-			until = r.firstForgotten(now, l.cfg)
-		}
-	}
-	return count, until
-}
-
 func (r *record) firstForgotten(now time.Time, cfg Config) time.Time {
 	var first time.Time
 	for _, n := range r.losses {
--- a/steering/poison/share.go
+++ b/steering/poison/share.go
@@ -15,8 +15,8 @@
 	Target steering.Target // empty: cleared
 	Deaths uint32
 	Alone  bool // lost on trial
-	// Explained says that another ID accounts for the loss.
-	Explained bool
+	// Signature names the IDs that are accused together.
+	Signature ID
 	Age       time.Duration
 }
 
@@ -38,7 +38,7 @@
 }
 
 func (r *record) fact(id ID, n loss, now time.Time) Fact {
-	return Fact{ID: id, Target: n.target, Deaths: n.deaths, Alone: n.alone, Explained: r.explained, Age: now.Sub(n.at)}
+	return Fact{ID: id, Target: n.target, Deaths: n.deaths, Alone: n.alone, Signature: r.signature, Age: now.Sub(n.at)}
 }
 
 // HasChanged reports whether TakeChanged has anything to return.
@@ -137,6 +137,9 @@
 		}
 	}
 	r.losses = kept
+	if len(kept) == 0 {
+		l.sign(r, 0)
+	}
 }
 
 func (l *List) learnLoss(now time.Time, f Fact) {
@@ -148,7 +151,9 @@
 	}
 	n := loss{target: f.Target, deaths: min(f.Deaths, maxFactDeaths), at: at, weak: weak, alone: f.Alone}
 	r.merge(n)
-	r.explained = f.Explained
+	if f.Signature != 0 {
+		l.sign(r, f.Signature)
+	}
 }
 
 // merge takes the larger count of losses of a target, since both sides may have
