--- a/cmd/internal/caller/caller.go
+++ b/cmd/internal/caller/caller.go
@@ -2,12 +2,12 @@
 
 import (
 	"context"
+	"crypto/rand"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"net/netip"
-	"strings"
 	"sync/atomic"
 	"time"
 
@@ -72,6 +72,9 @@
 	client *http.Client
 	book   *book
 	keys   atomic.Int64
+	// life makes keys unique: another process may send from the same address,
+	// and a key that was used for another request is refused.
+	life string
 }
 
 // New returns a caller. Close it when done.
@@ -90,7 +93,7 @@
 		IdleConnTimeout:     30 * time.Second,
 		DisableCompression:  true,
 	}}
-	return &Caller{config: config, client: client, book: newBook(client, config.Bootstrap, config.Phase)}
+	return &Caller{config: config, client: client, life: rand.Text(), book: newBook(client, config.Bootstrap, config.Phase)}
 }
 
 // Close drops idle connections.
@@ -162,8 +165,7 @@
 	if prefix == "" {
 		return ""
 	}
-	source := strings.NewReplacer(".", "-", ":", "-").Replace(c.config.Source.String())
-	return fmt.Sprintf("%s.%s-%08d", prefix, source, c.keys.Add(1))
+	return fmt.Sprintf("%s.%s-%08d", prefix, c.life, c.keys.Add(1))
 }
 
 // Reach looks a service up, to see that an entry VM answers.
--- a/cmd/internal/caller/caller_test.go
+++ b/cmd/internal/caller/caller_test.go
@@ -132,6 +132,19 @@
 	assert.Equal(t, e.lookups, 2)
 }
 
+// Symptom: a load test's purchases are refused with key_mismatch. Sequence: it
+// sends from the addresses of callers that used the system before. Cause: keys
+// made of the address and a count.
+func TestKeysOfTwoCallersAtOneAddressDiffer(t *testing.T) {
+	e := startEntry(t, "inc", whole)
+	for range 2 {
+		from := New(Config{Bootstrap: []string{e.address}})
+		from.Do(t.Context(), Request{ID: "r", Service: "s", Kind: witness.KindPurchase, Timeout: time.Second, AnswerBytes: 64})
+		from.Close()
+	}
+	assert.Check(t, e.tries[0].Header.Get(headerKey) != e.tries[1].Header.Get(headerKey))
+}
+
 func TestTriesAreReported(t *testing.T) {
 	w := witness.New()
 	e := startEntry(t, "inc", refused("no", "1"), whole)
