--- a/cmd/internal/caller/caller_test.go
+++ b/cmd/internal/caller/caller_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -47,6 +48,13 @@
 	step(w, r)
 }
 
+// seen returns the tries so far.
+func (e *entry) seen() []*http.Request {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return slices.Clone(e.tries)
+}
+
 func whole(w http.ResponseWriter, r *http.Request) {
 	_, _ = w.Write(witness.Body(r.Header.Get(witness.HeaderRequest), 64))
 }
@@ -100,11 +108,12 @@
 			result := from.Do(t.Context(), Request{ID: "r", Service: "s", Kind: c.kind, Timeout: 10 * time.Second, AnswerBytes: 64, UploadBytes: 100})
 			assert.Equal(t, result.Tries, c.tries)
 			assert.Equal(t, result.Answer, c.end)
-			assert.Equal(t, len(e.tries), c.tries)
-			for _, r := range e.tries {
-				assert.Equal(t, r.Header.Get(headerKey), e.tries[0].Header.Get(headerKey))
+			tries := e.seen()
+			assert.Equal(t, len(tries), c.tries)
+			for _, r := range tries {
+				assert.Equal(t, r.Header.Get(headerKey), tries[0].Header.Get(headerKey))
 			}
-			assert.Equal(t, e.tries[0].Header.Get(headerKey) != "", c.prefix != "" && c.kind != witness.KindRead)
+			assert.Equal(t, tries[0].Header.Get(headerKey) != "", c.prefix != "" && c.kind != witness.KindRead)
 		})
 	}
 }
@@ -142,7 +151,8 @@
 		from.Do(t.Context(), Request{ID: "r", Service: "s", Kind: witness.KindPurchase, Timeout: time.Second, AnswerBytes: 64})
 		from.Close()
 	}
-	assert.Check(t, e.tries[0].Header.Get(headerKey) != e.tries[1].Header.Get(headerKey))
+	tries := e.seen()
+	assert.Check(t, tries[0].Header.Get(headerKey) != tries[1].Header.Get(headerKey))
 }
 
 func TestTriesAreReported(t *testing.T) {
--- a/cmd/internal/load/plot.go
+++ b/cmd/internal/load/plot.go
@@ -32,6 +32,7 @@
 	p.X.Tick.Marker = quantileTicks()
 	p.Y.Scale = plot.LogScale{}
 	p.Y.Tick.Marker = plot.LogTicks{Prec: -1}
+	p.Legend.Top, p.Legend.Left = true, true
 	p.Add(plotter.NewGrid())
 	var lines []any
 	for _, service := range slices.Sorted(maps.Keys(r.histograms)) {
--- /dev/null
+++ b/standin/witness/judge_more.go
@@ -0,0 +1,78 @@
+package witness
+
+import (
+	"fmt"
+	"time"
+)
+
+func (w *Witness) judgeUploads(v *Verdict) Finding {
+	f := Finding{Promise: PromiseUploads, Observed: len(w.callers.uploads)}
+	whole := map[string]bool{}
+	for _, e := range w.executions {
+		u, ok := w.callers.uploads[e.Request]
+		if ok && e.How == EndAnswered && e.Sum == u.sum && e.Bytes == u.bytes {
+			whole[e.Request] = true
+		}
+	}
+	for request, u := range w.callers.uploads {
+		if u.cut > 0 || (u.acked || u.answerLost) && !whole[request] {
+			f.Broken++
+			f.Detail = fmt.Sprintf("upload %s was cut", request)
+		}
+	}
+	f.Exercised = len(whole) > 0
+	v.UploadsCut = f.Broken
+	return f
+}
+
+func (w *Witness) judgeConfig(v *Verdict, now time.Time) Finding {
+	f := Finding{Promise: PromiseConfigFast, Observed: len(w.configs.accepted)}
+	for _, a := range w.configs.accepted {
+		for _, vm := range a.expect {
+			at, seen := a.inForce[vm]
+			if !seen {
+				at = now
+			}
+			took := at.Sub(a.at)
+			v.ConfigSlowest = max(v.ConfigSlowest, took)
+			if took > ConfigGrace {
+				f.Broken++
+				f.Detail = fmt.Sprintf("version %d took %s at %s", a.version, took.Round(time.Millisecond), vm)
+				continue
+			}
+			if !seen {
+				f.Broken++
+				f.Detail = fmt.Sprintf("version %d was not yet seen at %s when the run ended", a.version, vm)
+			}
+		}
+	}
+	f.Exercised = f.Observed > 0
+	return f
+}
+
+func (w *Witness) judgeLost(v *Verdict) Finding {
+	type loss struct{ request, region string }
+	f := Finding{Promise: PromiseFewLost}
+	lost := map[loss]int{}
+	for _, e := range w.executions {
+		if e.How != EndCulprit {
+			continue
+		}
+		f.Observed++
+		l := loss{e.Request, w.regions[e.Place]}
+		lost[l]++
+		if lost[l] > MaxLost {
+			f.Broken++
+			f.Detail = fmt.Sprintf("request %s took down %d targets of %s", l.request, lost[l], l.region)
+		}
+	}
+	f.Exercised = f.Observed > 0
+	v.TargetsLost = f.Observed
+	return f
+}
+
+func (w *Witness) judgeReverts(*Verdict) Finding {
+	f := Finding{Promise: PromiseNoRevert, Observed: len(w.configs.seen), Broken: w.configs.reverts}
+	f.Exercised = len(w.configs.accepted) > 0 && f.Observed > 0
+	return f
+}
