Be ready once the zone's entry VMs were heard, not once they are listed

Change: readiness asks the published view, the one that pool owners are computed from, whether each listed entry VM of the zone was heard from or called in vain; 4 s bound it as before.

Conclusion: the window at a start in which two entry VMs count one pool is closed for a zone that answers.

--- a/node/member/members.go
+++ b/node/member/members.go
@@ -79,6 +79,7 @@
 	byVM          map[steering.VM]*publishedMember
 	byIncarnation map[steering.Incarnation]seam.Member
 	zones         []membership.ZoneStatus
+	zoneKnown     bool // see ZoneKnown
 }
 
 type publishedMember struct {
@@ -188,7 +189,9 @@
 		zones:         m.view.Zones(now),
 	}
 	suspects := map[steering.Zone][]seam.Member{}
+	p.zoneKnown = m.listed.Load()
 	for _, fact := range m.view.Members(now) {
+		p.zoneKnown = p.zoneKnown && !m.untried(fact)
 		member := toSeam(fact)
 		p.add(member)
 		if member.State == seam.MemberSuspect {
--- a/node/member/vmlist.go
+++ b/node/member/vmlist.go
@@ -8,6 +8,7 @@
 	"github.com/go-kit/log/level"
 
 	"heatherlock/platform"
+	"heatherlock/steering/membership"
 )
 
 // firstListWithin spreads the first reads of a fleet that starts together.
@@ -42,8 +43,17 @@
 	}
 }
 
-// Listed reports whether the platform's list has been read since the start.
-func (m *Members) Listed() bool { return m.listed.Load() }
+// ZoneKnown reports whether the published view holds the platform's list, and
+// each entry VM that it names in this zone was heard from or called in vain.
+// One that is only listed counts as suspect, and this entry VM would take its
+// pools for its own.
+func (m *Members) ZoneKnown() bool { return m.published.Load().zoneKnown }
+
+// untried tells whether a member of the zone is only listed so far.
+func (m *Members) untried(mate membership.Member) bool {
+	return mate.Place.Zone == m.self.Place.Zone && mate.VM != m.self.VM &&
+		!mate.Known() && mate.Failures == 0 && mate.State != membership.StateGone
+}
 
 // listBackoffMax bounds the pause after failed reads of the list.
 const listBackoffMax = time.Minute
--- a/node/operator.go
+++ b/node/operator.go
@@ -16,10 +16,11 @@
 	return mux
 }
 
-// listGrace is how long readiness waits for the platform's list of VMs: until
-// an entry VM knows its zone, it would count slots that others count too. In an
-// outage of the platform it must get ready all the same.
-const listGrace = 4 * time.Second
+// zoneGrace is how long readiness waits for the platform's list of VMs and a
+// word from those of the own zone: until an entry VM knows its zone, it would
+// count slots that others count too. In an outage of the platform it must get
+// ready all the same.
+const zoneGrace = 4 * time.Second
 
 // readyz says whether callers may be sent here.
 func (n *Node) readyz(w http.ResponseWriter, _ *http.Request) {
@@ -28,7 +29,7 @@
 		say(w, http.StatusServiceUnavailable, "leaving")
 	case n.parts.configs.Snapshot() == nil:
 		say(w, http.StatusServiceUnavailable, "no configuration yet: neither a peer nor the platform gave one")
-	case !n.parts.members.Listed() && time.Since(n.started) < listGrace:
+	case !n.parts.members.ZoneKnown() && time.Since(n.started) < zoneGrace:
 		say(w, http.StatusServiceUnavailable, "the zone's other entry VMs are not known yet")
 	default:
 		say(w, http.StatusOK, "ready")
