--- a/cmd/internal/benchcapacity/measure.go
+++ b/cmd/internal/benchcapacity/measure.go
@@ -84,7 +84,7 @@
 	row := Row{Size: size, PlatformPerSecond: map[string]float64{}, PayloadPerSecond: map[string]float64{}}
 	empty := memory()
 	begun := time.Now()
-	r, err := newRig(ctx, size)
+	r, err := newRig(ctx, size, o.Plain)
 	defer r.stop()
 	if err != nil {
 		return row, err
@@ -148,7 +148,8 @@
 	return most
 }
 
-// knowAll is the share of pairs of members that see each other as live.
+// knowAll is the share of pairs of members that see each other as live. It is
+// over 1 when strangers got into the views, which plain TCP does not prevent.
 func (r *rig) knowAll() float64 {
 	live := 0
 	for _, v := range r.vms {
--- a/cmd/internal/benchcapacity/options.go
+++ b/cmd/internal/benchcapacity/options.go
@@ -25,7 +25,8 @@
 	Sizes []Size
 	// Warm, Steady, Outage and After are the lengths of the phases.
 	Warm, Steady, Outage, After time.Duration
-	Changes                     int // changes of configuration per size
+	Changes                     int  // changes of configuration per size
+	Plain                       bool // leave out TLS between members
 	JSONFile                    string
 	SVGFile                     string
 }
@@ -65,6 +66,7 @@
 	sub.String(&sizes, "", "sizes", "fleet sizes as NODES/ZONES, comma-separated; lines go through all of them")
 	sub.Duration(&o.Steady, "", "steady", "how long to measure each size")
 	sub.Int(&o.Changes, "n", "changes", "changes of configuration per size")
+	sub.Bool(&o.Plain, "", "plain", "leave out TLS between the entry VMs")
 	sub.String(&o.JSONFile, "j", "json", "write the report to this file as one JSON object")
 	sub.String(&o.SVGFile, "", "svg", "write the plot to this file")
 	return func(ctx context.Context, io command.IO) error {
--- a/cmd/internal/benchcapacity/rig.go
+++ b/cmd/internal/benchcapacity/rig.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"encoding/json"
 	"fmt"
 	"net"
@@ -16,6 +17,7 @@
 	"heatherlock/node/dynamic"
 	"heatherlock/node/member"
 	"heatherlock/node/seam"
+	"heatherlock/node/tlsconf"
 	"heatherlock/peer"
 	"heatherlock/peer/peerpb"
 	"heatherlock/platform"
@@ -25,10 +27,12 @@
 
 // rig is a fleet of members in this process.
 type rig struct {
-	store *standin.Store
-	vms   []*vm
-	bytes atomic.Int64 // in and out, counted where they are served
-	calls atomic.Int64
+	// authority signs the members' certificates; nil means plain TCP.
+	authority *tlsconf.Authority
+	store     *standin.Store
+	vms       []*vm
+	bytes     atomic.Int64 // in and out, counted where they are served
+	calls     atomic.Int64
 	// payload counts the messages' own bytes per method.
 	payload [methods]atomic.Int64
 	cancel  context.CancelFunc
@@ -52,12 +56,46 @@
 	targetsPerSite = 4
 )
 
+// certificateLife outlasts a run.
+const certificateLife = 24 * time.Hour
+
+// secure returns the TLS configurations of one member's client and server.
+func (r *rig) secure(name string) (client, server *tls.Config, err error) {
+	if r.authority == nil {
+		return nil, nil, nil
+	}
+	certificates, err := r.authority.IssuePeer(name)
+	if err != nil {
+		return nil, nil, err
+	}
+	source, err := tlsconf.New(tlsconf.Config{Role: tlsconf.Peer, Field: "tls.peer", Certificates: certificates})
+	if err != nil {
+		return nil, nil, err
+	}
+	return source.Client(), source.Server(), nil
+}
+
+// serve answers peers until the server is closed.
+func (v *vm) serve(listener net.Listener) {
+	if v.server.TLSConfig != nil {
+		_ = v.server.ServeTLS(listener, "", "")
+		return
+	}
+	_ = v.server.Serve(listener)
+}
+
 // startGap spreads the starts of the members.
 const startGap = 5 * time.Millisecond
 
-func newRig(ctx context.Context, size Size) (*rig, error) {
+func newRig(ctx context.Context, size Size, plain bool) (*rig, error) {
 	r := &rig{store: standin.NewStore(standin.Options{})}
 	ctx, r.cancel = context.WithCancel(ctx)
+	if !plain {
+		var err error
+		if r.authority, err = tlsconf.NewAuthority(certificateLife); err != nil {
+			return r, err
+		}
+	}
 	if err := r.declare(ctx, size.Zones); err != nil {
 		return r, err
 	}
@@ -124,7 +162,11 @@
 	if seed != "" {
 		seeds = []string{seed}
 	}
-	v := &vm{rig: r, clients: peer.NewClients(peer.NewControlClient(nil))}
+	clientTLS, serverTLS, err := r.secure(name)
+	if err != nil {
+		return "", errors.Wrap(err, "benchcapacity")
+	}
+	v := &vm{rig: r, clients: peer.NewClients(peer.NewControlClient(clientTLS))}
 	api := platform.NewBudget(r.store.As(name, zoneName), platform.BudgetConfig{})
 	v.members = member.New(member.Config{
 		Self: seam.Member{VM: steering.VM(name), Zone: steering.Zone(zoneName), Region: steering.Region(fmt.Sprint("region-", zone/4)),
@@ -143,9 +185,9 @@
 	}
 	r.store.SetVM(platform.VM{Name: name, Zone: zoneName, Region: fmt.Sprint("region-", zone/4), PeerAddress: address,
 		CallerAddress: address, OperatorAddress: address, State: platform.VMLive})
-	v.server = &http.Server{Handler: r.counted(peerpb.NewPeerServer(v)), Protocols: peer.ServerProtocols()}
+	v.server = &http.Server{Handler: r.counted(peerpb.NewPeerServer(v)), Protocols: peer.ServerProtocols(), TLSConfig: serverTLS}
 	r.vms = append(r.vms, v)
-	r.wg.Go(func() { _ = v.server.Serve(countedListener{Listener: listener, bytes: &r.bytes}) })
+	r.wg.Go(func() { v.serve(countedListener{Listener: listener, bytes: &r.bytes}) })
 	r.wg.Go(func() { _ = v.members.Run(ctx) })
 	r.wg.Go(func() { _ = v.configs.Run(ctx) })
 	return address, nil
