Fetch from others when the peer that announced stands still

A fetch waited up to 5 s for its peer, longer than a change may take. A reader that announces a version and is then paused so held up its zone.

--- a/node/dynamic/dynamic.go
+++ b/node/dynamic/dynamic.go
@@ -60,6 +60,7 @@
 
 	lease     leaseHolder
 	offers    offers
+	patience  patience
 	announce  chan int64
 	confirmed atomic.Int64 // unix nanoseconds of the last word from outside
 }
--- a/node/dynamic/fleet_test.go
+++ b/node/dynamic/fleet_test.go
@@ -35,6 +35,8 @@
 	lives  int
 	tamper func(*peerpb.FetchConfigReply)
 	facts  func() runtime.ZoneFacts
+	// announced is told of each announcement that arrived.
+	announced func(from *life)
 }
 
 // life is one process life of a node.
@@ -64,6 +66,12 @@
 	}
 }
 
+func (g *gate) isOpen() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.shut == nil
+}
+
 func (g *gate) close() {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -164,7 +172,13 @@
 	<-m.done
 }
 
+// killAll ends every node; a paused one has to run on to notice.
 func (f *fleet) killAll() {
+	for _, m := range f.nodes {
+		if !m.gate.isOpen() {
+			m.gate.open()
+		}
+	}
 	for _, m := range f.nodes {
 		m.kill()
 	}
@@ -190,7 +204,7 @@
 func (m *life) exchange(spread *Spread, address string) {
 	m.gate.pass()
 	peer, err := m.fleet.reach(m, address)
-	if err != nil {
+	if err != nil || !m.fleet.nodes[address].gate.isOpen() {
 		return
 	}
 	spread.OnConfigVersion(address, peer.set.Load().Version())
@@ -241,6 +255,25 @@
 func (m *life) ByIncarnation(steering.Incarnation) (seam.Member, bool) { return seam.Member{}, false }
 func (m *life) Evidence(steering.VM, bool)                             {}
 
+// arrive waits while the process at an address is paused, as a call to it does.
+func (f *fleet) arrive(ctx context.Context, address string) error {
+	f.mu.Lock()
+	gate := &f.nodes[address].gate
+	f.mu.Unlock()
+	gate.mu.Lock()
+	shut := gate.shut
+	gate.mu.Unlock()
+	if shut == nil {
+		return nil
+	}
+	select {
+	case <-shut:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
 // link is a peer client.
 type link struct {
 	peerpb.Peer
@@ -254,7 +287,14 @@
 	if err != nil {
 		return nil, err
 	}
-	return peer.Announce(ctx, in)
+	if err := l.from.fleet.arrive(ctx, l.to); err != nil {
+		return nil, err
+	}
+	reply, err := peer.Announce(ctx, in)
+	if l.from.fleet.announced != nil {
+		l.from.fleet.announced(l.from)
+	}
+	return reply, err
 }
 
 func (l *link) FetchConfig(ctx context.Context, in *peerpb.FetchConfigRequest) (*peerpb.FetchConfigReply, error) {
@@ -263,6 +303,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if err := l.from.fleet.arrive(ctx, l.to); err != nil {
+		return nil, err
+	}
 	reply, err := peer.FetchConfig(ctx, in)
 	if err == nil && l.from.fleet.tamper != nil {
 		l.from.fleet.tamper(reply)
--- a/node/dynamic/peers.go
+++ b/node/dynamic/peers.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-kit/log/level"
@@ -16,9 +17,14 @@
 )
 
 const (
-	// fetchTimeout bounds a fetch; a whole configuration with every client
-	// block is some megabytes.
+	// fetchTimeout bounds a fetch of a whole configuration, which with every
+	// client block is some megabytes.
 	fetchTimeout = 5 * time.Second
+	// patienceFirst bounds a fetch of a delta. A peer that announced a version
+	// and then stood still would otherwise hold up the fetch from others past
+	// the time in which a change must be in force. After failures the bound
+	// doubles up to fetchTimeout, for deltas too big for a slow link.
+	patienceFirst = 800 * time.Millisecond
 	// fetchPause keeps versions that follow each other quickly from being
 	// fetched one by one.
 	fetchPause = 50 * time.Millisecond
@@ -30,6 +36,24 @@
 	offersMost = 64
 )
 
+// patience is the bound on fetching a delta. Safe for concurrent use.
+type patience struct{ failures atomic.Int32 }
+
+func (p *patience) get() time.Duration {
+	const mostDoublings = 4
+	return min(fetchTimeout, patienceFirst<<min(p.failures.Load(), mostDoublings))
+}
+
+// note takes the end of a fetch. A refusal comes at once and says nothing about
+// the time that a delta needs.
+func (p *patience) note(ranOut bool) {
+	if ranOut {
+		p.failures.Add(1)
+		return
+	}
+	p.failures.Store(0)
+}
+
 // offers remembers who said to have a newer version. Safe for concurrent use.
 type offers struct {
 	mu    sync.Mutex
@@ -156,9 +180,14 @@
 }
 
 func (s *Spread) fetchSince(ctx context.Context, address string, have int64) (config.Verdict, error) {
-	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
+	timeout := fetchTimeout
+	if have > 0 {
+		timeout = s.patience.get()
+	}
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	reply, err := s.config.Peer(address).FetchConfig(ctx, &peerpb.FetchConfigRequest{HaveVersion: have})
+	s.patience.note(ctx.Err() != nil)
 	if err != nil {
 		return "", err
 	}
--- a/node/dynamic/spread_test.go
+++ b/node/dynamic/spread_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -133,6 +134,28 @@
 	})
 }
 
+// Symptom: a change takes longer than allowed in one zone. Sequence: a zone's
+// reader takes a change in, announces it, and stands still before it hands it
+// out; the others have its announcement only. Cause: a fetch that waits for
+// the one peer that is known to have the version.
+func TestReaderStandsStillAfterAnnouncing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := running(t, 3, 4)
+		defer f.killAll()
+		reader := f.readerOf("zone-0")
+		var once sync.Once
+		f.announced = func(from *life) {
+			if from == reader {
+				once.Do(reader.gate.close)
+			}
+		}
+		version := f.put(KindService, "tickets", serviceValue(2000))
+		time.Sleep(limit)
+		f.inForce(version)
+		assert.Assert(t, !reader.gate.isOpen(), "the reader was to stand still")
+	})
+}
+
 // Symptom: a zone cut off from the platform stays at an old configuration
 // although other zones have the new one. Sequence: one zone cannot reach the
 // platform and can reach one other zone only; changes go on; it heals. Cause:
