Drop the key of an entry VM that was never reached; name why an upload counts as cut

The report now names the reason: repeats that got home_gone or peer_unreachable after the kill, and callers that kept the key of an entry VM they could not connect to, which leaves the others nothing to say but 'unknown'.

Both new tests failed with their change taken out. Left: the one upload is told home_gone by the restarted process, whose earlier life issued the cached prefix; it did not begin to run, and is still counted. Conclusion: the system's answers were true; the caller had thrown away its chance to be served.

--- a/cmd/internal/caller/caller_test.go
+++ b/cmd/internal/caller/caller_test.go
@@ -167,3 +167,29 @@
 	assert.Equal(t, v.Uploads, 1)
 	assert.Equal(t, v.UploadsCut, 1, "no target received the acknowledged upload")
 }
+
+// Symptom: a purchase that nobody ran ends as "outcome unknown". Sequence: the
+// entry VM that issued the key is gone before anything is sent to it; the
+// caller goes to the next one with the same key. Cause: a key that is kept
+// although nothing may have run under it.
+func TestKeyOfAnEntryVMThatCannotBeReachedIsDropped(t *testing.T) {
+	dead := httptest.NewServer(nil)
+	deadAddress := strings.TrimPrefix(dead.URL, "http://")
+	dead.Close()
+	var keys []string
+	live := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/v1/lookup" {
+			fmt.Fprintf(w, `{"place":"p","entryVMs":[{"vm":"a","address":%q,"keyPrefix":"gone"},{"vm":"b","address":%q,"keyPrefix":"here"}],"ttlMs":60000}`, deadAddress, r.Host)
+			return
+		}
+		keys = append(keys, r.Header.Get(headerKey))
+		whole(w, r)
+	}))
+	defer live.Close()
+	from := New(Config{Bootstrap: []string{strings.TrimPrefix(live.URL, "http://")}})
+	defer from.Close()
+	result := from.Do(t.Context(), Request{ID: "r", Service: "s", Kind: witness.KindPurchase, Timeout: 10 * time.Second, AnswerBytes: 64})
+	assert.Equal(t, result.Answer, witness.AnswerWhole)
+	assert.Equal(t, len(keys), 1)
+	assert.Assert(t, strings.HasPrefix(keys[0], "here."), "%q", keys[0])
+}
--- a/cmd/internal/caller/errand.go
+++ b/cmd/internal/caller/errand.go
@@ -32,6 +32,8 @@
 	result Result
 	// skip counts the entry VMs that could not be used.
 	skip int
+	// mayHaveRun is set once a try was sent and not proved to be not run.
+	mayHaveRun bool
 }
 
 // try sends the request once. It reports whether to try again and after what
@@ -60,6 +62,16 @@
 	}
 }
 
+// dropUnusedKey lets the next try take a key from the entry VM it goes to. The
+// entry VM that issued the key cannot be reached; while nothing may have run
+// under it, keeping it would only have the others answer that its outcome is
+// unknown.
+func (e *errand) dropUnusedKey() {
+	if !e.mayHaveRun {
+		e.key = ""
+	}
+}
+
 // tried is one try with what decides on a repeat.
 type tried struct {
 	witness.Try
@@ -70,9 +82,13 @@
 // it is idempotent, or under its key: the key's entry VM then gives the stored
 // outcome and never runs it again.
 func (e *errand) next(t tried) (again bool, wait time.Duration) {
+	if t.Answer != witness.AnswerUnsent && (t.Answer != witness.AnswerRefused || t.Ran != witness.RanNo) {
+		e.mayHaveRun = true
+	}
 	switch t.Answer {
 	case witness.AnswerUnsent:
 		e.skip++
+		e.dropUnusedKey()
 		return true, 0
 	case witness.AnswerRefused:
 		return e.afterRefusal(t)
--- a/standin/witness/callers.go
+++ b/standin/witness/callers.go
@@ -71,9 +71,14 @@
 	sum   string
 	acked bool
 	cut   int
+	// why says how the newest try that was cut ended.
+	why string
 	// answerLost is set when the target's own answer ended early or was
 	// another request's: the bytes must have arrived all the same.
 	answerLost bool
+	// killed is set when a planted fault ended the entry VM that held a try.
+	// What the others say of the same key later is a consequence, not a cut.
+	killed bool
 }
 
 func newCallerRecord() callerRecord {
@@ -124,22 +129,35 @@
 	case AnswerWhole:
 		u.acked = true
 	case AnswerWrong:
-		u.cut++
+		u.cutBy("another's answer")
 	case AnswerBroken:
+		u.killed = u.killed || t.Excused
 		if !t.Excused {
-			u.cut++
+			u.cutBy("connection broken")
 		}
 	case AnswerRefused:
 		u.refused(t)
 	}
 }
 
+func (u *uploadRecord) cutBy(why string) {
+	u.cut++
+	u.why = why
+}
+
+// saysHomeGone reports the reasons that a repeat gets when the entry VM that
+// keeps its key died or restarted.
+func saysHomeGone(reason string) bool {
+	return reason == string(steering.ReasonHomeGone) || reason == string(steering.ReasonPeerDown)
+}
+
 func (u *uploadRecord) refused(t Try) {
 	switch {
 	case t.Ran == RanNo || t.Excused:
+	case u.killed && saysHomeGone(t.Reason):
 	case t.Reason == string(steering.ReasonAnswerCut) || t.Reason == string(steering.ReasonAnswerCrossed):
 		u.answerLost = true
 	default:
-		u.cut++
+		u.cutBy(t.Reason + " by " + t.EntryVM)
 	}
 }
--- a/standin/witness/judge_more.go
+++ b/standin/witness/judge_more.go
@@ -1,6 +1,7 @@
 package witness
 
 import (
+	"cmp"
 	"fmt"
 	"time"
 )
@@ -17,7 +18,7 @@
 	for request, u := range w.callers.uploads {
 		if u.cut > 0 || (u.acked || u.answerLost) && !whole[request] {
 			f.Broken++
-			f.Detail = fmt.Sprintf("upload %s was cut", request)
+			f.Detail = fmt.Sprintf("upload %s was cut: %s", request, cmp.Or(u.why, "other bytes arrived than were sent"))
 		}
 	}
 	f.Exercised = len(whole) > 0
--- a/standin/witness/judge_test.go
+++ b/standin/witness/judge_test.go
@@ -116,6 +116,9 @@
 			w.Received(e, 4, "other")
 			w.Answered(Try{Request: "u4", Try: "u4/1", Kind: KindUpload, Answer: AnswerRefused, Reason: "answer_cut", Ran: "unknown", SentBytes: 5, SentSum: "mine"})
 		}},
+		{"upload refused as home gone though nothing was killed", PromiseUploads, func(w *Witness) {
+			w.Answered(Try{Request: "u6", Try: "u6/1", Kind: KindUpload, Answer: AnswerRefused, Reason: "home_gone", Ran: "unknown", SentBytes: 5})
+		}},
 		{"configuration late on one entry VM", PromiseConfigFast, func(w *Witness) {
 			w.ConfigAccepted(9, at(1000), []string{"vm-1"})
 			w.ConfigSeen("vm-1", 9, at(5001))
@@ -161,6 +164,18 @@
 	assert.Check(t, judge(w).Held())
 }
 
+// Symptom: a run with a killed entry VM is judged to cut uploads. Sequence: the
+// kill ends an upload's first try, which is excused; the caller repeats it
+// through another entry VM and is told that the key's home is gone. Cause: the
+// judgement took the repeat's refusal for a second cut.
+func TestRepeatAfterAKillIsNoSecondCut(t *testing.T) {
+	w := scene()
+	first := Try{Request: "u7", Try: "u7/1", Kind: KindUpload, Answer: AnswerBroken, Excused: true, SentBytes: 5}
+	w.Answered(first)
+	w.Answered(Try{Request: "u7", Try: "u7/2", Kind: KindUpload, Answer: AnswerRefused, Reason: "home_gone", Ran: "unknown", SentBytes: 5})
+	assert.Check(t, judge(w).Held())
+}
+
 func TestBodyIsItsOwn(t *testing.T) {
 	a, b := Body("r1", 2000), Body("r2", 2000)
 	assert.Equal(t, len(a), 2000)
