Let a woken entry VM use no permit that it remembers from before its pause

Cause: a VM that is suspended long enough is listed as gone and its seat goes to others; when it wakes with callers waiting it started requests from its old seat until it heard of the new record. The members' Settled() says exactly this, and nobody asked it.

Ruled out: a timer on the seat, which would take permits from a VM that is only cut off from the platform. Conclusion: a pause no longer breaks a cap in this way. In a zone cut off from everything, a woken entry VM refuses capped work until a peer answers.

--- a/node/capshare/capshare_test.go
+++ b/node/capshare/capshare_test.go
@@ -66,6 +66,39 @@
 	})
 }
 
+// Symptom: more requests than the cap, seconds after a suspended VM wakes up.
+// Sequence: a VM is suspended with permits in its seat; the platform lists it
+// as gone and its permits go to others, who use them; it wakes with callers
+// waiting. Cause: it starts requests with what it remembers before it hears
+// that the seat is no longer its own.
+func TestWokenEntryVMUsesNoPermitsItRemembers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 40, four...)
+		time.Sleep(DefaultListLag + settle)
+		suspended := f.nodes[2]
+		f.kill(suspended) // nothing of it runs; its memory stays
+		f.store.SetVMState(string(suspended.self.VM), platform.VMGone)
+		time.Sleep(DefaultListLag + settle)
+		var load sync.WaitGroup
+		for _, n := range f.nodes {
+			if n != suspended {
+				load.Go(func() { f.demand(n, 10*time.Millisecond, 20*time.Second) })
+			}
+		}
+		time.Sleep(5 * time.Second)
+		assert.Equal(t, f.seated(), 40, "the others hold all permits")
+		suspended.woken.Store(true)
+		f.mu.Lock()
+		suspended.dead, suspended.cut = false, true
+		f.mu.Unlock()
+		begun := time.Now()
+		f.demand(suspended, 10*time.Millisecond, 2*time.Second)
+		peak := f.peak(begun, time.Now())
+		assert.Assert(t, peak <= 40, "peak %d", peak)
+		load.Wait()
+	})
+}
+
 // Symptom: a lowered cap is exceeded long after it was accepted. Sequence: the
 // cap is lowered while the platform refuses writes, so no seat can change.
 // Cause: holders that wait for the record instead of lowering at once.
--- a/node/capshare/fleet_test.go
+++ b/node/capshare/fleet_test.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -54,6 +55,8 @@
 	stop  context.CancelFunc
 	dead  bool
 	cut   bool // gets no snapshots
+	// woken is set between a pause and the first word from others.
+	woken atomic.Bool
 
 	subscribers []func(*routing.Snapshot)
 	snapshot    *routing.Snapshot
@@ -103,7 +106,7 @@
 	var err error
 	n.caps, err = New(Config{
 		Configs: n, Members: n, Platform: f.store.As(vm, string(n.self.Zone)), Peer: f.peer,
-		Leading: func() bool { return f.leads(n) }, Random: rand.New(rand.NewPCG(1, uint64(f.lives))).Float64,
+		Leading: func() bool { return f.leads(n) }, Settled: func() bool { return !n.woken.Load() }, Random: rand.New(rand.NewPCG(1, uint64(f.lives))).Float64,
 	})
 	assert.NilError(f.t, err)
 	ctx, stop := context.WithCancel(f.ctx)
--- a/node/capshare/gate.go
+++ b/node/capshare/gate.go
@@ -114,6 +114,9 @@
 	if len(shares) == 0 {
 		return noCap{}, nil
 	}
+	if !k.config.Settled() {
+		return nil, k.refuseUnsettled(shares[0])
+	}
 	arrive(shares)
 	t, short := k.take(shares)
 	if short == nil {
@@ -190,6 +193,22 @@
 	return permit, nil
 }
 
+// settleWait is when to come back to an entry VM that was paused: by then a
+// peer has answered it.
+const settleWait = time.Second
+
+// refuseUnsettled refuses under a cap while this process only has what it knew
+// before a pause.
+//
+// What goes wrong otherwise: a VM that is suspended for minutes is listed as
+// gone and its seat goes to others; it wakes with its permits in memory and
+// starts requests with them, beyond the cap, until it hears of its seat.
+func (k *Caps) refuseUnsettled(sh *share) error {
+	k.metrics.refused.Inc(1)
+	return steering.Refuse(steering.ReasonCapReached, settleWait,
+		fmt.Sprintf("cap %s: this entry VM was paused and has not heard from others since", sh.name))
+}
+
 func (k *Caps) refuse(short *shortage) error {
 	k.metrics.refused.Inc(1)
 	short.sh.refused.Add(1)
--- a/node/parts.go
+++ b/node/parts.go
@@ -128,7 +128,7 @@
 func (n *Node) buildMoves(p *parts, clients *peer.Clients) (err error) {
 	p.caps, err = capshare.New(capshare.Config{
 		Configs: p.configs, Members: p.members, Platform: p.platform, Peer: clients.To,
-		Leading: p.leading, Scope: n.metrics.Scope, Log: n.log,
+		Leading: p.leading, Settled: p.members.Settled, Scope: n.metrics.Scope, Log: n.log,
 	})
 	if err != nil {
 		return err
