Write reports in one place

Change: command.WriteReport, used by all; quickstart's probes share one function.

Conclusion: one wording is left.

--- a/cmd/internal/benchbalance/bench.go
+++ b/cmd/internal/benchbalance/bench.go
@@ -1,12 +1,12 @@
 package benchbalance
 
 import (
-	"encoding/json"
 	"fmt"
 	"io"
-	"os"
 	"text/tabwriter"
 	"time"
+
+	"heatherlock/cmd/internal/command"
 )
 
 // Options are the choices of a run.
@@ -112,17 +112,7 @@
 	_ = t.Flush()
 }
 
-// filePermissions of a report.
-const filePermissions = 0o644
-
 // WriteJSON writes the report to a file as one JSON object.
 func (r Report) WriteJSON(file string) error {
-	encoded, err := json.MarshalIndent(r, "", "  ")
-	if err != nil {
-		return fmt.Errorf("bench: encode the report: %w", err)
-	}
-	if err := os.WriteFile(file, append(encoded, '\n'), filePermissions); err != nil {
-		return fmt.Errorf("bench: write the report: %w", err)
-	}
-	return nil
+	return command.WriteReport(file, r)
 }
--- a/cmd/internal/benchcapacity/report.go
+++ b/cmd/internal/benchcapacity/report.go
@@ -2,15 +2,15 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
 	"io"
 	"math"
-	"os"
 	"text/tabwriter"
 
 	"github.com/go-faster/errors"
 	"gonum.org/v1/gonum/stat"
+
+	"heatherlock/cmd/internal/command"
 )
 
 // Fit is a line through one figure over fleet sizes.
@@ -134,12 +134,5 @@
 			report.Fits[i].Limit = 0
 		}
 	}
-	raw, err := json.MarshalIndent(report, "", "  ")
-	if err != nil {
-		return errors.Wrap(err, "benchcapacity: encode")
-	}
-	if err := os.WriteFile(file, append(raw, '\n'), 0o644); err != nil {
-		return errors.Wrap(err, "benchcapacity: name a file that can be written")
-	}
-	return nil
+	return command.WriteReport(file, report)
 }
--- a/cmd/internal/benchcaps/report.go
+++ b/cmd/internal/benchcaps/report.go
@@ -1,12 +1,12 @@
 package benchcaps
 
 import (
-	"encoding/json"
 	"fmt"
 	"io"
-	"os"
 	"text/tabwriter"
 	"time"
+
+	"heatherlock/cmd/internal/command"
 )
 
 // way is one way to hold a cap.
@@ -109,14 +109,7 @@
 	_ = t.Flush()
 }
 
-// filePermissions of a report.
-const filePermissions = 0o644
-
 // WriteJSON writes the report to a file as one JSON object.
 func (r Report) WriteJSON(file string) error {
-	encoded, err := json.MarshalIndent(r, "", "  ")
-	if err != nil {
-		return err
-	}
-	return os.WriteFile(file, append(encoded, '\n'), filePermissions)
+	return command.WriteReport(file, r)
 }
--- a/cmd/internal/benchdecide/bench.go
+++ b/cmd/internal/benchdecide/bench.go
@@ -1,14 +1,13 @@
 package benchdecide
 
 import (
-	"encoding/json"
 	"fmt"
 	"io"
-	"os"
 	"testing"
 	"text/tabwriter"
 	"time"
 
+	"heatherlock/cmd/internal/command"
 	"heatherlock/steering"
 	"heatherlock/steering/health"
 	"heatherlock/steering/pool"
@@ -181,17 +180,7 @@
 	_ = t.Flush()
 }
 
-// filePermissions of a report.
-const filePermissions = 0o644
-
 // WriteJSON writes the report to a file as one JSON object.
 func (r Report) WriteJSON(file string) error {
-	encoded, err := json.MarshalIndent(r, "", "  ")
-	if err != nil {
-		return fmt.Errorf("bench: encode the report: %w", err)
-	}
-	if err := os.WriteFile(file, append(encoded, '\n'), filePermissions); err != nil {
-		return fmt.Errorf("bench: write the report: %w", err)
-	}
-	return nil
+	return command.WriteReport(file, r)
 }
--- a/cmd/internal/benchlookup/report.go
+++ b/cmd/internal/benchlookup/report.go
@@ -2,14 +2,14 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
 	"io"
-	"os"
 	"runtime"
 	"text/tabwriter"
 
 	"github.com/go-faster/errors"
+
+	"heatherlock/cmd/internal/command"
 )
 
 // Report is the outcome of a run.
@@ -44,14 +44,7 @@
 
 // WriteJSON writes the report as one object.
 func (r *Report) WriteJSON(file string) error {
-	text, err := json.MarshalIndent(r, "", "  ")
-	if err != nil {
-		return errors.Wrap(err, "encode report")
-	}
-	if err := os.WriteFile(file, append(text, '\n'), 0o644); err != nil {
-		return errors.Wrap(err, "write report")
-	}
-	return nil
+	return command.WriteReport(file, r)
 }
 
 // WriteText writes the report for reading.
--- a/cmd/internal/benchoperators/command.go
+++ b/cmd/internal/benchoperators/command.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
-	"os"
 	"time"
 
 	"github.com/integrii/flaggy"
@@ -59,7 +57,7 @@
 			return err
 		}
 		report.WriteText(io.Out)
-		if err := writeJSON(o.JSONFile, report); err != nil {
+		if err := command.WriteReport(o.JSONFile, report); err != nil {
 			return err
 		}
 		if p99 := report.InForce.P99; p99 > milliseconds(o.Limit) {
@@ -68,17 +66,3 @@
 		return nil
 	}
 }
-
-func writeJSON(file string, report *Report) error {
-	if file == "" {
-		return nil
-	}
-	raw, err := json.MarshalIndent(report, "", "  ")
-	if err != nil {
-		return command.Failf(command.Other, "", "%v", err)
-	}
-	if err := os.WriteFile(file, append(raw, '\n'), 0o644); err != nil {
-		return command.Failf(command.Usage, "name a file that can be written", "--json: %v", err)
-	}
-	return nil
-}
--- a/cmd/internal/benchpath/bench.go
+++ b/cmd/internal/benchpath/bench.go
@@ -2,13 +2,13 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
 	"io"
-	"os"
 	"runtime"
 	"slices"
 	"time"
+
+	"heatherlock/cmd/internal/command"
 )
 
 // Goals of the path.
@@ -151,14 +151,7 @@
 
 // WriteJSON writes the report as one object.
 func (r *Report) WriteJSON(path string) error {
-	raw, err := json.MarshalIndent(r, "", "  ")
-	if err != nil {
-		return err
-	}
-	if err := os.WriteFile(path, append(raw, '\n'), 0o644); err != nil {
-		return fmt.Errorf("bench: --json: %w; name a file that can be written", err)
-	}
-	return nil
+	return command.WriteReport(path, r)
 }
 
 // WriteText writes the report as tables.
--- a/cmd/internal/load/report.go
+++ b/cmd/internal/load/report.go
@@ -1,16 +1,15 @@
 package load
 
 import (
-	"encoding/json"
 	"fmt"
 	"io"
 	"maps"
-	"os"
 	"slices"
 	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
 
+	"heatherlock/cmd/internal/command"
 	"heatherlock/cmd/internal/traffic"
 )
 
@@ -54,14 +53,7 @@
 
 // WriteJSON writes the report as one object.
 func (r *Report) WriteJSON(path string) error {
-	raw, err := json.MarshalIndent(r, "", "  ")
-	if err != nil {
-		return err
-	}
-	if err := os.WriteFile(path, append(raw, '\n'), 0o644); err != nil {
-		return fmt.Errorf("load: --json: %w; name a file that can be written", err)
-	}
-	return nil
+	return command.WriteReport(path, r)
 }
 
 // WriteText writes the report as tables.
--- a/cmd/internal/quickstart/processes.go
+++ b/cmd/internal/quickstart/processes.go
@@ -5,7 +5,6 @@
 	"encoding/json"
 	"fmt"
 	"net"
-	"net/http"
 	"os"
 	"path/filepath"
 	"time"
@@ -122,18 +121,7 @@
 	return nil
 }
 
-func healthy(ctx context.Context, operator string) bool {
-	r, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+operator+"/healthz", nil)
-	if err != nil {
-		return false
-	}
-	reply, err := http.DefaultClient.Do(r)
-	if err != nil {
-		return false
-	}
-	_ = reply.Body.Close()
-	return reply.StatusCode == http.StatusOK
-}
+func healthy(ctx context.Context, operator string) bool { return says(ctx, operator, "/healthz") }
 
 // follow notes processes that are killed and started again, until ctx ends.
 func (p *processes) follow(ctx context.Context, s *system) {
--- a/cmd/internal/quickstart/report.go
+++ b/cmd/internal/quickstart/report.go
@@ -1,14 +1,13 @@
 package quickstart
 
 import (
-	"encoding/json"
 	"fmt"
 	"io"
 	"maps"
-	"os"
 	"slices"
 	"time"
 
+	"heatherlock/cmd/internal/command"
 	"heatherlock/cmd/internal/traffic"
 	"heatherlock/standin/deploy"
 	"heatherlock/standin/witness"
@@ -108,14 +107,7 @@
 
 // WriteJSON writes the report as one object.
 func (r *Report) WriteJSON(path string) error {
-	raw, err := json.MarshalIndent(r, "", "  ")
-	if err != nil {
-		return err
-	}
-	if err := os.WriteFile(path, append(raw, '\n'), 0o644); err != nil {
-		return fmt.Errorf("quickstart: --json: %w; name a file that can be written", err)
-	}
-	return nil
+	return command.WriteReport(path, r)
 }
 
 // WriteText writes the report as tables.
--- a/cmd/internal/quickstart/system.go
+++ b/cmd/internal/quickstart/system.go
@@ -266,8 +266,11 @@
 	return nil
 }
 
-func ready(ctx context.Context, operator string) bool {
-	r, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+operator+"/readyz", nil)
+func ready(ctx context.Context, operator string) bool { return says(ctx, operator, "/readyz") }
+
+// says reports whether a probe of an entry VM answers 200.
+func says(ctx context.Context, operator, probe string) bool {
+	r, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+operator+probe, nil)
 	if err != nil {
 		return false
 	}
