Look for a pause each time a permit is taken, not only before the wait

Cause: reading the earlier change again showed that it looked too early: a request that waits for a permit while the process is suspended took a free one on waking. The waiting request would also have been held although its refusal was certain.

Figures: the new test failed before ('expected an error, got nil') and passes after. The cost of the look is not measured. Conclusion: what is left is a pause between taking and sending, as docs/PROMISES.md says.

--- a/node/capshare/capshare_test.go
+++ b/node/capshare/capshare_test.go
@@ -99,6 +99,28 @@
 	})
 }
 
+// Symptom: as above, by one request a permit. Sequence: the process is suspended
+// while a request waits for a permit, which is free when it wakes. Cause: the
+// pause is looked for only before the wait.
+func TestPauseWithinTheWaitForAPermit(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 4, four...)
+		time.Sleep(settle)
+		n := f.nodes[0]
+		for _, other := range f.nodes[1:] {
+			f.kill(other) // nobody lends
+		}
+		time.Sleep(settle)
+		permit, err := n.caps.Admit(f.ctx, service, home, "sur-1")
+		assert.NilError(t, err)
+		permit.Done(true)
+		time.Sleep(time.Second - admitWait/2) // the permit comes free within the next wait
+		time.AfterFunc(admitWait/4, func() { n.woken.Store(true) })
+		_, err = n.caps.Admit(f.ctx, service, home, "sur-1")
+		assert.ErrorContains(t, err, "cap_reached")
+	})
+}
+
 // Symptom: a lowered cap is exceeded long after it was accepted. Sequence: the
 // cap is lowered while the platform refuses writes, so no seat can change.
 // Cause: holders that wait for the record instead of lowering at once.
--- a/node/capshare/gate.go
+++ b/node/capshare/gate.go
@@ -114,9 +114,6 @@
 	if len(shares) == 0 {
 		return noCap{}, nil
 	}
-	if !k.config.Settled() {
-		return nil, k.refuseUnsettled(shares[0])
-	}
 	arrive(shares)
 	t, short := k.take(shares)
 	if short == nil {
@@ -125,6 +122,9 @@
 	timeout := time.NewTimer(admitWait)
 	defer timeout.Stop()
 	for {
+		if short.paused {
+			return nil, k.refuse(short)
+		}
 		short.sh.hunger()
 		soon := time.NewTimer(short.next)
 		select {
@@ -159,10 +159,19 @@
 	freed <-chan struct{}
 	next  time.Duration
 	limit int
+	// paused is set while this process only has what it knew before a pause.
+	//
+	// What goes wrong without it: a VM that is suspended for minutes is listed
+	// as gone and its seat goes to others; it wakes with its permits in memory
+	// and starts requests with them, beyond the cap, until it hears of its seat.
+	paused bool
 }
 
 // take takes a permit of every share, or of none.
 func (k *Caps) take(shares []*share) (*taken, *shortage) {
+	if !k.config.Settled() {
+		return nil, &shortage{sh: shares[0], next: settleWait, paused: true}
+	}
 	t := &taken{shares: shares}
 	t.permits = t.one[:0]
 	for i, sh := range shares {
@@ -197,21 +206,13 @@
 // peer has answered it.
 const settleWait = time.Second
 
-// refuseUnsettled refuses under a cap while this process only has what it knew
-// before a pause.
-//
-// What goes wrong otherwise: a VM that is suspended for minutes is listed as
-// gone and its seat goes to others; it wakes with its permits in memory and
-// starts requests with them, beyond the cap, until it hears of its seat.
-func (k *Caps) refuseUnsettled(sh *share) error {
-	k.metrics.refused.Inc(1)
-	return steering.Refuse(steering.ReasonCapReached, settleWait,
-		fmt.Sprintf("cap %s: this entry VM was paused and has not heard from others since", sh.name))
-}
-
 func (k *Caps) refuse(short *shortage) error {
 	k.metrics.refused.Inc(1)
 	short.sh.refused.Add(1)
+	if short.paused {
+		return steering.Refuse(steering.ReasonCapReached, short.next,
+			fmt.Sprintf("cap %s: this entry VM was paused and has not heard from others since", short.sh.name))
+	}
 	return steering.Refuse(steering.ReasonCapReached, short.next,
 		fmt.Sprintf("cap %s of %d per window has no free permit here", short.sh.name, short.limit))
 }
