--- a/cmd/internal/benchcapacity/measure.go
+++ b/cmd/internal/benchcapacity/measure.go
@@ -10,7 +10,7 @@
 
 	"github.com/go-faster/errors"
 
-	"heatherlock/platform"
+	"heatherlock/objects"
 	standin "heatherlock/standin/platform"
 )
 
@@ -129,7 +129,7 @@
 	for i, name := range methodNames {
 		row.PayloadPerSecond[name] = bothEnds * float64(after.payload[i]-before.payload[i]) / perNode
 	}
-	for _, op := range platform.Ops {
+	for _, op := range objects.Ops {
 		row.PlatformPerSecond[op] = float64(after.counts.ByOp[op]-before.counts.ByOp[op]) / seconds
 	}
 	row.PlatformTotal = float64(after.counts.Total-before.counts.Total) / seconds
@@ -188,7 +188,7 @@
 	return nil
 }
 
-func (r *rig) change(ctx context.Context, api platform.API) (float64, error) {
+func (r *rig) change(ctx context.Context, api objects.API) (float64, error) {
 	old, err := api.Get(ctx, "Service", "service-0")
 	if err != nil {
 		return 0, err
--- a/cmd/internal/benchcapacity/rig.go
+++ b/cmd/internal/benchcapacity/rig.go
@@ -18,9 +18,9 @@
 	"heatherlock/node/member"
 	"heatherlock/node/seam"
 	"heatherlock/node/tlsconf"
+	"heatherlock/objects"
 	"heatherlock/peer"
 	"heatherlock/peer/peerpb"
-	"heatherlock/platform"
 	standin "heatherlock/standin/platform"
 	"heatherlock/steering"
 )
@@ -144,7 +144,7 @@
 }
 
 // create retries while the stand-in's write rate holds it back.
-func create(ctx context.Context, api platform.API, kind, name, format string, values ...any) error {
+func create(ctx context.Context, api objects.API, kind, name, format string, values ...any) error {
 	value := fmt.Sprintf(`{"kind":%q,"metadata":{"name":%q},"spec":%s}`, kind, name, fmt.Sprintf(format, values...))
 	_, err := api.Create(ctx, kind, name, json.RawMessage(value))
 	return err
@@ -167,7 +167,7 @@
 		return "", errors.Wrap(err, "benchcapacity")
 	}
 	v := &vm{rig: r, clients: peer.NewClients(peer.NewControlClient(clientTLS))}
-	api := platform.NewBudget(r.store.As(name, zoneName), platform.BudgetConfig{})
+	api := objects.NewBudget(r.store.As(name, zoneName), objects.BudgetConfig{})
 	v.members = member.New(member.Config{
 		Self: seam.Member{VM: steering.VM(name), Zone: steering.Zone(zoneName), Region: steering.Region(fmt.Sprint("region-", zone/4)),
 			Incarnation: steering.Incarnation(fmt.Sprintf("incarnation-%04d", i)), PeerAddress: address,
@@ -183,8 +183,8 @@
 	if err != nil {
 		return "", errors.Wrap(err, "benchcapacity")
 	}
-	r.store.SetVM(platform.VM{Name: name, Zone: zoneName, Region: fmt.Sprint("region-", zone/4), PeerAddress: address,
-		CallerAddress: address, OperatorAddress: address, State: platform.VMLive})
+	r.store.SetVM(objects.VM{Name: name, Zone: zoneName, Region: fmt.Sprint("region-", zone/4), PeerAddress: address,
+		CallerAddress: address, OperatorAddress: address, State: objects.VMLive})
 	v.server = &http.Server{Handler: r.counted(peerpb.NewPeerServer(v)), Protocols: peer.ServerProtocols(), TLSConfig: serverTLS}
 	r.vms = append(r.vms, v)
 	r.wg.Go(func() { v.serve(countedListener{Listener: listener, bytes: &r.bytes}) })
--- a/cmd/internal/benchlookup/node.go
+++ b/cmd/internal/benchlookup/node.go
@@ -16,8 +16,8 @@
 	"heatherlock/api/oas"
 	"heatherlock/node/dynamic"
 	"heatherlock/node/lookups"
+	"heatherlock/objects"
 	"heatherlock/peer/peerpb"
-	"heatherlock/platform"
 	standin "heatherlock/standin/platform"
 	"heatherlock/steering/routing"
 )
@@ -76,7 +76,7 @@
 type rig struct {
 	world    *world
 	platform *standin.Store
-	api      platform.API
+	api      objects.API
 	spread   *dynamic.Spread
 	lookups  *lookups.Lookups
 	version  map[string]int64           // of the ClientBlocks objects
@@ -214,7 +214,7 @@
 }
 
 func (r *rig) storeManifest(ctx context.Context, w blockWrite) error {
-	var stored platform.Object
+	var stored objects.Object
 	var err error
 	if version := r.version[w.name]; version == 0 {
 		stored, err = r.api.Create(ctx, dynamic.KindClientBlocks, w.name, w.split.Manifest)
--- a/cmd/internal/benchpath/rig.go
+++ b/cmd/internal/benchpath/rig.go
@@ -12,7 +12,7 @@
 	"heatherlock/api/oas"
 	"heatherlock/node"
 	"heatherlock/node/static"
-	platformapi "heatherlock/platform"
+	"heatherlock/objects"
 	"heatherlock/standin/deploy"
 	"heatherlock/standin/platform"
 	"heatherlock/standin/target"
@@ -96,7 +96,7 @@
 	}
 	r.server = &http.Server{Handler: store.Handler(), ReadHeaderTimeout: 5 * time.Second}
 	go func() { _ = r.server.Serve(listener) }()
-	store.SetVM(platformapi.VM{Name: vmName, Zone: zoneName, Region: regionName, State: platformapi.VMLive})
+	store.SetVM(objects.VM{Name: vmName, Zone: zoneName, Region: regionName, State: objects.VMLive})
 	return "http://" + listener.Addr().String(), nil
 }
 
--- a/cmd/internal/quickstart/system.go
+++ b/cmd/internal/quickstart/system.go
@@ -14,7 +14,7 @@
 	"heatherlock/node"
 	"heatherlock/node/static"
 	"heatherlock/node/tlsconf"
-	platformapi "heatherlock/platform"
+	"heatherlock/objects"
 	"heatherlock/standin/deploy"
 	"heatherlock/standin/platform"
 	"heatherlock/standin/target"
@@ -158,8 +158,8 @@
 
 // add lists an entry VM with the platform and here.
 func (s *system) add(v *entryVM) {
-	s.store.SetVM(platformapi.VM{
-		Name: v.Name, Zone: v.Zone, Region: v.Region, State: platformapi.VMLive,
+	s.store.SetVM(objects.VM{
+		Name: v.Name, Zone: v.Zone, Region: v.Region, State: objects.VMLive,
 		CallerAddress: v.addresses.Caller, PeerAddress: v.addresses.Peer, OperatorAddress: v.addresses.Operator,
 	})
 	s.mu.Lock()
--- a/node/capshare/capshare_test.go
+++ b/node/capshare/capshare_test.go
@@ -8,7 +8,7 @@
 
 	"gotest.tools/v3/assert"
 
-	"heatherlock/platform"
+	"heatherlock/objects"
 )
 
 // settle is long enough for all to write their seats and wait for them.
@@ -57,7 +57,7 @@
 		assert.Equal(t, f.nodes[0].use().Own, 10, "seats stay during an outage")
 		f.store.Down(false)
 		f.store.LoseReplies(3)
-		f.store.SetVMState("sur-b-1", platform.VMGone)
+		f.store.SetVMState("sur-b-1", objects.VMGone)
 		flood(f.start("sur-b-3"), 60*time.Second)
 		load.Wait()
 		assert.Assert(t, f.peak(begun, time.Now()) <= 40)
@@ -77,7 +77,7 @@
 		time.Sleep(DefaultListLag + settle)
 		suspended := f.nodes[2]
 		f.kill(suspended) // nothing of it runs; its memory stays
-		f.store.SetVMState(string(suspended.self.VM), platform.VMGone)
+		f.store.SetVMState(string(suspended.self.VM), objects.VMGone)
 		time.Sleep(DefaultListLag + settle)
 		var load sync.WaitGroup
 		for _, n := range f.nodes {
--- a/node/capshare/config.go
+++ b/node/capshare/config.go
@@ -9,8 +9,8 @@
 	"github.com/uber-go/tally/v4"
 
 	"heatherlock/node/seam"
+	"heatherlock/objects"
 	"heatherlock/peer/peerpb"
-	"heatherlock/platform"
 )
 
 // DefaultListLag is the longest that the platform's list of VMs is taken to
@@ -21,7 +21,7 @@
 type Config struct {
 	Configs  seam.Configs
 	Members  seam.Members
-	Platform platform.API
+	Platform objects.API
 	// Peer returns the client of the entry VM at a peer address.
 	Peer func(address string) peerpb.Peer
 	// Leading says whether this entry VM is its zone's reader now.
--- a/node/capshare/fleet_test.go
+++ b/node/capshare/fleet_test.go
@@ -15,8 +15,8 @@
 	"gotest.tools/v3/assert"
 
 	"heatherlock/node/seam"
+	"heatherlock/objects"
 	"heatherlock/peer/peerpb"
-	"heatherlock/platform"
 	standin "heatherlock/standin/platform"
 	"heatherlock/steering"
 	"heatherlock/steering/routing"
@@ -79,7 +79,7 @@
 	defer f.mu.Unlock()
 	api := f.store.As("operator", "")
 	stored, err := api.Get(f.ctx, "Cap", capName)
-	if platform.KindOf(err) == platform.NotFound {
+	if objects.KindOf(err) == objects.NotFound {
 		stored, err = api.Create(f.ctx, "Cap", capName, []byte("{}"))
 	} else {
 		stored, err = api.Update(f.ctx, "Cap", capName, stored.Version, []byte("{}"))
@@ -102,7 +102,7 @@
 	n.snapshot = f.current()
 	f.nodes = append(f.nodes, n)
 	f.mu.Unlock()
-	f.store.SetVM(platform.VM{Name: vm, State: platform.VMLive})
+	f.store.SetVM(objects.VM{Name: vm, State: objects.VMLive})
 	var err error
 	n.caps, err = New(Config{
 		Configs: n, Members: n, Platform: f.store.As(vm, string(n.self.Zone)), Peer: f.peer,
--- a/node/capshare/seats.go
+++ b/node/capshare/seats.go
@@ -10,7 +10,7 @@
 	"github.com/go-kit/log/level"
 
 	"heatherlock/node/seam"
-	"heatherlock/platform"
+	"heatherlock/objects"
 	"heatherlock/steering"
 	"heatherlock/steering/caps"
 	"heatherlock/steering/routing"
@@ -29,7 +29,7 @@
 
 // seatLoop keeps this entry VM's seat of one cap until ctx ends.
 func (k *Caps) seatLoop(ctx context.Context, sh *share) {
-	backoff := platform.NewBackoff(retryFirst, retryMax, k.config.Random)
+	backoff := objects.NewBackoff(retryFirst, retryMax, k.config.Random)
 	wait := k.spread(sh)
 	for {
 		select {
@@ -155,12 +155,12 @@
 	}
 	k.metrics.writes.Inc(1)
 	stored, err := k.store(ctx, sh.name, seats.Version, value)
-	switch platform.KindOf(err) {
+	switch objects.KindOf(err) {
 	case "":
 		if err != nil {
 			return err
 		}
-	case platform.Conflict, platform.NotFound, platform.Unknown:
+	case objects.Conflict, objects.NotFound, objects.Unknown:
 		k.metrics.conflicts.Inc(1)
 		if stored, err = k.config.Platform.Get(ctx, routing.KindCapSeats, sh.name); err != nil {
 			return err
@@ -173,7 +173,7 @@
 	return sh.learn(stored)
 }
 
-func (k *Caps) store(ctx context.Context, name string, version int64, value []byte) (platform.Object, error) {
+func (k *Caps) store(ctx context.Context, name string, version int64, value []byte) (objects.Object, error) {
 	if version == 0 {
 		return k.config.Platform.Create(ctx, routing.KindCapSeats, name, value)
 	}
@@ -181,7 +181,7 @@
 }
 
 // learn acts on a stored record.
-func (s *share) learn(stored platform.Object) error {
+func (s *share) learn(stored objects.Object) error {
 	var seats routing.CapSeats
 	if err := json.Unmarshal(stored.Value, &seats); err != nil {
 		return errors.Wrapf(err, "capshare: CapSeats %s is not readable; delete it on the platform while no entry VM serves its cap", s.name)
--- a/node/capshare/vmlist.go
+++ b/node/capshare/vmlist.go
@@ -6,7 +6,7 @@
 	"time"
 
 	"heatherlock/node/seam"
-	"heatherlock/platform"
+	"heatherlock/objects"
 	"heatherlock/steering"
 	"heatherlock/steering/routing"
 )
@@ -100,7 +100,7 @@
 	}
 	running := make(map[string]bool, len(vms))
 	for _, vm := range vms {
-		running[vm.Name] = vm.State != platform.VMGone
+		running[vm.Name] = vm.State != objects.VMGone
 	}
 	k.vms.mu.Lock()
 	defer k.vms.mu.Unlock()
--- a/node/dynamic/blocks.go
+++ b/node/dynamic/blocks.go
@@ -11,7 +11,7 @@
 	"github.com/klauspost/compress/zstd"
 
 	"heatherlock/api/oas"
-	"heatherlock/platform"
+	"heatherlock/objects"
 )
 
 // joinedMost bounds what one shard may unpack to.
@@ -49,7 +49,7 @@
 	Manifest json.RawMessage
 	// Shards are to be created unless a shard of that name exists: a shard's
 	// name is the hash of its value. Empty for a small object.
-	Shards []platform.Object
+	Shards []objects.Object
 }
 
 var (
@@ -101,18 +101,18 @@
 	return parts
 }
 
-func newShard(object string, blocks []oas.ClientBlock) (platform.Object, error) {
+func newShard(object string, blocks []oas.ClientBlock) (objects.Object, error) {
 	spec := oas.ClientBlocksSpec{Blocks: blocks}
 	plain, err := spec.MarshalJSON()
 	if err != nil {
-		return platform.Object{}, errors.Wrap(err, "dynamic: encode shard")
+		return objects.Object{}, errors.Wrap(err, "dynamic: encode shard")
 	}
 	value, err := json.Marshal(shardValue{Zstd: encoder.EncodeAll(plain, nil)})
 	if err != nil {
-		return platform.Object{}, errors.Wrap(err, "dynamic: encode shard")
+		return objects.Object{}, errors.Wrap(err, "dynamic: encode shard")
 	}
 	name := fmt.Sprintf("%s.%016x", object, xxhash.Sum64(plain))
-	return platform.Object{Kind: KindShard, Name: name, Value: value}, nil
+	return objects.Object{Kind: KindShard, Name: name, Value: value}, nil
 }
 
 func encodeManifest(in *oas.ClientBlocks, m manifest) (json.RawMessage, error) {
--- a/node/dynamic/blocks_test.go
+++ b/node/dynamic/blocks_test.go
@@ -10,7 +10,7 @@
 	"pgregory.net/rapid"
 
 	"heatherlock/api/oas"
-	"heatherlock/platform"
+	"heatherlock/objects"
 	"heatherlock/steering/config"
 )
 
@@ -29,13 +29,13 @@
 	split, err := sharding{whole: 1000, mean: 16, most: 40}.split(object)
 	assert.NilError(t, err)
 	assert.Assert(t, len(split.Shards) > 1)
-	var objects []config.Object
+	var stored []config.Object
 	for _, shard := range split.Shards {
-		assert.Assert(t, len(shard.Value) < platform.MaxValueBytes)
-		objects = append(objects, config.Object{ID: config.ID{Kind: KindShard, Name: shard.Name}, Version: version, Value: shard.Value})
+		assert.Assert(t, len(shard.Value) < objects.MaxValueBytes)
+		stored = append(stored, config.Object{ID: config.ID{Kind: KindShard, Name: shard.Name}, Version: version, Value: shard.Value})
 	}
-	assert.Assert(t, len(split.Manifest) < platform.MaxValueBytes)
-	return append(objects, config.Object{ID: config.ID{Kind: KindClientBlocks, Name: "clients"}, Version: version, Value: split.Manifest})
+	assert.Assert(t, len(split.Manifest) < objects.MaxValueBytes)
+	return append(stored, config.Object{ID: config.ID{Kind: KindClientBlocks, Name: "clients"}, Version: version, Value: split.Manifest})
 }
 
 // Symptom: a client's home is not what the operators declared, on some nodes
@@ -114,12 +114,12 @@
 	})
 	assert.NilError(t, err)
 	assert.Equal(t, len(whole.Spec.Blocks), len(object.Spec.Blocks))
-	var objects []config.Object
+	var stored []config.Object
 	for _, shard := range split.Shards[1:] {
-		objects = append(objects, config.Object{ID: config.ID{Kind: KindShard, Name: shard.Name}, Version: 1, Value: shard.Value})
+		stored = append(stored, config.Object{ID: config.ID{Kind: KindShard, Name: shard.Name}, Version: 1, Value: shard.Value})
 	}
-	objects = append(objects, config.Object{ID: config.ID{Kind: KindClientBlocks, Name: "clients"}, Version: 1, Value: split.Manifest})
-	set, _ := new(config.Set).Listed(objects, 1)
+	stored = append(stored, config.Object{ID: config.ID{Kind: KindClientBlocks, Name: "clients"}, Version: 1, Value: split.Manifest})
+	set, _ := new(config.Set).Listed(stored, 1)
 	out := compile(set, nil, nil)
 	assert.Equal(t, len(out.problems), 1)
 	assert.Assert(t, out.snapshot.Blocks.Len() > 0 && out.snapshot.Blocks.Len() < 8000)
--- a/node/dynamic/calls_test.go
+++ b/node/dynamic/calls_test.go
@@ -19,8 +19,8 @@
 
 	"heatherlock/node/member"
 	"heatherlock/node/seam"
+	"heatherlock/objects"
 	"heatherlock/peer/peerpb"
-	"heatherlock/platform"
 	standin "heatherlock/standin/platform"
 	"heatherlock/steering"
 )
@@ -60,8 +60,8 @@
 
 func (s *system) startNode(t *testing.T, ctx context.Context, zone steering.Zone, region steering.Region, vm string) {
 	address := vm + ":1"
-	s.store.SetVM(platform.VM{Name: vm, Zone: string(zone), Region: string(region), PeerAddress: address, CallerAddress: vm + ":2", State: platform.VMLive})
-	api := platform.NewBudget(s.store.As(vm, string(zone)), platform.BudgetConfig{})
+	s.store.SetVM(objects.VM{Name: vm, Zone: string(zone), Region: string(region), PeerAddress: address, CallerAddress: vm + ":2", State: objects.VMLive})
+	api := objects.NewBudget(s.store.As(vm, string(zone)), objects.BudgetConfig{})
 	node := &controlled{}
 	node.members = member.New(member.Config{
 		Self:     seam.Member{VM: steering.VM(vm), Incarnation: steering.Incarnation("i-" + vm), Zone: zone, Region: region, PeerAddress: address, CallerAddress: vm + ":2"},
--- a/node/dynamic/dynamic.go
+++ b/node/dynamic/dynamic.go
@@ -14,8 +14,8 @@
 
 	"heatherlock/node/runtime"
 	"heatherlock/node/seam"
+	"heatherlock/objects"
 	"heatherlock/peer/peerpb"
-	"heatherlock/platform"
 	"heatherlock/steering"
 	"heatherlock/steering/config"
 	"heatherlock/steering/routing"
@@ -24,7 +24,7 @@
 // Config holds what a Spread needs.
 type Config struct {
 	// Platform is the object API, with its call budget.
-	Platform platform.API
+	Platform objects.API
 	Members  seam.Members
 	// Peer returns the client of the entry VM at a peer address.
 	Peer func(address string) peerpb.Peer
@@ -144,12 +144,12 @@
 
 // Object returns a stored object of a spread kind, for parts that need more
 // than the snapshot carries. Its value must not be changed.
-func (s *Spread) Object(kind, name string) (platform.Object, bool) {
+func (s *Spread) Object(kind, name string) (objects.Object, bool) {
 	o, ok := s.set.Load().Get(config.ID{Kind: kind, Name: name})
 	if !ok {
-		return platform.Object{}, false
+		return objects.Object{}, false
 	}
-	return platform.Object{Kind: o.Kind, Name: o.Name, Version: o.Version, Value: o.Value}, true
+	return objects.Object{Kind: o.Kind, Name: o.Name, Version: o.Version, Value: o.Value}, true
 }
 
 // Problems returns the stored objects that are left out of the snapshot.
--- a/node/dynamic/fleet_test.go
+++ b/node/dynamic/fleet_test.go
@@ -16,8 +16,8 @@
 
 	"heatherlock/node/runtime"
 	"heatherlock/node/seam"
+	"heatherlock/objects"
 	"heatherlock/peer/peerpb"
-	"heatherlock/platform"
 	standin "heatherlock/standin/platform"
 	"heatherlock/steering"
 	"heatherlock/steering/config"
@@ -87,23 +87,23 @@
 
 // gated is the platform as a process that may be paused sees it.
 type gated struct {
-	platform.API
+	objects.API
 	gate *gate
 }
 
-func (g gated) Get(ctx context.Context, kind, name string) (platform.Object, error) {
+func (g gated) Get(ctx context.Context, kind, name string) (objects.Object, error) {
 	g.gate.pass()
 	defer g.gate.pass()
 	return g.API.Get(ctx, kind, name)
 }
 
-func (g gated) Update(ctx context.Context, kind, name string, version int64, value json.RawMessage) (platform.Object, error) {
+func (g gated) Update(ctx context.Context, kind, name string, version int64, value json.RawMessage) (objects.Object, error) {
 	g.gate.pass()
 	defer g.gate.pass()
 	return g.API.Update(ctx, kind, name, version, value)
 }
 
-func (g gated) Watch(ctx context.Context, since int64, wait time.Duration, kinds ...string) ([]platform.Event, int64, error) {
+func (g gated) Watch(ctx context.Context, since int64, wait time.Duration, kinds ...string) ([]objects.Event, int64, error) {
 	g.gate.pass()
 	defer g.gate.pass()
 	return g.API.Watch(ctx, since, wait, kinds...)
@@ -314,7 +314,7 @@
 }
 
 // operator writes as an operator's client would, past every fault.
-func (f *fleet) operator() platform.API { return f.store.As("operator", "nowhere") }
+func (f *fleet) operator() objects.API { return f.store.As("operator", "nowhere") }
 
 func (f *fleet) put(kind, name, value string) int64 {
 	api := f.operator()
--- a/node/dynamic/lease.go
+++ b/node/dynamic/lease.go
@@ -8,7 +8,7 @@
 
 	"github.com/go-kit/log/level"
 
-	"heatherlock/platform"
+	"heatherlock/objects"
 	"heatherlock/steering"
 	"heatherlock/steering/config"
 	"heatherlock/steering/ownership"
@@ -145,7 +145,7 @@
 	limited, cancel := context.WithTimeout(ctx, leaseTimeout)
 	defer cancel()
 	stored, err := s.config.Platform.Get(limited, KindLease, LeaseName(s.self.Zone))
-	if err != nil && platform.KindOf(err) != platform.NotFound {
+	if err != nil && objects.KindOf(err) != objects.NotFound {
 		s.leaseFailed("read", err)
 		return
 	}
@@ -166,7 +166,7 @@
 		s.leaseFailed("encode", err)
 		return
 	}
-	var stored platform.Object
+	var stored objects.Object
 	if action.Version == 0 {
 		stored, err = s.config.Platform.Create(limited, KindLease, LeaseName(s.self.Zone), value)
 	} else {
@@ -184,7 +184,7 @@
 }
 
 func (s *Spread) leaseFailed(step string, err error) {
-	s.scope.Tagged(map[string]string{"step": step, "reason": string(platform.KindOf(err))}).Counter("lease_failures").Inc(1)
+	s.scope.Tagged(map[string]string{"step": step, "reason": string(objects.KindOf(err))}).Counter("lease_failures").Inc(1)
 	level.Debug(s.log).Log("msg", "lease", "step", step, "err", err)
 }
 
@@ -194,10 +194,10 @@
 	if err == nil {
 		return config.WriteOK
 	}
-	switch platform.KindOf(err) {
-	case platform.Conflict, platform.NotFound:
+	switch objects.KindOf(err) {
+	case objects.Conflict, objects.NotFound:
 		return config.WriteConflict
-	case platform.Unavailable, platform.Throttled, platform.Invalid, platform.TooLarge:
+	case objects.Unavailable, objects.Throttled, objects.Invalid, objects.TooLarge:
 		return config.WriteRefused
 	}
 	return config.WriteUnknown
--- a/node/dynamic/reader.go
+++ b/node/dynamic/reader.go
@@ -8,7 +8,7 @@
 	"github.com/go-faster/errors"
 	"github.com/go-kit/log/level"
 
-	"heatherlock/platform"
+	"heatherlock/objects"
 	"heatherlock/steering/config"
 )
 
@@ -38,7 +38,7 @@
 // configuration is completed by the platform's changes since, which is far
 // less to read than a whole list when many nodes start together.
 func (s *Spread) start(ctx context.Context) error {
-	backoff := platform.NewBackoff(readPauseFirst, readPauseMost, nil)
+	backoff := objects.NewBackoff(readPauseFirst, readPauseMost, nil)
 	for {
 		if s.askPeers(ctx) && s.set.Load().Version() == 0 {
 			if err := pause(ctx, rand.N(startSpread)); err != nil {
@@ -95,7 +95,7 @@
 	defer cancel()
 	if version := s.set.Load().Version(); version > 0 {
 		_, err := s.watch(ctx, version, 0)
-		if platform.KindOf(err) != platform.Gone {
+		if objects.KindOf(err) != objects.Gone {
 			return err
 		}
 	}
@@ -139,12 +139,12 @@
 	return revision, nil
 }
 
-func objectOf(o platform.Object, deleted bool) config.Object {
+func objectOf(o objects.Object, deleted bool) config.Object {
 	return config.Object{ID: config.ID{Kind: o.Kind, Name: o.Name}, Version: o.Version, Value: o.Value, Deleted: deleted}
 }
 
 func retryAfter(err error) time.Duration {
-	var refused *platform.Error
+	var refused *objects.Error
 	if errors.As(err, &refused) {
 		return refused.RetryAfter
 	}
@@ -177,7 +177,7 @@
 
 // readWhile watches until ctx ends, which it does when the lease is lost.
 func (s *Spread) readWhile(ctx context.Context) {
-	backoff := platform.NewBackoff(readPauseFirst, readPauseMost, nil)
+	backoff := objects.NewBackoff(readPauseFirst, readPauseMost, nil)
 	var cursor int64
 	for ctx.Err() == nil {
 		next, err := s.readNext(ctx, max(cursor, s.set.Load().Version()))
@@ -189,7 +189,7 @@
 		if ctx.Err() != nil {
 			return
 		}
-		s.scope.Tagged(map[string]string{"reason": string(platform.KindOf(err))}).Counter("read_failures").Inc(1)
+		s.scope.Tagged(map[string]string{"reason": string(objects.KindOf(err))}).Counter("read_failures").Inc(1)
 		level.Warn(s.log).Log("msg", "reading the platform failed", "err", err)
 		if pause(ctx, max(backoff.Next(), retryAfter(err))) != nil {
 			return
@@ -200,7 +200,7 @@
 func (s *Spread) readNext(ctx context.Context, cursor int64) (int64, error) {
 	if cursor > 0 {
 		next, err := s.watch(ctx, cursor, watchWait)
-		if platform.KindOf(err) != platform.Gone {
+		if objects.KindOf(err) != objects.Gone {
 			return next, err
 		}
 	}
--- a/node/dynamic/spread_test.go
+++ b/node/dynamic/spread_test.go
@@ -12,8 +12,8 @@
 	"gotest.tools/v3/assert"
 
 	"heatherlock/node/runtime"
+	"heatherlock/objects"
 	"heatherlock/peer/peerpb"
-	"heatherlock/platform"
 	"heatherlock/steering"
 )
 
@@ -334,9 +334,9 @@
 		f.startAll()
 		defer f.killAll()
 		time.Sleep(settled)
-		before := f.store.Counts().ByOp[platform.OpUpdate]
+		before := f.store.Counts().ByOp[objects.OpUpdate]
 		time.Sleep(time.Minute)
-		writes := f.store.Counts().ByOp[platform.OpUpdate] - before
+		writes := f.store.Counts().ByOp[objects.OpUpdate] - before
 		bound := int64(time.Minute/statusMinimum) + int64(time.Minute/(3*time.Second)) + 2
 		assert.Assert(t, writes <= bound, "%d writes in a minute, bound %d", writes, bound)
 		object, err := f.operator().Get(context.Background(), runtime.KindZoneStatus, "zone-0")
--- a/node/dynamic/zonestatus.go
+++ b/node/dynamic/zonestatus.go
@@ -11,7 +11,7 @@
 	"github.com/go-kit/log/level"
 
 	"heatherlock/node/runtime"
-	"heatherlock/platform"
+	"heatherlock/objects"
 )
 
 const (
@@ -53,7 +53,7 @@
 	defer cancel()
 	if err := w.store(ctx, next); err != nil {
 		w.version = 0
-		w.spread.scope.Tagged(map[string]string{"reason": string(platform.KindOf(err))}).Counter("status_failures").Inc(1)
+		w.spread.scope.Tagged(map[string]string{"reason": string(objects.KindOf(err))}).Counter("status_failures").Inc(1)
 		level.Debug(w.spread.log).Log("msg", "writing the zone's status failed", "err", err)
 	}
 }
@@ -71,7 +71,7 @@
 			return err
 		}
 	}
-	var stored platform.Object
+	var stored objects.Object
 	if w.version == 0 {
 		stored, err = w.spread.config.Platform.Create(ctx, runtime.KindZoneStatus, name, value)
 	} else {
@@ -86,7 +86,7 @@
 
 func (w *statusWriter) read(ctx context.Context, name string, epoch int64) error {
 	stored, err := w.spread.config.Platform.Get(ctx, runtime.KindZoneStatus, name)
-	if platform.KindOf(err) == platform.NotFound {
+	if objects.KindOf(err) == objects.NotFound {
 		return nil
 	}
 	if err != nil {
@@ -139,7 +139,7 @@
 
 // ZoneStatuses reads every zone's status from the platform, by zone. A status
 // that cannot be understood is left out.
-func ZoneStatuses(ctx context.Context, api platform.API) ([]runtime.ZoneStatus, error) {
+func ZoneStatuses(ctx context.Context, api objects.API) ([]runtime.ZoneStatus, error) {
 	stored, _, err := api.List(ctx, runtime.KindZoneStatus)
 	if err != nil {
 		return nil, errors.Wrap(err, "dynamic: read zone status")
--- a/node/fleet_test.go
+++ b/node/fleet_test.go
@@ -19,7 +19,7 @@
 	"heatherlock/node"
 	"heatherlock/node/lookups"
 	"heatherlock/node/static"
-	platformapi "heatherlock/platform"
+	"heatherlock/objects"
 	"heatherlock/standin/memnet"
 	"heatherlock/standin/platform"
 	"heatherlock/standin/target"
@@ -187,7 +187,7 @@
 	d := &daemon{Node: n, vm: vm, zone: zone, stop: stop, done: make(chan error, 1)}
 	f.daemons[vm] = d
 	at := n.Addresses()
-	f.store.SetVM(platformapi.VM{Name: vm, Zone: zone, Region: string(settings.Region), State: platformapi.VMLive,
+	f.store.SetVM(objects.VM{Name: vm, Zone: zone, Region: string(settings.Region), State: objects.VMLive,
 		CallerAddress: at.Caller, PeerAddress: at.Peer, OperatorAddress: at.Operator})
 	go func() { d.done <- n.Run(ctx) }()
 	return d
--- a/node/member/config.go
+++ b/node/member/config.go
@@ -8,8 +8,8 @@
 	"github.com/uber-go/tally/v4"
 
 	"heatherlock/node/seam"
+	"heatherlock/objects"
 	"heatherlock/peer/peerpb"
-	"heatherlock/platform"
 	"heatherlock/steering/membership"
 )
 
@@ -48,7 +48,7 @@
 	Started time.Time
 	// Seeds are peer addresses to ask while nobody else is known.
 	Seeds    []string
-	Platform platform.API // nil means none
+	Platform objects.API // nil means none
 	Peers    Peers
 	Hooks    Hooks
 	// BeatEvery is the time between two exchanges with members of the zone.
--- a/node/member/failure_test.go
+++ b/node/member/failure_test.go
@@ -7,7 +7,7 @@
 	"gotest.tools/v3/assert"
 
 	"heatherlock/node/seam"
-	"heatherlock/platform"
+	"heatherlock/objects"
 	"heatherlock/steering"
 )
 
@@ -71,7 +71,7 @@
 		paused := nodes[0]
 		go func() {
 			time.Sleep(20 * time.Second)
-			f.store.SetVMState(string(paused.vm), platform.VMGone)
+			f.store.SetVMState(string(paused.vm), objects.VMGone)
 		}()
 		paused.freeze(time.Minute)
 		for range 100 {
@@ -104,7 +104,7 @@
 		replaced, dead := inside[1], outside[1]
 		replaced.kill()
 		dead.kill()
-		f.store.SetVMState(string(dead.vm), platform.VMGone)
+		f.store.SetVMState(string(dead.vm), objects.VMGone)
 		fresh := f.start(replaced.vm, replaced.zone, inside[0].Self().PeerAddress)
 		time.Sleep(2 * time.Minute)
 
--- a/node/member/fleet_test.go
+++ b/node/member/fleet_test.go
@@ -16,8 +16,8 @@
 	"gotest.tools/v3/assert"
 
 	"heatherlock/node/seam"
+	"heatherlock/objects"
 	"heatherlock/peer/peerpb"
-	"heatherlock/platform"
 	standin "heatherlock/standin/platform"
 	"heatherlock/steering"
 )
@@ -173,7 +173,7 @@
 	f.mu.Lock()
 	f.byAddress[address] = n
 	f.mu.Unlock()
-	f.store.SetVM(platform.VM{Name: string(vm), Zone: string(zone), Region: string(zone[:1]), PeerAddress: address, State: platform.VMLive})
+	f.store.SetVM(objects.VM{Name: string(vm), Zone: string(zone), Region: string(zone[:1]), PeerAddress: address, State: objects.VMLive})
 	go func() { _ = n.Run(ctx) }()
 	return n
 }
--- a/node/member/vmlist.go
+++ b/node/member/vmlist.go
@@ -7,7 +7,7 @@
 
 	"github.com/go-kit/log/level"
 
-	"heatherlock/platform"
+	"heatherlock/objects"
 	"heatherlock/steering/membership"
 )
 
@@ -22,7 +22,7 @@
 		return
 	}
 	wait := time.Duration(m.config.Random(int(firstListWithin)))
-	backoff := platform.NewBackoff(m.config.ListEvery, listBackoffMax, m.random)
+	backoff := objects.NewBackoff(m.config.ListEvery, listBackoffMax, m.random)
 	first := true
 	for {
 		select {
--- a/node/member/wire.go
+++ b/node/member/wire.go
@@ -4,8 +4,8 @@
 	"time"
 
 	"heatherlock/node/seam"
+	"heatherlock/objects"
 	"heatherlock/peer/peerpb"
-	"heatherlock/platform"
 	"heatherlock/steering"
 	"heatherlock/steering/membership"
 )
@@ -140,14 +140,14 @@
 }
 
 // listedStatus maps the platform's words.
-var listedStatus = map[platform.VMState]membership.Status{
-	platform.VMLive:    membership.Live,
-	platform.VMLeaving: membership.Leaving,
-	platform.VMGone:    membership.Gone,
+var listedStatus = map[objects.VMState]membership.Status{
+	objects.VMLive:    membership.Live,
+	objects.VMLeaving: membership.Leaving,
+	objects.VMGone:    membership.Gone,
 }
 
 // listedFrom leaves out lines whose state is not known.
-func listedFrom(vms []platform.VM) []membership.Listed {
+func listedFrom(vms []objects.VM) []membership.Listed {
 	var list []membership.Listed
 	for _, vm := range vms {
 		status, ok := listedStatus[vm.State]
--- a/node/node.go
+++ b/node/node.go
@@ -16,14 +16,14 @@
 	"heatherlock/node/static"
 	"heatherlock/node/telemetry"
 	"heatherlock/node/tlsconf"
-	"heatherlock/platform"
+	"heatherlock/objects"
 	"heatherlock/steering"
 )
 
 // Options are the parts of a daemon that a test or quickstart may replace.
 type Options struct {
 	// Platform replaces the client made from the settings.
-	Platform platform.API
+	Platform objects.API
 	// Listen and Dial replace those of package net.
 	Listen func(network, address string) (net.Listener, error)
 	Dial   forward.Dial
--- a/node/operator/config.go
+++ b/node/operator/config.go
@@ -6,7 +6,7 @@
 	"github.com/go-kit/log"
 	"github.com/uber-go/tally/v4"
 
-	"heatherlock/platform"
+	"heatherlock/objects"
 )
 
 // Token lets an operator in by a bearer token, of which only the SHA-256 is kept.
@@ -19,7 +19,7 @@
 type Config struct {
 	VM       string
 	Zone     string
-	Platform platform.API
+	Platform objects.API
 	Runtime  Runtime
 	// Tokens lists the operators; when empty, and no client certificate is
 	// asked for, everybody on the operators' listener is let in.
@@ -31,11 +31,11 @@
 const (
 	// maxObjectBytes leaves room in the platform's limit for what is added to
 	// an object before it is stored.
-	maxObjectBytes = platform.MaxValueBytes - 4<<10
+	maxObjectBytes = objects.MaxValueBytes - 4<<10
 	// maxBodyBytes bounds a request's body. Client blocks may be longer than
 	// one value of the platform, because they are split; checking costs some
 	// ten times the body in memory, which bounds this.
-	maxBodyBytes = 2 * platform.MaxValueBytes
+	maxBodyBytes = 2 * objects.MaxValueBytes
 	// maxWatches bounds the operators' watches through one entry VM, because
 	// the platform counts each waiting watch.
 	maxWatches = 64
--- a/node/operator/objects.go
+++ b/node/operator/objects.go
@@ -11,7 +11,7 @@
 	"heatherlock/api/check"
 	"heatherlock/api/oas"
 	"heatherlock/node/dynamic"
-	"heatherlock/platform"
+	"heatherlock/objects"
 )
 
 // encode returns what is stored of an object: no status, and no version, which
@@ -26,7 +26,7 @@
 type shardSource func(name string) (json.RawMessage, bool)
 
 // decode reads a stored object and puts its version in.
-func decode(stored platform.Object, shard shardSource) (oas.Object, error) {
+func decode(stored objects.Object, shard shardSource) (oas.Object, error) {
 	o := oas.Object{}
 	if stored.Kind == string(oas.KindClientBlocks) {
 		blocks, err := dynamic.JoinBlocks(stored.Value, shard)
@@ -50,7 +50,7 @@
 }
 
 // shardsIn returns the shards that a list holds.
-func shardsIn(stored []platform.Object) shardSource {
+func shardsIn(stored []objects.Object) shardSource {
 	shards := map[string]json.RawMessage{}
 	for _, one := range stored {
 		if one.Kind == dynamic.KindShard {
@@ -64,7 +64,7 @@
 }
 
 // decodeAll reads a list in which split objects come with their shards.
-func decodeAll(stored []platform.Object) ([]oas.Object, error) {
+func decodeAll(stored []objects.Object) ([]oas.Object, error) {
 	shards := shardsIn(stored)
 	objects := make([]oas.Object, 0, len(stored))
 	for _, one := range stored {
@@ -112,7 +112,7 @@
 		return o, exists, nil
 	}
 	stored, err := s.platform.Get(ctx, string(ref.Kind), ref.Name)
-	if platform.KindOf(err) == platform.NotFound {
+	if objects.KindOf(err) == objects.NotFound {
 		return o, false, nil
 	}
 	if err != nil {
@@ -207,4 +207,4 @@
 }
 
 // refOf names a stored object.
-func refOf(o platform.Object) check.Ref { return check.Ref{Kind: oas.Kind(o.Kind), Name: o.Name} }
+func refOf(o objects.Object) check.Ref { return check.Ref{Kind: oas.Kind(o.Kind), Name: o.Name} }
--- a/node/operator/operator_test.go
+++ b/node/operator/operator_test.go
@@ -21,7 +21,7 @@
 
 	"heatherlock/api/check"
 	"heatherlock/api/oas"
-	"heatherlock/platform"
+	"heatherlock/objects"
 	standin "heatherlock/standin/platform"
 )
 
@@ -139,12 +139,12 @@
 
 // lagging answers lists as they were when it was made.
 type lagging struct {
-	platform.API
-	objects  []platform.Object
+	objects.API
+	objects  []objects.Object
 	revision int64
 }
 
-func (l lagging) List(context.Context, ...string) ([]platform.Object, int64, error) {
+func (l lagging) List(context.Context, ...string) ([]objects.Object, int64, error) {
 	return l.objects, l.revision, nil
 }
 
@@ -161,11 +161,11 @@
 	first, second := read, read
 	first.Service.Spec.TimeoutMs = oas.NewOptInt64(200)
 	second.Service.Spec.Hosts = []string{"b.example"}
-	objects, revision, err := other.platform.List(context.Background(), smallKinds...)
+	listed, revision, err := other.platform.List(context.Background(), smallKinds...)
 	assert.NilError(t, err)
 	_, err = update(s, first, "")
 	assert.NilError(t, err)
-	for _, api := range []platform.API{other.platform, lagging{other.platform, objects, revision}} {
+	for _, api := range []objects.API{other.platform, lagging{other.platform, listed, revision}} {
 		other.platform = api
 		_, err = update(other, second, "")
 		assert.Equal(t, reasonOf(err), oas.ProblemReasonConflict, "%v", err)
--- a/node/operator/problem.go
+++ b/node/operator/problem.go
@@ -12,7 +12,7 @@
 
 	"heatherlock/api/check"
 	"heatherlock/api/oas"
-	"heatherlock/platform"
+	"heatherlock/objects"
 )
 
 // statuses maps each reason to its HTTP status.
@@ -75,7 +75,7 @@
 
 // fromPlatform turns a failed platform call into a refusal.
 func fromPlatform(err error, ref check.Ref) *Error {
-	var pe *platform.Error
+	var pe *objects.Error
 	if !errors.As(err, &pe) {
 		e := refuse(oas.ProblemReasonInternal, "try again; look into the entry VM's log", "unexpected failure")
 		e.Err = err
@@ -83,18 +83,18 @@
 	}
 	var e *Error
 	switch pe.Kind {
-	case platform.NotFound:
+	case objects.NotFound:
 		e = refuse(oas.ProblemReasonNotFound, "list the kind to see what there is", "there is no %s", ref)
-	case platform.Conflict:
+	case objects.Conflict:
 		e = refuse(oas.ProblemReasonConflict, "get it again and repeat the change on its new version", "%s was changed by somebody else first", ref)
-	case platform.Gone:
+	case objects.Gone:
 		e = refuse(oas.ProblemReasonGone, "list again and watch from the list's version", "the version to watch from is too old")
-	case platform.TooLarge:
+	case objects.TooLarge:
 		e = tooLarge(ref)
-	case platform.Unavailable, platform.Throttled:
+	case objects.Unavailable, objects.Throttled:
 		e = refuse(oas.ProblemReasonUnavailable, "come back after the time given; nothing was changed, and the configuration in force stays", "the platform does not answer (%s)", pe.Kind)
 		e.Problem.RetryAfterMs = oas.NewOptInt64(max(pe.RetryAfter, comeBack).Milliseconds())
-	case platform.Unknown:
+	case objects.Unknown:
 		e = refuse(oas.ProblemReasonOutcomeUnknown, "get the object and compare", "the platform broke off; %s may have been changed", ref)
 	default:
 		e = refuse(oas.ProblemReasonInternal, "look into the entry VM's log", "the platform refused the call (%s)", pe.Kind)
@@ -106,7 +106,7 @@
 // unreadable is the refusal for a read that may have failed in any way: it
 // changed nothing, whatever the platform says.
 func unreadable(err error, ref check.Ref) *Error {
-	if platform.KindOf(err) != platform.Unknown {
+	if objects.KindOf(err) != objects.Unknown {
 		return fromPlatform(err, ref)
 	}
 	e := refuse(oas.ProblemReasonUnavailable, "come back after the time given", "the platform broke off while reading")
--- a/node/operator/read.go
+++ b/node/operator/read.go
@@ -10,7 +10,7 @@
 	"heatherlock/api/check"
 	"heatherlock/api/oas"
 	"heatherlock/node/dynamic"
-	"heatherlock/platform"
+	"heatherlock/objects"
 )
 
 // ListObjects implements oas.Handler.
@@ -98,7 +98,7 @@
 	return append(kinds, dynamic.KindShiftProgress)
 }
 
-func (s *Server) convert(ctx context.Context, event platform.Event) (oas.WatchEvent, error) {
+func (s *Server) convert(ctx context.Context, event objects.Event) (oas.WatchEvent, error) {
 	stored := event.Object
 	e := oas.WatchEvent{Type: oas.WatchEventTypePut, Version: stored.Version, Kind: oas.Kind(stored.Kind), Name: stored.Name}
 	switch {
--- a/node/operator/server.go
+++ b/node/operator/server.go
@@ -14,13 +14,13 @@
 
 	"heatherlock/api/check"
 	"heatherlock/api/oas"
-	"heatherlock/platform"
+	"heatherlock/objects"
 )
 
 // Server serves the resource API and the status page.
 type Server struct {
 	vm       string
-	platform platform.API
+	platform objects.API
 	runtime  Runtime
 	tokens   []Token
 	log      log.Logger
--- a/node/operator/shards.go
+++ b/node/operator/shards.go
@@ -6,11 +6,11 @@
 
 	"heatherlock/api/oas"
 	"heatherlock/node/dynamic"
-	"heatherlock/platform"
+	"heatherlock/objects"
 )
 
 // encode fills in the value to store and returns the shards it refers to.
-func (c *change) encode() ([]platform.Object, error) {
+func (c *change) encode() ([]objects.Object, error) {
 	if c.object.Type == oas.ClientBlocksObject {
 		return c.encodeBlocks()
 	}
@@ -25,7 +25,7 @@
 	return nil, nil
 }
 
-func (c *change) encodeBlocks() ([]platform.Object, error) {
+func (c *change) encodeBlocks() ([]objects.Object, error) {
 	blocks := c.object.ClientBlocks
 	blocks.Status.Reset()
 	blocks.Metadata.Version.Reset()
@@ -46,7 +46,7 @@
 // reader would notice by a manifest that names a missing shard. A shard found
 // present is therefore written again unless the version it is based on names
 // it: its version changes, and the clean-up, which knows the older one, fails.
-func (s *Server) putShards(ctx context.Context, c change, shards []platform.Object) ([]platform.Object, error) {
+func (s *Server) putShards(ctx context.Context, c change, shards []objects.Object) ([]objects.Object, error) {
 	if c.ref.Kind != oas.KindClientBlocks {
 		return nil, nil
 	}
@@ -81,11 +81,11 @@
 	return names, nil
 }
 
-func (s *Server) putShard(ctx context.Context, shard platform.Object) error {
+func (s *Server) putShard(ctx context.Context, shard objects.Object) error {
 	var last error
 	for range writeAttempts {
 		_, last = s.platform.Create(ctx, dynamic.KindShard, shard.Name, shard.Value)
-		if platform.KindOf(last) == platform.Conflict {
+		if objects.KindOf(last) == objects.Conflict {
 			last = s.touchShard(ctx, shard)
 		}
 		if last == nil {
@@ -100,7 +100,7 @@
 	return e
 }
 
-func (s *Server) touchShard(ctx context.Context, shard platform.Object) error {
+func (s *Server) touchShard(ctx context.Context, shard objects.Object) error {
 	stored, err := s.platform.Get(ctx, dynamic.KindShard, shard.Name)
 	if err != nil {
 		return err
@@ -110,18 +110,18 @@
 }
 
 // staleShards returns the shards named before and not any more.
-func (s *Server) staleShards(ctx context.Context, named []string, shards []platform.Object) ([]platform.Object, error) {
-	var stale []platform.Object
+func (s *Server) staleShards(ctx context.Context, named []string, shards []objects.Object) ([]objects.Object, error) {
+	var stale []objects.Object
 	for _, name := range named {
-		if slices.ContainsFunc(shards, func(o platform.Object) bool { return o.Name == name }) {
+		if slices.ContainsFunc(shards, func(o objects.Object) bool { return o.Name == name }) {
 			continue
 		}
 		stored, err := s.platform.Get(ctx, dynamic.KindShard, name)
-		if platform.KindOf(err) == platform.NotFound {
+		if objects.KindOf(err) == objects.NotFound {
 			continue
 		}
 		if err != nil {
-			return nil, unreadable(err, refOf(platform.Object{Kind: dynamic.KindShard, Name: name}))
+			return nil, unreadable(err, refOf(objects.Object{Kind: dynamic.KindShard, Name: name}))
 		}
 		stale = append(stale, stored)
 	}
@@ -130,7 +130,7 @@
 
 // removeShards removes shards that nothing refers to. One that stays costs
 // space and nothing else, so that failures are counted and passed over.
-func (s *Server) removeShards(ctx context.Context, stale []platform.Object) {
+func (s *Server) removeShards(ctx context.Context, stale []objects.Object) {
 	for _, shard := range stale {
 		if _, err := s.platform.Delete(ctx, dynamic.KindShard, shard.Name, shard.Version); err != nil {
 			s.scope.Counter("operator_shards_left").Inc(1)
--- a/node/operator/write.go
+++ b/node/operator/write.go
@@ -8,7 +8,7 @@
 
 	"heatherlock/api/check"
 	"heatherlock/api/oas"
-	"heatherlock/platform"
+	"heatherlock/objects"
 )
 
 // change is one write on its way.
@@ -157,10 +157,10 @@
 			return decode(stored, s.fetchShards(ctx))
 		}
 		last = err
-		switch kind := platform.KindOf(err); {
-		case kind == platform.Unknown:
+		switch kind := objects.KindOf(err); {
+		case kind == objects.Unknown:
 			unknown = true
-		case kind == platform.Conflict, kind == platform.NotFound && c.base != 0:
+		case kind == objects.Conflict, kind == objects.NotFound && c.base != 0:
 			return s.settle(ctx, c, unknown)
 		case !unknown:
 			return c.object, fromPlatform(err, c.ref)
@@ -178,7 +178,7 @@
 	return c.object, e
 }
 
-func (s *Server) attempt(ctx context.Context, c change) (platform.Object, error) {
+func (s *Server) attempt(ctx context.Context, c change) (objects.Object, error) {
 	if c.base == 0 {
 		return s.platform.Create(ctx, string(c.ref.Kind), c.ref.Name, c.value)
 	}
@@ -197,7 +197,7 @@
 			}
 			return s.settled(c, o, unknown)
 		}
-		if platform.KindOf(err) == platform.NotFound && c.base != 0 && !unknown {
+		if objects.KindOf(err) == objects.NotFound && c.base != 0 && !unknown {
 			return c.object, refuse(oas.ProblemReasonNotFound, "create it again if it is still wanted", "%s was deleted by somebody else first", c.ref)
 		}
 		if !pause(ctx) {
@@ -287,16 +287,16 @@
 			return revision, nil
 		}
 		last = err
-		switch kind := platform.KindOf(err); {
-		case kind == platform.Unknown:
+		switch kind := objects.KindOf(err); {
+		case kind == objects.Unknown:
 			unknown = true
-		case kind == platform.NotFound && unknown:
+		case kind == objects.NotFound && unknown:
 			_, revision, err := s.platform.List(ctx, string(c.ref.Kind))
 			if err != nil {
 				return 0, fromPlatform(err, c.ref)
 			}
 			return revision, nil
-		case !unknown, kind == platform.Conflict:
+		case !unknown, kind == objects.Conflict:
 			return 0, fromPlatform(err, c.ref)
 		}
 		if !pause(ctx) {
--- a/node/parts.go
+++ b/node/parts.go
@@ -18,9 +18,9 @@
 	"heatherlock/node/seam"
 	"heatherlock/node/shiftdriver"
 	"heatherlock/node/tlsconf"
+	"heatherlock/objects"
 	"heatherlock/peer"
 	"heatherlock/peer/peerpb"
-	"heatherlock/platform"
 	"heatherlock/steering/lookup"
 )
 
@@ -28,7 +28,7 @@
 // interfaces in package seam; parts that need one made later reach it through
 // a hook, which runs only after all are made.
 type parts struct {
-	platform *platform.Budget
+	platform *objects.Budget
 	members  *member.Members
 	remote   *member.Remote
 	configs  *dynamic.Spread
@@ -179,9 +179,9 @@
 }
 
 // platformAPI returns the platform's client within its call budget.
-func (n *Node) platformAPI(given platform.API) (*platform.Budget, error) {
+func (n *Node) platformAPI(given objects.API) (*objects.Budget, error) {
 	if given == nil {
-		client, err := platform.NewClient(platform.ClientConfig{
+		client, err := objects.NewClient(objects.ClientConfig{
 			URL: n.settings.Platform.URL, VM: string(n.settings.VM), Zone: string(n.settings.Zone),
 			Timeout: n.settings.Platform.Timeout(), Scope: n.metrics.Scope,
 		})
@@ -190,7 +190,7 @@
 		}
 		given = client
 	}
-	return platform.NewBudget(given, platform.BudgetConfig{Scope: n.metrics.Scope}), nil
+	return objects.NewBudget(given, objects.BudgetConfig{Scope: n.metrics.Scope}), nil
 }
 
 // buildTLS reads the certificates of the listeners that authenticate.
--- a/node/shiftdriver/driver.go
+++ b/node/shiftdriver/driver.go
@@ -13,7 +13,7 @@
 	"github.com/uber-go/tally/v4"
 
 	"heatherlock/node/seam"
-	"heatherlock/platform"
+	"heatherlock/objects"
 	"heatherlock/steering"
 	"heatherlock/steering/routing"
 	"heatherlock/steering/shift"
@@ -43,7 +43,7 @@
 type Config struct {
 	Configs  seam.Configs
 	Members  seam.Members
-	Platform platform.API
+	Platform objects.API
 	// Leader says whether this entry VM is its zone's reader now, and its epoch.
 	Leader func() (epoch int64, leading bool)
 	// Pools returns the newest word on each pool.
@@ -63,7 +63,7 @@
 	self    seam.Member
 	tracks  map[string]*track
 	retry   time.Time // no write before
-	backoff *platform.Backoff
+	backoff *objects.Backoff
 	writes  tally.Counter
 	steps   tally.Counter
 	failed  tally.Counter
@@ -88,7 +88,7 @@
 	scope := c.Scope.SubScope("shift")
 	return &Driver{
 		config: c, self: c.Members.Self(), tracks: map[string]*track{},
-		backoff: platform.NewBackoff(retryFirst, retryMax, c.Random),
+		backoff: objects.NewBackoff(retryFirst, retryMax, c.Random),
 		writes:  scope.Counter("progress_writes"), steps: scope.Counter("steps"), failed: scope.Counter("progress_failed"),
 	}, nil
 }
@@ -236,7 +236,7 @@
 	if err != nil {
 		return errors.Wrap(err, "shiftdriver: encode progress")
 	}
-	var stored platform.Object
+	var stored objects.Object
 	if before == nil {
 		stored, err = d.config.Platform.Create(ctx, routing.KindShiftProgress, name, value)
 	} else {
@@ -271,8 +271,8 @@
 // the next snapshot tells. A write whose outcome is unknown is like a conflict:
 // whatever became of it, a repeat is conditional on the same record.
 func (d *Driver) settle(name string, version int64, err error) error {
-	switch platform.KindOf(err) {
-	case platform.Conflict, platform.NotFound, platform.Unknown:
+	switch objects.KindOf(err) {
+	case objects.Conflict, objects.NotFound, objects.Unknown:
 		d.tracks[name].pause = time.Now().Add(retryFirst)
 		return nil
 	}
--- a/platform/platform.go
+++ b/objects/platform.go
@@ -1,7 +1,7 @@
-// Package platform is the narrow interface to the platform's object API: the
+// Package objects is the narrow interface to the platform's object API: the
 // only place where anything of heatherlock lasts. The HTTP client is in this
 // package too; the stand-in used by tests and quickstart is in standin/.
-package platform
+package objects
 
 import (
 	"context"
--- a/standin/platform/budget_test.go
+++ b/standin/platform/budget_test.go
@@ -9,7 +9,7 @@
 
 	"gotest.tools/v3/assert"
 
-	"heatherlock/platform"
+	"heatherlock/objects"
 )
 
 // Symptom: the platform comes back and is at once driven over its rates again.
@@ -22,7 +22,7 @@
 		stop := make(chan struct{})
 		for i := range callers {
 			random := rand.New(rand.NewPCG(1, uint64(i))).Float64
-			api := platform.NewBudget(store.As(fmt.Sprintf("vm-%d", i), "zone"), platform.BudgetConfig{Random: random})
+			api := objects.NewBudget(store.As(fmt.Sprintf("vm-%d", i), "zone"), objects.BudgetConfig{Random: random})
 			go func() {
 				for {
 					select {
@@ -62,26 +62,26 @@
 func TestBudgetRefusesLocallyWithTimeToComeBack(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		store := NewStore(Options{})
-		api := platform.NewBudget(store.As("vm", "zone"), platform.BudgetConfig{ReadsPerSecond: 1, Burst: 2})
+		api := objects.NewBudget(store.As("vm", "zone"), objects.BudgetConfig{ReadsPerSecond: 1, Burst: 2})
 		_, _ = api.Get(t.Context(), "Cap", "sur")
 		_, _ = api.Get(t.Context(), "Cap", "sur")
 		_, err := api.Get(t.Context(), "Cap", "sur") // waits a second for its turn
-		assert.Equal(t, platform.KindOf(err), platform.NotFound)
+		assert.Equal(t, objects.KindOf(err), objects.NotFound)
 		store.Down(true)
 		time.Sleep(2 * time.Second)
 		_, err = api.Get(t.Context(), "Cap", "sur")
-		assert.Equal(t, platform.KindOf(err), platform.Unavailable)
+		assert.Equal(t, objects.KindOf(err), objects.Unavailable)
 		arrived := store.Counts().Total
 		_, err = api.Get(t.Context(), "Cap", "sur")
-		var e *platform.Error
+		var e *objects.Error
 		assert.Assert(t, asError(err, &e))
 		assert.Assert(t, e.RetryAfter > 0)
 		assert.Equal(t, store.Counts().Total, arrived)
 	})
 }
 
-func asError(err error, e **platform.Error) bool {
+func asError(err error, e **objects.Error) bool {
 	var ok bool
-	*e, ok = err.(*platform.Error)
+	*e, ok = err.(*objects.Error)
 	return ok
 }
--- a/standin/platform/handler.go
+++ b/standin/platform/handler.go
@@ -9,21 +9,21 @@
 
 	"github.com/go-faster/errors"
 
-	"heatherlock/platform"
+	"heatherlock/objects"
 )
 
 // maxWatchWait bounds how long a watch over HTTP may wait.
 const maxWatchWait = time.Minute
 
 // statuses maps error kinds to HTTP statuses.
-var statuses = map[platform.ErrorKind]int{
-	platform.Invalid:     http.StatusBadRequest,
-	platform.NotFound:    http.StatusNotFound,
-	platform.Conflict:    http.StatusConflict,
-	platform.Gone:        http.StatusGone,
-	platform.TooLarge:    http.StatusRequestEntityTooLarge,
-	platform.Throttled:   http.StatusTooManyRequests,
-	platform.Unavailable: http.StatusServiceUnavailable,
+var statuses = map[objects.ErrorKind]int{
+	objects.Invalid:     http.StatusBadRequest,
+	objects.NotFound:    http.StatusNotFound,
+	objects.Conflict:    http.StatusConflict,
+	objects.Gone:        http.StatusGone,
+	objects.TooLarge:    http.StatusRequestEntityTooLarge,
+	objects.Throttled:   http.StatusTooManyRequests,
+	objects.Unavailable: http.StatusServiceUnavailable,
 }
 
 // Handler serves the store over HTTP.
@@ -40,11 +40,11 @@
 }
 
 // operation answers one request with a body to encode, or an error.
-type operation func(api platform.API, r *http.Request) (any, error)
+type operation func(api objects.API, r *http.Request) (any, error)
 
 func (s *Store) serve(f operation) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
-		api := s.As(r.Header.Get(platform.HeaderClient), r.Header.Get(platform.HeaderZone))
+		api := s.As(r.Header.Get(objects.HeaderClient), r.Header.Get(objects.HeaderZone))
 		body, err := f(api, r)
 		if errors.Is(err, errReplyLost) || errors.Is(err, errCutOff) {
 			panic(http.ErrAbortHandler) // breaks the connection without a reply
@@ -60,35 +60,35 @@
 
 func writeError(w http.ResponseWriter, err error) {
 	status := http.StatusInternalServerError
-	var e *platform.Error
+	var e *objects.Error
 	if errors.As(err, &e) {
 		status = statuses[e.Kind]
-		w.Header().Set(platform.HeaderRetryAfterMs, strconv.FormatInt(e.RetryAfter.Milliseconds(), 10))
+		w.Header().Set(objects.HeaderRetryAfterMs, strconv.FormatInt(e.RetryAfter.Milliseconds(), 10))
 	}
 	http.Error(w, err.Error(), status)
 }
 
-func invalid(err error) error { return failure(platform.Invalid, err) }
+func invalid(err error) error { return failure(objects.Invalid, err) }
 
-func list(api platform.API, r *http.Request) (any, error) {
-	objects, revision, err := api.List(r.Context(), r.URL.Query()["kind"]...)
-	return platform.ListReply{Revision: revision, Objects: objects}, err
+func list(api objects.API, r *http.Request) (any, error) {
+	found, revision, err := api.List(r.Context(), r.URL.Query()["kind"]...)
+	return objects.ListReply{Revision: revision, Objects: found}, err
 }
 
-func get(api platform.API, r *http.Request) (any, error) {
+func get(api objects.API, r *http.Request) (any, error) {
 	return api.Get(r.Context(), r.PathValue("kind"), r.PathValue("name"))
 }
 
 // readValue reads one byte more than allowed, so that the store refuses it.
 func readValue(r *http.Request) (json.RawMessage, error) {
-	value, err := io.ReadAll(io.LimitReader(r.Body, platform.MaxValueBytes+1))
+	value, err := io.ReadAll(io.LimitReader(r.Body, objects.MaxValueBytes+1))
 	if err != nil {
 		return nil, invalid(err)
 	}
 	return value, nil
 }
 
-func create(api platform.API, r *http.Request) (any, error) {
+func create(api objects.API, r *http.Request) (any, error) {
 	value, err := readValue(r)
 	if err != nil {
 		return nil, err
@@ -97,14 +97,14 @@
 }
 
 func ifMatch(r *http.Request) (int64, error) {
-	version, err := strconv.ParseInt(r.Header.Get(platform.HeaderIfMatch), 10, 64)
+	version, err := strconv.ParseInt(r.Header.Get(objects.HeaderIfMatch), 10, 64)
 	if err != nil {
 		return 0, invalid(errors.Wrap(err, "header If-Match must hold the version"))
 	}
 	return version, nil
 }
 
-func update(api platform.API, r *http.Request) (any, error) {
+func update(api objects.API, r *http.Request) (any, error) {
 	version, err := ifMatch(r)
 	if err != nil {
 		return nil, err
@@ -116,16 +116,16 @@
 	return api.Update(r.Context(), r.PathValue("kind"), r.PathValue("name"), version, value)
 }
 
-func remove(api platform.API, r *http.Request) (any, error) {
+func remove(api objects.API, r *http.Request) (any, error) {
 	version, err := ifMatch(r)
 	if err != nil {
 		return nil, err
 	}
 	revision, err := api.Delete(r.Context(), r.PathValue("kind"), r.PathValue("name"), version)
-	return platform.RevisionReply{Revision: revision}, err
+	return objects.RevisionReply{Revision: revision}, err
 }
 
-func watch(api platform.API, r *http.Request) (any, error) {
+func watch(api objects.API, r *http.Request) (any, error) {
 	query := r.URL.Query()
 	since, err := strconv.ParseInt(query.Get("since"), 10, 64)
 	if err != nil {
@@ -137,10 +137,10 @@
 	}
 	wait := min(time.Duration(waitMs)*time.Millisecond, maxWatchWait)
 	events, revision, err := api.Watch(r.Context(), since, wait, query["kind"]...)
-	return platform.WatchReply{Revision: revision, Events: events}, err
+	return objects.WatchReply{Revision: revision, Events: events}, err
 }
 
-func vms(api platform.API, r *http.Request) (any, error) {
+func vms(api objects.API, r *http.Request) (any, error) {
 	list, err := api.VMs(r.Context())
-	return platform.VMsReply{VMs: list}, err
+	return objects.VMsReply{VMs: list}, err
 }
--- a/standin/platform/http_test.go
+++ b/standin/platform/http_test.go
@@ -10,15 +10,15 @@
 	"github.com/uber-go/tally/v4"
 	"gotest.tools/v3/assert"
 
-	"heatherlock/platform"
+	"heatherlock/objects"
 )
 
 // start serves a store on loopback and returns a client of zone norte-a.
-func start(t *testing.T, scope tally.Scope) (*Store, *platform.Client) {
+func start(t *testing.T, scope tally.Scope) (*Store, *objects.Client) {
 	store := NewStore(Options{})
 	server := httptest.NewServer(store.Handler())
 	t.Cleanup(server.Close)
-	client, err := platform.NewClient(platform.ClientConfig{URL: server.URL, VM: "norte-a-1", Zone: "norte-a", Scope: scope})
+	client, err := objects.NewClient(objects.ClientConfig{URL: server.URL, VM: "norte-a-1", Zone: "norte-a", Scope: scope})
 	assert.NilError(t, err)
 	return store, client
 }
@@ -32,22 +32,22 @@
 	updated, err := client.Update(ctx, "Place", "baños/norte", created.Version, json.RawMessage(`{"a":2}`))
 	assert.NilError(t, err)
 	_, err = client.Update(ctx, "Place", "baños/norte", created.Version, json.RawMessage(`{"a":3}`))
-	assert.Equal(t, platform.KindOf(err), platform.Conflict)
-	objects, revision, err := client.List(ctx, "Place", "Cap")
+	assert.Equal(t, objects.KindOf(err), objects.Conflict)
+	listed, revision, err := client.List(ctx, "Place", "Cap")
 	assert.NilError(t, err)
-	assert.DeepEqual(t, objects, []platform.Object{updated})
+	assert.DeepEqual(t, listed, []objects.Object{updated})
 	assert.Equal(t, revision, updated.Version)
 	events, revision, err := client.Watch(ctx, created.Version, time.Second)
 	assert.NilError(t, err)
-	assert.DeepEqual(t, events, []platform.Event{{Object: updated}})
+	assert.DeepEqual(t, events, []objects.Event{{Object: updated}})
 	removed, err := client.Delete(ctx, "Place", "baños/norte", updated.Version)
 	assert.NilError(t, err)
 	assert.Equal(t, removed, revision+1)
 	_, err = client.Get(ctx, "Place", "baños/norte")
-	assert.Equal(t, platform.KindOf(err), platform.NotFound)
+	assert.Equal(t, objects.KindOf(err), objects.NotFound)
 	store.Compact(removed)
 	_, _, err = client.Watch(ctx, created.Version, 0)
-	assert.Equal(t, platform.KindOf(err), platform.Gone)
+	assert.Equal(t, objects.KindOf(err), objects.Gone)
 	assert.Equal(t, store.Counts().ByClient["norte-a-1"], int64(8))
 	assert.Equal(t, scope.Snapshot().Counters()["platform_calls+op=update"].Value(), int64(2))
 	assert.Equal(t, scope.Snapshot().Counters()["platform_errors+kind=conflict,op=update"].Value(), int64(1))
@@ -61,7 +61,7 @@
 	store, client := start(t, nil)
 	store.LoseReplies(1)
 	_, err := client.Create(t.Context(), "Cap", "sur", json.RawMessage(`1`))
-	assert.Equal(t, platform.KindOf(err), platform.Unknown)
+	assert.Equal(t, objects.KindOf(err), objects.Unknown)
 	stored, err := client.Get(t.Context(), "Cap", "sur")
 	assert.NilError(t, err)
 	assert.Equal(t, stored.Version, int64(1))
@@ -74,22 +74,22 @@
 	server := httptest.NewServer(nil)
 	url := server.URL
 	server.Close()
-	client, err := platform.NewClient(platform.ClientConfig{URL: url})
+	client, err := objects.NewClient(objects.ClientConfig{URL: url})
 	assert.NilError(t, err)
 	_, err = client.Create(t.Context(), "Cap", "sur", json.RawMessage(`1`))
-	assert.Equal(t, platform.KindOf(err), platform.Unavailable)
+	assert.Equal(t, objects.KindOf(err), objects.Unavailable)
 }
 
 func TestCutOffOverHTTP(t *testing.T) {
 	store, client := start(t, nil)
 	store.CutOff("norte-a", true)
 	_, err := client.Create(t.Context(), "Cap", "sur", json.RawMessage(`1`))
-	assert.Equal(t, platform.KindOf(err), platform.Unknown)
+	assert.Equal(t, objects.KindOf(err), objects.Unknown)
 	_, err = client.Get(t.Context(), "Cap", "sur")
-	assert.Equal(t, platform.KindOf(err), platform.Unavailable)
+	assert.Equal(t, objects.KindOf(err), objects.Unavailable)
 	store.CutOff("norte-a", false)
 	_, err = client.Get(t.Context(), "Cap", "sur")
-	assert.Equal(t, platform.KindOf(err), platform.NotFound)
+	assert.Equal(t, objects.KindOf(err), objects.NotFound)
 }
 
 func TestDeadlineOfSlowPlatform(t *testing.T) {
@@ -98,12 +98,12 @@
 	ctx, cancel := context.WithTimeout(t.Context(), 20*time.Millisecond)
 	defer cancel()
 	_, err := client.Get(ctx, "Cap", "sur")
-	assert.Equal(t, platform.KindOf(err), platform.Unavailable)
+	assert.Equal(t, objects.KindOf(err), objects.Unavailable)
 	assert.ErrorIs(t, err, context.DeadlineExceeded)
 }
 
 func TestBadURLNamesTheField(t *testing.T) {
-	_, err := platform.NewClient(platform.ClientConfig{URL: "10.0.0.1:80"})
-	assert.Equal(t, platform.KindOf(err), platform.Invalid)
+	_, err := objects.NewClient(objects.ClientConfig{URL: "10.0.0.1:80"})
+	assert.Equal(t, objects.KindOf(err), objects.Invalid)
 	assert.ErrorContains(t, err, "platform.url")
 }
--- a/standin/platform/session.go
+++ b/standin/platform/session.go
@@ -7,7 +7,7 @@
 
 	"github.com/go-faster/errors"
 
-	"heatherlock/platform"
+	"heatherlock/objects"
 )
 
 // session is the store as one caller sees it.
@@ -17,10 +17,10 @@
 	zone   string
 }
 
-var _ platform.API = session{}
+var _ objects.API = session{}
 
 // As returns the store as one caller in one zone sees it.
-func (s *Store) As(client, zone string) platform.API {
+func (s *Store) As(client, zone string) objects.API {
 	return session{store: s, client: client, zone: zone}
 }
 
@@ -39,7 +39,7 @@
 	slow := c.store.faults.slow
 	c.store.mu.Unlock()
 	if err := sleep(ctx, slow); err != nil {
-		return failure(platform.Unavailable, err)
+		return failure(objects.Unavailable, err)
 	}
 	c.store.mu.Lock()
 	defer c.store.mu.Unlock()
@@ -48,7 +48,7 @@
 	}
 	if !c.allow(op, now) {
 		c.store.counters.counts.Throttled++
-		return &platform.Error{Kind: platform.Throttled, RetryAfter: throttleRetry, Err: errors.New("over the rate")}
+		return &objects.Error{Kind: objects.Throttled, RetryAfter: throttleRetry, Err: errors.New("over the rate")}
 	}
 	return nil
 }
@@ -70,16 +70,16 @@
 // blocked returns why no call of this caller gets through; Store.mu is held.
 func (c session) blocked() error {
 	if c.store.faults.cut[c.zone] {
-		return failure(platform.Unavailable, errCutOff)
+		return failure(objects.Unavailable, errCutOff)
 	}
 	if c.store.faults.down {
-		return failure(platform.Unavailable, errors.New("the platform is down"))
+		return failure(objects.Unavailable, errors.New("the platform is down"))
 	}
 	return nil
 }
 
 func (c session) allow(op string, now time.Time) bool {
-	if platform.IsWrite(op) {
+	if objects.IsWrite(op) {
 		return c.store.writes.AllowN(now, 1)
 	}
 	return c.store.reads.AllowN(now, 1)
@@ -102,7 +102,7 @@
 			return err
 		}
 		if c.store.loseReply() {
-			return failure(platform.Unknown, errReplyLost)
+			return failure(objects.Unknown, errReplyLost)
 		}
 		return nil
 	})
@@ -110,7 +110,7 @@
 
 // named fills in the call that an error belongs to.
 func named(err error, op, object string) error {
-	var e *platform.Error
+	var e *objects.Error
 	if !errors.As(err, &e) {
 		return err
 	}
@@ -119,33 +119,33 @@
 	return e
 }
 
-// Get implements platform.API.
-func (c session) Get(ctx context.Context, kind, name string) (object platform.Object, err error) {
-	err = c.read(ctx, platform.OpGet, kind+"/"+name, func() error {
+// Get implements objects.API.
+func (c session) Get(ctx context.Context, kind, name string) (object objects.Object, err error) {
+	err = c.read(ctx, objects.OpGet, kind+"/"+name, func() error {
 		found := false
 		object, found = c.store.at(objectKey{kind, name}, c.store.readRevision())
 		if !found {
-			object = platform.Object{}
-			return failure(platform.NotFound, nil)
+			object = objects.Object{}
+			return failure(objects.NotFound, nil)
 		}
 		return nil
 	})
 	return object, err
 }
 
-// List implements platform.API.
-func (c session) List(ctx context.Context, kinds ...string) (objects []platform.Object, revision int64, err error) {
-	err = c.read(ctx, platform.OpList, "", func() error {
+// List implements objects.API.
+func (c session) List(ctx context.Context, kinds ...string) (found []objects.Object, revision int64, err error) {
+	err = c.read(ctx, objects.OpList, "", func() error {
 		revision = c.store.readRevision()
-		objects = c.store.list(kinds, revision)
+		found = c.store.list(kinds, revision)
 		return nil
 	})
-	return objects, revision, err
+	return found, revision, err
 }
 
-// Create implements platform.API.
-func (c session) Create(ctx context.Context, kind, name string, value json.RawMessage) (object platform.Object, err error) {
-	err = c.write(ctx, platform.OpCreate, kind+"/"+name, func() error {
+// Create implements objects.API.
+func (c session) Create(ctx context.Context, kind, name string, value json.RawMessage) (object objects.Object, err error) {
+	err = c.write(ctx, objects.OpCreate, kind+"/"+name, func() error {
 		value, err := checkValue(value)
 		if err == nil {
 			object, err = c.store.create(objectKey{kind, name}, value)
@@ -155,9 +155,9 @@
 	return onSuccess(object, err), err
 }
 
-// Update implements platform.API.
-func (c session) Update(ctx context.Context, kind, name string, version int64, value json.RawMessage) (object platform.Object, err error) {
-	err = c.write(ctx, platform.OpUpdate, kind+"/"+name, func() error {
+// Update implements objects.API.
+func (c session) Update(ctx context.Context, kind, name string, version int64, value json.RawMessage) (object objects.Object, err error) {
+	err = c.write(ctx, objects.OpUpdate, kind+"/"+name, func() error {
 		value, err := checkValue(value)
 		if err == nil {
 			object, err = c.store.update(objectKey{kind, name}, version, value)
@@ -167,9 +167,9 @@
 	return onSuccess(object, err), err
 }
 
-// Delete implements platform.API.
+// Delete implements objects.API.
 func (c session) Delete(ctx context.Context, kind, name string, version int64) (revision int64, err error) {
-	err = c.write(ctx, platform.OpDelete, kind+"/"+name, func() error {
+	err = c.write(ctx, objects.OpDelete, kind+"/"+name, func() error {
 		revision, err = c.store.remove(objectKey{kind, name}, version)
 		return err
 	})
@@ -185,17 +185,17 @@
 	return result
 }
 
-// Watch implements platform.API.
-func (c session) Watch(ctx context.Context, since int64, wait time.Duration, kinds ...string) ([]platform.Event, int64, error) {
-	if err := c.enter(ctx, platform.OpWatch); err != nil {
-		return nil, 0, named(err, platform.OpWatch, "")
+// Watch implements objects.API.
+func (c session) Watch(ctx context.Context, since int64, wait time.Duration, kinds ...string) ([]objects.Event, int64, error) {
+	if err := c.enter(ctx, objects.OpWatch); err != nil {
+		return nil, 0, named(err, objects.OpWatch, "")
 	}
 	timeout := time.NewTimer(wait)
 	defer timeout.Stop()
 	for {
 		events, revision, changed, err := c.poll(since, kinds)
 		if err != nil {
-			return nil, 0, named(err, platform.OpWatch, "")
+			return nil, 0, named(err, objects.OpWatch, "")
 		}
 		if len(events) > 0 {
 			return events, revision, nil
@@ -205,13 +205,13 @@
 		case <-timeout.C:
 			return events, revision, nil
 		case <-ctx.Done():
-			return nil, 0, named(failure(platform.Unavailable, ctx.Err()), platform.OpWatch, "")
+			return nil, 0, named(failure(objects.Unavailable, ctx.Err()), objects.OpWatch, "")
 		}
 	}
 }
 
 // poll looks once for events and returns the channel that the next change closes.
-func (c session) poll(since int64, kinds []string) ([]platform.Event, int64, chan struct{}, error) {
+func (c session) poll(since int64, kinds []string) ([]objects.Event, int64, chan struct{}, error) {
 	c.store.mu.Lock()
 	defer c.store.mu.Unlock()
 	if err := c.blocked(); err != nil {
@@ -221,9 +221,9 @@
 	return events, c.store.revision, c.store.changed, err
 }
 
-// VMs implements platform.API.
-func (c session) VMs(ctx context.Context) (vms []platform.VM, err error) {
-	err = c.read(ctx, platform.OpVMs, "", func() error {
+// VMs implements objects.API.
+func (c session) VMs(ctx context.Context) (vms []objects.VM, err error) {
+	err = c.read(ctx, objects.OpVMs, "", func() error {
 		vms = c.store.vms.at(time.Now())
 		return nil
 	})
--- a/standin/platform/store.go
+++ b/standin/platform/store.go
@@ -11,7 +11,7 @@
 	"github.com/go-faster/errors"
 	"golang.org/x/time/rate"
 
-	"heatherlock/platform"
+	"heatherlock/objects"
 )
 
 // Defaults of the stand-in's options.
@@ -34,7 +34,7 @@
 // record is the state of one object from a revision on.
 type record struct {
 	revision int64
-	object   platform.Object
+	object   objects.Object
 	deleted  bool
 }
 
@@ -44,7 +44,7 @@
 	revision int64
 	// compacted is the oldest revision that a watch may start from.
 	compacted int64
-	events    []platform.Event
+	events    []objects.Event
 	kept      int
 	// history holds the records of each object, newest last, as far back as
 	// stale reads may go.
@@ -126,29 +126,29 @@
 }
 
 func (s *Store) firstEventAfter(revision int64) int {
-	first, _ := slices.BinarySearchFunc(s.events, revision+1, func(e platform.Event, r int64) int {
+	first, _ := slices.BinarySearchFunc(s.events, revision+1, func(e objects.Event, r int64) int {
 		return int(e.Object.Version - r)
 	})
 	return first
 }
 
 // at returns the object as it was at a revision.
-func (s *Store) at(key objectKey, revision int64) (platform.Object, bool) {
+func (s *Store) at(key objectKey, revision int64) (objects.Object, bool) {
 	records := s.history[key]
 	for i := len(records) - 1; i >= 0; i-- {
 		if records[i].revision <= revision {
 			return records[i].object, !records[i].deleted
 		}
 	}
-	return platform.Object{}, false
+	return objects.Object{}, false
 }
 
 // put stores a change as the next revision and wakes the watches.
-func (s *Store) put(key objectKey, value json.RawMessage, deleted bool) platform.Object {
+func (s *Store) put(key objectKey, value json.RawMessage, deleted bool) objects.Object {
 	s.revision++
-	object := platform.Object{Kind: key.kind, Name: key.name, Version: s.revision, Value: value}
+	object := objects.Object{Kind: key.kind, Name: key.name, Version: s.revision, Value: value}
 	s.history[key] = append(s.history[key], record{revision: s.revision, object: object, deleted: deleted})
-	s.events = append(s.events, platform.Event{Object: object, Deleted: deleted})
+	s.events = append(s.events, objects.Event{Object: object, Deleted: deleted})
 	if len(s.events) > 2*s.kept {
 		s.compact(s.events[len(s.events)-s.kept].Object.Version - 1)
 	}
@@ -161,16 +161,16 @@
 	s.changed = make(chan struct{})
 }
 
-func (s *Store) create(key objectKey, value json.RawMessage) (platform.Object, error) {
+func (s *Store) create(key objectKey, value json.RawMessage) (objects.Object, error) {
 	if old, ok := s.at(key, s.revision); ok {
-		return platform.Object{}, failure(platform.Conflict, errors.Errorf("exists at version %d", old.Version))
+		return objects.Object{}, failure(objects.Conflict, errors.Errorf("exists at version %d", old.Version))
 	}
 	return s.put(key, value, false), nil
 }
 
-func (s *Store) update(key objectKey, version int64, value json.RawMessage) (platform.Object, error) {
+func (s *Store) update(key objectKey, version int64, value json.RawMessage) (objects.Object, error) {
 	if err := s.check(key, version); err != nil {
-		return platform.Object{}, err
+		return objects.Object{}, err
 	}
 	return s.put(key, value, false), nil
 }
@@ -186,43 +186,43 @@
 func (s *Store) check(key objectKey, version int64) error {
 	old, ok := s.at(key, s.revision)
 	if !ok {
-		return failure(platform.NotFound, nil)
+		return failure(objects.NotFound, nil)
 	}
 	if old.Version != version {
-		return failure(platform.Conflict, errors.Errorf("version %d given, %d stored", version, old.Version))
+		return failure(objects.Conflict, errors.Errorf("version %d given, %d stored", version, old.Version))
 	}
 	return nil
 }
 
 // list returns the objects of the kinds at a revision, sorted.
-func (s *Store) list(kinds []string, revision int64) []platform.Object {
-	objects := []platform.Object{}
+func (s *Store) list(kinds []string, revision int64) []objects.Object {
+	found := []objects.Object{}
 	for key := range s.history {
 		if !wanted(kinds, key.kind) {
 			continue
 		}
 		if object, ok := s.at(key, revision); ok {
-			objects = append(objects, object)
+			found = append(found, object)
 		}
 	}
-	slices.SortFunc(objects, func(a, b platform.Object) int {
+	slices.SortFunc(found, func(a, b objects.Object) int {
 		if c := strings.Compare(a.Kind, b.Kind); c != 0 {
 			return c
 		}
 		return strings.Compare(a.Name, b.Name)
 	})
-	return objects
+	return found
 }
 
 // eventsAfter returns the changes of the kinds after a revision.
-func (s *Store) eventsAfter(since int64, kinds []string) ([]platform.Event, error) {
+func (s *Store) eventsAfter(since int64, kinds []string) ([]objects.Event, error) {
 	if since < s.compacted {
-		return nil, failure(platform.Gone, errors.Errorf("revision %d given, oldest kept %d", since, s.compacted))
+		return nil, failure(objects.Gone, errors.Errorf("revision %d given, oldest kept %d", since, s.compacted))
 	}
 	if since > s.revision {
-		return nil, failure(platform.Invalid, errors.Errorf("revision %d given, newest %d", since, s.revision))
+		return nil, failure(objects.Invalid, errors.Errorf("revision %d given, newest %d", since, s.revision))
 	}
-	events := []platform.Event{}
+	events := []objects.Event{}
 	for _, e := range s.events[s.firstEventAfter(since):] {
 		if wanted(kinds, e.Object.Kind) {
 			events = append(events, e)
@@ -239,19 +239,19 @@
 
 // checkValue returns the value in compact form or why it cannot be stored.
 func checkValue(value json.RawMessage) (json.RawMessage, error) {
-	if len(value) > platform.MaxValueBytes {
-		return nil, failure(platform.TooLarge, errors.Errorf("%d bytes, at most %d", len(value), platform.MaxValueBytes))
+	if len(value) > objects.MaxValueBytes {
+		return nil, failure(objects.TooLarge, errors.Errorf("%d bytes, at most %d", len(value), objects.MaxValueBytes))
 	}
 	var compact bytes.Buffer
 	if err := json.Compact(&compact, value); err != nil {
-		return nil, failure(platform.Invalid, errors.Wrap(err, "value is no JSON"))
+		return nil, failure(objects.Invalid, errors.Wrap(err, "value is no JSON"))
 	}
 	return compact.Bytes(), nil
 }
 
 // failure returns an error whose call is filled in by the caller.
-func failure(kind platform.ErrorKind, cause error) *platform.Error {
-	return &platform.Error{Kind: kind, Err: cause}
+func failure(kind objects.ErrorKind, cause error) *objects.Error {
+	return &objects.Error{Kind: kind, Err: cause}
 }
 
 // throttleRetry is the time to come back that a throttled call is given.
--- a/standin/platform/store_test.go
+++ b/standin/platform/store_test.go
@@ -13,7 +13,7 @@
 	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
 
-	"heatherlock/platform"
+	"heatherlock/objects"
 )
 
 var kinds = []string{"Place", "Shift"}
@@ -21,14 +21,14 @@
 // reference is what the store ought to hold, kept as a plain map of whole
 // states by revision.
 type reference struct {
-	states []map[string]platform.Object // index is the revision
-	events []platform.Event
+	states []map[string]objects.Object // index is the revision
+	events []objects.Event
 }
 
-func (r *reference) now() map[string]platform.Object { return r.states[len(r.states)-1] }
+func (r *reference) now() map[string]objects.Object { return r.states[len(r.states)-1] }
 
-func (r *reference) change(o platform.Object, deleted bool) {
-	next := map[string]platform.Object{}
+func (r *reference) change(o objects.Object, deleted bool) {
+	next := map[string]objects.Object{}
 	for k, v := range r.now() {
 		next[k] = v
 	}
@@ -38,14 +38,14 @@
 		next[o.Kind+"/"+o.Name] = o
 	}
 	r.states = append(r.states, next)
-	r.events = append(r.events, platform.Event{Object: o, Deleted: deleted})
+	r.events = append(r.events, objects.Event{Object: o, Deleted: deleted})
 }
 
 // machine drives the store and the reference side by side. Its last action may
 // have been a write whose reply was lost.
 type machine struct {
 	store *Store
-	api   platform.API
+	api   objects.API
 	ref   reference
 	lossy bool
 	stale int64
@@ -57,41 +57,41 @@
 }
 
 // settle compares how a write ended with how it should have ended.
-func (m *machine) settle(t *rapid.T, want platform.ErrorKind, err error, next platform.Object, deleted bool) {
+func (m *machine) settle(t *rapid.T, want objects.ErrorKind, err error, next objects.Object, deleted bool) {
 	if want == "" {
 		next.Version = int64(len(m.ref.states))
 		m.ref.change(next, deleted)
 		if m.lossy {
-			want = platform.Unknown
+			want = objects.Unknown
 		}
 	}
-	assert.Equal(t, platform.KindOf(err), want)
+	assert.Equal(t, objects.KindOf(err), want)
 	assert.Equal(t, m.store.Revision(), int64(len(m.ref.states)-1))
 }
 
 func (m *machine) Create(t *rapid.T) {
 	kind, name := m.draw(t)
 	value := json.RawMessage(fmt.Sprint(rapid.IntRange(0, 9).Draw(t, "value")))
-	var want platform.ErrorKind
+	var want objects.ErrorKind
 	if _, exists := m.ref.now()[kind+"/"+name]; exists {
-		want = platform.Conflict
+		want = objects.Conflict
 	}
 	_, err := m.api.Create(t.Context(), kind, name, value)
-	m.settle(t, want, err, platform.Object{Kind: kind, Name: name, Value: value}, false)
+	m.settle(t, want, err, objects.Object{Kind: kind, Name: name, Value: value}, false)
 }
 
 // expect returns the version to write on and how a conditional write on it ends.
-func (m *machine) expect(t *rapid.T, kind, name string) (int64, platform.ErrorKind) {
+func (m *machine) expect(t *rapid.T, kind, name string) (int64, objects.ErrorKind) {
 	old, exists := m.ref.now()[kind+"/"+name]
 	version := old.Version
 	if rapid.Bool().Draw(t, "wrongVersion") {
 		version = rapid.Int64Range(0, 50).Draw(t, "version")
 	}
 	if !exists {
-		return version, platform.NotFound
+		return version, objects.NotFound
 	}
 	if version != old.Version {
-		return version, platform.Conflict
+		return version, objects.Conflict
 	}
 	return version, ""
 }
@@ -101,14 +101,14 @@
 	version, want := m.expect(t, kind, name)
 	value := json.RawMessage(fmt.Sprint(rapid.IntRange(0, 9).Draw(t, "value")))
 	_, err := m.api.Update(t.Context(), kind, name, version, value)
-	m.settle(t, want, err, platform.Object{Kind: kind, Name: name, Value: value}, false)
+	m.settle(t, want, err, objects.Object{Kind: kind, Name: name, Value: value}, false)
 }
 
 func (m *machine) Delete(t *rapid.T) {
 	kind, name := m.draw(t)
 	version, want := m.expect(t, kind, name)
 	_, err := m.api.Delete(t.Context(), kind, name, version)
-	m.settle(t, want, err, platform.Object{Kind: kind, Name: name}, true)
+	m.settle(t, want, err, objects.Object{Kind: kind, Name: name}, true)
 }
 
 func (m *machine) Compact(t *rapid.T) {
@@ -128,14 +128,14 @@
 	events, revision, err := m.api.Watch(t.Context(), since, 0, "Place")
 	switch {
 	case since < m.floor:
-		assert.Equal(t, platform.KindOf(err), platform.Gone)
+		assert.Equal(t, objects.KindOf(err), objects.Gone)
 	case since > m.store.Revision():
-		assert.Equal(t, platform.KindOf(err), platform.Invalid)
+		assert.Equal(t, objects.KindOf(err), objects.Invalid)
 	default:
 		assert.NilError(t, err)
 		assert.Equal(t, revision, m.store.Revision())
-		want := slices.DeleteFunc(slices.Clone(m.ref.events[since:]), func(e platform.Event) bool { return e.Object.Kind != "Place" })
-		assert.DeepEqual(t, events, append([]platform.Event{}, want...))
+		want := slices.DeleteFunc(slices.Clone(m.ref.events[since:]), func(e objects.Event) bool { return e.Object.Kind != "Place" })
+		assert.DeepEqual(t, events, append([]objects.Event{}, want...))
 	}
 }
 
@@ -157,7 +157,7 @@
 func TestStoreAgainstReference(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		store := NewStore(Options{ReadsPerSecond: 1e6, WritesPerSecond: 1e6})
-		m := &machine{store: store, api: store.As("vm", "zone"), ref: reference{states: []map[string]platform.Object{{}}}}
+		m := &machine{store: store, api: store.As("vm", "zone"), ref: reference{states: []map[string]objects.Object{{}}}}
 		t.Repeat(rapid.StateMachineActions(m))
 	})
 }
@@ -178,7 +178,7 @@
 		assert.Equal(t, len(events), 1)
 		assert.Equal(t, revision, int64(2))
 		assert.Equal(t, time.Since(started), 2*time.Second)
-		assert.Equal(t, store.Counts().ByOp[platform.OpWatch], int64(1))
+		assert.Equal(t, store.Counts().ByOp[objects.OpWatch], int64(1))
 		assert.Equal(t, store.Counts().ByClient["vm"], int64(3))
 
 		events, _, err = api.Watch(t.Context(), 2, time.Minute, "Place")
@@ -192,13 +192,13 @@
 	synctest.Test(t, func(t *testing.T) {
 		store := NewStore(Options{WritesPerSecond: 2, ReadsPerSecond: 100})
 		api := store.As("vm", "norte-a")
-		big := json.RawMessage(`"` + strings.Repeat("x", platform.MaxValueBytes) + `"`)
+		big := json.RawMessage(`"` + strings.Repeat("x", objects.MaxValueBytes) + `"`)
 		_, err := api.Create(t.Context(), "Place", "big", big)
-		assert.Equal(t, platform.KindOf(err), platform.TooLarge)
+		assert.Equal(t, objects.KindOf(err), objects.TooLarge)
 		_, err = api.Create(t.Context(), "Place", "centro", json.RawMessage(`1`))
 		assert.NilError(t, err)
 		_, err = api.Create(t.Context(), "Place", "sur", json.RawMessage(`1`))
-		assert.Equal(t, platform.KindOf(err), platform.Throttled)
+		assert.Equal(t, objects.KindOf(err), objects.Throttled)
 
 		broken := make(chan error)
 		go func() {
@@ -207,7 +207,7 @@
 		}()
 		synctest.Wait()
 		store.CutOff("norte-a", true)
-		assert.Equal(t, platform.KindOf(<-broken), platform.Unavailable)
+		assert.Equal(t, objects.KindOf(<-broken), objects.Unavailable)
 		_, err = store.As("vm", "sur-a").Get(t.Context(), "Place", "centro")
 		assert.NilError(t, err)
 		store.CutOff("norte-a", false)
@@ -221,7 +221,7 @@
 
 		store.Down(true)
 		_, _, err = api.List(t.Context())
-		assert.Equal(t, platform.KindOf(err), platform.Unavailable)
+		assert.Equal(t, objects.KindOf(err), objects.Unavailable)
 	})
 }
 
@@ -229,17 +229,17 @@
 	synctest.Test(t, func(t *testing.T) {
 		store := NewStore(Options{})
 		store.SetVMLag(10 * time.Second)
-		store.SetVM(platform.VM{Name: "norte-a-1", State: platform.VMLive})
+		store.SetVM(objects.VM{Name: "norte-a-1", State: objects.VMLive})
 		time.Sleep(10 * time.Second)
-		store.SetVMState("norte-a-1", platform.VMGone)
-		state := func() platform.VMState {
+		store.SetVMState("norte-a-1", objects.VMGone)
+		state := func() objects.VMState {
 			vms, err := store.As("vm", "zone").VMs(t.Context())
 			assert.NilError(t, err)
 			assert.Equal(t, len(vms), 1)
 			return vms[0].State
 		}
-		assert.Equal(t, state(), platform.VMLive)
+		assert.Equal(t, state(), objects.VMLive)
 		time.Sleep(10 * time.Second)
-		assert.Equal(t, state(), platform.VMGone)
+		assert.Equal(t, state(), objects.VMGone)
 	})
 }
--- a/standin/platform/vms.go
+++ b/standin/platform/vms.go
@@ -6,7 +6,7 @@
 	"strings"
 	"time"
 
-	"heatherlock/platform"
+	"heatherlock/objects"
 )
 
 // vmHistory keeps each state of the list of VMs with the time it began, so
@@ -18,14 +18,14 @@
 
 type vmList struct {
 	from time.Time
-	vms  map[string]platform.VM
+	vms  map[string]objects.VM
 }
 
 // maxVMStates bounds the history.
 const maxVMStates = 4096
 
 // SetVM puts a VM into the list or replaces its line.
-func (s *Store) SetVM(vm platform.VM) {
+func (s *Store) SetVM(vm objects.VM) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := time.Now()
@@ -34,14 +34,14 @@
 	}
 	vms := maps.Clone(s.vms.latest())
 	if vms == nil {
-		vms = map[string]platform.VM{}
+		vms = map[string]objects.VM{}
 	}
 	vms[vm.Name] = vm
 	s.vms.push(now, vms)
 }
 
 // SetVMState changes the state of a listed VM.
-func (s *Store) SetVMState(name string, state platform.VMState) {
+func (s *Store) SetVMState(name string, state objects.VMState) {
 	s.mu.Lock()
 	vm, ok := s.vms.latest()[name]
 	s.mu.Unlock()
@@ -60,14 +60,14 @@
 	s.vms.lag = lag
 }
 
-func (h *vmHistory) latest() map[string]platform.VM {
+func (h *vmHistory) latest() map[string]objects.VM {
 	if len(h.states) == 0 {
 		return nil
 	}
 	return h.states[len(h.states)-1].vms
 }
 
-func (h *vmHistory) push(now time.Time, vms map[string]platform.VM) {
+func (h *vmHistory) push(now time.Time, vms map[string]objects.VM) {
 	if n := len(h.states); n > 0 && h.lag == 0 {
 		h.states = h.states[n-1:]
 	}
@@ -78,15 +78,15 @@
 }
 
 // at returns the list as of lag ago, sorted by name.
-func (h *vmHistory) at(now time.Time) []platform.VM {
+func (h *vmHistory) at(now time.Time) []objects.VM {
 	seen := now.Add(-h.lag)
-	list := []platform.VM{}
+	list := []objects.VM{}
 	for i := len(h.states) - 1; i >= 0; i-- {
 		if !h.states[i].from.After(seen) {
 			list = slices.AppendSeq(list, maps.Values(h.states[i].vms))
 			break
 		}
 	}
-	slices.SortFunc(list, func(a, b platform.VM) int { return strings.Compare(a.Name, b.Name) })
+	slices.SortFunc(list, func(a, b objects.VM) int { return strings.Compare(a.Name, b.Name) })
 	return list
 }
