--- a/cmd/heatherlockd/main.go
+++ b/cmd/heatherlockd/main.go
@@ -20,6 +20,7 @@
 	"heatherlock/node"
 	"heatherlock/node/static"
 	"heatherlock/node/telemetry"
+	"heatherlock/platform"
 )
 
 // version is set at link time.
@@ -38,7 +39,11 @@
 
 // run is the daemon's life; it returns its exit code.
 func run(args []string, out, problems io.Writer) int {
-	settings, err := static.Load(readFlags(args))
+	options := readFlags(args)
+	if options.platform {
+		return runPlatform(out, problems)
+	}
+	settings, err := static.Load(options.settings)
 	if err != nil {
 		fmt.Fprintln(problems, err)
 		return exitSettings
@@ -86,12 +91,22 @@
 	}
 }
 
-func readFlags(args []string) string {
-	var path string
+// options are what the command line says.
+type options struct {
+	settings string
+	platform bool
+}
+
+func readFlags(args []string) options {
+	var o options
 	flaggy.SetName("heatherlockd")
 	flaggy.SetDescription("entry VM daemon of heatherlock")
 	flaggy.SetVersion(version)
-	flaggy.String(&path, "s", "settings", "JSON file with the daemon's settings")
+	flaggy.String(&o.settings, "s", "settings", "JSON file with the daemon's settings")
+	onPlatform := flaggy.NewSubcommand("platform")
+	onPlatform.Description = "run on the users' platform, with the settings file that $" + platform.SettingsVariable + " names"
+	flaggy.AttachSubcommand(onPlatform, 1)
 	flaggy.ParseArgs(args)
-	return path
+	o.platform = onPlatform.Used
+	return o
 }
--- /dev/null
+++ b/node/gateway/fleet/fleet.go
@@ -0,0 +1,249 @@
+package fleet
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/go-kit/log"
+
+	"heatherlock/steering"
+)
+
+// introduced is how many members one datagram introduces.
+const introduced = 6
+
+// Config holds what a Fleet needs.
+type Config struct {
+	Self  Member
+	Seeds []string // peer addresses of seeds
+	Log   log.Logger
+	// Own fills in what the next heartbeat says of this VM.
+	Own func(*Beat)
+	// Changed is called when members came or went.
+	Changed func()
+}
+
+// Fleet exchanges heartbeats. It is safe for concurrent use.
+type Fleet struct {
+	cfg  Config
+	conn net.PacketConn
+	boot uint64
+
+	mu     sync.Mutex
+	roster *Roster
+	number uint64
+	last   map[steering.VM]bool // live at the last tick
+	wake   chan struct{}
+}
+
+// New returns a fleet that listens on conn.
+func New(cfg Config, conn net.PacketConn) *Fleet {
+	return &Fleet{cfg: cfg, conn: conn, boot: rand.Uint64(), roster: NewRoster(cfg.Self),
+		last: make(map[steering.VM]bool), wake: make(chan struct{}, 1)}
+}
+
+// Run exchanges heartbeats until ctx ends.
+func (f *Fleet) Run(ctx context.Context) {
+	stop := context.AfterFunc(ctx, func() { _ = f.conn.SetReadDeadline(time.Unix(1, 0)) }) // ends the reader
+	defer stop()
+	var all sync.WaitGroup
+	all.Go(func() { f.read(ctx) })
+	all.Go(func() { f.beatOn(ctx) })
+	all.Wait()
+}
+
+// Add notes members that were read of.
+func (f *Fleet) Add(members []Member) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, m := range members {
+		f.roster.Add(time.Now(), m)
+	}
+	f.wakeUp()
+}
+
+// Announce sends a heartbeat now, since something changed that others need.
+func (f *Fleet) Announce() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.wakeUp()
+}
+
+func (f *Fleet) wakeUp() {
+	select {
+	case f.wake <- struct{}{}:
+	default:
+	}
+}
+
+func (f *Fleet) beatOn(ctx context.Context) {
+	for ctx.Err() == nil {
+		f.beat(ctx)
+		f.mu.Lock()
+		pause := f.roster.Pause()
+		f.mu.Unlock()
+		timer := time.NewTimer(pause)
+		select {
+		case <-ctx.Done():
+		case <-timer.C:
+		case <-f.wake:
+		}
+		timer.Stop()
+	}
+}
+
+func (f *Fleet) beat(ctx context.Context) {
+	now := time.Now()
+	f.mu.Lock()
+	to := f.roster.Tick(now)
+	alone := len(f.roster.Live(now, true)) == 0
+	b := f.next()
+	changed := f.noteChanges(now)
+	f.mu.Unlock()
+	f.cfg.Own(&b)
+	for _, m := range to {
+		f.send(b, m.Peer)
+	}
+	if alone {
+		for _, seed := range f.cfg.Seeds {
+			if seed != f.cfg.Self.Peer {
+				f.send(b, seed)
+			}
+		}
+	}
+	if changed && ctx.Err() == nil {
+		f.cfg.Changed()
+	}
+}
+
+func (f *Fleet) next() Beat {
+	f.number++
+	return Beat{From: f.cfg.Self, Boot: f.boot, Number: f.number}
+}
+
+// noteChanges compares who lives with the last tick.
+func (f *Fleet) noteChanges(now time.Time) bool {
+	live := make(map[steering.VM]bool)
+	changed := false
+	for _, m := range f.roster.Live(now, true) {
+		live[m.Name] = true
+		if !f.last[m.Name] {
+			changed = true
+			_ = f.cfg.Log.Log("msg", "entry VM heard", "peer", m.Name, "zone", m.Zone) // the writer counts what it drops
+		}
+	}
+	for name := range f.last {
+		if !live[name] {
+			changed = true
+			_ = f.cfg.Log.Log("msg", "entry VM no longer heard", "peer", name) // as above
+		}
+	}
+	f.last = live
+	return changed
+}
+
+func (f *Fleet) send(b Beat, address string) {
+	raw, err := encode(b)
+	if err != nil {
+		_ = f.cfg.Log.Log("msg", "heartbeat not sent", "err", err) // as above
+		return
+	}
+	to, err := net.ResolveUDPAddr("udp", address)
+	if err != nil {
+		_ = f.cfg.Log.Log("msg", "heartbeat not sent", "to", address, "err", err)
+		return
+	}
+	// A datagram that cannot be sent counts as lost: the other side notices a
+	// missing heartbeat, whatever the reason.
+	_, _ = f.conn.WriteTo(raw, to)
+}
+
+func (f *Fleet) read(ctx context.Context) {
+	buffer := make([]byte, 64<<10)
+	for ctx.Err() == nil {
+		n, _, err := f.conn.ReadFrom(buffer)
+		if errors.Is(err, net.ErrClosed) {
+			return
+		}
+		if err != nil {
+			continue
+		}
+		b, err := decode(buffer[:n])
+		if err != nil {
+			_ = f.cfg.Log.Log("msg", "heartbeat not understood", "err", err) // as above
+			continue
+		}
+		f.heard(b)
+	}
+}
+
+func (f *Fleet) heard(b Beat) {
+	now := time.Now()
+	f.mu.Lock()
+	fresh := f.roster.Heard(now, b)
+	for _, m := range b.Members {
+		f.roster.Add(now, m)
+	}
+	var known []Member
+	reply := f.next()
+	if fresh {
+		known = f.roster.Known()
+	}
+	f.mu.Unlock()
+	if !fresh {
+		return
+	}
+	f.cfg.Own(&reply)
+	f.introduce(reply, known, b.From.Peer)
+	f.cfg.Changed()
+}
+
+// introduce tells a VM of all others, a few a datagram.
+func (f *Fleet) introduce(b Beat, known []Member, to string) {
+	for from := 0; from < len(known); from += introduced {
+		b.Members = known[from:min(from+introduced, len(known))]
+		f.send(b, to)
+		f.mu.Lock()
+		b.Number = f.next().Number
+		f.mu.Unlock()
+	}
+}
+
+// Live returns the live members that are not leaving, this VM included.
+func (f *Fleet) Live() []Member {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.roster.Live(time.Now(), false)
+}
+
+// Serving returns the members that take requests.
+func (f *Fleet) Serving(selfServes bool) []Member {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.roster.Serving(time.Now(), selfServes)
+}
+
+// Known returns the number of members on record.
+func (f *Fleet) Known() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return len(f.roster.Known())
+}
+
+// Beats returns the newest heartbeats of the live members.
+func (f *Fleet) Beats() []Beat {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.roster.Beats(time.Now())
+}
+
+// DarkZones returns the zones that seem cut off from this VM.
+func (f *Fleet) DarkZones() map[steering.Zone]bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.roster.DarkZones(time.Now())
+}
--- /dev/null
+++ b/node/gateway/gateway.go
@@ -0,0 +1,243 @@
+package gateway
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/go-kit/log"
+
+	"heatherlock/node/gateway/callers"
+	"heatherlock/node/gateway/feed"
+	"heatherlock/node/gateway/fleet"
+	"heatherlock/node/gateway/relay"
+	"heatherlock/node/gateway/upstream"
+	"heatherlock/node/telemetry"
+	"heatherlock/platform"
+	"heatherlock/steering"
+	"heatherlock/steering/placement"
+	"heatherlock/steering/retry"
+	"heatherlock/steering/routes"
+)
+
+const (
+	// directoryTTL is how long callers keep a directory answer: long enough that
+	// look-ups stay rare, short enough that a VM that left is soon unused.
+	directoryTTL = 2 * time.Second
+	// callerConnections bounds the connections of callers.
+	callerConnections = 3000
+	// headerTimeout bounds the header of a question to the directory.
+	headerTimeout = 3 * time.Second
+	// lendEvery is the pause between two steps of what regions keep of their keys.
+	lendEvery = time.Second
+)
+
+// Gateway is an entry VM on the users' platform.
+type Gateway struct {
+	settings *platform.Settings
+	log      log.Logger
+	metrics  *telemetry.Metrics
+	store    *platform.Store
+	relay    *relay.Relay
+	pool     *upstream.Pool
+	fleet    *fleet.Fleet
+	callers  *callers.Server
+	leaving  atomic.Bool
+	lending  placement.Lending
+	servers  []*http.Server
+	done     sync.WaitGroup
+
+	reload      sync.Mutex
+	newest      *platform.Settings // as last read
+	badSettings string             // what was wrong with those read last
+}
+
+// New assembles a gateway.
+func New(settings *platform.Settings, logger log.Logger) (*Gateway, error) {
+	g := &Gateway{settings: settings, newest: settings, log: logger, metrics: telemetry.New(string(settings.VM), string(settings.Zone)),
+		store: platform.NewStore(settings.Store), lending: placement.Lending{}}
+	scope := g.metrics.Scope
+	g.pool = upstream.NewPool(upstream.Dial, platform.RequestIDOf)
+	g.pool.Opened = func() { scope.Counter("gateway_target_connections_opened").Inc(1) }
+	g.store.Called = func(call string, err error) {
+		scope.Tagged(map[string]string{"fault": faultName(err)}).Counter("gateway_store_calls").Inc(1)
+	}
+	b := settings.Bounds
+	g.relay = relay.New(relay.Config{Region: settings.Region, Pool: g.pool,
+		Board:  placement.NewBoard(settings.VM, settings.Region, b.ShiftShare),
+		Retry:  retry.NewAllowance(retry.AllowanceConfig{Ratio: b.RetryRatio, Slack: b.RetrySlack, Window: b.RetryWindow}),
+		Log:    logger,
+		Events: relay.NewEvents(scope), Members: func() int { return len(g.fleet.Live()) }})
+	g.callers = callers.NewServer(g.relay, g.relay.Limits, callerConnections)
+	return g, g.newFleet()
+}
+
+func faultName(err error) string {
+	if err == nil {
+		return "none"
+	}
+	return platform.FaultOf(err).String()
+}
+
+func (g *Gateway) self() fleet.Member {
+	s := g.settings
+	return fleet.Member{Name: s.VM, Zone: s.Zone, Region: s.Region, Peer: s.PeerAddress(), Control: s.Listen.Control, Callers: s.Listen.Callers}
+}
+
+func (g *Gateway) newFleet() error {
+	conn, err := net.ListenPacket("udp4", g.settings.PeerAddress())
+	if err != nil {
+		return errors.Wrap(err, "gateway: listen for peers")
+	}
+	var seeds []string
+	for _, seed := range g.settings.Seeds {
+		host, _, err := net.SplitHostPort(seed)
+		if err != nil {
+			return errors.Wrapf(err, "gateway: seed %q", seed)
+		}
+		seeds = append(seeds, platform.PeerAddressOf(host, g.settings.PeerPorts))
+	}
+	g.fleet = fleet.New(fleet.Config{Self: g.self(), Seeds: seeds, Log: g.log, Own: g.ownBeat, Changed: g.peersChanged}, conn)
+	return nil
+}
+
+func (g *Gateway) ownBeat(b *fleet.Beat) {
+	b.Leaving = g.leaving.Load()
+	b.Serving = g.relay.Ready() && !b.Leaving
+	g.relay.WithBoard(func(board *placement.Board, _ *retry.Allowance) { b.Demand = board.Demand(time.Now()) })
+}
+
+// peersChanged tells placement who lives.
+func (g *Gateway) peersChanged() {
+	peers := make(map[steering.Region][]steering.VM)
+	for _, m := range g.fleet.Live() {
+		peers[m.Region] = append(peers[m.Region], m.Name)
+	}
+	dark := g.fleet.DarkZones()
+	known := g.fleet.Known()
+	g.relay.WithBoard(func(board *placement.Board, allowance *retry.Allowance) {
+		board.SetPeers(peers)
+		board.SetDark(dark)
+		allowance.SetMembers(known)
+	})
+}
+
+// Configured implements feed.Sink.
+func (g *Gateway) Configured(t *routes.Table) {
+	if g.relay.SetTable(t) {
+		_ = g.log.Log("msg", "configuration in force", "config", t.Version, "routes", len(t.Routes)) // the writer counts what it drops
+		g.metrics.Scope.Gauge("gateway_config_version").Update(float64(t.Version))
+		g.becameReady()
+	}
+}
+
+// Placed implements feed.Sink.
+func (g *Gateway) Placed(targets []placement.Target, known func(steering.Target) bool) {
+	g.relay.WithBoard(func(board *placement.Board, _ *retry.Allowance) { board.SetTargets(targets) })
+	g.pool.Retain(known)
+	g.metrics.Scope.Gauge("gateway_targets").Update(float64(len(targets)))
+	g.relay.SetReady()
+	g.becameReady()
+}
+
+func (g *Gateway) becameReady() {
+	if g.relay.Ready() {
+		g.fleet.Announce()
+	}
+}
+
+// Run serves until ctx ends, and then leaves in order.
+func (g *Gateway) Run(ctx context.Context) error {
+	work, stop := context.WithCancel(context.Background())
+	defer stop()
+	listener, err := net.Listen("tcp4", g.settings.Listen.Callers)
+	if err != nil {
+		return errors.Wrap(err, "gateway: listen for callers")
+	}
+	defer listener.Close()
+	if err := g.serveHTTP(); err != nil {
+		return err
+	}
+	reader := feed.NewReader(g.store, g, feed.NewState(time.Duration(g.settings.HeartbeatMs)*time.Millisecond, g.settings.Zones), g.log)
+	g.done.Go(func() { g.fleet.Run(work) })
+	g.done.Go(func() { reader.Run(work) })
+	g.done.Go(func() { g.register(work) })
+	g.done.Go(func() { g.lend(work) })
+	g.done.Go(func() { _ = g.callers.Serve(work, listener) }) // ends with the listener
+	_ = g.log.Log("msg", "started", "vm", g.settings.VM, "zone", g.settings.Zone)
+	<-ctx.Done()
+	g.leave(listener)
+	stop()
+	g.closeServers()
+	g.done.Wait()
+	_ = g.log.Log("msg", "stopped", "vm", g.settings.VM)
+	return nil
+}
+
+// registerPause is waited between two tries to reach the store at start.
+const registerPause = 500 * time.Millisecond
+
+// register records this VM in the store and reads the others' records.
+func (g *Gateway) register(ctx context.Context) {
+	m := g.self()
+	record := platform.EntryVM{Name: m.Name, Zone: m.Zone, Region: m.Region, Peer: m.Peer, Control: m.Control, Callers: m.Callers}
+	for ctx.Err() == nil {
+		err := g.store.PutEntryVM(ctx, record)
+		if err == nil {
+			break
+		}
+		_ = g.log.Log("msg", "not recorded in the store", "err", err) // the writer counts what it drops
+		pause(ctx, registerPause)
+	}
+	for ctx.Err() == nil {
+		vms, err := g.store.EntryVMs(ctx)
+		if err == nil {
+			members := make([]fleet.Member, 0, len(vms))
+			for _, vm := range vms {
+				members = append(members, fleet.Member(vm))
+			}
+			g.fleet.Add(members)
+			return
+		}
+		_ = g.log.Log("msg", "records of entry VMs not read", "err", err) // as above
+		pause(ctx, registerPause)
+	}
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
+
+// lend keeps the shares of keys that regions keep in step with demand.
+func (g *Gateway) lend(ctx context.Context) {
+	for ctx.Err() == nil {
+		pause(ctx, lendEvery)
+		demand := make(map[steering.Service]map[steering.Region]float64)
+		add := func(region steering.Region, own map[steering.Service]float64) {
+			for service, slots := range own {
+				if demand[service] == nil {
+					demand[service] = make(map[steering.Region]float64)
+				}
+				demand[service][region] += slots
+			}
+		}
+		for _, b := range g.fleet.Beats() {
+			add(b.From.Region, b.Demand)
+		}
+		g.relay.WithBoard(func(board *placement.Board, _ *retry.Allowance) {
+			add(g.settings.Region, board.Demand(time.Now()))
+			g.lending = placement.NextLending(g.lending, demand, board.Slots())
+			board.SetLending(g.lending)
+		})
+		g.peersChanged()
+	}
+}
--- /dev/null
+++ b/node/gateway/leave.go
@@ -0,0 +1,46 @@
+package gateway
+
+import (
+	"context"
+	"net"
+	"time"
+)
+
+const (
+	// leaveTTL is how long callers may still come with an old directory answer.
+	leaveTTL = directoryTTL + time.Second
+	// leaveReserve is kept back from the time until SIGKILL.
+	leaveReserve = 500 * time.Millisecond
+	// leaveStep is how often it is looked whether all is done.
+	leaveStep = 50 * time.Millisecond
+)
+
+// leave takes this VM out of use without cutting a request: others and callers
+// are told at once, callers that come with an older answer are still served, and
+// each answer ends its connection. It returns when nothing runs any more, or
+// shortly before the process would be killed.
+func (g *Gateway) leave(listener net.Listener) {
+	_ = g.log.Log("msg", "leaving", "running", g.callers.Running(), "connections", g.callers.Connections()) // the writer counts what it drops
+	began := time.Now()
+	g.leaving.Store(true)
+	g.callers.Leave()
+	g.fleet.Announce()
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	g.done.Go(func() {
+		defer cancel()
+		if err := g.store.RemoveEntryVM(ctx, g.settings.VM); err != nil {
+			_ = g.log.Log("msg", "own record not removed", "err", err) // as above
+		}
+	})
+	end := began.Add(g.settings.Bounds.Grace - leaveReserve)
+	for time.Now().Before(end) {
+		if time.Since(began) > leaveTTL {
+			g.callers.CloseIdle()
+			if g.callers.Running() == 0 && g.callers.Connections() == 0 {
+				break
+			}
+		}
+		time.Sleep(leaveStep)
+	}
+	_ = listener.Close() // the process ends
+}
--- /dev/null
+++ b/node/gateway/relay/exchange.go
@@ -0,0 +1,348 @@
+package relay
+
+import (
+	"context"
+	"math"
+	"net/http"
+	"strconv"
+	"time"
+
+	"heatherlock/node/gateway/callers"
+	"heatherlock/node/gateway/upstream"
+	"heatherlock/platform"
+	"heatherlock/steering"
+	"heatherlock/steering/placement"
+	"heatherlock/steering/routes"
+)
+
+// exchange is one caller's request on its way.
+type exchange struct {
+	f       *Relay
+	table   *routes.Table
+	route   *routes.Route
+	service steering.Service
+	r       *callers.Request
+	call    platform.Call
+	header  http.Header // end-to-end fields, shared by all tries
+	giveUp  time.Time
+
+	ends    chan end
+	running int // tries in flight
+	arrived int // tries that reached a target
+	tries   int
+	// maybeRan is set once a try may have run the request.
+	maybeRan bool
+	tried    []steering.Target
+	lastPick placement.Pick
+	streamed bool // the rest of the body is spent
+}
+
+func newExchange(f *Relay, table *routes.Table, route *routes.Route, r *callers.Request, call platform.Call) *exchange {
+	x := &exchange{f: f, table: table, route: route, r: r, call: call, service: route.Service(),
+		header: endToEnd(r.Header), ends: make(chan end, route.MaxAttempts+furtherTries)}
+	x.giveUp = r.Received.Add(x.bound())
+	return x
+}
+
+// bound is how long the request is kept at most.
+func (x *exchange) bound() time.Duration {
+	bound := noDeadline
+	if x.call.Deadline > 0 {
+		bound = x.call.Deadline - replyTime
+	}
+	if x.route.Timeout > 0 {
+		bound = min(bound, x.route.Timeout+lateGrace)
+	}
+	return bound
+}
+
+// end is how a try ended.
+type end struct {
+	pick   placement.Pick
+	answer *upstream.Answer
+	said   platform.Answer
+	err    error
+	// notRun is set when the try is proved not to have run the request.
+	notRun bool
+	// unsent tries reached no target.
+	unsent bool
+	// usable answers may go to the caller.
+	usable bool
+}
+
+// run takes the request to its answer.
+func (x *exchange) run(ctx context.Context) *callers.Response {
+	x.f.placing(x.service)
+	if x.r.Rest != nil && x.r.Length > x.table.Limits.BodyBytes {
+		return x.refuse(steering.ReasonBodyTooLarge, 0)
+	}
+	work, cancel := x.workContext(ctx)
+	defer cancel()
+	if refusal := x.launch(work); refusal != nil {
+		return x.refuse(refusal.Reason, refusal.RetryAfter)
+	}
+	giveUp := time.NewTimer(time.Until(x.giveUp))
+	defer giveUp.Stop()
+	hedge := time.NewTimer(x.hedgeDelay())
+	defer hedge.Stop()
+	for {
+		select {
+		case e := <-x.ends:
+			x.running--
+			if response, done := x.ended(work, e); done {
+				return response
+			}
+		case <-hedge.C:
+			x.hedge(work)
+		case <-giveUp.C:
+			return x.givenUp()
+		case <-ctx.Done():
+			x.f.cfg.Events.Refused(steering.ReasonCancelled)
+			return nil
+		}
+	}
+}
+
+// workContext bounds the work at targets. A repeatable request ends with its
+// caller; one that runs once is left to finish, since cutting it would leave
+// its outcome unknown.
+func (x *exchange) workContext(ctx context.Context) (context.Context, context.CancelFunc) {
+	if x.route.Kind.Repeatable() {
+		return context.WithDeadline(ctx, x.giveUp)
+	}
+	ctx, cancel := context.WithDeadline(context.WithoutCancel(ctx), x.giveUp.Add(lateGrace))
+	context.AfterFunc(ctx, cancel)
+	return ctx, func() {}
+}
+
+// launch places the request and starts a try.
+func (x *exchange) launch(ctx context.Context) *placement.Refusal {
+	pick, refusal := x.f.choose(x.placementRequest())
+	if refusal != nil {
+		return refusal
+	}
+	x.lastPick = pick
+	x.tries++
+	x.running++
+	x.tried = append(x.tried, pick.Target.Name)
+	go x.try(ctx, pick)
+	return nil
+}
+
+func (x *exchange) placementRequest() placement.Request {
+	now := time.Now()
+	r := placement.Request{Service: x.service, ID: x.call.ID, Region: x.f.cfg.Region, Allowed: x.route.MayRunIn,
+		Left: x.giveUp.Sub(now), Rank: x.route.Rank, Repeatable: x.route.Kind.Repeatable(), Tried: x.tried}
+	if x.route.KeyAffinity {
+		r.Key = x.call.Key
+	}
+	if x.route.Aim > 0 {
+		r.Aim = max(x.route.Aim-now.Sub(x.r.Received)-replyTime, time.Millisecond)
+	}
+	return r
+}
+
+// try sends the request to one target and reports how that ended.
+func (x *exchange) try(ctx context.Context, pick placement.Pick) {
+	var sentAt time.Time
+	answer, err := x.f.cfg.Pool.Do(ctx, upstream.Call{
+		Target: pick.Target.Name, Address: pick.Target.Address,
+		MaxConnections: x.maxConnections(), DialTimeout: min(dialTimeout, max(time.Until(x.giveUp), time.Millisecond)),
+		Began: func() { sentAt = time.Now() },
+	}, x.outgoing(pick))
+	e := x.judge(pick, answer, err)
+	x.f.reportEnd(ctx, e, sentAt)
+	x.ends <- e
+}
+
+// maxConnections is this entry VM's share of a target's connections.
+func (x *exchange) maxConnections() int {
+	service := x.table.Services[x.service]
+	if service == nil || service.MaxConnections <= 0 {
+		return 0
+	}
+	return max(service.MaxConnections/max(x.f.cfg.Members(), 1), 1)
+}
+
+func (x *exchange) outgoing(pick placement.Pick) *upstream.Request {
+	header := make(http.Header, len(x.header)+2)
+	for name, values := range x.header {
+		header[name] = values
+	}
+	platform.MarkForTarget(header, string(pick.Target.Name), time.Until(x.giveUp))
+	return &upstream.Request{Method: x.r.Method, Path: x.r.Path, Host: x.r.Host, Header: header,
+		Body: x.r.Body, Rest: x.r.Rest, Length: x.r.Length, ID: x.call.ID}
+}
+
+// judge says what a try's end proves.
+func (x *exchange) judge(pick placement.Pick, answer *upstream.Answer, err error) end {
+	e := end{pick: pick, answer: answer, err: err}
+	if err != nil {
+		e.unsent = stageOf(err) != upstream.Sent
+		e.notRun = e.unsent
+		return e
+	}
+	e.said = platform.ReadAnswer(answer.Status, answer.Header)
+	e.notRun = e.said.NotRun
+	switch {
+	case e.notRun:
+	case answer.Status < http.StatusMultipleChoices:
+		e.usable = e.said.Proven
+	case promisesNotRun(answer.Status):
+		// The target did not prove it, so the promise must not be passed on.
+		e.usable = false
+	default:
+		e.usable = true
+	}
+	return e
+}
+
+// promisesNotRun reports the statuses that tell a caller that its request has
+// not run.
+func promisesNotRun(status int) bool {
+	switch status {
+	case http.StatusTooManyRequests, http.StatusServiceUnavailable, http.StatusRequestTimeout, http.StatusMisdirectedRequest:
+		return true
+	}
+	return false
+}
+
+// ended acts on the end of a try; done tells that response is final.
+func (x *exchange) ended(ctx context.Context, e end) (response *callers.Response, done bool) {
+	if !e.unsent {
+		x.arrived++
+	}
+	if !e.notRun {
+		x.maybeRan = true
+	}
+	failed := e.usable && e.answer.Status >= http.StatusInternalServerError
+	if e.usable && !(failed && x.mayRepeat(e) && x.again(ctx, e)) {
+		return x.deliver(e), true
+	}
+	if e.usable {
+		return nil, false // being tried elsewhere
+	}
+	if x.mayRepeat(e) && x.again(ctx, e) {
+		return nil, false
+	}
+	if x.running > 0 {
+		return nil, false
+	}
+	return x.failed(e), true
+}
+
+// mayRepeat reports whether the request may be sent once more.
+func (x *exchange) mayRepeat(e end) bool {
+	if x.maybeRan && !x.route.Kind.Repeatable() {
+		return false
+	}
+	if x.r.Rest != nil && !e.unsent {
+		return false // the body is spent
+	}
+	return x.arrivedAtMost() && x.tries < x.route.MaxAttempts+furtherTries
+}
+
+func (x *exchange) arrivedAtMost() bool { return x.arrived+x.running < x.route.MaxAttempts }
+
+// again starts a further try within the budget.
+func (x *exchange) again(ctx context.Context, e end) bool {
+	if !e.unsent && !x.f.takeRetry(x.service) {
+		x.f.cfg.Events.Refused(steering.ReasonRetryBudget)
+		return false
+	}
+	if x.launch(ctx) != nil {
+		return false
+	}
+	x.f.cfg.Events.Retried(retryReason(e))
+	return true
+}
+
+func retryReason(e end) string {
+	switch {
+	case e.unsent:
+		return "unreachable"
+	case e.said.WrongTarget:
+		return "address_reused"
+	case e.notRun:
+		return "shed"
+	case e.err != nil:
+		return "broken"
+	}
+	return "failed"
+}
+
+// hedge sends a repeatable request that is overdue to a second target.
+func (x *exchange) hedge(ctx context.Context) {
+	if !x.route.Kind.Repeatable() || x.r.Rest != nil || x.running != 1 || !x.arrivedAtMost() {
+		return
+	}
+	if !x.f.takeRetry(x.service) {
+		return
+	}
+	if x.launch(ctx) == nil {
+		x.f.cfg.Events.Retried("overdue")
+	}
+}
+
+func (x *exchange) hedgeDelay() time.Duration {
+	expected := x.lastPick.Expected
+	return max(time.Duration(hedgeFactor*float64(expected)), expected+hedgeExtra)
+}
+
+// givenUp answers a request whose time is over.
+func (x *exchange) givenUp() *callers.Response {
+	if x.running == 0 && !x.maybeRan {
+		return x.refuse(steering.ReasonNoSlot, 0)
+	}
+	return x.unknown(steering.ReasonDeadline)
+}
+
+// failed answers a request whose last try brought no usable answer.
+func (x *exchange) failed(e end) *callers.Response {
+	if !x.maybeRan {
+		reason := steering.ReasonShed
+		if e.unsent {
+			reason = steering.ReasonNoTarget
+		}
+		return x.refuse(reason, shedRetry)
+	}
+	if e.err == nil {
+		return x.unknown(steering.ReasonAnswerCrossed)
+	}
+	return x.unknown(steering.ReasonTargetDied)
+}
+
+// shedRetry is when to come back after targets refused: about a service time.
+const shedRetry = 200 * time.Millisecond
+
+// refuse answers a request that has not run.
+func (x *exchange) refuse(reason steering.Reason, retryAfter time.Duration) *callers.Response {
+	return x.f.refuse(x.call.ID, x.route.Name, reason, retryAfter, x.detail())
+}
+
+// unknown answers a request that may have run.
+func (x *exchange) unknown(reason steering.Reason) *callers.Response {
+	x.f.cfg.Events.Refused(reason)
+	x.f.logEnd("outcome unknown", x.call.ID, x.route.Name, reason, x.detail())
+	status := http.StatusBadGateway
+	if reason == steering.ReasonDeadline {
+		status = http.StatusGatewayTimeout
+	}
+	return ownResponse(status, reason, steering.Reasons[reason].Meaning, 0)
+}
+
+func (x *exchange) detail() []any {
+	return []any{"service", x.service, "target", x.lastPick.Target.Name, "tries", x.tries, "arrived", x.arrived,
+		"waited_ms", time.Since(x.r.Received).Milliseconds(), "expected_ms", x.lastPick.Expected.Milliseconds()}
+}
+
+// deliver passes a target's answer on.
+func (x *exchange) deliver(e end) *callers.Response {
+	x.f.cfg.Events.Served(x.route.Kind, e.answer.Status, time.Since(x.r.Received))
+	return &callers.Response{Status: e.answer.Status, Header: endToEnd(e.answer.Header), Body: e.answer.Body,
+		Rest: e.answer.Rest, Length: e.answer.Length, Close: x.r.Rest != nil}
+}
+
+func formatSeconds(d time.Duration) string {
+	return strconv.FormatFloat(math.Ceil(d.Seconds()*100)/100, 'f', -1, 64)
+}
--- /dev/null
+++ b/node/gateway/relay/place.go
@@ -0,0 +1,89 @@
+package relay
+
+import (
+	"context"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"heatherlock/node/gateway/upstream"
+	"heatherlock/steering"
+	"heatherlock/steering/placement"
+)
+
+// placing counts a request for the demand and the budget of its service.
+func (f *Relay) placing(service steering.Service) {
+	now := time.Now()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.cfg.Board.Arrived(now, service)
+	f.cfg.Retry.First(now, service)
+}
+
+func (f *Relay) choose(r placement.Request) (placement.Pick, *placement.Refusal) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	now := time.Now()
+	pick, refusal := f.cfg.Board.Choose(now, r)
+	if refusal == nil {
+		f.cfg.Board.Began(now, pick.Target.Name, r.Key, pick.Trial)
+	}
+	return pick, refusal
+}
+
+func (f *Relay) takeRetry(service steering.Service) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.cfg.Retry.Take(time.Now(), service)
+}
+
+// reportEnd tells the board what a try showed of its target.
+func (f *Relay) reportEnd(ctx context.Context, e end, sentAt time.Time) {
+	now := time.Now()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	report := placement.Report{Outcome: outcomeOf(ctx, e, sentAt, now)}
+	if !sentAt.IsZero() {
+		report.Took = now.Sub(sentAt)
+	}
+	if load := e.said.Load; load.Known {
+		report.LoadKnown, report.Running, report.Waiting = true, load.Running, load.Waiting
+	}
+	if sentAt.IsZero() {
+		f.cfg.Board.NotSent(now, e.pick.Target.Name, report.Outcome, e.pick.Trial)
+		return
+	}
+	f.cfg.Board.Ended(now, e.pick.Target.Name, report, e.pick.Trial, e.pick.Wait > 0)
+}
+
+func outcomeOf(ctx context.Context, e end, sentAt, now time.Time) placement.Outcome {
+	switch {
+	case e.err == nil && e.said.WrongTarget:
+		return placement.Replaced
+	case e.err == nil && e.notRun:
+		return placement.Shed
+	case e.err == nil && e.usable && e.answer.Status < 500:
+		return placement.Served
+	case e.err == nil && e.usable:
+		return placement.Failed
+	case e.err == nil:
+		return placement.Broken
+	case errors.Is(e.err, upstream.ErrFull):
+		return placement.Abandoned
+	case e.unsent && ctx.Err() == nil:
+		return placement.Unreachable
+	case ctx.Err() == nil:
+		return placement.Broken
+	case !sentAt.IsZero() && now.Sub(sentAt) > time.Duration(silentFactor*float64(e.pick.Expected)):
+		return placement.Silent
+	}
+	return placement.Abandoned
+}
+
+func stageOf(err error) upstream.Stage {
+	var e *upstream.Error
+	if errors.As(err, &e) {
+		return e.Stage
+	}
+	return upstream.Sent
+}
--- /dev/null
+++ b/node/gateway/relay/relay.go
@@ -0,0 +1,160 @@
+package relay
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-kit/log"
+
+	"heatherlock/node/gateway/callers"
+	"heatherlock/node/gateway/upstream"
+	"heatherlock/platform"
+	"heatherlock/steering"
+	"heatherlock/steering/placement"
+	"heatherlock/steering/retry"
+	"heatherlock/steering/routes"
+)
+
+// Bounds of one exchange.
+const (
+	// lateGrace is how long past its route's timeout a request may still get the
+	// answer of a target that is at work on it.
+	lateGrace = 150 * time.Millisecond
+	// replyTime is kept back for the way to the caller.
+	replyTime = 10 * time.Millisecond
+	// noDeadline bounds a request whose caller and route state none.
+	noDeadline = 30 * time.Second
+	// dialTimeout bounds a connection attempt: the longest way between regions
+	// and back, twice. A target that is gone without a reset costs this once.
+	dialTimeout = 200 * time.Millisecond
+	// hedgeFactor and hedgeExtra say when a repeatable request is sent to a
+	// second target: after so many times its expected time, and at least so much
+	// beyond it. Sooner, ordinary queues would spend the budget for tries.
+	hedgeFactor = 2.5
+	hedgeExtra  = 150 * time.Millisecond
+	// silentFactor is how many expected times without an answer make a target
+	// suspect when the request is given up.
+	silentFactor = 2.5
+	// furtherTries bounds the tries that reached no target, beside the attempts
+	// that the route allows.
+	furtherTries = 2
+)
+
+// Config holds what a Relay needs.
+type Config struct {
+	Region steering.Region
+	Pool   *upstream.Pool
+	Board  *placement.Board
+	Retry  *retry.Allowance
+	Log    log.Logger
+	Events *Events
+	// Members returns the number of entry VMs that share the connections to a
+	// target.
+	Members func() int
+}
+
+// Relay answers callers' requests. It is safe for concurrent use.
+type Relay struct {
+	cfg   Config
+	table atomic.Pointer[routes.Table]
+	ready atomic.Bool // targets are known
+
+	mu sync.Mutex // guards Board and Retry
+}
+
+var _ callers.Handler = (*Relay)(nil)
+
+// New returns a relay without a configuration.
+func New(cfg Config) *Relay { return &Relay{cfg: cfg} }
+
+// SetTable puts a configuration in force if it is newer, and reports whether it
+// was.
+func (f *Relay) SetTable(t *routes.Table) bool {
+	for {
+		old := f.table.Load()
+		if !t.Newer(old) {
+			return false
+		}
+		if f.table.CompareAndSwap(old, t) {
+			return true
+		}
+	}
+}
+
+// Table returns the configuration in force, or nil.
+func (f *Relay) Table() *routes.Table { return f.table.Load() }
+
+// Limits returns the limits in force.
+func (f *Relay) Limits() routes.Limits {
+	if t := f.table.Load(); t != nil {
+		return t.Limits
+	}
+	return routes.Limits{}
+}
+
+// WithBoard runs update while no request is being placed.
+func (f *Relay) WithBoard(update func(*placement.Board, *retry.Allowance)) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	update(f.cfg.Board, f.cfg.Retry)
+}
+
+// SetReady tells that the targets are known.
+func (f *Relay) SetReady() { f.ready.Store(true) }
+
+// Ready reports whether requests can be placed.
+func (f *Relay) Ready() bool { return f.ready.Load() && f.table.Load() != nil }
+
+// notReadyRetry is when to come back to an entry VM that is still starting.
+const notReadyRetry = 300 * time.Millisecond
+
+// Serve implements callers.Handler.
+func (f *Relay) Serve(ctx context.Context, r *callers.Request) *callers.Response {
+	call := platform.ReadCall(r.Header)
+	table := f.table.Load()
+	if table == nil || !f.ready.Load() {
+		return f.refuse(call.ID, "", steering.ReasonNotReady, notReadyRetry, nil)
+	}
+	route, found := table.Match(r.Host, r.Path)
+	if !found {
+		return f.refuse(call.ID, "", steering.ReasonNoService, 0, nil)
+	}
+	x := newExchange(f, table, route, r, call)
+	return x.run(ctx)
+}
+
+// Problem implements callers.Handler.
+func (f *Relay) Problem(status int, detail string) *callers.Response {
+	f.cfg.Events.Refused(steering.ReasonBadRequest)
+	return ownResponse(status, steering.ReasonBadRequest, detail, 0)
+}
+
+// refuse answers a request that has not run.
+func (f *Relay) refuse(id, route string, reason steering.Reason, retryAfter time.Duration, detail []any) *callers.Response {
+	f.cfg.Events.Refused(reason)
+	f.logEnd("refused", id, route, reason, detail)
+	status := steering.Reasons[reason].Status
+	return ownResponse(status, reason, steering.Reasons[reason].Meaning, retryAfter)
+}
+
+// logEnd writes the line of a request that was not served.
+func (f *Relay) logEnd(outcome, id, route string, reason steering.Reason, detail []any) {
+	line := []any{"msg", outcome, "request", id, "route", route, "reason", reason}
+	if t := f.table.Load(); t != nil {
+		line = append(line, "config", t.Version)
+	}
+	_ = f.cfg.Log.Log(append(line, detail...)...) // the writer counts what it drops
+}
+
+const headerReason = "Heatherlock-Reason"
+
+func ownResponse(status int, reason steering.Reason, detail string, retryAfter time.Duration) *callers.Response {
+	h := http.Header{"Content-Type": {"text/plain; charset=utf-8"}, headerReason: {string(reason)}}
+	if retryAfter > 0 {
+		h["Retry-After"] = []string{formatSeconds(retryAfter)}
+	}
+	return &callers.Response{Status: status, Header: h, Body: []byte(detail + "\n")}
+}
--- /dev/null
+++ b/node/gateway/upstream/pool.go
@@ -0,0 +1,149 @@
+package upstream
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"heatherlock/steering"
+)
+
+// ErrFull tells that the connections allowed to a target are all in use.
+var ErrFull = errors.New("upstream: all connections to the target are in use")
+
+// DialFunc opens a connection.
+type DialFunc func(ctx context.Context, address string) (net.Conn, error)
+
+// keepAlive finds out that an idle connection has gone silent.
+var keepAlive = net.KeepAliveConfig{Enable: true, Idle: 2 * time.Second, Interval: time.Second, Count: 2}
+
+// Dial opens TCP connections.
+func Dial(ctx context.Context, address string) (net.Conn, error) {
+	dialer := net.Dialer{KeepAliveConfig: keepAlive}
+	return dialer.DialContext(ctx, "tcp", address)
+}
+
+// Pool keeps the connections to all targets. It is safe for concurrent use.
+type Pool struct {
+	dial DialFunc
+	idOf func(http.Header) string
+	// Opened, when set, is called for each connection opened.
+	Opened func()
+
+	mu    sync.Mutex
+	hosts map[steering.Target]*hostPool
+}
+
+// NewPool returns an empty pool; idOf returns the id of the request that an
+// answer says it belongs to.
+func NewPool(dial DialFunc, idOf func(http.Header) string) *Pool {
+	return &Pool{dial: dial, idOf: idOf, hosts: make(map[steering.Target]*hostPool)}
+}
+
+// hostPool keeps the connections to one start of a target, so that none is ever
+// used for another target that took over the address.
+type hostPool struct {
+	mu   sync.Mutex
+	free []*conn
+	open int
+}
+
+func (p *Pool) host(target steering.Target) *hostPool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	h := p.hosts[target]
+	if h == nil {
+		h = &hostPool{}
+		p.hosts[target] = h
+	}
+	return h
+}
+
+// Retain closes the idle connections of targets that keep reports as gone.
+func (p *Pool) Retain(keep func(steering.Target) bool) {
+	p.mu.Lock()
+	var gone []*hostPool
+	for name, h := range p.hosts {
+		if !keep(name) {
+			gone = append(gone, h)
+			delete(p.hosts, name)
+		}
+	}
+	p.mu.Unlock()
+	for _, h := range gone {
+		h.mu.Lock()
+		free := h.free
+		h.free = nil
+		h.mu.Unlock()
+		for _, c := range free {
+			c.close()
+		}
+	}
+}
+
+// take returns an idle connection: the one used last, so that surplus ones age
+// and close.
+func (h *hostPool) take(now time.Time) *conn {
+	for {
+		h.mu.Lock()
+		n := len(h.free)
+		if n == 0 {
+			h.mu.Unlock()
+			return nil
+		}
+		c := h.free[n-1]
+		h.free = h.free[:n-1]
+		h.mu.Unlock()
+		if c.fit(now) {
+			return c
+		}
+		c.close()
+	}
+}
+
+func (h *hostPool) idle(c *conn) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.free = append(h.free, c)
+}
+
+// forget removes a closed connection.
+func (h *hostPool) forget(c *conn) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.open--
+	for i, other := range h.free {
+		if other == c {
+			h.free = append(h.free[:i], h.free[i+1:]...)
+			return
+		}
+	}
+}
+
+// open dials a connection, of which at most limit may stand.
+func (p *Pool) open(ctx context.Context, h *hostPool, address string, limit int) (*conn, error) {
+	h.mu.Lock()
+	if limit > 0 && h.open >= limit {
+		h.mu.Unlock()
+		return nil, ErrFull
+	}
+	h.open++
+	h.mu.Unlock()
+	raw, err := p.dial(ctx, address)
+	if err != nil {
+		h.mu.Lock()
+		h.open--
+		h.mu.Unlock()
+		return nil, err
+	}
+	if p.Opened != nil {
+		p.Opened()
+	}
+	c := newConn(raw, h, p.idOf)
+	go c.read()
+	return c, nil
+}
--- /dev/null
+++ b/steering/placement/board.go
@@ -0,0 +1,196 @@
+package placement
+
+import (
+	"math"
+	"sort"
+	"time"
+
+	"heatherlock/steering"
+)
+
+// Board holds what one entry VM knows of all targets. It is not safe for
+// concurrent use.
+type Board struct {
+	vm       steering.VM
+	region   steering.Region
+	byName   map[steering.Target]*state
+	services map[steering.Service]*serviceState
+	// dark zones have no entry VM that answers this one.
+	dark map[steering.Zone]bool
+	// peers are the live entry VMs by region, this one included.
+	peers   map[steering.Region][]steering.VM
+	lending Lending
+	spill   map[steering.Service]*stepper
+	// shiftShare bounds how fast traffic changes region by spilling.
+	shiftShare float64
+}
+
+// NewBoard returns an empty board of the entry VM vm in region. shiftShare is
+// the largest part of a region's requests that may change region from one
+// window of 2 s to the next.
+func NewBoard(vm steering.VM, region steering.Region, shiftShare float64) *Board {
+	return &Board{vm: vm, region: region, shiftShare: shiftShare,
+		byName: make(map[steering.Target]*state), services: make(map[steering.Service]*serviceState),
+		dark: make(map[steering.Zone]bool), peers: make(map[steering.Region][]steering.VM),
+		spill: make(map[steering.Service]*stepper), lending: Lending{}}
+}
+
+// SetTargets replaces the declared targets; what was learned of those that stay
+// is kept.
+func (b *Board) SetTargets(targets []Target) {
+	next := make(map[steering.Target]*state, len(targets))
+	for _, v := range b.services {
+		v.targets = nil
+	}
+	for _, t := range targets {
+		s := b.byName[t.Name]
+		if s == nil {
+			s = &state{hash: hash(string(t.Name))}
+		}
+		s.Target = t
+		next[t.Name] = s
+		v := b.service(t.Service)
+		v.targets = append(v.targets, s)
+	}
+	for _, v := range b.services {
+		sort.Slice(v.targets, func(i, j int) bool { return v.targets[i].Name < v.targets[j].Name })
+	}
+	b.byName = next
+}
+
+// SetPeers tells which entry VMs live, this one included.
+func (b *Board) SetPeers(peers map[steering.Region][]steering.VM) { b.peers = peers }
+
+// SetDark tells which zones cannot be reached from here.
+func (b *Board) SetDark(dark map[steering.Zone]bool) { b.dark = dark }
+
+// SetLending sets the share of keys that each region keeps.
+func (b *Board) SetLending(l Lending) { b.lending = l }
+
+func (b *Board) service(name steering.Service) *serviceState {
+	v := b.services[name]
+	if v == nil {
+		v = newServiceState()
+		b.services[name] = v
+	}
+	return v
+}
+
+// Arrived counts a request of a caller, for the demand told to peers.
+func (b *Board) Arrived(now time.Time, service steering.Service) {
+	b.service(service).arrivals.add(now, 1)
+}
+
+// Demand returns the slots that this entry VM's callers keep busy when warm, by
+// service.
+func (b *Board) Demand(now time.Time) map[steering.Service]float64 {
+	demand := make(map[steering.Service]float64, len(b.services))
+	for name, v := range b.services {
+		if slots := v.arrivals.fade(now) * v.fast; slots > 0 {
+			demand[name] = slots
+		}
+	}
+	return demand
+}
+
+// Slots returns the open slots by service and region.
+func (b *Board) Slots() map[steering.Service]map[steering.Region]float64 {
+	slots := make(map[steering.Service]map[steering.Region]float64)
+	for name, v := range b.services {
+		byRegion := make(map[steering.Region]float64)
+		for _, s := range v.targets {
+			if !s.Closed && !s.doubtful && !b.dark[s.Zone] {
+				byRegion[s.Region] += float64(s.Slots)
+			}
+		}
+		slots[name] = byRegion
+	}
+	return slots
+}
+
+// Began notes that a request was placed on a target. Ended or NotSent has to
+// follow.
+func (b *Board) Began(now time.Time, name steering.Target, key string, trial bool) {
+	if s := b.byName[name]; s != nil {
+		s.sent++
+		s.trying = s.trying || trial
+		s.remember(now, key)
+	}
+}
+
+// Ended notes how an exchange ended.
+func (b *Board) Ended(now time.Time, name steering.Target, r Report, trial bool, queued bool) {
+	s := b.byName[name]
+	if s == nil {
+		return
+	}
+	s.release(trial)
+	s.reported(now, r)
+	switch r.Outcome {
+	case Served:
+		s.succeed()
+		b.learn(s, r.Took.Seconds(), queued)
+	case Failed, Shed:
+		s.fail(now, false)
+	case Unreachable:
+		s.breaks = hardLimit
+		s.fail(now, true)
+	case Broken, Silent:
+		s.fail(now, true)
+	case Replaced:
+		s.Closed = true
+	case Abandoned:
+	}
+}
+
+func (b *Board) learn(s *state, took float64, queued bool) {
+	if queued || took <= 0 {
+		return
+	}
+	b.service(s.Service).learn(took)
+	if s.took == 0 {
+		s.took = took
+		return
+	}
+	s.took += learnShare * (took - s.took)
+}
+
+// Doubtful returns the targets that are passed over, for status and metrics.
+func (b *Board) Doubtful() []steering.Target {
+	var names []steering.Target
+	for name, s := range b.byName {
+		if s.doubtful {
+			names = append(names, name)
+		}
+	}
+	return names
+}
+
+// pace is the time a slot of the target is busy with a request, seconds.
+func (b *Board) pace(v *serviceState, s *state) float64 {
+	if s.took == 0 {
+		return v.mean
+	}
+	return math.Max(s.took, v.fast)
+}
+
+// NotSent notes a try that reached no target.
+func (b *Board) NotSent(now time.Time, name steering.Target, o Outcome, trial bool) {
+	s := b.byName[name]
+	if s == nil {
+		return
+	}
+	s.release(trial)
+	if o == Unreachable {
+		s.breaks = hardLimit
+		s.fail(now, true)
+	}
+}
+
+// release ends what Began began.
+func (s *state) release(trial bool) {
+	s.sent = max(s.sent-1, 0)
+	if trial {
+		s.trying = false
+	}
+}
--- /dev/null
+++ b/steering/placement/choose.go
@@ -0,0 +1,221 @@
+package placement
+
+import (
+	"math"
+	"sort"
+	"time"
+
+	"heatherlock/steering"
+)
+
+const (
+	// considered is how many of a key's order are weighed against each other.
+	// More would scatter keys: each place further down is colder.
+	considered = 3
+	// coldOwners is how many entry VMs may send to one cold target. Each has an
+	// equal part of its rate and one request of burst.
+	coldOwners = 3
+	// coldUse is the part of a cold target's rate that is used, so that two views
+	// of who lives may differ without exceeding it by much.
+	coldUse = 0.75
+	// minWait is the wait that is always allowed, as a share of the aim: about
+	// half a warm service time.
+	minWait = 0.3
+	// urgentOnly is the part of the allowed wait that a kind of lower rank has
+	// for each rank above 0, so that it is refused before a more urgent one is.
+	urgentOnly = 0.85
+	// shortestRetry and longestRetry bound Retry-After: a caller that comes back
+	// sooner finds the same queue, and later it has mostly given up.
+	shortestRetry = 100 * time.Millisecond
+	longestRetry  = 2 * time.Second
+)
+
+// candidate is a target weighed for a request.
+type candidate struct {
+	state *state
+	score float64
+	place int
+	wait  float64 // seconds
+	cost  float64 // predicted time to the answer, seconds
+	away  bool
+}
+
+// Choose returns the target of a request, or why there is none.
+func (b *Board) Choose(now time.Time, r Request) (Pick, *Refusal) {
+	v := b.service(r.Service)
+	key := r.Key
+	if key == "" {
+		key = r.ID
+	}
+	keyHash := hash(string(r.Service) + "\x00" + key)
+	regions := b.regionsFor(r, keyHash, v)
+	if len(regions) == 0 {
+		return Pick{}, &Refusal{Reason: steering.ReasonNoTarget, RetryAfter: shortestRetry}
+	}
+	shortest := math.Inf(1)
+	any := false
+	for i, region := range regions {
+		if i > 0 && !b.maySpill(now, r.Service, regions[0]) {
+			break
+		}
+		found := b.order(now, v, r, region, keyHash)
+		any = any || len(found) > 0
+		pick, wait, ok := b.best(now, v, r, found)
+		if ok {
+			b.noteRegion(now, r.Service, i > 0)
+			return pick, nil
+		}
+		shortest = math.Min(shortest, wait)
+	}
+	if !any {
+		return Pick{}, &Refusal{Reason: steering.ReasonNoTarget, RetryAfter: shortestRetry}
+	}
+	b.noteRegion(now, r.Service, false)
+	return Pick{}, &Refusal{Reason: steering.ReasonNoSlot, RetryAfter: b.retryAfter(v, r, shortest, keyHash), Wait: span(shortest)}
+}
+
+// order returns the open targets of a region in the key's order, the doubtful
+// ones only when they are due a trial or when most look doubtful.
+func (b *Board) order(now time.Time, v *serviceState, r Request, region steering.Region, keyHash uint64) []candidate {
+	var open []candidate
+	doubtful := 0
+	for _, s := range v.targets {
+		if s.Region != region || s.Closed || contains(r.Tried, s.Name) {
+			continue
+		}
+		if b.passedOver(v, s) {
+			doubtful++
+		}
+		open = append(open, candidate{state: s, score: score(keyHash, s.hash, float64(s.Slots)), away: region != b.region})
+	}
+	// With more than half in doubt the fault is more likely on the way there, or
+	// in the evidence, than in all of them.
+	trusting := doubtful*2 > len(open)
+	sort.Slice(open, func(i, j int) bool { return open[i].score > open[j].score })
+	kept := open[:0]
+	for place, c := range open {
+		c.place = place
+		if trusting || !b.passedOver(v, c.state) || b.trialDue(now, c.state, r) {
+			kept = append(kept, c)
+		}
+	}
+	return kept
+}
+
+// passedOver reports whether a target is in doubt or too slow.
+func (b *Board) passedOver(v *serviceState, s *state) bool {
+	return s.doubtful || b.dark[s.Zone] && s.Zone != ""
+}
+
+// trialDue reports whether a doubtful target is to be tried with this request.
+func (b *Board) trialDue(now time.Time, s *state, r Request) bool {
+	return r.Repeatable && s.doubtful && !s.trying && !now.Before(s.tryAt) && !b.dark[s.Zone]
+}
+
+// best weighs the first of the order against each other.
+func (b *Board) best(now time.Time, v *serviceState, r Request, order []candidate) (Pick, float64, bool) {
+	shortest := math.Inf(1)
+	var chosen *candidate
+	weighed := 0
+	for i := range order {
+		c := &order[i]
+		if weighed == considered {
+			break
+		}
+		if c.state.cold(now) && !b.ownsCold(c.state) {
+			continue
+		}
+		weighed++
+		b.predict(now, v, r, c)
+		shortest = math.Min(shortest, c.wait)
+		if c.state.doubtful && c.place == 0 && b.trialDue(now, c.state, r) {
+			chosen = c
+			break
+		}
+		if !b.fits(v, r, c) {
+			continue
+		}
+		if chosen == nil || c.cost < chosen.cost {
+			chosen = c
+		}
+	}
+	if chosen == nil {
+		return Pick{}, shortest, false
+	}
+	if chosen.state.cold(now) && !chosen.state.coldSpent.take(now, coldUse*chosen.state.ColdRate/coldOwners) {
+		return b.best(now, v, r, without(order, chosen.state))
+	}
+	return Pick{Target: chosen.state.Target, Expected: span(chosen.cost), Wait: span(chosen.wait), Place: chosen.place,
+		Trial: chosen.state.doubtful, Away: chosen.away}, shortest, true
+}
+
+func without(order []candidate, s *state) []candidate {
+	kept := make([]candidate, 0, len(order))
+	for _, c := range order {
+		if c.state != s {
+			kept = append(kept, c)
+		}
+	}
+	return kept
+}
+
+// predict sets the wait and the time to the answer.
+func (b *Board) predict(now time.Time, v *serviceState, r Request, c *candidate) {
+	pace := b.pace(v, c.state)
+	slots := float64(c.state.Slots)
+	ahead := math.Max(0, c.state.load(now)+1-slots)
+	c.wait = ahead / slots * pace
+	c.cost = c.wait + pace
+	if c.place > 0 && !c.state.warmFor(now, r.Key) {
+		c.cost += v.coldPenalty()
+	}
+}
+
+// fits reports whether the answer is likely to come in time. The wait counts,
+// not the run itself: a key's first run is cold and late by itself, and refusing
+// it would keep the target cold for ever.
+func (b *Board) fits(v *serviceState, r Request, c *candidate) bool {
+	if r.Left > 0 && span(c.wait+v.fast) > r.Left {
+		return false
+	}
+	if r.Aim <= 0 {
+		return true
+	}
+	allowed := math.Max(r.Aim.Seconds()-v.fast, minWait*r.Aim.Seconds())
+	allowed *= math.Pow(urgentOnly, float64(r.Rank))
+	return c.wait <= allowed
+}
+
+// retryAfter says when the shortest queue is likely to have drained to half of
+// what is allowed, spread by the key so that refused callers do not return
+// together.
+func (b *Board) retryAfter(v *serviceState, r Request, wait float64, keyHash uint64) time.Duration {
+	if math.IsInf(wait, 1) {
+		wait = v.mean
+	}
+	spread := 0.75 + 0.5*unit(mix(keyHash^hash(r.ID)))
+	return min(max(span(wait*spread), shortestRetry), longestRetry)
+}
+
+// ownsCold reports whether this entry VM may send to a cold target.
+func (b *Board) ownsCold(s *state) bool {
+	peers := b.peers[s.Region]
+	if s.Region != b.region || len(peers) == 0 {
+		return false
+	}
+	own := score(hash(string(b.vm)), s.hash, 1)
+	ahead := 0
+	for _, vm := range peers {
+		if vm != b.vm && score(hash(string(vm)), s.hash, 1) > own {
+			ahead++
+		}
+	}
+	return ahead < coldOwners
+}
+
+func span(seconds float64) time.Duration {
+	if math.IsInf(seconds, 1) {
+		return longestRetry
+	}
+	return time.Duration(seconds * float64(time.Second))
+}
--- /dev/null
+++ b/steering/placement/lend.go
@@ -0,0 +1,151 @@
+package placement
+
+import (
+	"math"
+	"sort"
+	"time"
+
+	"heatherlock/steering"
+)
+
+// Lending is the share of its keys that a region keeps, by service and region.
+// A missing entry means all.
+type Lending map[steering.Service]map[steering.Region]float64
+
+func (l Lending) kept(service steering.Service, region steering.Region) float64 {
+	if share, found := l[service][region]; found {
+		return share
+	}
+	return 1
+}
+
+const (
+	// fullEnough is the part of a region's slots that warm demand may keep busy
+	// before it lends: above it a queue of a few service times forms.
+	fullEnough = 0.65
+	// lendStep is the largest change of a region's share in one step.
+	lendStep = 0.02
+)
+
+// NextLending moves each region's kept share a step towards what its slots
+// bear. demand and slots are by service and region, in slots. A region without
+// slots keeps nothing; one with room for all keeps all.
+func NextLending(now Lending, demand, slots map[steering.Service]map[steering.Region]float64) Lending {
+	next := make(Lending, len(demand))
+	for service, byRegion := range demand {
+		next[service] = make(map[steering.Region]float64, len(byRegion))
+		level := levelOf(byRegion, slots[service])
+		for region, busy := range byRegion {
+			goal := 1.0
+			if busy > 0 {
+				goal = math.Min(1, level*slots[service][region]/busy)
+			}
+			old, known := now[service][region]
+			if !known {
+				next[service][region] = goal
+				continue
+			}
+			next[service][region] = old + math.Max(-lendStep, math.Min(lendStep, goal-old))
+		}
+	}
+	return next
+}
+
+// levelOf returns how full a region may be before it lends: fullEnough, or as
+// full as all regions together are if that is more.
+func levelOf(demand, slots map[steering.Region]float64) float64 {
+	var busy, room float64
+	for _, n := range demand {
+		busy += n
+	}
+	for _, n := range slots {
+		room += n
+	}
+	if room == 0 {
+		return fullEnough
+	}
+	return math.Max(fullEnough, busy/room)
+}
+
+// regionsFor returns the regions to try for a key: its own or the one it is
+// lent to, then the others in the key's order.
+func (b *Board) regionsFor(r Request, keyHash uint64, v *serviceState) []steering.Region {
+	slots := make(map[steering.Region]float64)
+	for _, s := range v.targets {
+		if s.Closed || r.Allowed != nil && !r.Allowed(s.Region) {
+			continue
+		}
+		slots[s.Region] += float64(s.Slots)
+	}
+	type ranked struct {
+		region steering.Region
+		score  float64
+	}
+	var others []ranked
+	for region, n := range slots {
+		if region != r.Region {
+			others = append(others, ranked{region, score(keyHash, hash(string(region)), b.spare(r.Service, region, n))})
+		}
+	}
+	sort.Slice(others, func(i, j int) bool { return others[i].score > others[j].score })
+	keeps := slots[r.Region] > 0 && unit(mix(keyHash^hash(string(r.Region)))) < b.lending.kept(r.Service, r.Region)
+	var regions []steering.Region
+	if keeps {
+		regions = append(regions, r.Region)
+	}
+	for _, o := range others {
+		regions = append(regions, o.region)
+	}
+	return regions
+}
+
+// spare weighs a region by its slots, and hardly at all if it lends itself.
+func (b *Board) spare(service steering.Service, region steering.Region, slots float64) float64 {
+	if b.lending.kept(service, region) < 1 {
+		return slots * 0.01
+	}
+	return slots
+}
+
+// stepper bounds how fast a region's requests move to other regions beyond what
+// is lent.
+type stepper struct {
+	window  time.Time
+	all     int
+	moved   int
+	allowed int // moves allowed in this window
+}
+
+// spillWindow is the window over which changes of region are bounded.
+const spillWindow = 2 * time.Second
+
+// spillUse is the part of the bound that one entry VM uses; the rest is for
+// lending that moves at the same time.
+const spillUse = 0.5
+
+func (b *Board) stepperOf(now time.Time, service steering.Service) *stepper {
+	s := b.spill[service]
+	if s == nil {
+		s = &stepper{window: now}
+		b.spill[service] = s
+	}
+	if now.Sub(s.window) >= spillWindow {
+		s.allowed = s.moved + int(float64(s.all)*b.shiftShare*spillUse)
+		s.window, s.all, s.moved = now, 0, 0
+	}
+	return s
+}
+
+// maySpill reports whether one more request may leave the region it belongs to.
+func (b *Board) maySpill(now time.Time, service steering.Service, home steering.Region) bool {
+	s := b.stepperOf(now, service)
+	return s.moved < s.allowed
+}
+
+func (b *Board) noteRegion(now time.Time, service steering.Service, moved bool) {
+	s := b.stepperOf(now, service)
+	s.all++
+	if moved {
+		s.moved++
+	}
+}
--- /dev/null
+++ b/steering/placement/state.go
@@ -0,0 +1,230 @@
+package placement
+
+import (
+	"math"
+	"time"
+
+	"heatherlock/steering"
+)
+
+const (
+	// learnShare is the weight of a new observation in a moving average: about
+	// the last ten count, some seconds of a target's traffic.
+	learnShare = 0.1
+	// failShare is the same for failures: half of what counts is the last three.
+	failShare = 0.2
+	// othersFade is the time in which a reported load of other entry VMs loses
+	// two thirds of its weight; about one service time.
+	othersFade = 250 * time.Millisecond
+	// Pauses before a doubtful target is tried again double from the first to
+	// the last. The first is about the time in which a crashed target restarts.
+	firstPause = 400 * time.Millisecond
+	lastPause  = 4 * time.Second
+	// failLimit is the share of failures at which a target is passed over. A
+	// service fails well under 1 in 100 by itself; a target that fails 1 in 3
+	// costs its callers more than a cold start elsewhere.
+	failLimit = 0.34
+	// hardLimit is the count of breaks in a row that make a target doubtful. One
+	// may be a single request's doing.
+	hardLimit = 2
+	// slowFactor is how many times slower than its service a target has to be to
+	// be passed over: above it even a cold run elsewhere is faster.
+	slowFactor = 2.5
+	// keptKeys bounds the keys remembered a target.
+	keptKeys = 64
+	// keyFresh is how long a key is taken to be warm on a target that ran it.
+	keyFresh = 15 * time.Second
+)
+
+// state is what one entry VM knows of a target.
+type state struct {
+	Target
+	hash uint64
+
+	sent    int       // in flight from here
+	others  float64   // load by others at the last report
+	average float64   // moving average of others
+	told    time.Time // of the last report
+
+	took      float64 // moving average of its service time, seconds; 0 unknown
+	failures  float64 // moving share of failures
+	breaks    int     // in a row
+	pause     time.Duration
+	doubtful  bool
+	tryAt     time.Time // when a doubtful target may be tried
+	trying    bool
+	coldSpent coldBucket
+	keys      map[string]time.Time
+}
+
+// load estimates what runs and waits at the target now.
+func (s *state) load(now time.Time) float64 {
+	fade := math.Exp(-float64(now.Sub(s.told)) / float64(othersFade))
+	return float64(s.sent) + s.average + (s.others-s.average)*fade
+}
+
+func (s *state) reported(now time.Time, r Report) {
+	if !r.LoadKnown {
+		return
+	}
+	s.others = math.Max(0, float64(r.Running+r.Waiting-s.sent))
+	s.average += learnShare * (s.others - s.average)
+	s.told = now
+}
+
+func (s *state) cold(now time.Time) bool { return now.Before(s.ColdUntil) }
+
+// succeed clears what was held against the target.
+func (s *state) succeed() {
+	s.failures -= failShare * s.failures
+	s.breaks = 0
+	s.doubtful = s.failures > failLimit
+	if !s.doubtful {
+		s.pause = 0
+	}
+}
+
+// fail notes a failure; hard ones mean that the target may be gone.
+func (s *state) fail(now time.Time, hard bool) {
+	s.failures += failShare * (1 - s.failures)
+	if hard {
+		s.breaks++
+	}
+	if s.breaks < hardLimit && s.failures <= failLimit {
+		return
+	}
+	s.doubt(now)
+}
+
+func (s *state) doubt(now time.Time) {
+	s.doubtful = true
+	s.pause = min(max(2*s.pause, firstPause), lastPause)
+	s.tryAt = now.Add(s.pause)
+}
+
+// remember notes that the target has run a key.
+func (s *state) remember(now time.Time, key string) {
+	if key == "" {
+		return
+	}
+	if s.keys == nil {
+		s.keys = make(map[string]time.Time)
+	}
+	if len(s.keys) >= keptKeys {
+		s.forget(now)
+	}
+	s.keys[key] = now
+}
+
+// forget drops stale keys, and the oldest if none is stale.
+func (s *state) forget(now time.Time) {
+	oldest, at := "", now
+	for key, used := range s.keys {
+		if now.Sub(used) > keyFresh {
+			delete(s.keys, key)
+		} else if !used.After(at) {
+			oldest, at = key, used
+		}
+	}
+	if len(s.keys) >= keptKeys {
+		delete(s.keys, oldest)
+	}
+}
+
+func (s *state) warmFor(now time.Time, key string) bool {
+	used, known := s.keys[key]
+	return known && now.Sub(used) <= keyFresh
+}
+
+// serviceState is what is learned of a service.
+type serviceState struct {
+	targets []*state
+	// fast and slow are the service times of warm and cold keys, seconds.
+	fast, slow float64
+	mean       float64
+	seen       int
+	// arrivals is the moving rate of requests from this entry VM's callers.
+	arrivals rate
+}
+
+// First guesses of service times, seconds, until observed: deliberately short,
+// since a wrong long guess would refuse what could be served.
+const (
+	guessFast = 0.05
+	guessSlow = 0.15
+)
+
+func newServiceState() *serviceState {
+	return &serviceState{fast: guessFast, slow: guessSlow, mean: guessFast}
+}
+
+// learn takes in a service time without a wait, in seconds.
+func (v *serviceState) learn(took float64) {
+	share := math.Max(learnShare/4, 1/float64(v.seen+1))
+	v.seen++
+	v.mean += share * (took - v.mean)
+	middle := (v.fast + v.slow) / 2
+	switch {
+	case v.seen == 1:
+		v.fast, v.slow = took, took
+	case took <= middle:
+		v.fast += share * (took - v.fast)
+	default:
+		v.slow += share * (took - v.slow)
+	}
+}
+
+// coldPenalty is what a run costs on a target that does not know the key.
+func (v *serviceState) coldPenalty() float64 { return math.Max(0, v.slow-v.fast) }
+
+// rate is a moving rate of events per second.
+type rate struct {
+	perSecond float64
+	at        time.Time
+}
+
+// rateSpan is the time over which a rate is averaged.
+const rateSpan = 3 * time.Second
+
+func (r *rate) add(now time.Time, n float64) {
+	r.fade(now)
+	r.perSecond += n / rateSpan.Seconds()
+}
+
+func (r *rate) fade(now time.Time) float64 {
+	if !r.at.IsZero() {
+		r.perSecond *= math.Exp(-float64(now.Sub(r.at)) / float64(rateSpan))
+	}
+	r.at = now
+	return r.perSecond
+}
+
+// coldBucket paces the requests to a cold target.
+type coldBucket struct {
+	tokens float64
+	at     time.Time
+}
+
+// take spends a token if there is one.
+func (b *coldBucket) take(now time.Time, perSecond float64) bool {
+	if b.at.IsZero() {
+		b.tokens = 1
+	} else {
+		b.tokens = math.Min(1, b.tokens+perSecond*now.Sub(b.at).Seconds())
+	}
+	b.at = now
+	if b.tokens < 1 {
+		return false
+	}
+	b.tokens--
+	return true
+}
+
+func contains(names []steering.Target, name steering.Target) bool {
+	for _, n := range names {
+		if n == name {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/steering/retry/allowance.go
@@ -0,0 +1,89 @@
+package retry
+
+import (
+	"math"
+	"time"
+
+	"heatherlock/steering"
+)
+
+// AllowanceConfig bounds further tries of a service over all entry VMs: in any
+// window, at most Ratio for each request plus Slack.
+type AllowanceConfig struct {
+	Ratio  float64
+	Slack  float64
+	Window time.Duration
+}
+
+const (
+	// ratioUse is the part of the ratio that is used. Requests are counted where
+	// callers send them, and some of those never reach an entry VM.
+	ratioUse = 0.8
+	// slackUse is the part of the slack that is divided, so that the sum holds
+	// while entry VMs differ for a while on how many there are.
+	slackUse = 0.6
+)
+
+// Allowance is one entry VM's part of the bound.
+//
+// What goes wrong without it: when a service fails, each entry VM tries every
+// request twice, and the doubled load keeps the service down. One would notice
+// arrivals at targets above the requests of callers. The part that grows with
+// requests needs no agreement, since each entry VM counts its own. The slack is
+// divided by the number of entry VMs that are on record, dead ones included, so
+// that a cut-off part of them never takes more than its share.
+//
+// It is not safe for concurrent use.
+type Allowance struct {
+	cfg     AllowanceConfig
+	members int
+	pools   map[steering.Service]*spending
+}
+
+// spending is a service's tries in slices of the window.
+type spending struct {
+	earned float64
+	at     time.Time
+}
+
+// NewAllowance returns an allowance for one entry VM alone.
+func NewAllowance(cfg AllowanceConfig) *Allowance {
+	return &Allowance{cfg: cfg, members: 1, pools: make(map[steering.Service]*spending)}
+}
+
+// SetMembers tells how many entry VMs divide the slack.
+func (a *Allowance) SetMembers(n int) { a.members = max(n, 1) }
+
+// cap is the most that is saved up.
+func (a *Allowance) cap() float64 {
+	return math.Max(1, math.Floor(a.cfg.Slack*slackUse/float64(a.members)))
+}
+
+func (a *Allowance) of(now time.Time, service steering.Service) *spending {
+	s := a.pools[service]
+	if s == nil {
+		s = &spending{earned: a.cap(), at: now}
+		a.pools[service] = s
+	}
+	// Unused slack comes back over a window, so that a window never holds more
+	// than two times what is divided; half of it is what slackUse leaves out.
+	s.earned = math.Min(a.cap(), s.earned+a.cap()*float64(now.Sub(s.at))/float64(2*a.cfg.Window))
+	s.at = now
+	return s
+}
+
+// First counts a request, which earns a part of a further try.
+func (a *Allowance) First(now time.Time, service steering.Service) {
+	s := a.of(now, service)
+	s.earned = math.Min(a.cap(), s.earned+a.cfg.Ratio*ratioUse)
+}
+
+// Take spends a further try and reports whether there was one.
+func (a *Allowance) Take(now time.Time, service steering.Service) bool {
+	s := a.of(now, service)
+	if s.earned < 1 {
+		return false
+	}
+	s.earned--
+	return true
+}
--- /dev/null
+++ b/steering/retry/allowance_test.go
@@ -0,0 +1,52 @@
+package retry_test
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"heatherlock/steering/retry"
+)
+
+// Symptom: a failing service gets twice the requests of its callers and stays
+// down. Sequence: all targets fail, every entry VM tries everything again.
+// Cause: each entry VM spends the whole slack. In any window, the tries of all
+// together must stay within ratio x requests + slack.
+func TestTriesOfAllEntryVMsStayWithinTheBound(t *testing.T) {
+	cfg := retry.AllowanceConfig{Ratio: 0.2, Slack: 64, Window: 10 * time.Second}
+	rapid.Check(t, func(t *rapid.T) {
+		members := rapid.IntRange(1, 24).Draw(t, "members")
+		perSecond := rapid.IntRange(1, 40).Draw(t, "requests a second and entry VM")
+		vms := make([]*retry.Allowance, members)
+		for i := range vms {
+			vms[i] = retry.NewAllowance(cfg)
+			vms[i].SetMembers(members)
+		}
+		start := time.Unix(0, 0)
+		const seconds = 40
+		var requests, tries [seconds]int
+		for second := range seconds {
+			failing := rapid.IntRange(0, 2).Draw(t, "failing") > 0
+			for n := range perSecond {
+				now := start.Add(time.Duration(second)*time.Second + time.Duration(n)*time.Second/time.Duration(perSecond))
+				for _, a := range vms {
+					a.First(now, "tickets")
+					requests[second]++
+					if failing && a.Take(now, "tickets") {
+						tries[second]++
+					}
+				}
+			}
+		}
+		for from := 0; from+10 <= seconds; from++ {
+			asked, again := 0, 0
+			for s := from; s < from+10; s++ {
+				asked += requests[s]
+				again += tries[s]
+			}
+			assert.Assert(t, float64(again) <= cfg.Ratio*float64(asked)+cfg.Slack, "%d tries for %d requests from second %d", again, asked, from)
+		}
+	})
+}
--- /dev/null
+++ b/steering/routes/routes_test.go
@@ -0,0 +1,60 @@
+package routes_test
+
+import (
+	"math"
+	"testing"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"heatherlock/steering"
+	"heatherlock/steering/routes"
+)
+
+func TestLongestPrefixOfTheHostWins(t *testing.T) {
+	short := &routes.Route{Name: "short", Host: "a.example", Prefix: "/x/"}
+	long := &routes.Route{Name: "long", Host: "a.example", Prefix: "/x/y/"}
+	other := &routes.Route{Name: "other", Host: "b.example", Prefix: "/"}
+	table := routes.NewTable(1, []*routes.Route{short, long, other}, nil, routes.Limits{})
+	for target, want := range map[string]*routes.Route{
+		"/x/1": short, "/x/y/1": long, "/x/y": short, "/x/?q=/x/y/": short, "/x": nil, "/z/": nil,
+	} {
+		got, found := table.Match("A.example:80", target)
+		assert.Equal(t, found, want != nil, target)
+		assert.Equal(t, got, want, target)
+	}
+	got, _ := table.Match("b.example", "http://b.example/x/1")
+	assert.Equal(t, got, other)
+	_, found := table.Match("c.example", "/x/1")
+	assert.Assert(t, !found)
+}
+
+// Symptom: a canary of 10 in 100 gets 17 of its first hundred requests.
+// Sequence: an operator splits a route and judges the first minute. Cause: each
+// request was drawn at random. Every window has to hold each part's share to
+// within one request a part.
+func TestEveryWindowHoldsTheProportions(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		weights := rapid.SliceOfN(rapid.IntRange(0, 100), 1, 5).Draw(t, "weights")
+		var parts []routes.Part
+		total := 0
+		for i, w := range weights {
+			parts = append(parts, routes.Part{Service: steering.Service(rune('a' + i)), Weight: float64(w)})
+			total += w
+		}
+		split := routes.NewSplitter(parts)
+		if total == 0 {
+			assert.Equal(t, split.Next(), steering.Service(""))
+			return
+		}
+		const requests = 400
+		got := map[steering.Service]int{}
+		for n := 1; n <= requests; n++ {
+			got[split.Next()]++
+			for _, p := range parts {
+				want := p.Weight / float64(total) * float64(n)
+				assert.Assert(t, math.Abs(float64(got[p.Service])-want) <= float64(len(parts)), "%s after %d: %d, want %.1f", p.Service, n, got[p.Service], want)
+			}
+		}
+	})
+}
