Let entry VMs tell each other what the store holds

Cause: each VM watched the store by itself. Ruled out: shorter watches on each VM (more calls), a written lease (a call to renew, and a lapse to wait for). Change: the state read is one value with a revision; heartbeats carry a short mark of it, a VM that knows less asks the sender for the difference. Live VMs whose reads work are ranked by hash; each reads when the state is older than 1.1 s + 0.2 s a rank, so a lost reader costs one step.

--- a/node/gateway/feed/reader.go
+++ b/node/gateway/feed/reader.go
@@ -14,16 +14,26 @@
 )
 
 const (
-	// targetsEvery is the pause between two reads of the targets. Their entries
-	// change with every heartbeat, so that a waiting watch would return at once;
-	// a change is seen within this time and one answer.
-	targetsEvery = time.Second
-	// configWait is how long a watch for a configuration or an evacuation waits.
-	configWait = 10 * time.Second
-	// firstPause and lastPause bound the pause after a failed call. The last is
-	// short of the time in which a leaving target has to be left alone.
-	firstPause = 200 * time.Millisecond
-	lastPause  = time.Second
+	// readEvery is the age at which the first reader reads the store again. The
+	// entries of targets change with every heartbeat, so that a waiting watch
+	// would return at once; with this and the steps below a change is known
+	// everywhere well within the 2.5 s that a leaving target is given.
+	readEvery = 1100 * time.Millisecond
+	// readStep is how much later each further entry VM reads, if none before it
+	// did. A reader that is gone, cut off or paused costs a step, and no lease
+	// has to lapse; two that read at once harm nothing.
+	readStep = 200 * time.Millisecond
+	// lastRank bounds the steps, so that a VM that hears nobody's news reads by
+	// itself in time.
+	lastRank = 4
+	// evacuationEvery is how many reads pass between two of the evacuations,
+	// which have twice the time.
+	evacuationEvery = 3
+	// startWait is how long a VM that starts waits for peers to tell it, which
+	// saves three calls.
+	startWait = 300 * time.Millisecond
+	// failedPause is waited after a failed read.
+	failedPause = 300 * time.Millisecond
 )
 
 // Store is what a Reader reads.
@@ -38,198 +48,217 @@
 
 // Sink takes what a Reader learns.
 type Sink interface {
+	// Configured is told each newer configuration.
 	Configured(t *routes.Table)
+	// Placed is told the targets when they changed.
 	Placed(targets []placement.Target, known func(steering.Target) bool)
+	// Refreshed is told that the store was read.
+	Refreshed()
 }
 
-// Reader keeps a State by reading the store.
+// Reader keeps a State by reading the store, or by what peers tell.
 type Reader struct {
 	store Store
 	sink  Sink
 	log   log.Logger
+	// rank says how many entry VMs are to read before this one.
+	rank func() int
 
-	mu    sync.Mutex
-	state *State
-	table *routes.Table
-	have  struct{ targets, evacuations bool }
+	mu      sync.Mutex
+	state   *State
+	reads   int
+	failing bool
 }
 
 // NewReader returns a reader that fills state.
-func NewReader(store Store, sink Sink, state *State, logger log.Logger) *Reader {
-	return &Reader{store: store, sink: sink, state: state, log: logger}
+func NewReader(store Store, sink Sink, state *State, rank func() int, logger log.Logger) *Reader {
+	return &Reader{store: store, sink: sink, state: state, rank: rank, log: logger}
 }
 
-// Run reads until ctx ends.
+// Run reads until ctx ends, each time that the state is old enough.
 func (r *Reader) Run(ctx context.Context) {
-	var all sync.WaitGroup
-	for _, follow := range []func(context.Context){r.followTargets, r.followConfig, r.followEvacuations} {
-		all.Go(func() { follow(ctx) })
+	sleep(ctx, startWait)
+	for ctx.Err() == nil {
+		if wait := r.due(time.Now()); wait > 0 {
+			sleep(ctx, wait)
+			continue
+		}
+		r.read(ctx)
 	}
-	all.Wait()
 }
 
-// update changes the state and tells the sink if that matters.
-func (r *Reader) update(change func() bool) {
+// due returns how long it is until this VM is to read.
+func (r *Reader) due(now time.Time) time.Duration {
+	rank := min(r.rank(), lastRank)
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if !change() || !r.have.targets || !r.have.evacuations {
-		return
+	age, ok := r.state.Age(now)
+	if !ok {
+		return 0
 	}
-	r.sink.Placed(r.state.Targets(r.table), r.state.Knows)
+	return readEvery + time.Duration(rank)*readStep - age
 }
 
-func (r *Reader) followTargets(ctx context.Context) {
-	var since int64
-	pause := pauser{log: r.log, what: "targets"}
-	for ctx.Err() == nil {
-		var err error
-		if since == 0 {
-			since, err = r.listTargets(ctx)
-		} else {
-			since, err = r.readTargetChanges(ctx, since)
-		}
-		r.update(func() bool { return r.state.Settle(time.Now()) })
-		if platform.FaultOf(err) == platform.FaultHistoryGone {
-			since = 0
-			continue
-		}
-		wait := pause.after(err)
-		if err == nil {
-			wait = targetsEvery
-		}
-		sleep(ctx, wait)
-	}
+// Failing reports whether the last read failed.
+func (r *Reader) Failing() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.failing
 }
 
-func (r *Reader) listTargets(ctx context.Context) (int64, error) {
-	all, revision, err := r.store.Targets(ctx)
-	if revision == 0 {
-		return 0, err
-	}
-	r.update(func() bool {
-		first := !r.have.targets
-		r.have.targets = true
-		return r.state.Listed(time.Now(), all) || first
+// Mark returns what is known, in short.
+func (r *Reader) Mark() Mark {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.state.Mark(time.Now())
+}
+
+// Adopt takes in a peer's mark and reports whether to ask the peer for more.
+func (r *Reader) Adopt(m Mark) (pull bool) {
+	r.update(func() (changed bool) {
+		pull, changed = r.state.Adopt(time.Now(), m)
+		return changed
 	})
-	return revision, err
+	return pull
 }
 
-func (r *Reader) readTargetChanges(ctx context.Context, since int64) (int64, error) {
-	changes, revision, err := r.store.TargetChanges(ctx, since, 0)
-	if revision == 0 {
-		return since, err
+// Tell returns what a peer needs that has a content and a version.
+func (r *Reader) Tell(content, version uint64) Known {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.state.Tell(time.Now(), content, version)
+}
+
+// Told takes in what a peer told.
+func (r *Reader) Told(k Known) {
+	r.update(func() bool { return r.state.Told(time.Now(), k) })
+}
+
+// update changes the state and tells the sink what that means.
+func (r *Reader) update(change func() bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	version, complete := r.state.version(), r.state.Complete()
+	changed := change()
+	if r.state.version() > version {
+		r.sink.Configured(r.state.Table())
+	}
+	if r.state.Complete() && (changed || !complete) {
+		r.sink.Placed(r.state.Placement(), r.state.Knows)
 	}
-	r.update(func() bool { return r.state.Changed(time.Now(), changes) })
-	return revision, err
 }
 
-func (r *Reader) followConfig(ctx context.Context) {
-	var since int64
-	pause := pauser{log: r.log, what: "configuration"}
-	for ctx.Err() == nil {
-		var next platform.Config
-		var err error
-		if since == 0 {
-			next, err = r.store.Config(ctx)
-		} else {
-			next, err = r.store.ConfigChanges(ctx, since, configWait)
-		}
-		if next.Table != nil {
-			r.configured(next.Table)
-		}
-		if next.Revision > 0 {
-			since = next.Revision
-		}
-		if platform.FaultOf(err) == platform.FaultHistoryGone {
-			since = 0
-			continue
-		}
+// read reads everything that changed. The parts are asked for at once: from
+// another region each takes two ways over the longest link.
+func (r *Reader) read(ctx context.Context) {
+	began := time.Now()
+	var targets, config, evacuations error
+	var all sync.WaitGroup
+	all.Go(func() { targets = r.readTargets(ctx) })
+	all.Go(func() { config = r.readConfig(ctx) })
+	r.mu.Lock()
+	due := r.reads%evacuationEvery == 0 || r.state.evacuation == 0
+	r.mu.Unlock()
+	if due {
+		all.Go(func() { evacuations = r.readEvacuations(ctx) })
+	}
+	all.Wait()
+	for _, err := range []error{targets, config, evacuations} {
 		if err != nil {
-			sleep(ctx, pause.after(err))
-			continue
+			r.failed(ctx, err)
+			return
 		}
-		pause.after(nil)
 	}
+	r.succeeded(began)
 }
 
-func (r *Reader) configured(t *routes.Table) {
-	r.sink.Configured(t)
+func (r *Reader) succeeded(began time.Time) {
 	r.update(func() bool {
-		if !t.Newer(r.table) {
-			return false
-		}
-		r.table = t
-		return true
+		changed := r.state.Settle(time.Now())
+		r.state.Fresh(began)
+		return changed
 	})
+	r.mu.Lock()
+	r.reads++
+	again := r.failing
+	r.failing = false
+	r.mu.Unlock()
+	if again {
+		_ = r.log.Log("msg", "store answers again") // the writer counts what it drops
+	}
+	r.sink.Refreshed()
 }
 
-func (r *Reader) followEvacuations(ctx context.Context) {
-	var since int64
-	pause := pauser{log: r.log, what: "evacuations"}
-	for ctx.Err() == nil {
-		var err error
-		if since == 0 {
-			since, err = r.listEvacuations(ctx)
-		} else {
-			since, err = r.readEvacuationChanges(ctx, since)
-		}
-		if platform.FaultOf(err) == platform.FaultHistoryGone {
-			since = 0
-			continue
-		}
-		if err != nil {
-			sleep(ctx, pause.after(err))
-			continue
-		}
-		pause.after(nil)
+func (r *Reader) failed(ctx context.Context, err error) {
+	r.mu.Lock()
+	first := !r.failing
+	r.failing = true
+	age, _ := r.state.Age(time.Now())
+	r.mu.Unlock()
+	if first && ctx.Err() == nil {
+		_ = r.log.Log("msg", "store does not answer", "err", err, "state_age_ms", age.Milliseconds()) // as above
 	}
+	sleep(ctx, failedPause)
 }
 
-func (r *Reader) listEvacuations(ctx context.Context) (int64, error) {
-	zones, revision, err := r.store.Evacuations(ctx)
-	if err != nil {
-		return 0, err
+func (r *Reader) revisions() (targets, config, evacuations int64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.state.revision, r.state.configured, r.state.evacuation
+}
+
+func (r *Reader) readTargets(ctx context.Context) error {
+	since, _, _ := r.revisions()
+	if since > 0 {
+		changes, revision, err := r.store.TargetChanges(ctx, since, 0)
+		if revision > 0 {
+			r.update(func() bool { return r.state.Changed(time.Now(), changes, revision) })
+		}
+		if platform.FaultOf(err) != platform.FaultHistoryGone {
+			return err
+		}
 	}
-	r.update(func() bool {
-		first := !r.have.evacuations
-		r.have.evacuations = true
-		return r.state.Evacuating(time.Now(), zones) || first
-	})
-	return revision, nil
+	all, revision, err := r.store.Targets(ctx)
+	if revision > 0 {
+		r.update(func() bool { return r.state.Listed(time.Now(), all, revision) })
+	}
+	return err
 }
 
-func (r *Reader) readEvacuationChanges(ctx context.Context, since int64) (int64, error) {
-	changes, revision, err := r.store.EvacuationChanges(ctx, since, configWait)
-	if err != nil {
-		return since, err
+func (r *Reader) readConfig(ctx context.Context) error {
+	_, since, _ := r.revisions()
+	if since > 0 {
+		next, err := r.store.ConfigChanges(ctx, since, 0)
+		if platform.FaultOf(err) != platform.FaultHistoryGone {
+			r.configured(next)
+			return err
+		}
 	}
-	r.update(func() bool { return r.state.EvacuationChanged(time.Now(), changes) })
-	return revision, nil
+	next, err := r.store.Config(ctx)
+	r.configured(next)
+	return err
 }
 
-// pauser says how long to wait after a call, and logs when calls begin and
-// cease to fail.
-type pauser struct {
-	log     log.Logger
-	what    string
-	pause   time.Duration
-	failing bool
+func (r *Reader) configured(c platform.Config) {
+	r.update(func() bool { return r.state.Configured(c.Table, c.Revision) })
 }
 
-func (p *pauser) after(err error) time.Duration {
-	if err == nil {
-		if p.failing {
-			_ = p.log.Log("msg", "store answers again", "read", p.what) // the writer counts what it drops
+func (r *Reader) readEvacuations(ctx context.Context) error {
+	_, _, since := r.revisions()
+	if since > 0 {
+		changes, revision, err := r.store.EvacuationChanges(ctx, since, 0)
+		if err == nil {
+			r.update(func() bool { return r.state.EvacuationChanged(time.Now(), changes, revision) })
+		}
+		if platform.FaultOf(err) != platform.FaultHistoryGone {
+			return err
 		}
-		p.failing, p.pause = false, 0
-		return 0
 	}
-	if !p.failing {
-		_ = p.log.Log("msg", "store does not answer", "read", p.what, "err", err)
+	zones, revision, err := r.store.Evacuations(ctx)
+	if err == nil {
+		r.update(func() bool { return r.state.Evacuating(time.Now(), zones, revision) })
 	}
-	p.failing = true
-	p.pause = min(max(2*p.pause, firstPause), lastPause)
-	return p.pause
+	return err
 }
 
 func sleep(ctx context.Context, d time.Duration) {
--- a/node/gateway/feed/state.go
+++ b/node/gateway/feed/state.go
@@ -1,8 +1,11 @@
 package feed
 
 import (
+	"encoding/binary"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"heatherlock/platform"
 	"heatherlock/steering"
 	"heatherlock/steering/placement"
@@ -16,103 +19,160 @@
 	// beatsMissed is how many heartbeats the store lets pass before it drops an
 	// entry; a longer gap between reads may hide an outage.
 	beatsMissed = 3
+	// historyKept is how many changes of the targets can be told as differences.
+	historyKept = 64
 )
 
-// known is a target as last read.
-type known struct {
+// Entry is a target as known here and told to peers.
+type Entry struct {
 	platform.Target
+	// ColdFor is how much longer it is cold, from the time of telling.
+	ColdFor time.Duration `json:"coldFor,omitempty"`
+	// Missing entries were absent when the store was read right after an outage.
+	Missing bool `json:"missing,omitempty"`
+
 	coldUntil time.Time
-	// missingSince is when the entry was first seen missing after an outage;
-	// zero while it is there.
-	missingSince time.Time
 }
 
-// State is what was read from the store. It is not safe for concurrent use.
+// Mark says what an entry VM knows and how fresh it is, in a few bytes.
+type Mark struct {
+	// Revision of the store as of which the targets are known.
+	Revision int64 `json:"rev,omitempty"`
+	// Content is a hash of the targets: equal hashes mean equal knowledge.
+	Content uint64 `json:"hash,omitempty"`
+	// Config is the version in force and ConfigRevision where to look for newer.
+	Config         uint64 `json:"cfg,omitempty"`
+	ConfigRevision int64  `json:"cfgRev,omitempty"`
+	// Evacuated are the zones under evacuation as of EvacuationRevision.
+	Evacuated          []steering.Zone `json:"evac,omitempty"`
+	EvacuationRevision int64           `json:"evacRev,omitempty"`
+	// AgeMs is how old the read is on which this rests.
+	AgeMs int64 `json:"age"`
+}
+
+// change is one step in the history of the targets.
+type change struct {
+	after uint64 // Content behind it
+	names []steering.Target
+}
+
+// State is what is known of the store. It is not safe for concurrent use.
 type State struct {
 	beat    time.Duration
 	regions map[steering.Zone]steering.Region
 
-	targets   map[steering.Target]*known
-	evacuated map[steering.Zone]bool
-	// freshUntil marks zones whose targets may be cold though their entries do
+	targets    map[steering.Target]*Entry
+	revision   int64
+	content    uint64
+	history    []change
+	evacuated  map[steering.Zone]bool
+	evacuation int64
+	table      *routes.Table
+	configured int64
+	// coldZones marks zones whose targets may be cold though their entries do
 	// not say so yet.
 	coldZones map[steering.Zone]time.Time
-	readAt    time.Time // of the targets
+	// readAt is when the store was read of which this is the state; zero if it
+	// never was.
+	readAt time.Time
 	// doubtUntil is set after an outage: removals are held back until then.
 	doubtUntil time.Time
 }
 
 // NewState returns an empty state. beat is how often targets write to the store.
 func NewState(beat time.Duration, regions map[steering.Zone]steering.Region) *State {
-	return &State{beat: beat, regions: regions, targets: make(map[steering.Target]*known),
+	return &State{beat: beat, regions: regions, targets: make(map[steering.Target]*Entry),
 		evacuated: make(map[steering.Zone]bool), coldZones: make(map[steering.Zone]time.Time)}
 }
 
-// noteRead records a successful read of the targets and notices an outage
-// before it.
+// Age returns how old the read is on which the state rests; ok is false if there
+// was none.
+func (s *State) Age(now time.Time) (age time.Duration, ok bool) {
+	return now.Sub(s.readAt), !s.readAt.IsZero()
+}
+
+// Complete reports whether all of the store that matters is known.
+func (s *State) Complete() bool {
+	return !s.readAt.IsZero() && s.table != nil && s.evacuation > 0
+}
+
+// Table returns the newest configuration, or nil.
+func (s *State) Table() *routes.Table { return s.table }
+
+// Fresh notes that the store was read at a time.
+func (s *State) Fresh(at time.Time) {
+	if at.After(s.readAt) {
+		s.readAt = at
+	}
+}
+
+// noteRead notices an outage before a read.
 func (s *State) noteRead(now time.Time) {
 	if !s.readAt.IsZero() && now.Sub(s.readAt) > beatsMissed*s.beat {
 		s.doubtUntil = now.Add(returnTime)
 	}
-	s.readAt = now
 }
 
 // Listed takes in a whole list of targets. It reports whether anything changed
 // that matters.
-func (s *State) Listed(now time.Time, all []platform.Target) bool {
+func (s *State) Listed(now time.Time, all []platform.Target, revision int64) bool {
 	s.noteRead(now)
 	listed := make(map[steering.Target]bool, len(all))
-	changed := false
+	var changed []steering.Target
 	for _, t := range all {
 		listed[t.Name] = true
-		changed = s.upsert(now, t) || changed
+		if s.upsert(now, t) {
+			changed = append(changed, t.Name)
+		}
 	}
 	for name := range s.targets {
-		if !listed[name] {
-			changed = s.missing(now, name) || changed
+		if !listed[name] && s.missing(now, name) {
+			changed = append(changed, name)
 		}
 	}
-	return changed
+	s.revision = revision
+	return s.recorded(changed)
 }
 
 // Changed takes in changes of targets.
-func (s *State) Changed(now time.Time, changes []platform.TargetChange) bool {
+func (s *State) Changed(now time.Time, changes []platform.TargetChange, revision int64) bool {
 	s.noteRead(now)
-	changed := false
+	var changed []steering.Target
 	for _, c := range changes {
-		if c.Removed {
-			changed = s.missing(now, c.Target.Name) || changed
-			continue
+		if c.Removed && s.missing(now, c.Target.Name) || !c.Removed && s.upsert(now, c.Target) {
+			changed = append(changed, c.Target.Name)
 		}
-		changed = s.upsert(now, c.Target) || changed
 	}
-	return changed
+	s.revision = revision
+	return s.recorded(changed)
 }
 
+// upsert reports whether the entry says something new.
 func (s *State) upsert(now time.Time, t platform.Target) bool {
 	old := s.targets[t.Name]
 	if old == nil {
-		k := &known{Target: t}
-		if t.ColdLeft > 0 {
-			k.coldUntil = now.Add(t.ColdLeft)
-		}
-		s.targets[t.Name] = k
+		s.targets[t.Name] = &Entry{Target: t, coldUntil: coldUntil(now, t.ColdLeft)}
 		return true
 	}
 	if t.Beat < old.Beat {
 		return false // an older state of the entry, seen late
 	}
-	wasCold := now.Before(old.coldUntil)
-	changed := old.Leaving != t.Leaving || old.Slots != t.Slots || old.Address != t.Address || !old.missingSince.IsZero()
+	changed := old.Leaving != t.Leaving || old.Slots != t.Slots || old.Address != t.Address || old.Missing
 	if t.Beat > old.Beat {
-		old.coldUntil = time.Time{}
-		if t.ColdLeft > 0 {
-			old.coldUntil = now.Add(t.ColdLeft)
-		}
+		turnedCold := t.ColdLeft > 0 && !now.Before(old.coldUntil)
+		changed = changed || turnedCold
+		old.coldUntil = coldUntil(now, t.ColdLeft)
 	}
-	old.missingSince = time.Time{}
+	old.Missing = false
 	old.Target = t
-	return changed || wasCold != now.Before(old.coldUntil)
+	return changed
+}
+
+func coldUntil(now time.Time, left time.Duration) time.Time {
+	if left <= 0 {
+		return time.Time{}
+	}
+	return now.Add(left)
 }
 
 // missing notes that an entry is gone. Right after an outage that may only mean
@@ -124,10 +184,9 @@
 		return false
 	}
 	if now.Before(s.doubtUntil) && !t.Leaving {
-		if t.missingSince.IsZero() {
-			t.missingSince = now
-		}
-		return false
+		changed := !t.Missing
+		t.Missing = true
+		return changed
 	}
 	delete(s.targets, name)
 	return true
@@ -138,35 +197,72 @@
 	if now.Before(s.doubtUntil) {
 		return false
 	}
-	changed := false
+	var changed []steering.Target
 	for name, t := range s.targets {
-		if !t.missingSince.IsZero() {
+		if t.Missing {
 			delete(s.targets, name)
-			changed = true
+			changed = append(changed, name)
 		}
 	}
-	return changed
+	return s.recorded(changed)
+}
+
+// recorded adds a step to the history.
+func (s *State) recorded(changed []steering.Target) bool {
+	if len(changed) == 0 {
+		return false
+	}
+	s.content = s.hash()
+	s.history = append(s.history, change{after: s.content, names: changed})
+	if len(s.history) > historyKept {
+		s.history = s.history[1:]
+	}
+	return true
+}
+
+// hash sums up what matters of the targets, in any order.
+func (s *State) hash() uint64 {
+	var sum uint64
+	for _, t := range s.targets {
+		sum += t.hash()
+	}
+	return sum
+}
+
+func (t *Entry) hash() uint64 {
+	d := xxhash.New()
+	_, _ = d.WriteString(string(t.Name) + "\x00" + t.Address + "\x00" + string(t.Service)) // a hash takes all
+	var flags [3]byte
+	binary.BigEndian.PutUint16(flags[:], uint16(t.Slots))
+	if t.Leaving {
+		flags[2] |= 1
+	}
+	if t.Missing {
+		flags[2] |= 2
+	}
+	_, _ = d.Write(flags[:])
+	return d.Sum64()
 }
 
 // Evacuating takes in a whole list of zones under evacuation.
-func (s *State) Evacuating(now time.Time, zones []steering.Zone) bool {
+func (s *State) Evacuating(now time.Time, zones []steering.Zone, revision int64) bool {
 	next := make(map[steering.Zone]bool, len(zones))
 	for _, zone := range zones {
 		next[zone] = true
 	}
-	changed := len(next) != len(s.evacuated)
+	changed := len(next) != len(s.evacuated) || s.evacuation == 0
 	for zone := range s.evacuated {
 		if !next[zone] {
 			changed = true
 			s.endEvacuation(now, zone)
 		}
 	}
-	s.evacuated = next
+	s.evacuated, s.evacuation = next, revision
 	return changed
 }
 
 // EvacuationChanged takes in changes of evacuations.
-func (s *State) EvacuationChanged(now time.Time, changes []platform.EvacuationChange) bool {
+func (s *State) EvacuationChanged(now time.Time, changes []platform.EvacuationChange, revision int64) bool {
 	for _, c := range changes {
 		if c.Ended {
 			delete(s.evacuated, c.Zone)
@@ -175,6 +271,7 @@
 		}
 		s.evacuated[c.Zone] = true
 	}
+	s.evacuation = revision
 	return len(changes) > 0
 }
 
@@ -185,8 +282,19 @@
 	s.coldZones[zone] = now.Add(2 * s.beat)
 }
 
-// Targets returns the targets for placement.
-func (s *State) Targets(table *routes.Table) []placement.Target {
+// Configured takes in a configuration, which may be nil if none is newer. It
+// reports whether it is newer.
+func (s *State) Configured(t *routes.Table, revision int64) bool {
+	s.configured = max(s.configured, revision)
+	if t == nil || !t.Newer(s.table) {
+		return false
+	}
+	s.table = t
+	return true
+}
+
+// Placement returns the targets for placement.
+func (s *State) Placement() []placement.Target {
 	all := make([]placement.Target, 0, len(s.targets))
 	for _, t := range s.targets {
 		p := placement.Target{Name: t.Name, Service: t.Service, Address: t.Address, Zone: t.Zone, Region: s.regions[t.Zone],
@@ -194,8 +302,8 @@
 		if until := s.coldZones[t.Zone]; until.After(p.ColdUntil) {
 			p.ColdUntil = until
 		}
-		if table != nil && table.Services[t.Service] != nil {
-			p.ColdRate = table.Services[t.Service].ColdRate
+		if s.table != nil && s.table.Services[t.Service] != nil {
+			p.ColdRate = s.table.Services[t.Service].ColdRate
 		}
 		all = append(all, p)
 	}
--- a/node/gateway/fleet/beat.go
+++ b/node/gateway/fleet/beat.go
@@ -5,6 +5,7 @@
 
 	"github.com/go-faster/errors"
 
+	"heatherlock/node/gateway/feed"
 	"heatherlock/steering"
 )
 
@@ -21,13 +22,14 @@
 	Leaving bool `json:"leaving,omitempty"`
 	// Demand is the slots kept busy by the VM's own callers, by service.
 	Demand map[steering.Service]float64 `json:"demand,omitempty"`
+	// Known says what the VM knows of the store.
+	Known feed.Mark `json:"known"`
+	// StoreFails is set while the VM's own reads of the store fail.
+	StoreFails bool `json:"storeFails,omitempty"`
 	// Members introduces others to a VM that may not know them.
 	Members []Member `json:"members,omitempty"`
 }
 
-// maxDatagram keeps a heartbeat within one packet on usual links.
-const maxDatagram = 1400
-
 func encode(b Beat) ([]byte, error) {
 	raw, err := json.Marshal(b)
 	if err != nil {
--- a/node/gateway/fleet/fleet.go
+++ b/node/gateway/fleet/fleet.go
@@ -23,6 +23,8 @@
 	Log   log.Logger
 	// Own fills in what the next heartbeat says of this VM.
 	Own func(*Beat)
+	// Heard is called for each heartbeat.
+	Heard func(Beat)
 	// Changed is called when members came or went.
 	Changed func()
 }
@@ -194,6 +196,7 @@
 		known = f.roster.Known()
 	}
 	f.mu.Unlock()
+	f.cfg.Heard(b)
 	if !fresh {
 		return
 	}
@@ -241,6 +244,14 @@
 	return f.roster.Beats(time.Now())
 }
 
+// ReadRank returns how many live VMs are to read the store before this one: those
+// whose reads do not fail, in an order that is the same on all.
+func (f *Fleet) ReadRank(fails bool) int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.roster.ReadRank(time.Now(), fails)
+}
+
 // DarkZones returns the zones that seem cut off from this VM.
 func (f *Fleet) DarkZones() map[steering.Zone]bool {
 	f.mu.Lock()
--- a/node/gateway/fleet/roster.go
+++ b/node/gateway/fleet/roster.go
@@ -4,6 +4,8 @@
 	"sort"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"heatherlock/steering"
 )
 
@@ -161,6 +163,24 @@
 	return all
 }
 
+// ReadRank returns how many live VMs are to read the store before this one.
+func (r *Roster) ReadRank(now time.Time, fails bool) int {
+	rank := 0
+	own := readOrder(r.self.Name)
+	for _, h := range r.members {
+		if !r.live(now, h) || h.leaving || h.beat.StoreFails && !fails {
+			continue
+		}
+		if fails && !h.beat.StoreFails || readOrder(h.Name) < own {
+			rank++
+		}
+	}
+	return rank
+}
+
+// readOrder spreads the reading over VMs whatever their names.
+func readOrder(name steering.VM) uint64 { return xxhash.Sum64String("read\x00" + string(name)) }
+
 // Known returns all members on record, this VM included.
 func (r *Roster) Known() []Member {
 	all := []Member{r.self}
--- a/node/gateway/gateway.go
+++ b/node/gateway/gateway.go
@@ -45,6 +45,9 @@
 	relay    *relay.Relay
 	pool     *upstream.Pool
 	fleet    *fleet.Fleet
+	reader   *feed.Reader
+	peers    *http.Client
+	pulling  atomic.Bool
 	callers  *callers.Server
 	leaving  atomic.Bool
 	lending  placement.Lending
@@ -73,6 +76,9 @@
 		Log:    logger,
 		Events: relay.NewEvents(scope), Members: func() int { return len(g.fleet.Live()) }})
 	g.callers = callers.NewServer(g.relay, g.relay.Limits, callerConnections)
+	state := feed.NewState(time.Duration(settings.HeartbeatMs)*time.Millisecond, settings.Zones)
+	g.reader = feed.NewReader(g.store, g, state, g.readRank, logger)
+	g.peers = newPeerClient()
 	return g, g.newFleet()
 }
 
@@ -101,13 +107,15 @@
 		}
 		seeds = append(seeds, platform.PeerAddressOf(host, g.settings.PeerPorts))
 	}
-	g.fleet = fleet.New(fleet.Config{Self: g.self(), Seeds: seeds, Log: g.log, Own: g.ownBeat, Changed: g.peersChanged}, conn)
+	g.fleet = fleet.New(fleet.Config{Self: g.self(), Seeds: seeds, Log: g.log, Own: g.ownBeat, Heard: g.heardBeat, Changed: g.peersChanged}, conn)
 	return nil
 }
 
 func (g *Gateway) ownBeat(b *fleet.Beat) {
 	b.Leaving = g.leaving.Load()
 	b.Serving = g.relay.Ready() && !b.Leaving
+	b.Known = g.reader.Mark()
+	b.StoreFails = g.reader.Failing()
 	g.relay.WithBoard(func(board *placement.Board, _ *retry.Allowance) { b.Demand = board.Demand(time.Now()) })
 }
 
@@ -162,9 +170,8 @@
 	if err := g.serveHTTP(); err != nil {
 		return err
 	}
-	reader := feed.NewReader(g.store, g, feed.NewState(time.Duration(g.settings.HeartbeatMs)*time.Millisecond, g.settings.Zones), g.log)
 	g.done.Go(func() { g.fleet.Run(work) })
-	g.done.Go(func() { reader.Run(work) })
+	g.done.Go(func() { g.reader.Run(work) })
 	g.done.Go(func() { g.register(work) })
 	g.done.Go(func() { g.lend(work) })
 	g.done.Go(func() { _ = g.callers.Serve(work, listener) }) // ends with the listener
--- a/node/gateway/listeners.go
+++ b/node/gateway/listeners.go
@@ -22,7 +22,7 @@
 	metrics := http.NewServeMux()
 	metrics.Handle("GET /metrics", g.metrics.Handler())
 	listen := g.settings.Listen
-	for address, mux := range map[string]*http.ServeMux{listen.Ready: ready, listen.Directory: directory, listen.Control: http.NewServeMux(),
+	for address, mux := range map[string]*http.ServeMux{listen.Ready: ready, listen.Directory: directory, listen.Control: g.controlMux(),
 		net.JoinHostPort(g.settings.IP, strconv.Itoa(g.settings.MetricsPort)): metrics} {
 		if err := g.serveMux(address, mux); err != nil {
 			return err
--- /dev/null
+++ b/node/gateway/tell.go
@@ -0,0 +1,94 @@
+package gateway
+
+import (
+	"context"
+	"encoding/json"
+	"net"
+	"net/http"
+	"net/url"
+	"strconv"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"heatherlock/node/gateway/feed"
+	"heatherlock/node/gateway/fleet"
+)
+
+const (
+	// pathKnown is where an entry VM tells its peers what it knows of the store.
+	pathKnown    = "/v1/known"
+	paramContent = "content"
+	paramConfig  = "config"
+	// pullTimeout bounds a pull: a few ways over the longest link. The next
+	// heartbeat of any peer starts another.
+	pullTimeout = 700 * time.Millisecond
+)
+
+func newPeerClient() *http.Client {
+	dialer := &net.Dialer{Timeout: pullTimeout, KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: 2 * time.Second, Interval: time.Second, Count: 2}}
+	return &http.Client{Timeout: pullTimeout, Transport: &http.Transport{DialContext: dialer.DialContext,
+		MaxIdleConnsPerHost: 1, IdleConnTimeout: 10 * time.Second, DisableCompression: true}}
+}
+
+// readRank returns how many entry VMs are to read the store before this one.
+func (g *Gateway) readRank() int { return g.fleet.ReadRank(g.reader.Failing()) }
+
+// Refreshed implements feed.Sink.
+func (g *Gateway) Refreshed() { g.fleet.Announce() }
+
+// heardBeat takes in what a peer knows, and asks it for more if it knows more.
+func (g *Gateway) heardBeat(b fleet.Beat) {
+	if !g.reader.Adopt(b.Known) || !g.pulling.CompareAndSwap(false, true) {
+		return
+	}
+	go func() {
+		defer g.pulling.Store(false)
+		if err := g.pull(b.From.Control); err != nil {
+			_ = g.log.Log("msg", "peer did not tell", "peer", b.From.Name, "err", err) // the writer counts what it drops
+		}
+	}()
+}
+
+func (g *Gateway) pull(address string) error {
+	have := g.reader.Mark()
+	query := url.Values{paramContent: {strconv.FormatUint(have.Content, 10)}, paramConfig: {strconv.FormatUint(have.Config, 10)}}
+	ctx, cancel := context.WithTimeout(context.Background(), pullTimeout)
+	defer cancel()
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+pathKnown+"?"+query.Encode(), nil)
+	if err != nil {
+		return errors.Wrap(err, "gateway: ask a peer")
+	}
+	response, err := g.peers.Do(request)
+	if err != nil {
+		return errors.Wrap(err, "gateway: ask a peer")
+	}
+	defer response.Body.Close()
+	if response.StatusCode != http.StatusOK {
+		return errors.Errorf("gateway: peer answered %d", response.StatusCode)
+	}
+	var known feed.Known
+	if err := json.NewDecoder(response.Body).Decode(&known); err != nil {
+		return errors.Wrap(err, "gateway: decode a peer's answer")
+	}
+	g.reader.Told(known)
+	return nil
+}
+
+// controlMux serves peers.
+func (g *Gateway) controlMux() *http.ServeMux {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET "+pathKnown, func(w http.ResponseWriter, r *http.Request) {
+		content, errContent := strconv.ParseUint(r.URL.Query().Get(paramContent), 10, 64)
+		config, errConfig := strconv.ParseUint(r.URL.Query().Get(paramConfig), 10, 64)
+		if errContent != nil || errConfig != nil {
+			http.Error(w, "content and config must be numbers", http.StatusBadRequest)
+			return
+		}
+		w.Header().Set("Content-Type", "application/json")
+		if err := json.NewEncoder(w).Encode(g.reader.Tell(content, config)); err != nil {
+			_ = g.log.Log("msg", "answer to a peer not written", "err", err) // as above
+		}
+	})
+	return mux
+}
--- a/steering/routes/table.go
+++ b/steering/routes/table.go
@@ -167,3 +167,13 @@
 	}
 	return "/"
 }
+
+// Rebuild returns a table that was decoded from another process with its
+// indexes made anew.
+func Rebuild(t *Table) *Table {
+	services := make([]*Service, 0, len(t.Services))
+	for _, s := range t.Services {
+		services = append(services, s)
+	}
+	return NewTable(t.Version, t.Routes, services, t.Limits)
+}
