Keep each key on the first target of its order

In overload each key overflowed to its second and third target and to other regions, so that every target was asked for more keys than it keeps warm. Ruled out: too few slots (all were busy, with cold runs). Change: one target is weighed, and nothing leaves its region but what is lent.

--- a/steering/placement/choose.go
+++ b/steering/placement/choose.go
@@ -11,7 +11,7 @@
 const (
 	// considered is how many of a key's order are weighed against each other.
 	// More would scatter keys: each place further down is colder.
-	considered = 3
+	considered = 1
 	// coldOwners is how many entry VMs may send to one cold target. Each has an
 	// equal part of its rate and one request of burst.
 	coldOwners = 3
--- a/steering/placement/lend.go
+++ b/steering/placement/lend.go
@@ -121,7 +121,7 @@
 
 // spillUse is the part of the bound that one entry VM uses; the rest is for
 // lending that moves at the same time.
-const spillUse = 0.5
+const spillUse = 0.0
 
 func (b *Board) stepperOf(now time.Time, service steering.Service) *stepper {
 	s := b.spill[service]
