--- a/steering/placement/board.go
+++ b/steering/placement/board.go
@@ -88,7 +88,7 @@
 func (b *Board) Demand(now time.Time) map[steering.Service]float64 {
 	demand := make(map[steering.Service]float64, len(b.services))
 	for name, v := range b.services {
-		if slots := v.arrivals.fade(now) * v.fast; slots > 0 {
+		if slots := v.arrivals.value(now) * v.fast; slots > 0 {
 			demand[name] = slots
 		}
 	}
--- a/steering/placement/lend.go
+++ b/steering/placement/lend.go
@@ -24,7 +24,7 @@
 	// before it lends: above it a queue of a few service times forms.
 	fullEnough = 0.65
 	// lendStep is the largest change of a region's share in one step.
-	lendStep = 0.02
+	lendStep = 0.05
 )
 
 // NextLending moves each region's kept share a step towards what its slots
--- a/steering/placement/state.go
+++ b/steering/placement/state.go
@@ -183,6 +183,7 @@
 type rate struct {
 	perSecond float64
 	at        time.Time
+	since     time.Time
 }
 
 // rateSpan is the time over which a rate is averaged.
@@ -193,12 +194,24 @@
 	r.perSecond += n / rateSpan.Seconds()
 }
 
-func (r *rate) fade(now time.Time) float64 {
-	if !r.at.IsZero() {
+func (r *rate) fade(now time.Time) {
+	if r.at.IsZero() {
+		r.since = now
+	} else {
 		r.perSecond *= math.Exp(-float64(now.Sub(r.at)) / float64(rateSpan))
 	}
 	r.at = now
-	return r.perSecond
+}
+
+// shortestRateAge is the age below which a rate is not extrapolated.
+const shortestRateAge = 300 * time.Millisecond
+
+// value returns the rate. A young one has not taken in a whole span yet; without
+// the correction the first seconds of traffic would look like a trickle.
+func (r *rate) value(now time.Time) float64 {
+	r.fade(now)
+	age := max(now.Sub(r.since), shortestRateAge)
+	return r.perSecond / (1 - math.Exp(-float64(age)/float64(rateSpan)))
 }
 
 // coldBucket paces the requests to a cold target.
