--- a/node/gateway/callers/conn.go
+++ b/node/gateway/callers/conn.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"github.com/go-faster/errors"
+	"golang.org/x/net/http/httpguts"
 
 	"heatherlock/steering/routes"
 )
@@ -124,7 +125,7 @@
 	}
 	received := time.Now()
 	_ = c.raw.SetReadDeadline(received.Add(limits.HeaderTimeout))
-	c.source.left = limits.HeaderBytes
+	c.source.left = max(limits.HeaderBytes-c.in.Buffered(), 1)
 	r, err := http.ReadRequest(c.in)
 	c.source.left = -1
 	if err != nil {
@@ -181,6 +182,8 @@
 	switch {
 	case r.Host == "" && r.ProtoAtLeast(1, 1):
 		return http.StatusBadRequest, "no Host"
+	case !validHeader(r.Header):
+		return http.StatusBadRequest, "a header field is malformed"
 	case r.Method == http.MethodConnect:
 		return http.StatusMethodNotAllowed, "CONNECT is not served"
 	case limits.BodyBytes > 0 && r.ContentLength > limits.BodyBytes:
@@ -189,6 +192,23 @@
 	return 0, ""
 }
 
+// validHeader reports whether all fields are well formed. The codec lets some
+// pass that another reader would understand differently, and with that a second
+// request could hide in the first.
+func validHeader(h http.Header) bool {
+	for name, values := range h {
+		if !httpguts.ValidHeaderFieldName(name) {
+			return false
+		}
+		for _, value := range values {
+			if !httpguts.ValidHeaderFieldValue(value) {
+				return false
+			}
+		}
+	}
+	return true
+}
+
 // take reads the body and starts the request.
 func (c *conn) take(ctx context.Context, r *http.Request, received time.Time, limits routes.Limits) bool {
 	if r.Header.Get("Expect") != "" && r.ContentLength != 0 {
--- a/node/gateway/relay/place.go
+++ b/node/gateway/relay/place.go
@@ -48,6 +48,9 @@
 	}
 	if load := e.said.Load; load.Known {
 		report.LoadKnown, report.Running, report.Waiting = true, load.Running, load.Waiting
+		if !e.notRun {
+			report.Running-- // a target counts the request that it answers
+		}
 	}
 	if sentAt.IsZero() {
 		f.cfg.Board.NotSent(now, e.pick.Target.Name, report.Outcome, e.pick.Trial)
--- /dev/null
+++ b/standin/metastore/http.go
@@ -0,0 +1,191 @@
+package metastore
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"sort"
+	"strconv"
+	"strings"
+	"time"
+)
+
+// Faults is how the store misbehaves.
+type Faults struct {
+	// Silent callers get no answer; Busy ones 503; Limited ones 429. Each is
+	// asked with the caller's address, and may be nil.
+	Silent, Busy, Limited func(remote string) bool
+	// Delay is added to each answer.
+	Delay time.Duration
+	// LoseWrites does writes and loses their answers.
+	LoseWrites bool
+}
+
+// All is a fault for every caller.
+func All(string) bool { return true }
+
+// SetFaults replaces the faults.
+func (s *Store) SetFaults(f Faults) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.faults = f
+}
+
+const prefix = "/v1/objects/"
+
+// ServeHTTP serves the store's interface.
+func (s *Store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	s.mu.Lock()
+	f := s.faults
+	s.calls++
+	s.mu.Unlock()
+	if f.refuses(w, r) {
+		return
+	}
+	kind, name, _ := strings.Cut(strings.TrimPrefix(r.URL.Path, prefix), "/")
+	if r.Method == http.MethodGet {
+		s.read(w, r, kind, name)
+		return
+	}
+	status, body := s.write(r, kind, name)
+	if f.LoseWrites {
+		hang(r.Context())
+		panic(http.ErrAbortHandler)
+	}
+	reply(w, status, body)
+}
+
+// refuses acts on the faults, and reports whether the call ends with that.
+func (f Faults) refuses(w http.ResponseWriter, r *http.Request) bool {
+	hits := func(who func(string) bool) bool { return who != nil && who(r.RemoteAddr) }
+	time.Sleep(f.Delay)
+	switch {
+	case hits(f.Silent):
+		hang(r.Context())
+		panic(http.ErrAbortHandler)
+	case hits(f.Busy):
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return true
+	case hits(f.Limited):
+		w.WriteHeader(http.StatusTooManyRequests)
+		return true
+	}
+	return false
+}
+
+// hangFor is longer than any caller waits.
+const hangFor = 30 * time.Second
+
+func hang(ctx context.Context) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(hangFor):
+	}
+}
+
+func reply(w http.ResponseWriter, status int, body any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	if body != nil {
+		_ = json.NewEncoder(w).Encode(body) // a caller that left needs no answer
+	}
+}
+
+func (s *Store) read(w http.ResponseWriter, r *http.Request, kind, name string) {
+	if name != "" {
+		s.mu.Lock()
+		o, found := s.objects[kind][name]
+		s.mu.Unlock()
+		if !found {
+			reply(w, http.StatusNotFound, nil)
+			return
+		}
+		reply(w, http.StatusOK, o)
+		return
+	}
+	if watch := r.URL.Query().Get("watch"); watch != "" {
+		s.watch(w, r, kind, watch)
+		return
+	}
+	reply(w, http.StatusOK, s.page(kind, r.URL.Query().Get("after")))
+}
+
+type page struct {
+	Items    []Object `json:"items"`
+	More     bool     `json:"hasMore"`
+	Revision int64    `json:"storeRevision"`
+}
+
+func (s *Store) page(kind, after string) page {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	p := page{Items: []Object{}, Revision: s.revision}
+	for name, o := range s.objects[kind] {
+		if name > after {
+			p.Items = append(p.Items, o)
+		}
+	}
+	sort.Slice(p.Items, func(i, j int) bool { return p.Items[i].Metadata.Name < p.Items[j].Metadata.Name })
+	if len(p.Items) > s.PageSize {
+		p.Items, p.More = p.Items[:s.PageSize], true
+	}
+	return p
+}
+
+func (s *Store) watch(w http.ResponseWriter, r *http.Request, kind, watch string) {
+	since, err := strconv.ParseInt(watch, 10, 64)
+	wait, errWait := strconv.Atoi(r.URL.Query().Get("waitMs"))
+	if err != nil || errWait != nil {
+		reply(w, http.StatusBadRequest, nil)
+		return
+	}
+	timer := time.NewTimer(time.Duration(wait) * time.Millisecond)
+	defer timer.Stop()
+	for {
+		s.mu.Lock()
+		events, ok := s.since(kind, since)
+		revision, changed := s.revision, s.changed
+		s.mu.Unlock()
+		if !ok {
+			reply(w, http.StatusGone, nil)
+			return
+		}
+		if len(events) > 0 {
+			reply(w, http.StatusOK, map[string]any{"events": events, "storeRevision": revision})
+			return
+		}
+		select {
+		case <-changed:
+		case <-timer.C:
+			reply(w, http.StatusOK, map[string]any{"events": events, "storeRevision": revision})
+			return
+		case <-r.Context().Done():
+			return
+		}
+	}
+}
+
+func (s *Store) write(r *http.Request, kind, name string) (int, any) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if r.Method == http.MethodDelete {
+		if !s.remove(kind, name) {
+			return http.StatusNotFound, nil
+		}
+		return http.StatusOK, nil
+	}
+	var o Object
+	if err := json.NewDecoder(r.Body).Decode(&o); err != nil {
+		return http.StatusBadRequest, nil
+	}
+	old, found := s.objects[kind][o.Metadata.Name]
+	switch {
+	case r.Method == http.MethodPost && found:
+		return http.StatusConflict, old
+	case r.Method == http.MethodPut && !found:
+		return http.StatusNotFound, nil
+	case r.Method == http.MethodPut && o.Metadata.Revision != 0 && o.Metadata.Revision != old.Metadata.Revision:
+		return http.StatusConflict, old
+	}
+	return http.StatusOK, s.put(kind, o.Metadata.Name, o.Spec)
+}
