Test the platform's path without the kit

Stand-ins for the users' store and targets, and tests on them: settings, records, headers and faults of the store; placement, lending and cold targets as properties; what is known of the store, told in any order, against a reference; membership; whole entry VMs on loopback (configuration, leaving targets and VMs, store away or silent to one, all VMs gone after an acknowledgement). Found by them: a lent key of a route bound to its region was refused (now served at home), and the heartbeat socket stayed open after an entry VM had ended.

--- /dev/null
+++ b/node/gateway/feed/state_test.go
@@ -0,0 +1,238 @@
+package feed_test
+
+import (
+	"encoding/json"
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"heatherlock/node/gateway/feed"
+	"heatherlock/platform"
+	"heatherlock/steering"
+	"heatherlock/steering/placement"
+	"heatherlock/steering/routes"
+)
+
+const beat = 1500 * time.Millisecond
+
+var (
+	start   = time.Unix(1000, 0)
+	regions = map[steering.Zone]steering.Region{"a": "centro", "b": "sur"}
+)
+
+func target(name string, beat int64, leaving bool) platform.Target {
+	return platform.Target{Name: steering.Target(name), Service: "s", Address: "10.0.0.1:80", Zone: "a", Slots: 3, Beat: beat, Leaving: leaving}
+}
+
+func names(s *feed.State) map[steering.Target]placement.Target {
+	all := make(map[steering.Target]placement.Target)
+	for _, t := range s.Placement() {
+		all[t.Name] = t
+	}
+	return all
+}
+
+func table(version uint64) *routes.Table {
+	return routes.NewTable(version, []*routes.Route{{Name: "r", Host: "h", Prefix: "/", Parts: []routes.Part{{Service: "s", Weight: 1}}}}, nil, routes.Limits{})
+}
+
+// Symptom: after an outage of the store every target is gone and all requests
+// are refused. Sequence: entries lapse while targets cannot write; the first
+// read afterwards finds none. Cause: taking a missing entry for a target that
+// left. Entries have 2 s to come back; one that is still missing then is gone.
+func TestEntriesThatLapsedInAnOutageHaveTimeToComeBack(t *testing.T) {
+	s := feed.NewState(beat, regions)
+	s.Listed(start, []platform.Target{target("back", 1, false), target("gone", 1, false), target("leaving", 1, true)}, 10)
+	s.Fresh(start)
+	now := start.Add(10 * time.Second)
+	s.Listed(now, nil, 20)
+	s.Fresh(now)
+	assert.Equal(t, len(names(s)), 2, "a leaving target needs no second look")
+	now = now.Add(1500 * time.Millisecond)
+	s.Changed(now, []platform.TargetChange{{Target: target("back", 2, false)}}, 30)
+	s.Fresh(now)
+	assert.Assert(t, !s.Settle(now))
+	now = now.Add(time.Second)
+	assert.Assert(t, s.Settle(now))
+	_, found := names(s)["back"]
+	assert.Assert(t, found && len(names(s)) == 1)
+}
+
+// Symptom: a target that crashed for good keeps getting requests. Without an
+// outage a missing entry is gone at once.
+func TestEntryThatIsRemovedIsGone(t *testing.T) {
+	s := feed.NewState(beat, regions)
+	s.Listed(start, []platform.Target{target("a", 1, false)}, 10)
+	s.Fresh(start)
+	assert.Assert(t, s.Changed(start.Add(time.Second), []platform.TargetChange{{Target: platform.Target{Name: "a"}, Removed: true}}, 11))
+	assert.Equal(t, len(names(s)), 0)
+}
+
+// Symptom: a leaving target gets new requests again. Sequence: an older state of
+// its entry arrives after the newer. Cause: taking what comes last for newest.
+func TestOlderStateOfAnEntryIsIgnored(t *testing.T) {
+	s := feed.NewState(beat, regions)
+	s.Listed(start, []platform.Target{target("a", 5, true)}, 10)
+	s.Changed(start, []platform.TargetChange{{Target: target("a", 4, false)}}, 11)
+	assert.Assert(t, names(s)["a"].Closed)
+}
+
+// Symptom: the targets of a zone crash when it is taken back. Sequence: they
+// lost what made them fast while idle, and their entries say so one heartbeat
+// later. Cause: sending the full load at once.
+func TestZoneTakenBackIsColdAtFirst(t *testing.T) {
+	s := feed.NewState(beat, regions)
+	s.Listed(start, []platform.Target{target("a", 1, false)}, 10)
+	s.Evacuating(start, []steering.Zone{"a"}, 11)
+	assert.Assert(t, names(s)["a"].Closed)
+	s.EvacuationChanged(start, []platform.EvacuationChange{{Zone: "a", Ended: true}}, 12)
+	got := names(s)["a"]
+	assert.Assert(t, !got.Closed && got.ColdUntil.After(start.Add(beat)))
+}
+
+// fakeStore is the store's targets at each revision, for reference.
+type fakeStore struct {
+	revision int64
+	now      map[string]platform.Target
+	at       map[int64]string // content by revision
+	events   []struct {
+		revision int64
+		change   platform.TargetChange
+	}
+	config uint64
+}
+
+func (f *fakeStore) step(change platform.TargetChange) {
+	f.revision++
+	if change.Removed {
+		delete(f.now, string(change.Target.Name))
+	} else {
+		f.now[string(change.Target.Name)] = change.Target
+	}
+	f.events = append(f.events, struct {
+		revision int64
+		change   platform.TargetChange
+	}{f.revision, change})
+	f.at[f.revision] = f.content()
+}
+
+func (f *fakeStore) content() string {
+	all := make(map[string]bool)
+	for name, t := range f.now {
+		all[name] = t.Leaving
+	}
+	raw, err := json.Marshal(all)
+	if err != nil {
+		panic(err)
+	}
+	return string(raw)
+}
+
+func (f *fakeStore) read(now time.Time, s *feed.State, m feed.Mark) {
+	if m.Revision == 0 {
+		var all []platform.Target
+		for _, t := range f.now {
+			all = append(all, t)
+		}
+		s.Listed(now, all, f.revision)
+	} else {
+		var changes []platform.TargetChange
+		for _, e := range f.events {
+			if e.revision > m.Revision {
+				changes = append(changes, e.change)
+			}
+		}
+		s.Changed(now, changes, f.revision)
+	}
+	s.Evacuating(now, nil, f.revision)
+	if f.config > 0 {
+		s.Configured(table(f.config), f.revision)
+	}
+	s.Fresh(now)
+}
+
+func contentOf(s *feed.State) string {
+	all := make(map[string]bool)
+	for name, t := range names(s) {
+		all[string(name)] = t.Closed
+	}
+	raw, err := json.Marshal(all)
+	if err != nil {
+		panic(err)
+	}
+	return string(raw)
+}
+
+// Symptom: entry VMs differ for good on which targets there are, or one goes
+// back to an older configuration. Whatever is read and told in whatever order,
+// and however late, each state is the store's at the revision that it names, its
+// configuration never goes back, and once all have told each other they agree.
+func TestStatesFollowTheStoreByReadingAndTelling(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		store := &fakeStore{revision: 5, now: map[string]platform.Target{}, at: map[int64]string{5: "{}"}}
+		const vms = 3
+		states := make([]*feed.State, vms)
+		versions := make([]uint64, vms)
+		for i := range states {
+			states[i] = feed.NewState(beat, regions)
+		}
+		var late []feed.Known // told, and not arrived yet
+		now := start
+		check := func() {
+			for i, s := range states {
+				m := s.Mark(now)
+				if m.Revision > 0 {
+					assert.Equal(t, contentOf(s), store.at[m.Revision], "vm %d at %d", i, m.Revision)
+				}
+				assert.Assert(t, m.Config >= versions[i])
+				versions[i] = m.Config
+			}
+		}
+		tell := func(from, to int) feed.Known {
+			mark := states[to].Mark(now)
+			raw, err := json.Marshal(states[from].Tell(now, mark.Content, mark.Config))
+			assert.NilError(t, err)
+			var k feed.Known
+			assert.NilError(t, json.Unmarshal(raw, &k))
+			return k
+		}
+		for range rapid.IntRange(5, 60).Draw(t, "steps") {
+			now = now.Add(50 * time.Millisecond)
+			from, to := rapid.IntRange(0, vms-1).Draw(t, "from"), rapid.IntRange(0, vms-1).Draw(t, "to")
+			switch rapid.IntRange(0, 5).Draw(t, "step") {
+			case 0:
+				name := fmt.Sprint("t", rapid.IntRange(0, 5).Draw(t, "target"))
+				old, found := store.now[name]
+				store.step(platform.TargetChange{Target: target(name, old.Beat+1, found && rapid.Bool().Draw(t, "leaving")), Removed: found && rapid.Bool().Draw(t, "removed")})
+			case 1:
+				store.config++
+			case 2:
+				store.read(now, states[to], states[to].Mark(now))
+			case 3:
+				if pull, _ := states[to].Adopt(now, states[from].Mark(now)); pull {
+					states[to].Told(now, tell(from, to))
+				}
+			case 4:
+				late = append(late, tell(from, to))
+			case 5:
+				if len(late) > 0 {
+					states[to].Told(now, late[rapid.IntRange(0, len(late)-1).Draw(t, "late")])
+				}
+			}
+			check()
+		}
+		store.step(platform.TargetChange{Target: target("last", 1, false)})
+		store.config++
+		store.read(now, states[0], states[0].Mark(now))
+		for i := 1; i < vms; i++ {
+			if pull, _ := states[i].Adopt(now, states[0].Mark(now)); pull {
+				states[i].Told(now, tell(0, i))
+			}
+			assert.Equal(t, contentOf(states[i]), contentOf(states[0]))
+			assert.Equal(t, states[i].Mark(now).Config, store.config)
+		}
+	})
+}
--- a/node/gateway/fleet/fleet.go
+++ b/node/gateway/fleet/fleet.go
@@ -48,8 +48,9 @@
 		last: make(map[steering.VM]bool), wake: make(chan struct{}, 1)}
 }
 
-// Run exchanges heartbeats until ctx ends.
+// Run exchanges heartbeats until ctx ends, and then closes the connection.
 func (f *Fleet) Run(ctx context.Context) {
+	defer f.conn.Close()
 	stop := context.AfterFunc(ctx, func() { _ = f.conn.SetReadDeadline(time.Unix(1, 0)) }) // ends the reader
 	defer stop()
 	var all sync.WaitGroup
--- /dev/null
+++ b/node/gateway/gateway_test.go
@@ -0,0 +1,292 @@
+package gateway_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/go-kit/log"
+	"gotest.tools/v3/assert"
+
+	"heatherlock/node/gateway"
+	"heatherlock/platform"
+	"heatherlock/standin/endpoint"
+	"heatherlock/standin/metastore"
+	"heatherlock/steering"
+)
+
+// site is a small deployment: entry VMs as the daemon assembles them, targets
+// and a store, on loopback addresses.
+type site struct {
+	t       *testing.T
+	store   *metastore.Store
+	address string
+	ports   [7]int
+	targets map[string]*endpoint.Endpoint
+	version int
+	routes  []map[string]any
+	number  atomic.Int64
+}
+
+// vm is a running entry VM.
+type vm struct {
+	settings *platform.Settings
+	stop     context.CancelFunc
+	done     chan error
+}
+
+var nextNet atomic.Int64
+
+func newSite(t *testing.T) *site {
+	t.Helper()
+	s := &site{t: t, store: metastore.New(), targets: make(map[string]*endpoint.Endpoint)}
+	server := httptest.NewServer(s.store)
+	t.Cleanup(server.CloseClientConnections)
+	s.address = strings.TrimPrefix(server.URL, "http://")
+	base := 21000 + int(nextNet.Add(1))*20
+	for i := range s.ports {
+		s.ports[i] = base + i
+	}
+	s.addTarget("t1")
+	s.addTarget("t2")
+	s.route("read", "safe")
+	s.route("buy", "unsafe")
+	s.configure()
+	return s
+}
+
+func (s *site) addTarget(name string) {
+	e, err := endpoint.Start(endpoint.Config{ID: name, Slots: 3, Queue: 9, Work: 20 * time.Millisecond, WarmShare: 1, Keeps: 20})
+	assert.NilError(s.t, err)
+	s.t.Cleanup(e.Stop)
+	s.targets[name] = e
+	s.register(name, "ready", 1)
+}
+
+func (s *site) register(name, state string, seq int) {
+	s.store.Put("servers", name, map[string]any{"service": "svc", "address": s.targets[name].Address(), "zone": "a", "slots": 3, "state": state, "seq": seq})
+}
+
+func (s *site) route(name, kind string) {
+	s.routes = append(s.routes, map[string]any{"name": name, "host": "shop.example", "pathPrefix": "/" + name + "/", "kind": kind,
+		"timeoutMs": 2000, "targetLatencyMs": 1000, "service": "svc", "maxAttempts": 2, "sticky": true})
+}
+
+// configure writes a new configuration.
+func (s *site) configure() {
+	s.version += 3
+	s.store.Put("config", "main", map[string]any{"version": fmt.Sprint("r", s.version), "routes": s.routes,
+		"services": []any{map[string]any{"name": "svc", "healthPath": "/health", "maxConns": 100}},
+		"limits":   map[string]any{"maxHeaderBytes": 8192, "maxBodyBytes": 1 << 20, "headerTimeoutMs": 2000, "idleTimeoutMs": 5000}})
+}
+
+// start starts the entry VM number n, which is told of VM 1 as a seed.
+func (s *site) start(n int) *vm {
+	s.t.Helper()
+	ip := fmt.Sprintf("127.0.0.%d", n+1)
+	at := func(port int) string { return fmt.Sprintf("%s:%d", ip, s.ports[port]) }
+	settings := &platform.Settings{VM: steering.VM(fmt.Sprint("vm-", n)), Zone: "a", Region: "r", Zones: map[steering.Zone]steering.Region{"a": "r"},
+		IP: ip, Listen: platform.Listen{Callers: at(0), Ready: at(1), Directory: at(2), Control: at(3)},
+		PeerPorts: []int{s.ports[4], s.ports[5]}, MetricsPort: s.ports[6], Seeds: []string{fmt.Sprintf("127.0.0.2:%d", s.ports[3])},
+		Store: s.address, MemoryMB: 200, HeartbeatMs: 1500,
+		Bounds: platform.Bounds{Grace: 6 * time.Second, RetryRatio: 0.2, RetrySlack: 60, RetryWindow: 10 * time.Second, ShiftShare: 0.15}}
+	g, err := gateway.New(settings, log.NewNopLogger())
+	assert.NilError(s.t, err)
+	ctx, stop := context.WithCancel(context.Background())
+	v := &vm{settings: settings, stop: stop, done: make(chan error, 1)}
+	go func() { v.done <- g.Run(ctx) }()
+	s.t.Cleanup(func() { stop() })
+	return v
+}
+
+func (s *site) get(url string) (int, string) {
+	response, err := (&http.Client{Timeout: 4 * time.Second, Transport: &http.Transport{DisableKeepAlives: true}}).Get(url)
+	if err != nil {
+		return 0, err.Error()
+	}
+	defer response.Body.Close()
+	body, err := io.ReadAll(response.Body)
+	if err != nil {
+		return 0, err.Error()
+	}
+	return response.StatusCode, string(body)
+}
+
+func (s *site) ready(v *vm) bool {
+	status, _ := s.get("http://" + v.settings.Listen.Ready + platform.PathReady)
+	return status == http.StatusOK
+}
+
+func (s *site) named(v *vm) []string {
+	_, body := s.get("http://" + v.settings.Listen.Directory + platform.PathDirectory + "?name=shop.example&region=r&zone=a")
+	var answer struct{ Addresses []string }
+	_ = json.Unmarshal([]byte(body), &answer) // without an answer none are named
+	return answer.Addresses
+}
+
+func (s *site) ask(v *vm, path string) int {
+	r, err := http.NewRequest(http.MethodGet, "http://"+v.settings.Listen.Callers+path, nil)
+	assert.NilError(s.t, err)
+	r.Host = "shop.example"
+	r.Header.Set("X-Request-Id", fmt.Sprint("q", s.number.Add(1)))
+	r.Header.Set("X-Deadline-Ms", "3000")
+	response, err := (&http.Transport{DisableKeepAlives: true}).RoundTrip(r)
+	if err != nil {
+		return 0
+	}
+	defer response.Body.Close()
+	if _, err := io.Copy(io.Discard, response.Body); err != nil {
+		return 0
+	}
+	return response.StatusCode
+}
+
+func within(t *testing.T, limit time.Duration, what string, done func() bool) {
+	t.Helper()
+	for end := time.Now().Add(limit); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
+		if done() {
+			return
+		}
+	}
+	t.Fatalf("not within %v: %s", limit, what)
+}
+
+func (s *site) startAll(n int) []*vm {
+	s.t.Helper()
+	var all []*vm
+	for i := range n {
+		all = append(all, s.start(i+1))
+	}
+	for _, v := range all {
+		within(s.t, 5*time.Second, "ready", func() bool { return s.ready(v) })
+		within(s.t, 5*time.Second, "all named", func() bool { return len(s.named(v)) == n })
+	}
+	return all
+}
+
+// A configuration is in force on every entry VM within its bound, and only one
+// of them asks the store each time.
+func TestConfigurationIsInForceEverywhereWithFewCalls(t *testing.T) {
+	t.Parallel()
+	s := newSite(t)
+	all := s.startAll(4)
+	for _, v := range all {
+		assert.Equal(t, s.ask(v, "/read/1"), 200)
+		assert.Equal(t, s.ask(v, "/new/1"), 404)
+	}
+	s.route("new", "safe")
+	s.configure()
+	for _, v := range all {
+		within(t, 2500*time.Millisecond, "new route", func() bool { return s.ask(v, "/new/1") == 200 })
+	}
+	before := s.store.Calls()
+	time.Sleep(4 * time.Second)
+	// Three calls a read, a read each 1.1 s, with room for one doubled read.
+	assert.Assert(t, s.store.Calls()-before <= 15, "%d calls in 4 s", s.store.Calls()-before)
+}
+
+// Symptom: requests reach a target that is leaving. It gets none later than the
+// bound after its report, on any entry VM, and is not given up for removed ones.
+func TestLeavingTargetGetsNothingNew(t *testing.T) {
+	t.Parallel()
+	s := newSite(t)
+	all := s.startAll(3)
+	s.register("t1", "draining", 2)
+	time.Sleep(2500 * time.Millisecond)
+	before := s.targets["t1"].Arrivals()
+	for n := range 60 {
+		assert.Equal(t, s.ask(all[n%3], fmt.Sprint("/read/", n)), 200)
+	}
+	assert.Equal(t, s.targets["t1"].Arrivals(), before)
+}
+
+// Symptom: callers are cut while an entry VM is replaced. Sequence: it gets
+// SIGTERM; callers keep their answers of the directory for a while. Cause:
+// ending at once. It has to be unnamed at once and to serve on.
+func TestLeavingEntryVMCutsNothing(t *testing.T) {
+	t.Parallel()
+	s := newSite(t)
+	all := s.startAll(3)
+	s.targets["t1"].SetFault(func(*http.Request) endpoint.Fault { time.Sleep(800 * time.Millisecond); return endpoint.None })
+	s.targets["t2"].SetFault(func(*http.Request) endpoint.Fault { time.Sleep(800 * time.Millisecond); return endpoint.None })
+	const running = 5
+	statuses := make(chan int, running)
+	for n := range running {
+		go func() { statuses <- s.ask(all[0], fmt.Sprint("/buy/", n)) }()
+	}
+	time.Sleep(100 * time.Millisecond)
+	all[0].stop()
+	within(t, 500*time.Millisecond, "unnamed", func() bool { return len(s.named(all[1])) == 2 && len(s.named(all[0])) == 2 })
+	assert.Assert(t, !s.ready(all[0]))
+	assert.Equal(t, s.ask(all[0], "/read/late"), 200, "callers with an older answer are served")
+	for range running {
+		assert.Equal(t, <-statuses, 200)
+	}
+	select {
+	case err := <-all[0].done:
+		assert.NilError(t, err)
+	case <-time.After(6 * time.Second):
+		t.Fatal("did not end")
+	}
+	assert.Assert(t, len(s.store.Names("heatherlock-entry-vms")) == 2)
+}
+
+// Symptom: an entry VM that restarts while the store is away never serves.
+// Cause: learning only from the store. Its peers tell it all they know.
+func TestEntryVMStartsFromPeersWhileTheStoreIsAway(t *testing.T) {
+	t.Parallel()
+	s := newSite(t)
+	all := s.startAll(2)
+	s.store.SetFaults(metastore.Faults{Busy: metastore.All})
+	late := s.start(3)
+	within(t, 3*time.Second, "ready", func() bool { return s.ready(late) })
+	assert.Equal(t, s.ask(late, "/read/1"), 200)
+	within(t, 3*time.Second, "named", func() bool { return len(s.named(all[0])) == 3 })
+}
+
+// Symptom: a configuration that was accepted is lost. Sequence: the store takes
+// it, and all entry VMs end at that moment. Cause: keeping it in their memory.
+func TestConfigurationOutlivesAllEntryVMs(t *testing.T) {
+	t.Parallel()
+	s := newSite(t)
+	all := s.startAll(2)
+	s.route("new", "safe")
+	s.configure()
+	for _, v := range all {
+		v.stop()
+	}
+	for _, v := range all {
+		<-v.done
+	}
+	for _, v := range s.startAll(2) {
+		assert.Equal(t, s.ask(v, "/new/1"), 200)
+	}
+}
+
+// Symptom: an entry VM uses a configuration that is seconds old. Sequence: the
+// store is silent to it alone, or forgets its history, when a new one comes.
+// Cause: waiting for its own read.
+func TestNewsComeByPeersAndPastAForgottenHistory(t *testing.T) {
+	t.Parallel()
+	s := newSite(t)
+	all := s.startAll(3)
+	cut := "127.0.0.2"
+	s.store.SetFaults(metastore.Faults{Silent: func(remote string) bool {
+		host, _, err := net.SplitHostPort(remote)
+		return err == nil && host == cut
+	}})
+	s.store.Forget()
+	s.route("new", "safe")
+	s.configure()
+	for _, v := range all {
+		within(t, 2500*time.Millisecond, "new route", func() bool { return s.ask(v, "/new/1") == 200 })
+	}
+}
--- a/node/telemetry/bounded.go
+++ b/node/telemetry/bounded.go
@@ -1,6 +1,7 @@
 package telemetry
 
 import (
+	"fmt"
 	"io"
 	"sync"
 	"sync/atomic"
@@ -57,7 +58,8 @@
 	return len(line), nil
 }
 
-// Dropped returns how many lines were dropped since it was last asked.
+// Dropped returns how many lines were dropped that the log does not tell of yet,
+// and takes them as told.
 func (w *BoundedWriter) Dropped() int64 { return w.dropped.Swap(0) }
 
 // Close writes what is queued and ends. Nothing may be written after it.
@@ -73,6 +75,10 @@
 func (w *BoundedWriter) run() {
 	defer close(w.done)
 	for line := range w.lines {
+		if n := w.dropped.Load(); n > 0 && len(w.lines) == 0 {
+			w.dropped.Add(-n)
+			line = append(line, fmt.Appendf(nil, `{"level":"warn","msg":"lines left out","dropped_lines":%d}`+"\n", n)...)
+		}
 		_, _ = w.to.Write(line) // a log that cannot be written has nowhere to say so
 	}
 }
--- /dev/null
+++ b/node/telemetry/bounded_test.go
@@ -0,0 +1,48 @@
+package telemetry_test
+
+import (
+	"bytes"
+	"io"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"heatherlock/node/telemetry"
+)
+
+// Symptom: requests stand still with no target at fault. Sequence: nobody reads
+// the log, and its pipe is full. Cause: a request waits until its line is
+// written.
+func TestLogThatNobodyReadsKeepsNobodyWaiting(t *testing.T) {
+	reader, pipe := io.Pipe()
+	defer reader.Close()
+	w := telemetry.NewBoundedWriter(pipe)
+	began := time.Now()
+	const lines = 100_000
+	for range lines {
+		_, err := w.Write([]byte("line\n"))
+		assert.NilError(t, err)
+	}
+	assert.Assert(t, time.Since(began) < 2*time.Second)
+	assert.Assert(t, w.Dropped() > lines/2)
+	assert.Equal(t, w.Dropped(), int64(0))
+}
+
+// Symptom: a flood of failures costs more processor time for its log than for
+// its callers. What is written stays within the rate, and says what is missing.
+func TestFloodOfLinesIsBoundedAndCounted(t *testing.T) {
+	var out bytes.Buffer
+	w := telemetry.NewBoundedWriter(&out)
+	const lines = 5000
+	for range lines {
+		_, _ = w.Write([]byte("{}\n")) // never fails
+	}
+	time.Sleep(50 * time.Millisecond)
+	_, _ = w.Write([]byte("{}\n"))
+	assert.NilError(t, w.Close())
+	written := strings.Count(out.String(), "{}\n")
+	assert.Assert(t, written >= 400 && written < 600, "%d lines", written)
+	assert.Assert(t, strings.Contains(out.String(), `"dropped_lines":`), out.String()[:200])
+}
--- a/standin/endpoint/endpoint.go
+++ b/standin/endpoint/endpoint.go
@@ -148,11 +148,12 @@
 func (e *Endpoint) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	e.mu.Lock()
 	e.arrived++
+	choose := e.fault
+	e.mu.Unlock()
 	fault := None
-	if e.fault != nil {
-		fault = e.fault(r)
+	if choose != nil {
+		fault = choose(r)
 	}
-	e.mu.Unlock()
 	w.Header().Set("X-Request-Id", r.Header.Get("X-Request-Id"))
 	w.Header().Set("X-Instance-Id", e.cfg.ID)
 	if expected := r.Header.Get("X-Expect-Instance"); expected != "" && expected != e.cfg.ID {
--- a/standin/metastore/http.go
+++ b/standin/metastore/http.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"io"
 	"net/http"
 	"sort"
 	"strconv"
@@ -61,6 +62,7 @@
 	time.Sleep(f.Delay)
 	switch {
 	case hits(f.Silent):
+		_, _ = io.Copy(io.Discard, r.Body) // with the body read, the server sees its caller leave
 		hang(r.Context())
 		panic(http.ErrAbortHandler)
 	case hits(f.Busy):
--- a/steering/placement/lend.go
+++ b/steering/placement/lend.go
@@ -96,6 +96,9 @@
 	for _, o := range others {
 		regions = append(regions, o.region)
 	}
+	if len(regions) == 0 && slots[r.Region] > 0 {
+		return []steering.Region{r.Region} // lent, but it may run nowhere else
+	}
 	return regions
 }
 
--- /dev/null
+++ b/steering/placement/placement_test.go
@@ -0,0 +1,234 @@
+package placement_test
+
+import (
+	"fmt"
+	"math"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"heatherlock/steering"
+	"heatherlock/steering/placement"
+)
+
+const service = steering.Service("tickets")
+
+var start = time.Unix(1000, 0)
+
+func targets(n int, region steering.Region) []placement.Target {
+	all := make([]placement.Target, n)
+	for i := range all {
+		all[i] = placement.Target{Name: steering.Target(fmt.Sprintf("%s-%d", region, i)), Service: service,
+			Zone: steering.Zone(region) + "-a", Region: region, Slots: 4}
+	}
+	return all
+}
+
+func newBoard(vm steering.VM, all ...placement.Target) *placement.Board {
+	b := placement.NewBoard(vm, "centro", 0.15)
+	b.SetPeers(map[steering.Region][]steering.VM{"centro": {vm}})
+	b.SetTargets(all)
+	return b
+}
+
+func request(key string) placement.Request {
+	return placement.Request{Service: service, Key: key, ID: key, Region: "centro", Aim: 400 * time.Millisecond,
+		Left: 2 * time.Second, Repeatable: true}
+}
+
+// serve places a request and ends it at once with an outcome.
+func serve(b *placement.Board, now time.Time, r placement.Request, o placement.Outcome) (placement.Pick, *placement.Refusal) {
+	pick, refusal := b.Choose(now, r)
+	if refusal == nil {
+		b.Began(now, pick.Target.Name, r.Key, pick.Trial)
+		b.Ended(now, pick.Target.Name, placement.Report{Outcome: o, Took: 100 * time.Millisecond}, pick.Trial, false)
+	}
+	return pick, refusal
+}
+
+// All entry VMs must place a key alike, without a message between them; a lost
+// target must move only its own keys, or the rest would run cold too.
+func TestOnlyTheKeysOfALostTargetMove(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		n := rapid.IntRange(2, 30).Draw(t, "targets")
+		lost := rapid.IntRange(0, n-1).Draw(t, "lost")
+		all := targets(n, "centro")
+		whole, other := newBoard("vm-1", all...), newBoard("vm-2", all...)
+		rest := newBoard("vm-3", append(append([]placement.Target(nil), all[:lost]...), all[lost+1:]...)...)
+		for k := range 100 {
+			r := request(fmt.Sprint("key-", k))
+			before, _ := serve(whole, start, r, placement.Served)
+			same, _ := serve(other, start, r, placement.Served)
+			after, _ := serve(rest, start, r, placement.Served)
+			assert.Equal(t, before.Target.Name, same.Target.Name)
+			if before.Target.Name != all[lost].Name {
+				assert.Equal(t, before.Target.Name, after.Target.Name)
+			}
+		}
+	})
+}
+
+// Symptom: half of the callers wait for a target that is dead. Sequence: it goes
+// without a reset; each request that is placed on it waits for a time-out.
+// Cause: going by the list of targets, which knows of it seconds later. It has
+// to be passed over after a few, tried again with single requests, and used
+// again once one succeeds.
+func TestDeadTargetIsPassedOverTriedAndUsedAgain(t *testing.T) {
+	all := targets(4, "centro")
+	b := newBoard("vm", all...)
+	r := request("key")
+	first, _ := serve(b, start, r, placement.Silent)
+	lost := 1
+	now := start
+	for range 100 {
+		now = now.Add(20 * time.Millisecond)
+		pick, refusal := b.Choose(now, r)
+		assert.Assert(t, refusal == nil)
+		b.Began(now, pick.Target.Name, r.Key, pick.Trial)
+		outcome := placement.Served
+		if pick.Target.Name == first.Target.Name {
+			outcome = placement.Silent
+			lost++
+		}
+		b.Ended(now, pick.Target.Name, placement.Report{Outcome: outcome, Took: time.Millisecond}, pick.Trial, false)
+	}
+	assert.Assert(t, lost <= 5, "%d of 100 requests in 2 s went to the dead target", lost)
+	now = now.Add(10 * time.Second)
+	back, _ := serve(b, now, r, placement.Served)
+	assert.Equal(t, back.Target.Name, first.Target.Name)
+	for range 10 {
+		serve(b, now, r, placement.Served)
+	}
+	again, _ := serve(b, now, r, placement.Served)
+	assert.Equal(t, again.Target.Name, first.Target.Name)
+}
+
+// Symptom: a whole service is refused though its targets work. Sequence: most
+// fail at once. Cause: believing evidence that more likely speaks of the way
+// there than of all of them.
+func TestWhenMostLookBadAllAreUsed(t *testing.T) {
+	b := newBoard("vm", targets(4, "centro")...)
+	for k := range 200 {
+		serve(b, start.Add(time.Duration(k)*10*time.Millisecond), request(fmt.Sprint(k)), placement.Silent)
+	}
+	assert.Assert(t, len(b.Doubtful()) >= 3)
+	for k := range 50 {
+		_, refusal := serve(b, start.Add(2*time.Second), request(fmt.Sprint(k)), placement.Served)
+		assert.Assert(t, refusal == nil)
+	}
+}
+
+// A leaving target, one in a zone under evacuation, one that another took the
+// address of, and one tried before get nothing.
+func TestClosedReplacedAndTriedTargetsGetNothing(t *testing.T) {
+	all := targets(3, "centro")
+	all[0].Closed = true
+	b := newBoard("vm", all...)
+	for k := range 50 {
+		r := request(fmt.Sprint(k))
+		r.Tried = []steering.Target{all[1].Name}
+		pick, refusal := b.Choose(start, r)
+		assert.Assert(t, refusal == nil)
+		assert.Equal(t, pick.Target.Name, all[2].Name)
+	}
+	b.Ended(start, all[2].Name, placement.Report{Outcome: placement.Replaced}, false, false)
+	r := request("x")
+	r.Tried = []steering.Target{all[1].Name}
+	_, refusal := b.Choose(start, r)
+	assert.Assert(t, refusal != nil)
+	assert.Equal(t, refusal.Reason, steering.ReasonNoTarget)
+}
+
+// Symptom: a target that has just started crashes. Sequence: several entry VMs
+// send it what its keys bring. Cause: each counts only its own requests. In any
+// second, all of them together must stay under rate x 1.5 + 5, also while they
+// differ on who lives.
+func TestColdTargetIsNotCrashedByAllTogether(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		members := rapid.IntRange(1, 40).Draw(t, "entry VMs")
+		const rate = 7.7
+		cold := placement.Target{Name: "cold", Service: service, Region: "centro", Slots: 50, ColdUntil: start.Add(10 * time.Second), ColdRate: rate}
+		var names []steering.VM
+		for n := range members {
+			names = append(names, steering.VM(fmt.Sprint("vm-", n)))
+		}
+		var boards []*placement.Board
+		for _, name := range names {
+			b := newBoard(name, cold)
+			b.SetPeers(map[steering.Region][]steering.VM{"centro": names})
+			boards = append(boards, b)
+		}
+		var sent []time.Time
+		for ms := 0; ms < 4000; ms += 10 {
+			now := start.Add(time.Duration(ms) * time.Millisecond)
+			for i, b := range boards {
+				if rapid.IntRange(0, 3).Draw(t, "asks") > 0 && i >= 0 {
+					if _, refusal := serve(b, now, request(fmt.Sprint(ms, i)), placement.Served); refusal == nil {
+						sent = append(sent, now)
+					}
+				}
+			}
+		}
+		for i := range sent {
+			count := 0
+			for _, at := range sent[i:] {
+				if at.Sub(sent[i]) < time.Second {
+					count++
+				}
+			}
+			assert.Assert(t, float64(count) <= rate*1.5+5, "%d in a second", count)
+		}
+	})
+}
+
+// Symptom: traffic swings between regions. Each step of what a region keeps must
+// be small, stay between 0 and 1, and end where its slots bear its demand.
+func TestLendingMovesInSmallStepsToWhatSlotsBear(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		regions := []steering.Region{"norte", "centro", "sur"}
+		demand, slots := map[steering.Region]float64{}, map[steering.Region]float64{}
+		var busy, room float64
+		for _, r := range regions {
+			demand[r] = rapid.Float64Range(0, 100).Draw(t, "demand")
+			slots[r] = float64(rapid.IntRange(0, 100).Draw(t, "slots"))
+			busy, room = busy+demand[r], room+slots[r]
+		}
+		all := map[steering.Service]map[steering.Region]float64{service: demand}
+		room2 := map[steering.Service]map[steering.Region]float64{service: slots}
+		now := placement.Lending{service: {"norte": 1, "centro": 1, "sur": 1}}
+		for range 30 {
+			next := placement.NextLending(now, all, room2)
+			for _, r := range regions {
+				assert.Assert(t, math.Abs(next[service][r]-now[service][r]) <= 0.05+1e-9)
+				assert.Assert(t, next[service][r] >= 0 && next[service][r] <= 1)
+			}
+			now = next
+		}
+		for _, r := range regions {
+			kept := now[service][r] * demand[r]
+			full := math.Max(0.65, busy/math.Max(room, 1e-9)) * slots[r]
+			assert.Assert(t, kept <= full+1e-6, "%s keeps %.1f of %.1f with %.0f slots", r, kept, demand[r], slots[r])
+		}
+	})
+}
+
+// Symptom: a request runs in a region that its route forbids. Whatever is lent
+// or lost, only allowed regions are chosen.
+func TestOnlyAllowedRegionsAreChosen(t *testing.T) {
+	all := append(targets(2, "centro"), targets(2, "sur")...)
+	b := newBoard("vm", all...)
+	b.SetLending(placement.Lending{service: {"centro": 0.2}})
+	for k := range 100 {
+		r := request(fmt.Sprint(k))
+		r.Allowed = func(region steering.Region) bool { return region == "centro" }
+		pick, refusal := serve(b, start, r, placement.Served)
+		assert.Assert(t, refusal == nil)
+		assert.Equal(t, pick.Target.Region, steering.Region("centro"))
+	}
+	none := request("k")
+	none.Allowed = func(steering.Region) bool { return false }
+	_, refusal := b.Choose(start, none)
+	assert.Equal(t, refusal.Reason, steering.ReasonNoTarget)
+}
