Do not let a read of the store look younger by being told

Cause: VMs took over the younger age of a peer's mark, and a mark does not age on its way; told back and forth, a read stayed fresh and nobody made the next. Ruled out: the reader's call (none was made), the way of the news (all had it within 0.4 s of the read). Change: a read counts as another only at a newer revision, or if it is younger by more than the way takes. A test with 100 tellings fails without it.

--- a/node/gateway/feed/share.go
+++ b/node/gateway/feed/share.go
@@ -54,13 +54,31 @@
 	if m.Content != s.content {
 		return true, changed
 	}
+	newer := m.Revision > s.revision
 	s.revision = m.Revision
 	if m.Config == s.version() {
-		s.Fresh(now.Add(-time.Duration(m.AgeMs) * time.Millisecond))
+		s.freshBy(now, m, newer)
 	}
 	return false, changed
 }
 
+// ageMargin is how much younger a peer's read at the same revision has to be to
+// count as another read: above what a mark spends on its way.
+const ageMargin = 400 * time.Millisecond
+
+// freshBy takes over the age of a peer's read.
+//
+// What goes wrong when any younger age is taken: a mark does not age on its way,
+// so that two VMs which tell each other the same read make it younger each time.
+// One would notice that nobody reads the store any more. A read counts as
+// another only if it saw a newer revision, or is younger by more than the way.
+func (s *State) freshBy(now time.Time, m Mark, newer bool) {
+	age := time.Duration(m.AgeMs) * time.Millisecond
+	if own, ok := s.Age(now); newer || !ok || age+ageMargin < own {
+		s.Fresh(now.Add(-age))
+	}
+}
+
 // Known is what one entry VM tells another: differences where the other's state
 // is in the history, else everything.
 type Known struct {
@@ -136,9 +154,10 @@
 		return changed // overtaken by another read meanwhile
 	}
 	names := s.apply(now, k)
+	newer := k.Mark.Revision > s.revision
 	s.revision = k.Mark.Revision
 	if k.Mark.Config <= s.version() {
-		s.Fresh(now.Add(-time.Duration(k.Mark.AgeMs) * time.Millisecond))
+		s.freshBy(now, k.Mark, newer)
 	}
 	return s.recorded(names) || changed
 }
--- a/node/gateway/feed/state_test.go
+++ b/node/gateway/feed/state_test.go
@@ -93,6 +93,36 @@
 	assert.Assert(t, !got.Closed && got.ColdUntil.After(start.Add(beat)))
 }
 
+// Symptom: a configuration is unknown on all entry VMs for seconds. Sequence:
+// many VMs tell each other the same read, each mark some milliseconds on its
+// way. Cause: taking over the younger age each time, so that the read seems
+// fresh for ever and nobody makes the next one.
+func TestTellingTheSameReadDoesNotMakeItYounger(t *testing.T) {
+	a, b := feed.NewState(beat, regions), feed.NewState(beat, regions)
+	for _, s := range []*feed.State{a, b} {
+		s.Listed(start, []platform.Target{target("a", 1, false)}, 10)
+		s.Configured(table(1), 10)
+		s.Evacuating(start, nil, 10)
+		s.Fresh(start)
+	}
+	now := start
+	for range 100 {
+		onTheWay := a.Mark(now)
+		now = now.Add(20 * time.Millisecond)
+		b.Adopt(now, onTheWay)
+		a, b = b, a
+	}
+	for _, s := range []*feed.State{a, b} {
+		age, ok := s.Age(now)
+		assert.Assert(t, ok && age > 1900*time.Millisecond, "age %v after 2 s", age)
+	}
+	// A later read at the same revision still counts.
+	a.Fresh(now)
+	b.Adopt(now.Add(20*time.Millisecond), a.Mark(now))
+	age, _ := b.Age(now.Add(20 * time.Millisecond))
+	assert.Assert(t, age < 100*time.Millisecond)
+}
+
 // fakeStore is the store's targets at each revision, for reference.
 type fakeStore struct {
 	revision int64
