Send short heartbeats, and let two VMs a zone fetch news from afar

Cause: on the grown sites the largest price was bytes between regions; heartbeats were 600 bytes of JSON to each of 83 others, and 71 VMs asked one reader for a new configuration at once, over a link of 10 Mbit/s.

--- a/node/gateway/fleet/beat.go
+++ b/node/gateway/fleet/beat.go
@@ -1,8 +1,8 @@
 package fleet
 
 import (
-	"encoding/json"
-
+	"github.com/cespare/xxhash/v2"
+	"github.com/fxamacker/cbor/v2"
 	"github.com/go-faster/errors"
 
 	"heatherlock/node/gateway/feed"
@@ -11,40 +11,105 @@
 
 // Beat is a heartbeat.
 type Beat struct {
-	From Member `json:"from"`
+	From Member
 	// Boot tells one process from the next of the same name.
-	Boot uint64 `json:"boot"`
+	Boot uint32
 	// Number grows with each beat of a boot.
-	Number uint64 `json:"n"`
+	Number uint64
 	// Serving VMs take requests.
-	Serving bool `json:"serving,omitempty"`
+	Serving bool
 	// Leaving VMs are about to end.
-	Leaving bool `json:"leaving,omitempty"`
-	// Demand is the slots kept busy by the VM's own callers, by service.
-	Demand map[steering.Service]float64 `json:"demand,omitempty"`
-	// Known says what the VM knows of the store.
-	Known feed.Mark `json:"known"`
+	Leaving bool
 	// StoreFails is set while the VM's own reads of the store fail.
-	StoreFails bool `json:"storeFails,omitempty"`
+	StoreFails bool
+	// Asks is set by a VM that does not know the receiver, or anybody.
+	Asks bool
+	// Known says what the VM knows of the store.
+	Known feed.Mark
+	// Demand is the slots kept busy by the VM's own callers, by service; nil
+	// means as told before.
+	Demand map[steering.Service]float64
 	// Members introduces others to a VM that may not know them.
-	Members []Member `json:"members,omitempty"`
+	Members []Member
+}
+
+// Flags of a datagram.
+const (
+	flagServing = 1 << iota
+	flagLeaving
+	flagStoreFails
+	flagAsks
+)
+
+// datagram is a beat on the wire. As the fleet grows heartbeats are most of what
+// control sends, so the sender's addresses, a hundred bytes, are left out where
+// the receiver has them.
+type datagram struct {
+	_          struct{} `cbor:",toarray"`
+	Sender     uint64   // hash of the sender's name
+	Boot       uint32
+	Number     uint64
+	Flags      uint8
+	Revision   int64
+	Content    uint64
+	Config     uint64
+	ConfigLag  int64 // Revision less ConfigRevision
+	EvacLag    int64 // Revision less EvacuationRevision
+	AgeMs      int64
+	Evacuated  []steering.Zone
+	Demand     map[steering.Service]float32
+	From       *Member
+	Introduced []Member
 }
 
-func encode(b Beat) ([]byte, error) {
-	raw, err := json.Marshal(b)
+// idOf names a VM in a datagram.
+func idOf(name steering.VM) uint64 { return xxhash.Sum64String(string(name)) }
+
+// encode returns a beat's datagram; full ones name the sender's addresses.
+func encode(b Beat, full bool) ([]byte, error) {
+	k := b.Known
+	d := datagram{Sender: idOf(b.From.Name), Boot: b.Boot, Number: b.Number, Revision: k.Revision, Content: k.Content, Config: k.Config,
+		ConfigLag: k.Revision - k.ConfigRevision, EvacLag: k.Revision - k.EvacuationRevision, AgeMs: k.AgeMs, Evacuated: k.Evacuated, Introduced: b.Members}
+	for flag, set := range map[uint8]bool{flagServing: b.Serving, flagLeaving: b.Leaving, flagStoreFails: b.StoreFails, flagAsks: b.Asks} {
+		if set {
+			d.Flags |= flag
+		}
+	}
+	if len(b.Demand) > 0 {
+		d.Demand = make(map[steering.Service]float32, len(b.Demand))
+		for service, slots := range b.Demand {
+			d.Demand[service] = float32(slots)
+		}
+	}
+	if full {
+		d.From = &b.From
+	}
+	raw, err := cbor.Marshal(d)
 	if err != nil {
 		return nil, errors.Wrap(err, "fleet: encode heartbeat")
 	}
 	return raw, nil
 }
 
-func decode(raw []byte) (Beat, error) {
-	var b Beat
-	if err := json.Unmarshal(raw, &b); err != nil {
-		return Beat{}, errors.Wrap(err, "fleet: decode heartbeat")
+// decode returns a datagram's beat. Its sender is named by id alone unless the
+// datagram says more.
+func decode(raw []byte) (Beat, uint64, error) {
+	var d datagram
+	if err := cbor.Unmarshal(raw, &d); err != nil {
+		return Beat{}, 0, errors.Wrap(err, "fleet: decode heartbeat")
+	}
+	b := Beat{Boot: d.Boot, Number: d.Number, Members: d.Introduced,
+		Serving: d.Flags&flagServing != 0, Leaving: d.Flags&flagLeaving != 0, StoreFails: d.Flags&flagStoreFails != 0, Asks: d.Flags&flagAsks != 0,
+		Known: feed.Mark{Revision: d.Revision, Content: d.Content, Config: d.Config, ConfigRevision: d.Revision - d.ConfigLag,
+			EvacuationRevision: d.Revision - d.EvacLag, AgeMs: d.AgeMs, Evacuated: d.Evacuated}}
+	if d.Demand != nil {
+		b.Demand = make(map[steering.Service]float64, len(d.Demand))
+		for service, slots := range d.Demand {
+			b.Demand[service] = float64(slots)
+		}
 	}
-	if b.From.Name == "" {
-		return Beat{}, errors.New("fleet: heartbeat without a name")
+	if d.From != nil {
+		b.From = *d.From
 	}
-	return b, nil
+	return b, d.Sender, nil
 }
--- a/node/gateway/fleet/fleet.go
+++ b/node/gateway/fleet/fleet.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"net"
+	"net/netip"
 	"sync"
 	"time"
 
@@ -13,8 +14,13 @@
 	"heatherlock/steering"
 )
 
-// introduced is how many members one datagram introduces.
-const introduced = 6
+const (
+	// introduced is how many members one datagram introduces.
+	introduced = 8
+	// fullEvery is how many beats pass between two that carry the sender's
+	// addresses and demand: demand is averaged over seconds anyway.
+	fullEvery = 4
+)
 
 // Config holds what a Fleet needs.
 type Config struct {
@@ -33,7 +39,7 @@
 type Fleet struct {
 	cfg  Config
 	conn net.PacketConn
-	boot uint64
+	boot uint32
 
 	mu     sync.Mutex
 	roster *Roster
@@ -44,7 +50,7 @@
 
 // New returns a fleet that listens on conn.
 func New(cfg Config, conn net.PacketConn) *Fleet {
-	return &Fleet{cfg: cfg, conn: conn, boot: rand.Uint64(), roster: NewRoster(cfg.Self),
+	return &Fleet{cfg: cfg, conn: conn, boot: rand.Uint32(), roster: NewRoster(cfg.Self),
 		last: make(map[steering.VM]bool), wake: make(chan struct{}, 1)}
 }
 
@@ -69,6 +75,38 @@
 	f.wakeUp()
 }
 
+// AnnounceInZone sends a heartbeat to the VMs of this zone.
+func (f *Fleet) AnnounceInZone() {
+	f.mu.Lock()
+	b := f.next()
+	mates := f.roster.Mates(time.Now())
+	f.mu.Unlock()
+	f.cfg.Own(&b)
+	b.Demand = nil
+	raw, err := encode(b, false)
+	if err != nil {
+		_ = f.cfg.Log.Log("msg", "heartbeat not sent", "err", err) // the writer counts what it drops
+		return
+	}
+	for _, m := range mates {
+		f.write(raw, m.Peer)
+	}
+}
+
+// ZoneRank returns how many live VMs of this zone come before this one, in an
+// order that is the same on all.
+func (f *Fleet) ZoneRank() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	rank := 0
+	for _, m := range f.roster.Mates(time.Now()) {
+		if readOrder(m.Name) < readOrder(f.cfg.Self.Name) {
+			rank++
+		}
+	}
+	return rank
+}
+
 // Announce sends a heartbeat now, since something changed that others need.
 func (f *Fleet) Announce() {
 	f.mu.Lock()
@@ -108,10 +146,20 @@
 	changed := f.noteChanges(now)
 	f.mu.Unlock()
 	f.cfg.Own(&b)
+	full := b.Number%fullEvery == 1
+	if !full {
+		b.Demand = nil
+	}
+	raw, err := encode(b, full)
+	if err != nil {
+		_ = f.cfg.Log.Log("msg", "heartbeat not sent", "err", err) // the writer counts what it drops
+		return
+	}
 	for _, m := range to {
-		f.send(b, m.Peer)
+		f.write(raw, m.Peer)
 	}
 	if alone {
+		b.Asks = true
 		for _, seed := range f.cfg.Seeds {
 			if seed != f.cfg.Self.Peer {
 				f.send(b, seed)
@@ -149,41 +197,69 @@
 	return changed
 }
 
+// send sends a beat with all that it holds.
 func (f *Fleet) send(b Beat, address string) {
-	raw, err := encode(b)
+	raw, err := encode(b, true)
 	if err != nil {
 		_ = f.cfg.Log.Log("msg", "heartbeat not sent", "err", err) // as above
 		return
 	}
-	to, err := net.ResolveUDPAddr("udp", address)
+	f.write(raw, address)
+}
+
+func (f *Fleet) write(raw []byte, address string) {
+	to, err := netip.ParseAddrPort(address)
 	if err != nil {
 		_ = f.cfg.Log.Log("msg", "heartbeat not sent", "to", address, "err", err)
 		return
 	}
 	// A datagram that cannot be sent counts as lost: the other side notices a
 	// missing heartbeat, whatever the reason.
-	_, _ = f.conn.WriteTo(raw, to)
+	_, _ = f.conn.WriteTo(raw, net.UDPAddrFromAddrPort(to))
 }
 
 func (f *Fleet) read(ctx context.Context) {
 	buffer := make([]byte, 64<<10)
 	for ctx.Err() == nil {
-		n, _, err := f.conn.ReadFrom(buffer)
+		n, sender, err := f.conn.ReadFrom(buffer)
 		if errors.Is(err, net.ErrClosed) {
 			return
 		}
 		if err != nil {
 			continue
 		}
-		b, err := decode(buffer[:n])
+		b, id, err := decode(buffer[:n])
 		if err != nil {
 			_ = f.cfg.Log.Log("msg", "heartbeat not understood", "err", err) // as above
 			continue
 		}
+		if b.From.Name == "" && !f.complete(&b, id) {
+			f.askBack(sender.String())
+			continue
+		}
 		f.heard(b)
 	}
 }
 
+// complete fills in the sender of a short beat, if it is known.
+func (f *Fleet) complete(b *Beat, id uint64) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	m, found := f.roster.Named(id)
+	b.From = m
+	return found
+}
+
+// askBack asks a sender that is not known here to introduce itself.
+func (f *Fleet) askBack(address string) {
+	f.mu.Lock()
+	b := f.next()
+	f.mu.Unlock()
+	f.cfg.Own(&b)
+	b.Asks = true
+	f.send(b, address)
+}
+
 func (f *Fleet) heard(b Beat) {
 	now := time.Now()
 	f.mu.Lock()
@@ -193,17 +269,18 @@
 	}
 	var known []Member
 	reply := f.next()
-	if fresh {
+	if fresh || b.Asks {
 		known = f.roster.Known()
 	}
 	f.mu.Unlock()
 	f.cfg.Heard(b)
-	if !fresh {
-		return
+	if fresh || b.Asks {
+		f.cfg.Own(&reply)
+		f.introduce(reply, known, b.From.Peer)
+	}
+	if fresh {
+		f.cfg.Changed()
 	}
-	f.cfg.Own(&reply)
-	f.introduce(reply, known, b.From.Peer)
-	f.cfg.Changed()
 }
 
 // introduce tells a VM of all others, a few a datagram.
--- a/node/gateway/fleet/roster.go
+++ b/node/gateway/fleet/roster.go
@@ -11,12 +11,13 @@
 
 // Member is an entry VM.
 type Member struct {
-	Name    steering.VM     `json:"vm"`
-	Zone    steering.Zone   `json:"zone"`
-	Region  steering.Region `json:"region"`
-	Peer    string          `json:"peer"`
-	Control string          `json:"control"`
-	Callers string          `json:"callers"`
+	_       struct{} `cbor:",toarray"`
+	Name    steering.VM
+	Zone    steering.Zone
+	Region  steering.Region
+	Peer    string
+	Control string
+	Callers string
 }
 
 const (
@@ -86,10 +87,23 @@
 		return false // late or doubled
 	}
 	fresh := !r.live(now, h) || h.beat.Boot != b.Boot
+	if b.Demand == nil && h.beat.Boot == b.Boot {
+		b.Demand = h.beat.Demand // told before
+	}
 	h.Member, h.at, h.leaving, h.beat = b.From, now, b.Leaving, b
 	return fresh
 }
 
+// Named returns the member with an id, or false if it is not known.
+func (r *Roster) Named(id uint64) (Member, bool) {
+	for name, h := range r.members {
+		if idOf(name) == id {
+			return h.Member, true
+		}
+	}
+	return Member{}, false
+}
+
 // Tick says whom to write to now. A gap between ticks means that this VM was
 // paused: what it did not hear meanwhile says nothing of the others.
 func (r *Roster) Tick(now time.Time) []Member {
@@ -140,6 +154,17 @@
 	return all
 }
 
+// Mates returns the other live members of this VM's zone.
+func (r *Roster) Mates(now time.Time) []Member {
+	var mates []Member
+	for _, h := range r.members {
+		if h.Zone == r.self.Zone && r.live(now, h) && !h.leaving {
+			mates = append(mates, h.Member)
+		}
+	}
+	return mates
+}
+
 // Serving returns the live members that take requests.
 func (r *Roster) Serving(now time.Time, selfServes bool) []Member {
 	all := r.Live(now, !selfServes)
--- a/node/gateway/gateway.go
+++ b/node/gateway/gateway.go
@@ -205,7 +205,7 @@
 		if err == nil {
 			members := make([]fleet.Member, 0, len(vms))
 			for _, vm := range vms {
-				members = append(members, fleet.Member(vm))
+				members = append(members, fleet.Member{Name: vm.Name, Zone: vm.Zone, Region: vm.Region, Peer: vm.Peer, Control: vm.Control, Callers: vm.Callers})
 			}
 			g.fleet.Add(members)
 			return
--- a/node/gateway/tell.go
+++ b/node/gateway/tell.go
@@ -20,9 +20,15 @@
 	pathKnown    = "/v1/known"
 	paramContent = "content"
 	paramConfig  = "config"
-	// pullTimeout bounds a pull: a few ways over the longest link. The next
-	// heartbeat of any peer starts another.
-	pullTimeout = 700 * time.Millisecond
+	// pullTimeout bounds a pull: a few ways over the longest link, and the answers
+	// to others on a link of 10 Mbit/s. The next heartbeat of any peer starts
+	// another.
+	pullTimeout = 1200 * time.Millisecond
+	// zonePullers is how many VMs of a zone ask a VM of another zone. The others
+	// ask those: one VM that tells seventy at once is busy with that for a second.
+	zonePullers = 2
+	// patience is how long a VM waits for one of its zone before it asks farther.
+	patience = 250 * time.Millisecond
 )
 
 func newPeerClient() *http.Client {
@@ -44,9 +50,20 @@
 	}
 	go func() {
 		defer g.pulling.Store(false)
+		if b.From.Zone != g.settings.Zone && g.fleet.ZoneRank() >= zonePullers {
+			// One of this zone tells it soon; its heartbeat must not meet a pull
+			// under way.
+			time.Sleep(patience)
+			g.pulling.Store(false)
+			if !g.reader.Adopt(b.Known) || !g.pulling.CompareAndSwap(false, true) {
+				return
+			}
+		}
 		if err := g.pull(b.From.Control); err != nil {
 			_ = g.log.Log("msg", "peer did not tell", "peer", b.From.Name, "err", err) // the writer counts what it drops
+			return
 		}
+		g.fleet.AnnounceInZone()
 	}()
 }
 
