Begin lending by the share of slots, and ask an absent store less often

Change: a region's first share is its slots against an equal part; a VM with many before it waits longer before it reads, and before it asks again whether the store is back, with one call.

--- a/cmd/internal/benchplacement/ways.go
+++ b/cmd/internal/benchplacement/ways.go
@@ -71,7 +71,7 @@
 	for n, b := range p.boards {
 		demand[service][regionName(n/vmsPerRegion)] += b.Demand(now)[service]
 	}
-	p.lending = placement.NextLending(p.lending, demand, p.boards[0].Slots())
+	p.lending = placement.NextLending(p.lending, demand, p.boards[0].Slots(), regionCount)
 	for _, b := range p.boards {
 		b.SetLending(p.lending)
 	}
--- a/node/gateway/feed/reader.go
+++ b/node/gateway/feed/reader.go
@@ -23,14 +23,19 @@
 	// did. A reader that is gone, cut off or paused costs a step, and no lease
 	// has to lapse; two that read at once harm nothing.
 	readStep = 200 * time.Millisecond
-	// lastRank bounds the steps, so that a VM that hears nobody's news reads by
-	// itself in time.
-	lastRank = 4
+	// stepRanks have a full step each; those behind them a farStep. The few cover a
+	// zone that is lost, and in a large fleet the many must not all read when news
+	// is late for a moment. A VM that hears nobody has rank 0.
+	stepRanks = 4
+	farStep   = 10 * time.Millisecond
 	// startWait is how long a VM that starts waits for peers to tell it, which
 	// saves three calls.
 	startWait = 300 * time.Millisecond
-	// failedPause is waited after a failed read.
+	// failedPause is waited after a failed read, once for each VM that comes
+	// before this one, up to lastPause: while the store is away a few ask whether
+	// it is back, and the others hear of it from them.
 	failedPause = 300 * time.Millisecond
+	lastPause   = 3 * time.Second
 )
 
 // Store is what a Reader reads.
@@ -85,14 +90,15 @@
 
 // due returns how long it is until this VM is to read.
 func (r *Reader) due(now time.Time) time.Duration {
-	rank := min(r.rank(), lastRank)
+	rank := r.rank()
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	age, ok := r.state.Age(now)
 	if !ok {
 		return 0
 	}
-	return readEvery + time.Duration(rank)*readStep - age
+	steps := time.Duration(min(rank, stepRanks))*readStep + time.Duration(max(rank-stepRanks, 0))*farStep
+	return readEvery + steps - age
 }
 
 // Failing reports whether the last read failed.
@@ -148,6 +154,13 @@
 // another region each takes two ways over the longest link.
 func (r *Reader) read(ctx context.Context) {
 	began := time.Now()
+	if r.Failing() {
+		// One call is enough to find out that the store is still away.
+		if err := r.readTargets(ctx); err != nil {
+			r.failed(ctx, err)
+			return
+		}
+	}
 	var targets, config, evacuations error
 	var all sync.WaitGroup
 	all.Go(func() { targets = r.readTargets(ctx) })
@@ -188,7 +201,7 @@
 	if first && ctx.Err() == nil {
 		_ = r.log.Log("msg", "store does not answer", "err", err, "state_age_ms", age.Milliseconds()) // as above
 	}
-	sleep(ctx, failedPause)
+	sleep(ctx, min(failedPause*time.Duration(1+r.rank()), lastPause))
 }
 
 func (r *Reader) revisions() (targets, config, evacuations int64) {
--- a/node/gateway/gateway.go
+++ b/node/gateway/gateway.go
@@ -242,7 +242,7 @@
 		}
 		g.relay.WithBoard(func(board *placement.Board, _ *retry.Allowance) {
 			add(g.settings.Region, board.Demand(time.Now()))
-			g.lending = placement.NextLending(g.lending, demand, board.Slots())
+			g.lending = placement.NextLending(g.lending, demand, board.Slots(), g.regions())
 			board.SetLending(g.lending)
 		})
 		g.peersChanged()
@@ -250,6 +250,15 @@
 	}
 }
 
+// regions returns how many regions there are.
+func (g *Gateway) regions() int {
+	found := make(map[steering.Region]bool)
+	for _, region := range g.settings.Zones {
+		found[region] = true
+	}
+	return len(found)
+}
+
 // showBeliefs puts what this VM goes by into gauges.
 func (g *Gateway) showBeliefs() {
 	scope := g.metrics.Scope
--- a/steering/placement/lend.go
+++ b/steering/placement/lend.go
@@ -30,20 +30,23 @@
 // NextLending moves each region's kept share a step towards what its slots
 // bear. demand and slots are by service and region, in slots. A region without
 // slots keeps nothing; one with room for all keeps all.
-func NextLending(now Lending, demand, slots map[steering.Service]map[steering.Region]float64) Lending {
-	next := make(Lending, len(demand))
-	for service, byRegion := range demand {
-		next[service] = make(map[steering.Region]float64, len(byRegion))
-		level := levelOf(byRegion, slots[service])
-		for region, busy := range byRegion {
-			goal := 1.0
-			if busy > 0 {
-				goal = math.Min(1, level*slots[service][region]/busy)
-			}
+//
+// Before any demand is known, each of the regions is taken to want an equal part
+// of all slots. Starting from keeping everything instead, the first seconds of a
+// busy day would move most of a small region's requests at once.
+func NextLending(now Lending, demand, slots map[steering.Service]map[steering.Region]float64, regions int) Lending {
+	next := make(Lending, len(slots))
+	for service, room := range slots {
+		next[service] = make(map[steering.Region]float64)
+		level := levelOf(demand[service], room)
+		for region := range all(room, demand[service], now[service]) {
 			old, known := now[service][region]
 			if !known {
-				next[service][region] = goal
-				continue
+				old = firstShare(room, region, regions)
+			}
+			goal := old
+			if busy := demand[service][region]; busy > 0 {
+				goal = math.Min(1, level*room[region]/busy)
 			}
 			next[service][region] = old + math.Max(-lendStep, math.Min(lendStep, goal-old))
 		}
@@ -51,6 +54,29 @@
 	return next
 }
 
+// all returns every region that occurs.
+func all(byRegion ...map[steering.Region]float64) map[steering.Region]bool {
+	found := make(map[steering.Region]bool)
+	for _, m := range byRegion {
+		for region := range m {
+			found[region] = true
+		}
+	}
+	return found
+}
+
+// firstShare is what a region keeps before its demand is known.
+func firstShare(slots map[steering.Region]float64, region steering.Region, regions int) float64 {
+	var room float64
+	for _, n := range slots {
+		room += n
+	}
+	if room == 0 {
+		return 1
+	}
+	return math.Min(1, slots[region]*float64(max(regions, 1))/room)
+}
+
 // levelOf returns how full a region may be before it lends: fullEnough, or as
 // full as all regions together are if that is more.
 func levelOf(demand, slots map[steering.Region]float64) float64 {
