Hold back requests that crash the targets that run them, on the platform

Cause: the list of suspects was not on the platform's path. Change: the list decides there too; a broken exchange counts against a request only once its target is found dead, and heartbeats carry what is known. Shown by: a request that crashes each target costs at most three of six, is refused by a VM that was told, and lost answers accuse nobody.

--- a/node/gateway/fleet/fleet.go
+++ b/node/gateway/fleet/fleet.go
@@ -12,6 +12,7 @@
 	"github.com/go-kit/log"
 
 	"heatherlock/steering"
+	"heatherlock/steering/poison"
 )
 
 const (
@@ -29,6 +30,9 @@
 	Log   log.Logger
 	// Own fills in what the next heartbeat says of this VM.
 	Own func(*Beat)
+	// Suspects returns the facts on suspects to tell; all asks also for those that
+	// were told before.
+	Suspects func(all bool) []poison.Fact
 	// Heard is called for each heartbeat.
 	Heard func(Beat)
 	// Changed is called when members came or went.
@@ -150,6 +154,7 @@
 	if !full {
 		b.Demand = nil
 	}
+	b.Suspects = f.cfg.Suspects(full)
 	raw, err := encode(b, full)
 	if err != nil {
 		_ = f.cfg.Log.Log("msg", "heartbeat not sent", "err", err) // the writer counts what it drops
--- a/node/gateway/relay/exchange.go
+++ b/node/gateway/relay/exchange.go
@@ -12,6 +12,7 @@
 	"heatherlock/platform"
 	"heatherlock/steering"
 	"heatherlock/steering/placement"
+	"heatherlock/steering/poison"
 	"heatherlock/steering/routes"
 )
 
@@ -34,7 +35,8 @@
 	maybeRan bool
 	tried    []steering.Target
 	lastPick placement.Pick
-	streamed bool // the rest of the body is spent
+	mark     poison.Mark
+	verdict  poison.Verdict
 }
 
 func newExchange(f *Relay, table *routes.Table, route *routes.Route, r *callers.Request, call platform.Call) *exchange {
@@ -76,6 +78,9 @@
 	if x.r.Rest != nil && x.r.Length > x.table.Limits.BodyBytes {
 		return x.refuse(steering.ReasonBodyTooLarge, 0)
 	}
+	if retryAfter, held := x.heldBack(); held {
+		return x.refuse(steering.ReasonPoison, retryAfter)
+	}
 	work, cancel := x.workContext(ctx)
 	defer cancel()
 	if refusal := x.launch(work); refusal != nil {
@@ -103,6 +108,19 @@
 	}
 }
 
+// heldBack reports whether the request is one that crashes targets.
+func (x *exchange) heldBack() (retryAfter time.Duration, held bool) {
+	x.mark = markOf(x.service, x.r, x.call)
+	x.f.mu.Lock()
+	defer x.f.mu.Unlock()
+	v, allowed := x.f.suspects.enter(time.Now(), x.mark)
+	x.verdict = v
+	if allowed {
+		return 0, false
+	}
+	return v.Refusal.RetryAfter, true
+}
+
 // workContext bounds the work at targets. A repeatable request ends with its
 // caller; one that runs once is left to finish, since cutting it would leave
 // its outcome unknown.
@@ -151,7 +169,7 @@
 		Began: func() { sentAt = time.Now() },
 	}, x.outgoing(pick))
 	e := x.judge(pick, answer, err)
-	x.f.reportEnd(ctx, e, sentAt)
+	x.f.reportEnd(ctx, x, e, sentAt)
 	x.ends <- e
 }
 
--- a/node/gateway/relay/place.go
+++ b/node/gateway/relay/place.go
@@ -38,11 +38,12 @@
 }
 
 // reportEnd tells the board what a try showed of its target.
-func (f *Relay) reportEnd(ctx context.Context, e end, sentAt time.Time) {
+func (f *Relay) reportEnd(ctx context.Context, x *exchange, e end, sentAt time.Time) {
 	now := time.Now()
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	report := placement.Report{Outcome: outcomeOf(ctx, e, sentAt, now)}
+	f.suspects.ended(now, x.mark, x.verdict, e.pick.Target.Name, report.Outcome)
 	if !sentAt.IsZero() {
 		report.Took = now.Sub(sentAt)
 	}
--- a/node/gateway/relay/relay.go
+++ b/node/gateway/relay/relay.go
@@ -62,13 +62,14 @@
 	table atomic.Pointer[routes.Table]
 	ready atomic.Bool // targets are known
 
-	mu sync.Mutex // guards Board and Retry
+	mu       sync.Mutex // guards Board, Retry and suspects
+	suspects *suspects
 }
 
 var _ callers.Handler = (*Relay)(nil)
 
 // New returns a relay without a configuration.
-func New(cfg Config) *Relay { return &Relay{cfg: cfg} }
+func New(cfg Config) *Relay { return &Relay{cfg: cfg, suspects: newSuspects()} }
 
 // SetTable puts a configuration in force if it is newer, and reports whether it
 // was.
@@ -137,6 +138,11 @@
 	f.cfg.Events.Refused(reason)
 	f.logEnd("refused", id, route, reason, detail)
 	status := steering.Reasons[reason].Status
+	if reason == steering.ReasonPoison {
+		// Not 422: the request may be an innocent one like the culprit, and 503
+		// says truly that it has not run.
+		status = http.StatusServiceUnavailable
+	}
 	return ownResponse(status, reason, steering.Reasons[reason].Meaning, retryAfter)
 }
 
--- a/node/gateway/relay/relay_test.go
+++ b/node/gateway/relay/relay_test.go
@@ -450,6 +450,59 @@
 	assert.Equal(t, g.targets[0].Connections(), 1)
 }
 
+// Symptom: targets go down one after the other. Sequence: one request crashes
+// each target that begins to run it, and its caller sends it again. Cause:
+// passing it on each time. After two dead targets it is refused, here and on an
+// entry VM that was told; other requests of the same route are served.
+func TestRequestThatCrashesTargetsIsHeldBack(t *testing.T) {
+	g := newRig(t, 6, nil)
+	var dead atomic.Int64
+	for _, e := range g.targets {
+		e.SetFault(func(r *http.Request) endpoint.Fault {
+			if r.URL.Path != "/buy/culprit" {
+				return endpoint.None
+			}
+			dead.Add(1)
+			go func() { time.Sleep(2 * work); e.Stop() }()
+			return endpoint.Crash
+		})
+	}
+	refused := 0
+	for range 20 {
+		if g.ask("POST", "/buy/culprit", "x", time.Second).status == 503 {
+			refused++
+		}
+		for n := range 12 { // others find out that the target is dead
+			g.ask("GET", fmt.Sprint("/read/", n), "", time.Second)
+		}
+	}
+	assert.Assert(t, dead.Load() <= 3, "%d targets lost", dead.Load())
+	assert.Assert(t, refused >= 15, "%d of 20 refused", refused)
+	assert.Equal(t, g.ask("POST", "/buy/other", "y", time.Second).status, 200)
+	told := newRig(t, 1, nil)
+	told.relay.LearnFacts(time.Now(), g.relay.TakeFacts(time.Now(), true))
+	assert.Equal(t, told.ask("POST", "/buy/culprit", "x", time.Second).status, 503)
+	assert.Equal(t, len(told.runs()), 0)
+}
+
+// Symptom: a read is refused for a quarter of an hour. Sequence: targets lose
+// the answers to many requests, and live. Cause: taking a lost answer for a
+// crash.
+func TestLostAnswersAccuseNobody(t *testing.T) {
+	g := newRig(t, 3, nil)
+	g.faults(func(n int) endpoint.Fault {
+		if n%2 == 0 {
+			return endpoint.LoseAnswer
+		}
+		return endpoint.None
+	})
+	for range 30 {
+		g.ask("GET", "/read/1", "", time.Second)
+	}
+	g.faults(func(int) endpoint.Fault { return endpoint.None })
+	assert.Equal(t, g.ask("GET", "/read/1", "", time.Second).status, 200)
+}
+
 func waitFor(t *testing.T, done func() bool) {
 	t.Helper()
 	for end := time.Now().Add(3 * time.Second); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
--- a/node/gateway/tell.go
+++ b/node/gateway/tell.go
@@ -45,6 +45,9 @@
 
 // heardBeat takes in what a peer knows, and asks it for more if it knows more.
 func (g *Gateway) heardBeat(b fleet.Beat) {
+	if len(b.Suspects) > 0 {
+		g.relay.LearnFacts(time.Now(), b.Suspects)
+	}
 	if !g.reader.Adopt(b.Known) || !g.pulling.CompareAndSwap(false, true) {
 		return
 	}
