--- a/cmd/internal/offline/why.go
+++ b/cmd/internal/offline/why.go
@@ -20,14 +20,20 @@
 func Why() command.Command {
 	return command.Command{
 		Name:    "why",
-		Summary: "say what a refusal reason means, or who knows the outcome of a request key",
+		Summary: "say what a refusal reason means, who knows the outcome of a request key, or what logs tell of a request",
 		Declare: func(sub *flaggy.Subcommand) command.Run {
-			var reason, key string
+			var reason, key, id string
+			var logs []string
 			options := &client.Options{}
 			sub.String(&reason, "r", "reason", "the reason of the refusal, from the Heatherlock-Reason header; every reason when left out")
 			sub.String(&key, "k", "key", "the request key; with an entry VM given, also whether the one that issued it still runs")
+			sub.StringSlice(&logs, "l", "log", "log of an entry VM on the users' platform; several by repeats, with --id")
+			sub.String(&id, "i", "id", "id of a request to explain from the logs")
 			options.Declare(sub)
 			return func(ctx context.Context, io command.IO) error {
+				if len(logs) > 0 || id != "" {
+					return runWhyLog(logs, id, io)
+				}
 				if key != "" {
 					return runWhyKey(ctx, key, options, io)
 				}
--- a/node/gateway/gateway.go
+++ b/node/gateway/gateway.go
@@ -55,6 +55,8 @@
 	servers  []*http.Server
 	done     sync.WaitGroup
 
+	beliefs beliefs
+
 	reload      sync.Mutex
 	newest      *platform.Settings // as last read
 	badSettings string             // what was wrong with those read last
@@ -75,7 +77,8 @@
 		Board:  placement.NewBoard(settings.VM, settings.Region, b.ShiftShare),
 		Retry:  retry.NewAllowance(retry.AllowanceConfig{Ratio: b.RetryRatio, Slack: b.RetrySlack, Window: b.RetryWindow}),
 		Log:    logger,
-		Events: relay.NewEvents(scope), Members: func() int { return len(g.fleet.Live()) }})
+		Events: relay.NewEvents(scope), StoreAge: func() time.Duration { return time.Duration(g.reader.Mark().AgeMs) * time.Millisecond },
+		Members: func() int { return len(g.fleet.Live()) }})
 	g.callers = callers.NewServer(g.relay, g.relay.Limits, callerConnections)
 	state := feed.NewState(time.Duration(settings.HeartbeatMs)*time.Millisecond, settings.Zones)
 	g.reader = feed.NewReader(g.store, g, state, g.readRank, logger)
@@ -147,6 +150,7 @@
 // Placed implements feed.Sink.
 func (g *Gateway) Placed(targets []placement.Target, known func(steering.Target) bool) {
 	g.relay.WithBoard(func(board *placement.Board, _ *retry.Allowance) { board.SetTargets(targets) })
+	g.logTargets(targets)
 	g.pool.Retain(known)
 	g.metrics.Scope.Gauge("gateway_targets").Update(float64(len(targets)))
 	g.relay.SetReady()
@@ -263,17 +267,18 @@
 // showBeliefs puts what this VM goes by into gauges.
 func (g *Gateway) showBeliefs() {
 	scope := g.metrics.Scope
-	var doubtful int
+	var doubtful []steering.Target
 	var tries map[steering.Service]float64
 	kept := make(map[steering.Service]float64)
 	g.relay.WithBoard(func(board *placement.Board, allowance *retry.Allowance) {
-		doubtful = len(board.Doubtful())
+		doubtful = board.Doubtful()
 		tries = allowance.Left(time.Now())
 		for service, byRegion := range g.lending {
 			kept[service] = byRegion[g.settings.Region]
 		}
 	})
-	scope.Gauge("gateway_targets_doubtful").Update(float64(doubtful))
+	g.logDoubts(doubtful)
+	scope.Gauge("gateway_targets_doubtful").Update(float64(len(doubtful)))
 	scope.Gauge("gateway_peers").Update(float64(len(g.fleet.Live())))
 	scope.Gauge("gateway_store_age_ms").Update(float64(g.reader.Mark().AgeMs))
 	scope.Gauge("gateway_read_rank").Update(float64(g.readRank()))
--- a/node/gateway/relay/exchange.go
+++ b/node/gateway/relay/exchange.go
@@ -37,6 +37,8 @@
 	lastPick placement.Pick
 	mark     poison.Mark
 	verdict  poison.Verdict
+	history  []tried
+	noRoom   time.Duration // the shortest wait, where no target had room
 }
 
 func newExchange(f *Relay, table *routes.Table, route *routes.Route, r *callers.Request, call platform.Call) *exchange {
@@ -72,6 +74,45 @@
 	usable bool
 }
 
+// tried is one try as told in the log.
+type tried struct {
+	Target     steering.Target `json:"target"`
+	Zone       steering.Zone   `json:"zone"`
+	Place      int             `json:"place"`
+	Trial      bool            `json:"trial,omitempty"`
+	ExpectedMs int64           `json:"expected_ms"`
+	WaitMs     int64           `json:"wait_ms"`
+	AtMs       int64           `json:"at_ms"` // since the request came
+	End        string          `json:"end,omitempty"`
+	EndMs      int64           `json:"end_ms,omitempty"`
+}
+
+// noteEnd adds a try's end to the history.
+func (x *exchange) noteEnd(e end) {
+	for i := range x.history {
+		if t := &x.history[i]; t.Target == e.pick.Target.Name && t.End == "" {
+			t.End, t.EndMs = e.String(), time.Since(x.r.Received).Milliseconds()
+		}
+	}
+}
+
+// String says in a word how a try ended.
+func (e end) String() string {
+	switch {
+	case e.err != nil && e.unsent:
+		return "not sent: " + e.err.Error()
+	case e.err != nil:
+		return "no answer: " + e.err.Error()
+	case e.said.WrongTarget:
+		return "another target has the address"
+	case e.notRun:
+		return "refused by the target, not run"
+	case !e.usable:
+		return "unusable answer " + strconv.Itoa(e.answer.Status)
+	}
+	return strconv.Itoa(e.answer.Status)
+}
+
 // run takes the request to its answer.
 func (x *exchange) run(ctx context.Context) *callers.Response {
 	x.f.placing(x.service)
@@ -94,6 +135,7 @@
 		select {
 		case e := <-x.ends:
 			x.running--
+			x.noteEnd(e)
 			if response, done := x.ended(work, e); done {
 				return response
 			}
@@ -137,12 +179,15 @@
 func (x *exchange) launch(ctx context.Context) *placement.Refusal {
 	pick, refusal := x.f.choose(x.placementRequest())
 	if refusal != nil {
+		x.noRoom = refusal.Wait
 		return refusal
 	}
 	x.lastPick = pick
 	x.tries++
 	x.running++
 	x.tried = append(x.tried, pick.Target.Name)
+	x.history = append(x.history, tried{Target: pick.Target.Name, Zone: pick.Target.Zone, Place: pick.Place, Trial: pick.Trial,
+		ExpectedMs: pick.Expected.Milliseconds(), WaitMs: pick.Wait.Milliseconds(), AtMs: time.Since(x.r.Received).Milliseconds()})
 	go x.try(ctx, pick)
 	return nil
 }
@@ -349,14 +394,26 @@
 	return ownResponse(status, reason, steering.Reasons[reason].Meaning, 0)
 }
 
+// detail is what the log tells of a request beside its end: what was known when
+// it was decided, and each try.
 func (x *exchange) detail() []any {
-	return []any{"service", x.service, "target", x.lastPick.Target.Name, "tries", x.tries, "arrived", x.arrived,
-		"waited_ms", time.Since(x.r.Received).Milliseconds(), "expected_ms", x.lastPick.Expected.Milliseconds()}
+	line := []any{"service", x.service, "kind", x.route.Kind.String(), "key", x.call.Key, "deadline_ms", x.call.Deadline.Milliseconds(),
+		"timeout_ms", x.route.Timeout.Milliseconds(), "took_ms", time.Since(x.r.Received).Milliseconds(), "store_age_ms", x.f.storeAge().Milliseconds()}
+	if x.noRoom > 0 {
+		line = append(line, "shortest_wait_ms", x.noRoom.Milliseconds())
+	}
+	if len(x.history) > 0 {
+		line = append(line, "tries", x.history)
+	}
+	return line
 }
 
 // deliver passes a target's answer on.
 func (x *exchange) deliver(e end) *callers.Response {
 	x.f.cfg.Events.Served(x.route.Kind, e.answer.Status, time.Since(x.r.Received))
+	if len(x.history) > 1 || e.answer.Status >= http.StatusInternalServerError {
+		x.f.logEnd("passed on", x.call.ID, x.route.Name, "", append(x.detail(), "status", e.answer.Status))
+	}
 	return &callers.Response{Status: e.answer.Status, Header: endToEnd(e.answer.Header), Body: e.answer.Body,
 		Rest: e.answer.Rest, Length: e.answer.Length, Close: x.r.Rest != nil}
 }
--- a/node/gateway/relay/relay.go
+++ b/node/gateway/relay/relay.go
@@ -51,6 +51,8 @@
 	Retry  *retry.Allowance
 	Log    log.Logger
 	Events *Events
+	// StoreAge returns how old the read of the store is on which placement rests.
+	StoreAge func() time.Duration
 	// Members returns the number of entry VMs that share the connections to a
 	// target.
 	Members func() int
@@ -148,13 +150,23 @@
 
 // logEnd writes the line of a request that was not served.
 func (f *Relay) logEnd(outcome, id, route string, reason steering.Reason, detail []any) {
-	line := []any{"msg", outcome, "request", id, "route", route, "reason", reason}
+	line := []any{"msg", outcome, "request", id, "route", route}
+	if reason != "" {
+		line = append(line, "reason", reason)
+	}
 	if t := f.table.Load(); t != nil {
 		line = append(line, "config", t.Version)
 	}
 	_ = f.cfg.Log.Log(append(line, detail...)...) // the writer counts what it drops
 }
 
+func (f *Relay) storeAge() time.Duration {
+	if f.cfg.StoreAge == nil {
+		return 0
+	}
+	return f.cfg.StoreAge()
+}
+
 const headerReason = "Heatherlock-Reason"
 
 func ownResponse(status int, reason steering.Reason, detail string, retryAfter time.Duration) *callers.Response {
--- a/standin/endpoint/endpoint.go
+++ b/standin/endpoint/endpoint.go
@@ -34,6 +34,8 @@
 	Dark
 	// Crash resets the connection in the middle of the run.
 	Crash
+	// Die resets the connection in the middle of the run and ends the target.
+	Die
 	// LoseAnswer runs the request and closes without an answer.
 	LoseAnswer
 	// Cut ends the answer before its length.
@@ -285,6 +287,8 @@
 	switch fault {
 	case Crash:
 		raw("", true)
+	case Die:
+		e.Stop()
 	case LoseAnswer:
 		raw("", false)
 	case Cut:
