Start serving sooner after the loss of all VMs, with guesses from the aim

Each waited 0.3 s for peers that had not started either, and guessed service times of 50 ms, so that targets got queues that no answer came out of in time. Change: 80 ms, a way there and back over the longest link; times are guessed as 0.4 and 1.2 of the aim until observed.

--- a/node/gateway/feed/reader.go
+++ b/node/gateway/feed/reader.go
@@ -29,8 +29,9 @@
 	stepRanks = 4
 	farStep   = 10 * time.Millisecond
 	// startWait is how long a VM that starts waits for peers to tell it, which
-	// saves three calls.
-	startWait = 300 * time.Millisecond
+	// saves three calls: a way there and back over the longest link. After the loss
+	// of all VMs it is time in which nobody serves.
+	startWait = 80 * time.Millisecond
 	// failedPause is waited after a failed read, once for each VM that comes
 	// before this one, up to lastPause: while the store is away a few ask whether
 	// it is back, and the others hear of it from them.
--- a/steering/placement/choose.go
+++ b/steering/placement/choose.go
@@ -48,6 +48,7 @@
 // Choose returns the target of a request, or why there is none.
 func (b *Board) Choose(now time.Time, r Request) (Pick, *Refusal) {
 	v := b.service(r.Service)
+	v.guess(r.Aim.Seconds())
 	key := r.Key
 	if key == "" {
 		key = r.ID
--- a/steering/placement/state.go
+++ b/steering/placement/state.go
@@ -149,15 +149,28 @@
 	arrivals rate
 }
 
-// First guesses of service times, seconds, until observed: deliberately short,
-// since a wrong long guess would refuse what could be served.
+// First guesses of service times until observed, as shares of the aim: operators
+// set an aim that a warm run keeps with room for a queue, and a cold run misses.
+// With guesses far below, an entry VM that has just started sends each target
+// more than it can run in time.
 const (
-	guessFast = 0.05
-	guessSlow = 0.15
+	guessFast = 0.4
+	guessSlow = 1.2
+	// guessAim, in seconds, stands in for an aim that is not stated.
+	guessAim = 0.2
 )
 
 func newServiceState() *serviceState {
-	return &serviceState{fast: guessFast, slow: guessSlow, mean: guessFast}
+	v := &serviceState{}
+	v.guess(guessAim)
+	return v
+}
+
+// guess sets the times of a service that nothing is known of yet.
+func (v *serviceState) guess(aim float64) {
+	if v.seen == 0 && aim > 0 {
+		v.fast, v.slow, v.mean = guessFast*aim, guessSlow*aim, guessFast*aim
+	}
 }
 
 // learn takes in a service time without a wait, in seconds.
