--- a/node/gateway/feed/state.go
+++ b/node/gateway/feed/state.go
@@ -6,6 +6,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"heatherlock/node/gateway/planted"
 	"heatherlock/platform"
 	"heatherlock/steering"
 	"heatherlock/steering/placement"
@@ -298,7 +299,7 @@
 	all := make([]placement.Target, 0, len(s.targets))
 	for _, t := range s.targets {
 		p := placement.Target{Name: t.Name, Service: t.Service, Address: t.Address, Zone: t.Zone, Region: s.regions[t.Zone],
-			Slots: t.Slots, Closed: t.Leaving || s.evacuated[t.Zone], ColdUntil: t.coldUntil}
+			Slots: t.Slots, Closed: (t.Leaving || s.evacuated[t.Zone]) && planted.Defect != planted.LeavingIgnored, ColdUntil: t.coldUntil}
 		if until := s.coldZones[t.Zone]; until.After(p.ColdUntil) {
 			p.ColdUntil = until
 		}
--- a/node/gateway/leave.go
+++ b/node/gateway/leave.go
@@ -4,6 +4,8 @@
 	"context"
 	"net"
 	"time"
+
+	"heatherlock/node/gateway/planted"
 )
 
 const (
@@ -21,6 +23,9 @@
 // shortly before the process would be killed.
 func (g *Gateway) leave(listener net.Listener) {
 	_ = g.log.Log("msg", "leaving", "running", g.callers.Running(), "connections", g.callers.Connections()) // the writer counts what it drops
+	if planted.Defect == planted.CutOnStop {
+		return
+	}
 	began := time.Now()
 	g.leaving.Store(true)
 	g.callers.Leave()
--- /dev/null
+++ b/node/gateway/planted/none.go
@@ -0,0 +1,6 @@
+//go:build !planted_twice && !planted_falsely_not_run && !planted_crossed && !planted_leaving_ignored && !planted_stale_config && !planted_cut_on_stop && !planted_reused_address
+
+package planted
+
+// Defect is the defect of this build.
+const Defect = None
--- /dev/null
+++ b/node/gateway/planted/stale_config.go
@@ -0,0 +1,6 @@
+//go:build planted_stale_config
+
+package planted
+
+// Defect is the defect of this build.
+const Defect = StaleConfig
--- /dev/null
+++ b/node/gateway/planted/twice.go
@@ -0,0 +1,6 @@
+//go:build planted_twice
+
+package planted
+
+// Defect is the defect of this build.
+const Defect = Twice
--- a/node/gateway/relay/exchange.go
+++ b/node/gateway/relay/exchange.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"heatherlock/node/gateway/callers"
+	"heatherlock/node/gateway/planted"
 	"heatherlock/node/gateway/upstream"
 	"heatherlock/platform"
 	"heatherlock/steering"
@@ -232,7 +233,11 @@
 	for name, values := range x.header {
 		header[name] = values
 	}
-	platform.MarkForTarget(header, string(pick.Target.Name), time.Until(x.giveUp))
+	expected := string(pick.Target.Name)
+	if planted.Defect == planted.ReusedAddress {
+		expected = ""
+	}
+	platform.MarkForTarget(header, expected, time.Until(x.giveUp))
 	return &upstream.Request{Method: x.r.Method, Path: x.r.Path, Host: x.r.Host, Header: header,
 		Body: x.r.Body, Rest: x.r.Rest, Length: x.r.Length, ID: x.call.ID}
 }
@@ -296,7 +301,7 @@
 
 // mayRepeat reports whether the request may be sent once more.
 func (x *exchange) mayRepeat(e end) bool {
-	if x.maybeRan && !x.route.Kind.Repeatable() {
+	if x.maybeRan && !x.route.Kind.Repeatable() && planted.Defect != planted.Twice {
 		return false
 	}
 	if x.r.Rest != nil && !e.unsent {
@@ -388,6 +393,9 @@
 	x.f.cfg.Events.Refused(reason)
 	x.f.logEnd("outcome unknown", x.call.ID, x.route.Name, reason, x.detail())
 	status := http.StatusBadGateway
+	if planted.Defect == planted.FalselyNotRun {
+		status = http.StatusServiceUnavailable
+	}
 	if reason == steering.ReasonDeadline {
 		status = http.StatusGatewayTimeout
 	}
--- a/node/gateway/relay/relay.go
+++ b/node/gateway/relay/relay.go
@@ -10,6 +10,7 @@
 	"github.com/go-kit/log"
 
 	"heatherlock/node/gateway/callers"
+	"heatherlock/node/gateway/planted"
 	"heatherlock/node/gateway/upstream"
 	"heatherlock/platform"
 	"heatherlock/steering"
@@ -78,7 +79,7 @@
 func (f *Relay) SetTable(t *routes.Table) bool {
 	for {
 		old := f.table.Load()
-		if !t.Newer(old) {
+		if !t.Newer(old) || planted.Defect == planted.StaleConfig && old != nil {
 			return false
 		}
 		if f.table.CompareAndSwap(old, t) {
--- a/node/gateway/upstream/conn.go
+++ b/node/gateway/upstream/conn.go
@@ -11,6 +11,8 @@
 	"time"
 
 	"github.com/go-faster/errors"
+
+	"heatherlock/node/gateway/planted"
 )
 
 const (
@@ -180,7 +182,7 @@
 			return nil, true, errors.Wrap(err, "read answer's body")
 		}
 		id := c.idOf(response.Header)
-		if id != e.id && (id != "" || response.StatusCode < http.StatusMultipleChoices) {
+		if planted.Defect != planted.Crossed && id != e.id && (id != "" || response.StatusCode < http.StatusMultipleChoices) {
 			if stray++; stray > maxStray || !whole {
 				return nil, true, errors.Errorf("answer belongs to request %q", id)
 			}
