Tell other zones of a whole zone in one heartbeat

Cause: each VM wrote to each other one; at 300 VMs a beat every 3.6 s, so that a dead VM would be named to callers for 18 s, and at 650 for 39 s. Change: full beats stay within a zone; a VM of another zone gets one every 0.4 s from the whole of this zone, which names the VMs of the zone that are heard. A zone is dark after 1.6 s of silence of all of it.

--- a/node/gateway/fleet/beat.go
+++ b/node/gateway/fleet/beat.go
@@ -30,6 +30,8 @@
 	// Demand is the slots kept busy by the VM's own callers, by service; nil
 	// means as told before.
 	Demand map[steering.Service]float64
+	// Mates are the ids of the VMs of its zone that the sender hears.
+	Mates []uint64
 	// Suspects are facts on requests that crash targets.
 	Suspects []poison.Fact
 	// Members introduces others to a VM that may not know them.
@@ -61,19 +63,24 @@
 	AgeMs      int64
 	Evacuated  []steering.Zone
 	Demand     map[steering.Service]float32
+	Mates      []uint64
 	Suspects   []poison.Fact
 	From       *Member
 	Introduced []Member
 }
 
 // idOf names a VM in a datagram.
-func idOf(name steering.VM) uint64 { return xxhash.Sum64String(string(name)) }
+func idOf(name steering.VM) uint64 { return xxhash.Sum64String(string(name)) >> idShift }
+
+// idShift leaves 32 bits of an id: the chance that two of 650 names share one is 1
+// in 20,000, and an id is told for each VM of a zone.
+const idShift = 32
 
 // encode returns a beat's datagram; full ones name the sender's addresses.
 func encode(b Beat, full bool) ([]byte, error) {
 	k := b.Known
 	d := datagram{Sender: idOf(b.From.Name), Boot: b.Boot, Number: b.Number, Revision: k.Revision, Content: k.Content, Config: k.Config,
-		ConfigLag: k.Revision - k.ConfigRevision, EvacLag: k.Revision - k.EvacuationRevision, AgeMs: k.AgeMs, Evacuated: k.Evacuated, Suspects: b.Suspects, Introduced: b.Members}
+		ConfigLag: k.Revision - k.ConfigRevision, EvacLag: k.Revision - k.EvacuationRevision, AgeMs: k.AgeMs, Evacuated: k.Evacuated, Mates: b.Mates, Suspects: b.Suspects, Introduced: b.Members}
 	for flag, set := range map[uint8]bool{flagServing: b.Serving, flagLeaving: b.Leaving, flagStoreFails: b.StoreFails, flagAsks: b.Asks} {
 		if set {
 			d.Flags |= flag
@@ -102,7 +109,7 @@
 	if err := cbor.Unmarshal(raw, &d); err != nil {
 		return Beat{}, 0, errors.Wrap(err, "fleet: decode heartbeat")
 	}
-	b := Beat{Boot: d.Boot, Number: d.Number, Members: d.Introduced, Suspects: d.Suspects,
+	b := Beat{Boot: d.Boot, Number: d.Number, Members: d.Introduced, Mates: d.Mates, Suspects: d.Suspects,
 		Serving: d.Flags&flagServing != 0, Leaving: d.Flags&flagLeaving != 0, StoreFails: d.Flags&flagStoreFails != 0, Asks: d.Flags&flagAsks != 0,
 		Known: feed.Mark{Revision: d.Revision, Content: d.Content, Config: d.Config, ConfigRevision: d.Revision - d.ConfigLag,
 			EvacuationRevision: d.Revision - d.EvacLag, AgeMs: d.AgeMs, Evacuated: d.Evacuated}}
--- a/node/gateway/fleet/fleet.go
+++ b/node/gateway/fleet/fleet.go
@@ -50,6 +50,8 @@
 	number uint64
 	last   map[steering.VM]bool // live at the last tick
 	wake   chan struct{}
+	// announcing is set when the next beat has to go to all.
+	announcing bool
 }
 
 // New returns a fleet that listens on conn.
@@ -79,6 +81,31 @@
 	f.wakeUp()
 }
 
+// sendAll sends a beat: to VMs of this zone the short form, to those of others
+// with the VMs of this zone that are heard, and with the demand.
+func (f *Fleet) sendAll(b Beat, to []Member, mates []uint64, full bool) {
+	far := b
+	far.Mates = mates
+	if !full {
+		b.Demand = nil
+	}
+	near, err := encode(b, full)
+	if err == nil {
+		var raw []byte
+		raw, err = encode(far, full)
+		for _, m := range to {
+			if m.Zone == f.cfg.Self.Zone {
+				f.write(near, m.Peer)
+				continue
+			}
+			f.write(raw, m.Peer)
+		}
+	}
+	if err != nil {
+		_ = f.cfg.Log.Log("msg", "heartbeat not sent", "err", err) // the writer counts what it drops
+	}
+}
+
 // AnnounceInZone sends a heartbeat to the VMs of this zone.
 func (f *Fleet) AnnounceInZone() {
 	f.mu.Lock()
@@ -86,15 +113,7 @@
 	mates := f.roster.Mates(time.Now())
 	f.mu.Unlock()
 	f.cfg.Own(&b)
-	b.Demand = nil
-	raw, err := encode(b, false)
-	if err != nil {
-		_ = f.cfg.Log.Log("msg", "heartbeat not sent", "err", err) // the writer counts what it drops
-		return
-	}
-	for _, m := range mates {
-		f.write(raw, m.Peer)
-	}
+	f.sendAll(b, mates, nil, false)
 }
 
 // ZoneRank returns how many live VMs of this zone come before this one, in an
@@ -115,6 +134,7 @@
 func (f *Fleet) Announce() {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	f.announcing = true
 	f.wakeUp()
 }
 
@@ -144,25 +164,17 @@
 func (f *Fleet) beat(ctx context.Context) {
 	now := time.Now()
 	f.mu.Lock()
-	to := f.roster.Tick(now)
+	to := f.roster.Tick(now, f.announcing)
+	f.announcing = false
 	alone := len(f.roster.Live(now, true)) == 0
 	b := f.next()
+	mates := f.roster.MateIDs(now)
 	changed := f.noteChanges(now)
 	f.mu.Unlock()
 	f.cfg.Own(&b)
 	full := b.Number%fullEvery == 1
-	if !full {
-		b.Demand = nil
-	}
 	b.Suspects = f.cfg.Suspects(full)
-	raw, err := encode(b, full)
-	if err != nil {
-		_ = f.cfg.Log.Log("msg", "heartbeat not sent", "err", err) // the writer counts what it drops
-		return
-	}
-	for _, m := range to {
-		f.write(raw, m.Peer)
-	}
+	f.sendAll(b, to, mates, full)
 	if alone {
 		b.Asks = true
 		for _, seed := range f.cfg.Seeds {
--- a/node/gateway/fleet/roster.go
+++ b/node/gateway/fleet/roster.go
@@ -23,11 +23,21 @@
 const (
 	// shortestBeat is the pause between two heartbeats in a small fleet.
 	shortestBeat = 300 * time.Millisecond
-	// beatPerMember bounds what a VM sends as the fleet grows: at most 1 datagram
-	// in this time.
-	beatPerMember = 12 * time.Millisecond
+	// beatPerMate bounds what a VM sends as its zone grows: at most 1 datagram to a
+	// VM of its zone in this time.
+	beatPerMate = 12 * time.Millisecond
 	// missedBeats is how many heartbeats may be missing from a live VM.
 	missedBeats = 5
+	// farBeat is the pause between two heartbeats that a VM of another zone gets
+	// from this zone, whoever sends them: each tells which VMs of its zone live, so
+	// the more a zone has, the more seldom each of them writes.
+	farBeat = 400 * time.Millisecond
+	// farSilence is how long nothing may be heard of a live VM of another zone. Its
+	// own zone has noticed its end by then, and callers keep an old answer of the
+	// directory for seconds anyway.
+	farSilence = 2500 * time.Millisecond
+	// darkSilence is how long nothing may come from a whole zone: four heartbeats.
+	darkSilence = 4 * farBeat
 	// forgetAfter is how long a VM that is gone is still written to, now and
 	// then, so that both sides of a cut find each other again.
 	forgetAfter = 10 * time.Minute
@@ -43,19 +53,22 @@
 	since   time.Time // when it became known
 	leaving bool
 	beat    Beat
+	// sent is when a heartbeat was last sent to it.
+	sent time.Time
 }
 
 // Roster holds all entry VMs known. It is not safe for concurrent use.
 type Roster struct {
 	self    Member
 	members map[steering.VM]*heard
+	byID    map[uint64]*heard
 	ticked  time.Time
 	turn    int
 }
 
 // NewRoster returns the roster of a VM that knows only itself.
 func NewRoster(self Member) *Roster {
-	return &Roster{self: self, members: make(map[steering.VM]*heard)}
+	return &Roster{self: self, members: make(map[steering.VM]*heard), byID: make(map[uint64]*heard)}
 }
 
 // Add notes a member that was read of. It reports whether it is new.
@@ -69,10 +82,15 @@
 		}
 		return false
 	}
-	r.members[m.Name] = &heard{Member: m, since: now}
+	r.enter(m.Name, &heard{Member: m, since: now})
 	return true
 }
 
+func (r *Roster) enter(name steering.VM, h *heard) {
+	r.members[name] = h
+	r.byID[idOf(name)] = h
+}
+
 // Heard notes a heartbeat. It reports whether the member was not live before.
 func (r *Roster) Heard(now time.Time, b Beat) bool {
 	if b.From.Name == r.self.Name {
@@ -81,7 +99,7 @@
 	h := r.members[b.From.Name]
 	if h == nil {
 		h = &heard{since: now}
-		r.members[b.From.Name] = h
+		r.enter(b.From.Name, h)
 	}
 	if h.beat.Boot == b.Boot && b.Number <= h.beat.Number {
 		return false // late or doubled
@@ -91,22 +109,36 @@
 		b.Demand = h.beat.Demand // told before
 	}
 	h.Member, h.at, h.leaving, h.beat = b.From, now, b.Leaving, b
+	r.heardOf(now, b)
 	return fresh
 }
 
+// heardOf notes the VMs of the sender's zone that the sender hears. What a VM of
+// one zone says of another zone does not count: it may be older than what is
+// known here, and two zones that tell each other of a third would keep it alive.
+func (r *Roster) heardOf(now time.Time, b Beat) {
+	if b.From.Zone == r.self.Zone {
+		return
+	}
+	for _, id := range b.Mates {
+		if h := r.byID[id]; h != nil && h.Zone == b.From.Zone && !h.leaving && !h.at.IsZero() {
+			h.at = now
+		}
+	}
+}
+
 // Named returns the member with an id, or false if it is not known.
 func (r *Roster) Named(id uint64) (Member, bool) {
-	for name, h := range r.members {
-		if idOf(name) == id {
-			return h.Member, true
-		}
+	if h := r.byID[id]; h != nil {
+		return h.Member, true
 	}
 	return Member{}, false
 }
 
 // Tick says whom to write to now. A gap between ticks means that this VM was
-// paused: what it did not hear meanwhile says nothing of the others.
-func (r *Roster) Tick(now time.Time) []Member {
+// paused: what it did not hear meanwhile says nothing of the others. With all
+// set, every live member is written to.
+func (r *Roster) Tick(now time.Time, all bool) []Member {
 	if gap := now.Sub(r.ticked) - r.Pause(); !r.ticked.IsZero() && gap > r.Pause() {
 		for _, h := range r.members {
 			if !h.at.IsZero() {
@@ -118,24 +150,72 @@
 	r.turn++
 	var to []Member
 	for name, h := range r.members {
-		quiet := now.Sub(maxTime(h.at, h.since))
-		switch {
-		case quiet > forgetAfter:
+		if now.Sub(maxTime(h.at, h.since)) > forgetAfter {
 			delete(r.members, name)
-		case r.live(now, h) || quiet < missedBeats*r.Pause() || r.turn%slowRetry == 0:
+			delete(r.byID, idOf(name))
+			continue
+		}
+		if r.due(now, h) || all && r.live(now, h) {
+			h.sent = now
 			to = append(to, h.Member)
 		}
 	}
 	return to
 }
 
+// due reports whether a member is to get a heartbeat now.
+func (r *Roster) due(now time.Time, h *heard) bool {
+	quiet := now.Sub(maxTime(h.at, h.since))
+	if !r.live(now, h) && quiet > missedBeats*r.Pause() {
+		return r.turn%slowRetry == 0
+	}
+	if h.sent.IsZero() {
+		// Spread over the pause: those of one zone that began together would all
+		// write together too, and leave the rest of it silent.
+		part := float64(mixed(idOf(r.self.Name), idOf(h.Name))) / (1 << 32)
+		h.sent = now.Add(-time.Duration(part * float64(r.farPause())))
+	}
+	// Half a tick early, since ticks are late by a little.
+	return h.Zone == r.self.Zone || now.Sub(h.sent) >= r.farPause()-r.Pause()/2
+}
+
+// mixed returns a number of 32 bits that differs for each pair.
+func mixed(a, b uint64) uint64 { return (a*0x9e3779b1 ^ b*0x85ebca6b) & (1<<32 - 1) }
+
 // Pause is the time between two ticks.
 func (r *Roster) Pause() time.Duration {
-	return max(shortestBeat, time.Duration(len(r.members))*beatPerMember)
+	return max(shortestBeat, time.Duration(r.mates())*beatPerMate)
+}
+
+// farPause is the time between two heartbeats to a VM of another zone.
+func (r *Roster) farPause() time.Duration { return time.Duration(r.mates()+1) * farBeat }
+
+// mates counts the other VMs of this zone on record.
+func (r *Roster) mates() int {
+	n := 0
+	for _, h := range r.members {
+		if h.Zone == r.self.Zone {
+			n++
+		}
+	}
+	return n
+}
+
+// MateIDs returns the ids of the live VMs of this zone, for VMs of others.
+func (r *Roster) MateIDs(now time.Time) []uint64 {
+	var ids []uint64
+	for _, m := range r.Mates(now) {
+		ids = append(ids, idOf(m.Name))
+	}
+	return ids
 }
 
 func (r *Roster) live(now time.Time, h *heard) bool {
-	return !h.at.IsZero() && now.Sub(h.at) < missedBeats*r.Pause()
+	silence := missedBeats * r.Pause()
+	if h.Zone != r.self.Zone {
+		silence = max(silence, farSilence)
+	}
+	return !h.at.IsZero() && now.Sub(h.at) < silence
 }
 
 // Live returns the live members that are not leaving, this VM included unless
@@ -221,7 +301,7 @@
 	dark, lit := make(map[steering.Zone]bool), map[steering.Zone]bool{r.self.Zone: true}
 	for _, h := range r.members {
 		switch {
-		case r.live(now, h):
+		case !h.at.IsZero() && now.Sub(h.at) < darkSilence:
 			lit[h.Zone] = true
 		case !h.at.IsZero() && !h.leaving:
 			dark[h.Zone] = true
