Try: under overload, serve callers that come back only on idle targets

Change: a caller's wait so far is told from its deadline against the usual ones of its route; while more than a tenth is refused, a request that is late in any case gets an idle target or none.

--- a/cmd/internal/benchplacement/bench.go
+++ b/cmd/internal/benchplacement/bench.go
@@ -32,8 +32,9 @@
 type Row struct {
 	Scenario Scenario `json:"scenario"`
 	Way      string   `json:"way"`
-	// Worth is 1 for an answer within its aim and 0.2 for a later one, as a
-	// share of what was asked.
+	// Worth is 1 for an answer within its aim, 0.2 for a later one and -0.3 for a
+	// caller that came back after a refusal and was refused again, as a share of
+	// what was asked.
 	Worth   float64 `json:"worth"`
 	InAim   float64 `json:"in_aim"`
 	Refused float64 `json:"refused"`
@@ -85,7 +86,7 @@
 
 func rowOf(s Scenario, name string, t tally) Row {
 	asked, ran := float64(max(t.asked, 1)), float64(max(t.ran, 1))
-	return Row{Scenario: s, Way: name, Worth: (float64(t.inAim) + lateWorth*float64(t.late)) / asked, InAim: float64(t.inAim) / asked,
+	return Row{Scenario: s, Way: name, Worth: (float64(t.inAim) + lateWorth*float64(t.late) - againPrice*float64(t.refused)) / asked, InAim: float64(t.inAim) / asked,
 		Refused: float64(t.refused) / asked, Failed: float64(t.failed) / asked, Warm: float64(t.warm) / ran,
 		P50Ms: t.quantile(0.5), P99Ms: t.quantile(0.99)}
 }
--- a/cmd/internal/benchplacement/sim.go
+++ b/cmd/internal/benchplacement/sim.go
@@ -30,6 +30,9 @@
 	aim            = 400 * time.Millisecond
 	deadline       = 2500 * time.Millisecond
 	lateWorth      = 0.2
+	againPrice     = 0.3 // of a caller that came back and was refused again
+	callerWay      = 3 * time.Millisecond
+	shedRetry      = 200 * time.Millisecond
 	longWay        = 40 * time.Millisecond // there and back between regions
 	silentAfter    = 800 * time.Millisecond
 	lendEvery      = time.Second
@@ -62,14 +65,18 @@
 
 // call is one request.
 type call struct {
-	key     string
-	region  int
-	vm      int
-	arrived time.Time
-	sent    time.Time
-	pick    placement.Pick
-	target  *target
-	warm    bool
+	key    string
+	region int
+	vm     int
+	// began is when the caller first asked, arrived when this request came.
+	began      time.Time
+	arrived    time.Time
+	again      bool
+	retryAfter time.Duration
+	sent       time.Time
+	pick       placement.Pick
+	target     *target
+	warm       bool
 }
 
 // event is something that happens at a time.
@@ -196,20 +203,23 @@
 	}
 }
 
-func (m *sim) measured(c *call) bool { return c.arrived.Sub(m.start) >= warmUp }
+func (m *sim) measured(c *call) bool { return c.began.Sub(m.start) >= warmUp }
 
 func (m *sim) arrive() {
 	region := m.random.IntN(regionCount)
-	c := &call{region: region, vm: region*vmsPerRegion + m.random.IntN(vmsPerRegion), arrived: m.now,
+	c := &call{region: region, vm: region*vmsPerRegion + m.random.IntN(vmsPerRegion), began: m.now, arrived: m.now,
 		key: fmt.Sprintf("%d-%d", region, m.random.IntN(keysPerRegion))}
 	if m.measured(c) {
 		m.result.asked++
 	}
+	m.place(c)
+}
+
+// place sends a request to a target, or refuses it; its caller comes back once.
+func (m *sim) place(c *call) {
 	name, ok := m.way.choose(m.now, c)
 	if !ok {
-		if m.measured(c) {
-			m.result.refused++
-		}
+		m.refuse(c)
 		return
 	}
 	c.target, c.sent = m.byName[name], m.now
@@ -217,6 +227,23 @@
 	m.at(m.now.Add(way/2), func() { m.reach(c) })
 }
 
+// refuse lets a caller come back once, when it was told to, after at most a third
+// of the time it has left.
+func (m *sim) refuse(c *call) {
+	if c.again {
+		if m.measured(c) {
+			m.result.refused++
+		}
+		return
+	}
+	left := deadline - m.now.Sub(c.began)
+	back := m.now.Add(min(c.retryAfter, left/3) + 2*callerWay)
+	m.at(back, func() {
+		next := &call{region: c.region, vm: c.region*vmsPerRegion + m.random.IntN(vmsPerRegion), began: c.began, arrived: m.now, again: true, key: c.key}
+		m.place(next)
+	})
+}
+
 // wayTo is the time there and back.
 func (m *sim) wayTo(c *call) time.Duration {
 	if c.target.Region != regionName(c.region) {
@@ -286,13 +313,16 @@
 
 func (m *sim) finish(c *call, o placement.Outcome) {
 	m.way.ended(m.now, c, o)
+	if o == placement.Shed {
+		c.retryAfter = shedRetry
+		m.refuse(c)
+		return
+	}
 	if !m.measured(c) {
 		return
 	}
-	took := m.now.Sub(c.arrived)
+	took := m.now.Sub(c.began)
 	switch {
-	case o == placement.Shed:
-		m.result.refused++
 	case o != placement.Served:
 		m.result.failed++
 	case took <= aim:
--- a/node/gateway/relay/relay.go
+++ b/node/gateway/relay/relay.go
@@ -65,14 +65,17 @@
 	table atomic.Pointer[routes.Table]
 	ready atomic.Bool // targets are known
 
-	mu       sync.Mutex // guards Board, Retry and suspects
+	mu       sync.Mutex // guards Board, Retry and the two below
 	suspects *suspects
+	patience map[string]*placement.Patience // by route
 }
 
 var _ callers.Handler = (*Relay)(nil)
 
 // New returns a relay without a configuration.
-func New(cfg Config) *Relay { return &Relay{cfg: cfg, suspects: newSuspects()} }
+func New(cfg Config) *Relay {
+	return &Relay{cfg: cfg, suspects: newSuspects(), patience: make(map[string]*placement.Patience)}
+}
 
 // SetTable puts a configuration in force if it is newer, and reports whether it
 // was.
