--- a/cmd/internal/benchplacement/ways.go
+++ b/cmd/internal/benchplacement/ways.go
@@ -48,7 +48,7 @@
 	b := p.boards[c.vm]
 	b.Arrived(now, service)
 	pick, refusal := b.Choose(now, placement.Request{Service: service, Key: c.key, ID: c.key, Region: regionName(c.region),
-		Aim: aim - now.Sub(c.began), FullAim: aim, Left: deadline - now.Sub(c.began), Repeatable: true})
+		Aim: aim, Left: deadline - now.Sub(c.began), Repeatable: true})
 	if refusal != nil {
 		c.retryAfter = refusal.RetryAfter
 		return "", false
--- a/node/gateway/relay/exchange.go
+++ b/node/gateway/relay/exchange.go
@@ -27,7 +27,6 @@
 	call    platform.Call
 	header  http.Header // end-to-end fields, shared by all tries
 	giveUp  time.Time
-	waited  time.Duration // by the caller, before this request
 
 	ends    chan end
 	running int // tries in flight
@@ -117,7 +116,7 @@
 
 // run takes the request to its answer.
 func (x *exchange) run(ctx context.Context) *callers.Response {
-	x.waited = x.f.placing(x.service, x.route.Name, x.call.Deadline)
+	x.f.placing(x.service)
 	if x.r.Rest != nil && x.r.Length > x.table.Limits.BodyBytes {
 		return x.refuse(steering.ReasonBodyTooLarge, 0)
 	}
@@ -202,8 +201,7 @@
 		r.Key = x.call.Key
 	}
 	if x.route.Aim > 0 {
-		r.FullAim = x.route.Aim
-		r.Aim = x.route.Aim - now.Sub(x.r.Received) - x.waited - replyTime
+		r.Aim = max(x.route.Aim-now.Sub(x.r.Received)-replyTime, time.Millisecond)
 	}
 	return r
 }
--- a/node/gateway/relay/place.go
+++ b/node/gateway/relay/place.go
@@ -11,20 +11,13 @@
 	"heatherlock/steering/placement"
 )
 
-// placing counts a request for the demand and the budget of its service, and
-// returns how long its caller has waited already.
-func (f *Relay) placing(service steering.Service, route string, deadline time.Duration) time.Duration {
+// placing counts a request for the demand and the budget of its service.
+func (f *Relay) placing(service steering.Service) {
 	now := time.Now()
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.cfg.Board.Arrived(now, service)
 	f.cfg.Retry.First(now, service)
-	p := f.patience[route]
-	if p == nil {
-		p = &placement.Patience{}
-		f.patience[route] = p
-	}
-	return p.Waited(deadline)
 }
 
 func (f *Relay) choose(r placement.Request) (placement.Pick, *placement.Refusal) {
--- a/node/gateway/relay/relay.go
+++ b/node/gateway/relay/relay.go
@@ -65,17 +65,14 @@
 	table atomic.Pointer[routes.Table]
 	ready atomic.Bool // targets are known
 
-	mu       sync.Mutex // guards Board, Retry and the two below
+	mu       sync.Mutex // guards Board, Retry and suspects
 	suspects *suspects
-	patience map[string]*placement.Patience // by route
 }
 
 var _ callers.Handler = (*Relay)(nil)
 
 // New returns a relay without a configuration.
-func New(cfg Config) *Relay {
-	return &Relay{cfg: cfg, suspects: newSuspects(), patience: make(map[string]*placement.Patience)}
-}
+func New(cfg Config) *Relay { return &Relay{cfg: cfg, suspects: newSuspects()} }
 
 // SetTable puts a configuration in force if it is newer, and reports whether it
 // was.
--- a/steering/placement/choose.go
+++ b/steering/placement/choose.go
@@ -29,11 +29,6 @@
 	// urgentOnly is the part of the allowed wait that a kind of lower rank has
 	// for each rank above 0, so that it is refused before a more urgent one is.
 	urgentOnly = 0.85
-	// crowded is the share of refusals of a service at which there is not room for
-	// all; below it a refusal is a matter of one target's moment. refusalShare is
-	// the weight of one request in that share: some fifty, a second or two.
-	crowded      = 0.1
-	refusalShare = 0.02
 	// shortestRetry and longestRetry bound Retry-After: a caller that comes back
 	// sooner finds the same queue, and later it has mostly given up.
 	shortestRetry = 100 * time.Millisecond
@@ -53,7 +48,7 @@
 // Choose returns the target of a request, or why there is none.
 func (b *Board) Choose(now time.Time, r Request) (Pick, *Refusal) {
 	v := b.service(r.Service)
-	v.guess(r.FullAim.Seconds())
+	v.guess(r.Aim.Seconds())
 	key := r.Key
 	if key == "" {
 		key = r.ID
@@ -74,7 +69,6 @@
 		pick, wait, ok := b.best(now, v, r, found)
 		if ok {
 			b.noteRegion(now, r.Service, i > 0)
-			v.refusing -= refusalShare * v.refusing
 			return pick, nil
 		}
 		shortest = math.Min(shortest, wait)
@@ -83,7 +77,6 @@
 		return Pick{}, &Refusal{Reason: steering.ReasonNoTarget, RetryAfter: shortestRetry}
 	}
 	b.noteRegion(now, r.Service, false)
-	v.refusing += refusalShare * (1 - v.refusing)
 	return Pick{}, &Refusal{Reason: steering.ReasonNoSlot, RetryAfter: b.retryAfter(v, r, shortest, keyHash), Wait: span(shortest)}
 }
 
@@ -144,7 +137,7 @@
 		case weighed == 0 && (trial || b.fits(v, r, c)):
 			return c.pick(), shortest, true
 		case weighed == 1:
-			if c.wait == 0 && b.fits(v, r, c) && v.overflow >= 1 && (v.refusing <= crowded || !v.lateAnyway(r)) {
+			if c.wait == 0 && b.fits(v, r, c) && v.overflow >= 1 {
 				v.overflow--
 				return c.pick(), shortest, true
 			}
@@ -184,29 +177,14 @@
 	if r.Left > 0 && span(c.wait+v.fast) > r.Left {
 		return false
 	}
-	if r.FullAim <= 0 {
+	if r.Aim <= 0 {
 		return true
 	}
-	aim := r.Aim
-	if v.lateAnyway(r) {
-		// While there is not room for all, a place given to this one is taken from
-		// a request that could still be in time; with an idle slot it is served.
-		if v.refusing > crowded {
-			return c.wait == 0
-		}
-		aim = r.FullAim
-	}
-	allowed := math.Max(aim.Seconds()-v.fast, minWait*r.FullAim.Seconds())
+	allowed := math.Max(r.Aim.Seconds()-v.fast, minWait*r.Aim.Seconds())
 	allowed *= math.Pow(urgentOnly, float64(r.Rank))
 	return c.wait <= allowed
 }
 
-// lateAnyway reports whether a request's caller has waited so long already that
-// even an idle target's answer is late.
-func (v *serviceState) lateAnyway(r Request) bool {
-	return r.Aim.Seconds() < v.fast && r.Aim < r.FullAim/2
-}
-
 // retryAfter says when the shortest queue is likely to have drained to half of
 // what is allowed, spread by the key so that refused callers do not return
 // together.
--- a/steering/placement/placement_test.go
+++ b/steering/placement/placement_test.go
@@ -34,7 +34,7 @@
 }
 
 func request(key string) placement.Request {
-	return placement.Request{Service: service, Key: key, ID: key, Region: "centro", Aim: 400 * time.Millisecond, FullAim: 400 * time.Millisecond,
+	return placement.Request{Service: service, Key: key, ID: key, Region: "centro", Aim: 400 * time.Millisecond,
 		Left: 2 * time.Second, Repeatable: true}
 }
 
--- a/steering/placement/state.go
+++ b/steering/placement/state.go
@@ -143,8 +143,6 @@
 	fast, slow float64
 	mean       float64
 	seen       int
-	// refusing is the moving share of requests that found no room.
-	refusing float64
 	// overflow is what is left for requests beside the first of their order.
 	overflow float64
 	// arrivals is the moving rate of requests from this entry VM's callers.
--- a/steering/placement/types.go
+++ b/steering/placement/types.go
@@ -34,11 +34,8 @@
 	Region steering.Region
 	// Allowed reports whether it may run in a region; nil allows all.
 	Allowed func(steering.Region) bool
-	// Aim is the time from now within which the answer has its full worth. It may
-	// be over already.
+	// Aim is the time from now within which the answer has its full worth.
 	Aim time.Duration
-	// FullAim is the aim of a request whose caller has not waited yet.
-	FullAim time.Duration
 	// Left is the time from now at which it is given up.
 	Left time.Duration
 	// Rank orders kinds of one service; 0 is served first.
