Tell peers the changes after a revision, whatever way they came to it

Cause: differences were told from a history of contents, and two VMs that had read at different moments shared none; each then got all 650 targets, and telling 18 VMs took longer than they wait. Ruled out: slow reads (the reader had it after 0.8 s), lost datagrams (the VMs asked and had no answer: 95 lines in 7 s). Change: each entry holds a revision by which it changed, targets that are gone are remembered by theirs, so that the difference to any revision can be told; a hash shows whether it led to the same. A target that turns cold again is told as well. The soak's check of leaving targets could not fail, as a planted defect showed: a target's end counted as harm to it. It is mended, and faults come more densely.

--- a/node/gateway/feed/reader.go
+++ b/node/gateway/feed/reader.go
@@ -125,11 +125,18 @@
 	return pull
 }
 
-// Tell returns what a peer needs that has a content and a version.
-func (r *Reader) Tell(content, version uint64) Known {
+// Wants returns what to ask a peer for.
+func (r *Reader) Wants() (since int64, version uint64) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.state.Tell(time.Now(), content, version)
+	return r.state.Wants()
+}
+
+// Tell returns what a peer needs that knows a revision and a version.
+func (r *Reader) Tell(since int64, version uint64) Known {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.state.Tell(time.Now(), since, version)
 }
 
 // Told takes in what a peer told.
--- a/node/gateway/feed/share.go
+++ b/node/gateway/feed/share.go
@@ -51,10 +51,12 @@
 	if m.Revision < s.revision {
 		return false, changed
 	}
+	newer := m.Revision > s.revision
 	if m.Content != s.content {
-		return true, changed
+		// At the same revision two VMs differ only in what they still hold for a
+		// target that missed its heartbeats; each settles that by itself.
+		return newer, changed
 	}
-	newer := m.Revision > s.revision
 	s.revision = m.Revision
 	if m.Config == s.version() {
 		s.freshBy(now, m, newer)
@@ -79,65 +81,49 @@
 	}
 }
 
-// Known is what one entry VM tells another: differences where the other's state
-// is in the history, else everything.
+// Known is what one entry VM tells another: the changes after a revision that
+// the other knows, or everything.
 type Known struct {
 	Mark Mark `json:"mark"`
-	// Since is the content that Entries and Gone are differences to; 0 means that
-	// Entries are all.
-	Since   uint64            `json:"since,omitempty"`
+	// Since is the revision after which Entries and Gone hold all changes; 0 means
+	// that Entries are all targets.
+	Since   int64             `json:"since,omitempty"`
 	Entries []Entry           `json:"entries,omitempty"`
 	Gone    []steering.Target `json:"gone,omitempty"`
 	Table   *routes.Table     `json:"table,omitempty"`
 }
 
-// Tell returns what a peer needs that has the targets of a content and the
-// configuration of a version.
-func (s *State) Tell(now time.Time, content, version uint64) Known {
+// Wants returns what to ask a peer for: the changes after a revision, 0 for
+// everything, and a configuration newer than a version.
+func (s *State) Wants() (since int64, version uint64) {
+	if s.distrusted {
+		return 0, s.version()
+	}
+	return s.revision, s.version()
+}
+
+// Tell returns what a peer needs that knows a revision and a version.
+func (s *State) Tell(now time.Time, since int64, version uint64) Known {
 	k := Known{Mark: s.Mark(now)}
 	if s.version() > version {
 		k.Table = s.table
 	}
-	if content == s.content {
-		k.Since = content
-		return k
+	if since >= s.floor && since > 0 {
+		k.Since = since
 	}
-	names, found := s.since(content)
-	if !found {
-		for name := range s.targets {
+	for name, t := range s.targets {
+		if t.changed > k.Since || k.Since == 0 {
 			k.Entries = append(k.Entries, s.tell(now, name))
 		}
-		return k
 	}
-	k.Since = content
-	for name := range names {
-		if s.targets[name] == nil {
+	for name, revision := range s.gone {
+		if k.Since > 0 && revision > k.Since {
 			k.Gone = append(k.Gone, name)
-			continue
 		}
-		k.Entries = append(k.Entries, s.tell(now, name))
 	}
 	return k
 }
 
-// since returns the names that changed after a content; found is false if it is
-// not in the history.
-func (s *State) since(content uint64) (names map[steering.Target]bool, found bool) {
-	for i := len(s.history) - 1; i >= 0; i-- {
-		if s.history[i].after != content || content == 0 {
-			continue
-		}
-		names = make(map[steering.Target]bool)
-		for _, c := range s.history[i+1:] {
-			for _, name := range c.names {
-				names[name] = true
-			}
-		}
-		return names, true
-	}
-	return nil, false
-}
-
 func (s *State) tell(now time.Time, name steering.Target) Entry {
 	e := *s.targets[name]
 	e.ColdFor = max(e.coldUntil.Sub(now), 0)
@@ -150,19 +136,24 @@
 	if k.Mark.EvacuationRevision > s.evacuation {
 		changed = s.Evacuating(now, k.Mark.Evacuated, k.Mark.EvacuationRevision) || changed
 	}
-	if k.Mark.Revision < s.revision || k.Since != 0 && k.Since != s.content {
+	if k.Mark.Revision <= s.revision || k.Since > s.revision {
 		return changed // overtaken by another read meanwhile
 	}
+	if s.revision == 0 {
+		s.floor = k.Mark.Revision
+	}
 	names := s.apply(now, k)
-	newer := k.Mark.Revision > s.revision
 	s.revision = k.Mark.Revision
-	if k.Mark.Config <= s.version() {
-		s.freshBy(now, k.Mark, newer)
+	changed = s.recorded(names) || changed
+	s.distrusted = k.Since != 0 && s.content != k.Mark.Content
+	if k.Mark.Config <= s.version() && !s.distrusted {
+		s.freshBy(now, k.Mark, true)
 	}
-	return s.recorded(names) || changed
+	return changed
 }
 
-// apply puts a peer's entries in place of the own ones.
+// apply puts a peer's entries in place of the own ones, and returns the names of
+// those that changed.
 func (s *State) apply(now time.Time, k Known) []steering.Target {
 	var names []steering.Target
 	told := make(map[steering.Target]bool, len(k.Entries))
@@ -172,13 +163,20 @@
 		if e.Missing {
 			s.doubtUntil = maxTime(s.doubtUntil, now.Add(returnTime))
 		}
+		old := s.targets[e.Name]
+		if old == nil || old.hash() != e.hash() {
+			names = append(names, e.Name)
+		} else {
+			e.changed = old.changed
+		}
 		s.targets[e.Name] = &e
 		told[e.Name] = true
-		names = append(names, e.Name)
 	}
 	for _, name := range k.Gone {
-		delete(s.targets, name)
-		names = append(names, name)
+		if s.targets[name] != nil {
+			delete(s.targets, name)
+			names = append(names, name)
+		}
 	}
 	if k.Since != 0 {
 		return names
--- a/node/gateway/feed/state.go
+++ b/node/gateway/feed/state.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/binary"
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -20,8 +21,9 @@
 	// beatsMissed is how many heartbeats the store lets pass before it drops an
 	// entry; a longer gap between reads may hide an outage.
 	beatsMissed = 3
-	// historyKept is how many changes of the targets can be told as differences.
-	historyKept = 64
+	// goneKept bounds the targets remembered as gone, so that their end can be told
+	// as a difference.
+	goneKept = 1024
 )
 
 // Entry is a target as known here and told to peers.
@@ -31,8 +33,15 @@
 	ColdFor time.Duration `json:"coldFor,omitempty"`
 	// Missing entries were absent when the store was read right after an outage.
 	Missing bool `json:"missing,omitempty"`
+	// ColdTurns counts how often it was seen to turn cold after it was new here, so
+	// that peers hear of it: nothing else of the entry may have changed.
+	ColdTurns uint32 `json:"coldTurns,omitempty"`
 
 	coldUntil time.Time
+	// changed is a revision by which the entry was as it is, and before which it
+	// differed: what a peer that knows a revision needs are the entries changed
+	// after it.
+	changed int64
 }
 
 // Mark says what an entry VM knows and how fresh it is, in a few bytes.
@@ -51,21 +60,20 @@
 	AgeMs int64 `json:"age"`
 }
 
-// change is one step in the history of the targets.
-type change struct {
-	after uint64 // Content behind it
-	names []steering.Target
-}
-
 // State is what is known of the store. It is not safe for concurrent use.
 type State struct {
 	beat    time.Duration
 	regions map[steering.Zone]steering.Region
 
-	targets    map[steering.Target]*Entry
-	revision   int64
-	content    uint64
-	history    []change
+	targets  map[steering.Target]*Entry
+	revision int64
+	content  uint64
+	gone     map[steering.Target]int64 // the revision by which each was gone
+	// floor is the revision after which all changes are on record.
+	floor int64
+	// distrusted is set when a difference that was told did not lead to what the
+	// peer knows; the next one asked for is the whole.
+	distrusted bool
 	evacuated  map[steering.Zone]bool
 	evacuation int64
 	table      *routes.Table
@@ -82,7 +90,7 @@
 
 // NewState returns an empty state. beat is how often targets write to the store.
 func NewState(beat time.Duration, regions map[steering.Zone]steering.Region) *State {
-	return &State{beat: beat, regions: regions, targets: make(map[steering.Target]*Entry),
+	return &State{beat: beat, regions: regions, targets: make(map[steering.Target]*Entry), gone: make(map[steering.Target]int64),
 		evacuated: make(map[steering.Zone]bool), coldZones: make(map[steering.Zone]time.Time)}
 }
 
@@ -131,6 +139,9 @@
 			changed = append(changed, name)
 		}
 	}
+	if s.revision == 0 {
+		s.floor = revision
+	}
 	s.revision = revision
 	return s.recorded(changed)
 }
@@ -161,7 +172,10 @@
 	changed := old.Leaving != t.Leaving || old.Slots != t.Slots || old.Address != t.Address || old.Missing
 	if t.Beat > old.Beat {
 		turnedCold := t.ColdLeft > 0 && !now.Before(old.coldUntil)
-		changed = changed || turnedCold
+		if turnedCold {
+			old.ColdTurns++
+			changed = true
+		}
 		old.coldUntil = coldUntil(now, t.ColdLeft)
 	}
 	old.Missing = false
@@ -208,19 +222,43 @@
 	return s.recorded(changed)
 }
 
-// recorded adds a step to the history.
+// recorded marks targets as changed by the revision now known.
 func (s *State) recorded(changed []steering.Target) bool {
 	if len(changed) == 0 {
 		return false
 	}
-	s.content = s.hash()
-	s.history = append(s.history, change{after: s.content, names: changed})
-	if len(s.history) > historyKept {
-		s.history = s.history[1:]
+	for _, name := range changed {
+		if t := s.targets[name]; t != nil {
+			t.changed = s.revision
+			delete(s.gone, name)
+			continue
+		}
+		s.gone[name] = s.revision
 	}
+	s.forgetGone()
+	s.content = s.hash()
 	return true
 }
 
+// forgetGone drops the oldest half of the targets that are gone, when there are
+// too many; a peer that knows less than that needs the whole.
+func (s *State) forgetGone() {
+	if len(s.gone) <= goneKept {
+		return
+	}
+	revisions := make([]int64, 0, len(s.gone))
+	for _, revision := range s.gone {
+		revisions = append(revisions, revision)
+	}
+	slices.Sort(revisions)
+	s.floor = max(s.floor, revisions[len(revisions)/2])
+	for name, revision := range s.gone {
+		if revision <= s.floor {
+			delete(s.gone, name)
+		}
+	}
+}
+
 // hash sums up what matters of the targets, in any order.
 func (s *State) hash() uint64 {
 	var sum uint64
@@ -233,13 +271,14 @@
 func (t *Entry) hash() uint64 {
 	d := xxhash.New()
 	_, _ = d.WriteString(string(t.Name) + "\x00" + t.Address + "\x00" + string(t.Service)) // a hash takes all
-	var flags [3]byte
+	var flags [7]byte
 	binary.BigEndian.PutUint16(flags[:], uint16(t.Slots))
+	binary.BigEndian.PutUint32(flags[2:], t.ColdTurns)
 	if t.Leaving {
-		flags[2] |= 1
+		flags[6] |= 1
 	}
 	if t.Missing {
-		flags[2] |= 2
+		flags[6] |= 2
 	}
 	_, _ = d.Write(flags[:])
 	return d.Sum64()
--- a/node/gateway/feed/state_test.go
+++ b/node/gateway/feed/state_test.go
@@ -123,6 +123,25 @@
 	assert.Assert(t, age < 100*time.Millisecond)
 }
 
+// Symptom: a target that turned cold again is flooded by the entry VMs that were
+// told and did not read. Cause: a mark that says the same before and after.
+func TestTurningColdIsTold(t *testing.T) {
+	a, b := feed.NewState(beat, regions), feed.NewState(beat, regions)
+	for _, s := range []*feed.State{a, b} {
+		s.Listed(start, []platform.Target{target("x", 1, false)}, 10)
+		s.Fresh(start)
+	}
+	cold := target("x", 2, false)
+	cold.ColdLeft = 3 * time.Second
+	assert.Assert(t, a.Changed(start, []platform.TargetChange{{Target: cold}}, 11))
+	a.Fresh(start)
+	pull, _ := b.Adopt(start, a.Mark(start))
+	assert.Assert(t, pull)
+	since, version := b.Wants()
+	assert.Assert(t, b.Told(start, a.Tell(start, since, version)))
+	assert.Assert(t, names(b)["x"].ColdUntil.After(start.Add(2*time.Second)))
+}
+
 // fakeStore is the store's targets at each revision, for reference.
 type fakeStore struct {
 	revision int64
@@ -222,8 +241,8 @@
 			}
 		}
 		tell := func(from, to int) feed.Known {
-			mark := states[to].Mark(now)
-			raw, err := json.Marshal(states[from].Tell(now, mark.Content, mark.Config))
+			since, version := states[to].Wants()
+			raw, err := json.Marshal(states[from].Tell(now, since, version))
 			assert.NilError(t, err)
 			var k feed.Known
 			assert.NilError(t, json.Unmarshal(raw, &k))
--- a/node/gateway/tell.go
+++ b/node/gateway/tell.go
@@ -2,13 +2,13 @@
 
 import (
 	"context"
-	"encoding/json"
 	"net"
 	"net/http"
 	"net/url"
 	"strconv"
 	"time"
 
+	"github.com/fxamacker/cbor/v2"
 	"github.com/go-faster/errors"
 
 	"heatherlock/node/gateway/feed"
@@ -17,9 +17,9 @@
 
 const (
 	// pathKnown is where an entry VM tells its peers what it knows of the store.
-	pathKnown    = "/v1/known"
-	paramContent = "content"
-	paramConfig  = "config"
+	pathKnown   = "/v1/known"
+	paramSince  = "since"
+	paramConfig = "config"
 	// pullTimeout bounds a pull: a few ways over the longest link, and the answers
 	// to others on a link of 10 Mbit/s. The next heartbeat of any peer starts
 	// another.
@@ -71,8 +71,8 @@
 }
 
 func (g *Gateway) pull(address string) error {
-	have := g.reader.Mark()
-	query := url.Values{paramContent: {strconv.FormatUint(have.Content, 10)}, paramConfig: {strconv.FormatUint(have.Config, 10)}}
+	since, config := g.reader.Wants()
+	query := url.Values{paramSince: {strconv.FormatInt(since, 10)}, paramConfig: {strconv.FormatUint(config, 10)}}
 	ctx, cancel := context.WithTimeout(context.Background(), pullTimeout)
 	defer cancel()
 	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+pathKnown+"?"+query.Encode(), nil)
@@ -88,7 +88,7 @@
 		return errors.Errorf("gateway: peer answered %d", response.StatusCode)
 	}
 	var known feed.Known
-	if err := json.NewDecoder(response.Body).Decode(&known); err != nil {
+	if err := cbor.NewDecoder(response.Body).Decode(&known); err != nil {
 		return errors.Wrap(err, "gateway: decode a peer's answer")
 	}
 	g.reader.Told(known)
@@ -99,14 +99,14 @@
 func (g *Gateway) controlMux() *http.ServeMux {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET "+pathKnown, func(w http.ResponseWriter, r *http.Request) {
-		content, errContent := strconv.ParseUint(r.URL.Query().Get(paramContent), 10, 64)
+		since, errSince := strconv.ParseInt(r.URL.Query().Get(paramSince), 10, 64)
 		config, errConfig := strconv.ParseUint(r.URL.Query().Get(paramConfig), 10, 64)
-		if errContent != nil || errConfig != nil {
-			http.Error(w, "content and config must be numbers", http.StatusBadRequest)
+		if errSince != nil || errConfig != nil {
+			http.Error(w, "since and config must be numbers", http.StatusBadRequest)
 			return
 		}
-		w.Header().Set("Content-Type", "application/json")
-		if err := json.NewEncoder(w).Encode(g.reader.Tell(content, config)); err != nil {
+		w.Header().Set("Content-Type", "application/cbor")
+		if err := cbor.NewEncoder(w).Encode(g.reader.Tell(since, config)); err != nil {
 			_ = g.log.Log("msg", "answer to a peer not written", "err", err) // as above
 		}
 	})
--- a/soak/check.go
+++ b/soak/check.go
@@ -236,7 +236,7 @@
 			if t.name == otherName {
 				s.findings.add("request %s ran at another service", run.ID)
 			}
-			if !t.leaving.IsZero() && run.At.After(t.leaving.Add(drainBound)) && t.harmed.Before(t.leaving) && s.wellBetween(t.leaving) {
+			if !t.leaving.IsZero() && run.At.After(t.leaving.Add(drainBound)) && t.harmed.Before(t.leaving) && s.wellAround(t.leaving) {
 				s.findings.add("request %s ran at %s %v after it said that it leaves", run.ID, t.name, run.At.Sub(t.leaving))
 			}
 		}
@@ -253,10 +253,15 @@
 	}
 }
 
-// wellBetween reports whether the store was not harmed around a time, as far as
-// the last harm tells.
-func (s *site) wellBetween(at time.Time) bool {
-	return s.storeBad.Before(at.Add(-steadySpan)) || s.storeBad.After(at.Add(steadySpan))
+// wellAround reports whether the store was not harmed from before a time until
+// the bound for leaving targets was over.
+func (s *site) wellAround(at time.Time) bool {
+	for _, bad := range s.storeBad {
+		if bad.After(at.Add(-steadySpan)) && bad.Before(at.Add(drainBound)) {
+			return false
+		}
+	}
+	return true
 }
 
 // expectRoute checks that undisturbed entry VMs know a route in time, and never
--- a/soak/plan.go
+++ b/soak/plan.go
@@ -18,12 +18,12 @@
 	do   func(*site)
 }
 
-// newPlan draws the faults of a seed: about one in 0.7 s, some in series, over
+// newPlan draws the faults of a seed: about one in 0.45 s, some in series, over
 // all but the last part of the run.
 func newPlan(seed uint64, length time.Duration, daemons int) []step {
 	r := rand.New(rand.NewPCG(seed, 7))
 	var plan []step
-	for at := 2 * time.Second; at < length-healTime; at += time.Duration(200+r.IntN(1000)) * time.Millisecond {
+	for at := 2 * time.Second; at < length-healTime; at += time.Duration(150+r.IntN(600)) * time.Millisecond {
 		plan = append(plan, drawStep(r, at, daemons)...)
 	}
 	sort.SliceStable(plan, func(i, j int) bool { return plan[i].at < plan[j].at })
@@ -32,14 +32,14 @@
 
 func drawStep(r *rand.Rand, at time.Duration, daemons int) []step {
 	span := time.Duration(500+r.IntN(3000)) * time.Millisecond
-	switch r.IntN(12) {
+	switch r.IntN(13) {
 	case 0, 1, 2:
 		return signals(r, at, span, daemons)
 	case 3, 4:
 		return ways(r, at, span)
 	case 5, 6:
 		return targetFaults(r, at, span)
-	case 7:
+	case 7, 12:
 		return targetChanges(r, at)
 	case 8, 9:
 		return storeFaults(r, at, span)
--- a/soak/site.go
+++ b/soak/site.go
@@ -21,6 +21,8 @@
 	host        = "soak.example"
 	serviceName = "svc"
 	otherName   = "other"
+	// leftOver is how long a leaving target still serves after the bound.
+	leftOver = 3 * time.Second
 )
 
 // site is the deployment under test.
@@ -38,8 +40,9 @@
 	next    int
 	version int
 	routes  []map[string]any
-	// storeBad is when the store or the way to it was last harmed.
-	storeBad time.Time
+	// storeBad are the times at which the store or the way to it was harmed, or
+	// ceased to be.
+	storeBad []time.Time
 	closing  chan struct{}
 }
 
@@ -158,13 +161,13 @@
 	t.leaving = time.Now()
 	s.write(t)
 	s.mu.Unlock()
-	time.AfterFunc(5*time.Second, func() { s.remove(t, true) })
+	time.AfterFunc(drainBound+leftOver, func() { s.remove(t, true) })
 }
 
 // remove ends a target; with entry set its entry goes at once.
 func (s *site) remove(t *target, entry bool) {
 	s.mu.Lock()
-	t.silent, t.harmed = true, time.Now()
+	t.silent = true
 	delete(s.targets, t.name)
 	s.mu.Unlock()
 	t.Stop()
@@ -224,7 +227,7 @@
 
 func (s *site) noteStoreBad() {
 	s.mu.Lock()
-	s.storeBad = time.Now()
+	s.storeBad = append(s.storeBad, time.Now())
 	s.mu.Unlock()
 }
 
@@ -232,7 +235,7 @@
 func (s *site) storeWell(span time.Duration) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return time.Since(s.storeBad) > span
+	return len(s.storeBad) == 0 || time.Since(s.storeBad[len(s.storeBad)-1]) > span
 }
 
 // live returns the targets that run and stay.
