Put new bounds in force on reload; one subcommand for simulated experiments

Cause: settings read again were compared and logged, but bounds stayed as at start, though the comment said otherwise; two experiments repeated their flags. Change: bounds are in force at once; command.Simulation holds the shared part.

--- a/cmd/internal/benchbalance/bench.go
+++ b/cmd/internal/benchbalance/bench.go
@@ -4,29 +4,12 @@
 	"fmt"
 	"io"
 	"text/tabwriter"
-	"time"
 
 	"heatherlock/cmd/internal/command"
 )
 
 // Options are the choices of a run.
-type Options struct {
-	Seed uint64
-	// For is the simulated time that each run is measured.
-	For      time.Duration
-	JSONFile string
-}
-
-// Defaults returns the options of a run without flags.
-func Defaults() Options { return Options{Seed: 1, For: 20 * time.Second} }
-
-// Check reports an option out of bounds.
-func (o Options) Check() error {
-	if o.For < time.Second || o.For > 10*time.Minute {
-		return fmt.Errorf("bench: --for %s is out of bounds; give 1s to 10m", o.For)
-	}
-	return nil
-}
+type Options = command.SimOptions
 
 // Report holds the figures of all experiments.
 type Report struct {
--- a/cmd/internal/benchbalance/command.go
+++ b/cmd/internal/benchbalance/command.go
@@ -1,38 +1,8 @@
 package benchbalance
 
-import (
-	"context"
-
-	"github.com/integrii/flaggy"
-
-	"heatherlock/cmd/internal/command"
-)
+import "heatherlock/cmd/internal/command"
 
 // Command returns `bench balance`.
 func Command() command.Command {
-	return command.Command{
-		Name:    "balance",
-		Summary: "compare ways to share target slots among entry VMs, by simulation",
-		Declare: declare,
-	}
-}
-
-func declare(sub *flaggy.Subcommand) command.Run {
-	o := Defaults()
-	seed := int(o.Seed)
-	sub.Int(&seed, "s", "seed", "seed of arrivals and service times")
-	sub.Duration(&o.For, "f", "for", "simulated time of each run")
-	sub.String(&o.JSONFile, "j", "json", "write the report to this file as one JSON object")
-	return func(_ context.Context, io command.IO) error {
-		o.Seed = uint64(seed)
-		if err := o.Check(); err != nil {
-			return command.Failf(command.Usage, "see `heatherlock bench balance --help`", "%v", err)
-		}
-		report := Run(o)
-		report.WriteText(io.Out)
-		if o.JSONFile == "" {
-			return nil
-		}
-		return report.WriteJSON(o.JSONFile)
-	}
+	return command.Simulation("balance", "compare ways to share target slots among entry VMs, by simulation", func(o Options) command.SimReport { return Run(o) })
 }
--- /dev/null
+++ b/cmd/internal/command/simulation.go
@@ -0,0 +1,58 @@
+package command
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"time"
+
+	"github.com/integrii/flaggy"
+)
+
+// SimOptions are the choices of a simulated experiment.
+type SimOptions struct {
+	Seed uint64
+	// For is the simulated time that each run is measured.
+	For      time.Duration
+	JSONFile string
+}
+
+// SimDefaults returns the options of a run without flags.
+func SimDefaults() SimOptions { return SimOptions{Seed: 1, For: 20 * time.Second} }
+
+// Check reports an option out of bounds.
+func (o SimOptions) Check() error {
+	if o.For < time.Second || o.For > 10*time.Minute {
+		return fmt.Errorf("bench: --for %s is out of bounds; give 1s to 10m", o.For)
+	}
+	return nil
+}
+
+// SimReport is what a simulated experiment showed.
+type SimReport interface {
+	WriteText(w io.Writer)
+	WriteJSON(file string) error
+}
+
+// Simulation returns the subcommand of a simulated experiment.
+func Simulation(name, summary string, run func(SimOptions) SimReport) Command {
+	return Command{Name: name, Summary: summary, Declare: func(sub *flaggy.Subcommand) Run {
+		o := SimDefaults()
+		seed := int(o.Seed)
+		sub.Int(&seed, "s", "seed", "seed of arrivals and service times")
+		sub.Duration(&o.For, "f", "for", "simulated time of each run")
+		sub.String(&o.JSONFile, "j", "json", "write the report to this file as one JSON object")
+		return func(_ context.Context, io IO) error {
+			o.Seed = uint64(seed)
+			if err := o.Check(); err != nil {
+				return Failf(Usage, "see `heatherlock bench "+name+" --help`", "%v", err)
+			}
+			report := run(o)
+			report.WriteText(io.Out)
+			if o.JSONFile == "" {
+				return nil
+			}
+			return report.WriteJSON(o.JSONFile)
+		}
+	}}
+}
--- a/node/gateway/gateway.go
+++ b/node/gateway/gateway.go
@@ -56,6 +56,7 @@
 	done     sync.WaitGroup
 
 	beliefs beliefs
+	bounds  atomic.Pointer[platform.Bounds]
 
 	reload      sync.Mutex
 	newest      *platform.Settings // as last read
@@ -73,9 +74,10 @@
 		scope.Tagged(map[string]string{"fault": faultName(err)}).Counter("gateway_store_calls").Inc(1)
 	}
 	b := settings.Bounds
+	g.bounds.Store(&b)
 	g.relay = relay.New(relay.Config{Region: settings.Region, Pool: g.pool,
 		Board:  placement.NewBoard(settings.VM, settings.Region, b.ShiftShare),
-		Retry:  retry.NewAllowance(retry.AllowanceConfig{Ratio: b.RetryRatio, Slack: b.RetrySlack, Window: b.RetryWindow}),
+		Retry:  retry.NewAllowance(retryConfig(b)),
 		Log:    logger,
 		Events: relay.NewEvents(scope), StoreAge: func() time.Duration { return time.Duration(g.reader.Mark().AgeMs) * time.Millisecond },
 		Members: func() int { return len(g.fleet.Live()) }})
--- a/node/gateway/leave.go
+++ b/node/gateway/leave.go
@@ -37,7 +37,7 @@
 			_ = g.log.Log("msg", "own record not removed", "err", err) // as above
 		}
 	})
-	end := began.Add(g.settings.Bounds.Grace - leaveReserve)
+	end := began.Add(g.bounds.Load().Grace - leaveReserve)
 	for time.Now().Before(end) {
 		if time.Since(began) > leaveTTL {
 			g.callers.CloseIdle()
--- a/node/gateway/reload.go
+++ b/node/gateway/reload.go
@@ -4,11 +4,13 @@
 	"reflect"
 
 	"heatherlock/platform"
+	"heatherlock/steering/placement"
+	"heatherlock/steering/retry"
 )
 
-// Reload takes in settings that were read again. What the listeners and the
-// store's address depend on needs a restart; bounds take effect at once. With
-// err the old settings stay.
+// Reload takes in settings that were read again: bounds are in force at once,
+// what the listeners and the store's address depend on needs a restart. With err
+// the old settings stay.
 func (g *Gateway) Reload(next *platform.Settings, err error) {
 	g.reload.Lock()
 	defer g.reload.Unlock()
@@ -24,5 +26,19 @@
 		return
 	}
 	g.newest = next
+	g.useBounds(next.Bounds)
 	_ = g.log.Log("msg", "settings read again", "restart_needed", next.Listen != g.settings.Listen || next.Store != g.settings.Store) // as above
 }
+
+// useBounds puts bounds in force.
+func (g *Gateway) useBounds(b platform.Bounds) {
+	g.bounds.Store(&b)
+	g.relay.WithBoard(func(board *placement.Board, allowance *retry.Allowance) {
+		board.SetShiftShare(b.ShiftShare)
+		allowance.Configure(retryConfig(b))
+	})
+}
+
+func retryConfig(b platform.Bounds) retry.AllowanceConfig {
+	return retry.AllowanceConfig{Ratio: b.RetryRatio, Slack: b.RetrySlack, Window: b.RetryWindow}
+}
--- a/steering/placement/board.go
+++ b/steering/placement/board.go
@@ -58,6 +58,9 @@
 	b.byName = next
 }
 
+// SetShiftShare puts another bound on changes of region in force.
+func (b *Board) SetShiftShare(share float64) { b.shiftShare = share }
+
 // SetPeers tells which entry VMs live, this one included.
 func (b *Board) SetPeers(peers map[steering.Region][]steering.VM) { b.peers = peers }
 
--- a/steering/retry/allowance.go
+++ b/steering/retry/allowance.go
@@ -51,6 +51,9 @@
 	return &Allowance{cfg: cfg, members: 1, pools: make(map[steering.Service]*spending)}
 }
 
+// Configure puts another bound in force.
+func (a *Allowance) Configure(cfg AllowanceConfig) { a.cfg = cfg }
+
 // SetMembers tells how many entry VMs divide the slack.
 func (a *Allowance) SetMembers(n int) { a.members = max(n, 1) }
 
