Never pass on a body that was cut at the limit as a whole one

Symptom: an upload in chunks above the limit reached its target cut at the limit and complete in form. Cause: the reader of the rest ended at the limit as a body ends. Found by reading. Change: it fails there, so that the target sees the request break off; a body held whole is checked against the limit too; room for a hedge's end beside all tries. Shown by: a test that fails without the change.

--- a/node/gateway/callers/conn.go
+++ b/node/gateway/callers/conn.go
@@ -259,10 +259,33 @@
 		return nil, nil, statusGone
 	case err != nil:
 		return nil, nil, http.StatusBadRequest
+	case most > 0 && n > most:
+		return nil, nil, http.StatusRequestEntityTooLarge
 	case n < maxHeld || n == r.ContentLength:
 		return held.Bytes(), nil, 0
 	}
-	return held.Bytes(), io.LimitReader(r.Body, most-n+1), 0
+	if most <= 0 {
+		return held.Bytes(), r.Body, 0
+	}
+	return held.Bytes(), &boundedBody{from: r.Body, left: most - n}, 0
+}
+
+var errBodyTooBig = errors.New("callers: body larger than the limit")
+
+// boundedBody fails once more than a bound was read. Ending there instead would
+// pass a cut body on as a whole one.
+type boundedBody struct {
+	from io.Reader
+	left int64
+}
+
+func (b *boundedBody) Read(p []byte) (int, error) {
+	n, err := b.from.Read(p)
+	b.left -= int64(n)
+	if b.left < 0 {
+		return 0, errBodyTooBig
+	}
+	return n, err
 }
 
 func lengthOf(r *http.Request, body []byte, rest io.Reader) int64 {
--- a/node/gateway/relay/exchange.go
+++ b/node/gateway/relay/exchange.go
@@ -44,7 +44,7 @@
 
 func newExchange(f *Relay, table *routes.Table, route *routes.Route, r *callers.Request, call platform.Call) *exchange {
 	x := &exchange{f: f, table: table, route: route, r: r, call: call, service: route.Service(),
-		header: endToEnd(r.Header), ends: make(chan end, route.MaxAttempts+furtherTries)}
+		header: endToEnd(r.Header), ends: make(chan end, route.MaxAttempts+furtherTries+1)} // a hedge beside them
 	x.giveUp = r.Received.Add(x.bound())
 	return x
 }
--- a/node/gateway/relay/relay_test.go
+++ b/node/gateway/relay/relay_test.go
@@ -325,6 +325,22 @@
 	assert.Equal(t, runs[len(runs)-1].Body, "abcdefgh")
 }
 
+// Symptom: a target stores the first part of an upload as if it were all.
+// Sequence: a body without a stated length is larger than the limit. Cause: ending
+// it at the limit. The target must never see it end.
+func TestBodyOverTheLimitIsNotPassedOnAsWhole(t *testing.T) {
+	g := newRig(t, 1, nil)
+	chunk := "10000\r\n" + strings.Repeat("x", 0x10000) + "\r\n"
+	text := "POST /upload/1 HTTP/1.1\r\nHost: shop.example\r\nX-Request-Id: big\r\nTransfer-Encoding: chunked\r\n\r\n" + strings.Repeat(chunk, 20) + "0\r\n\r\n"
+	conn, err := net.Dial("tcp4", g.address)
+	assert.NilError(t, err)
+	defer conn.Close()
+	_, _ = io.WriteString(conn, text) // the entry VM may stop reading
+	answer := readAnswers(t, conn, 1)[0]
+	assert.Assert(t, answer.StatusCode >= 400, "status %d", answer.StatusCode)
+	assert.Equal(t, len(g.runs()), 0)
+}
+
 // raw sends bytes on one connection and reads answers.
 func (g *rig) raw(text string, answers int) []*http.Response {
 	g.t.Helper()
