Let the agreed bounds set what follows from them

Cause: the pause between reads of the store, the steps of lending, the number of VMs that send to a cold target and the directory's time to live were fixed at figures that fit the two known deployments; three bounds were decoded and never used. The soak takes the ways of spoiling requests in turn, so that few seeds cover all.

--- a/cmd/internal/benchplacement/sim.go
+++ b/cmd/internal/benchplacement/sim.go
@@ -38,6 +38,7 @@
 	lendEvery      = time.Second
 	warmUp         = 8 * time.Second // of a run, not measured
 	workSpread     = 0.15
+	shiftBound     = 0.15
 	unevenTargets  = 2
 	regularTargets = 10
 )
--- a/cmd/internal/benchplacement/ways.go
+++ b/cmd/internal/benchplacement/ways.go
@@ -72,7 +72,7 @@
 	for n, b := range p.balancers {
 		demand[service][regionName(n/vmsPerRegion)] += b.Demand(now)[service]
 	}
-	p.lending = placement.NextLending(p.lending, demand, p.balancers[0].Slots(), regionCount)
+	p.lending = placement.NextLending(p.lending, demand, p.balancers[0].Slots(), regionCount, shiftBound)
 	for _, b := range p.balancers {
 		b.SetLending(p.lending)
 	}
--- a/node/gateway/feed/reader.go
+++ b/node/gateway/feed/reader.go
@@ -14,11 +14,15 @@
 )
 
 const (
-	// readEvery is the age at which the first reader reads the store again. The
-	// entries of targets change with every heartbeat, so that a waiting watch
+	// readEvery is the longest age at which the first reader reads the store again.
+	// The entries of targets change with every heartbeat, so that a waiting watch
 	// would return at once; with this and the steps below a change is known
 	// everywhere well within the 2.5 s that a leaving target is given.
 	readEvery = 1100 * time.Millisecond
+	// boundUse is the part of a shorter bound that may pass before the next read.
+	boundUse = 0.4
+	// shortestEvery keeps a bound that is set far too short from flooding the store.
+	shortestEvery = 200 * time.Millisecond
 	// readStep is how much later each further entry VM reads, if none before it
 	// did. A reader that is gone, cut off or paused costs a step, and no lease
 	// has to lapse; two that read at once harm nothing.
@@ -69,12 +73,13 @@
 
 	mu      sync.Mutex
 	state   *State
+	every   time.Duration
 	failing bool
 }
 
 // NewReader returns a reader that fills state.
 func NewReader(store Store, sink Sink, state *State, rank func() int, logger log.Logger) *Reader {
-	return &Reader{store: store, sink: sink, state: state, rank: rank, log: logger}
+	return &Reader{store: store, sink: sink, state: state, rank: rank, log: logger, every: readEvery}
 }
 
 // Run reads until ctx ends, each time that the state is old enough.
@@ -99,7 +104,17 @@
 		return 0
 	}
 	steps := time.Duration(min(rank, stepRanks))*readStep + time.Duration(max(rank-stepRanks, 0))*farStep
-	return readEvery + steps - age
+	return r.every + steps - age
+}
+
+// SetBound tells how soon after the store took a change it must be known.
+func (r *Reader) SetBound(bound time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.every = readEvery
+	if bound > 0 {
+		r.every = min(readEvery, max(time.Duration(boundUse*float64(bound)), shortestEvery))
+	}
 }
 
 // Failing reports whether the last read failed.
--- a/node/gateway/gateway.go
+++ b/node/gateway/gateway.go
@@ -26,9 +26,10 @@
 )
 
 const (
-	// directoryTTL is how long callers keep a directory answer: long enough that
-	// look-ups stay rare, short enough that a VM that left is soon unused.
-	directoryTTL = 2 * time.Second
+	// longestTTL is how long callers keep a directory answer, if the bound allows:
+	// long enough that look-ups stay rare, short enough that a VM that left is soon
+	// unused.
+	longestTTL = 2 * time.Second
 	// callerConnections bounds the connections of callers.
 	callerConnections = 3000
 	// headerTimeout bounds the header of a question to the directory.
@@ -74,7 +75,6 @@
 		scope.Tagged(map[string]string{"fault": faultName(err)}).Counter("gateway_store_calls").Inc(1)
 	}
 	b := settings.Bounds
-	g.bounds.Store(&b)
 	g.relay = relay.New(relay.Config{Region: settings.Region, Pool: g.pool,
 		Balancer: placement.NewBalancer(settings.VM, settings.Region),
 		Retry:    retry.NewSharedBudget(retryConfig(b)),
@@ -85,6 +85,7 @@
 	state := feed.NewState(time.Duration(settings.HeartbeatMs)*time.Millisecond, settings.Zones)
 	g.reader = feed.NewReader(g.store, g, state, g.readRank, logger)
 	g.peers = newPeerClient()
+	g.useBounds(b)
 	return g, g.newFleet()
 }
 
@@ -249,7 +250,7 @@
 		}
 		g.relay.WithBalancer(func(balancer *placement.Balancer, _ *retry.SharedBudget) {
 			add(g.settings.Region, balancer.Demand(time.Now()))
-			g.lending = placement.NextLending(g.lending, demand, balancer.Slots(), g.regions())
+			g.lending = placement.NextLending(g.lending, demand, balancer.Slots(), g.regions(), g.bounds.Load().ShiftShare)
 			balancer.SetLending(g.lending)
 		})
 		g.peersChanged()
--- a/node/gateway/leave.go
+++ b/node/gateway/leave.go
@@ -10,7 +10,7 @@
 
 const (
 	// leaveTTL is how long callers may still come with an old directory answer.
-	leaveTTL = directoryTTL + time.Second
+	leaveTTL = longestTTL + time.Second
 	// leaveReserve is kept back from the time until SIGKILL.
 	leaveReserve = 500 * time.Millisecond
 	// leaveStep is how often it is looked whether all is done.
--- a/node/gateway/listeners.go
+++ b/node/gateway/listeners.go
@@ -4,6 +4,7 @@
 	"net"
 	"net/http"
 	"strconv"
+	"time"
 
 	"github.com/go-faster/errors"
 
@@ -55,11 +56,19 @@
 func (g *Gateway) answerDirectory(w http.ResponseWriter, r *http.Request) {
 	question := platform.ReadQuestion(r)
 	addresses := g.addressesFor(question.Region, question.Zone)
-	if err := platform.WriteDirectory(w, addresses, directoryTTL); err != nil {
+	if err := platform.WriteDirectory(w, addresses, g.directoryTTL()); err != nil {
 		_ = g.log.Log("msg", "directory answer not written", "err", err) // as above
 	}
 }
 
+// directoryTTL is how long callers may keep an answer.
+func (g *Gateway) directoryTTL() time.Duration {
+	if bound := g.bounds.Load().DirectoryTTL; bound > 0 {
+		return min(longestTTL, bound)
+	}
+	return longestTTL
+}
+
 // fewest is how many entry VMs an answer names if there are as many: with one
 // alone, its callers would have nowhere to go while it restarts.
 const fewest = 2
--- a/node/gateway/reload.go
+++ b/node/gateway/reload.go
@@ -33,7 +33,9 @@
 // useBounds puts bounds in force.
 func (g *Gateway) useBounds(b platform.Bounds) {
 	g.bounds.Store(&b)
-	g.relay.WithBalancer(func(_ *placement.Balancer, budget *retry.SharedBudget) {
+	g.reader.SetBound(min(b.Drain, b.Apply))
+	g.relay.WithBalancer(func(balancer *placement.Balancer, budget *retry.SharedBudget) {
+		balancer.SetColdSlack(b.ColdSlack)
 		budget.Configure(retryConfig(b))
 	})
 }
--- a/soak/plan.go
+++ b/soak/plan.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"sort"
 	"syscall"
 	"time"
@@ -21,16 +22,25 @@
 // newPlan draws the faults of a seed: about one in 0.45 s, some in series, over
 // all but the last part of the run.
 func newPlan(seed uint64, length time.Duration, daemons int) []step {
-	r := rand.New(rand.NewPCG(seed, 7))
+	d := &draw{Rand: rand.New(rand.NewPCG(seed, 7)), ways: slices.Clone(spoils)}
+	d.Shuffle(len(d.ways), func(i, j int) { d.ways[i], d.ways[j] = d.ways[j], d.ways[i] })
 	var plan []step
-	for at := 2 * time.Second; at < length-healTime; at += time.Duration(150+r.IntN(600)) * time.Millisecond {
-		plan = append(plan, drawStep(r, at, daemons)...)
+	for at := 2 * time.Second; at < length-healTime; at += time.Duration(150+d.IntN(600)) * time.Millisecond {
+		plan = append(plan, d.step(at, daemons)...)
 	}
 	sort.SliceStable(plan, func(i, j int) bool { return plan[i].at < plan[j].at })
 	return plan
 }
 
-func drawStep(r *rand.Rand, at time.Duration, daemons int) []step {
+// draw draws a plan.
+type draw struct {
+	*rand.Rand
+	ways []endpoint.Fault
+	next int
+}
+
+func (d *draw) step(at time.Duration, daemons int) []step {
+	r := d.Rand
 	span := time.Duration(500+r.IntN(3000)) * time.Millisecond
 	switch r.IntN(13) {
 	case 0, 1, 2:
@@ -38,7 +48,7 @@
 	case 3, 4:
 		return ways(r, at, span)
 	case 5, 6:
-		return targetFaults(r, at, span)
+		return d.targetFaults(at, span)
 	case 7, 12:
 		return targetChanges(r, at)
 	case 8, 9:
@@ -85,15 +95,24 @@
 	}}}
 }
 
-func targetFaults(r *rand.Rand, at, span time.Duration) []step {
-	faults := []endpoint.Fault{endpoint.Crash, endpoint.LoseAnswer, endpoint.Cut, endpoint.Garbage, endpoint.Extra, endpoint.Shed,
-		endpoint.Unproven, endpoint.Fail, endpoint.Unframed, endpoint.UnframedReset, endpoint.Dark, endpoint.Early}
-	f, every, pick := faults[r.IntN(len(faults))], 1+r.IntN(6), r.Uint64()
-	return []step{{at, fmt.Sprintf("a target spoils one of %d requests (fault %d) for %v", every, f, span), func(s *site) {
-		if t := s.pick(pick); t != nil {
-			t.spoil(f, every, span)
-		}
-	}}}
+// spoils are the ways in which a target treats requests badly.
+var spoils = []endpoint.Fault{endpoint.Crash, endpoint.LoseAnswer, endpoint.Cut, endpoint.Garbage, endpoint.Extra, endpoint.Shed,
+	endpoint.Unproven, endpoint.Fail, endpoint.Unframed, endpoint.UnframedReset, endpoint.Dark, endpoint.Early}
+
+// targetFaults let two targets spoil requests in two ways. The ways are taken in
+// an order that the seed shuffles, so that few seeds cover all.
+func (d *draw) targetFaults(at, span time.Duration) []step {
+	var steps []step
+	for range 2 {
+		f, every, pick := d.ways[d.next%len(d.ways)], 1+d.IntN(6), d.Uint64()
+		d.next++
+		steps = append(steps, step{at, fmt.Sprintf("a target spoils one of %d requests (fault %d) for %v", every, f, span), func(s *site) {
+			if t := s.pick(pick); t != nil {
+				t.spoil(f, every, span)
+			}
+		}})
+	}
+	return steps
 }
 
 // targetChanges let targets leave, die, or give their address to another.
--- a/steering/placement/balancer.go
+++ b/steering/placement/balancer.go
@@ -20,6 +20,8 @@
 	// peers are the live entry VMs by region, this one included.
 	peers   map[steering.Region][]steering.VM
 	lending Lending
+	// coldOwners is how many entry VMs may send to one cold target.
+	coldOwners int
 }
 
 // NewBalancer returns an empty balancer of the entry VM vm in region.
@@ -27,7 +29,13 @@
 	return &Balancer{vm: vm, region: region,
 		byName: make(map[steering.Target]*state), services: make(map[steering.Service]*serviceState),
 		dark: make(map[steering.Zone]bool), peers: make(map[steering.Region][]steering.VM),
-		lending: Lending{}}
+		lending: Lending{}, coldOwners: mostColdOwners}
+}
+
+// SetColdSlack tells the slack of the bound on what a cold target gets in a
+// second, over all entry VMs: each that may send to it bursts by one.
+func (b *Balancer) SetColdSlack(slack float64) {
+	b.coldOwners = min(max(int(slack), 1), mostColdOwners)
 }
 
 // SetTargets replaces the declared targets; what was learned of those that stay
--- a/steering/placement/choose.go
+++ b/steering/placement/choose.go
@@ -17,9 +17,10 @@
 	overflowShare = 0.05
 	// overflowBurst bounds what is saved of that share.
 	overflowBurst = 3
-	// coldOwners is how many entry VMs may send to one cold target. Each has an
-	// equal part of its rate and one request of burst.
-	coldOwners = 3
+	// mostColdOwners is how many entry VMs may send to one cold target, where the
+	// slack of its bound covers their bursts of one request. Each has an equal part
+	// of its rate.
+	mostColdOwners = 3
 	// coldUse is the part of a cold target's rate that is used, so that two views
 	// of who lives may differ without exceeding it by much.
 	coldUse = 0.75
@@ -143,7 +144,7 @@
 // takesCold reports whether one more request may go to a cold target, and counts
 // it.
 func (b *Balancer) takesCold(now time.Time, s *state) bool {
-	return b.ownsCold(s) && s.coldSpent.take(now, coldUse*s.ColdRate/coldOwners)
+	return b.ownsCold(s) && s.coldSpent.take(now, coldUse*s.ColdRate/float64(b.coldOwners))
 }
 
 func (c *candidate) pick() Pick {
@@ -201,7 +202,7 @@
 			ahead++
 		}
 	}
-	return ahead < coldOwners
+	return ahead < b.coldOwners
 }
 
 func span(seconds float64) time.Duration {
--- a/steering/placement/lend.go
+++ b/steering/placement/lend.go
@@ -22,10 +22,9 @@
 	// fullEnough is the part of a region's slots that warm demand may keep busy
 	// before it lends: above it a queue of a few service times forms.
 	fullEnough = 0.65
-	// lendStep is the largest change of a region's share in one step of a second:
-	// a third of the 0.15 in 2 s that the users allow to change region, since the
-	// callers' own changes move traffic as well.
-	lendStep = 0.05
+	// lendUse is the part of what may change region within 2 s that lending moves in
+	// a second: a third, since the callers' own changes move traffic as well.
+	lendUse = 1.0 / 3
 )
 
 // NextLending moves each region's kept share a step towards what its slots
@@ -35,7 +34,11 @@
 // Before any demand is known, each of the regions is taken to want an equal part
 // of all slots. Starting from keeping everything instead, the first seconds of a
 // busy day would move most of a small region's requests at once.
-func NextLending(now Lending, demand, slots map[steering.Service]map[steering.Region]float64, regions int) Lending {
+//
+// It is called once a second; shiftShare is the largest part of a region's
+// requests that may change region within 2 s.
+func NextLending(now Lending, demand, slots map[steering.Service]map[steering.Region]float64, regions int, shiftShare float64) Lending {
+	step := lendUse * shiftShare
 	next := make(Lending, len(slots))
 	for service, room := range slots {
 		next[service] = make(map[steering.Region]float64)
@@ -49,7 +52,7 @@
 			if busy := demand[service][region]; busy > 0 {
 				goal = math.Min(1, level*room[region]/busy)
 			}
-			next[service][region] = old + math.Max(-lendStep, math.Min(lendStep, goal-old))
+			next[service][region] = old + math.Max(-step, math.Min(step, goal-old))
 		}
 	}
 	return next
--- a/steering/placement/placement_test.go
+++ b/steering/placement/placement_test.go
@@ -199,7 +199,7 @@
 		room2 := map[steering.Service]map[steering.Region]float64{service: slots}
 		now := placement.Lending{service: {"norte": 1, "centro": 1, "sur": 1}}
 		for range 30 {
-			next := placement.NextLending(now, all, room2, len(regions))
+			next := placement.NextLending(now, all, room2, len(regions), 0.15)
 			for _, r := range regions {
 				assert.Assert(t, math.Abs(next[service][r]-now[service][r]) <= 0.05+1e-9)
 				assert.Assert(t, next[service][r] >= 0 && next[service][r] <= 1)
