--- a/cmd/internal/benchplacement/sim.go
+++ b/cmd/internal/benchplacement/sim.go
@@ -114,7 +114,6 @@
 	targets  []*target
 	byName   map[steering.Target]*target
 	result   tally
-	arrivals int
 }
 
 // tally counts what callers got.
--- a/soak/check.go
+++ b/soak/check.go
@@ -64,7 +64,6 @@
 	id     string
 	once   bool
 	status int // 0 without an answer
-	cut    bool
 }
 
 // ledger holds what callers were told of requests that run at most once.
--- a/steering/placement/choose.go
+++ b/steering/placement/choose.go
@@ -101,7 +101,7 @@
 	return kept
 }
 
-// passedOver reports whether a target is in doubt or too slow.
+// passedOver reports whether a target is ejected or in a zone that is cut off.
 func (b *Balancer) passedOver(v *serviceState, s *state) bool {
 	return s.ejected || b.dark[s.Zone] && s.Zone != ""
 }
--- a/steering/placement/state.go
+++ b/steering/placement/state.go
@@ -27,9 +27,6 @@
 	// hardLimit is the count of breaks in a row that make a target ejected. One
 	// may be a single request's doing.
 	hardLimit = 2
-	// slowFactor is how many times slower than its service a target has to be to
-	// be passed over: above it even a cold run elsewhere is faster.
-	slowFactor = 2.5
 	// keptKeys bounds the keys remembered a target.
 	keptKeys = 64
 	// keyFresh is how long a key is taken to be warm on a target that ran it.
