--- a/node/gateway/feed/reader.go
+++ b/node/gateway/feed/reader.go
@@ -131,7 +131,7 @@
 	return r.state.Digest(time.Now())
 }
 
-// Merge takes in a peer's mark and reports whether to ask the peer for more.
+// Merge takes in a peer's digest and reports whether to ask the peer for more.
 func (r *Reader) Merge(m Digest) (pull bool) {
 	r.update(func() (changed bool) {
 		pull, changed = r.state.Merge(time.Now(), m)
--- a/node/gateway/feed/share.go
+++ b/node/gateway/feed/share.go
@@ -33,7 +33,7 @@
 	return s.table.Version
 }
 
-// Merge takes in a peer's mark as far as that needs nothing further. pull tells
+// Merge takes in a peer's digest as far as that needs nothing further. pull tells
 // that the peer knows more; changed that something changed here.
 func (s *State) Merge(now time.Time, m Digest) (pull, changed bool) {
 	if m.Revision == 0 {
@@ -61,6 +61,9 @@
 		return newer, changed
 	}
 	s.revision = m.Revision
+	if s.distrusted {
+		s.distrusted, s.floor = false, m.Revision // the hash shows that it is right after all
+	}
 	if m.Config == s.version() {
 		s.freshBy(now, m, newer)
 	}
@@ -68,12 +71,12 @@
 }
 
 // ageMargin is how much younger a peer's read at the same revision has to be to
-// count as another read: above what a mark spends on its way.
+// count as another read: above what a digest spends on its way.
 const ageMargin = 400 * time.Millisecond
 
 // freshBy takes over the age of a peer's read.
 //
-// What goes wrong when any younger age is taken: a mark does not age on its way,
+// What goes wrong when any younger age is taken: a digest does not age on its way,
 // so that two VMs which tell each other the same read make it younger each time.
 // One would notice that nobody reads the store any more. A read counts as
 // another only if it saw a newer revision, or is younger by more than the way.
--- a/node/gateway/gateway.go
+++ b/node/gateway/gateway.go
@@ -114,7 +114,9 @@
 		}
 		seeds = append(seeds, platform.PeerAddressOf(host, g.settings.PeerPorts))
 	}
-	g.fleet = fleet.New(fleet.Config{Self: g.self(), Seeds: seeds, Log: g.log, Own: g.ownBeat, Suspects: func(all bool) []poison.Fact { return g.relay.TakeFacts(time.Now(), all) }, Heard: g.heardBeat, Changed: g.peersChanged}, conn)
+	g.fleet = fleet.New(fleet.Config{Self: g.self(), Seeds: seeds, Log: g.log, Own: g.ownBeat,
+		Suspects: func(all bool) []poison.Fact { return g.relay.TakeFacts(time.Now(), all) },
+		Heard:    g.heardBeat, Changed: g.peersChanged}, conn)
 	return nil
 }
 
--- a/node/gateway/relay/exchange.go
+++ b/node/gateway/relay/exchange.go
@@ -172,7 +172,7 @@
 		return context.WithDeadline(ctx, x.giveUp)
 	}
 	ctx, cancel := context.WithDeadline(context.WithoutCancel(ctx), x.giveUp.Add(lateGrace))
-	context.AfterFunc(ctx, cancel)
+	context.AfterFunc(ctx, cancel) // at the deadline, not when the caller has been answered
 	return ctx, func() {}
 }
 
--- a/steering/placement/choose.go
+++ b/steering/placement/choose.go
@@ -106,7 +106,7 @@
 	return s.ejected || b.dark[s.Zone] && s.Zone != ""
 }
 
-// trialDue reports whether a ejected target is to be tried with this request.
+// trialDue reports whether an ejected target is to be tried with this request.
 func (b *Balancer) trialDue(now time.Time, s *state, r Request) bool {
 	return r.Repeatable && s.ejected && !s.trying && !now.Before(s.tryAt) && !b.dark[s.Zone]
 }
