Close the port of a leaving VM in time; tell no VM's memory in the hash

Cause: requests were taken until the end; callers that keep directory answers for three times as long still came. Change: the port is closed 2.8 s after SIGTERM, or at 0.47 of a shorter grace. Cause: the hash held how often a target had been seen to turn cold, which differs between VMs that started at different times; each then asked the other for all targets, every second. Change: a revision by which some target turned cold is told beside the hash. Shown by: a test each, both failed first.

--- a/node/gateway/feed/share.go
+++ b/node/gateway/feed/share.go
@@ -10,7 +10,7 @@
 
 // Digest returns what is known, in short.
 func (s *State) Digest(now time.Time) Digest {
-	m := Digest{Revision: s.revision, Content: s.content, ConfigRevision: s.configured, EvacuationRevision: s.evacuation,
+	m := Digest{Revision: s.revision, Content: s.content, ColdRevision: s.cold, ConfigRevision: s.configured, EvacuationRevision: s.evacuation,
 		AgeMs: now.Sub(s.readAt).Milliseconds()}
 	if s.readAt.IsZero() || s.distrusted {
 		return Digest{Config: s.version()} // nothing that a peer could go by
@@ -55,6 +55,9 @@
 	if s.revision == 0 {
 		s.floor = m.Revision
 	}
+	if newer && m.ColdRevision > s.revision && s.revision > 0 {
+		return true, changed
+	}
 	if m.Content != s.content {
 		// At the same revision two VMs differ only in what they still hold for a
 		// target that missed its heartbeats; each settles that by itself.
@@ -152,6 +155,7 @@
 	names := s.replace(now, k)
 	s.revision = k.Digest.Revision
 	changed = s.recorded(names) || changed
+	s.cold = max(s.cold, k.Digest.ColdRevision)
 	s.distrusted = k.Since != 0 && s.content != k.Digest.Content
 	if s.distrusted {
 		// What is known now is of no revision; the next update is the whole. The
@@ -166,6 +170,10 @@
 	return changed
 }
 
+// coldNews is how much longer a target has to be cold than was known for that to
+// be news and not the time that the update was on its way.
+const coldNews = 500 * time.Millisecond
+
 // replace puts a peer's entries in place of the own ones, and returns the names of
 // those that changed.
 func (s *State) replace(now time.Time, k Update) []steering.Target {
@@ -178,7 +186,7 @@
 			s.doubtUntil = maxTime(s.doubtUntil, now.Add(returnTime))
 		}
 		old := s.targets[e.Name]
-		if old == nil || old.hash() != e.hash() {
+		if old == nil || old.hash() != e.hash() || e.coldUntil.After(old.coldUntil.Add(coldNews)) {
 			names = append(names, e.Name)
 		} else {
 			e.changed = old.changed
--- a/node/gateway/feed/state.go
+++ b/node/gateway/feed/state.go
@@ -33,9 +33,6 @@
 	ColdFor time.Duration `json:"coldFor,omitempty"`
 	// Missing entries were absent when the store was read right after an outage.
 	Missing bool `json:"missing,omitempty"`
-	// ColdTurns counts how often it was seen to turn cold after it was new here, so
-	// that peers hear of it: nothing else of the entry may have changed.
-	ColdTurns uint32 `json:"coldTurns,omitempty"`
 
 	coldUntil time.Time
 	// changed is a revision by which the entry was as it is, and before which it
@@ -50,6 +47,9 @@
 	Revision int64 `json:"rev,omitempty"`
 	// Content is a hash of the targets: equal hashes mean equal knowledge.
 	Content uint64 `json:"hash,omitempty"`
+	// ColdRevision is a revision by which some target had turned cold again. The
+	// hash does not tell it, since VMs that start later never saw it.
+	ColdRevision int64 `json:"coldRev,omitempty"`
 	// Config is the version in force and ConfigRevision where to look for newer.
 	Config         uint64 `json:"cfg,omitempty"`
 	ConfigRevision int64  `json:"cfgRev,omitempty"`
@@ -69,6 +69,10 @@
 	revision int64
 	content  uint64
 	gone     map[steering.Target]int64 // the revision by which each was gone
+	// cold is a revision by which some target had turned cold again, and turnedCold
+	// is set while a read shows that.
+	cold       int64
+	turnedCold bool
 	// floor is the revision after which all changes are on record.
 	floor int64
 	// distrusted is set when a difference that was told did not lead to what the
@@ -172,10 +176,8 @@
 	changed := old.Leaving != t.Leaving || old.Slots != t.Slots || old.Address != t.Address || old.Missing
 	if t.Beat > old.Beat {
 		turnedCold := t.ColdLeft > 0 && !now.Before(old.coldUntil)
-		if turnedCold {
-			old.ColdTurns++
-			changed = true
-		}
+		s.turnedCold = s.turnedCold || turnedCold
+		changed = changed || turnedCold
 		old.coldUntil = coldUntil(now, t.ColdLeft)
 	}
 	old.Missing = false
@@ -227,6 +229,9 @@
 	if len(changed) == 0 {
 		return false
 	}
+	if s.turnedCold {
+		s.cold, s.turnedCold = s.revision, false
+	}
 	for _, name := range changed {
 		if t := s.targets[name]; t != nil {
 			t.changed = s.revision
@@ -271,14 +276,13 @@
 func (t *Entry) hash() uint64 {
 	d := xxhash.New()
 	_, _ = d.WriteString(string(t.Name) + "\x00" + t.Address + "\x00" + string(t.Service)) // a hash takes all
-	var flags [7]byte
+	var flags [3]byte
 	binary.BigEndian.PutUint16(flags[:], uint16(t.Slots))
-	binary.BigEndian.PutUint32(flags[2:], t.ColdTurns)
 	if t.Leaving {
-		flags[6] |= 1
+		flags[2] |= 1
 	}
 	if t.Missing {
-		flags[6] |= 2
+		flags[2] |= 2
 	}
 	_, _ = d.Write(flags[:])
 	return d.Sum64()
--- a/node/gateway/feed/state_test.go
+++ b/node/gateway/feed/state_test.go
@@ -123,6 +123,23 @@
 	assert.Assert(t, age < 100*time.Millisecond)
 }
 
+// Symptom: entry VMs ask each other for all targets every second. Sequence: a
+// target turned cold once; a VM that starts later has not seen that. Cause: a hash
+// that depends on when a VM began to look.
+func TestVMThatStartsLaterKnowsTheSame(t *testing.T) {
+	old, late := feed.NewState(beat, regions), feed.NewState(beat, regions)
+	old.Listed(start, []platform.Target{target("x", 1, false)}, 10)
+	cold := target("x", 2, false)
+	cold.ColdLeft = 3 * time.Second
+	old.Changed(start, []platform.TargetChange{{Target: cold}}, 11)
+	old.Fresh(start)
+	late.Listed(start, []platform.Target{target("x", 9, false)}, 20)
+	late.Fresh(start)
+	assert.Equal(t, old.Digest(start).Content, late.Digest(start).Content)
+	pull, _ := old.Merge(start, late.Digest(start))
+	assert.Assert(t, !pull)
+}
+
 // Symptom: a target that turned cold again is flooded by the entry VMs that were
 // told and did not read. Cause: a digest that says the same before and after.
 func TestTurningColdIsTold(t *testing.T) {
--- a/node/gateway/fleet/beat.go
+++ b/node/gateway/fleet/beat.go
@@ -60,6 +60,7 @@
 	Config      uint64
 	ConfigLag   int64 // Revision less ConfigRevision
 	EvacLag     int64 // Revision less EvacuationRevision
+	ColdLag     int64 // Revision less ColdRevision
 	AgeMs       int64
 	Evacuated   []steering.Zone
 	Demand      map[steering.Service]float32
@@ -80,7 +81,7 @@
 func encode(b Beat, full bool) ([]byte, error) {
 	k := b.Known
 	d := datagram{Sender: idOf(b.From.Name), Incarnation: b.Incarnation, Number: b.Number, Revision: k.Revision, Content: k.Content, Config: k.Config,
-		ConfigLag: k.Revision - k.ConfigRevision, EvacLag: k.Revision - k.EvacuationRevision, AgeMs: k.AgeMs, Evacuated: k.Evacuated, Mates: b.Mates, Suspects: b.Suspects, Introduced: b.Members}
+		ConfigLag: k.Revision - k.ConfigRevision, EvacLag: k.Revision - k.EvacuationRevision, ColdLag: k.Revision - k.ColdRevision, AgeMs: k.AgeMs, Evacuated: k.Evacuated, Mates: b.Mates, Suspects: b.Suspects, Introduced: b.Members}
 	for flag, set := range map[uint8]bool{flagServing: b.Serving, flagLeaving: b.Leaving, flagStoreFails: b.StoreFails, flagAsks: b.Asks} {
 		if set {
 			d.Flags |= flag
@@ -112,7 +113,7 @@
 	b := Beat{Incarnation: d.Incarnation, Number: d.Number, Members: d.Introduced, Mates: d.Mates, Suspects: d.Suspects,
 		Serving: d.Flags&flagServing != 0, Leaving: d.Flags&flagLeaving != 0, StoreFails: d.Flags&flagStoreFails != 0, Asks: d.Flags&flagAsks != 0,
 		Known: feed.Digest{Revision: d.Revision, Content: d.Content, Config: d.Config, ConfigRevision: d.Revision - d.ConfigLag,
-			EvacuationRevision: d.Revision - d.EvacLag, AgeMs: d.AgeMs, Evacuated: d.Evacuated}}
+			EvacuationRevision: d.Revision - d.EvacLag, ColdRevision: d.Revision - d.ColdLag, AgeMs: d.AgeMs, Evacuated: d.Evacuated}}
 	if d.Demand != nil {
 		b.Demand = make(map[steering.Service]float64, len(d.Demand))
 		for service, slots := range d.Demand {
--- a/node/gateway/gateway_test.go
+++ b/node/gateway/gateway_test.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -239,6 +240,42 @@
 	assert.Assert(t, len(s.store.Names("heatherlock-entry-vms")) == 2)
 }
 
+// Symptom: a purchase is cut though the entry VM had seconds. Sequence: SIGTERM;
+// a caller with an answer of the directory from long ago comes shortly before the
+// process ends. Cause: taking requests until the end. From some time on the port
+// has to be closed, so that the caller goes elsewhere at once.
+func TestLeavingEntryVMTakesNothingThatItCannotFinish(t *testing.T) {
+	t.Parallel()
+	s := newSite(t)
+	all := s.startAll(2)
+	for _, e := range s.targets {
+		e.SetFault(func(*http.Request) endpoint.Fault { time.Sleep(1500 * time.Millisecond); return endpoint.None })
+	}
+	all[0].stop()
+	began := time.Now()
+	var running sync.WaitGroup
+	for n := 0; time.Since(began) < 5*time.Second; n++ {
+		running.Go(func() {
+			ran := func() int { return s.targets["t1"].Arrivals() + s.targets["t2"].Arrivals() }
+			before := ran()
+			status := s.ask(all[0], fmt.Sprint("/buy/", n))
+			if status == 0 && time.Since(began) < 3*time.Second && ran() > before {
+				t.Errorf("request %d was cut", n)
+			}
+			if late := time.Since(began); status == 0 && late > 3500*time.Millisecond && ran() > before {
+				t.Errorf("request %d was taken and cut %v after the stop", n, late)
+			}
+		})
+		time.Sleep(100 * time.Millisecond)
+	}
+	running.Wait()
+	conn, err := net.DialTimeout("tcp4", all[0].settings.Listen.Callers, time.Second)
+	if err == nil {
+		_ = conn.Close()
+	}
+	assert.Assert(t, err != nil, "the port is still open")
+}
+
 // Symptom: an entry VM that restarts while the store is away never serves.
 // Cause: learning only from the store. Its peers tell it all they know.
 func TestEntryVMStartsFromPeersWhileTheStoreIsAway(t *testing.T) {
--- a/node/gateway/leave.go
+++ b/node/gateway/leave.go
@@ -9,8 +9,12 @@
 )
 
 const (
-	// leaveTTL is how long callers may still come with an old directory answer.
-	leaveTTL = longestTTL + time.Second
+	// leaveTTL is how long callers may still come with an old directory answer. Those
+	// that keep answers for longer find the port closed and go elsewhere.
+	leaveTTL = longestTTL + 800*time.Millisecond
+	// leaveShare bounds that as a part of the time until SIGKILL: what comes at its
+	// end must still have time to run.
+	leaveShare = 0.47
 	// leaveReserve is kept back from the time until SIGKILL.
 	leaveReserve = 500 * time.Millisecond
 	// leaveStep is how often it is looked whether all is done.
@@ -18,9 +22,10 @@
 )
 
 // leave takes this VM out of use without cutting a request: others and callers
-// are told at once, callers that come with an older answer are still served, and
-// each answer ends its connection. It returns when nothing runs any more, or
-// shortly before the process would be killed.
+// are told at once, callers that come with an older answer are still served for a
+// while, and each answer ends its connection. Then the port is closed; a request
+// taken later would be cut by the end of the process. It returns when nothing runs
+// any more, or shortly before the process would be killed.
 func (g *Gateway) leave(listener net.Listener) {
 	_ = g.log.Log("msg", "leaving", "running", g.callers.Running(), "connections", g.callers.Connections()) // the writer counts what it drops
 	if planted.Defect == planted.CutOnStop {
@@ -37,9 +42,12 @@
 			_ = g.log.Log("msg", "own record not removed", "err", err) // as above
 		}
 	})
-	end := began.Add(g.bounds.Load().Grace - leaveReserve)
+	grace := g.bounds.Load().Grace
+	taking := min(leaveTTL, time.Duration(leaveShare*float64(grace)))
+	end := began.Add(grace - leaveReserve)
 	for time.Now().Before(end) {
-		if time.Since(began) > leaveTTL {
+		if time.Since(began) > taking {
+			_ = listener.Close() // again each time, which does nothing
 			g.callers.CloseIdle()
 			if g.callers.Running() == 0 && g.callers.Connections() == 0 {
 				break
@@ -47,5 +55,4 @@
 		}
 		time.Sleep(leaveStep)
 	}
-	_ = listener.Close() // the process ends
 }
