Let a VM that begins to read the store say so, and the next in rank wait

A read holds every target's heartbeat and takes a small VM longer than the step of 0.2 s to the next in rank, so that several read. Change: a heartbeat says that its sender reads; those after it wait 0.7 s for that. A reader that is lost costs at most that, within the bounds. Shown by: a test of who counts.

--- a/node/gateway/feed/reader.go
+++ b/node/gateway/feed/reader.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-kit/log"
@@ -19,6 +20,10 @@
 	// would return at once; with this and the steps below a change is known
 	// everywhere well within the 2.5 s that a leaving target is given.
 	readEvery = 1100 * time.Millisecond
+	// readTime is how long a read that another VM has begun is waited for. With many
+	// targets a small VM takes longer for one than the step to the next in rank, and
+	// all those after it would read as well.
+	readTime = 700 * time.Millisecond
 	// boundUse is the part of a shorter bound that may pass before the next read.
 	boundUse = 0.4
 	// shortestEvery keeps a bound that is set far too short from flooding the store.
@@ -59,27 +64,36 @@
 	Configured(t *routes.Table)
 	// Placed is told the targets when they changed.
 	Placed(targets []placement.Target, known func(steering.Target) bool)
-	// Refreshed is told that the store was read.
+	// Reading is told that a read of the store begins, Refreshed that it was read.
+	Reading()
 	Refreshed()
 }
 
+// Peers is what a Reader knows of other entry VMs.
+type Peers interface {
+	// ReadRank says how many entry VMs are to read before this one.
+	ReadRank(fails bool) int
+	// ReadBegun says when one of them last told that it begins to read.
+	ReadBegun() time.Time
+}
+
 // Reader keeps a State by reading the store, or by what peers tell.
 type Reader struct {
 	store Store
 	sink  Sink
 	log   log.Logger
-	// rank says how many entry VMs are to read before this one.
-	rank func() int
+	peers Peers
 
 	mu      sync.Mutex
 	state   *State
 	every   time.Duration
 	failing bool
+	reading atomic.Bool
 }
 
 // NewReader returns a reader that fills state.
-func NewReader(store Store, sink Sink, state *State, rank func() int, logger log.Logger) *Reader {
-	return &Reader{store: store, sink: sink, state: state, rank: rank, log: logger, every: readEvery}
+func NewReader(store Store, sink Sink, state *State, peers Peers, logger log.Logger) *Reader {
+	return &Reader{store: store, sink: sink, state: state, peers: peers, log: logger, every: readEvery}
 }
 
 // Run reads until ctx ends, each time that the state is old enough.
@@ -96,7 +110,7 @@
 
 // due returns how long it is until this VM is to read.
 func (r *Reader) due(now time.Time) time.Duration {
-	rank := r.rank()
+	rank, begun := r.Rank(), r.peers.ReadBegun()
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	age, ok := r.state.Age(now)
@@ -104,9 +118,15 @@
 		return 0
 	}
 	steps := time.Duration(min(rank, stepRanks))*readStep + time.Duration(max(rank-stepRanks, 0))*farStep
-	return r.every + steps - age
+	return max(r.every+steps-age, readTime-now.Sub(begun))
 }
 
+// Rank returns how many entry VMs are to read before this one.
+func (r *Reader) Rank() int { return r.peers.ReadRank(r.Failing()) }
+
+// Reading reports whether a read is under way.
+func (r *Reader) Reading() bool { return r.reading.Load() }
+
 // SetBound tells how soon after the store took a change it must be known.
 func (r *Reader) SetBound(bound time.Duration) {
 	r.mu.Lock()
@@ -177,6 +197,11 @@
 // another region each takes two ways over the longest link.
 func (r *Reader) read(ctx context.Context) {
 	began := time.Now()
+	r.reading.Store(true)
+	defer r.reading.Store(false)
+	if !r.Failing() {
+		r.sink.Reading()
+	}
 	if r.Failing() {
 		// One call is enough to find out that the store is still away.
 		if err := r.readTargets(ctx); err != nil {
@@ -224,7 +249,7 @@
 	if first && ctx.Err() == nil {
 		_ = r.log.Log("msg", "store does not answer", "err", err, "state_age_ms", age.Milliseconds()) // as above
 	}
-	sleep(ctx, min(failedPause*time.Duration(1+r.rank()), lastPause))
+	sleep(ctx, min(failedPause*time.Duration(1+r.Rank()), lastPause))
 }
 
 func (r *Reader) revisions() (targets, config, evacuations int64) {
--- a/node/gateway/fleet/beat.go
+++ b/node/gateway/fleet/beat.go
@@ -23,6 +23,8 @@
 	Leaving bool
 	// StoreFails is set while the VM's own reads of the store fail.
 	StoreFails bool
+	// Reads is set while the VM reads the store.
+	Reads bool
 	// Asks is set by a VM that does not know the receiver, or anybody.
 	Asks bool
 	// Known says what the VM knows of the store.
@@ -44,6 +46,7 @@
 	flagLeaving
 	flagStoreFails
 	flagAsks
+	flagReads
 )
 
 // datagram is a beat on the wire. As the fleet grows heartbeats are most of what
@@ -82,7 +85,7 @@
 	k := b.Known
 	d := datagram{Sender: idOf(b.From.Name), Incarnation: b.Incarnation, Number: b.Number, Revision: k.Revision, Content: k.Content, Config: k.Config,
 		ConfigLag: k.Revision - k.ConfigRevision, EvacLag: k.Revision - k.EvacuationRevision, ColdLag: k.Revision - k.ColdRevision, AgeMs: k.AgeMs, Evacuated: k.Evacuated, Mates: b.Mates, Suspects: b.Suspects, Introduced: b.Members}
-	for flag, set := range map[uint8]bool{flagServing: b.Serving, flagLeaving: b.Leaving, flagStoreFails: b.StoreFails, flagAsks: b.Asks} {
+	for flag, set := range map[uint8]bool{flagServing: b.Serving, flagLeaving: b.Leaving, flagStoreFails: b.StoreFails, flagAsks: b.Asks, flagReads: b.Reads} {
 		if set {
 			d.Flags |= flag
 		}
@@ -111,7 +114,7 @@
 		return Beat{}, 0, errors.Wrap(err, "fleet: decode heartbeat")
 	}
 	b := Beat{Incarnation: d.Incarnation, Number: d.Number, Members: d.Introduced, Mates: d.Mates, Suspects: d.Suspects,
-		Serving: d.Flags&flagServing != 0, Leaving: d.Flags&flagLeaving != 0, StoreFails: d.Flags&flagStoreFails != 0, Asks: d.Flags&flagAsks != 0,
+		Serving: d.Flags&flagServing != 0, Leaving: d.Flags&flagLeaving != 0, StoreFails: d.Flags&flagStoreFails != 0, Asks: d.Flags&flagAsks != 0, Reads: d.Flags&flagReads != 0,
 		Known: feed.Digest{Revision: d.Revision, Content: d.Content, Config: d.Config, ConfigRevision: d.Revision - d.ConfigLag,
 			EvacuationRevision: d.Revision - d.EvacLag, ColdRevision: d.Revision - d.ColdLag, AgeMs: d.AgeMs, Evacuated: d.Evacuated}}
 	if d.Demand != nil {
--- a/node/gateway/fleet/fleet.go
+++ b/node/gateway/fleet/fleet.go
@@ -347,6 +347,14 @@
 	return f.roster.ReadRank(time.Now(), fails)
 }
 
+// ReadBegun returns when a live VM that reads before this one last told that it
+// reads the store.
+func (f *Fleet) ReadBegun() time.Time {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.roster.ReadBegun(time.Now())
+}
+
 // DarkZones returns the zones that seem cut off from this VM.
 func (f *Fleet) DarkZones() map[steering.Zone]bool {
 	f.mu.Lock()
--- a/node/gateway/fleet/roster.go
+++ b/node/gateway/fleet/roster.go
@@ -53,6 +53,8 @@
 	since   time.Time // when it became known
 	leaving bool
 	beat    Beat
+	// reads is when it last told that it reads the store.
+	reads time.Time
 	// sent is when a heartbeat was last sent to it.
 	sent time.Time
 }
@@ -109,6 +111,9 @@
 		b.Demand = h.beat.Demand // told before
 	}
 	h.Member, h.at, h.leaving, h.beat = b.From, now, b.Leaving, b
+	if b.Reads && !b.StoreFails {
+		h.reads = now
+	}
 	r.heardOf(now, b)
 	return fresh
 }
@@ -283,6 +288,18 @@
 	return rank
 }
 
+// ReadBegun returns when a live VM that reads before this one last told that it
+// reads the store.
+func (r *Roster) ReadBegun(now time.Time) time.Time {
+	var last time.Time
+	for _, h := range r.members {
+		if r.live(now, h) && !h.leaving && readOrder(h.Name) < readOrder(r.self.Name) {
+			last = maxTime(last, h.reads)
+		}
+	}
+	return last
+}
+
 // readOrder spreads the reading over VMs whatever their names.
 func readOrder(name steering.VM) uint64 { return xxhash.Sum64String("read\x00" + string(name)) }
 
--- a/node/gateway/fleet/roster_test.go
+++ b/node/gateway/fleet/roster_test.go
@@ -143,6 +143,26 @@
 	assert.Assert(t, written > 10 && written < 40, "%d datagrams in 30 s", written)
 }
 
+// Symptom: at 100 VMs the store is read six times a second. Sequence: a read takes
+// a small VM longer than the step to the next in rank. Cause: not knowing that it
+// has begun. What VMs after this one read, or VMs whose reads fail, does not count.
+func TestReadThatOthersHaveBegunIsKnown(t *testing.T) {
+	names := []steering.VM{"a", "b", "c", "d"}
+	for _, self := range names {
+		r := fleet.NewRoster(member(self, "x"))
+		rank := 0
+		for _, other := range names {
+			if other == self {
+				continue
+			}
+			r.Heard(start, fleet.Beat{From: member(other, "x"), Incarnation: 1, Number: 1, Reads: true, StoreFails: other == "d"})
+		}
+		rank = r.ReadRank(start, false)
+		begun := !r.ReadBegun(start.Add(time.Second)).IsZero()
+		assert.Equal(t, begun, rank > 0, "%s has rank %d", self, rank)
+	}
+}
+
 // Symptom: all VMs read the store at once, or none does. Each has another rank,
 // and VMs whose reads fail come last.
 func TestReadersAreRanked(t *testing.T) {
--- a/node/gateway/gateway.go
+++ b/node/gateway/gateway.go
@@ -83,7 +83,7 @@
 		Members: func() int { return len(g.fleet.Live()) }})
 	g.callers = callers.NewServer(g.relay, g.relay.Limits, callerConnections)
 	state := feed.NewState(time.Duration(settings.HeartbeatMs)*time.Millisecond, settings.Zones)
-	g.reader = feed.NewReader(g.store, g, state, g.readRank, logger)
+	g.reader = feed.NewReader(g.store, g, state, fleetOf{g}, logger)
 	g.peers = newPeerClient()
 	g.useBounds(b)
 	return g, g.newFleet()
@@ -125,6 +125,7 @@
 	b.Serving = g.relay.Ready() && !b.Leaving
 	b.Known = g.reader.Digest()
 	b.StoreFails = g.reader.Failing()
+	b.Reads = g.reader.Reading()
 	g.relay.WithBalancer(func(balancer *placement.Balancer, _ *retry.SharedBudget) { b.Demand = balancer.Demand(time.Now()) })
 }
 
@@ -286,7 +287,7 @@
 	scope.Gauge("gateway_targets_ejected").Update(float64(len(ejected)))
 	scope.Gauge("gateway_peers").Update(float64(len(g.fleet.Live())))
 	scope.Gauge("gateway_store_age_ms").Update(float64(g.reader.Digest().AgeMs))
-	scope.Gauge("gateway_read_rank").Update(float64(g.readRank()))
+	scope.Gauge("gateway_read_rank").Update(float64(g.reader.Rank()))
 	scope.Gauge("gateway_requests_running").Update(float64(g.callers.Running()))
 	scope.Gauge("gateway_caller_connections").Update(float64(g.callers.Connections()))
 	for service, left := range tries {
--- a/node/gateway/tell.go
+++ b/node/gateway/tell.go
@@ -37,8 +37,18 @@
 		MaxIdleConnsPerHost: 1, IdleConnTimeout: 10 * time.Second, DisableCompression: true}}
 }
 
-// readRank returns how many entry VMs are to read the store before this one.
-func (g *Gateway) readRank() int { return g.fleet.ReadRank(g.reader.Failing()) }
+// fleetOf is the fleet of a gateway as its reader needs it; the reader is made
+// first.
+type fleetOf struct{ g *Gateway }
+
+// ReadRank implements feed.Peers.
+func (f fleetOf) ReadRank(fails bool) int { return f.g.fleet.ReadRank(fails) }
+
+// ReadBegun implements feed.Peers.
+func (f fleetOf) ReadBegun() time.Time { return f.g.fleet.ReadBegun() }
+
+// Reading implements feed.Sink.
+func (g *Gateway) Reading() { g.fleet.Announce() }
 
 // Refreshed implements feed.Sink.
 func (g *Gateway) Refreshed() { g.fleet.Announce() }
