Introduce entry VMs only to those that ask, and let three of a zone speak for it

Cause: a VM that heard another for the first time introduced all it knew to it, so that the start of a fleet cost the cube of its size: 386 kB a VM in the first 10 s with 72 VMs.

Ruled out: the digests and pulls of targets (bytes between regions fell with this change alone).

Change: only who asks is told of others; a VM asks while nobody hears the same VMs as it does, ever more seldom. Three VMs of a zone, by rendezvous for each receiver, write in the zone's name and tell its live VMs and the demand of all its callers. Addresses go only to VMs never heard. With over ten zones all hear of each other less often.

--- a/node/gateway/fleet/beat.go
+++ b/node/gateway/fleet/beat.go
@@ -25,15 +25,20 @@
 	StoreFails bool
 	// Reads is set while the VM reads the store.
 	Reads bool
-	// Asks is set by a VM that does not know the receiver, or anybody.
+	// Meets is set by a VM that has never heard the receiver: it wants a heartbeat.
+	Meets bool
+	// Asks is set by a VM that wants to be told of all others.
 	Asks bool
+	// Crowd tells apart which VMs the sender hears.
+	Crowd uint32
 	// Known says what the VM knows of the store.
 	Known feed.Digest
 	// Demand is the slots kept busy by the VM's own callers, by service; nil
-	// means as told before.
+	// means as told before. A VM of another zone is told that of all callers of the
+	// sender's zone instead.
 	Demand map[steering.Service]float64
-	// Mates are the ids of the VMs of its zone that the sender hears.
-	Mates []uint64
+	// Mates are the short ids of the VMs of its zone that the sender hears.
+	Mates []uint32
 	// Suspects are facts on requests that crash targets.
 	Suspects []poison.Fact
 	// Members introduces others to a VM that may not know them.
@@ -47,6 +52,7 @@
 	flagStoreFails
 	flagAsks
 	flagReads
+	flagMeets
 )
 
 // datagram is a beat on the wire. As the fleet grows heartbeats are most of what
@@ -65,9 +71,10 @@
 	EvacLag     int64 // Revision less EvacuationRevision
 	ColdLag     int64 // Revision less ColdRevision
 	AgeMs       int64
+	Crowd       uint32
 	Evacuated   []steering.Zone
 	Demand      map[steering.Service]float32
-	Mates       []uint64
+	Mates       []byte // short ids, mateBytes each
 	Suspects    []poison.Fact
 	From        *Member
 	Introduced  []Member
@@ -80,12 +87,39 @@
 // in 20,000, and an id is told for each VM of a zone.
 const idShift = 32
 
-// encode returns a beat's datagram; full ones name the sender's addresses.
-func encode(b Beat, full bool) ([]byte, error) {
+// mateBytes is the length of a short id in a datagram. The list of a zone is most
+// of what a VM of another zone is sent; of 50 VMs of one zone two share a short id
+// with a chance of 1 in 14,000, and then one of them that ends is noticed late.
+const mateBytes = 3
+
+// shortOf names a VM among those of its zone.
+func shortOf(id uint64) uint32 { return uint32(id & (1<<(8*mateBytes) - 1)) }
+
+func packMates(mates []uint32) []byte {
+	if len(mates) == 0 {
+		return nil
+	}
+	packed := make([]byte, 0, mateBytes*len(mates))
+	for _, id := range mates {
+		packed = append(packed, byte(id>>16), byte(id>>8), byte(id))
+	}
+	return packed
+}
+
+func unpackMates(packed []byte) []uint32 {
+	var mates []uint32
+	for ; len(packed) >= mateBytes; packed = packed[mateBytes:] {
+		mates = append(mates, uint32(packed[0])<<16|uint32(packed[1])<<8|uint32(packed[2]))
+	}
+	return mates
+}
+
+// encode returns a beat's datagram, with the sender's addresses or without.
+func encode(b Beat, addresses bool) ([]byte, error) {
 	k := b.Known
 	d := datagram{Sender: idOf(b.From.Name), Incarnation: b.Incarnation, Number: b.Number, Revision: k.Revision, Content: k.Content, Config: k.Config,
-		ConfigLag: k.Revision - k.ConfigRevision, EvacLag: k.Revision - k.EvacuationRevision, ColdLag: k.Revision - k.ColdRevision, AgeMs: k.AgeMs, Evacuated: k.Evacuated, Mates: b.Mates, Suspects: b.Suspects, Introduced: b.Members}
-	for flag, set := range map[uint8]bool{flagServing: b.Serving, flagLeaving: b.Leaving, flagStoreFails: b.StoreFails, flagAsks: b.Asks, flagReads: b.Reads} {
+		ConfigLag: k.Revision - k.ConfigRevision, EvacLag: k.Revision - k.EvacuationRevision, ColdLag: k.Revision - k.ColdRevision, AgeMs: k.AgeMs, Crowd: b.Crowd, Evacuated: k.Evacuated, Mates: packMates(b.Mates), Suspects: b.Suspects, Introduced: b.Members}
+	for flag, set := range map[uint8]bool{flagServing: b.Serving, flagLeaving: b.Leaving, flagStoreFails: b.StoreFails, flagAsks: b.Asks, flagReads: b.Reads, flagMeets: b.Meets} {
 		if set {
 			d.Flags |= flag
 		}
@@ -96,7 +130,7 @@
 			d.Demand[service] = float32(slots)
 		}
 	}
-	if full {
+	if addresses {
 		d.From = &b.From
 	}
 	raw, err := cbor.Marshal(d)
@@ -113,8 +147,8 @@
 	if err := cbor.Unmarshal(raw, &d); err != nil {
 		return Beat{}, 0, errors.Wrap(err, "fleet: decode heartbeat")
 	}
-	b := Beat{Incarnation: d.Incarnation, Number: d.Number, Members: d.Introduced, Mates: d.Mates, Suspects: d.Suspects,
-		Serving: d.Flags&flagServing != 0, Leaving: d.Flags&flagLeaving != 0, StoreFails: d.Flags&flagStoreFails != 0, Asks: d.Flags&flagAsks != 0, Reads: d.Flags&flagReads != 0,
+	b := Beat{Incarnation: d.Incarnation, Number: d.Number, Members: d.Introduced, Mates: unpackMates(d.Mates), Suspects: d.Suspects,
+		Serving: d.Flags&flagServing != 0, Leaving: d.Flags&flagLeaving != 0, StoreFails: d.Flags&flagStoreFails != 0, Asks: d.Flags&flagAsks != 0, Reads: d.Flags&flagReads != 0, Meets: d.Flags&flagMeets != 0, Crowd: d.Crowd,
 		Known: feed.Digest{Revision: d.Revision, Content: d.Content, Config: d.Config, ConfigRevision: d.Revision - d.ConfigLag,
 			EvacuationRevision: d.Revision - d.EvacLag, ColdRevision: d.Revision - d.ColdLag, AgeMs: d.AgeMs, Evacuated: d.Evacuated}}
 	if d.Demand != nil {
--- a/node/gateway/fleet/fleet.go
+++ b/node/gateway/fleet/fleet.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"math/rand/v2"
 	"net"
 	"net/netip"
@@ -18,8 +19,8 @@
 const (
 	// introduced is how many members one datagram introduces.
 	introduced = 8
-	// fullEvery is how many beats pass between two that carry the sender's
-	// addresses and demand: demand is averaged over seconds anyway.
+	// fullEvery is how many beats pass between two that tell demand and old
+	// suspects: demand is averaged over seconds anyway.
 	fullEvery = 4
 )
 
@@ -52,6 +53,9 @@
 	wake   chan struct{}
 	// announcing is set when the next beat has to go to all.
 	announcing bool
+	inquiry    inquiry
+	leaving    bool   // as the last heartbeat told
+	crowd      uint32 // as of the last tick
 }
 
 // New returns a fleet that listens on conn.
@@ -81,24 +85,20 @@
 	f.wakeUp()
 }
 
-// sendAll sends a beat: to VMs of this zone the short form, to those of others
-// with the VMs of this zone that are heard, and with the demand.
-func (f *Fleet) sendAll(b Beat, to []Member, mates []uint64, full bool) {
-	far := b
-	far.Mates = mates
-	if !full {
-		b.Demand = nil
-	}
-	near, err := encode(b, full)
+// sendAll sends near to VMs of this zone, and far, which speaks for the zone, to
+// those of others. Addresses are for VMs that were never heard; whoever lacks them
+// asks.
+func (f *Fleet) sendAll(near, far Beat, to []Member, addresses bool) {
+	forNear, err := encode(near, addresses)
 	if err == nil {
-		var raw []byte
-		raw, err = encode(far, full)
+		var forFar []byte
+		forFar, err = encode(far, addresses)
 		for _, m := range to {
 			if m.Zone == f.cfg.Self.Zone {
-				f.write(near, m.Peer)
+				f.write(forNear, m.Peer)
 				continue
 			}
-			f.write(raw, m.Peer)
+			f.write(forFar, m.Peer)
 		}
 	}
 	if err != nil {
@@ -106,14 +106,35 @@
 	}
 }
 
+// zoneNews is what a VM tells other zones of the others of its own.
+type zoneNews struct {
+	mates  []uint32
+	demand map[steering.Service]float64
+}
+
+func (f *Fleet) zoneNews(now time.Time) zoneNews {
+	return zoneNews{mates: f.roster.MateIDs(now), demand: f.roster.MatesDemand(now)}
+}
+
+// spoken returns a beat as other zones get it.
+func (z zoneNews) spoken(b Beat) Beat {
+	own := b.Demand
+	b.Mates, b.Demand = z.mates, maps.Clone(z.demand)
+	for service, slots := range own {
+		b.Demand[service] += slots
+	}
+	return b
+}
+
 // AnnounceInZone sends a heartbeat to the VMs of this zone.
 func (f *Fleet) AnnounceInZone() {
 	f.mu.Lock()
 	b := f.next()
 	mates := f.roster.Mates(time.Now())
 	f.mu.Unlock()
-	f.cfg.Own(&b)
-	f.sendAll(b, mates, nil, false)
+	f.own(&b)
+	b.Demand = nil
+	f.sendAll(b, b, mates, false)
 }
 
 // ZoneRank returns how many live VMs of this zone come before this one, in an
@@ -166,15 +187,24 @@
 	f.mu.Lock()
 	to := f.roster.Tick(now, f.announcing)
 	f.announcing = false
+	f.crowd = f.roster.Crowd(now, !f.leaving)
 	alone := len(f.roster.Live(now, true)) == 0
 	b := f.next()
-	mates := f.roster.MateIDs(now)
+	met, unmet := f.split(to)
+	zone := f.zoneNews(now)
 	changed := f.noteChanges(now)
 	f.mu.Unlock()
-	f.cfg.Own(&b)
+	f.own(&b)
 	full := b.Number%fullEvery == 1
 	b.Suspects = f.cfg.Suspects(full)
-	f.sendAll(b, to, mates, full)
+	far := zone.spoken(b)
+	if !full {
+		b.Demand = nil
+	}
+	f.sendAll(b, far, met, false)
+	b.Meets, far.Meets = true, true
+	f.sendAll(b, far, unmet, true)
+	b.Meets = false
 	if alone {
 		b.Asks = true
 		for _, seed := range f.cfg.Seeds {
@@ -188,6 +218,26 @@
 	}
 }
 
+// split parts members that were heard before from those that were not.
+func (f *Fleet) split(all []Member) (met, unmet []Member) {
+	for _, m := range all {
+		if f.roster.Met(m.Name) {
+			met = append(met, m)
+		} else {
+			unmet = append(unmet, m)
+		}
+	}
+	return met, unmet
+}
+
+// own fills in what a heartbeat says of this VM and of whom it hears.
+func (f *Fleet) own(b *Beat) {
+	f.cfg.Own(b)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.leaving, b.Crowd = b.Leaving, f.crowd
+}
+
 func (f *Fleet) next() Beat {
 	f.number++
 	return Beat{From: f.cfg.Self, Incarnation: f.incarnation, Number: f.number}
@@ -272,35 +322,43 @@
 	f.mu.Lock()
 	b := f.next()
 	f.mu.Unlock()
-	f.cfg.Own(&b)
-	b.Asks = true
+	f.own(&b)
+	b.Meets = true
 	f.send(b, address)
 }
 
 func (f *Fleet) heard(b Beat) {
 	now := time.Now()
 	f.mu.Lock()
+	met := f.roster.Met(b.From.Name)
 	fresh := f.roster.Heard(now, b)
 	for _, m := range b.Members {
-		f.roster.Add(now, m)
+		if f.roster.Add(now, m) {
+			f.inquiry.learned()
+		}
 	}
 	var known []Member
 	reply := f.next()
-	if fresh || b.Asks {
-		known = f.roster.Known()
+	if b.Asks {
+		known = f.roster.Live(now, f.leaving)
 	}
+	reply.Asks = f.inquiry.heard(now, b.Crowd == f.crowd)
 	f.mu.Unlock()
 	f.cfg.Heard(b)
-	if fresh || b.Asks {
-		f.cfg.Own(&reply)
+	switch {
+	case b.Asks:
+		f.own(&reply)
 		f.introduce(reply, known, b.From.Peer)
+	case b.Meets || fresh && met || reply.Asks:
+		f.own(&reply)
+		f.send(reply, b.From.Peer)
 	}
 	if fresh {
 		f.cfg.Changed()
 	}
 }
 
-// introduce tells a VM of all others, a few a datagram.
+// introduce tells a VM of the others that live, a few a datagram.
 func (f *Fleet) introduce(b Beat, known []Member, to string) {
 	for from := 0; from < len(known); from += introduced {
 		b.Members = known[from:min(from+introduced, len(known))]
@@ -329,14 +387,14 @@
 func (f *Fleet) Known() int {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return len(f.roster.Known())
+	return f.roster.Known()
 }
 
-// Beats returns the newest heartbeats of the live members.
-func (f *Fleet) Beats() []Beat {
+// Demand returns the slots that the callers of other VMs keep busy, by region.
+func (f *Fleet) Demand() map[steering.Region]map[steering.Service]float64 {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.roster.Beats(time.Now())
+	return f.roster.Demand(time.Now())
 }
 
 // ReadRank returns how many live VMs are to read the store before this one: those
--- a/node/gateway/fleet/roster.go
+++ b/node/gateway/fleet/roster.go
@@ -25,19 +25,32 @@
 	shortestBeat = 300 * time.Millisecond
 	// beatPerMate bounds what a VM sends as its zone grows: at most 1 datagram to a
 	// VM of its zone in this time.
-	beatPerMate = 12 * time.Millisecond
-	// missedBeats is how many heartbeats may be missing from a live VM.
-	missedBeats = 5
+	beatPerMate = 20 * time.Millisecond
+	// nearSilence and missedBeats bound how long nothing may be heard of a live VM
+	// of this zone: five heartbeats, fewer in a zone so large that they are rare.
+	nearSilence = 5 * shortestBeat
+	missedBeats = 4
 	// farBeat is the pause between two heartbeats that a VM of another zone gets
 	// from this zone, whoever sends them: each tells which VMs of its zone live, so
-	// the more a zone has, the more seldom each of them writes.
+	// few of them need to write.
 	farBeat = 400 * time.Millisecond
-	// farSilence is how long nothing may be heard of a live VM of another zone. Its
-	// own zone has noticed its end by then, and callers keep an old answer of the
-	// directory for seconds anyway.
-	farSilence = 2500 * time.Millisecond
-	// darkSilence is how long nothing may come from a whole zone: four heartbeats.
-	darkSilence = 4 * farBeat
+	// speakers is how many VMs of a zone write to a VM of another zone. With one the
+	// zone would seem gone when that one ends. With all of a large zone each has a
+	// turn so seldom that, as turns fall by chance, now and then none writes for
+	// longer than farSilence and a live zone is taken for gone.
+	speakers = 3
+	// speakerBeats is how many heartbeats of a VM of the own zone may be missing
+	// until another speaks in its place: sooner than it counts as gone, so that
+	// others hear of the zone again within darkSilence when all its speakers end
+	// together.
+	speakerBeats = 3
+	// farZones is how many zones get a heartbeat in each farBeat. With more zones all
+	// of them get one less often, or what a VM sends would grow with their number.
+	farZones = 10
+	// farSilences is how many heartbeats of a whole zone may be missing for a VM of
+	// it to be live still, and darkSilences for the zone to be in touch.
+	farSilences  = 5
+	darkSilences = 4
 	// forgetAfter is how long a VM that is gone is still written to, now and
 	// then, so that both sides of a cut find each other again.
 	forgetAfter = 10 * time.Minute
@@ -49,10 +62,13 @@
 // heard is what is known of a member's life.
 type heard struct {
 	Member
+	id      uint64
 	at      time.Time // last heard; zero if never
 	since   time.Time // when it became known
 	leaving bool
 	beat    Beat
+	// toldAt is when it last told its demand, or that of its zone.
+	toldAt time.Time
 	// reads is when it last told that it reads the store.
 	reads time.Time
 	// sent is when a heartbeat was last sent to it.
@@ -62,15 +78,17 @@
 // Roster holds all entry VMs known. It is not safe for concurrent use.
 type Roster struct {
 	self    Member
+	id      uint64
 	members map[steering.VM]*heard
 	byID    map[uint64]*heard
 	ticked  time.Time
 	turn    int
+	zones   map[steering.Zone]int // VMs on record without this one
 }
 
 // NewRoster returns the roster of a VM that knows only itself.
 func NewRoster(self Member) *Roster {
-	return &Roster{self: self, members: make(map[steering.VM]*heard), byID: make(map[uint64]*heard)}
+	return &Roster{self: self, id: idOf(self.Name), members: make(map[steering.VM]*heard), byID: make(map[uint64]*heard), zones: make(map[steering.Zone]int)}
 }
 
 // Add notes a member that was read of. It reports whether it is new.
@@ -89,8 +107,18 @@
 }
 
 func (r *Roster) enter(name steering.VM, h *heard) {
+	h.id = idOf(name)
 	r.members[name] = h
-	r.byID[idOf(name)] = h
+	r.byID[h.id] = h
+	r.zones[h.Zone]++
+}
+
+func (r *Roster) forget(name steering.VM, h *heard) {
+	delete(r.members, name)
+	delete(r.byID, h.id)
+	if r.zones[h.Zone]--; r.zones[h.Zone] == 0 {
+		delete(r.zones, h.Zone)
+	}
 }
 
 // Heard notes a heartbeat. It reports whether the member was not live before.
@@ -100,14 +128,16 @@
 	}
 	h := r.members[b.From.Name]
 	if h == nil {
-		h = &heard{since: now}
+		h = &heard{Member: b.From, since: now}
 		r.enter(b.From.Name, h)
 	}
 	if h.beat.Incarnation == b.Incarnation && b.Number <= h.beat.Number {
 		return false // late or doubled
 	}
 	fresh := !r.live(now, h) || h.beat.Incarnation != b.Incarnation
-	if b.Demand == nil && h.beat.Incarnation == b.Incarnation {
+	if b.Demand != nil {
+		h.toldAt = now
+	} else if h.beat.Incarnation == b.Incarnation {
 		b.Demand = h.beat.Demand // told before
 	}
 	h.Member, h.at, h.leaving, h.beat = b.From, now, b.Leaving, b
@@ -125,8 +155,12 @@
 	if b.From.Zone == r.self.Zone {
 		return
 	}
+	hears := make(map[uint32]bool, len(b.Mates))
 	for _, id := range b.Mates {
-		if h := r.byID[id]; h != nil && h.Zone == b.From.Zone && !h.leaving && !h.at.IsZero() {
+		hears[id] = true
+	}
+	for _, h := range r.members {
+		if h.Zone == b.From.Zone && hears[shortOf(h.id)] && !h.leaving && !h.at.IsZero() {
 			h.at = now
 		}
 	}
@@ -153,14 +187,14 @@
 	}
 	r.ticked = now
 	r.turn++
+	pause, able := r.Pause(), r.ableMates(now)
 	var to []Member
 	for name, h := range r.members {
 		if now.Sub(maxTime(h.at, h.since)) > forgetAfter {
-			delete(r.members, name)
-			delete(r.byID, idOf(name))
+			r.forget(name, h)
 			continue
 		}
-		due := r.due(now, h)
+		due := r.due(now, h, pause, able)
 		if due {
 			h.sent = now
 		}
@@ -175,19 +209,44 @@
 }
 
 // due reports whether a member is to get a heartbeat now.
-func (r *Roster) due(now time.Time, h *heard) bool {
-	quiet := now.Sub(maxTime(h.at, h.since))
-	if !r.live(now, h) && quiet > missedBeats*r.Pause() {
+func (r *Roster) due(now time.Time, h *heard, pause time.Duration, able []uint64) bool {
+	quiet, unsent := now.Sub(maxTime(h.at, h.since)), now.Sub(h.sent)
+	switch {
+	case !r.live(now, h) && quiet > r.nearSilence():
 		return r.turn%slowRetry == 0
+	case h.Zone == r.self.Zone:
+		return true
+	case !r.live(now, h):
+		return unsent >= r.farBeat()
 	}
-	if h.sent.IsZero() {
-		// Spread over the pause: those of one zone that began together would all
-		// write together too, and leave the rest of it silent.
-		part := float64(mixed(idOf(r.self.Name), idOf(h.Name))) / (1 << 32)
-		h.sent = now.Add(-time.Duration(part * float64(r.farPause())))
-	}
+	rank, of := r.speakerRank(able, h.id)
 	// Half a tick early, since ticks are late by a little.
-	return h.Zone == r.self.Zone || now.Sub(h.sent) >= r.farPause()-r.Pause()/2
+	return rank < of && unsent >= time.Duration(of)*r.farBeat()-pause/2
+}
+
+// ableMates returns the ids of the VMs of this zone that may write to others in its
+// name just now.
+func (r *Roster) ableMates(now time.Time) []uint64 {
+	var able []uint64
+	for _, h := range r.members {
+		if h.Zone == r.self.Zone && !h.leaving && !h.at.IsZero() && now.Sub(h.at) <= speakerBeats*r.Pause() {
+			able = append(able, h.id)
+		}
+	}
+	return able
+}
+
+// speakerRank returns this VM's place among those of its zone that may write to a
+// member of another zone, and how many of them do. The order differs from one
+// receiver to the next, so that the work is spread over the zone.
+func (r *Roster) speakerRank(able []uint64, to uint64) (rank, of int) {
+	own := mixed(r.id, to)
+	for _, id := range able {
+		if mixed(id, to) < own {
+			rank++
+		}
+	}
+	return rank, min(len(able)+1, speakers)
 }
 
 // mixed returns a number of 32 bits that differs for each pair.
@@ -195,40 +254,54 @@
 
 // Pause is the time between two ticks.
 func (r *Roster) Pause() time.Duration {
-	return max(shortestBeat, time.Duration(r.mates())*beatPerMate)
+	return max(shortestBeat, time.Duration(r.zones[r.self.Zone])*beatPerMate)
 }
 
-// farPause is the time between two heartbeats to a VM of another zone.
-func (r *Roster) farPause() time.Duration { return time.Duration(r.mates()+1) * farBeat }
+// Met reports whether a member was ever heard.
+func (r *Roster) Met(name steering.VM) bool {
+	h := r.members[name]
+	return h != nil && !h.at.IsZero()
+}
 
-// mates counts the other VMs of this zone on record.
-func (r *Roster) mates() int {
-	n := 0
+// Crowd returns a number that is the same on two VMs that hear the same VMs; with
+// self this VM counts as well.
+func (r *Roster) Crowd(now time.Time, self bool) uint32 {
+	var crowd uint32
+	if self {
+		crowd = uint32(r.id)
+	}
 	for _, h := range r.members {
-		if h.Zone == r.self.Zone {
-			n++
+		if r.live(now, h) && !h.leaving {
+			crowd ^= uint32(h.id)
 		}
 	}
-	return n
+	return crowd
 }
 
-// MateIDs returns the ids of the live VMs of this zone, for VMs of others.
-func (r *Roster) MateIDs(now time.Time) []uint64 {
-	var ids []uint64
+// MateIDs returns the short ids of the live VMs of this zone, for VMs of others.
+func (r *Roster) MateIDs(now time.Time) []uint32 {
+	var ids []uint32
 	for _, m := range r.Mates(now) {
-		ids = append(ids, idOf(m.Name))
+		ids = append(ids, shortOf(idOf(m.Name)))
 	}
 	return ids
 }
 
 func (r *Roster) live(now time.Time, h *heard) bool {
-	silence := missedBeats * r.Pause()
+	silence := r.nearSilence()
 	if h.Zone != r.self.Zone {
-		silence = max(silence, farSilence)
+		silence = max(silence, farSilences*r.farBeat())
 	}
 	return !h.at.IsZero() && now.Sub(h.at) < silence
 }
 
+func (r *Roster) nearSilence() time.Duration { return max(nearSilence, missedBeats*r.Pause()) }
+
+// farBeat is the pause between two heartbeats of a zone to a VM of another one.
+func (r *Roster) farBeat() time.Duration {
+	return max(farBeat, farBeat*time.Duration(len(r.zones))/farZones)
+}
+
 // Live returns the live members that are not leaving, this VM included unless
 // it leaves, by name.
 func (r *Roster) Live(now time.Time, selfLeaves bool) []Member {
@@ -268,15 +341,45 @@
 	return kept
 }
 
-// Beats returns the newest heartbeats of the live members.
-func (r *Roster) Beats(now time.Time) []Beat {
-	var all []Beat
+// MatesDemand returns the slots that the callers of the other live VMs of this zone
+// keep busy.
+func (r *Roster) MatesDemand(now time.Time) map[steering.Service]float64 {
+	sum := make(map[steering.Service]float64)
 	for _, h := range r.members {
-		if r.live(now, h) && !h.leaving {
-			all = append(all, h.beat)
+		if h.Zone == r.self.Zone && r.live(now, h) && !h.leaving {
+			addTo(sum, h.beat.Demand)
 		}
 	}
-	return all
+	return sum
+}
+
+// Demand returns the slots that the callers of other VMs keep busy, by region. Of
+// another zone only what was told last counts, since each of its VMs tells the
+// demand of all.
+func (r *Roster) Demand(now time.Time) map[steering.Region]map[steering.Service]float64 {
+	demand := map[steering.Region]map[steering.Service]float64{r.self.Region: r.MatesDemand(now)}
+	last := make(map[steering.Zone]*heard)
+	for _, h := range r.members {
+		if h.Zone == r.self.Zone || !r.live(now, h) || h.beat.Demand == nil {
+			continue
+		}
+		if old := last[h.Zone]; old == nil || h.toldAt.After(old.toldAt) {
+			last[h.Zone] = h
+		}
+	}
+	for _, h := range last {
+		if demand[h.Region] == nil {
+			demand[h.Region] = make(map[steering.Service]float64)
+		}
+		addTo(demand[h.Region], h.beat.Demand)
+	}
+	return demand
+}
+
+func addTo(sum, more map[steering.Service]float64) {
+	for service, slots := range more {
+		sum[service] += slots
+	}
 }
 
 // ReadRank returns how many live VMs are to read the store before this one.
@@ -309,14 +412,8 @@
 // readOrder spreads the reading over VMs whatever their names.
 func readOrder(name steering.VM) uint64 { return xxhash.Sum64String("read\x00" + string(name)) }
 
-// Known returns all members on record, this VM included.
-func (r *Roster) Known() []Member {
-	all := []Member{r.self}
-	for _, h := range r.members {
-		all = append(all, h.Member)
-	}
-	return all
-}
+// Known returns the number of members on record, this VM included.
+func (r *Roster) Known() int { return 1 + len(r.members) }
 
 // DarkZones returns the zones whose entry VMs were all heard before and are
 // silent now. Targets there are most likely cut off as well.
@@ -324,7 +421,7 @@
 	dark, lit := make(map[steering.Zone]bool), map[steering.Zone]bool{r.self.Zone: true}
 	for _, h := range r.members {
 		switch {
-		case !h.at.IsZero() && now.Sub(h.at) < darkSilence:
+		case !h.at.IsZero() && now.Sub(h.at) < darkSilences*r.farBeat():
 			lit[h.Zone] = true
 		case !h.at.IsZero() && !h.leaving:
 			dark[h.Zone] = true
--- a/node/gateway/gateway.go
+++ b/node/gateway/gateway.go
@@ -248,8 +248,8 @@
 				demand[service][region] += slots
 			}
 		}
-		for _, b := range g.fleet.Beats() {
-			add(b.From.Region, b.Demand)
+		for region, told := range g.fleet.Demand() {
+			add(region, told)
 		}
 		g.relay.WithBalancer(func(balancer *placement.Balancer, _ *retry.SharedBudget) {
 			add(g.settings.Region, balancer.Demand(time.Now()))
