Lend by the demand that is there: one time of a run, and back slowly

Cause: a region of few targets refused for ten seconds while others had room. It then took all lent keys back before its callers came, and lent them again at a third of what is allowed.

Change: the time of a run is learned from runs without a wait in the own region, begins with the guess as five observations, and is shared by all VMs, which tell rates. What may change region in a second is shared by the services by their traffic. Lent keys come back at a quarter of the speed.

--- a/cmd/internal/benchplacement/ways.go
+++ b/cmd/internal/benchplacement/ways.go
@@ -68,13 +68,18 @@
 
 // lend is what entry VMs tell each other of their demand.
 func (p *product) lend(now time.Time) {
-	demand := map[steering.Service]map[steering.Region]float64{service: {}}
+	demand := make(map[steering.Region]placement.DemandOf)
 	for n, b := range p.balancers {
-		demand[service][regionName(n/vmsPerRegion)] += b.Demand(now)[service]
+		region := regionName(n / vmsPerRegion)
+		if demand[region] == nil {
+			demand[region] = make(placement.DemandOf)
+		}
+		demand[region].AddAll(b.Demand(now))
 	}
 	p.lending = placement.NextLending(p.lending, demand, p.balancers[0].Slots(), regionCount, shiftBound)
 	for _, b := range p.balancers {
 		b.SetLending(p.lending)
+		b.Learn(placement.Runs(demand))
 	}
 }
 
--- a/node/gateway/fleet/beat.go
+++ b/node/gateway/fleet/beat.go
@@ -7,6 +7,7 @@
 
 	"heatherlock/node/gateway/feed"
 	"heatherlock/steering"
+	"heatherlock/steering/placement"
 	"heatherlock/steering/poison"
 )
 
@@ -33,10 +34,9 @@
 	Crowd uint32
 	// Known says what the VM knows of the store.
 	Known feed.Digest
-	// Demand is the slots kept busy by the VM's own callers, by service; nil
-	// means as told before. A VM of another zone is told that of all callers of the
-	// sender's zone instead.
-	Demand map[steering.Service]float64
+	// Demand is what the VM's own callers ask; nil means as told before. A VM of
+	// another zone is told that of all callers of the sender's zone instead.
+	Demand placement.DemandOf
 	// Mates are the short ids of the VMs of its zone that the sender hears.
 	Mates []uint32
 	// Suspects are facts on requests that crash targets.
@@ -73,7 +73,7 @@
 	AgeMs       int64
 	Crowd       uint32
 	Evacuated   []steering.Zone
-	Demand      map[steering.Service]float32
+	Demand      placement.DemandOf
 	Mates       []byte // short ids, mateBytes each
 	Suspects    []poison.Fact
 	From        *Member
@@ -118,18 +118,12 @@
 func encode(b Beat, addresses bool) ([]byte, error) {
 	k := b.Known
 	d := datagram{Sender: idOf(b.From.Name), Incarnation: b.Incarnation, Number: b.Number, Revision: k.Revision, Content: k.Content, Config: k.Config,
-		ConfigLag: k.Revision - k.ConfigRevision, EvacLag: k.Revision - k.EvacuationRevision, ColdLag: k.Revision - k.ColdRevision, AgeMs: k.AgeMs, Crowd: b.Crowd, Evacuated: k.Evacuated, Mates: packMates(b.Mates), Suspects: b.Suspects, Introduced: b.Members}
+		ConfigLag: k.Revision - k.ConfigRevision, EvacLag: k.Revision - k.EvacuationRevision, ColdLag: k.Revision - k.ColdRevision, AgeMs: k.AgeMs, Crowd: b.Crowd, Evacuated: k.Evacuated, Demand: b.Demand, Mates: packMates(b.Mates), Suspects: b.Suspects, Introduced: b.Members}
 	for flag, set := range map[uint8]bool{flagServing: b.Serving, flagLeaving: b.Leaving, flagStoreFails: b.StoreFails, flagAsks: b.Asks, flagReads: b.Reads, flagMeets: b.Meets} {
 		if set {
 			d.Flags |= flag
 		}
 	}
-	if len(b.Demand) > 0 {
-		d.Demand = make(map[steering.Service]float32, len(b.Demand))
-		for service, slots := range b.Demand {
-			d.Demand[service] = float32(slots)
-		}
-	}
 	if addresses {
 		d.From = &b.From
 	}
@@ -148,15 +142,9 @@
 		return Beat{}, 0, errors.Wrap(err, "fleet: decode heartbeat")
 	}
 	b := Beat{Incarnation: d.Incarnation, Number: d.Number, Members: d.Introduced, Mates: unpackMates(d.Mates), Suspects: d.Suspects,
-		Serving: d.Flags&flagServing != 0, Leaving: d.Flags&flagLeaving != 0, StoreFails: d.Flags&flagStoreFails != 0, Asks: d.Flags&flagAsks != 0, Reads: d.Flags&flagReads != 0, Meets: d.Flags&flagMeets != 0, Crowd: d.Crowd,
+		Serving: d.Flags&flagServing != 0, Leaving: d.Flags&flagLeaving != 0, StoreFails: d.Flags&flagStoreFails != 0, Asks: d.Flags&flagAsks != 0, Reads: d.Flags&flagReads != 0, Meets: d.Flags&flagMeets != 0, Crowd: d.Crowd, Demand: d.Demand,
 		Known: feed.Digest{Revision: d.Revision, Content: d.Content, Config: d.Config, ConfigRevision: d.Revision - d.ConfigLag,
 			EvacuationRevision: d.Revision - d.EvacLag, ColdRevision: d.Revision - d.ColdLag, AgeMs: d.AgeMs, Evacuated: d.Evacuated}}
-	if d.Demand != nil {
-		b.Demand = make(map[steering.Service]float64, len(d.Demand))
-		for service, slots := range d.Demand {
-			b.Demand[service] = float64(slots)
-		}
-	}
 	if d.From != nil {
 		b.From = *d.From
 	}
--- a/node/gateway/fleet/beat_internal_test.go
+++ b/node/gateway/fleet/beat_internal_test.go
@@ -8,13 +8,14 @@
 
 	"heatherlock/node/gateway/feed"
 	"heatherlock/steering"
+	"heatherlock/steering/placement"
 )
 
 func TestBeatSurvivesItsDatagram(t *testing.T) {
 	m := Member{Name: "front-a-1", Zone: "a", Region: "r", Peer: "10.0.0.1:1", Control: "10.0.0.1:2", Callers: "10.0.0.1:3"}
 	b := Beat{From: m, Incarnation: 9, Number: 77, Serving: true, StoreFails: true, Asks: true, Meets: true, Crowd: 1 << 31, Mates: []uint32{1<<24 - 2, 7},
 		Known:  feed.Digest{Revision: 500, Content: 1 << 63, Config: 7, ConfigRevision: 499, EvacuationRevision: 300, AgeMs: 12, Evacuated: []steering.Zone{"z"}},
-		Demand: map[steering.Service]float64{"s": 1.5}, Members: []Member{m}}
+		Demand: placement.DemandOf{"s": {Rate: 1.5, RunMs: 110, Runs: 7}}, Members: []Member{m}}
 	raw, err := encode(b, true)
 	assert.NilError(t, err)
 	got, id, err := decode(raw)
--- a/node/gateway/fleet/fleet.go
+++ b/node/gateway/fleet/fleet.go
@@ -13,6 +13,7 @@
 	"github.com/go-kit/log"
 
 	"heatherlock/steering"
+	"heatherlock/steering/placement"
 	"heatherlock/steering/poison"
 )
 
@@ -109,7 +110,7 @@
 // zoneNews is what a VM tells other zones of the others of its own.
 type zoneNews struct {
 	mates  []uint32
-	demand map[steering.Service]float64
+	demand placement.DemandOf
 }
 
 func (f *Fleet) zoneNews(now time.Time) zoneNews {
@@ -120,9 +121,7 @@
 func (z zoneNews) spoken(b Beat) Beat {
 	own := b.Demand
 	b.Mates, b.Demand = z.mates, maps.Clone(z.demand)
-	for service, slots := range own {
-		b.Demand[service] += slots
-	}
+	b.Demand.AddAll(own)
 	return b
 }
 
@@ -390,8 +389,8 @@
 	return f.roster.Known()
 }
 
-// Demand returns the slots that the callers of other VMs keep busy, by region.
-func (f *Fleet) Demand() map[steering.Region]map[steering.Service]float64 {
+// Demand returns what the callers of other VMs ask, by region.
+func (f *Fleet) Demand() map[steering.Region]placement.DemandOf {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	return f.roster.Demand(time.Now())
--- a/node/gateway/fleet/roster.go
+++ b/node/gateway/fleet/roster.go
@@ -7,6 +7,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"heatherlock/steering"
+	"heatherlock/steering/placement"
 )
 
 // Member is an entry VM.
@@ -341,23 +342,21 @@
 	return kept
 }
 
-// MatesDemand returns the slots that the callers of the other live VMs of this zone
-// keep busy.
-func (r *Roster) MatesDemand(now time.Time) map[steering.Service]float64 {
-	sum := make(map[steering.Service]float64)
+// MatesDemand returns what the callers of the other live VMs of this zone ask.
+func (r *Roster) MatesDemand(now time.Time) placement.DemandOf {
+	sum := make(placement.DemandOf)
 	for _, h := range r.members {
 		if h.Zone == r.self.Zone && r.live(now, h) && !h.leaving {
-			addTo(sum, h.beat.Demand)
+			sum.AddAll(h.beat.Demand)
 		}
 	}
 	return sum
 }
 
-// Demand returns the slots that the callers of other VMs keep busy, by region. Of
-// another zone only what was told last counts, since each of its VMs tells the
-// demand of all.
-func (r *Roster) Demand(now time.Time) map[steering.Region]map[steering.Service]float64 {
-	demand := map[steering.Region]map[steering.Service]float64{r.self.Region: r.MatesDemand(now)}
+// Demand returns what the callers of other VMs ask, by region. Of another zone only
+// what was told last counts, since each of its VMs tells the demand of all.
+func (r *Roster) Demand(now time.Time) map[steering.Region]placement.DemandOf {
+	demand := map[steering.Region]placement.DemandOf{r.self.Region: r.MatesDemand(now)}
 	last := make(map[steering.Zone]*heard)
 	for _, h := range r.members {
 		if h.Zone == r.self.Zone || !r.live(now, h) || h.beat.Demand == nil {
@@ -369,19 +368,13 @@
 	}
 	for _, h := range last {
 		if demand[h.Region] == nil {
-			demand[h.Region] = make(map[steering.Service]float64)
+			demand[h.Region] = make(placement.DemandOf)
 		}
-		addTo(demand[h.Region], h.beat.Demand)
+		demand[h.Region].AddAll(h.beat.Demand)
 	}
 	return demand
 }
 
-func addTo(sum, more map[steering.Service]float64) {
-	for service, slots := range more {
-		sum[service] += slots
-	}
-}
-
 // ReadRank returns how many live VMs are to read the store before this one.
 func (r *Roster) ReadRank(now time.Time, fails bool) int {
 	rank := 0
--- a/node/gateway/fleet/size_test.go
+++ b/node/gateway/fleet/size_test.go
@@ -15,6 +15,7 @@
 	"gotest.tools/v3/assert"
 
 	"heatherlock/steering"
+	"heatherlock/steering/placement"
 	"heatherlock/steering/poison"
 )
 
@@ -126,7 +127,7 @@
 
 func (c *crowd) own(b *Beat) {
 	b.Serving = true
-	b.Demand = map[steering.Service]float64{"s": float64(c.demand.Load())}
+	b.Demand = placement.DemandOf{"s": {Rate: float32(c.demand.Load()), RunMs: 110, Runs: 100}}
 }
 
 // agree returns after how long every running VM hears exactly want others and
@@ -155,7 +156,7 @@
 func TestHeartbeatsStayFewAsTheFleetGrows(t *testing.T) {
 	const (
 		startBytes  = 128 << 10 // a VM, in the first 10 s
-		steadyBytes = 5 << 10  // a VM and second: the limit of all control traffic
+		steadyBytes = 5 << 10   // a VM and second: the limit of all control traffic
 	)
 	for _, shape := range []struct{ size, zones int }{{12, 6}, {72, 6}, {150, 6}, {300, 15}, {650, 30}} {
 		size := shape.size
@@ -245,8 +246,8 @@
 			time.Sleep(6 * time.Second)
 			synctest.Wait()
 			for _, f := range c.fleets {
-				got, want := f.Demand()["here"]["s"], float64(each*(size-1))
-				assert.Assert(t, got == want, "%s takes demand for %v slots, it is %v", f.cfg.Self.Name, got, want)
+				got, want := f.Demand()["here"]["s"].Rate, float32(each*(size-1))
+				assert.Assert(t, got == want, "%s takes demand for %v requests a second, it is %v", f.cfg.Self.Name, got, want)
 			}
 		}
 	})
--- a/node/gateway/gateway.go
+++ b/node/gateway/gateway.go
@@ -239,20 +239,10 @@
 func (g *Gateway) lend(ctx context.Context) {
 	for ctx.Err() == nil {
 		pause(ctx, lendEvery)
-		demand := make(map[steering.Service]map[steering.Region]float64)
-		add := func(region steering.Region, own map[steering.Service]float64) {
-			for service, slots := range own {
-				if demand[service] == nil {
-					demand[service] = make(map[steering.Region]float64)
-				}
-				demand[service][region] += slots
-			}
-		}
-		for region, told := range g.fleet.Demand() {
-			add(region, told)
-		}
+		demand := g.fleet.Demand()
 		g.relay.WithBalancer(func(balancer *placement.Balancer, _ *retry.SharedBudget) {
-			add(g.settings.Region, balancer.Demand(time.Now()))
+			demand[g.settings.Region].AddAll(balancer.Demand(time.Now()))
+			balancer.Learn(placement.Runs(demand))
 			g.lending = placement.NextLending(g.lending, demand, balancer.Slots(), g.regions(), g.bounds.Load().ShiftShare)
 			balancer.SetLending(g.lending)
 		})
--- a/steering/placement/balancer.go
+++ b/steering/placement/balancer.go
@@ -86,18 +86,27 @@
 	v.overflow = math.Min(overflowBurst, v.overflow+overflowShare)
 }
 
-// Demand returns the slots that this entry VM's callers keep busy when warm, by
-// service.
-func (b *Balancer) Demand(now time.Time) map[steering.Service]float64 {
-	demand := make(map[steering.Service]float64, len(b.services))
+// Demand returns what this entry VM's callers ask, by service.
+func (b *Balancer) Demand(now time.Time) DemandOf {
+	demand := make(DemandOf, len(b.services))
 	for name, v := range b.services {
-		if slots := v.arrivals.value(now) * v.fast; slots > 0 {
-			demand[name] = slots
+		if rate := v.arrivals.value(now); rate > 0 {
+			demand[name] = Demand{Rate: float32(rate), RunMs: float32(v.fast * 1000), Runs: uint16(min(v.runs, mostRuns))}
 		}
 	}
 	return demand
 }
 
+// Learn takes in what all entry VMs know of the services' times, where this one
+// has seen little itself.
+func (b *Balancer) Learn(runs DemandOf) {
+	for name, told := range runs {
+		if v := b.service(name); v.seen < enoughRuns && told.Runs >= enoughRuns {
+			v.guessed(float64(told.RunMs) / 1000)
+		}
+	}
+}
+
 // Slots returns the open slots by service and region.
 func (b *Balancer) Slots() map[steering.Service]map[steering.Region]float64 {
 	slots := make(map[steering.Service]map[steering.Region]float64)
@@ -134,7 +143,9 @@
 	switch r.Outcome {
 	case Served:
 		s.succeed()
-		b.learn(s, r.Took.Seconds(), queued)
+		if !queued && !r.crowded(s.Slots) {
+			b.learn(s, r.Took.Seconds())
+		}
 	case Failed, Shed:
 		s.fail(now, false)
 	case Unreachable:
@@ -148,11 +159,26 @@
 	}
 }
 
-func (b *Balancer) learn(s *state, took float64, queued bool) {
-	if queued || took <= 0 {
+// crowded reports whether others waited at the target, or all its slots were taken,
+// when it answered: then most likely the request had waited itself.
+func (r Report) crowded(slots int) bool {
+	return r.LoadKnown && (r.Waiting > 0 || r.Running >= slots)
+}
+
+// learn takes in the time of a run that did not wait.
+//
+// What goes wrong when the times of a service take in runs in other regions and
+// waits: the times grow with what is lent and with every queue, demand is taken
+// for three times what it is, and a region swings between lending too little and
+// nearly all of its keys. One would notice a region that refuses for ten seconds
+// and then sends away what its own targets have room for.
+func (b *Balancer) learn(s *state, took float64) {
+	if took <= 0 {
 		return
 	}
-	b.service(s.Service).learn(took)
+	if v := b.service(s.Service); s.Region == b.region || !v.servedIn(b.region) {
+		v.learn(took)
+	}
 	if s.took == 0 {
 		s.took = took
 		return
@@ -160,6 +186,16 @@
 	s.took += learnShare * (took - s.took)
 }
 
+// servedIn reports whether a service has targets in a region.
+func (v *serviceState) servedIn(region steering.Region) bool {
+	for _, s := range v.targets {
+		if s.Region == region && !s.Closed {
+			return true
+		}
+	}
+	return false
+}
+
 // Ejected returns the targets that are passed over, for status and metrics.
 func (b *Balancer) Ejected() []steering.Target {
 	var names []steering.Target
--- a/steering/placement/lend.go
+++ b/steering/placement/lend.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"maps"
 	"math"
 	"sort"
 
@@ -25,39 +26,159 @@
 	// lendUse is the part of what may change region within 2 s that lending moves in
 	// a second: a third, since the callers' own changes move traffic as well.
 	lendUse = 1.0 / 3
+	// fastestStep bounds the part of a service's keys that changes region in a
+	// second: they start cold there, and its targets bear that for few at once.
+	fastestStep = 0.15
+	// takeBack is how fast a region takes lent keys back, against lending them. A
+	// key that runs elsewhere costs the way there; one that comes back starts cold,
+	// and one that is kept where there is no room is refused.
+	takeBack = 0.25
 )
 
+// Demand is what callers ask of a service.
+type Demand struct {
+	_ struct{} `cbor:",toarray"`
+	// Rate is in requests per second.
+	Rate float32
+	// RunMs is the time of a warm run in ms, Runs the number of runs it rests on.
+	RunMs float32
+	Runs  uint16
+}
+
+// mostRuns bounds the weight of one VM's observations, so that old ones fade.
+const mostRuns = 1000
+
+// Add sums the demand of two groups of callers.
+func (d Demand) Add(o Demand) Demand {
+	sum := Demand{Rate: d.Rate + o.Rate, RunMs: d.RunMs, Runs: uint16(min(int(d.Runs)+int(o.Runs), mostRuns))}
+	if runs := float32(d.Runs) + float32(o.Runs); runs > 0 {
+		sum.RunMs = (d.RunMs*float32(d.Runs) + o.RunMs*float32(o.Runs)) / runs
+	}
+	return sum
+}
+
+// DemandOf is the demand of a region's callers by service.
+type DemandOf map[steering.Service]Demand
+
+// AddAll sums the demand of two groups of callers for all services.
+func (d DemandOf) AddAll(o DemandOf) {
+	for service, demand := range o {
+		d[service] = d[service].Add(demand)
+	}
+}
+
+// Runs returns the time of a warm run of each service as all regions see it.
+//
+// What goes wrong when each region goes by its own: where targets queue hardly a
+// run is without a wait, so a hot region keeps its first guess for ten seconds, and
+// takes its demand for a third or three times what it is.
+func Runs(demand map[steering.Region]DemandOf) DemandOf {
+	all := make(DemandOf)
+	for _, of := range demand {
+		all.AddAll(of)
+	}
+	return all
+}
+
 // NextLending moves each region's kept share a step towards what its slots
-// bear. demand and slots are by service and region, in slots. A region without
-// slots keeps nothing; one with room for all keeps all.
+// bear. slots are by service and region. A region without slots keeps nothing;
+// one with room for all keeps all.
 //
 // Before any demand is known, each of the regions is taken to want an equal part
 // of all slots. Starting from keeping everything instead, the first seconds of a
 // busy day would move most of a small region's requests at once.
 //
 // It is called once a second; shiftShare is the largest part of a region's
-// requests that may change region within 2 s.
-func NextLending(now Lending, demand, slots map[steering.Service]map[steering.Region]float64, regions int, shiftShare float64) Lending {
-	step := lendUse * shiftShare
+// requests that may change region within 2 s. What one service does not move
+// another may: with an equal bound for each, a region whose demand for one service
+// had doubled refused for ten seconds while the others had no use for theirs.
+func NextLending(now Lending, demand map[steering.Region]DemandOf, slots map[steering.Service]map[steering.Region]float64, regions int, shiftShare float64) Lending {
 	next := make(Lending, len(slots))
+	runs := Runs(demand)
 	for service, room := range slots {
 		next[service] = make(map[steering.Region]float64)
-		level := levelOf(demand[service], room)
-		for region := range all(room, demand[service], now[service]) {
+		busy := busyOf(service, demand, runs[service])
+		level := levelOf(busy, room)
+		for region := range all(room, busy, now[service]) {
 			old, known := now[service][region]
 			if !known {
 				old = firstShare(room, region, regions)
 			}
 			goal := old
-			if busy := demand[service][region]; busy > 0 {
-				goal = math.Min(1, level*room[region]/busy)
+			if busy[region] > 0 {
+				goal = math.Min(1, level*room[region]/busy[region])
+			}
+			next[service][region] = goal
+			if !known {
+				now = now.with(service, region, old)
 			}
-			next[service][region] = old + math.Max(-step, math.Min(step, goal-old))
 		}
 	}
+	limitSteps(next, now, demand, shiftShare)
 	return next
 }
 
+// with returns l with a share set.
+func (l Lending) with(service steering.Service, region steering.Region, share float64) Lending {
+	next := maps.Clone(l)
+	if next == nil {
+		next = make(Lending)
+	}
+	next[service] = maps.Clone(next[service])
+	if next[service] == nil {
+		next[service] = make(map[steering.Region]float64)
+	}
+	next[service][region] = share
+	return next
+}
+
+// busyOf returns the slots that a service's callers keep busy, by region.
+func busyOf(service steering.Service, demand map[steering.Region]DemandOf, all Demand) map[steering.Region]float64 {
+	busy := make(map[steering.Region]float64)
+	for region, of := range demand {
+		if rate := of[service].Rate; rate > 0 {
+			busy[region] = float64(rate*all.RunMs) / 1000
+		}
+	}
+	return busy
+}
+
+// limitSteps brings what next changes down to what may change in a second.
+func limitSteps(next, now Lending, demand map[steering.Region]DemandOf, shiftShare float64) {
+	budget := lendUse * shiftShare
+	wanted := make(map[steering.Region]float64)
+	for service, byRegion := range next {
+		for region, share := range byRegion {
+			wanted[region] += trafficShare(demand[region], service) * math.Abs(share-now[service][region])
+		}
+	}
+	for service, byRegion := range next {
+		for region, share := range byRegion {
+			step := share - now[service][region]
+			if wanted[region] > budget {
+				step *= budget / wanted[region]
+			}
+			if step > 0 {
+				step *= takeBack
+			}
+			byRegion[region] = now[service][region] + math.Max(-fastestStep, math.Min(fastestStep, step))
+		}
+	}
+}
+
+// trafficShare is a service's part of the requests of a region; 1 while nothing is
+// known of them.
+func trafficShare(of DemandOf, service steering.Service) float64 {
+	var all float64
+	for _, demand := range of {
+		all += float64(demand.Rate)
+	}
+	if all == 0 {
+		return 1
+	}
+	return float64(of[service].Rate) / all
+}
+
 // all returns every region that occurs.
 func all(byRegion ...map[steering.Region]float64) map[steering.Region]bool {
 	found := make(map[steering.Region]bool)
--- a/steering/placement/state.go
+++ b/steering/placement/state.go
@@ -140,6 +140,8 @@
 	fast, slow float64
 	mean       float64
 	seen       int
+	// runs is how many of those seen were fast.
+	runs int
 	// overflow is what is left for requests beside the first of their order.
 	overflow float64
 	// arrivals is the moving rate of requests from this entry VM's callers.
@@ -166,24 +168,41 @@
 // guess sets the times of a service that nothing is known of yet.
 func (v *serviceState) guess(aim float64) {
 	if v.seen == 0 && aim > 0 {
-		v.fast, v.slow, v.mean = guessFast*aim, guessSlow*aim, guessFast*aim
+		v.guessed(guessFast * aim)
 	}
 }
 
+// guessed sets the times by that of a warm run.
+func (v *serviceState) guessed(fast float64) {
+	v.fast, v.slow, v.mean = fast, fast*guessSlow/guessFast, fast
+}
+
+// enoughRuns is how many runs an entry VM goes by rather than by what others tell.
+const enoughRuns = 20
+
+const (
+	// guessWeight is how many observations the first guesses count for. Taking the
+	// first observation for both times instead, one odd answer of 25 ms made an entry
+	// VM take its callers' demand for a third of what it was for ten seconds.
+	guessWeight = 5
+	// leak is the part of an observation above the middle that the fast time takes
+	// in as well, so that it follows when the guesses were far too low and every
+	// observation counts as slow.
+	leak = 0.1
+)
+
 // learn takes in a service time without a wait, in seconds.
 func (v *serviceState) learn(took float64) {
-	share := math.Max(learnShare/4, 1/float64(v.seen+1))
+	share := math.Max(learnShare/4, 1/float64(v.seen+guessWeight))
 	v.seen++
 	v.mean += share * (took - v.mean)
-	middle := (v.fast + v.slow) / 2
-	switch {
-	case v.seen == 1:
-		v.fast, v.slow = took, took
-	case took <= middle:
+	if took <= (v.fast+v.slow)/2 {
 		v.fast += share * (took - v.fast)
-	default:
-		v.slow += share * (took - v.slow)
+		v.runs++
+		return
 	}
+	v.slow += share * (took - v.slow)
+	v.fast += leak * share * (took - v.fast)
 }
 
 // coldPenalty is what a run costs on a target that does not know the key.
