--- a/node/telemetry/log.go
+++ b/node/telemetry/log.go
@@ -10,7 +10,7 @@
 // NewLogger writes JSON lines at or above the level named debug, info, warn or
 // error; any other name means info.
 func NewLogger(w io.Writer, name string) log.Logger {
-	logger := log.NewJSONLogger(log.NewSyncWriter(w))
+	var logger log.Logger = lineLogger{log.NewSyncWriter(w)}
 	logger = log.With(logger, "ts", log.DefaultTimestampUTC)
 	return level.NewFilter(logger, level.Allow(level.ParseDefault(name, level.InfoValue())))
 }
