Show operators what each entry VM on the platform goes by

Cause: configuration, age of the store's read, targets and lent keys were in metrics and logs of each VM alone; the operators' commands showed nothing of this path.

Change: GET /v1/status on the control listener, and vm-status, which asks several VMs at once and shows those that answer.

--- a/cmd/heatherlock/commands.go
+++ b/cmd/heatherlock/commands.go
@@ -14,6 +14,7 @@
 	"heatherlock/cmd/internal/offline"
 	"heatherlock/cmd/internal/operate"
 	"heatherlock/cmd/internal/quickstart"
+	"heatherlock/cmd/internal/vmstatus"
 )
 
 // version is set by the linker: -ldflags "-X main.version=v1.2.3".
@@ -38,6 +39,7 @@
 			offline.Check(),
 			offline.Explain(),
 			offline.Why(),
+			vmstatus.Command(),
 			command.Group("bench", "measure parts of the system on this machine",
 				benchlookup.Command(),
 				benchbalance.Command(),
--- /dev/null
+++ b/cmd/internal/vmstatus/vmstatus.go
@@ -0,0 +1,180 @@
+// Package vmstatus prints what entry VMs on the users' platform go by.
+package vmstatus
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"text/tabwriter"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/integrii/flaggy"
+
+	"heatherlock/cmd/internal/command"
+	"heatherlock/node/gateway/status"
+)
+
+const (
+	// askTimeout bounds the question to one entry VM.
+	askTimeout = 3 * time.Second
+	// largestAnswer bounds what is read of an answer.
+	largestAnswer = 4 << 20
+)
+
+// Command returns the subcommand.
+func Command() command.Command {
+	return command.Command{
+		Name:    "vm-status",
+		Summary: "print what entry VMs on the users' platform go by: configuration, age of the store's read, targets, keys lent",
+		Declare: func(sub *flaggy.Subcommand) command.Run {
+			var addresses []string
+			format := "table"
+			sub.StringSlice(&addresses, "c", "control", "HOST:PORT of an entry VM's control listener; several by repeats")
+			sub.String(&format, "o", "output", "table or json")
+			return func(ctx context.Context, out command.IO) error { return run(ctx, addresses, format, out.Out) }
+		},
+	}
+}
+
+// answer is what one entry VM said, or why it did not.
+type answer struct {
+	Control string         `json:"control"`
+	Status  *status.Status `json:"status,omitempty"`
+	Problem string         `json:"problem,omitempty"`
+}
+
+func run(ctx context.Context, addresses []string, format string, out io.Writer) error {
+	if len(addresses) == 0 {
+		return command.Failf(command.Usage, "give one or more with --control", "no entry VM named")
+	}
+	if format != "table" && format != "json" {
+		return command.Failf(command.Usage, "use table or json", "unknown output %q", format)
+	}
+	answers := askAll(ctx, addresses)
+	silent := 0
+	for _, a := range answers {
+		if a.Status == nil {
+			silent++
+		}
+	}
+	if err := write(answers, format, out); err != nil {
+		return err
+	}
+	if silent > 0 {
+		return command.Failf(command.Unreachable, "check the addresses, and whether those entry VMs run", "%d of %d entry VMs did not answer", silent, len(answers))
+	}
+	return nil
+}
+
+func askAll(ctx context.Context, addresses []string) []answer {
+	answers := make([]answer, len(addresses))
+	var all sync.WaitGroup
+	for i, address := range addresses {
+		all.Go(func() {
+			s, err := ask(ctx, address)
+			answers[i] = answer{Control: address, Status: s}
+			if err != nil {
+				answers[i].Problem = err.Error()
+			}
+		})
+	}
+	all.Wait()
+	return answers
+}
+
+func ask(ctx context.Context, address string) (*status.Status, error) {
+	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+	defer cancel()
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+status.Path, nil)
+	if err != nil {
+		return nil, errors.Wrap(err, "vm-status: address")
+	}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return nil, errors.Wrap(err, "vm-status: ask")
+	}
+	defer response.Body.Close()
+	if response.StatusCode != http.StatusOK {
+		return nil, errors.Errorf("vm-status: answered %d", response.StatusCode)
+	}
+	var s status.Status
+	if err := json.NewDecoder(io.LimitReader(response.Body, largestAnswer)).Decode(&s); err != nil {
+		return nil, errors.Wrap(err, "vm-status: decode")
+	}
+	return &s, nil
+}
+
+func write(answers []answer, format string, out io.Writer) error {
+	if format == "json" {
+		encoder := json.NewEncoder(out)
+		encoder.SetIndent("", "  ")
+		if err := encoder.Encode(answers); err != nil {
+			return errors.Wrap(err, "vm-status: write")
+		}
+		return nil
+	}
+	return writeTables(answers, out)
+}
+
+func writeTables(answers []answer, out io.Writer) error {
+	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(w, "VM\tZONE\tSTATE\tCONFIG\tSTORE READ\tPEERS\tRUNNING\tDARK ZONES")
+	for _, a := range answers {
+		if s := a.Status; s != nil {
+			fmt.Fprintf(w, "%s\t%s\t%s\t%d\t%s\t%d of %d\t%d\t%s\n", s.VM, s.Zone, stateOf(s), s.ConfigVersion, readOf(s), s.PeersLive, s.PeersKnown, s.RequestsRunning, namesOr(s.DarkZones, "none"))
+			continue
+		}
+		fmt.Fprintf(w, "%s\t\tno answer: %s\n", a.Control, a.Problem)
+	}
+	fmt.Fprintln(w, "\nVM\tSERVICE\tTARGETS\tCLOSED\tCOLD\tPASSED OVER\tKEYS KEPT\tTRIES LEFT\tASKED/S\tRUN MS")
+	for _, a := range answers {
+		if a.Status == nil {
+			continue
+		}
+		for _, v := range a.Status.Services {
+			fmt.Fprintf(w, "%s\t%s\t%d\t%d\t%d\t%d\t%.2f\t%.1f\t%.1f\t%.0f\n", a.Status.VM, v.Name, v.Targets, v.Closed, v.Cold, len(v.Ejected), v.KeysKept, v.TriesLeft, v.RequestsPerSecond, v.RunMs)
+		}
+	}
+	if err := w.Flush(); err != nil {
+		return errors.Wrap(err, "vm-status: write")
+	}
+	return nil
+}
+
+func stateOf(s *status.Status) string {
+	switch {
+	case s.Leaving:
+		return "leaving"
+	case s.Ready:
+		return "ready"
+	}
+	return "starting"
+}
+
+func readOf(s *status.Status) string {
+	if s.StoreAgeMs < 0 {
+		return "never"
+	}
+	text := strconv.FormatInt(s.StoreAgeMs, 10) + " ms ago"
+	if s.StoreFails {
+		text += ", own reads fail"
+	}
+	return text
+}
+
+func namesOr[T ~string](names []T, none string) string {
+	if len(names) == 0 {
+		return none
+	}
+	texts := make([]string, len(names))
+	for i, name := range names {
+		texts[i] = string(name)
+	}
+	return strings.Join(texts, ", ")
+}
--- a/node/gateway/tell.go
+++ b/node/gateway/tell.go
@@ -13,6 +13,7 @@
 
 	"heatherlock/node/gateway/feed"
 	"heatherlock/node/gateway/fleet"
+	"heatherlock/node/gateway/status"
 )
 
 const (
@@ -105,9 +106,10 @@
 	return nil
 }
 
-// controlMux serves peers.
+// controlMux serves peers, and status to operators.
 func (g *Gateway) controlMux() *http.ServeMux {
 	mux := http.NewServeMux()
+	mux.HandleFunc("GET "+status.Path, g.answerStatus)
 	mux.HandleFunc("GET "+pathKnown, func(w http.ResponseWriter, r *http.Request) {
 		since, errSince := strconv.ParseInt(r.URL.Query().Get(paramSince), 10, 64)
 		config, errConfig := strconv.ParseUint(r.URL.Query().Get(paramConfig), 10, 64)
--- a/steering/placement/lend.go
+++ b/steering/placement/lend.go
@@ -12,7 +12,8 @@
 // A missing entry means all.
 type Lending map[steering.Service]map[steering.Region]float64
 
-func (l Lending) kept(service steering.Service, region steering.Region) float64 {
+// Kept returns the part of its keys that a region does not lend.
+func (l Lending) Kept(service steering.Service, region steering.Region) float64 {
 	if share, found := l[service][region]; found {
 		return share
 	}
@@ -236,7 +237,7 @@
 	}
 	sort.Slice(others, func(i, j int) bool { return others[i].score > others[j].score })
 	home := slots[r.Region] > 0
-	keeps := home && unit(mix(keyHash^hash(string(r.Region)))) < b.lending.kept(r.Service, r.Region)
+	keeps := home && unit(mix(keyHash^hash(string(r.Region)))) < b.lending.Kept(r.Service, r.Region)
 	var regions []steering.Region
 	if keeps {
 		regions = append(regions, r.Region)
@@ -271,7 +272,7 @@
 
 // spare weighs a region by its slots, and hardly at all if it lends itself.
 func (b *Balancer) spare(service steering.Service, region steering.Region, slots float64) float64 {
-	if b.lending.kept(service, region) < 1 {
+	if b.lending.Kept(service, region) < 1 {
 		return slots * 0.01
 	}
 	return slots
