Tell why a request was not tried again, and give back tries not made

A read whose target broke off was said to be not repeatable; one whose target refused the connection got "no target" while the next had merely no room; lines of entry VMs heard named none. A further try that found no room still spent the budget.

Change: the line of a failed request says what kept it from another try, why tells it and names peers, in one line where many are alike. A request that could not be sent and finds no room is refused for that, with the time when there is some. A try that is not made is given back.

--- a/cmd/internal/offline/whylog.go
+++ b/cmd/internal/offline/whylog.go
@@ -46,6 +46,8 @@
 	Dropped  int64           `json:"dropped_lines"`
 	Tries    []logTry        `json:"tries"`
 	Targets  []string        `json:"targets"`
+	Peer     string          `json:"peer"`
+	Stopped  string          `json:"no_further_try"`
 
 	raw string
 }
@@ -76,8 +78,12 @@
 	if len(found) == 0 {
 		return command.Failf(command.Refused, "give the logs of all entry VMs that the caller used; a request that was served at the first try has no line", "no line about request %s in %d lines of %d files", id, len(lines), len(files))
 	}
-	for _, l := range found {
-		fmt.Fprintf(out.Out, "%s  %-20s  %s\n", l.At.UTC().Format("15:04:05.000"), l.File, describe(l))
+	for i := 0; i < len(found); i++ {
+		l, same := found[i], 0
+		for i+1 < len(found) && l.Request == "" && len(l.Targets) == 0 && found[i+1].Msg == l.Msg && found[i+1].File == l.File {
+			i, same = i+1, same+1
+		}
+		fmt.Fprintf(out.Out, "%s  %-20s  %s%s\n", l.At.UTC().Format("15:04:05.000"), l.File, describe(l), andMore(same))
 	}
 	fmt.Fprintf(out.Out, "cause:   %s\n", causeOf(found, id))
 	if skipped > 0 {
@@ -153,11 +159,23 @@
 	return false
 }
 
+func andMore(same int) string {
+	if same == 0 {
+		return ""
+	}
+	return fmt.Sprintf(" (and %d more of these)", same)
+}
+
 func describe(l logLine) string {
 	if l.Request == "" {
 		text := l.Msg
-		if len(l.Targets) > 0 {
+		switch {
+		case len(l.Targets) > 0:
 			text += ": " + strings.Join(l.Targets, ", ")
+		case l.Peer != "":
+			text += ": " + l.Peer
+		case l.Config > 0:
+			text += fmt.Sprintf(": version %d", l.Config)
 		}
 		return text
 	}
@@ -171,6 +189,9 @@
 		}
 		text += fmt.Sprintf(": %s at %d ms", t.End, t.EndMs)
 	}
+	if l.Stopped != "" {
+		text += fmt.Sprintf("\n%36s not tried again: %s", "", l.Stopped)
+	}
 	return text
 }
 
@@ -183,19 +204,31 @@
 		}
 	}
 	cause := mainCause(last)
+	if last.Stopped != "" {
+		cause += "; not tried again: " + last.Stopped
+	}
 	if time.Duration(last.StoreAge)*time.Millisecond > longSinceRead {
 		cause += fmt.Sprintf("; the entry VM went by a read of the store that was %d ms old", last.StoreAge)
 	}
-	for _, l := range found {
-		for _, t := range last.Tries {
-			if l.Request == "" && contains(l.Targets, t.Target) {
-				cause += fmt.Sprintf("; of %s the entry VM said at %s: %s", t.Target, l.At.UTC().Format("15:04:05.000"), l.Msg)
-			}
+	for _, t := range last.Tries {
+		if l, told := lastTold(found, t.Target, last.At); told {
+			cause += fmt.Sprintf("; of %s the entry VM said at %s: %s", t.Target, l.At.UTC().Format("15:04:05.000"), l.Msg)
 		}
 	}
 	return cause
 }
 
+// lastTold returns what an entry VM told last of a target before a request ended,
+// or first after it.
+func lastTold(found []logLine, target string, ended time.Time) (told logLine, any bool) {
+	for _, l := range found {
+		if l.Request == "" && contains(l.Targets, target) && (!any || !l.At.After(ended)) {
+			told, any = l, true
+		}
+	}
+	return told, any
+}
+
 func mainCause(l logLine) string {
 	switch {
 	case l.Reason == steering.ReasonNoSlot && len(l.Tries) == 0:
@@ -203,7 +236,7 @@
 	case l.Reason == steering.ReasonDeadline:
 		return fmt.Sprintf("outcome unknown: no answer of %s within the %d ms that the route allows", lastTarget(l), l.Timeout)
 	case l.Reason == steering.ReasonTargetDied:
-		return fmt.Sprintf("outcome unknown: %s broke off with the request in its hands, and a %s request is not sent again then", lastTarget(l), l.Kind)
+		return fmt.Sprintf("outcome unknown: %s broke off with the request in its hands", lastTarget(l))
 	case l.Reason == steering.ReasonAnswerCrossed:
 		return fmt.Sprintf("outcome unknown: %s sent an answer that could not be passed on", lastTarget(l))
 	case l.Reason == "":
--- a/node/gateway/relay/exchange.go
+++ b/node/gateway/relay/exchange.go
@@ -39,7 +39,8 @@
 	mark     poison.Mark
 	verdict  poison.Verdict
 	history  []tried
-	noRoom   time.Duration // the shortest wait, where no target had room
+	noRoom   *placement.Refusal // of the last try that found no target with room
+	stopped  string             // what kept it from a further try
 }
 
 func newExchange(f *Relay, table *routes.Table, route *routes.Route, r *callers.Request, call platform.Call) *exchange {
@@ -180,7 +181,7 @@
 func (x *exchange) launch(ctx context.Context) *placement.Refusal {
 	pick, refusal := x.f.choose(x.placementRequest())
 	if refusal != nil {
-		x.noRoom = refusal.Wait
+		x.noRoom = refusal
 		return refusal
 	}
 	x.lastPick = pick
@@ -301,24 +302,42 @@
 
 // mayRepeat reports whether the request may be sent once more.
 func (x *exchange) mayRepeat(e end) bool {
-	if x.maybeRan && !x.route.Kind.Repeatable() && planted.Defect != planted.Twice {
-		return false
-	}
-	if x.r.Rest != nil && !e.unsent {
-		return false // the body is spent
+	switch {
+	case x.maybeRan && !x.route.Kind.Repeatable() && planted.Defect != planted.Twice:
+		x.stopped = stoppedOnce
+	case x.r.Rest != nil && !e.unsent:
+		x.stopped = stoppedBody
+	case !x.arrivedAtMost() || x.tries >= x.route.MaxAttempts+furtherTries:
+		x.stopped = stoppedAttempts
+	default:
+		return true
 	}
-	return x.arrivedAtMost() && x.tries < x.route.MaxAttempts+furtherTries
+	return false
 }
 
+// What kept a request from a further try, as the log tells it.
+const (
+	stoppedOnce     = "it may have run, and must not run twice"
+	stoppedBody     = "its body went to the target and is not kept"
+	stoppedAttempts = "its route allows no more attempts"
+	stoppedBudget   = "the budget for further tries is used up"
+	stoppedNoRoom   = "no other target has room in time"
+)
+
 func (x *exchange) arrivedAtMost() bool { return x.arrived+x.running < x.route.MaxAttempts }
 
 // again starts a further try within the budget.
 func (x *exchange) again(ctx context.Context, e end) bool {
 	if !e.unsent && !x.f.takeRetry(x.service) {
 		x.f.cfg.Events.Refused(steering.ReasonRetryBudget)
+		x.stopped = stoppedBudget
 		return false
 	}
 	if x.launch(ctx) != nil {
+		x.stopped = stoppedNoRoom
+		if !e.unsent {
+			x.f.returnRetry(x.service)
+		}
 		return false
 	}
 	x.f.cfg.Events.Retried(retryReason(e))
@@ -347,9 +366,11 @@
 	if !x.f.takeRetry(x.service) {
 		return
 	}
-	if x.launch(ctx) == nil {
-		x.f.cfg.Events.Retried("overdue")
+	if x.launch(ctx) != nil {
+		x.f.returnRetry(x.service)
+		return
 	}
+	x.f.cfg.Events.Retried("overdue")
 }
 
 func (x *exchange) hedgeDelay() time.Duration {
@@ -368,11 +389,13 @@
 // failed answers a request whose last try brought no usable answer.
 func (x *exchange) failed(e end) *callers.Response {
 	if !x.maybeRan {
-		reason := steering.ReasonShed
-		if e.unsent {
-			reason = steering.ReasonNoTarget
+		switch {
+		case e.unsent && x.noRoom != nil:
+			return x.refuse(x.noRoom.Reason, x.noRoom.RetryAfter)
+		case e.unsent:
+			return x.refuse(steering.ReasonNoTarget, shedRetry)
 		}
-		return x.refuse(reason, shedRetry)
+		return x.refuse(steering.ReasonShed, shedRetry)
 	}
 	if e.err == nil {
 		return x.unknown(steering.ReasonAnswerCrossed)
@@ -407,12 +430,15 @@
 func (x *exchange) detail() []any {
 	line := []any{"service", x.service, "kind", x.route.Kind.String(), "key", x.call.Key, "deadline_ms", x.call.Deadline.Milliseconds(),
 		"timeout_ms", x.route.Timeout.Milliseconds(), "took_ms", time.Since(x.r.Received).Milliseconds(), "store_age_ms", x.f.storeAge().Milliseconds()}
-	if x.noRoom > 0 {
-		line = append(line, "shortest_wait_ms", x.noRoom.Milliseconds())
+	if x.noRoom != nil && x.noRoom.Wait > 0 {
+		line = append(line, "shortest_wait_ms", x.noRoom.Wait.Milliseconds())
 	}
 	if len(x.history) > 0 {
 		line = append(line, "tries", x.history)
 	}
+	if x.stopped != "" {
+		line = append(line, "no_further_try", x.stopped)
+	}
 	return line
 }
 
--- a/node/gateway/relay/place.go
+++ b/node/gateway/relay/place.go
@@ -37,6 +37,16 @@
 	return f.cfg.Retry.Take(time.Now(), service)
 }
 
+// returnRetry gives back a further try for which no target had room.
+//
+// What goes wrong otherwise: on an overloaded day, requests that find no room use
+// the budget up, and one that would find some is not tried again.
+func (f *Relay) returnRetry(service steering.Service) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.cfg.Retry.Return(time.Now(), service)
+}
+
 // reportEnd tells the balancer what a try showed of its target.
 func (f *Relay) reportEnd(ctx context.Context, x *exchange, e end, sentAt time.Time) {
 	now := time.Now()
--- a/steering/retry/shared.go
+++ b/steering/retry/shared.go
@@ -91,6 +91,12 @@
 	return true
 }
 
+// Return gives back a further try that was taken and not made.
+func (a *SharedBudget) Return(now time.Time, service steering.Service) {
+	s := a.of(now, service)
+	s.earned = math.Min(a.cap(), s.earned+1)
+}
+
 // Left returns the further tries that could be made now, by service.
 func (a *SharedBudget) Left(now time.Time) map[steering.Service]float64 {
 	left := make(map[steering.Service]float64, len(a.pools))
