Model the age of what is known, split the fleet, and answer without demand

Cause: an answer to one VM told the sender's own demand, which a VM of another zone takes for that of the whole zone, found while reading. TestAnswerToOneVMTellsNoDemandOfItsZone fails without the change.

--- a/node/gateway/feed/share.go
+++ b/node/gateway/feed/share.go
@@ -74,7 +74,9 @@
 }
 
 // ageMargin is how much younger a peer's read at the same revision has to be to
-// count as another read: above what a digest spends on its way.
+// count as another read: above what digests of one read spend on their ways together
+// (spec/digest.pml). A reader writes to all itself, so that a read passes one or two
+// VMs, and the longest way between regions takes 70 ms.
 const ageMargin = 400 * time.Millisecond
 
 // freshBy takes over the age of a peer's read.
--- a/node/gateway/fleet/fleet.go
+++ b/node/gateway/fleet/fleet.go
@@ -2,14 +2,11 @@
 
 import (
 	"context"
-	"maps"
 	"math/rand/v2"
 	"net"
-	"net/netip"
 	"sync"
 	"time"
 
-	"github.com/go-faster/errors"
 	"github.com/go-kit/log"
 
 	"heatherlock/steering"
@@ -17,13 +14,9 @@
 	"heatherlock/steering/poison"
 )
 
-const (
-	// introduced is how many members one datagram introduces.
-	introduced = 8
-	// fullEvery is how many beats pass between two that tell demand and old
-	// suspects: demand is averaged over seconds anyway.
-	fullEvery = 4
-)
+// fullEvery is how many beats pass between two that tell demand and old suspects:
+// demand is averaged over seconds anyway.
+const fullEvery = 4
 
 // Config holds what a Fleet needs.
 type Config struct {
@@ -86,56 +79,6 @@
 	f.wakeUp()
 }
 
-// sendAll sends near to VMs of this zone, and far, which speaks for the zone, to
-// those of others. Addresses are for VMs that were never heard; whoever lacks them
-// asks.
-func (f *Fleet) sendAll(near, far Beat, to []Member, addresses bool) {
-	forNear, err := encode(near, addresses)
-	if err == nil {
-		var forFar []byte
-		forFar, err = encode(far, addresses)
-		for _, m := range to {
-			if m.Zone == f.cfg.Self.Zone {
-				f.write(forNear, m.Peer)
-				continue
-			}
-			f.write(forFar, m.Peer)
-		}
-	}
-	if err != nil {
-		_ = f.cfg.Log.Log("msg", "heartbeat not sent", "err", err) // the writer counts what it drops
-	}
-}
-
-// zoneNews is what a VM tells other zones of the others of its own.
-type zoneNews struct {
-	mates  []uint32
-	demand placement.DemandOf
-}
-
-func (f *Fleet) zoneNews(now time.Time) zoneNews {
-	return zoneNews{mates: f.roster.MateIDs(now), demand: f.roster.MatesDemand(now)}
-}
-
-// spoken returns a beat as other zones get it.
-func (z zoneNews) spoken(b Beat) Beat {
-	own := b.Demand
-	b.Mates, b.Demand = z.mates, maps.Clone(z.demand)
-	b.Demand.AddAll(own)
-	return b
-}
-
-// AnnounceInZone sends a heartbeat to the VMs of this zone.
-func (f *Fleet) AnnounceInZone() {
-	f.mu.Lock()
-	b := f.next()
-	mates := f.roster.Mates(time.Now())
-	f.mu.Unlock()
-	f.own(&b)
-	b.Demand = nil
-	f.sendAll(b, b, mates, false)
-}
-
 // ZoneRank returns how many live VMs of this zone come before this one, in an
 // order that is the same on all.
 func (f *Fleet) ZoneRank() int {
@@ -217,31 +160,6 @@
 	}
 }
 
-// split parts members that were heard before from those that were not.
-func (f *Fleet) split(all []Member) (met, unmet []Member) {
-	for _, m := range all {
-		if f.roster.Met(m.Name) {
-			met = append(met, m)
-		} else {
-			unmet = append(unmet, m)
-		}
-	}
-	return met, unmet
-}
-
-// own fills in what a heartbeat says of this VM and of whom it hears.
-func (f *Fleet) own(b *Beat) {
-	f.cfg.Own(b)
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.leaving, b.Crowd = b.Leaving, f.crowd
-}
-
-func (f *Fleet) next() Beat {
-	f.number++
-	return Beat{From: f.cfg.Self, Incarnation: f.incarnation, Number: f.number}
-}
-
 // noteChanges compares who lives with the last tick.
 func (f *Fleet) noteChanges(now time.Time) bool {
 	live := make(map[steering.VM]bool)
@@ -263,111 +181,6 @@
 	return changed
 }
 
-// send sends a beat with all that it holds.
-func (f *Fleet) send(b Beat, address string) {
-	raw, err := encode(b, true)
-	if err != nil {
-		_ = f.cfg.Log.Log("msg", "heartbeat not sent", "err", err) // as above
-		return
-	}
-	f.write(raw, address)
-}
-
-func (f *Fleet) write(raw []byte, address string) {
-	to, err := netip.ParseAddrPort(address)
-	if err != nil {
-		_ = f.cfg.Log.Log("msg", "heartbeat not sent", "to", address, "err", err)
-		return
-	}
-	// A datagram that cannot be sent counts as lost: the other side notices a
-	// missing heartbeat, whatever the reason.
-	_, _ = f.conn.WriteTo(raw, net.UDPAddrFromAddrPort(to))
-}
-
-func (f *Fleet) read(ctx context.Context) {
-	buffer := make([]byte, 64<<10)
-	for ctx.Err() == nil {
-		n, sender, err := f.conn.ReadFrom(buffer)
-		if errors.Is(err, net.ErrClosed) {
-			return
-		}
-		if err != nil {
-			continue
-		}
-		b, id, err := decode(buffer[:n])
-		if err != nil {
-			_ = f.cfg.Log.Log("msg", "heartbeat not understood", "err", err) // as above
-			continue
-		}
-		if b.From.Name == "" && !f.complete(&b, id) {
-			f.askBack(sender.String())
-			continue
-		}
-		f.heard(b)
-	}
-}
-
-// complete fills in the sender of a short beat, if it is known.
-func (f *Fleet) complete(b *Beat, id uint64) bool {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	m, found := f.roster.Named(id)
-	b.From = m
-	return found
-}
-
-// askBack asks a sender that is not known here to introduce itself.
-func (f *Fleet) askBack(address string) {
-	f.mu.Lock()
-	b := f.next()
-	f.mu.Unlock()
-	f.own(&b)
-	b.Meets = true
-	f.send(b, address)
-}
-
-func (f *Fleet) heard(b Beat) {
-	now := time.Now()
-	f.mu.Lock()
-	met := f.roster.Met(b.From.Name)
-	fresh := f.roster.Heard(now, b)
-	for _, m := range b.Members {
-		if f.roster.Add(now, m) {
-			f.inquiry.learned()
-		}
-	}
-	var known []Member
-	reply := f.next()
-	if b.Asks {
-		known = f.roster.Live(now, f.leaving)
-	}
-	reply.Asks = f.inquiry.heard(now, b.Crowd == f.crowd)
-	f.mu.Unlock()
-	f.cfg.Heard(b)
-	switch {
-	case b.Asks:
-		f.own(&reply)
-		f.introduce(reply, known, b.From.Peer)
-	case b.Meets || fresh && met || reply.Asks:
-		f.own(&reply)
-		f.send(reply, b.From.Peer)
-	}
-	if fresh {
-		f.cfg.Changed()
-	}
-}
-
-// introduce tells a VM of the others that live, a few a datagram.
-func (f *Fleet) introduce(b Beat, known []Member, to string) {
-	for from := 0; from < len(known); from += introduced {
-		b.Members = known[from:min(from+introduced, len(known))]
-		f.send(b, to)
-		f.mu.Lock()
-		b.Number = f.next().Number
-		f.mu.Unlock()
-	}
-}
-
 // Live returns the live members that are not leaving, this VM included.
 func (f *Fleet) Live() []Member {
 	f.mu.Lock()
--- a/node/gateway/fleet/roster.go
+++ b/node/gateway/fleet/roster.go
@@ -1,13 +1,9 @@
 package fleet
 
 import (
-	"sort"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"heatherlock/steering"
-	"heatherlock/steering/placement"
 )
 
 // Member is an entry VM.
@@ -305,141 +301,6 @@
 	return max(farBeat, farBeat*time.Duration(len(r.zones))/farZones)
 }
 
-// Live returns the live members that are not leaving, this VM included unless
-// it leaves, by name.
-func (r *Roster) Live(now time.Time, selfLeaves bool) []Member {
-	var all []Member
-	if !selfLeaves {
-		all = append(all, r.self)
-	}
-	for _, h := range r.members {
-		if r.live(now, h) && !h.leaving {
-			all = append(all, h.Member)
-		}
-	}
-	sort.Slice(all, func(i, j int) bool { return all[i].Name < all[j].Name })
-	return all
-}
-
-// Mates returns the other live members of this VM's zone.
-func (r *Roster) Mates(now time.Time) []Member {
-	var mates []Member
-	for _, h := range r.members {
-		if h.Zone == r.self.Zone && r.live(now, h) && !h.leaving {
-			mates = append(mates, h.Member)
-		}
-	}
-	return mates
-}
-
-// Serving returns the live members that take requests.
-func (r *Roster) Serving(now time.Time, selfServes bool) []Member {
-	all := r.Live(now, !selfServes)
-	kept := all[:0]
-	for _, m := range all {
-		if h := r.members[m.Name]; h == nil || h.beat.Serving {
-			kept = append(kept, m)
-		}
-	}
-	return kept
-}
-
-// MatesDemand returns what the callers of the other live VMs of this zone ask.
-func (r *Roster) MatesDemand(now time.Time) placement.DemandOf {
-	sum := make(placement.DemandOf)
-	for _, h := range r.members {
-		if h.Zone == r.self.Zone && r.live(now, h) && !h.leaving {
-			sum.AddAll(h.beat.Demand)
-		}
-	}
-	return sum
-}
-
-// Demand returns what the callers of other VMs ask, by region. Of another zone only
-// what was told last counts, since each of its VMs tells the demand of all.
-func (r *Roster) Demand(now time.Time) map[steering.Region]placement.DemandOf {
-	demand := map[steering.Region]placement.DemandOf{r.self.Region: r.MatesDemand(now)}
-	last := make(map[steering.Zone]*heard)
-	for _, h := range r.members {
-		if h.Zone == r.self.Zone || !r.live(now, h) || h.beat.Demand == nil {
-			continue
-		}
-		if old := last[h.Zone]; old == nil || h.toldAt.After(old.toldAt) {
-			last[h.Zone] = h
-		}
-	}
-	for _, h := range last {
-		if demand[h.Region] == nil {
-			demand[h.Region] = make(placement.DemandOf)
-		}
-		demand[h.Region].AddAll(h.beat.Demand)
-	}
-	return demand
-}
-
-// ReadRank returns how many live VMs are to read the store before this one.
-func (r *Roster) ReadRank(now time.Time, fails bool) int {
-	rank := 0
-	for _, h := range r.members {
-		if !r.live(now, h) || h.leaving || h.beat.StoreFails && !fails {
-			continue
-		}
-		if fails && !h.beat.StoreFails || h.before(r.self) {
-			rank++
-		}
-	}
-	return rank
-}
-
-// ReadBegun returns when a live VM that reads before this one last told that it
-// reads the store.
-func (r *Roster) ReadBegun(now time.Time) time.Time {
-	var last time.Time
-	for _, h := range r.members {
-		if r.live(now, h) && !h.leaving && h.before(r.self) {
-			last = maxTime(last, h.reads)
-		}
-	}
-	return last
-}
-
-// before reports whether a VM reads the store before another, or fetches before it:
-// the more able first, and of those that bear the same any, the same for all.
-//
-// What goes wrong when any VM may be the first: one with 10 Mbit/s takes 0.2 s to
-// read what changed of 650 targets and as long again to tell it, and all others
-// wait for it.
-func (m Member) before(o Member) bool {
-	if m.Capacity != o.Capacity {
-		return m.Capacity > o.Capacity
-	}
-	return readOrder(m.Name) < readOrder(o.Name)
-}
-
-// readOrder spreads the reading over VMs whatever their names.
-func readOrder(name steering.VM) uint64 { return xxhash.Sum64String("read\x00" + string(name)) }
-
-// Known returns the number of members on record, this VM included.
-func (r *Roster) Known() int { return 1 + len(r.members) }
-
-// DarkZones returns the zones whose entry VMs were all heard before and are
-// silent now. Targets there are most likely cut off as well.
-func (r *Roster) DarkZones(now time.Time) map[steering.Zone]bool {
-	dark, lit := make(map[steering.Zone]bool), map[steering.Zone]bool{r.self.Zone: true}
-	for _, h := range r.members {
-		switch {
-		case !h.at.IsZero() && now.Sub(h.at) < darkSilences*r.farBeat():
-			lit[h.Zone] = true
-		case !h.at.IsZero() && !h.leaving:
-			dark[h.Zone] = true
-		}
-	}
-	for zone := range lit {
-		delete(dark, zone)
-	}
-	return dark
-}
-
 func maxTime(a, b time.Time) time.Time {
 	if a.After(b) {
 		return a
--- a/node/gateway/fleet/size_test.go
+++ b/node/gateway/fleet/size_test.go
@@ -252,3 +252,32 @@
 		}
 	})
 }
+
+// Symptom: a region takes the demand of another zone for a fraction of what it is.
+// Sequence: a VM of a large zone answers one that has just started. Cause: an answer
+// that tells the sender's own demand, which counts as that of its zone.
+func TestAnswerToOneVMTellsNoDemandOfItsZone(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		const size = 24
+		c := newCrowd(ctx, size, 2)
+		c.demand.Store(5)
+		time.Sleep(5 * time.Second)
+		for n := range 40 { // VMs of another zone that start one after the other
+			late := Member{Name: steering.VM(fmt.Sprint("late-", n)), Zone: "zone-late", Region: "there", Peer: fmt.Sprintf("10.0.8.%d:7620", n+1)}
+			f := New(Config{Self: late, Log: log.NewNopLogger(), Own: func(b *Beat) { b.Serving = true }, Heard: func(Beat) {}, Changed: func() {},
+				Suspects: func(bool) []poison.Fact { return nil }}, c.wire.listen(late.Peer))
+			f.Add([]Member{c.fleets[0].cfg.Self, c.fleets[3].cfg.Self})
+			go f.Run(ctx)
+			for range 30 {
+				time.Sleep(50 * time.Millisecond)
+				synctest.Wait()
+				for _, g := range []*Fleet{c.fleets[0], c.fleets[1], f} {
+					rate := g.Demand()["here"]["s"].Rate
+					assert.Assert(t, g == f && rate == 0 || rate >= 5*(size/2), "%s takes the demand for %v", g.cfg.Self.Name, rate)
+				}
+			}
+		}
+	})
+}
