--- /dev/null
+++ b/node/gateway/relay/rig_test.go
@@ -0,0 +1,164 @@
+package relay_test
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/go-kit/log"
+	"gotest.tools/v3/assert"
+
+	"heatherlock/node/gateway/callers"
+	"heatherlock/node/gateway/relay"
+	"heatherlock/node/gateway/upstream"
+	"heatherlock/platform"
+	"heatherlock/standin/endpoint"
+	"heatherlock/steering"
+	"heatherlock/steering/placement"
+	"heatherlock/steering/retry"
+	"heatherlock/steering/routes"
+)
+
+// rig is one entry VM's callers' side before real targets on loopback.
+type rig struct {
+	t       *testing.T
+	relay   *relay.Relay
+	server  *callers.Server
+	address string
+	targets []*endpoint.Endpoint
+	number  atomic.Int64
+}
+
+const (
+	service = steering.Service("tickets")
+	work    = 30 * time.Millisecond
+)
+
+func newRig(t *testing.T, targets int, change func(*endpoint.Config)) *rig {
+	t.Helper()
+	g := &rig{t: t}
+	balancer := placement.NewBalancer("vm", "centro")
+	balancer.SetPeers(map[steering.Region][]steering.VM{"centro": {"vm"}})
+	var placed []placement.Target
+	for n := range targets {
+		cfg := endpoint.Config{ID: fmt.Sprint("target-", n), Slots: 3, Queue: 9, Work: work, WarmShare: 1, Keeps: 20}
+		if change != nil {
+			change(&cfg)
+		}
+		e, err := endpoint.Start(cfg)
+		assert.NilError(t, err)
+		t.Cleanup(e.Stop)
+		g.targets = append(g.targets, e)
+		placed = append(placed, placement.Target{Name: steering.Target(cfg.ID), Service: service, Address: e.Address(), Zone: "a", Region: "centro", Slots: cfg.Slots})
+	}
+	balancer.SetTargets(placed)
+	g.relay = relay.New(relay.Config{Region: "centro", Pool: upstream.NewPool(upstream.Dial, platform.RequestIDOf), Balancer: balancer,
+		Retry: retry.NewSharedBudget(retry.SharedBudgetConfig{Ratio: 0.2, Slack: 64, Window: 10 * time.Second}),
+		Log:   log.NewNopLogger(), Members: func() int { return 1 }})
+	route := func(name string, kind routes.Kind) *routes.Route {
+		return &routes.Route{Name: name, Host: "shop.example", Prefix: "/" + name + "/", Kind: kind, Timeout: time.Second,
+			Aim: 400 * time.Millisecond, MaxAttempts: 3, KeyAffinity: true, Parts: []routes.Part{{Service: service, Weight: 1}}}
+	}
+	g.relay.SetTable(routes.NewTable(1, []*routes.Route{route("read", routes.Idempotent), route("buy", routes.Once), route("upload", routes.Upload)},
+		[]*routes.Service{{Name: service, MaxConnections: 50}},
+		routes.Limits{HeaderBytes: 8 << 10, BodyBytes: 1 << 20, HeaderTimeout: 300 * time.Millisecond, IdleTimeout: 2 * time.Second}))
+	g.relay.SetReady()
+	g.listen()
+	return g
+}
+
+func (g *rig) listen() {
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	assert.NilError(g.t, err)
+	g.server = callers.NewServer(g.relay, g.relay.Limits, 100)
+	ctx, cancel := context.WithCancel(context.Background())
+	g.t.Cleanup(func() { cancel(); _ = listener.Close() })
+	go func() { _ = g.server.Serve(ctx, listener) }() // ends with the listener
+	g.address = listener.Addr().String()
+}
+
+// faults sets how all targets treat requests.
+func (g *rig) faults(f func(n int) endpoint.Fault) {
+	var n atomic.Int64
+	for _, e := range g.targets {
+		e.SetFault(func(*http.Request) endpoint.Fault { return f(int(n.Add(1))) })
+	}
+}
+
+type reply struct {
+	status int
+	header http.Header
+	body   string
+	err    error // of reading the body
+	took   time.Duration
+}
+
+// ask sends a request on a connection of its own.
+func (g *rig) ask(method, path, body string, deadline time.Duration) reply {
+	g.t.Helper()
+	r, err := http.NewRequest(method, "http://"+g.address+path, strings.NewReader(body))
+	assert.NilError(g.t, err)
+	r.Host = "shop.example"
+	r.Header.Set("X-Request-Id", fmt.Sprint("req-", g.number.Add(1)))
+	r.Header.Set("X-Affinity-Key", "17")
+	r.Header.Set("X-Deadline-Ms", fmt.Sprint(deadline.Milliseconds()))
+	began := time.Now()
+	response, err := (&http.Transport{DisableKeepAlives: true, DisableCompression: true}).RoundTrip(r)
+	if err != nil {
+		return reply{err: err, took: time.Since(began)}
+	}
+	defer response.Body.Close()
+	raw, err := io.ReadAll(response.Body)
+	return reply{response.StatusCode, response.Header, string(raw), err, time.Since(began)}
+}
+
+func (g *rig) runs() []endpoint.Run {
+	var all []endpoint.Run
+	for _, e := range g.targets {
+		all = append(all, e.Runs()...)
+	}
+	return all
+}
+
+// raw sends bytes on one connection and reads answers.
+func (g *rig) raw(text string, answers int) []*http.Response {
+	g.t.Helper()
+	conn, err := net.Dial("tcp4", g.address)
+	assert.NilError(g.t, err)
+	defer conn.Close()
+	_, err = io.WriteString(conn, text)
+	assert.NilError(g.t, err)
+	return readAnswers(g.t, conn, answers)
+}
+
+func readAnswers(t *testing.T, conn net.Conn, answers int) []*http.Response {
+	t.Helper()
+	assert.NilError(t, conn.SetReadDeadline(time.Now().Add(3*time.Second)))
+	in := bufio.NewReader(conn)
+	var all []*http.Response
+	for range answers {
+		response, err := http.ReadResponse(in, nil)
+		assert.NilError(t, err)
+		_, err = io.Copy(io.Discard, response.Body)
+		assert.NilError(t, err)
+		all = append(all, response)
+	}
+	return all
+}
+
+func waitFor(t *testing.T, done func() bool) {
+	t.Helper()
+	for end := time.Now().Add(3 * time.Second); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
+		if done() {
+			return
+		}
+	}
+	t.Fatal("did not happen in time")
+}
