--- a/cmd/internal/benchplacement/bench_test.go
+++ b/cmd/internal/benchplacement/bench_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"bytes"
+	"os"
+	"path/filepath"
 	"strings"
 	"testing"
 	"time"
@@ -45,4 +47,16 @@
 		assert.Equal(t, strings.Count(out.String(), "  "+w.name), len(scenarios))
 	}
 	assert.ErrorContains(t, Options{For: time.Millisecond}.Check(), "--for")
+
+	file := filepath.Join(t.TempDir(), "plot.svg")
+	assert.NilError(t, report.WritePlot(file))
+	drawn, err := os.ReadFile(file)
+	assert.NilError(t, err)
+	for _, s := range scenarios {
+		assert.Assert(t, strings.Contains(string(drawn), s.Name))
+	}
+	for _, w := range ways {
+		assert.Equal(t, len(report.worths(w.name)), len(scenarios))
+	}
+	assert.ErrorContains(t, report.WritePlot(filepath.Join(t.TempDir(), "plot.nonsense")), "--plot")
 }
--- a/cmd/internal/benchplacement/command.go
+++ b/cmd/internal/benchplacement/command.go
@@ -4,5 +4,5 @@
 
 // Command returns `bench placement`.
 func Command() command.Command {
-	return command.Simulation("placement", "play heavy days through the placement of requests, beside simpler ways", func(o Options) command.SimReport { return Run(o) })
+	return command.PlottedSimulation("placement", "play heavy days through the placement of requests, beside simpler ways", func(o Options) command.SimPlot { return Run(o) })
 }
--- a/cmd/internal/command/simulation.go
+++ b/cmd/internal/command/simulation.go
@@ -15,6 +15,8 @@
 	// For is the simulated time that each run is measured.
 	For      time.Duration
 	JSONFile string
+	// PlotFile is where a plot goes, of those that have one.
+	PlotFile string
 }
 
 // SimDefaults returns the options of a run without flags.
@@ -34,14 +36,32 @@
 	WriteJSON(file string) error
 }
 
+// SimPlot is a report that can be drawn.
+type SimPlot interface {
+	SimReport
+	WritePlot(file string) error
+}
+
 // Simulation returns the subcommand of a simulated experiment.
 func Simulation(name, summary string, run func(SimOptions) SimReport) Command {
+	return simulation(name, summary, false, run)
+}
+
+// PlottedSimulation returns the subcommand of one whose report can be drawn.
+func PlottedSimulation(name, summary string, run func(SimOptions) SimPlot) Command {
+	return simulation(name, summary, true, func(o SimOptions) SimReport { return run(o) })
+}
+
+func simulation(name, summary string, plotted bool, run func(SimOptions) SimReport) Command {
 	return Command{Name: name, Summary: summary, Declare: func(sub *flaggy.Subcommand) Run {
 		o := SimDefaults()
 		seed := int(o.Seed)
 		sub.Int(&seed, "s", "seed", "seed of arrivals and service times")
 		sub.Duration(&o.For, "f", "for", "simulated time of each run")
 		sub.String(&o.JSONFile, "j", "json", "write the report to this file as one JSON object")
+		if plotted {
+			sub.String(&o.PlotFile, "p", "plot", "draw the report into this file, .svg or .png")
+		}
 		return func(_ context.Context, io IO) error {
 			o.Seed = uint64(seed)
 			if err := o.Check(); err != nil {
@@ -49,10 +69,15 @@
 			}
 			report := run(o)
 			report.WriteText(io.Out)
-			if o.JSONFile == "" {
-				return nil
+			if o.JSONFile != "" {
+				if err := report.WriteJSON(o.JSONFile); err != nil {
+					return err
+				}
+			}
+			if plot, can := report.(SimPlot); can && o.PlotFile != "" {
+				return plot.WritePlot(o.PlotFile)
 			}
-			return report.WriteJSON(o.JSONFile)
+			return nil
 		}
 	}}
 }
