--- a/node/gateway/fleet/roster.go
+++ b/node/gateway/fleet/roster.go
@@ -25,25 +25,25 @@
 	// beatPerMate bounds what a VM sends as its zone grows: at most 1 datagram to a
 	// VM of its zone in this time.
 	beatPerMate = 20 * time.Millisecond
-	// nearSilence and missedBeats bound how long nothing may be heard of a live VM
+	// shortestNearSilence and missedBeats bound how long nothing may be heard of a live VM
 	// of this zone: five heartbeats, fewer in a zone so large that they are rare.
-	nearSilence = 5 * shortestBeat
+	shortestNearSilence = 5 * shortestBeat
 	missedBeats = 4
-	// farBeat is the pause between two heartbeats that a VM of another zone gets
+	// shortestFarBeat is the pause between two heartbeats that a VM of another zone gets
 	// from this zone, whoever sends them: each tells which VMs of its zone live, so
 	// few of them need to write.
-	farBeat = 400 * time.Millisecond
+	shortestFarBeat = 400 * time.Millisecond
 	// speakers is how many VMs of a zone write to a VM of another zone. With one the
 	// zone would seem gone when that one ends. With all of a large zone each has a
 	// turn so seldom that, as turns fall by chance, now and then none writes for
-	// longer than farSilence and a live zone is taken for gone.
+	// longer than farSilences heartbeats, and a live zone is taken for gone.
 	speakers = 3
 	// speakerBeats is how many heartbeats of a VM of the own zone may be missing
 	// until another speaks in its place: sooner than it counts as gone, so that
-	// others hear of the zone again within darkSilence when all its speakers end
-	// together.
+	// others hear of the zone again before it counts as dark when all its speakers
+	// end together.
 	speakerBeats = 3
-	// farZones is how many zones get a heartbeat in each farBeat. With more zones all
+	// farZones is how many zones get a heartbeat in each shortestFarBeat. With more zones all
 	// of them get one less often, or what a VM sends would grow with their number.
 	farZones = 10
 	// farSilences is how many heartbeats of a whole zone may be missing for a VM of
@@ -294,11 +294,11 @@
 	return !h.at.IsZero() && now.Sub(h.at) < silence
 }
 
-func (r *Roster) nearSilence() time.Duration { return max(nearSilence, missedBeats*r.Pause()) }
+func (r *Roster) nearSilence() time.Duration { return max(shortestNearSilence, missedBeats*r.Pause()) }
 
 // farBeat is the pause between two heartbeats of a zone to a VM of another one.
 func (r *Roster) farBeat() time.Duration {
-	return max(farBeat, farBeat*time.Duration(len(r.zones))/farZones)
+	return max(shortestFarBeat, shortestFarBeat*time.Duration(len(r.zones))/farZones)
 }
 
 func maxTime(a, b time.Time) time.Time {
