--- a/node/gateway/fleet/roster.go
+++ b/node/gateway/fleet/roster.go
@@ -28,7 +28,7 @@
 	// shortestNearSilence and missedBeats bound how long nothing may be heard of a live VM
 	// of this zone: five heartbeats, fewer in a zone so large that they are rare.
 	shortestNearSilence = 5 * shortestBeat
-	missedBeats = 4
+	missedBeats         = 4
 	// shortestFarBeat is the pause between two heartbeats that a VM of another zone gets
 	// from this zone, whoever sends them: each tells which VMs of its zone live, so
 	// few of them need to write.
