--- a/steering/capacity/capacity.go
+++ b/steering/capacity/capacity.go
@@ -1,20 +1,19 @@
 // Package capacity says what an entry VM bears, for the choice of those that do the
 // work of control.
 //
-// A deployment's VMs differ by five in processor and by twenty in bandwidth. Reading
-// the entries of all targets and telling them to others takes the smallest VMs half
-// of the time in which a leaving target must be known everywhere. So the most able
-// read first and fetch first for their zone.
+// A deployment's VMs differ by five in processor and by twenty in bandwidth. All
+// others wait for the one that reads the entries of all targets and tells them. So
+// the most able read first and fetch first for their zone.
 package capacity
 
 import "math"
 
 const (
-	// perCore is the requests per second that a whole core forwards, from played
-	// days: 0.33 ms of processor time a request.
+	// perCore is the requests per second that a whole core is taken to forward: an
+	// estimate, not measured. Only the order of VMs rests on it.
 	perCore = 3000
-	// perMbps is the requests per second that 1 Mbit/s of a link carries each way, at
-	// 4 kB a request with its answer.
+	// perMbps is the requests per second that 1 Mbit/s of a link is taken to carry, at
+	// 4 kB a request with its answer: an estimate as well.
 	perMbps = 30
 )
 
--- a/steering/placement/lend.go
+++ b/steering/placement/lend.go
@@ -32,8 +32,8 @@
 	// takeBack is how fast a region takes lent keys back, against lending them. A
 	// key that runs elsewhere costs the way there; one that comes back starts cold,
 	// and one that is kept where there is no room is refused. On a calm day whose
-	// demand moves from region to region, 97, 165 and 234 of 5,984 reads were refused
-	// in three runs, against 225 when keys come back as fast as they go.
+	// demand moves from region to region, 97 and 165 of 5,984 reads were refused in two
+	// runs, against 225 in one when keys come back as fast as they go.
 	takeBack = 0.25
 )
 
