Let the capacity bench change configuration by a number, not by the time of day

Ruled out: other uses of the clock in verdicts; the three other places that format a time of day print it for people.

Before: TestRunsASmallFleet fails at 00:37.

--- a/cmd/internal/benchcapacity/measure.go
+++ b/cmd/internal/benchcapacity/measure.go
@@ -173,8 +173,8 @@
 	}
 	api := r.store.As("operator", "elsewhere")
 	before := r.sample()
-	for range n {
-		seconds, err := r.change(ctx, api)
+	for i := range n {
+		seconds, err := r.change(ctx, api, i)
 		if err != nil {
 			return err
 		}
@@ -188,7 +188,21 @@
 	return nil
 }
 
-func (r *rig) change(ctx context.Context, api objects.API) (float64, error) {
+// firstTimeout is what the first change sets, in ms; the fleet begins with less.
+const firstTimeout = 2001
+
+// changedSpec is what a service declares after the change with the given number,
+// counted from 0. Each differs from the one before, so that each is a change.
+func changedSpec(number int) (json.RawMessage, error) {
+	return json.Marshal(struct {
+		Hosts     []string `json:"hosts"`
+		TimeoutMs int      `json:"timeoutMs"`
+	}{[]string{"s0.example"}, firstTimeout + number})
+}
+
+// change makes one change of configuration and returns how long it took, in
+// seconds, until every entry VM had it in force.
+func (r *rig) change(ctx context.Context, api objects.API, number int) (float64, error) {
 	old, err := api.Get(ctx, "Service", "service-0")
 	if err != nil {
 		return 0, err
@@ -197,7 +211,9 @@
 	if err := json.Unmarshal(old.Value, &value); err != nil {
 		return 0, err
 	}
-	value["spec"] = json.RawMessage(`{"hosts":["s0.example"],"timeoutMs":` + time.Now().Format("150405") + `}`)
+	if value["spec"], err = changedSpec(number); err != nil {
+		return 0, err
+	}
 	raw, err := json.Marshal(value)
 	if err != nil {
 		return 0, err
