Tell the starts of a target apart, and leave out entries that name none

Cause: two new words of the platform. A target may start again under its name with counts that begin anew; its entries were then taken for old until the count had caught up, so that a leaving target would have looked open. And one spoiled entry made each read of the store count as failed: a VM that started meanwhile never became ready, and a record of an entry VM that could not be read made the start ask for ever.

Change: entries are ordered by generation, then by writes; learned times, ejection, running requests, idle connections and open cases of poison belong to one generation; an ended one never comes back, late writes and peers included. Entries are decoded one by one and checked field by field; a bad one takes its target out, is told once with the reason and counted, and hides no other; pages are read past spoiled objects.

Ruled out: cutting requests in flight on the news of a restart: the connection may lead to the new start already.

--- a/cmd/internal/benchplacement/ways.go
+++ b/cmd/internal/benchplacement/ways.go
@@ -53,7 +53,7 @@
 		c.retryAfter = refusal.RetryAfter
 		return "", false
 	}
-	b.Began(now, pick.Target.Name, c.key, pick.Trial)
+	b.Began(now, pick.Target, c.key, pick.Trial)
 	c.pick = pick
 	return pick.Target.Name, true
 }
@@ -63,7 +63,7 @@
 	if o == placement.Served || o == placement.Shed {
 		r.LoadKnown, r.Running, r.Waiting = true, c.target.running, c.target.waiting
 	}
-	p.balancers[c.vm].Ended(now, c.target.Name, r, c.pick.Trial, c.pick.Wait > 0)
+	p.balancers[c.vm].Ended(now, c.pick.Target, r, c.pick.Trial, c.pick.Wait > 0)
 }
 
 // lend is what entry VMs tell each other of their demand.
--- a/node/gateway/beliefs.go
+++ b/node/gateway/beliefs.go
@@ -4,6 +4,7 @@
 	"sort"
 	"sync"
 
+	"heatherlock/platform"
 	"heatherlock/steering"
 	"heatherlock/steering/placement"
 )
@@ -14,8 +15,16 @@
 // beliefs is what the log has told of the targets, so that it tells changes.
 type beliefs struct {
 	mu      sync.Mutex
-	known   map[steering.Target]bool // closed or not
+	known   map[steering.Target]belief
 	ejected map[steering.Target]bool
+	// unusable holds, by target, why its entry names none; at most mostUnusable.
+	unusable map[steering.Target]string
+}
+
+// belief is what was told of a target.
+type belief struct {
+	closed     bool
+	generation steering.Generation
 }
 
 // logTargets tells which targets came, went, closed and opened again.
@@ -23,17 +32,20 @@
 	b := &g.beliefs
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	now := make(map[steering.Target]bool, len(targets))
-	var came, closed, opened, gone []steering.Target
+	now := make(map[steering.Target]belief, len(targets))
+	var came, closed, opened, restarted, gone []steering.Target
 	for _, t := range targets {
-		now[t.Name] = t.Closed
+		now[t.Name] = belief{closed: t.Closed, generation: t.Generation}
 		was, known := b.known[t.Name]
+		if known && was.generation != t.Generation {
+			restarted = append(restarted, t.Name)
+		}
 		switch {
 		case !known:
 			came = append(came, t.Name)
-		case t.Closed && !was:
+		case t.Closed && !was.closed:
 			closed = append(closed, t.Name)
-		case was && !t.Closed:
+		case was.closed && !t.Closed:
 			opened = append(opened, t.Name)
 		}
 	}
@@ -43,10 +55,11 @@
 		}
 	}
 	b.known = now
+	b.forgetUsable(now)
 	for _, change := range []struct {
 		msg   string
 		names []steering.Target
-	}{{"targets came", came}, {"targets get nothing new", closed}, {"targets open again", opened}, {"targets gone", gone}} {
+	}{{"targets came", came}, {"targets get nothing new", closed}, {"targets open again", opened}, {"targets started again", restarted}, {"targets gone", gone}} {
 		g.logNames(change.msg, change.names)
 	}
 }
@@ -74,6 +87,46 @@
 	g.logNames("targets used again", ended)
 }
 
+// mostUnusable bounds the entries remembered as told, so that a flood of spoiled ones
+// neither fills the log nor the memory.
+const mostUnusable = 64
+
+// Unusable implements feed.Sink: it counts the entries that name no target, and tells
+// each once with the reason.
+func (g *Gateway) Unusable(entries []platform.BadEntry) {
+	g.metrics.Scope.Counter("gateway_entries_unusable").Inc(int64(len(entries)))
+	b := &g.beliefs
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.unusable == nil {
+		b.unusable = make(map[steering.Target]string)
+	}
+	untold := 0
+	for _, e := range entries {
+		if b.unusable[e.Name] == e.Reason {
+			continue
+		}
+		if _, told := b.unusable[e.Name]; !told && len(b.unusable) >= mostUnusable {
+			untold++
+			continue
+		}
+		b.unusable[e.Name] = e.Reason
+		_ = g.log.Log("msg", "entry names no target, it is left out", "entry", e.Name, "why", e.Reason) // the writer counts what it drops
+	}
+	if untold > 0 {
+		_ = g.log.Log("msg", "more entries name no target", "count", untold) // as above
+	}
+}
+
+// forgetUsable forgets the entries that name a target again, so that the next fault is told.
+func (b *beliefs) forgetUsable(known map[steering.Target]belief) {
+	for name := range b.unusable {
+		if _, usable := known[name]; usable {
+			delete(b.unusable, name)
+		}
+	}
+}
+
 func (g *Gateway) logNames(msg string, names []steering.Target) {
 	if len(names) == 0 {
 		return
--- a/node/gateway/feed/reader.go
+++ b/node/gateway/feed/reader.go
@@ -50,8 +50,8 @@
 
 // Store is what a Reader reads.
 type Store interface {
-	Targets(ctx context.Context) ([]platform.Target, int64, error)
-	TargetChanges(ctx context.Context, since int64, wait time.Duration) ([]platform.TargetChange, int64, error)
+	Targets(ctx context.Context) (platform.TargetList, error)
+	TargetChanges(ctx context.Context, since int64, wait time.Duration) (platform.TargetChanges, error)
 	Config(ctx context.Context) (platform.Config, error)
 	ConfigChanges(ctx context.Context, since int64, wait time.Duration) (platform.Config, error)
 	Evacuations(ctx context.Context) ([]steering.Zone, int64, error)
@@ -63,7 +63,9 @@
 	// Configured is told each newer configuration.
 	Configured(t *routes.Table)
 	// Placed is told the targets when they changed.
-	Placed(targets []placement.Target, known func(steering.Target) bool)
+	Placed(targets []placement.Target, known func(steering.Target) (steering.Generation, bool))
+	// Unusable is told the entries that name no target, each time that they are read.
+	Unusable(entries []platform.BadEntry)
 	// Reading is told that a read of the store begins, Refreshed that it was read.
 	Reading()
 	Refreshed()
@@ -189,7 +191,7 @@
 		r.sink.Configured(r.state.Table())
 	}
 	if r.state.Complete() && (changed || !complete) {
-		r.sink.Placed(r.state.Placement(), r.state.Knows)
+		r.sink.Placed(r.state.Placement(), r.state.Generation)
 	}
 }
 
@@ -264,21 +266,33 @@
 func (r *Reader) readTargets(ctx context.Context) error {
 	since, _, _ := r.revisions()
 	if since > 0 {
-		changes, revision, err := r.store.TargetChanges(ctx, since, 0)
-		if revision > 0 {
-			r.update(func() bool { return r.state.Changed(time.Now(), changes, revision) })
+		found, err := r.store.TargetChanges(ctx, since, 0)
+		if err == nil {
+			r.update(func() bool { return r.state.Changed(time.Now(), found) })
+			r.tellUnusable(found.Bad, found.Usable())
 		}
 		if platform.FaultOf(err) != platform.FaultHistoryGone {
 			return err
 		}
 	}
-	all, revision, err := r.store.Targets(ctx)
-	if revision > 0 {
-		r.update(func() bool { return r.state.Listed(time.Now(), all, revision) })
+	all, err := r.store.Targets(ctx)
+	if err == nil {
+		r.update(func() bool { return r.state.Listed(time.Now(), all) })
+		r.tellUnusable(all.Bad, all.Targets)
 	}
 	return err
 }
 
+// tellUnusable tells the sink which of the entries just read name no target.
+func (r *Reader) tellUnusable(bad []platform.BadEntry, read []platform.Target) {
+	r.mu.Lock()
+	bad = append(bad, r.state.strangers(read)...)
+	r.mu.Unlock()
+	if len(bad) > 0 {
+		r.sink.Unusable(bad)
+	}
+}
+
 func (r *Reader) readConfig(ctx context.Context) error {
 	_, since, _ := r.revisions()
 	if since > 0 {
--- a/node/gateway/feed/share.go
+++ b/node/gateway/feed/share.go
@@ -127,8 +127,8 @@
 			k.Entries = append(k.Entries, s.tell(now, name))
 		}
 	}
-	for name, revision := range s.gone {
-		if k.Since > 0 && revision > k.Since {
+	for name, e := range s.gone {
+		if k.Since > 0 && e.revision > k.Since {
 			k.Gone = append(k.Gone, name)
 		}
 	}
@@ -188,6 +188,10 @@
 			s.doubtUntil = maxTime(s.doubtUntil, now.Add(returnTime))
 		}
 		old := s.targets[e.Name]
+		if old != nil && e.Generation < old.Generation || old == nil && e.Generation < s.gone[e.Name].generation {
+			told[e.Name] = true
+			continue // of a start that has ended
+		}
 		if old == nil || old.hash() != e.hash() || e.coldUntil.After(old.coldUntil.Add(coldNews)) {
 			names = append(names, e.Name)
 		} else {
@@ -197,8 +201,7 @@
 		told[e.Name] = true
 	}
 	for _, name := range k.Gone {
-		if s.targets[name] != nil {
-			delete(s.targets, name)
+		if s.drop(name) {
 			names = append(names, name)
 		}
 	}
@@ -206,8 +209,7 @@
 		return names
 	}
 	for name := range s.targets {
-		if !told[name] {
-			delete(s.targets, name)
+		if !told[name] && s.drop(name) {
 			names = append(names, name)
 		}
 	}
--- a/node/gateway/feed/state.go
+++ b/node/gateway/feed/state.go
@@ -60,6 +60,14 @@
 	AgeMs int64 `json:"age"`
 }
 
+// ending is how a target's entry ended.
+type ending struct {
+	// revision is one by which it was gone.
+	revision int64
+	// generation is the target's last that was known.
+	generation steering.Generation
+}
+
 // State is what is known of the store. It is not safe for concurrent use.
 type State struct {
 	beat    time.Duration
@@ -68,7 +76,7 @@
 	targets  map[steering.Target]*Entry
 	revision int64
 	content  uint64
-	gone     map[steering.Target]int64 // the revision by which each was gone
+	gone     map[steering.Target]ending
 	// cold is a revision by which some target had turned cold again, and turnedCold
 	// is set while a read shows that.
 	cold       int64
@@ -94,7 +102,7 @@
 
 // NewState returns an empty state. beat is how often targets write to the store.
 func NewState(beat time.Duration, regions map[steering.Zone]steering.Region) *State {
-	return &State{beat: beat, regions: regions, targets: make(map[steering.Target]*Entry), gone: make(map[steering.Target]int64),
+	return &State{beat: beat, regions: regions, targets: make(map[steering.Target]*Entry), gone: make(map[steering.Target]ending),
 		evacuated: make(map[steering.Zone]bool), coldZones: make(map[steering.Zone]time.Time)}
 }
 
@@ -128,16 +136,22 @@
 
 // Listed takes in a whole list of targets. It reports whether anything changed
 // that matters.
-func (s *State) Listed(now time.Time, all []platform.Target, revision int64) bool {
+func (s *State) Listed(now time.Time, all platform.TargetList) bool {
 	s.noteRead(now)
-	listed := make(map[steering.Target]bool, len(all))
+	revision := all.Revision
+	listed := make(map[steering.Target]bool, len(all.Targets))
 	var changed []steering.Target
-	for _, t := range all {
+	for _, t := range all.Targets {
 		listed[t.Name] = true
 		if s.upsert(now, t) {
 			changed = append(changed, t.Name)
 		}
 	}
+	for _, bad := range all.Bad {
+		if s.drop(bad.Name) {
+			changed = append(changed, bad.Name)
+		}
+	}
 	for name := range s.targets {
 		if !listed[name] && s.missing(now, name) {
 			changed = append(changed, name)
@@ -151,26 +165,40 @@
 }
 
 // Changed takes in changes of targets.
-func (s *State) Changed(now time.Time, changes []platform.TargetChange, revision int64) bool {
+func (s *State) Changed(now time.Time, found platform.TargetChanges) bool {
 	s.noteRead(now)
 	var changed []steering.Target
-	for _, c := range changes {
-		if c.Removed && s.missing(now, c.Target.Name) || !c.Removed && s.upsert(now, c.Target) {
+	for _, c := range found.Changes {
+		if s.change(now, c) {
 			changed = append(changed, c.Target.Name)
 		}
 	}
-	s.revision = revision
+	s.revision = found.Revision
 	return s.recorded(changed)
 }
 
+// change takes in one change, and reports whether it says something new.
+func (s *State) change(now time.Time, c platform.TargetChange) bool {
+	switch {
+	case c.Removed:
+		return s.missing(now, c.Target.Name)
+	case c.Unusable:
+		return s.drop(c.Target.Name)
+	}
+	return s.upsert(now, c.Target)
+}
+
 // upsert reports whether the entry says something new.
 func (s *State) upsert(now time.Time, t platform.Target) bool {
 	old := s.targets[t.Name]
-	if old == nil {
+	if old == nil && t.Generation < s.gone[t.Name].generation {
+		return false // a late write of a start that ended before the one last known
+	}
+	if old == nil || t.Generation > old.Generation {
 		s.targets[t.Name] = &Entry{Target: t, coldUntil: coldUntil(now, t.ColdLeft)}
 		return true
 	}
-	if t.Beat < old.Beat {
+	if t.Before(old.Target) {
 		return false // an older state of the entry, seen late
 	}
 	changed := old.Leaving != t.Leaving || old.Slots != t.Slots || old.Address != t.Address || old.Missing
@@ -205,7 +233,18 @@
 		t.Missing = true
 		return changed
 	}
+	return s.drop(name)
+}
+
+// drop forgets a target, and reports whether it was known. Its end is on record once
+// recorded has been told.
+func (s *State) drop(name steering.Target) bool {
+	t := s.targets[name]
+	if t == nil {
+		return false
+	}
 	delete(s.targets, name)
+	s.gone[name] = ending{revision: s.gone[name].revision, generation: t.Generation}
 	return true
 }
 
@@ -216,8 +255,7 @@
 	}
 	var changed []steering.Target
 	for name, t := range s.targets {
-		if t.Missing {
-			delete(s.targets, name)
+		if t.Missing && s.drop(name) {
 			changed = append(changed, name)
 		}
 	}
@@ -238,7 +276,7 @@
 			delete(s.gone, name)
 			continue
 		}
-		s.gone[name] = s.revision
+		s.gone[name] = ending{revision: s.revision, generation: s.gone[name].generation}
 	}
 	s.forgetGone()
 	s.content = s.hash()
@@ -252,13 +290,13 @@
 		return
 	}
 	revisions := make([]int64, 0, len(s.gone))
-	for _, revision := range s.gone {
-		revisions = append(revisions, revision)
+	for _, e := range s.gone {
+		revisions = append(revisions, e.revision)
 	}
 	slices.Sort(revisions)
 	s.floor = max(s.floor, revisions[len(revisions)/2])
-	for name, revision := range s.gone {
-		if revision <= s.floor {
+	for name, e := range s.gone {
+		if e.revision <= s.floor {
 			delete(s.gone, name)
 		}
 	}
@@ -276,13 +314,14 @@
 func (t *Entry) hash() uint64 {
 	d := xxhash.New()
 	_, _ = d.WriteString(string(t.Name) + "\x00" + t.Address + "\x00" + string(t.Service)) // a hash takes all
-	var flags [3]byte
+	var flags [11]byte
 	binary.BigEndian.PutUint16(flags[:], uint16(t.Slots))
+	binary.BigEndian.PutUint64(flags[2:], uint64(t.Generation))
 	if t.Leaving {
-		flags[2] |= 1
+		flags[10] |= 1
 	}
 	if t.Missing {
-		flags[2] |= 2
+		flags[10] |= 2
 	}
 	_, _ = d.Write(flags[:])
 	return d.Sum64()
@@ -341,7 +380,11 @@
 func (s *State) Placement() []placement.Target {
 	all := make([]placement.Target, 0, len(s.targets))
 	for _, t := range s.targets {
-		p := placement.Target{Name: t.Name, Service: t.Service, Address: t.Address, Zone: t.Zone, Region: s.regions[t.Zone],
+		region, known := s.regions[t.Zone]
+		if !known {
+			continue // see strangers
+		}
+		p := placement.Target{Name: t.Name, Generation: t.Generation, Service: t.Service, Address: t.Address, Zone: t.Zone, Region: region,
 			Slots: t.Slots, Closed: (t.Leaving || s.evacuated[t.Zone]) && planted.Defect != planted.LeavingIgnored, ColdUntil: t.coldUntil}
 		if until := s.coldZones[t.Zone]; until.After(p.ColdUntil) {
 			p.ColdUntil = until
@@ -354,5 +397,24 @@
 	return all
 }
 
-// Knows reports whether a target is on record.
-func (s *State) Knows(name steering.Target) bool { return s.targets[name] != nil }
+// strangers returns the entries whose zone is not one of the settings. They get no
+// requests: without a region neither the bounds on where a request may run nor those on
+// lending can be kept for them.
+func (s *State) strangers(targets []platform.Target) []platform.BadEntry {
+	var found []platform.BadEntry
+	for _, t := range targets {
+		if _, known := s.regions[t.Zone]; !known {
+			found = append(found, platform.BadEntry{Name: t.Name, Reason: "its zone is not in the settings"})
+		}
+	}
+	return found
+}
+
+// Generation returns the known start of a target; known is false if it is not on record.
+func (s *State) Generation(name steering.Target) (generation steering.Generation, known bool) {
+	t := s.targets[name]
+	if t == nil {
+		return 0, false
+	}
+	return t.Generation, true
+}
--- a/node/gateway/feed/state_test.go
+++ b/node/gateway/feed/state_test.go
@@ -27,6 +27,16 @@
 	return platform.Target{Name: steering.Target(name), Service: "s", Address: "10.0.0.1:80", Zone: "a", Slots: 3, Beat: beat, Leaving: leaving}
 }
 
+// listed is a read of all targets at a revision.
+func listed(targets []platform.Target, revision int64) platform.TargetList {
+	return platform.TargetList{Targets: targets, Revision: revision}
+}
+
+// changed is a read of what changed, up to a revision.
+func changed(changes []platform.TargetChange, revision int64) platform.TargetChanges {
+	return platform.TargetChanges{Changes: changes, Revision: revision}
+}
+
 func names(s *feed.State) map[steering.Target]placement.Target {
 	all := make(map[steering.Target]placement.Target)
 	for _, t := range s.Placement() {
@@ -45,14 +55,14 @@
 // left. Entries have 2 s to come back; one that is still missing then is gone.
 func TestEntriesThatLapsedInAnOutageHaveTimeToComeBack(t *testing.T) {
 	s := feed.NewState(beat, regions)
-	s.Listed(start, []platform.Target{target("back", 1, false), target("gone", 1, false), target("leaving", 1, true)}, 10)
+	s.Listed(start, listed([]platform.Target{target("back", 1, false), target("gone", 1, false), target("leaving", 1, true)}, 10))
 	s.Fresh(start)
 	now := start.Add(10 * time.Second)
-	s.Listed(now, nil, 20)
+	s.Listed(now, listed(nil, 20))
 	s.Fresh(now)
 	assert.Equal(t, len(names(s)), 2, "a leaving target needs no second look")
 	now = now.Add(1500 * time.Millisecond)
-	s.Changed(now, []platform.TargetChange{{Target: target("back", 2, false)}}, 30)
+	s.Changed(now, changed([]platform.TargetChange{{Target: target("back", 2, false)}}, 30))
 	s.Fresh(now)
 	assert.Assert(t, !s.Settle(now))
 	now = now.Add(time.Second)
@@ -65,9 +75,9 @@
 // outage a missing entry is gone at once.
 func TestEntryThatIsRemovedIsGone(t *testing.T) {
 	s := feed.NewState(beat, regions)
-	s.Listed(start, []platform.Target{target("a", 1, false)}, 10)
+	s.Listed(start, listed([]platform.Target{target("a", 1, false)}, 10))
 	s.Fresh(start)
-	assert.Assert(t, s.Changed(start.Add(time.Second), []platform.TargetChange{{Target: platform.Target{Name: "a"}, Removed: true}}, 11))
+	assert.Assert(t, s.Changed(start.Add(time.Second), changed([]platform.TargetChange{{Target: platform.Target{Name: "a"}, Removed: true}}, 11)))
 	assert.Equal(t, len(names(s)), 0)
 }
 
@@ -75,8 +85,8 @@
 // its entry arrives after the newer. Cause: taking what comes last for newest.
 func TestOlderStateOfAnEntryIsIgnored(t *testing.T) {
 	s := feed.NewState(beat, regions)
-	s.Listed(start, []platform.Target{target("a", 5, true)}, 10)
-	s.Changed(start, []platform.TargetChange{{Target: target("a", 4, false)}}, 11)
+	s.Listed(start, listed([]platform.Target{target("a", 5, true)}, 10))
+	s.Changed(start, changed([]platform.TargetChange{{Target: target("a", 4, false)}}, 11))
 	assert.Assert(t, names(s)["a"].Closed)
 }
 
@@ -85,7 +95,7 @@
 // later. Cause: sending the full load at once.
 func TestZoneTakenBackIsColdAtFirst(t *testing.T) {
 	s := feed.NewState(beat, regions)
-	s.Listed(start, []platform.Target{target("a", 1, false)}, 10)
+	s.Listed(start, listed([]platform.Target{target("a", 1, false)}, 10))
 	s.Evacuating(start, []steering.Zone{"a"}, 11)
 	assert.Assert(t, names(s)["a"].Closed)
 	s.EvacuationChanged(start, []platform.EvacuationChange{{Zone: "a", Ended: true}}, 12)
@@ -100,7 +110,7 @@
 func TestTellingTheSameReadDoesNotMakeItYounger(t *testing.T) {
 	a, b := feed.NewState(beat, regions), feed.NewState(beat, regions)
 	for _, s := range []*feed.State{a, b} {
-		s.Listed(start, []platform.Target{target("a", 1, false)}, 10)
+		s.Listed(start, listed([]platform.Target{target("a", 1, false)}, 10))
 		s.Configured(table(1), 10)
 		s.Evacuating(start, nil, 10)
 		s.Fresh(start)
@@ -128,12 +138,12 @@
 // that depends on when a VM began to look.
 func TestVMThatStartsLaterKnowsTheSame(t *testing.T) {
 	old, late := feed.NewState(beat, regions), feed.NewState(beat, regions)
-	old.Listed(start, []platform.Target{target("x", 1, false)}, 10)
+	old.Listed(start, listed([]platform.Target{target("x", 1, false)}, 10))
 	cold := target("x", 2, false)
 	cold.ColdLeft = 3 * time.Second
-	old.Changed(start, []platform.TargetChange{{Target: cold}}, 11)
+	old.Changed(start, changed([]platform.TargetChange{{Target: cold}}, 11))
 	old.Fresh(start)
-	late.Listed(start, []platform.Target{target("x", 9, false)}, 20)
+	late.Listed(start, listed([]platform.Target{target("x", 9, false)}, 20))
 	late.Fresh(start)
 	assert.Equal(t, old.Digest(start).Content, late.Digest(start).Content)
 	pull, _ := old.Merge(start, late.Digest(start))
@@ -145,12 +155,12 @@
 func TestTurningColdIsTold(t *testing.T) {
 	a, b := feed.NewState(beat, regions), feed.NewState(beat, regions)
 	for _, s := range []*feed.State{a, b} {
-		s.Listed(start, []platform.Target{target("x", 1, false)}, 10)
+		s.Listed(start, listed([]platform.Target{target("x", 1, false)}, 10))
 		s.Fresh(start)
 	}
 	cold := target("x", 2, false)
 	cold.ColdLeft = 3 * time.Second
-	assert.Assert(t, a.Changed(start, []platform.TargetChange{{Target: cold}}, 11))
+	assert.Assert(t, a.Changed(start, changed([]platform.TargetChange{{Target: cold}}, 11)))
 	a.Fresh(start)
 	pull, _ := b.Merge(start, a.Digest(start))
 	assert.Assert(t, pull)
@@ -168,7 +178,7 @@
 func TestDifferenceThatMissesATargetIsNoticed(t *testing.T) {
 	before, between, after := feed.NewState(beat, regions), feed.NewState(beat, regions), feed.NewState(beat, regions)
 	read := func(s *feed.State, revision int64, all ...platform.Target) {
-		s.Listed(start, all, revision)
+		s.Listed(start, listed(all, revision))
 		s.Evacuating(start, nil, revision)
 		s.Configured(table(3), revision)
 		s.Fresh(start)
@@ -242,7 +252,7 @@
 		for _, t := range f.now {
 			all = append(all, t)
 		}
-		s.Listed(now, all, f.revision)
+		s.Listed(now, listed(all, f.revision))
 	} else {
 		var changes []platform.TargetChange
 		for _, e := range f.events {
@@ -250,7 +260,7 @@
 				changes = append(changes, e.change)
 			}
 		}
-		s.Changed(now, changes, f.revision)
+		s.Changed(now, changed(changes, f.revision))
 	}
 	s.Evacuating(now, nil, f.revision)
 	if f.config > 0 {
--- a/node/gateway/gateway.go
+++ b/node/gateway/gateway.go
@@ -156,10 +156,10 @@
 }
 
 // Placed implements feed.Sink.
-func (g *Gateway) Placed(targets []placement.Target, known func(steering.Target) bool) {
-	g.relay.WithBalancer(func(balancer *placement.Balancer, _ *retry.SharedBudget) { balancer.SetTargets(targets) })
+func (g *Gateway) Placed(targets []placement.Target, generationOf func(steering.Target) (steering.Generation, bool)) {
+	g.relay.SetTargets(targets)
 	g.logTargets(targets)
-	g.pool.Retain(known)
+	g.pool.Retain(generationOf)
 	g.metrics.Scope.Gauge("gateway_targets").Update(float64(len(targets)))
 	g.relay.SetReady()
 	g.becameReady()
@@ -214,7 +214,10 @@
 		pause(ctx, registerPause)
 	}
 	for ctx.Err() == nil {
-		vms, err := g.store.EntryVMs(ctx)
+		vms, bad, err := g.store.EntryVMs(ctx)
+		if bad > 0 {
+			_ = g.log.Log("msg", "records of entry VMs that cannot be read are left out", "count", bad) // as above
+		}
 		if err == nil {
 			members := make([]fleet.Member, 0, len(vms))
 			for _, vm := range vms {
--- a/node/gateway/gateway_test.go
+++ b/node/gateway/gateway_test.go
@@ -73,7 +73,7 @@
 }
 
 func (s *site) register(name, state string, seq int) {
-	s.store.Put("servers", name, map[string]any{"service": "svc", "address": s.targets[name].Address(), "zone": "a", "slots": 3, "state": state, "seq": seq})
+	s.store.Put("servers", name, map[string]any{"service": "svc", "address": s.targets[name].Address(), "zone": "a", "slots": 3, "state": state, "coldRemainingMs": 0, "version": "v1", "seq": seq})
 }
 
 func (s *site) route(name, kind string) {
--- a/node/gateway/relay/exchange.go
+++ b/node/gateway/relay/exchange.go
@@ -211,7 +211,7 @@
 func (x *exchange) try(ctx context.Context, pick placement.Pick) {
 	var sentAt time.Time
 	answer, err := x.f.cfg.Pool.Do(ctx, upstream.Call{
-		Target: pick.Target.Name, Address: pick.Target.Address,
+		Target: pick.Target.Name, Generation: pick.Target.Generation, Address: pick.Target.Address,
 		MaxConnections: x.maxConnections(), DialTimeout: min(dialTimeout, max(time.Until(x.giveUp), time.Millisecond)),
 		Began: func() { sentAt = time.Now() },
 	}, x.outgoing(pick))
--- a/node/gateway/relay/place.go
+++ b/node/gateway/relay/place.go
@@ -26,7 +26,7 @@
 	now := time.Now()
 	pick, refusal := f.cfg.Balancer.Choose(now, r)
 	if refusal == nil {
-		f.cfg.Balancer.Began(now, pick.Target.Name, r.Key, pick.Trial)
+		f.cfg.Balancer.Began(now, pick.Target, r.Key, pick.Trial)
 	}
 	return pick, refusal
 }
@@ -64,10 +64,10 @@
 		}
 	}
 	if sentAt.IsZero() {
-		f.cfg.Balancer.NotSent(now, e.pick.Target.Name, report.Outcome, e.pick.Trial)
+		f.cfg.Balancer.NotSent(now, e.pick.Target, report.Outcome, e.pick.Trial)
 		return
 	}
-	f.cfg.Balancer.Ended(now, e.pick.Target.Name, report, e.pick.Trial, e.pick.Wait > 0)
+	f.cfg.Balancer.Ended(now, e.pick.Target, report, e.pick.Trial, e.pick.Wait > 0)
 }
 
 func outcomeOf(ctx context.Context, e end, sentAt, now time.Time) placement.Outcome {
--- a/node/gateway/relay/relay.go
+++ b/node/gateway/relay/relay.go
@@ -106,6 +106,16 @@
 	update(f.cfg.Balancer, f.cfg.Retry)
 }
 
+// SetTargets replaces the targets that requests may be placed on.
+func (f *Relay) SetTargets(targets []placement.Target) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	now := time.Now()
+	for _, name := range f.cfg.Balancer.SetTargets(targets) {
+		f.suspects.restarted(now, name)
+	}
+}
+
 // SetReady tells that the targets are known.
 func (f *Relay) SetReady() { f.ready.Store(true) }
 
--- a/node/gateway/relay/suspects.go
+++ b/node/gateway/relay/suspects.go
@@ -98,6 +98,12 @@
 	delete(s.open, target)
 }
 
+// restarted notes that a target has started again under its name: its former start
+// ended, and the request in its hands may have been the cause.
+func (s *suspects) restarted(now time.Time, target steering.Target) {
+	s.settle(now, target, poison.Lost)
+}
+
 // tick decides the cases whose time is over.
 func (s *suspects) tick(now time.Time) {
 	for target, cases := range s.open {
--- a/node/gateway/upstream/exchange.go
+++ b/node/gateway/upstream/exchange.go
@@ -74,8 +74,9 @@
 
 // Call is where an exchange goes and what bounds it.
 type Call struct {
-	Target  steering.Target
-	Address string
+	Target     steering.Target
+	Generation steering.Generation
+	Address    string
 	// MaxConnections bounds the connections to the target from here.
 	MaxConnections int
 	// DialTimeout bounds a connection attempt.
@@ -86,7 +87,7 @@
 
 // Do sends a request and returns the answer. The error is an *Error.
 func (p *Pool) Do(ctx context.Context, call Call, r *Request) (*Answer, error) {
-	h := p.host(call.Target)
+	h := p.host(call.Target, call.Generation)
 	e := &exchange{request: &http.Request{Method: r.Method}, id: r.ID, done: make(chan result, 1)}
 	c := h.take(time.Now())
 	if c == nil || !c.start(e) {
--- a/node/gateway/upstream/pool.go
+++ b/node/gateway/upstream/pool.go
@@ -44,44 +44,61 @@
 	return &Pool{dial: dial, idOf: idOf, hosts: make(map[steering.Target]*hostPool)}
 }
 
-// hostPool keeps the connections to one start of a target, so that none is ever
-// used for another target that took over the address.
+// hostPool keeps the connections to one target, so that none is ever used for
+// another target that took over the address.
 type hostPool struct {
+	// generation is the target's start as last told; guarded by the pool's lock.
+	generation steering.Generation
+
 	mu   sync.Mutex
 	free []*conn
 	open int
 }
 
-func (p *Pool) host(target steering.Target) *hostPool {
+func (p *Pool) host(target steering.Target, generation steering.Generation) *hostPool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	h := p.hosts[target]
 	if h == nil {
-		h = &hostPool{}
+		h = &hostPool{generation: generation}
 		p.hosts[target] = h
 	}
 	return h
 }
 
-// Retain closes the idle connections of targets that keep reports as gone.
-func (p *Pool) Retain(keep func(steering.Target) bool) {
+// Retain closes the idle connections of targets that are not known, or that have
+// started again.
+//
+// What goes wrong otherwise: a target that restarts behind a cut never closes the
+// connections of its former start, a request sent on one may hang or be reset, and one
+// that must run once is then lost. A request in flight is left alone, since the
+// connection may already lead to the new start; a dead one is found by its probes.
+func (p *Pool) Retain(generationOf func(steering.Target) (steering.Generation, bool)) {
+	var stale []*hostPool
 	p.mu.Lock()
-	var gone []*hostPool
 	for name, h := range p.hosts {
-		if !keep(name) {
-			gone = append(gone, h)
+		generation, known := generationOf(name)
+		if !known {
 			delete(p.hosts, name)
 		}
+		if !known || generation != h.generation {
+			stale = append(stale, h)
+		}
+		h.generation = generation
 	}
 	p.mu.Unlock()
-	for _, h := range gone {
-		h.mu.Lock()
-		free := h.free
-		h.free = nil
-		h.mu.Unlock()
-		for _, c := range free {
-			c.close()
-		}
+	for _, h := range stale {
+		h.closeIdle()
+	}
+}
+
+func (h *hostPool) closeIdle() {
+	h.mu.Lock()
+	free := h.free
+	h.free = nil
+	h.mu.Unlock()
+	for _, c := range free {
+		c.close()
 	}
 }
 
--- a/soak/site.go
+++ b/soak/site.go
@@ -134,7 +134,7 @@
 	}
 	t.seq++
 	s.store.Put("servers", t.name, map[string]any{"service": serviceName, "address": t.proxy.address(), "zone": zoneOf(len(t.name) + int(t.name[len(t.name)-1])),
-		"slots": targetSlots, "state": state, "seq": t.seq})
+		"slots": targetSlots, "state": state, "coldRemainingMs": 0, "version": "v1", "seq": t.seq})
 }
 
 // beat writes the entries of all targets that live, again and again.
--- a/steering/ids.go
+++ b/steering/ids.go
@@ -15,6 +15,11 @@
 // Target names one endpoint that answers requests of one service.
 type Target string
 
+// Generation tells the starts of a target apart that it made under one name: that of
+// a later start is greater. 0 means that the target does not tell. What was learned of
+// a target, what it holds and what it was sent belong to one generation.
+type Generation int64
+
 // VM names an entry VM. The name outlives a process; see Incarnation.
 type VM string
 
--- a/steering/placement/balancer.go
+++ b/steering/placement/balancer.go
@@ -39,14 +39,23 @@
 }
 
 // SetTargets replaces the declared targets; what was learned of those that stay
-// is kept.
-func (b *Balancer) SetTargets(targets []Target) {
+// is kept. It returns those that have started again under their name.
+//
+// What goes wrong when a new start inherits from the one before: it is taken for warm
+// and as fast as it was, requests that died with the old start count as running for ever,
+// and it stays ejected for what the old one did. One would notice a target that gets too
+// much while it is cold, or nothing when it is well.
+func (b *Balancer) SetTargets(targets []Target) (restarted []steering.Target) {
 	next := make(map[steering.Target]*state, len(targets))
 	for _, v := range b.services {
 		v.targets = nil
 	}
 	for _, t := range targets {
 		s := b.byName[t.Name]
+		if s != nil && s.Generation != t.Generation {
+			restarted = append(restarted, t.Name)
+			s = nil
+		}
 		if s == nil {
 			s = &state{hash: hash(string(t.Name))}
 		}
@@ -59,6 +68,17 @@
 		sort.Slice(v.targets, func(i, j int) bool { return v.targets[i].Name < v.targets[j].Name })
 	}
 	b.byName = next
+	return restarted
+}
+
+// stateOf returns what is known of a target if that start of it is still the last
+// one; nil otherwise.
+func (b *Balancer) stateOf(t Target) *state {
+	s := b.byName[t.Name]
+	if s == nil || s.Generation != t.Generation {
+		return nil
+	}
+	return s
 }
 
 // SetPeers tells which entry VMs live, this one included.
@@ -124,17 +144,18 @@
 
 // Began notes that a request was placed on a target. Ended or NotSent has to
 // follow.
-func (b *Balancer) Began(now time.Time, name steering.Target, key string, trial bool) {
-	if s := b.byName[name]; s != nil {
+func (b *Balancer) Began(now time.Time, t Target, key string, trial bool) {
+	if s := b.stateOf(t); s != nil {
 		s.sent++
 		s.trying = s.trying || trial
 		s.remember(now, key)
 	}
 }
 
-// Ended notes how an exchange ended.
-func (b *Balancer) Ended(now time.Time, name steering.Target, r Report, trial bool, queued bool) {
-	s := b.byName[name]
+// Ended notes how an exchange ended. What an earlier start of the target did is not
+// held against the present one.
+func (b *Balancer) Ended(now time.Time, t Target, r Report, trial bool, queued bool) {
+	s := b.stateOf(t)
 	if s == nil {
 		return
 	}
@@ -216,8 +237,8 @@
 }
 
 // NotSent notes a try that reached no target.
-func (b *Balancer) NotSent(now time.Time, name steering.Target, o Outcome, trial bool) {
-	s := b.byName[name]
+func (b *Balancer) NotSent(now time.Time, t Target, o Outcome, trial bool) {
+	s := b.stateOf(t)
 	if s == nil {
 		return
 	}
--- a/steering/placement/placement_test.go
+++ b/steering/placement/placement_test.go
@@ -42,8 +42,8 @@
 func serve(b *placement.Balancer, now time.Time, r placement.Request, o placement.Outcome) (placement.Pick, *placement.Refusal) {
 	pick, refusal := b.Choose(now, r)
 	if refusal == nil {
-		b.Began(now, pick.Target.Name, r.Key, pick.Trial)
-		b.Ended(now, pick.Target.Name, placement.Report{Outcome: o, Took: 100 * time.Millisecond}, pick.Trial, false)
+		b.Began(now, pick.Target, r.Key, pick.Trial)
+		b.Ended(now, pick.Target, placement.Report{Outcome: o, Took: 100 * time.Millisecond}, pick.Trial, false)
 	}
 	return pick, refusal
 }
@@ -86,13 +86,13 @@
 		now = now.Add(20 * time.Millisecond)
 		pick, refusal := b.Choose(now, r)
 		assert.Assert(t, refusal == nil)
-		b.Began(now, pick.Target.Name, r.Key, pick.Trial)
+		b.Began(now, pick.Target, r.Key, pick.Trial)
 		outcome := placement.Served
 		if pick.Target.Name == first.Target.Name {
 			outcome = placement.Silent
 			lost++
 		}
-		b.Ended(now, pick.Target.Name, placement.Report{Outcome: outcome, Took: time.Millisecond}, pick.Trial, false)
+		b.Ended(now, pick.Target, placement.Report{Outcome: outcome, Took: time.Millisecond}, pick.Trial, false)
 	}
 	assert.Assert(t, lost <= 5, "%d of 100 requests in 2 s went to the dead target", lost)
 	now = now.Add(10 * time.Second)
@@ -133,7 +133,7 @@
 		assert.Assert(t, refusal == nil)
 		assert.Equal(t, pick.Target.Name, all[2].Name)
 	}
-	b.Ended(start, all[2].Name, placement.Report{Outcome: placement.Replaced}, false, false)
+	b.Ended(start, all[2], placement.Report{Outcome: placement.Replaced}, false, false)
 	r := request("x")
 	r.Tried = []steering.Target{all[1].Name}
 	_, refusal := b.Choose(start, r)
@@ -245,7 +245,7 @@
 		b.Arrived(now, service)
 		pick, refusal := b.Choose(now, request(fmt.Sprint("key-", n%40)))
 		assert.Assert(t, refusal == nil)
-		b.Began(now, pick.Target.Name, "", pick.Trial)
+		b.Began(now, pick.Target, "", pick.Trial)
 		report := placement.Report{Outcome: placement.Served, Took: run, LoadKnown: true, Running: 1}
 		if pick.Away {
 			report.Took += way
@@ -253,7 +253,7 @@
 		if n%3 == 0 {
 			report.Took, report.Running, report.Waiting = report.Took+wait, 3, 2
 		}
-		b.Ended(now, pick.Target.Name, report, pick.Trial, false)
+		b.Ended(now, pick.Target, report, pick.Trial, false)
 	}
 	got := b.Demand(now)[service]
 	assert.Assert(t, math.Abs(float64(got.RunMs)-100) < 15, "a run is taken to last %.0f ms", got.RunMs)
--- a/steering/placement/types.go
+++ b/steering/placement/types.go
@@ -8,12 +8,14 @@
 
 // Target is what is declared of a target.
 type Target struct {
-	Name    steering.Target
-	Service steering.Service
-	Address string
-	Zone    steering.Zone
-	Region  steering.Region
-	Slots   int
+	Name steering.Target
+	// Generation is the start of the target that this is about.
+	Generation steering.Generation
+	Service    steering.Service
+	Address    string
+	Zone       steering.Zone
+	Region     steering.Region
+	Slots      int
 	// Closed targets get nothing new: they are leaving, or their zone is being
 	// evacuated.
 	Closed bool
