Do not take a full target for a failing one, nor no slots for all

Cause: all VMs send at once what their callers held back; the only target of the southern region refuses some, truly full (6 running, 18 waiting), is ejected for that, and the first step of lending finds a region without slots, which was given no shares, and so kept 0.95 of its keys for ten seconds. Ruled out: zones taken for cut off (none was); the demand told (alike). Hypothesis: refusals of a target that tells that it is full are no failures, and a region without an open slot lends all. Change: just these two.

--- a/steering/placement/balancer.go
+++ b/steering/placement/balancer.go
@@ -167,8 +167,12 @@
 		if !queued && !r.crowded(s.Slots) {
 			b.learn(s, r.Took.Seconds())
 		}
-	case Failed, Shed:
+	case Failed:
 		s.fail(now, false)
+	case Shed:
+		if !r.overfull(s.Slots) {
+			s.fail(now, false)
+		}
 	case Unreachable:
 		s.breaks = hardLimit
 		s.fail(now, true)
@@ -186,6 +190,17 @@
 	return r.LoadKnown && (r.Waiting > 0 || r.Running >= slots)
 }
 
+// overfull reports whether a target that refused a request was as full as it can be
+// expected to get: all slots taken, and as many waiting.
+//
+// What goes wrong when such a refusal counts as a failure: after a loss of all entry
+// VMs all send at once what their callers held back, the target of a region that has few
+// is ejected, its region is taken for one without slots, and the next second's requests
+// go where they start cold. One that refuses with slots free does fail.
+func (r Report) overfull(slots int) bool {
+	return r.LoadKnown && r.Running >= slots && r.Waiting >= slots
+}
+
 // learn takes in the time of a run that did not wait.
 //
 // What goes wrong when the times of a service take in runs in other regions and
--- a/steering/placement/lend_test.go
+++ b/steering/placement/lend_test.go
@@ -216,3 +216,13 @@
 	assert.Assert(t, first.Kept(service, "sur") < 0.35, "keeps %v", first[service]["sur"])
 	assert.Assert(t, first.Kept(service, "norte") == 1)
 }
+
+// Symptom: after the loss of all entry VMs one of them keeps the keys of a region with
+// nearly no targets there for ten seconds, and refuses a third of them. Sequence: when it
+// takes its first step, the region's only target is ejected. Cause: a region without an
+// open slot was given no shares, and a region without shares keeps all.
+func TestRegionWithoutSlotsAtTheFirstStepLendsAll(t *testing.T) {
+	demand := map[steering.Region]placement.DemandOf{"norte": asks(20), "sur": asks(20)}
+	first := placement.NextLending(nil, situation(demand, placement.Slots{service: {"norte": 72}}))
+	assert.Assert(t, first.Kept(service, "sur") < 0.01, "keeps %v", first[service]["sur"])
+}
--- a/steering/placement/plan.go
+++ b/steering/placement/plan.go
@@ -22,7 +22,7 @@
 
 func newPlan(service steering.Service, now Lending, busy, room map[steering.Region]float64, regions int) *plan {
 	p := &plan{room: room, busy: busy, level: levelOf(busy, room),
-		before: firstShares(room, regions), goal: make(map[steering.Region]Shares), load: make(map[steering.Region]float64)}
+		before: firstShares(room, busy, regions), goal: make(map[steering.Region]Shares), load: make(map[steering.Region]float64)}
 	if len(busy) == 0 {
 		p.goal = p.before
 		return p
@@ -30,8 +30,6 @@
 	for region := range regionsIn(room, busy) {
 		if shares, found := now[service][region]; found {
 			p.before[region] = shares
-		} else if p.before[region] == nil {
-			p.before[region] = Shares{region: 1}
 		}
 	}
 	p.measure()
@@ -40,10 +38,11 @@
 }
 
 // firstShares draws shares as if all regions asked the same, and together as much as all
-// slots bear: those of a VM that has just started, and those before there is demand.
-func firstShares(room map[steering.Region]float64, regions int) map[steering.Region]Shares {
+// slots bear: those of a VM that has just started, and those before there is demand. A
+// region that has no open slot just now lends all.
+func firstShares(room, busy map[steering.Region]float64, regions int) map[steering.Region]Shares {
 	equal := make(map[steering.Region]float64)
-	for region := range room {
+	for region := range regionsIn(room, busy) {
 		equal[region] = sum(room) / float64(max(regions, 1))
 	}
 	p := &plan{room: room, level: 1, goal: make(map[steering.Region]Shares)}
