--- a/steering/placement/doc.go
+++ b/steering/placement/doc.go
@@ -11,7 +11,7 @@
 // Answers to the loads it is made for:
 //
 //   - Uneven regions: a region with fewer targets than its callers need lends a
-//     fixed share of its keys to the others (see Lending). The share moves in
+//     share of its keys to those with most room (see Lending). Shares move in
 //     small steps, because a key that changes region starts cold there, and
 //     because the operator bounds how fast traffic may change region.
 //   - More load than fits: the wait at the target is predicted from what it
@@ -19,7 +19,7 @@
 //     be answered within its aim is refused at once, while its caller can still
 //     use the time; a queue of late answers would serve nobody in time.
 //   - A target that is dead, dark or failing is passed over on first-hand
-//     evidence and tried again with single requests. When most targets of a
+//     evidence (one that refuses because it is full is not failing) and tried again with single requests. When most targets of a
 //     service look bad, the evidence is doubted and all are used. A slow one keeps
 //     its keys as long as its queue allows: passing slow targets over (after eight
 //     slow runs in a row) moved the worth of twelve played days by less than 0.01
@@ -28,6 +28,6 @@
 //     entry VMs of its region by rendezvous, so that the sum holds without a
 //     message between them.
 //
-// Weighed against it: random choice in the region, least loaded of the first
-// three of the order, and least loaded of all; each cools the targets.
+// Weighed against it: random choice in the region, least loaded of the first two
+// or three of the order, and least loaded of all; each cools the targets.
 package placement
