--- a/node/gateway/gateway.go
+++ b/node/gateway/gateway.go
@@ -83,7 +83,7 @@
 	g.relay = relay.New(relay.Config{Region: settings.Region, Pool: g.pool,
 		Balancer: placement.NewBalancer(settings.VM, settings.Region),
 		Retry:    retry.NewSharedBudget(retryConfig(b)),
-		Log:      logger,
+		Log:      logger, TargetBeat: time.Duration(settings.HeartbeatMs) * time.Millisecond,
 		Events:   relay.NewEvents(scope), StoreAge: func() time.Duration { return time.Duration(g.reader.Digest().AgeMs) * time.Millisecond },
 		Members: func() int { return len(g.fleet.Live()) }, Behind: func() bool { _, _, behind := g.reader.Behind(); return behind }, Outdated: g.outdated})
 	g.callers = callers.NewServer(g.relay, g.relay.Limits, callerConnections)
--- a/node/gateway/relay/place.go
+++ b/node/gateway/relay/place.go
@@ -53,7 +53,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	report := placement.Report{Outcome: outcomeOf(ctx, e, sentAt, now)}
-	f.suspects.ended(now, x.mark, x.verdict, e.pick.Target.Name, report.Outcome)
+	f.suspects.ended(now, x.mark, x.verdict, e.pick.Target, sentAt, report.Outcome)
 	if !sentAt.IsZero() {
 		report.Took = now.Sub(sentAt)
 	}
--- a/node/gateway/relay/relay.go
+++ b/node/gateway/relay/relay.go
@@ -54,6 +54,8 @@
 	Events   *Events
 	// StoreAge returns how old the read of the store is on which placement rests.
 	StoreAge func() time.Duration
+	// TargetBeat is how often targets write to the store.
+	TargetBeat time.Duration
 	// Members returns the number of entry VMs that share the connections to a
 	// target.
 	Members func() int
@@ -78,7 +80,7 @@
 var _ callers.Handler = (*Relay)(nil)
 
 // New returns a relay without a configuration.
-func New(cfg Config) *Relay { return &Relay{cfg: cfg, suspects: newSuspects()} }
+func New(cfg Config) *Relay { return &Relay{cfg: cfg, suspects: newSuspects(cfg.TargetBeat, cfg.Log)} }
 
 // SetTable puts a configuration in force if it is newer, and reports whether it
 // was.
--- a/node/gateway/relay/suspects.go
+++ b/node/gateway/relay/suspects.go
@@ -1,8 +1,11 @@
 package relay
 
 import (
+	"strconv"
 	"time"
 
+	"github.com/go-kit/log"
+
 	"heatherlock/node/gateway/callers"
 	"heatherlock/platform"
 	"heatherlock/steering"
@@ -28,19 +31,23 @@
 // because its answer was lost twice would be a fault of our own. It counts once
 // the target is found dead as well.
 type suspects struct {
-	list *poison.List
-	open map[steering.Target][]openCase
+	list      *poison.List
+	open      map[steering.Target][]openCase
+	survivors *survivors
+	log       log.Logger
 }
 
 // openCase is a request that was in the hands of a target that broke off.
 type openCase struct {
 	mark    poison.Mark
 	verdict poison.Verdict
-	at      time.Time
+	sent    time.Time // when the target was given it
+	at      time.Time // when the exchange broke
 }
 
-func newSuspects() *suspects {
-	return &suspects{list: poison.New(poison.Config{}), open: make(map[steering.Target][]openCase)}
+func newSuspects(targetBeat time.Duration, logger log.Logger) *suspects {
+	return &suspects{list: poison.New(poison.Config{}), open: make(map[steering.Target][]openCase),
+		survivors: newSurvivors(targetBeat), log: logger}
 }
 
 // markOf returns how a request is recognised when it comes again: by all that
@@ -63,54 +70,87 @@
 	return v, true
 }
 
-// ended notes how a try ended.
-func (s *suspects) ended(now time.Time, m poison.Mark, v poison.Verdict, target steering.Target, o placement.Outcome) {
+// ended notes how a try ended that was given to a target at sent.
+func (s *suspects) ended(now time.Time, m poison.Mark, v poison.Verdict, target placement.Target, sent time.Time, o placement.Outcome) {
+	e := poison.Neither
 	switch o {
 	case placement.Broken:
-		if len(s.open[target]) < maxOpenCases {
-			s.open[target] = append(s.open[target], openCase{m, v, now})
+		if len(s.open[target.Name]) < maxOpenCases {
+			s.open[target.Name] = append(s.open[target.Name], openCase{m, v, sent, now})
 			return
 		}
 	case placement.Served:
-		s.settle(now, target, poison.Neither)
-		s.list.End(now, m, v, target, poison.Finished)
-		return
+		s.lives(now, target)
+		e = poison.Finished
 	case placement.Failed:
-		s.settle(now, target, poison.Neither)
-		s.list.End(now, m, v, target, poison.Answered)
-		return
+		s.lives(now, target)
+		e = poison.Answered
+	case placement.Shed:
+		s.lives(now, target)
 	case placement.Unreachable, placement.Replaced:
-		s.settle(now, target, poison.Lost)
+		s.settle(now, target.Name, poison.Lost, o.String())
 	}
-	s.list.End(now, m, v, target, poison.Neither)
+	s.list.End(now, m, v, target.Name, e)
+}
+
+// lives notes that a target has answered.
+func (s *suspects) lives(now time.Time, target placement.Target) {
+	s.settle(now, target.Name, poison.Neither, "")
+	s.list.Answered(now, target.Name)
+	s.survivors.answered(now, target.Name, target.Generation)
 }
 
 // settle decides the open cases of a target: of those within deathWait as e says,
-// of older ones not against the request.
-func (s *suspects) settle(now time.Time, target steering.Target, e poison.Ending) {
-	for _, c := range s.open[target] {
+// of older ones and of those it was given after its death not against the request. why
+// tells how a death was found.
+func (s *suspects) settle(now time.Time, target steering.Target, e poison.Ending, why string) {
+	cases := s.open[target]
+	delete(s.open, target)
+	died := diedAt(cases)
+	for _, c := range cases {
 		ending := e
-		if now.Sub(c.at) > deathWait {
+		if now.Sub(c.at) > deathWait || c.sent.After(died) {
 			ending = poison.Neither
 		}
-		s.list.End(now, c.mark, c.verdict, target, ending)
+		if held := s.list.EndSent(now, c.mark, c.verdict, target, c.sent, ending); held {
+			_ = s.log.Log("msg", "target lost with a request in hand", "targets", []steering.Target{target}, "why", why,
+				"content", strconv.FormatUint(uint64(c.mark.Content), 16), "after_ms", now.Sub(c.at).Milliseconds(),
+				"alone", c.verdict.Kind == poison.Trial) // the writer counts what it drops
+		}
 	}
-	delete(s.open, target)
+}
+
+// diedAt returns when a target died that has shown no life since the first of the cases:
+// when the last of the requests broke off that it had in hand at the first break. The
+// connections to a dead target may be taken and broken for a while, by a proxy in front
+// of it; what was sent on those did not take it down.
+func diedAt(cases []openCase) (died time.Time) {
+	for i, c := range cases {
+		if i == 0 || c.sent.Before(cases[0].at) && c.at.After(died) {
+			died = c.at
+		}
+	}
+	return died
 }
 
 // restarted notes that a target has started again under its name: its former start
 // ended, and the request in its hands may have been the cause.
 func (s *suspects) restarted(now time.Time, target steering.Target) {
-	s.settle(now, target, poison.Lost)
+	s.settle(now, target, poison.Lost, "restarted")
+	s.list.Restarted(target)
 }
 
-// tick decides the cases whose time is over.
-func (s *suspects) tick(now time.Time) {
+// tick decides the cases whose time is over. readAt is when the store was read last, and
+// known returns the start of a target as of then.
+func (s *suspects) tick(now, readAt time.Time, known func(steering.Target) (steering.Generation, bool)) {
 	for target, cases := range s.open {
 		if now.Sub(cases[len(cases)-1].at) > deathWait {
-			s.settle(now, target, poison.Neither)
+			s.settle(now, target, poison.Neither, "")
 		}
 	}
+	if lived := s.survivors.settle(now, readAt, s.list, known); len(lived) > 0 {
+		_ = s.log.Log("msg", "targets taken for lost have lived on", "targets", lived) // the writer counts what it drops
+	}
 }
 
 // TakeFacts returns what peers are to know of suspects: what changed, and if all
@@ -118,7 +158,7 @@
 func (f *Relay) TakeFacts(now time.Time, all bool) []poison.Fact {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.suspects.tick(now)
+	f.suspects.tick(now, now.Add(-f.storeAge()), f.cfg.Balancer.Generation)
 	facts := f.suspects.list.TakeChanged()
 	if len(facts) > toldFacts {
 		facts = facts[:toldFacts]
--- a/steering/placement/balancer.go
+++ b/steering/placement/balancer.go
@@ -71,6 +71,15 @@
 	return restarted
 }
 
+// Generation returns the start of a target as it is declared; declared is false if it is not.
+func (b *Balancer) Generation(name steering.Target) (generation steering.Generation, declared bool) {
+	s := b.byName[name]
+	if s == nil {
+		return 0, false
+	}
+	return s.Generation, true
+}
+
 // stateOf returns what is known of a target if that start of it is still the last
 // one; nil otherwise.
 func (b *Balancer) stateOf(t Target) *state {
--- a/steering/placement/types.go
+++ b/steering/placement/types.go
@@ -95,6 +95,11 @@
 	Replaced
 )
 
+var outcomeNames = [...]string{"served", "failed", "shed", "unreachable", "broken", "silent", "abandoned", "replaced"}
+
+// String names the outcome in logs.
+func (o Outcome) String() string { return outcomeNames[o] }
+
 // Report is what an ended exchange showed.
 type Report struct {
 	Outcome Outcome
--- a/steering/poison/list.go
+++ b/steering/poison/list.go
@@ -109,6 +109,10 @@
 	at     time.Time
 	weak   bool
 	alone  bool // lost on trial
+	// sent is when the target was given the request; zero if a peer told of the loss.
+	sent time.Time
+	// takenBack is up to when losses of the target do not count; zero if all do.
+	takenBack time.Time
 }
 
 // record is what is held against one ID.
@@ -133,6 +137,7 @@
 	// signatures counts the IDs of each signature that are still accused.
 	signatures map[ID]int
 	flying     map[ID]int // copies in flight of IDs that did not finish of late
+	lives      lives
 }
 
 // New returns an empty list.
@@ -143,6 +148,7 @@
 		proven:     newProvenSet(),
 		flying:     make(map[ID]int),
 		signatures: make(map[ID]int),
+		lives:      make(lives),
 	}
 }
 
@@ -183,6 +189,12 @@
 
 // End records how a try on target ended; v is the verdict it was sent under.
 func (l *List) End(now time.Time, m Mark, v Verdict, target steering.Target, e Ending) {
+	l.EndSent(now, m, v, target, time.Time{}, e)
+}
+
+// EndSent is End of a try of which it is known when the target was given the request.
+// It reports whether the end is held against the request.
+func (l *List) EndSent(now time.Time, m Mark, v Verdict, target steering.Target, sent time.Time, e Ending) (held bool) {
 	trial := v.Kind == Trial
 	l.land(m, v)
 	if trial {
@@ -194,8 +206,14 @@
 	case Answered:
 		l.answered(now, m)
 	case Lost:
-		l.lost(now, m, target, trial)
+		if l.lives.goneBefore(target, sent) {
+			return false
+		}
+		l.lives.foundGone(target, now)
+		l.lost(now, m, target, sent, trial)
+		return true
 	}
+	return false
 }
 
 // answered notes that targets live through the request. It clears nothing.
@@ -234,12 +252,12 @@
 	l.changed = append(l.changed, Fact{ID: id})
 }
 
-func (l *List) lost(now time.Time, m Mark, target steering.Target, alone bool) {
+func (l *List) lost(now time.Time, m Mark, target steering.Target, sent time.Time, alone bool) {
 	weak := l.massLoss(now, target, now)
 	var buf [maxIDs]ID
 	for _, id := range m.ids(&buf) {
 		r := l.record(now, id)
-		r.add(loss{target: target, deaths: 1, at: now, weak: weak, alone: alone})
+		r.add(loss{target: target, deaths: 1, at: now, weak: weak, alone: alone, sent: sent})
 	}
 	l.accuse(now, m)
 	for _, id := range m.ids(&buf) {
@@ -260,10 +278,10 @@
 		if known.target != n.target {
 			continue
 		}
-		if n.alone || n.at.Sub(known.at) > sameLoss {
+		if n.alone || n.at.Sub(known.at) > sameLoss || known.deaths == 0 {
 			known.deaths++
 		}
-		known.at, known.weak = n.at, n.weak
+		known.at, known.weak, known.sent = n.at, n.weak, n.sent
 		known.alone = known.alone || n.alone
 		return
 	}
--- a/steering/poison/share.go
+++ b/steering/poison/share.go
@@ -13,6 +13,7 @@
 type Fact struct {
 	ID     ID
 	Target steering.Target // empty: cleared
+	// Deaths counts the losses of the target; 0 takes back those up to Age ago.
 	Deaths uint32
 	Alone  bool // lost on trial
 	// Signature names the IDs that are accused together.
@@ -62,7 +63,7 @@
 			top.add(Fact{ID: id, Age: now.Sub(r.cleared)}, refuses)
 		}
 		for _, n := range r.losses {
-			if now.Before(n.until(l.cfg)) {
+			if n.deaths > 0 && now.Before(n.until(l.cfg)) {
 				top.add(r.fact(id, n, now), refuses)
 			}
 		}
@@ -119,10 +120,22 @@
 			l.learnCleared(now.Add(-f.Age), f.ID)
 			continue
 		}
+		if f.Deaths == 0 {
+			l.learnTakenBack(now, f)
+			continue
+		}
 		l.learnLoss(now, f)
 	}
 }
 
+// learnTakenBack takes back a loss that a peer no longer holds against a request. The
+// time is that of the loss, as late as the message was; losses so close are one loss.
+func (l *List) learnTakenBack(now time.Time, f Fact) {
+	if r, ok := l.records[f.ID]; ok {
+		l.takeBack(now, r, f.Target, now.Add(sameLoss-f.Age))
+	}
+}
+
 // learnCleared drops the losses up to the time of the normal finish.
 func (l *List) learnCleared(at time.Time, id ID) {
 	r, ok := l.records[id]
@@ -144,6 +157,7 @@
 
 func (l *List) learnLoss(now time.Time, f Fact) {
 	at := now.Add(-f.Age)
+	l.foundGone(now, f.Target, at)
 	weak := l.massLoss(now, f.Target, at)
 	r := l.record(now, f.ID)
 	if at.Before(r.cleared) {
@@ -164,6 +178,9 @@
 		if known.target != n.target {
 			continue
 		}
+		if !n.at.After(known.takenBack) {
+			return
+		}
 		known.deaths = max(known.deaths, n.deaths)
 		known.alone = known.alone || n.alone
 		if n.at.After(known.at.Add(sameLoss)) {
