--- a/cmd/heatherlock/commands.go
+++ b/cmd/heatherlock/commands.go
@@ -11,6 +11,7 @@
 	"heatherlock/cmd/internal/benchplacement"
 	"heatherlock/cmd/internal/command"
 	"heatherlock/cmd/internal/load"
+	"heatherlock/cmd/internal/losses"
 	"heatherlock/cmd/internal/offline"
 	"heatherlock/cmd/internal/operate"
 	"heatherlock/cmd/internal/quickstart"
@@ -40,6 +41,7 @@
 			offline.Explain(),
 			offline.Why(),
 			vmstatus.Command(),
+			losses.Command(),
 			command.Group("bench", "measure parts of the system on this machine",
 				benchlookup.Command(),
 				benchbalance.Command(),
--- /dev/null
+++ b/cmd/internal/losses/losses_test.go
@@ -0,0 +1,144 @@
+package losses
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"heatherlock/cmd/internal/command"
+	"heatherlock/steering"
+	"heatherlock/steering/losses"
+)
+
+// Lines as two entry VMs wrote them, the second with the prefix of a collector.
+const (
+	logA = `{"msg":"started","vm":"a-1","zone":"a","ts":"2026-06-01T10:00:00Z"}
+{"msg":"answers","zone":"a","sums":[{"service":"tickets","kind":"once","aim_ms":400,"asked":10,"in_aim":6,"late":{"key_cold":3},"refused":{"refused_by_prediction":1}}],"ts":"2026-06-01T10:00:01.2Z"}
+{"msg":"refused","request":"r","ts":"2026-06-01T10:00:01.5Z"}
+{"msg":"answers","zone":"a","sums":[{"service":"tickets","kind":"once","aim_ms":400,"asked":4,"in_aim":4}],"ts":"2026-06-01T10:00:02.2Z"}
+not JSON
+{"level":"warn","msg":"lines left out","dropped_lines":7,"ts":"2026-06-01T10:00:03Z"}
+`
+	logB = `  1.2 b-1 {"msg":"answers","zone":"b","sums":[{"service":"tickets","kind":"once","aim_ms":400,"asked":5,"again":2,"in_aim":1,"failed":{"target_gone":4}},{"service":"slots","kind":"idempotent","aim_ms":800,"asked":2,"late":{"waited_for_slot":2}}],"ts":"2026-06-01T10:00:01.9Z"}
+`
+)
+
+func logFile(t *testing.T, text string) string {
+	t.Helper()
+	file := filepath.Join(t.TempDir(), "vm.log")
+	assert.NilError(t, os.WriteFile(file, []byte(text), 0o600))
+	return file
+}
+
+func usual(logs ...string) *options {
+	return &options{logs: logs, window: usualWindow, worst: usualWorst}
+}
+
+func TestLogsOfSeveralVMsAddUp(t *testing.T) {
+	var out bytes.Buffer
+	o := usual(logFile(t, logA), "-")
+	o.json = true
+	assert.NilError(t, run(o, command.IO{In: strings.NewReader(logB), Out: &out}))
+	var r Report
+	assert.NilError(t, json.Unmarshal(out.Bytes(), &r))
+	assert.Equal(t, r.Lines, 3)
+	assert.Equal(t, r.DroppedLines, 7)
+	assert.Equal(t, r.Total.Asked, 21)
+	assert.Equal(t, r.Total.InAim, 11)
+	assert.Equal(t, r.Total.Again, 2)
+	assert.DeepEqual(t, r.Total.Causes, []Cause{{"failed", losses.Gone, 4}, {"late", losses.Cold, 3}, {"late", losses.Waited, 2}, {"refused", losses.Predicted, 1}})
+	assert.Equal(t, len(r.Kinds), 2)
+	assert.Equal(t, len(r.Zones), 2)
+	assert.Equal(t, len(r.Windows), 2)
+	assert.Equal(t, r.Windows[0].Asked, 17)
+}
+
+func TestTablesNameTheMostLost(t *testing.T) {
+	var out bytes.Buffer
+	o := usual(logFile(t, logA), logFile(t, logB))
+	o.plot = filepath.Join(t.TempDir(), "losses.svg")
+	assert.NilError(t, run(o, command.IO{Out: &out}))
+	for _, part := range []string{"tickets once, aim 400 ms", "slots idempotent, aim 800 ms", "key_cold", "failed target_gone 4", "0.400", "7 lines were left out"} {
+		assert.Assert(t, strings.Contains(out.String(), part), "no %q in\n%s", part, out.String())
+	}
+	drawn, err := os.ReadFile(o.plot)
+	assert.NilError(t, err)
+	assert.Assert(t, bytes.Contains(drawn, []byte("refused")))
+}
+
+func TestBadInputIsNamedWithItsExitCode(t *testing.T) {
+	good := logFile(t, logA)
+	cut := logFile(t, `{"msg":"answers","sums":[{`)
+	long := logFile(t, strings.Repeat("x", longestLine+1))
+	for name, c := range map[string]struct {
+		o    *options
+		code command.Code
+		says string
+	}{
+		"no log":           {usual(), command.Usage, "--log"},
+		"no such file":     {usual("/nowhere"), command.Usage, "--log"},
+		"short window":     {&options{logs: []string{good}, window: time.Millisecond}, command.Usage, "1s or more"},
+		"negative count":   {&options{logs: []string{good}, window: usualWindow, worst: -1}, command.Usage, "0 or more"},
+		"line cut off":     {usual(cut), command.Refused, "line 1"},
+		"line too long":    {usual(long), command.Refused, "a JSON object a line"},
+		"nothing to add":   {usual(logFile(t, "{}\n")), command.Refused, "no line with sums"},
+		"plot of a format": {&options{logs: []string{good}, window: usualWindow, plot: "x.xyz"}, command.Usage, "--plot"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			var out bytes.Buffer
+			err := run(c.o, command.IO{Out: &out})
+			assert.Equal(t, command.CodeOf(err), c.code)
+			assert.ErrorContains(t, err, c.says)
+			assert.Equal(t, out.Len(), 0)
+		})
+	}
+}
+
+// What is kept does not grow with entry VMs: 600 of them, a line a second for a minute.
+func TestMemoryDoesNotGrowWithVMs(t *testing.T) {
+	r := newReading(usualWindow)
+	for vm := range 600 {
+		var text strings.Builder
+		for second := range 60 {
+			fmt.Fprintf(&text, `{"msg":"answers","zone":"z-%d","sums":[{"service":"s","kind":"once","aim_ms":1,"asked":1,"in_aim":1}],"ts":"2026-06-01T10:00:%02dZ"}`+"\n", vm%30, second)
+		}
+		assert.NilError(t, r.read(strings.NewReader(text.String()), "vm"))
+	}
+	assert.Equal(t, len(r.cells), 30*30)
+	assert.Equal(t, r.report().Total.Asked, 600*60)
+}
+
+// Whatever the sums, each part adds up to the total, and causes to what was lost.
+func TestPartsAddUpToTheTotal(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		r := newReading(usualWindow)
+		for range rapid.IntRange(1, 40).Draw(t, "sums") {
+			s := losses.Sum{Kind: losses.Kind{Service: steering.Service(rapid.SampledFrom([]string{"a", "b"}).Draw(t, "service"))}}
+			for range rapid.IntRange(0, 5).Draw(t, "requests") {
+				s.Add(losses.Outcome(rapid.IntRange(0, 3).Draw(t, "outcome")), losses.Cause(rapid.SampledFrom([]string{"x", "y"}).Draw(t, "cause")), 1)
+			}
+			at := time.Unix(int64(rapid.IntRange(0, 9).Draw(t, "second")), 0)
+			r.add(cell{at, steering.Zone(rapid.SampledFrom([]string{"p", "q"}).Draw(t, "zone")), s.Kind}, s)
+		}
+		out := r.report()
+		for _, parts := range [][]Part{out.Kinds, out.Zones, out.Windows} {
+			asked, lost := 0, 0
+			for _, p := range parts {
+				asked += p.Asked
+				for _, c := range p.Causes {
+					lost += c.Count
+				}
+			}
+			assert.Equal(t, asked, out.Total.Asked)
+			assert.Equal(t, lost, out.Total.Lost())
+		}
+	})
+}
--- a/node/gateway/callers/conn.go
+++ b/node/gateway/callers/conn.go
@@ -334,6 +334,9 @@
 		defer close(mine)
 		response := c.server.handler.Serve(ctx, request)
 		<-before
+		if response != nil && response.Turn != nil {
+			response.Turn()
+		}
 		c.write(response, r, c.ending(mine, response, wantsClose || request.Rest != nil))
 	}()
 	return true
--- a/node/gateway/callers/types.go
+++ b/node/gateway/callers/types.go
@@ -37,6 +37,8 @@
 	Length int64
 	// Close ends the connection behind the answer.
 	Close bool
+	// Turn, if set, is called when the answers before it on its connection are written.
+	Turn func()
 }
 
 // Handler answers requests. ctx ends when the caller leaves.
--- a/node/gateway/gateway.go
+++ b/node/gateway/gateway.go
@@ -80,11 +80,11 @@
 		scope.Tagged(map[string]string{"fault": faultName(err)}).Counter("gateway_store_calls").Inc(1)
 	}
 	b := settings.Bounds
-	g.relay = relay.New(relay.Config{Region: settings.Region, Pool: g.pool,
+	g.relay = relay.New(relay.Config{Region: settings.Region, Zone: settings.Zone, Pool: g.pool,
 		Balancer: placement.NewBalancer(settings.VM, settings.Region),
 		Retry:    retry.NewSharedBudget(retryConfig(b)),
 		Log:      logger, TargetBeat: time.Duration(settings.HeartbeatMs) * time.Millisecond,
-		Events:   relay.NewEvents(scope), StoreAge: func() time.Duration { return time.Duration(g.reader.Digest().AgeMs) * time.Millisecond },
+		Events: relay.NewEvents(scope), StoreAge: func() time.Duration { return time.Duration(g.reader.Digest().AgeMs) * time.Millisecond },
 		Members: func() int { return len(g.fleet.Live()) }, Behind: func() bool { _, _, behind := g.reader.Behind(); return behind }, Outdated: g.outdated})
 	g.callers = callers.NewServer(g.relay, g.relay.Limits, callerConnections)
 	state := feed.NewState(time.Duration(settings.HeartbeatMs)*time.Millisecond, settings.Zones)
@@ -201,6 +201,7 @@
 	stop()
 	g.closeServers()
 	g.done.Wait()
+	g.relay.LogSums()
 	_ = g.log.Log("msg", "stopped", "vm", g.settings.VM)
 	return nil
 }
@@ -260,6 +261,7 @@
 		})
 		g.peersChanged()
 		g.showBeliefs()
+		g.relay.LogSums()
 	}
 }
 
--- a/node/gateway/relay/exchange.go
+++ b/node/gateway/relay/exchange.go
@@ -12,6 +12,7 @@
 	"heatherlock/node/gateway/upstream"
 	"heatherlock/platform"
 	"heatherlock/steering"
+	"heatherlock/steering/losses"
 	"heatherlock/steering/placement"
 	"heatherlock/steering/poison"
 	"heatherlock/steering/routes"
@@ -41,6 +42,7 @@
 	history  []tried
 	noRoom   *placement.Refusal // of the last try that found no target with room
 	stopped  string             // what kept it from a further try
+	warm     time.Duration      // the time of a warm run of the service, as last known
 }
 
 func newExchange(f *Relay, table *routes.Table, route *routes.Route, r *callers.Request, call platform.Call) *exchange {
@@ -74,6 +76,8 @@
 	unsent bool
 	// usable answers may go to the caller.
 	usable bool
+	// report is what the try showed of its target.
+	report placement.Report
 }
 
 // tried is one try as told in the log.
@@ -87,6 +91,11 @@
 	AtMs       int64           `json:"at_ms"` // since the request came
 	End        string          `json:"end,omitempty"`
 	EndMs      int64           `json:"end_ms,omitempty"`
+
+	report  placement.Report
+	spoiled bool // its answer came and could not be passed on
+	slots   int
+	away    bool
 }
 
 // noteEnd adds a try's end to the history.
@@ -94,6 +103,7 @@
 	for i := range x.history {
 		if t := &x.history[i]; t.Target == e.pick.Target.Name && t.End == "" {
 			t.End, t.EndMs = e.String(), time.Since(x.r.Received).Milliseconds()
+			t.report, t.spoiled = e.report, e.err == nil && !e.usable && !e.notRun
 		}
 	}
 }
@@ -147,6 +157,7 @@
 			return x.givenUp()
 		case <-ctx.Done():
 			x.f.cfg.Events.Refused(steering.ReasonCancelled)
+			x.count(losses.Failed, steering.ReasonCancelled)
 			return nil
 		}
 	}
@@ -181,15 +192,16 @@
 func (x *exchange) launch(ctx context.Context) *placement.Refusal {
 	pick, refusal := x.f.choose(x.placementRequest())
 	if refusal != nil {
-		x.noRoom = refusal
+		x.noRoom, x.warm = refusal, refusal.Warm
 		return refusal
 	}
-	x.lastPick = pick
+	x.lastPick, x.warm = pick, pick.Warm
 	x.tries++
 	x.running++
 	x.tried = append(x.tried, pick.Target.Name)
 	x.history = append(x.history, tried{Target: pick.Target.Name, Zone: pick.Target.Zone, Rank: pick.Rank, Trial: pick.Trial,
-		ExpectedMs: pick.Expected.Milliseconds(), WaitMs: pick.Wait.Milliseconds(), AtMs: time.Since(x.r.Received).Milliseconds()})
+		ExpectedMs: pick.Expected.Milliseconds(), WaitMs: pick.Wait.Milliseconds(), AtMs: time.Since(x.r.Received).Milliseconds(),
+		slots: pick.Target.Slots, away: pick.Away})
 	go x.try(ctx, pick)
 	return nil
 }
@@ -216,7 +228,7 @@
 		Began: func() { sentAt = time.Now() },
 	}, x.outgoing(pick))
 	e := x.judge(pick, answer, err)
-	x.f.reportEnd(ctx, x, e, sentAt)
+	e.report = x.f.reportEnd(ctx, x, e, sentAt)
 	x.ends <- e
 }
 
@@ -408,12 +420,14 @@
 
 // refuse answers a request that has not run.
 func (x *exchange) refuse(reason steering.Reason, retryAfter time.Duration) *callers.Response {
+	x.count(losses.Refused, reason)
 	return x.f.refuse(x.call.ID, x.route.Name, reason, retryAfter, x.detail())
 }
 
 // unknown answers a request that may have run.
 func (x *exchange) unknown(reason steering.Reason) *callers.Response {
 	x.f.cfg.Events.Refused(reason)
+	x.count(losses.Failed, reason)
 	x.f.logEnd("outcome unknown", x.call.ID, x.route.Name, reason, x.detail())
 	status := http.StatusBadGateway
 	if planted.Defect == planted.FalselyNotRun {
@@ -445,11 +459,13 @@
 // deliver passes a target's answer on.
 func (x *exchange) deliver(e end) *callers.Response {
 	x.f.cfg.Events.Served(x.route.Kind, e.answer.Status, time.Since(x.r.Received))
+	ready := time.Since(x.r.Received)
 	if len(x.history) > 1 || e.answer.Status >= http.StatusInternalServerError {
 		x.f.logEnd("passed on", x.call.ID, x.route.Name, "", append(x.detail(), "status", e.answer.Status))
 	}
 	return &callers.Response{Status: e.answer.Status, Header: endToEnd(e.answer.Header), Body: e.answer.Body,
-		Rest: e.answer.Rest, Length: e.answer.Length, Close: x.r.Rest != nil}
+		Rest: e.answer.Rest, Length: e.answer.Length, Close: x.r.Rest != nil,
+		Turn: func() { x.countAnswer(outcomeOfAnswer(e.answer.Status), ready) }}
 }
 
 func formatSeconds(d time.Duration) string {
--- a/node/gateway/relay/place.go
+++ b/node/gateway/relay/place.go
@@ -47,8 +47,8 @@
 	f.cfg.Retry.Return(time.Now(), service)
 }
 
-// reportEnd tells the balancer what a try showed of its target.
-func (f *Relay) reportEnd(ctx context.Context, x *exchange, e end, sentAt time.Time) {
+// reportEnd tells the balancer what a try showed of its target, and returns it.
+func (f *Relay) reportEnd(ctx context.Context, x *exchange, e end, sentAt time.Time) placement.Report {
 	now := time.Now()
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -65,9 +65,10 @@
 	}
 	if sentAt.IsZero() {
 		f.cfg.Balancer.NotSent(now, e.pick.Target, report.Outcome, e.pick.Trial)
-		return
+		return report
 	}
 	f.cfg.Balancer.Ended(now, e.pick.Target, report, e.pick.Trial, e.pick.Wait > 0)
+	return report
 }
 
 func outcomeOf(ctx context.Context, e end, sentAt, now time.Time) placement.Outcome {
--- a/node/gateway/relay/relay.go
+++ b/node/gateway/relay/relay.go
@@ -47,6 +47,7 @@
 // Config holds what a Relay needs.
 type Config struct {
 	Region   steering.Region
+	Zone     steering.Zone
 	Pool     *upstream.Pool
 	Balancer *placement.Balancer
 	Retry    *retry.SharedBudget
@@ -75,12 +76,16 @@
 
 	mu       sync.Mutex // guards Balancer, Retry and suspects
 	suspects *suspects
+
+	sums *sums
 }
 
 var _ callers.Handler = (*Relay)(nil)
 
 // New returns a relay without a configuration.
-func New(cfg Config) *Relay { return &Relay{cfg: cfg, suspects: newSuspects(cfg.TargetBeat, cfg.Log)} }
+func New(cfg Config) *Relay {
+	return &Relay{cfg: cfg, suspects: newSuspects(cfg.TargetBeat, cfg.Log), sums: newSums()}
+}
 
 // SetTable puts a configuration in force if it is newer, and reports whether it
 // was.
@@ -139,10 +144,12 @@
 	call := platform.ReadCall(r.Header)
 	table := f.table.Load()
 	if table == nil || !f.ready.Load() {
+		f.countRefused(nil, call, steering.ReasonNotReady)
 		return f.refuse(call.ID, "", steering.ReasonNotReady, notReadyRetry, nil)
 	}
 	route, found := table.Match(r.Host, r.Path)
 	if found && f.outdated() || !found && f.behind() {
+		f.countRefused(route, call, steering.ReasonConfigBehind)
 		return f.refuse(call.ID, "", steering.ReasonConfigBehind, notReadyRetry, nil)
 	}
 	if !found {
--- a/steering/placement/balancer.go
+++ b/steering/placement/balancer.go
@@ -173,7 +173,7 @@
 	switch r.Outcome {
 	case Served:
 		s.succeed()
-		if !queued && !r.crowded(s.Slots) {
+		if !queued && !r.Crowded(s.Slots) {
 			b.learn(s, r.Took.Seconds())
 		}
 	case Failed:
@@ -193,9 +193,9 @@
 	}
 }
 
-// crowded reports whether others waited at the target, or all its slots were taken,
+// Crowded reports whether others waited at the target, or all its slots were taken,
 // when it answered: then most likely the request had waited itself.
-func (r Report) crowded(slots int) bool {
+func (r Report) Crowded(slots int) bool {
 	return r.LoadKnown && (r.Waiting > 0 || r.Running >= slots)
 }
 
--- a/steering/placement/choose.go
+++ b/steering/placement/choose.go
@@ -68,7 +68,7 @@
 		if ok {
 			return pick, nil
 		}
-		return Pick{}, &Refusal{Reason: steering.ReasonNoSlot, RetryAfter: b.retryAfter(v, r, wait, keyHash), Wait: span(wait)}
+		return Pick{}, &Refusal{Reason: steering.ReasonNoSlot, RetryAfter: b.retryAfter(v, r, wait, keyHash), Wait: span(wait), Warm: v.warm()}
 	}
 	return Pick{}, &Refusal{Reason: steering.ReasonNoTarget, RetryAfter: shortestRetry}
 }
@@ -128,11 +128,11 @@
 		trial := c.state.ejected && b.trialDue(now, c.state, r)
 		switch {
 		case weighed == 0 && (trial || b.fits(v, r, c)):
-			return c.pick(), shortest, true
+			return c.pick(v), shortest, true
 		case weighed == 1:
 			if c.wait == 0 && b.fits(v, r, c) && v.overflow >= 1 {
 				v.overflow--
-				return c.pick(), shortest, true
+				return c.pick(v), shortest, true
 			}
 			return Pick{}, shortest, false
 		}
@@ -147,8 +147,8 @@
 	return b.ownsCold(s) && s.coldSpent.take(now, coldUse*s.ColdRate/float64(b.coldOwners))
 }
 
-func (c *candidate) pick() Pick {
-	return Pick{Target: c.state.Target, Expected: span(c.cost), Wait: span(c.wait), Rank: c.rank, Trial: c.state.ejected, Away: c.away}
+func (c *candidate) pick(v *serviceState) Pick {
+	return Pick{Target: c.state.Target, Expected: span(c.cost), Wait: span(c.wait), Warm: v.warm(), Rank: c.rank, Trial: c.state.ejected, Away: c.away}
 }
 
 // predict sets the wait and the time to the answer.
--- a/steering/placement/state.go
+++ b/steering/placement/state.go
@@ -205,6 +205,14 @@
 	v.fast += leak * share * (took - v.fast)
 }
 
+// warm is the time of a warm run, or 0 while it is only guessed.
+func (v *serviceState) warm() time.Duration {
+	if v.seen == 0 {
+		return 0
+	}
+	return span(v.fast)
+}
+
 // coldPenalty is what a run costs on a target that does not know the key.
 func (v *serviceState) coldPenalty() float64 { return math.Max(0, v.slow-v.fast) }
 
--- a/steering/placement/types.go
+++ b/steering/placement/types.go
@@ -55,6 +55,8 @@
 	Expected time.Duration
 	// Wait is the predicted wait within it.
 	Wait time.Duration
+	// Warm is the time of a warm run of the service; 0 while it is only guessed.
+	Warm time.Duration
 	// Rank is the target's rank in the key's order, 0 first.
 	Rank int
 	// Trial marks a request sent to a ejected target to learn how it fares.
@@ -70,6 +72,8 @@
 	RetryAfter time.Duration
 	// Wait is the shortest predicted wait.
 	Wait time.Duration
+	// Warm is the time of a warm run of the service; 0 while it is only guessed.
+	Warm time.Duration
 }
 
 // Outcome is how an exchange with a target ended.
