--- /dev/null
+++ b/cmd/internal/vmstatus/fleet.go
@@ -0,0 +1,126 @@
+package vmstatus
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"text/tabwriter"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"heatherlock/cmd/internal/command"
+	"heatherlock/node/gateway/status"
+)
+
+const (
+	// watchEvery is the pause between two looks of --watch.
+	watchEvery = time.Second
+	// shownOutliers bounds the VMs named on the screen; --output json has all.
+	shownOutliers = 20
+	clearScreen   = "\x1b[H\x1b[2J"
+)
+
+// runAll shows which configuration all VMs follow, once or again and again.
+func runAll(ctx context.Context, o *options, out command.IO) error {
+	for {
+		view, err := askFleet(ctx, o.controls)
+		if err == nil {
+			err = o.show(view, out)
+		}
+		if !o.watch || ctx.Err() != nil {
+			return err
+		}
+		if err != nil {
+			fmt.Fprintln(out.Err, "heatherlock:", err)
+		}
+		select {
+		case <-ctx.Done():
+			return err
+		case <-time.After(watchEvery):
+		}
+	}
+}
+
+// show writes a view, and fails if not all VMs follow the same configuration.
+func (o *options) show(view status.View, out command.IO) error {
+	var err error
+	if o.format == formatJSON {
+		encoder := json.NewEncoder(out.Out)
+		encoder.SetIndent("", "  ")
+		err = encoder.Encode(view)
+	} else {
+		if o.watch && out.Terminal {
+			fmt.Fprint(out.Out, clearScreen)
+		}
+		err = writeView(view, out.Out)
+	}
+	if err != nil {
+		return errors.Wrap(err, "vm-status: write")
+	}
+	return verdict(view)
+}
+
+// verdict fails with a documented exit code unless all VMs follow the same.
+func verdict(v status.View) error {
+	switch {
+	case len(v.Silent) > 0:
+		return command.Failf(command.Unreachable, "check whether VMs run there, and the way to them", "no entry VM answered in %d zones", len(v.Silent))
+	case !v.Agree():
+		return command.Failf(command.Other, "see docs/operations/configuration.md for what each VM waits for", "%d of %d entry VMs do not follow configuration %d", len(v.Outliers), v.Live, v.Newest)
+	}
+	return nil
+}
+
+// askFleet asks the VMs named until one answers, and then one VM of each other zone.
+func askFleet(ctx context.Context, controls []string) (status.View, error) {
+	first, err := status.AskAny(ctx, http.DefaultClient, controls)
+	if err != nil {
+		return status.View{}, command.Failf(command.Unreachable, "check the addresses, and whether those entry VMs run", "none of %d entry VMs answered: %v", len(controls), err)
+	}
+	return status.Gather(ctx, http.DefaultClient, first), nil
+}
+
+// writeView prints the versions by zone, and the VMs that do not follow the newest.
+func writeView(v status.View, out io.Writer) error {
+	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
+	fmt.Fprintf(w, "configuration %d is the newest; %d entry VMs live, %d on record are gone; %d asked\n\n", v.Newest, v.Live, v.Gone, len(v.Asked))
+	fmt.Fprintln(w, "ZONE\tVERSION\tCONTENT\tVMS\tIN FORCE ON ALL OF THEM")
+	for _, z := range v.Zones {
+		fmt.Fprintf(w, "%s\t%d\t%s\t%d\t%s\n", z.Zone, z.Version, orUnknown(z.Content), z.VMs, spanText(z.InForceMs))
+	}
+	if len(v.Outliers) > 0 {
+		fmt.Fprintln(w, "\nNOT FOLLOWING\tZONE\tVERSION\tWHY")
+	}
+	for _, o := range v.Outliers[:min(len(v.Outliers), shownOutliers)] {
+		fmt.Fprintf(w, "%s\t%s\t%d\t%s\n", o.VM, o.Zone, o.ConfigVersion, o.Why)
+	}
+	if more := len(v.Outliers) - shownOutliers; more > 0 {
+		fmt.Fprintf(w, "and %d more; --output json names all\n", more)
+	}
+	for _, r := range v.Rejected {
+		fmt.Fprintf(w, "\nrejected: version %s: %s\n", r.Version, r.Reason)
+	}
+	for _, zone := range v.Silent {
+		fmt.Fprintf(w, "\nno answer from zone %s\n", zone)
+	}
+	return w.Flush()
+}
+
+func orUnknown(content string) string {
+	if content == "" {
+		return "unknown"
+	}
+	return content
+}
+
+// spanText shows a time since: milliseconds matter only while they are few.
+func spanText(ms int64) string {
+	d := time.Duration(ms) * time.Millisecond
+	if d < 10*time.Second {
+		return d.String()
+	}
+	return d.Truncate(time.Second).String()
+}
--- a/cmd/internal/vmstatus/vmstatus.go
+++ b/cmd/internal/vmstatus/vmstatus.go
@@ -11,7 +11,6 @@
 	"strings"
 	"sync"
 	"text/tabwriter"
-	"time"
 
 	"github.com/go-faster/errors"
 	"github.com/integrii/flaggy"
@@ -20,28 +19,56 @@
 	"heatherlock/node/gateway/status"
 )
 
+// Output formats.
 const (
-	// askTimeout bounds the question to one entry VM.
-	askTimeout = 3 * time.Second
-	// largestAnswer bounds what is read of an answer.
-	largestAnswer = 4 << 20
+	formatTable = "table"
+	formatJSON  = "json"
 )
 
+// options are the choices of a run.
+type options struct {
+	controls []string
+	format   string
+	all      bool
+	watch    bool
+}
+
 // Command returns the subcommand.
 func Command() command.Command {
 	return command.Command{
 		Name:    "vm-status",
 		Summary: "print what entry VMs on the users' platform go by: configuration, age of the store's read, targets, keys lent",
 		Declare: func(sub *flaggy.Subcommand) command.Run {
-			var addresses []string
-			format := "table"
-			sub.StringSlice(&addresses, "c", "control", "HOST:PORT of an entry VM's control listener; several by repeats")
-			sub.String(&format, "o", "output", "table or json")
-			return func(ctx context.Context, out command.IO) error { return run(ctx, addresses, format, out.Out) }
+			o := &options{format: formatTable}
+			sub.StringSlice(&o.controls, "c", "control", "HOST:PORT of an entry VM's control listener; several by repeats")
+			sub.String(&o.format, "o", "output", "table or json")
+			sub.Bool(&o.all, "a", "all", "show which configuration every VM of the fleet follows, asking one a zone; exit code 0 only if all follow the same")
+			sub.Bool(&o.watch, "w", "watch", "with --all, show it again each second until interrupted")
+			return func(ctx context.Context, out command.IO) error {
+				if err := o.check(); err != nil {
+					return err
+				}
+				if o.all {
+					return runAll(ctx, o, out)
+				}
+				return run(ctx, o.controls, o.format, out.Out)
+			}
 		},
 	}
 }
 
+func (o *options) check() error {
+	switch {
+	case len(o.controls) == 0:
+		return command.Failf(command.Usage, "give one or more with --control", "no entry VM named")
+	case o.format != formatTable && o.format != formatJSON:
+		return command.Failf(command.Usage, "use table or json", "unknown output %q", o.format)
+	case o.watch && !o.all:
+		return command.Failf(command.Usage, "give --all as well", "--watch alone")
+	}
+	return nil
+}
+
 // answer is what one entry VM said, or why it did not.
 type answer struct {
 	Control string         `json:"control"`
@@ -50,11 +77,8 @@
 }
 
 func run(ctx context.Context, addresses []string, format string, out io.Writer) error {
-	if len(addresses) == 0 {
-		return command.Failf(command.Usage, "give one or more with --control", "no entry VM named")
-	}
-	if format != "table" && format != "json" {
-		return command.Failf(command.Usage, "use table or json", "unknown output %q", format)
+	if err := (&options{controls: addresses, format: format}).check(); err != nil {
+		return err
 	}
 	answers := askAll(ctx, addresses)
 	silent := 0
@@ -77,7 +101,7 @@
 	var all sync.WaitGroup
 	for i, address := range addresses {
 		all.Go(func() {
-			s, err := ask(ctx, address)
+			s, err := status.Ask(ctx, http.DefaultClient, address)
 			answers[i] = answer{Control: address, Status: s}
 			if err != nil {
 				answers[i].Problem = err.Error()
@@ -88,30 +112,8 @@
 	return answers
 }
 
-func ask(ctx context.Context, address string) (*status.Status, error) {
-	ctx, cancel := context.WithTimeout(ctx, askTimeout)
-	defer cancel()
-	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+status.Path, nil)
-	if err != nil {
-		return nil, errors.Wrap(err, "vm-status: address")
-	}
-	response, err := http.DefaultClient.Do(request)
-	if err != nil {
-		return nil, errors.Wrap(err, "vm-status: ask")
-	}
-	defer response.Body.Close()
-	if response.StatusCode != http.StatusOK {
-		return nil, errors.Errorf("vm-status: answered %d", response.StatusCode)
-	}
-	var s status.Status
-	if err := json.NewDecoder(io.LimitReader(response.Body, largestAnswer)).Decode(&s); err != nil {
-		return nil, errors.Wrap(err, "vm-status: decode")
-	}
-	return &s, nil
-}
-
 func write(answers []answer, format string, out io.Writer) error {
-	if format == "json" {
+	if format == formatJSON {
 		encoder := json.NewEncoder(out)
 		encoder.SetIndent("", "  ")
 		if err := encoder.Encode(answers); err != nil {
--- a/cmd/internal/vmstatus/vmstatus_test.go
+++ b/cmd/internal/vmstatus/vmstatus_test.go
@@ -2,16 +2,21 @@
 
 import (
 	"bytes"
+	"context"
 	"encoding/json"
+	"fmt"
 	"net/http"
 	"net/http/httptest"
+	"os"
 	"strings"
 	"testing"
 
 	"gotest.tools/v3/assert"
 
 	"heatherlock/cmd/internal/command"
+	"heatherlock/node/gateway/catchup"
 	"heatherlock/node/gateway/status"
+	"heatherlock/steering"
 )
 
 func serving(t *testing.T, s status.Status) string {
@@ -55,3 +60,118 @@
 	assert.Equal(t, stateOf(&status.Status{}), "starting")
 	assert.Equal(t, readOf(&status.Status{StoreAgeMs: -1}), "never")
 }
+
+// zoneServers serves, for each of nine zones, one VM that knows the fleet of 195, and
+// returns their addresses.
+func zoneServers(t *testing.T, change func(*status.Status)) []string {
+	const zones, vms = 9, 195
+	var all []*status.Status
+	var addresses []string
+	for zone := range zones {
+		s := &status.Status{VM: steering.VM(fmt.Sprintf("vm-%d-0", zone)), Zone: steering.Zone(fmt.Sprint("zone-", zone)), Ready: true, ConfigVersion: 17,
+			Config: status.Config{Newest: 17, Content: "0badcafe", InForceMs: 12_345}}
+		all = append(all, s)
+		addresses = append(addresses, "")
+	}
+	for zone, s := range all {
+		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { assert.Check(t, json.NewEncoder(w).Encode(s)) }))
+		t.Cleanup(server.Close)
+		addresses[zone] = strings.TrimPrefix(server.URL, "http://")
+	}
+	for zone, s := range all {
+		for n := range vms {
+			if n == zone {
+				continue
+			}
+			p := status.Peer{VM: steering.VM(fmt.Sprintf("vm-%d-%d", n%zones, n/zones)), Zone: steering.Zone(fmt.Sprint("zone-", n%zones)), Control: "127.0.0.1:1",
+				Live: true, ConfigVersion: 17, Newest: 17, Content: "0badcafe", InForceMs: 12_000, ToldMs: 250}
+			if n < zones {
+				p.Control = addresses[n]
+			}
+			if n%zones != zone {
+				p.ConfigVersion, p.ToldMs = 0, -1
+			}
+			s.Fleet = append(s.Fleet, p)
+		}
+		change(s)
+	}
+	return addresses
+}
+
+// An operator asks one VM which configuration each of 195 follows. Eight others are asked,
+// the answer fits a screen, and the exit code tells whether all follow the same.
+func TestAllOf195VMsOnOneScreen(t *testing.T) {
+	same := zoneServers(t, func(*status.Status) {})
+	var out bytes.Buffer
+	o := &options{controls: same[:1], format: formatTable, all: true}
+	assert.NilError(t, runAll(t.Context(), o, command.IO{Out: &out}))
+	text := out.String()
+	assert.Assert(t, strings.Contains(text, "configuration 17 is the newest; 195 entry VMs live, 0 on record are gone; 9 asked"), text)
+	assert.Assert(t, strings.Count(text, "\n") <= 24, "more than a screen:\n%s", text)
+	for zone := range 9 {
+		assert.Assert(t, strings.Contains(text, fmt.Sprint("zone-", zone)), text)
+	}
+
+	behind := zoneServers(t, func(s *status.Status) {
+		for n := range s.Fleet {
+			if p := &s.Fleet[n]; p.Zone == s.Zone && strings.HasSuffix(string(p.VM), "-7") {
+				p.ConfigVersion, p.Wait = 15, "VMs that have it do not answer"
+			}
+		}
+		if s.Zone == "zone-4" {
+			s.Config.Rejected = &status.Rejected{Version: "r19", Reason: "route r-1 names no service"}
+		}
+	})
+	out.Reset()
+	o = &options{controls: append([]string{"127.0.0.1:1"}, behind[2]), format: formatTable, all: true}
+	err := runAll(t.Context(), o, command.IO{Out: &out})
+	assert.Equal(t, command.CodeOf(err), command.Other)
+	assert.ErrorContains(t, err, "9 of 195 entry VMs do not follow configuration 17")
+	for _, part := range []string{"vm-4-7", "behind: VMs that have it do not answer", "rejected: version r19: route r-1 names no service"} {
+		assert.Assert(t, strings.Contains(out.String(), part), "no %q in\n%s", part, out.String())
+	}
+	out.Reset()
+	o.format = formatJSON
+	assert.Equal(t, command.CodeOf(runAll(t.Context(), o, command.IO{Out: &out})), command.Other)
+	var view status.View
+	assert.NilError(t, json.Unmarshal(out.Bytes(), &view))
+	assert.Equal(t, len(view.Outliers), 9)
+}
+
+// What the operators' page shows is what the command takes and prints.
+func TestPageNamesWhatIsPrinted(t *testing.T) {
+	page, err := os.ReadFile("../../../docs/operations/configuration.md")
+	assert.NilError(t, err)
+	for _, part := range []string{"vm-status --all --control", "vm-status --all --watch --control", "vm-status --output json --control", "same version, other content", "does not know of the newest",
+		"behind: " + catchup.Parts.String(), "behind: " + catchup.Room.String(), "behind: " + catchup.Answers.String(), "behind: " + catchup.Holder.String()} {
+		assert.Assert(t, strings.Contains(string(page), part), "the page does not name %q", part)
+	}
+}
+
+// A zone in which nobody answers is named, and the exit code says that it is not known.
+func TestZoneThatDoesNotAnswerIsNamed(t *testing.T) {
+	addresses := zoneServers(t, func(s *status.Status) {
+		for n := range s.Fleet {
+			if s.Fleet[n].Zone == "zone-5" {
+				s.Fleet[n].Control = "127.0.0.1:1"
+			}
+		}
+	})
+	var out bytes.Buffer
+	err := runAll(t.Context(), &options{controls: addresses[:1], format: formatTable, all: true}, command.IO{Out: &out})
+	assert.Equal(t, command.CodeOf(err), command.Unreachable)
+	assert.Assert(t, strings.Contains(out.String(), "no answer from zone zone-5"), out.String())
+	err = runAll(t.Context(), &options{controls: []string{"127.0.0.1:1"}, format: formatTable, all: true}, command.IO{Out: &out})
+	assert.Equal(t, command.CodeOf(err), command.Unreachable)
+}
+
+// With --watch it is shown again until the operator interrupts.
+func TestWatchShowsAgain(t *testing.T) {
+	addresses := zoneServers(t, func(*status.Status) {})
+	ctx, cancel := context.WithTimeout(t.Context(), watchEvery+watchEvery/2)
+	defer cancel()
+	var out bytes.Buffer
+	assert.NilError(t, runAll(ctx, &options{controls: addresses[:1], format: formatTable, all: true, watch: true}, command.IO{Out: &out, Terminal: true}))
+	assert.Equal(t, strings.Count(out.String(), clearScreen), 2)
+	assert.Equal(t, command.CodeOf((&options{controls: addresses[:1], format: formatTable, watch: true}).check()), command.Usage)
+}
--- a/node/gateway/catchup/fetcher.go
+++ b/node/gateway/catchup/fetcher.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-kit/log"
@@ -71,8 +72,9 @@
 
 // Fetcher brings newer configurations from peers.
 type Fetcher struct {
-	cfg  Config
-	wake chan struct{}
+	cfg      Config
+	wake     chan struct{}
+	progress atomic.Pointer[Progress]
 }
 
 // NewFetcher returns a fetcher.
@@ -101,14 +103,18 @@
 type transfer struct {
 	*Fetcher
 	draft *spread.Draft
-	// avoid holds until when peers are passed over.
+	// avoid holds until when peers are passed over, and busy those of them that had no
+	// room.
 	avoid map[steering.VM]time.Time
+	busy  map[steering.VM]bool
 	// progress is when something last came.
 	progress time.Time
 }
 
 func (f *Fetcher) catchUp(ctx context.Context) {
-	t := &transfer{Fetcher: f, draft: spread.NewDraft(), avoid: make(map[steering.VM]time.Time), progress: time.Now()}
+	t := &transfer{Fetcher: f, draft: spread.NewDraft(), avoid: make(map[steering.VM]time.Time),
+		busy: make(map[steering.VM]bool), progress: time.Now()}
+	defer f.progress.Store(nil)
 	for ctx.Err() == nil {
 		_, late, behind := f.cfg.Reader.Behind()
 		if !behind {
@@ -117,6 +123,7 @@
 		t.draft.Base(f.cfg.Reader.Index())
 		peer, found := t.choose(late)
 		if !found {
+			t.show(t.idleWait(time.Now()))
 			t.readStore(ctx)
 			f.sleep(ctx, idle)
 			continue
@@ -164,17 +171,20 @@
 	need := t.draft.Need(t.cfg.PieceBytes)
 	need.From = t.cfg.Self
 	began := time.Now()
+	delete(t.busy, peer.VM)
 	got, err := t.call(ctx, peer.Address, need)
 	t.count(got, err)
 	switch {
 	case err == nil:
 		if err = t.draft.Take(got.piece); err == nil {
 			t.progress = time.Now()
+			t.show(Parts)
 			return
 		}
 		t.avoid[peer.VM] = time.Now().Add(avoidFailed)
 	case got.wait > 0:
 		t.avoid[peer.VM] = time.Now().Add(min(got.wait, longestWait))
+		t.busy[peer.VM] = true
 		return
 	default:
 		t.avoid[peer.VM] = time.Now().Add(avoidFailed)
--- a/node/gateway/config.go
+++ b/node/gateway/config.go
@@ -4,6 +4,8 @@
 	"time"
 
 	"heatherlock/node/gateway/catchup"
+	"heatherlock/node/gateway/fleet"
+	"heatherlock/steering"
 	"heatherlock/steering/spread"
 )
 
@@ -42,6 +44,19 @@
 	return max(bound-newsTime, bound/2)
 }
 
+// newestConfig is the newest version known to exist, and the VM that told of it first.
+type newestConfig struct {
+	version uint64
+	vm      steering.VM
+}
+
+// noteNewest remembers who told of a version that is newer than all known before.
+func (g *Gateway) noteNewest(before uint64, b fleet.Beat) {
+	if told := max(b.Known.Config, b.Known.Newest); told > before {
+		g.newest.Store(&newestConfig{told, b.From.Name})
+	}
+}
+
 // newConfigHandler returns what tells the configuration to others.
 func (g *Gateway) newConfigHandler() *catchup.Handler {
 	return &catchup.Handler{Index: g.reader.Index, Room: g.room, Scope: g.metrics.Scope, Log: g.log}
--- a/node/gateway/feed/configread.go
+++ b/node/gateway/feed/configread.go
@@ -117,4 +117,50 @@
 		began = time.Time{}
 	}
 	r.update(func() bool { return r.state.Configured(time.Now(), began, c.Table, c.Revision) })
+	r.reject(c)
+}
+
+// reject notes a configuration that cannot be used, and tells it once.
+func (r *Reader) reject(c platform.Config) {
+	if c.Table == nil && c.Rejected == nil {
+		return // nothing new
+	}
+	r.mu.Lock()
+	known := r.rejected
+	r.rejected = c.Rejected
+	r.mu.Unlock()
+	if c.Rejected != nil && (known == nil || *known != *c.Rejected) {
+		_ = r.log.Log("msg", "configuration rejected, the one in force stays", "version", c.Rejected.Version, "why", c.Rejected.Reason) // the writer counts what it drops
+	}
+}
+
+// Rejected returns the newest configuration that this VM read and that cannot be used, or
+// nil if a usable one came after it.
+func (r *Reader) Rejected() *platform.RejectedConfig {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.rejected
+}
+
+// InForce returns the configuration in force, the hash of its content and since when it is
+// in force here; ok is false before the first.
+func (r *Reader) InForce() (version, content uint64, since time.Time, ok bool) {
+	index := r.Index()
+	if index == nil {
+		return 0, 0, time.Time{}, false
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return index.Table().Version, index.Outline().ContentHash(), r.state.tableSince, true
+}
+
+// ContentHash returns the hash of the content of the configuration in force if it is known
+// without further work, else 0.
+func (r *Reader) ContentHash() uint64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.index == nil || r.index.Table() != r.state.Table() {
+		return 0
+	}
+	return r.index.Outline().ContentHash()
 }
--- a/node/gateway/feed/reader.go
+++ b/node/gateway/feed/reader.go
@@ -97,6 +97,8 @@
 	index *spread.Index
 	// config is the read of the configuration that is under way, or nil.
 	config *configRead
+	// rejected is the newest configuration if it cannot be used, or nil.
+	rejected *platform.RejectedConfig
 }
 
 // NewReader returns a reader that fills state.
--- a/node/gateway/feed/state.go
+++ b/node/gateway/feed/state.go
@@ -91,6 +91,7 @@
 	evacuated  map[steering.Zone]bool
 	evacuation int64
 	table      *routes.Table
+	tableSince time.Time // when table came into force here
 	configured int64
 	// newest is the newest version known to exist, and behindSince is when this VM
 	// first knew of one newer than that in force; zero if it knows of none.
--- a/node/gateway/feed/versions.go
+++ b/node/gateway/feed/versions.go
@@ -26,7 +26,7 @@
 	if t == nil || !t.Newer(s.table) {
 		return false
 	}
-	s.table = t
+	s.table, s.tableSince = t, now
 	s.behindSince = time.Time{}
 	s.heardOf(now, t.Version)
 	return true
--- a/node/gateway/fleet/beat.go
+++ b/node/gateway/fleet/beat.go
@@ -5,6 +5,7 @@
 	"github.com/fxamacker/cbor/v2"
 	"github.com/go-faster/errors"
 
+	"heatherlock/node/gateway/catchup"
 	"heatherlock/node/gateway/feed"
 	"heatherlock/steering"
 	"heatherlock/steering/placement"
@@ -34,6 +35,11 @@
 	Crowd uint32
 	// Known says what the VM knows of the store.
 	Known feed.Digest
+	// ConfigContent is a hash of the content of the configuration in force; 0 if it is not
+	// known.
+	ConfigContent uint32
+	// ConfigWait is what the VM waits for while a newer configuration is known to it.
+	ConfigWait catchup.Wait
 	// Demand is what the VM's own callers ask; nil means as told before. A VM of
 	// another zone is told that of all callers of the sender's zone instead.
 	Demand placement.DemandOf
@@ -68,9 +74,11 @@
 	Content     uint64
 	Config      uint64
 	NewestLead  uint64 // Newest less Config
-	ConfigLag   int64  // Revision less ConfigRevision
-	EvacLag     int64  // Revision less EvacuationRevision
-	ColdLag     int64  // Revision less ColdRevision
+	Content32   uint32 // hash of the configuration
+	Wait        uint8
+	ConfigLag   int64 // Revision less ConfigRevision
+	EvacLag     int64 // Revision less EvacuationRevision
+	ColdLag     int64 // Revision less ColdRevision
 	AgeMs       int64
 	Crowd       uint32
 	Evacuated   []steering.Zone
@@ -118,7 +126,7 @@
 // encode returns a beat's datagram, with the sender's addresses or without.
 func encode(b Beat, addresses bool) ([]byte, error) {
 	k := b.Known
-	d := datagram{Sender: idOf(b.From.Name), Incarnation: b.Incarnation, Number: b.Number, Revision: k.Revision, Content: k.Content, Config: k.Config, NewestLead: max(k.Newest, k.Config) - k.Config,
+	d := datagram{Sender: idOf(b.From.Name), Incarnation: b.Incarnation, Number: b.Number, Revision: k.Revision, Content: k.Content, Config: k.Config, NewestLead: max(k.Newest, k.Config) - k.Config, Content32: b.ConfigContent, Wait: uint8(b.ConfigWait),
 		ConfigLag: k.Revision - k.ConfigRevision, EvacLag: k.Revision - k.EvacuationRevision, ColdLag: k.Revision - k.ColdRevision, AgeMs: k.AgeMs, Crowd: b.Crowd, Evacuated: k.Evacuated, Demand: b.Demand, Mates: packMates(b.Mates), Suspects: b.Suspects, Introduced: b.Members}
 	for flag, set := range map[uint8]bool{flagServing: b.Serving, flagLeaving: b.Leaving, flagStoreFails: b.StoreFails, flagAsks: b.Asks, flagReads: b.Reads, flagMeets: b.Meets} {
 		if set {
@@ -143,7 +151,7 @@
 		return Beat{}, 0, errors.Wrap(err, "fleet: decode heartbeat")
 	}
 	b := Beat{Incarnation: d.Incarnation, Number: d.Number, Members: d.Introduced, Mates: unpackMates(d.Mates), Suspects: d.Suspects,
-		Serving: d.Flags&flagServing != 0, Leaving: d.Flags&flagLeaving != 0, StoreFails: d.Flags&flagStoreFails != 0, Asks: d.Flags&flagAsks != 0, Reads: d.Flags&flagReads != 0, Meets: d.Flags&flagMeets != 0, Crowd: d.Crowd, Demand: d.Demand,
+		Serving: d.Flags&flagServing != 0, Leaving: d.Flags&flagLeaving != 0, StoreFails: d.Flags&flagStoreFails != 0, Asks: d.Flags&flagAsks != 0, Reads: d.Flags&flagReads != 0, Meets: d.Flags&flagMeets != 0, Crowd: d.Crowd, Demand: d.Demand, ConfigContent: d.Content32, ConfigWait: catchup.Wait(d.Wait),
 		Known: feed.Digest{Revision: d.Revision, Content: d.Content, Config: d.Config, Newest: d.Config + d.NewestLead, ConfigRevision: d.Revision - d.ConfigLag,
 			EvacuationRevision: d.Revision - d.EvacLag, ColdRevision: d.Revision - d.ColdLag, AgeMs: d.AgeMs, Evacuated: d.Evacuated}}
 	if d.From != nil {
--- a/node/gateway/fleet/fleet.go
+++ b/node/gateway/fleet/fleet.go
@@ -94,6 +94,13 @@
 	return f.roster.Holders(time.Now(), above)
 }
 
+// Following returns which configuration each other VM on record follows.
+func (f *Fleet) Following() []Following {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.roster.Following(time.Now())
+}
+
 // Announce sends a heartbeat now, since something changed that others need.
 func (f *Fleet) Announce() {
 	f.mu.Lock()
--- a/node/gateway/fleet/roster.go
+++ b/node/gateway/fleet/roster.go
@@ -66,6 +66,10 @@
 	since   time.Time // when it became known
 	leaving bool
 	beat    Beat
+	// beatAt is when its own last heartbeat came, and configAt the first that told the
+	// configuration that it has in force.
+	beatAt   time.Time
+	configAt time.Time
 	// toldAt is when it last told its demand, or that of its zone.
 	toldAt time.Time
 	// reads is when it first told of its last read of the store. The time of the last
@@ -140,6 +144,10 @@
 	} else if h.beat.Incarnation == b.Incarnation {
 		b.Demand = h.beat.Demand // told before
 	}
+	if b.Known.Config != h.beat.Known.Config || h.beat.Incarnation != b.Incarnation {
+		h.configAt = now
+	}
+	h.beatAt = now
 	goesOn := h.beat.Reads && h.beat.Incarnation == b.Incarnation
 	h.Member, h.at, h.leaving, h.beat = b.From, now, b.Leaving, b
 	if b.Reads && !b.StoreFails && !goesOn {
--- a/node/gateway/fleet/views.go
+++ b/node/gateway/fleet/views.go
@@ -6,6 +6,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"heatherlock/node/gateway/catchup"
 	"heatherlock/steering"
 	"heatherlock/steering/placement"
 )
@@ -82,6 +83,42 @@
 	return demand
 }
 
+// Following is which configuration another entry VM follows, as far as it is known here.
+type Following struct {
+	Member
+	// Live is whether it lives, and Leaving whether it is about to end.
+	Live    bool
+	Leaving bool
+	Serving bool
+	// Version is in force there, 0 for none, and Newest the newest that it knows of.
+	Version uint64
+	Newest  uint64
+	// Content is a hash of the content in force; 0 if it is not known.
+	Content uint32
+	Wait    catchup.Wait
+	// Since is when its first heartbeat with this version came, ToldAt when its last
+	// came; zero if none ever did. VMs of other zones seldom write.
+	Since  time.Time
+	ToldAt time.Time
+}
+
+// Following returns which configuration each other VM on record follows, by zone and name.
+func (r *Roster) Following(now time.Time) []Following {
+	all := make([]Following, 0, len(r.members))
+	for _, h := range r.members {
+		k := h.beat.Known
+		all = append(all, Following{Member: h.Member, Live: r.live(now, h), Leaving: h.leaving, Serving: h.beat.Serving, Version: k.Config,
+			Newest: max(k.Newest, k.Config), Content: h.beat.ConfigContent, Wait: h.beat.ConfigWait, Since: h.configAt, ToldAt: h.beatAt})
+	}
+	sort.Slice(all, func(i, j int) bool {
+		if all[i].Zone != all[j].Zone {
+			return all[i].Zone < all[j].Zone
+		}
+		return all[i].Name < all[j].Name
+	})
+	return all
+}
+
 // Holder is a live VM and the version of the configuration that it has in force.
 type Holder struct {
 	Member
--- a/node/gateway/gateway.go
+++ b/node/gateway/gateway.go
@@ -64,14 +64,17 @@
 	beliefs beliefs
 	bounds  atomic.Pointer[platform.Bounds]
 
+	newest atomic.Pointer[newestConfig]
+	page   statusPage
+
 	reload      sync.Mutex
-	newest      *platform.Settings // as last read
+	settingsNow *platform.Settings // as last read
 	badSettings string             // what was wrong with those read last
 }
 
 // New assembles a gateway.
 func New(settings *platform.Settings, logger log.Logger) (*Gateway, error) {
-	g := &Gateway{settings: settings, newest: settings, log: logger, metrics: telemetry.New(string(settings.VM), string(settings.Zone)),
+	g := &Gateway{settings: settings, settingsNow: settings, log: logger, metrics: telemetry.New(string(settings.VM), string(settings.Zone)),
 		store: platform.NewStore(settings.Store), lending: placement.Lending{}}
 	scope := g.metrics.Scope
 	g.pool = upstream.NewPool(upstream.Dial, platform.RequestIDOf)
@@ -134,6 +137,7 @@
 	b.Known = g.reader.Digest()
 	b.StoreFails = g.reader.Failing()
 	b.Reads = g.reader.Reading()
+	b.ConfigContent, b.ConfigWait = uint32(g.reader.ContentHash()), g.fetcher.Progress().Wait
 	g.relay.WithBalancer(func(balancer *placement.Balancer, _ *retry.SharedBudget) { b.Demand = balancer.Demand(time.Now()) })
 }
 
@@ -206,39 +210,6 @@
 	return nil
 }
 
-// registerPause is waited between two tries to reach the store at start.
-const registerPause = 500 * time.Millisecond
-
-// register records this VM in the store and reads the others' records.
-func (g *Gateway) register(ctx context.Context) {
-	m := g.self()
-	record := platform.EntryVM{Name: m.Name, Zone: m.Zone, Region: m.Region, Peer: m.Peer, Control: m.Control, Callers: m.Callers, Capacity: float64(m.Capacity)}
-	for ctx.Err() == nil {
-		err := g.store.PutEntryVM(ctx, record)
-		if err == nil {
-			break
-		}
-		_ = g.log.Log("msg", "not recorded in the store", "err", err) // the writer counts what it drops
-		pause(ctx, registerPause)
-	}
-	for ctx.Err() == nil {
-		vms, bad, err := g.store.EntryVMs(ctx)
-		if bad > 0 {
-			_ = g.log.Log("msg", "records of entry VMs that cannot be read are left out", "count", bad) // as above
-		}
-		if err == nil {
-			members := make([]fleet.Member, 0, len(vms))
-			for _, vm := range vms {
-				members = append(members, fleet.Member{Name: vm.Name, Zone: vm.Zone, Region: vm.Region, Peer: vm.Peer, Control: vm.Control, Callers: vm.Callers, Capacity: float32(vm.Capacity)})
-			}
-			g.fleet.Add(members)
-			return
-		}
-		_ = g.log.Log("msg", "records of entry VMs not read", "err", err) // as above
-		pause(ctx, registerPause)
-	}
-}
-
 func pause(ctx context.Context, d time.Duration) {
 	timer := time.NewTimer(d)
 	defer timer.Stop()
--- a/node/gateway/reload.go
+++ b/node/gateway/reload.go
@@ -22,10 +22,10 @@
 		return
 	}
 	g.badSettings = ""
-	if reflect.DeepEqual(next, g.newest) {
+	if reflect.DeepEqual(next, g.settingsNow) {
 		return
 	}
-	g.newest = next
+	g.settingsNow = next
 	g.useBounds(next.Bounds)
 	_ = g.log.Log("msg", "settings read again", "restart_needed", next.Listen != g.settings.Listen || next.Store != g.settings.Store) // as above
 }
--- a/node/gateway/showstatus.go
+++ b/node/gateway/showstatus.go
@@ -2,11 +2,13 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"maps"
 	"net/http"
 	"slices"
 	"time"
 
+	"heatherlock/node/gateway/fleet"
 	"heatherlock/node/gateway/status"
 	"heatherlock/steering"
 	"heatherlock/steering/placement"
@@ -35,12 +37,51 @@
 	if t := g.relay.Table(); t != nil {
 		shown.ConfigVersion = t.Version
 	}
+	shown.Config, shown.Fleet = g.configStatus(now), peersOf(now, g.fleet.Following())
 	g.relay.WithBalancer(func(b *placement.Balancer, budget *retry.SharedBudget) {
 		shown.Services = servicesOf(now, b, budget, g.lending, s.Region)
 	})
 	return shown
 }
 
+// configStatus tells which configuration this VM follows.
+func (g *Gateway) configStatus(now time.Time) status.Config {
+	newest, behind, _ := g.reader.Behind()
+	progress := g.fetcher.Progress()
+	c := status.Config{Newest: newest, BehindMs: behind.Milliseconds(), PartsMissing: progress.Missing, Parts: progress.Of, Wait: progress.Wait.String()}
+	if from := g.newest.Load(); from != nil && from.version == newest {
+		c.NewestFrom = from.vm
+	}
+	if _, content, since, ok := g.reader.InForce(); ok {
+		c.InForceMs, c.Content = now.Sub(since).Milliseconds(), contentText(uint32(content))
+	}
+	if r := g.reader.Rejected(); r != nil {
+		c.Rejected = &status.Rejected{Version: r.Version, Reason: r.Reason}
+	}
+	return c
+}
+
+// contentText shows the hash of a configuration's content; empty if it is not known.
+func contentText(hash uint32) string {
+	if hash == 0 {
+		return ""
+	}
+	return fmt.Sprintf("%08x", hash)
+}
+
+func peersOf(now time.Time, all []fleet.Following) []status.Peer {
+	peers := make([]status.Peer, 0, len(all))
+	for _, f := range all {
+		p := status.Peer{VM: f.Name, Zone: f.Zone, Region: f.Region, Control: f.Control, Live: f.Live, Ready: f.Serving && f.Live && !f.Leaving,
+			Leaving: f.Leaving, ConfigVersion: f.Version, Newest: f.Newest, Content: contentText(f.Content), Wait: f.Wait.String(), ToldMs: -1}
+		if !f.ToldAt.IsZero() {
+			p.ToldMs, p.InForceMs = now.Sub(f.ToldAt).Milliseconds(), now.Sub(f.Since).Milliseconds()
+		}
+		peers = append(peers, p)
+	}
+	return peers
+}
+
 func servicesOf(now time.Time, b *placement.Balancer, budget *retry.SharedBudget, lending placement.Lending, region steering.Region) []status.Service {
 	demand, left := b.Demand(now), budget.Left(now)
 	services := []status.Service{}
--- a/node/gateway/status/status.go
+++ b/node/gateway/status/status.go
@@ -17,6 +17,10 @@
 	Leaving bool `json:"leaving"`
 	// ConfigVersion is the configuration in force, 0 before one is known.
 	ConfigVersion uint64 `json:"config_version"`
+	// Config tells more of it.
+	Config Config `json:"config"`
+	// Fleet is what this VM knows of the others on record, by zone and name.
+	Fleet []Peer `json:"fleet"`
 	// StoreAgeMs is the age of the read of the store that it goes by; -1 before one.
 	StoreAgeMs int64 `json:"store_age_ms"`
 	// StoreFails is set while its own reads fail.
@@ -53,3 +57,50 @@
 	RequestsPerSecond float64 `json:"requests_per_second"`
 	RunMs             float64 `json:"run_ms"`
 }
+
+// Config is which configuration the VM follows.
+type Config struct {
+	// InForceMs is how long it has been in force here.
+	InForceMs int64 `json:"in_force_ms"`
+	// Content is a hash of its content: 32 bits, in hexadecimal.
+	Content string `json:"content"`
+	// Newest is the newest version known to exist, and NewestFrom the VM that told of it
+	// first; empty if it was the store.
+	Newest     uint64      `json:"newest"`
+	NewestFrom steering.VM `json:"newest_from,omitempty"`
+	// BehindMs is how long a newer one has been known.
+	BehindMs int64 `json:"behind_ms"`
+	// PartsMissing of Parts have not come yet, and Wait says what for.
+	PartsMissing int    `json:"parts_missing"`
+	Parts        int    `json:"parts"`
+	Wait         string `json:"wait,omitempty"`
+	// Rejected is the newest written one if it cannot be used, as far as this VM read it.
+	Rejected *Rejected `json:"rejected,omitempty"`
+}
+
+// Rejected is a configuration that cannot be used.
+type Rejected struct {
+	// Version is as written.
+	Version string `json:"version"`
+	Reason  string `json:"reason"`
+}
+
+// Peer is what the VM knows of another by its heartbeats.
+type Peer struct {
+	VM     steering.VM     `json:"vm"`
+	Zone   steering.Zone   `json:"zone"`
+	Region steering.Region `json:"region"`
+	// Control is host:port of its control listener.
+	Control string `json:"control"`
+	Live    bool   `json:"live"`
+	Ready   bool   `json:"ready"`
+	Leaving bool   `json:"leaving"`
+	// ConfigVersion is in force there as of ToldMs ago, and has been for at least
+	// InForceMs. ToldMs is -1 if it never wrote to this VM.
+	ConfigVersion uint64 `json:"config_version"`
+	Newest        uint64 `json:"newest"`
+	Content       string `json:"content"`
+	Wait          string `json:"wait,omitempty"`
+	InForceMs     int64  `json:"in_force_ms"`
+	ToldMs        int64  `json:"told_ms"`
+}
--- a/node/gateway/tell.go
+++ b/node/gateway/tell.go
@@ -65,7 +65,9 @@
 	if len(b.Suspects) > 0 {
 		g.relay.LearnFacts(time.Now(), b.Suspects)
 	}
+	newest, _, _ := g.reader.Behind()
 	pull := g.reader.Merge(b.Known)
+	g.noteNewest(newest, b)
 	if _, _, behind := g.reader.Behind(); behind {
 		g.fetcher.Wake()
 	}
@@ -154,6 +156,7 @@
 func (g *Gateway) controlMux() *http.ServeMux {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET "+status.Path, g.answerStatus)
+	mux.HandleFunc("GET "+pagePath+"{$}", g.answerPage)
 	mux.Handle("POST "+catchup.Path, g.newConfigHandler())
 	mux.HandleFunc("GET "+pathKnown, func(w http.ResponseWriter, r *http.Request) {
 		since, err := strconv.ParseInt(r.URL.Query().Get(paramSince), 10, 64)
--- a/standin/metastore/http.go
+++ b/standin/metastore/http.go
@@ -39,6 +39,9 @@
 	s.mu.Lock()
 	f := s.faults
 	s.calls++
+	if r.URL.Query().Get("staleOk") == "1" {
+		s.stale++
+	}
 	s.mu.Unlock()
 	if f.refuses(w, r) {
 		return
@@ -109,7 +112,7 @@
 		s.watch(w, r, kind, watch)
 		return
 	}
-	reply(w, http.StatusOK, s.page(kind, r.URL.Query().Get("after")))
+	reply(w, http.StatusOK, s.page(kind, r.URL.Query().Get("after"), r.URL.Query().Get("staleOk") == "1"))
 }
 
 type page struct {
@@ -118,11 +121,15 @@
 	Revision int64    `json:"storeRevision"`
 }
 
-func (s *Store) page(kind, after string) page {
+func (s *Store) page(kind, after string, stale bool) page {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	p := page{Items: []Object{}, Revision: s.revision}
-	for name, o := range s.objects[kind] {
+	objects := s.objects[kind]
+	if stale && s.lagging != nil {
+		objects, p.Revision = s.lagging[kind], s.laggingAt
+	}
+	for name, o := range objects {
 		if name > after {
 			p.Items = append(p.Items, o)
 		}
--- a/standin/metastore/store.go
+++ b/standin/metastore/store.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"maps"
 	"sort"
 	"sync"
 )
@@ -44,6 +45,10 @@
 	changed  chan struct{}
 	faults   Faults
 	calls    int
+	stale    int
+	// lagging is what reads see that may be stale, as of laggingAt; nil if they do not lag.
+	lagging   map[string]map[string]Object
+	laggingAt int64
 }
 
 // firstRevision is above 0, as the users' store begins.
@@ -117,6 +122,23 @@
 	s.changed = make(chan struct{})
 }
 
+// Lag lets reads that may be stale see the store as it is now, until the next call.
+func (s *Store) Lag() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.lagging, s.laggingAt = make(map[string]map[string]Object, len(s.objects)), s.revision
+	for kind, objects := range s.objects {
+		s.lagging[kind] = maps.Clone(objects)
+	}
+}
+
+// StaleCalls returns how many of the calls allowed stale answers.
+func (s *Store) StaleCalls() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.stale
+}
+
 // Names returns the names of a kind's objects.
 func (s *Store) Names(kind string) []string {
 	s.mu.Lock()
--- a/steering/spread/outline.go
+++ b/steering/spread/outline.go
@@ -24,6 +24,16 @@
 	Rest uint64
 }
 
+// ContentHash tells configurations of different content apart, whatever their versions.
+func (o Outline) ContentHash() uint64 {
+	d := digest{xxhash.New()}
+	d.number(o.Rest)
+	for _, hash := range o.Buckets {
+		d.number(hash)
+	}
+	return d.Sum64()
+}
+
 // entry is a route and the hash of its content.
 type entry struct {
 	hash  uint64
