--- a/cmd/internal/offline/walk_test.go
+++ b/cmd/internal/offline/walk_test.go
@@ -38,9 +38,12 @@
 	targets []*endpoint.Endpoint
 }
 
-const walkService = steering.Service("tickets")
+const (
+	walkService = steering.Service("tickets")
+	usualWork   = 120 * time.Millisecond
+)
 
-func newWalk(t *testing.T, targets, slots int) *walk {
+func newWalk(t *testing.T, targets, slots int, work time.Duration) *walk {
 	t.Helper()
 	w := &walk{t: t, log: filepath.Join(t.TempDir(), "vm-1.log")}
 	file, err := os.Create(w.log)
@@ -49,7 +52,7 @@
 	balancer := placement.NewBalancer("vm-1", "centro")
 	var placed []placement.Target
 	for n := range targets {
-		e, err := endpoint.Start(endpoint.Config{ID: fmt.Sprint("target-", n), Slots: slots, Queue: 9, Work: 120 * time.Millisecond, WarmShare: 1, Keeps: 20})
+		e, err := endpoint.Start(endpoint.Config{ID: fmt.Sprint("target-", n), Slots: slots, Queue: 9, Work: work, WarmShare: 1, Keeps: 20})
 		assert.NilError(t, err)
 		t.Cleanup(e.Stop)
 		w.targets = append(w.targets, e)
@@ -96,13 +99,15 @@
 	return response.StatusCode
 }
 
-// flood keeps n reads running and waits until they are placed.
+// flood sends n reads and returns once one of them is in the target's hands.
 func (w *walk) flood(n int) (wait func()) {
 	var all sync.WaitGroup
 	for i := range n {
 		all.Go(func() { w.ask(http.MethodGet, "/read/x", fmt.Sprint("flood-", i)) })
 	}
-	time.Sleep(30 * time.Millisecond)
+	for end := time.Now().Add(3 * time.Second); w.targets[0].Arrivals() == 0; time.Sleep(time.Millisecond) {
+		assert.Assert(w.t, time.Now().Before(end), "no read reached the target")
+	}
 	return all.Wait
 }
 
@@ -120,29 +125,30 @@
 	for _, c := range []struct {
 		name           string
 		targets, slots int
+		work           time.Duration
 		play           func(w *walk) int
 		status         int
 		cause          []string // also on the page
 	}{
-		{"refused under overload", 1, 1, func(w *walk) int {
+		{"refused under overload", 1, 1, time.Second, func(w *walk) int {
 			defer w.flood(12)()
 			return w.ask(http.MethodGet, "/read/x", "it")
 		}, 503, []string{"refused at once, not run: the target of its key had a queue of", "too long for its aim; overload of service"}},
-		{"outcome unknown after its target died", 2, 3, func(w *walk) int {
+		{"outcome unknown after its target died", 2, 3, usualWork, func(w *walk) int {
 			w.fault(endpoint.LoseAnswer)
 			return w.ask(http.MethodPost, "/buy/x", "it")
 		}, 502, []string{"broke off with the request in its hands", "not tried again: it may have run, and must not run twice"}},
-		{"held to its timeout", 2, 3, func(w *walk) int {
+		{"held to its timeout", 2, 3, usualWork, func(w *walk) int {
 			w.fault(endpoint.Dark)
 			return w.ask(http.MethodPost, "/buy/x", "it")
 		}, 504, []string{"no answer of", "ms that the route allows"}},
-		{"no connection, and no room elsewhere", 1, 3, func(w *walk) int {
+		{"no connection, and no room elsewhere", 1, 3, usualWork, func(w *walk) int {
 			w.targets[0].Stop()
 			return w.ask(http.MethodGet, "/read/x", "it")
 		}, 503, []string{"not tried again: no other target has room in time"}},
 	} {
 		t.Run(c.name, func(t *testing.T) {
-			w := newWalk(t, c.targets, c.slots)
+			w := newWalk(t, c.targets, c.slots, c.work)
 			assert.Equal(t, c.play(w), c.status)
 			var out bytes.Buffer
 			assert.NilError(t, runWhyLog([]string{w.log}, "it", command.IO{Out: &out}))
--- a/standin/endpoint/endpoint.go
+++ b/standin/endpoint/endpoint.go
@@ -103,8 +103,12 @@
 // Address returns host:port.
 func (e *Endpoint) Address() string { return e.listener.Addr().String() }
 
-// Stop ends the target at once.
-func (e *Endpoint) Stop() { _ = e.server.Close() }
+// Stop ends the target at once. Its port refuses connections from then on, also if the
+// target had not begun to accept any.
+func (e *Endpoint) Stop() {
+	_ = e.listener.Close()
+	_ = e.server.Close()
+}
 
 // SetFault sets how each request is treated.
 func (e *Endpoint) SetFault(f func(*http.Request) Fault) {
