--- a/node/gateway/fleet/beat.go
+++ b/node/gateway/fleet/beat.go
@@ -36,7 +36,7 @@
 	// Known says what the VM knows of the store.
 	Known feed.Digest
 	// ConfigContent is a hash of the content of the configuration in force; 0 if it is not
-	// known.
+	// known, or as told before.
 	ConfigContent uint32
 	// ConfigWait is what the VM waits for while a newer configuration is known to it.
 	ConfigWait catchup.Wait
@@ -45,6 +45,8 @@
 	Demand placement.DemandOf
 	// Mates are the short ids of the VMs of its zone that the sender hears.
 	Mates []uint32
+	// Replaced are targets at whose address another was found of late.
+	Replaced []placement.StartID
 	// Suspects are facts on requests that crash targets.
 	Suspects []poison.Fact
 	// Members introduces others to a VM that may not know them.
@@ -84,6 +86,7 @@
 	Evacuated   []steering.Zone
 	Demand      placement.DemandOf
 	Mates       []byte // short ids, mateBytes each
+	Replaced    []placement.StartID
 	Suspects    []poison.Fact
 	From        *Member
 	Introduced  []Member
@@ -127,7 +130,7 @@
 func encode(b Beat, addresses bool) ([]byte, error) {
 	k := b.Known
 	d := datagram{Sender: idOf(b.From.Name), Incarnation: b.Incarnation, Number: b.Number, Revision: k.Revision, Content: k.Content, Config: k.Config, NewestLead: max(k.Newest, k.Config) - k.Config, Content32: b.ConfigContent, Wait: uint8(b.ConfigWait),
-		ConfigLag: k.Revision - k.ConfigRevision, EvacLag: k.Revision - k.EvacuationRevision, ColdLag: k.Revision - k.ColdRevision, AgeMs: k.AgeMs, Crowd: b.Crowd, Evacuated: k.Evacuated, Demand: b.Demand, Mates: packMates(b.Mates), Suspects: b.Suspects, Introduced: b.Members}
+		ConfigLag: k.Revision - k.ConfigRevision, EvacLag: k.Revision - k.EvacuationRevision, ColdLag: k.Revision - k.ColdRevision, AgeMs: k.AgeMs, Crowd: b.Crowd, Evacuated: k.Evacuated, Demand: b.Demand, Mates: packMates(b.Mates), Replaced: b.Replaced, Suspects: b.Suspects, Introduced: b.Members}
 	for flag, set := range map[uint8]bool{flagServing: b.Serving, flagLeaving: b.Leaving, flagStoreFails: b.StoreFails, flagAsks: b.Asks, flagReads: b.Reads, flagMeets: b.Meets} {
 		if set {
 			d.Flags |= flag
@@ -150,7 +153,7 @@
 	if err := cbor.Unmarshal(raw, &d); err != nil {
 		return Beat{}, 0, errors.Wrap(err, "fleet: decode heartbeat")
 	}
-	b := Beat{Incarnation: d.Incarnation, Number: d.Number, Members: d.Introduced, Mates: unpackMates(d.Mates), Suspects: d.Suspects,
+	b := Beat{Incarnation: d.Incarnation, Number: d.Number, Members: d.Introduced, Mates: unpackMates(d.Mates), Replaced: d.Replaced, Suspects: d.Suspects,
 		Serving: d.Flags&flagServing != 0, Leaving: d.Flags&flagLeaving != 0, StoreFails: d.Flags&flagStoreFails != 0, Asks: d.Flags&flagAsks != 0, Reads: d.Flags&flagReads != 0, Meets: d.Flags&flagMeets != 0, Crowd: d.Crowd, Demand: d.Demand, ConfigContent: d.Content32, ConfigWait: catchup.Wait(d.Wait),
 		Known: feed.Digest{Revision: d.Revision, Content: d.Content, Config: d.Config, Newest: d.Config + d.NewestLead, ConfigRevision: d.Revision - d.ConfigLag,
 			EvacuationRevision: d.Revision - d.EvacLag, ColdRevision: d.Revision - d.ColdLag, AgeMs: d.AgeMs, Evacuated: d.Evacuated}}
--- a/node/gateway/gateway.go
+++ b/node/gateway/gateway.go
@@ -138,7 +138,11 @@
 	b.StoreFails = g.reader.Failing()
 	b.Reads = g.reader.Reading()
 	b.ConfigContent, b.ConfigWait = uint32(g.reader.ContentHash()), g.fetcher.Progress().Wait
-	g.relay.WithBalancer(func(balancer *placement.Balancer, _ *retry.SharedBudget) { b.Demand = balancer.Demand(time.Now()) })
+	now := time.Now()
+	g.relay.WithBalancer(func(balancer *placement.Balancer, _ *retry.SharedBudget) {
+		b.Demand = balancer.Demand(now)
+		b.Replaced = balancer.ReplacedToTell(now)
+	})
 }
 
 // peersChanged tells placement who lives.
--- a/node/gateway/tell.go
+++ b/node/gateway/tell.go
@@ -17,6 +17,8 @@
 	"heatherlock/node/gateway/fleet"
 	"heatherlock/node/gateway/status"
 	"heatherlock/platform"
+	"heatherlock/steering/placement"
+	"heatherlock/steering/retry"
 	"heatherlock/steering/spread"
 )
 
@@ -65,6 +67,11 @@
 	if len(b.Suspects) > 0 {
 		g.relay.LearnFacts(time.Now(), b.Suspects)
 	}
+	if len(b.Replaced) > 0 {
+		g.relay.WithBalancer(func(balancer *placement.Balancer, _ *retry.SharedBudget) {
+			balancer.LearnReplaced(time.Now(), b.Replaced)
+		})
+	}
 	newest, _, _ := g.reader.Behind()
 	pull := g.reader.Merge(b.Known)
 	g.noteNewest(newest, b)
--- a/steering/placement/balancer.go
+++ b/steering/placement/balancer.go
@@ -22,6 +22,7 @@
 	lending Lending
 	// coldOwners is how many entry VMs may send to one cold target.
 	coldOwners int
+	replaced   replacements
 }
 
 // NewBalancer returns an empty balancer of the entry VM vm in region.
@@ -29,7 +30,7 @@
 	return &Balancer{vm: vm, region: region,
 		byName: make(map[steering.Target]*state), services: make(map[steering.Service]*serviceState),
 		dark: make(map[steering.Zone]bool), peers: make(map[steering.Region][]steering.VM),
-		lending: Lending{}, coldOwners: mostColdOwners}
+		lending: Lending{}, coldOwners: mostColdOwners, replaced: newReplacements()}
 }
 
 // SetColdSlack tells the slack of the bound on what a cold target gets in a
@@ -59,7 +60,7 @@
 		if s == nil {
 			s = &state{hash: hash(string(t.Name))}
 		}
-		s.Target = t
+		s.declared(t)
 		next[t.Name] = s
 		v := b.service(t.Service)
 		v.targets = append(v.targets, s)
@@ -68,6 +69,7 @@
 		sort.Slice(v.targets, func(i, j int) bool { return v.targets[i].Name < v.targets[j].Name })
 	}
 	b.byName = next
+	b.replaced.declare(next)
 	return restarted
 }
 
@@ -188,7 +190,7 @@
 	case Broken, Silent:
 		s.fail(now, true)
 	case Replaced:
-		s.Closed = true
+		b.replaced.note(now, s)
 	case Abandoned:
 	}
 }
--- a/steering/placement/state.go
+++ b/steering/placement/state.go
@@ -52,6 +52,20 @@
 	trying    bool
 	coldSpent coldBucket
 	keys      map[string]time.Time
+
+	// start names this start at its address; replaced is set once another target has
+	// answered there.
+	start    StartID
+	replaced bool
+}
+
+// declared takes in what is declared of the target. One that was found replaced stays
+// closed until its entry names another start or address.
+func (s *state) declared(t Target) {
+	start := idOfStart(t)
+	s.replaced = s.replaced && s.start == start
+	s.Target, s.start = t, start
+	s.Closed = s.Closed || s.replaced
 }
 
 // load estimates what runs and waits at the target now.
