--- a/node/gateway/fleet/fleet.go
+++ b/node/gateway/fleet/fleet.go
@@ -149,7 +149,8 @@
 	b.Suspects = f.cfg.Suspects(full)
 	far := zone.spoken(b)
 	if !full {
-		b.Demand = nil
+		b.Demand, b.ConfigContent = nil, 0
+		far.ConfigContent = 0
 	}
 	f.sendAll(b, far, met, false)
 	b.Meets, far.Meets = true, true
--- /dev/null
+++ b/node/gateway/fleet/following_test.go
@@ -0,0 +1,46 @@
+package fleet
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"heatherlock/node/gateway/catchup"
+	"heatherlock/node/gateway/feed"
+	"heatherlock/steering"
+)
+
+// What an operator is told of another VM: the version in force there and since when, what
+// it waits for, and the hash of its content, which only some heartbeats carry.
+func TestFollowingKeepsWhatHeartbeatsToldBefore(t *testing.T) {
+	now := time.Unix(1000, 0)
+	member := func(name string) Member {
+		return Member{Name: steering.VM(name), Zone: "a", Region: "r", Peer: name + ":1", Control: name + ":2"}
+	}
+	r := NewRoster(member("self"))
+	r.Add(now, member("silent"))
+	number := uint64(0)
+	heard := func(config, newest uint64, content uint32, wait catchup.Wait) Following {
+		number++
+		now = now.Add(300 * time.Millisecond)
+		r.Heard(now, Beat{From: member("other"), Incarnation: 1, Number: number, Serving: true, ConfigContent: content, ConfigWait: wait,
+			Known: feed.Digest{Config: config, Newest: newest}})
+		all := r.Following(now)
+		assert.Equal(t, len(all), 2)
+		assert.Equal(t, all[1].Name, steering.VM("silent"))
+		assert.Assert(t, all[1].ToldAt.IsZero() && !all[1].Live)
+		return all[0]
+	}
+	first := heard(5, 5, 77, catchup.Nothing)
+	since := now
+	assert.Assert(t, first.Live && first.Version == 5 && first.Content == 77 && first.Since.Equal(since))
+	second := heard(5, 7, 0, catchup.Room)
+	assert.Equal(t, second.Content, uint32(77), "as told before")
+	assert.Equal(t, second.Newest, uint64(7))
+	assert.Equal(t, second.Wait, catchup.Room)
+	assert.Assert(t, second.Since.Equal(since) && second.ToldAt.Equal(now))
+	third := heard(7, 7, 0, catchup.Nothing)
+	assert.Equal(t, third.Content, uint32(0), "of the version before")
+	assert.Assert(t, third.Since.Equal(now))
+}
--- a/node/gateway/fleet/roster.go
+++ b/node/gateway/fleet/roster.go
@@ -146,6 +146,8 @@
 	}
 	if b.Known.Config != h.beat.Known.Config || h.beat.Incarnation != b.Incarnation {
 		h.configAt = now
+	} else if b.ConfigContent == 0 {
+		b.ConfigContent = h.beat.ConfigContent // told before
 	}
 	h.beatAt = now
 	goesOn := h.beat.Reads && h.beat.Incarnation == b.Incarnation
--- a/node/gateway/fleet/size_test.go
+++ b/node/gateway/fleet/size_test.go
@@ -127,6 +127,7 @@
 
 func (c *crowd) own(b *Beat) {
 	b.Serving = true
+	b.ConfigContent = 0xfedcba98
 	b.Demand = placement.DemandOf{"s": {Rate: float32(c.demand.Load()), RunMs: 110, Runs: 100}}
 }
 
--- a/node/gateway/relay/relay.go
+++ b/node/gateway/relay/relay.go
@@ -73,6 +73,9 @@
 	cfg   Config
 	table atomic.Pointer[routes.Table]
 	ready atomic.Bool // targets are known
+	// started closes once a configuration and targets are known.
+	started  chan struct{}
+	starting sync.Once
 
 	mu       sync.Mutex // guards Balancer, Retry and suspects
 	suspects *suspects
@@ -84,7 +87,7 @@
 
 // New returns a relay without a configuration.
 func New(cfg Config) *Relay {
-	return &Relay{cfg: cfg, suspects: newSuspects(cfg.TargetBeat, cfg.Log), sums: newSums()}
+	return &Relay{cfg: cfg, suspects: newSuspects(cfg.TargetBeat, cfg.Log), sums: newSums(), started: make(chan struct{})}
 }
 
 // SetTable puts a configuration in force if it is newer, and reports whether it
@@ -96,6 +99,7 @@
 			return false
 		}
 		if f.table.CompareAndSwap(old, t) {
+			f.noteStart()
 			return true
 		}
 	}
@@ -130,7 +134,43 @@
 }
 
 // SetReady tells that the targets are known.
-func (f *Relay) SetReady() { f.ready.Store(true) }
+func (f *Relay) SetReady() {
+	f.ready.Store(true)
+	f.noteStart()
+}
+
+// noteStart lets requests in that wait for the start, once it is over.
+func (f *Relay) noteStart() {
+	if f.Ready() {
+		f.starting.Do(func() { close(f.started) })
+	}
+}
+
+// awaitStart waits for a configuration and targets, no longer than a caller would be told
+// to wait by a refusal, and reports whether they are known.
+//
+// What goes wrong when requests are refused at once: a VM that starts knows both within
+// 0.1 to 0.5 s. A caller that is refused meanwhile spends one of its few tries, comes back
+// after that time on a new connection, and is late. After the loss of all VMs that holds
+// for all callers: 1,016 of 5,810 requests of the two seconds after it, at 195 VMs.
+func (f *Relay) awaitStart(ctx context.Context, call platform.Call) bool {
+	if f.Ready() {
+		return true
+	}
+	longest := notReadyRetry
+	if call.Deadline > 0 {
+		longest = min(longest, call.Deadline/2)
+	}
+	timer := time.NewTimer(longest)
+	defer timer.Stop()
+	select {
+	case <-f.started:
+		return true
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+	return false
+}
 
 // Ready reports whether requests can be placed.
 func (f *Relay) Ready() bool { return f.ready.Load() && f.table.Load() != nil }
@@ -142,11 +182,11 @@
 // Serve implements callers.Handler.
 func (f *Relay) Serve(ctx context.Context, r *callers.Request) *callers.Response {
 	call := platform.ReadCall(r.Header)
-	table := f.table.Load()
-	if table == nil || !f.ready.Load() {
+	if !f.awaitStart(ctx, call) {
 		f.countRefused(nil, call, steering.ReasonNotReady)
 		return f.refuse(call.ID, "", steering.ReasonNotReady, notReadyRetry, nil)
 	}
+	table := f.table.Load()
 	route, found := table.Match(r.Host, r.Path)
 	if found && f.outdated() || !found && f.behind() {
 		f.countRefused(route, call, steering.ReasonConfigBehind)
