--- a/node/gateway/relay/relay.go
+++ b/node/gateway/relay/relay.go
@@ -184,16 +184,16 @@
 	call := platform.ReadCall(r.Header)
 	if !f.awaitStart(ctx, call) {
 		f.countRefused(nil, call, steering.ReasonNotReady)
-		return f.refuse(call.ID, "", steering.ReasonNotReady, notReadyRetry, nil)
+		return f.refuse(subject{id: call.ID}, steering.ReasonNotReady, notReadyRetry, nil)
 	}
 	table := f.table.Load()
 	route, found := table.Match(r.Host, r.Path)
 	if found && f.outdated() || !found && f.behind() {
 		f.countRefused(route, call, steering.ReasonConfigBehind)
-		return f.refuse(call.ID, "", steering.ReasonConfigBehind, notReadyRetry, nil)
+		return f.refuse(subject{table: table, id: call.ID}, steering.ReasonConfigBehind, notReadyRetry, nil)
 	}
 	if !found {
-		return f.refuse(call.ID, "", steering.ReasonNoService, 0, nil)
+		return f.refuse(subject{table: table, id: call.ID}, steering.ReasonNoService, 0, nil)
 	}
 	x := newExchange(f, table, route, r, call)
 	return x.run(ctx)
@@ -213,10 +213,18 @@
 	return ownResponse(status, steering.ReasonBadRequest, detail, 0)
 }
 
+// subject is the request that a line of the log is about, with the configuration that it
+// was decided by: that in force when it came, not when it ended.
+type subject struct {
+	table *routes.Table
+	id    string
+	route string
+}
+
 // refuse answers a request that has not run.
-func (f *Relay) refuse(id, route string, reason steering.Reason, retryAfter time.Duration, detail []any) *callers.Response {
+func (f *Relay) refuse(s subject, reason steering.Reason, retryAfter time.Duration, detail []any) *callers.Response {
 	f.cfg.Events.Refused(reason)
-	f.logEnd("refused", id, route, reason, detail)
+	f.logEnd("refused", s, reason, detail)
 	status := steering.Reasons[reason].Status
 	if reason == steering.ReasonPoison {
 		// Not 422: the request may be an innocent one like the culprit, and 503
@@ -227,13 +235,13 @@
 }
 
 // logEnd writes the line of a request that was not served.
-func (f *Relay) logEnd(outcome, id, route string, reason steering.Reason, detail []any) {
-	line := []any{"msg", outcome, "request", id, "route", route}
+func (f *Relay) logEnd(outcome string, s subject, reason steering.Reason, detail []any) {
+	line := []any{"msg", outcome, "request", s.id, "route", s.route}
 	if reason != "" {
 		line = append(line, "reason", reason)
 	}
-	if t := f.table.Load(); t != nil {
-		line = append(line, "config", t.Version)
+	if s.table != nil {
+		line = append(line, "config", s.table.Version)
 	}
 	_ = f.cfg.Log.Log(append(line, detail...)...) // the writer counts what it drops
 }
--- a/node/gateway/relay/start_test.go
+++ b/node/gateway/relay/start_test.go
@@ -13,9 +13,11 @@
 	"heatherlock/node/gateway/relay"
 	"heatherlock/node/gateway/upstream"
 	"heatherlock/platform"
+	"heatherlock/standin/endpoint"
 	"heatherlock/steering"
 	"heatherlock/steering/placement"
 	"heatherlock/steering/retry"
+	"heatherlock/steering/routes"
 )
 
 // starting is a rig whose entry VM knows neither configuration nor targets yet; begin
@@ -77,3 +79,33 @@
 	}
 	assert.Equal(t, len(g.runs()), 0)
 }
+
+// A request is decided by one configuration from its first try to its answer and its line in
+// the log: that in force when it came. Feared: a newer one comes while its first target is
+// at work, and the second try goes by other bounds than the first.
+func TestOneConfigurationDecidesARequestToItsEnd(t *testing.T) {
+	t.Parallel()
+	g := newRig(t, 2, nil)
+	old := g.relay.Table()
+	g.faults(func(n int) endpoint.Fault {
+		if n == 1 {
+			return endpoint.LoseAnswer
+		}
+		return endpoint.None
+	})
+	done := make(chan reply, 1)
+	go func() { done <- g.ask(http.MethodGet, "/read/x", "", 2*time.Second) }()
+	waitFor(t, func() bool { return len(g.runs()) == 1 })
+	limited := *old.Routes[0]
+	limited.MaxAttempts = 1
+	var routesNow []*routes.Route
+	for _, r := range old.Routes {
+		if r.Name == limited.Name {
+			r = &limited
+		}
+		routesNow = append(routesNow, r)
+	}
+	assert.Assert(t, g.relay.SetTable(routes.NewTable(old.Version+1, routesNow, []*routes.Service{old.Services[service]}, old.Limits)))
+	assert.Equal(t, (<-done).status, http.StatusOK, "the second try that the configuration allowed when it came")
+	assert.Equal(t, len(g.runs()), 2)
+}
--- a/node/gateway/showstatus.go
+++ b/node/gateway/showstatus.go
@@ -6,6 +6,7 @@
 	"maps"
 	"net/http"
 	"slices"
+	"strconv"
 	"time"
 
 	"heatherlock/node/gateway/fleet"
@@ -15,8 +16,19 @@
 	"heatherlock/steering/retry"
 )
 
+// headerConfig names the configuration in force on what operators are told.
+const headerConfig = "Heatherlock-Config"
+
+// nameConfig sets the header that names the configuration in force, if there is one.
+func (g *Gateway) nameConfig(w http.ResponseWriter) {
+	if t := g.relay.Table(); t != nil {
+		w.Header().Set(headerConfig, strconv.FormatUint(t.Version, 10))
+	}
+}
+
 // answerStatus tells operators what this VM goes by.
 func (g *Gateway) answerStatus(w http.ResponseWriter, _ *http.Request) {
+	g.nameConfig(w)
 	w.Header().Set("Content-Type", "application/json")
 	if err := json.NewEncoder(w).Encode(g.status(time.Now())); err != nil {
 		_ = g.log.Log("msg", "status not written", "err", err) // the writer counts what it drops
--- a/node/gateway/showstatus_test.go
+++ b/node/gateway/showstatus_test.go
@@ -2,6 +2,9 @@
 
 import (
 	"encoding/json"
+	"fmt"
+	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -46,3 +49,25 @@
 	all[0].stop()
 	within(t, time.Second, "leaving", func() bool { return s.status(all[0]).Leaving })
 }
+
+// Each answer that operators get names the configuration in force; browsers see which
+// configuration all VMs follow.
+func TestOperatorsSeeWhichConfigurationIsFollowed(t *testing.T) {
+	t.Parallel()
+	s := newSite(t)
+	all := s.startAll(3)
+	for _, path := range []string{"/", status.Path} {
+		response, err := http.Get("http://" + all[0].settings.Listen.Control + path)
+		assert.NilError(t, err)
+		_ = response.Body.Close()
+		assert.Equal(t, response.StatusCode, http.StatusOK)
+		assert.Equal(t, response.Header.Get("Heatherlock-Config"), fmt.Sprint(s.version))
+	}
+	followed := fmt.Sprintf("All 3 entry VMs follow configuration %d", s.version)
+	within(t, 5*time.Second, followed, func() bool {
+		_, page := s.get("http://" + all[1].settings.Listen.Control + "/")
+		return strings.Contains(page, followed)
+	})
+	code, _ := s.get("http://" + all[1].settings.Listen.Control + "/nothing")
+	assert.Equal(t, code, http.StatusNotFound)
+}
--- a/node/gateway/statuspage.go
+++ b/node/gateway/statuspage.go
@@ -42,6 +42,7 @@
 
 func (g *Gateway) answerPage(w http.ResponseWriter, r *http.Request) {
 	view := g.page.get(r.Context(), g)
+	g.nameConfig(w)
 	w.Header().Set("Content-Type", "text/html; charset=utf-8")
 	if err := pageTemplate.Execute(w, view); err != nil {
 		_ = g.log.Log("msg", "status page not written", "err", err) // the writer counts what it drops
