--- a/node/dynamic/peers.go
+++ b/node/dynamic/peers.go
@@ -13,14 +13,16 @@
 
 	"heatherlock/node/seam"
 	"heatherlock/peer/peerpb"
+	"heatherlock/platform"
 	"heatherlock/steering/config"
 )
 
 const (
-	// fetchTimeout bounds a fetch of a whole configuration, which with every
-	// client block is some megabytes.
+	// fetchTimeout is how long the answer to a fetch of a whole configuration may take to
+	// begin, and to go on. It is some megabytes with every client block, so that no time
+	// for the whole of it holds on every link.
 	fetchTimeout = 5 * time.Second
-	// patienceFirst bounds a fetch of a delta. A peer that announced a version
+	// patienceFirst is the same for a delta. A peer that announced a version
 	// and then stood still would otherwise hold up the fetch from others past
 	// the time in which a change must be in force. After failures the bound
 	// doubles up to fetchTimeout, for deltas too big for a slow link.
@@ -184,12 +186,12 @@
 	if have > 0 {
 		timeout = s.patience.get()
 	}
-	ctx, cancel := context.WithTimeout(ctx, timeout)
-	defer cancel()
+	ctx, stall := platform.WithStallTimeout(ctx, timeout)
+	defer stall.Release()
 	reply, err := s.config.Peer(address).FetchConfig(ctx, &peerpb.FetchConfigRequest{HaveVersion: have})
 	s.patience.note(ctx.Err() != nil)
 	if err != nil {
-		return "", err
+		return "", stall.Cause(err)
 	}
 	s.confirm()
 	return s.adopt(s.sourceOf(address), func(set *config.Set) (*config.Set, config.Verdict) {
--- /dev/null
+++ b/node/dynamic/stall_test.go
@@ -0,0 +1,79 @@
+package dynamic
+
+import (
+	"bytes"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+	"gotest.tools/v3/assert"
+
+	"heatherlock/peer"
+	"heatherlock/peer/peerpb"
+	"heatherlock/platform"
+)
+
+// Feared: an entry VM on a narrow link never starts, since a whole configuration of some
+// megabytes takes longer than the time for a fetch, and each fetch begins from its first
+// byte. An answer that keeps coming is waited for; one that stops is given up.
+func TestAnswerOfAPeerThatKeepsComingIsWaitedFor(t *testing.T) {
+	t.Parallel()
+	const pieces = 12
+	reply := &peerpb.FetchConfigReply{Version: 9, Whole: true}
+	for range pieces {
+		reply.Objects = append(reply.Objects, &peerpb.ConfigObject{Kind: "k", Value: bytes.Repeat([]byte{1}, 64<<10)})
+	}
+	raw, err := proto.Marshal(reply)
+	assert.NilError(t, err)
+	const pause = patienceFirst / 4 // 2.4 s in all
+	stop := 0
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("Content-Type", "application/protobuf")
+		for n := range pieces {
+			if stop > 0 && n == stop {
+				<-r.Context().Done()
+				return
+			}
+			_, _ = w.Write(raw[n*len(raw)/pieces : (n+1)*len(raw)/pieces]) // a caller that left needs none
+			w.(http.Flusher).Flush()
+			time.Sleep(pause)
+		}
+	}))
+	t.Cleanup(server.CloseClientConnections)
+	fetch := func(transport http.RoundTripper) (*peerpb.FetchConfigReply, error) {
+		ctx, stall := platform.WithStallTimeout(t.Context(), patienceFirst)
+		defer stall.Release()
+		clients := peer.NewClients(&http.Client{Transport: transport})
+		got, err := clients.To(strings.TrimPrefix(server.URL, "http://")).FetchConfig(ctx, &peerpb.FetchConfigRequest{})
+		return got, stall.Cause(err)
+	}
+	got, err := fetch(platform.StallTransport{Transport: &http.Transport{}})
+	assert.NilError(t, err)
+	assert.Equal(t, len(got.Objects), pieces)
+	_, err = fetch(&http.Transport{})
+	assert.ErrorIs(t, err, platform.ErrStalled, "read by one that does not note what comes")
+	stop = 3
+	began := time.Now()
+	_, err = fetch(platform.StallTransport{Transport: &http.Transport{}})
+	assert.ErrorIs(t, err, platform.ErrStalled)
+	assert.Assert(t, time.Since(began) < 3*patienceFirst, "given up after %v", time.Since(began))
+}
+
+// Peers that speak TLS are called by it, whoever reads their answers.
+func TestWaitingForAnswersKeepsTLS(t *testing.T) {
+	t.Parallel()
+	called := make(chan struct{}, 1)
+	server := httptest.NewTLSServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		called <- struct{}{}
+		w.Header().Set("Content-Type", "application/protobuf")
+	}))
+	t.Cleanup(server.Close)
+	transport := server.Client().Transport.(*http.Transport)
+	clients := peer.NewClients(&http.Client{Transport: platform.StallTransport{Transport: transport}})
+	_, err := clients.To(strings.TrimPrefix(server.URL, "https://")).FetchConfig(t.Context(), &peerpb.FetchConfigRequest{})
+	assert.NilError(t, err)
+	assert.Equal(t, len(called), 1)
+}
--- a/node/parts.go
+++ b/node/parts.go
@@ -21,6 +21,7 @@
 	"heatherlock/objects"
 	"heatherlock/peer"
 	"heatherlock/peer/peerpb"
+	"heatherlock/platform"
 	"heatherlock/steering/lookup"
 )
 
@@ -74,7 +75,7 @@
 		return nil, errors.Wrap(err, "node")
 	}
 	// Calls of Acquire wait in the owner's queue and would hold up beats.
-	calls := dialing(peer.NewControlClient(p.peerClientTLS()), options.Dial)
+	calls := patient(dialing(peer.NewControlClient(p.peerClientTLS()), options.Dial))
 	acquires := dialing(peer.NewHTTPClient(p.peerClientTLS()), options.Dial)
 	if waiting, ok := acquires.Transport.(*http.Transport); ok {
 		waiting.MaxConnsPerHost = admit.MaxAsks
@@ -155,6 +156,14 @@
 	return &http.Client{Timeout: loadTimeout, Transport: &http.Transport{DialContext: dial, IdleConnTimeout: idleTimeout}}
 }
 
+// patient lets a client wait for answers that keep coming, where the caller allows it.
+func patient(client *http.Client) *http.Client {
+	if transport, ok := client.Transport.(*http.Transport); ok {
+		client.Transport = platform.StallTransport{Transport: transport}
+	}
+	return client
+}
+
 // dialing replaces how a client for calls between entry VMs connects.
 func dialing(client *http.Client, dial forward.Dial) *http.Client {
 	if transport, ok := client.Transport.(*http.Transport); ok && dial != nil {
--- a/peer/clients.go
+++ b/peer/clients.go
@@ -103,6 +103,9 @@
 
 func schemeOf(client *http.Client) string {
 	transport, ok := client.Transport.(*http.Transport)
+	if wrapped, is := client.Transport.(interface{ Unwrap() *http.Transport }); is {
+		transport, ok = wrapped.Unwrap(), true
+	}
 	if ok && transport.TLSClientConfig != nil {
 		return "https"
 	}
