--- a/node/gateway/beliefs.go
+++ b/node/gateway/beliefs.go
@@ -14,9 +14,10 @@
 
 // beliefs is what the log has told of the targets, so that it tells changes.
 type beliefs struct {
-	mu      sync.Mutex
-	known   map[steering.Target]belief
-	ejected map[steering.Target]bool
+	mu       sync.Mutex
+	known    map[steering.Target]belief
+	ejected  map[steering.Target]bool
+	replaced map[steering.Target]bool
 	// unusable holds, by target, why its entry names none; at most mostUnusable.
 	unusable map[steering.Target]string
 }
@@ -69,22 +70,38 @@
 	b := &g.beliefs
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	now := make(map[steering.Target]bool, len(ejected))
 	var began, ended []steering.Target
-	for _, name := range ejected {
+	b.ejected, began, ended = compare(b.ejected, ejected)
+	g.logNames("targets passed over, they fail or do not answer", began)
+	g.logNames("targets used again", ended)
+}
+
+// logReplaced tells which targets get nothing more since another one answers at their
+// address, as this VM or another has found.
+func (g *Gateway) logReplaced(replaced []steering.Target) {
+	b := &g.beliefs
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	var began []steering.Target
+	b.replaced, began, _ = compare(b.replaced, replaced)
+	g.logNames("targets replaced, others have their addresses", began)
+}
+
+// compare returns a new set of targets, and what came and went since an old one.
+func compare(old map[steering.Target]bool, all []steering.Target) (now map[steering.Target]bool, came, went []steering.Target) {
+	now = make(map[steering.Target]bool, len(all))
+	for _, name := range all {
 		now[name] = true
-		if !b.ejected[name] {
-			began = append(began, name)
+		if !old[name] {
+			came = append(came, name)
 		}
 	}
-	for name := range b.ejected {
+	for name := range old {
 		if !now[name] {
-			ended = append(ended, name)
+			went = append(went, name)
 		}
 	}
-	b.ejected = now
-	g.logNames("targets passed over, they fail or do not answer", began)
-	g.logNames("targets used again", ended)
+	return now, came, went
 }
 
 // mostUnusable bounds the entries remembered as told, so that a flood of spoiled ones
--- a/node/gateway/gateway.go
+++ b/node/gateway/gateway.go
@@ -252,18 +252,20 @@
 // showBeliefs puts what this VM goes by into gauges.
 func (g *Gateway) showBeliefs() {
 	scope := g.metrics.Scope
-	var ejected []steering.Target
+	var ejected, replaced []steering.Target
 	var tries map[steering.Service]float64
 	kept := make(map[steering.Service]float64)
 	g.relay.WithBalancer(func(balancer *placement.Balancer, budget *retry.SharedBudget) {
-		ejected = balancer.Ejected()
+		ejected, replaced = balancer.Ejected(), balancer.Replaced()
 		tries = budget.Left(time.Now())
 		for service := range g.lending {
 			kept[service] = g.lending.Kept(service, g.settings.Region)
 		}
 	})
 	g.logEjected(ejected)
+	g.logReplaced(replaced)
 	scope.Gauge("gateway_targets_ejected").Update(float64(len(ejected)))
+	scope.Gauge("gateway_targets_replaced").Update(float64(len(replaced)))
 	scope.Gauge("gateway_peers").Update(float64(len(g.fleet.Live())))
 	newest, late, _ := g.reader.Behind()
 	scope.Gauge("gateway_config_newest").Update(float64(newest))
--- a/steering/placement/replaced.go
+++ b/steering/placement/replaced.go
@@ -71,6 +71,17 @@
 	r.found[s.start] = now
 }
 
+// Replaced returns the targets that are closed since another one answers at their address.
+func (b *Balancer) Replaced() []steering.Target {
+	var names []steering.Target
+	for name, s := range b.byName {
+		if s.replaced {
+			names = append(names, name)
+		}
+	}
+	return names
+}
+
 // ReplacedToTell returns the targets that were found replaced of late.
 func (b *Balancer) ReplacedToTell(now time.Time) []StartID {
 	var told []StartID
