--- a/node/gateway/register.go
+++ b/node/gateway/register.go
@@ -40,9 +40,9 @@
 //
 // What goes wrong when each VM that starts asks for the newest: with the pages of the list
 // the calls grow with the square of the fleet, and after a loss of all VMs the store is
-// asked for that by all at once. At 195 VMs 975 of the 1,069 calls of a quiet start were
-// these. A copy that lags costs a tenth, and proves by this VM's own record that it holds
-// all that matters.
+// asked for that by all at once. Of 1,197 calls with which 195 VMs start together 292 are
+// pages of this list. A copy that lags costs a tenth, and proves by this VM's own record
+// that it holds all that matters; with it a quiet day costs 1,012 calls instead of 1,339.
 func (g *Gateway) readMembers(ctx context.Context, n int) (known bool) {
 	freshness := platform.MaybeStale
 	if n >= staleReads {
