--- a/node/gateway/storm_test.go
+++ b/node/gateway/storm_test.go
@@ -36,7 +36,6 @@
 // follower notes which versions a VM has had in force.
 type follower struct {
 	vm   *vm
-	cut  bool
 	seen []acknowledged // each when it was first seen
 }
 
