--- a/cmd/internal/quickstart/run.go
+++ b/cmd/internal/quickstart/run.go
@@ -32,6 +32,10 @@
 	lateAt = 0.93
 )
 
+// stepTimeout is how long an operator waits for an answer to a change before it counts as
+// not done. An answer that takes longer leaves them not knowing what holds.
+const stepTimeout = 10 * time.Second
+
 // Screen is where a run shows itself.
 type Screen struct {
 	Out io.Writer
@@ -142,12 +146,14 @@
 	})
 	beside.Go(func() { r.operator.watch(watch) })
 	beside.Go(func() { r.showProgress(watch, begun) })
-	beside.Go(func() { r.plan(load, begun) })
+	var plan sync.WaitGroup
+	plan.Go(func() { r.plan(ctx, load, begun) })
 	if r.system.processes != nil {
 		beside.Go(func() { r.system.processes.follow(watch, r.system) })
 	}
 	r.traffic.Run(load)
 	r.traffic.Wait()
+	plan.Wait()
 	endWatch()
 	beside.Wait()
 }
@@ -168,20 +174,23 @@
 	}
 }
 
-func (r *running) plan(ctx context.Context, begun time.Time) {
+// plan begins the steps of the plan while callers work. One that is under way at their end
+// is still done, under ctx: cut off by the end of the run itself, it would count as one that
+// the system did not do.
+func (r *running) plan(ctx, load context.Context, begun time.Time) {
 	at := func(share float64) bool {
-		return traffic.SleepUntil(ctx, begun.Add(time.Duration(share*float64(r.options.For))))
+		return traffic.SleepUntil(load, begun.Add(time.Duration(share*float64(r.options.For))))
 	}
 	if !at(shiftAt) {
 		return
 	}
-	r.note("shift", r.operator.shift(ctx, r.options.Load))
+	r.note("shift", within(ctx, func(ctx context.Context) error { return r.operator.shift(ctx, r.options.Load) }))
 	if !at(stopAt) {
 		return
 	}
 	r.sendUploads("stop")
-	r.waitForUpload(ctx)
-	r.note("planned stop", r.operator.plannedStop(ctx))
+	r.waitForUpload(load)
+	r.note("planned stop", within(ctx, r.operator.plannedStop))
 	r.plantFaults(ctx, at)
 	if at(rushAt) {
 		r.rush()
@@ -201,11 +210,18 @@
 		defer r.system.plant(f, r.sendCrashing)()
 	}
 	if at(retuneAt) {
-		r.noteChange(r.operator.retune(ctx))
+		r.noteChange(within(ctx, r.operator.retune))
 	}
 	at(faultEnds)
 }
 
+// within carries out a step of the operator's, which may take stepTimeout.
+func within(ctx context.Context, step func(context.Context) error) error {
+	ctx, cancel := context.WithTimeout(ctx, stepTimeout)
+	defer cancel()
+	return step(ctx)
+}
+
 // noteChange takes a refusal for what it should be while the platform is out.
 func (r *running) noteChange(err error) {
 	if slices.Contains(r.options.Faults, FaultPlatformDown) == (err != nil) {
--- a/cmd/internal/quickstart/run_test.go
+++ b/cmd/internal/quickstart/run_test.go
@@ -2,12 +2,17 @@
 
 import (
 	"bytes"
+	"io"
+	"net/http"
 	"slices"
 	"testing"
 	"time"
 
+	"github.com/go-kit/log"
 	"gotest.tools/v3/assert"
 
+	"heatherlock/api/oas"
+	"heatherlock/standin/deploy"
 	"heatherlock/standin/witness"
 )
 
@@ -45,6 +50,48 @@
 	}
 }
 
+// slowly lets answers take a while to come.
+type slowly struct{ by time.Duration }
+
+func (s slowly) RoundTrip(r *http.Request) (*http.Response, error) {
+	response, err := http.DefaultTransport.RoundTrip(r)
+	time.Sleep(s.by)
+	if err == nil && r.Context().Err() != nil {
+		response.Body.Close()
+		return nil, r.Context().Err()
+	}
+	return response, err
+}
+
+// Symptom: a run on a busy machine reports a step that was not done, "context canceled".
+//
+// Sequence: an operator's change is answered later than the run's time is up. Cause: the end
+// of the run ended the call.
+//
+// Evidence: the steps that are answered late and those reported are the same ones, and the
+// entry VMs have the change in force.
+func TestStepUnderWayAtTheEndOfARunIsDone(t *testing.T) {
+	t.Parallel()
+	o := Defaults()
+	o.For, o.RunOver, o.Load = time.Second, 0, 0.02
+	s, err := newSystem(deploy.Chile(), o.Seed, log.NewNopLogger(), "")
+	assert.NilError(t, err)
+	defer s.close()
+	r := &running{options: o, system: s, screen: Screen{Out: io.Discard}}
+	assert.NilError(t, s.startAll())
+	assert.NilError(t, r.declare(t.Context()))
+	all := s.all()
+	r.operator.client, err = oas.NewClient("http://"+all[len(all)-1].addresses.Operator, oas.WithClient(&http.Client{Transport: slowly{o.For / 2}}))
+	assert.NilError(t, err)
+	r.startCallers()
+	defer r.closeCallers()
+	r.work(t.Context(), time.Now())
+	assert.Equal(t, len(r.notDone), 0, "%v", r.notDone)
+	shift, err := r.operator.client.GetObject(t.Context(), oas.GetObjectParams{Kind: oas.KindShift, Name: shiftName})
+	assert.NilError(t, err)
+	assert.Equal(t, shift.Shift.Spec.Percent, shiftPercent)
+}
+
 func TestWholeDeployment(t *testing.T) { judgeRun(t, shortRun(t)) }
 
 // Symptom: a booking is made twice, an answer goes to the wrong nurse, or a
