--- a/node/gateway/catchup/catchup_test.go
+++ b/node/gateway/catchup/catchup_test.go
@@ -255,3 +255,32 @@
 	assert.Assert(t, refused.Load() > 0, "no question was in vain")
 	assert.Assert(t, vain.Load() < 200*refused.Load(), "%d questions in vain took %d bytes", refused.Load(), vain.Load())
 }
+
+// Symptom: a VM on a narrow link has no newer configuration in force while versions come one
+// after the other. Sequence: the peer has a newer one in force each time that it is asked for
+// the next part. Cause: telling nothing but the newest.
+func TestWhatAVMHasBegunToAskForIsToldAfterItWasReplaced(t *testing.T) {
+	var version atomic.Uint64
+	version.Store(9)
+	r := &reader{newest: 9, inForce: index(6, 10)}
+	handler := &catchup.Handler{Index: func() *spread.Index { return index(version.Load(), 2000) }, Room: spread.NewRoom(1000), Scope: tally.NoopScope, Log: log.NewNopLogger()}
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
+		handler.ServeHTTP(w, req)
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		r.newest = version.Add(3) // a newer one with each answer
+	}))
+	t.Cleanup(server.CloseClientConnections)
+	f := catchup.NewFetcher(catchup.Config{Reader: r, HTTP: &http.Client{}, Self: "self", PieceBytes: 32 << 10, Scope: tally.NoopScope, Log: log.NewNopLogger(),
+		Asker: func() spread.Asker { return spread.Asker{} },
+		Peers: func(uint64) []catchup.Peer {
+			return []catchup.Peer{{Source: spread.Source{VM: "peer", Version: version.Load()}, Address: strings.TrimPrefix(server.URL, "http://")}}
+		}})
+	ctx, stop := context.WithCancel(t.Context())
+	defer stop()
+	go f.Run(ctx)
+	f.Wake()
+	for began := time.Now(); r.Index().Outline().Version == 6; time.Sleep(5 * time.Millisecond) {
+		assert.Assert(t, time.Since(began) < 3*time.Second, "no newer one in force after 3 s, version %d is in force at the peer", version.Load())
+	}
+}
--- a/node/gateway/catchup/fetcher.go
+++ b/node/gateway/catchup/fetcher.go
@@ -133,6 +133,7 @@
 		t.ask(ctx, peer)
 		if t.draft.Done() {
 			f.cfg.Reader.Take(t.draft.Index())
+			t.place = ""
 		}
 	}
 }
--- a/node/gateway/catchup/handler.go
+++ b/node/gateway/catchup/handler.go
@@ -24,19 +24,22 @@
 	mostAsked = 1 << 20
 )
 
-// Handler tells the configuration in force. It is safe for concurrent use.
+// Handler tells the configuration in force, and those before it to VMs that have begun to ask
+// for them. It is safe for concurrent use.
 type Handler struct {
 	// Index returns the configuration in force, or nil.
 	Index func() *spread.Index
 	Room  *spread.Room
 	Scope tally.Scope
 	Log   log.Logger
+
+	recent spread.Recent
 }
 
 // ServeHTTP implements http.Handler.
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	index := h.Index()
-	if index == nil {
+	inForce := h.Index()
+	if inForce == nil {
 		http.Error(w, "no configuration yet; ask another entry VM", http.StatusNotFound)
 		return
 	}
@@ -45,6 +48,7 @@
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
+	index := h.recent.Find(time.Now(), inForce, need.Version)
 	if wait, ok := h.Room.Turn(time.Now(), index.Turn(need)); !ok {
 		h.refuse(w, wait)
 		return
--- a/steering/spread/choose.go
+++ b/steering/spread/choose.go
@@ -36,12 +36,15 @@
 }
 
 // Choose returns the VM to ask, or false if none is to be asked yet: one of its own zone,
-// else of its region, else any, and of these one that has the newest: that which keeps a
-// place for the asker, since nobody else gets it meanwhile, or any. draw returns a number
-// from 0 to n-1.
+// else of its region, else any, and of these that which keeps a place for the asker, since
+// nobody else gets it meanwhile, or any. draw returns a number from 0 to n-1. All sources
+// have a newer configuration than the asker.
 //
 // What goes wrong when all ask the first that knows: its link, and those between regions,
-// carry as many copies as there are VMs.
+// carry as many copies as there are VMs. What goes wrong when they ask those that have the
+// newest: when versions come one after the other, these are few, and all wait for them.
+// Played with 195 VMs on links of 10 Mbit/s and a version by 1,400 routes every 0.65 s, the
+// last VM is 3 s behind; 8 s when those with the newest are asked.
 func Choose(a Asker, all []Source, draw func(n int) int) (Source, bool) {
 	allowed := askersEach * (1 + int(a.Waited/widenEvery))
 	for _, near := range []func(Source) bool{
@@ -49,28 +52,24 @@
 		func(s Source) bool { return s.Region == a.Region && a.ZoneRank < allowed },
 		func(Source) bool { return a.RegionRank < allowed },
 	} {
-		found := newestOf(all, near)
-		if len(found) == 0 {
-			continue
+		kept := slices.IndexFunc(all, func(s Source) bool { return s.VM == a.Place && near(s) })
+		if kept >= 0 {
+			return all[kept], true
 		}
-		if kept := slices.IndexFunc(found, func(s Source) bool { return s.VM == a.Place }); kept >= 0 {
-			return found[kept], true
+		if found := those(all, near); len(found) > 0 {
+			return found[draw(len(found))], true
 		}
-		return found[draw(len(found))], true
 	}
 	return Source{}, false
 }
 
-func newestOf(all []Source, wanted func(Source) bool) []Source {
+// those returns the sources that are wanted.
+func those(all []Source, wanted func(Source) bool) []Source {
 	var found []Source
 	for _, s := range all {
-		switch {
-		case !wanted(s) || len(found) > 0 && s.Version < found[0].Version:
-			continue
-		case len(found) > 0 && s.Version > found[0].Version:
-			found = found[:0]
+		if wanted(s) {
+			found = append(found, s)
 		}
-		found = append(found, s)
 	}
 	return found
 }
--- a/steering/spread/spread_test.go
+++ b/steering/spread/spread_test.go
@@ -208,3 +208,25 @@
 		t.Fatalf("no other value for a field of kind %s", field.Kind())
 	}
 }
+
+// What was replaced is told for some seconds to those who began to ask for it, and no longer:
+// each is memory held.
+func TestReplacedConfigurationsAreKeptForAWhile(t *testing.T) {
+	var recent spread.Recent
+	now := time.Unix(1000, 0)
+	all := make(map[uint64]*spread.Index)
+	for version := uint64(1); version <= 10; version++ {
+		all[version] = spread.NewIndex(tableOf(version, many(3)))
+		now = now.Add(300 * time.Millisecond)
+		assert.Equal(t, recent.Find(now, all[version], 0), all[version])
+	}
+	for version := uint64(1); version <= 10; version++ {
+		want := all[version]
+		if version < 4 { // more than six are replaced
+			want = all[10]
+		}
+		assert.Equal(t, recent.Find(now, all[10], version), want, "version %d", version)
+	}
+	assert.Equal(t, recent.Find(now.Add(time.Second), all[10], 9), all[9])
+	assert.Equal(t, recent.Find(now.Add(2*time.Second), all[10], 9), all[10], "too long ago")
+}
