--- a/cmd/heatherlock/tutorial_test.go
+++ b/cmd/heatherlock/tutorial_test.go
@@ -136,7 +136,7 @@
 // a target, or all of a place's slots were taken, right after the run. Sequence: the system is
 // not given processor time for a second; entry VMs do not hear each other and their targets
 // do not answer in time. Cause: none of the system's; the status told what it was. Evidence:
-// the same status named the VMs suspect and zones behind, and a second later neither.
+// the same status named six of twelve entry VMs suspect and three of six zones behind.
 func TestTutorial(t *testing.T) {
 	page := root + "/docs/tutorial.md"
 	t.Setenv("HEATHERLOCK_ENTRY_VMS", startQuickstart(t))
