--- a/node/gateway/catchup/fetcher.go
+++ b/node/gateway/catchup/fetcher.go
@@ -191,7 +191,7 @@
 	switch {
 	case err == nil:
 		t.progress = time.Now()
-		t.keepPlace(peer, need)
+		t.keepPlace(peer, got.piece)
 		t.show(Parts)
 		return
 	case got.wait > 0:
@@ -211,8 +211,8 @@
 }
 
 // keepPlace notes that a peer answered with more than an outline: it keeps a place.
-func (t *transfer) keepPlace(peer Peer, need spread.Need) {
-	if need.Version > 0 {
+func (t *transfer) keepPlace(peer Peer, p spread.Piece) {
+	if p.Outline == nil {
 		t.place = peer.VM
 	}
 }
--- a/node/gateway/gateway.go
+++ b/node/gateway/gateway.go
@@ -90,12 +90,13 @@
 	}
 	g.store.Moved = func(bytes int) { g.meter.Count(volume.Store, volume.Place{}, int64(bytes)) }
 	b := settings.Bounds
-	g.relay = relay.New(relay.Config{Meter: g.meter, Region: settings.Region, Zone: settings.Zone, Pool: g.pool,
+	g.relay = relay.New(relay.Config{Region: settings.Region, Zone: settings.Zone, Pool: g.pool,
 		Balancer: placement.NewBalancer(settings.VM, settings.Region),
 		Retry:    retry.NewSharedBudget(retryConfig(b)),
 		Log:      logger, TargetBeat: time.Duration(settings.HeartbeatMs) * time.Millisecond,
 		Events: relay.NewEvents(scope), StoreAge: func() time.Duration { return time.Duration(g.reader.Digest().AgeMs) * time.Millisecond },
-		Members: func() int { return g.fleet.Size() }, Behind: func() bool { _, _, behind := g.reader.Behind(); return behind }, Outdated: g.outdated})
+		Members: func() int { return g.fleet.Size() }, Behind: func() bool { _, _, behind := g.reader.Behind(); return behind }, Outdated: g.outdated,
+		Meter: g.meter})
 	g.callers = callers.NewServer(g.relay, g.relay.Limits, callerConnections)
 	state := feed.NewState(time.Duration(settings.HeartbeatMs)*time.Millisecond, settings.Zones)
 	g.reader = feed.NewReader(g.store, g, state, fleetOf{g}, logger)
@@ -209,7 +210,7 @@
 	g.done.Go(func() { g.reader.Run(work) })
 	g.done.Go(func() { g.fetcher.Run(work) })
 	g.done.Go(func() { g.register(work) })
-	g.done.Go(func() { g.lend(work) })
+	g.done.Go(func() { g.tend(work) })
 	g.done.Go(func() { _ = g.callers.Serve(work, listener) }) // ends with the listener
 	_ = g.log.Log("msg", "started", "vm", g.settings.VM, "zone", g.settings.Zone)
 	<-ctx.Done()
@@ -232,18 +233,12 @@
 	}
 }
 
-// lend keeps the shares of keys that regions keep in step with demand.
-func (g *Gateway) lend(ctx context.Context) {
+// tend does until ctx ends what is due each second, whatever requests come.
+func (g *Gateway) tend(ctx context.Context) {
 	told := time.Now()
 	for ctx.Err() == nil {
 		pause(ctx, lendEvery)
-		demand := g.fleet.Demand()
-		g.relay.WithBalancer(func(balancer *placement.Balancer, _ *retry.SharedBudget) {
-			demand[g.settings.Region].AddAll(balancer.Demand(time.Now()))
-			balancer.Learn(placement.Runs(demand))
-			g.lending = placement.NextLending(g.lending, placement.Situation{Demand: demand, Slots: balancer.Slots(), Regions: g.regions(), ShiftShare: g.bounds.Load().ShiftShare})
-			balancer.SetLending(g.lending)
-		})
+		g.lend()
 		g.peersChanged()
 		g.showBeliefs()
 		g.relay.LogSums()
@@ -254,6 +249,17 @@
 	}
 }
 
+// lend keeps the shares of keys that regions keep in step with demand.
+func (g *Gateway) lend() {
+	demand := g.fleet.Demand()
+	g.relay.WithBalancer(func(balancer *placement.Balancer, _ *retry.SharedBudget) {
+		demand[g.settings.Region].AddAll(balancer.Demand(time.Now()))
+		balancer.Learn(placement.Runs(demand))
+		g.lending = placement.NextLending(g.lending, placement.Situation{Demand: demand, Slots: balancer.Slots(), Regions: g.regions(), ShiftShare: g.bounds.Load().ShiftShare})
+		balancer.SetLending(g.lending)
+	})
+}
+
 // logVolume writes one line of the bytes that were exchanged since the last, and counts them.
 func (g *Gateway) logVolume() {
 	sums := g.meter.Take()
--- a/steering/spread/doc.go
+++ b/steering/spread/doc.go
@@ -27,9 +27,10 @@
 // Ways weighed. A log of changes by version is smaller by some hundred bytes for one
 // route, but serves only those who ask for a version that the log still holds, and its
 // parts do not fit together across peers. A whole table without a time limit ends, but
-// grows with the configuration and with the number of those who ask. Passing on parts before a VM has them all was played, and is not done: of the growth that is
-// promised in time (45 kB) a part is the whole, and it gains nothing; of 0.13 MB to 650 VMs on
-// 10 Mbit/s 1.7 s instead of 2.0, of 0.4 MB to 195 VMs 3.4 s instead of 4.2. Smaller parts, of
-// which there are more to pass on, lose more by ways there and back: 1.6 s instead of 1.1 for
-// 45 kB to 195 VMs.
+// grows with the configuration and with the number of those who ask. Passing on parts
+// before a VM has them all was played, and is not done: of the growth that is promised in
+// time (45 kB) a part is the whole, and it gains nothing; of 0.13 MB to 650 VMs on 10 Mbit/s
+// 1.7 s instead of 2.0, of 0.4 MB to 195 VMs 3.4 s instead of 4.2. Smaller parts, of which
+// there are more to pass on, lose more by ways there and back: 1.6 s instead of 1.1 for 45 kB
+// to 195 VMs.
 package spread
--- a/steering/spread/recent.go
+++ b/steering/spread/recent.go
@@ -9,8 +9,8 @@
 	// recentFor is how long a configuration that was replaced is still told: what a VM takes
 	// that has begun to ask for it, on a narrow link and over the longest way.
 	recentFor = 2 * time.Second
-	// mostRecent bounds them. Versions come up to three times a second; each holds some tens
-	// of bytes a route beside the routes, which it shares with the others.
+	// mostRecent bounds them: versions come up to three times a second. Each holds its tables
+	// in memory; the routes that did not change it shares with the others.
 	mostRecent = 6
 )
 
@@ -41,7 +41,8 @@
 }
 
 // Find returns the configuration of a version if it was in force here of late, else that in
-// force, which is inForce. One that nobody asked for while it was in force is not kept.
+// force, which is inForce. One that nobody asked for while it was in force is not kept, and
+// what is too old is forgotten with the next call.
 func (r *Recent) Find(now time.Time, inForce *Index, version uint64) *Index {
 	r.mu.Lock()
 	defer r.mu.Unlock()
