--- a/cmd/heatherlock/tutorial_test.go
+++ b/cmd/heatherlock/tutorial_test.go
@@ -132,8 +132,8 @@
 
 // The tutorial works as it is written, command by command, on a real system.
 //
-// Symptom: on a machine with eight times as many busy processes as processors `status` lacked
-// a target, or all of a place's slots were taken, right after the run. Sequence: the system is
+// Symptom: on a machine with eight times as many busy processes as processors `status` counted
+// 4 or 5 slots of 6 right after the run. Sequence: the system is
 // not given processor time for a second; entry VMs do not hear each other and their targets
 // do not answer in time. Cause: none of the system's; the status told what it was. Evidence:
 // the same status named six of twelve entry VMs suspect and three of six zones behind.
--- a/cmd/internal/quickstart/run_test.go
+++ b/cmd/internal/quickstart/run_test.go
@@ -68,8 +68,8 @@
 // Sequence: an operator's change is answered later than the run's time is up. Cause: the end
 // of the run ended the call.
 //
-// Evidence: the steps that are answered late and those reported are the same ones, and the
-// entry VMs have the change in force.
+// Evidence: with answers that take half of the run's length it is reported if the end of the
+// run ends the call, and not if the step is let finish.
 func TestStepUnderWayAtTheEndOfARunIsDone(t *testing.T) {
 	t.Parallel()
 	o := Defaults()
--- a/node/gateway/relay/locks_test.go
+++ b/node/gateway/relay/locks_test.go
@@ -19,8 +19,8 @@
 // its lock and tells the targets, for which it waits for the lock of placement; the heartbeat
 // holds that one and asks the reader how old its read is.
 //
-// Evidence: of all that the stopped VM had to do nothing went on that takes the reader's lock,
-// and the process neither ended nor logged.
+// Evidence: after that line it wrote none, not even that of each second, and its process did
+// not end; what is played here stands still when the age is asked for under the lock.
 func TestHeartbeatDoesNotWaitForTheReaderUnderTheLockOfPlacement(t *testing.T) {
 	var reader sync.Mutex
 	f := relay.New(relay.Config{Region: "centro", Log: log.NewNopLogger(), Balancer: placement.NewBalancer("vm", "centro"),
