Take requests by the API keys, homes and ranks of workspaces

Cause: a configuration's workspaces were not decoded.

Ruled out: reading keys in the callers' listener, before the route is known (a public route needs none); keeping the keys themselves (a log or a captured message would hold them). Digests are made where a configuration or a request is decoded; the lookup is keyed per process and compares in constant time.

Change: steering/identity; workspaces are told between VMs by difference, like routes; an unknown key waits for a newer configuration that is known to exist, and is then told 'not run', not 401; homes of route and workspace bind together.

--- a/node/gateway/relay/answers.go
+++ b/node/gateway/relay/answers.go
@@ -40,19 +40,17 @@
 // shedRetry is when to come back after targets refused: about a service time.
 const shedRetry = 200 * time.Millisecond
 
-func (x *exchange) subject() subject { return subject{x.table, x.call.ID, x.route.Name} }
-
 // refuse answers a request that has not run.
 func (x *exchange) refuse(reason steering.Reason, retryAfter time.Duration) *callers.Response {
 	x.count(losses.Refused, reason)
-	return x.f.refuse(x.subject(), reason, retryAfter, x.detail())
+	return x.f.refuse(x.subject(x.call), reason, retryAfter, x.detail())
 }
 
 // unknown answers a request that may have run.
 func (x *exchange) unknown(reason steering.Reason) *callers.Response {
 	x.f.cfg.Events.Refused(reason)
 	x.count(losses.Failed, reason)
-	x.f.logEnd("outcome unknown", x.subject(), reason, x.detail())
+	x.f.logEnd("outcome unknown", x.subject(x.call), reason, x.detail())
 	status := http.StatusBadGateway
 	if planted.Defect == planted.FalselyNotRun {
 		status = http.StatusServiceUnavailable
@@ -85,7 +83,7 @@
 	x.f.cfg.Events.Served(x.route.Kind, e.answer.Status, time.Since(x.r.Received))
 	ready := time.Since(x.r.Received)
 	if len(x.history) > 1 || e.answer.Status >= http.StatusInternalServerError {
-		x.f.logEnd("passed on", x.subject(), "", append(x.detail(), "status", e.answer.Status))
+		x.f.logEnd("passed on", x.subject(x.call), "", append(x.detail(), "status", e.answer.Status))
 	}
 	return &callers.Response{Status: e.answer.Status, Header: endToEnd(e.answer.Header), Body: e.answer.Body,
 		Rest: e.answer.Rest, Length: e.answer.Length, Close: x.r.Rest != nil,
--- a/node/gateway/relay/exchange.go
+++ b/node/gateway/relay/exchange.go
@@ -11,14 +11,12 @@
 	"heatherlock/steering/losses"
 	"heatherlock/steering/placement"
 	"heatherlock/steering/poison"
-	"heatherlock/steering/routes"
 )
 
 // exchange is one caller's request on its way.
 type exchange struct {
+	entry
 	f       *Relay
-	table   *routes.Table
-	route   *routes.Route
 	service steering.Service
 	r       *callers.Request
 	call    platform.Call
@@ -41,9 +39,13 @@
 	warm     time.Duration      // the time of a warm run of the service, as last known
 }
 
-func newExchange(f *Relay, table *routes.Table, route *routes.Route, r *callers.Request, call platform.Call) *exchange {
-	x := &exchange{f: f, table: table, route: route, r: r, call: call, service: route.Service(),
-		header: endToEnd(r.Header), ends: make(chan end, route.MaxAttempts+furtherTries+1)} // a hedge beside them
+func newExchange(f *Relay, e entry, r *callers.Request, call platform.Call) *exchange {
+	x := &exchange{entry: e, f: f, r: r, call: call, service: e.route.Service(),
+		header: endToEnd(r.Header), ends: make(chan end, e.route.MaxAttempts+furtherTries+1)} // a hedge beside them
+	platform.RemoveIdentity(x.header)
+	if e.workspace != nil {
+		platform.SetWorkspace(x.header, e.workspace.Name)
+	}
 	x.giveUp = r.Received.Add(x.bound())
 	return x
 }
--- a/node/gateway/relay/relay.go
+++ b/node/gateway/relay/relay.go
@@ -79,6 +79,8 @@
 	// started closes once a configuration and targets are known.
 	started  chan struct{}
 	starting sync.Once
+	// replaced tells that another configuration is in force.
+	replaced signal
 
 	mu       sync.Mutex // guards Balancer, Retry and suspects
 	suspects *suspects
@@ -102,6 +104,7 @@
 			return false
 		}
 		if f.table.CompareAndSwap(old, t) {
+			f.replaced.send()
 			f.noteStart()
 			return true
 		}
@@ -189,17 +192,18 @@
 		f.countRefused(nil, call, steering.ReasonNotReady)
 		return f.refuse(subject{id: call.ID}, steering.ReasonNotReady, notReadyRetry, nil)
 	}
-	table := f.table.Load()
-	route, found := table.Match(r.Host, r.Path)
-	if found && f.outdated() || !found && f.behind() {
-		f.countRefused(route, call, steering.ReasonConfigBehind)
-		return f.refuse(subject{table: table, id: call.ID}, steering.ReasonConfigBehind, notReadyRetry, nil)
+	e, reason := f.enter(ctx, r, call)
+	if reason == "" {
+		return newExchange(f, e, r, call).run(ctx)
 	}
-	if !found {
-		return f.refuse(subject{table: table, id: call.ID}, steering.ReasonNoService, 0, nil)
+	retryAfter := time.Duration(0)
+	if reason == steering.ReasonConfigBehind {
+		retryAfter = notReadyRetry
 	}
-	x := newExchange(f, table, route, r, call)
-	return x.run(ctx)
+	if reason != steering.ReasonNoService {
+		f.countRefused(e.route, call, reason)
+	}
+	return f.refuse(e.subject(call), reason, retryAfter, nil)
 }
 
 // behind reports whether a route that is not in the table may be in a newer one.
@@ -219,9 +223,10 @@
 // subject is the request that a line of the log is about, with the configuration that it
 // was decided by: that in force when it came, not when it ended.
 type subject struct {
-	table *routes.Table
-	id    string
-	route string
+	table     *routes.Table
+	id        string
+	route     string
+	workspace steering.Workspace
 }
 
 // refuse answers a request that has not run.
@@ -240,6 +245,9 @@
 // logEnd writes the line of a request that was not served.
 func (f *Relay) logEnd(outcome string, s subject, reason steering.Reason, detail []any) {
 	line := []any{"msg", outcome, "request", s.id, "route", s.route}
+	if s.workspace != "" {
+		line = append(line, "workspace", s.workspace)
+	}
 	if reason != "" {
 		line = append(line, "reason", reason)
 	}
--- a/node/gateway/relay/rig_test.go
+++ b/node/gateway/relay/rig_test.go
@@ -36,6 +36,8 @@
 	number  atomic.Int64
 	// outdated marks the configuration as one not to be acted on.
 	outdated atomic.Bool
+	// behind tells that a newer configuration exists.
+	behind atomic.Bool
 }
 
 const (
@@ -63,7 +65,7 @@
 	balancer.SetTargets(placed)
 	g.relay = relay.New(relay.Config{Region: "centro", Pool: upstream.NewPool(upstream.Dial, platform.RequestIDOf), Balancer: balancer,
 		Retry: retry.NewSharedBudget(retry.SharedBudgetConfig{Ratio: 0.2, Slack: 64, Window: 10 * time.Second}),
-		Log:   log.NewNopLogger(), Members: func() int { return 1 }, Outdated: g.outdated.Load})
+		Log:   log.NewNopLogger(), Members: func() int { return 1 }, Outdated: g.outdated.Load, Behind: g.behind.Load})
 	route := func(name string, kind routes.Kind) *routes.Route {
 		return &routes.Route{Name: name, Host: "shop.example", Prefix: "/" + name + "/", Kind: kind, Timeout: time.Second,
 			Aim: 400 * time.Millisecond, MaxAttempts: 3, KeyAffinity: true, Parts: []routes.Part{{Service: service, Weight: 1}}}
--- a/node/gateway/relay/tries.go
+++ b/node/gateway/relay/tries.go
@@ -96,8 +96,8 @@
 
 func (x *exchange) placementRequest() placement.Request {
 	now := time.Now()
-	r := placement.Request{Service: x.service, ID: x.call.ID, Region: x.f.cfg.Region, Allowed: x.route.MayRunIn,
-		Left: x.giveUp.Sub(now), Rank: x.route.Rank, Repeatable: x.route.Kind.Repeatable(), Tried: x.tried}
+	r := placement.Request{Service: x.service, ID: x.call.ID, Region: x.f.cfg.Region, Allowed: x.mayRunIn,
+		Left: x.giveUp.Sub(now), Rank: x.workspace.RankOr(x.route.Rank), Repeatable: x.route.Kind.Repeatable(), Tried: x.tried}
 	if x.route.KeyAffinity {
 		r.Key = x.call.Key
 	}
--- /dev/null
+++ b/node/gateway/relay/workspaces_test.go
@@ -0,0 +1,125 @@
+package relay_test
+
+import (
+	"fmt"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"heatherlock/standin/endpoint"
+	"heatherlock/steering"
+	"heatherlock/steering/identity"
+	"heatherlock/steering/routes"
+)
+
+func keyed(name string, keys ...string) *identity.Workspace {
+	w := &identity.Workspace{Name: steering.Workspace(name)}
+	for _, key := range keys {
+		w.Keys = append(w.Keys, identity.DigestOf(key))
+	}
+	return w
+}
+
+// configure puts workspaces in force beside the routes, the last of which is public.
+func (g *rig) configure(version uint64, workspaces ...*identity.Workspace) {
+	old := g.relay.Table()
+	public := &routes.Route{Name: "public", Host: "shop.example", Prefix: "/public/", Timeout: time.Second, MaxAttempts: 2,
+		Public: true, Parts: []routes.Part{{Service: service, Weight: 1}}}
+	g.relay.SetTable(routes.NewTable(version, append(old.Routes[:3:3], public), []*routes.Service{{Name: service, MaxConnections: 50}}, old.Limits, workspaces...))
+}
+
+// as sends a read with header lines of its own.
+func (g *rig) as(path string, lines ...string) *http.Response {
+	g.t.Helper()
+	head := fmt.Sprintf("GET %s HTTP/1.1\r\nHost: shop.example\r\nX-Request-Id: as-%d\r\nX-Deadline-Ms: 2000\r\n", path, g.number.Add(1))
+	for _, line := range lines {
+		head += line + "\r\n"
+	}
+	return g.raw(head+"\r\n", 1)[0]
+}
+
+func TestTargetIsToldTheWorkspaceAndNoKey(t *testing.T) {
+	g := newRig(t, 2, nil)
+	g.configure(2, keyed("museum", "secret-1", "secret-2"), keyed("spa", "secret-3"))
+	for _, lines := range [][]string{
+		{"Api-Key: secret-2"},
+		{"api-key: secret-2", "X-Tenant: spa"},
+		{"API-KEY: secret-2", "x-tenant: spa", "X_Tenant: spa", "Api_Key: secret-3"},
+		{"Api-Key: secret-2", "Connection: X-Tenant, Api-Key"},
+	} {
+		assert.Equal(t, g.as("/read/1", lines...).StatusCode, 200, "%v", lines)
+	}
+	for _, run := range g.runs() {
+		assert.DeepEqual(t, run.Header["X-Tenant"], []string{"museum"})
+		assert.Assert(t, !strings.Contains(fmt.Sprint(run.Header), "secret"), "%v", run.Header)
+		assert.Equal(t, len(run.Header["X_Tenant"]), 0)
+	}
+	assert.Equal(t, len(g.runs()), 4)
+}
+
+func TestRequestsWithoutAKnownKeyAreNotRun(t *testing.T) {
+	g := newRig(t, 1, nil)
+	g.configure(2, keyed("museum", "secret-1"))
+	for reason, lines := range map[steering.Reason][]string{
+		steering.ReasonAPIKeyMissing:   nil,
+		steering.ReasonAPIKeyUnknown:   {"Api-Key: other"},
+		steering.ReasonAPIKeyRepeated:  {"Api-Key: secret-1", "Api-Key: secret-1"},
+		steering.ReasonAPIKeyMalformed: {"Api-Key: Bearer secret-1"},
+	} {
+		got := g.as("/read/1", lines...)
+		assert.Equal(t, got.StatusCode, 401, reason)
+		assert.Equal(t, got.Header.Get("Heatherlock-Reason"), string(reason))
+	}
+	assert.Equal(t, len(g.runs()), 0)
+	assert.Equal(t, g.as("/public/1", "X-Tenant: museum").StatusCode, 200)
+	assert.Equal(t, len(g.runs()[0].Header["X-Tenant"]), 0)
+}
+
+// Guards against a revoked key that goes on working on a connection opened before.
+func TestKeyIsCheckedAtEachRequestOfAConnection(t *testing.T) {
+	g := newRig(t, 1, func(c *endpoint.Config) { c.Work = time.Millisecond })
+	g.configure(2, keyed("museum", "secret-1"), keyed("spa", "secret-3"))
+	request := func(n int, key string) string {
+		return fmt.Sprintf("GET /read/1 HTTP/1.1\r\nHost: shop.example\r\nX-Request-Id: c-%d\r\nApi-Key: %s\r\n\r\n", n, key)
+	}
+	answers := g.raw(request(1, "secret-1")+request(2, "wrong")+request(3, "secret-3"), 3)
+	for n, want := range []int{200, 401, 200} {
+		assert.Equal(t, answers[n].StatusCode, want)
+	}
+	g.configure(3, keyed("museum"), keyed("spa", "secret-3"))
+	assert.Equal(t, g.as("/read/1", "Api-Key: secret-1").StatusCode, 401)
+}
+
+// Guards against a final refusal of a key that is valid in a configuration under way.
+func TestUnknownKeyWaitsForAConfigurationThatIsUnderWay(t *testing.T) {
+	g := newRig(t, 1, nil)
+	g.configure(2, keyed("museum", "secret-1"))
+	g.behind.Store(true)
+	time.AfterFunc(150*time.Millisecond, func() {
+		g.configure(3, keyed("museum", "secret-1", "added"))
+		g.behind.Store(false)
+	})
+	assert.Equal(t, g.as("/read/1", "Api-Key: added").StatusCode, 200)
+	g.behind.Store(true)
+	got := g.as("/read/1", "Api-Key: never")
+	assert.Equal(t, got.StatusCode, 503)
+	assert.Equal(t, got.Header.Get("Heatherlock-Reason"), string(steering.ReasonConfigBehind))
+	assert.Equal(t, len(g.runs()), 1)
+}
+
+func TestHomesOfRouteAndWorkspaceBindTogether(t *testing.T) {
+	g := newRig(t, 1, nil) // its target runs in centro
+	norte, both := keyed("norte", "k-norte"), keyed("both", "k-both")
+	norte.Homes, both.Homes = []steering.Region{"norte"}, []steering.Region{"norte", "centro"}
+	old := g.relay.Table()
+	old.Routes[0].Homes = []steering.Region{"centro"}
+	g.configure(2, norte, both)
+	assert.Equal(t, g.as("/read/1", "Api-Key: k-both").StatusCode, 200)
+	got := g.as("/read/1", "Api-Key: k-norte")
+	assert.Equal(t, got.StatusCode, 503)
+	assert.Equal(t, got.Header.Get("Heatherlock-Reason"), string(steering.ReasonNoCommonHome))
+	assert.Equal(t, len(g.runs()), 1)
+}
--- a/standin/endpoint/endpoint.go
+++ b/standin/endpoint/endpoint.go
@@ -62,6 +62,8 @@
 type Run struct {
 	ID, Method, Path, Body, Deadline string
 	At                               time.Time
+	// Header is the request's header as it came.
+	Header http.Header
 	// Left is set when the caller left during the run.
 	Left bool
 }
@@ -246,7 +248,7 @@
 		panic(http.ErrAbortHandler)
 	}
 	run := &Run{ID: r.Header.Get("X-Request-Id"), Method: r.Method, Path: r.RequestURI, Body: string(body),
-		Deadline: r.Header.Get("X-Deadline-Ms"), At: time.Now()}
+		Deadline: r.Header.Get("X-Deadline-Ms"), At: time.Now(), Header: r.Header.Clone()}
 	e.mu.Lock()
 	e.runs = append(e.runs, run)
 	e.mu.Unlock()
--- a/steering/ids.go
+++ b/steering/ids.go
@@ -15,6 +15,10 @@
 // Target names one endpoint that answers requests of one service.
 type Target string
 
+// Workspace names a group of callers that share API keys, an allowance of requests
+// and the regions in which their requests may run.
+type Workspace string
+
 // Generation tells the starts of a target apart that it made under one name: that of
 // a later start is greater. 0 means that the target does not tell. What was learned of
 // a target, what it holds and what it was sent belong to one generation.
--- a/steering/losses/losses.go
+++ b/steering/losses/losses.go
@@ -57,6 +57,12 @@
 	Starting Cause = "vm_starting"
 	// Behind: it knew that a newer configuration exists and did not have it.
 	Behind Cause = "config_behind"
+	// Unidentified: its API key was missing, malformed or unknown.
+	Unidentified Cause = "workspace_unknown"
+	// OverAllowance: its workspace was beyond its allowance of requests.
+	OverAllowance Cause = "over_allowance"
+	// NoHome: it may run in no region by its route's and its workspace's homes.
+	NoHome Cause = "no_common_home"
 	// NoTarget: no target of the service was known or reachable.
 	NoTarget Cause = "no_target"
 	// Predicted: no target had room in time, as predicted before any try.
@@ -171,6 +177,12 @@
 		return Behind, true
 	case steering.ReasonPoison:
 		return HeldBack, true
+	case steering.ReasonOverAllowance:
+		return OverAllowance, true
+	case steering.ReasonNoCommonHome:
+		return NoHome, true
+	case steering.ReasonAPIKeyMissing, steering.ReasonAPIKeyRepeated, steering.ReasonAPIKeyMalformed, steering.ReasonAPIKeyUnknown:
+		return Unidentified, true
 	case steering.ReasonCancelled:
 		return CallerLeft, true
 	}
--- a/steering/reasons.go
+++ b/steering/reasons.go
@@ -48,4 +48,11 @@
 	ReasonSlowReader:    {http.StatusRequestTimeout, "the caller took the answer too slowly, and the connection was broken off", "ask again over a better link; only counted, since the answer had begun"},
 	ReasonConnections:   {http.StatusServiceUnavailable, "this entry VM has as many connections as it allows", "use another entry VM of the look-up answer"},
 	ReasonCancelled:     {499, "the caller went away", "none needed"},
+
+	ReasonAPIKeyMissing:   {http.StatusUnauthorized, "the request has no API key", "send the workspace's API key"},
+	ReasonAPIKeyRepeated:  {http.StatusUnauthorized, "the request has several API keys", "send one API key"},
+	ReasonAPIKeyMalformed: {http.StatusUnauthorized, "the API key is empty, too long, or not a key alone", "send the API key alone, without a scheme or blanks"},
+	ReasonAPIKeyUnknown:   {http.StatusUnauthorized, "no workspace holds this API key", "check the key; ask the operator whether it was taken away"},
+	ReasonNoCommonHome:    {http.StatusServiceUnavailable, "the route's and the workspace's home regions have none in common", "change the homes of the route or of the workspace"},
+	ReasonOverAllowance:   {http.StatusTooManyRequests, "the workspace is beyond its allowance of requests", "come back after the time given, or raise the workspace's rate"},
 }
--- a/steering/refusal.go
+++ b/steering/refusal.go
@@ -70,6 +70,13 @@
 	ReasonSlowReader    Reason = "slow_reader"
 	ReasonConnections   Reason = "too_many_connections"
 	ReasonCancelled     Reason = "cancelled"
+
+	ReasonAPIKeyMissing   Reason = "api_key_missing"
+	ReasonAPIKeyRepeated  Reason = "api_key_repeated"
+	ReasonAPIKeyMalformed Reason = "api_key_malformed"
+	ReasonAPIKeyUnknown   Reason = "api_key_unknown"
+	ReasonNoCommonHome    Reason = "no_common_home"
+	ReasonOverAllowance   Reason = "over_allowance"
 )
 
 // Refusal is the typed answer the system itself gives in place of a target's.
--- a/steering/routes/table.go
+++ b/steering/routes/table.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"heatherlock/steering"
+	"heatherlock/steering/identity"
 )
 
 // Kind says what may be repeated.
@@ -63,6 +64,8 @@
 	KeyAffinity bool
 	// Homes are the regions it may run in; none means all.
 	Homes []steering.Region
+	// Public routes take requests without an API key.
+	Public bool
 
 	splitter *Splitter
 }
@@ -80,6 +83,10 @@
 	return false
 }
 
+// NeedsKey reports whether a request on the route has to name its workspace by an API
+// key.
+func (t *Table) NeedsKey(r *Route) bool { return t.Workspaces != nil && !r.Public }
+
 // Service returns the service of the next request.
 func (r *Route) Service() steering.Service { return r.splitter.Next() }
 
@@ -109,13 +116,15 @@
 	Routes   []*Route
 	Services map[steering.Service]*Service
 	Limits   Limits
+	// Workspaces is nil where requests need no API key.
+	Workspaces *identity.Directory
 
 	byHost map[string][]*Route // longest prefix first
 }
 
-// NewTable returns the table of routes and services.
-func NewTable(version uint64, all []*Route, services []*Service, limits Limits) *Table {
-	t := &Table{Version: version, Routes: all, Limits: limits,
+// NewTable returns the table of routes, services and workspaces.
+func NewTable(version uint64, all []*Route, services []*Service, limits Limits, workspaces ...*identity.Workspace) *Table {
+	t := &Table{Version: version, Routes: all, Limits: limits, Workspaces: identity.NewDirectory(workspaces),
 		Services: make(map[steering.Service]*Service, len(services)), byHost: make(map[string][]*Route)}
 	for _, s := range services {
 		t.Services[s.Name] = s
--- a/steering/spread/doc.go
+++ b/steering/spread/doc.go
@@ -9,7 +9,8 @@
 // a change of 0.2 MB, and the last VM had it 5.5 s after the first. Operators
 // notice it by VMs that are behind while their links are full.
 //
-// Routes are spread over buckets by a hash of host and prefix. An Outline holds a hash
+// Routes are spread over buckets by a hash of host and prefix, workspaces by one of their
+// name; both are items, and told alike. An Outline holds a hash
 // of each bucket: 8 bytes for about 64 routes. A VM that is behind asks a peer for the
 // Outline, and then, for the buckets that differ, tells the hashes of the routes it has;
 // the answer (a Piece) names those that stay and brings the others. A Draft collects
--- a/steering/spread/draft.go
+++ b/steering/spread/draft.go
@@ -5,6 +5,7 @@
 	"maps"
 	"slices"
 
+	"heatherlock/steering/identity"
 	"heatherlock/steering/routes"
 )
 
@@ -23,9 +24,9 @@
 // Draft is a configuration that is being put together from pieces. It is not safe for
 // concurrent use.
 type Draft struct {
-	// known holds each route of the configuration in force and each that has come,
-	// by the hash of its content.
-	known   map[uint64]*routes.Route
+	// known holds each item of the configuration in force and each that has come, by the
+	// hash of its content.
+	known   map[uint64]entry
 	base    *Index // may be nil
 	outline Outline
 	rest    *Rest
@@ -39,7 +40,7 @@
 }
 
 // NewDraft returns an empty draft.
-func NewDraft() *Draft { return &Draft{known: make(map[uint64]*routes.Route)} }
+func NewDraft() *Draft { return &Draft{known: make(map[uint64]entry)} }
 
 // Base tells the draft the configuration in force, which may be nil.
 func (d *Draft) Base(base *Index) {
@@ -49,7 +50,7 @@
 	d.base = base
 	for _, bucket := range base.buckets {
 		for _, e := range bucket {
-			d.known[e.hash] = e.route
+			d.known[e.hash] = e
 		}
 	}
 	if d.rest == nil {
@@ -88,8 +89,8 @@
 	}
 	d.whole, d.missing = make(map[int][]entry), nil
 	all := make([]entry, 0, len(d.known))
-	for hash, route := range d.known {
-		all = append(all, entry{hash: hash, route: route})
+	for _, e := range d.known {
+		all = append(all, e)
 	}
 	d.have = group(all, count)
 	base := d.baseBuckets(count)
@@ -105,7 +106,7 @@
 	}
 }
 
-// baseBuckets returns the routes in force in so many buckets.
+// baseBuckets returns the items in force in so many buckets.
 func (d *Draft) baseBuckets(count int) [][]entry {
 	if d.base == nil {
 		return nil
@@ -140,8 +141,8 @@
 
 func (d *Draft) restMissing() bool { return d.rest == nil || d.restHash != d.outline.Rest }
 
-// Take takes in a piece. Routes that came in one that does not fit are kept: they count
-// by their content.
+// Take takes in a piece. Items that came in one that does not fit are kept: they count by
+// their content.
 func (d *Draft) Take(p Piece) error {
 	if p.Outline != nil {
 		if p.Outline.Version < d.outline.Version {
@@ -169,31 +170,40 @@
 	if place < 0 {
 		return nil // told before
 	}
-	bucket := make([]entry, 0, len(b.Keep)+len(b.Routes))
+	bucket := make([]entry, 0, len(b.Keep)+len(b.Routes)+len(b.Workspaces))
 	for _, w := range b.Routes {
-		r := w.route()
-		hash := hashOf(r)
-		if d.known[hash] == nil {
-			d.known[hash] = r
-			d.have[b.Number] = append(d.have[b.Number], entry{hash: hash, route: r})
-		}
-		bucket = append(bucket, entry{hash: hash, route: d.known[hash]})
+		bucket = append(bucket, d.learn(b.Number, entryOfRoute(w.route())))
+	}
+	for _, w := range b.Workspaces {
+		bucket = append(bucket, d.learn(b.Number, entryOfWorkspace(w.workspace())))
 	}
 	for _, hash := range b.Keep {
-		if d.known[hash] == nil {
-			return &PieceError{Version: d.outline.Version, Problem: "it keeps a route that is not known here"}
+		e, found := d.known[hash]
+		if !found {
+			return &PieceError{Version: d.outline.Version, Problem: "it keeps an item that is not known here"}
 		}
-		bucket = append(bucket, entry{hash: hash, route: d.known[hash]})
+		bucket = append(bucket, e)
 	}
 	bucket = sorted(bucket)
 	if hashOfBucket(bucket) != d.outline.Buckets[b.Number] {
-		return &PieceError{Version: d.outline.Version, Problem: "its routes are not those of the outline"}
+		return &PieceError{Version: d.outline.Version, Problem: "its items are not those of the outline"}
 	}
 	d.whole[b.Number] = bucket
 	d.missing = slices.Delete(d.missing, place, place+1)
 	return nil
 }
 
+// learn keeps an item that came for a bucket, and returns the one to use: that of before if
+// it has the same content.
+func (d *Draft) learn(bucket int, e entry) entry {
+	if known, found := d.known[e.hash]; found {
+		return known
+	}
+	d.known[e.hash] = e
+	d.have[bucket] = append(d.have[bucket], e)
+	return e
+}
+
 // Done reports whether nothing is missing.
 func (d *Draft) Done() bool {
 	return d.outline.Version > 0 && len(d.missing) == 0 && !d.restMissing()
@@ -206,12 +216,17 @@
 func (d *Draft) Index() *Index {
 	x := &Index{outline: d.outline, buckets: make([][]entry, len(d.outline.Buckets))}
 	var all []*routes.Route
+	var workspaces []*identity.Workspace
 	for n := range x.buckets {
 		x.buckets[n] = d.whole[n]
 		for _, e := range x.buckets[n] {
+			if e.workspace != nil {
+				workspaces = append(workspaces, e.workspace)
+				continue
+			}
 			all = append(all, e.route)
 		}
 	}
-	x.table = routes.NewTable(d.outline.Version, all, d.rest.Services, d.rest.Limits)
+	x.table = routes.NewTable(d.outline.Version, all, d.rest.Services, d.rest.Limits, workspaces...)
 	return x
 }
--- a/steering/spread/outline.go
+++ b/steering/spread/outline.go
@@ -7,20 +7,21 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"heatherlock/steering/identity"
 	"heatherlock/steering/routes"
 )
 
-// routesPerBucket is how many routes a bucket holds on average. One route that
+// itemsPerBucket is how many routes and workspaces a bucket holds on average. One that
 // changes costs the hashes of its bucket, 8 bytes each, and an Outline 8 bytes a
 // bucket; at 4,000 routes both are about 500 bytes.
-const routesPerBucket = 64
+const itemsPerBucket = 64
 
 // Outline sums up a configuration, so that two can be told apart by their parts.
 type Outline struct {
 	Version uint64
-	// Buckets are hashes of the routes of each bucket; their number is a power of two.
+	// Buckets are hashes of the items of each bucket; their number is a power of two.
 	Buckets []uint64
-	// Rest is a hash of what is not a route.
+	// Rest is a hash of what is neither a route nor a workspace.
 	Rest uint64
 }
 
@@ -34,10 +35,17 @@
 	return d.Sum64()
 }
 
-// entry is a route and the hash of its content.
+// entry is an item and the hash of its content: either a route or a workspace.
 type entry struct {
-	hash  uint64
-	route *routes.Route
+	hash      uint64
+	route     *routes.Route
+	workspace *identity.Workspace
+}
+
+func entryOfRoute(r *routes.Route) entry { return entry{hash: hashOf(r), route: r} }
+
+func entryOfWorkspace(w *identity.Workspace) entry {
+	return entry{hash: hashOfWorkspace(w), workspace: w}
 }
 
 // Index is a configuration with the hashes of its parts. It does not change.
@@ -49,9 +57,13 @@
 
 // NewIndex returns the index of a table.
 func NewIndex(t *routes.Table) *Index {
-	all := make([]entry, 0, len(t.Routes))
+	workspaces := t.Workspaces.All()
+	all := make([]entry, 0, len(t.Routes)+len(workspaces))
 	for _, r := range t.Routes {
-		all = append(all, entry{hash: hashOf(r), route: r})
+		all = append(all, entryOfRoute(r))
+	}
+	for _, w := range workspaces {
+		all = append(all, entryOfWorkspace(w))
 	}
 	x := &Index{table: t, buckets: group(all, bucketCount(len(all)))}
 	x.outline = Outline{Version: t.Version, Rest: hashOfRest(t), Buckets: make([]uint64, len(x.buckets))}
@@ -67,20 +79,20 @@
 // Outline returns the table's outline.
 func (x *Index) Outline() Outline { return x.outline }
 
-// bucketCount returns the number of buckets for so many routes.
+// bucketCount returns the number of buckets for so many items.
 func bucketCount(n int) int {
 	count := 1
-	for count*routesPerBucket < n {
+	for count*itemsPerBucket < n {
 		count *= 2
 	}
 	return count
 }
 
-// group spreads routes over buckets; each is ordered by hash, without doubles.
+// group spreads items over buckets; each is ordered by hash, without doubles.
 func group(all []entry, count int) [][]entry {
 	buckets := make([][]entry, count)
 	for _, e := range all {
-		n := bucketOf(e.route, count)
+		n := e.bucket(count)
 		buckets[n] = append(buckets[n], e)
 	}
 	for n := range buckets {
@@ -102,10 +114,16 @@
 	return slices.CompactFunc(bucket, func(a, b entry) bool { return a.hash == b.hash })
 }
 
-// bucketOf depends on the route's place alone, so that a route whose content changes
-// stays in its bucket.
-func bucketOf(r *routes.Route, count int) int {
-	return int(xxhash.Sum64String(r.Host+"\x00"+r.Prefix) & uint64(count-1))
+// bucket depends on the place of a route and the name of a workspace alone, so that an
+// item whose content changes stays in its bucket.
+func (e entry) bucket(count int) int {
+	place := ""
+	if e.workspace != nil {
+		place = "workspace\x00" + string(e.workspace.Name)
+	} else {
+		place = e.route.Host + "\x00" + e.route.Prefix
+	}
+	return int(xxhash.Sum64String(place) & uint64(count-1))
 }
 
 func hashOfBucket(bucket []entry) uint64 {
@@ -133,12 +151,31 @@
 		d.text(string(p.Service))
 		d.number(math.Float64bits(p.Weight))
 	}
+	d.flag(r.Public)
 	for _, home := range r.Homes {
 		d.text(string(home))
 	}
 	return d.Sum64()
 }
 
+// hashOfWorkspace returns a hash of all that is declared of a workspace.
+func hashOfWorkspace(w *identity.Workspace) uint64 {
+	d := digest{xxhash.New()}
+	d.text(string(w.Name))
+	d.number(uint64(len(w.Keys)))
+	for _, key := range w.Keys {
+		_, _ = d.Write(key[:])
+	}
+	d.flag(w.Rank != nil)
+	d.number(uint64(w.RankOr(0)))
+	d.number(math.Float64bits(w.Rate))
+	d.number(math.Float64bits(w.Burst))
+	for _, home := range w.Homes {
+		d.text(string(home))
+	}
+	return d.Sum64()
+}
+
 // hashOfRest returns a hash of the services, in any order, and the limits.
 func hashOfRest(t *routes.Table) uint64 {
 	var services uint64
--- a/steering/spread/piece.go
+++ b/steering/spread/piece.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"heatherlock/steering"
+	"heatherlock/steering/identity"
 	"heatherlock/steering/routes"
 )
 
@@ -12,7 +13,7 @@
 type Need struct {
 	// Version is the version of the outline that the VM goes by.
 	Version uint64
-	// Rest asks for what is not a route.
+	// Rest asks for what is neither a route nor a workspace.
 	Rest    bool
 	Buckets []BucketNeed
 	// Bytes bounds the answer before compression, up to a bucket.
@@ -23,7 +24,7 @@
 	From steering.VM
 }
 
-// BucketNeed names a bucket and the hashes of the routes that the VM has for it.
+// BucketNeed names a bucket and the hashes of the items that the VM has for it.
 type BucketNeed struct {
 	_      struct{} `cbor:",toarray"`
 	Number int
@@ -40,19 +41,46 @@
 	Buckets []BucketPiece
 }
 
-// Rest is what of a configuration is not a route.
+// Rest is what of a configuration is neither a route nor a workspace.
 type Rest struct {
 	Services []*routes.Service
 	Limits   routes.Limits
 }
 
-// BucketPiece is one bucket: the routes of those told to be there that stay, and those
+// BucketPiece is one bucket: the items of those told to be there that stay, and those
 // that were missing.
 type BucketPiece struct {
-	_      struct{} `cbor:",toarray"`
-	Number int
-	Keep   []uint64
-	Routes []Route
+	_          struct{} `cbor:",toarray"`
+	Number     int
+	Keep       []uint64
+	Routes     []Route
+	Workspaces []Workspace
+}
+
+// Workspace is the wire form of a workspace. It holds digests of API keys, not the keys.
+type Workspace struct {
+	_           struct{} `cbor:",toarray"`
+	Name        steering.Workspace
+	Keys        []identity.Digest
+	Rank        *int
+	Rate, Burst float64
+	Homes       []steering.Region
+}
+
+func workspaceToWire(w *identity.Workspace) Workspace {
+	return Workspace{Name: w.Name, Keys: w.Keys, Rank: w.Rank, Rate: w.Rate, Burst: w.Burst, Homes: w.Homes}
+}
+
+func (w Workspace) workspace() *identity.Workspace {
+	return &identity.Workspace{Name: w.Name, Keys: w.Keys, Rank: w.Rank, Rate: w.Rate, Burst: w.Burst, Homes: w.Homes}
+}
+
+func (w Workspace) size() int {
+	size := workspaceBytes + len(w.Name)
+	for _, key := range w.Keys {
+		size += len(key) + 1
+	}
+	return size
 }
 
 // Route is the wire form of a route: values without names, which are two thirds of a
@@ -66,6 +94,7 @@
 	KeyAffinity        bool
 	Parts              []Part
 	Homes              []steering.Region
+	Public             bool
 }
 
 // Part is the wire form of a service's share of a route.
@@ -81,12 +110,12 @@
 		parts = append(parts, Part{Service: p.Service, Weight: p.Weight})
 	}
 	return Route{Name: r.Name, Host: r.Host, Prefix: r.Prefix, Kind: r.Kind, Timeout: r.Timeout, Aim: r.Aim, Rank: r.Rank,
-		MaxAttempts: r.MaxAttempts, KeyAffinity: r.KeyAffinity, Parts: parts, Homes: r.Homes}
+		MaxAttempts: r.MaxAttempts, KeyAffinity: r.KeyAffinity, Parts: parts, Homes: r.Homes, Public: r.Public}
 }
 
 func (w Route) route() *routes.Route {
 	r := &routes.Route{Name: w.Name, Host: w.Host, Prefix: w.Prefix, Kind: w.Kind, Timeout: w.Timeout, Aim: w.Aim, Rank: w.Rank,
-		MaxAttempts: w.MaxAttempts, KeyAffinity: w.KeyAffinity, Homes: w.Homes}
+		MaxAttempts: w.MaxAttempts, KeyAffinity: w.KeyAffinity, Homes: w.Homes, Public: w.Public}
 	for _, p := range w.Parts {
 		r.Parts = append(r.Parts, routes.Part{Service: p.Service, Weight: p.Weight})
 	}
@@ -97,6 +126,9 @@
 const (
 	// routeBytes is a route's numbers and heads of its fields, beside its texts.
 	routeBytes = 40
+	// workspaceBytes is a workspace's numbers and heads of its fields, beside its texts
+	// and keys.
+	workspaceBytes = 32
 	// hashBytes is a hash with its head.
 	hashBytes = 9
 	// restBytes is a service's numbers and names of fields, beside its texts.
@@ -185,6 +217,12 @@
 			bytes += hashBytes
 			continue
 		}
+		if e.workspace != nil {
+			w := workspaceToWire(e.workspace)
+			p.Workspaces = append(p.Workspaces, w)
+			bytes += w.size()
+			continue
+		}
 		w := toWire(e.route)
 		p.Routes = append(p.Routes, w)
 		bytes += w.size()
