Hold workspaces to their allowances over all entry VMs

Change: one owner a workspace lends credits; VMs report use and what they hold. An owner lends the part of the limit that is the part of the fleet it hears.

--- a/node/gateway/fleet/beat.go
+++ b/node/gateway/fleet/beat.go
@@ -8,6 +8,7 @@
 	"heatherlock/node/gateway/catchup"
 	"heatherlock/node/gateway/feed"
 	"heatherlock/steering"
+	"heatherlock/steering/allowance"
 	"heatherlock/steering/placement"
 	"heatherlock/steering/poison"
 )
@@ -47,6 +48,8 @@
 	Mates []uint32
 	// Replaced are targets at whose address another was found of late.
 	Replaced []placement.StartID
+	// Tight are the workspaces whose allowance is nearly used up.
+	Tight []allowance.TightNews
 	// Suspects are facts on requests that crash targets.
 	Suspects []poison.Fact
 	// Members introduces others to a VM that may not know them.
@@ -90,6 +93,7 @@
 	Suspects    []poison.Fact
 	From        *Member
 	Introduced  []Member
+	Tight       []allowance.TightNews
 }
 
 // idOf names a VM in a datagram.
@@ -130,7 +134,7 @@
 func encode(b Beat, addresses bool) ([]byte, error) {
 	k := b.Known
 	d := datagram{Sender: idOf(b.From.Name), Incarnation: b.Incarnation, Number: b.Number, Revision: k.Revision, Content: k.Content, Config: k.Config, NewestLead: max(k.Newest, k.Config) - k.Config, Content32: b.ConfigContent, Wait: uint8(b.ConfigWait),
-		ConfigLag: k.Revision - k.ConfigRevision, EvacLag: k.Revision - k.EvacuationRevision, ColdLag: k.Revision - k.ColdRevision, AgeMs: k.AgeMs, Crowd: b.Crowd, Evacuated: k.Evacuated, Demand: b.Demand, Mates: packMates(b.Mates), Replaced: b.Replaced, Suspects: b.Suspects, Introduced: b.Members}
+		ConfigLag: k.Revision - k.ConfigRevision, EvacLag: k.Revision - k.EvacuationRevision, ColdLag: k.Revision - k.ColdRevision, AgeMs: k.AgeMs, Crowd: b.Crowd, Evacuated: k.Evacuated, Demand: b.Demand, Mates: packMates(b.Mates), Replaced: b.Replaced, Suspects: b.Suspects, Introduced: b.Members, Tight: b.Tight}
 	for _, f := range []struct {
 		flag uint8
 		set  bool
@@ -156,7 +160,7 @@
 	if err := cbor.Unmarshal(raw, &d); err != nil {
 		return Beat{}, 0, errors.Wrap(err, "fleet: decode heartbeat")
 	}
-	b := Beat{Incarnation: d.Incarnation, Number: d.Number, Members: d.Introduced, Mates: unpackMates(d.Mates), Replaced: d.Replaced, Suspects: d.Suspects,
+	b := Beat{Incarnation: d.Incarnation, Number: d.Number, Members: d.Introduced, Mates: unpackMates(d.Mates), Replaced: d.Replaced, Suspects: d.Suspects, Tight: d.Tight,
 		Serving: d.Flags&flagServing != 0, Leaving: d.Flags&flagLeaving != 0, StoreFails: d.Flags&flagStoreFails != 0, Asks: d.Flags&flagAsks != 0, Reads: d.Flags&flagReads != 0, Meets: d.Flags&flagMeets != 0, Crowd: d.Crowd, Demand: d.Demand, ConfigContent: d.Content32, ConfigWait: catchup.Wait(d.Wait),
 		Known: feed.Digest{Revision: d.Revision, Content: d.Content, Config: d.Config, Newest: d.Config + d.NewestLead, ConfigRevision: d.Revision - d.ConfigLag,
 			EvacuationRevision: d.Revision - d.EvacLag, ColdRevision: d.Revision - d.ColdLag, AgeMs: d.AgeMs, Evacuated: d.Evacuated}}
--- a/node/gateway/fleet/fleet.go
+++ b/node/gateway/fleet/fleet.go
@@ -10,6 +10,7 @@
 
 	"github.com/go-kit/log"
 
+	"heatherlock/node/gateway/volume"
 	"heatherlock/steering"
 	"heatherlock/steering/placement"
 	"heatherlock/steering/poison"
@@ -219,6 +220,20 @@
 	return f.roster.Serving(time.Now(), selfServes)
 }
 
+// PlaceOf returns where a member is, empty if it is not known.
+func (f *Fleet) PlaceOf(name steering.VM) volume.Place {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.roster.PlaceOf(name)
+}
+
+// Standing returns how many VMs there are: those on record that have not left.
+func (f *Fleet) Standing() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.roster.Standing(time.Now())
+}
+
 // Known returns the number of members on record.
 func (f *Fleet) Known() int {
 	f.mu.Lock()
--- a/node/gateway/fleet/views.go
+++ b/node/gateway/fleet/views.go
@@ -9,6 +9,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"heatherlock/node/gateway/catchup"
+	"heatherlock/node/gateway/volume"
 	"heatherlock/steering"
 	"heatherlock/steering/placement"
 )
@@ -195,6 +196,29 @@
 // readOrder spreads the reading over VMs whatever their names.
 func readOrder(name steering.VM) uint64 { return xxhash.Sum64String("read\x00" + string(name)) }
 
+// PlaceOf returns where a VM is, empty if it is not known.
+func (r *Roster) PlaceOf(name steering.VM) volume.Place {
+	if name == r.self.Name {
+		return volume.Place{Zone: r.self.Zone, Region: r.self.Region}
+	}
+	if h := r.members[name]; h != nil {
+		return volume.Place{Zone: h.Zone, Region: h.Region}
+	}
+	return volume.Place{}
+}
+
+// Standing returns how many VMs there are, this one included: those on record that have
+// not told that they leave.
+func (r *Roster) Standing(now time.Time) int {
+	standing := 1
+	for _, h := range r.members {
+		if !h.leaving || r.live(now, h) {
+			standing++
+		}
+	}
+	return standing
+}
+
 // Known returns the number of members on record, this VM included.
 func (r *Roster) Known() int { return 1 + len(r.members) }
 
--- a/node/gateway/gateway.go
+++ b/node/gateway/gateway.go
@@ -11,6 +11,7 @@
 	"github.com/go-faster/errors"
 	"github.com/go-kit/log"
 
+	"heatherlock/node/gateway/allowances"
 	"heatherlock/node/gateway/callers"
 	"heatherlock/node/gateway/catchup"
 	"heatherlock/node/gateway/feed"
@@ -63,6 +64,7 @@
 	leaving  atomic.Bool
 	lending  placement.Lending
 	meter    *volume.Meter
+	limits   *allowances.Service
 	servers  []*http.Server
 	done     sync.WaitGroup
 
@@ -83,6 +85,9 @@
 		store: platform.NewStore(settings.Store), lending: placement.Lending{},
 		meter: volume.NewMeter(volume.Place{Zone: settings.Zone, Region: settings.Region})}
 	scope := g.metrics.Scope
+	if err := g.newAllowances(); err != nil {
+		return nil, err
+	}
 	g.pool = upstream.NewPool(upstream.Dial, platform.RequestIDOf)
 	g.pool.Opened = func() { scope.Counter("gateway_target_connections_opened").Inc(1) }
 	g.store.Called = func(call string, err error) {
@@ -96,7 +101,7 @@
 		Log:      logger, TargetBeat: time.Duration(settings.HeartbeatMs) * time.Millisecond,
 		Events: relay.NewEvents(scope), StoreAge: func() time.Duration { return time.Duration(g.reader.Digest().AgeMs) * time.Millisecond },
 		Members: func() int { return g.fleet.Size() }, Behind: func() bool { _, _, behind := g.reader.Behind(); return behind }, Outdated: g.outdated,
-		Meter: g.meter})
+		Meter: g.meter, Allowances: g.limits})
 	g.callers = callers.NewServer(g.relay, g.relay.Limits, callerConnections)
 	state := feed.NewState(time.Duration(settings.HeartbeatMs)*time.Millisecond, settings.Zones)
 	g.reader = feed.NewReader(g.store, g, state, fleetOf{g}, logger)
@@ -152,6 +157,7 @@
 		b.Demand = balancer.Demand(now)
 		b.Replaced = balancer.ReplacedToTell(now)
 	})
+	b.Tight = g.limits.TightToTell()
 }
 
 // peersChanged tells placement who lives.
@@ -162,6 +168,7 @@
 	}
 	dark := g.fleet.DarkZones()
 	known := g.fleet.Known()
+	g.tellAllowances()
 	g.relay.WithBalancer(func(balancer *placement.Balancer, budget *retry.SharedBudget) {
 		balancer.SetPeers(peers)
 		balancer.SetDark(dark)
@@ -173,6 +180,7 @@
 func (g *Gateway) Configured(t *routes.Table, known time.Duration) {
 	if g.relay.SetTable(t) {
 		_ = g.log.Log("msg", "configuration in force", "config", t.Version, "routes", len(t.Routes), "known_ms", known.Milliseconds()) // the writer counts what it drops
+		g.limits.Configure(t.Workspaces)
 		g.metrics.Scope.Gauge("gateway_config_version").Update(float64(t.Version))
 		g.becameReady()
 	}
@@ -209,6 +217,7 @@
 	g.done.Go(func() { g.fleet.Run(work) })
 	g.done.Go(func() { g.reader.Run(work) })
 	g.done.Go(func() { g.fetcher.Run(work) })
+	g.done.Go(func() { g.limits.Run(work) })
 	g.done.Go(func() { g.register(work) })
 	g.done.Go(func() { g.tend(work) })
 	g.done.Go(func() { _ = g.callers.Serve(work, listener) }) // ends with the listener
@@ -220,6 +229,7 @@
 	g.done.Wait()
 	g.relay.LogSums()
 	g.logVolume()
+	g.logWorkspaces()
 	_ = g.log.Log("msg", "stopped", "vm", g.settings.VM)
 	return nil
 }
@@ -245,6 +255,7 @@
 		if time.Since(told) >= volumeEvery {
 			told = time.Now()
 			g.logVolume()
+			g.logWorkspaces()
 		}
 	}
 }
--- a/node/gateway/relay/enter.go
+++ b/node/gateway/relay/enter.go
@@ -5,6 +5,8 @@
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"heatherlock/node/gateway/callers"
 	"heatherlock/platform"
 	"heatherlock/steering"
@@ -123,6 +125,11 @@
 	return false
 }
 
+// spreadOf returns a number from 0 to 1 that differs from request to request.
+func spreadOf(id string) float64 {
+	return float64(xxhash.Sum64String(id)>>11) / (1 << 53)
+}
+
 // signal wakes all that wait for a change. The zero value is ready for use.
 type signal struct {
 	mu sync.Mutex
--- a/node/gateway/relay/relay.go
+++ b/node/gateway/relay/relay.go
@@ -15,6 +15,7 @@
 	"heatherlock/node/gateway/volume"
 	"heatherlock/platform"
 	"heatherlock/steering"
+	"heatherlock/steering/identity"
 	"heatherlock/steering/placement"
 	"heatherlock/steering/retry"
 	"heatherlock/steering/routes"
@@ -69,8 +70,30 @@
 	Outdated func() bool
 	// Meter counts the bytes exchanged with targets; it may be nil.
 	Meter *volume.Meter
+	// Allowances bounds the requests of workspaces; nil bounds none.
+	Allowances Allowances
 }
 
+// Allowances holds workspaces to their allowances of requests, over all entry VMs.
+type Allowances interface {
+	// Admit decides whether a request may run. If not, retryAfter is when to come back;
+	// spread is a number from 0 to 1 of the request.
+	Admit(ctx context.Context, w *identity.Workspace, spread float64) (retryAfter time.Duration, ok bool)
+	// Return gives back what an admitted request that did not run has used.
+	Return(w *identity.Workspace)
+	// Ran counts one more run of an admitted request.
+	Ran(w *identity.Workspace)
+}
+
+// unlimited are the allowances of a relay without any.
+type unlimited struct{}
+
+func (unlimited) Admit(context.Context, *identity.Workspace, float64) (time.Duration, bool) {
+	return 0, true
+}
+func (unlimited) Return(*identity.Workspace) {}
+func (unlimited) Ran(*identity.Workspace)    {}
+
 // Relay answers callers' requests. It is safe for concurrent use.
 type Relay struct {
 	cfg   Config
@@ -92,6 +115,9 @@
 
 // New returns a relay without a configuration.
 func New(cfg Config) *Relay {
+	if cfg.Allowances == nil {
+		cfg.Allowances = unlimited{}
+	}
 	return &Relay{cfg: cfg, suspects: newSuspects(cfg.TargetBeat, cfg.Log), sums: newSums(), started: make(chan struct{})}
 }
 
@@ -193,11 +219,15 @@
 		return f.refuse(subject{id: call.ID}, steering.ReasonNotReady, notReadyRetry, nil)
 	}
 	e, reason := f.enter(ctx, r, call)
-	if reason == "" {
-		return newExchange(f, e, r, call).run(ctx)
-	}
 	retryAfter := time.Duration(0)
-	if reason == steering.ReasonConfigBehind {
+	switch reason {
+	case "":
+		ok := false
+		if retryAfter, ok = f.cfg.Allowances.Admit(ctx, e.workspace, spreadOf(call.ID)); ok {
+			return newExchange(f, e, r, call).run(ctx)
+		}
+		reason = steering.ReasonOverAllowance
+	case steering.ReasonConfigBehind:
 		retryAfter = notReadyRetry
 	}
 	if reason != steering.ReasonNoService {
--- a/node/gateway/relay/rig_test.go
+++ b/node/gateway/relay/rig_test.go
@@ -21,6 +21,7 @@
 	"heatherlock/platform"
 	"heatherlock/standin/endpoint"
 	"heatherlock/steering"
+	"heatherlock/steering/identity"
 	"heatherlock/steering/placement"
 	"heatherlock/steering/retry"
 	"heatherlock/steering/routes"
@@ -38,6 +39,32 @@
 	outdated atomic.Bool
 	// behind tells that a newer configuration exists.
 	behind atomic.Bool
+	// left is what workspaces may still have run; beyond counts what was refused.
+	left, beyond atomic.Int64
+}
+
+// Admit implements relay.Allowances.
+func (g *rig) Admit(_ context.Context, w *identity.Workspace, _ float64) (time.Duration, bool) {
+	if !w.Limited() || g.left.Add(-1) >= 0 {
+		return 0, true
+	}
+	g.left.Add(1)
+	g.beyond.Add(1)
+	return 700 * time.Millisecond, false
+}
+
+// Return implements relay.Allowances.
+func (g *rig) Return(w *identity.Workspace) {
+	if w.Limited() {
+		g.left.Add(1)
+	}
+}
+
+// Ran implements relay.Allowances.
+func (g *rig) Ran(w *identity.Workspace) {
+	if w.Limited() {
+		g.left.Add(-1)
+	}
 }
 
 const (
@@ -65,7 +92,7 @@
 	balancer.SetTargets(placed)
 	g.relay = relay.New(relay.Config{Region: "centro", Pool: upstream.NewPool(upstream.Dial, platform.RequestIDOf), Balancer: balancer,
 		Retry: retry.NewSharedBudget(retry.SharedBudgetConfig{Ratio: 0.2, Slack: 64, Window: 10 * time.Second}),
-		Log:   log.NewNopLogger(), Members: func() int { return 1 }, Outdated: g.outdated.Load, Behind: g.behind.Load})
+		Log:   log.NewNopLogger(), Members: func() int { return 1 }, Outdated: g.outdated.Load, Behind: g.behind.Load, Allowances: g})
 	route := func(name string, kind routes.Kind) *routes.Route {
 		return &routes.Route{Name: name, Host: "shop.example", Prefix: "/" + name + "/", Kind: kind, Timeout: time.Second,
 			Aim: 400 * time.Millisecond, MaxAttempts: 3, KeyAffinity: true, Parts: []routes.Part{{Service: service, Weight: 1}}}
--- a/node/gateway/relay/tries.go
+++ b/node/gateway/relay/tries.go
@@ -225,6 +225,9 @@
 		}
 		return false
 	}
+	if !e.notRun {
+		x.f.cfg.Allowances.Ran(x.workspace)
+	}
 	x.f.cfg.Events.Retried(retryReason(e))
 	return true
 }
@@ -255,6 +258,7 @@
 		x.f.returnRetry(x.service)
 		return
 	}
+	x.f.cfg.Allowances.Ran(x.workspace)
 	x.f.cfg.Events.Retried("overdue")
 }
 
--- a/node/gateway/relay/workspaces_test.go
+++ b/node/gateway/relay/workspaces_test.go
@@ -123,3 +123,41 @@
 	assert.Equal(t, got.Header.Get("Heatherlock-Reason"), string(steering.ReasonNoCommonHome))
 	assert.Equal(t, len(g.runs()), 1)
 }
+
+// Guards against work for a workspace beyond its allowance, and against a refusal that does
+// not say when to come back.
+func TestRequestBeyondTheAllowanceIsRefusedAtOnce(t *testing.T) {
+	g := newRig(t, 1, nil)
+	w := keyed("museum", "secret-1")
+	w.Rate = 1
+	g.configure(2, w)
+	g.left.Store(1)
+	assert.Equal(t, g.as("/read/1", "Api-Key: secret-1").StatusCode, 200)
+	got := g.as("/read/1", "Api-Key: secret-1")
+	assert.Equal(t, got.StatusCode, 429)
+	assert.Equal(t, got.Header.Get("Retry-After"), "0.7")
+	assert.Equal(t, got.Header.Get("Heatherlock-Reason"), string(steering.ReasonOverAllowance))
+	assert.Equal(t, len(g.runs()), 1)
+}
+
+// Guards against an allowance that is used up by requests which did not run, and against
+// runs beyond the first that nobody counts.
+func TestAllowanceCountsRuns(t *testing.T) {
+	g := newRig(t, 2, nil)
+	w := keyed("museum", "secret-1")
+	w.Rate = 1
+	g.configure(2, w)
+	g.left.Store(10)
+	g.faults(func(int) endpoint.Fault { return endpoint.Shed })
+	assert.Equal(t, g.as("/read/1", "Api-Key: secret-1").StatusCode, 503)
+	assert.Equal(t, g.left.Load(), int64(10))
+	g.faults(func(n int) endpoint.Fault {
+		if n == 1 {
+			return endpoint.Crash
+		}
+		return endpoint.None
+	})
+	assert.Equal(t, g.as("/read/1", "Api-Key: secret-1").StatusCode, 200)
+	assert.Equal(t, len(g.runs()), 2)
+	assert.Equal(t, g.left.Load(), int64(8))
+}
--- a/node/gateway/tell.go
+++ b/node/gateway/tell.go
@@ -68,6 +68,9 @@
 	if len(b.Suspects) > 0 {
 		g.relay.LearnFacts(time.Now(), b.Suspects)
 	}
+	if len(b.Tight) > 0 {
+		g.limits.LearnTight(b.Tight)
+	}
 	if len(b.Replaced) > 0 {
 		g.relay.WithBalancer(func(balancer *placement.Balancer, _ *retry.SharedBudget) {
 			balancer.LearnReplaced(time.Now(), b.Replaced)
--- a/node/gateway/volume/volume.go
+++ b/node/gateway/volume/volume.go
@@ -19,6 +19,9 @@
 	Requests Purpose = "requests"
 	// Heartbeats, as their sender counts them.
 	Heartbeats Purpose = "heartbeats"
+	// Allowances are reports on what workspaces use, and their answers, as their sender
+	// counts them.
+	Allowances Purpose = "allowances"
 	// Targets is what other entry VMs tell of targets, as who asks counts it.
 	Targets Purpose = "targets"
 	// Configuration is what other entry VMs tell of it, as who asks counts it.
