Show workspaces over a whole fleet

heatherlock workspaces [NAME] [--watch] [--json] adds up what all entry VMs counted: asked, admitted, beyond the allowance, refused later without having run and why, the part of the rate in use, the owner, and which configuration's keys are in force where.

--- a/cmd/heatherlock/commands.go
+++ b/cmd/heatherlock/commands.go
@@ -16,6 +16,7 @@
 	"heatherlock/cmd/internal/operate"
 	"heatherlock/cmd/internal/quickstart"
 	"heatherlock/cmd/internal/vmstatus"
+	"heatherlock/cmd/internal/workspaces"
 )
 
 // version is set by the linker: -ldflags "-X main.version=v1.2.3".
@@ -41,6 +42,7 @@
 			offline.Explain(),
 			offline.Why(),
 			vmstatus.Command(),
+			workspaces.Command(),
 			losses.Command(),
 			command.Group("bench", "measure parts of the system on this machine",
 				benchlookup.Command(),
--- a/cmd/internal/vmstatus/vmstatus.go
+++ b/cmd/internal/vmstatus/vmstatus.go
@@ -9,7 +9,6 @@
 	"net/http"
 	"strconv"
 	"strings"
-	"sync"
 	"text/tabwriter"
 
 	"github.com/go-faster/errors"
@@ -97,18 +96,14 @@
 }
 
 func askAll(ctx context.Context, addresses []string) []answer {
+	all, problems := status.AskEach(ctx, http.DefaultClient, addresses)
 	answers := make([]answer, len(addresses))
-	var all sync.WaitGroup
 	for i, address := range addresses {
-		all.Go(func() {
-			s, err := status.Ask(ctx, http.DefaultClient, address)
-			answers[i] = answer{Control: address, Status: s}
-			if err != nil {
-				answers[i].Problem = err.Error()
-			}
-		})
+		answers[i] = answer{Control: address, Status: all[i]}
+		if problems[i] != nil {
+			answers[i].Problem = problems[i].Error()
+		}
 	}
-	all.Wait()
 	return answers
 }
 
--- /dev/null
+++ b/cmd/internal/workspaces/command.go
@@ -0,0 +1,169 @@
+package workspaces
+
+import (
+	"cmp"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"slices"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/integrii/flaggy"
+
+	"heatherlock/cmd/internal/command"
+	"heatherlock/node/gateway/status"
+	"heatherlock/steering"
+)
+
+const (
+	// watchEvery is the pause between two looks of --watch.
+	watchEvery  = time.Second
+	clearScreen = "\x1b[H\x1b[2J"
+	// shownVMs bounds the VMs named for one configuration; --json names all.
+	shownVMs = 10
+)
+
+type options struct {
+	controls []string
+	name     string
+	watch    bool
+	json     bool
+}
+
+// Command returns the subcommand.
+func Command() command.Command {
+	return command.Command{
+		Name:    "workspaces",
+		Summary: "print what became of the requests of workspaces over a fleet on the users' platform, and how much of their allowances is in use",
+		Declare: func(sub *flaggy.Subcommand) command.Run {
+			o := &options{}
+			sub.AddPositionalValue(&o.name, "NAME", 1, false, "one workspace; all when left out")
+			sub.StringSlice(&o.controls, "c", "control", "HOST:PORT of an entry VM's control listener; it names the others")
+			sub.Bool(&o.watch, "w", "watch", "show it again each second until interrupted")
+			sub.Bool(&o.json, "j", "json", "print JSON")
+			return func(ctx context.Context, out command.IO) error { return o.run(ctx, out) }
+		},
+	}
+}
+
+func (o *options) run(ctx context.Context, out command.IO) error {
+	if len(o.controls) == 0 {
+		return command.Failf(command.Usage, "give one with --control", "no entry VM named")
+	}
+	for {
+		err := o.show(ctx, out)
+		if !o.watch || ctx.Err() != nil {
+			return err
+		}
+		if err != nil {
+			fmt.Fprintln(out.Err, "heatherlock:", err)
+		}
+		select {
+		case <-ctx.Done():
+			return err
+		case <-time.After(watchEvery):
+		}
+	}
+}
+
+func (o *options) show(ctx context.Context, out command.IO) error {
+	v, err := o.gather(ctx)
+	if err != nil {
+		return err
+	}
+	if o.json {
+		encoder := json.NewEncoder(out.Out)
+		encoder.SetIndent("", "  ")
+		if err := encoder.Encode(v); err != nil {
+			return errors.Wrap(err, "workspaces: write")
+		}
+		return verdict(v, o.name)
+	}
+	if o.watch && out.Terminal {
+		fmt.Fprint(out.Out, clearScreen)
+	}
+	if err := write(v, out.Out); err != nil {
+		return errors.Wrap(err, "workspaces: write")
+	}
+	return verdict(v, o.name)
+}
+
+// gather asks one VM for the others, and then each of those that live.
+func (o *options) gather(ctx context.Context) (View, error) {
+	first, err := status.AskAny(ctx, http.DefaultClient, o.controls)
+	if err != nil {
+		return View{}, command.Failf(command.Unreachable, "check the addresses, and whether those entry VMs run", "none of %d entry VMs answered: %v", len(o.controls), err)
+	}
+	var others []string
+	for _, p := range first.Fleet {
+		if p.Live {
+			others = append(others, p.Control)
+		}
+	}
+	answers, problems := status.AskEach(ctx, http.DefaultClient, others)
+	all, silent := []*status.Status{first}, []string(nil)
+	for n, s := range answers {
+		if problems[n] != nil {
+			silent = append(silent, others[n])
+			continue
+		}
+		all = append(all, s)
+	}
+	v := Sum(all, steering.Workspace(o.name))
+	v.Silent = silent
+	return v, nil
+}
+
+// verdict fails with a documented exit code if a VM is missing, the workspace is not known,
+// or VMs go by different keys and limits.
+func verdict(v View, name string) error {
+	switch {
+	case len(v.Silent) > 0:
+		return command.Failf(command.Unreachable, "the sums lack them; check whether they run", "%d entry VMs did not answer: %s", len(v.Silent), strings.Join(v.Silent, ", "))
+	case name != "" && len(v.Workspaces) == 0:
+		return command.Failf(command.Refused, "check the name; only workspaces with an allowance that were asked for are counted", "no entry VM knows workspace %q", name)
+	case !v.Agree():
+		return command.Failf(command.Other, "see docs/operations/configuration.md for what each VM waits for", "entry VMs go by %d different configurations", len(v.Configurations))
+	}
+	return nil
+}
+
+func write(v View, out io.Writer) error {
+	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(w, "WORKSPACE\tASKED\tADMITTED\tBEYOND\tNOT RUN\tRATE\tASKED NOW/S\tIN USE\tVMS\tOWNER\tMOST OFTEN NOT RUN FOR")
+	for _, r := range v.Workspaces {
+		rate, demand, use, vms := "unknown", "", "", ""
+		if a := r.Allowance; a != nil {
+			rate, demand, use, vms = fmt.Sprintf("%.1f", a.Rate), fmt.Sprintf("%.1f", a.Demand), fmt.Sprintf("%.0f%%", 100*r.InUse()), fmt.Sprint(a.VMs)
+		}
+		reason, notRun := mostOften(r.NotRun)
+		fmt.Fprintf(w, "%s\t%d\t%d\t%d\t%d\t%s\t%s\t%s\t%s\t%s\t%s\n", r.Name, r.Asked, r.Admitted, r.Beyond, notRun, rate, demand, use, vms, r.Owner, reason)
+	}
+	fmt.Fprintf(w, "\n%d entry VMs answered\nKEYS AND LIMITS OF\tCONTENT\tVMS\tIN FORCE ON ALL OF THEM\n", len(v.Asked))
+	for _, c := range v.Configurations {
+		fmt.Fprintf(w, "configuration %d\t%s\t%d\t%v\n", c.Version, c.Content, len(c.VMs), time.Duration(c.InForceMs)*time.Millisecond)
+	}
+	for n, c := range v.Configurations {
+		if n > 0 {
+			fmt.Fprintf(w, "on configuration %d: %v\n", c.Version, c.VMs[:min(len(c.VMs), shownVMs)])
+		}
+	}
+	return w.Flush()
+}
+
+// mostOften returns the reason with most refusals, and the sum of all.
+func mostOften(counts map[steering.Reason]int64) (most steering.Reason, sum int64) {
+	reasons := make([]steering.Reason, 0, len(counts))
+	for reason, n := range counts {
+		reasons, sum = append(reasons, reason), sum+n
+	}
+	if len(reasons) == 0 {
+		return "", 0
+	}
+	return slices.MaxFunc(reasons, func(a, b steering.Reason) int { return cmp.Or(cmp.Compare(counts[a], counts[b]), cmp.Compare(b, a)) }), sum
+}
--- /dev/null
+++ b/cmd/internal/workspaces/workspaces_test.go
@@ -0,0 +1,69 @@
+package workspaces
+
+import (
+	"bytes"
+	"encoding/json"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"heatherlock/cmd/internal/command"
+	"heatherlock/node/gateway/status"
+	"heatherlock/steering"
+)
+
+func serving(t *testing.T, s *status.Status) string {
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		assert.Check(t, json.NewEncoder(w).Encode(s))
+	}))
+	t.Cleanup(server.Close)
+	return strings.TrimPrefix(server.URL, "http://")
+}
+
+func fleetOfTwo(t *testing.T) (first *status.Status, control string) {
+	second := &status.Status{VM: "vm-2", ConfigVersion: 7, Config: status.Config{Content: "c", InForceMs: 900},
+		Workspaces: []status.Workspace{{Name: "spa", Admitted: 5, Beyond: 2, Owned: &status.Allowance{Rate: 40, Demand: 10, VMs: 2}}}}
+	first = &status.Status{VM: "vm-1", ConfigVersion: 7, Config: status.Config{Content: "c", InForceMs: 1500},
+		Workspaces: []status.Workspace{{Name: "museum", Admitted: 4}, {Name: "spa", Admitted: 3, NotRun: map[steering.Reason]int64{steering.ReasonNoSlot: 1}}}}
+	first.Fleet = []status.Peer{{VM: "vm-2", Live: true, Control: serving(t, second)}, {VM: "vm-3", Control: "127.0.0.1:1"}}
+	return first, serving(t, first)
+}
+
+func TestCountsOfAllVMsAreAddedUp(t *testing.T) {
+	_, control := fleetOfTwo(t)
+	var out bytes.Buffer
+	o := &options{controls: []string{control}}
+	assert.NilError(t, o.run(t.Context(), command.IO{Out: &out, Err: &out}))
+	lines := strings.Split(out.String(), "\n")
+	assert.DeepEqual(t, strings.Fields(lines[1]), []string{"spa", "10", "8", "2", "1", "40.0", "10.0", "25%", "2", "vm-2", "no_slot"})
+	assert.DeepEqual(t, strings.Fields(lines[2])[:5], []string{"museum", "4", "4", "0", "0"})
+	assert.Assert(t, strings.Contains(out.String(), "configuration 7") && strings.Contains(out.String(), "900ms"), out.String())
+
+	out.Reset()
+	o = &options{controls: []string{control}, name: "spa", json: true}
+	assert.NilError(t, o.run(t.Context(), command.IO{Out: &out, Err: &out}))
+	var v View
+	assert.NilError(t, json.Unmarshal(out.Bytes(), &v))
+	assert.Equal(t, len(v.Workspaces), 1)
+	assert.Equal(t, v.Workspaces[0].Owner, steering.VM("vm-2"))
+}
+
+// Guards against sums that look whole while VMs are missing, or go by other keys.
+func TestExitCodeTellsWhatIsMissing(t *testing.T) {
+	first, _ := fleetOfTwo(t)
+	var out bytes.Buffer
+	show := func(o *options) command.Code {
+		return command.CodeOf(o.run(t.Context(), command.IO{Out: &out, Err: &out}))
+	}
+	assert.Equal(t, show(&options{}), command.Usage)
+	assert.Equal(t, show(&options{controls: []string{"127.0.0.1:1"}}), command.Unreachable)
+	control := serving(t, first)
+	assert.Equal(t, show(&options{controls: []string{control}, name: "nobody"}), command.Refused)
+	first.ConfigVersion = 6
+	assert.Equal(t, show(&options{controls: []string{control}}), command.Other)
+	first.Fleet[1].Live = true
+	assert.Equal(t, show(&options{controls: []string{control}}), command.Unreachable)
+}
--- a/node/gateway/allowances/counts.go
+++ b/node/gateway/allowances/counts.go
@@ -2,9 +2,11 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 
+	"heatherlock/node/gateway/status"
 	"heatherlock/steering"
 	"heatherlock/steering/allowance"
 )
@@ -22,29 +24,33 @@
 type Count struct {
 	Admitted int64 `json:"admitted"`
 	Beyond   int64 `json:"beyond"`
+	NotRun   int64 `json:"not_run,omitempty"`
 }
 
 // counts holds the counts of workspaces with an allowance, since the VM started.
 type counts struct {
-	all   map[steering.Workspace]*Count
-	shown map[steering.Workspace]Count // as of the last Take
+	all     map[steering.Workspace]*Count
+	reasons map[steering.Workspace]map[steering.Reason]int64
+	shown   map[steering.Workspace]Count // as of the last Take
 }
 
 func newCounts() *counts {
-	return &counts{all: make(map[steering.Workspace]*Count), shown: make(map[steering.Workspace]Count)}
+	return &counts{all: make(map[steering.Workspace]*Count), reasons: make(map[steering.Workspace]map[steering.Reason]int64), shown: make(map[steering.Workspace]Count)}
 }
 
-func (c *counts) add(name steering.Workspace, admitted bool) {
-	n := c.all[name]
-	if n == nil {
-		if len(c.all) >= mostCounted {
-			name = rest
-		}
-		if n = c.all[name]; n == nil {
-			n = &Count{}
-			c.all[name] = n
-		}
+// of returns the count of a workspace.
+func (c *counts) of(name steering.Workspace) (steering.Workspace, *Count) {
+	if c.all[name] == nil && len(c.all) >= mostCounted {
+		name = rest
 	}
+	if c.all[name] == nil {
+		c.all[name] = &Count{}
+	}
+	return name, c.all[name]
+}
+
+func (c *counts) add(name steering.Workspace, admitted bool) {
+	_, n := c.of(name)
 	if admitted {
 		n.Admitted++
 		return
@@ -52,52 +58,40 @@
 	n.Beyond++
 }
 
-// Row is a workspace as one VM sees it.
-type Row struct {
-	Workspace steering.Workspace `json:"workspace"`
-	Count
-	// Owned is set on the VM that owns the workspace.
-	Owned *Owned `json:"owned,omitempty"`
-}
-
-// Owned is what the owner of a workspace knows.
-type Owned struct {
-	Rate   float64 `json:"rate"`
-	Burst  float64 `json:"burst"`
-	Left   float64 `json:"left"`
-	Lent   float64 `json:"lent"`
-	Demand float64 `json:"demand"`
-	VMs    int     `json:"vms"`
-	Tight  bool    `json:"tight"`
+// notRun counts an admitted request that was refused without having run.
+func (c *counts) notRun(name steering.Workspace, reason steering.Reason) {
+	name, n := c.of(name)
+	n.NotRun++
+	if c.reasons[name] == nil {
+		c.reasons[name] = make(map[steering.Reason]int64)
+	}
+	c.reasons[name][reason]++
 }
 
-// Rows returns the workspaces with an allowance that this VM knows of, by name.
-func (s *Service) Rows() []Row {
+// Rows returns the workspaces with an allowance that this VM has met or owns, by name.
+func (s *Service) Rows() []status.Workspace {
 	now := time.Now()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	rows := make(map[steering.Workspace]*Row)
-	row := func(name steering.Workspace) *Row {
-		if rows[name] == nil {
-			rows[name] = &Row{Workspace: name}
-		}
-		return rows[name]
-	}
+	rows := make(map[steering.Workspace]*status.Workspace)
 	for name, n := range s.counts.all {
-		row(name).Count = *n
+		rows[name] = &status.Workspace{Name: name, Admitted: n.Admitted, Beyond: n.Beyond, NotRun: maps.Clone(s.counts.reasons[name])}
 	}
 	for _, u := range s.ledger.Usage(now) {
 		w := s.byID[u.Workspace]
 		if owner, _ := allowance.OwnerOf(u.Workspace, s.live); w == nil || owner != s.cfg.Self {
 			continue
 		}
-		row(w.Name).Owned = &Owned{Rate: u.Limit.Rate, Burst: u.Limit.Burst, Left: u.Left, Lent: u.Lent, Demand: u.Demand, VMs: u.VMs, Tight: u.Tight}
+		if rows[w.Name] == nil {
+			rows[w.Name] = &status.Workspace{Name: w.Name}
+		}
+		rows[w.Name].Owned = &status.Allowance{Rate: w.Rate, Burst: w.Burst, Limit: u.Limit.Rate, Left: u.Left, Lent: u.Lent, Demand: u.Demand, VMs: u.VMs, Low: u.Tight}
 	}
-	all := make([]Row, 0, len(rows))
+	all := make([]status.Workspace, 0, len(rows))
 	for _, r := range rows {
 		all = append(all, *r)
 	}
-	slices.SortFunc(all, func(a, b Row) int { return cmp.Compare(a.Workspace, b.Workspace) })
+	slices.SortFunc(all, func(a, b status.Workspace) int { return cmp.Compare(a.Name, b.Name) })
 	return all
 }
 
@@ -128,7 +122,8 @@
 			name = rest
 		}
 		sum := taken[name]
-		taken[name] = Count{Admitted: sum.Admitted + n.Admitted - before.Admitted, Beyond: sum.Beyond + n.Beyond - before.Beyond}
+		taken[name] = Count{Admitted: sum.Admitted + n.Admitted - before.Admitted, Beyond: sum.Beyond + n.Beyond - before.Beyond,
+			NotRun: sum.NotRun + n.NotRun - before.NotRun}
 	}
 	return taken
 }
--- a/node/gateway/allowances/service.go
+++ b/node/gateway/allowances/service.go
@@ -218,19 +218,26 @@
 	}
 }
 
-// Return gives back the credit of a request that was admitted and did not run.
-func (s *Service) Return(w *identity.Workspace) { s.change(w, (*allowance.Account).Return) }
+// Return gives back the credit of a request that was admitted and refused later, for a
+// reason, without having run.
+func (s *Service) Return(w *identity.Workspace, reason steering.Reason) {
+	if !w.Limited() {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.account(time.Now(), w).Return()
+	s.counts.notRun(w.Name, reason)
+}
 
 // Ran counts one more run of a request that was admitted.
-func (s *Service) Ran(w *identity.Workspace) { s.change(w, (*allowance.Account).Ran) }
-
-func (s *Service) change(w *identity.Workspace, do func(*allowance.Account)) {
+func (s *Service) Ran(w *identity.Workspace) {
 	if !w.Limited() {
 		return
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	do(s.account(time.Now(), w).Account)
+	s.account(time.Now(), w).Ran()
 }
 
 // account returns this VM's side of a workspace.
--- a/node/gateway/relay/answers.go
+++ b/node/gateway/relay/answers.go
@@ -43,7 +43,7 @@
 // refuse answers a request that has not run.
 func (x *exchange) refuse(reason steering.Reason, retryAfter time.Duration) *callers.Response {
 	x.count(losses.Refused, reason)
-	x.f.cfg.Allowances.Return(x.workspace)
+	x.f.cfg.Allowances.Return(x.workspace, reason)
 	return x.f.refuse(x.subject(x.call), reason, retryAfter, x.detail())
 }
 
--- a/node/gateway/relay/relay.go
+++ b/node/gateway/relay/relay.go
@@ -79,8 +79,9 @@
 	// Admit decides whether a request may run. If not, retryAfter is when to come back;
 	// spread is a number from 0 to 1 of the request.
 	Admit(ctx context.Context, w *identity.Workspace, spread float64) (retryAfter time.Duration, ok bool)
-	// Return gives back what an admitted request that did not run has used.
-	Return(w *identity.Workspace)
+	// Return gives back what an admitted request has used that is refused, for a reason,
+	// without having run.
+	Return(w *identity.Workspace, reason steering.Reason)
 	// Ran counts one more run of an admitted request.
 	Ran(w *identity.Workspace)
 }
@@ -91,8 +92,8 @@
 func (unlimited) Admit(context.Context, *identity.Workspace, float64) (time.Duration, bool) {
 	return 0, true
 }
-func (unlimited) Return(*identity.Workspace) {}
-func (unlimited) Ran(*identity.Workspace)    {}
+func (unlimited) Return(*identity.Workspace, steering.Reason) {}
+func (unlimited) Ran(*identity.Workspace)                     {}
 
 // Relay answers callers' requests. It is safe for concurrent use.
 type Relay struct {
--- a/node/gateway/relay/rig_test.go
+++ b/node/gateway/relay/rig_test.go
@@ -54,7 +54,7 @@
 }
 
 // Return implements relay.Allowances.
-func (g *rig) Return(w *identity.Workspace) {
+func (g *rig) Return(w *identity.Workspace, _ steering.Reason) {
 	if w.Limited() {
 		g.left.Add(1)
 	}
--- a/node/gateway/status/gather.go
+++ b/node/gateway/status/gather.go
@@ -46,6 +46,25 @@
 	return &s, nil
 }
 
+// mostAtOnce bounds the VMs that are asked at the same time.
+const mostAtOnce = 32
+
+// AskEach asks VMs for their status; the answers and errors are in the order of controls.
+func AskEach(ctx context.Context, client *http.Client, controls []string) ([]*Status, []error) {
+	answers, problems := make([]*Status, len(controls)), make([]error, len(controls))
+	room := make(chan struct{}, mostAtOnce)
+	var all sync.WaitGroup
+	for n, control := range controls {
+		room <- struct{}{}
+		all.Go(func() {
+			answers[n], problems[n] = Ask(ctx, client, control)
+			<-room
+		})
+	}
+	all.Wait()
+	return answers, problems
+}
+
 // AskAny asks VMs in order until one answers; the error is that of the last.
 func AskAny(ctx context.Context, client *http.Client, controls []string) (*Status, error) {
 	err := errors.New("status: no entry VM to ask")
--- a/node/gateway/status/status.go
+++ b/node/gateway/status/status.go
@@ -38,6 +38,37 @@
 	RequestsRunning   int       `json:"requests_running"`
 	CallerConnections int       `json:"caller_connections"`
 	Services          []Service `json:"services"`
+	// Workspaces are those with an allowance that this VM has met or owns, by name.
+	Workspaces []Workspace `json:"workspaces"`
+}
+
+// Workspace is what became of a workspace's requests on one VM since it started.
+type Workspace struct {
+	Name steering.Workspace `json:"name"`
+	// Admitted were let run by its allowance, Beyond refused by it.
+	Admitted int64 `json:"admitted"`
+	Beyond   int64 `json:"beyond"`
+	// NotRun counts those admitted that were refused later without having run, by reason.
+	NotRun map[steering.Reason]int64 `json:"not_run,omitempty"`
+	// Owned is set on the VM that owns the workspace.
+	Owned *Allowance `json:"owned,omitempty"`
+}
+
+// Allowance is what the owner of a workspace knows.
+type Allowance struct {
+	// Rate and Burst are as declared; Limit is what the owner lends a second, for the part
+	// of the fleet that it hears.
+	Rate  float64 `json:"rate"`
+	Burst float64 `json:"burst"`
+	Limit float64 `json:"limit"`
+	// Left is in the bucket, below 0 for a debt; Lent lies with VMs.
+	Left float64 `json:"left"`
+	Lent float64 `json:"lent"`
+	// Demand is what its callers ask over all VMs, in requests per second, on VMs of them.
+	Demand float64 `json:"demand"`
+	VMs    int     `json:"vms"`
+	// Low tells that VMs ask before a request runs.
+	Low bool `json:"low"`
 }
 
 // Service is what the VM goes by for one service.
--- a/node/gateway/workspaces.go
+++ b/node/gateway/workspaces.go
@@ -60,5 +60,6 @@
 		scope := g.metrics.Scope.Tagged(map[string]string{"workspace": string(name)})
 		scope.Counter("gateway_workspace_admitted").Inc(n.Admitted)
 		scope.Counter("gateway_workspace_beyond").Inc(n.Beyond)
+		scope.Counter("gateway_workspace_not_run").Inc(n.NotRun)
 	}
 }
