--- a/cmd/internal/benchplacement/ways.go
+++ b/cmd/internal/benchplacement/ways.go
@@ -46,7 +46,7 @@
 
 func (p *product) choose(now time.Time, c *call) (steering.Target, bool) {
 	b := p.balancers[c.vm]
-	b.Arrived(now, service)
+	b.Arrived(now, service, "")
 	pick, refusal := b.Choose(now, placement.Request{Service: service, Key: c.key, ID: c.key, Region: regionName(c.region),
 		Aim: aim, Left: deadline - now.Sub(c.began), Repeatable: true})
 	if refusal != nil {
--- a/node/gateway/gateway_test.go
+++ b/node/gateway/gateway_test.go
@@ -35,6 +35,10 @@
 	version int
 	routes  []map[string]any
 	number  atomic.Int64
+	// workspaces are declared beside the routes; without any, requests need no API key.
+	workspaces []map[string]any
+	// logs, when set, takes what the VMs log.
+	logs *safeBuffer
 	// links, when set, carry what VMs exchange with each other and with the store.
 	links *links
 }
@@ -86,9 +90,13 @@
 // configure writes a new configuration.
 func (s *site) configure() {
 	s.version += 3
-	s.store.Put("config", "main", map[string]any{"version": fmt.Sprint("r", s.version), "routes": s.routes,
+	config := map[string]any{"version": fmt.Sprint("r", s.version), "routes": s.routes,
 		"services": []any{map[string]any{"name": "svc", "healthPath": "/health", "maxConns": 100}},
-		"limits":   map[string]any{"maxHeaderBytes": 8192, "maxBodyBytes": 1 << 20, "headerTimeoutMs": 2000, "idleTimeoutMs": 5000}})
+		"limits":   map[string]any{"maxHeaderBytes": 8192, "maxBodyBytes": 1 << 20, "headerTimeoutMs": 2000, "idleTimeoutMs": 5000}}
+	if len(s.workspaces) > 0 {
+		config["tenants"] = s.workspaces
+	}
+	s.store.Put("config", "main", config)
 }
 
 // start starts the entry VM number n, which is told of VM 1 as a seed.
@@ -104,7 +112,11 @@
 	if s.links != nil {
 		settings.Store = s.links.storeFor(s.t, ip, s.store)
 	}
-	g, err := gateway.New(settings, log.NewNopLogger())
+	logger := log.NewNopLogger()
+	if s.logs != nil {
+		logger = log.NewJSONLogger(s.logs)
+	}
+	g, err := gateway.New(settings, logger)
 	assert.NilError(s.t, err)
 	if s.links != nil {
 		g.DialPeersBy(s.links.dial(ip))
--- a/node/gateway/relay/enter.go
+++ b/node/gateway/relay/enter.go
@@ -102,6 +102,26 @@
 	return false
 }
 
+// onlyHome returns the one region in which the request may run by its homes; empty if there
+// are several.
+func (e entry) onlyHome() steering.Region {
+	homes := e.route.Homes
+	if e.workspace != nil && len(homes) == 0 {
+		homes = e.workspace.Homes
+	}
+	only := steering.Region("")
+	for _, home := range homes {
+		switch {
+		case !e.mayRunIn(home):
+		case only != "":
+			return ""
+		default:
+			only = home
+		}
+	}
+	return only
+}
+
 // keyWait returns until when a request with an unknown API key waits for a newer
 // configuration.
 func (f *Relay) keyWait(r *callers.Request, call platform.Call) time.Time {
--- a/node/gateway/relay/exchange.go
+++ b/node/gateway/relay/exchange.go
@@ -64,7 +64,7 @@
 
 // run takes the request to its answer.
 func (x *exchange) run(ctx context.Context) *callers.Response {
-	x.f.placing(x.service)
+	x.f.placing(x.service, x.onlyHome())
 	if x.r.Rest != nil && x.r.Length > x.table.Limits.BodyBytes {
 		return x.refuse(steering.ReasonBodyTooLarge, 0)
 	}
--- a/node/gateway/relay/place.go
+++ b/node/gateway/relay/place.go
@@ -12,11 +12,11 @@
 )
 
 // placing counts a request for the demand and the budget of its service.
-func (f *Relay) placing(service steering.Service) {
+func (f *Relay) placing(service steering.Service, bound steering.Region) {
 	now := time.Now()
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.cfg.Balancer.Arrived(now, service)
+	f.cfg.Balancer.Arrived(now, service, bound)
 	f.cfg.Retry.First(now, service)
 }
 
--- a/soak/check.go
+++ b/soak/check.go
@@ -145,8 +145,8 @@
 	if o.once {
 		method, path, body = "POST", "/buy/", strings.Repeat("x", c.random.IntN(3000))
 	}
-	head := fmt.Sprintf("%s %s%d HTTP/1.1\r\nHost: %s\r\nX-Request-Id: %s\r\nX-Affinity-Key: %d\r\nX-Deadline-Ms: %d\r\nContent-Length: %d\r\n\r\n",
-		method, path, c.random.IntN(50), host, o.id, c.random.IntN(30), callDeadline.Milliseconds(), len(body))
+	head := fmt.Sprintf("%s %s%d HTTP/1.1\r\nHost: %s\r\nX-Request-Id: %s\r\nX-Affinity-Key: %d\r\nX-Deadline-Ms: %d\r\nApi-Key: %s\r\nX-Tenant: forged\r\nContent-Length: %d\r\n\r\n",
+		method, path, c.random.IntN(50), host, o.id, c.random.IntN(30), callDeadline.Milliseconds(), keyOf(workspaceOfCaller(c.name)), len(body))
 	_ = c.conn.SetDeadline(time.Now().Add(callDeadline + finalWait))
 	if _, err := io.WriteString(c.conn, head+body); err != nil {
 		return "", err
@@ -236,6 +236,7 @@
 			if run.Method == "POST" && runs[run.ID] == 2 {
 				s.findings.add("request %s ran twice", run.ID)
 			}
+			s.checkIdentity(run)
 			if t.name == otherName {
 				s.findings.add("request %s ran at another service", run.ID)
 			}
@@ -293,6 +294,7 @@
 	}
 	request.Host = host
 	request.Header.Set("X-Request-Id", "probe")
+	request.Header.Set("Api-Key", keyOf(workspaceNames[0]))
 	response, err := (&http.Client{Timeout: 2 * time.Second, Transport: &http.Transport{DisableKeepAlives: true}}).Do(request)
 	if err != nil {
 		return
--- a/soak/plan.go
+++ b/soak/plan.go
@@ -28,6 +28,7 @@
 	for at := 2 * time.Second; at < length-healTime; at += time.Duration(150+d.IntN(600)) * time.Millisecond {
 		plan = append(plan, d.step(at, daemons)...)
 	}
+	plan = append(plan, workspaceFaults(seed, length)...)
 	sort.SliceStable(plan, func(i, j int) bool { return plan[i].at < plan[j].at })
 	return plan
 }
--- a/soak/site.go
+++ b/soak/site.go
@@ -40,6 +40,10 @@
 	next    int
 	version int
 	routes  []map[string]any
+	// extraKeys are keys of workspaces that come and go; lowered names the workspace whose
+	// allowance is low.
+	extraKeys map[string][]string
+	lowered   string
 	// storeBad are the times at which the store or the way to it was harmed, or
 	// ceased to be.
 	storeBad []time.Time
@@ -58,7 +62,7 @@
 }
 
 func newSite(o Options, dir string, f *findings) (*site, error) {
-	s := &site{findings: f, store: metastore.New(), targets: make(map[string]*target), closing: make(chan struct{})}
+	s := &site{findings: f, store: metastore.New(), targets: make(map[string]*target), extraKeys: make(map[string][]string), closing: make(chan struct{})}
 	s.server = httptest.NewServer(s.store)
 	var err error
 	if s.toStore, err = newProxy(strings.TrimPrefix(s.server.URL, "http://")); err != nil {
@@ -217,7 +221,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.version += 2
-	s.store.Put("config", "main", map[string]any{"version": fmt.Sprint("r", s.version), "routes": s.routes,
+	s.store.Put("config", "main", map[string]any{"version": fmt.Sprint("r", s.version), "routes": s.routes, "tenants": s.tenants(),
 		"services": []any{map[string]any{"name": serviceName, "healthPath": "/health", "maxConns": 200}},
 		"limits":   map[string]any{"maxHeaderBytes": 8192, "maxBodyBytes": 1 << 20, "headerTimeoutMs": 2000, "idleTimeoutMs": 5000}})
 	return s.version
--- a/steering/placement/balancer.go
+++ b/steering/placement/balancer.go
@@ -110,10 +110,14 @@
 	return v
 }
 
-// Arrived counts a request of a caller, for the demand told to peers.
-func (b *Balancer) Arrived(now time.Time, service steering.Service) {
+// Arrived counts a request of a caller, for the demand told to peers. Bound is the one
+// region in which it may run, empty if there are several.
+func (b *Balancer) Arrived(now time.Time, service steering.Service, bound steering.Region) {
 	v := b.service(service)
 	v.arrivals.add(now, 1)
+	if bound != "" {
+		v.boundTo(bound).add(now, 1)
+	}
 	v.overflow = math.Min(overflowBurst, v.overflow+overflowShare)
 }
 
@@ -122,7 +126,7 @@
 	demand := make(DemandOf, len(b.services))
 	for name, v := range b.services {
 		if rate := v.arrivals.value(now); rate > 0 {
-			demand[name] = Demand{Rate: float32(rate), RunMs: float32(v.fast * 1000), Runs: uint16(min(v.runs, mostRuns))}
+			demand[name] = Demand{Rate: float32(rate), RunMs: float32(v.fast * 1000), Runs: uint16(min(v.runs, mostRuns)), Bound: v.boundRates(now)}
 		}
 	}
 	return demand
--- a/steering/placement/demand.go
+++ b/steering/placement/demand.go
@@ -1,6 +1,10 @@
 package placement
 
-import "heatherlock/steering"
+import (
+	"maps"
+
+	"heatherlock/steering"
+)
 
 // Demand is what callers ask of a service.
 type Demand struct {
@@ -10,6 +14,8 @@
 	// RunMs is the time of a warm run in ms, Runs the number of runs it rests on.
 	RunMs float32
 	Runs  uint16
+	// Bound is the part of the rate that may run in one region alone, by region.
+	Bound map[steering.Region]float32
 }
 
 // mostRuns bounds the weight of one VM's observations, so that old ones fade.
@@ -21,9 +27,25 @@
 	if runs := float32(d.Runs) + float32(o.Runs); runs > 0 {
 		sum.RunMs = (d.RunMs*float32(d.Runs) + o.RunMs*float32(o.Runs)) / runs
 	}
+	if len(d.Bound)+len(o.Bound) > 0 {
+		sum.Bound = make(map[steering.Region]float32)
+		maps.Copy(sum.Bound, d.Bound)
+		for region, rate := range o.Bound {
+			sum.Bound[region] += rate
+		}
+	}
 	return sum
 }
 
+// free is the rate that may run in any region.
+func (d Demand) free() float32 {
+	free := d.Rate
+	for _, rate := range d.Bound {
+		free -= rate
+	}
+	return max(free, 0)
+}
+
 // DemandOf is the demand of a region's callers by service.
 type DemandOf map[steering.Service]Demand
 
--- a/steering/placement/lend.go
+++ b/steering/placement/lend.go
@@ -88,7 +88,8 @@
 	plans := make(map[steering.Service]*plan, len(s.Slots))
 	runs := Runs(s.Demand)
 	for service, room := range s.Slots {
-		plans[service] = newPlan(service, now, busyOf(service, s.Demand, runs[service]), room, s.Regions)
+		busy, fixed := busyOf(service, s.Demand, runs[service])
+		plans[service] = newPlan(service, now, busy, fixed, room, s.Regions)
 	}
 	next := make(Lending, len(plans))
 	budgets := budgetsOf(plans, s)
@@ -101,15 +102,21 @@
 	return next
 }
 
-// busyOf returns the slots that a service's callers keep busy, by region.
-func busyOf(service steering.Service, demand map[steering.Region]DemandOf, all Demand) map[steering.Region]float64 {
-	busy := make(map[steering.Region]float64)
+// busyOf returns the slots that a service's callers keep busy: those of requests that may
+// be lent, by the region of the callers, and those of requests that may run in one region
+// alone, by that region.
+func busyOf(service steering.Service, demand map[steering.Region]DemandOf, all Demand) (busy, fixed map[steering.Region]float64) {
+	busy, fixed = make(map[steering.Region]float64), make(map[steering.Region]float64)
+	slots := func(rate float32) float64 { return float64(rate*all.RunMs) / 1000 }
 	for region, of := range demand {
-		if rate := of[service].Rate; rate > 0 {
-			busy[region] = float64(rate*all.RunMs) / 1000
+		if of[service].Rate > 0 {
+			busy[region] = slots(of[service].free())
+		}
+		for home, rate := range of[service].Bound {
+			fixed[home] += slots(rate)
 		}
 	}
-	return busy
+	return busy, fixed
 }
 
 // budgetsOf returns by which factor the moves of each region's keys are to be shortened,
--- a/steering/placement/lend_test.go
+++ b/steering/placement/lend_test.go
@@ -226,3 +226,37 @@
 	first := placement.NextLending(nil, situation(demand, placement.Slots{service: {"norte": 72}}))
 	assert.Assert(t, first.Kept(service, "sur") < 0.01, "keeps %v", first[service]["sur"])
 }
+
+// Guards against a region that goes on taking keys of others while requests that may run
+// nowhere else fill it.
+func TestRegionLendsWhatItsBoundRequestsLeaveNoRoomFor(t *testing.T) {
+	const service = steering.Service("s")
+	demand := func(rate float32, bound map[steering.Region]float32) placement.DemandOf {
+		return placement.DemandOf{service: {Rate: rate, RunMs: 100, Runs: 100, Bound: bound}}
+	}
+	slots := placement.Slots{service: {"norte": 30, "centro": 30, "sur": 30}}
+	lend := func(bound map[steering.Region]float32) placement.Lending {
+		l := placement.Lending{}
+		for range 200 {
+			l = placement.NextLending(l, placement.Situation{Slots: slots, Regions: 3, ShiftShare: 0.15, Demand: map[steering.Region]placement.DemandOf{
+				"norte": demand(200, bound), "centro": demand(150, nil), "sur": demand(50, nil)}})
+		}
+		return l
+	}
+	assert.Assert(t, lend(nil).Kept(service, "centro") > 0.99)
+	l := lend(map[steering.Region]float32{"centro": 120}) // 12 of its 30 slots
+	assert.Assert(t, l.Kept(service, "centro") < 0.9, "%v", l)
+	assert.Assert(t, l.Kept(service, "norte") > 0.99, "norte's own callers leave it room: %v", l)
+	load := 12 + 15*l.Kept(service, "centro")
+	assert.Assert(t, load < 0.75*30, "%.1f of its slots are busy", load)
+}
+
+// Guards against demand that is counted twice, or lost, as it is added up over VMs.
+func TestBoundDemandAddsUp(t *testing.T) {
+	a := placement.Demand{Rate: 10, Bound: map[steering.Region]float32{"norte": 2}}
+	b := placement.Demand{Rate: 5, Bound: map[steering.Region]float32{"norte": 1, "sur": 4}}
+	sum := a.Add(b).Add(placement.Demand{Rate: 1})
+	assert.DeepEqual(t, sum.Bound, map[steering.Region]float32{"norte": 3, "sur": 4})
+	assert.Equal(t, sum.Rate, float32(16))
+	assert.DeepEqual(t, a.Bound, map[steering.Region]float32{"norte": 2})
+}
--- a/steering/placement/load_test.go
+++ b/steering/placement/load_test.go
@@ -165,7 +165,7 @@
 func (p *play) request(region steering.Region, key string) {
 	p.tallies[region].asked++
 	b := p.vms[region]
-	b.Arrived(p.now, service)
+	b.Arrived(p.now, service, "")
 	pick, refusal := b.Choose(p.now, placement.Request{Service: service, Key: key, ID: key, Region: region, Aim: loadAim,
 		Left: 2 * time.Second, Rank: 1, Repeatable: true})
 	if refusal != nil {
--- a/steering/placement/placement_test.go
+++ b/steering/placement/placement_test.go
@@ -194,7 +194,7 @@
 	now := start
 	for n := range 600 {
 		now = now.Add(20 * time.Millisecond)
-		b.Arrived(now, service)
+		b.Arrived(now, service, "")
 		pick, refusal := b.Choose(now, request(fmt.Sprint("key-", n%40)))
 		assert.Assert(t, refusal == nil)
 		b.Began(now, pick.Target, "", pick.Trial)
@@ -226,7 +226,7 @@
 
 	b := newBalancer("vm", targets(2, "centro")...)
 	b.Choose(start, request("key")) // guesses by the aim
-	b.Arrived(start, service)
+	b.Arrived(start, service, "")
 	b.Learn(all)
 	assert.Assert(t, b.Demand(start)[service].RunMs < 110)
 }
--- a/steering/placement/plan.go
+++ b/steering/placement/plan.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"maps"
 	"math"
 	"sort"
 
@@ -11,6 +12,8 @@
 // kept busy by warm runs.
 type plan struct {
 	room, busy map[steering.Region]float64
+	// fixed is what may run in one region alone, whoever asks it.
+	fixed map[steering.Region]float64
 	// level is how full a region may be before its keys leave it in a hurry: fullEnough,
 	// or as full as all regions together are if that is more.
 	level float64
@@ -20,8 +23,8 @@
 	load map[steering.Region]float64
 }
 
-func newPlan(service steering.Service, now Lending, busy, room map[steering.Region]float64, regions int) *plan {
-	p := &plan{room: room, busy: busy, level: levelOf(busy, room),
+func newPlan(service steering.Service, now Lending, busy, fixed, room map[steering.Region]float64, regions int) *plan {
+	p := &plan{room: room, busy: busy, fixed: fixed, level: levelOf(sum(busy)+sum(fixed), sum(room)),
 		before: firstShares(room, busy, regions), goal: make(map[steering.Region]Shares), load: make(map[steering.Region]float64)}
 	if len(busy) == 0 {
 		p.goal = p.before
@@ -52,6 +55,7 @@
 
 // measure sums up what runs where as the keys are divided now.
 func (p *plan) measure() {
+	maps.Copy(p.load, p.fixed)
 	for region, shares := range p.before {
 		for to, share := range shares {
 			p.load[to] += share * p.busy[region]
@@ -64,7 +68,7 @@
 func (p *plan) draw(demand map[steering.Region]float64) {
 	var surplus float64
 	for region, busy := range demand {
-		surplus += math.Max(0, busy-p.level*p.room[region])
+		surplus += math.Max(0, busy-p.bears(region))
 	}
 	taken := p.fill(demand, surplus)
 	all := sum(taken)
@@ -73,9 +77,14 @@
 	}
 }
 
+// bears is what a region's slots bear at the level beside what has to run there.
+func (p *plan) bears(region steering.Region) float64 {
+	return math.Max(0, p.level*p.room[region]-p.fixed[region])
+}
+
 // sharesOf divides one region's keys, with what the others take of all that is lent.
 func (p *plan) sharesOf(region steering.Region, busy float64, taken map[steering.Region]float64, all float64) Shares {
-	lent := math.Max(0, busy-p.level*p.room[region])
+	lent := math.Max(0, busy-p.bears(region))
 	if lent == 0 || all == 0 {
 		return Shares{region: 1}
 	}
@@ -93,11 +102,12 @@
 func (p *plan) fill(demand map[steering.Region]float64, surplus float64) map[steering.Region]float64 {
 	var takers []steering.Region
 	for region, room := range p.room {
-		if room > 0 && demand[region] < p.level*room {
+		if room > 0 && demand[region] < p.bears(region) {
 			takers = append(takers, region)
 		}
 	}
-	fullness := func(r steering.Region) float64 { return demand[r] / p.room[r] }
+	runs := func(r steering.Region) float64 { return demand[r] + p.fixed[r] }
+	fullness := func(r steering.Region) float64 { return runs(r) / p.room[r] }
 	sort.Slice(takers, func(i, j int) bool {
 		if fullness(takers[i]) != fullness(takers[j]) {
 			return fullness(takers[i]) < fullness(takers[j])
@@ -107,13 +117,13 @@
 	taken := make(map[steering.Region]float64, len(takers))
 	var busy, room float64
 	for n, region := range takers {
-		busy, room = busy+demand[region], room+p.room[region]
+		busy, room = busy+runs(region), room+p.room[region]
 		reached := (busy + surplus) / room
 		if n+1 < len(takers) && reached > fullness(takers[n+1]) {
 			continue // the next one takes some as well
 		}
 		for _, taker := range takers[:n+1] {
-			taken[taker] = math.Max(0, reached*p.room[taker]-demand[taker])
+			taken[taker] = math.Max(0, reached*p.room[taker]-runs(taker))
 		}
 		break
 	}
@@ -174,12 +184,11 @@
 }
 
 // levelOf returns how full a region may be before it lends.
-func levelOf(demand, slots map[steering.Region]float64) float64 {
-	room := sum(slots)
+func levelOf(busy, room float64) float64 {
 	if room == 0 {
 		return fullEnough
 	}
-	return math.Max(fullEnough, sum(demand)/room)
+	return math.Max(fullEnough, busy/room)
 }
 
 func sum(byRegion map[steering.Region]float64) float64 {
--- a/steering/placement/state.go
+++ b/steering/placement/state.go
@@ -160,6 +160,36 @@
 	overflow float64
 	// arrivals is the moving rate of requests from this entry VM's callers.
 	arrivals rate
+	// bound are those that may run in one region alone.
+	bound map[steering.Region]*rate
+}
+
+func (v *serviceState) boundTo(region steering.Region) *rate {
+	if v.bound == nil {
+		v.bound = make(map[steering.Region]*rate)
+	}
+	if v.bound[region] == nil {
+		v.bound[region] = &rate{}
+	}
+	return v.bound[region]
+}
+
+// leastRate is a rate too small to tell, in requests per second.
+const leastRate = 0.01
+
+func (v *serviceState) boundRates(now time.Time) map[steering.Region]float32 {
+	var rates map[steering.Region]float32
+	for region, r := range v.bound {
+		rate := r.value(now)
+		if rate < leastRate {
+			continue
+		}
+		if rates == nil {
+			rates = make(map[steering.Region]float32)
+		}
+		rates[region] = float32(rate)
+	}
+	return rates
 }
 
 // First guesses of service times until observed, as shares of the aim: operators
