--- a/node/gateway/gateway.go
+++ b/node/gateway/gateway.go
@@ -62,11 +62,13 @@
 	pulling  atomic.Bool
 	callers  *callers.Server
 	leaving  atomic.Bool
-	lending  placement.Lending
-	meter    *volume.Meter
-	limits   *allowances.Service
-	servers  []*http.Server
-	done     sync.WaitGroup
+	// announced is set once the others were told that this VM takes requests.
+	announced atomic.Bool
+	lending   placement.Lending
+	meter     *volume.Meter
+	limits    *allowances.Service
+	servers   []*http.Server
+	done      sync.WaitGroup
 
 	beliefs beliefs
 	bounds  atomic.Pointer[platform.Bounds]
@@ -182,6 +184,7 @@
 		_ = g.log.Log("msg", "configuration in force", "config", t.Version, "routes", len(t.Routes), "known_ms", known.Milliseconds()) // the writer counts what it drops
 		g.limits.Configure(t.Workspaces)
 		g.metrics.Scope.Gauge("gateway_config_version").Update(float64(t.Version))
+		g.fleet.Announce() // VMs that are behind ask those that have it
 		g.becameReady()
 	}
 }
@@ -196,8 +199,11 @@
 	g.becameReady()
 }
 
+// becameReady tells all others once that this VM takes requests. Changes of the targets
+// are announced by the VM that reads them from the store, and within a zone by those that
+// were told.
 func (g *Gateway) becameReady() {
-	if g.relay.Ready() {
+	if g.relay.Ready() && g.announced.CompareAndSwap(false, true) {
 		g.fleet.Announce()
 	}
 }
--- a/node/gateway/gateway_test.go
+++ b/node/gateway/gateway_test.go
@@ -39,6 +39,8 @@
 	workspaces []map[string]any
 	// logs, when set, takes what the VMs log.
 	logs *safeBuffer
+	// zones is over how many availability zones VMs are spread; 0 and 1 mean one.
+	zones int
 	// links, when set, carry what VMs exchange with each other and with the store.
 	links *links
 }
@@ -46,6 +48,7 @@
 // vm is a running entry VM.
 type vm struct {
 	settings *platform.Settings
+	gateway  *gateway.Gateway
 	stop     context.CancelFunc
 	done     chan error
 }
@@ -99,12 +102,19 @@
 	s.store.Put("config", "main", config)
 }
 
+func (s *site) zoneOf(n int) steering.Zone {
+	if s.zones == 2 && n%2 == 0 {
+		return "b"
+	}
+	return "a"
+}
+
 // start starts the entry VM number n, which is told of VM 1 as a seed.
 func (s *site) start(n int) *vm {
 	s.t.Helper()
 	ip := fmt.Sprintf("127.0.0.%d", n+1)
 	at := func(port int) string { return fmt.Sprintf("%s:%d", ip, s.ports[port]) }
-	settings := &platform.Settings{VM: steering.VM(fmt.Sprint("vm-", n)), Zone: "a", Region: "r", Zones: map[steering.Zone]steering.Region{"a": "r"},
+	settings := &platform.Settings{VM: steering.VM(fmt.Sprint("vm-", n)), Zone: s.zoneOf(n), Region: "r", Zones: map[steering.Zone]steering.Region{"a": "r", "b": "r"},
 		IP: ip, Listen: platform.Listen{Callers: at(0), Ready: at(1), Directory: at(2), Control: at(3)},
 		PeerPorts: []int{s.ports[4], s.ports[5]}, MetricsPort: s.ports[6], Seeds: []string{fmt.Sprintf("127.0.0.2:%d", s.ports[3])},
 		Store: s.address, MemoryMB: 200, HeartbeatMs: 1500,
@@ -122,7 +132,7 @@
 		g.DialPeersBy(s.links.dial(ip))
 	}
 	ctx, stop := context.WithCancel(context.Background())
-	v := &vm{settings: settings, stop: stop, done: make(chan error, 1)}
+	v := &vm{settings: settings, gateway: g, stop: stop, done: make(chan error, 1)}
 	go func() { v.done <- g.Run(ctx) }()
 	s.t.Cleanup(func() { stop() })
 	return v
--- a/node/gateway/volume/volume.go
+++ b/node/gateway/volume/volume.go
@@ -68,12 +68,13 @@
 type Meter struct {
 	self Place
 
-	mu   sync.Mutex
-	sums Sums
+	mu     sync.Mutex
+	sums   Sums
+	totals map[Purpose]int64
 }
 
 // NewMeter returns the meter of an entry VM at a place.
-func NewMeter(self Place) *Meter { return &Meter{self: self, sums: make(Sums)} }
+func NewMeter(self Place) *Meter { return &Meter{self: self, sums: make(Sums), totals: make(map[Purpose]int64)} }
 
 // Count counts bytes that went to a place or came from it.
 func (m *Meter) Count(p Purpose, at Place, bytes int64) {
@@ -82,6 +83,14 @@
 	sum := m.sums[p]
 	sum.Add(m.sumOf(at, bytes))
 	m.sums[p] = sum
+	m.totals[p] += bytes
+}
+
+// Total returns what was counted for a purpose since the meter was made.
+func (m *Meter) Total(p Purpose) int64 {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.totals[p]
 }
 
 func (m *Meter) sumOf(at Place, bytes int64) Sum {
