Name to callers the few VMs of a zone that bear them all

Cause: callers spread over 91 entry VMs, so that each VM meets each of 266 targets once in some seconds: one request in three opens a connection, and what a VM knows of a target's load is older than most queues.

Change: a look-up names the most able VMs of the zone, as many as bear an equal part of its demand eight times over, at least two; if they don't, all.

--- a/node/gateway/fleet/fleet.go
+++ b/node/gateway/fleet/fleet.go
@@ -248,6 +248,13 @@
 	return f.roster.Demand(time.Now())
 }
 
+// ZoneDemand returns what the callers of a zone ask, this VM's own left out.
+func (f *Fleet) ZoneDemand(zone steering.Zone) placement.DemandOf {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.roster.ZoneDemand(time.Now(), zone)
+}
+
 // ReadRank returns how many live VMs are to read the store before this one: those
 // whose reads do not fail, in an order that is the same on all.
 func (f *Fleet) ReadRank(fails bool) int {
--- a/node/gateway/fleet/views.go
+++ b/node/gateway/fleet/views.go
@@ -86,6 +86,24 @@
 	return demand
 }
 
+// ZoneDemand returns what the callers of a zone ask, this VM's own left out.
+func (r *Roster) ZoneDemand(now time.Time, zone steering.Zone) placement.DemandOf {
+	if zone == r.self.Zone {
+		return r.MatesDemand(now)
+	}
+	var last *heard
+	for _, h := range r.zones[zone] {
+		if r.live(now, h) && h.beat.Demand != nil && (last == nil || h.toldAt.After(last.toldAt)) {
+			last = h
+		}
+	}
+	sum := make(placement.DemandOf)
+	if last != nil {
+		sum.AddAll(last.beat.Demand)
+	}
+	return sum
+}
+
 // Following is which configuration another entry VM follows, as far as it is known here.
 type Following struct {
 	Member
--- a/node/gateway/gateway.go
+++ b/node/gateway/gateway.go
@@ -76,6 +76,9 @@
 	newest atomic.Pointer[newestConfig]
 	page   statusPage
 
+	peaksMu sync.Mutex
+	peaks   map[steering.Zone]peak // of demand
+
 	reload      sync.Mutex
 	settingsNow *platform.Settings // as last read
 	badSettings string             // what was wrong with those read last
@@ -84,7 +87,7 @@
 // New assembles a gateway.
 func New(settings *platform.Settings, logger log.Logger) (*Gateway, error) {
 	g := &Gateway{settings: settings, settingsNow: settings, log: logger, metrics: telemetry.New(string(settings.VM), string(settings.Zone)),
-		store: platform.NewStore(settings.Store), lending: placement.Lending{},
+		store: platform.NewStore(settings.Store), lending: placement.Lending{}, peaks: make(map[steering.Zone]peak),
 		meter: volume.NewMeter(volume.Place{Zone: settings.Zone, Region: settings.Region})}
 	scope := g.metrics.Scope
 	if err := g.newAllowances(); err != nil {
--- a/node/gateway/gateway_test.go
+++ b/node/gateway/gateway_test.go
@@ -41,6 +41,9 @@
 	logs *safeBuffer
 	// zones is over how many availability zones VMs are spread; 0 and 1 mean one.
 	zones int
+	// able is how many VMs, the first ones, have more processor and a wider link; 0 means
+	// that nothing is known of any.
+	able int
 	// links, when set, carry what VMs exchange with each other and with the store.
 	links *links
 }
@@ -119,6 +122,12 @@
 		PeerPorts: []int{s.ports[4], s.ports[5]}, MetricsPort: s.ports[6], Seeds: []string{fmt.Sprintf("127.0.0.2:%d", s.ports[3])},
 		Store: s.address, MemoryMB: 200, HeartbeatMs: 1500,
 		Bounds: platform.Bounds{Grace: 6 * time.Second, RetryRatio: 0.2, RetrySlack: 60, RetryWindow: 10 * time.Second, ShiftShare: 0.15}}
+	if s.able > 0 {
+		settings.CPUShare, settings.LinkMbps = 0.16, 10
+	}
+	if n <= s.able {
+		settings.CPUShare, settings.LinkMbps = 0.8, 200
+	}
 	if s.links != nil {
 		settings.Store = s.links.storeFor(s.t, ip, s.store)
 	}
--- a/node/gateway/volume/volume.go
+++ b/node/gateway/volume/volume.go
@@ -74,7 +74,9 @@
 }
 
 // NewMeter returns the meter of an entry VM at a place.
-func NewMeter(self Place) *Meter { return &Meter{self: self, sums: make(Sums), totals: make(map[Purpose]int64)} }
+func NewMeter(self Place) *Meter {
+	return &Meter{self: self, sums: make(Sums), totals: make(map[Purpose]int64)}
+}
 
 // Count counts bytes that went to a place or came from it.
 func (m *Meter) Count(p Purpose, at Place, bytes int64) {
--- a/steering/placement/load_test.go
+++ b/steering/placement/load_test.go
@@ -29,11 +29,12 @@
 
 // job is a request at a target.
 type job struct {
-	vm   steering.Region
-	pick placement.Pick
-	key  string
-	sent time.Time
-	ends time.Time // zero while it waits
+	vm     *placement.Balancer
+	region steering.Region // of its caller
+	pick   placement.Pick
+	key    string
+	sent   time.Time
+	ends   time.Time // zero while it waits
 }
 
 // server is a target of the played load.
@@ -89,21 +90,25 @@
 // tally is what a region's callers got.
 type tally struct{ asked, inAim, refused int }
 
-// play is a deployment of one entry VM a region.
+// play is a deployment of a few entry VMs a region, of which callers use any.
 type play struct {
-	random   *rand.Rand
-	now      time.Time
-	targets  []placement.Target
-	servers  map[steering.Target]*server
-	vms      map[steering.Region]*placement.Balancer
-	lending  map[steering.Region]placement.Lending
-	stepAt   time.Time
-	tallies  map[steering.Region]*tally
-	perSlice float64 // requests a region and tick
-}
-
-func newPlay(perSecond float64) *play {
-	p := &play{random: rand.New(rand.NewPCG(1, 2)), now: start, servers: make(map[steering.Target]*server),
+	perRegion int
+	random    *rand.Rand
+	now       time.Time
+	targets   []placement.Target
+	servers   map[steering.Target]*server
+	vms       map[steering.Region][]*placement.Balancer
+	lending   placement.Lending
+	stepAt    time.Time
+	tallies   map[steering.Region]*tally
+	perSlice  float64 // requests a region and tick
+}
+
+func newPlay(perSecond float64) *play { return newPlayOf(1, perSecond) }
+
+// newPlayOf plays so many entry VMs a region.
+func newPlayOf(perRegion int, perSecond float64) *play {
+	p := &play{perRegion: perRegion, random: rand.New(rand.NewPCG(1, 2)), now: start, servers: make(map[steering.Target]*server),
 		perSlice: perSecond * tick.Seconds()}
 	for _, region := range []steering.Region{"norte", "centro", "sur"} {
 		for n := range loadRegions[region] {
@@ -119,11 +124,17 @@
 
 // startVMs begins with entry VMs that know nothing.
 func (p *play) startVMs() {
-	p.vms, p.lending = make(map[steering.Region]*placement.Balancer), make(map[steering.Region]placement.Lending)
+	p.vms, p.lending = make(map[steering.Region][]*placement.Balancer), nil
 	for region := range loadRegions {
-		b := placement.NewBalancer(steering.VM(region), region)
-		b.SetPeers(map[steering.Region][]steering.VM{region: {steering.VM(region)}})
-		p.vms[region] = b
+		var names []steering.VM
+		for n := range p.perRegion {
+			names = append(names, steering.VM(fmt.Sprint(region, n)))
+		}
+		for _, name := range names {
+			b := placement.NewBalancer(name, region)
+			b.SetPeers(map[steering.Region][]steering.VM{region: names})
+			p.vms[region] = append(p.vms[region], b)
+		}
 	}
 	p.know(p.targets)
 	p.stepAt = p.now.Add(time.Second)
@@ -131,21 +142,33 @@
 
 // know tells all entry VMs the targets.
 func (p *play) know(targets []placement.Target) {
-	for _, b := range p.vms {
+	for _, b := range p.all() {
 		b.SetTargets(targets)
 	}
 }
 
+// all returns the entry VMs.
+func (p *play) all() []*placement.Balancer {
+	var all []*placement.Balancer
+	for _, region := range []steering.Region{"norte", "centro", "sur"} {
+		all = append(all, p.vms[region]...)
+	}
+	return all
+}
+
 // lend makes a step of lending on each entry VM.
 func (p *play) lend() {
 	demand := make(map[steering.Region]placement.DemandOf)
-	for region, b := range p.vms {
-		demand[region] = b.Demand(p.now)
+	for region, vms := range p.vms {
+		demand[region] = make(placement.DemandOf)
+		for _, b := range vms {
+			demand[region].AddAll(b.Demand(p.now))
+		}
 	}
-	for region, b := range p.vms {
+	p.lending = placement.NextLending(p.lending, placement.Situation{Demand: demand, Slots: p.all()[0].Slots(), Regions: len(loadRegions), ShiftShare: 0.15})
+	for _, b := range p.all() {
 		b.Learn(placement.Runs(demand))
-		p.lending[region] = placement.NextLending(p.lending[region], placement.Situation{Demand: demand, Slots: b.Slots(), Regions: len(loadRegions), ShiftShare: 0.15})
-		b.SetLending(p.lending[region])
+		b.SetLending(p.lending)
 	}
 }
 
@@ -164,7 +187,7 @@
 
 func (p *play) request(region steering.Region, key string) {
 	p.tallies[region].asked++
-	b := p.vms[region]
+	b := p.vms[region][p.random.IntN(p.perRegion)]
 	b.Arrived(p.now, service, "")
 	pick, refusal := b.Choose(p.now, placement.Request{Service: service, Key: key, ID: key, Region: region, Aim: loadAim,
 		Left: 2 * time.Second, Rank: 1, Repeatable: true})
@@ -174,7 +197,7 @@
 	}
 	b.Began(p.now, pick.Target, key, pick.Trial)
 	s := p.servers[pick.Target.Name]
-	s.waiting = append(s.waiting, &job{vm: region, pick: pick, key: key, sent: p.now})
+	s.waiting = append(s.waiting, &job{vm: b, region: region, pick: pick, key: key, sent: p.now})
 }
 
 // answer ends the runs that are over and reports them.
@@ -186,10 +209,10 @@
 		for _, j := range done {
 			took := p.now.Sub(j.sent)
 			if took <= loadAim {
-				p.tallies[j.vm].inAim++
+				p.tallies[j.region].inAim++
 			}
 			report := placement.Report{Outcome: placement.Served, Took: took, LoadKnown: true, Running: len(s.running), Waiting: len(s.waiting)}
-			p.vms[j.vm].Ended(p.now, j.pick.Target, report, j.pick.Trial, j.pick.Wait > 0)
+			j.vm.Ended(p.now, j.pick.Target, report, j.pick.Trial, j.pick.Wait > 0)
 		}
 	}
 }
