--- a/node/gateway/config.go
+++ b/node/gateway/config.go
@@ -23,9 +23,8 @@
 // newer one may take to be in force it has known that there is one, and it hears a VM that
 // has it.
 //
-// What goes wrong otherwise: a VM whose link passes next to nothing serves requests by what
-// the operator has replaced, while all others serve them as told. Without a VM to hear that
-// has the newer one it goes on: what is cut off serves what it can.
+// Without a VM to hear that has the newer one it goes on: what is cut off serves what it
+// can.
 func (g *Gateway) outdated() bool {
 	_, late, behind := g.reader.Behind()
 	table := g.relay.Table()
--- a/node/gateway/fleet/fleet.go
+++ b/node/gateway/fleet/fleet.go
@@ -208,9 +208,7 @@
 
 // Size returns how many VMs lived at the last heartbeat, this VM included.
 //
-// Each try of a request asks for it. Listing and ordering 195 VMs for that took 0.1 ms and 65
-// kB of memory a try, 5 in 100 of an entry VM's processor time and what clearing up the memory
-// took; this takes neither.
+// Each try of a request asks for it, so that it must not list the VMs.
 func (f *Fleet) Size() int { return max(int(f.size.Load()), 1) }
 
 // Serving returns the members that take requests.
--- a/node/gateway/fleet/views.go
+++ b/node/gateway/fleet/views.go
@@ -201,9 +201,8 @@
 // before reports whether a VM reads the store before another, or fetches before it:
 // the more able first, and of those that bear the same any, the same for all.
 //
-// What goes wrong when any VM may be the first: it may be the one with the
-// thinnest link, and all others wait until it has read and told what changed. With 300 VMs a configuration was in force on the last after 2.8 s,
-// and after 1.4 s in this order.
+// All others wait until the first has read and told what changed, so it must not be one
+// with a thin link.
 func (m Member) before(o Member) bool {
 	if m.Capacity != o.Capacity {
 		return m.Capacity > o.Capacity
--- a/node/gateway/register.go
+++ b/node/gateway/register.go
@@ -38,11 +38,9 @@
 // readMembers reads the records of entry VMs, for the nth time, and reports whether all
 // are known that were written before this VM's own.
 //
-// What goes wrong when each VM that starts asks for the newest: with the pages of the list
-// the calls grow with the square of the fleet, and after a loss of all VMs the store is
-// asked for that by all at once. Of 1,197 calls with which 195 VMs start together 292 are
-// pages of this list. A copy that lags costs a tenth, and proves by this VM's own record
-// that it holds all that matters; with it a quiet day costs 1,012 calls instead of 1,339.
+// With the pages of the list these calls grow with the square of the fleet when all start
+// at once. A copy that lags costs the store a tenth, and proves by this VM's own record that
+// it holds all that matters.
 func (g *Gateway) readMembers(ctx context.Context, n int) (known bool) {
 	freshness := platform.MaybeStale
 	if n >= staleReads {
--- a/node/gateway/relay/place.go
+++ b/node/gateway/relay/place.go
@@ -39,8 +39,8 @@
 
 // returnRetry gives back a further try for which no target had room.
 //
-// What goes wrong otherwise: on an overloaded day, requests that find no room use
-// the budget up, and one that would find some is not tried again.
+// Otherwise requests that find no room would use the budget up, and one that would find
+// some is not tried again.
 func (f *Relay) returnRetry(service steering.Service) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/node/gateway/relay/relay.go
+++ b/node/gateway/relay/relay.go
@@ -182,10 +182,8 @@
 // awaitStart waits for a configuration and targets, no longer than a caller would be told
 // to wait by a refusal, and reports whether they are known.
 //
-// What goes wrong when requests are refused at once: a VM that starts knows both within
-// 0.1 to 0.5 s. A caller that is refused meanwhile spends one of its few tries, comes back
-// after that time on a new connection, and is late. After the loss of all VMs that holds
-// for all callers: 1,016 of 5,810 requests of the two seconds after it, at 195 VMs.
+// A VM that starts knows both within half a second. A caller that is refused meanwhile
+// spends one of its few tries and comes back late, after the loss of all VMs every caller.
 func (f *Relay) awaitStart(ctx context.Context, call platform.Call) bool {
 	if f.Ready() {
 		return true
@@ -237,10 +235,8 @@
 	return f.refuse(e.subject(call), reason, retryAfter, nil)
 }
 
-// behind reports whether a route that is not in the table may be in a newer one.
-//
-// What goes wrong otherwise: a caller is told for good that there is no such route, though
-// the operator has added it; nobody asks again after a 404.
+// behind reports whether a route that is not in the table may be in a newer one. Nobody
+// asks again after a 404.
 func (f *Relay) behind() bool { return f.cfg.Behind != nil && f.cfg.Behind() }
 
 func (f *Relay) outdated() bool { return f.cfg.Outdated != nil && f.cfg.Outdated() }
--- a/steering/placement/balancer.go
+++ b/steering/placement/balancer.go
@@ -42,10 +42,8 @@
 // SetTargets replaces the declared targets; what was learned of those that stay
 // is kept. It returns those that have started again under their name.
 //
-// What goes wrong when a new start inherits from the one before: it is taken for warm
-// and as fast as it was, requests that died with the old start count as running for ever,
-// and it stays ejected for what the old one did. One would notice a target that gets too
-// much while it is cold, or nothing when it is well.
+// A new start inherits nothing from the one before: it is cold, its predecessor's requests
+// ended with it, and what that did is not held against it.
 func (b *Balancer) SetTargets(targets []Target) (restarted []steering.Target) {
 	next := make(map[steering.Target]*state, len(targets))
 	for _, v := range b.services {
@@ -208,21 +206,17 @@
 // overfull reports whether a target that refused a request was as full as it can be
 // expected to get: all slots taken, and as many waiting.
 //
-// What goes wrong when such a refusal counts as a failure: after a loss of all entry
-// VMs all send at once what their callers held back, the target of a region that has few
-// is ejected, its region is taken for one without slots, and the next second's requests
-// go where they start cold. One that refuses with slots free does fail.
+// Such a refusal is no failure: a target that is ejected for it takes its slots out of
+// lending, and the next requests go where they start cold. One that refuses with slots
+// free does fail.
 func (r Report) overfull(slots int) bool {
 	return r.LoadKnown && r.Running >= slots && r.Waiting >= slots
 }
 
 // learn takes in the time of a run that did not wait.
 //
-// What goes wrong when the times of a service take in runs in other regions and
-// waits: the times grow with what is lent and with every queue, demand is taken
-// for three times what it is, and a region swings between lending too little and
-// nearly all of its keys. One would notice a region that refuses for ten seconds
-// and then sends away what its own targets have room for.
+// The times of a service take in neither runs in other regions nor waits: they would grow
+// with what is lent and with every queue, and demand, which rests on them, with them.
 func (b *Balancer) learn(s *state, took float64) {
 	if took <= 0 {
 		return
--- a/steering/placement/choose.go
+++ b/steering/placement/choose.go
@@ -12,8 +12,7 @@
 	// overflowShare is the part of a service's requests that may run on the second
 	// of their key's order while the first is full. It must stay small: a target
 	// keeps few keys warm, and more copies of each key than that make every run a
-	// cold one. With three targets weighed freely a day of 1.5 times the load was
-	// served at the cold rate, a third of the warm one.
+	// cold one.
 	overflowShare = 0.05
 	// overflowBurst bounds what is saved of that share.
 	overflowBurst = 3
--- a/steering/placement/demand.go
+++ b/steering/placement/demand.go
@@ -58,9 +58,8 @@
 
 // Runs returns the time of a warm run of each service as all regions see it.
 //
-// What goes wrong when each region goes by its own: where targets queue hardly a
-// run is without a wait, so a hot region keeps its first guess for ten seconds, and
-// takes its demand for a third or three times what it is.
+// A region whose targets queue sees hardly a run without a wait, and would go by its first
+// guess for long.
 func Runs(demand map[steering.Region]DemandOf) DemandOf {
 	all := make(DemandOf)
 	for _, of := range demand {
--- a/steering/placement/doc.go
+++ b/steering/placement/doc.go
@@ -22,8 +22,7 @@
 //     evidence (one that refuses because it is full is not failing) and tried
 //     again with single requests. When most targets of a service look bad, the
 //     evidence is doubted and all are used. A slow one keeps its keys as long as
-//     its queue allows: passing slow targets over (after eight slow runs in a row)
-//     moved the worth of twelve played days by less than 0.01 on average.
+//     its queue allows.
 //   - A cold target gets few requests: its own rate, divided between a few
 //     entry VMs of its region by rendezvous, so that the sum holds without a
 //     message between them.
--- a/steering/placement/lend.go
+++ b/steering/placement/lend.go
@@ -39,9 +39,7 @@
 	fastestStep = 0.15
 	// unhurried is how fast keys leave a region that is not too full, against those
 	// that leave one that is. A key that runs elsewhere costs the way there; one that
-	// moves starts cold, and one that is kept where there is no room is refused. On a
-	// calm day whose demand moves from region to region, 97 and 165 of 5,984 reads were
-	// refused in two runs, against 225 in one when keys come back as fast as they go.
+	// moves starts cold, and one that is kept where there is no room is refused.
 	unhurried = 0.25
 )
 
@@ -65,25 +63,15 @@
 // It is called once a second.
 //
 // The goal keeps each region's keys at home as far as its slots bear them, and divides
-// the rest so that the regions which take it are filled to one level. Dividing it by
-// their slots instead, a region whose callers ask most gets as much as one whose callers
-// sleep: over 15 played days each of three deployments, worth was 0.659, 0.585 and 0.718
-// that way, and 0.664, 0.599 and 0.725 this way.
+// the rest so that the regions which take it are filled to one level: divided by their
+// slots instead, a region whose callers ask most would get as much as an idle one.
 //
 // While no demand is known, each of the regions is taken to want an equal part of all
-// slots, those known now. Starting from keeping everything instead, the first seconds of
-// a busy day would move most of a small region's requests at once.
+// slots known now, anew at each step: targets become known one after the other, and
+// shares drawn from the first of them would be taken back slowly.
 //
-// What goes wrong when the first such shares are kept until there is demand: targets
-// become known one after the other, so that a region most of whose targets come last
-// starts by lending most of its keys, and takes them back slowly. One would notice a
-// region with room whose callers are sent to one that refuses. Over 15 played days with
-// ten entry VMs, callers got 0.831 of the worth of all answers before and 0.851 after;
-// on the day that gained most 0.76 and 0.84.
-//
-// All services of a region move together by no more than the bound allows. What one
-// does not move another may: with an equal bound for each, a region whose demand for one
-// service had doubled refused for ten seconds while the others had no use for theirs.
+// All services of a region move together by no more than the bound allows; what one does
+// not move another may.
 func NextLending(now Lending, s Situation) Lending {
 	plans := make(map[steering.Service]*plan, len(s.Slots))
 	runs := Runs(s.Demand)
--- a/steering/placement/replaced.go
+++ b/steering/placement/replaced.go
@@ -35,13 +35,10 @@
 // replacements are the targets that were found replaced: another one answered at their
 // address, so that this start of them is gone, whatever their entries still say.
 //
-// What goes wrong when each entry VM finds that out for itself: the entries of targets that
-// crash last for some heartbeats. In a large fleet each VM sends each of them a request
-// first, which is refused there, and the budget for further tries is used up by that.
-// With 156 of 726 targets replaced in four seconds at 195 VMs, 4,961 requests met a target
-// that others had found replaced, 17 VMs each of them, and 3,414 callers were refused.
-// Unlike slowness or failures it is proved by one answer, so that it can be told and
-// believed.
+// Entry VMs tell each other: the entries of targets that crash last for some heartbeats,
+// and if each VM sent each of them a request first, the budget for further tries would be
+// used up by that. Unlike slowness or failures it is proved by one answer, so that it can
+// be told and believed.
 type replacements struct {
 	// byStart finds the targets that are declared.
 	byStart map[StartID]*state
--- a/steering/placement/state.go
+++ b/steering/placement/state.go
@@ -225,9 +225,8 @@
 const enoughRuns = 20
 
 const (
-	// guessWeight is how many observations the first guesses count for. Taking the
-	// first observation for both times instead, one odd answer of 25 ms made an entry
-	// VM take its callers' demand for a third of what it was for ten seconds.
+	// guessWeight is how many observations the first guesses count for, so that one odd
+	// answer does not set the times of a service.
 	guessWeight = 5
 	// leak is the part of an observation above the middle that the fast time takes
 	// in as well, so that it follows when the guesses were far too low and every
@@ -267,9 +266,8 @@
 	since     time.Time
 }
 
-// rateSpan is the time over which a rate is averaged. With twice as much, lending follows
-// a burst a second later: worth over 15 played days each of three deployments 0.665,
-// 0.604 and 0.723 that way, 0.668, 0.605 and 0.728 this way.
+// rateSpan is the time over which a rate is averaged: short enough that lending follows a
+// burst.
 const rateSpan = 1500 * time.Millisecond
 
 func (r *rate) add(now time.Time, n float64) {
--- a/steering/spread/choose.go
+++ b/steering/spread/choose.go
@@ -40,11 +40,9 @@
 // nobody else gets it meanwhile, or any. draw returns a number from 0 to n-1. All sources
 // have a newer configuration than the asker.
 //
-// What goes wrong when all ask the first that knows: its link, and those between regions,
-// carry as many copies as there are VMs. What goes wrong when they ask those that have the
-// newest: when versions come one after the other, these are few, and all wait for them.
-// Played with 195 VMs on links of 10 Mbit/s and a version by 1,400 routes every 0.65 s, the
-// last VM is 3 s behind; 8 s when those with the newest are asked.
+// If all asked the first that knows, its link and those between regions would carry as many
+// copies as there are VMs. Those that have the newest are few while versions come one after
+// the other, so that any newer one will do.
 func Choose(a Asker, all []Source, draw func(n int) int) (Source, bool) {
 	allowed := askersEach * (1 + int(a.Waited/widenEvery))
 	for _, near := range []func(Source) bool{
--- a/steering/spread/doc.go
+++ b/steering/spread/doc.go
@@ -1,13 +1,9 @@
 // Package spread says how a configuration gets from the entry VM that has read it
 // to all others: in small parts, each of them told only where it differs.
 //
-// What goes wrong when a table is told as one answer: it grows with the
-// configuration, so that there is a size at which it no longer passes a narrow
-// link within any fixed time; every VM that asks gets the whole of it for the
-// change of one weight; and what came of an answer that broke off is lost. With
-// 4,200 routes on 84 VMs, 66 of them on links of 10 Mbit/s, one VM sent 33 MB for
-// a change of 0.2 MB, and the last VM had it 5.5 s after the first. Operators
-// notice it by VMs that are behind while their links are full.
+// Told as one answer, a table grows until it no longer passes a narrow link within any
+// fixed time; every VM that asks gets the whole of it for the change of one weight, and
+// what came of an answer that broke off is lost.
 //
 // Routes are spread over buckets by a hash of host and prefix, workspaces by one of their
 // name; both are items, and told alike. An Outline holds a hash
@@ -21,17 +17,13 @@
 // Room bounds what a VM promises to send. Who asks for more is told at once when to
 // come back, and meanwhile asks another that has it; so the copies double from VM to VM
 // instead of leaving one link one after the other. Choose says whom to ask. A question that
-// is long by its hashes goes only to a VM that keeps a place for the asker: asked for in
-// vain, those of 13 VMs held up a narrow link for 0.26 s. Recent tells a configuration a
+// is long by its hashes goes only to a VM that keeps a place for the asker. Recent tells a configuration a
 // little longer than it is in force, to those who have begun to ask for it.
 //
 // Ways weighed. A log of changes by version is smaller by some hundred bytes for one
 // route, but serves only those who ask for a version that the log still holds, and its
 // parts do not fit together across peers. A whole table without a time limit ends, but
 // grows with the configuration and with the number of those who ask. Passing on parts
-// before a VM has them all was played, and is not done: of the growth that is promised in
-// time (45 kB) a part is the whole, and it gains nothing; of 0.13 MB to 650 VMs on 10 Mbit/s
-// 1.7 s instead of 2.0, of 0.4 MB to 195 VMs 3.4 s instead of 4.2. Smaller parts, of which
-// there are more to pass on, lose more by ways there and back: 1.6 s instead of 1.1 for 45 kB
-// to 195 VMs.
+// before a VM has them all gains nothing where the growth that is promised in time is one
+// part, and smaller parts lose more by ways there and back.
 package spread
--- a/steering/spread/piece.go
+++ b/steering/spread/piece.go
@@ -158,10 +158,8 @@
 
 // Place returns the question for a place at a VM, before that for parts.
 //
-// What goes wrong without it: of a large configuration a question for parts holds as many
-// bytes of hashes as the answer holds of routes. All VMs ask the one that has read it, and
-// what those send that are told to come back fills its link and theirs. With 16 VMs on links
-// of 10 Mbit/s, 13 questions of 25 kB in vain took 0.26 s, in which nothing was told.
+// Of a large configuration a question for parts holds as many bytes of hashes as the answer
+// holds of routes. Sent in vain, such questions fill the link of the VM that all ask.
 func (n Need) Place() Need { return Need{Version: n.Version, Bytes: n.Bytes, From: n.From} }
 
 // wantsPlace reports whether the question is for a place.
--- a/steering/spread/room.go
+++ b/steering/spread/room.go
@@ -55,12 +55,10 @@
 // Room bounds what a VM promises to send to others, and to how many at a time: what the
 // bounds leave out is told at once to be asked for later or elsewhere.
 //
-// What goes wrong without them: all VMs hear of a newer configuration from the one that has
-// read it, and ask it at once. Its link passes a part to each of them, so that none has the
-// whole for seconds, and none of them can tell others. One would notice a VM whose link is
-// full while all others are behind. With few served at a time the copies multiply: played
-// with 650 VMs on links of 10 Mbit/s, 0.13 MB are on the last after 2.1 s, and after 3.1 s
-// with the bound on bytes alone.
+// All VMs hear of a newer configuration from the one that has read it, and ask it at once.
+// With few served at a time the copies multiply; served all at once, none would have the
+// whole for long, and none could tell others.
+//
 // It is safe for concurrent use.
 type Room struct {
 	rate float64 // bytes a second
