Keep rendezvous hashing and the loop of commands that watch in one place each

Cause: the owner of a workspace was found by a copy of what placement does, and a command that watches by a copy of vm-status.

--- a/cmd/internal/vmstatus/fleet.go
+++ b/cmd/internal/vmstatus/fleet.go
@@ -16,32 +16,19 @@
 )
 
 const (
-	// watchEvery is the pause between two looks of --watch.
-	watchEvery = time.Second
 	// shownOutliers bounds the VMs named on the screen; --output json has all.
 	shownOutliers = 20
-	clearScreen   = "\x1b[H\x1b[2J"
 )
 
 // runAll shows which configuration all VMs follow, once or again and again.
 func runAll(ctx context.Context, o *options, out command.IO) error {
-	for {
+	return command.Watch(ctx, out, o.watch, func() error {
 		view, err := askFleet(ctx, o.controls)
-		if err == nil {
-			err = o.show(view, out)
-		}
-		if !o.watch || ctx.Err() != nil {
-			return err
-		}
 		if err != nil {
-			fmt.Fprintln(out.Err, "heatherlock:", err)
-		}
-		select {
-		case <-ctx.Done():
 			return err
-		case <-time.After(watchEvery):
 		}
-	}
+		return o.show(view, out)
+	})
 }
 
 // show writes a view, and fails if not all VMs follow the same configuration.
@@ -52,8 +39,8 @@
 		encoder.SetIndent("", "  ")
 		err = encoder.Encode(view)
 	} else {
-		if o.watch && out.Terminal {
-			fmt.Fprint(out.Out, clearScreen)
+		if o.watch {
+			command.Clear(out)
 		}
 		err = writeView(view, out.Out)
 	}
--- a/cmd/internal/vmstatus/vmstatus_test.go
+++ b/cmd/internal/vmstatus/vmstatus_test.go
@@ -168,10 +168,10 @@
 // With --watch it is shown again until the operator interrupts.
 func TestWatchShowsAgain(t *testing.T) {
 	addresses := zoneServers(t, func(*status.Status) {})
-	ctx, cancel := context.WithTimeout(t.Context(), watchEvery+watchEvery/2)
+	ctx, cancel := context.WithTimeout(t.Context(), command.WatchEvery+watchEvery/2)
 	defer cancel()
 	var out bytes.Buffer
 	assert.NilError(t, runAll(ctx, &options{controls: addresses[:1], format: formatTable, all: true, watch: true}, command.IO{Out: &out, Terminal: true}))
-	assert.Equal(t, strings.Count(out.String(), clearScreen), 2)
+	assert.Equal(t, strings.Count(out.String(), command.ClearScreen), 2)
 	assert.Equal(t, command.CodeOf((&options{controls: addresses[:1], format: formatTable, watch: true}).check()), command.Usage)
 }
--- a/cmd/internal/workspaces/command.go
+++ b/cmd/internal/workspaces/command.go
@@ -20,13 +20,8 @@
 	"heatherlock/steering"
 )
 
-const (
-	// watchEvery is the pause between two looks of --watch.
-	watchEvery  = time.Second
-	clearScreen = "\x1b[H\x1b[2J"
-	// shownVMs bounds the VMs named for one configuration; --json names all.
-	shownVMs = 10
-)
+// shownVMs bounds the VMs named for one configuration; --json names all.
+const shownVMs = 10
 
 type options struct {
 	controls []string
@@ -55,20 +50,7 @@
 	if len(o.controls) == 0 {
 		return command.Failf(command.Usage, "give one with --control", "no entry VM named")
 	}
-	for {
-		err := o.show(ctx, out)
-		if !o.watch || ctx.Err() != nil {
-			return err
-		}
-		if err != nil {
-			fmt.Fprintln(out.Err, "heatherlock:", err)
-		}
-		select {
-		case <-ctx.Done():
-			return err
-		case <-time.After(watchEvery):
-		}
-	}
+	return command.Watch(ctx, out, o.watch, func() error { return o.show(ctx, out) })
 }
 
 func (o *options) show(ctx context.Context, out command.IO) error {
@@ -84,8 +66,8 @@
 		}
 		return verdict(v, o.name)
 	}
-	if o.watch && out.Terminal {
-		fmt.Fprint(out.Out, clearScreen)
+	if o.watch {
+		command.Clear(out)
 	}
 	if err := write(v, out.Out); err != nil {
 		return errors.Wrap(err, "workspaces: write")
--- a/steering/allowance/messages.go
+++ b/steering/allowance/messages.go
@@ -4,16 +4,15 @@
 	"math"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"heatherlock/steering"
+	"heatherlock/steering/rendezvous"
 )
 
 // ID names a workspace between entry VMs.
 type ID uint64
 
 // IDOf returns the ID of a workspace.
-func IDOf(name steering.Workspace) ID { return ID(xxhash.Sum64String(string(name))) }
+func IDOf(name steering.Workspace) ID { return ID(rendezvous.Hash(string(name))) }
 
 // Report is what a VM tells the owner of a workspace.
 type Report struct {
@@ -73,9 +72,7 @@
 func OwnerOf(workspace ID, live []Candidate) (steering.VM, bool) {
 	best, owner := math.Inf(-1), steering.VM("")
 	for _, c := range live {
-		h := mix(uint64(workspace) ^ c.Hash)
-		u := (float64(h>>11) + 0.5) / (1 << 53)
-		if score := -math.Max(c.Weight, leastWeight) / math.Log(u); score > best {
+		if score := rendezvous.Score(uint64(workspace), c.Hash, math.Max(c.Weight, leastWeight)); score > best {
 			best, owner = score, c.VM
 		}
 	}
@@ -83,16 +80,7 @@
 }
 
 // HashOf returns the hash of a VM's name that OwnerOf goes by.
-func HashOf(vm steering.VM) uint64 { return xxhash.Sum64String(string(vm)) }
-
-// mix finishes a combination of two hashes (the finalizer of SplitMix64).
-func mix(h uint64) uint64 {
-	h ^= h >> 30
-	h *= 0xbf58476d1ce4e5b9
-	h ^= h >> 27
-	h *= 0x94d049bb133111eb
-	return h ^ h>>31
-}
+func HashOf(vm steering.VM) uint64 { return rendezvous.Hash(string(vm)) }
 
 // leastWeight stands for a weight that is not known.
 const leastWeight = 1e-6
--- a/steering/placement/balancer.go
+++ b/steering/placement/balancer.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"heatherlock/steering"
+	"heatherlock/steering/rendezvous"
 )
 
 // Balancer holds what one entry VM knows of all targets. It is not safe for
@@ -56,7 +57,7 @@
 			s = nil
 		}
 		if s == nil {
-			s = &state{hash: hash(string(t.Name))}
+			s = &state{hash: rendezvous.Hash(string(t.Name))}
 		}
 		s.declared(t)
 		next[t.Name] = s
--- a/steering/placement/choose.go
+++ b/steering/placement/choose.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"heatherlock/steering"
+	"heatherlock/steering/rendezvous"
 )
 
 const (
@@ -53,7 +54,7 @@
 	if key == "" {
 		key = r.ID
 	}
-	keyHash := hash(string(r.Service) + "\x00" + key)
+	keyHash := rendezvous.Hash(string(r.Service) + "\x00" + key)
 	regions := b.regionsFor(r, keyHash, v)
 	if len(regions) == 0 {
 		return Pick{}, &Refusal{Reason: steering.ReasonNoTarget, RetryAfter: shortestRetry}
@@ -84,7 +85,7 @@
 		if b.passedOver(v, s) {
 			ejected++
 		}
-		open = append(open, candidate{state: s, score: score(keyHash, s.hash, float64(s.Slots)), away: region != b.region})
+		open = append(open, candidate{state: s, score: rendezvous.Score(keyHash, s.hash, float64(s.Slots)), away: region != b.region})
 	}
 	// With more than half in doubt the fault is more likely on the way there, or
 	// in the evidence, than in all of them.
@@ -184,7 +185,7 @@
 	if math.IsInf(wait, 1) {
 		wait = v.mean
 	}
-	spread := 0.75 + 0.5*unit(mix(keyHash^hash(r.ID)))
+	spread := 0.75 + 0.5*rendezvous.Unit(rendezvous.Mix(keyHash^rendezvous.Hash(r.ID)))
 	return min(max(span(wait*spread), shortestRetry), longestRetry)
 }
 
@@ -194,10 +195,10 @@
 	if s.Region != b.region || len(peers) == 0 {
 		return false
 	}
-	own := score(hash(string(b.vm)), s.hash, 1)
+	own := rendezvous.Score(rendezvous.Hash(string(b.vm)), s.hash, 1)
 	ahead := 0
 	for _, vm := range peers {
-		if vm != b.vm && score(hash(string(vm)), s.hash, 1) > own {
+		if vm != b.vm && rendezvous.Score(rendezvous.Hash(string(vm)), s.hash, 1) > own {
 			ahead++
 		}
 	}
--- a/steering/placement/regions.go
+++ b/steering/placement/regions.go
@@ -4,6 +4,7 @@
 	"sort"
 
 	"heatherlock/steering"
+	"heatherlock/steering/rendezvous"
 )
 
 // regionsFor returns the regions of a key in the order in which they are used, the first
@@ -23,9 +24,9 @@
 	shares := b.lending.of(r.Service, r.Region)
 	for region, slots := range b.reachable(r, v) {
 		c := ranked{region: region, share: shares[region]}
-		c.score = score(keyHash, hash(string(region)), c.share)
+		c.score = rendezvous.Score(keyHash, rendezvous.Hash(string(region)), c.share)
 		if c.share <= 0 {
-			c.score = score(keyHash, hash(string(region)), slots)
+			c.score = rendezvous.Score(keyHash, rendezvous.Hash(string(region)), slots)
 		}
 		all = append(all, c)
 	}
