--- a/cmd/internal/vmstatus/vmstatus_test.go
+++ b/cmd/internal/vmstatus/vmstatus_test.go
@@ -168,7 +168,7 @@
 // With --watch it is shown again until the operator interrupts.
 func TestWatchShowsAgain(t *testing.T) {
 	addresses := zoneServers(t, func(*status.Status) {})
-	ctx, cancel := context.WithTimeout(t.Context(), command.WatchEvery+watchEvery/2)
+	ctx, cancel := context.WithTimeout(t.Context(), command.WatchEvery+command.WatchEvery/2)
 	defer cancel()
 	var out bytes.Buffer
 	assert.NilError(t, runAll(ctx, &options{controls: addresses[:1], format: formatTable, all: true, watch: true}, command.IO{Out: &out, Terminal: true}))
