--- a/steering/placement/load_test.go
+++ b/steering/placement/load_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"strings"
 	"testing"
 	"time"
 
@@ -102,6 +103,11 @@
 	stepAt    time.Time
 	tallies   map[steering.Region]*tally
 	perSlice  float64 // requests a region and tick
+	// keyOf draws the key of a request of a region's callers.
+	keyOf func(steering.Region) string
+	// bySpace, when set, holds what callers of each workspace got: the last part of a key
+	// names it.
+	bySpace map[string]*tally
 }
 
 func newPlay(perSecond float64) *play { return newPlayOf(1, perSecond) }
@@ -118,10 +124,25 @@
 			p.servers[t.Name] = &server{warm: make(map[string]time.Time)}
 		}
 	}
+	p.keyOf = func(region steering.Region) string {
+		return fmt.Sprint(region, "-key-", p.random.IntN(loadKeys))
+	}
 	p.startVMs()
 	return p
 }
 
+// space returns the tally of a key's workspace.
+func (p *play) space(key string) *tally {
+	if p.bySpace == nil {
+		return &tally{}
+	}
+	name := key[strings.LastIndexByte(key, '-')+1:]
+	if p.bySpace[name] == nil {
+		p.bySpace[name] = &tally{}
+	}
+	return p.bySpace[name]
+}
+
 // startVMs begins with entry VMs that know nothing.
 func (p *play) startVMs() {
 	p.vms, p.lending = make(map[steering.Region][]*placement.Balancer), nil
@@ -180,13 +201,14 @@
 			n++
 		}
 		for range n {
-			p.request(region, fmt.Sprint(region, "-key-", p.random.IntN(loadKeys)))
+			p.request(region, p.keyOf(region))
 		}
 	}
 }
 
 func (p *play) request(region steering.Region, key string) {
 	p.tallies[region].asked++
+	p.space(key).asked++
 	b := p.vms[region][p.random.IntN(p.perRegion)]
 	b.Arrived(p.now, service, "")
 	pick, refusal := b.Choose(p.now, placement.Request{Service: service, Key: key, ID: key, Region: region, Aim: loadAim,
@@ -210,6 +232,7 @@
 			took := p.now.Sub(j.sent)
 			if took <= loadAim {
 				p.tallies[j.region].inAim++
+				p.space(j.key).inAim++
 			}
 			report := placement.Report{Outcome: placement.Served, Took: took, LoadKnown: true, Running: len(s.running), Waiting: len(s.waiting)}
 			j.vm.Ended(p.now, j.pick.Target, report, j.pick.Trial, j.pick.Wait > 0)
