--- a/node/gateway/gateway.go
+++ b/node/gateway/gateway.go
@@ -66,7 +66,7 @@
 	announced atomic.Bool
 	lending   placement.Lending
 	meter     *volume.Meter
-	limits    *allowances.Service
+	credits   *allowances.Service // of workspaces
 	servers   []*http.Server
 	done      sync.WaitGroup
 
@@ -106,7 +106,7 @@
 		Log:      logger, TargetBeat: time.Duration(settings.HeartbeatMs) * time.Millisecond,
 		Events: relay.NewEvents(scope), StoreAge: func() time.Duration { return time.Duration(g.reader.Digest().AgeMs) * time.Millisecond },
 		Members: func() int { return g.fleet.Size() }, Behind: func() bool { _, _, behind := g.reader.Behind(); return behind }, Outdated: g.outdated,
-		Meter: g.meter, Allowances: g.limits})
+		Meter: g.meter, Allowances: g.credits})
 	g.callers = callers.NewServer(g.relay, g.relay.Limits, callerConnections)
 	state := feed.NewState(time.Duration(settings.HeartbeatMs)*time.Millisecond, settings.Zones)
 	g.reader = feed.NewReader(g.store, g, state, fleetOf{g}, logger)
@@ -162,7 +162,7 @@
 		b.Demand = balancer.Demand(now)
 		b.Replaced = balancer.ReplacedToTell(now)
 	})
-	b.Tight = g.limits.TightToTell()
+	b.Tight = g.credits.TightToTell()
 }
 
 // peersChanged tells placement who lives.
@@ -185,7 +185,7 @@
 func (g *Gateway) Configured(t *routes.Table, known time.Duration) {
 	if g.relay.SetTable(t) {
 		_ = g.log.Log("msg", "configuration in force", "config", t.Version, "routes", len(t.Routes), "known_ms", known.Milliseconds()) // the writer counts what it drops
-		g.limits.Configure(t.Workspaces)
+		g.credits.Configure(t.Workspaces)
 		g.metrics.Scope.Gauge("gateway_config_version").Update(float64(t.Version))
 		g.fleet.Announce() // VMs that are behind ask those that have it
 		g.becameReady()
@@ -226,7 +226,7 @@
 	g.done.Go(func() { g.fleet.Run(work) })
 	g.done.Go(func() { g.reader.Run(work) })
 	g.done.Go(func() { g.fetcher.Run(work) })
-	g.done.Go(func() { g.limits.Run(work) })
+	g.done.Go(func() { g.credits.Run(work) })
 	g.done.Go(func() { g.register(work) })
 	g.done.Go(func() { g.tend(work) })
 	g.done.Go(func() { _ = g.callers.Serve(work, listener) }) // ends with the listener
--- a/node/gateway/showstatus.go
+++ b/node/gateway/showstatus.go
@@ -49,7 +49,7 @@
 	if t := g.relay.Table(); t != nil {
 		shown.ConfigVersion = t.Version
 	}
-	shown.Workspaces = g.limits.Rows()
+	shown.Workspaces = g.credits.Rows()
 	shown.Config, shown.Fleet = g.configStatus(now), peersOf(now, g.fleet.Following())
 	g.relay.WithBalancer(func(b *placement.Balancer, budget *retry.SharedBudget) {
 		shown.Services = servicesOf(now, b, budget, g.lending, s.Region)
--- a/node/gateway/tell.go
+++ b/node/gateway/tell.go
@@ -69,7 +69,7 @@
 		g.relay.LearnFacts(time.Now(), b.Suspects)
 	}
 	if len(b.Tight) > 0 {
-		g.limits.LearnTight(b.Tight)
+		g.credits.LearnTight(b.Tight)
 	}
 	if len(b.Replaced) > 0 {
 		g.relay.WithBalancer(func(balancer *placement.Balancer, _ *retry.SharedBudget) {
--- a/node/gateway/workspaces.go
+++ b/node/gateway/workspaces.go
@@ -23,7 +23,7 @@
 		return errors.Wrap(err, "gateway: listen for allowances")
 	}
 	b := g.settings.Bounds
-	g.limits = allowances.New(allowances.Config{Self: g.settings.VM, Log: g.log, Scope: g.metrics.Scope,
+	g.credits = allowances.New(allowances.Config{Self: g.settings.VM, Log: g.log, Scope: g.metrics.Scope,
 		Slack: allowance.Slack{Window: b.AllowanceWindow, Share: b.AllowanceShare, Requests: b.AllowanceRequests},
 		Low:   func() { g.fleet.Announce() }, Sent: g.countAllowances}, conn)
 	return nil
@@ -45,13 +45,13 @@
 		}
 		peers = append(peers, allowances.Peer{Name: m.Name, Address: address, Weight: float64(m.Capacity)})
 	}
-	g.limits.SetFleet(peers, g.fleet.Standing())
+	g.credits.SetFleet(peers, g.fleet.Standing())
 }
 
 // logWorkspaces writes one line of what became of the requests of workspaces with an
 // allowance since the last, and counts them.
 func (g *Gateway) logWorkspaces() {
-	counts := g.limits.Take()
+	counts := g.credits.Take()
 	if len(counts) == 0 {
 		return
 	}
--- a/steering/allowance/ledger.go
+++ b/steering/allowance/ledger.go
@@ -114,12 +114,12 @@
 // low reports whether VMs have to ask before a request runs.
 func (o *owned) low() bool { return o.tokens < lowTokens*o.limit.Burst }
 
-func (l *Ledger) account(now time.Time, name ID, limit Limit) *owned {
-	o := l.accounts[name]
+func (l *Ledger) account(now time.Time, id ID, limit Limit) *owned {
+	o := l.accounts[id]
 	if o == nil {
 		scaled := l.slack.enforced(limit).scaled(l.part)
 		o = &owned{bucket: bucket{limit: scaled, tokens: l.slack.fresh(scaled), at: now}, declared: limit, loans: make(map[steering.VM]*loan)}
-		l.accounts[name] = o
+		l.accounts[id] = o
 	}
 	if o.declared != limit {
 		o.giveUpLoans()
