Measure the heap peak from a settled heap

Cause: heapPeak took its base after one collection, which still counted memory that the next one frees (32 KB of the process's own start). On one processor the sampler first runs after that collection, so that the peak was short by what had been freed: TestHeapPeakSeesWhatIsHeld failed in 10 of 10 runs with GOMAXPROCS=1 (33,521,664 of 33,554,432). Change: the base is taken once further collections no longer shrink the heap in use. Check, bound and size are as before.

--- a/cmd/internal/benchpath/client.go
+++ b/cmd/internal/benchpath/client.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	"math"
 	"net/http"
 	"runtime"
 	"sync"
@@ -133,10 +134,11 @@
 	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
 }
 
-// heapPeak runs f and returns the peak growth of the heap in use while f runs, in bytes.
+// heapPeak runs f and returns the peak growth of the heap in use while f runs, in bytes. The heap
+// counts as grown from its smallest size: memory that was in use before f and is freed while f runs
+// must not hide what f holds.
 func heapPeak(f func() error) (bytes int64, err error) {
-	runtime.GC()
-	base := heapInUse()
+	base := settledHeap()
 	stop := make(chan struct{})
 	peak := make(chan int64)
 	go func() {
@@ -156,6 +158,24 @@
 	return <-peak, err
 }
 
+// settledHeap returns the heap in use once collections no longer shrink it. A single collection
+// leaves what finalizers and pools still hold.
+func settledHeap() int64 {
+	smallest := int64(math.MaxInt64)
+	for range maxSettlingCollections {
+		runtime.GC()
+		now := heapInUse()
+		if now >= smallest {
+			break
+		}
+		smallest = now
+	}
+	return smallest
+}
+
+// maxSettlingCollections bounds the collections of settledHeap on a process that never rests.
+const maxSettlingCollections = 10
+
 func heapInUse() int64 {
 	var m runtime.MemStats
 	runtime.ReadMemStats(&m)
