--- a/node/gateway/relay/events.go
+++ b/node/gateway/relay/events.go
@@ -34,6 +34,14 @@
 	}
 }
 
+// LoadUnreadable counts a response whose target reports its load in a form that is not known here.
+// Placement then goes without the load, which is seen nowhere else.
+func (e *Metrics) LoadUnreadable() {
+	if e != nil {
+		e.scope.Counter("gateway_target_loads_unreadable").Inc(1)
+	}
+}
+
 // Served records the latency of a response that was passed on.
 func (e *Metrics) Served(kind routes.Kind, status int, took time.Duration) {
 	if e != nil {
--- a/node/gateway/relay/placement.go
+++ b/node/gateway/relay/placement.go
@@ -58,6 +58,9 @@
 	if !sentAt.IsZero() {
 		report.Latency = now.Sub(sentAt)
 	}
+	if e.info.Load.Unreadable {
+		f.cfg.Metrics.LoadUnreadable()
+	}
 	if load := e.info.Load; load.Known {
 		report.LoadKnown, report.Running, report.Waiting = true, load.Running, load.Waiting
 		if !e.notRun {
