Refuse a request that no target has received

Cause: at the end of its time a request with an attempt under way was answered 504, which promises nothing, although the attempt had not begun to send: it was still connecting, to a target or over a link that was gone. A caller may not repeat a purchase after that. Change: attempts begin to send through a gate of their exchange. At the end of the time the gate closes; if no attempt that may have run the request has passed it, the request is refused with 503, which then holds, as none sends it later. Result: a walk over the ends of an attempt, from refused connections to an answer, says what a caller is told for each.

--- a/node/gateway/relay/attempts.go
+++ b/node/gateway/relay/attempts.go
@@ -25,6 +25,8 @@
 	notRun bool
 	// unsent is set when the attempt reached no target.
 	unsent bool
+	// sent is set when the request may have been sent to the target, even in part.
+	sent bool
 	// usable is set when the response may be passed on to the caller.
 	usable bool
 	// report is what the attempt showed about its target.
@@ -110,12 +112,20 @@
 // attempt sends the request to one target and reports the result.
 func (x *exchange) attempt(ctx context.Context, pick placement.Pick) {
 	var sentAt time.Time
+	beforeSend := func() bool {
+		if !x.sending.begin() {
+			return false
+		}
+		sentAt = time.Now()
+		return true
+	}
 	response, err := x.f.cfg.Pool.Do(ctx, upstream.Call{
 		Target: pick.Target.Name, Generation: pick.Target.Generation, Address: pick.Target.Address,
 		MaxConnections: x.maxConnections(), DialTimeout: min(dialTimeout, max(time.Until(x.deadline), time.Millisecond)),
-		BeforeSend: func() { sentAt = time.Now() }, OnOpen: x.f.metered(pick.Target),
+		BeforeSend: beforeSend, OnOpen: x.f.metered(pick.Target),
 	}, x.targetRequest(pick))
 	e := x.classify(pick, response, err)
+	e.sent = !sentAt.IsZero()
 	e.report = x.f.reportResult(ctx, x, e, sentAt)
 	x.results <- e
 }
--- a/node/gateway/relay/exchange.go
+++ b/node/gateway/relay/exchange.go
@@ -27,6 +27,9 @@
 	running       int // attempts in flight
 	reachedTarget int // attempts that reached a target
 	attempts      int
+	// sending is shared with the attempts; endedSent is how many that sent the request have ended.
+	sending   sending
+	endedSent int
 	// maybeRan is set once an attempt may have run the request.
 	maybeRan      bool
 	tried         []steering.Target
@@ -131,6 +134,9 @@
 	if !e.unsent {
 		x.reachedTarget++
 	}
+	if e.sent {
+		x.endedSent++
+	}
 	if !e.notRun {
 		x.maybeRan = true
 	}
--- a/node/gateway/relay/responses.go
+++ b/node/gateway/relay/responses.go
@@ -12,12 +12,16 @@
 	"heatherlock/steering/losses"
 )
 
-// timedOut returns the response to a request whose time is up.
+// timedOut returns the response to a request whose time is up. Attempts that have not begun to send
+// it no longer will; if no other one may have run it, it has not run.
 func (x *exchange) timedOut() *callers.Response {
-	if x.running == 0 && !x.maybeRan {
-		return x.refuse(steering.ReasonNoSlot, 0)
+	if begun := x.sending.close(); x.maybeRan || begun > x.endedSent {
+		return x.outcomeUnknown(steering.ReasonDeadline)
 	}
-	return x.outcomeUnknown(steering.ReasonDeadline)
+	if x.running > 0 {
+		return x.refuse(steering.ReasonNoTarget, shedRetryAfter)
+	}
+	return x.refuse(steering.ReasonNoSlot, 0)
 }
 
 // failed returns the response to a request whose last attempt got no usable response.
--- a/node/gateway/relay/rig_test.go
+++ b/node/gateway/relay/rig_test.go
@@ -73,6 +73,12 @@
 )
 
 func newRig(t *testing.T, targets int, change func(*endpoint.Config)) *rig {
+	t.Helper()
+	return newRigDialing(t, targets, change, upstream.Dial)
+}
+
+// newRigDialing returns a rig whose connections to targets are opened by dial.
+func newRigDialing(t *testing.T, targets int, change func(*endpoint.Config), dial upstream.DialFunc) *rig {
 	t.Helper()
 	g := &rig{t: t}
 	balancer := placement.NewBalancer("vm", "centro")
@@ -90,7 +96,7 @@
 		placed = append(placed, placement.Target{Name: steering.Target(cfg.ID), Service: service, Address: e.Address(), Zone: "a", Region: "centro", Slots: cfg.Slots})
 	}
 	balancer.SetTargets(placed)
-	g.relay = relay.New(relay.Config{Region: "centro", Pool: upstream.NewPool(upstream.Dial, platform.RequestIDOf), Balancer: balancer,
+	g.relay = relay.New(relay.Config{Region: "centro", Pool: upstream.NewPool(dial, platform.RequestIDOf), Balancer: balancer,
 		Retry: retry.NewSharedBudget(retry.SharedBudgetConfig{Ratio: 0.2, Slack: 64, Window: 10 * time.Second}),
 		Log:   log.NewNopLogger(), MemberCount: func() int { return 1 }, ConfigOutdated: g.outdated.Load, Behind: g.behind.Load, Allowances: g})
 	route := func(name string, kind routes.Kind) *routes.Route {
--- a/node/gateway/upstream/conn.go
+++ b/node/gateway/upstream/conn.go
@@ -83,6 +83,18 @@
 	return true
 }
 
+// release makes the connection idle again after start if nothing was written.
+func (c *conn) release() {
+	c.mu.Lock()
+	c.current, c.writing = nil, false
+	c.lastUsed = time.Now()
+	open := !c.closed
+	c.mu.Unlock()
+	if open {
+		c.pool.putIdle(c)
+	}
+}
+
 // requestWritten records that the whole request was written.
 func (c *conn) requestWritten() {
 	c.mu.Lock()
--- a/node/gateway/upstream/exchange.go
+++ b/node/gateway/upstream/exchange.go
@@ -10,6 +10,8 @@
 	"strconv"
 	"time"
 
+	"github.com/go-faster/errors"
+
 	"heatherlock/steering"
 )
 
@@ -73,6 +75,9 @@
 // Unwrap returns the cause.
 func (e *Error) Unwrap() error { return e.Err }
 
+// ErrWithdrawn reports that the request was withdrawn before it was sent.
+var ErrWithdrawn = errors.New("upstream: the request was withdrawn before it was sent")
+
 // Call holds the destination and the limits of an exchange.
 type Call struct {
 	Target     steering.Target
@@ -82,8 +87,9 @@
 	MaxConnections int
 	// DialTimeout limits a connection attempt.
 	DialTimeout time.Duration
-	// BeforeSend, if set, is called before the first byte is written.
-	BeforeSend func()
+	// BeforeSend, if set, is called before the first byte is written. If it returns false, nothing is
+	// sent and Do returns ErrWithdrawn.
+	BeforeSend func() bool
 	// OnOpen, if set, is given each connection that is opened for the call, and returns the one to
 	// use.
 	OnOpen func(net.Conn) net.Conn
@@ -103,8 +109,9 @@
 			return nil, &Error{Stage: NotConnected, Err: io.ErrClosedPipe}
 		}
 	}
-	if call.BeforeSend != nil {
-		call.BeforeSend()
+	if call.BeforeSend != nil && !call.BeforeSend() {
+		c.release()
+		return nil, &Error{Stage: NotSent, Err: ErrWithdrawn}
 	}
 	return c.exchange(ctx, e, r)
 }
