Order a key's targets without scoring and sorting all of them

Cause: each try of a request scored all open targets of its service in a region, sorted them and built a candidate for each; each changed target rebuilt and sorted the lists of all targets. Change: open targets are held in tables by region and weight. Changes update one target. Ejected and replaced targets are held in sets. Whether a VM may send to a cold target is decided once for each membership, and only among the VMs given with SetPeers.

--- a/steering/placement/balancer.go
+++ b/steering/placement/balancer.go
@@ -2,7 +2,7 @@
 
 import (
 	"math"
-	"sort"
+	"slices"
 	"time"
 
 	"heatherlock/steering"
@@ -17,9 +17,12 @@
 	services map[steering.Service]*serviceState
 	// unreachable zones have no entry VM that answers this one.
 	unreachable map[steering.Zone]bool
-	// peers are the live entry VMs by region, including this one.
-	peers   map[steering.Region][]steering.VM
-	lending RegionSplit
+	// peers holds the hashes of the other entry VMs that send to cold targets, by region, for the
+	// regions in which this one does. peersVersion is incremented with each change of what decides
+	// that.
+	peers        map[steering.Region][]uint64
+	peersVersion int
+	lending      RegionSplit
 	// coldSenders is how many entry VMs may send requests to one cold target.
 	coldSenders int
 	replaced    replacements
@@ -29,7 +32,7 @@
 func NewBalancer(vm steering.VM, region steering.Region) *Balancer {
 	return &Balancer{vm: vm, region: region,
 		byName: make(map[steering.Target]*targetState), services: make(map[steering.Service]*serviceState),
-		unreachable: make(map[steering.Zone]bool), peers: make(map[steering.Region][]steering.VM),
+		unreachable: make(map[steering.Zone]bool), peers: make(map[steering.Region][]uint64),
 		lending: RegionSplit{}, coldSenders: maxColdSenders, replaced: newReplacements()}
 }
 
@@ -38,40 +41,72 @@
 // slack limits their number.
 func (b *Balancer) SetColdSlack(slack float64) {
 	b.coldSenders = min(max(int(slack), 1), maxColdSenders)
+	b.peersVersion++
 }
 
 // SetTargets replaces the declared targets and returns the names of those that have restarted. What
 // was learned about targets that remain is kept.
+func (b *Balancer) SetTargets(targets []Target) (restarted []steering.Target) {
+	declared := make(map[steering.Target]bool, len(targets))
+	for _, t := range targets {
+		declared[t.Name] = true
+	}
+	var removed []steering.Target
+	for name := range b.byName {
+		if !declared[name] {
+			removed = append(removed, name)
+		}
+	}
+	return b.UpdateTargets(targets, removed)
+}
+
+// UpdateTargets declares the changed targets and removes others. It returns the names of those that
+// have restarted. What was learned about the other targets is kept.
 //
 // A restarted target starts without any of it: the new process is cold, the requests of the old
 // process ended with it, and failures of the old process say nothing about the new one.
-func (b *Balancer) SetTargets(targets []Target) (restarted []steering.Target) {
-	next := make(map[steering.Target]*targetState, len(targets))
-	for _, v := range b.services {
-		v.targets = nil
+func (b *Balancer) UpdateTargets(changed []Target, removed []steering.Target) (restarted []steering.Target) {
+	for _, name := range removed {
+		if s := b.byName[name]; s != nil {
+			b.drop(s)
+		}
 	}
-	for _, t := range targets {
+	for _, t := range changed {
 		s := b.byName[t.Name]
 		if s != nil && s.Generation != t.Generation {
 			restarted = append(restarted, t.Name)
+			b.drop(s)
 			s = nil
 		}
-		if s == nil {
-			s = &targetState{hash: rendezvous.Hash(string(t.Name))}
-		}
-		s.applyDeclared(t)
-		next[t.Name] = s
-		v := b.service(t.Service)
-		v.targets = append(v.targets, s)
-	}
-	for _, v := range b.services {
-		sort.Slice(v.targets, func(i, j int) bool { return v.targets[i].Name < v.targets[j].Name })
+		b.declare(s, t)
 	}
-	b.byName = next
-	b.replaced.declare(next)
 	return restarted
 }
 
+// declare updates a target's declared properties; s is nil for a target that is not known.
+func (b *Balancer) declare(s *targetState, t Target) {
+	if s == nil {
+		s = &targetState{hash: rendezvous.Hash(string(t.Name))}
+		b.byName[t.Name] = s
+	}
+	b.replaced.forget(s)
+	v := b.service(t.Service)
+	if s.service != v {
+		s.leaveService()
+		s.joinService(v)
+	}
+	s.applyDeclared(t)
+	v.tables = nil
+	b.replaced.declare(s)
+}
+
+// drop removes a target and all that was learned about it.
+func (b *Balancer) drop(s *targetState) {
+	delete(b.byName, s.Name)
+	b.replaced.forget(s)
+	s.leaveService()
+}
+
 // Generation returns the declared start of a target; declared is false for an unknown target.
 func (b *Balancer) Generation(name steering.Target) (generation steering.Generation, declared bool) {
 	s := b.byName[name]
@@ -91,8 +126,24 @@
 	return s
 }
 
-// SetPeers sets the live entry VMs by region, including this one.
-func (b *Balancer) SetPeers(peers map[steering.Region][]steering.VM) { b.peers = peers }
+// SetPeers sets the entry VMs that share the requests to cold targets, by region. If this one is not
+// among them, it sends none.
+func (b *Balancer) SetPeers(peers map[steering.Region][]steering.VM) {
+	b.peers = make(map[steering.Region][]uint64, len(peers))
+	for region, names := range peers {
+		if !slices.Contains(names, b.vm) {
+			continue
+		}
+		hashes := make([]uint64, 0, len(names))
+		for _, name := range names {
+			if name != b.vm {
+				hashes = append(hashes, rendezvous.Hash(string(name)))
+			}
+		}
+		b.peers[region] = hashes
+	}
+	b.peersVersion++
+}
 
 // SetUnreachableZones sets the zones that cannot be reached from this entry VM.
 func (b *Balancer) SetUnreachableZones(unreachable map[steering.Zone]bool) {
@@ -149,9 +200,19 @@
 	slots := make(Slots)
 	for name, v := range b.services {
 		byRegion := make(map[steering.Region]float64)
-		for _, s := range v.targets {
-			if !s.Closed && !s.ejected && !b.unreachable[s.Zone] {
-				byRegion[s.Region] += float64(s.Slots)
+		for region, t := range v.openTargets() {
+			if n := t.slotsWithout(b.unreachable); n > 0 {
+				byRegion[region] = n
+			}
+		}
+		for s := range v.ejected {
+			if !s.Closed && !b.unreachable[s.Zone] {
+				byRegion[s.Region] -= float64(s.Slots)
+			}
+		}
+		for region, n := range byRegion {
+			if n <= 0 {
+				delete(byRegion, region)
 			}
 		}
 		slots[name] = byRegion
@@ -238,21 +299,14 @@
 }
 
 // servedIn reports whether a service has open targets in a region.
-func (v *serviceState) servedIn(region steering.Region) bool {
-	for _, s := range v.targets {
-		if s.Region == region && !s.Closed {
-			return true
-		}
-	}
-	return false
-}
+func (v *serviceState) servedIn(region steering.Region) bool { return v.openTargets()[region] != nil }
 
 // Ejected returns the ejected targets, for status and metrics.
 func (b *Balancer) Ejected() []steering.Target {
 	var names []steering.Target
-	for name, s := range b.byName {
-		if s.ejected {
-			names = append(names, name)
+	for _, v := range b.services {
+		for s := range v.ejected {
+			names = append(names, s.Name)
 		}
 	}
 	return names
--- a/steering/placement/choose.go
+++ b/steering/placement/choose.go
@@ -2,7 +2,6 @@
 
 import (
 	"math"
-	"sort"
 	"time"
 
 	"heatherlock/steering"
@@ -38,7 +37,6 @@
 // candidate is a target that is considered for a request.
 type candidate struct {
 	targetState *targetState
-	score       float64
 	rank        int
 	wait        float64 // seconds
 	cost        float64 // predicted time until the answer, seconds
@@ -59,45 +57,16 @@
 		return Pick{}, &Refusal{Reason: steering.ReasonNoTarget, RetryAfter: minRetryAfter}
 	}
 	for _, region := range regions {
-		found := b.eligible(now, v, r, region, keyHash)
-		if len(found) == 0 {
-			continue
-		}
-		pick, wait, ok := b.best(now, v, r, found)
+		order := b.orderOf(v, r, region, keyHash)
+		pick, wait, ok := b.best(now, v, r, order)
 		if ok {
 			return pick, nil
 		}
-		return Pick{}, &Refusal{Reason: steering.ReasonNoSlot, RetryAfter: b.retryAfter(v, r, wait, keyHash), Wait: span(wait), WarmRunTime: v.warmEstimate()}
-	}
-	return Pick{}, &Refusal{Reason: steering.ReasonNoTarget, RetryAfter: minRetryAfter}
-}
-
-// eligible returns the open targets of a region in the key's order. Ejected targets are included
-// only when a probe is due, or when more than half of the targets are excluded.
-func (b *Balancer) eligible(now time.Time, v *serviceState, r Request, region steering.Region, keyHash uint64) []candidate {
-	var open []candidate
-	ejected := 0
-	for _, s := range v.targets {
-		if s.Region != region || s.Closed || contains(r.Tried, s.Name) {
-			continue
-		}
-		if b.excluded(v, s) {
-			ejected++
-		}
-		open = append(open, candidate{targetState: s, score: rendezvous.Score(keyHash, s.hash, float64(s.Slots)), crossRegion: region != b.region})
-	}
-	// If more than half are excluded, a fault of the network or of the observations is more likely
-	// than a fault of all these targets.
-	ignoreExclusion := ejected*2 > len(open)
-	sort.Slice(open, func(i, j int) bool { return open[i].score > open[j].score })
-	kept := open[:0]
-	for rank, c := range open {
-		c.rank = rank
-		if ignoreExclusion || !b.excluded(v, c.targetState) || b.probeDue(now, c.targetState, r) {
-			kept = append(kept, c)
+		if order.passed {
+			return Pick{}, &Refusal{Reason: steering.ReasonNoSlot, RetryAfter: b.retryAfter(v, r, wait, keyHash), Wait: span(wait), WarmRunTime: v.warmEstimate()}
 		}
 	}
-	return kept
+	return Pick{}, &Refusal{Reason: steering.ReasonNoTarget, RetryAfter: minRetryAfter}
 }
 
 // excluded reports whether a target is ejected or in an unreachable zone.
@@ -114,11 +83,10 @@
 // entry VM may not send now are skipped. If the first one is full, the second is used if it is idle
 // and an overflow token is left. The second result is the predicted wait at the first target, in
 // seconds; infinite if no target was considered.
-func (b *Balancer) best(now time.Time, v *serviceState, r Request, order []candidate) (Pick, float64, bool) {
+func (b *Balancer) best(now time.Time, v *serviceState, r Request, order *keyOrder) (Pick, float64, bool) {
 	shortest := math.Inf(1)
 	considered := 0
-	for i := range order {
-		c := &order[i]
+	for c := order.next(now); c != nil; c = order.next(now) {
 		if c.targetState.cold(now) && !b.takeColdToken(now, c.targetState) {
 			continue
 		}
@@ -191,14 +159,22 @@
 
 // maySendCold reports whether this entry VM is one of those that may send to a cold target.
 func (b *Balancer) maySendCold(s *targetState) bool {
-	peers := b.peers[s.Region]
-	if s.Region != b.region || len(peers) == 0 {
+	if s.Region != b.region || b.peers[s.Region] == nil {
 		return false
 	}
-	own := rendezvous.Score(rendezvous.Hash(string(b.vm)), s.hash, 1)
+	if s.coldSenderVersion != b.peersVersion {
+		s.coldSender, s.coldSenderVersion = b.isColdSender(s), b.peersVersion
+	}
+	return s.coldSender
+}
+
+// isColdSender reports whether this entry VM is among the first coldSenders of its region in the
+// order of a target.
+func (b *Balancer) isColdSender(s *targetState) bool {
+	own := rendezvous.Mix(rendezvous.Hash(string(b.vm)) ^ s.hash)
 	ahead := 0
-	for _, vm := range peers {
-		if vm != b.vm && rendezvous.Score(rendezvous.Hash(string(vm)), s.hash, 1) > own {
+	for _, peer := range b.peers[s.Region] {
+		if rendezvous.Mix(peer^s.hash) > own {
 			ahead++
 		}
 	}
--- a/steering/placement/count.go
+++ b/steering/placement/count.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"slices"
 	"sort"
 	"time"
 
@@ -33,6 +34,7 @@
 				c.Ejected = append(c.Ejected, s.Name)
 			}
 		}
+		slices.Sort(c.Ejected)
 		all = append(all, c)
 	}
 	sort.Slice(all, func(i, j int) bool { return all[i].Service < all[j].Service })
--- a/steering/placement/regions.go
+++ b/steering/placement/regions.go
@@ -48,13 +48,13 @@
 // unless no other zone has open slots.
 func (b *Balancer) reachable(r Request, v *serviceState) map[steering.Region]float64 {
 	connected, all := make(map[steering.Region]float64), make(map[steering.Region]float64)
-	for _, s := range v.targets {
-		if s.Closed || r.Allowed != nil && !r.Allowed(s.Region) {
+	for region, t := range v.openTargets() {
+		if r.Allowed != nil && !r.Allowed(region) {
 			continue
 		}
-		all[s.Region] += float64(s.Slots)
-		if !b.unreachable[s.Zone] {
-			connected[s.Region] += float64(s.Slots)
+		all[region] = t.slotsWithout(nil)
+		if slots := t.slotsWithout(b.unreachable); slots > 0 {
+			connected[region] = slots
 		}
 	}
 	if len(connected) == 0 {
--- a/steering/placement/replaced.go
+++ b/steering/placement/replaced.go
@@ -43,39 +43,51 @@
 type replacements struct {
 	// declared holds the declared targets by start.
 	declared map[StartID]*targetState
+	// closed holds the declared targets that were found to be replaced.
+	closed map[*targetState]bool
 	// found holds the time at which each target that is still reported was found to be replaced.
 	found map[StartID]time.Time
 }
 
 func newReplacements() replacements {
-	return replacements{declared: make(map[StartID]*targetState), found: make(map[StartID]time.Time)}
+	return replacements{declared: make(map[StartID]*targetState), closed: make(map[*targetState]bool), found: make(map[StartID]time.Time)}
 }
 
-// declare replaces the declared targets.
-func (r *replacements) declare(all map[steering.Target]*targetState) {
-	clear(r.declared)
-	for _, s := range all {
-		r.declared[s.startID] = s
+// declare adds a target as declared now.
+func (r *replacements) declare(s *targetState) {
+	r.declared[s.startID] = s
+	if s.replaced {
+		r.closed[s] = true
+	}
+}
+
+// forget removes a target as it was declared before.
+func (r *replacements) forget(s *targetState) {
+	if r.declared[s.startID] == s {
+		delete(r.declared, s.startID)
 	}
+	delete(r.closed, s)
 }
 
 // add closes a target that was found to be replaced and schedules it to be reported.
 func (r *replacements) add(now time.Time, s *targetState) {
 	s.Closed = true
+	if s.service != nil {
+		s.service.tables = nil
+	}
 	if s.replaced {
 		return
 	}
 	s.replaced = true
+	r.closed[s] = true
 	r.found[s.startID] = now
 }
 
 // Replaced returns the targets that are closed because another target answers at their address.
 func (b *Balancer) Replaced() []steering.Target {
 	var names []steering.Target
-	for name, s := range b.byName {
-		if s.replaced {
-			names = append(names, name)
-		}
+	for s := range b.replaced.closed {
+		names = append(names, s.Name)
 	}
 	return names
 }
--- a/steering/placement/state.go
+++ b/steering/placement/state.go
@@ -37,6 +37,9 @@
 type targetState struct {
 	Target
 	hash uint64
+	// service is the state of the target's service, and index the position in its targets.
+	service *serviceState
+	index   int
 
 	inFlight      int       // requests sent by this entry VM
 	othersLoad    float64   // load by other entry VMs at the last report
@@ -52,6 +55,10 @@
 	probing           bool
 	coldTokens        tokenBucket
 	warmKeys          map[string]time.Time
+	// coldSender says whether this entry VM may send to the target while it is cold, as of
+	// coldSenderVersion of the balancer's peers.
+	coldSender        bool
+	coldSenderVersion int
 
 	// startID identifies this start of the target at its address. replaced is set once another
 	// target has answered at the address.
@@ -89,7 +96,7 @@
 func (s *targetState) recordSuccess() {
 	s.failureRate -= failureWeight * s.failureRate
 	s.consecutiveBreaks = 0
-	s.ejected = s.failureRate > maxFailureRate
+	s.setEjected(s.failureRate > maxFailureRate)
 	if !s.ejected {
 		s.ejectionTime = 0
 	}
@@ -107,8 +114,18 @@
 	s.eject(now)
 }
 
+// setEjected ejects the target or readmits it.
+func (s *targetState) setEjected(ejected bool) {
+	s.ejected = ejected
+	if ejected {
+		s.service.ejected[s] = true
+	} else {
+		delete(s.service.ejected, s)
+	}
+}
+
 func (s *targetState) eject(now time.Time) {
-	s.ejected = true
+	s.setEjected(true)
 	s.ejectionTime = min(max(2*s.ejectionTime, minEjectionTime), maxEjectionTime)
 	s.probeAt = now.Add(s.ejectionTime)
 }
@@ -147,9 +164,32 @@
 	return known && now.Sub(used) <= warmKeyTTL
 }
 
+// joinService adds the target to a service.
+func (s *targetState) joinService(v *serviceState) {
+	s.service, s.index = v, len(v.targets)
+	v.targets = append(v.targets, s)
+	s.setEjected(s.ejected)
+}
+
+// leaveService removes the target from its service, if it has one.
+func (s *targetState) leaveService() {
+	v := s.service
+	if v == nil {
+		return
+	}
+	last := v.targets[len(v.targets)-1]
+	v.targets[s.index], last.index = last, s.index
+	v.targets = v.targets[:len(v.targets)-1]
+	delete(v.ejected, s)
+	v.tables, s.service = nil, nil
+}
+
 // serviceState is what one entry VM has learned about a service.
 type serviceState struct {
-	targets []*targetState
+	targets []*targetState // in no particular order
+	ejected map[*targetState]bool
+	// tables holds the open targets by region; nil if they must be determined anew.
+	tables map[steering.Region]*regionTable
 	// warmTime and coldTime are the service times for warm and cold keys, in seconds.
 	warmTime, coldTime float64
 	meanTime           float64
@@ -204,7 +244,7 @@
 )
 
 func newServiceState() *serviceState {
-	v := &serviceState{}
+	v := &serviceState{ejected: make(map[*targetState]bool)}
 	v.setDefaults(defaultObjective)
 	return v
 }
