Let only the delegates of a large zone exchange heartbeats with all

Cause: within a zone each VM sent heartbeats to every other and to every zone's VMs in turn, and a VM that started sent its addresses to every VM on record until it had replied. The interval grew with the zone, so that at 110 VMs a zone an end was noticed after 8.8 s; a start of 986 VMs cost a million heartbeats with addresses, and each VM listed and sorted all others for each that it heard. Change: the first 32 VMs of a zone in the order in which VMs read the store are its delegates and do what all did. The others, its standbys, send heartbeats to two delegates and receive reports on all zones from three, in turn. Lists of live VMs are left out of reports while all agree on the set, and VMs that are listed but not on record are asked for by ID. Zones of up to 32 VMs go on as before, with the same datagrams. Retries of ended VMs, introductions and log lines are bounded. The time is passed in, so that a fleet can be played on simulated time. Datagrams stay readable by the build before; of a zone with over 32 VMs in which both builds run, that build sees the new one's standbys as gone.

--- a/node/gateway/fleet/beat.go
+++ b/node/gateway/fleet/beat.go
@@ -46,9 +46,14 @@
 	// Demand is the demand of the VM's own callers; nil means as reported before. For a VM of
 	// another zone it is the demand of all callers of the sender's zone instead.
 	Demand placement.DemandOf
-	// Mates holds the short IDs of the VMs of the sender's zone from which the sender receives
-	// heartbeats.
+	// Mates holds short IDs of VMs of the sender's zone. In a heartbeat to another zone, or with
+	// ZoneReport set, they are the live ones; otherwise the standbys that the sender monitors. In a
+	// heartbeat with WantsMembers they are VMs of the receiver's zone of which the sender has no
+	// record.
 	Mates []uint32
+	// ZoneReport is set if Mates holds all live VMs of a zone with standbys. Without Mates the
+	// receiver's view of the zone is left as it is.
+	ZoneReport bool
 	// Replaced holds targets at whose address a different target was found recently.
 	Replaced []placement.StartID
 	// Tight holds the workspaces whose allowance is nearly used up.
@@ -67,6 +72,7 @@
 	flagWantsMembers
 	flagReads
 	flagWantsReply
+	flagZoneReport
 )
 
 // datagram is the encoding of a heartbeat. Most of the control traffic of a large fleet is
@@ -141,7 +147,7 @@
 	for _, f := range []struct {
 		flag uint8
 		set  bool
-	}{{flagServing, b.Serving}, {flagLeaving, b.Leaving}, {flagStoreFails, b.StoreReadsFail}, {flagWantsMembers, b.WantsMembers}, {flagReads, b.ReadingStore}, {flagWantsReply, b.WantsReply}} {
+	}{{flagServing, b.Serving}, {flagLeaving, b.Leaving}, {flagStoreFails, b.StoreReadsFail}, {flagWantsMembers, b.WantsMembers}, {flagReads, b.ReadingStore}, {flagWantsReply, b.WantsReply}, {flagZoneReport, b.ZoneReport}} {
 		if f.set {
 			d.Flags |= f.flag
 		}
@@ -159,16 +165,32 @@
 // decode returns the heartbeat in a datagram and the ID of its sender. From is empty unless the
 // datagram holds the sender's addresses.
 func decode(raw []byte) (Beat, uint64, error) {
+	b, id, rest, err := decodeNext(raw)
+	if err == nil && len(rest) > 0 {
+		err = errors.New("fleet: decode heartbeat: more data follows")
+	}
+	return b, id, err
+}
+
+// decodeNext decodes the first of several heartbeats in a datagram and returns what follows it.
+func decodeNext(raw []byte) (b Beat, id uint64, rest []byte, err error) {
 	var d datagram
-	if err := cbor.Unmarshal(raw, &d); err != nil {
-		return Beat{}, 0, errors.Wrap(err, "fleet: decode heartbeat")
+	rest, err = cbor.UnmarshalFirst(raw, &d)
+	if err != nil {
+		return Beat{}, 0, nil, errors.Wrap(err, "fleet: decode heartbeat")
 	}
+	b, id = d.beat()
+	return b, id, rest, nil
+}
+
+// beat returns the heartbeat and the ID of its sender.
+func (d datagram) beat() (Beat, uint64) {
 	b := Beat{Incarnation: d.Incarnation, Number: d.Number, Members: d.Introduced, Mates: unpackShortIDs(d.Mates), Replaced: d.Replaced, Suspects: d.Suspects, Tight: d.Tight,
-		Serving: d.Flags&flagServing != 0, Leaving: d.Flags&flagLeaving != 0, StoreReadsFail: d.Flags&flagStoreFails != 0, WantsMembers: d.Flags&flagWantsMembers != 0, ReadingStore: d.Flags&flagReads != 0, WantsReply: d.Flags&flagWantsReply != 0, Crowd: d.Crowd, Demand: d.Demand, ConfigContent: d.Content32, ConfigWait: catchup.Wait(d.Wait),
+		Serving: d.Flags&flagServing != 0, Leaving: d.Flags&flagLeaving != 0, StoreReadsFail: d.Flags&flagStoreFails != 0, WantsMembers: d.Flags&flagWantsMembers != 0, ReadingStore: d.Flags&flagReads != 0, WantsReply: d.Flags&flagWantsReply != 0, ZoneReport: d.Flags&flagZoneReport != 0, Crowd: d.Crowd, Demand: d.Demand, ConfigContent: d.Content32, ConfigWait: catchup.Wait(d.Wait),
 		StoreDigest: feed.Digest{Revision: d.Revision, Content: d.Content, Config: d.Config, Newest: d.Config + d.NewestLead, ConfigRevision: d.Revision - d.ConfigLag,
 			EvacuationRevision: d.Revision - d.EvacLag, ColdRevision: d.Revision - d.ColdLag, AgeMs: d.AgeMs, Evacuated: d.Evacuated}}
 	if d.From != nil {
 		b.From = *d.From
 	}
-	return b, d.Sender, nil
+	return b, d.Sender
 }
--- a/node/gateway/fleet/fleet.go
+++ b/node/gateway/fleet/fleet.go
@@ -34,6 +34,10 @@
 	HandleBeat func(Beat)
 	// OnMembersChange is called when members became live or are no longer.
 	OnMembersChange func()
+	// Incarnation distinguishes this process from earlier ones; 0 draws one at random.
+	Incarnation uint32
+	// Clock returns the current time; nil means time.Now.
+	Clock func() time.Time
 	// OnSend, if set, is called for each datagram sent with the receiver, of which only the
 	// address may be known, and the number of bytes.
 	OnSend func(to Member, bytes int)
@@ -48,21 +52,28 @@
 	mu         sync.Mutex
 	roster     *Roster
 	beatNumber uint64
-	lastLive   map[steering.VM]bool // live at the last tick
 	wake       chan struct{}
 	// announcing is set if the next heartbeat must go to all live members.
 	announcing   bool
 	queryBackoff queryBackoff
 	leaving      bool   // as in the last heartbeat
 	liveSetHash  uint32 // as of the last tick
+	startedAt    time.Time
+	// introductions is how many more VMs may be introduced to others until the next tick.
+	introductions int
 	// size is the number of live VMs as of the last tick, this VM included.
 	size atomic.Int64
 }
 
 // New returns a fleet that sends and receives on conn. Run starts it.
 func New(cfg Config, conn net.PacketConn) *Fleet {
-	return &Fleet{cfg: cfg, conn: conn, incarnation: rand.Uint32(), roster: NewRoster(cfg.Self),
-		lastLive: make(map[steering.VM]bool), wake: make(chan struct{}, 1)}
+	if cfg.Clock == nil {
+		cfg.Clock = time.Now
+	}
+	if cfg.Incarnation == 0 {
+		cfg.Incarnation = rand.Uint32()
+	}
+	return &Fleet{cfg: cfg, conn: conn, incarnation: cfg.Incarnation, roster: NewRoster(cfg.Self), wake: make(chan struct{}, 1), startedAt: cfg.Clock()}
 }
 
 // Run exchanges heartbeats until ctx is done, and then closes the connection.
@@ -81,7 +92,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for _, m := range members {
-		f.roster.Add(time.Now(), m)
+		f.roster.Add(f.cfg.Clock(), m)
 	}
 	f.wakeSender()
 }
@@ -91,21 +102,29 @@
 func (f *Fleet) RequestRank() (zone, region int) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.roster.RequestRank(time.Now())
+	return f.roster.RequestRank(f.cfg.Clock())
+}
+
+// StartRank returns how many VMs of this zone, live or just put on record, read the store before
+// this one.
+func (f *Fleet) StartRank() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.roster.StartRank(f.cfg.Clock())
 }
 
 // ConfigHolders returns the live VMs whose configuration is newer than the version above.
 func (f *Fleet) ConfigHolders(above uint64) []ConfigHolder {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.roster.ConfigHolders(time.Now(), above)
+	return f.roster.ConfigHolders(f.cfg.Clock(), above)
 }
 
 // ConfigStatus returns which configuration each other VM on record uses.
 func (f *Fleet) ConfigStatus() []ConfigStatus {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.roster.ConfigStatus(time.Now())
+	return f.roster.ConfigStatus(f.cfg.Clock())
 }
 
 // Announce sends a heartbeat to all live members without waiting for the next interval, because
@@ -126,10 +145,10 @@
 
 func (f *Fleet) sendLoop(ctx context.Context) {
 	for ctx.Err() == nil {
-		f.sendBeats(ctx)
-		f.mu.Lock()
-		pause := f.roster.Interval()
-		f.mu.Unlock()
+		changed, pause := f.Tick()
+		if changed && ctx.Err() == nil {
+			f.cfg.OnMembersChange()
+		}
 		timer := time.NewTimer(pause)
 		select {
 		case <-ctx.Done():
@@ -140,72 +159,73 @@
 	}
 }
 
-func (f *Fleet) sendBeats(ctx context.Context) {
-	now := time.Now()
+// Tick sends the heartbeats that are due. It returns whether the set of live VMs has changed since
+// the last call, and the time until the next one.
+func (f *Fleet) Tick() (changed bool, pause time.Duration) {
+	now := f.cfg.Clock()
 	f.mu.Lock()
 	to := f.roster.Tick(now, f.announcing)
 	f.announcing = false
-	f.liveSetHash = f.roster.LiveSetHash(now, !f.leaving)
-	live := f.roster.Live(now, true)
-	f.size.Store(int64(len(live)) + 1)
-	alone := len(live) == 0
+	changes := f.roster.Scan(now)
+	f.liveSetHash = f.roster.fullSetHash(!f.leaving)
+	f.size.Store(int64(changes.Live) + 1)
+	f.introductions = maxIntroductions
+	askSeeds := changes.Live == 0 && now.Sub(f.startedAt) >= seedDelay
 	b := f.nextBeat()
-	contacted, uncontacted := f.splitByContact(to)
-	zone := f.zoneReport(now)
-	changed := f.noteChanges(live)
 	f.mu.Unlock()
+	f.logChanges(changes)
 	f.fillBeat(&b)
 	full := b.Number%fullBeatEvery == 1
 	b.Suspects = f.cfg.Suspects(full)
-	far := zone.beatFor(b)
-	if !full {
-		b.Demand, b.ConfigContent = nil, 0
-		far.ConfigContent = 0
-	}
-	f.sendAll(b, far, contacted, false)
-	b.WantsReply, far.WantsReply = true, true
-	f.sendAll(b, far, uncontacted, true)
-	b.WantsReply = false
-	if alone {
-		b.WantsMembers = true
-		for _, seed := range f.cfg.Seeds {
-			if seed != f.cfg.Self.Peer {
-				f.send(b, seed)
-			}
-		}
-	}
-	if changed && ctx.Err() == nil {
-		f.cfg.OnMembersChange()
+	f.sendAll(f.formsOf(now, b, full, to))
+	if askSeeds {
+		f.askSeeds(b)
 	}
+	return len(changes.Heard)+len(changes.Lost) > 0, f.Interval()
 }
 
-// noteChanges logs which members became live or are no longer since the last tick, and reports
-// whether there were any.
-func (f *Fleet) noteChanges(members []Member) bool {
-	live := make(map[steering.VM]bool, len(members))
-	changed := false
-	for _, m := range members {
-		live[m.Name] = true
-		if !f.lastLive[m.Name] {
-			changed = true
-			_ = f.cfg.Log.Log("msg", "entry VM heard", "peer", m.Name, "zone", m.Zone) // the log writer counts the lines that it drops
+// Interval returns the time between two ticks.
+func (f *Fleet) Interval() time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.roster.Interval()
+}
+
+// seedDelay is how long a VM that starts waits for the records of the others before it asks the
+// seeds for them. If each VM of a fleet that starts asked at once, the seeds would do little else.
+const seedDelay = 250 * time.Millisecond
+
+// askSeeds asks the seeds for all members.
+func (f *Fleet) askSeeds(b Beat) {
+	b.WantsMembers, b.Mates = true, nil
+	for _, seed := range f.cfg.Seeds {
+		if seed != f.cfg.Self.Peer {
+			f.send(b, seed)
 		}
 	}
-	for name := range f.lastLive {
-		if !live[name] {
-			changed = true
-			_ = f.cfg.Log.Log("msg", "entry VM no longer heard", "peer", name) // as above
-		}
+}
+
+// maxLoggedChanges is how many VMs are named in the log when many become live, or are no longer, at
+// the same time.
+const maxLoggedChanges = 4
+
+// logChanges logs which VMs became live or are no longer.
+func (f *Fleet) logChanges(c Changes) {
+	f.logNames("entry VM heard", c.Heard)
+	f.logNames("entry VM no longer heard", c.Lost)
+}
+
+func (f *Fleet) logNames(msg string, names []steering.VM) {
+	for _, name := range names[:min(len(names), maxLoggedChanges)] {
+		_ = f.cfg.Log.Log("msg", msg, "peer", name, "zone", f.LocationOf(name).Zone, "of", len(names)) // the log writer counts the lines that it drops
 	}
-	f.lastLive = live
-	return changed
 }
 
 // Live returns the live members that are not leaving, this VM included.
 func (f *Fleet) Live() []Member {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.roster.Live(time.Now(), false)
+	return f.roster.Live(f.cfg.Clock(), false)
 }
 
 // LiveCount returns the number of VMs that were live at the last tick, this VM included. It is
@@ -216,7 +236,29 @@
 func (f *Fleet) Serving(selfServes bool) []Member {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.roster.Serving(time.Now(), selfServes)
+	return f.roster.Serving(f.cfg.Clock(), selfServes)
+}
+
+// ServingIn returns the members of a zone that take requests. selfServes says whether this VM does.
+func (f *Fleet) ServingIn(zone steering.Zone, selfServes bool) []Member {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.roster.ServingIn(f.cfg.Clock(), zone, selfServes)
+}
+
+// Standby reports whether this VM exchanges heartbeats with delegates of its zone only.
+func (f *Fleet) Standby() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.roster.standby
+}
+
+// IsLive reports whether a member is live and not leaving.
+func (f *Fleet) IsLive(name steering.VM) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	h := f.roster.members[name]
+	return h != nil && f.roster.live(f.cfg.Clock(), h) && !h.leaving
 }
 
 // LocationOf returns the location of a member, or the zero value if it is not known.
@@ -230,7 +272,7 @@
 func (f *Fleet) MemberCount() int {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.roster.MemberCount(time.Now())
+	return f.roster.MemberCount(f.cfg.Clock())
 }
 
 // RecordCount returns the number of members on record, this VM included.
@@ -244,14 +286,14 @@
 func (f *Fleet) Demand() map[steering.Region]placement.DemandOf {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.roster.Demand(time.Now())
+	return f.roster.Demand(f.cfg.Clock())
 }
 
 // ZoneDemand returns the demand of the callers of a zone without those of this VM.
 func (f *Fleet) ZoneDemand(zone steering.Zone) placement.DemandOf {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.roster.ZoneDemand(time.Now(), zone)
+	return f.roster.ZoneDemand(f.cfg.Clock(), zone)
 }
 
 // ReadRank returns how many live VMs read the store before this one: those whose reads do not fail
@@ -259,7 +301,7 @@
 func (f *Fleet) ReadRank(fails bool) int {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.roster.ReadRank(time.Now(), fails)
+	return f.roster.ReadRank(f.cfg.Clock(), fails)
 }
 
 // LastReadStart returns when a live VM that reads before this one last reported the start of a
@@ -267,12 +309,12 @@
 func (f *Fleet) LastReadStart() time.Time {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.roster.LastReadStart(time.Now())
+	return f.roster.LastReadStart(f.cfg.Clock())
 }
 
 // UnreachableZones returns the zones that seem to be unreachable from this VM.
 func (f *Fleet) UnreachableZones() map[steering.Zone]bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.roster.UnreachableZones(time.Now())
+	return f.roster.UnreachableZones(f.cfg.Clock())
 }
--- a/node/gateway/fleet/roster.go
+++ b/node/gateway/fleet/roster.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"heatherlock/steering"
+	"heatherlock/steering/placement"
 )
 
 // Member is an entry VM.
@@ -30,6 +31,9 @@
 	// a heartbeat: for five heartbeats, or for four in a zone so large that they are less frequent.
 	minSameZoneTimeout = 5 * minInterval
 	maxMissedBeats     = 4
+	// standbyMissedBeats is the same for a standby. Its monitors report it to the other delegates,
+	// so that its end is known only after twice this time.
+	standbyMissedBeats = 3
 	// minCrossZoneInterval is the time between two heartbeats that a VM of another zone receives
 	// from this zone, whichever VM sends them. Few VMs of the zone need to send, as each heartbeat
 	// says which VMs of its zone are live.
@@ -55,18 +59,31 @@
 	// removeAfter is how long a VM that is gone is kept on record and is sent an occasional
 	// heartbeat, so that both sides of a network partition find each other again.
 	removeAfter = 10 * time.Minute
-	// goneRetryTicks is the number of ticks between two heartbeats to a VM that is gone.
+	// goneRetryTicks is the number of ticks between two rounds of heartbeats to VMs that are gone,
+	// and maxGoneRetries how many of them receive one in a round. After the loss of half of a large
+	// fleet there are hundreds.
 	goneRetryTicks = 6
+	maxGoneRetries = 16
 )
 
 // peerState is what is known of another member.
 type peerState struct {
 	Member
-	id         uint64
-	lastSeen   time.Time // zero if no heartbeat was ever received from it
+	id       uint64
+	order    uint64 // see before
+	sameZone bool   // whether it is in this VM's zone
+	// lastSeen is when it was last known to be live, by its own heartbeat or by that of a VM of its
+	// zone; zero if it never was.
+	lastSeen   time.Time
 	knownSince time.Time // when it was put on record
 	leaving    bool
-	beat       Beat
+	// standby is its role as of the last tick, and monitors holds the delegates that a standby of
+	// this zone sends heartbeats to.
+	standby  bool
+	monitors [monitorsPerStandby]uint64
+	// wasLive is set if it was live and not leaving at the last tick.
+	wasLive bool
+	beat    Beat
 	// lastBeatAt is when its own last heartbeat was received, configSince when the first one was
 	// that reported its configuration in force.
 	lastBeatAt  time.Time
@@ -85,16 +102,39 @@
 type Roster struct {
 	self     Member
 	id       uint64
+	order    uint64
 	members  map[steering.VM]*peerState
 	byID     map[uint64]*peerState
+	all      []*peerState // the members in no particular order
 	lastTick time.Time
 	ticks    int
-	zones    map[steering.Zone][]*peerState // VMs on record without this one
+	// zones holds the VMs on record without this one, in the order of before, and byShortID the same
+	// by short ID.
+	zones     map[steering.Zone][]*peerState
+	byShortID map[steering.Zone]map[uint32]*peerState
+	timeouts  timeouts
+	// standby is the role of this VM, and delegates holds the other delegates of its zone, both as
+	// of the last tick.
+	standby   bool
+	delegates []*peerState
+	// ownDemand is the demand of this VM's callers, which a report on the zone includes.
+	ownDemand placement.DemandOf
+	// nextGone is the position in all after the last VM that is gone and received a heartbeat.
+	nextGone int
+	// liveSetHash is the hash of the live VMs as of the last Scan, without this one.
+	liveSetHash uint32
+	// disagreedAt is when a heartbeat last named another set of live VMs than this VM's.
+	disagreedAt time.Time
+	// unknown holds short IDs that were listed for a zone and belong to no VM on record, and
+	// askedAt when a VM of the zone was last asked for its members.
+	unknown map[steering.Zone][]uint32
+	askedAt map[steering.Zone]time.Time
 }
 
 // NewRoster returns the roster of a VM that knows no other VM.
 func NewRoster(self Member) *Roster {
-	return &Roster{self: self, id: idOf(self.Name), members: make(map[steering.VM]*peerState), byID: make(map[uint64]*peerState), zones: make(map[steering.Zone][]*peerState)}
+	return &Roster{self: self, id: idOf(self.Name), order: readOrder(self.Name), members: make(map[steering.VM]*peerState), byID: make(map[uint64]*peerState),
+		zones: make(map[steering.Zone][]*peerState), byShortID: make(map[steering.Zone]map[uint32]*peerState), timeouts: timeoutsFor(0, 0), unknown: make(map[steering.Zone][]uint32), askedAt: make(map[steering.Zone]time.Time)}
 }
 
 // Add adds a member whose record was read or that another member introduced. It reports whether the
@@ -114,33 +154,56 @@
 }
 
 func (r *Roster) insert(name steering.VM, h *peerState) {
-	h.id = idOf(name)
+	h.id, h.order = idOf(name), readOrder(name)
 	r.members[name] = h
 	r.byID[h.id] = h
-	r.zones[h.Zone] = append(r.zones[h.Zone], h)
+	r.all = append(r.all, h)
+	r.addToZone(h)
 }
 
-// updateMember updates a member's addresses and zone, which can differ after a restart.
+// updateMember updates a member's addresses, zone and capacity, which can differ after a restart.
 func (r *Roster) updateMember(h *peerState, m Member) {
-	if h.Zone != m.Zone {
-		r.removeFromZone(h)
-		r.zones[m.Zone] = append(r.zones[m.Zone], h)
+	if h.Zone == m.Zone && h.Capacity == m.Capacity {
+		h.Member = m
+		return
 	}
+	r.removeFromZone(h)
 	h.Member = m
+	r.addToZone(h)
 }
 
-func (r *Roster) remove(name steering.VM, h *peerState) {
-	delete(r.members, name)
-	delete(r.byID, h.id)
+func (r *Roster) remove(h *peerState) {
+	delete(r.members, h.Name)
+	if r.byID[h.id] == h {
+		delete(r.byID, h.id)
+	}
+	r.all = slices.DeleteFunc(r.all, func(other *peerState) bool { return other == h })
 	r.removeFromZone(h)
 }
 
+func (r *Roster) addToZone(h *peerState) {
+	peers := r.zones[h.Zone]
+	at, _ := slices.BinarySearchFunc(peers, h, compareOrder)
+	r.zones[h.Zone] = slices.Insert(peers, at, h)
+	if r.byShortID[h.Zone] == nil {
+		r.byShortID[h.Zone] = make(map[uint32]*peerState)
+	}
+	r.byShortID[h.Zone][shortID(h.id)] = h
+	h.sameZone = h.Zone == r.self.Zone
+	r.timeouts = timeoutsFor(len(r.zones[r.self.Zone]), len(r.zones))
+}
+
 func (r *Roster) removeFromZone(h *peerState) {
 	left := slices.DeleteFunc(r.zones[h.Zone], func(other *peerState) bool { return other == h })
 	r.zones[h.Zone] = left
+	if r.byShortID[h.Zone][shortID(h.id)] == h {
+		delete(r.byShortID[h.Zone], shortID(h.id))
+	}
 	if len(left) == 0 {
 		delete(r.zones, h.Zone)
+		delete(r.byShortID, h.Zone)
 	}
+	r.timeouts = timeoutsFor(len(r.zones[r.self.Zone]), len(r.zones))
 }
 
 // HandleBeat applies a heartbeat. It reports whether the member was not live before or has
@@ -175,22 +238,10 @@
 	if b.ReadingStore && !b.StoreReadsFail && !stillReading {
 		h.readBegan = now
 	}
-	r.refreshZone(now, b)
-	return fresh
-}
-
-// refreshZone marks the VMs of the sender's zone that the sender considers live as seen. What a VM
-// reports about other zones than its own does not count: it may be older than what is known here,
-// and two zones that report a third one to each other would keep it live forever.
-func (r *Roster) refreshZone(now time.Time, b Beat) {
-	if b.From.Zone == r.self.Zone {
-		return
-	}
-	for _, h := range r.zones[b.From.Zone] {
-		if !h.leaving && !h.lastSeen.IsZero() && slices.Contains(b.Mates, shortID(h.id)) {
-			h.lastSeen = now
-		}
+	if !b.WantsMembers {
+		r.applyList(now, h, b)
 	}
+	return fresh
 }
 
 // ByID returns the member with an ID, and false if it is not known.
@@ -202,11 +253,11 @@
 }
 
 // Tick returns the members to which to send a heartbeat now. With all set these include every live
-// member. A gap since the last tick means that this VM was paused and could not receive heartbeats,
-// so the gap is not counted towards the timeouts of other VMs.
+// member that announcements are sent to. A gap since the last tick means that this VM was paused and
+// could not receive heartbeats, so the gap is not counted towards the timeouts of other VMs.
 func (r *Roster) Tick(now time.Time, all bool) []Member {
 	if gap := now.Sub(r.lastTick) - r.Interval(); !r.lastTick.IsZero() && gap > r.Interval() {
-		for _, h := range r.members {
+		for _, h := range r.all {
 			if !h.lastSeen.IsZero() {
 				h.lastSeen = h.lastSeen.Add(gap)
 			}
@@ -214,11 +265,15 @@
 	}
 	r.lastTick = now
 	r.ticks++
+	if r.ticks%goneRetryTicks == 0 {
+		r.removeExpired(now)
+	}
+	r.assignRoles(now)
 	pause, senders := r.Interval(), r.eligibleSenders(now)
-	var to []Member
-	for name, h := range r.members {
-		if now.Sub(maxTime(h.lastSeen, h.knownSince)) > removeAfter {
-			r.remove(name, h)
+	abroad := r.announcesToOtherZones()
+	to := r.retryGone(now)
+	for _, h := range r.all {
+		if r.gone(now, h) {
 			continue
 		}
 		due := r.due(now, h, pause, senders)
@@ -228,35 +283,77 @@
 		// A heartbeat that is sent only because of all does not update lastSent. Otherwise, after a
 		// change that every VM announces, the senders of a zone would all send at the same time
 		// from then on, and none would send in between for longer than the timeout of a live zone.
-		if due || all && r.live(now, h) {
+		if due || all && r.live(now, h) && !h.standby && (h.sameZone || abroad) {
 			to = append(to, h.Member)
 		}
 	}
 	return to
 }
 
-// due reports whether to send a member a heartbeat at this tick.
+// removeExpired removes the VMs that have been gone for removeAfter.
+func (r *Roster) removeExpired(now time.Time) {
+	for i := len(r.all) - 1; i >= 0; i-- {
+		if h := r.all[i]; now.Sub(maxTime(h.lastSeen, h.knownSince)) > removeAfter {
+			r.remove(h)
+		}
+	}
+}
+
+// gone reports whether a member has been neither seen nor put on record recently.
+func (r *Roster) gone(now time.Time, h *peerState) bool {
+	return !r.live(now, h) && now.Sub(maxTime(h.lastSeen, h.knownSince)) > r.sameZoneTimeout()
+}
+
+// retryGone returns the VMs that are gone and to which to send a heartbeat at this tick, in turn.
+func (r *Roster) retryGone(now time.Time) []Member {
+	if r.ticks%goneRetryTicks != 0 || len(r.all) == 0 {
+		return nil
+	}
+	var to []Member
+	first := r.nextGone % len(r.all)
+	for i := range r.all {
+		at := (first + i) % len(r.all)
+		if h := r.all[at]; r.gone(now, h) {
+			h.lastSent = now
+			to = append(to, h.Member)
+			r.nextGone = at + 1
+		}
+		if len(to) == maxGoneRetries {
+			break
+		}
+	}
+	return to
+}
+
+// due reports whether to send a member that is not gone a heartbeat at this tick.
 func (r *Roster) due(now time.Time, h *peerState, pause time.Duration, senders []uint64) bool {
-	unseen, unsent := now.Sub(maxTime(h.lastSeen, h.knownSince)), now.Sub(h.lastSent)
+	unsent := now.Sub(h.lastSent)
+	sameZone := h.sameZone
+	interval := r.crossZoneInterval()
 	switch {
-	case !r.live(now, h) && unseen > r.sameZoneTimeout():
-		return r.ticks%goneRetryTicks == 0
-	case h.Zone == r.self.Zone:
+	case r.standby:
+		return sameZone && !h.standby && (r.monitoredBy(h) || h.lastSeen.IsZero() && unsent >= reportInterval)
+	case sameZone && !h.standby:
 		return true
-	case !r.live(now, h):
-		return unsent >= r.crossZoneInterval()
+	case sameZone:
+		interval = reportInterval
+	case h.standby:
+		return false
+	}
+	if !r.live(now, h) {
+		return unsent >= interval
 	}
 	rank, of := r.senderRank(senders, h.id)
 	// Half an interval early, since ticks are always a little late.
-	return rank < of && unsent >= time.Duration(of)*r.crossZoneInterval()-pause/2
+	return rank < of && unsent >= time.Duration(of)*interval-pause/2
 }
 
 // eligibleSenders returns the IDs of the other VMs of this zone that currently may send to other
-// zones on its behalf.
+// zones, and to the standbys of this one, on its behalf.
 func (r *Roster) eligibleSenders(now time.Time) []uint64 {
 	var senders []uint64
-	for _, h := range r.members {
-		if h.Zone == r.self.Zone && !h.leaving && !h.lastSeen.IsZero() && now.Sub(h.lastSeen) <= maxSenderMissedBeats*r.Interval() {
+	for _, h := range r.delegates {
+		if !h.lastSeen.IsZero() && now.Sub(h.lastSeen) <= maxSenderMissedBeats*r.Interval() {
 			senders = append(senders, h.id)
 		}
 	}
@@ -264,8 +361,8 @@
 }
 
 // senderRank returns this VM's rank among those of its zone that may send to a member of another
-// zone, and how many of them do. The order differs from receiver to receiver, which spreads the
-// work over the zone.
+// zone or to a standby, and how many of them do. The order differs from receiver to receiver, which
+// spreads the work over the zone.
 func (r *Roster) senderRank(senders []uint64, to uint64) (rank, of int) {
 	own := pairHash(r.id, to)
 	for _, id := range senders {
@@ -280,9 +377,7 @@
 func pairHash(a, b uint64) uint64 { return (a*0x9e3779b1 ^ b*0x85ebca6b) & (1<<32 - 1) }
 
 // Interval returns the time between two ticks.
-func (r *Roster) Interval() time.Duration {
-	return max(minInterval, time.Duration(len(r.zones[r.self.Zone]))*intervalPerPeer)
-}
+func (r *Roster) Interval() time.Duration { return r.timeouts.interval }
 
 // Contacted reports whether a heartbeat was ever received from a member.
 func (r *Roster) Contacted(name steering.VM) bool {
@@ -297,7 +392,7 @@
 	if self {
 		hash = uint32(r.id)
 	}
-	for _, h := range r.members {
+	for _, h := range r.all {
 		if r.live(now, h) && !h.leaving {
 			hash ^= uint32(h.id)
 		}
@@ -315,22 +410,48 @@
 }
 
 func (r *Roster) live(now time.Time, h *peerState) bool {
-	timeout := r.sameZoneTimeout()
-	if h.Zone != r.self.Zone {
-		timeout = max(timeout, crossZoneMissedBeats*r.crossZoneInterval())
-	}
-	return !h.lastSeen.IsZero() && now.Sub(h.lastSeen) < timeout
+	return !h.lastSeen.IsZero() && now.Sub(h.lastSeen) < r.timeoutOf(h)
 }
 
-func (r *Roster) sameZoneTimeout() time.Duration {
-	return max(minSameZoneTimeout, maxMissedBeats*r.Interval())
+// timeouts are the intervals between heartbeats and how long VMs stay live without a sign of them.
+type timeouts struct {
+	interval  time.Duration // between two ticks
+	crossZone time.Duration // between two heartbeats of a zone to a VM of another zone
+	delegate  time.Duration // of delegates of this zone
+	standby   time.Duration // of standbys of this zone
+	far       time.Duration // of VMs of other zones
+	report    time.Duration // of all VMs if this one is a standby
 }
 
-// crossZoneInterval returns the time between two heartbeats of a zone to a VM of another zone.
-func (r *Roster) crossZoneInterval() time.Duration {
-	return max(minCrossZoneInterval, minCrossZoneInterval*time.Duration(len(r.zones))/zonesPerInterval)
+// timeoutsFor returns the timeouts with peers in this VM's zone and a number of zones.
+func timeoutsFor(peers, zones int) timeouts {
+	t := timeouts{interval: max(minInterval, time.Duration(min(peers, maxDelegates-1))*intervalPerPeer),
+		crossZone: max(minCrossZoneInterval, minCrossZoneInterval*time.Duration(zones)/zonesPerInterval)}
+	t.delegate = max(minSameZoneTimeout, maxMissedBeats*t.interval)
+	t.standby = max(minSameZoneTimeout, standbyMissedBeats*t.interval)
+	t.far = max(t.delegate, crossZoneMissedBeats*t.crossZone)
+	t.report = max(t.delegate, crossZoneMissedBeats*reportInterval)
+	return t
 }
 
+// timeoutOf returns how long a member stays live without a sign of it.
+func (r *Roster) timeoutOf(h *peerState) time.Duration {
+	switch {
+	case r.standby:
+		return r.timeouts.report
+	case !h.sameZone:
+		return r.timeouts.far
+	case h.standby:
+		return r.timeouts.standby
+	}
+	return r.timeouts.delegate
+}
+
+func (r *Roster) sameZoneTimeout() time.Duration { return r.timeouts.delegate }
+
+// crossZoneInterval returns the time between two heartbeats of a zone to a VM of another zone.
+func (r *Roster) crossZoneInterval() time.Duration { return r.timeouts.crossZone }
+
 func maxTime(a, b time.Time) time.Time {
 	if a.After(b) {
 		return a
--- a/node/gateway/fleet/size_test.go
+++ b/node/gateway/fleet/size_test.go
@@ -158,7 +158,7 @@
 		startBytes  = 128 << 10 // per VM, in the first 10 s
 		steadyBytes = 5 << 10   // per VM and second: the limit of all control traffic
 	)
-	for _, shape := range []struct{ size, zones int }{{12, 6}, {72, 6}, {150, 6}, {300, 15}, {650, 30}} {
+	for _, shape := range []struct{ size, zones int }{{12, 6}, {72, 6}, {150, 6}, {300, 15}, {650, 30}, {150, 2}, {300, 6}, {986, 9}} {
 		size := shape.size
 		if size > 72 && os.Getenv("HEATHERLOCK_LARGE") == "" {
 			continue
--- a/node/gateway/fleet/views.go
+++ b/node/gateway/fleet/views.go
@@ -21,7 +21,7 @@
 	if !selfLeaves {
 		all = append(all, r.self)
 	}
-	for _, h := range r.members {
+	for _, h := range r.all {
 		if r.live(now, h) && !h.leaving {
 			all = append(all, h.Member)
 		}
@@ -30,15 +30,62 @@
 	return all
 }
 
+// Changes are the VMs that became live, or are no longer, since the last call of Scan.
+type Changes struct {
+	Heard, Lost []steering.VM
+	// Live is the number of live VMs that are not leaving, without this one.
+	Live int
+}
+
+// Scan returns which VMs became live or are no longer since its last call, and updates the hash of
+// the live VMs.
+func (r *Roster) Scan(now time.Time) Changes {
+	var c Changes
+	r.liveSetHash = 0
+	for _, h := range r.all {
+		live := r.live(now, h) && !h.leaving
+		if live {
+			c.Live++
+			r.liveSetHash ^= uint32(h.id)
+		}
+		if live != h.wasLive {
+			h.wasLive = live
+			if live {
+				c.Heard = append(c.Heard, h.Name)
+			} else {
+				c.Lost = append(c.Lost, h.Name)
+			}
+		}
+	}
+	return c
+}
+
+// fullSetHash returns the hash of the live VMs as of the last Scan, with this VM if self is set.
+func (r *Roster) fullSetHash(self bool) uint32 {
+	if self {
+		return r.liveSetHash ^ uint32(r.id)
+	}
+	return r.liveSetHash
+}
+
+// liveForNewcomer returns the live members to introduce to a VM that knows none: all, but of other
+// zones with standbys only the delegates.
+func (r *Roster) liveForNewcomer(now time.Time, selfLeaves bool) []Member {
+	return slices.DeleteFunc(r.Live(now, selfLeaves), func(m Member) bool {
+		h := r.members[m.Name]
+		return h != nil && h.Zone != r.self.Zone && h.standby
+	})
+}
+
 // ZonePeers returns the other live members of this VM's zone.
 func (r *Roster) ZonePeers(now time.Time) []Member {
-	var mates []Member
-	for _, h := range r.members {
-		if h.Zone == r.self.Zone && r.live(now, h) && !h.leaving {
-			mates = append(mates, h.Member)
+	var peers []Member
+	for _, h := range r.zones[r.self.Zone] {
+		if r.live(now, h) && !h.leaving {
+			peers = append(peers, h.Member)
 		}
 	}
-	return mates
+	return peers
 }
 
 // Serving returns the live members that take requests. selfServes says whether this VM does.
@@ -46,42 +93,102 @@
 	all := r.Live(now, !selfServes)
 	kept := all[:0]
 	for _, m := range all {
-		if h := r.members[m.Name]; h == nil || h.beat.Serving {
+		if h := r.members[m.Name]; h == nil || h.serves() {
 			kept = append(kept, m)
 		}
 	}
 	return kept
 }
 
-// ZonePeersDemand returns the demand of the callers of the other live VMs of this zone.
+// ServingIn returns the live members of a zone that take requests, in no particular order.
+func (r *Roster) ServingIn(now time.Time, zone steering.Zone, selfServes bool) []Member {
+	var all []Member
+	if selfServes && zone == r.self.Zone {
+		all = append(all, r.self)
+	}
+	for _, h := range r.zones[zone] {
+		if r.live(now, h) && !h.leaving && h.serves() {
+			all = append(all, h.Member)
+		}
+	}
+	return all
+}
+
+// serves reports whether a live VM takes requests, as far as is known. A VM that only its zone lists
+// is assumed to, as nearly all do.
+func (h *peerState) serves() bool { return h.beat.Serving || h.lastBeatAt.IsZero() }
+
+// ZonePeersDemand returns the demand of the callers of the other live VMs of this zone. A standby
+// goes by the latest report on the zone. A delegate sums what the delegates report, each with the
+// standbys of which it is the first monitor.
 func (r *Roster) ZonePeersDemand(now time.Time) placement.DemandOf {
+	if r.standby {
+		return r.reportedZoneDemand(now)
+	}
+	sum := r.StandbyDemand(now)
+	for _, h := range r.zones[r.self.Zone] {
+		if !h.standby && r.live(now, h) && !h.leaving {
+			sum.AddAll(h.beat.Demand)
+		}
+	}
+	return sum
+}
+
+// StandbyDemand returns the demand of the callers of the live standbys of which this VM is the first
+// monitor.
+func (r *Roster) StandbyDemand(now time.Time) placement.DemandOf {
 	sum := make(placement.DemandOf)
-	for _, h := range r.members {
-		if h.Zone == r.self.Zone && r.live(now, h) && !h.leaving {
+	for _, h := range r.zones[r.self.Zone] {
+		if h.standby && h.monitors[0] == r.id && r.live(now, h) && !h.leaving {
 			sum.AddAll(h.beat.Demand)
 		}
 	}
 	return sum
 }
 
+// reportedZoneDemand returns the demand of this zone in the latest report, without that of this
+// VM's own callers.
+func (r *Roster) reportedZoneDemand(now time.Time) placement.DemandOf {
+	sum := make(placement.DemandOf)
+	if last := r.latestDemand(now, r.self.Zone); last != nil {
+		sum.AddAll(last.beat.Demand)
+	}
+	for service, own := range r.ownDemand {
+		if zone, found := sum[service]; found {
+			zone.Rate = max(zone.Rate-own.Rate, 0)
+			sum[service] = zone
+		}
+	}
+	return sum
+}
+
+// latestDemand returns the live VM of a zone that reported the demand of its zone last, or nil.
+func (r *Roster) latestDemand(now time.Time, zone steering.Zone) *peerState {
+	var last *peerState
+	for _, h := range r.zones[zone] {
+		if r.live(now, h) && h.beat.Demand != nil && (last == nil || h.demandAt.After(last.demandAt)) {
+			last = h
+		}
+	}
+	return last
+}
+
 // Demand returns the demand of the callers of other VMs, by region. For another zone only the
 // latest report counts, since each of its senders reports the demand of the whole zone.
 func (r *Roster) Demand(now time.Time) map[steering.Region]placement.DemandOf {
 	demand := map[steering.Region]placement.DemandOf{r.self.Region: r.ZonePeersDemand(now)}
-	last := make(map[steering.Zone]*peerState)
-	for _, h := range r.members {
-		if h.Zone == r.self.Zone || !r.live(now, h) || h.beat.Demand == nil {
+	for zone := range r.zones {
+		if zone == r.self.Zone {
 			continue
 		}
-		if old := last[h.Zone]; old == nil || h.demandAt.After(old.demandAt) {
-			last[h.Zone] = h
+		last := r.latestDemand(now, zone)
+		if last == nil {
+			continue
 		}
-	}
-	for _, h := range last {
-		if demand[h.Region] == nil {
-			demand[h.Region] = make(placement.DemandOf)
+		if demand[last.Region] == nil {
+			demand[last.Region] = make(placement.DemandOf)
 		}
-		demand[h.Region].AddAll(h.beat.Demand)
+		demand[last.Region].AddAll(last.beat.Demand)
 	}
 	return demand
 }
@@ -91,14 +198,8 @@
 	if zone == r.self.Zone {
 		return r.ZonePeersDemand(now)
 	}
-	var last *peerState
-	for _, h := range r.zones[zone] {
-		if r.live(now, h) && h.beat.Demand != nil && (last == nil || h.demandAt.After(last.demandAt)) {
-			last = h
-		}
-	}
 	sum := make(placement.DemandOf)
-	if last != nil {
+	if last := r.latestDemand(now, zone); last != nil {
 		sum.AddAll(last.beat.Demand)
 	}
 	return sum
@@ -126,7 +227,7 @@
 // ConfigStatus returns which configuration each other VM on record uses, by zone and name.
 func (r *Roster) ConfigStatus(now time.Time) []ConfigStatus {
 	all := make([]ConfigStatus, 0, len(r.members))
-	for _, h := range r.members {
+	for _, h := range r.all {
 		k := h.beat.StoreDigest
 		all = append(all, ConfigStatus{Member: h.Member, Live: r.live(now, h), Leaving: h.leaving, Serving: h.beat.Serving, Version: k.Config,
 			Newest: max(k.Newest, k.Config), Content: h.beat.ConfigContent, Wait: h.beat.ConfigWait, Since: h.configSince, LastHeartbeat: h.lastBeatAt})
@@ -149,7 +250,7 @@
 // ConfigHolders returns the live VMs whose configuration is newer than the version above.
 func (r *Roster) ConfigHolders(now time.Time, above uint64) []ConfigHolder {
 	var all []ConfigHolder
-	for _, h := range r.members {
+	for _, h := range r.all {
 		if version := h.beat.StoreDigest.Config; version > above && r.live(now, h) && !h.leaving {
 			all = append(all, ConfigHolder{Member: h.Member, Version: version})
 		}
@@ -160,8 +261,8 @@
 // RequestRank returns how many live VMs of this VM's zone, and of its region, rank before this VM
 // in requesting data from peers.
 func (r *Roster) RequestRank(now time.Time) (zone, region int) {
-	for _, h := range r.members {
-		if h.Region != r.self.Region || !r.live(now, h) || h.leaving || !h.before(r.self) {
+	for _, h := range r.all {
+		if h.Region != r.self.Region || !r.live(now, h) || h.leaving || !r.before(h) {
 			continue
 		}
 		region++
@@ -175,11 +276,11 @@
 // ReadRank returns how many live VMs read the store before this one.
 func (r *Roster) ReadRank(now time.Time, fails bool) int {
 	rank := 0
-	for _, h := range r.members {
+	for _, h := range r.all {
 		if !r.live(now, h) || h.leaving || h.beat.StoreReadsFail && !fails {
 			continue
 		}
-		if fails && !h.beat.StoreReadsFail || h.before(r.self) {
+		if fails && !h.beat.StoreReadsFail || r.before(h) {
 			rank++
 		}
 	}
@@ -190,27 +291,14 @@
 // the store.
 func (r *Roster) LastReadStart(now time.Time) time.Time {
 	var last time.Time
-	for _, h := range r.members {
-		if r.live(now, h) && !h.leaving && h.before(r.self) {
+	for _, h := range r.all {
+		if r.live(now, h) && !h.leaving && r.before(h) {
 			last = maxTime(last, h.readBegan)
 		}
 	}
 	return last
 }
 
-// before reports whether a VM reads the store, or fetches from peers, before another one. VMs with
-// more capacity come first, those of equal capacity in an arbitrary order that is the same on all
-// VMs.
-//
-// All others wait until the first VM has read the store and sent what changed, so it must not be
-// one with a slow link.
-func (m Member) before(o Member) bool {
-	if m.Capacity != o.Capacity {
-		return m.Capacity > o.Capacity
-	}
-	return readOrder(m.Name) < readOrder(o.Name)
-}
-
 // readOrder is a hash, so that the order does not depend on how VMs are named.
 func readOrder(name steering.VM) uint64 { return xxhash.Sum64String("read\x00" + string(name)) }
 
@@ -229,7 +317,7 @@
 // left once it reported that it is leaving and is no longer live.
 func (r *Roster) MemberCount(now time.Time) int {
 	standing := 1
-	for _, h := range r.members {
+	for _, h := range r.all {
 		if !h.leaving || r.live(now, h) {
 			standing++
 		}
@@ -243,10 +331,14 @@
 // UnreachableZones returns the other zones whose entry VMs were seen live before and from which no
 // heartbeat has come for unreachableMissedBeats. Targets there are most likely unreachable as well.
 func (r *Roster) UnreachableZones(now time.Time) map[steering.Zone]bool {
+	timeout := unreachableMissedBeats * r.crossZoneInterval()
+	if r.standby {
+		timeout = unreachableMissedBeats * reportInterval
+	}
 	unreachable, reachable := make(map[steering.Zone]bool), map[steering.Zone]bool{r.self.Zone: true}
-	for _, h := range r.members {
+	for _, h := range r.all {
 		switch {
-		case !h.lastSeen.IsZero() && now.Sub(h.lastSeen) < unreachableMissedBeats*r.crossZoneInterval():
+		case !h.lastSeen.IsZero() && now.Sub(h.lastSeen) < timeout:
 			reachable[h.Zone] = true
 		case !h.lastSeen.IsZero() && !h.leaving:
 			unreachable[h.Zone] = true
