Work per change of targets, and let few VMs read the store at a start

Causes: each change of a target rebuilt the list of all targets for placement, the log and the idle connections on each VM, summed the hashes of all, and walked all for each peer that pulled an update. The loss of a zone removed more targets than were remembered, after which each VM fetched all. Each VM that started read all targets for itself. A read of changes took one page, however many there were. Each VM that became live made the daemon list and sort all live VMs twice. A directory look-up listed and sorted all live VMs. Change: the state records its changes, in a history as long as there are targets, and passes them on; hashes are summed as targets change. Pages of changes are read until one is not full. Changes of the membership are passed on at most every 200 ms. Requests to cold targets are divided among the VMs that callers are directed to instead of among all, most of which serve nobody.

--- a/node/gateway/allowances/service.go
+++ b/node/gateway/allowances/service.go
@@ -118,6 +118,13 @@
 	}
 }
 
+// HasLimits reports whether any workspace has an allowance.
+func (s *Service) HasLimits() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.byID) > 0
+}
+
 // SetLivePeers sets the live entry VMs, including this one, and the number of entry VMs in the
 // fleet.
 func (s *Service) SetLivePeers(live []Peer, members int) {
--- a/node/gateway/feed/exchange.go
+++ b/node/gateway/feed/exchange.go
@@ -116,6 +116,10 @@
 	if since >= s.historyStart && since > 0 {
 		k.Since = since
 	}
+	if names, known := s.history.since(since); known && k.Since > 0 && !s.inconsistent {
+		s.addChanges(now, &k, names)
+		return k
+	}
 	for name, t := range s.targets {
 		if t.changed > k.Since || k.Since == 0 {
 			k.Entries = append(k.Entries, s.entryFor(now, name))
@@ -129,6 +133,19 @@
 	return k
 }
 
+// addChanges adds to an update those of the named targets that changed after its revision.
+func (s *State) addChanges(now time.Time, k *Update, names []steering.Target) {
+	for _, name := range names {
+		if t := s.targets[name]; t != nil {
+			if t.changed > k.Since {
+				k.Entries = append(k.Entries, s.entryFor(now, name))
+			}
+		} else if e, found := s.removed[name]; found && e.revision > k.Since {
+			k.Gone = append(k.Gone, name)
+		}
+	}
+}
+
 // entryFor returns the entry of a target with its remaining cold time as of now.
 func (s *State) entryFor(now time.Time, name steering.Target) Entry {
 	e := *s.targets[name]
@@ -160,6 +177,7 @@
 		// This happens if the sender adopted a later revision because the hashes were equal, and so
 		// never saw a target that was added and removed in between.
 		s.revision = known
+		s.history.reset(k.Digest.Revision)
 		return changed
 	}
 	s.adoptAge(now, k.Digest, true)
@@ -186,7 +204,7 @@
 			received[e.Name] = true
 			continue // the entry of an earlier process, which has ended
 		}
-		if old == nil || old.hash() != e.hash() || e.coldUntil.After(old.coldUntil.Add(minColdExtension)) {
+		if old == nil || old.hash() != e.hash() || old.Zone != e.Zone || e.coldUntil.After(old.coldUntil.Add(minColdExtension)) {
 			names = append(names, e.Name)
 		} else {
 			e.changed = old.changed
--- a/node/gateway/feed/reader.go
+++ b/node/gateway/feed/reader.go
@@ -10,40 +10,27 @@
 
 	"heatherlock/platform"
 	"heatherlock/steering"
-	"heatherlock/steering/placement"
 	"heatherlock/steering/routes"
 	"heatherlock/steering/spread"
 )
 
 const (
-	// maxReadInterval is the age of the state at which the VM of rank 0 reads the store again. A
-	// blocking watch would return at once, since the entries of targets change with every
-	// heartbeat. With this interval and the delays per rank below, a change is known on all VMs
-	// well within the 2.5 s that a leaving target is given.
-	maxReadInterval = 1100 * time.Millisecond
-	// peerReadTimeout is how long a read that another VM has started is waited for. With many
-	// targets a small VM takes longer for a read than the delay between two ranks, and without this
-	// wait all VMs ranked after it would read as well.
-	peerReadTimeout = 700 * time.Millisecond
 	// boundFraction is the fraction of a bound set by SetPropagationBound that may pass before the
 	// next read.
 	boundFraction = 0.4
 	// minReadInterval keeps a bound that is set far too short from flooding the store.
 	minReadInterval = 200 * time.Millisecond
-	// rankDelay is how much later the VM of each further rank reads if none before it has. If a
-	// reader has crashed, is cut off or is paused, this costs one delay, with no lease that has to
-	// expire first; two VMs that read at the same time do no harm.
-	rankDelay = 200 * time.Millisecond
-	// The first fullDelayRanks ranks are a full rankDelay apart. They are enough to cover the loss
-	// of a zone. The VMs of the ranks behind them wait for all these delays and then read a
-	// highRankDelay apart, because in a large fleet they must not all read when a result is late
-	// for a moment. A VM that receives no heartbeats has rank 0.
-	fullDelayRanks = 4
-	highRankDelay  = 10 * time.Millisecond
 	// startupWait is how long a starting VM waits for peers to send their state, which saves it
 	// three calls to the store. It is one round trip over the longest link and no more, because
 	// after the loss of all VMs no VM serves requests during this time.
 	startupWait = 80 * time.Millisecond
+	// startPollInterval is how often a VM that waits for its first data checks whether to read.
+	startPollInterval = 50 * time.Millisecond
+	// cutPage is the number of changes in a response from which on there may be more: the store may
+	// send them in pages, and in a large fleet more targets write between two reads than fit.
+	cutPage = 100
+	// maxChangePages bounds the pages of one read.
+	maxChangePages = 100
 	// retryDelay is the delay after a failed read, multiplied by 1 plus the VM's rank, up to
 	// maxRetryDelay. While the store is unavailable only a few VMs check often whether it is back,
 	// and the others learn it from them.
@@ -67,10 +54,9 @@
 	// ConfigChanged is called with each newer configuration and with how long this VM has known
 	// that it exists.
 	ConfigChanged(t *routes.Table, known time.Duration)
-	// TargetsChanged is called with the targets when they, the evacuated zones or the configuration
-	// changed. known returns the generation of a target, and false for a target that is not in the
-	// state.
-	TargetsChanged(targets []placement.Target, known func(steering.Target) (steering.Generation, bool))
+	// TargetsChanged is called when targets, the evacuated zones or the rates of cold targets
+	// changed.
+	TargetsChanged(TargetUpdate)
 	// InvalidEntries is called after each read that found target entries from which no usable
 	// target can be read.
 	InvalidEntries(entries []platform.InvalidEntry)
@@ -88,6 +74,10 @@
 	// LastReadStart returns when an entry VM that reads before this one last reported the start of
 	// a read, or the zero time.
 	LastReadStart() time.Time
+	// StartRank returns how many entry VMs of this zone, live or just put on record, read before
+	// this one, and whether any heartbeat was received. known is false while neither the records of
+	// the others were read nor a heartbeat was received.
+	StartRank() (rank int, heard, known bool)
 }
 
 // Reader keeps a State up to date by reading the store and by applying what peers send. It is safe
@@ -103,6 +93,10 @@
 	interval time.Duration
 	failing  bool
 	reading  atomic.Bool
+	// startedAt is when Run was called. overtaken ends the reads of a VM that knows nothing yet once
+	// peers have sent it all that they would find.
+	startedAt time.Time
+	overtaken context.CancelFunc
 	// index belongs to the configuration in force. It is built when it is first asked for.
 	index *spread.Index
 	// pendingConfig is the read of the configuration in progress, or nil.
@@ -119,27 +113,37 @@
 
 // Run reads the store until ctx is done, whenever the state is old enough for this VM's rank.
 func (r *Reader) Run(ctx context.Context) {
+	firstRead, overtaken := context.WithCancel(ctx)
+	defer overtaken()
+	r.mu.Lock()
+	r.startedAt, r.overtaken = time.Now(), overtaken
+	r.mu.Unlock()
 	sleep(ctx, startupWait)
 	for ctx.Err() == nil {
-		if wait := r.untilDue(time.Now()); wait > 0 {
+		wait, first := r.untilDue(time.Now())
+		switch {
+		case wait > 0 && first:
+			sleep(ctx, min(wait, startPollInterval))
+		case wait > 0:
 			sleep(ctx, wait)
-			continue
+		case first:
+			r.read(firstRead)
+		default:
+			r.read(ctx)
 		}
-		r.read(ctx)
 	}
 }
 
-// untilDue returns how long it is until this VM must read the store; 0 or less means now.
-func (r *Reader) untilDue(now time.Time) time.Duration {
-	rank, begun := r.Rank(), r.peers.LastReadStart()
+// untilDue returns how long it is until this VM must read the store; 0 or less means now. first is
+// set while nothing is known yet.
+func (r *Reader) untilDue(now time.Time) (wait time.Duration, first bool) {
+	v := ReadView{Rank: r.Rank(), SinceBegun: now.Sub(r.peers.LastReadStart())}
+	v.StartRank, v.Heard, v.RecordsKnown = r.peers.StartRank()
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	age, ok := r.state.Age(now)
-	if !ok {
-		return 0
-	}
-	steps := time.Duration(min(rank, fullDelayRanks))*rankDelay + time.Duration(max(rank-fullDelayRanks, 0))*highRankDelay
-	return max(r.interval+steps-age, peerReadTimeout-now.Sub(begun))
+	v.Age, v.Known = r.state.Age(now)
+	v.Interval, v.Uptime = r.interval, now.Sub(r.startedAt)
+	return v.UntilRead(), !v.Known
 }
 
 // Rank returns how many entry VMs read the store before this one.
@@ -208,12 +212,19 @@
 	defer r.mu.Unlock()
 	version, complete := r.state.version(), r.state.Complete()
 	_, known, _ := r.state.Behind(time.Now())
-	changed := change()
+	change()
 	if r.state.version() > version {
 		r.sink.ConfigChanged(r.state.Table(), known)
 	}
-	if r.state.Complete() && (changed || !complete) {
-		r.sink.TargetsChanged(r.state.Placement(), r.state.Generation)
+	if !r.state.Complete() {
+		return
+	}
+	if !complete && r.overtaken != nil {
+		r.overtaken()
+	}
+	r.state.allUnplaced = r.state.allUnplaced || !complete
+	if u, any := r.state.TakeChanges(); any {
+		r.sink.TargetsChanged(u)
 	}
 }
 
@@ -283,6 +294,9 @@
 }
 
 func (r *Reader) readFailed(ctx context.Context, err error) {
+	if ctx.Err() != nil {
+		return // overtaken, or this VM stops
+	}
 	r.mu.Lock()
 	first := !r.failing
 	r.failing = true
@@ -306,12 +320,7 @@
 func (r *Reader) readTargets(ctx context.Context) error {
 	since, _, _ := r.revisions()
 	if since > 0 {
-		found, err := r.store.TargetChanges(ctx, since, 0)
-		if err == nil {
-			r.update(func() bool { return r.state.ApplyTargetChanges(time.Now(), found) })
-			r.reportUnusable(found.InvalidEntries, found.Valid())
-		}
-		if platform.FaultOf(err) != platform.FaultRevisionExpired {
+		if err := r.readTargetChanges(ctx, since); platform.FaultOf(err) != platform.FaultRevisionExpired {
 			return err
 		}
 	}
@@ -323,6 +332,23 @@
 	return err
 }
 
+// readTargetChanges reads the changes of targets after a revision, page by page.
+func (r *Reader) readTargetChanges(ctx context.Context, since int64) error {
+	for range maxChangePages {
+		found, err := r.store.TargetChanges(ctx, since, 0)
+		if err != nil {
+			return err
+		}
+		r.update(func() bool { return r.state.ApplyTargetChanges(time.Now(), found) })
+		r.reportUnusable(found.InvalidEntries, found.Valid())
+		if len(found.Changes) < cutPage || found.Revision <= since {
+			return nil
+		}
+		since = found.Revision
+	}
+	return nil
+}
+
 // reportUnusable passes the entries of a read that name no usable target to the sink: those that
 // could not be read and those in zones that the settings do not name.
 func (r *Reader) reportUnusable(bad []platform.InvalidEntry, read []platform.Target) {
--- a/node/gateway/feed/state.go
+++ b/node/gateway/feed/state.go
@@ -7,10 +7,8 @@
 
 	"github.com/cespare/xxhash/v2"
 
-	"heatherlock/node/gateway/planted"
 	"heatherlock/platform"
 	"heatherlock/steering"
-	"heatherlock/steering/placement"
 	"heatherlock/steering/routes"
 )
 
@@ -22,9 +20,10 @@
 	// maxMissedHeartbeats is how many heartbeats of a target the store waits for before it drops
 	// the entry. A longer gap between two reads may hide an outage.
 	maxMissedHeartbeats = 3
-	// maxRemovedTargets bounds how many removed targets are remembered so that updates can report
-	// their removal.
-	maxRemovedTargets = 1024
+	// minRemovedTargets is how many removed targets are remembered at least so that updates can
+	// report their removal. With more targets than that as many removed ones are remembered as there
+	// are targets, so that the loss of a zone is never more than fits.
+	minRemovedTargets = 1024
 )
 
 // Entry is a target as this VM knows it and sends it to peers.
@@ -75,10 +74,17 @@
 	heartbeatInterval time.Duration
 	regions           map[steering.Zone]steering.Region
 
-	targets     map[steering.Target]*Entry
-	revision    int64
+	targets  map[steering.Target]*Entry
+	revision int64
+	// contentHash is the sum of hashes, which holds the hash of each target.
 	contentHash uint64
+	hashes      map[steering.Target]uint64
 	removed     map[steering.Target]removal
+	history     history
+	// unplaced holds the targets that changed since TakeChanges was called last. With allUnplaced
+	// set, all targets have to be placed anew.
+	unplaced    map[steering.Target]bool
+	allUnplaced bool
 	// coldRevision is a revision at which some target had become cold again. turnedCold is set
 	// while the changes of one read are applied and one of them shows that.
 	coldRevision int64
@@ -112,7 +118,7 @@
 // targets in zones that regions does not name are ignored.
 func NewState(heartbeatInterval time.Duration, regions map[steering.Zone]steering.Region) *State {
 	return &State{heartbeatInterval: heartbeatInterval, regions: regions, targets: make(map[steering.Target]*Entry), removed: make(map[steering.Target]removal),
-		evacuated: make(map[steering.Zone]bool), coldZones: make(map[steering.Zone]time.Time)}
+		hashes: make(map[steering.Target]uint64), unplaced: make(map[steering.Target]bool), evacuated: make(map[steering.Zone]bool), coldZones: make(map[steering.Zone]time.Time)}
 }
 
 // Age returns the age of the read of the store that the state is based on. ok is false if there was
@@ -212,7 +218,7 @@
 	if t.Before(old.Target) {
 		return false // an older state of the entry that arrived late
 	}
-	changed := old.Leaving != t.Leaving || old.Slots != t.Slots || old.Address != t.Address || old.Missing
+	changed := old.Leaving != t.Leaving || old.Slots != t.Slots || old.Address != t.Address || old.Service != t.Service || old.Zone != t.Zone || old.Missing
 	if t.Beat > old.Beat {
 		turnedCold := t.ColdLeft > 0 && !now.Before(old.coldUntil)
 		s.turnedCold = s.turnedCold || turnedCold
@@ -284,6 +290,9 @@
 		s.coldRevision, s.turnedCold = s.revision, false
 	}
 	for _, name := range changed {
+		s.updateHash(name)
+		s.unplaced[name] = true
+		s.history.add(s.revision, name)
 		if t := s.targets[name]; t != nil {
 			t.changed = s.revision
 			delete(s.removed, name)
@@ -292,14 +301,25 @@
 		s.removed[name] = removal{revision: s.revision, generation: s.removed[name].generation}
 	}
 	s.trimRemoved()
-	s.contentHash = s.hash()
+	s.history.trim(max(minHistory, len(s.targets)))
 	return true
 }
 
+// updateHash updates the content hash after a change of a target.
+func (s *State) updateHash(name steering.Target) {
+	s.contentHash -= s.hashes[name]
+	if t := s.targets[name]; t != nil {
+		s.hashes[name] = t.hash()
+		s.contentHash += s.hashes[name]
+		return
+	}
+	delete(s.hashes, name)
+}
+
 // trimRemoved drops the older half of the removed targets if there are too many. A peer at an
 // older revision than the remaining ones then needs all targets.
 func (s *State) trimRemoved() {
-	if len(s.removed) <= maxRemovedTargets {
+	if len(s.removed) <= max(minRemovedTargets, len(s.targets)) {
 		return
 	}
 	revisions := make([]int64, 0, len(s.removed))
@@ -315,15 +335,6 @@
 	}
 }
 
-// hash returns the hash of all targets, which does not depend on their order.
-func (s *State) hash() uint64 {
-	var sum uint64
-	for _, t := range s.targets {
-		sum += t.hash()
-	}
-	return sum
-}
-
 // hash returns the hash of the properties of a target that peers must agree on.
 func (t *Entry) hash() uint64 {
 	d := xxhash.New()
@@ -356,6 +367,7 @@
 		}
 	}
 	s.evacuated, s.evacuationRevision = next, revision
+	s.allUnplaced = s.allUnplaced || changed
 	return changed
 }
 
@@ -371,6 +383,7 @@
 		s.evacuated[c.Zone] = true
 	}
 	s.evacuationRevision = revision
+	s.allUnplaced = s.allUnplaced || len(changes) > 0
 	return len(changes) > 0
 }
 
@@ -380,27 +393,6 @@
 	s.coldZones[zone] = now.Add(2 * s.heartbeatInterval)
 }
 
-// Placement returns the targets in the form that placement takes.
-func (s *State) Placement() []placement.Target {
-	all := make([]placement.Target, 0, len(s.targets))
-	for _, t := range s.targets {
-		region, known := s.regions[t.Zone]
-		if !known {
-			continue // see inUnknownZones
-		}
-		p := placement.Target{Name: t.Name, Generation: t.Generation, Service: t.Service, Address: t.Address, Zone: t.Zone, Region: region,
-			Slots: t.Slots, Closed: (t.Leaving || s.evacuated[t.Zone]) && planted.Defect != planted.LeavingIgnored, ColdUntil: t.coldUntil}
-		if until := s.coldZones[t.Zone]; until.After(p.ColdUntil) {
-			p.ColdUntil = until
-		}
-		if s.table != nil && s.table.Services[t.Service] != nil {
-			p.ColdRate = s.table.Services[t.Service].ColdRate
-		}
-		all = append(all, p)
-	}
-	return all
-}
-
 // inUnknownZones returns the entries whose zone is not in the settings. Such targets get no
 // requests: without a region, neither the limits on where a request may run nor those on
 // cross-region offloading can be enforced for them.
@@ -414,6 +406,15 @@
 	return found
 }
 
+// Target returns what is known of a target. found is false if the target is not in the state.
+func (s *State) Target(name steering.Target) (e Entry, found bool) {
+	t := s.targets[name]
+	if t == nil {
+		return Entry{}, false
+	}
+	return *t, true
+}
+
 // Generation returns the known generation of a target. known is false if the target is not in the
 // state.
 func (s *State) Generation(name steering.Target) (generation steering.Generation, known bool) {
--- a/node/gateway/feed/versions.go
+++ b/node/gateway/feed/versions.go
@@ -27,6 +27,7 @@
 	if t == nil || !t.Newer(s.table) {
 		return false
 	}
+	s.allUnplaced = s.allUnplaced || !sameColdRates(s.table, t)
 	s.table, s.tableSince = t, now
 	s.behindSince = time.Time{}
 	s.noteVersion(now, t.Version)
@@ -49,3 +50,18 @@
 	}
 	return s.newest, now.Sub(s.behindSince), true
 }
+
+// sameColdRates reports whether the cold targets of all services may be sent as much with one
+// configuration as with another.
+func sameColdRates(a, b *routes.Table) bool {
+	if a == nil || len(a.Services) != len(b.Services) {
+		return false
+	}
+	for name, service := range b.Services {
+		other := a.Services[name]
+		if other == nil || service == nil || other.ColdRate != service.ColdRate {
+			return false
+		}
+	}
+	return true
+}
--- a/node/gateway/gateway.go
+++ b/node/gateway/gateway.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -42,6 +43,8 @@
 	// maintenanceInterval is the pause between two runs of the periodic work, which moves the
 	// regional split of affinity keys by one step.
 	maintenanceInterval = time.Second
+	// membershipInterval is the pause between two updates of what depends on the live VMs.
+	membershipInterval = 200 * time.Millisecond
 	// trafficLogInterval is the pause between two log lines of the bytes exchanged. Links fill up
 	// over longer times, and a line per second would be most of the log of an idle VM.
 	trafficLogInterval = 10 * time.Second
@@ -61,8 +64,11 @@
 	sendLimiter *spread.SendLimiter // limits what this VM sends to peers
 	peerClient  *http.Client
 	pulling     atomic.Bool
+	// recordsRead is set once the records of the other VMs were read, or could not be.
+	recordsRead atomic.Bool
 	callers     *callers.Server
 	leaving     atomic.Bool
+	coldSenders []steering.VM // guarded by the relay's lock
 	// announced is set once a heartbeat was requested to announce that this VM takes requests.
 	announced        atomic.Bool
 	regionSplit      placement.RegionSplit
@@ -70,6 +76,8 @@
 	allowanceService *allowances.Service
 	servers          []*http.Server
 	workers          sync.WaitGroup
+	// membersChanged is signalled when VMs became live or are no longer.
+	membersChanged chan struct{}
 
 	targetLog targetLog
 	bounds    atomic.Pointer[platform.Bounds]
@@ -89,7 +97,7 @@
 // serves nothing until Run is called.
 func New(settings *platform.Settings, logger log.Logger) (*Gateway, error) {
 	g := &Gateway{settings: settings, currentSettings: settings, log: logger, metrics: telemetry.New(string(settings.VM), string(settings.Zone)),
-		store: platform.NewStore(settings.Store), regionSplit: placement.RegionSplit{}, peaks: make(map[steering.Zone]peak),
+		store: platform.NewStore(settings.Store), regionSplit: placement.RegionSplit{}, peaks: make(map[steering.Zone]peak), membersChanged: make(chan struct{}, 1),
 		meter: volume.NewMeter(volume.Location{Zone: settings.Zone, Region: settings.Region})}
 	scope := g.metrics.Scope
 	if err := g.newAllowances(); err != nil {
@@ -147,7 +155,7 @@
 	}
 	g.fleet = fleet.New(fleet.Config{Self: g.self(), Seeds: seeds, Log: g.log, FillBeat: g.fillHeartbeat,
 		Suspects:   func(all bool) []poison.Fact { return g.relay.TakePoisonFacts(time.Now(), all) },
-		HandleBeat: g.handleHeartbeat, OnMembersChange: g.updateMembership,
+		HandleBeat: g.handleHeartbeat, OnMembersChange: g.signalMembersChanged,
 		OnSend: func(to fleet.Member, bytes int) { g.meter.Count(volume.Heartbeats, locationOf(to), int64(bytes)) }}, conn)
 	return nil
 }
@@ -169,17 +177,62 @@
 	b.Tight = g.allowanceService.LowBucketNotices()
 }
 
+// signalMembersChanged makes followMembership run. It does not block.
+func (g *Gateway) signalMembersChanged() {
+	select {
+	case g.membersChanged <- struct{}{}:
+	default:
+	}
+}
+
+// followMembership passes on changes of the membership until ctx ends, at most one in
+// membershipInterval: while a fleet starts, hundreds of VMs become live one after the other.
+func (g *Gateway) followMembership(ctx context.Context) {
+	for ctx.Err() == nil {
+		select {
+		case <-ctx.Done():
+		case <-g.membersChanged:
+			g.updateMembership()
+			sleep(ctx, membershipInterval)
+		}
+	}
+}
+
 // updateMembership passes the current membership to placement, retry budgets and allowances.
 func (g *Gateway) updateMembership() {
-	peers := make(map[steering.Region][]steering.VM)
-	for _, m := range g.fleet.Live() {
-		peers[m.Region] = append(peers[m.Region], m.Name)
+	g.updateColdSenders()
+	g.updateAllowancePeers()
+	g.updateReachability()
+}
+
+// updateColdSenders passes the VMs of this region that callers are directed to to placement, which
+// divides the requests to cold targets among them. Among all VMs most of the division would go to
+// VMs without callers, and cold targets would hardly get any requests.
+func (g *Gateway) updateColdSenders() {
+	var names []steering.VM
+	for zone, region := range g.settings.Zones {
+		if region != g.settings.Region {
+			continue
+		}
+		for _, m := range g.namedIn(zone) {
+			names = append(names, m.Name)
+		}
 	}
+	slices.Sort(names)
+	g.relay.WithBalancer(func(balancer *placement.Balancer, _ *retry.SharedBudget) {
+		if !slices.Equal(names, g.coldSenders) {
+			g.coldSenders = names
+			balancer.SetPeers(map[steering.Region][]steering.VM{g.settings.Region: names})
+		}
+	})
+}
+
+// updateReachability passes on what changes with time alone: which zones seem unreachable, and how
+// many VMs are on record.
+func (g *Gateway) updateReachability() {
 	dark := g.fleet.UnreachableZones()
 	known := g.fleet.RecordCount()
-	g.updateAllowancePeers()
 	g.relay.WithBalancer(func(balancer *placement.Balancer, budget *retry.SharedBudget) {
-		balancer.SetPeers(peers)
 		balancer.SetUnreachableZones(dark)
 		budget.SetMembers(known)
 	})
@@ -189,7 +242,7 @@
 func (g *Gateway) ConfigChanged(t *routes.Table, known time.Duration) {
 	if g.relay.SetTable(t) {
 		_ = g.log.Log("msg", "configuration in force", "config", t.Version, "routes", len(t.Routes), "known_ms", known.Milliseconds()) // the log writer counts dropped lines
-		g.allowanceService.Configure(t.Workspaces)
+		g.configureAllowances(t.Workspaces)
 		g.metrics.Scope.Gauge("gateway_config_version").Update(float64(t.Version))
 		g.fleet.Announce() // VMs that are behind fetch it from VMs that announced it
 		g.becameReady()
@@ -197,15 +250,28 @@
 }
 
 // TargetsChanged implements feed.Sink.
-func (g *Gateway) TargetsChanged(targets []placement.Target, generationOf func(steering.Target) (steering.Generation, bool)) {
-	g.relay.SetTargets(targets)
-	g.logTargets(targets)
-	g.pool.CloseStale(generationOf)
-	g.metrics.Scope.Gauge("gateway_targets").Update(float64(len(targets)))
+func (g *Gateway) TargetsChanged(u feed.TargetUpdate) {
+	g.relay.UpdateTargets(u.Complete, u.Changed, u.Removed)
+	g.logTargets(u)
+	g.closeStaleConnections(u)
+	g.metrics.Scope.Gauge("gateway_targets").Update(float64(u.Total))
 	g.relay.SetTargetsKnown()
 	g.becameReady()
 }
 
+// closeStaleConnections closes idle connections to earlier processes of targets.
+func (g *Gateway) closeStaleConnections(u feed.TargetUpdate) {
+	if u.Complete {
+		g.pool.CloseStale(u.GenerationOf)
+		return
+	}
+	names := slices.Clone(u.Removed)
+	for _, t := range u.Changed {
+		names = append(names, t.Name)
+	}
+	g.pool.CloseStaleOf(names, u.GenerationOf)
+}
+
 // becameReady announces to all peers, once, that this VM takes requests. Changes of targets are
 // announced by the VM that reads them from the store, and within a zone by the VMs that fetched
 // them from a peer.
@@ -234,6 +300,7 @@
 	g.workers.Go(func() { g.allowanceService.Run(work) })
 	g.workers.Go(func() { g.register(work) })
 	g.workers.Go(func() { g.maintain(work) })
+	g.workers.Go(func() { g.followMembership(work) })
 	g.workers.Go(func() { _ = g.callers.Serve(work, listener) }) // returns when the listener is closed
 	_ = g.log.Log("msg", "started", "vm", g.settings.VM, "zone", g.settings.Zone)
 	<-ctx.Done()
--- a/node/gateway/listeners.go
+++ b/node/gateway/listeners.go
@@ -85,32 +85,38 @@
 // zone, or those of the region if the zone has fewer than minDirectoryEntries, or all if the
 // region has too few as well.
 func (g *Gateway) addressesFor(region steering.Region, zone steering.Zone) []string {
-	serving := g.fleet.Serving(g.relay.Ready() && !g.leaving.Load())
-	var inZone []fleet.Member
+	if named := g.namedIn(zone); len(named) >= minDirectoryEntries {
+		return addressesOf(named)
+	}
 	var inRegion, all []string
-	for _, m := range serving {
+	for _, m := range g.fleet.Serving(g.serves()) {
 		all = append(all, m.Callers)
 		if m.Region == region {
 			inRegion = append(inRegion, m.Callers)
 		}
-		if m.Zone == zone {
-			inZone = append(inZone, m)
-		}
 	}
-	if len(inZone) >= minDirectoryEntries {
-		return g.highestCapacity(inZone, zone)
-	}
-	for _, addresses := range [][]string{inRegion, all} {
-		if len(addresses) >= minDirectoryEntries {
-			return addresses
-		}
+	if len(inRegion) >= minDirectoryEntries {
+		return inRegion
 	}
 	return all
 }
 
-// highestCapacity returns the addresses of the VMs of a zone with the highest capacity: as many
-// as the demand of its callers needs, and at least minDirectoryEntries.
-func (g *Gateway) highestCapacity(vms []fleet.Member, zone steering.Zone) []string {
+// serves reports whether this VM takes requests.
+func (g *Gateway) serves() bool { return g.relay.Ready() && !g.leaving.Load() }
+
+func addressesOf(vms []fleet.Member) []string {
+	addresses := make([]string, 0, len(vms))
+	for _, m := range vms {
+		addresses = append(addresses, m.Callers)
+	}
+	return addresses
+}
+
+// namedIn returns the VMs of a zone that directory responses name to its callers: those with the
+// highest capacity, as many as the demand of the callers needs, and at least minDirectoryEntries if
+// the zone has as many.
+func (g *Gateway) namedIn(zone steering.Zone) []fleet.Member {
+	vms := g.fleet.ServingIn(zone, g.serves())
 	slices.SortFunc(vms, func(a, b fleet.Member) int {
 		return cmp.Or(cmp.Compare(b.Capacity, a.Capacity), cmp.Compare(a.Name, b.Name))
 	})
@@ -118,11 +124,7 @@
 	for _, m := range vms {
 		capacities = append(capacities, float64(m.Capacity))
 	}
-	var addresses []string
-	for _, m := range vms[:capacity.DirectorySize(capacities, g.recentDemand(zone), minDirectoryEntries)] {
-		addresses = append(addresses, m.Callers)
-	}
-	return addresses
+	return vms[:capacity.DirectorySize(capacities, g.recentDemand(zone), minDirectoryEntries)]
 }
 
 // peakDecay is the time in which a demand peak decays to about a third. VMs are added to
--- a/node/gateway/peersync.go
+++ b/node/gateway/peersync.go
@@ -35,13 +35,6 @@
 	// measured with names and addresses of usual length, and some targets are also marked cold or
 	// missing.
 	entryBytes = 200
-	// pullersPerZone is how many VMs of a zone may pull from a VM of another zone. The others
-	// pull from those, because a VM that serves seventy others at once is busy with it for a
-	// second.
-	pullersPerZone = 2
-	// zonePeerWait is how long the other VMs of a zone wait for a peer of their zone to have the
-	// update, before they pull from another zone.
-	zonePeerWait = 250 * time.Millisecond
 )
 
 func newPeerClient() *http.Client {
@@ -60,6 +53,12 @@
 // LastReadStart implements feed.Peers.
 func (f readerPeers) LastReadStart() time.Time { return f.g.fleet.LastReadStart() }
 
+// StartRank implements feed.Peers.
+func (f readerPeers) StartRank() (rank int, heard, known bool) {
+	heard = f.g.fleet.LiveCount() > 1
+	return f.g.fleet.StartRank(), heard, heard || f.g.recordsRead.Load()
+}
+
 // ReadStarted implements feed.Sink.
 func (g *Gateway) ReadStarted() { g.fleet.Announce() }
 
@@ -91,10 +90,11 @@
 	}
 	go func() {
 		defer g.pulling.Store(false)
-		if zoneRank, _ := g.fleet.RequestRank(); b.From.Zone != g.settings.Zone && zoneRank >= pullersPerZone {
+		zoneRank, _ := g.fleet.RequestRank()
+		if delay := feed.PullDelay(b.From.Zone == g.settings.Zone, zoneRank); delay > 0 {
 			// A peer of this zone is about to announce the same update. The flag is cleared before
 			// the second check, so that the heartbeat of that peer can start the pull instead.
-			time.Sleep(zonePeerWait)
+			time.Sleep(delay)
 			g.pulling.Store(false)
 			if !g.reader.Merge(b.StoreDigest) || !g.pulling.CompareAndSwap(false, true) {
 				return
--- a/node/gateway/register.go
+++ b/node/gateway/register.go
@@ -23,10 +23,13 @@
 			break
 		}
 		_ = g.log.Log("msg", "cannot write own record to the store", "err", err) // the log writer counts dropped lines
+		g.recordsRead.Store(true)
 		sleep(ctx, registerRetryInterval)
 	}
 	for n := 0; ctx.Err() == nil; n++ {
-		if g.readMembers(ctx, n) {
+		known := g.readMembers(ctx, n)
+		g.recordsRead.Store(true)
+		if known {
 			return
 		}
 		sleep(ctx, registerRetryInterval)
@@ -37,8 +40,10 @@
 // before a read requires current data.
 const maxStaleReads = 3
 
-// readMembers reads the records of the entry VMs for the nth time. It reports whether all records
-// are known that were written before that of this VM.
+// readMembers reads the records of the entry VMs for the nth time. It reports whether that is enough
+// to find all of them: all records are known that were written before that of this VM, or a VM among
+// those read is live. Any list that is not empty holds the oldest record, so that all VMs that have
+// read one are introduced to each other, over one VM or several.
 //
 // When all VMs start at once, the cost of these reads, each of which takes several pages, grows
 // with the square of the fleet size. A read from a lagging replica costs the store a tenth of a
@@ -61,5 +66,5 @@
 		members = append(members, fleet.Member{Name: vm.Name, Zone: vm.Zone, Region: vm.Region, Peer: vm.Peer, Control: vm.Control, Callers: vm.Callers, Capacity: float32(vm.Capacity)})
 	}
 	g.fleet.Add(members)
-	return list.IncludesWritesBefore(g.settings.VM) || freshness == platform.Fresh
+	return list.IncludesWritesBefore(g.settings.VM) || freshness == platform.Fresh || n > 0 && len(members) > 0 && g.fleet.LiveCount() > 1
 }
--- a/node/gateway/relay/relay.go
+++ b/node/gateway/relay/relay.go
@@ -160,10 +160,22 @@
 
 // SetTargets replaces the set of targets on which requests may be placed.
 func (f *Relay) SetTargets(targets []placement.Target) {
+	f.UpdateTargets(true, targets, nil)
+}
+
+// UpdateTargets updates the changed targets and removes others, or with complete set replaces the
+// set of targets by the changed ones.
+func (f *Relay) UpdateTargets(complete bool, changed []placement.Target, removed []steering.Target) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	update := f.cfg.Balancer.UpdateTargets
+	if complete {
+		update = func(all []placement.Target, _ []steering.Target) []steering.Target {
+			return f.cfg.Balancer.SetTargets(all)
+		}
+	}
 	now := time.Now()
-	for _, name := range f.cfg.Balancer.SetTargets(targets) {
+	for _, name := range update(changed, removed) {
 		f.poisonFilter.restarted(now, name)
 	}
 }
--- a/node/gateway/targetlog.go
+++ b/node/gateway/targetlog.go
@@ -4,6 +4,7 @@
 	"sort"
 	"sync"
 
+	"heatherlock/node/gateway/feed"
 	"heatherlock/platform"
 	"heatherlock/steering"
 	"heatherlock/steering/placement"
@@ -29,44 +30,73 @@
 	generation steering.Generation
 }
 
+// targetChanges collects the changes of targets to log.
+type targetChanges struct{ added, closed, reopened, restarted, removed []steering.Target }
+
 // logTargets logs which targets were added, removed or restarted, and which stopped or resumed
 // taking new requests.
-func (g *Gateway) logTargets(targets []placement.Target) {
+func (g *Gateway) logTargets(u feed.TargetUpdate) {
 	b := &g.targetLog
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	now := make(map[steering.Target]loggedTarget, len(targets))
-	var added, closed, reopened, restarted, removed []steering.Target
-	for _, t := range targets {
-		now[t.Name] = loggedTarget{closed: t.Closed, generation: t.Generation}
-		was, known := b.known[t.Name]
-		if known && was.generation != t.Generation {
-			restarted = append(restarted, t.Name)
-		}
-		switch {
-		case !known:
-			added = append(added, t.Name)
-		case t.Closed && !was.closed:
-			closed = append(closed, t.Name)
-		case was.closed && !t.Closed:
-			reopened = append(reopened, t.Name)
-		}
+	if b.known == nil {
+		b.known = make(map[steering.Target]loggedTarget, len(u.Changed))
 	}
-	for name := range b.known {
-		if _, found := now[name]; !found {
-			removed = append(removed, name)
+	var c targetChanges
+	removed := u.Removed
+	if u.Complete {
+		removed = b.missingFrom(u.Changed)
+	}
+	for _, t := range u.Changed {
+		c.note(b.known, t)
+		delete(b.unusable, t.Name)
+	}
+	for _, name := range removed {
+		if _, known := b.known[name]; known {
+			delete(b.known, name)
+			c.removed = append(c.removed, name)
 		}
 	}
-	b.known = now
-	b.clearUsable(now)
 	for _, change := range []struct {
 		msg   string
 		names []steering.Target
-	}{{"targets came", added}, {"targets get nothing new", closed}, {"targets take new requests again", reopened}, {"targets restarted", restarted}, {"targets gone", removed}} {
+	}{{"targets came", c.added}, {"targets get nothing new", c.closed}, {"targets take new requests again", c.reopened}, {"targets restarted", c.restarted}, {"targets gone", c.removed}} {
 		g.logNames(change.msg, change.names)
 	}
 }
 
+// note records how a target differs from what was logged of it last.
+func (c *targetChanges) note(known map[steering.Target]loggedTarget, t placement.Target) {
+	was, found := known[t.Name]
+	known[t.Name] = loggedTarget{closed: t.Closed, generation: t.Generation}
+	if found && was.generation != t.Generation {
+		c.restarted = append(c.restarted, t.Name)
+	}
+	switch {
+	case !found:
+		c.added = append(c.added, t.Name)
+	case t.Closed && !was.closed:
+		c.closed = append(c.closed, t.Name)
+	case was.closed && !t.Closed:
+		c.reopened = append(c.reopened, t.Name)
+	}
+}
+
+// missingFrom returns the logged targets that are not among all targets.
+func (b *targetLog) missingFrom(all []placement.Target) []steering.Target {
+	listed := make(map[steering.Target]bool, len(all))
+	for _, t := range all {
+		listed[t.Name] = true
+	}
+	var missing []steering.Target
+	for name := range b.known {
+		if !listed[name] {
+			missing = append(missing, name)
+		}
+	}
+	return missing
+}
+
 // logEjected logs which targets outlier ejection has ejected or readmitted since the last call.
 func (g *Gateway) logEjected(ejected []steering.Target) {
 	b := &g.targetLog
@@ -137,15 +167,6 @@
 	}
 }
 
-// clearUsable drops the entries that are valid again, so that their next fault is logged.
-func (b *targetLog) clearUsable(known map[steering.Target]loggedTarget) {
-	for name := range b.unusable {
-		if _, usable := known[name]; usable {
-			delete(b.unusable, name)
-		}
-	}
-}
-
 func (g *Gateway) logNames(msg string, names []steering.Target) {
 	if len(names) == 0 {
 		return
--- a/node/gateway/upstream/pool.go
+++ b/node/gateway/upstream/pool.go
@@ -74,9 +74,24 @@
 // most once is then lost. Requests in flight are left alone, since their connections may already
 // lead to the new generation; a dead connection is detected by keep-alive probes.
 func (p *Pool) CloseStale(generationOf func(steering.Target) (steering.Generation, bool)) {
+	p.mu.Lock()
+	names := make([]steering.Target, 0, len(p.targets))
+	for name := range p.targets {
+		names = append(names, name)
+	}
+	p.mu.Unlock()
+	p.CloseStaleOf(names, generationOf)
+}
+
+// CloseStaleOf is CloseStale for the named targets only.
+func (p *Pool) CloseStaleOf(names []steering.Target, generationOf func(steering.Target) (steering.Generation, bool)) {
 	var stale []*targetPool
 	p.mu.Lock()
-	for name, h := range p.targets {
+	for _, name := range names {
+		h := p.targets[name]
+		if h == nil {
+			continue
+		}
 		generation, known := generationOf(name)
 		if !known {
 			delete(p.targets, name)
--- a/node/gateway/workspaces.go
+++ b/node/gateway/workspaces.go
@@ -10,6 +10,7 @@
 	"heatherlock/platform"
 	"heatherlock/steering"
 	"heatherlock/steering/allowance"
+	"heatherlock/steering/identity"
 )
 
 // newAllowances creates the service that enforces the request allowances of workspaces.
@@ -33,8 +34,22 @@
 	g.meter.Count(volume.Allowances, g.fleet.LocationOf(to), int64(bytes))
 }
 
-// updateAllowancePeers passes the live VMs and the number of entry VMs to the allowance service.
+// configureAllowances puts the workspaces of a configuration in force. If they are the first with an
+// allowance, the allowance service does not know the other VMs yet.
+func (g *Gateway) configureAllowances(d *identity.Directory) {
+	first := !g.allowanceService.HasLimits()
+	g.allowanceService.Configure(d)
+	if first {
+		g.updateAllowancePeers()
+	}
+}
+
+// updateAllowancePeers passes the live VMs and the number of entry VMs to the allowance service,
+// which needs them only for workspaces with an allowance.
 func (g *Gateway) updateAllowancePeers() {
+	if !g.allowanceService.HasLimits() {
+		return
+	}
 	live := g.fleet.Live()
 	peers := make([]allowances.Peer, 0, len(live))
 	for _, m := range live {
