Add bench fleet, which plays fleets in memory on simulated time

It runs the daemon's membership, copies of targets, updates and schedules of reading and pulling over simulated links and a simulated store, and prints messages, bytes and processor time by role, and the times until changes and failures are known on the last VM, with the power of growth of each.

--- a/cmd/heatherlock/commands.go
+++ b/cmd/heatherlock/commands.go
@@ -5,6 +5,7 @@
 	"heatherlock/cmd/internal/benchcapacity"
 	"heatherlock/cmd/internal/benchcaps"
 	"heatherlock/cmd/internal/benchdecide"
+	"heatherlock/cmd/internal/benchfleet"
 	"heatherlock/cmd/internal/benchlookup"
 	"heatherlock/cmd/internal/benchoperators"
 	"heatherlock/cmd/internal/benchpath"
@@ -53,6 +54,7 @@
 				benchplacement.Command(),
 				benchoperators.Command(),
 				benchcapacity.Command(),
+				benchfleet.Command(),
 			),
 			load.Command(),
 			quickstart.Command(),
