--- a/node/gateway/fleet/lists.go
+++ b/node/gateway/fleet/lists.go
@@ -16,6 +16,9 @@
 	// maxAskedMembers how many members one question names.
 	minAskInterval  = time.Second
 	maxAskedMembers = 64
+	// unlistedReports is how many reports of a zone must leave out a VM of it before the VM counts as
+	// gone in other zones.
+	unlistedReports = 3
 	// staleLeaveAfter is how long after its last heartbeat a VM that was leaving counts as restarted
 	// if its zone lists it.
 	staleLeaveAfter = 5 * time.Second
@@ -55,21 +58,34 @@
 	})
 }
 
-// applyZoneList marks the VMs of a zone as seen that are listed. A standby learns of the end of a VM
-// from the list: it receives lists rarely, and from VMs that have waited for the timeout already.
+// applyZoneList marks the VMs of a zone as seen that are listed, and lets those soon count as gone
+// that are not: the sender has waited for the timeout already.
 func (r *Roster) applyZoneList(now time.Time, from *peerState, b Beat) {
 	large := b.ZoneReport || r.hasStandbys(from.Zone)
 	r.markListed(now, from, b.Mates, func(h *peerState) bool { return large || !h.lastSeen.IsZero() })
-	if !r.standby || !b.ZoneReport {
+	if !b.ZoneReport {
 		return
 	}
 	for _, h := range r.zones[from.Zone] {
-		if h != from && h.lastSeen.Before(now) && r.live(now, h) && !(h.sameZone && r.heardDirectly(now, h)) {
-			h.lastSeen = now.Add(-r.timeoutOf(h))
+		if h != from && h.lastSeen.Before(now) && r.live(now, h) && !(h.sameZone && now.Sub(h.lastBeatAt) < r.timeouts.delegate) {
+			r.shortenTimeout(now, h)
 		}
 	}
 }
 
+// shortenTimeout makes a live VM that its zone does not list any more count as gone: at once on a
+// standby, and on a delegate unless one of the next reports lists it, since the VMs of a zone notice
+// the end of a VM one after the other.
+func (r *Roster) shortenTimeout(now time.Time, h *peerState) {
+	left := unlistedReports * r.crossZoneInterval()
+	if r.standby {
+		left = 0
+	}
+	if latest := now.Add(left - r.timeoutOf(h)); h.lastSeen.After(latest) {
+		h.lastSeen = latest
+	}
+}
+
 // markListed marks the VMs of the sender's zone as seen that are listed and accepted. It records which
 // listed VMs are not on record, to ask for them.
 func (r *Roster) markListed(now time.Time, from *peerState, listed []uint32, accept func(*peerState) bool) {
--- a/node/gateway/fleet/roster.go
+++ b/node/gateway/fleet/roster.go
@@ -31,9 +31,10 @@
 	// a heartbeat: for five heartbeats, or for four in a zone so large that they are less frequent.
 	minSameZoneTimeout = 5 * minInterval
 	maxMissedBeats     = 4
-	// standbyMissedBeats is the same for a standby. Its monitors report it to the other delegates,
-	// so that its end is known only after twice this time.
+	// standbyMissedBeats is the same for a standby on its monitors. listedMissedBeats is how many
+	// heartbeats of both monitors may leave it out on the other delegates.
 	standbyMissedBeats = 3
+	listedMissedBeats  = 2
 	// minCrossZoneInterval is the time between two heartbeats that a VM of another zone receives
 	// from this zone, whichever VM sends them. Few VMs of the zone need to send, as each heartbeat
 	// says which VMs of its zone are live.
@@ -418,7 +419,8 @@
 	interval  time.Duration // between two ticks
 	crossZone time.Duration // between two heartbeats of a zone to a VM of another zone
 	delegate  time.Duration // of delegates of this zone
-	standby   time.Duration // of standbys of this zone
+	monitored time.Duration // of standbys of this zone that this VM monitors
+	listed    time.Duration // of other standbys of this zone
 	far       time.Duration // of VMs of other zones
 	report    time.Duration // of all VMs if this one is a standby
 }
@@ -428,7 +430,8 @@
 	t := timeouts{interval: max(minInterval, time.Duration(min(peers, maxDelegates-1))*intervalPerPeer),
 		crossZone: max(minCrossZoneInterval, minCrossZoneInterval*time.Duration(zones)/zonesPerInterval)}
 	t.delegate = max(minSameZoneTimeout, maxMissedBeats*t.interval)
-	t.standby = max(minSameZoneTimeout, standbyMissedBeats*t.interval)
+	t.monitored = max(minSameZoneTimeout, standbyMissedBeats*t.interval)
+	t.listed = max(minSameZoneTimeout, listedMissedBeats*t.interval)
 	t.far = max(t.delegate, crossZoneMissedBeats*t.crossZone)
 	t.report = max(t.delegate, crossZoneMissedBeats*reportInterval)
 	return t
@@ -441,8 +444,10 @@
 		return r.timeouts.report
 	case !h.sameZone:
 		return r.timeouts.far
+	case h.standby && r.monitorsStandby(h):
+		return r.timeouts.monitored
 	case h.standby:
-		return r.timeouts.standby
+		return r.timeouts.listed
 	}
 	return r.timeouts.delegate
 }
--- a/node/gateway/fleet/size_test.go
+++ b/node/gateway/fleet/size_test.go
@@ -125,6 +125,15 @@
 	return c
 }
 
+// members returns the members of all VMs.
+func (c *testFleet) members() []Member {
+	var all []Member
+	for _, f := range c.fleets {
+		all = append(all, f.cfg.Self)
+	}
+	return all
+}
+
 func (c *testFleet) fillBeat(b *Beat) {
 	b.Serving = true
 	b.ConfigContent = 0xfedcba98
@@ -158,7 +167,7 @@
 		startBytes  = 128 << 10 // per VM, in the first 10 s
 		steadyBytes = 5 << 10   // per VM and second: the limit of all control traffic
 	)
-	for _, shape := range []struct{ size, zones int }{{12, 6}, {72, 6}, {150, 6}, {300, 15}, {650, 30}, {150, 2}, {300, 6}, {986, 9}} {
+	for _, shape := range []struct{ size, zones int }{{12, 6}, {72, 6}, {64, 1}, {70, 2}, {150, 6}, {300, 15}, {650, 30}, {150, 2}, {300, 6}, {986, 9}} {
 		size := shape.size
 		if size > 72 && os.Getenv("HEATHERLOCK_LARGE") == "" {
 			continue
