Hold the first list of targets once, and names of services and zones once

The first list of all targets was recorded as 10,002 changes, and each decoded entry held its own copy of the names of its service and zone. Change: a list that changes most targets is no history; names are shared, at most 1,024 of them. Not measured alone.

--- a/node/gateway/feed/exchange.go
+++ b/node/gateway/feed/exchange.go
@@ -196,6 +196,7 @@
 	for _, e := range k.Entries {
 		e.coldUntil = coldUntil(now, e.ColdFor)
 		e.ColdFor = 0
+		s.shareStrings(&e.Target)
 		if e.Missing {
 			s.holdRemovalsUntil = maxTime(s.holdRemovalsUntil, now.Add(reappearWindow))
 		}
--- a/node/gateway/feed/state.go
+++ b/node/gateway/feed/state.go
@@ -24,6 +24,9 @@
 	// report their removal. With more targets than that as many removed ones are remembered as there
 	// are targets, so that the loss of a zone is never more than fits.
 	minRemovedTargets = 1024
+	// maxSharedStrings bounds the names that shareStrings holds, which anyone who writes entries
+	// chooses.
+	maxSharedStrings = 1024
 )
 
 // Entry is a target as this VM knows it and sends it to peers.
@@ -81,6 +84,7 @@
 	hashes      map[steering.Target]uint64
 	removed     map[steering.Target]removal
 	history     history
+	strings     map[string]string // see shareStrings
 	// unplaced holds the targets that changed since TakeChanges was called last. With allUnplaced
 	// set, all targets have to be placed anew.
 	unplaced    map[steering.Target]bool
@@ -118,7 +122,7 @@
 // targets in zones that regions does not name are ignored.
 func NewState(heartbeatInterval time.Duration, regions map[steering.Zone]steering.Region) *State {
 	return &State{heartbeatInterval: heartbeatInterval, regions: regions, targets: make(map[steering.Target]*Entry), removed: make(map[steering.Target]removal),
-		hashes: make(map[steering.Target]uint64), unplaced: make(map[steering.Target]bool), evacuated: make(map[steering.Zone]bool), coldZones: make(map[steering.Zone]time.Time)}
+		hashes: make(map[steering.Target]uint64), unplaced: make(map[steering.Target]bool), strings: make(map[string]string), evacuated: make(map[steering.Zone]bool), coldZones: make(map[steering.Zone]time.Time)}
 }
 
 // Age returns the age of the read of the store that the state is based on. ok is false if there was
@@ -207,6 +211,7 @@
 
 // upsert adds or updates a target and reports whether anything relevant changed.
 func (s *State) upsert(now time.Time, t platform.Target) bool {
+	s.shareStrings(&t)
 	old := s.targets[t.Name]
 	if old == nil && t.Generation < s.removed[t.Name].generation {
 		return false // a late write of an earlier process than the last one known
@@ -253,6 +258,23 @@
 	return s.drop(name)
 }
 
+// shareStrings replaces the names of services and zones by one copy of each. Thousands of targets
+// that were decoded one by one hold a copy each.
+func (s *State) shareStrings(t *platform.Target) {
+	t.Service, t.Zone = steering.Service(s.shared(string(t.Service))), steering.Zone(s.shared(string(t.Zone)))
+}
+
+func (s *State) shared(text string) string {
+	if known, found := s.strings[text]; found {
+		return known
+	}
+	if len(s.strings) >= maxSharedStrings {
+		clear(s.strings)
+	}
+	s.strings[text] = text
+	return text
+}
+
 // drop removes a target and reports whether it was known. The revision of the removal is set by
 // recordChanges.
 func (s *State) drop(name steering.Target) bool {
@@ -289,10 +311,18 @@
 	if s.turnedCold {
 		s.coldRevision, s.turnedCold = s.revision, false
 	}
+	// A first list of all targets is not held as changes, target by target.
+	most := len(changed) > len(s.targets)/2
+	if most {
+		s.allUnplaced = true
+		s.history.reset(s.revision)
+	}
 	for _, name := range changed {
 		s.updateHash(name)
-		s.unplaced[name] = true
-		s.history.add(s.revision, name)
+		if !most {
+			s.unplaced[name] = true
+			s.history.add(s.revision, name)
+		}
 		if t := s.targets[name]; t != nil {
 			t.changed = s.revision
 			delete(s.removed, name)
