Wait for a peer's targets at a start, and read the records of VMs once

By reading: VMs whose link or processor takes over 3 s to get 10,002 targets from a peer began to read them from the store, 51 pages each, and a VM that had not read the records of the others within a second did so as well. The copy of the records that may lag seldom holds a VM's own, so that each VM read all records twice or more: a third of a megabyte each time, mostly between regions. Change: a VM that hears one that has the targets waits 10 s for them. Records are read again only while no VM is heard.

--- a/node/gateway/feed/reader.go
+++ b/node/gateway/feed/reader.go
@@ -74,10 +74,8 @@
 	// LastReadStart returns when an entry VM that reads before this one last reported the start of
 	// a read, or the zero time.
 	LastReadStart() time.Time
-	// StartRank returns how many entry VMs of this zone, live or just put on record, read before
-	// this one, and whether any heartbeat was received. known is false while neither the records of
-	// the others were read nor a heartbeat was received.
-	StartRank() (rank int, heard, known bool)
+	// StartView returns what is known of the others at a start.
+	StartView() StartView
 }
 
 // Reader keeps a State up to date by reading the store and by applying what peers send. It is safe
@@ -138,7 +136,9 @@
 // set while nothing is known yet.
 func (r *Reader) untilDue(now time.Time) (wait time.Duration, first bool) {
 	v := ReadView{Rank: r.Rank(), SinceBegun: now.Sub(r.peers.LastReadStart())}
-	v.StartRank, v.Heard, v.RecordsKnown = r.peers.StartRank()
+	if v.Known = r.Known(); !v.Known {
+		v.Start = r.peers.StartView()
+	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	v.Age, v.Known = r.state.Age(now)
@@ -146,6 +146,14 @@
 	return v.UntilRead(), !v.Known
 }
 
+// Known reports whether the contents of the store are known.
+func (r *Reader) Known() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	_, known := r.state.Age(time.Now())
+	return known
+}
+
 // Rank returns how many entry VMs read the store before this one.
 func (r *Reader) Rank() int { return r.peers.ReadRank(r.Failing()) }
 
--- a/node/gateway/feed/schedule.go
+++ b/node/gateway/feed/schedule.go
@@ -30,10 +30,13 @@
 	startReadDelay    = 400 * time.Millisecond
 	startReadStep     = 100 * time.Millisecond
 	maxStartReadDelay = 3 * time.Second
+	// peerStartDelay is how long a VM waits for the targets of a peer that has them. With thousands of
+	// targets and a slow link they take seconds, and reading them from the store takes longer.
+	peerStartDelay = 10 * time.Second
 	// unheardReadDelay is the longest wait of a VM that receives no heartbeats, and recordsWait that
 	// of one that has not read the records of the other VMs yet.
 	unheardReadDelay = 1500 * time.Millisecond
-	recordsWait      = time.Second
+	recordsWait      = 2 * time.Second
 	// pullersPerZone is how many VMs of a zone may pull from a VM of another zone. The others
 	// pull from those, because a VM that serves seventy others at once is busy with it for a
 	// second.
@@ -53,18 +56,24 @@
 	SinceBegun time.Duration
 	// Interval is the age at which the VM of rank 0 reads again.
 	Interval time.Duration
-	// Uptime is the time since this VM started, StartRank how many VMs of its zone, live or just
-	// put on record, read before it. Heard is set if it receives heartbeats, RecordsKnown if that is
-	// so or the records of the other VMs were read.
-	Uptime              time.Duration
-	StartRank           int
-	Heard, RecordsKnown bool
+	// Uptime is the time since this VM started.
+	Uptime time.Duration
+	Start  StartView
+}
+
+// StartView is what a VM that knows nothing of the store knows of the others.
+type StartView struct {
+	// Rank is how many VMs of its zone, live or just put on record, read before it.
+	Rank int
+	// Heard is set if it receives heartbeats, RecordsKnown if that is so or the records of the other
+	// VMs were read, and PeerKnows if a live VM knows the contents of the store.
+	Heard, RecordsKnown, PeerKnows bool
 }
 
 // UntilRead returns how long it is until the VM must read the store; 0 or less means now.
 func (v ReadView) UntilRead() time.Duration {
 	if !v.Known {
-		return v.firstReadDelay() - v.Uptime
+		return v.Start.firstReadDelay() - v.Uptime
 	}
 	steps := time.Duration(min(v.Rank, fullDelayRanks))*rankDelay + time.Duration(max(v.Rank-fullDelayRanks, 0))*highRankDelay
 	return max(v.Interval+steps-v.Age, peerReadTimeout-v.SinceBegun)
@@ -72,18 +81,20 @@
 
 // firstReadDelay returns how long after its start a VM reads the store if peers have not sent it all
 // that it would read.
-func (v ReadView) firstReadDelay() time.Duration {
+func (v StartView) firstReadDelay() time.Duration {
 	switch {
 	case !v.RecordsKnown:
 		return recordsWait
-	case v.StartRank < startReaders:
+	case v.Rank < startReaders:
 		return 0
+	case v.PeerKnows:
+		return peerStartDelay
 	}
 	limit := maxStartReadDelay
 	if !v.Heard {
 		limit = unheardReadDelay
 	}
-	return min(startReadDelay+time.Duration(v.StartRank-startReaders)*startReadStep, limit)
+	return min(startReadDelay+time.Duration(v.Rank-startReaders)*startReadStep, limit)
 }
 
 // PullDelay returns how long a VM waits before it pulls an update from a peer, in case a peer of its
--- a/node/gateway/fleet/fleet.go
+++ b/node/gateway/fleet/fleet.go
@@ -10,6 +10,7 @@
 
 	"github.com/go-kit/log"
 
+	"heatherlock/node/gateway/feed"
 	"heatherlock/node/gateway/volume"
 	"heatherlock/steering"
 	"heatherlock/steering/placement"
@@ -105,12 +106,12 @@
 	return f.roster.RequestRank(f.cfg.Clock())
 }
 
-// StartRank returns how many VMs of this zone, live or just put on record, read the store before
-// this one.
-func (f *Fleet) StartRank() int {
+// StartView returns what this VM knows of the others at its start. RecordsKnown is set if it receives
+// heartbeats.
+func (f *Fleet) StartView() feed.StartView {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.roster.StartRank(f.cfg.Clock())
+	return f.roster.startView(f.cfg.Clock())
 }
 
 // ConfigHolders returns the live VMs whose configuration is newer than the version above.
--- a/node/gateway/fleet/roles.go
+++ b/node/gateway/fleet/roles.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"heatherlock/node/gateway/feed"
 	"heatherlock/steering"
 )
 
@@ -56,40 +57,34 @@
 // assignRoles determines the delegates of each zone: the first maxDelegates live VMs in the order of
 // before.
 func (r *Roster) assignRoles(now time.Time) {
-	own := 0
-	r.delegates = r.delegates[:0]
+	r.standby = r.rank(now) >= maxDelegates
 	for zone, peers := range r.zones {
 		seats := maxDelegates
-		if zone == r.self.Zone {
+		if zone == r.self.Zone && !r.standby {
 			seats--
 		}
-		small := len(peers) <= seats
-		taken := 0
-		for _, h := range peers {
-			if zone == r.self.Zone && r.before(h) && r.candidate(now, h) {
-				own++
-			}
-			if small {
-				h.standby = false
-				continue
-			}
-			h.standby = taken >= seats || !r.candidate(now, h)
-			if !h.standby {
-				taken++
-			}
+		r.assignSeats(now, peers, seats)
+	}
+	r.findDelegates()
+}
+
+// assignSeats makes the first VMs of a zone that can be delegates to such, as many as there are
+// seats, and the others to standbys.
+func (r *Roster) assignSeats(now time.Time, peers []*peerState, seats int) {
+	enough := len(peers) <= seats
+	for _, h := range peers {
+		h.standby = !enough && (seats == 0 || !r.candidate(now, h))
+		if !h.standby {
+			seats--
 		}
 	}
-	r.standby = own >= maxDelegates
-	r.findDelegates(now)
 }
 
 // findDelegates sets the other delegates of this zone and, in a zone with standbys, who monitors
 // whom.
-func (r *Roster) findDelegates(now time.Time) {
+func (r *Roster) findDelegates() {
+	r.delegates = r.delegates[:0]
 	peers := r.zones[r.self.Zone]
-	if r.standby {
-		r.demoteLast(now, peers)
-	}
 	for _, h := range peers {
 		if !h.standby && !h.leaving {
 			r.delegates = append(r.delegates, h)
@@ -103,17 +98,6 @@
 	}
 }
 
-// demoteLast corrects the roles that assignRoles determined with a seat for this VM.
-func (r *Roster) demoteLast(now time.Time, peers []*peerState) {
-	taken := 0
-	for _, h := range peers {
-		h.standby = taken >= maxDelegates || !r.candidate(now, h)
-		if !h.standby {
-			taken++
-		}
-	}
-}
-
 // monitorsOf returns the IDs of the delegates to which a standby sends heartbeats. They are among
 // those that send it reports. The order differs from standby to standby.
 func (r *Roster) monitorsOf(id uint64) (monitors [monitorsPerStandby]uint64) {
@@ -203,8 +187,9 @@
 	return to
 }
 
-// StartRank returns how many VMs of this zone, live or just put on record, come before this one.
-func (r *Roster) StartRank(now time.Time) int {
+// rank returns how many VMs of this zone, live or just put on record, come before this one in the
+// order of before.
+func (r *Roster) rank(now time.Time) int {
 	rank := 0
 	for _, h := range r.zones[r.self.Zone] {
 		if r.before(h) && r.candidate(now, h) {
@@ -213,3 +198,16 @@
 	}
 	return rank
 }
+
+// startView returns what this VM knows of the others at its start.
+func (r *Roster) startView(now time.Time) feed.StartView {
+	v := feed.StartView{Rank: r.rank(now)}
+	for _, h := range r.all {
+		if r.live(now, h) {
+			v.Heard = true
+			v.PeerKnows = v.PeerKnows || h.beat.StoreDigest.Revision > 0
+		}
+	}
+	v.RecordsKnown = v.Heard
+	return v
+}
--- a/node/gateway/peersync.go
+++ b/node/gateway/peersync.go
@@ -53,10 +53,11 @@
 // LastReadStart implements feed.Peers.
 func (f readerPeers) LastReadStart() time.Time { return f.g.fleet.LastReadStart() }
 
-// StartRank implements feed.Peers.
-func (f readerPeers) StartRank() (rank int, heard, known bool) {
-	heard = f.g.fleet.LiveCount() > 1
-	return f.g.fleet.StartRank(), heard, heard || f.g.recordsRead.Load()
+// StartView implements feed.Peers.
+func (f readerPeers) StartView() feed.StartView {
+	v := f.g.fleet.StartView()
+	v.RecordsKnown = v.Heard || f.g.recordsRead.Load()
+	return v
 }
 
 // ReadStarted implements feed.Sink.
--- a/node/gateway/register.go
+++ b/node/gateway/register.go
@@ -27,12 +27,15 @@
 		sleep(ctx, registerRetryInterval)
 	}
 	for n := 0; ctx.Err() == nil; n++ {
-		known := g.readMembers(ctx, n)
+		found, known := g.readMembers(ctx, n)
 		g.recordsRead.Store(true)
 		if known {
 			return
 		}
 		sleep(ctx, registerRetryInterval)
+		if found && g.fleet.LiveCount() > 1 {
+			return
+		}
 	}
 }
 
@@ -40,15 +43,17 @@
 // before a read requires current data.
 const maxStaleReads = 3
 
-// readMembers reads the records of the entry VMs for the nth time. It reports whether that is enough
-// to find all of them: all records are known that were written before that of this VM, or a VM among
-// those read is live. Any list that is not empty holds the oldest record, so that all VMs that have
-// read one are introduced to each other, over one VM or several.
+// readMembers reads the records of the entry VMs for the nth time. found is set if there were any of
+// other VMs, and known if all records are known that were written before that of this VM.
+//
+// If records were found and a VM is live, that is enough as well: any list that is not empty holds
+// the oldest record, so that all VMs that have read one are introduced to each other, over one VM or
+// several.
 //
 // When all VMs start at once, the cost of these reads, each of which takes several pages, grows
 // with the square of the fleet size. A read from a lagging replica costs the store a tenth of a
 // current one. If it contains this VM's own record, it contains all earlier records as well.
-func (g *Gateway) readMembers(ctx context.Context, n int) (known bool) {
+func (g *Gateway) readMembers(ctx context.Context, n int) (found, known bool) {
 	freshness := platform.MaybeStale
 	if n >= maxStaleReads {
 		freshness = platform.Fresh
@@ -56,15 +61,16 @@
 	list, err := g.store.EntryVMs(ctx, freshness)
 	if err != nil {
 		_ = g.log.Log("msg", "cannot read entry VM records", "err", err) // the log writer counts dropped lines
-		return false
+		return false, false
 	}
 	if list.InvalidRecords > 0 {
 		_ = g.log.Log("msg", "ignoring invalid entry VM records", "count", list.InvalidRecords) // the log writer counts dropped lines
 	}
 	members := make([]fleet.Member, 0, len(list.VMs))
 	for _, vm := range list.VMs {
+		found = found || vm.Name != g.settings.VM
 		members = append(members, fleet.Member{Name: vm.Name, Zone: vm.Zone, Region: vm.Region, Peer: vm.Peer, Control: vm.Control, Callers: vm.Callers, Capacity: float32(vm.Capacity)})
 	}
 	g.fleet.Add(members)
-	return list.IncludesWritesBefore(g.settings.VM) || freshness == platform.Fresh || n > 0 && len(members) > 0 && g.fleet.LiveCount() > 1
+	return found, list.IncludesWritesBefore(g.settings.VM) || freshness == platform.Fresh
 }
