--- a/node/gateway/fleet/beat.go
+++ b/node/gateway/fleet/beat.go
@@ -108,8 +108,8 @@
 // idOf returns the ID that stands for a VM in datagrams.
 func idOf(name steering.VM) uint64 { return xxhash.Sum64String(string(name)) >> idShift }
 
-// idShift leaves 32 bits of an ID: the probability that two of 650 names share an ID is 1 in
-// 20,000, and more bits would cost space, since an ID is sent for each VM of a zone.
+// idShift leaves 32 bits of an ID: the probability that two of 1,000 names share an ID is 1 in
+// 8,600, and more bits would cost space, since each heartbeat holds one.
 const idShift = 32
 
 // shortIDBytes is the length of a short ID in a datagram. The list of a zone's VMs is most of what
--- a/node/gateway/register.go
+++ b/node/gateway/register.go
@@ -27,33 +27,38 @@
 		sleep(ctx, registerRetryInterval)
 	}
 	for n := 0; ctx.Err() == nil; n++ {
-		found, known := g.readMembers(ctx, n)
+		many, known := g.readMembers(ctx, n)
 		g.recordsRead.Store(true)
 		if known {
 			return
 		}
 		sleep(ctx, registerRetryInterval)
-		if found && g.fleet.LiveCount() > 1 {
+		if many && g.fleet.LiveCount() > 1 {
 			return
 		}
 	}
 }
 
+// enoughRecords is how many records of other VMs must have been found for a VM to rely on other VMs for
+// the rest. With few VMs reading the records again costs less than the time until all are introduced,
+// during which a VM takes too large a part of what they share.
+const enoughRecords = 64
+
 // maxStaleReads is how many reads of the entry VM records may use a store replica that lags,
 // before a read requires current data.
 const maxStaleReads = 3
 
-// readMembers reads the records of the entry VMs for the nth time. found is set if there were any of
+// readMembers reads the records of the entry VMs for the nth time. many is set if there were enough of
 // other VMs, and known if all records are known that were written before that of this VM.
 //
-// If records were found and a VM is live, that is enough as well: any list that is not empty holds
+// If there are many and a VM is live, that is enough as well: any list that is not empty holds
 // the oldest record, so that all VMs that have read one are introduced to each other, over one VM or
 // several.
 //
 // When all VMs start at once, the cost of these reads, each of which takes several pages, grows
 // with the square of the fleet size. A read from a lagging replica costs the store a tenth of a
 // current one. If it contains this VM's own record, it contains all earlier records as well.
-func (g *Gateway) readMembers(ctx context.Context, n int) (found, known bool) {
+func (g *Gateway) readMembers(ctx context.Context, n int) (many, known bool) {
 	freshness := platform.MaybeStale
 	if n >= maxStaleReads {
 		freshness = platform.Fresh
@@ -68,9 +73,8 @@
 	}
 	members := make([]fleet.Member, 0, len(list.VMs))
 	for _, vm := range list.VMs {
-		found = found || vm.Name != g.settings.VM
 		members = append(members, fleet.Member{Name: vm.Name, Zone: vm.Zone, Region: vm.Region, Peer: vm.Peer, Control: vm.Control, Callers: vm.Callers, Capacity: float32(vm.Capacity)})
 	}
 	g.fleet.Add(members)
-	return found, list.IncludesWritesBefore(g.settings.VM) || freshness == platform.Fresh
+	return len(members) > enoughRecords, list.IncludesWritesBefore(g.settings.VM) || freshness == platform.Fresh
 }
