--- a/node/gateway/fleet/golden_internal_test.go
+++ b/node/gateway/fleet/golden_internal_test.go
@@ -76,6 +76,7 @@
 		"sparse-reads":       {flag(func(b *Beat) { b.ReadingStore = true }), false},
 		"sparse-meets":       {flag(func(b *Beat) { b.WantsReply = true }), false},
 		"sparse-asks":        {flag(func(b *Beat) { b.WantsMembers = true }), false},
+		"sparse-zone-report": {flag(func(b *Beat) { b.ZoneReport = true }), false},
 	} {
 		t.Run(name, func(t *testing.T) {
 			file := "golden/beat-" + name + ".hex"
