--- a/node/gateway/relay/rig_test.go
+++ b/node/gateway/relay/rig_test.go
@@ -114,10 +114,11 @@
 func (g *rig) listen() {
 	listener, err := net.Listen("tcp4", "127.0.0.1:0")
 	assert.NilError(g.t, err)
-	g.server = callers.NewServer(g.relay, g.relay.Limits, 100)
+	server := callers.NewServer(g.relay, g.relay.Limits, 100)
+	g.server = server
 	ctx, cancel := context.WithCancel(context.Background())
 	g.t.Cleanup(func() { cancel(); _ = listener.Close() })
-	go func() { _ = g.server.Serve(ctx, listener) }() // returns when the listener is closed
+	go func() { _ = server.Serve(ctx, listener) }() // returns when the listener is closed
 	g.address = listener.Addr().String()
 }
 
