Record and show which limits targets name

Logs and metrics could not tell whether a VM had read the limit, went by it, or had no other choice. Change: what a target says of itself in a response is recorded by start of the target; a changed limit is logged, a gauge counts the targets that name one, and limits and headers that cannot be read are counted by name. Nothing goes by it yet.

--- a/node/gateway/gateway.go
+++ b/node/gateway/gateway.go
@@ -383,9 +383,11 @@
 	scope := g.metrics.Scope
 	var ejected, replaced []steering.Target
 	var tries map[steering.Service]float64
+	var limited int
 	kept := make(map[steering.Service]float64)
 	g.relay.WithBalancer(func(balancer *placement.Balancer, budget *retry.SharedBudget) {
 		ejected, replaced = balancer.Ejected(), balancer.Replaced()
+		limited = balancer.LimitedCount()
 		tries = budget.Available(time.Now())
 		for service := range g.regionSplit {
 			kept[service] = g.regionSplit.LocalShare(service, g.settings.Region)
@@ -395,6 +397,7 @@
 	g.logReplaced(replaced)
 	scope.Gauge("gateway_targets_ejected").Update(float64(len(ejected)))
 	scope.Gauge("gateway_targets_replaced").Update(float64(len(replaced)))
+	scope.Gauge("gateway_targets_limited").Update(float64(limited))
 	scope.Gauge("gateway_peers").Update(float64(g.fleet.LiveCount()))
 	newest, behindFor, _ := g.reader.Behind()
 	scope.Gauge("gateway_config_newest").Update(float64(newest))
--- a/node/gateway/relay/events.go
+++ b/node/gateway/relay/events.go
@@ -2,6 +2,7 @@
 
 import (
 	"strconv"
+	"sync"
 	"time"
 
 	"github.com/uber-go/tally/v4"
@@ -11,10 +12,18 @@
 )
 
 // Metrics records metrics about requests. A nil *Metrics records nothing.
-type Metrics struct{ scope tally.Scope }
+type Metrics struct {
+	scope tally.Scope
+
+	mu sync.Mutex
+	// unknownHeaders holds the names that have a counter of their own.
+	unknownHeaders map[string]bool
+}
 
 // NewMetrics returns Metrics that records in scope.
-func NewMetrics(scope tally.Scope) *Metrics { return &Metrics{scope: scope} }
+func NewMetrics(scope tally.Scope) *Metrics {
+	return &Metrics{scope: scope, unknownHeaders: make(map[string]bool)}
+}
 
 // latencies are the buckets of the latency histogram: from the latency with a warm cache to the
 // longest deadline.
@@ -42,6 +51,39 @@
 	}
 }
 
+// LimitUnreadable counts a response whose target names a limit in a form that is not known here.
+func (e *Metrics) LimitUnreadable() {
+	if e != nil {
+		e.scope.Counter("gateway_target_limits_unreadable").Inc(1)
+	}
+}
+
+const (
+	// maxUnknownHeaders bounds the header names that are counted individually; targets choose them.
+	maxUnknownHeaders = 8
+	// otherHeaders is the name under which all others are counted.
+	otherHeaders = "(rest)"
+)
+
+// UnknownHeader counts a response by which a target says something of itself that is not known here.
+// It reports whether the name is counted for the first time.
+func (e *Metrics) UnknownHeader(name string) (first bool) {
+	if e == nil {
+		return false
+	}
+	e.mu.Lock()
+	first = !e.unknownHeaders[name] && len(e.unknownHeaders) < maxUnknownHeaders
+	if first {
+		e.unknownHeaders[name] = true
+	}
+	if !e.unknownHeaders[name] {
+		name = otherHeaders
+	}
+	e.mu.Unlock()
+	e.scope.Tagged(map[string]string{"header": name}).Counter("gateway_target_headers_unknown").Inc(1)
+	return first
+}
+
 // Served records the latency of a response that was passed on.
 func (e *Metrics) Served(kind routes.Kind, status int, took time.Duration) {
 	if e != nil {
--- a/node/gateway/relay/placement.go
+++ b/node/gateway/relay/placement.go
@@ -58,6 +58,7 @@
 	if !sentAt.IsZero() {
 		report.Latency = now.Sub(sentAt)
 	}
+	f.recordNotice(now, e)
 	if e.info.Load.Unreadable {
 		f.cfg.Metrics.LoadUnreadable()
 	}
--- a/standin/endpoint/endpoint.go
+++ b/standin/endpoint/endpoint.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -90,6 +91,10 @@
 	slots   chan struct{}
 	warm    map[string]time.Time
 	opened  int
+	// headers are set in every response.
+	headers map[string]string
+	// arrivals are the times at which requests were received.
+	arrivals []time.Time
 }
 
 // Start starts a target on a free port of the loopback address. The caller must call
@@ -104,7 +109,7 @@
 
 // StartOn starts a target on a listener, which Stop closes.
 func StartOn(cfg Config, listener net.Listener) *Endpoint {
-	e := &Endpoint{cfg: cfg, listener: listener, slots: make(chan struct{}, cfg.Slots), warm: make(map[string]time.Time)}
+	e := &Endpoint{cfg: cfg, listener: listener, slots: make(chan struct{}, cfg.Slots), warm: make(map[string]time.Time), headers: make(map[string]string)}
 	e.server = &http.Server{Handler: e, ConnState: e.connState}
 	go func() { _ = e.server.Serve(listener) }() // returns after Stop
 	return e
@@ -129,6 +134,25 @@
 	e.fault = f
 }
 
+// SetHeader sets a header of all further responses, or removes it if the value is empty.
+func (e *Endpoint) SetHeader(name, value string) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if value == "" {
+		delete(e.headers, name)
+		return
+	}
+	e.headers[name] = value
+}
+
+// ArrivalsAfter returns the times at which requests were received after t, in order.
+func (e *Endpoint) ArrivalsAfter(t time.Time) []time.Time {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	first, _ := slices.BinarySearchFunc(e.arrivals, t, time.Time.Compare)
+	return slices.Clone(e.arrivals[first:])
+}
+
 // Runs returns copies of the runs so far, in the order of their start.
 func (e *Endpoint) Runs() []Run {
 	e.mu.Lock()
@@ -167,6 +191,10 @@
 func (e *Endpoint) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	e.mu.Lock()
 	e.arrived++
+	e.arrivals = append(e.arrivals, time.Now())
+	for name, value := range e.headers {
+		w.Header().Set(name, value)
+	}
 	chooseFault := e.fault
 	e.mu.Unlock()
 	fault := None
--- a/steering/placement/balancer.go
+++ b/steering/placement/balancer.go
@@ -26,6 +26,7 @@
 	// coldSenders is how many entry VMs may send requests to one cold target.
 	coldSenders int
 	replaced    replacements
+	notices     notices
 }
 
 // NewBalancer returns a balancer without targets for the entry VM vm in region.
@@ -33,7 +34,7 @@
 	return &Balancer{vm: vm, region: region,
 		byName: make(map[steering.Target]*targetState), services: make(map[steering.Service]*serviceState),
 		unreachable: make(map[steering.Zone]bool), peers: make(map[steering.Region][]uint64),
-		lending: RegionSplit{}, coldSenders: maxColdSenders, replaced: newReplacements()}
+		lending: RegionSplit{}, coldSenders: maxColdSenders, replaced: newReplacements(), notices: make(notices)}
 }
 
 // SetColdSlack sets how many requests per second all entry VMs together may send to a cold target
