Keep a credit until the request that waits for it has used it

Callers would see: in a workspace whose bucket is low, a VM without a request in the last second asks the owner, gets a credit, returns it as idle with its next report and asks again, until 150 ms have passed; the request is then decided without the owner. Cause: the idle time of credits counted from the last admitted request, not from when they were lent, and a request that woke up reported before it looked at its credits. Change: the idle time counts from the later of both; a VM that holds a credit does not report for a waiting request. Evidence: found while the same accounts were used for limits of targets (12 VMs, one report every 0.2 ms, each answered by one credit that was returned). TestCreditThatArrivesAfterAnIdleTimeIsUsed fails without the change and passes with it.

--- a/steering/allowance/account.go
+++ b/steering/allowance/account.go
@@ -47,6 +47,7 @@
 	confirmed    int64     // part of used that an owner has confirmed
 	unreported   float64   // requests admitted without a credit since the last reply
 	lastUsedAt   time.Time // when the last request was admitted
+	lentAt       time.Time // when the last credits were received
 	reportNumber uint32    // number of the last report
 	// unconfirmed is set while the owner may not know the current values of used and credits.
 	unconfirmed bool
@@ -181,7 +182,7 @@
 	switch {
 	case !a.unansweredSince.IsZero() && sinceReport < ReportRetryInterval:
 		return false // the reply may still arrive
-	case a.waiting > 0:
+	case a.waiting > 0 && a.credits < 1:
 		return !now.Before(a.blockedUntil)
 	case a.unconfirmed && a.unreported > 0:
 		return true
@@ -194,7 +195,7 @@
 // hasIdleCredits reports whether the account holds credits that were not used for
 // creditIdleTimeout.
 func (a *Account) hasIdleCredits(now time.Time) bool {
-	return a.credits > 0 && now.Sub(a.lastUsedAt) > creditIdleTimeout
+	return a.credits > 0 && now.Sub(a.lastUsedAt) > creditIdleTimeout && now.Sub(a.lentAt) > creditIdleTimeout
 }
 
 // Report returns the next report to the owner; the caller sets its Workspace. It gives idle
@@ -220,6 +221,9 @@
 	}
 	a.unansweredSince = time.Time{}
 	a.confirmed = r.Used
+	if r.Credits > 0 {
+		a.lentAt = now
+	}
 	a.credits += float64(r.Credits)
 	a.unconfirmed = a.used != r.Used
 	a.unreported = 0
