Keep the limits that targets name, over all VMs together

What callers saw: nothing; two targets that had named 2.6 and 4.9 requests a second got 86 and 57 in 4 s (allowed 21 and 34). A target in need of rest would have failed under it. Cause: no VM read Server-Limit; the header went to the caller and placement went by declared slots. Class: what a target says of itself in a response and a VM does not know is ignored without a trace. Change: what a target says is kept by start of the target, apart from its entry, so that it outlives removal and listing anew. Each limit has one owner among the live VMs of the target's region; it lends credits out of one bucket (the accounts and ledgers of the workspaces, made strict: no request without a credit, and none without the owner). A request for such a target asks for a credit; without one the VM passes the target over for as long as the owner says and places the request on the next target, which uses no retry. Reports carry the limit with its age, and the latest words of the target hold; the end of a limit reaches VMs without credits through the owner, and keys return over two seconds. A request that was placed before the limit was named is not sent without a credit. The target counts for the slots that its limit can occupy; if all targets have used theirs up, the request is refused at once, with the time until the first takes requests again. A share of the limit for each VM was not built: at 986 VMs and 2.6 a second it is one request in six minutes. Mixed builds: datagrams on limits are counted as bad by the build before, which lends no such credits; datagrams on workspaces are as before.

--- a/node/gateway/allowances/exchange.go
+++ b/node/gateway/allowances/exchange.go
@@ -21,6 +21,9 @@
 
 // datagram carries reports on the use of credits to an owner, or its replies. A datagram with
 // reports names its sender. Replies are sent to the address from which the reports came.
+//
+// A datagram on the limits of targets is followed by a list of limitEntry. Reports on workspaces are
+// never in it, since builds that know no such limits drop it.
 type datagram struct {
 	_           struct{} `cbor:",toarray"`
 	From        steering.VM
@@ -47,7 +50,11 @@
 func (s *Service) sendDueReports(now time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	byOwner := make(map[steering.VM][]allowance.Report)
+	type recipient struct {
+		owner   steering.VM
+		targets bool
+	}
+	byOwner := make(map[recipient][]allowance.Report)
 	for id, a := range s.accounts {
 		if a.Idle(now) {
 			delete(s.accounts, id)
@@ -57,14 +64,16 @@
 			continue
 		}
 		if report, to, ok := s.prepareReport(now, a); ok {
-			byOwner[to] = append(byOwner[to], report)
+			key := recipient{to, a.target != nil}
+			byOwner[key] = append(byOwner[key], report)
 		}
 	}
-	for owner, reports := range byOwner {
+	for to, reports := range byOwner {
 		for from := 0; from < len(reports); from += maxReportsPerDatagram {
-			s.send(s.peers[owner], datagram{From: s.cfg.Self, Incarnation: s.incarnation, Reports: reports[from:min(from+maxReportsPerDatagram, len(reports))]})
+			s.sendReports(now, s.peers[to.owner], reports[from:min(from+maxReportsPerDatagram, len(reports))], to.targets)
 		}
 	}
+	s.forgetTargets(now)
 }
 
 // report sends the report on one workspace to its owner if it is due.
@@ -73,8 +82,20 @@
 		return
 	}
 	if report, to, ok := s.prepareReport(now, a); ok {
-		s.send(s.peers[to], datagram{From: s.cfg.Self, Incarnation: s.incarnation, Reports: []allowance.Report{report}})
+		s.sendReports(now, s.peers[to], []allowance.Report{report}, a.target != nil)
+	}
+}
+
+// sendReports sends reports that are all on workspaces, or with targets set all on targets.
+func (s *Service) sendReports(now time.Time, to peer, reports []allowance.Report, targets bool) {
+	d := datagram{From: s.cfg.Self, Incarnation: s.incarnation, Reports: reports}
+	var limits []limitEntry
+	if targets {
+		for _, r := range reports {
+			limits = append(limits, s.targets[r.Workspace].entry(now, r.Workspace))
+		}
 	}
+	s.send(to, d, limits)
 }
 
 // prepareReport returns the report on a workspace and the owner to which it must be sent. ok is
@@ -82,7 +103,7 @@
 // known owner nothing can be sent.
 func (s *Service) prepareReport(now time.Time, a *account) (report allowance.Report, to steering.VM, ok bool) {
 	if a.ownerVersion != s.fleetVersion {
-		owner, _ := allowance.OwnerOf(a.id, s.live) // without any live VM the report is not sent
+		owner, _ := allowance.OwnerOf(a.id, s.candidates(a)) // without any live VM the report is not sent
 		if owner != a.owner {
 			a.OwnerChanged()
 		}
@@ -104,6 +125,9 @@
 // VM does and thus determine another owner. There is no reply for a workspace that is unknown or
 // unlimited here, or to a report that is not newer than the last one from its sender.
 func (s *Service) handleReport(now time.Time, from steering.VM, incarnation uint32, r allowance.Report) (allowance.Reply, bool) {
+	if t := s.targets[r.Workspace]; t != nil {
+		return s.handleTargetReport(now, from, incarnation, t, r)
+	}
 	w := s.byID[r.Workspace]
 	if w == nil {
 		return allowance.Reply{}, false
@@ -136,34 +160,56 @@
 		if err != nil {
 			continue
 		}
-		var d datagram
-		if err := cbor.Unmarshal(buffer[:n], &d); err != nil {
+		d, limits, err := decode(buffer[:n])
+		if err != nil {
 			s.cfg.Scope.Counter("gateway_allowance_bad_datagrams").Inc(1)
 			continue
 		}
-		s.handleDatagram(time.Now(), d, sender)
+		s.handleDatagram(time.Now(), d, limits, sender)
+	}
+}
+
+// decode returns a datagram and the limits of targets that follow it.
+func decode(raw []byte) (d datagram, limits []limitEntry, err error) {
+	rest, err := cbor.UnmarshalFirst(raw, &d)
+	if err == nil && len(rest) > 0 {
+		err = cbor.Unmarshal(rest, &limits)
 	}
+	return d, limits, err
 }
 
-func (s *Service) handleDatagram(now time.Time, d datagram, sender net.Addr) {
+func (s *Service) handleDatagram(now time.Time, d datagram, limits []limitEntry, sender net.Addr) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	for _, l := range limits {
+		s.mergeLimit(now, l)
+	}
 	for _, reply := range d.Replies {
 		s.applyReply(now, reply)
 	}
 	var replies []allowance.Reply
+	var told []limitEntry
 	for _, report := range d.Reports {
 		if reply, known := s.handleReport(now, d.From, d.Incarnation, report); known {
 			replies = append(replies, reply)
+			if t := s.targets[report.Workspace]; t != nil {
+				told = append(told, t.entry(now, report.Workspace))
+			}
 		}
 	}
 	if address, ok := sender.(*net.UDPAddr); ok && len(replies) > 0 {
-		s.send(peer{d.From, address}, datagram{Replies: replies})
+		s.send(peer{d.From, address}, datagram{Replies: replies}, told)
 	}
 }
 
-func (s *Service) send(to peer, d datagram) {
+// send sends a datagram, followed by the limits of targets if there are any.
+func (s *Service) send(to peer, d datagram, limits []limitEntry) {
 	raw, err := cbor.Marshal(d)
+	if err == nil && len(limits) > 0 {
+		var entries []byte
+		entries, err = cbor.Marshal(limits)
+		raw = append(raw, entries...)
+	}
 	if err != nil {
 		_ = s.cfg.Log.Log("msg", "cannot encode allowance datagram", "err", err) // the log writer counts dropped lines
 		return
--- a/node/gateway/allowances/golden_internal_test.go
+++ b/node/gateway/allowances/golden_internal_test.go
@@ -60,7 +60,7 @@
 			file, conn := "golden/datagram-"+name+".hex", &written{}
 			var sent int
 			s := New(Config{Self: "vm-1", OnSend: func(_ steering.VM, bytes int) { sent = bytes }}, conn)
-			s.send(peer{}, d)
+			s.send(peer{}, d, nil)
 			assert.Equal(t, sent, len(conn.raw))
 			golden.Assert(t, hexText(conn.raw), file)
 			var got datagram
--- a/node/gateway/allowances/service.go
+++ b/node/gateway/allowances/service.go
@@ -18,9 +18,10 @@
 // reportCheckInterval is the interval at which the service checks for due reports.
 const reportCheckInterval = 100 * time.Millisecond
 
-// Peer is an entry VM that may own workspaces.
+// Peer is an entry VM that may own workspaces and the limits of targets.
 type Peer struct {
-	Name steering.VM
+	Name   steering.VM
+	Region steering.Region
 	// Address is the host:port of its UDP socket for allowances.
 	Address string
 	// Weight is its capacity relative to that of other entry VMs.
@@ -37,22 +38,31 @@
 	// while its callers send more than its rate. All other VMs must be informed by the next
 	// heartbeat.
 	OnLowBucket func()
+	// OnFirstLimit, if set, is called when the first limit of a target becomes known. The service
+	// then needs the live entry VMs.
+	OnFirstLimit func()
 	// OnSend, if set, is called for each datagram with its recipient and size.
 	OnSend func(to steering.VM, bytes int)
 }
 
-// Service decides which requests of workspaces with an allowance may run. It is safe for concurrent
-// use.
+// Service decides which requests of workspaces with an allowance may run, and which may be sent to
+// targets that name a limit. It is safe for concurrent use.
 type Service struct {
 	cfg         Config
 	conn        net.PacketConn
 	incarnation uint32
 
-	mu           sync.Mutex
-	byID         map[allowance.ID]*identity.Workspace
-	accounts     map[allowance.ID]*account
-	ledger       *allowance.Ledger
-	live         []allowance.Candidate
+	mu       sync.Mutex
+	byID     map[allowance.ID]*identity.Workspace
+	accounts map[allowance.ID]*account
+	ledger   *allowance.Ledger
+	live     []allowance.Candidate
+	// liveIn holds the live VMs by region.
+	liveIn map[steering.Region][]allowance.Candidate
+	// targets holds the limits that targets name, and targetLedger the buckets of those that this VM
+	// owns.
+	targets      map[allowance.ID]*targetLimit
+	targetLedger *allowance.Ledger
 	peers        map[steering.VM]peer
 	members      int
 	fleetVersion int // incremented when the live VMs or their weights change
@@ -74,12 +84,14 @@
 	replied      chan struct{} // closed at the next reply; nil if no request waits
 	owner        steering.VM
 	ownerVersion int // the fleetVersion for which owner was determined
+	// target is the limit of the target that the account is for; nil for a workspace.
+	target *targetLimit
 }
 
 // New returns a service that exchanges datagrams on conn. Run must be called to start it.
 func New(cfg Config, conn net.PacketConn) *Service {
 	return &Service{cfg: cfg, conn: conn, incarnation: rand.Uint32(), accounts: make(map[allowance.ID]*account),
-		ledger: allowance.NewLedger(cfg.Slack), peers: make(map[steering.VM]peer), members: 1,
+		ledger: allowance.NewLedger(cfg.Slack), targetLedger: allowance.NewLedger(allowance.Slack{}), targets: make(map[allowance.ID]*targetLimit), peers: make(map[steering.VM]peer), members: 1,
 		lowUntil: make(map[allowance.ID]time.Time), counts: newCounts()}
 }
 
@@ -108,6 +120,9 @@
 	defer s.mu.Unlock()
 	s.byID = byID
 	for id, a := range s.accounts {
+		if a.target != nil {
+			continue
+		}
 		w := byID[id]
 		if w == nil {
 			a.notifyWaiters()
@@ -118,11 +133,11 @@
 	}
 }
 
-// HasLimits reports whether any workspace has an allowance.
+// HasLimits reports whether any workspace has an allowance, or any target names a limit.
 func (s *Service) HasLimits() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return len(s.byID) > 0
+	return len(s.byID) > 0 || len(s.targets) > 0
 }
 
 // SetLivePeers sets the live entry VMs, including this one, and the number of entry VMs in the
@@ -130,6 +145,7 @@
 func (s *Service) SetLivePeers(live []Peer, members int) {
 	peers := make(map[steering.VM]peer, len(live))
 	candidates := make([]allowance.Candidate, 0, len(live))
+	liveIn := make(map[steering.Region][]allowance.Candidate)
 	for _, p := range live {
 		address, err := net.ResolveUDPAddr("udp4", p.Address)
 		if err != nil {
@@ -137,7 +153,9 @@
 			continue
 		}
 		peers[p.Name] = peer{p.Name, address}
-		candidates = append(candidates, allowance.Candidate{VM: p.Name, Hash: allowance.HashOf(p.Name), Weight: p.Weight})
+		candidate := allowance.Candidate{VM: p.Name, Hash: allowance.HashOf(p.Name), Weight: p.Weight}
+		candidates = append(candidates, candidate)
+		liveIn[p.Region] = append(liveIn[p.Region], candidate)
 	}
 	members = max(members, len(live), 1)
 	now := time.Now()
@@ -146,8 +164,10 @@
 	if !sameCandidates(s.live, candidates) {
 		s.fleetVersion++
 	}
-	s.live, s.peers, s.members = candidates, peers, members
-	s.ledger.SetFleetShare(now, float64(max(len(live), 1))/float64(members))
+	s.live, s.liveIn, s.peers, s.members = candidates, liveIn, peers, members
+	share := float64(max(len(live), 1)) / float64(members)
+	s.ledger.SetFleetShare(now, share)
+	s.targetLedger.SetFleetShare(now, share)
 	for _, a := range s.accounts {
 		a.Configure(now, a.Limit(), members)
 	}
--- a/node/gateway/gateway.go
+++ b/node/gateway/gateway.go
@@ -116,7 +116,7 @@
 		Log:      logger, TargetHeartbeatInterval: time.Duration(settings.HeartbeatMs) * time.Millisecond,
 		Metrics: relay.NewMetrics(scope), StoreAge: func() time.Duration { return time.Duration(g.reader.Digest().AgeMs) * time.Millisecond },
 		MemberCount: func() int { return g.fleet.LiveCount() }, Behind: func() bool { _, _, behind := g.reader.Behind(); return behind }, ConfigOutdated: g.outdated,
-		Meter: g.meter, Allowances: g.allowanceService})
+		Meter: g.meter, Allowances: g.allowanceService, TargetLimits: g.allowanceService})
 	g.callers = callers.NewServer(g.relay, g.relay.Limits, maxCallerConnections)
 	state := feed.NewState(time.Duration(settings.HeartbeatMs)*time.Millisecond, settings.Zones)
 	g.reader = feed.NewReader(g.store, g, state, readerPeers{g}, logger)
--- a/node/gateway/relay/attempts.go
+++ b/node/gateway/relay/attempts.go
@@ -7,6 +7,8 @@
 	"strconv"
 	"time"
 
+	"github.com/go-faster/errors"
+
 	"heatherlock/node/gateway/planted"
 	"heatherlock/node/gateway/upstream"
 	"heatherlock/node/gateway/volume"
@@ -31,8 +33,13 @@
 	usable bool
 	// report is what the attempt showed about its target.
 	report placement.Report
+	// limitHeard is set if the target's response changed what is known of its limit.
+	limitHeard *placement.NamedLimit
 }
 
+// errNoCredit reports that the target names a limit and there is no credit left for the request.
+var errNoCredit = errors.New("the target's limit is used up; the request goes to another target")
+
 // tried is the record of one attempt in the log.
 type tried struct {
 	Target     steering.Target `json:"target"`
@@ -112,8 +119,12 @@
 // attempt sends the request to one target and reports the result.
 func (x *exchange) attempt(ctx context.Context, pick placement.Pick) {
 	var sentAt time.Time
+	if pick.Limit.InForce && !x.f.admitToTarget(ctx, pick) {
+		x.finishAttempt(ctx, x.classify(pick, nil, &upstream.Error{Stage: upstream.NotSent, Err: errNoCredit}), sentAt)
+		return
+	}
 	beforeSend := func() bool {
-		if !x.sending.begin() {
+		if !x.f.mayStillSend(pick) || !x.sending.begin() {
 			return false
 		}
 		sentAt = time.Now()
@@ -124,9 +135,19 @@
 		MaxConnections: x.maxConnections(), DialTimeout: min(dialTimeout, max(time.Until(x.deadline), time.Millisecond)),
 		BeforeSend: beforeSend, OnOpen: x.f.metered(pick.Target),
 	}, x.targetRequest(pick))
-	e := x.classify(pick, response, err)
+	x.finishAttempt(ctx, x.classify(pick, response, err), sentAt)
+}
+
+// finishAttempt reports the result of an attempt; sentAt is zero if nothing was sent.
+func (x *exchange) finishAttempt(ctx context.Context, e attemptResult, sentAt time.Time) {
 	e.sent = !sentAt.IsZero()
-	e.report = x.f.reportResult(ctx, x, e, sentAt)
+	x.f.reportResult(ctx, x, &e, sentAt)
+	if e.limitHeard != nil {
+		x.f.cfg.TargetLimits.LimitHeard(e.pick.Target, *e.limitHeard)
+	}
+	if e.pick.Limit.InForce && !e.sent && !errors.Is(e.err, errNoCredit) {
+		x.f.cfg.TargetLimits.ReturnTargetCredit(e.pick.Target)
+	}
 	x.results <- e
 }
 
@@ -247,6 +268,8 @@
 
 func retryReason(e attemptResult) string {
 	switch {
+	case errors.Is(e.err, errNoCredit):
+		return "target_limit"
 	case e.unsent:
 		return "unreachable"
 	case e.info.WrongTarget:
--- a/node/gateway/relay/events.go
+++ b/node/gateway/relay/events.go
@@ -51,6 +51,17 @@
 	}
 }
 
+// TargetCredit counts a request that needed a credit for its target, by whether it got one.
+func (e *Metrics) TargetCredit(got bool) {
+	if e != nil {
+		end := "none_left"
+		if got {
+			end = "got"
+		}
+		e.scope.Tagged(map[string]string{"end": end}).Counter("gateway_target_credits").Inc(1)
+	}
+}
+
 // LimitUnreadable counts a response whose target names a limit in a form that is not known here.
 func (e *Metrics) LimitUnreadable() {
 	if e != nil {
--- a/node/gateway/relay/exchange.go
+++ b/node/gateway/relay/exchange.go
@@ -5,6 +5,8 @@
 	"net/http"
 	"time"
 
+	"github.com/go-faster/errors"
+
 	"heatherlock/node/gateway/callers"
 	"heatherlock/platform"
 	"heatherlock/steering"
@@ -134,6 +136,9 @@
 	if !e.unsent {
 		x.reachedTarget++
 	}
+	if errors.Is(e.err, errNoCredit) {
+		x.attempts-- // the target was not tried
+	}
 	if e.sent {
 		x.endedSent++
 	}
--- a/node/gateway/relay/notices.go
+++ b/node/gateway/relay/notices.go
@@ -7,7 +7,7 @@
 )
 
 // recordNotice records what a target says of itself in its response. f.mu must be held.
-func (f *Relay) recordNotice(now time.Time, e attemptResult) {
+func (f *Relay) recordNotice(now time.Time, e *attemptResult) {
 	if e.err != nil || e.info.WrongTarget {
 		return
 	}
@@ -21,6 +21,9 @@
 	}
 	said := placement.Notice{Limited: e.info.Limit.Named, Limit: e.info.Limit.PerSecond, Complete: e.info.Signed && !e.info.Limit.Unreadable}
 	changed := f.cfg.Balancer.Heard(now, e.pick.Target, said)
+	if changed.Limit {
+		e.limitHeard = &placement.NamedLimit{InForce: said.Limited, PerSecond: said.Limit, HeardAt: now}
+	}
 	f.logNotice(e.pick.Target, said, changed)
 }
 
--- a/node/gateway/relay/placement.go
+++ b/node/gateway/relay/placement.go
@@ -47,13 +47,36 @@
 	f.cfg.Retry.ReturnTry(time.Now(), service)
 }
 
+// admitToTarget decides whether a request may be sent to the target that it was placed on, which
+// names a limit.
+func (f *Relay) admitToTarget(ctx context.Context, p placement.Pick) bool {
+	newest, retryAfter, ok := f.cfg.TargetLimits.AdmitToTarget(ctx, p.Target, p.Limit)
+	f.cfg.Metrics.TargetCredit(ok)
+	now := time.Now()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.cfg.Balancer.ApplyLimit(now, p.Target, newest)
+	if !ok {
+		f.cfg.Balancer.LimitReached(now, p.Target, retryAfter)
+	}
+	return ok
+}
+
+// mayStillSend reports whether a request may still be sent to the target that it was placed on. The
+// target may have said something since then that rules it out.
+func (f *Relay) mayStillSend(p placement.Pick) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.cfg.Balancer.MaySend(p)
+}
+
 // reportResult reports to the balancer and the poison filter what an attempt showed about its
-// target, and returns the report.
-func (f *Relay) reportResult(ctx context.Context, x *exchange, e attemptResult, sentAt time.Time) placement.Report {
+// target, and records it in the result.
+func (f *Relay) reportResult(ctx context.Context, x *exchange, e *attemptResult, sentAt time.Time) {
 	now := time.Now()
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	report := placement.Report{Outcome: outcomeOf(ctx, e, sentAt, now)}
+	report := placement.Report{Outcome: outcomeOf(ctx, *e, sentAt, now)}
 	f.poisonFilter.attemptEnded(now, x.fingerprints, x.verdict, e.pick.Target, sentAt, report.Outcome)
 	if !sentAt.IsZero() {
 		report.Latency = now.Sub(sentAt)
@@ -68,12 +91,12 @@
 			report.Running-- // the target's count includes the request that it responds to
 		}
 	}
+	e.report = report
 	if sentAt.IsZero() {
 		f.cfg.Balancer.NotSent(now, e.pick.Target, report.Outcome, e.pick.Trial)
-		return report
+		return
 	}
 	f.cfg.Balancer.RequestEnded(now, e.pick.Target, report, e.pick.Trial, e.pick.Wait > 0)
-	return report
 }
 
 func outcomeOf(ctx context.Context, e attemptResult, sentAt, now time.Time) placement.Outcome {
@@ -88,7 +111,7 @@
 		return placement.Failed
 	case e.err == nil:
 		return placement.Broken
-	case errors.Is(e.err, upstream.ErrConnectionLimit):
+	case errors.Is(e.err, upstream.ErrConnectionLimit), errors.Is(e.err, errNoCredit), errors.Is(e.err, upstream.ErrWithdrawn):
 		return placement.Abandoned
 	case e.unsent && ctx.Err() == nil:
 		return placement.Unreachable
--- a/node/gateway/relay/relay.go
+++ b/node/gateway/relay/relay.go
@@ -73,8 +73,31 @@
 	Meter *volume.Meter
 	// Allowances limits the requests of workspaces; nil means no limits.
 	Allowances Allowances
+	// TargetLimits lends credits for targets that name a limit; nil means that such targets get no
+	// requests.
+	TargetLimits TargetLimits
 }
 
+// TargetLimits enforces the limits that targets name, across all entry VMs.
+type TargetLimits interface {
+	// AdmitToTarget decides whether a request may be sent to a target that names a limit. If it may
+	// not, retryAfter is when this VM should ask again. newest is the limit that any VM heard last.
+	AdmitToTarget(ctx context.Context, t placement.Target, said placement.NamedLimit) (newest placement.NamedLimit, retryAfter time.Duration, ok bool)
+	// ReturnTargetCredit gives back the credit of an admitted request that was not sent.
+	ReturnTargetCredit(t placement.Target)
+	// LimitHeard records a limit that a target named to this VM, or the end of one.
+	LimitHeard(t placement.Target, said placement.NamedLimit)
+}
+
+// closedTargets is a TargetLimits that lends no credits.
+type closedTargets struct{}
+
+func (closedTargets) AdmitToTarget(_ context.Context, _ placement.Target, said placement.NamedLimit) (placement.NamedLimit, time.Duration, bool) {
+	return said, time.Second, !said.InForce
+}
+func (closedTargets) ReturnTargetCredit(placement.Target)               {}
+func (closedTargets) LimitHeard(placement.Target, placement.NamedLimit) {}
+
 // Allowances enforces the request allowances of workspaces across all entry VMs.
 type Allowances interface {
 	// Admit decides whether a request may run. If it may not, retryAfter is when the caller should
@@ -120,6 +143,9 @@
 	if cfg.Allowances == nil {
 		cfg.Allowances = unlimited{}
 	}
+	if cfg.TargetLimits == nil {
+		cfg.TargetLimits = closedTargets{}
+	}
 	return &Relay{cfg: cfg, poisonFilter: newPoisonFilter(cfg.TargetHeartbeatInterval, cfg.Log), outcomeCounts: newOutcomeCounts(), started: make(chan struct{})}
 }
 
--- a/node/gateway/workspaces.go
+++ b/node/gateway/workspaces.go
@@ -26,7 +26,7 @@
 	b := g.settings.Bounds
 	g.allowanceService = allowances.New(allowances.Config{Self: g.settings.VM, Log: g.log, Scope: g.metrics.Scope,
 		Slack:       allowance.Slack{Window: b.AllowanceWindow, Share: b.AllowanceShare, Requests: b.AllowanceRequests},
-		OnLowBucket: func() { g.fleet.Announce() }, OnSend: g.countAllowanceTraffic}, conn)
+		OnLowBucket: func() { g.fleet.Announce() }, OnFirstLimit: g.updateAllowancePeers, OnSend: g.countAllowanceTraffic}, conn)
 	return nil
 }
 
@@ -45,7 +45,7 @@
 }
 
 // updateAllowancePeers passes the live VMs and the number of entry VMs to the allowance service,
-// which needs them only for workspaces with an allowance.
+// which needs them only for workspaces with an allowance and targets that name a limit.
 func (g *Gateway) updateAllowancePeers() {
 	if !g.allowanceService.HasLimits() {
 		return
@@ -58,7 +58,7 @@
 			_ = g.log.Log("msg", "entry VM has no valid address for allowances", "peer", m.Name, "err", err) // the log writer counts dropped lines
 			continue
 		}
-		peers = append(peers, allowances.Peer{Name: m.Name, Address: address, Weight: float64(m.Capacity)})
+		peers = append(peers, allowances.Peer{Name: m.Name, Region: m.Region, Address: address, Weight: float64(m.Capacity)})
 	}
 	g.allowanceService.SetLivePeers(peers, g.fleet.MemberCount())
 }
--- a/steering/allowance/account.go
+++ b/steering/allowance/account.go
@@ -114,7 +114,7 @@
 		a.credits--
 		a.recordUse(now)
 		return Admitted
-	case !now.Before(a.lowUntil) && a.unreported+1 <= a.maxUnreported() && !a.OwnerUnresponsive(now):
+	case !a.limit.Strict && !now.Before(a.lowUntil) && a.unreported+1 <= a.maxUnreported() && !a.OwnerUnresponsive(now):
 		a.unreported++
 		a.recordUse(now)
 		return Admitted
@@ -134,8 +134,11 @@
 }
 
 // AdmitWithoutOwner decides on a request without the owner, which does not reply. It admits
-// requests at this VM's share of the rate.
+// requests at this VM's share of the rate, and none under a strict limit.
 func (a *Account) AdmitWithoutOwner(now time.Time) bool {
+	if a.limit.Strict {
+		return false
+	}
 	demandShare := math.Max(a.demandShare, 1/float64(a.members))
 	if a.localBucket.updatedAt.IsZero() {
 		a.localBucket.updatedAt, a.localBucket.tokens = now, 1
@@ -246,6 +249,11 @@
 	}
 }
 
+// UntilNextAsk returns how long no request needs to ask the owner, because it has no credit.
+func (a *Account) UntilNextAsk(now time.Time) time.Duration {
+	return max(a.blockedUntil.Sub(now), minRetryAfter)
+}
+
 // Idle reports whether the account has nothing to report or to wait for and has had no request
 // for idleRetention.
 func (a *Account) Idle(now time.Time) bool {
--- a/steering/allowance/bucket.go
+++ b/steering/allowance/bucket.go
@@ -5,17 +5,35 @@
 	"time"
 )
 
-// Limit is the rate limit of a workspace.
+// Limit is a rate limit.
 type Limit struct {
 	// Rate is in requests per second.
 	Rate float64
 	// Burst is the number of requests that may run at once beyond the rate.
 	Burst float64
+	// Strict means that a VM admits no request without a credit, neither before it has reported the
+	// request nor while the owner does not reply. The limit of a target is strict: one uncredited
+	// request on each VM may be more than the target takes in a minute.
+	Strict bool
 }
 
 // scaled returns the given fraction of a limit, with a burst of at least one request.
 func (l Limit) scaled(fraction float64) Limit {
-	return Limit{Rate: l.Rate * fraction, Burst: math.Max(l.Burst*fraction, 1)}
+	return Limit{Rate: l.Rate * fraction, Burst: math.Max(l.Burst*fraction, 1), Strict: l.Strict}
+}
+
+const (
+	// targetBurst is the time of which a target that names a limit may get the requests at once, and
+	// minTargetBurst the smallest number. A bucket of one token loses what accrues until the next VM
+	// asks.
+	targetBurst    = 250 * time.Millisecond
+	minTargetBurst = 2
+)
+
+// TargetLimit returns the limit for a target that takes rate requests per second from all VMs
+// together.
+func TargetLimit(rate float64) Limit {
+	return Limit{Rate: rate, Burst: math.Max(minTargetBurst, rate*targetBurst.Seconds()), Strict: true}
 }
 
 // Slack is how far the requests of a workspace may exceed its limit in any Window, as agreed with
--- a/steering/allowance/doc.go
+++ b/steering/allowance/doc.go
@@ -26,6 +26,9 @@
 // A VM whose owner does not reply continues with the share of the rate that the owner last
 // reported to it (Account.AdmitWithoutOwner).
 //
+// The limit that a target names for all VMs together is enforced in the same way, with one owner for
+// each target. Such a limit is strict: there is no slack for requests without a credit.
+//
 // Trade-offs: the limit is strict for lent credits, and holds within the agreed slack for the
 // requests that VMs admit before they know that a bucket is low. Splitting the limit into fixed
 // parts would need no owner, but a workspace with less than one request per second and VM would
--- a/steering/allowance/messages.go
+++ b/steering/allowance/messages.go
@@ -8,9 +8,14 @@
 	"heatherlock/steering/rendezvous"
 )
 
-// ID identifies a workspace in messages between entry VMs.
+// ID identifies a workspace, or a target that names a limit, in messages between entry VMs.
 type ID uint64
 
+// TargetID returns the ID of one start of a target.
+func TargetID(name steering.Target, generation steering.Generation) ID {
+	return ID(rendezvous.Mix(rendezvous.Hash("target\x00"+string(name)) ^ rendezvous.Mix(uint64(generation))))
+}
+
 // IDOf returns the ID of a workspace: a hash of its name.
 func IDOf(name steering.Workspace) ID { return ID(rendezvous.Hash(string(name))) }
 
--- /dev/null
+++ b/steering/allowance/targets_test.go
@@ -0,0 +1,151 @@
+package allowance_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"heatherlock/steering"
+	"heatherlock/steering/allowance"
+)
+
+// A target that names a limit may get in any limitWindow limitFactor times what it allows, and
+// limitSlack requests, from all VMs together.
+const (
+	limitWindow = 4 * time.Second
+	limitFactor = 1.5
+	limitSlack  = 5
+)
+
+// targetRates are the limits of the targets in these tests, in requests per second.
+var targetRates = []float64{0.5, 2.6, 10, 50}
+
+// newTargetFleet returns a fleet whose workspaces stand for targets that name limits, each with
+// five times the demand that it takes, from callers of all VMs.
+func newTargetFleet(seed uint64, vms int) *fleet {
+	f := newFleet(seed, vms, len(targetRates), 1)
+	f.slack = allowance.Slack{}
+	for _, vm := range f.vms {
+		f.resetState(vm)
+	}
+	f.updateMembership()
+	for n, s := range f.workspaces {
+		s.id = allowance.TargetID(steering.Target(fmt.Sprint("t", n)), 1)
+		s.limit, s.demand, s.callers = allowance.TargetLimit(targetRates[n]), 5*targetRates[n], nil
+		for i := range vms {
+			s.callers = append(s.callers, i)
+		}
+	}
+	return f
+}
+
+// mostRuns returns the largest number of requests in any limitWindow.
+func (s *simWorkspace) mostRuns() int {
+	most, first := 0, 0
+	for n, at := range s.runs {
+		for at-s.runs[first] >= limitWindow {
+			first++
+		}
+		most = max(most, n-first+1)
+	}
+	return most
+}
+
+func (f *fleet) assertTargetLimits(t assert.TestingT, what string) {
+	for _, s := range f.workspaces {
+		allowed := s.limit.Rate*limitFactor*limitWindow.Seconds() + limitSlack
+		assert.Check(t, float64(s.mostRuns()) <= allowed, "%s: %d requests in %v for a limit of %.1f, allowed %.0f", what, s.mostRuns(), limitWindow, s.limit.Rate, allowed)
+	}
+}
+
+// Guards against limits of targets that grow with the number of VMs, or that are hardly used because
+// the VMs that hold credits have no requests.
+func TestLimitOfATargetIsKeptAndUsedAtAnySize(t *testing.T) {
+	for _, vms := range []int{12, 100, 986} {
+		f := newTargetFleet(1, vms)
+		f.runTraffic(20 * time.Second)
+		f.assertTargetLimits(t, fmt.Sprint(vms, " VMs"))
+		for _, s := range f.workspaces {
+			used := float64(len(s.runs)) / (20 * s.limit.Rate)
+			t.Logf("%d VMs, limit %.1f: %.2f of it used, at most %d in %v", vms, s.limit.Rate, used, s.mostRuns(), limitWindow)
+			assert.Check(t, used >= 0.9, "%d VMs: %.2f of a limit of %.1f used", vms, used, s.limit.Rate)
+		}
+	}
+}
+
+// Guards against limits of targets that are exceeded when owners are lost, when two VMs act as owner
+// for a time, or when messages are late or lost.
+func TestLimitOfATargetHoldsThroughFaults(t *testing.T) {
+	for _, vms := range []int{12, 100, 986} {
+		for name, fault := range map[string]func(f *fleet){
+			"a third of the VMs killed": func(f *fleet) {
+				for i := 0; i < vms; i += 3 {
+					f.kill(i)
+				}
+				f.runTraffic(failureDetectionDelay)
+				f.updateMembership()
+				f.runTraffic(2 * time.Second)
+				for i := 0; i < vms; i += 3 {
+					f.restart(i)
+				}
+				f.updateMembership()
+			},
+			"a zone cut off": func(f *fleet) {
+				for _, vm := range f.vms {
+					if vm.zone == 2 {
+						vm.partition = 1
+					}
+				}
+				f.runTraffic(failureDetectionDelay)
+				f.updateMembership()
+				f.runTraffic(3 * time.Second)
+				for _, vm := range f.vms {
+					vm.partition = 0
+				}
+				f.updateMembership()
+			},
+			"views differ":             func(f *fleet) { f.updateSomeMemberships() },
+			"VMs paused":               func(f *fleet) { f.pauseSome(700 * time.Millisecond) },
+			"one datagram in ten lost": func(f *fleet) { f.lossRate = 0.1 },
+		} {
+			t.Run(fmt.Sprint(name, ", ", vms), func(t *testing.T) {
+				t.Parallel()
+				f := newTargetFleet(2, vms)
+				f.runTraffic(4 * time.Second)
+				fault(f)
+				f.runTraffic(5 * time.Second)
+				f.assertTargetLimits(t, name)
+			})
+		}
+	}
+}
+
+// updateSomeMemberships makes every second VM lose sight of a zone, so that two VMs own the same
+// limit for a second.
+func (f *fleet) updateSomeMemberships() {
+	for i, vm := range f.vms {
+		if i%2 == 0 {
+			vm.live = nil
+			for _, other := range f.vms {
+				if other.zone != 3 {
+					vm.live = append(vm.live, allowance.Candidate{VM: other.name, Hash: allowance.HashOf(other.name), Weight: 1})
+				}
+			}
+		}
+	}
+	f.runTraffic(time.Second)
+	f.updateMembership()
+}
+
+// pauseSome pauses every fifth VM for d.
+func (f *fleet) pauseSome(d time.Duration) {
+	for i := 0; i < len(f.vms); i += 5 {
+		f.vms[i].paused = true
+	}
+	f.runTraffic(d)
+	for _, vm := range f.vms {
+		vm.paused = false
+	}
+}
--- a/steering/placement/balancer.go
+++ b/steering/placement/balancer.go
@@ -97,6 +97,7 @@
 		s.joinService(v)
 	}
 	s.applyDeclared(t)
+	s.setLimited(b.notices.limitOf(t).InForce)
 	v.tables = nil
 	b.replaced.declare(s)
 }
@@ -196,7 +197,8 @@
 }
 
 // Slots returns the open slots by service and region: those of targets that are neither closed nor
-// ejected nor in an unreachable zone.
+// ejected nor in an unreachable zone. Of a target that names a limit only as many count as that
+// keeps occupied.
 func (b *Balancer) Slots() Slots {
 	slots := make(Slots)
 	for name, v := range b.services {
@@ -211,6 +213,11 @@
 				byRegion[s.Region] -= float64(s.Slots)
 			}
 		}
+		for s := range v.limited {
+			if !s.Closed && !s.ejected && !b.unreachable[s.Zone] {
+				byRegion[s.Region] -= float64(s.Slots) - b.usableSlots(v, s)
+			}
+		}
 		for region, n := range byRegion {
 			if n <= 0 {
 				delete(byRegion, region)
@@ -302,6 +309,11 @@
 // servedIn reports whether a service has open targets in a region.
 func (v *serviceState) servedIn(region steering.Region) bool { return v.openTargets()[region] != nil }
 
+// usableSlots returns how many of its slots a target that names a limit can have occupied.
+func (b *Balancer) usableSlots(v *serviceState, s *targetState) float64 {
+	return math.Min(float64(s.Slots), b.notices.limitOf(s.Target).PerSecond*b.slotTime(v, s))
+}
+
 // Ejected returns the ejected targets, for status and metrics.
 func (b *Balancer) Ejected() []steering.Target {
 	var names []steering.Target
--- a/steering/placement/choose.go
+++ b/steering/placement/choose.go
@@ -63,7 +63,7 @@
 			return pick, nil
 		}
 		if order.passed {
-			return Pick{}, &Refusal{Reason: steering.ReasonNoSlot, RetryAfter: b.retryAfter(v, r, wait, keyHash), Wait: span(wait), WarmRunTime: v.warmEstimate()}
+			return Pick{}, &Refusal{Reason: steering.ReasonNoSlot, RetryAfter: b.retryAfter(v, r, order.waitFor(now, wait), keyHash), Wait: span(wait), WarmRunTime: v.warmEstimate()}
 		}
 	}
 	return Pick{}, &Refusal{Reason: steering.ReasonNoTarget, RetryAfter: minRetryAfter}
@@ -87,6 +87,10 @@
 	shortest := math.Inf(1)
 	considered := 0
 	for c := order.next(now); c != nil; c = order.next(now) {
+		if until := b.notices.closedUntil(now, c.targetState, order.key); until.After(now) {
+			order.skipUntil(until)
+			continue
+		}
 		if c.targetState.cold(now) && !b.takeColdToken(now, c.targetState) {
 			continue
 		}
@@ -97,11 +101,11 @@
 		probe := c.targetState.ejected && b.probeDue(now, c.targetState, r)
 		switch {
 		case considered == 0 && (probe || b.fits(v, r, c)):
-			return c.pick(v), shortest, true
+			return b.pick(v, c), shortest, true
 		case considered == 1:
 			if c.wait == 0 && b.fits(v, r, c) && v.overflowTokens >= 1 {
 				v.overflowTokens--
-				return c.pick(v), shortest, true
+				return b.pick(v, c), shortest, true
 			}
 			return Pick{}, shortest, false
 		}
@@ -115,8 +119,9 @@
 	return b.maySendCold(s) && s.coldTokens.take(now, coldRateUse*s.ColdRate/float64(b.coldSenders))
 }
 
-func (c *candidate) pick(v *serviceState) Pick {
-	return Pick{Target: c.targetState.Target, Expected: span(c.cost), Wait: span(c.wait), WarmRunTime: v.warmEstimate(), Rank: c.rank, Trial: c.targetState.ejected, OtherRegion: c.crossRegion}
+func (b *Balancer) pick(v *serviceState, c *candidate) Pick {
+	return Pick{Target: c.targetState.Target, Expected: span(c.cost), Wait: span(c.wait), WarmRunTime: v.warmEstimate(), Rank: c.rank, Trial: c.targetState.ejected, OtherRegion: c.crossRegion,
+		Limit: b.notices.limitOf(c.targetState.Target)}
 }
 
 // predict sets the predicted wait and time until the answer of a candidate.
--- a/steering/placement/notices.go
+++ b/steering/placement/notices.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"heatherlock/steering"
+	"heatherlock/steering/rendezvous"
 )
 
 const (
@@ -13,6 +14,9 @@
 	noticeRetention = 10 * time.Minute
 	// maxNotices bounds the notices of targets that are not declared.
 	maxNotices = 4096
+	// returnTime is how long it takes until all keys are back on a target that names no limit any
+	// more. Its caches are cold for most of them.
+	returnTime = 2 * time.Second
 )
 
 // Notice is what a target says of itself in a response.
@@ -31,8 +35,12 @@
 type notice struct {
 	generation steering.Generation
 	heardAt    time.Time
-	limited    bool
-	limit      float64
+	limit      NamedLimit
+	// noCreditUntil is until when the target gets no request from this entry VM because the VMs use
+	// its limit up.
+	noCreditUntil time.Time
+	// returnsAt is when keys begin to come back to the target.
+	returnsAt time.Time
 }
 
 // notices holds the notices by target. A target without any has said nothing of itself.
@@ -40,20 +48,43 @@
 
 // of returns the notice of a target, or nil.
 func (n notices) of(t Target) *notice {
+	if len(n) == 0 {
+		return nil
+	}
 	if found := n[t.Name]; found != nil && found.generation == t.Generation {
 		return found
 	}
 	return nil
 }
 
-// add returns the notice of a target, and creates it if needed.
-func (n notices) add(t Target) *notice {
-	found := n.of(t)
-	if found == nil {
-		found = &notice{generation: t.Generation}
-		n[t.Name] = found
+// limitOf returns the limit that a target names.
+func (n notices) limitOf(t Target) NamedLimit {
+	if found := n.of(t); found != nil && found.limit.InForce {
+		return found.limit
+	}
+	return NamedLimit{}
+}
+
+// closedUntil returns until when a target gets no request with the key from this entry VM, as far
+// as its notices say; a time that has passed if it may get one now.
+func (n notices) closedUntil(now time.Time, s *targetState, key uint64) time.Time {
+	found := n.of(s.Target)
+	switch {
+	case found == nil:
+		return time.Time{}
+	case found.noCreditUntil.After(now):
+		return found.noCreditUntil
+	}
+	return found.returnOf(key ^ s.hash)
+}
+
+// returnOf returns when a key comes back to the target. The keys come back one after the other, in
+// an order that is the same on all entry VMs.
+func (n *notice) returnOf(key uint64) time.Time {
+	if n.returnsAt.IsZero() {
+		return time.Time{}
 	}
-	return found
+	return n.returnsAt.Add(time.Duration(rendezvous.Unit(rendezvous.Mix(key)) * float64(returnTime)))
 }
 
 // NoticeChange says what a response changed in what is known of its target.
@@ -69,19 +100,65 @@
 		if !said.Limited {
 			return NoticeChange{}
 		}
-		b.forgetNotices(now)
-		known = b.notices.add(t)
+		known = b.addNotice(now, t)
 	}
 	known.heardAt = now
-	return NoticeChange{Limit: known.setLimit(said)}
+	var c NoticeChange
+	if said.Limited || said.Complete {
+		c.Limit = b.setLimit(now, t, known, NamedLimit{InForce: said.Limited, PerSecond: said.Limit, HeardAt: now})
+	}
+	return c
+}
+
+// ApplyLimit records what a target said to another entry VM of its limit, unless this one has heard
+// the target say something later. It reports whether the limit has changed.
+func (b *Balancer) ApplyLimit(now time.Time, t Target, said NamedLimit) bool {
+	known := b.notices.of(t)
+	if known == nil {
+		known = b.addNotice(now, t)
+	}
+	if !said.HeardAt.After(known.limit.HeardAt) {
+		return false
+	}
+	return b.setLimit(now, t, known, said)
+}
+
+// LimitReached records that there is no credit for a target before wait has passed.
+func (b *Balancer) LimitReached(now time.Time, t Target, wait time.Duration) {
+	if known := b.notices.of(t); known != nil {
+		known.noCreditUntil = now.Add(wait)
+	}
+}
+
+// MaySend reports whether a request that was placed on a target may still be sent, as far as the
+// target's notices since then say.
+func (b *Balancer) MaySend(p Pick) bool {
+	return p.Limit.InForce || !b.notices.limitOf(p.Target).InForce
 }
 
-// setLimit records the limit in a response and reports whether it has changed.
-func (n *notice) setLimit(said Notice) bool {
-	if !said.Limited && !said.Complete || said.Limited == n.limited && said.Limit == n.limit {
+// addNotice adds an empty notice of a target.
+func (b *Balancer) addNotice(now time.Time, t Target) *notice {
+	b.forgetNotices(now)
+	added := &notice{generation: t.Generation}
+	b.notices[t.Name] = added
+	return added
+}
+
+// setLimit puts a limit in force or ends it, and reports whether it differs from the one before.
+func (b *Balancer) setLimit(now time.Time, t Target, known *notice, said NamedLimit) bool {
+	before := known.limit
+	known.limit = said
+	if said.InForce == before.InForce && said.PerSecond == before.PerSecond {
 		return false
 	}
-	n.limited, n.limit = said.Limited, said.Limit
+	if !said.InForce {
+		known.noCreditUntil, known.returnsAt = time.Time{}, now
+	} else {
+		known.returnsAt = time.Time{}
+	}
+	if s := b.stateOf(t); s != nil && s.service != nil {
+		s.setLimited(said.InForce)
+	}
 	return true
 }
 
@@ -100,10 +177,8 @@
 // LimitedCount returns the number of targets that name a limit.
 func (b *Balancer) LimitedCount() int {
 	limited := 0
-	for name, n := range b.notices {
-		if s := b.byName[name]; s != nil && s.Generation == n.generation && n.limited {
-			limited++
-		}
+	for _, v := range b.services {
+		limited += len(v.limited)
 	}
 	return limited
 }
--- a/steering/placement/order.go
+++ b/steering/placement/order.go
@@ -144,6 +144,24 @@
 	ignoreExclusion bool
 	// passed is set once a target was returned.
 	passed bool
+	// reopensAt is when the first of the targets that take no request now does again.
+	reopensAt time.Time
+}
+
+// skipUntil records that a target takes no request until the given time.
+func (o *keyOrder) skipUntil(until time.Time) {
+	if o.reopensAt.IsZero() || until.Before(o.reopensAt) {
+		o.reopensAt = until
+	}
+}
+
+// waitFor returns the time until a target may take the request, in seconds: the predicted wait, or
+// if no target was considered the time until one takes requests again.
+func (o *keyOrder) waitFor(now time.Time, wait float64) float64 {
+	if math.IsInf(wait, 1) && !o.reopensAt.IsZero() {
+		return o.reopensAt.Sub(now).Seconds()
+	}
+	return wait
 }
 
 func (b *Balancer) orderOf(v *serviceState, r Request, region steering.Region, key uint64) *keyOrder {
--- a/steering/placement/types.go
+++ b/steering/placement/types.go
@@ -64,6 +64,19 @@
 	Trial bool
 	// OtherRegion marks a request that runs outside the entry VM's region.
 	OtherRegion bool
+	// Limit is the limit that the target names. If it is in force, the request needs a credit for the
+	// target before it may be sent.
+	Limit NamedLimit
+}
+
+// NamedLimit is what a target last said of the request rate that it takes.
+type NamedLimit struct {
+	// InForce is set if the target names a limit, of PerSecond requests per second from all entry VMs
+	// together.
+	InForce   bool
+	PerSecond float64
+	// HeardAt is when the response arrived that says so, here or at another entry VM.
+	HeardAt time.Time
 }
 
 // Refusal says why no target was chosen.
