Record and show that a target says it leaves

Logs could not tell whether a VM had read that, or on whose word it closes targets. Nothing goes by it yet. Run: tests of platform, placement, relay and of the pages.

--- a/node/gateway/relay/events.go
+++ b/node/gateway/relay/events.go
@@ -69,6 +69,21 @@
 	}
 }
 
+// LeavingHeard counts a target that said in a response that it leaves, before its entry did or after.
+func (e *Metrics) LeavingHeard() {
+	if e != nil {
+		e.scope.Counter("gateway_targets_said_leaving").Inc(1)
+	}
+}
+
+// LeavingUnreadable counts a response that says of its target's leaving something that is not known
+// here.
+func (e *Metrics) LeavingUnreadable() {
+	if e != nil {
+		e.scope.Counter("gateway_target_leavings_unreadable").Inc(1)
+	}
+}
+
 const (
 	// maxUnknownHeaders bounds the header names that are counted individually; targets choose them.
 	maxUnknownHeaders = 8
--- a/steering/placement/notices.go
+++ b/steering/placement/notices.go
@@ -25,6 +25,8 @@
 	// together.
 	Limited bool
 	Limit   float64
+	// Leaving is set if the target says that it leaves.
+	Leaving bool
 	// Complete is set if a notice that is missing from the response is not in force any more. A
 	// response that the target gives before it reads a request may lack it.
 	Complete bool
@@ -36,6 +38,8 @@
 	generation steering.Generation
 	heardAt    time.Time
 	limit      NamedLimit
+	// leaving is never taken back.
+	leaving bool
 	// noCreditUntil is until when the target gets no request from this entry VM because the VMs use
 	// its limit up.
 	noCreditUntil time.Time
@@ -91,19 +95,22 @@
 type NoticeChange struct {
 	// Limit is set if the target names another limit than before, or none any more.
 	Limit bool
+	// Leaving is set if the target says for the first time that it leaves.
+	Leaving bool
 }
 
 // Heard records what a target said of itself in a response.
 func (b *Balancer) Heard(now time.Time, t Target, said Notice) NoticeChange {
 	known := b.notices.of(t)
 	if known == nil {
-		if !said.Limited {
+		if !said.Limited && !said.Leaving {
 			return NoticeChange{}
 		}
 		known = b.addNotice(now, t)
 	}
 	known.heardAt = now
-	var c NoticeChange
+	c := NoticeChange{Leaving: said.Leaving && !known.leaving}
+	known.leaving = known.leaving || said.Leaving
 	if said.Limited || said.Complete {
 		c.Limit = b.setLimit(now, t, known, NamedLimit{InForce: said.Limited, PerSecond: said.Limit, HeardAt: now})
 	}
