Close a target that says in a response that it leaves

What callers saw: requests reached a target 2.8 to 3.9 s after the same VM had passed on a response of it with Server-Leaving (bound 2.5 s); a few seconds later they would have been cut off with it. Cause: only the store told a VM that a target leaves, and the store did not answer for 12 s. Same class as the named limit: the header was passed on and not read. Change: such a response closes the target at once, as its entry would, and for as long as that start of it is known: an older state of the entry, removal and listing anew do not open it. A request that was placed before is not sent. If all targets leave, requests are refused at once. Why it works: each VM decides by what it has itself passed on, without the store or a peer.

--- a/steering/placement/balancer.go
+++ b/steering/placement/balancer.go
@@ -96,7 +96,7 @@
 		s.leaveService()
 		s.joinService(v)
 	}
-	s.applyDeclared(t)
+	s.applyDeclared(t, b.notices.leaving(t))
 	s.setLimited(b.notices.limitOf(t).InForce)
 	v.tables = nil
 	b.replaced.declare(s)
--- a/steering/placement/notices.go
+++ b/steering/placement/notices.go
@@ -69,6 +69,12 @@
 	return NamedLimit{}
 }
 
+// leaving reports whether a target has said that it leaves.
+func (n notices) leaving(t Target) bool {
+	found := n.of(t)
+	return found != nil && found.leaving
+}
+
 // closedUntil returns until when a target gets no request with the key from this entry VM, as far
 // as its notices say; a time that has passed if it may get one now.
 func (n notices) closedUntil(now time.Time, s *targetState, key uint64) time.Time {
@@ -111,6 +117,9 @@
 	known.heardAt = now
 	c := NoticeChange{Leaving: said.Leaving && !known.leaving}
 	known.leaving = known.leaving || said.Leaving
+	if s := b.stateOf(t); c.Leaving && s != nil {
+		s.close()
+	}
 	if said.Limited || said.Complete {
 		c.Limit = b.setLimit(now, t, known, NamedLimit{InForce: said.Limited, PerSecond: said.Limit, HeardAt: now})
 	}
@@ -140,7 +149,14 @@
 // MaySend reports whether a request that was placed on a target may still be sent, as far as the
 // target's notices since then say.
 func (b *Balancer) MaySend(p Pick) bool {
-	return p.Limit.InForce || !b.notices.limitOf(p.Target).InForce
+	known := b.notices.of(p.Target)
+	switch {
+	case known == nil:
+		return true
+	case known.leaving:
+		return false
+	}
+	return p.Limit.InForce || !known.limit.InForce
 }
 
 // addNotice adds an empty notice of a target.
--- a/steering/placement/notices_test.go
+++ b/steering/placement/notices_test.go
@@ -139,3 +139,42 @@
 	slots := b.Slots()["svc"]["centro"]
 	assert.Assert(t, slots > 4 && slots < 4.5, "%v", slots)
 }
+
+// Guards against a target that gets requests again because an older state of its entry, or its entry
+// listed anew, says that it is ready, and against one that is closed for a start after it.
+func TestTargetThatSaidItLeavesStaysClosed(t *testing.T) {
+	b, all := newNoticeBalancer(3)
+	now := time.Unix(1000, 0)
+	placed, _ := b.Choose(now, placement.Request{Service: "svc", Key: "k", Region: "centro"})
+	leaving := placed.Target
+	assert.Assert(t, b.Heard(now, leaving, placement.Notice{Leaving: true, Complete: true}).Leaving)
+	assert.Assert(t, !b.MaySend(placed), "placed before the target said so")
+	none := func(what string) {
+		picks, _ := picked(b, now, 200)
+		assert.Equal(t, picks[leaving.Name], 0, what)
+	}
+	none("said to leave")
+	b.Heard(now, leaving, placement.Notice{Complete: true})
+	b.UpdateTargets([]placement.Target{leaving}, nil)
+	none("declared again")
+	b.SetTargets(nil)
+	b.SetTargets(all)
+	none("removed and listed anew")
+	restarted := leaving
+	restarted.Generation++
+	b.UpdateTargets([]placement.Target{restarted}, nil)
+	picks, _ := picked(b, now, 200)
+	assert.Assert(t, picks[leaving.Name] > 20, "%v", picks)
+}
+
+// Guards against a last resort that takes targets which leave, because all others leave too.
+func TestNoRequestGoesToTargetsThatAllLeave(t *testing.T) {
+	b, all := newNoticeBalancer(3)
+	now := time.Unix(1000, 0)
+	for _, target := range all {
+		b.Heard(now, target, placement.Notice{Leaving: true})
+	}
+	picks, refused := picked(b, now, 50)
+	assert.Equal(t, len(picks), 0)
+	assert.Equal(t, refused[0].Reason, steering.ReasonNoTarget)
+}
--- a/steering/placement/replaced.go
+++ b/steering/placement/replaced.go
@@ -71,10 +71,7 @@
 
 // add closes a target that was found to be replaced and schedules it to be reported.
 func (r *replacements) add(now time.Time, s *targetState) {
-	s.Closed = true
-	if s.service != nil {
-		s.service.tables = nil
-	}
+	s.close()
 	if s.replaced {
 		return
 	}
--- a/steering/placement/state.go
+++ b/steering/placement/state.go
@@ -67,12 +67,21 @@
 }
 
 // applyDeclared updates the declared properties. A target that was found to be replaced stays
-// closed until its entry names another start or address.
-func (s *targetState) applyDeclared(t Target) {
+// closed until its entry names another start or address, and one that said that it leaves until it
+// names another start.
+func (s *targetState) applyDeclared(t Target, leaving bool) {
 	startID := startIDOf(t)
 	s.replaced = s.replaced && s.startID == startID
 	s.Target, s.startID = t, startID
-	s.Closed = s.Closed || s.replaced
+	s.Closed = s.Closed || s.replaced || leaving
+}
+
+// close ends new requests to the target.
+func (s *targetState) close() {
+	s.Closed = true
+	if s.service != nil {
+		s.service.tables = nil
+	}
 }
 
 // load estimates the number of requests that run or wait at the target now.
