--- a/node/gateway/relay/attempts.go
+++ b/node/gateway/relay/attempts.go
@@ -51,6 +51,7 @@
 	AtMs       int64           `json:"at_ms"` // since the request was received
 	End        string          `json:"end,omitempty"`
 	EndMs      int64           `json:"end_ms,omitempty"`
+	RestMs     int64           `json:"rest_ms,omitempty"` // rest that the target asked for
 
 	report      placement.Report
 	unusable    bool // a response arrived but could not be passed on
@@ -63,6 +64,7 @@
 	for i := range x.history {
 		if t := &x.history[i]; t.Target == e.pick.Target.Name && t.End == "" {
 			t.End, t.EndMs = e.String(), time.Since(x.r.Received).Milliseconds()
+			t.RestMs = e.info.Rest.Milliseconds()
 			t.report, t.unusable = e.report, e.err == nil && !e.usable && !e.notRun
 		}
 	}
--- a/node/gateway/relay/events.go
+++ b/node/gateway/relay/events.go
@@ -84,6 +84,20 @@
 	}
 }
 
+// RestAsked counts a response by which a target asks for rest.
+func (e *Metrics) RestAsked() {
+	if e != nil {
+		e.scope.Counter("gateway_target_rests_asked").Inc(1)
+	}
+}
+
+// RestUnreadable counts a response by which a target asks for rest in a form that is not known here.
+func (e *Metrics) RestUnreadable() {
+	if e != nil {
+		e.scope.Counter("gateway_target_rests_unreadable").Inc(1)
+	}
+}
+
 const (
 	// maxUnknownHeaders bounds the header names that are counted individually; targets choose them.
 	maxUnknownHeaders = 8
--- a/node/gateway/relay/notices.go
+++ b/node/gateway/relay/notices.go
@@ -17,12 +17,15 @@
 	if e.info.LeavingUnreadable {
 		f.cfg.Metrics.LeavingUnreadable()
 	}
+	if e.info.RestUnreadable {
+		f.cfg.Metrics.RestUnreadable()
+	}
 	for _, name := range e.info.UnknownHeaders {
 		if f.cfg.Metrics.UnknownHeader(name) {
 			_ = f.cfg.Log.Log("msg", "target says something that is not known here", "target", e.pick.Target.Name, "header", name) // the log writer counts dropped lines
 		}
 	}
-	said := placement.Notice{Limited: e.info.Limit.Named, Limit: e.info.Limit.PerSecond, Leaving: e.info.Leaving, Complete: e.info.Signed && !e.info.Limit.Unreadable}
+	said := placement.Notice{Limited: e.info.Limit.Named, Limit: e.info.Limit.PerSecond, Leaving: e.info.Leaving, Rest: e.info.Rest, Complete: e.info.Signed && !e.info.Limit.Unreadable}
 	changed := f.cfg.Balancer.Heard(now, e.pick.Target, said)
 	if changed.Limit {
 		e.limitHeard = &placement.NamedLimit{InForce: said.Limited, PerSecond: said.Limit, HeardAt: now}
@@ -36,6 +39,12 @@
 		f.cfg.Metrics.LeavingHeard()
 		_ = f.cfg.Log.Log("msg", "target says that it leaves", "target", t.Name, "service", t.Service, "store_age_ms", f.storeAge().Milliseconds()) // the log writer counts dropped lines
 	}
+	if said.Rest > 0 {
+		f.cfg.Metrics.RestAsked()
+	}
+	if changed.Rest {
+		_ = f.cfg.Log.Log("msg", "target asks for rest", "target", t.Name, "service", t.Service, "rest_ms", said.Rest.Milliseconds()) // the log writer counts dropped lines
+	}
 	switch {
 	case changed.Limit && said.Limited:
 		_ = f.cfg.Log.Log("msg", "target names a limit", "target", t.Name, "service", t.Service, "per_second", said.Limit) // the log writer counts dropped lines
--- a/steering/placement/notices.go
+++ b/steering/placement/notices.go
@@ -27,6 +27,8 @@
 	Limit   float64
 	// Leaving is set if the target says that it leaves.
 	Leaving bool
+	// Rest is how long the target wants no request from this entry VM; 0 if it does not say.
+	Rest time.Duration
 	// Complete is set if a notice that is missing from the response is not in force any more. A
 	// response that the target gives before it reads a request may lack it.
 	Complete bool
@@ -40,6 +42,8 @@
 	limit      NamedLimit
 	// leaving is never taken back.
 	leaving bool
+	// restUntil is until when the target wants no request from this entry VM.
+	restUntil time.Time
 	// noCreditUntil is until when the target gets no request from this entry VM because the VMs use
 	// its limit up.
 	noCreditUntil time.Time
@@ -103,13 +107,15 @@
 	Limit bool
 	// Leaving is set if the target says for the first time that it leaves.
 	Leaving bool
+	// Rest is set if the target asks for rest and was not resting.
+	Rest bool
 }
 
 // Heard records what a target said of itself in a response.
 func (b *Balancer) Heard(now time.Time, t Target, said Notice) NoticeChange {
 	known := b.notices.of(t)
 	if known == nil {
-		if !said.Limited && !said.Leaving {
+		if !said.Limited && !said.Leaving && said.Rest <= 0 {
 			return NoticeChange{}
 		}
 		known = b.addNotice(now, t)
@@ -117,6 +123,10 @@
 	known.heardAt = now
 	c := NoticeChange{Leaving: said.Leaving && !known.leaving}
 	known.leaving = known.leaving || said.Leaving
+	if until := now.Add(said.Rest); said.Rest > 0 && until.After(known.restUntil) {
+		c.Rest = !known.restUntil.After(now)
+		known.restUntil = until
+	}
 	if s := b.stateOf(t); c.Leaving && s != nil {
 		s.close()
 	}
