--- a/node/gateway/relay/rig_test.go
+++ b/node/gateway/relay/rig_test.go
@@ -140,12 +140,23 @@
 
 // ask sends a request on a new connection.
 func (g *rig) ask(method, path, body string, deadline time.Duration) reply {
+	g.t.Helper()
+	return g.askWithKey("17", method, path, body, deadline)
+}
+
+// askFor sends a read of an object on a new connection.
+func (g *rig) askFor(key string) reply {
+	g.t.Helper()
+	return g.askWithKey(key, "GET", "/read/1", "", 2*time.Second)
+}
+
+func (g *rig) askWithKey(key, method, path, body string, deadline time.Duration) reply {
 	g.t.Helper()
 	r, err := http.NewRequest(method, "http://"+g.address+path, strings.NewReader(body))
 	assert.NilError(g.t, err)
 	r.Host = "shop.example"
 	r.Header.Set("X-Request-Id", fmt.Sprint("req-", g.number.Add(1)))
-	r.Header.Set("X-Affinity-Key", "17")
+	r.Header.Set("X-Affinity-Key", key)
 	r.Header.Set("X-Deadline-Ms", fmt.Sprint(deadline.Milliseconds()))
 	started := time.Now()
 	response, err := (&http.Transport{DisableKeepAlives: true, DisableCompression: true}).RoundTrip(r)
