Let keys return evenly to a target that ends its limit

Callers would see: a target that ended its limit got most of its keys back in the last tenth of the two seconds. Cause: the order of return used the same hash of key and target as the order of targets for a key, so the keys for which a target comes first had the highest values. Change: the hash is mixed once more.

--- a/steering/placement/notices.go
+++ b/steering/placement/notices.go
@@ -89,11 +89,11 @@
 	case found.noCreditUntil.After(now):
 		return found.noCreditUntil
 	}
-	return found.returnOf(key ^ s.hash)
+	return found.returnOf(rendezvous.Mix(key ^ s.hash))
 }
 
 // returnOf returns when a key comes back to the target. The keys come back one after the other, in
-// an order that is the same on all entry VMs.
+// an order that is the same on all entry VMs and independent of the order of targets for a key.
 func (n *notice) returnOf(key uint64) time.Time {
 	if n.returnsAt.IsZero() {
 		return time.Time{}
--- a/steering/placement/notices_test.go
+++ b/steering/placement/notices_test.go
@@ -117,6 +117,8 @@
 		}
 	}
 	assert.Assert(t, last > 50, "%d", last)
+	picks, _ := picked(b, now.Add(time.Second), 400)
+	assert.Assert(t, picks["t0"] > last/4 && picks["t0"] < last*3/4, "%d of %d after half of the time", picks["t0"], last)
 }
 
 // Guards against a request that is sent without a credit because it was placed before the target
