Send nothing to a target in the rest that it asked for

What callers saw: in the first second in which five of 18 targets of a service turned requests away, 36 of 220 were late and some refused: each refusal by a target took a retry. Three and more requests of one VM reached a target that had asked it for 3 s of rest (two are allowed from half a second on). Such a refusal counted as a failure, ejection lasts 0.4 s at first, each end of it sends a probe, and once most targets of a region are ejected, ejection is ignored. Same class as the named limit. Change: a target that asks for rest gets nothing from the VM until it ends, not as a probe and not as a last resort; the longer of two rests holds, a request that was placed before is not sent, and the refusal is no failure. Its slots do not count meanwhile, so that keys are placed elsewhere; then keys return over as long as it rested, at most two seconds, in the same order on all VMs. If all targets rest, requests are refused at once with the time until the first takes requests again.

--- a/cmd/internal/benchplacement/policies.go
+++ b/cmd/internal/benchplacement/policies.go
@@ -82,7 +82,7 @@
 		}
 		demand[region].AddAll(b.Demand(now))
 	}
-	p.lending = placement.NextRegionSplit(p.lending, placement.SplitInput{Demand: demand, Slots: p.balancers[0].Slots(), Regions: regionCount, MaxRegionShift: maxShiftShare})
+	p.lending = placement.NextRegionSplit(p.lending, placement.SplitInput{Demand: demand, Slots: p.balancers[0].Slots(now), Regions: regionCount, MaxRegionShift: maxShiftShare})
 	for _, b := range p.balancers {
 		b.SetRegionSplit(p.lending)
 		b.SetServiceTimes(placement.Runs(demand))
--- a/node/gateway/gateway.go
+++ b/node/gateway/gateway.go
@@ -348,7 +348,7 @@
 	g.relay.WithBalancer(func(balancer *placement.Balancer, _ *retry.SharedBudget) {
 		demand[g.settings.Region].AddAll(balancer.Demand(time.Now()))
 		balancer.SetServiceTimes(placement.Runs(demand))
-		g.regionSplit = placement.NextRegionSplit(g.regionSplit, placement.SplitInput{Demand: demand, Slots: balancer.Slots(), Regions: g.regionCount(), MaxRegionShift: g.bounds.Load().MaxRegionShift})
+		g.regionSplit = placement.NextRegionSplit(g.regionSplit, placement.SplitInput{Demand: demand, Slots: balancer.Slots(time.Now()), Regions: g.regionCount(), MaxRegionShift: g.bounds.Load().MaxRegionShift})
 		balancer.SetRegionSplit(g.regionSplit)
 	})
 }
--- a/node/gateway/relay/placement.go
+++ b/node/gateway/relay/placement.go
@@ -67,7 +67,7 @@
 func (f *Relay) mayStillSend(p placement.Pick) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.cfg.Balancer.MaySend(p)
+	return f.cfg.Balancer.MaySend(time.Now(), p)
 }
 
 // reportResult reports to the balancer and the poison filter what an attempt showed about its
--- a/steering/placement/balancer.go
+++ b/steering/placement/balancer.go
@@ -97,7 +97,9 @@
 		s.joinService(v)
 	}
 	s.applyDeclared(t, b.notices.leaving(t))
-	s.setLimited(b.notices.limitOf(t).InForce)
+	if b.notices.of(t) != nil {
+		v.noticed[s] = true
+	}
 	v.tables = nil
 	b.replaced.declare(s)
 }
@@ -198,8 +200,8 @@
 
 // Slots returns the open slots by service and region: those of targets that are neither closed nor
 // ejected nor in an unreachable zone. Of a target that names a limit only as many count as that
-// keeps occupied.
-func (b *Balancer) Slots() Slots {
+// keeps occupied, and of one that rests none.
+func (b *Balancer) Slots(now time.Time) Slots {
 	slots := make(Slots)
 	for name, v := range b.services {
 		byRegion := make(map[steering.Region]float64)
@@ -213,9 +215,11 @@
 				byRegion[s.Region] -= float64(s.Slots)
 			}
 		}
-		for s := range v.limited {
-			if !s.Closed && !s.ejected && !b.unreachable[s.Zone] {
-				byRegion[s.Region] -= float64(s.Slots) - b.usableSlots(v, s)
+		for s := range v.noticed {
+			if !b.notices.limitOf(s.Target).InForce && !b.notices.resting(now, s.Target) {
+				delete(v.noticed, s)
+			} else if !s.Closed && !s.ejected && !b.unreachable[s.Zone] {
+				byRegion[s.Region] -= float64(s.Slots) - b.usableSlots(now, v, s)
 			}
 		}
 		for region, n := range byRegion {
@@ -256,7 +260,7 @@
 	case Failed:
 		s.recordFailure(now, false)
 	case Shed:
-		if !r.queueFull(s.Slots) {
+		if !r.queueFull(s.Slots) && !b.notices.resting(now, t) {
 			s.recordFailure(now, false)
 		}
 	case Unreachable:
@@ -309,9 +313,16 @@
 // servedIn reports whether a service has open targets in a region.
 func (v *serviceState) servedIn(region steering.Region) bool { return v.openTargets()[region] != nil }
 
-// usableSlots returns how many of its slots a target that names a limit can have occupied.
-func (b *Balancer) usableSlots(v *serviceState, s *targetState) float64 {
-	return math.Min(float64(s.Slots), b.notices.limitOf(s.Target).PerSecond*b.slotTime(v, s))
+// usableSlots returns how many of its slots a target can have occupied, as its notices say.
+func (b *Balancer) usableSlots(now time.Time, v *serviceState, s *targetState) float64 {
+	limit := b.notices.limitOf(s.Target)
+	switch {
+	case b.notices.resting(now, s.Target):
+		return 0
+	case limit.InForce:
+		return math.Min(float64(s.Slots), limit.PerSecond*b.slotTime(v, s))
+	}
+	return float64(s.Slots)
 }
 
 // Ejected returns the ejected targets, for status and metrics.
--- a/steering/placement/notices.go
+++ b/steering/placement/notices.go
@@ -15,7 +15,7 @@
 	// maxNotices bounds the notices of targets that are not declared.
 	maxNotices = 4096
 	// returnTime is how long it takes until all keys are back on a target that names no limit any
-	// more. Its caches are cold for most of them.
+	// more, or that has rested, but no longer than it has rested. Its caches are cold for most of them.
 	returnTime = 2 * time.Second
 )
 
@@ -47,8 +47,10 @@
 	// noCreditUntil is until when the target gets no request from this entry VM because the VMs use
 	// its limit up.
 	noCreditUntil time.Time
-	// returnsAt is when keys begin to come back to the target.
-	returnsAt time.Time
+	// returnsAt is when keys begin to come back to the target, returnTime how long it takes until all
+	// are back.
+	returnsAt  time.Time
+	returnTime time.Duration
 }
 
 // notices holds the notices by target. A target without any has said nothing of itself.
@@ -86,6 +88,8 @@
 	switch {
 	case found == nil:
 		return time.Time{}
+	case found.restUntil.After(now):
+		return found.restUntil
 	case found.noCreditUntil.After(now):
 		return found.noCreditUntil
 	}
@@ -98,7 +102,7 @@
 	if n.returnsAt.IsZero() {
 		return time.Time{}
 	}
-	return n.returnsAt.Add(time.Duration(rendezvous.Unit(rendezvous.Mix(key)) * float64(returnTime)))
+	return n.returnsAt.Add(time.Duration(rendezvous.Unit(rendezvous.Mix(key)) * float64(n.returnTime)))
 }
 
 // NoticeChange says what a response changed in what is known of its target.
@@ -125,7 +129,10 @@
 	known.leaving = known.leaving || said.Leaving
 	if until := now.Add(said.Rest); said.Rest > 0 && until.After(known.restUntil) {
 		c.Rest = !known.restUntil.After(now)
-		known.restUntil = until
+		known.rest(until, said.Rest)
+		if s := b.stateOf(t); s != nil {
+			s.service.noticed[s] = true
+		}
 	}
 	if s := b.stateOf(t); c.Leaving && s != nil {
 		s.close()
@@ -136,6 +143,18 @@
 	return c
 }
 
+// rest records that the target wants no request until the given time, after a rest of d.
+func (n *notice) rest(until time.Time, d time.Duration) {
+	n.restUntil = until
+	n.returnsAt, n.returnTime = until, min(d, returnTime)
+}
+
+// resting reports whether a target wants no request now.
+func (n notices) resting(now time.Time, t Target) bool {
+	found := n.of(t)
+	return found != nil && found.restUntil.After(now)
+}
+
 // ApplyLimit records what a target said to another entry VM of its limit, unless this one has heard
 // the target say something later. It reports whether the limit has changed.
 func (b *Balancer) ApplyLimit(now time.Time, t Target, said NamedLimit) bool {
@@ -158,12 +177,12 @@
 
 // MaySend reports whether a request that was placed on a target may still be sent, as far as the
 // target's notices since then say.
-func (b *Balancer) MaySend(p Pick) bool {
+func (b *Balancer) MaySend(now time.Time, p Pick) bool {
 	known := b.notices.of(p.Target)
 	switch {
 	case known == nil:
 		return true
-	case known.leaving:
+	case known.leaving, known.restUntil.After(now):
 		return false
 	}
 	return p.Limit.InForce || !known.limit.InForce
@@ -185,12 +204,12 @@
 		return false
 	}
 	if !said.InForce {
-		known.noCreditUntil, known.returnsAt = time.Time{}, now
+		known.noCreditUntil, known.returnsAt, known.returnTime = time.Time{}, now, returnTime
 	} else {
 		known.returnsAt = time.Time{}
 	}
-	if s := b.stateOf(t); s != nil && s.service != nil {
-		s.setLimited(said.InForce)
+	if s := b.stateOf(t); s != nil {
+		s.service.noticed[s] = true
 	}
 	return true
 }
@@ -211,7 +230,11 @@
 func (b *Balancer) LimitedCount() int {
 	limited := 0
 	for _, v := range b.services {
-		limited += len(v.limited)
+		for s := range v.noticed {
+			if b.notices.limitOf(s.Target).InForce {
+				limited++
+			}
+		}
 	}
 	return limited
 }
--- a/steering/placement/notices_test.go
+++ b/steering/placement/notices_test.go
@@ -127,18 +127,18 @@
 	b, _ := newNoticeBalancer(1)
 	now := time.Unix(1000, 0)
 	p, _ := b.Choose(now, placement.Request{Service: "svc", Key: "k", Region: "centro"})
-	assert.Assert(t, b.MaySend(p))
+	assert.Assert(t, b.MaySend(now, p))
 	b.Heard(now, p.Target, limitOf(2))
-	assert.Assert(t, !b.MaySend(p))
+	assert.Assert(t, !b.MaySend(now, p))
 }
 
 // Guards against a region that keeps more keys than targets with limits can serve.
 func TestLimitedTargetCountsForWhatItTakes(t *testing.T) {
 	b, all := newNoticeBalancer(2)
 	now := time.Unix(1000, 0)
-	assert.Equal(t, b.Slots()["svc"]["centro"], 8.0)
+	assert.Equal(t, b.Slots(now)["svc"]["centro"], 8.0)
 	b.Heard(now, all[0], limitOf(2))
-	slots := b.Slots()["svc"]["centro"]
+	slots := b.Slots(now)["svc"]["centro"]
 	assert.Assert(t, slots > 4 && slots < 4.5, "%v", slots)
 }
 
@@ -150,7 +150,7 @@
 	placed, _ := b.Choose(now, placement.Request{Service: "svc", Key: "k", Region: "centro"})
 	leaving := placed.Target
 	assert.Assert(t, b.Heard(now, leaving, placement.Notice{Leaving: true, Complete: true}).Leaving)
-	assert.Assert(t, !b.MaySend(placed), "placed before the target said so")
+	assert.Assert(t, !b.MaySend(now, placed), "placed before the target said so")
 	none := func(what string) {
 		picks, _ := picked(b, now, 200)
 		assert.Equal(t, picks[leaving.Name], 0, what)
@@ -180,3 +180,55 @@
 	assert.Equal(t, len(picks), 0)
 	assert.Equal(t, refused[0].Reason, steering.ReasonNoTarget)
 }
+
+// Guards against a rest that a shorter one ends, that a last resort ignores, or that counts as a
+// failure of the target, and against callers that are sent back before any target takes requests.
+func TestRestingTargetsGetNoRequests(t *testing.T) {
+	b, all := newNoticeBalancer(4)
+	now := time.Unix(1000, 0)
+	for _, target := range all[:3] {
+		b.RequestPlaced(now, target, "k", false)
+		assert.Assert(t, b.Heard(now, target, placement.Notice{Rest: 3 * time.Second}).Rest)
+		b.RequestEnded(now, target, placement.Report{Outcome: placement.Shed}, false, false)
+	}
+	assert.Equal(t, len(b.Ejected()), 0)
+	assert.Assert(t, !b.Heard(now.Add(time.Second), all[0], placement.Notice{Rest: 500 * time.Millisecond}).Rest)
+	assert.Equal(t, b.Slots(now)["svc"]["centro"], 4.0)
+	picks, _ := picked(b, now.Add(2900*time.Millisecond), 300)
+	assert.Assert(t, len(picks) == 1 && picks["t3"] > 0, "%v", picks)
+	picks, _ = picked(b, now.Add(6*time.Second), 300)
+	assert.Equal(t, len(picks), 4)
+	assert.Equal(t, b.Slots(now.Add(6 * time.Second))["svc"]["centro"], 16.0)
+
+	for _, target := range all {
+		b.Heard(now.Add(6*time.Second), target, placement.Notice{Rest: 1500 * time.Millisecond})
+	}
+	picks, refused := picked(b, now.Add(6*time.Second), 50)
+	assert.Equal(t, len(picks), 0)
+	for _, r := range refused {
+		assert.Assert(t, r.RetryAfter > time.Second, "%v", r.RetryAfter)
+	}
+}
+
+// Guards against VMs that all send a rested target its whole load in the same moment.
+func TestKeysReturnGraduallyAfterARest(t *testing.T) {
+	b, all := newNoticeBalancer(4)
+	now := time.Unix(1000, 0)
+	b.Heard(now, all[0], placement.Notice{Rest: time.Second})
+	at := func(d time.Duration) int {
+		picks, _ := picked(b, now.Add(d), 400)
+		return picks["t0"]
+	}
+	soon, half, whole := at(1020*time.Millisecond), at(1500*time.Millisecond), at(2*time.Second)
+	assert.Assert(t, soon < whole/5 && half > whole/4 && half < whole*3/4, "%d, %d, %d", soon, half, whole)
+}
+
+// Guards against a request that reaches a target in its rest because it was placed before.
+func TestPlacedRequestIsNotSentOnceTheTargetRests(t *testing.T) {
+	b, _ := newNoticeBalancer(1)
+	now := time.Unix(1000, 0)
+	p, _ := b.Choose(now, placement.Request{Service: "svc", Key: "k", Region: "centro"})
+	b.Heard(now, p.Target, placement.Notice{Rest: time.Second})
+	assert.Assert(t, !b.MaySend(now.Add(900*time.Millisecond), p))
+	assert.Assert(t, b.MaySend(now.Add(1100*time.Millisecond), p))
+}
--- a/steering/placement/simulation_test.go
+++ b/steering/placement/simulation_test.go
@@ -187,7 +187,7 @@
 			demand[region].AddAll(b.Demand(p.now))
 		}
 	}
-	p.lending = placement.NextRegionSplit(p.lending, placement.SplitInput{Demand: demand, Slots: p.entryVMs()[0].Slots(), Regions: len(targetsPerRegion), MaxRegionShift: 0.15})
+	p.lending = placement.NextRegionSplit(p.lending, placement.SplitInput{Demand: demand, Slots: p.entryVMs()[0].Slots(p.now), Regions: len(targetsPerRegion), MaxRegionShift: 0.15})
 	for _, b := range p.entryVMs() {
 		b.SetServiceTimes(placement.Runs(demand))
 		b.SetRegionSplit(p.lending)
--- a/steering/placement/state.go
+++ b/steering/placement/state.go
@@ -133,15 +133,6 @@
 	}
 }
 
-// setLimited records whether the target names a limit.
-func (s *targetState) setLimited(limited bool) {
-	if limited {
-		s.service.limited[s] = true
-	} else {
-		delete(s.service.limited, s)
-	}
-}
-
 func (s *targetState) eject(now time.Time) {
 	s.setEjected(true)
 	s.ejectionTime = min(max(2*s.ejectionTime, minEjectionTime), maxEjectionTime)
@@ -199,7 +190,7 @@
 	v.targets[s.index], last.index = last, s.index
 	v.targets = v.targets[:len(v.targets)-1]
 	delete(v.ejected, s)
-	delete(v.limited, s)
+	delete(v.noticed, s)
 	v.tables, s.service = nil, nil
 }
 
@@ -207,8 +198,8 @@
 type serviceState struct {
 	targets []*targetState // in no particular order
 	ejected map[*targetState]bool
-	// limited holds the targets that name a limit.
-	limited map[*targetState]bool
+	// noticed holds the targets that may take less than their slots, as their notices say.
+	noticed map[*targetState]bool
 	// tables holds the open targets by region; nil if they must be determined anew.
 	tables map[steering.Region]*regionTable
 	// warmTime and coldTime are the service times for warm and cold keys, in seconds.
@@ -265,7 +256,7 @@
 )
 
 func newServiceState() *serviceState {
-	v := &serviceState{ejected: make(map[*targetState]bool), limited: make(map[*targetState]bool)}
+	v := &serviceState{ejected: make(map[*targetState]bool), noticed: make(map[*targetState]bool)}
 	v.setDefaults(defaultObjective)
 	return v
 }
