Keep the rest that targets of the product's own protocol ask for

Its pool paused the target for 100 ms, doubling, and only if it was idle otherwise. Change: the outcome of a request carries the rest, to the pool's owner too (GrantEnd.rest_ms, a new field that builds before ignore); the pool grants no slot of the target until it ends, and a shorter pause does not end a longer one.

--- a/node/admit/release.go
+++ b/node/admit/release.go
@@ -54,6 +54,7 @@
 		LatencyUs:        o.Latency.Microseconds(),
 		ReportedInFlight: int32(o.ReportedInFlight),
 		ReportedSlots:    int32(o.ReportedSlots),
+		RestMs:           o.Rest.Milliseconds(),
 	}
 }
 
@@ -113,7 +114,7 @@
 
 // poolOutcome converts the outcome of a request to the pool's outcome of a grant.
 func poolOutcome(o seam.Outcome) pool.Outcome {
-	return pool.Outcome{End: slotEnd(o.Kind), ReportedInFlight: o.ReportedInFlight, ReportedSlots: o.ReportedSlots}
+	return pool.Outcome{End: slotEnd(o.Kind), ReportedInFlight: o.ReportedInFlight, ReportedSlots: o.ReportedSlots, Rest: o.Rest}
 }
 
 // runInBackground runs f in a goroutine that Run waits for, with the context of
--- a/node/admit/server.go
+++ b/node/admit/server.go
@@ -80,6 +80,9 @@
 	return reply
 }
 
+// maxRest bounds the rest of a target that another entry VM reports.
+const maxRest = time.Hour
+
 // Release ends grants of pools that this entry VM owns. Unknown grants are
 // ignored: a release may arrive twice, or after another entry VM took over.
 func (s *Server) Release(_ context.Context, r *peerpb.ReleaseRequest) (*peerpb.ReleaseReply, error) {
@@ -93,6 +96,7 @@
 			Latency:          time.Duration(end.LatencyUs) * time.Microsecond,
 			ReportedInFlight: int(end.ReportedInFlight),
 			ReportedSlots:    int(end.ReportedSlots),
+			Rest:             time.Duration(min(max(end.RestMs, 0), maxRest.Milliseconds())) * time.Millisecond,
 		})
 	}
 	return &peerpb.ReleaseReply{}, nil
--- a/node/forward/fakes_test.go
+++ b/node/forward/fakes_test.go
@@ -86,6 +86,7 @@
 	capped  bool
 	busy    int
 	ended   []seam.OutcomeKind
+	rests   []time.Duration // of the outcomes
 	mu      sync.Mutex
 	down    map[steering.VM]bool
 	stored  map[steering.Key]*fakeRun
@@ -285,6 +286,7 @@
 	defer g.e.mu.Unlock()
 	g.e.busy--
 	g.e.ended = append(g.e.ended, o.Kind)
+	g.e.rests = append(g.e.rests, o.Rest)
 	if _, bounded := g.e.slots[g.t.Name]; bounded {
 		g.e.slots[g.t.Name]++
 	}
--- a/node/forward/hedge.go
+++ b/node/forward/hedge.go
@@ -60,7 +60,7 @@
 	x.f.activeTries.remove(a)
 	a.grant.Done(seam.Outcome{
 		Kind: slotOutcome(result), Latency: time.Since(a.started),
-		ReportedInFlight: result.inFlight, ReportedSlots: result.slots,
+		ReportedInFlight: result.inFlight, ReportedSlots: result.slots, Rest: result.rest,
 	})
 	x.f.suspects.End(x.mark, a.verdict, a.target, result.tryOutcome())
 }
@@ -227,6 +227,7 @@
 		case usableResponse(s):
 		case firstValue(s.res.Header, targetNotRun) == "true":
 			result = newTryResult(seam.OutcomeShed, steering.Refuse(steering.ReasonShed, 0, "the target refused without running it"))
+			result.rest = retryAfter(s.res.Header)
 		default:
 			result.kind = seam.OutcomeFailed
 		}
--- a/node/forward/response.go
+++ b/node/forward/response.go
@@ -29,6 +29,7 @@
 		result = x.rejectMismatched(res, conn)
 	case res.StatusCode == http.StatusServiceUnavailable && firstValue(res.Header, targetNotRun) == "true":
 		result = newTryResult(seam.OutcomeShed, steering.Refuse(steering.ReasonShed, retryAfter(res.Header), "the target refused without running it"))
+		result.rest = retryAfter(res.Header)
 		x.discard(res, conn)
 	case x.retryOnStatus(res.StatusCode):
 		result = newTryResult(seam.OutcomeFailed, steering.RefuseUnknown(steering.ReasonTargetFailed, fmt.Sprintf("the target answered %d", res.StatusCode)))
--- a/node/forward/targetfailure_test.go
+++ b/node/forward/targetfailure_test.go
@@ -216,3 +216,19 @@
 		time.Sleep(10 * time.Second)
 	})
 }
+
+// Guards against a rest that a target asks for and that only the caller is told of.
+func TestRestOfATargetReachesItsPool(t *testing.T) {
+	inTestbed(t, func(t *testing.T, w *testbed) {
+		w.target("t1", func(rw http.ResponseWriter, _ *http.Request) {
+			rw.Header().Set(targetNotRun, "true")
+			rw.Header().Set("Retry-After", "3")
+			rw.WriteHeader(http.StatusServiceUnavailable)
+		})
+		w.target("t2", ok)
+		_, text, err := w.do("GET", "/", nil)
+		assert.NilError(t, err)
+		assert.Equal(t, text, "GET / ")
+		assert.DeepEqual(t, w.a.rests, []time.Duration{3 * time.Second, 0})
+	})
+}
--- a/node/forward/try.go
+++ b/node/forward/try.go
@@ -7,6 +7,7 @@
 	"net/textproto"
 	"net/url"
 	"strconv"
+	"time"
 
 	"heatherlock/node/seam"
 	"heatherlock/steering"
@@ -44,6 +45,8 @@
 	refusal *steering.Refusal // nil if a response was sent to the caller, complete or truncated
 	// inFlight and slots are the counts that the target reports, or -1 if it reports none.
 	inFlight, slots int
+	// rest is how long a target that shed the request wants no further one; 0 if it does not say.
+	rest time.Duration
 	// connectionBroken is set if the target closed the connection while it had the request.
 	connectionBroken bool
 }
--- a/node/seam/seam.go
+++ b/node/seam/seam.go
@@ -94,6 +94,8 @@
 	// in its reply, or -1 if it reported none.
 	ReportedInFlight int
 	ReportedSlots    int
+	// Rest is how long the target that shed the request wants no further one; 0 if it did not say.
+	Rest time.Duration
 }
 
 // OutcomeKind classifies how a granted request ended.
--- a/steering/pool/pool.go
+++ b/steering/pool/pool.go
@@ -252,6 +252,7 @@
 	switch o.End {
 	case EndShed:
 		t.recordShed(at, &p.cfg)
+		t.pausedUntil = max(t.pausedUntil, at+o.Rest)
 	case EndFailed:
 		p.times.add(held)
 		t.addServiceTime(time.Duration(failurePenalty * p.times.mean))
--- a/steering/pool/pool_test.go
+++ b/steering/pool/pool_test.go
@@ -252,3 +252,24 @@
 		})
 	}
 }
+
+// Guards against requests that reach a target in the rest that it asked for when it shed one.
+func TestTargetThatAsksForRestGetsNothingUntilItEnds(t *testing.T) {
+	now := start
+	p := New(now, Config{})
+	p.SetTargets(now, twoOf(1), nil)
+	const rest = 3 * time.Second
+	shed := p.Acquire(now, Request{Deadline: now.Add(time.Second)})
+	p.Release(now, shed.Grant, Outcome{End: EndShed, ReportedInFlight: NoReport, ReportedSlots: NoReport, Rest: rest})
+	other := p.Acquire(now, Request{Deadline: now.Add(time.Minute)})
+	assert.Assert(t, other.Target.Name != shed.Target.Name)
+	for at := now; at.Before(now.Add(rest)); at = at.Add(100 * time.Millisecond) {
+		p.Tick(at)
+		d := p.Acquire(at, Request{Deadline: at.Add(10 * time.Second)})
+		assert.Assert(t, d.Verdict != Granted, "%v into the rest", at.Sub(now))
+		p.Cancel(d.Ticket)
+	}
+	after := now.Add(rest + 100*time.Millisecond)
+	p.Tick(after)
+	assert.Equal(t, p.Acquire(after, Request{Deadline: after.Add(time.Second)}).Target.Name, shed.Target.Name)
+}
--- a/steering/pool/target.go
+++ b/steering/pool/target.go
@@ -110,7 +110,7 @@
 	t.shedsSinceSuccess++
 	if others == 0 {
 		t.pauseAfter = nextBackoff(t.pauseAfter, cfg.ShedPause, cfg.ShedPauseMax)
-		t.pausedUntil = now + t.pauseAfter
+		t.pausedUntil = max(t.pausedUntil, now+t.pauseAfter)
 	}
 	running := others + max(t.externalLoad, t.lingering)
 	if running >= t.limit || t.shedsSinceSuccess < shedsToLower {
--- a/steering/pool/types.go
+++ b/steering/pool/types.go
@@ -105,6 +105,8 @@
 	// ended there; NoReport if it gave none.
 	ReportedInFlight int
 	ReportedSlots    int
+	// Rest is how long the target that shed the request wants no further one; 0 if it did not say.
+	Rest time.Duration
 }
 
 // Stats describes the current state of a pool.
