--- a/soak/check.go
+++ b/soak/check.go
@@ -76,9 +76,14 @@
 // callLog counts the requests and responses of all callers, and holds the result by
 // request ID for requests that must run at most once.
 type callLog struct {
-	mu                  sync.Mutex
-	refused             map[string]int
-	served              map[string]bool
+	mu      sync.Mutex
+	refused map[string]int
+	served  map[string]bool
+	// sentTo holds the entry VM of each request, heard since when entry VMs have heard statements, and
+	// limited when requests reached targets through VMs that had heard their limits.
+	sentTo              map[string]*daemon
+	heard               map[statement]time.Time
+	limited             map[string][]time.Time
 	requests            int
 	answered            int
 	failedAfterRecovery atomic.Int64 // failed requests in the last part of the run, when all must be served
@@ -93,8 +98,11 @@
 	if c.conn == nil && !c.connect() {
 		return
 	}
-	body, err := c.exchange(&o)
 	d := c.daemon
+	l.mu.Lock()
+	l.sentTo[o.id] = d
+	l.mu.Unlock()
+	body, err := c.exchange(&o, func(h http.Header) { l.hear(c.system.findings, o.id, d, sent, h) })
 	if err != nil {
 		c.closeConn()
 		c.checkInterrupted(o, d, sent, err)
@@ -147,8 +155,9 @@
 	c.conn = nil
 }
 
-// exchange sends one request and reads its response. It returns the body.
-func (c *caller) exchange(o *outcome) (string, error) {
+// exchange sends one request, reads its response and passes the headers of a target's to hear. It
+// returns the body.
+func (c *caller) exchange(o *outcome, hear func(http.Header)) (string, error) {
 	method, path, body := "GET", "/read/", ""
 	if o.atMostOnce {
 		method, path, body = "POST", "/buy/", strings.Repeat("x", c.random.IntN(3000))
@@ -168,6 +177,9 @@
 		return "", err
 	}
 	o.status = response.StatusCode
+	if response.Header.Get("X-Instance-Id") != "" {
+		hear(response.Header)
+	}
 	if id := response.Header.Get("X-Request-Id"); id != "" && id != o.id {
 		c.system.findings.add("request %s got the answer to %s", o.id, id)
 	}
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -61,7 +61,8 @@
 	f.mu.Lock()
 	f.began = time.Now()
 	f.mu.Unlock()
-	l := &callLog{refused: make(map[string]int), served: make(map[string]bool)}
+	l := &callLog{refused: make(map[string]int), served: make(map[string]bool),
+		sentTo: make(map[string]*daemon), heard: make(map[statement]time.Time), limited: make(map[string][]time.Time)}
 	plan := newPlan(o.Seed, o.Length, o.Daemons)
 	report := Report{Seed: o.Seed}
 	var all sync.WaitGroup
@@ -72,6 +73,7 @@
 	all.Wait()
 	s.mu.Lock()
 	s.checkRuns(l)
+	s.checkStatements(l)
 	s.mu.Unlock()
 	report.Requests, report.Answered, report.Findings = l.requests, l.answered, f.all
 	if len(f.all) == 0 && !o.KeepLogs {
--- /dev/null
+++ b/soak/statements.go
@@ -0,0 +1,155 @@
+package soak
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"slices"
+	"strconv"
+	"time"
+
+	"heatherlock/standin/endpoint"
+)
+
+const (
+	// namedLimit is the limit in requests per second that targets name, far below what they get.
+	namedLimit = 4.0
+	// limitWindow, limitFactor and limitSlack bound what a target with a limit may get from the entry
+	// VMs that passed on a response naming it limitHeard before or earlier.
+	limitWindow = 4 * time.Second
+	limitFactor = 1.5
+	limitSlack  = 5
+	limitHeard  = 500 * time.Millisecond
+	// maxInRest is how many requests of one entry VM may reach a target in the rest that it asked for,
+	// later than restGrace after it did.
+	maxInRest = 2
+	restGrace = 500 * time.Millisecond
+)
+
+// statement is what a target said in a response that an entry VM passed on.
+type statement struct {
+	target string
+	daemon *daemon
+	boot   int
+	header string
+}
+
+// statementFaults draws targets that name a limit, ask for rest, or leave and say so in their
+// responses only. It uses a random generator of its own, like workspaceFaults.
+func statementFaults(seed uint64, length time.Duration) []step {
+	r := rand.New(rand.NewPCG(seed, 13))
+	var plan []step
+	for at := 2 * time.Second; at < length-recoveryPhase; at += time.Duration(1500+r.IntN(2000)) * time.Millisecond {
+		kind, pick, span := r.IntN(3), r.Uint64(), time.Duration(2000+r.IntN(3000))*time.Millisecond
+		name := [...]string{"names a limit", "asks for rest", "says that it leaves"}[kind]
+		plan = append(plan, step{at, fmt.Sprintf("a target %s for %v", name, span), func(s *system) {
+			if t := s.pick(pick); t != nil {
+				[...]func(*target, time.Duration){s.nameLimit, s.askForRest, s.sayLeaving}[kind](t, span)
+			}
+		}})
+	}
+	return plan
+}
+
+func (s *system) nameLimit(t *target, span time.Duration) {
+	t.SetHeader("Server-Limit", strconv.FormatFloat(namedLimit, 'f', -1, 64))
+	time.AfterFunc(limitWindow+span, func() { t.SetHeader("Server-Limit", "") })
+}
+
+func (s *system) askForRest(t *target, span time.Duration) {
+	s.mu.Lock()
+	rested := t.rest > 0
+	if !rested {
+		t.rest = span
+	}
+	s.mu.Unlock()
+	if rested {
+		return // a second rest of another length would make the check ambiguous
+	}
+	t.SetHeader("Retry-After", strconv.FormatFloat(span.Seconds(), 'f', -1, 64))
+	t.SetFault(func(*http.Request) endpoint.Fault { return endpoint.Shed })
+	time.AfterFunc(span, func() {
+		t.SetFault(nil)
+		t.SetHeader("Retry-After", "")
+	})
+}
+
+// sayLeaving makes a target say that it leaves; its entry in the store says so only after drainBound.
+func (s *system) sayLeaving(t *target, span time.Duration) {
+	if err := s.addTarget(); err != nil {
+		s.findings.add("target not started: %v", err)
+		return
+	}
+	t.SetHeader("Server-Leaving", "1")
+	time.AfterFunc(drainBound+span, func() { s.drain(t) })
+}
+
+// hear records what a target says in a response that an entry VM passed on, and checks the request:
+// what the VM had heard of the target before bounds what it may send. sent is when the request was.
+func (l *callLog) hear(f *findings, id string, d *daemon, sent time.Time, h http.Header) {
+	boot, _ := d.undisturbed(0)
+	target := h.Get("X-Instance-Id")
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	said := statement{target, d, boot, "Server-Leaving"}
+	if heard := l.heard[said]; !heard.IsZero() && sent.After(heard.Add(drainBound)) && !d.wasInterrupted(heard) {
+		f.add("request %s ran at %s %v after a response told %s that it leaves", id, target, sent.Sub(heard), d.name)
+	}
+	if h.Get(said.header) != "" && l.heard[said].IsZero() {
+		l.heard[said] = time.Now()
+	}
+	said.header = "Server-Limit"
+	switch heard := l.heard[said]; {
+	case h.Get(said.header) == "":
+		delete(l.heard, said)
+	case heard.IsZero():
+		l.heard[said] = time.Now()
+	case sent.After(heard.Add(limitHeard)) && !d.wasInterrupted(heard):
+		l.limited[target] = append(l.limited[target], sent)
+	}
+}
+
+// checkStatements checks what targets got while they named a limit or rested. The caller holds s.mu.
+func (s *system) checkStatements(l *callLog) {
+	for name, at := range l.limited {
+		slices.SortFunc(at, time.Time.Compare)
+		for i := range at {
+			n, _ := slices.BinarySearchFunc(at[i:], at[i].Add(limitWindow), time.Time.Compare)
+			if float64(n) > namedLimit*limitFactor*limitWindow.Seconds()+limitSlack {
+				s.findings.add("%s names a limit of %v a second and got %d requests in %v", name, namedLimit, n, limitWindow)
+				break
+			}
+		}
+	}
+	for _, t := range s.allTargets {
+		s.checkRests(l, t)
+	}
+}
+
+// checkRests checks the requests that reached a target in the rests that it asked for.
+func (s *system) checkRests(l *callLog, t *target) {
+	type rest struct {
+		until time.Time
+		got   int
+	}
+	resting := make(map[*daemon]*rest)
+	arrivals := append(t.Runs(), t.Sheds()...)
+	slices.SortFunc(arrivals, func(a, b endpoint.Run) int { return a.At.Compare(b.At) })
+	for _, run := range arrivals {
+		d, asked := l.sentTo[run.ID], run.Rest
+		if d == nil {
+			continue
+		}
+		if r := resting[d]; r != nil && run.At.Before(r.until) {
+			if began := r.until.Add(-t.rest); run.At.After(began.Add(restGrace)) && !d.wasInterrupted(began) {
+				r.got++
+			}
+			if r.got > maxInRest {
+				s.findings.add("%s had asked %s for a rest of %v and got %d requests", t.name, d.name, t.rest, r.got)
+				return
+			}
+		} else if asked {
+			resting[d] = &rest{until: run.At.Add(t.rest)}
+		}
+	}
+}
--- a/soak/system.go
+++ b/soak/system.go
@@ -61,6 +61,7 @@
 	drainingSince     time.Time // when its entry in the store became draining; zero before
 	heartbeatsStopped bool      // its entry in the store is not renewed
 	disturbedAt       time.Time
+	rest              time.Duration // asked for while it sheds; zero if it never did
 }
 
 func newSystem(o Options, dir string, f *findings) (*system, error) {
--- a/standin/endpoint/endpoint.go
+++ b/standin/endpoint/endpoint.go
@@ -75,6 +75,8 @@
 	Header http.Header
 	// Left is set if the caller disconnected during the run.
 	Left bool
+	// Rest is set if the target shed the request and asked for rest.
+	Rest bool
 }
 
 // Endpoint is a running fake target. It is safe for concurrent use.
@@ -86,6 +88,7 @@
 	mu      sync.Mutex
 	fault   func(*http.Request) Fault
 	runs    []*Run
+	sheds   []Run
 	arrived int
 	running int
 	waiting int
@@ -165,6 +168,13 @@
 	return all
 }
 
+// Sheds returns the requests shed so far, with their IDs and times, in order.
+func (e *Endpoint) Sheds() []Run {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return slices.Clone(e.sheds)
+}
+
 // Arrivals returns the number of requests received, including those that did not run.
 func (e *Endpoint) Arrivals() int {
 	e.mu.Lock()
@@ -209,6 +219,9 @@
 		return
 	}
 	if fault == Shed || !e.acquireSlot(r.Context()) {
+		e.mu.Lock()
+		e.sheds = append(e.sheds, Run{ID: r.Header.Get("X-Request-Id"), At: time.Now(), Rest: e.headers["Retry-After"] != ""})
+		e.mu.Unlock()
 		w.Header().Set("X-Not-Executed", "1")
 		e.setLoadHeader(w)
 		w.WriteHeader(http.StatusServiceUnavailable)
