--- a/steering/allowance/sim_test.go
+++ b/steering/allowance/sim_test.go
@@ -43,6 +43,8 @@
 	// reportBytes and replyBytes are the sizes of a datagram with a single report or reply.
 	reportBytes = 45
 	replyBytes  = 32
+	// limitBytes is the size of the limit of a target that follows each of them.
+	limitBytes = 26
 )
 
 type simVM struct {
@@ -217,17 +219,17 @@
 		return
 	}
 	j := slices.IndexFunc(f.vms, func(o *simVM) bool { return o.name == owner })
-	incarnation := vm.incarnation
-	f.send(i, j, reportBytes, func() {
+	incarnation, limitBytes := vm.incarnation, s.limitBytes()
+	f.send(i, j, reportBytes+limitBytes, func() {
 		o := f.vms[j]
 		reply, becameLow, ok := o.ledger.Report(f.now, vm.name, incarnation, s.limit, r)
 		if !ok {
 			return
 		}
-		if becameLow {
+		if becameLow && !s.limit.Strict {
 			f.broadcastLow(j, s)
 		}
-		f.send(j, i, replyBytes, func() {
+		f.send(j, i, replyBytes+limitBytes, func() {
 			if vm.incarnation != incarnation || vm.accounts[s] != a {
 				return
 			}
@@ -241,6 +243,14 @@
 	})
 }
 
+// limitBytes returns the size of the limit that follows a report or a reply.
+func (s *simWorkspace) limitBytes() int {
+	if s.limit.Strict {
+		return limitBytes
+	}
+	return 0
+}
+
 // broadcastLow notifies all reachable VMs that a bucket is low, as heartbeats do.
 func (f *fleet) broadcastLow(j int, s *simWorkspace) {
 	until := f.now.Add(allowance.LowBucketTTL)
--- a/steering/allowance/targets_test.go
+++ b/steering/allowance/targets_test.go
@@ -149,3 +149,29 @@
 		vm.paused = false
 	}
 }
+
+// Measures what the credits of many targets with limits cost in messages: a tenth of 10,002 targets,
+// and four requests per second and VM for them.
+func TestCostOfManyLimitedTargets(t *testing.T) {
+	const vms, targets, perVM, seconds = 986, 1000, 4, 5
+	f := newFleet(3, vms, targets, vms*perVM)
+	f.slack = allowance.Slack{}
+	for _, vm := range f.vms {
+		f.resetState(vm)
+	}
+	f.updateMembership()
+	for n, s := range f.workspaces {
+		s.id, s.limit, s.demand = allowance.TargetID(steering.Target(fmt.Sprint("t", n)), 1), allowance.TargetLimit(2.6), vms*perVM/targets
+		s.callers = s.callers[:0]
+		for i := range vms {
+			s.callers = append(s.callers, i)
+		}
+	}
+	f.runTraffic(time.Second)
+	f.messages, f.bytes = 0, 0
+	f.runTraffic(seconds * time.Second)
+	f.assertTargetLimits(t, "many targets")
+	bytes := float64(f.bytes) / vms / seconds
+	t.Logf("%.1f messages and %.0f bytes per VM and second", float64(f.messages)/vms/seconds, bytes)
+	assert.Check(t, bytes < 1024, "%.0f bytes per VM and second", bytes)
+}
