--- a/node/gateway/showstatus.go
+++ b/node/gateway/showstatus.go
@@ -103,6 +103,7 @@
 	services := []status.Service{}
 	for _, c := range b.Counts(now) {
 		services = append(services, status.Service{Name: c.Service, Targets: c.Targets, Closed: c.Closed, Cold: c.Cold, Ejected: c.Ejected,
+			Limited: c.Limited, Resting: c.Resting, SaidLeaving: c.SaidLeaving,
 			KeysKept: lending.LocalShare(c.Service, region), TriesLeft: left[c.Service],
 			RequestsPerSecond: float64(demand[c.Service].Rate), RunMs: float64(demand[c.Service].RunMs)})
 	}
--- a/node/gateway/status/golden_test.go
+++ b/node/gateway/status/golden_test.go
@@ -24,7 +24,7 @@
 			Newest: 18, Content: "deadbeef", Wait: "no VM that has it has room", InForceMs: 8001, ToldMs: 301}, {VM: "vm-3"}},
 		StoreAgeMs: 904, StoreFails: true, ReadRank: 5, PeersLive: 6, PeersKnown: 7, UnreachableZones: []steering.Zone{"oeste-a"}, EvacuatedZones: []steering.Zone{"sur-b"},
 		RequestsRunning: 10, CallerConnections: 11,
-		Services: []status.Service{{Name: "tickets", Targets: 12, Closed: 13, Cold: 14, Ejected: []steering.Target{"t1"}, KeysKept: 0.5, TriesLeft: 15.5,
+		Services: []status.Service{{Name: "tickets", Targets: 12, Closed: 13, Cold: 14, Ejected: []steering.Target{"t1"}, Limited: 16, Resting: 17, SaidLeaving: 18, KeysKept: 0.5, TriesLeft: 15.5,
 			RequestsPerSecond: 16.5, RunMs: 110.25}},
 		Workspaces: []status.Workspace{{Name: "w1", Admitted: 21, Beyond: 22, NotRun: map[steering.Reason]int64{steering.ReasonNoSlot: 23},
 			Owned: &status.Allowance{Rate: 24.5, Burst: 25.5, Limit: 26.5, Left: -27.5, Lent: 28.5, Demand: 29.5, VMs: 30, Low: true}}, {Name: "w2"}}}
--- a/node/gateway/status/status.go
+++ b/node/gateway/status/status.go
@@ -88,6 +88,11 @@
 	Closed  int               `json:"closed"`
 	Cold    int               `json:"cold"`
 	Ejected []steering.Target `json:"ejected"`
+	// Limited, Resting and SaidLeaving count the targets that, in responses to this VM, name a limit,
+	// asked for rest, or said that they leave.
+	Limited     int `json:"limited,omitempty"`
+	Resting     int `json:"resting,omitempty"`
+	SaidLeaving int `json:"said_leaving,omitempty"`
 	// KeysKept is the fraction of the service's keys that this VM's region does not lend to other
 	// regions.
 	KeysKept float64 `json:"keys_kept"`
--- a/steering/placement/count.go
+++ b/steering/placement/count.go
@@ -14,10 +14,26 @@
 	// Targets is the number of all targets, Closed of those that get no new requests, Cold of those
 	// that get few requests because they have just started.
 	Targets, Closed, Cold int
+	// Limited is the number of targets that name a limit, Resting of those that asked for rest, and
+	// SaidLeaving of those that said in a response that they leave.
+	Limited, Resting, SaidLeaving int
 	// Ejected holds the names of the ejected targets.
 	Ejected []steering.Target
 }
 
+// count counts a target with a notice.
+func (c *TargetCounts) count(now time.Time, n *notice) {
+	if n.limit.InForce {
+		c.Limited++
+	}
+	if n.restUntil.After(now) {
+		c.Resting++
+	}
+	if n.leaving {
+		c.SaidLeaving++
+	}
+}
+
 // Counts returns the number of targets by state for each service, sorted by service name.
 func (b *Balancer) Counts(now time.Time) []TargetCounts {
 	var all []TargetCounts
@@ -30,6 +46,9 @@
 			if s.cold(now) {
 				c.Cold++
 			}
+			if n := b.notices.of(s.Target); n != nil {
+				c.count(now, n)
+			}
 			if s.ejected {
 				c.Ejected = append(c.Ejected, s.Name)
 			}
