Add a failing test of a cap whose window is shortened while a permit is lent

Six steps on two holders: cap 1 in 1 s, a permit is lent for 2 s, the lender learns a window of 500 ms, the borrower does not; both use the permit.

--- a/steering/caps/holder_test.go
+++ b/steering/caps/holder_test.go
@@ -123,3 +123,27 @@
 	assert.Assert(t, c.Seats == nil)
 	assert.Equal(t, c.Keep, 2)
 }
+
+// Guards against a permit that lender and borrower both use, because the cap's window was shortened at
+// the lender while the permit was lent under the longer one.
+func TestLentPermitsWaitForTheTermsTheyWereLentUnder(t *testing.T) {
+	long := Rule{Version: 1, Requests: 1, Window: time.Second, TermWindows: testTermWindows}
+	short := Rule{Version: 2, Requests: 1, Window: 500 * time.Millisecond, TermWindows: testTermWindows}
+	lender, borrower := NewHolder(epoch, long), NewHolder(epoch, long)
+	lender.ApplySeats(epoch, 1, 1, long.Window, false)
+	now := epoch.Add(time.Minute)
+	ask := borrower.RequestLoan(now, 1)
+	n := lender.Lend(now, LoanKey{"borrower", ask.Nonce}, ask.Version, ask.Permits)
+	assert.Equal(t, borrower.ApplyLoan(now, ask.Nonce, n, lender.Terms().Term), 1)
+	lender.Configure(short)
+
+	used := now.Add(1850 * time.Millisecond)
+	_, ok := borrower.Take(used)
+	assert.Assert(t, ok, "the loan has not ended")
+	for at := now; at.Before(used.Add(short.Window)); at = at.Add(50 * time.Millisecond) {
+		_, ok := lender.Take(at)
+		assert.Assert(t, !ok, "the lender uses its lent permit %v after it lent it", at.Sub(now))
+	}
+	_, ok = lender.Take(now.Add(3200 * time.Millisecond))
+	assert.Assert(t, ok, "the permit never returns")
+}
