Keep lent permits back for the terms under which they were lent

Callers of a capped place would see: twice the cap in a window, for a moment after its window was shortened. Cause: a lender counted the wait for lent permits by the terms in force when it looked. After a window of 1 s was shortened to 500 ms it used a permit again 1.55 s after it had lent it, while the borrower, which had not learnt the change, used it until 1.9 s. Change: a lent permit waits for the terms under which it was lent, and for the present ones if those are longer. What else waits by terms: used permits follow the newest window, which the transition allows; permits new in a seat wait for the longest window on record, which never gets shorter; answers to loans are kept by the newest terms, but a repeat under an older version gets nothing; borrowed permits end when the change is learnt; a holder that starts anew waits by the longest window on record. Credits of allowances have no terms: they end by reports alone.

--- a/steering/caps/doc.go
+++ b/steering/caps/doc.go
@@ -16,7 +16,8 @@
 //     of the previous holder.
 //   - A holder lends free permits for a short term. The lender stops using them before it answers.
 //     The borrower counts the term from the moment it sent its request, less a margin; the lender
-//     counts from the moment it answered, plus the margin and one window. A lost, delayed or
+//     counts from the moment it answered, plus the margin and one window. Both follow the terms under
+//     which the loan was made, also if the cap's window changes meanwhile. A lost, delayed or
 //     duplicated message can leave permits unused but cannot create any.
 //
 // While a cap changes, and until every holder has the new version, the requests started in any
--- a/steering/caps/holder.go
+++ b/steering/caps/holder.go
@@ -37,7 +37,7 @@
 	free  int
 	held  int   // taken by a request that is neither sent nor abandoned yet
 	used  queue // request was sent, free after Terms.reuseWait
-	lent  queue // lent, free after Terms.loanWait
+	lent  queue // lent, free after Terms.loanWait of the terms under which they were lent, and of the present ones
 	added queue // added to the seat, free after seatWait
 
 	loans     []*loan
@@ -116,7 +116,7 @@
 	}
 	h.maxOwn = permits
 	if more := permits - h.Own(); more > 0 {
-		h.added.push(at, h.terms.granularity(), more)
+		h.added.push(at, h.terms.granularity(), 0, more)
 		return
 	}
 	h.dropExcess()
@@ -197,7 +197,7 @@
 	}
 	h.held--
 	if sent {
-		h.used.push(h.at(now), h.terms.granularity(), 1)
+		h.used.push(h.at(now), h.terms.granularity(), 0, 1)
 	} else {
 		h.free++
 	}
@@ -233,8 +233,8 @@
 	}
 	wait, at := h.terms.Window, h.at(now)
 	soonest := func(q *queue, d time.Duration) {
-		if oldest, ok := q.oldest(); ok {
-			wait = min(wait, oldest+d-at)
+		if next, ok := q.next(d); ok {
+			wait = min(wait, next-at)
 		}
 	}
 	soonest(&h.used, h.terms.reuseWait())
--- a/steering/caps/loan.go
+++ b/steering/caps/loan.go
@@ -114,7 +114,7 @@
 		return 0
 	}
 	h.free -= n
-	h.lent.push(at, h.terms.granularity(), n)
+	h.lent.push(at, h.terms.granularity(), h.terms.loanWait(), n)
 	h.answered[key] = answered{permits: n, at: at}
 	return n
 }
@@ -162,7 +162,7 @@
 		l.fire(eventReturned)
 	case l.state == loanClosing || now >= l.expiresAt:
 	case sent:
-		l.used.push(now, h.terms.granularity(), 1)
+		l.used.push(now, h.terms.granularity(), 0, 1)
 	default:
 		l.free++
 	}
--- a/steering/caps/queue.go
+++ b/steering/caps/queue.go
@@ -7,12 +7,17 @@
 // would be affected by steps of the wall clock.
 type instant = time.Duration
 
-// batch is a number of permits that started to wait at the same time.
+// batch is a number of permits that started to wait at the same time. They wait at least for wait,
+// even if the terms become shorter meanwhile.
 type batch struct {
 	since   instant
+	wait    time.Duration
 	permits int
 }
 
+// end returns when the permits have waited for their own wait and for the given one.
+func (b batch) end(wait time.Duration) instant { return b.since + max(b.wait, wait) }
+
 // queue holds waiting permits in the order in which they started to wait. Times are rounded up to a
 // multiple of the granularity and permits with equal times share a batch, so that the number of
 // batches is bounded by the wait divided by the granularity, not by the number of permits.
@@ -21,10 +26,10 @@
 	total   int
 }
 
-// push adds permits that wait from since on. A time before that of the last batch is replaced by
+// push adds permits that wait from since on, at least for wait. A time before that of the last batch is replaced by
 // it: the clock is monotonic, but concurrent callers may read it in one order and get the lock in
 // another.
-func (q *queue) push(since instant, granularity time.Duration, permits int) {
+func (q *queue) push(since instant, granularity, wait time.Duration, permits int) {
 	if permits <= 0 {
 		return
 	}
@@ -32,15 +37,17 @@
 	since = (since + granularity - 1).Truncate(granularity)
 	if last := len(q.batches) - 1; last >= 0 && q.batches[last].since >= since {
 		q.batches[last].permits += permits
+		q.batches[last].wait = max(q.batches[last].wait, wait)
 		return
 	}
-	q.batches = append(q.batches, batch{since, permits})
+	q.batches = append(q.batches, batch{since, wait, permits})
 }
 
-// pop removes the permits that have waited for at least wait, and returns their number.
+// pop removes the permits that have waited for their own wait and for the given one, and returns
+// their number. Permits behind others that wait longer are removed together with those.
 func (q *queue) pop(now instant, wait time.Duration) int {
 	permits, i := 0, 0
-	for ; i < len(q.batches) && q.batches[i].since+wait <= now; i++ {
+	for ; i < len(q.batches) && q.batches[i].end(wait) <= now; i++ {
 		permits += q.batches[i].permits
 	}
 	if i > 0 {
@@ -67,11 +74,10 @@
 	return dropped
 }
 
-// oldest returns when the permits that have waited longest started to wait, and false if the queue
-// is empty.
-func (q *queue) oldest() (instant, bool) {
+// next returns when the next permits can be popped, and false if the queue is empty.
+func (q *queue) next(wait time.Duration) (instant, bool) {
 	if len(q.batches) == 0 {
 		return 0, false
 	}
-	return q.batches[0].since, true
+	return q.batches[0].end(wait), true
 }
