Leave out rests that an entry VM could not hear in the soak

Traced in the VM's log: the way from the target was cut from 7.3 s on (one way, 2.8 s), and of its refusals in that time none arrived; all tries ended without an answer. The first response that asks for rest arrives at 10.3 s, and no request is sent to the target until the end of that rest. The bound does not hold for a rest that the VM cannot have heard of (a cut excuses it). Change: a rest is checked only if the connections to the target were not disturbed from the longest such time before it on. The bound stays.

--- a/soak/statements.go
+++ b/soak/statements.go
@@ -24,6 +24,8 @@
 	// later than restGrace after it did.
 	maxInRest = 2
 	restGrace = 500 * time.Millisecond
+	// maxDisturbance is the longest time for which the connections to a target are disturbed.
+	maxDisturbance = 3500 * time.Millisecond
 )
 
 // statement is what a target said in a response that an entry VM passed on.
@@ -126,7 +128,8 @@
 	}
 }
 
-// checkRests checks the requests that reached a target in the rests that it asked for.
+// checkRests checks the requests that reached a target in the rests that it asked for. A rest is left
+// out if the connections to the target were disturbed, since the entry VM may not have heard of it.
 func (s *system) checkRests(l *callLog, t *target) {
 	type rest struct {
 		until time.Time
@@ -141,7 +144,9 @@
 			continue
 		}
 		if r := resting[d]; r != nil && run.At.Before(r.until) {
-			if began := r.until.Add(-t.rest); run.At.After(began.Add(restGrace)) && !d.wasInterrupted(began) {
+			began := r.until.Add(-t.rest)
+			heard := !d.wasInterrupted(began) && t.disturbedAt.Before(began.Add(-maxDisturbance))
+			if heard && run.At.After(began.Add(restGrace)) {
 				r.got++
 			}
 			if r.got > maxInRest {
