--- a/peer/peerpb/golden_test.go
+++ b/peer/peerpb/golden_test.go
@@ -89,3 +89,20 @@
 	}
 	golden.Assert(t, paths, "golden/paths.txt")
 }
+
+// Guards against a release of a grant that the build before sends, without a rest, and that is read
+// differently here.
+func TestReleaseWithoutRestIsRead(t *testing.T) {
+	raw, err := hex.DecodeString(strings.Join(strings.Fields(string(golden.Get(t, "golden/ReleaseRequest-without-rest.hex"))), ""))
+	assert.NilError(t, err)
+	var got peerpb.ReleaseRequest
+	assert.NilError(t, proto.Unmarshal(raw, &got))
+	assert.Equal(t, len(got.Ended), 2)
+	first := got.Ended[0]
+	assert.Equal(t, first.Grant, "text-5")
+	assert.Equal(t, first.ReportedSlots, int32(12))
+	assert.Equal(t, first.RestMs, int64(0))
+	again, err := proto.Marshal(&got)
+	assert.NilError(t, err)
+	assert.DeepEqual(t, again, raw)
+}
