Show in logs and metrics that the store was restored from an older copy

The client reads the epoch that all responses name; a log line tells when it rises, another one when targets are listed at a lower revision than the known one. Gauges of epoch and revision, a counter of restores. No decision goes by any of it yet.

--- a/node/gateway/feed/reader.go
+++ b/node/gateway/feed/reader.go
@@ -334,6 +334,9 @@
 	}
 	all, err := r.store.Targets(ctx)
 	if err == nil {
+		if all.Revision < since {
+			_ = r.log.Log("msg", "store lists targets at a lower revision", "revision", all.Revision, "known_revision", since) // the log writer counts the lines that it drops
+		}
 		r.update(func() bool { return r.state.SetTargets(time.Now(), all) })
 		r.reportUnusable(all.InvalidEntries, all.Targets)
 	}
--- a/node/gateway/gateway.go
+++ b/node/gateway/gateway.go
@@ -109,6 +109,7 @@
 		scope.Tagged(map[string]string{"fault": faultName(err)}).Counter("gateway_store_calls").Inc(1)
 	}
 	g.store.OnBytes = func(bytes int) { g.meter.Count(volume.Store, volume.Location{}, int64(bytes)) }
+	g.store.OnEpoch = g.storeRestored
 	b := settings.Bounds
 	g.relay = relay.New(relay.Config{Region: settings.Region, Zone: settings.Zone, Pool: g.pool,
 		Balancer: placement.NewBalancer(settings.VM, settings.Region),
@@ -127,6 +128,14 @@
 	return g, g.newFleet()
 }
 
+// storeRestored is called when the store has been restored from an older copy of itself.
+func (g *Gateway) storeRestored(before, after uint64) {
+	known := g.reader.Digest()
+	g.metrics.Scope.Counter("gateway_store_restores").Inc(1)
+	_ = g.log.Log("msg", "store was restored from an older copy", "epoch", after, "epoch_before", before, "known_revision", known.Revision,
+		"config", known.Config, "state_age_ms", known.AgeMs) // the log writer counts dropped lines
+}
+
 func faultName(err error) string {
 	if err == nil {
 		return "none"
@@ -403,6 +412,8 @@
 	scope.Gauge("gateway_config_newest").Update(float64(newest))
 	scope.Gauge("gateway_config_behind_ms").Update(float64(behindFor.Milliseconds()))
 	scope.Gauge("gateway_store_age_ms").Update(float64(g.reader.Digest().AgeMs))
+	scope.Gauge("gateway_store_revision").Update(float64(g.reader.Digest().Revision))
+	scope.Gauge("gateway_store_epoch").Update(float64(g.store.Epoch()))
 	scope.Gauge("gateway_read_rank").Update(float64(g.reader.Rank()))
 	scope.Gauge("gateway_requests_running").Update(float64(g.callers.InFlight()))
 	scope.Gauge("gateway_caller_connections").Update(float64(g.callers.Connections()))
