--- /dev/null
+++ b/node/gateway/restore_test.go
@@ -0,0 +1,70 @@
+package gateway_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"heatherlock/standin/metastore"
+)
+
+const (
+	// configBound is how soon after the store has accepted a configuration it must be in force.
+	configBound = 2500 * time.Millisecond
+	// lostRevisions is how many revisions the store loses when it is restored.
+	lostRevisions = 200
+)
+
+// restoreAfterLosses restores the store from a copy that lacks the latest revisions, all of which the
+// VMs have read, and calls write before any VM can read from the store again.
+func (s *testCluster) restoreAfterLosses(write func()) {
+	copied := s.store.Copy()
+	s.writeUnrelated(lostRevisions)
+	time.Sleep(2 * configBound)
+	s.store.SetFaults(metastore.Faults{Busy: metastore.All})
+	s.store.Restore(copied)
+	write()
+	s.store.SetFaults(metastore.Faults{})
+}
+
+// writeUnrelated raises the revision of the store by n.
+func (s *testCluster) writeUnrelated(n int) {
+	for range n {
+		s.store.Put("unrelated", "counter", s.number.Add(1))
+	}
+}
+
+// Guards against a configuration that no VM ever puts in force, because the store was restored from
+// an older copy and gave the configuration a revision that VMs had read before.
+func TestConfigWrittenAfterStoreRestoreComesIntoForce(t *testing.T) {
+	t.Parallel()
+	s := newTestCluster(t)
+	all := s.startAll(4)
+	s.restoreAfterLosses(func() {
+		s.route("added", "safe")
+		s.configure()
+		s.writeUnrelated(lostRevisions + 100)
+	})
+	for _, v := range all {
+		within(t, configBound, "the added route on "+string(v.settings.VM), func() bool { return s.request(v, "/added/1") == 200 })
+	}
+}
+
+// Guards against requests to a target that leaves, because the store was restored from an older copy
+// and VMs rank what they knew before above what one of them has read since.
+func TestLeavingAfterStoreRestoreIsKnownToAllVMs(t *testing.T) {
+	t.Parallel()
+	s := newTestCluster(t)
+	all := s.startAll(4)
+	s.restoreAfterLosses(func() {})
+	time.Sleep(drainBound)
+	s.register("t1", "draining", 7)
+	time.Sleep(drainBound)
+	before := s.targets["t1"].Arrivals()
+	for i := range 80 {
+		assert.Equal(t, s.request(all[i%len(all)], fmt.Sprint("/read/", i)), 200)
+	}
+	assert.Check(t, s.targets["t1"].Arrivals() == before, "%d requests", s.targets["t1"].Arrivals()-before)
+}
--- a/standin/metastore/http.go
+++ b/standin/metastore/http.go
@@ -34,10 +34,14 @@
 
 const prefix = "/v1/objects/"
 
+// headerEra is in all responses and holds the number of times that the store was restored, plus 1.
+const headerEra = "Store-Era"
+
 // ServeHTTP serves the store's HTTP API.
 func (s *Store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	s.mu.Lock()
 	f := s.faults
+	w.Header().Set(headerEra, strconv.Itoa(s.era))
 	s.calls++
 	if r.URL.Query().Get("staleOk") == "1" {
 		s.stale++
@@ -51,7 +55,7 @@
 		s.read(w, r, kind, name)
 		return
 	}
-	status, body := s.write(r, kind, name)
+	status, body := s.write(w, r, kind, name)
 	if f.LoseWrites {
 		hang(r.Context())
 		panic(http.ErrAbortHandler)
@@ -100,6 +104,7 @@
 	if name != "" {
 		s.mu.Lock()
 		o, found := s.objects[kind][name]
+		w.Header().Set(headerEra, strconv.Itoa(s.era))
 		s.mu.Unlock()
 		if !found {
 			reply(w, http.StatusNotFound, nil)
@@ -112,22 +117,26 @@
 		s.watch(w, r, kind, watch)
 		return
 	}
-	reply(w, http.StatusOK, s.page(kind, r.URL.Query().Get("after"), r.URL.Query().Get("staleOk") == "1"))
+	p := s.page(kind, r.URL.Query().Get("after"), r.URL.Query().Get("staleOk") == "1")
+	w.Header().Set(headerEra, strconv.Itoa(p.era))
+	reply(w, http.StatusOK, p)
 }
 
 type page struct {
 	Items    []Object `json:"items"`
 	More     bool     `json:"hasMore"`
 	Revision int64    `json:"storeRevision"`
+
+	era int
 }
 
 func (s *Store) page(kind, after string, stale bool) page {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	p := page{Items: []Object{}, Revision: s.revision}
+	p := page{Items: []Object{}, Revision: s.revision, era: s.era}
 	objects := s.objects[kind]
 	if stale && s.staleObjects != nil {
-		objects, p.Revision = s.staleObjects[kind], s.staleRevision
+		objects, p.Revision, p.era = s.staleObjects[kind], s.staleRevision, s.staleEra
 	}
 	for name, o := range objects {
 		if name > after {
@@ -154,6 +163,7 @@
 		s.mu.Lock()
 		events, ok := s.since(kind, since)
 		revision, changed := s.revision, s.changed
+		w.Header().Set(headerEra, strconv.Itoa(s.era))
 		s.mu.Unlock()
 		if !ok {
 			reply(w, http.StatusGone, nil)
@@ -174,9 +184,10 @@
 	}
 }
 
-func (s *Store) write(r *http.Request, kind, name string) (int, any) {
+func (s *Store) write(w http.ResponseWriter, r *http.Request, kind, name string) (int, any) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	w.Header().Set(headerEra, strconv.Itoa(s.era))
 	if r.Method == http.MethodDelete {
 		if !s.remove(kind, name) {
 			return http.StatusNotFound, nil
--- a/standin/metastore/store.go
+++ b/standin/metastore/store.go
@@ -39,6 +39,7 @@
 	PageSize int
 
 	mu       sync.Mutex
+	era      int
 	revision int64
 	objects  map[string]map[string]Object
 	history  []Event
@@ -51,6 +52,13 @@
 	// results; nil if such lists are up to date.
 	staleObjects  map[string]map[string]Object
 	staleRevision int64
+	staleEra      int
+}
+
+// Copy is a copy of a store's contents.
+type Copy struct {
+	revision int64
+	objects  map[string]map[string]Object
 }
 
 // firstRevision is above 0 because the revisions of the users' store also start above 0.
@@ -58,7 +66,7 @@
 
 // New returns an empty store.
 func New() *Store {
-	return &Store{PageSize: 500, revision: firstRevision, oldest: firstRevision, objects: make(map[string]map[string]Object), changed: make(chan struct{})}
+	return &Store{PageSize: 500, era: 1, revision: firstRevision, oldest: firstRevision, objects: make(map[string]map[string]Object), changed: make(chan struct{})}
 }
 
 // Put creates or replaces an object without a check of its revision, as the operator and
@@ -124,15 +132,42 @@
 	s.changed = make(chan struct{})
 }
 
+// Copy returns a copy of the current contents.
+func (s *Store) Copy() Copy {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return Copy{revision: s.revision, objects: cloneObjects(s.objects)}
+}
+
+func cloneObjects(objects map[string]map[string]Object) map[string]map[string]Object {
+	all := make(map[string]map[string]Object, len(objects))
+	for kind, named := range objects {
+		all[kind] = maps.Clone(named)
+	}
+	return all
+}
+
+// Restore replaces the contents by those of a copy and raises the era. All later changes are
+// lost, and their revisions are given out again.
+func (s *Store) Restore(c Copy) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.era++
+	s.revision, s.objects = c.revision, cloneObjects(c.objects)
+	s.oldest = min(s.oldest, s.revision)
+	for len(s.history) > 0 && s.history[len(s.history)-1].revision > s.revision {
+		s.history = s.history[:len(s.history)-1]
+	}
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
 // Lag makes lists that allow stale results return the current state of the store until
 // the next call of Lag.
 func (s *Store) Lag() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.staleObjects, s.staleRevision = make(map[string]map[string]Object, len(s.objects)), s.revision
-	for kind, objects := range s.objects {
-		s.staleObjects[kind] = maps.Clone(objects)
-	}
+	s.staleObjects, s.staleRevision, s.staleEra = cloneObjects(s.objects), s.revision, s.era
 }
 
 // StaleCalls returns the number of calls that allowed stale results.
@@ -162,9 +197,9 @@
 }
 
 // since returns the events of a kind after a revision; ok is false if the history no
-// longer reaches back to it.
+// longer reaches back to it, or has not reached it.
 func (s *Store) since(kind string, revision int64) (events []Event, ok bool) {
-	if revision < s.oldest {
+	if revision < s.oldest || revision > s.revision {
 		return nil, false
 	}
 	events = []Event{}
