Put a configuration in force that was written after a restore of the store

Cause: a VM watched the configuration from the revision that it had read last. After the restore the store counted from a lower revision; once it had counted past the old one, the watch succeeded again and left out what had been written below it. The client took the count of another history for a clock. Change: steering/storepos orders places in the store's history by epoch and revision. Why it works: a cursor is used only in the history in which it was read.

--- a/cmd/internal/benchfleet/store.go
+++ b/cmd/internal/benchfleet/store.go
@@ -7,6 +7,7 @@
 	"heatherlock/node/gateway/fleet"
 	"heatherlock/platform"
 	"heatherlock/steering"
+	"heatherlock/steering/storepos"
 )
 
 const (
@@ -26,6 +27,7 @@
 type store struct {
 	clock    *clock
 	region   steering.Region
+	epoch    uint64
 	revision int64
 	records  []fleet.Member
 	recorded map[steering.VM]bool
@@ -40,7 +42,7 @@
 }
 
 func newStore(c *clock, zones []zone, targets int) *store {
-	s := &store{clock: c, region: zones[0].region, revision: 1, recorded: make(map[steering.VM]bool)}
+	s := &store{clock: c, region: zones[0].region, epoch: 1, revision: 1, recorded: make(map[steering.VM]bool)}
 	for i := range targets {
 		z := zones[i%len(zones)]
 		s.targets = append(s.targets, platform.Target{Name: steering.Target(fmt.Sprintf("target-%06d", i)), Service: steering.Service(fmt.Sprint("service-", i%4)),
@@ -87,16 +89,25 @@
 	s.targets = kept
 }
 
-// since returns the changes after a revision.
-func (s *store) since(revision int64) platform.TargetChanges {
-	found := platform.TargetChanges{Revision: s.revision}
-	for i := len(s.changes) - 1; i >= 0 && s.changes[i].revision > revision; i-- {
+// at returns the position of the store.
+func (s *store) at() storepos.Position {
+	return storepos.Position{Epoch: s.epoch, Revision: s.revision}
+}
+
+// since returns the changes after a position; ok is false if the store has no such position in its
+// present history.
+func (s *store) since(p storepos.Position) (found platform.TargetChanges, ok bool) {
+	if p.Epoch != s.epoch {
+		return found, false
+	}
+	found.At = s.at()
+	for i := len(s.changes) - 1; i >= 0 && s.changes[i].revision > p.Revision; i-- {
 		found.Changes = append(found.Changes, s.changes[i].change)
 	}
 	for i, j := 0, len(found.Changes)-1; i < j; i, j = i+1, j-1 {
 		found.Changes[i], found.Changes[j] = found.Changes[j], found.Changes[i]
 	}
-	return found
+	return found, true
 }
 
 // heartbeatsSince returns how many heartbeats targets have written in a time. They change nothing
--- a/cmd/internal/benchfleet/vm.go
+++ b/cmd/internal/benchfleet/vm.go
@@ -13,6 +13,7 @@
 	"heatherlock/steering"
 	"heatherlock/steering/poison"
 	"heatherlock/steering/routes"
+	"heatherlock/steering/storepos"
 )
 
 // counters hold what a VM has sent and received, and the processor time that its control work took.
@@ -125,7 +126,7 @@
 // pull requests an update from a peer and applies it.
 func (v *vm) pull(peer *vm) {
 	n, life := v.sim.network, v.life
-	since := v.state.KnownRevision()
+	since := v.state.KnownPosition()
 	ended := false
 	v.later(pullTimeout, func() {
 		if !ended {
@@ -155,7 +156,7 @@
 }
 
 // updateSince returns an update and its size when encoded.
-func (v *vm) updateSince(since int64) (feed.Update, int) {
+func (v *vm) updateSince(since storepos.Position) (feed.Update, int) {
 	update := v.state.UpdateSince(v.sim.now, since)
 	if len(update.Entries) > maxEncoded {
 		return update, len(update.Entries) * entryBytes
@@ -211,20 +212,20 @@
 	s, began := v.sim.store, v.sim.now
 	v.reading = true
 	v.announce()
-	since := v.state.KnownRevision()
+	since := v.state.KnownPosition()
 	objects, page := len(s.targets), listPage
-	if since > 0 {
+	if found, ok := s.since(since); ok {
 		age, _ := v.state.Age(began)
-		objects, page = len(s.since(since).Changes)+s.heartbeatsSince(age), changePage
+		objects, page = len(found.Changes)+s.heartbeatsSince(age), changePage
 	}
 	v.count.StoreBytes += objects * targetBytes
 	v.later(s.callTime(pages(objects, page), v.self.Region), func() {
-		if since > 0 {
-			v.state.ApplyTargetChanges(v.sim.now, s.since(since))
+		if found, ok := s.since(since); ok {
+			v.state.ApplyTargetChanges(v.sim.now, found)
 		} else {
-			v.state.SetTargets(v.sim.now, platform.TargetList{Targets: append([]platform.Target(nil), s.targets...), Revision: s.revision})
+			v.state.SetTargets(v.sim.now, platform.TargetList{Targets: append([]platform.Target(nil), s.targets...), At: s.at()})
 		}
-		v.state.SetEvacuations(v.sim.now, nil, s.revision)
+		v.state.SetEvacuations(v.sim.now, nil, s.at())
 		v.state.MarkRead(began)
 		v.reading = false
 		v.announce()
--- a/node/gateway/feed/changes_test.go
+++ b/node/gateway/feed/changes_test.go
@@ -14,10 +14,16 @@
 	"heatherlock/platform"
 	"heatherlock/steering"
 	"heatherlock/steering/placement"
+	"heatherlock/steering/storepos"
 )
 
 var testRegions = map[steering.Zone]steering.Region{"a": "centro", "b": "sur"}
 
+// testAt returns a position in the first epoch of a store.
+func testAt(revision int64) storepos.Position {
+	return storepos.Position{Epoch: 1, Revision: revision}
+}
+
 func testTarget(i int, beat int64) platform.Target {
 	return platform.Target{Name: steering.Target(fmt.Sprint("t", i)), Service: "s", Address: fmt.Sprintf("10.0.0.%d:80", i%250), Zone: []steering.Zone{"a", "b"}[i%2], Slots: 3, Beat: beat}
 }
@@ -34,7 +40,7 @@
 	case 2:
 		c.Target.Zone = "b"
 	}
-	s.ApplyTargetChanges(now, platform.TargetChanges{Changes: []platform.TargetChange{c}, Revision: s.revision + 1})
+	s.ApplyTargetChanges(now, platform.TargetChanges{Changes: []platform.TargetChange{c}, At: testAt(s.at.Revision + 1)})
 }
 
 // Guards against VMs that place requests on other targets than the state holds, or exclude some that
@@ -47,7 +53,7 @@
 		placed := make(map[steering.Target]placement.Target)
 		for step := range rapid.IntRange(1, 40).Draw(t, "steps") {
 			if rapid.IntRange(0, 9).Draw(t, "evacuation") == 0 {
-				s.SetEvacuations(now, []steering.Zone{"a", "b"}[:rapid.IntRange(0, 2).Draw(t, "zones")], int64(step+1))
+				s.SetEvacuations(now, []steering.Zone{"a", "b"}[:rapid.IntRange(0, 2).Draw(t, "zones")], testAt(int64(step+1)))
 			} else {
 				drawChange(t, s, now, 8, int64(step+1))
 			}
@@ -79,17 +85,17 @@
 	rapid.Check(t, func(t *rapid.T) {
 		now := time.Unix(1000, 0)
 		s := NewState(5*time.Second, testRegions)
-		s.SetTargets(now, platform.TargetList{Targets: []platform.Target{testTarget(0, 1)}, Revision: 10})
+		s.SetTargets(now, platform.TargetList{Targets: []platform.Target{testTarget(0, 1)}, At: testAt(10)})
 		for step := range rapid.IntRange(1, 60).Draw(t, "steps") {
 			drawChange(t, s, now, 6, int64(step+2))
 			s.history.trim(rapid.IntRange(5, 100).Draw(t, "limit"))
 		}
 		s.MarkRead(now)
-		for since := int64(10); since <= s.revision; since++ {
+		for since := int64(10); since <= s.at.Revision; since++ {
 			kept := s.history
-			got := s.UpdateSince(now, since)
-			s.history = history{complete: math.MaxInt64}
-			want := s.UpdateSince(now, since)
+			got := s.UpdateSince(now, testAt(since))
+			s.history = history{complete: testAt(math.MaxInt64)}
+			want := s.UpdateSince(now, testAt(since))
 			s.history = kept
 			for _, k := range []*Update{&got, &want} {
 				slices.SortFunc(k.Entries, func(a, b Entry) int { return cmp.Compare(a.Name, b.Name) })
@@ -106,7 +112,7 @@
 	const targets, lost = 10_000, 1_400
 	now := time.Unix(1000, 0)
 	s := NewState(5*time.Second, testRegions)
-	list := platform.TargetList{Revision: 10}
+	list := platform.TargetList{At: testAt(10)}
 	var changes platform.TargetChanges
 	for i := range targets {
 		list.Targets = append(list.Targets, testTarget(i, 1))
@@ -116,9 +122,9 @@
 	}
 	s.SetTargets(now, list)
 	s.MarkRead(now)
-	changes.Revision = 20
+	changes.At = testAt(20)
 	s.ApplyTargetChanges(now, changes)
-	update := s.UpdateSince(now, 10)
+	update := s.UpdateSince(now, testAt(10))
 	assert.Equal(t, update.Since, int64(10))
 	assert.Equal(t, len(update.Entries), 0)
 	assert.Equal(t, len(update.Gone), lost)
--- a/node/gateway/feed/configread.go
+++ b/node/gateway/feed/configread.go
@@ -99,11 +99,11 @@
 	}
 }
 
-// readConfig reads the configurations written since the last known revision, or the whole
+// readConfig reads the configurations written since the last known position, or the whole
 // configuration if the store no longer has the changes since then.
 func (r *Reader) readConfig(ctx context.Context, began time.Time) error {
-	_, since, _ := r.revisions()
-	if since > 0 {
+	_, since, _ := r.positions()
+	if !since.IsZero() {
 		next, err := r.store.ConfigChanges(ctx, since, 0)
 		if platform.FaultOf(err) != platform.FaultRevisionExpired {
 			r.applyConfigRead(began, next, err)
@@ -115,13 +115,13 @@
 	return err
 }
 
-// applyConfigRead applies the result of a read. A failed read may still return the revision to
+// applyConfigRead applies the result of a read. A failed read may still return the position to
 // continue from, but it is no evidence about newer versions, so its start time is discarded.
 func (r *Reader) applyConfigRead(began time.Time, c platform.Config, err error) {
 	if err != nil {
 		began = time.Time{}
 	}
-	r.update(func() bool { return r.state.ApplyConfigRead(time.Now(), began, c.Table, c.Revision) })
+	r.update(func() bool { return r.state.ApplyConfigRead(time.Now(), began, c.Table, c.At) })
 	r.noteRejected(c)
 }
 
--- a/node/gateway/feed/exchange.go
+++ b/node/gateway/feed/exchange.go
@@ -5,12 +5,13 @@
 	"time"
 
 	"heatherlock/steering"
+	"heatherlock/steering/storepos"
 )
 
 // Digest returns a digest of the state to send to peers.
 func (s *State) Digest(now time.Time) Digest {
-	m := Digest{Revision: s.revision, Content: s.contentHash, ColdRevision: s.coldRevision, ConfigRevision: s.configRevision, EvacuationRevision: s.evacuationRevision,
-		Config: s.version(), Newest: s.newest, AgeMs: now.Sub(s.readAt).Milliseconds()}
+	m := Digest{Epoch: s.at.Epoch, Revision: s.at.Revision, Content: s.contentHash, ColdRevision: s.revisionOf(s.coldAt), ConfigRevision: s.revisionOf(s.configAt),
+		EvacuationRevision: s.revisionOf(s.evacuationsAt), Config: s.version(), Newest: s.newest, AgeMs: now.Sub(s.readAt).Milliseconds()}
 	if s.readAt.IsZero() || s.inconsistent {
 		return Digest{Config: m.Config, Newest: m.Newest} // peers cannot rely on the other fields
 	}
@@ -21,6 +22,31 @@
 	return m
 }
 
+// revisionOf returns the revision of a position, or 0 if its epoch is not that of the targets.
+func (s *State) revisionOf(p storepos.Position) int64 {
+	if p.Epoch != s.at.Epoch {
+		return 0
+	}
+	return p.Revision
+}
+
+// position returns the position of one of the digest's revisions, and the zero position for 0.
+func (m Digest) position(revision int64) storepos.Position {
+	if revision == 0 {
+		return storepos.Position{}
+	}
+	return storepos.Position{Epoch: m.Epoch, Revision: revision}
+}
+
+// inOwnEpoch returns an epoch that a peer names, or that of the state if the peer is of a build that
+// names none.
+func (s *State) inOwnEpoch(epoch uint64) uint64 {
+	if s.at.IsZero() {
+		return epoch
+	}
+	return s.at.Epoch
+}
+
 // version returns the version of the configuration in force, or 0 if there is none.
 func (s *State) version() uint64 {
 	if s.table == nil {
@@ -39,30 +65,32 @@
 	if m.Revision == 0 {
 		return false, false
 	}
-	if m.EvacuationRevision > s.evacuationRevision {
-		changed = s.SetEvacuations(now, m.Evacuated, m.EvacuationRevision)
+	m.Epoch = s.inOwnEpoch(m.Epoch)
+	at := m.position(m.Revision)
+	if evacuationsAt := m.position(m.EvacuationRevision); evacuationsAt.After(s.evacuationsAt) {
+		changed = s.SetEvacuations(now, m.Evacuated, evacuationsAt)
 	}
 	if m.Config == s.version() {
-		s.configRevision = max(s.configRevision, m.ConfigRevision)
+		s.configAt = storepos.Later(s.configAt, m.position(m.ConfigRevision))
 	}
-	if m.Revision < s.revision {
+	if at.Before(s.at) {
 		return false, changed
 	}
-	newer := m.Revision > s.revision
-	if s.revision == 0 {
-		s.historyStart = m.Revision
+	newer := at.After(s.at)
+	if s.at.IsZero() {
+		s.historyStart = at
 	}
-	if newer && m.ColdRevision > s.revision && s.revision > 0 {
+	if newer && m.position(m.ColdRevision).After(s.at) && !s.at.IsZero() {
 		return true, changed
 	}
 	if m.Content != s.contentHash {
-		// At the same revision two VMs can differ only in whether they still keep a target whose
+		// At the same position two VMs can differ only in whether they still keep a target whose
 		// heartbeats are missing. Each VM resolves that by itself.
 		return newer, changed
 	}
-	s.revision = m.Revision
+	s.at = at
 	if s.inconsistent {
-		s.inconsistent, s.historyStart = false, m.Revision // equal hashes show that the targets are correct after all
+		s.inconsistent, s.historyStart = false, at // equal hashes show that the targets are correct after all
 	}
 	if max(m.Config, m.Newest) == s.newest {
 		s.adoptAge(now, m, newer)
@@ -70,7 +98,7 @@
 	return false, changed
 }
 
-// minAgeDifference is how much younger than the local read a peer's read at the same revision must
+// minAgeDifference is how much younger than the local read a peer's read at the same position must
 // be to count as a different read. It has to exceed the total transit time of the digests that
 // carried one read (spec/digest.pml): the VM that reads sends to all others itself, so a read
 // passes through one or two VMs, and the longest one-way transit between regions takes 70 ms.
@@ -80,7 +108,7 @@
 //
 // A digest does not age in transit. If every younger age were adopted, two VMs that exchange the
 // same read would make it younger with each exchange, and none of them would notice that no VM
-// reads the store any more. So a read counts as later only if it saw a newer revision, or is
+// reads the store any more. So a read counts as later only if it saw a later position, or is
 // younger by more than the transit time.
 func (s *State) adoptAge(now time.Time, m Digest, newer bool) {
 	age := time.Duration(m.AgeMs) * time.Millisecond
@@ -89,58 +117,84 @@
 	}
 }
 
-// Update is what one entry VM sends another on request: the changes after a revision that the other
+// Update is what one entry VM sends another on request: the changes after a position that the other
 // VM has, or all targets.
 type Update struct {
 	Digest Digest `json:"digest"`
-	// Since is the revision after which Entries and Gone hold all changes. 0 means that Entries
-	// holds all targets.
-	Since   int64             `json:"since,omitempty"`
-	Entries []Entry           `json:"entries,omitempty"`
-	Gone    []steering.Target `json:"gone,omitempty"`
+	// Since is the revision after which Entries and Gone hold all changes, and SinceEpoch its epoch. 0
+	// means that Entries holds all targets.
+	Since      int64             `json:"since,omitempty"`
+	SinceEpoch uint64            `json:"sinceEpoch,omitempty"`
+	Entries    []Entry           `json:"entries,omitempty"`
+	Gone       []steering.Target `json:"gone,omitempty"`
 }
 
-// KnownRevision returns the revision to send to a peer to request the changes after it; 0 requests
-// all targets.
-func (s *State) KnownRevision() (since int64) {
+// since returns the position after which the update holds all changes; zero if it holds all targets.
+func (k Update) since() storepos.Position {
+	return storepos.Position{Epoch: k.SinceEpoch, Revision: k.Since}
+}
+
+// KnownPosition returns the position to send to a peer to request the changes after it; the zero
+// position requests all targets.
+func (s *State) KnownPosition() (since storepos.Position) {
 	if s.inconsistent {
-		return 0
+		return storepos.Position{}
 	}
-	return s.revision
+	return s.at
 }
 
-// UpdateSince returns the update for a peer whose targets are those of revision since. It holds all
-// targets if since is 0 or older than the recorded history of changes.
-func (s *State) UpdateSince(now time.Time, since int64) Update {
+// UpdateSince returns the update for a peer whose targets are those of position since. It holds all
+// targets if since is zero or older than the recorded history of changes.
+func (s *State) UpdateSince(now time.Time, since storepos.Position) Update {
 	k := Update{Digest: s.Digest(now)}
-	if since >= s.historyStart && since > 0 {
-		k.Since = since
+	if since.Revision == 0 {
+		s.addAll(now, &k)
+		return k
 	}
-	if names, known := s.history.since(since); known && k.Since > 0 && !s.inconsistent {
-		s.addChanges(now, &k, names)
+	since.Epoch = s.inOwnEpoch(since.Epoch)
+	if since.Before(s.historyStart) {
+		s.addAll(now, &k)
 		return k
 	}
-	for name, t := range s.targets {
-		if t.changed > k.Since || k.Since == 0 {
-			k.Entries = append(k.Entries, s.entryFor(now, name))
-		}
+	k.Since, k.SinceEpoch = since.Revision, since.Epoch
+	names, known := s.history.since(since)
+	if !known || s.inconsistent {
+		names = s.allNames()
 	}
-	for name, e := range s.removed {
-		if k.Since > 0 && e.revision > k.Since {
-			k.Gone = append(k.Gone, name)
+	s.addChanges(now, &k, names)
+	return k
+}
+
+// addAll adds all targets to an update.
+func (s *State) addAll(now time.Time, k *Update) {
+	for name := range s.targets {
+		k.Entries = append(k.Entries, s.entryFor(now, name))
+	}
+}
+
+// allNames returns the names of all targets, known and removed.
+func (s *State) allNames() []steering.Target {
+	names := make([]steering.Target, 0, len(s.targets)+len(s.removed))
+	for name := range s.targets {
+		names = append(names, name)
+	}
+	for name := range s.removed {
+		if s.targets[name] == nil {
+			names = append(names, name)
 		}
 	}
-	return k
+	return names
 }
 
-// addChanges adds to an update those of the named targets that changed after its revision.
+// addChanges adds to an update those of the named targets that changed after its position.
 func (s *State) addChanges(now time.Time, k *Update, names []steering.Target) {
+	since := k.since()
 	for _, name := range names {
 		if t := s.targets[name]; t != nil {
-			if t.changed > k.Since {
+			if t.changed.After(since) {
 				k.Entries = append(k.Entries, s.entryFor(now, name))
 			}
-		} else if e, found := s.removed[name]; found && e.revision > k.Since {
+		} else if e, found := s.removed[name]; found && e.at.After(since) {
 			k.Gone = append(k.Gone, name)
 		}
 	}
@@ -157,27 +211,30 @@
 func (s *State) Apply(now time.Time, k Update) bool {
 	changed := false
 	s.noteVersion(now, max(k.Digest.Config, k.Digest.Newest))
-	if k.Digest.EvacuationRevision > s.evacuationRevision {
-		changed = s.SetEvacuations(now, k.Digest.Evacuated, k.Digest.EvacuationRevision)
+	k.Digest.Epoch, k.SinceEpoch = s.inOwnEpoch(k.Digest.Epoch), s.inOwnEpoch(k.SinceEpoch)
+	if evacuationsAt := k.Digest.position(k.Digest.EvacuationRevision); evacuationsAt.After(s.evacuationsAt) {
+		changed = s.SetEvacuations(now, k.Digest.Evacuated, evacuationsAt)
 	}
-	if k.Digest.Revision <= s.revision || k.Since > s.revision {
+	at := k.Digest.position(k.Digest.Revision)
+	if !at.After(s.at) || k.Since != 0 && k.since().After(s.at) {
 		return changed // another read or update was faster
 	}
-	if s.revision == 0 {
-		s.historyStart = k.Digest.Revision
+	if s.at.IsZero() {
+		s.historyStart = at
 	}
-	known := s.revision
+	known := s.at
 	names := s.applyEntries(now, k)
-	s.revision = k.Digest.Revision
+	s.at = at
 	changed = s.recordChanges(names) || changed
-	s.coldRevision = max(s.coldRevision, k.Digest.ColdRevision)
+	s.coldAt = storepos.Later(s.coldAt, k.Digest.position(k.Digest.ColdRevision))
 	s.inconsistent = k.Since != 0 && s.contentHash != k.Digest.Content
 	if s.inconsistent {
-		// The targets now match no revision of the store, so the next update must hold all targets.
-		// This happens if the sender adopted a later revision because the hashes were equal, and so
-		// never saw a target that was added and removed in between.
-		s.revision = known
-		s.history.reset(k.Digest.Revision)
+		// The targets now match no position of the store, so the next update must hold all targets.
+		// This happens if the sender adopted a later position because the hashes were equal, and so
+		// never saw a target that was added and removed in between, or if this VM had read changes that
+		// were lost when the store was restored.
+		s.at = known
+		s.history.reset(at)
 		return changed
 	}
 	s.adoptAge(now, k.Digest, true)
--- a/node/gateway/feed/generation_test.go
+++ b/node/gateway/feed/generation_test.go
@@ -122,7 +122,7 @@
 			case "remove":
 				to.ApplyTargetChanges(now, changed([]platform.TargetChange{{Target: platform.Target{Name: name}, Removed: true}}, revision))
 			case "tell":
-				other.Apply(now, to.UpdateSince(now, other.KnownRevision()))
+				other.Apply(now, to.UpdateSince(now, other.KnownPosition()))
 			}
 			to.MarkRead(now)
 			check(a)
--- a/node/gateway/feed/history.go
+++ b/node/gateway/feed/history.go
@@ -1,6 +1,9 @@
 package feed
 
-import "heatherlock/steering"
+import (
+	"heatherlock/steering"
+	"heatherlock/steering/storepos"
+)
 
 // minHistory is how many changes of targets are recorded at least.
 const minHistory = 1024
@@ -9,27 +12,27 @@
 // need not look at all targets. The zero value is ready to use.
 type history struct {
 	changes []change
-	// complete is the revision after which all changes are held.
-	complete int64
+	// complete is the position after which all changes are held.
+	complete storepos.Position
 }
 
-// change names a target that changed at a revision.
+// change names a target that changed at a position.
 type change struct {
-	revision int64
-	name     steering.Target
+	at   storepos.Position
+	name steering.Target
 }
 
-// add records a change at a revision, which is usually not below that of the change before.
-func (h *history) add(revision int64, name steering.Target) {
-	if n := len(h.changes); n > 0 && revision < h.changes[n-1].revision {
-		h.reset(h.changes[n-1].revision)
+// add records a change at a position, which is usually not before that of the last change.
+func (h *history) add(at storepos.Position, name steering.Target) {
+	if n := len(h.changes); n > 0 && at.Before(h.changes[n-1].at) {
+		h.reset(h.changes[n-1].at)
 	}
-	h.changes = append(h.changes, change{revision, name})
+	h.changes = append(h.changes, change{at, name})
 }
 
-// reset drops all changes. Those after revision are recorded from now on.
-func (h *history) reset(revision int64) {
-	h.changes, h.complete = nil, max(h.complete, revision)
+// reset drops all changes. Those after a position are recorded from now on.
+func (h *history) reset(after storepos.Position) {
+	h.changes, h.complete = nil, storepos.Later(h.complete, after)
 }
 
 // trim drops the older half of the changes if there are more than limit.
@@ -38,18 +41,18 @@
 		return
 	}
 	dropped := len(h.changes) / 2
-	h.complete = h.changes[dropped-1].revision
+	h.complete = h.changes[dropped-1].at
 	h.changes = append([]change(nil), h.changes[dropped:]...)
 }
 
-// since returns the targets that changed after a revision, each once; known is false if not all
+// since returns the targets that changed after a position, each once; known is false if not all
 // these changes are held.
-func (h *history) since(revision int64) (names []steering.Target, known bool) {
-	if revision < h.complete {
+func (h *history) since(after storepos.Position) (names []steering.Target, known bool) {
+	if after.Before(h.complete) {
 		return nil, false
 	}
 	found := make(map[steering.Target]bool)
-	for i := len(h.changes) - 1; i >= 0 && h.changes[i].revision > revision; i-- {
+	for i := len(h.changes) - 1; i >= 0 && h.changes[i].at.After(after); i-- {
 		if name := h.changes[i].name; !found[name] {
 			found[name] = true
 			names = append(names, name)
--- a/node/gateway/feed/reader.go
+++ b/node/gateway/feed/reader.go
@@ -12,6 +12,7 @@
 	"heatherlock/steering"
 	"heatherlock/steering/routes"
 	"heatherlock/steering/spread"
+	"heatherlock/steering/storepos"
 )
 
 const (
@@ -40,12 +41,16 @@
 
 // Store is the part of the store's client that a Reader needs.
 type Store interface {
+	// Epoch returns the highest epoch of the store's history that is known, and NoteEpoch records one
+	// that a peer knows. Results of earlier epochs are errors from then on.
+	Epoch() uint64
+	NoteEpoch(epoch uint64)
 	Targets(ctx context.Context) (platform.TargetList, error)
-	TargetChanges(ctx context.Context, since int64, wait time.Duration) (platform.TargetChanges, error)
+	TargetChanges(ctx context.Context, since storepos.Position, wait time.Duration) (platform.TargetChanges, error)
 	Config(ctx context.Context) (platform.Config, error)
-	ConfigChanges(ctx context.Context, since int64, wait time.Duration) (platform.Config, error)
-	Evacuations(ctx context.Context) ([]steering.Zone, int64, error)
-	EvacuationChanges(ctx context.Context, since int64, wait time.Duration) ([]platform.EvacuationChange, int64, error)
+	ConfigChanges(ctx context.Context, since storepos.Position, wait time.Duration) (platform.Config, error)
+	Evacuations(ctx context.Context) ([]steering.Zone, storepos.Position, error)
+	EvacuationChanges(ctx context.Context, since storepos.Position, wait time.Duration) ([]platform.EvacuationChange, storepos.Position, error)
 }
 
 // Sink receives what a Reader learns. ConfigChanged and TargetsChanged are called with the Reader's
@@ -187,6 +192,7 @@
 
 // Merge applies a peer's digest and reports whether to request an update from that peer.
 func (r *Reader) Merge(m Digest) (pull bool) {
+	r.store.NoteEpoch(m.Epoch)
 	r.update(func() (changed bool) {
 		pull, changed = r.state.Merge(time.Now(), m)
 		return changed
@@ -194,16 +200,16 @@
 	return pull
 }
 
-// KnownRevision returns the revision to send to a peer when requesting an update; 0 requests all
-// targets.
-func (r *Reader) KnownRevision() (since int64) {
+// KnownPosition returns the position to send to a peer when requesting an update; the zero position
+// requests all targets.
+func (r *Reader) KnownPosition() (since storepos.Position) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.state.KnownRevision()
+	return r.state.KnownPosition()
 }
 
-// UpdateSince returns the update for a peer whose targets are those of revision since.
-func (r *Reader) UpdateSince(since int64) Update {
+// UpdateSince returns the update for a peer whose targets are those of position since.
+func (r *Reader) UpdateSince(since storepos.Position) Update {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	return r.state.UpdateSince(time.Now(), since)
@@ -211,6 +217,7 @@
 
 // Apply applies an update that a peer sent.
 func (r *Reader) Apply(k Update) {
+	r.store.NoteEpoch(k.Digest.Epoch)
 	r.update(func() bool { return r.state.Apply(time.Now(), k) })
 }
 
@@ -239,7 +246,7 @@
 // read reads everything that changed in the store. The three parts are read concurrently: from
 // another region each takes a round trip over the longest link.
 func (r *Reader) read(ctx context.Context) {
-	began := time.Now()
+	began, epoch := time.Now(), r.store.Epoch()
 	r.reading.Store(true)
 	defer r.reading.Store(false)
 	if !r.Failing() {
@@ -276,7 +283,7 @@
 	if config.began.Before(began) {
 		began = config.began
 	}
-	r.readSucceeded(began)
+	r.readSucceeded(began, epoch)
 }
 
 func (r *Reader) readInterval() time.Duration {
@@ -285,10 +292,15 @@
 	return r.interval
 }
 
-func (r *Reader) readSucceeded(began time.Time) {
+// readSucceeded handles a read that began in an epoch of the store. If the store was restored during
+// the read, its parts may show different states of the store, and the next read is due at once.
+func (r *Reader) readSucceeded(began time.Time, epoch uint64) {
+	restored := epoch > 0 && r.store.Epoch() > epoch
 	r.update(func() bool {
 		changed := r.state.DropMissing(time.Now())
-		r.state.MarkRead(began)
+		if !restored {
+			r.state.MarkRead(began)
+		}
 		return changed
 	})
 	r.mu.Lock()
@@ -316,26 +328,25 @@
 	sleep(ctx, min(retryDelay*time.Duration(1+r.Rank()), maxRetryDelay))
 }
 
-func (r *Reader) revisions() (targets, config, evacuations int64) {
+// positions returns from where to read the changes of each kind; the zero position means that all
+// objects have to be read.
+func (r *Reader) positions() (targets, config, evacuations storepos.Position) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.state.inconsistent {
-		return 0, r.state.configRevision, r.state.evacuationRevision // read all targets again
-	}
-	return r.state.revision, r.state.configRevision, r.state.evacuationRevision
+	return r.state.KnownPosition(), r.state.configAt, r.state.evacuationsAt
 }
 
 func (r *Reader) readTargets(ctx context.Context) error {
-	since, _, _ := r.revisions()
-	if since > 0 {
+	since, _, _ := r.positions()
+	if !since.IsZero() {
 		if err := r.readTargetChanges(ctx, since); platform.FaultOf(err) != platform.FaultRevisionExpired {
 			return err
 		}
 	}
 	all, err := r.store.Targets(ctx)
 	if err == nil {
-		if all.Revision < since {
-			_ = r.log.Log("msg", "store lists targets at a lower revision", "revision", all.Revision, "known_revision", since) // the log writer counts the lines that it drops
+		if all.At.Restored(since) {
+			_ = r.log.Log("msg", "targets listed after a restore of the store", "position", all.At, "known_position", since) // the log writer counts the lines that it drops
 		}
 		r.update(func() bool { return r.state.SetTargets(time.Now(), all) })
 		r.reportUnusable(all.InvalidEntries, all.Targets)
@@ -343,8 +354,8 @@
 	return err
 }
 
-// readTargetChanges reads the changes of targets after a revision, page by page.
-func (r *Reader) readTargetChanges(ctx context.Context, since int64) error {
+// readTargetChanges reads the changes of targets after a position, page by page.
+func (r *Reader) readTargetChanges(ctx context.Context, since storepos.Position) error {
 	for range maxChangePages {
 		found, err := r.store.TargetChanges(ctx, since, 0)
 		if err != nil {
@@ -352,10 +363,10 @@
 		}
 		r.update(func() bool { return r.state.ApplyTargetChanges(time.Now(), found) })
 		r.reportUnusable(found.InvalidEntries, found.Valid())
-		if len(found.Changes) < cutPage || found.Revision <= since {
+		if len(found.Changes) < cutPage || !found.At.After(since) {
 			return nil
 		}
-		since = found.Revision
+		since = found.At
 	}
 	return nil
 }
@@ -372,19 +383,19 @@
 }
 
 func (r *Reader) readEvacuations(ctx context.Context) error {
-	_, _, since := r.revisions()
-	if since > 0 {
-		changes, revision, err := r.store.EvacuationChanges(ctx, since, 0)
+	_, _, since := r.positions()
+	if !since.IsZero() {
+		changes, at, err := r.store.EvacuationChanges(ctx, since, 0)
 		if err == nil {
-			r.update(func() bool { return r.state.ApplyEvacuationChanges(time.Now(), changes, revision) })
+			r.update(func() bool { return r.state.ApplyEvacuationChanges(time.Now(), changes, at) })
 		}
 		if platform.FaultOf(err) != platform.FaultRevisionExpired {
 			return err
 		}
 	}
-	zones, revision, err := r.store.Evacuations(ctx)
+	zones, at, err := r.store.Evacuations(ctx)
 	if err == nil {
-		r.update(func() bool { return r.state.SetEvacuations(time.Now(), zones, revision) })
+		r.update(func() bool { return r.state.SetEvacuations(time.Now(), zones, at) })
 	}
 	return err
 }
--- a/node/gateway/feed/state.go
+++ b/node/gateway/feed/state.go
@@ -10,6 +10,7 @@
 	"heatherlock/platform"
 	"heatherlock/steering"
 	"heatherlock/steering/routes"
+	"heatherlock/steering/storepos"
 )
 
 const (
@@ -38,13 +39,16 @@
 	Missing bool `json:"missing,omitempty"`
 
 	coldUntil time.Time
-	// changed is a revision at which the entry was as it is now and before which it differed. A
-	// peer at a revision needs the entries whose changed is higher.
-	changed int64
+	// changed is a position at which the entry was as it is now and before which it differed. A
+	// peer at a position needs the entries whose changed is later.
+	changed storepos.Position
 }
 
 // Digest says in a few bytes what an entry VM knows of the store and how fresh that is.
 type Digest struct {
+	// Epoch is the epoch of the store's history that all revisions below belong to. What the VM
+	// knows only of an earlier epoch has revision 0. Builds before this field send none.
+	Epoch uint64 `json:"epoch,omitempty"`
 	// Revision is the store revision to which the targets correspond.
 	Revision int64 `json:"rev,omitempty"`
 	// Content is a hash of the targets. Equal hashes mean equal targets.
@@ -66,8 +70,8 @@
 
 // removal records that a target's entry was removed.
 type removal struct {
-	// revision is one at which the entry was absent.
-	revision int64
+	// at is a position at which the entry was absent.
+	at storepos.Position
 	// generation is the target's last known generation.
 	generation steering.Generation
 }
@@ -77,8 +81,9 @@
 	heartbeatInterval time.Duration
 	regions           map[steering.Zone]steering.Region
 
-	targets  map[steering.Target]*Entry
-	revision int64
+	targets map[steering.Target]*Entry
+	// at is the position of the store to which the targets correspond.
+	at storepos.Position
 	// contentHash is the sum of hashes, which holds the hash of each target.
 	contentHash uint64
 	hashes      map[steering.Target]uint64
@@ -89,20 +94,20 @@
 	// set, all targets have to be placed anew.
 	unplaced    map[steering.Target]bool
 	allUnplaced bool
-	// coldRevision is a revision at which some target had become cold again. turnedCold is set
-	// while the changes of one read are applied and one of them shows that.
-	coldRevision int64
-	turnedCold   bool
-	// historyStart is the revision after which all changes of targets are recorded.
-	historyStart int64
+	// coldAt is a position at which some target had become cold again. turnedCold is set while the
+	// changes of one read are applied and one of them shows that.
+	coldAt     storepos.Position
+	turnedCold bool
+	// historyStart is the position after which all changes of targets are recorded.
+	historyStart storepos.Position
 	// inconsistent is set if an update with changes did not lead to the hash in the peer's digest.
 	// The next update requested holds all targets.
-	inconsistent       bool
-	evacuated          map[steering.Zone]bool
-	evacuationRevision int64
-	table              *routes.Table
-	tableSince         time.Time // when table was put in force here
-	configRevision     int64
+	inconsistent  bool
+	evacuated     map[steering.Zone]bool
+	evacuationsAt storepos.Position
+	table         *routes.Table
+	tableSince    time.Time // when table was put in force here
+	configAt      storepos.Position
 	// newest is the newest configuration version known to exist. behindSince is when this VM
 	// first knew of a version newer than the one in force, or the zero time if it knows of none.
 	newest      uint64
@@ -133,7 +138,7 @@
 
 // Complete reports whether the targets, the configuration and the evacuations are all known.
 func (s *State) Complete() bool {
-	return !s.readAt.IsZero() && s.table != nil && s.evacuationRevision > 0
+	return !s.readAt.IsZero() && s.table != nil && !s.evacuationsAt.IsZero()
 }
 
 // Table returns the configuration in force, or nil.
@@ -148,17 +153,22 @@
 }
 
 // detectOutage is called before the result of a read is applied. If the read before it is so old
-// that entries may have expired in an outage, removals are held back for reappearWindow.
-func (s *State) detectOutage(now time.Time) {
-	if !s.readAt.IsZero() && now.Sub(s.readAt) > maxMissedHeartbeats*s.heartbeatInterval {
+// that entries may have expired in an outage, or the store was restored and may lack entries, removals
+// are held back for reappearWindow.
+func (s *State) detectOutage(now time.Time, at storepos.Position) {
+	expired := !s.readAt.IsZero() && now.Sub(s.readAt) > maxMissedHeartbeats*s.heartbeatInterval
+	if expired || at.Restored(s.at) {
 		s.holdRemovalsUntil = now.Add(reappearWindow)
 	}
 }
 
-// SetTargets applies a complete list of targets and reports whether anything relevant changed.
+// SetTargets applies a complete list of targets and reports whether anything relevant changed. A list
+// of an earlier epoch than the one known is ignored.
 func (s *State) SetTargets(now time.Time, all platform.TargetList) bool {
-	s.detectOutage(now)
-	revision := all.Revision
+	if s.at.Restored(all.At) {
+		return false
+	}
+	s.detectOutage(now, all.At)
 	listed := make(map[steering.Target]bool, len(all.Targets))
 	var changed []steering.Target
 	for _, t := range all.Targets {
@@ -177,24 +187,43 @@
 			changed = append(changed, name)
 		}
 	}
-	if s.revision == 0 || s.inconsistent {
-		s.historyStart = revision
+	if s.at.IsZero() || s.inconsistent {
+		s.historyStart = all.At
 	}
-	s.revision, s.inconsistent = revision, false
+	if all.At.Restored(s.at) {
+		changed = append(changed, s.coldTargets(now)...)
+	}
+	s.at, s.inconsistent = all.At, false
 	return s.recordChanges(changed)
 }
 
+// coldTargets returns the targets that are cold. After a restore of the store they count as having
+// become cold again, because peers may have missed that before it.
+func (s *State) coldTargets(now time.Time) []steering.Target {
+	var cold []steering.Target
+	for name, t := range s.targets {
+		if now.Before(t.coldUntil) {
+			cold = append(cold, name)
+		}
+	}
+	s.turnedCold = s.turnedCold || len(cold) > 0
+	return cold
+}
+
 // ApplyTargetChanges applies the changes of targets since the last read and reports whether
 // anything relevant changed.
 func (s *State) ApplyTargetChanges(now time.Time, found platform.TargetChanges) bool {
-	s.detectOutage(now)
+	if s.at.Restored(found.At) {
+		return false
+	}
+	s.detectOutage(now, found.At)
 	var changed []steering.Target
 	for _, c := range found.Changes {
 		if s.applyTargetChange(now, c) {
 			changed = append(changed, c.Target.Name)
 		}
 	}
-	s.revision = found.Revision
+	s.at = found.At
 	return s.recordChanges(changed)
 }
 
@@ -275,7 +304,7 @@
 	return text
 }
 
-// drop removes a target and reports whether it was known. The revision of the removal is set by
+// drop removes a target and reports whether it was known. The position of the removal is set by
 // recordChanges.
 func (s *State) drop(name steering.Target) bool {
 	t := s.targets[name]
@@ -283,7 +312,7 @@
 		return false
 	}
 	delete(s.targets, name)
-	s.removed[name] = removal{revision: s.removed[name].revision, generation: t.Generation}
+	s.removed[name] = removal{at: s.removed[name].at, generation: t.Generation}
 	return true
 }
 
@@ -302,33 +331,33 @@
 	return s.recordChanges(changed)
 }
 
-// recordChanges marks targets as changed at the current revision and reports whether there were
+// recordChanges marks targets as changed at the current position and reports whether there were
 // any.
 func (s *State) recordChanges(changed []steering.Target) bool {
 	if len(changed) == 0 {
 		return false
 	}
 	if s.turnedCold {
-		s.coldRevision, s.turnedCold = s.revision, false
+		s.coldAt, s.turnedCold = s.at, false
 	}
 	// A first list of all targets is not held as changes, target by target.
 	most := len(changed) > len(s.targets)/2
 	if most {
 		s.allUnplaced = true
-		s.history.reset(s.revision)
+		s.history.reset(s.at)
 	}
 	for _, name := range changed {
 		s.updateHash(name)
 		if !most {
 			s.unplaced[name] = true
-			s.history.add(s.revision, name)
+			s.history.add(s.at, name)
 		}
 		if t := s.targets[name]; t != nil {
-			t.changed = s.revision
+			t.changed = s.at
 			delete(s.removed, name)
 			continue
 		}
-		s.removed[name] = removal{revision: s.revision, generation: s.removed[name].generation}
+		s.removed[name] = removal{at: s.at, generation: s.removed[name].generation}
 	}
 	s.trimRemoved()
 	s.history.trim(max(minHistory, len(s.targets)))
@@ -347,19 +376,19 @@
 }
 
 // trimRemoved drops the older half of the removed targets if there are too many. A peer at an
-// older revision than the remaining ones then needs all targets.
+// older position than the remaining ones then needs all targets.
 func (s *State) trimRemoved() {
 	if len(s.removed) <= max(minRemovedTargets, len(s.targets)) {
 		return
 	}
-	revisions := make([]int64, 0, len(s.removed))
+	positions := make([]storepos.Position, 0, len(s.removed))
 	for _, e := range s.removed {
-		revisions = append(revisions, e.revision)
+		positions = append(positions, e.at)
 	}
-	slices.Sort(revisions)
-	s.historyStart = max(s.historyStart, revisions[len(revisions)/2])
+	slices.SortFunc(positions, storepos.Position.Compare)
+	s.historyStart = storepos.Later(s.historyStart, positions[len(positions)/2])
 	for name, e := range s.removed {
-		if e.revision <= s.historyStart {
+		if !e.at.After(s.historyStart) {
 			delete(s.removed, name)
 		}
 	}
@@ -382,28 +411,34 @@
 	return d.Sum64()
 }
 
-// SetEvacuations replaces the zones under evacuation by those read at revision, and reports whether
+// SetEvacuations replaces the zones under evacuation by those read at a position, and reports whether
 // they changed.
-func (s *State) SetEvacuations(now time.Time, zones []steering.Zone, revision int64) bool {
+func (s *State) SetEvacuations(now time.Time, zones []steering.Zone, at storepos.Position) bool {
+	if s.evacuationsAt.Restored(at) {
+		return false
+	}
 	next := make(map[steering.Zone]bool, len(zones))
 	for _, zone := range zones {
 		next[zone] = true
 	}
-	changed := len(next) != len(s.evacuated) || s.evacuationRevision == 0
+	changed := len(next) != len(s.evacuated) || s.evacuationsAt.IsZero()
 	for zone := range s.evacuated {
 		if !next[zone] {
 			changed = true
 			s.endEvacuation(now, zone)
 		}
 	}
-	s.evacuated, s.evacuationRevision = next, revision
+	s.evacuated, s.evacuationsAt = next, at
 	s.allUnplaced = s.allUnplaced || changed
 	return changed
 }
 
 // ApplyEvacuationChanges applies the changes of evacuations since the last read and reports whether
 // there were any.
-func (s *State) ApplyEvacuationChanges(now time.Time, changes []platform.EvacuationChange, revision int64) bool {
+func (s *State) ApplyEvacuationChanges(now time.Time, changes []platform.EvacuationChange, at storepos.Position) bool {
+	if s.evacuationsAt.Restored(at) {
+		return false
+	}
 	for _, c := range changes {
 		if c.Ended {
 			delete(s.evacuated, c.Zone)
@@ -412,7 +447,7 @@
 		}
 		s.evacuated[c.Zone] = true
 	}
-	s.evacuationRevision = revision
+	s.evacuationsAt = at
 	s.allUnplaced = s.allUnplaced || len(changes) > 0
 	return len(changes) > 0
 }
--- a/node/gateway/feed/state_test.go
+++ b/node/gateway/feed/state_test.go
@@ -14,6 +14,7 @@
 	"heatherlock/steering"
 	"heatherlock/steering/placement"
 	"heatherlock/steering/routes"
+	"heatherlock/steering/storepos"
 )
 
 const beat = 1500 * time.Millisecond
@@ -27,14 +28,17 @@
 	return platform.Target{Name: steering.Target(name), Service: "s", Address: "10.0.0.1:80", Zone: "a", Slots: 3, Beat: beat, Leaving: leaving}
 }
 
+// at returns a position in the first epoch of a store.
+func at(revision int64) storepos.Position { return storepos.Position{Epoch: 1, Revision: revision} }
+
 // listed is the result of reading all targets at a revision.
 func listed(targets []platform.Target, revision int64) platform.TargetList {
-	return platform.TargetList{Targets: targets, Revision: revision}
+	return platform.TargetList{Targets: targets, At: at(revision)}
 }
 
 // changed is the result of reading the changes up to a revision.
 func changed(changes []platform.TargetChange, revision int64) platform.TargetChanges {
-	return platform.TargetChanges{Changes: changes, Revision: revision}
+	return platform.TargetChanges{Changes: changes, At: at(revision)}
 }
 
 // placedByName returns the targets that the state passes to placement.
@@ -96,9 +100,9 @@
 func TestTargetsAreColdAfterEvacuation(t *testing.T) {
 	s := feed.NewState(beat, regions)
 	s.SetTargets(start, listed([]platform.Target{target("a", 1, false)}, 10))
-	s.SetEvacuations(start, []steering.Zone{"a"}, 11)
+	s.SetEvacuations(start, []steering.Zone{"a"}, at(11))
 	assert.Assert(t, placedByName(s)["a"].Closed)
-	s.ApplyEvacuationChanges(start, []platform.EvacuationChange{{Zone: "a", Ended: true}}, 12)
+	s.ApplyEvacuationChanges(start, []platform.EvacuationChange{{Zone: "a", Ended: true}}, at(12))
 	got := placedByName(s)["a"]
 	assert.Assert(t, !got.Closed && got.ColdUntil.After(start.Add(beat)))
 }
@@ -110,8 +114,8 @@
 	a, b := feed.NewState(beat, regions), feed.NewState(beat, regions)
 	for _, s := range []*feed.State{a, b} {
 		s.SetTargets(start, listed([]platform.Target{target("a", 1, false)}, 10))
-		s.ApplyConfigRead(start, start, table(1), 10)
-		s.SetEvacuations(start, nil, 10)
+		s.ApplyConfigRead(start, start, table(1), at(10))
+		s.SetEvacuations(start, nil, at(10))
 		s.MarkRead(start)
 	}
 	now := start
@@ -163,7 +167,7 @@
 	a.MarkRead(start)
 	pull, _ := b.Merge(start, a.Digest(start))
 	assert.Assert(t, pull)
-	assert.Assert(t, b.Apply(start, a.UpdateSince(start, b.KnownRevision())))
+	assert.Assert(t, b.Apply(start, a.UpdateSince(start, b.KnownPosition())))
 	assert.Assert(t, placedByName(b)["x"].ColdUntil.After(start.Add(2*time.Second)))
 }
 
@@ -176,8 +180,8 @@
 	before, between, after := feed.NewState(beat, regions), feed.NewState(beat, regions), feed.NewState(beat, regions)
 	read := func(s *feed.State, revision int64, all ...platform.Target) {
 		s.SetTargets(start, listed(all, revision))
-		s.SetEvacuations(start, nil, revision)
-		s.ApplyConfigRead(start, start, table(3), revision)
+		s.SetEvacuations(start, nil, at(revision))
+		s.ApplyConfigRead(start, start, table(3), at(revision))
 		s.MarkRead(start)
 	}
 	read(before, 10)
@@ -187,7 +191,7 @@
 	assert.Assert(t, !pull, "both have no target")
 	exchange := func() {
 		if pull, _ := between.Merge(start, before.Digest(start)); pull {
-			between.Apply(start, before.UpdateSince(start, between.KnownRevision()))
+			between.Apply(start, before.UpdateSince(start, between.KnownPosition()))
 		}
 	}
 	exchange()
@@ -258,9 +262,9 @@
 		}
 		s.ApplyTargetChanges(now, changed(changes, f.revision))
 	}
-	s.SetEvacuations(now, nil, f.revision)
+	s.SetEvacuations(now, nil, at(f.revision))
 	if f.config > 0 {
-		s.ApplyConfigRead(now, now, table(f.config), f.revision)
+		s.ApplyConfigRead(now, now, table(f.config), at(f.revision))
 	}
 	s.MarkRead(now)
 }
@@ -304,7 +308,7 @@
 			}
 		}
 		tell := func(from, to int) feed.Update {
-			raw, err := json.Marshal(states[from].UpdateSince(now, states[to].KnownRevision()))
+			raw, err := json.Marshal(states[from].UpdateSince(now, states[to].KnownPosition()))
 			assert.NilError(t, err)
 			var k feed.Update
 			assert.NilError(t, json.Unmarshal(raw, &k))
--- a/node/gateway/feed/versions.go
+++ b/node/gateway/feed/versions.go
@@ -4,16 +4,17 @@
 	"time"
 
 	"heatherlock/steering/routes"
+	"heatherlock/steering/storepos"
 )
 
 // ApplyConfigRead applies a read of the configuration from the store that started at began and saw
-// the store at revision. t is nil if the store has no configuration newer than the revision asked
+// the store at a position. t is nil if the store has no configuration newer than the position asked
 // for. It reports whether t was put in force.
 //
 // If the read started after this VM had learned of a newer version and found none, that version
 // does not exist: the store was restored, or the version was never accepted.
-func (s *State) ApplyConfigRead(now, began time.Time, t *routes.Table, revision int64) bool {
-	s.configRevision = max(s.configRevision, revision)
+func (s *State) ApplyConfigRead(now, began time.Time, t *routes.Table, at storepos.Position) bool {
+	s.configAt = storepos.Later(s.configAt, at)
 	changed := s.SetTable(now, t)
 	if !s.behindSince.IsZero() && began.After(s.behindSince) {
 		s.newest, s.behindSince = s.version(), time.Time{}
--- a/node/gateway/peersync.go
+++ b/node/gateway/peersync.go
@@ -21,12 +21,15 @@
 	"heatherlock/steering/placement"
 	"heatherlock/steering/retry"
 	"heatherlock/steering/spread"
+	"heatherlock/steering/storepos"
 )
 
 const (
 	// pathKnown is the path at which an entry VM serves the targets that it knows to its peers.
 	pathKnown  = "/v1/known"
 	paramSince = "since"
+	// paramEpoch is the epoch of paramSince. Builds before it send none and ignore it.
+	paramEpoch = "epoch"
 	// pullTimeout is how long a peer's response may take to start, and how long it may stall
 	// afterwards: several one-way trips over the longest link, and the responses to other VMs on
 	// a link of 10 Mbit/s. After a timeout, the next heartbeat of any peer starts another pull.
@@ -152,7 +155,8 @@
 // pull fetches and applies all target updates that a peer has and this VM lacks. It returns the
 // number of bytes received, also on error.
 func (g *Gateway) pull(address string) (bytes int64, err error) {
-	query := url.Values{paramSince: {strconv.FormatInt(g.reader.KnownRevision(), 10)}}
+	since := g.reader.KnownPosition()
+	query := url.Values{paramSince: {strconv.FormatInt(since.Revision, 10)}, paramEpoch: {strconv.FormatUint(since.Epoch, 10)}}
 	ctx, stall := platform.WithStallTimeout(context.Background(), pullTimeout)
 	defer stall.Release()
 	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+pathKnown+"?"+query.Encode(), nil)
@@ -189,7 +193,8 @@
 			http.Error(w, "since must be a number", http.StatusBadRequest)
 			return
 		}
-		update := g.reader.UpdateSince(since)
+		epoch, _ := strconv.ParseUint(r.URL.Query().Get(paramEpoch), 10, 64) // 0 if the peer names none
+		update := g.reader.UpdateSince(storepos.Position{Epoch: epoch, Revision: since})
 		if _, ok := g.sendLimiter.Reserve(time.Now(), spread.LinkLoad{Bytes: entryBytes * len(update.Entries), Outline: true}); !ok {
 			g.metrics.Scope.Counter("gateway_targets_asked_in_vain").Inc(1)
 			http.Error(w, "the link is full; ask another entry VM", http.StatusServiceUnavailable)
