Let what was read after a restore of the store outrank what was read before it

What callers saw: requests to a target 2.64 and 2.73 s after the store had confirmed that it leaves. Cause: VMs rank what they tell each other by the bare revision. After the restore the reader listed the targets at a lower one than its peers held; they ignored it, and their digests at the higher revision made it take their older targets back. Change: digests, updates and requests for them carry the epoch. In a heartbeat, which builds before this refuse with a further element, it is packed with the age, marked by a flag; those builds take it for a very high age, which they never prefer. A peer that names no epoch is taken to be in the known one. Why it works: the position of a restored store is after all positions of the earlier history, on every VM and in every message. Golden messages of epoch 0 are unchanged, byte for byte.

--- a/node/gateway/feed/exchange.go
+++ b/node/gateway/feed/exchange.go
@@ -41,10 +41,10 @@
 // inOwnEpoch returns an epoch that a peer names, or that of the state if the peer is of a build that
 // names none.
 func (s *State) inOwnEpoch(epoch uint64) uint64 {
-	if s.at.IsZero() {
-		return epoch
+	if epoch == 0 {
+		return s.at.Epoch
 	}
-	return s.at.Epoch
+	return epoch
 }
 
 // version returns the version of the configuration in force, or 0 if there is none.
--- a/node/gateway/feed/golden_test.go
+++ b/node/gateway/feed/golden_test.go
@@ -46,6 +46,8 @@
 				Slots: 3, Leaving: true, ColdLeft: 1500 * time.Millisecond, Beat: 4}, ColdFor: 900 * time.Millisecond, Missing: true},
 				{Target: platform.Target{Name: "t2"}}},
 			Gone: []steering.Target{"t3", "t4"}},
+		"epoch": {Digest: feed.Digest{Epoch: 7, Revision: 5000, Content: 2, Config: 17, Newest: 17, ConfigRevision: 4980, AgeMs: 905}, Since: 6000, SinceEpoch: 6,
+			Gone: []steering.Target{"t3"}},
 		"empty": {},
 	} {
 		t.Run(name, func(t *testing.T) {
--- /dev/null
+++ b/node/gateway/feed/restore_test.go
@@ -0,0 +1,87 @@
+package feed_test
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"heatherlock/node/gateway/feed"
+	"heatherlock/platform"
+	"heatherlock/steering/storepos"
+)
+
+// restoredAt returns a position after a number of restores of the store.
+func restoredAt(restores uint64, revision int64) storepos.Position {
+	return storepos.Position{Epoch: 1 + restores, Revision: revision}
+}
+
+// readAll returns a state that has read a store with the given targets, and nothing else, at a position.
+func readAll(at storepos.Position, targets ...platform.Target) *feed.State {
+	s := feed.NewState(beat, regions)
+	s.SetTargets(start, platform.TargetList{Targets: targets, At: at})
+	s.SetEvacuations(start, nil, at)
+	s.ApplyConfigRead(start, start, table(3), at)
+	s.MarkRead(start)
+	return s
+}
+
+// exchange passes on the digest of one state to another, and the update that this one then requests.
+func exchange(now time.Time, from, to *feed.State) (update feed.Update, pulled bool) {
+	if pull, _ := to.Merge(now, from.Digest(now)); !pull {
+		return update, false
+	}
+	update = from.UpdateSince(now, to.KnownPosition())
+	to.Apply(now, update)
+	return update, true
+}
+
+// Guards against VMs that keep what they knew, and against a reader that takes it back, because
+// revisions were higher before a restore of the store.
+func TestReadAfterRestoreOutranksHigherRevision(t *testing.T) {
+	ready, leaving := target("a", 5, false), target("a", 6, true)
+	reader, peer := readAll(restoredAt(0, 900), ready), readAll(restoredAt(0, 905), ready)
+	now := start.Add(time.Second)
+	reader.SetTargets(now, platform.TargetList{Targets: []platform.Target{leaving}, At: restoredAt(1, 850)})
+	reader.SetEvacuations(now, nil, restoredAt(1, 850))
+	reader.MarkRead(now)
+	_, pulled := exchange(now, peer, reader)
+	assert.Assert(t, !pulled && placedByName(reader)["a"].Closed)
+	update, pulled := exchange(now, reader, peer)
+	assert.Assert(t, pulled && placedByName(peer)["a"].Closed)
+	assert.Equal(t, update.SinceEpoch, uint64(1), "the changes are enough, not all targets")
+	age, _ := peer.Age(now)
+	assert.Equal(t, age, time.Duration(0))
+	// A slow read of the store, or a slow update, from before the restore changes nothing.
+	peer.SetTargets(now, platform.TargetList{Targets: []platform.Target{ready}, At: restoredAt(0, 910)})
+	peer.Apply(now, readAll(restoredAt(0, 910), ready).UpdateSince(now, storepos.Position{}))
+	assert.Assert(t, placedByName(peer)["a"].Closed)
+}
+
+// Guards against VMs that end with different targets because one had read changes that were lost.
+func TestLostChangesAreUndoneOnAllVMs(t *testing.T) {
+	a, lost := target("a", 5, false), target("lost", 1, false)
+	reader, peer := readAll(restoredAt(0, 900), a), readAll(restoredAt(0, 905), a, lost)
+	now := start.Add(time.Second)
+	for restores := uint64(1); restores <= 3; restores++ {
+		reader.SetTargets(now, platform.TargetList{Targets: []platform.Target{a, target("new", 1, false)}, At: restoredAt(restores, 850)})
+		reader.MarkRead(now)
+		for range 2 { // the hash shows that the changes alone are not enough
+			exchange(now, reader, peer)
+		}
+		assert.Equal(t, peer.Digest(now).Content, reader.Digest(now).Content)
+		assert.Equal(t, peer.KnownPosition(), restoredAt(restores, 850))
+	}
+}
+
+// Guards against a VM that stays without news from builds that name no epoch in their messages.
+func TestPeerThatNamesNoEpochIsInTheKnownOne(t *testing.T) {
+	older, newer := readAll(restoredAt(1, 905), target("a", 6, true)), readAll(restoredAt(1, 900), target("a", 5, false))
+	digest, update := older.Digest(start), older.UpdateSince(start, at(900))
+	digest.Epoch, update.Digest.Epoch, update.SinceEpoch = 0, 0, 0
+	pull, _ := newer.Merge(start, digest)
+	assert.Assert(t, pull)
+	newer.Apply(start, update)
+	assert.Assert(t, placedByName(newer)["a"].Closed)
+	assert.Equal(t, newer.KnownPosition(), restoredAt(1, 905))
+}
--- a/node/gateway/fleet/beat.go
+++ b/node/gateway/fleet/beat.go
@@ -73,6 +73,7 @@
 	flagReads
 	flagWantsReply
 	flagZoneReport
+	flagEpoch
 )
 
 // datagram is the encoding of a heartbeat. Most of the control traffic of a large fleet is
@@ -93,7 +94,7 @@
 	ConfigLag   int64 // Revision minus ConfigRevision
 	EvacLag     int64 // Revision minus EvacuationRevision
 	ColdLag     int64 // Revision minus ColdRevision
-	AgeMs       int64
+	EpochAge    int64 // age in ms; with flagEpoch see packEpochAge
 	Crowd       uint32
 	Evacuated   []steering.Zone
 	Demand      placement.DemandOf
@@ -139,15 +140,34 @@
 	return ids
 }
 
+// ageBits is how many bits of EpochAge hold the age of a digest in ms; its epoch is above them.
+const ageBits = 32
+
+// packEpochAge packs the epoch of a digest and its age into one number, which is the age in epoch 0.
+//
+// A build that knows no epochs accepts no further element in a datagram. It takes the number for an age
+// so high that it never prefers it to that of its own read.
+func packEpochAge(epoch uint64, ageMs int64) int64 {
+	return int64(epoch)<<ageBits | max(min(ageMs, 1<<ageBits-1), 0)
+}
+
+// epochAge returns the epoch of the digest in a datagram and its age in ms.
+func (d datagram) epochAge() (epoch uint64, ageMs int64) {
+	if d.Flags&flagEpoch == 0 {
+		return 0, d.EpochAge
+	}
+	return uint64(d.EpochAge) >> ageBits, d.EpochAge & (1<<ageBits - 1)
+}
+
 // encode returns the datagram for a heartbeat, with or without the sender's addresses.
 func encode(b Beat, addresses bool) ([]byte, error) {
 	k := b.StoreDigest
 	d := datagram{Sender: idOf(b.From.Name), Incarnation: b.Incarnation, Number: b.Number, Revision: k.Revision, Content: k.Content, Config: k.Config, NewestLead: max(k.Newest, k.Config) - k.Config, Content32: b.ConfigContent, Wait: uint8(b.ConfigWait),
-		ConfigLag: k.Revision - k.ConfigRevision, EvacLag: k.Revision - k.EvacuationRevision, ColdLag: k.Revision - k.ColdRevision, AgeMs: k.AgeMs, Crowd: b.Crowd, Evacuated: k.Evacuated, Demand: b.Demand, Mates: packShortIDs(b.Mates), Replaced: b.Replaced, Suspects: b.Suspects, Introduced: b.Members, Tight: b.Tight}
+		ConfigLag: k.Revision - k.ConfigRevision, EvacLag: k.Revision - k.EvacuationRevision, ColdLag: k.Revision - k.ColdRevision, EpochAge: packEpochAge(k.Epoch, k.AgeMs), Crowd: b.Crowd, Evacuated: k.Evacuated, Demand: b.Demand, Mates: packShortIDs(b.Mates), Replaced: b.Replaced, Suspects: b.Suspects, Introduced: b.Members, Tight: b.Tight}
 	for _, f := range []struct {
 		flag uint8
 		set  bool
-	}{{flagServing, b.Serving}, {flagLeaving, b.Leaving}, {flagStoreFails, b.StoreReadsFail}, {flagWantsMembers, b.WantsMembers}, {flagReads, b.ReadingStore}, {flagWantsReply, b.WantsReply}, {flagZoneReport, b.ZoneReport}} {
+	}{{flagServing, b.Serving}, {flagLeaving, b.Leaving}, {flagStoreFails, b.StoreReadsFail}, {flagWantsMembers, b.WantsMembers}, {flagReads, b.ReadingStore}, {flagWantsReply, b.WantsReply}, {flagZoneReport, b.ZoneReport}, {flagEpoch, k.Epoch > 0}} {
 		if f.set {
 			d.Flags |= f.flag
 		}
@@ -185,10 +205,11 @@
 
 // beat returns the heartbeat and the ID of its sender.
 func (d datagram) beat() (Beat, uint64) {
+	epoch, ageMs := d.epochAge()
 	b := Beat{Incarnation: d.Incarnation, Number: d.Number, Members: d.Introduced, Mates: unpackShortIDs(d.Mates), Replaced: d.Replaced, Suspects: d.Suspects, Tight: d.Tight,
 		Serving: d.Flags&flagServing != 0, Leaving: d.Flags&flagLeaving != 0, StoreReadsFail: d.Flags&flagStoreFails != 0, WantsMembers: d.Flags&flagWantsMembers != 0, ReadingStore: d.Flags&flagReads != 0, WantsReply: d.Flags&flagWantsReply != 0, ZoneReport: d.Flags&flagZoneReport != 0, Crowd: d.Crowd, Demand: d.Demand, ConfigContent: d.Content32, ConfigWait: catchup.Wait(d.Wait),
-		StoreDigest: feed.Digest{Revision: d.Revision, Content: d.Content, Config: d.Config, Newest: d.Config + d.NewestLead, ConfigRevision: d.Revision - d.ConfigLag,
-			EvacuationRevision: d.Revision - d.EvacLag, ColdRevision: d.Revision - d.ColdLag, AgeMs: d.AgeMs, Evacuated: d.Evacuated}}
+		StoreDigest: feed.Digest{Epoch: epoch, Revision: d.Revision, Content: d.Content, Config: d.Config, Newest: d.Config + d.NewestLead, ConfigRevision: d.Revision - d.ConfigLag,
+			EvacuationRevision: d.Revision - d.EvacLag, ColdRevision: d.Revision - d.ColdLag, AgeMs: ageMs, Evacuated: d.Evacuated}}
 	if d.From != nil {
 		b.From = *d.From
 	}
--- a/node/gateway/fleet/golden_internal_test.go
+++ b/node/gateway/fleet/golden_internal_test.go
@@ -52,6 +52,11 @@
 	}
 }
 
+func inEpoch(b Beat, epoch uint64) Beat {
+	b.StoreDigest.Epoch = epoch
+	return b
+}
+
 // Guards against heartbeats that old and new entry VMs decode differently because a field moved, is
 // encoded under another name or uses another flag bit: they would consider each other gone, or a
 // leaving VM to be serving.
@@ -68,6 +73,7 @@
 	}{
 		"full-addresses":     {fullBeat(), true},
 		"full":               {fullBeat(), false},
+		"full-epoch":         {inEpoch(fullBeat(), 7), false},
 		"sparse-addresses":   {sparse, true},
 		"sparse":             {sparse, false},
 		"sparse-serving":     {flag(func(b *Beat) { b.Serving = true }), false},
