Drop a missing target also on VMs that do not read the store

Two VMs at the same revision do not pull from each other, since each is to resolve this by itself, but only a VM that reads did. The others sent the target requests until anything else changed in the store. Change: each heartbeat that is merged ends the time for which removals are held back.

--- a/node/gateway/feed/exchange.go
+++ b/node/gateway/feed/exchange.go
@@ -56,19 +56,20 @@
 }
 
 // Merge applies as much of a peer's digest as it can without further data. pull reports whether the
-// peer has newer targets, which should be requested from it; changed reports whether the evacuated
-// zones changed. Behind reports whether the peer's digest named a newer configuration: targets and
+// peer has newer targets, which should be requested from it; changed reports whether targets or the
+// evacuated zones changed. Behind reports whether the peer's digest named a newer configuration: targets and
 // configuration are fetched separately because a large configuration can take long to transfer, and
 // the notice that a target is leaving must not wait for it.
 func (s *State) Merge(now time.Time, m Digest) (pull, changed bool) {
 	s.noteVersion(now, max(m.Config, m.Newest))
+	changed = s.DropMissing(now)
 	if m.Revision == 0 {
-		return false, false
+		return false, changed
 	}
 	m.Epoch = s.inOwnEpoch(m.Epoch)
 	at := m.position(m.Revision)
 	if evacuationsAt := m.position(m.EvacuationRevision); evacuationsAt.After(s.evacuationsAt) {
-		changed = s.SetEvacuations(now, m.Evacuated, evacuationsAt)
+		changed = s.SetEvacuations(now, m.Evacuated, evacuationsAt) || changed
 	}
 	if m.Config == s.version() {
 		s.configAt = storepos.Later(s.configAt, m.position(m.ConfigRevision))
--- a/node/gateway/feed/restore_test.go
+++ b/node/gateway/feed/restore_test.go
@@ -85,3 +85,19 @@
 	assert.Assert(t, placedByName(newer)["a"].Closed)
 	assert.Equal(t, newer.KnownPosition(), restoredAt(1, 905))
 }
+
+// Guards against requests to a target that is gone on all VMs but the one that read the store, for as
+// long as nothing else changes there.
+func TestMissingTargetIsDroppedOnVMsThatDoNotRead(t *testing.T) {
+	reader, peer := readAll(at(10), target("gone", 1, false)), readAll(at(10), target("gone", 1, false))
+	now := start.Add(10 * time.Second) // as after an outage of the store
+	reader.SetTargets(now, listed(nil, 20))
+	reader.MarkRead(now)
+	exchange(now, reader, peer)
+	assert.Equal(t, len(placedByName(peer)), 1, "it has time to write its entry again")
+	now = now.Add(5 * time.Second)
+	assert.Assert(t, reader.DropMissing(now))
+	reader.MarkRead(now)
+	exchange(now, reader, peer)
+	assert.Equal(t, len(placedByName(peer)), 0)
+}
--- a/node/gateway/feed/state.go
+++ b/node/gateway/feed/state.go
@@ -119,7 +119,7 @@
 	// none.
 	readAt time.Time
 	// holdRemovalsUntil is set after an outage of the store: until then, targets whose entries are
-	// missing are kept.
+	// missing are kept. It is zero if there are none.
 	holdRemovalsUntil time.Time
 }
 
@@ -319,9 +319,10 @@
 // DropMissing removes the targets whose entries are still missing once removals are no longer held
 // back after an outage. It reports whether it removed any.
 func (s *State) DropMissing(now time.Time) bool {
-	if now.Before(s.holdRemovalsUntil) {
+	if s.holdRemovalsUntil.IsZero() || now.Before(s.holdRemovalsUntil) {
 		return false
 	}
+	s.holdRemovalsUntil = time.Time{}
 	var changed []steering.Target
 	for name, t := range s.targets {
 		if t.Missing && s.drop(name) {
