Keep leavings, removals and evacuations that a restored store does not know

A store that was restored lists for some seconds a leaving target as ready, one that is gone as there, and a zone under evacuation as free; VMs that had acknowledged the opposite followed it. Change: feed.lasting holds what stays true, apart from the copy of the store, which goes on following the store, so that VMs agree on it. A target that leaves is closed until it has written a later entry that says otherwise (its heartbeats count). One that was gone before the restore and is listed again is closed until it writes, or until the store has removed the entries of all silent ones (three heartbeats and the time to write again). An evacuation that the restored store does not list goes on for 10 s, since the operator writes it again unless it has ended; what it lists is followed at once.

--- a/node/gateway/feed/exchange.go
+++ b/node/gateway/feed/exchange.go
@@ -62,7 +62,7 @@
 // the notice that a target is leaving must not wait for it.
 func (s *State) Merge(now time.Time, m Digest) (pull, changed bool) {
 	s.noteVersion(now, max(m.Config, m.Newest))
-	changed = s.DropMissing(now)
+	changed = s.EndHolds(now)
 	if m.Revision == 0 {
 		return false, changed
 	}
@@ -226,7 +226,7 @@
 	known := s.at
 	names := s.applyEntries(now, k)
 	s.at = at
-	changed = s.recordChanges(names) || changed
+	changed = s.recordChanges(now, names) || changed
 	s.coldAt = storepos.Later(s.coldAt, k.Digest.position(k.Digest.ColdRevision))
 	s.inconsistent = k.Since != 0 && s.contentHash != k.Digest.Content
 	if s.inconsistent {
--- a/node/gateway/feed/placement.go
+++ b/node/gateway/feed/placement.go
@@ -63,7 +63,7 @@
 		return p, false
 	}
 	p = placement.Target{Name: t.Name, Generation: t.Generation, Service: t.Service, Address: t.Address, Zone: t.Zone, Region: region,
-		Slots: t.Slots, Closed: (t.Leaving || s.evacuated[t.Zone]) && planted.Defect != planted.LeavingIgnored, ColdUntil: t.coldUntil}
+		Slots: t.Slots, Closed: (t.Leaving || s.evacuated[t.Zone] || s.lasting.closes(t)) && planted.Defect != planted.LeavingIgnored, ColdUntil: t.coldUntil}
 	if until := s.coldZones[t.Zone]; until.After(p.ColdUntil) {
 		p.ColdUntil = until
 	}
--- a/node/gateway/feed/restore_test.go
+++ b/node/gateway/feed/restore_test.go
@@ -8,6 +8,7 @@
 
 	"heatherlock/node/gateway/feed"
 	"heatherlock/platform"
+	"heatherlock/steering"
 	"heatherlock/steering/storepos"
 )
 
@@ -96,8 +97,85 @@
 	exchange(now, reader, peer)
 	assert.Equal(t, len(placedByName(peer)), 1, "it has time to write its entry again")
 	now = now.Add(5 * time.Second)
-	assert.Assert(t, reader.DropMissing(now))
+	assert.Assert(t, reader.EndHolds(now))
 	reader.MarkRead(now)
 	exchange(now, reader, peer)
 	assert.Equal(t, len(placedByName(peer)), 0)
 }
+
+func list(at storepos.Position, targets ...platform.Target) platform.TargetList {
+	return platform.TargetList{Targets: targets, At: at}
+}
+
+func removed(name string) platform.TargetChange {
+	return platform.TargetChange{Target: platform.Target{Name: steering.Target(name)}, Removed: true}
+}
+
+// Guards against requests to a target that leaves, because a restored store lists it as it was before,
+// and against a target that stays closed after it has written that it does not leave.
+func TestLeavingOutlastsRestore(t *testing.T) {
+	knows, peer := readAll(restoredAt(0, 900), target("a", 6, true)), readAll(restoredAt(0, 890), target("a", 5, false))
+	peer.SetTargets(start, list(restoredAt(1, 850), target("a", 5, false)))
+	peer.MarkRead(start)
+	for range 2 { // the second update holds all targets
+		exchange(start, peer, knows)
+	}
+	assert.Equal(t, knows.KnownPosition(), restoredAt(1, 850))
+	assert.Assert(t, placedByName(knows)["a"].Closed, "a peer that does not know has read the store")
+	knows.SetTargets(start, list(restoredAt(2, 840), target("a", 5, false)))
+	assert.Assert(t, placedByName(knows)["a"].Closed, "it has read the store itself")
+	knows.ApplyTargetChanges(start, platform.TargetChanges{Changes: []platform.TargetChange{{Target: target("a", 7, false)}}, At: restoredAt(2, 841)})
+	assert.Assert(t, !placedByName(knows)["a"].Closed)
+}
+
+// Guards against requests to a target that is gone, and whose address may be another's, because a
+// restored store lists it again.
+func TestRemovalOutlastsRestoreUntilTargetWrites(t *testing.T) {
+	s := readAll(restoredAt(0, 900), target("dead", 5, false), target("back", 5, false), target("slow", 5, false))
+	for _, name := range []string{"dead", "back", "slow"} {
+		s.ApplyTargetChanges(start, platform.TargetChanges{Changes: []platform.TargetChange{removed(name)}, At: restoredAt(0, 901)})
+	}
+	now := start.Add(time.Second)
+	s.SetTargets(now, list(restoredAt(1, 850), target("dead", 9, false), target("back", 9, false), target("slow", 9, false)))
+	s.MarkRead(now)
+	for name, placed := range placedByName(s) {
+		assert.Assert(t, placed.Closed, name)
+	}
+	now = now.Add(2 * time.Second)
+	s.ApplyTargetChanges(now, platform.TargetChanges{Changes: []platform.TargetChange{{Target: target("back", 10, false)}}, At: restoredAt(1, 851)})
+	s.MarkRead(now)
+	assert.Assert(t, !placedByName(s)["back"].Closed && placedByName(s)["dead"].Closed)
+	now = now.Add(3 * time.Second) // the store removes entries of targets that are silent for three heartbeats
+	s.ApplyTargetChanges(now, platform.TargetChanges{Changes: []platform.TargetChange{removed("dead")}, At: restoredAt(1, 852)})
+	s.MarkRead(now)
+	now = now.Add(2 * time.Second)
+	s.EndHolds(now)
+	assert.Assert(t, !placedByName(s)["slow"].Closed, "still listed, so it is alive")
+	assert.Equal(t, len(placedByName(s)), 2)
+}
+
+// Guards against requests to a zone under evacuation because a restored store does not list that yet,
+// and against a zone that stays closed although its evacuation has ended.
+func TestEvacuationOutlastsRestore(t *testing.T) {
+	closed := func(s *feed.State) bool { return placedByName(s)["a"].Closed }
+	evacuated := func() *feed.State {
+		s := readAll(restoredAt(0, 900), target("a", 5, false))
+		s.SetEvacuations(start, []steering.Zone{"a"}, restoredAt(0, 901))
+		s.SetEvacuations(start, nil, restoredAt(1, 850))
+		assert.Assert(t, closed(s))
+		return s
+	}
+	s := evacuated()
+	s.ApplyEvacuationChanges(start, []platform.EvacuationChange{{Zone: "a"}}, restoredAt(1, 851))
+	s.EndHolds(start.Add(time.Minute))
+	assert.Assert(t, closed(s), "written again")
+	s.ApplyEvacuationChanges(start, []platform.EvacuationChange{{Zone: "a", Ended: true}}, restoredAt(1, 852))
+	assert.Assert(t, !closed(s), "ended")
+
+	s = evacuated()
+	s.SetEvacuations(start.Add(8*time.Second), nil, restoredAt(2, 840))
+	s.EndHolds(start.Add(12 * time.Second))
+	assert.Assert(t, closed(s), "restored once more")
+	s.EndHolds(start.Add(20 * time.Second))
+	assert.Assert(t, !closed(s), "not written again")
+}
--- a/node/gateway/feed/state.go
+++ b/node/gateway/feed/state.go
@@ -117,7 +117,8 @@
 	coldZones map[steering.Zone]time.Time
 	// readAt is when the read of the store began that the state is based on; zero if there was
 	// none.
-	readAt time.Time
+	readAt  time.Time
+	lasting lasting
 	// holdRemovalsUntil is set after an outage of the store: until then, targets whose entries are
 	// missing are kept. It is zero if there are none.
 	holdRemovalsUntil time.Time
@@ -127,7 +128,7 @@
 // targets in zones that regions does not name are ignored.
 func NewState(heartbeatInterval time.Duration, regions map[steering.Zone]steering.Region) *State {
 	return &State{heartbeatInterval: heartbeatInterval, regions: regions, targets: make(map[steering.Target]*Entry), removed: make(map[steering.Target]removal),
-		hashes: make(map[steering.Target]uint64), unplaced: make(map[steering.Target]bool), strings: make(map[string]string), evacuated: make(map[steering.Zone]bool), coldZones: make(map[steering.Zone]time.Time)}
+		hashes: make(map[steering.Target]uint64), unplaced: make(map[steering.Target]bool), strings: make(map[string]string), evacuated: make(map[steering.Zone]bool), coldZones: make(map[steering.Zone]time.Time), lasting: newLasting()}
 }
 
 // Age returns the age of the read of the store that the state is based on. ok is false if there was
@@ -194,7 +195,7 @@
 		changed = append(changed, s.coldTargets(now)...)
 	}
 	s.at, s.inconsistent = all.At, false
-	return s.recordChanges(changed)
+	return s.recordChanges(now, changed)
 }
 
 // coldTargets returns the targets that are cold. After a restore of the store they count as having
@@ -224,7 +225,7 @@
 		}
 	}
 	s.at = found.At
-	return s.recordChanges(changed)
+	return s.recordChanges(now, changed)
 }
 
 // applyTargetChange applies one change and reports whether anything relevant changed.
@@ -256,7 +257,8 @@
 	if t.Beat > old.Beat {
 		turnedCold := t.ColdLeft > 0 && !now.Before(old.coldUntil)
 		s.turnedCold = s.turnedCold || turnedCold
-		changed = changed || turnedCold
+		opened := s.lasting.noteWrite(t.Name)
+		changed = changed || turnedCold || opened
 		old.coldUntil = coldUntil(now, t.ColdLeft)
 	}
 	old.Missing = false
@@ -316,9 +318,9 @@
 	return true
 }
 
-// DropMissing removes the targets whose entries are still missing once removals are no longer held
+// dropMissing removes the targets whose entries are still missing once removals are no longer held
 // back after an outage. It reports whether it removed any.
-func (s *State) DropMissing(now time.Time) bool {
+func (s *State) dropMissing(now time.Time) bool {
 	if s.holdRemovalsUntil.IsZero() || now.Before(s.holdRemovalsUntil) {
 		return false
 	}
@@ -329,12 +331,12 @@
 			changed = append(changed, name)
 		}
 	}
-	return s.recordChanges(changed)
+	return s.recordChanges(now, changed)
 }
 
 // recordChanges marks targets as changed at the current position and reports whether there were
 // any.
-func (s *State) recordChanges(changed []steering.Target) bool {
+func (s *State) recordChanges(now time.Time, changed []steering.Target) bool {
 	if len(changed) == 0 {
 		return false
 	}
@@ -355,6 +357,7 @@
 		}
 		if t := s.targets[name]; t != nil {
 			t.changed = s.at
+			s.lasting.noteEntry(t, s.at, s.removed[name], s.silentUntil(now))
 			delete(s.removed, name)
 			continue
 		}
@@ -393,6 +396,10 @@
 			delete(s.removed, name)
 		}
 	}
+	s.lasting.forget(func(name steering.Target) bool {
+		_, removed := s.removed[name]
+		return removed || s.targets[name] != nil
+	})
 }
 
 // hash returns the hash of the properties of a target that peers must agree on.
@@ -412,47 +419,6 @@
 	return d.Sum64()
 }
 
-// SetEvacuations replaces the zones under evacuation by those read at a position, and reports whether
-// they changed.
-func (s *State) SetEvacuations(now time.Time, zones []steering.Zone, at storepos.Position) bool {
-	if s.evacuationsAt.Restored(at) {
-		return false
-	}
-	next := make(map[steering.Zone]bool, len(zones))
-	for _, zone := range zones {
-		next[zone] = true
-	}
-	changed := len(next) != len(s.evacuated) || s.evacuationsAt.IsZero()
-	for zone := range s.evacuated {
-		if !next[zone] {
-			changed = true
-			s.endEvacuation(now, zone)
-		}
-	}
-	s.evacuated, s.evacuationsAt = next, at
-	s.allUnplaced = s.allUnplaced || changed
-	return changed
-}
-
-// ApplyEvacuationChanges applies the changes of evacuations since the last read and reports whether
-// there were any.
-func (s *State) ApplyEvacuationChanges(now time.Time, changes []platform.EvacuationChange, at storepos.Position) bool {
-	if s.evacuationsAt.Restored(at) {
-		return false
-	}
-	for _, c := range changes {
-		if c.Ended {
-			delete(s.evacuated, c.Zone)
-			s.endEvacuation(now, c.Zone)
-			continue
-		}
-		s.evacuated[c.Zone] = true
-	}
-	s.evacuationsAt = at
-	s.allUnplaced = s.allUnplaced || len(changes) > 0
-	return len(changes) > 0
-}
-
 // endEvacuation treats the zone's targets as cold until their entries have had time to say whether
 // they are: an idle target may no longer be warm, and full load would crash it.
 func (s *State) endEvacuation(now time.Time, zone steering.Zone) {
--- a/node/gateway/feed/state_test.go
+++ b/node/gateway/feed/state_test.go
@@ -68,9 +68,9 @@
 	now = now.Add(1500 * time.Millisecond)
 	s.ApplyTargetChanges(now, changed([]platform.TargetChange{{Target: target("back", 2, false)}}, 30))
 	s.MarkRead(now)
-	assert.Assert(t, !s.DropMissing(now))
+	assert.Assert(t, !s.EndHolds(now))
 	now = now.Add(time.Second)
-	assert.Assert(t, s.DropMissing(now))
+	assert.Assert(t, s.EndHolds(now))
 	_, found := placedByName(s)["back"]
 	assert.Assert(t, found && len(placedByName(s)) == 1)
 }
