Keep looking for a configuration that a restored store lacks

Change: the newest known version falls only where the store holds one that this build cannot use, which was the other reason for it. Measured: TestNewestConfigIsNotTakenBackByRestore; the behaviour that it checks did not exist before (newest fell to 3 with 5 in force on a peer).

--- a/node/gateway/feed/configread.go
+++ b/node/gateway/feed/configread.go
@@ -116,13 +116,17 @@
 }
 
 // applyConfigRead applies the result of a read. A failed read may still return the position to
-// continue from, but it is no evidence about newer versions, so its start time is discarded.
+// continue from, but it is no evidence about newer versions.
 func (r *Reader) applyConfigRead(began time.Time, c platform.Config, err error) {
-	if err != nil {
-		began = time.Time{}
-	}
-	r.update(func() bool { return r.state.ApplyConfigRead(time.Now(), began, c.Table, c.At) })
 	r.noteRejected(c)
+	unusable := err == nil && r.Rejected() != nil
+	r.update(func() bool {
+		changed := r.state.ApplyConfigRead(time.Now(), c.Table, c.At)
+		if unusable {
+			r.state.NewestUnusable(began)
+		}
+		return changed
+	})
 }
 
 // noteRejected records a configuration that cannot be used and logs each one once.
--- a/node/gateway/feed/restore_test.go
+++ b/node/gateway/feed/restore_test.go
@@ -22,7 +22,7 @@
 	s := feed.NewState(beat, regions)
 	s.SetTargets(start, platform.TargetList{Targets: targets, At: at})
 	s.SetEvacuations(start, nil, at)
-	s.ApplyConfigRead(start, start, table(3), at)
+	s.ApplyConfigRead(start, table(3), at)
 	s.MarkRead(start)
 	return s
 }
@@ -179,3 +179,17 @@
 	s.EndHolds(start.Add(20 * time.Second))
 	assert.Assert(t, !closed(s), "not written again")
 }
+
+// Guards against a VM that stops looking for a newer configuration, which its peers have in force,
+// because it read a restored store that lacks it.
+func TestNewestConfigIsNotTakenBackByRestore(t *testing.T) {
+	s, peer := readAll(restoredAt(0, 900)), readAll(restoredAt(0, 905))
+	peer.ApplyConfigRead(start, table(5), restoredAt(0, 905))
+	exchange(start, peer, s)
+	s.ApplyConfigRead(start.Add(time.Second), table(2), restoredAt(1, 850))
+	newest, _, behind := s.Behind(start.Add(time.Second))
+	assert.Assert(t, behind && newest == 5 && s.Digest(start).Config == 3)
+	s.NewestUnusable(start.Add(time.Second))
+	_, _, behind = s.Behind(start.Add(time.Second))
+	assert.Assert(t, !behind, "the store holds it, and this build cannot use it")
+}
--- a/node/gateway/feed/state_test.go
+++ b/node/gateway/feed/state_test.go
@@ -114,7 +114,7 @@
 	a, b := feed.NewState(beat, regions), feed.NewState(beat, regions)
 	for _, s := range []*feed.State{a, b} {
 		s.SetTargets(start, listed([]platform.Target{target("a", 1, false)}, 10))
-		s.ApplyConfigRead(start, start, table(1), at(10))
+		s.ApplyConfigRead(start, table(1), at(10))
 		s.SetEvacuations(start, nil, at(10))
 		s.MarkRead(start)
 	}
@@ -181,7 +181,7 @@
 	read := func(s *feed.State, revision int64, all ...platform.Target) {
 		s.SetTargets(start, listed(all, revision))
 		s.SetEvacuations(start, nil, at(revision))
-		s.ApplyConfigRead(start, start, table(3), at(revision))
+		s.ApplyConfigRead(start, table(3), at(revision))
 		s.MarkRead(start)
 	}
 	read(before, 10)
@@ -264,7 +264,7 @@
 	}
 	s.SetEvacuations(now, nil, at(f.revision))
 	if f.config > 0 {
-		s.ApplyConfigRead(now, now, table(f.config), at(f.revision))
+		s.ApplyConfigRead(now, table(f.config), at(f.revision))
 	}
 	s.MarkRead(now)
 }
--- a/node/gateway/feed/versions.go
+++ b/node/gateway/feed/versions.go
@@ -7,19 +7,23 @@
 	"heatherlock/steering/storepos"
 )
 
-// ApplyConfigRead applies a read of the configuration from the store that started at began and saw
-// the store at a position. t is nil if the store has no configuration newer than the position asked
-// for. It reports whether t was put in force.
+// ApplyConfigRead applies a read of the configuration from the store that saw the store at a position.
+// t is nil if the store has no configuration newer than the position asked for. It reports whether t
+// was put in force.
 //
-// If the read started after this VM had learned of a newer version and found none, that version
-// does not exist: the store was restored, or the version was never accepted.
-func (s *State) ApplyConfigRead(now, began time.Time, t *routes.Table, at storepos.Position) bool {
+// A read that finds no newer version says nothing about those that peers know: the store may have been
+// restored from a copy that lacks them, and the operator writes them again.
+func (s *State) ApplyConfigRead(now time.Time, t *routes.Table, at storepos.Position) bool {
 	s.configAt = storepos.Later(s.configAt, at)
-	changed := s.SetTable(now, t)
+	return s.SetTable(now, t)
+}
+
+// NewestUnusable records that a read of the store that started at began found that this VM cannot use
+// the newest configuration. If it had learned of a newer version before, it waits for it no longer.
+func (s *State) NewestUnusable(began time.Time) {
 	if !s.behindSince.IsZero() && began.After(s.behindSince) {
 		s.newest, s.behindSince = s.version(), time.Time{}
 	}
-	return changed
 }
 
 // SetTable puts t in force if it is not nil and newer than the current configuration, and reports
