Write records of entry VMs again that a restore of the store has lost

Not seen in the records: a VM writes its record once, when it starts. If the store is restored from a copy that lacks it, VMs that start later are not told of it by the store, and a VM that has ended is on record again. Change: the VM that reads the store checks the records once an epoch, writes those of live VMs that are missing or differ, and removes those of VMs that have left, each on the condition that nobody else wrote it since. One VM does so, one call after the other: the store is not called by all at once, and a VM that the store turns away is on record too. A VM that starts while the store is restored writes its record again.

--- a/node/gateway/fleet/fleet.go
+++ b/node/gateway/fleet/fleet.go
@@ -228,6 +228,13 @@
 	return f.roster.Live(f.cfg.Clock(), false)
 }
 
+// Left returns the VMs that announced that they leave and are no longer live.
+func (f *Fleet) Left() map[steering.VM]bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.roster.Left(f.cfg.Clock())
+}
+
 // LiveCount returns the number of VMs that were live at the last tick, this VM included. It is
 // called for each try of a request, so it must not list the VMs.
 func (f *Fleet) LiveCount() int { return max(int(f.size.Load()), 1) }
--- a/node/gateway/fleet/views.go
+++ b/node/gateway/fleet/views.go
@@ -30,6 +30,17 @@
 	return all
 }
 
+// Left returns the VMs that announced that they leave and are no longer live.
+func (r *Roster) Left(now time.Time) map[steering.VM]bool {
+	left := make(map[steering.VM]bool)
+	for _, h := range r.all {
+		if h.leaving && !r.live(now, h) {
+			left[h.Name] = true
+		}
+	}
+	return left
+}
+
 // Changes are the VMs that became live, or are no longer, since the last call of Scan.
 type Changes struct {
 	Heard, Lost []steering.VM
--- a/node/gateway/gateway.go
+++ b/node/gateway/gateway.go
@@ -66,9 +66,13 @@
 	pulling     atomic.Bool
 	// recordsRead is set once the records of the other VMs were read, or could not be.
 	recordsRead atomic.Bool
-	callers     *callers.Server
-	leaving     atomic.Bool
-	coldSenders []steering.VM // guarded by the relay's lock
+	// registered is set once this VM is on record and knows the others. recordsEpoch is the epoch of the
+	// store in which the records were last found or made complete, restoringRecords is set meanwhile.
+	registered, restoringRecords atomic.Bool
+	recordsEpoch                 atomic.Uint64
+	callers                      *callers.Server
+	leaving                      atomic.Bool
+	coldSenders                  []steering.VM // guarded by the relay's lock
 	// announced is set once a heartbeat was requested to announce that this VM takes requests.
 	announced        atomic.Bool
 	regionSplit      placement.RegionSplit
--- a/node/gateway/peersync.go
+++ b/node/gateway/peersync.go
@@ -67,7 +67,10 @@
 func (g *Gateway) ReadStarted() { g.fleet.Announce() }
 
 // ReadSucceeded implements feed.Sink.
-func (g *Gateway) ReadSucceeded() { g.fleet.Announce() }
+func (g *Gateway) ReadSucceeded() {
+	g.fleet.Announce()
+	g.workers.Go(func() { g.restoreRecords(context.Background()) })
+}
 
 // handleHeartbeat merges what a peer reports, and pulls target updates from the peer if it has a
 // newer revision.
--- a/node/gateway/restore_test.go
+++ b/node/gateway/restore_test.go
@@ -68,3 +68,40 @@
 	}
 	assert.Check(t, s.targets["t1"].Arrivals() == before, "%d requests", s.targets["t1"].Arrivals()-before)
 }
+
+const entryVMRecords = "heatherlock-entry-vms"
+
+// Guards against entry VMs that a VM which starts later does not find, because their records were lost
+// when the store was restored, also if the store turns one of them away.
+func TestLostRecordsOfVMsAreWrittenAgain(t *testing.T) {
+	t.Parallel()
+	s := newTestCluster(t)
+	s.links = newLinks(updateTestMegabits)
+	copied := s.store.Copy()
+	all := s.startAll(3)
+	s.links.blockStore(all[2])
+	s.store.Restore(copied)
+	within(t, 4*time.Second, "all records", func() bool { return len(s.store.Names(entryVMRecords)) == 3 })
+	calls := s.store.Calls()
+	time.Sleep(configBound)
+	assert.Check(t, s.store.Calls()-calls < 20, "%d calls in %v", s.store.Calls()-calls, configBound)
+}
+
+// Guards against a VM that has ended and is greeted and named to callers, because its record is back in
+// a restored store.
+func TestRecordOfEndedVMIsRemovedAgain(t *testing.T) {
+	t.Parallel()
+	s := newTestCluster(t)
+	all := s.startAll(3)
+	copied := s.store.Copy()
+	all[2].stop()
+	assert.NilError(t, <-all[2].done)
+	within(t, 4*time.Second, "its record is gone", func() bool { return len(s.store.Names(entryVMRecords)) == 2 })
+	time.Sleep(drainBound)
+	s.store.Restore(copied)
+	assert.Equal(t, len(s.store.Names(entryVMRecords)), 3)
+	within(t, 4*time.Second, "its record is gone again", func() bool { return len(s.store.Names(entryVMRecords)) == 2 })
+	for _, v := range all[:2] {
+		assert.Equal(t, len(s.listed(v)), 2)
+	}
+}
--- a/standin/metastore/http.go
+++ b/standin/metastore/http.go
@@ -189,6 +189,10 @@
 	defer s.mu.Unlock()
 	w.Header().Set(headerEra, strconv.Itoa(s.era))
 	if r.Method == http.MethodDelete {
+		given, listed := r.URL.Query().Get("revision"), s.objects[kind][name]
+		if given != "" && given != strconv.FormatInt(listed.Metadata.Revision, 10) {
+			return http.StatusConflict, listed
+		}
 		if !s.remove(kind, name) {
 			return http.StatusNotFound, nil
 		}
