Hold a target that is gone closed through further restores and late updates

Change: an entry held back as missing counts as nothing; the hold of a relisted target starts again with each restore, and ends by reads of the store, not by a VM's own clock; a leaving is kept with its position.

--- a/node/gateway/feed/exchange.go
+++ b/node/gateway/feed/exchange.go
@@ -89,7 +89,7 @@
 		// heartbeats are missing. Each VM resolves that by itself.
 		return newer, changed
 	}
-	s.at = at
+	s.advance(now, at)
 	if s.inconsistent {
 		s.inconsistent, s.historyStart = false, at // equal hashes show that the targets are correct after all
 	}
@@ -225,7 +225,7 @@
 	}
 	known := s.at
 	names := s.applyEntries(now, k)
-	s.at = at
+	s.advance(now, at)
 	changed = s.recordChanges(now, names) || changed
 	s.coldAt = storepos.Later(s.coldAt, k.Digest.position(k.Digest.ColdRevision))
 	s.inconsistent = k.Since != 0 && s.contentHash != k.Digest.Content
--- a/node/gateway/feed/lasting.go
+++ b/node/gateway/feed/lasting.go
@@ -19,8 +19,8 @@
 type lasting struct {
 	// leaving holds the targets that leave, as of the entries that said so.
 	leaving map[steering.Target]leavingEntry
-	// relisted holds the targets that were gone before the store was restored and are listed again, with
-	// the time by which the store has removed those that are silent.
+	// relisted holds the targets that were gone and are back only because the store was restored or a
+	// peer holds back their removal, with the time by which the store has removed those that are silent.
 	relisted map[steering.Target]time.Time
 	// evacuated holds the zones whose evacuation the restored store does not list, with the time until
 	// which it goes on.
@@ -31,7 +31,7 @@
 type leavingEntry struct {
 	generation steering.Generation
 	beat       int64
-	epoch      uint64
+	at         storepos.Position
 }
 
 func newLasting() lasting {
@@ -53,17 +53,20 @@
 // that the entry undoes, if any, and silentUntil the time by which the store has removed the entry of a
 // target that does not write it.
 //
-// Within an epoch the store's order of changes is that of the target, and the last one holds. After a
-// restore an entry counts only if the target wrote it after what is known.
+// Within an epoch the store's order of changes is that of the target, and what it lists last holds. After
+// a restore, or if the store does not list the entry, it counts only if the target wrote it after what is
+// known.
 func (l *lasting) noteEntry(t *Entry, at storepos.Position, gone removal, silentUntil time.Time) {
 	if t.Leaving {
-		l.leaving[t.Name] = leavingEntry{t.Generation, t.Beat, at.Epoch}
+		l.leaving[t.Name] = leavingEntry{t.Generation, t.Beat, at}
 		return
 	}
-	if left := l.leaving[t.Name]; left.epoch == at.Epoch || t.Generation > left.generation || t.Beat > left.beat {
+	left := l.leaving[t.Name]
+	listedLater := !t.Missing && left.at.Epoch == at.Epoch && at.After(left.at)
+	if listedLater || t.Generation > left.generation || t.Beat > left.beat {
 		delete(l.leaving, t.Name)
 	}
-	if at.Restored(gone.at) && t.Generation <= gone.generation {
+	if (at.Restored(gone.at) || t.Missing && !gone.at.IsZero()) && t.Generation <= gone.generation {
 		l.relisted[t.Name] = silentUntil
 	}
 }
@@ -102,16 +105,17 @@
 	}
 }
 
-// expire ends what goes on until now. It returns the targets and zones that this opens.
-func (l *lasting) expire(now time.Time) (targets []steering.Target, zones []steering.Zone) {
+// expire ends what goes on until a time by which the store was read. It returns the targets, of those
+// that the store lists, and the zones that this opens.
+func (l *lasting) expire(readAt time.Time, listed func(steering.Target) bool) (targets []steering.Target, zones []steering.Zone) {
 	for name, until := range l.relisted {
-		if !now.Before(until) {
+		if !readAt.Before(until) && listed(name) {
 			delete(l.relisted, name)
 			targets = append(targets, name)
 		}
 	}
 	for zone, until := range l.evacuated {
-		if !now.Before(until) {
+		if !readAt.Before(until) {
 			delete(l.evacuated, zone)
 			zones = append(zones, zone)
 		}
@@ -119,12 +123,15 @@
 	return targets, zones
 }
 
-// EndHolds ends what was held back after an outage or a restore of the store until now: it drops the
-// targets whose entries are still missing, and opens targets and zones. It reports whether anything
-// changed.
+// EndHolds ends what was held back after an outage or a restore of the store: it drops the targets whose
+// entries are still missing now, and opens the targets and zones of which the last read of the store says
+// no more. It reports whether anything changed.
 func (s *State) EndHolds(now time.Time) bool {
 	changed := s.dropMissing(now)
-	targets, zones := s.lasting.expire(now)
+	targets, zones := s.lasting.expire(s.readAt, func(name steering.Target) bool {
+		t := s.targets[name]
+		return t != nil && !t.Missing
+	})
 	for _, name := range targets {
 		s.unplaced[name] = true
 	}
@@ -135,6 +142,16 @@
 	return changed || len(targets) > 0 || len(zones) > 0
 }
 
+// advance sets the position to which the targets correspond.
+func (s *State) advance(now time.Time, at storepos.Position) {
+	if at.Restored(s.at) {
+		for name := range s.lasting.relisted {
+			s.lasting.relisted[name] = s.silentUntil(now)
+		}
+	}
+	s.at = at
+}
+
 // silentUntil returns when the store has removed an entry that is listed now and whose target is silent.
 func (s *State) silentUntil(now time.Time) time.Time {
 	return now.Add(maxMissedHeartbeats*s.heartbeatInterval + reappearWindow)
--- a/node/gateway/feed/reader.go
+++ b/node/gateway/feed/reader.go
@@ -297,11 +297,10 @@
 func (r *Reader) readSucceeded(began time.Time, epoch uint64) {
 	restored := epoch > 0 && r.store.Epoch() > epoch
 	r.update(func() bool {
-		changed := r.state.EndHolds(time.Now())
 		if !restored {
 			r.state.MarkRead(began)
 		}
-		return changed
+		return r.state.EndHolds(time.Now())
 	})
 	r.mu.Lock()
 	again := r.failing
--- a/node/gateway/feed/restore_test.go
+++ b/node/gateway/feed/restore_test.go
@@ -111,6 +111,12 @@
 	return platform.TargetChange{Target: platform.Target{Name: steering.Target(name)}, Removed: true}
 }
 
+// readUntil records that the store was read at a time and had no further changes.
+func readUntil(s *feed.State, at time.Time) {
+	s.MarkRead(at)
+	s.EndHolds(at)
+}
+
 // Guards against requests to a target that leaves, because a restored store lists it as it was before,
 // and against a target that stays closed after it has written that it does not leave.
 func TestLeavingOutlastsRestore(t *testing.T) {
@@ -149,7 +155,7 @@
 	s.ApplyTargetChanges(now, platform.TargetChanges{Changes: []platform.TargetChange{removed("dead")}, At: restoredAt(1, 852)})
 	s.MarkRead(now)
 	now = now.Add(2 * time.Second)
-	s.EndHolds(now)
+	readUntil(s, now)
 	assert.Assert(t, !placedByName(s)["slow"].Closed, "still listed, so it is alive")
 	assert.Equal(t, len(placedByName(s)), 2)
 }
@@ -167,16 +173,18 @@
 	}
 	s := evacuated()
 	s.ApplyEvacuationChanges(start, []platform.EvacuationChange{{Zone: "a"}}, restoredAt(1, 851))
-	s.EndHolds(start.Add(time.Minute))
+	readUntil(s, start.Add(time.Minute))
 	assert.Assert(t, closed(s), "written again")
 	s.ApplyEvacuationChanges(start, []platform.EvacuationChange{{Zone: "a", Ended: true}}, restoredAt(1, 852))
 	assert.Assert(t, !closed(s), "ended")
 
 	s = evacuated()
 	s.SetEvacuations(start.Add(8*time.Second), nil, restoredAt(2, 840))
-	s.EndHolds(start.Add(12 * time.Second))
+	readUntil(s, start.Add(12*time.Second))
 	assert.Assert(t, closed(s), "restored once more")
-	s.EndHolds(start.Add(20 * time.Second))
+	s.EndHolds(start.Add(time.Minute))
+	assert.Assert(t, closed(s), "the store was not read since")
+	readUntil(s, start.Add(20*time.Second))
 	assert.Assert(t, !closed(s), "not written again")
 }
 
--- a/node/gateway/feed/state.go
+++ b/node/gateway/feed/state.go
@@ -194,7 +194,8 @@
 	if all.At.Restored(s.at) {
 		changed = append(changed, s.coldTargets(now)...)
 	}
-	s.at, s.inconsistent = all.At, false
+	s.advance(now, all.At)
+	s.inconsistent = false
 	return s.recordChanges(now, changed)
 }
 
@@ -361,6 +362,7 @@
 			delete(s.removed, name)
 			continue
 		}
+		delete(s.lasting.relisted, name)
 		s.removed[name] = removal{at: s.at, generation: s.removed[name].generation}
 	}
 	s.trimRemoved()
