Restore the store from older copies in the soak

Series of one to three restores, from copies 0.2 to 3 s old, with or without an outage of up to 0.6 s before, drawn from the seed apart from the other faults, whose plans stay as they are. The operator writes the configuration again after 0.3 s, targets their entries with their heartbeats; entries of stopped targets expire again. The checks make no exception for a restore without an outage.

--- a/soak/plan.go
+++ b/soak/plan.go
@@ -30,6 +30,7 @@
 	}
 	plan = append(plan, workspaceFaults(seed, length)...)
 	plan = append(plan, statementFaults(seed, length)...)
+	plan = append(plan, restoreFaults(seed, length)...)
 	sort.SliceStable(plan, func(i, j int) bool { return plan[i].at < plan[j].at })
 	return plan
 }
--- a/soak/system.go
+++ b/soak/system.go
@@ -41,6 +41,7 @@
 	allTargets []*target // including stopped ones
 	nextTarget int
 	version    int
+	config     map[string]any // as written last
 	routes     []map[string]any
 	// extraKeys are the temporary API keys of each workspace; loweredWorkspace names the
 	// workspace whose allowance is reduced at present, or is empty.
@@ -225,9 +226,10 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.version += 2
-	s.store.Put("config", "main", map[string]any{"version": fmt.Sprint("r", s.version), "routes": s.routes, "tenants": s.tenants(),
+	s.config = map[string]any{"version": fmt.Sprint("r", s.version), "routes": s.routes, "tenants": s.tenants(),
 		"services": []any{map[string]any{"name": serviceName, "healthPath": "/health", "maxConns": 200}},
-		"limits":   map[string]any{"maxHeaderBytes": 8192, "maxBodyBytes": 1 << 20, "headerTimeoutMs": 2000, "idleTimeoutMs": 5000}})
+		"limits":   map[string]any{"maxHeaderBytes": 8192, "maxBodyBytes": 1 << 20, "headerTimeoutMs": 2000, "idleTimeoutMs": 5000}}
+	s.store.Put("config", "main", s.config)
 	return s.version
 }
 
