Play restores of the store in the fleet in memory

Shown are the worst times until the later ones are known everywhere, the calls of all VMs and the bytes of the busiest in the 10 s after.

--- a/cmd/internal/benchfleet/report.go
+++ b/cmd/internal/benchfleet/report.go
@@ -31,6 +31,9 @@
 			figure{string(role) + ": us of a processor a second", func(r Row) float64 { return r.Steady[role].ProcessorMicros }},
 		)
 	}
+	all = append(all,
+		figure{"calls to the store of all VMs in the 10 s after a restore", func(r Row) float64 { return float64(r.RestoreCalls) }},
+		figure{"kB of the busiest VM in the 10 s after a restore", func(r Row) float64 { return float64(r.RestoreBytes) / 1000 }})
 	for _, name := range times {
 		all = append(all, figure{"s, " + name, func(r Row) float64 { return r.Seconds[name] }})
 	}
--- a/cmd/internal/benchfleet/scenario.go
+++ b/cmd/internal/benchfleet/scenario.go
@@ -14,10 +14,11 @@
 	FaultEnd     = "end"     // one delegate ends, then one standby
 	FaultZone    = "zone"    // a zone is lost with its targets
 	FaultHerd    = "herd"    // 55 % of the VMs end at once and start again
+	FaultRestore = "restore" // the store comes back from older copies of itself
 )
 
 // AllFaults are all faults in the order in which they are played.
-var AllFaults = []string{FaultRelease, FaultEnd, FaultZone, FaultHerd}
+var AllFaults = []string{FaultRelease, FaultEnd, FaultZone, FaultHerd, FaultRestore}
 
 const (
 	startTime  = 10 * time.Second
@@ -61,6 +62,9 @@
 	// of all VMs a second.
 	Steady      map[Role]Load
 	SteadyCalls float64
+	// RestoreCalls are the calls to the store of all VMs in the 10 s after a restore of the store, and
+	// RestoreBytes what the VM with most sent and pulled in that time, both in the worst case played.
+	RestoreCalls, RestoreBytes int
 	// Seconds are the times until something was known on the last VM; -1 if it was not in 30 s.
 	Seconds map[string]float64
 }
@@ -75,10 +79,13 @@
 	TimeZone     = "the loss of a zone known everywhere"
 	TimeRemoved  = "its targets removed everywhere"
 	TimeHerd     = "all list each other after 55 % ended"
+	// After a restore of the store, in the worst case played.
+	TimeRestoredLeaving = "targets that leave after a restore known everywhere"
+	TimeRestoredConfig  = "a configuration after a restore known everywhere"
 )
 
 // times are the names in the order of reports.
-var times = []string{TimeReady, TimeLive, TimeLeaving, TimeDelegate, TimeStandby, TimeZone, TimeRemoved, TimeHerd}
+var times = []string{TimeReady, TimeLive, TimeLeaving, TimeDelegate, TimeStandby, TimeZone, TimeRemoved, TimeHerd, TimeRestoredLeaving, TimeRestoredConfig}
 
 // play plays a fleet of one size.
 func play(vms, zones, targets int, seed uint64, faults []string) Row {
@@ -99,6 +106,8 @@
 			s.playZoneLoss(&r)
 		case FaultHerd:
 			s.playHerd(&r)
+		case FaultRestore:
+			s.playRestores(&r)
 		}
 	}
 	return r
--- a/cmd/internal/benchfleet/sim.go
+++ b/cmd/internal/benchfleet/sim.go
@@ -24,6 +24,8 @@
 	regions map[steering.Zone]steering.Region
 	zones   []zone
 	vms     []*vm
+	// nextConfig is the newest version of the configuration that was ever written.
+	nextConfig uint64
 }
 
 // zonesPerRegion is how many zones a region of the simulated fleet has.
@@ -35,7 +37,7 @@
 // newSim returns a fleet whose VMs have not started.
 func newSim(vms, zones, targets int, seed uint64) *sim {
 	c := &clock{now: time.Unix(1_000_000, 0)}
-	s := &sim{clock: c, network: &network{clock: c, random: rand.New(rand.NewPCG(seed, 1)), byPeer: make(map[string]*vm)}, regions: make(map[steering.Zone]steering.Region)}
+	s := &sim{clock: c, network: &network{clock: c, random: rand.New(rand.NewPCG(seed, 1)), byPeer: make(map[string]*vm)}, regions: make(map[steering.Zone]steering.Region), nextConfig: 1}
 	for z := range zones {
 		next := zone{name: steering.Zone(fmt.Sprint("zone-", z)), region: steering.Region(fmt.Sprint("region-", z/zonesPerRegion))}
 		s.zones = append(s.zones, next)
--- a/cmd/internal/benchfleet/store.go
+++ b/cmd/internal/benchfleet/store.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 
 	"heatherlock/node/gateway/fleet"
@@ -34,6 +35,15 @@
 	targets  []platform.Target
 	changes  []storedChange
 	calls    int
+	config   uint64 // newest version
+}
+
+// storeCopy is a copy of what operators and targets wrote to a store.
+type storeCopy struct {
+	revision int64
+	targets  []platform.Target
+	changes  []storedChange
+	config   uint64
 }
 
 type storedChange struct {
@@ -42,7 +52,7 @@
 }
 
 func newStore(c *clock, zones []zone, targets int) *store {
-	s := &store{clock: c, region: zones[0].region, epoch: 1, revision: 1, recorded: make(map[steering.VM]bool)}
+	s := &store{clock: c, region: zones[0].region, epoch: 1, revision: 1, config: 1, recorded: make(map[steering.VM]bool)}
 	for i := range targets {
 		z := zones[i%len(zones)]
 		s.targets = append(s.targets, platform.Target{Name: steering.Target(fmt.Sprintf("target-%06d", i)), Service: steering.Service(fmt.Sprint("service-", i%4)),
@@ -110,6 +120,39 @@
 	return found, true
 }
 
+// writeConfigVersion writes a version of the configuration.
+func (s *store) writeConfigVersion(version uint64) {
+	s.config = version
+	s.revision++
+}
+
+func (s *store) copy() storeCopy {
+	return storeCopy{s.revision, slices.Clone(s.targets), slices.Clone(s.changes), s.config}
+}
+
+// rewriteTime is how long after a restore operators and targets have written again what was lost.
+const rewriteTime = 2 * time.Second
+
+// restore replaces the contents by those of a copy. What was lost is written again after rewriteTime,
+// unless the store was restored once more by then.
+func (s *store) restore(c storeCopy, accepted storeCopy) {
+	s.epoch++
+	s.revision, s.targets, s.changes, s.config = c.revision, slices.Clone(c.targets), slices.Clone(c.changes), c.config
+	epoch := s.epoch
+	s.clock.after(rewriteTime, func() {
+		if s.epoch != epoch {
+			return
+		}
+		leaving := make(map[steering.Target]bool)
+		for _, t := range accepted.targets {
+			leaving[t.Name] = t.Leaving
+		}
+		s.change(func(t platform.Target) bool { return leaving[t.Name] && !t.Leaving }, func(t *platform.Target) { t.Leaving, t.Beat = true, t.Beat+1 })
+		s.config = max(s.config, accepted.config)
+		s.revision++
+	})
+}
+
 // heartbeatsSince returns how many heartbeats targets have written in a time. They change nothing
 // that VMs use, but fill the pages of changes.
 func (s *store) heartbeatsSince(d time.Duration) int {
--- a/cmd/internal/benchfleet/vm.go
+++ b/cmd/internal/benchfleet/vm.go
@@ -48,15 +48,17 @@
 	recorded  bool // the records of the others were read
 	pulling   bool
 	tickSoon  bool
+	// turnedAway is set while the store refuses this VM's calls, failing once one was refused.
+	turnedAway, failing bool
 }
 
 // start starts the VM's process.
 func (v *vm) start() {
 	v.life++
 	v.running, v.startedAt = true, v.sim.now
-	v.reading, v.recorded, v.pulling, v.tickSoon = false, false, false, false
+	v.reading, v.recorded, v.pulling, v.tickSoon, v.failing = false, false, false, false, false
 	v.state = feed.NewState(targetHeartbeat, v.sim.regions)
-	v.state.SetTable(v.sim.now, routes.NewTable(1, nil, nil, routes.Limits{}))
+	v.state.SetTable(v.sim.now, tableOf(1))
 	v.fleet = fleet.New(fleet.Config{Self: v.self, Log: log.NewNopLogger(), Incarnation: v.life, Clock: func() time.Time { return v.sim.now },
 		FillBeat: v.fillBeat, HandleBeat: v.handleBeat, Suspects: func(bool) []poison.Fact { return nil }}, &port{v})
 	v.later(0, v.tick)
@@ -100,7 +102,7 @@
 func (v *vm) fillBeat(b *fleet.Beat) {
 	b.Serving = v.state.Complete()
 	b.StoreDigest = v.state.Digest(v.sim.now)
-	b.ReadingStore = v.reading
+	b.ReadingStore, b.StoreReadsFail = v.reading, v.failing
 }
 
 func (v *vm) handleBeat(b fleet.Beat) {
@@ -193,7 +195,7 @@
 // checkRead reads the store if that is due, and schedules the next check.
 func (v *vm) checkRead() {
 	age, known := v.state.Age(v.sim.now)
-	view := feed.ReadView{Known: known, Age: age, Rank: v.fleet.ReadRank(false), SinceBegun: v.sim.now.Sub(v.fleet.LastReadStart()), Interval: feed.ReadInterval,
+	view := feed.ReadView{Known: known, Age: age, Rank: v.fleet.ReadRank(v.failing), SinceBegun: v.sim.now.Sub(v.fleet.LastReadStart()), Interval: feed.ReadInterval,
 		Uptime: v.sim.now.Sub(v.startedAt), Start: v.fleet.StartView()}
 	view.Start.RecordsKnown = v.recorded
 	wait := view.UntilRead()
@@ -210,6 +212,10 @@
 // read reads the store, and then checks when to do so again.
 func (v *vm) read() {
 	s, began := v.sim.store, v.sim.now
+	if v.failing = v.turnedAway; v.failing {
+		v.later(s.callTime(1, v.self.Region)+refusedPause, v.checkRead)
+		return
+	}
 	v.reading = true
 	v.announce()
 	since := v.state.KnownPosition()
@@ -226,6 +232,7 @@
 			v.state.SetTargets(v.sim.now, platform.TargetList{Targets: append([]platform.Target(nil), s.targets...), At: s.at()})
 		}
 		v.state.SetEvacuations(v.sim.now, nil, s.at())
+		v.state.ApplyConfigRead(v.sim.now, tableOf(s.config), s.at())
 		v.state.MarkRead(began)
 		v.reading = false
 		v.announce()
@@ -233,6 +240,19 @@
 	})
 }
 
+// refusedPause is the pause after a call that the store refused, as of a reader of high rank.
+const refusedPause = 3 * time.Second
+
+func tableOf(version uint64) *routes.Table {
+	return routes.NewTable(version, nil, nil, routes.Limits{})
+}
+
+// knowsConfig reports whether the VM knows that a version of the configuration exists.
+func (v *vm) knowsConfig(version uint64) bool {
+	newest, _, _ := v.state.Behind(v.sim.now)
+	return newest >= version
+}
+
 // knowsTarget reports whether the VM knows a target, and whether as leaving.
 func (v *vm) knowsTarget(name steering.Target) (known, leaving bool) {
 	e, found := v.state.Target(name)
