Tell VMs that are refused together different times to ask again

Cause: the owner of a limit told each VM that it refused the time in which that VM's share accrues. VMs that were refused together came back together, the bucket, which holds a quarter of a second, was full long before, and the rest was lost. Change: a refused VM is told the time of the next credit that no other waiting VM was told to come for, and not before its share has accrued since it last got one.

--- a/steering/allowance/ledger.go
+++ b/steering/allowance/ledger.go
@@ -55,6 +55,8 @@
 	used        int64 // as last reported
 	demand      float64
 	reportedAt  time.Time
+	grantedAt   time.Time // when it last received credits
+	awaitedAt   time.Time // when it was told to ask again; zero if it has received credits since
 }
 
 // NewLedger returns a ledger without workspaces.
@@ -104,8 +106,11 @@
 	reply.Credits = float32(o.grant(b, held, r.Waiting, share))
 	o.tokens -= float64(reply.Credits)
 	b.credits = held + float64(reply.Credits)
+	if reply.Credits > 0 {
+		b.grantedAt, b.awaitedAt = now, time.Time{}
+	}
 	if r.Waiting > 0 && b.credits < 1 {
-		reply.WaitMs = uint32(o.waitForCredit(demand, share).Milliseconds()) + 1
+		reply.WaitMs = uint32(o.waitForCredit(now, b, demand, share).Milliseconds()) + 1
 	}
 	reply.Tight = o.low()
 	wasOverloaded := o.overloaded
@@ -194,14 +199,31 @@
 	return math.Max(0, math.Min(wanted-held, o.tokens))
 }
 
-// waitForCredit returns the approximate time until a credit accrues for a VM with the given share
-// of the demand. That is the next credit unless the demand exceeds the rate.
-func (o *ownedBucket) waitForCredit(demand, share float64) time.Duration {
-	seconds := (1 - o.tokens) / o.limit.Rate
+// waitForCredit returns the approximate time until a credit accrues for a VM with the given share of the
+// demand that got none now: that for the next credit which no other waiting VM was told to come for. While
+// the demand exceeds the rate, it is at least the time in which the VM's share accrues.
+//
+// VMs that are refused together are so told different times. If they all came back together, the bucket
+// would have lost most of what accrues for them meanwhile.
+func (o *ownedBucket) waitForCredit(now time.Time, b *loan, demand, share float64) time.Duration {
+	interval := time.Duration(math.Min(1/o.limit.Rate, maxWait.Seconds()) * float64(time.Second))
+	wait := time.Duration((1 - o.tokens) * float64(interval))
 	if demand > o.limit.Rate {
-		seconds = math.Max(seconds, 1/(o.limit.Rate*share))
+		accrual := time.Duration(math.Min(float64(interval)/share, float64(maxWait)))
+		wait = max(wait, b.grantedAt.Add(accrual).Sub(now))
+	}
+	taken := make(map[int64]bool)
+	for _, other := range o.loans {
+		if other != b && now.Before(other.awaitedAt) {
+			taken[int64(other.awaitedAt.Sub(now)/interval)] = true
+		}
+	}
+	for wait < maxWait && taken[int64(wait/interval)] {
+		wait += interval
 	}
-	return min(time.Duration(math.Min(seconds, maxWait.Seconds())*float64(time.Second)), maxWait)
+	wait = min(wait, maxWait)
+	b.awaitedAt = now.Add(wait)
+	return wait
 }
 
 // Overloaded returns the workspaces whose buckets are low while their demand exceeds the rate. It
