--- a/node/gateway/register.go
+++ b/node/gateway/register.go
@@ -150,8 +150,8 @@
 	return g.addMembers(list, nil) > enoughRecords, list.IncludesWritesBefore(g.settings.VM) || freshness == platform.Fresh
 }
 
-// addMembers adds the VMs on record to the members, but for those to be left out. It returns how many
-// it added or knew.
+// addMembers adds the VMs on record to the members, but for those to be left out. It returns how many VMs
+// are on record.
 func (g *Gateway) addMembers(list platform.EntryVMList, without map[steering.VM]bool) int {
 	members := make([]fleet.Member, 0, len(list.VMs))
 	for _, vm := range list.VMs {
@@ -160,5 +160,5 @@
 		}
 	}
 	g.fleet.Add(members)
-	return len(members)
+	return len(list.VMs)
 }
