Show in logs and metrics that a VM reaches no target

Callers of VMs that were cut off from all targets got 503 after 0.8 s. Logs name single targets that are passed over, and nothing tells whether the directory goes on naming such a VM; the three hypotheses of the incident cannot be told apart. Cause of the gap: what is learned of targets is kept and logged per target only. A line a second sums the unreachable targets and the responses beside them, a counter tells look-ups that name this VM. No decision goes by either. Not measured beyond the tests.

--- a/node/gateway/gateway.go
+++ b/node/gateway/gateway.go
@@ -346,6 +346,7 @@
 		g.updateMembership()
 		g.updateGauges()
 		g.relay.LogOutcomeCounts()
+		g.relay.LogLinks()
 		if time.Since(lastTraffic) >= trafficLogInterval {
 			lastTraffic = time.Now()
 			g.logTraffic()
--- a/node/gateway/listeners.go
+++ b/node/gateway/listeners.go
@@ -64,6 +64,8 @@
 func (g *Gateway) serveDirectory(w http.ResponseWriter, r *http.Request) {
 	query := platform.ReadDirectoryQuery(r)
 	addresses := g.addressesFor(query.Region, query.Zone)
+	namesSelf := strconv.FormatBool(slices.Contains(addresses, g.settings.Listen.Callers))
+	g.metrics.Scope.Tagged(map[string]string{"names_self": namesSelf}).Counter("gateway_directory_answers").Inc(1)
 	if err := platform.WriteDirectoryResponse(w, addresses, g.directoryTTL()); err != nil {
 		_ = g.log.Log("msg", "cannot write directory response", "err", err) // the log writer counts dropped lines
 	}
--- a/node/gateway/relay/placement.go
+++ b/node/gateway/relay/placement.go
@@ -81,6 +81,7 @@
 	if !sentAt.IsZero() {
 		report.Latency = now.Sub(sentAt)
 	}
+	f.links.note(now, e.pick.Target.Name, report.Outcome)
 	f.recordNotice(now, e)
 	if e.info.Load.Unreadable {
 		f.cfg.Metrics.LoadUnreadable()
--- a/node/gateway/relay/relay.go
+++ b/node/gateway/relay/relay.go
@@ -130,8 +130,9 @@
 	// replaced is notified when another configuration is in force.
 	replaced broadcast
 
-	mu           sync.Mutex // guards Balancer, Retry and poisonFilter
+	mu           sync.Mutex // guards Balancer, Retry, poisonFilter and links
 	poisonFilter *poisonFilter
+	links        linkLog
 
 	outcomeCounts *outcomeCounts
 }
