--- a/node/gateway/export_test.go
+++ b/node/gateway/export_test.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/http"
 
+	"heatherlock/node/gateway/upstream"
 	"heatherlock/node/gateway/volume"
 )
 
@@ -15,3 +16,6 @@
 
 // HeartbeatBytes returns the number of heartbeat bytes sent since the gateway was created.
 func (g *Gateway) HeartbeatBytes() int64 { return g.meter.Total(volume.Heartbeats) }
+
+// DialTargetsBy sets the function that opens connections to targets. It must be called before Run.
+func (g *Gateway) DialTargetsBy(dial upstream.DialFunc) { g.pool.Dial = dial }
--- a/node/gateway/gateway_test.go
+++ b/node/gateway/gateway_test.go
@@ -21,6 +21,7 @@
 	"heatherlock/platform"
 	"heatherlock/standin/endpoint"
 	"heatherlock/standin/metastore"
+	"heatherlock/standin/targetlinks"
 	"heatherlock/steering"
 )
 
@@ -46,6 +47,8 @@
 	largeVMs int
 	// links, if set, are the simulated links for traffic between VMs and with the store.
 	links *links
+	// targetLinks are the links of VMs to targets, in the order in which VMs were started.
+	targetLinks []*targetlinks.Links
 }
 
 // vm is a running entry VM.
@@ -140,6 +143,9 @@
 	if s.links != nil {
 		g.DialPeersBy(s.links.dial(ip))
 	}
+	toTargets := targetlinks.New()
+	s.targetLinks = append(s.targetLinks, toTargets)
+	g.DialTargetsBy(toTargets.Dial)
 	ctx, stop := context.WithCancel(context.Background())
 	v := &vm{settings: settings, gateway: g, stop: stop, done: make(chan error, 1)}
 	go func() { v.done <- g.Run(ctx) }()
--- a/node/gateway/upstream/pool.go
+++ b/node/gateway/upstream/pool.go
@@ -29,7 +29,8 @@
 
 // Pool keeps the connections to all targets. It is safe for concurrent use.
 type Pool struct {
-	dial        DialFunc
+	// Dial opens connections. It must not be changed once the pool is in use.
+	Dial        DialFunc
 	requestIDOf func(http.Header) string
 	// OnOpen, if set, is called after each connection is opened.
 	OnOpen func()
@@ -41,7 +42,7 @@
 // NewPool returns an empty pool. requestIDOf returns the ID of the request to which a response
 // belongs, given the header of the response.
 func NewPool(dial DialFunc, requestIDOf func(http.Header) string) *Pool {
-	return &Pool{dial: dial, requestIDOf: requestIDOf, targets: make(map[steering.Target]*targetPool)}
+	return &Pool{Dial: dial, requestIDOf: requestIDOf, targets: make(map[steering.Target]*targetPool)}
 }
 
 // targetPool keeps the connections to one target, so that none is used for another target that took
@@ -165,7 +166,7 @@
 	}
 	h.open++
 	h.mu.Unlock()
-	raw, err := p.dial(ctx, call.Address)
+	raw, err := p.Dial(ctx, call.Address)
 	if err != nil {
 		h.mu.Lock()
 		h.open--
