--- a/node/gateway/fleet/beat.go
+++ b/node/gateway/fleet/beat.go
@@ -24,6 +24,8 @@
 	Serving bool
 	// Leaving is set once the VM is shutting down.
 	Leaving bool
+	// CutOff is set while the VM has lost its links to all targets.
+	CutOff bool
 	// StoreReadsFail is set while the VM's own reads of the store fail.
 	StoreReadsFail bool
 	// ReadingStore is set while the VM reads the store.
@@ -98,7 +100,7 @@
 	Crowd       uint32
 	Evacuated   []steering.Zone
 	Demand      placement.DemandOf
-	Mates       []byte // short IDs of shortIDBytes each
+	Mates       []byte // short IDs of shortIDBytes each, and a byte of mateFlags if any is set
 	Replaced    []placement.StartID
 	Suspects    []poison.Fact
 	From        *Member
@@ -132,6 +134,26 @@
 	return packed
 }
 
+// mateFlagCutOff is the flag of a VM that is cut off from all targets. All bits of the other flags are in
+// use, and builds that know of none ignore what follows the last whole short ID.
+const mateFlagCutOff = 1
+
+func packMates(b Beat) []byte {
+	packed := packShortIDs(b.Mates)
+	if b.CutOff {
+		packed = append(packed, mateFlagCutOff)
+	}
+	return packed
+}
+
+// mateFlags returns the flags that follow the short IDs.
+func mateFlags(packed []byte) byte {
+	if len(packed)%shortIDBytes == 0 {
+		return 0
+	}
+	return packed[len(packed)-1]
+}
+
 func unpackShortIDs(packed []byte) []uint32 {
 	var ids []uint32
 	for ; len(packed) >= shortIDBytes; packed = packed[shortIDBytes:] {
@@ -163,7 +185,7 @@
 func encode(b Beat, addresses bool) ([]byte, error) {
 	k := b.StoreDigest
 	d := datagram{Sender: idOf(b.From.Name), Incarnation: b.Incarnation, Number: b.Number, Revision: k.Revision, Content: k.Content, Config: k.Config, NewestLead: max(k.Newest, k.Config) - k.Config, Content32: b.ConfigContent, Wait: uint8(b.ConfigWait),
-		ConfigLag: k.Revision - k.ConfigRevision, EvacLag: k.Revision - k.EvacuationRevision, ColdLag: k.Revision - k.ColdRevision, EpochAge: packEpochAge(k.Epoch, k.AgeMs), Crowd: b.Crowd, Evacuated: k.Evacuated, Demand: b.Demand, Mates: packShortIDs(b.Mates), Replaced: b.Replaced, Suspects: b.Suspects, Introduced: b.Members, Tight: b.Tight}
+		ConfigLag: k.Revision - k.ConfigRevision, EvacLag: k.Revision - k.EvacuationRevision, ColdLag: k.Revision - k.ColdRevision, EpochAge: packEpochAge(k.Epoch, k.AgeMs), Crowd: b.Crowd, Evacuated: k.Evacuated, Demand: b.Demand, Mates: packMates(b), Replaced: b.Replaced, Suspects: b.Suspects, Introduced: b.Members, Tight: b.Tight}
 	for _, f := range []struct {
 		flag uint8
 		set  bool
@@ -207,7 +229,7 @@
 func (d datagram) beat() (Beat, uint64) {
 	epoch, ageMs := d.epochAge()
 	b := Beat{Incarnation: d.Incarnation, Number: d.Number, Members: d.Introduced, Mates: unpackShortIDs(d.Mates), Replaced: d.Replaced, Suspects: d.Suspects, Tight: d.Tight,
-		Serving: d.Flags&flagServing != 0, Leaving: d.Flags&flagLeaving != 0, StoreReadsFail: d.Flags&flagStoreFails != 0, WantsMembers: d.Flags&flagWantsMembers != 0, ReadingStore: d.Flags&flagReads != 0, WantsReply: d.Flags&flagWantsReply != 0, ZoneReport: d.Flags&flagZoneReport != 0, Crowd: d.Crowd, Demand: d.Demand, ConfigContent: d.Content32, ConfigWait: catchup.Wait(d.Wait),
+		CutOff: mateFlags(d.Mates)&mateFlagCutOff != 0, Serving: d.Flags&flagServing != 0, Leaving: d.Flags&flagLeaving != 0, StoreReadsFail: d.Flags&flagStoreFails != 0, WantsMembers: d.Flags&flagWantsMembers != 0, ReadingStore: d.Flags&flagReads != 0, WantsReply: d.Flags&flagWantsReply != 0, ZoneReport: d.Flags&flagZoneReport != 0, Crowd: d.Crowd, Demand: d.Demand, ConfigContent: d.Content32, ConfigWait: catchup.Wait(d.Wait),
 		StoreDigest: feed.Digest{Epoch: epoch, Revision: d.Revision, Content: d.Content, Config: d.Config, Newest: d.Config + d.NewestLead, ConfigRevision: d.Revision - d.ConfigLag,
 			EvacuationRevision: d.Revision - d.EvacLag, ColdRevision: d.Revision - d.ColdLag, AgeMs: ageMs, Evacuated: d.Evacuated}}
 	if d.From != nil {
--- a/node/gateway/fleet/fleet.go
+++ b/node/gateway/fleet/fleet.go
@@ -253,6 +253,14 @@
 	return f.roster.ServingIn(f.cfg.Clock(), zone, selfServes)
 }
 
+// WithoutCutOff returns the members that are not known to be cut off from all targets, in the memory of
+// all. selfCutOff says whether this VM is.
+func (f *Fleet) WithoutCutOff(all []Member, selfCutOff bool) []Member {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.roster.WithoutCutOff(all, selfCutOff)
+}
+
 // Standby reports whether this VM exchanges heartbeats with delegates of its zone only.
 func (f *Fleet) Standby() bool {
 	f.mu.Lock()
--- a/node/gateway/fleet/views.go
+++ b/node/gateway/fleet/views.go
@@ -125,6 +125,18 @@
 	return all
 }
 
+// WithoutCutOff returns the members that are not known to be cut off from all targets. selfCutOff says
+// whether this VM is.
+func (r *Roster) WithoutCutOff(all []Member, selfCutOff bool) []Member {
+	return slices.DeleteFunc(all, func(m Member) bool {
+		if m.Name == r.self.Name {
+			return selfCutOff
+		}
+		h := r.members[m.Name]
+		return h != nil && h.beat.CutOff
+	})
+}
+
 // serves reports whether a live VM takes requests, as far as is known. A VM that only its zone lists
 // is assumed to, as nearly all do.
 func (h *peerState) serves() bool { return h.beat.Serving || h.lastBeatAt.IsZero() }
--- a/node/gateway/gateway.go
+++ b/node/gateway/gateway.go
@@ -71,8 +71,10 @@
 	registered, restoringRecords atomic.Bool
 	recordsEpoch                 atomic.Uint64
 	callers                      *callers.Server
-	leaving                      atomic.Bool
-	coldSenders                  []steering.VM // guarded by the relay's lock
+	// passedOn serves requests that other VMs pass on while they are cut off from all targets.
+	passedOn    *callers.Server
+	leaving     atomic.Bool
+	coldSenders []steering.VM // guarded by the relay's lock
 	// announced is set once a heartbeat was requested to announce that this VM takes requests.
 	announced        atomic.Bool
 	regionSplit      placement.RegionSplit
@@ -119,10 +121,15 @@
 		Balancer: placement.NewBalancer(settings.VM, settings.Region),
 		Retry:    retry.NewSharedBudget(retryConfig(b)),
 		Log:      logger, TargetHeartbeatInterval: time.Duration(settings.HeartbeatMs) * time.Millisecond,
+		VM: settings.VM, Peers: upstream.NewPool(upstream.Dial, platform.RequestIDOf), OnLinksChange: g.linksChanged,
+		PeerMeter: func(raw net.Conn, to steering.VM) net.Conn {
+			return g.meter.Conn(raw, volume.PassedOn, g.fleet.LocationOf(to))
+		},
 		Metrics: relay.NewMetrics(scope), StoreAge: func() time.Duration { return time.Duration(g.reader.Digest().AgeMs) * time.Millisecond },
 		MemberCount: func() int { return g.fleet.LiveCount() }, Behind: func() bool { _, _, behind := g.reader.Behind(); return behind }, ConfigOutdated: g.outdated,
 		Meter: g.meter, Allowances: g.allowanceService, TargetLimits: g.allowanceService})
 	g.callers = callers.NewServer(g.relay, g.relay.Limits, maxCallerConnections)
+	g.passedOn = callers.NewServer(g.relay.PeerHandler(), g.relay.PeerLimits, maxCallerConnections)
 	state := feed.NewState(time.Duration(settings.HeartbeatMs)*time.Millisecond, settings.Zones)
 	g.reader = feed.NewReader(g.store, g, state, readerPeers{g}, logger)
 	g.peerClient = newPeerClient()
@@ -178,6 +185,7 @@
 func (g *Gateway) fillHeartbeat(b *fleet.Beat) {
 	b.Leaving = g.leaving.Load()
 	b.Serving = g.relay.Ready() && !b.Leaving
+	b.CutOff = g.relay.CutOff()
 	b.StoreDigest = g.reader.Digest()
 	b.StoreReadsFail = g.reader.Failing()
 	b.ReadingStore = g.reader.Reading()
@@ -216,6 +224,7 @@
 	g.updateColdSenders()
 	g.updateAllowancePeers()
 	g.updateReachability()
+	g.updateHelpers()
 }
 
 // updateColdSenders passes the VMs of this region that callers are directed to to placement, which
@@ -304,6 +313,12 @@
 		return errors.Wrap(err, "gateway: listen for callers")
 	}
 	defer listener.Close()
+	peers, err := net.Listen("tcp4", g.settings.PeerAddress())
+	if err != nil {
+		return errors.Wrap(err, "gateway: listen for requests that peers pass on")
+	}
+	defer peers.Close()
+	defer g.relay.Close()
 	if err := g.serveHTTP(); err != nil {
 		return err
 	}
@@ -315,9 +330,11 @@
 	g.workers.Go(func() { g.maintain(work) })
 	g.workers.Go(func() { g.followMembership(work) })
 	g.workers.Go(func() { _ = g.callers.Serve(work, listener) }) // returns when the listener is closed
+	g.workers.Go(func() { _ = g.passedOn.Serve(work, peers) })   // returns when the listener is closed
 	_ = g.log.Log("msg", "started", "vm", g.settings.VM, "zone", g.settings.Zone)
 	<-ctx.Done()
 	g.shutdown(listener)
+	_ = peers.Close() // nothing runs there any more
 	stop()
 	g.closeServers()
 	g.workers.Wait()
@@ -412,6 +429,7 @@
 	scope.Gauge("gateway_targets_ejected").Update(float64(len(ejected)))
 	scope.Gauge("gateway_targets_replaced").Update(float64(len(replaced)))
 	scope.Gauge("gateway_targets_limited").Update(float64(limited))
+	scope.Gauge("gateway_cut_off").Update(boolGauge(g.relay.CutOff()))
 	scope.Gauge("gateway_peers").Update(float64(g.fleet.LiveCount()))
 	newest, behindFor, _ := g.reader.Behind()
 	scope.Gauge("gateway_config_newest").Update(float64(newest))
@@ -429,3 +447,10 @@
 		scope.Tagged(map[string]string{"service": string(service)}).Gauge("gateway_keys_kept").Update(share)
 	}
 }
+
+func boolGauge(set bool) float64 {
+	if set {
+		return 1
+	}
+	return 0
+}
--- a/node/gateway/relay/attempts.go
+++ b/node/gateway/relay/attempts.go
@@ -19,7 +19,11 @@
 
 // attemptResult is the result of an attempt.
 type attemptResult struct {
-	pick     placement.Pick
+	pick placement.Pick
+	// helper is the entry VM to which the request was passed on; empty for an attempt at a target.
+	helper   steering.VM
+	verdict  hopVerdict
+	began    time.Time
 	response *upstream.Response
 	info     platform.Response
 	err      error
@@ -43,6 +47,7 @@
 // tried is the record of one attempt in the log.
 type tried struct {
 	Target     steering.Target `json:"target"`
+	Helper     steering.VM     `json:"helper,omitempty"` // the entry VM that passed the request on
 	Zone       steering.Zone   `json:"zone"`
 	Rank       int             `json:"rank"`
 	Trial      bool            `json:"trial,omitempty"`
@@ -62,7 +67,7 @@
 // recordResult adds the result of an attempt to the history.
 func (x *exchange) recordResult(e attemptResult) {
 	for i := range x.history {
-		if t := &x.history[i]; t.Target == e.pick.Target.Name && t.End == "" {
+		if t := &x.history[i]; t.Target == e.pick.Target.Name && t.Helper == e.helper && t.End == "" {
 			t.End, t.EndMs = e.String(), time.Since(x.r.Received).Milliseconds()
 			t.RestMs = e.info.Rest.Milliseconds()
 			t.report, t.unusable = e.report, e.err == nil && !e.usable && !e.notRun
@@ -87,9 +92,14 @@
 	return strconv.Itoa(e.response.Status)
 }
 
-// startAttempt places the request and starts an attempt, or returns why no target was found.
+// startAttempt places the request and starts an attempt, or returns why no target was found. If this VM is
+// cut off from all targets, another one passes the request on.
 func (x *exchange) startAttempt(ctx context.Context) *placement.Refusal {
-	pick, refusal := x.f.choose(x.placementRequest())
+	pick, refusal, links := x.f.choose(x.placementRequest())
+	if links == linksCut || links == linksOpenOnly && refusal == nil && !x.f.cfg.Pool.HasIdle(pick.Target.Name) {
+		x.f.withdraw(pick)
+		return x.startAtHelper(ctx)
+	}
 	if refusal != nil {
 		x.noCapacity, x.warmTime = refusal, refusal.WarmRunTime
 		return refusal
@@ -98,16 +108,17 @@
 	x.attempts++
 	x.running++
 	x.tried = append(x.tried, pick.Target.Name)
+	x.startedAt = time.Now()
 	x.history = append(x.history, tried{Target: pick.Target.Name, Zone: pick.Target.Zone, Rank: pick.Rank, Trial: pick.Trial,
-		ExpectedMs: pick.Expected.Milliseconds(), WaitMs: pick.Wait.Milliseconds(), AtMs: time.Since(x.r.Received).Milliseconds(),
+		ExpectedMs: pick.Expected.Milliseconds(), WaitMs: pick.Wait.Milliseconds(), AtMs: x.startedAt.Sub(x.r.Received).Milliseconds(),
 		slots: pick.Target.Slots, crossRegion: pick.OtherRegion})
-	go x.attempt(ctx, pick)
+	go x.attempt(ctx, pick, x.startedAt, links == linksOpenOnly)
 	return nil
 }
 
 func (x *exchange) placementRequest() placement.Request {
 	now := time.Now()
-	r := placement.Request{Service: x.service, ID: x.call.ID, Region: x.f.cfg.Region, Allowed: x.mayRunIn,
+	r := placement.Request{Service: x.service, ID: x.call.ID, Region: x.hop.regionOr(x.f.cfg.Region), Allowed: x.mayRunIn,
 		TimeLeft: x.deadline.Sub(now), Rank: x.workspace.RankOr(x.route.Rank), Retryable: x.route.Kind.Retryable(), Tried: x.tried}
 	if x.route.KeyAffinity {
 		r.Key = x.call.Key
@@ -118,11 +129,12 @@
 	return r
 }
 
-// attempt sends the request to one target and reports the result.
-func (x *exchange) attempt(ctx context.Context, pick placement.Pick) {
+// attempt sends the request to one target and reports the result. With onlyOpen set it opens no
+// connection.
+func (x *exchange) attempt(ctx context.Context, pick placement.Pick, began time.Time, onlyOpen bool) {
 	var sentAt time.Time
 	if pick.Limit.InForce && !x.f.admitToTarget(ctx, pick) {
-		x.finishAttempt(ctx, x.classify(pick, nil, &upstream.Error{Stage: upstream.NotSent, Err: errNoCredit}), sentAt)
+		x.finishAttempt(ctx, x.classify(pick, nil, &upstream.Error{Stage: upstream.NotSent, Err: errNoCredit}), began, sentAt)
 		return
 	}
 	beforeSend := func() bool {
@@ -135,14 +147,14 @@
 	response, err := x.f.cfg.Pool.Do(ctx, upstream.Call{
 		Target: pick.Target.Name, Generation: pick.Target.Generation, Address: pick.Target.Address,
 		MaxConnections: x.maxConnections(), DialTimeout: min(dialTimeout, max(time.Until(x.deadline), time.Millisecond)),
-		BeforeSend: beforeSend, OnOpen: x.f.metered(pick.Target),
+		BeforeSend: beforeSend, OnOpen: x.f.opened(pick.Target), OnlyOpen: onlyOpen,
 	}, x.targetRequest(pick))
-	x.finishAttempt(ctx, x.classify(pick, response, err), sentAt)
+	x.finishAttempt(ctx, x.classify(pick, response, err), began, sentAt)
 }
 
-// finishAttempt reports the result of an attempt; sentAt is zero if nothing was sent.
-func (x *exchange) finishAttempt(ctx context.Context, e attemptResult, sentAt time.Time) {
-	e.sent = !sentAt.IsZero()
+// finishAttempt reports the result of an attempt that began at began; sentAt is zero if nothing was sent.
+func (x *exchange) finishAttempt(ctx context.Context, e attemptResult, began, sentAt time.Time) {
+	e.began, e.sent = began, !sentAt.IsZero()
 	x.f.reportResult(ctx, x, &e, sentAt)
 	if e.limitHeard != nil {
 		x.f.cfg.TargetLimits.LimitHeard(e.pick.Target, *e.limitHeard)
@@ -153,14 +165,21 @@
 	x.results <- e
 }
 
-// metered returns a function that wraps a connection to a target so that its bytes are counted, or
-// nil without a meter.
-func (f *Relay) metered(t placement.Target) func(net.Conn) net.Conn {
+// opened returns a function that records a connection that was opened to a target, and wraps it so that
+// its bytes are counted.
+func (f *Relay) opened(t placement.Target) func(net.Conn) net.Conn {
+	return func(raw net.Conn) net.Conn {
+		f.linkOpened()
+		return f.metered(raw, t)
+	}
+}
+
+// metered wraps a connection to a target so that its bytes are counted.
+func (f *Relay) metered(raw net.Conn, t placement.Target) net.Conn {
 	if f.cfg.Meter == nil {
-		return nil
+		return raw
 	}
-	at := volume.Location{Zone: t.Zone, Region: t.Region}
-	return func(raw net.Conn) net.Conn { return f.cfg.Meter.Conn(raw, volume.Requests, at) }
+	return f.cfg.Meter.Conn(raw, volume.Requests, volume.Location{Zone: t.Zone, Region: t.Region})
 }
 
 // maxConnections returns this entry VM's share of the connections to a target; 0 means no limit.
@@ -221,11 +240,13 @@
 // mayRetry reports whether the request may be sent once more. If not, it sets noRetryReason.
 func (x *exchange) mayRetry(e attemptResult) bool {
 	switch {
+	case x.atHelper:
+		x.noRetryReason = noRetryAtHelper
 	case x.maybeRan && !x.route.Kind.Retryable() && planted.Defect != planted.UnsafeRetry:
 		x.noRetryReason = noRetryMayHaveRun
 	case x.r.BodyRest != nil && !e.unsent:
 		x.noRetryReason = noRetryBodySent
-	case !x.attemptsLeft() || x.attempts >= x.route.MaxAttempts+maxExtraAttempts:
+	case !x.attemptsLeft() || x.attempts >= x.maxAttempts+maxExtraAttempts:
 		x.noRetryReason = noRetryMaxAttempts
 	default:
 		return true
@@ -235,6 +256,7 @@
 
 // Reasons in the log why a request was not retried.
 const (
+	noRetryAtHelper    = "another entry VM has passed it on"
 	noRetryMayHaveRun  = "it may have run, and must not run twice"
 	noRetryBodySent    = "its body went to the target and is not kept"
 	noRetryMaxAttempts = "its route allows no more attempts"
@@ -244,7 +266,7 @@
 
 // attemptsLeft reports whether the route allows a further attempt, given those that reached a
 // target or are in flight.
-func (x *exchange) attemptsLeft() bool { return x.reachedTarget+x.running < x.route.MaxAttempts }
+func (x *exchange) attemptsLeft() bool { return x.reachedTarget+x.running < x.maxAttempts }
 
 // retry starts a further attempt, and reports whether it did. An attempt after one that reached a
 // target takes a retry from the budget.
@@ -286,7 +308,7 @@
 
 // hedge sends an overdue idempotent request to a second target, if the retry budget allows.
 func (x *exchange) hedge(ctx context.Context) {
-	if !x.route.Kind.Retryable() || x.r.BodyRest != nil || x.running != 1 || !x.attemptsLeft() {
+	if !x.route.Kind.Retryable() || x.r.BodyRest != nil || x.running != 1 || x.atHelper || !x.attemptsLeft() {
 		return
 	}
 	if !x.f.takeRetry(x.service) {
--- a/node/gateway/relay/events.go
+++ b/node/gateway/relay/events.go
@@ -124,6 +124,20 @@
 	return first
 }
 
+// Helped counts a request that was passed on for another entry VM, by what was answered.
+func (e *Metrics) Helped(end string) {
+	if e != nil {
+		e.scope.Tagged(map[string]string{"end": end}).Counter("gateway_requests_passed_on").Inc(1)
+	}
+}
+
+// LinksChecked counts a check whether this VM is cut off from all targets, by its result.
+func (e *Metrics) LinksChecked(cutOff bool) {
+	if e != nil {
+		e.scope.Tagged(map[string]string{"cut_off": strconv.FormatBool(cutOff)}).Counter("gateway_link_checks").Inc(1)
+	}
+}
+
 // Served records the latency of a response that was passed on.
 func (e *Metrics) Served(kind routes.Kind, status int, took time.Duration) {
 	if e != nil {
--- a/node/gateway/relay/exchange.go
+++ b/node/gateway/relay/exchange.go
@@ -42,12 +42,26 @@
 	noCapacity    *placement.Refusal // of the last attempt that found no target with capacity
 	noRetryReason string             // why it was not retried, for the log
 	warmTime      time.Duration      // last known latency of the service with a warm cache
+
+	maxAttempts int
+	// hop is set if another entry VM passed the request on to this one.
+	hop *hop
+	// helpers are the entry VMs to which this one has passed the request on; atHelper is set while one of
+	// them has it.
+	helpers   []steering.VM
+	atHelper  bool
+	startedAt time.Time // of the last attempt
 }
 
-func newExchange(f *Relay, e routeMatch, r *callers.Request, call platform.RequestInfo) *exchange {
-	x := &exchange{routeMatch: e, f: f, r: r, call: call, service: e.route.Service(),
-		header: endToEnd(r.Header), results: make(chan attemptResult, e.route.MaxAttempts+maxExtraAttempts+1)} // one more for a hedge
+// newExchange returns the exchange for a request of a caller, or for one that another entry VM passed on.
+func newExchange(f *Relay, e routeMatch, r *callers.Request, call platform.RequestInfo, passedOn *hop) *exchange {
+	x := &exchange{routeMatch: e, f: f, r: r, call: call, service: e.route.Service(), maxAttempts: e.route.MaxAttempts, hop: passedOn,
+		header: endToEnd(r.Header), results: make(chan attemptResult, e.route.MaxAttempts+maxExtraAttempts+maxHelpers+1)} // one more for a hedge
 	platform.RemoveIdentity(x.header)
+	if passedOn != nil {
+		x.maxAttempts = min(x.maxAttempts, passedOn.attempts)
+		removeHopHeaders(x.header)
+	}
 	if e.workspace != nil {
 		platform.SetWorkspace(x.header, e.workspace.Name)
 	}
@@ -70,7 +84,7 @@
 // run places the request, retries or hedges it as needed, and returns the final response. It
 // returns nil if the caller left.
 func (x *exchange) run(ctx context.Context) *callers.Response {
-	x.f.recordRequest(x.service, x.singleHome())
+	x.recordRequest()
 	if x.r.BodyRest != nil && x.r.Length > x.table.Limits.BodyBytes {
 		return x.refuse(steering.ReasonBodyTooLarge, 0)
 	}
@@ -95,7 +109,9 @@
 				return response
 			}
 		case <-hedge.C:
-			x.hedge(work)
+			if again := x.overdue(work); again > 0 {
+				hedge.Reset(again)
+			}
 		case <-deadline.C:
 			return x.timedOut()
 		case <-ctx.Done():
@@ -133,6 +149,9 @@
 
 // handleResult acts on the result of an attempt. done reports that callerResponse is final.
 func (x *exchange) handleResult(ctx context.Context, e attemptResult) (callerResponse *callers.Response, done bool) {
+	if e.helper != "" {
+		return x.handleHelperResult(ctx, e)
+	}
 	if !e.unsent {
 		x.reachedTarget++
 	}
--- /dev/null
+++ b/node/gateway/relay/helpers.go
@@ -0,0 +1,245 @@
+package relay
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"strconv"
+	"time"
+
+	"heatherlock/node/gateway/callers"
+	"heatherlock/node/gateway/upstream"
+	"heatherlock/platform"
+	"heatherlock/steering"
+	"heatherlock/steering/placement"
+	"heatherlock/steering/reach"
+	"heatherlock/steering/rendezvous"
+)
+
+const (
+	// maxHelpers is how many entry VMs are asked to pass on one request.
+	maxHelpers = 3
+	// maxHelperConnections bounds the connections to one entry VM.
+	maxHelperConnections = 64
+	// helperMargin is how long before the deadline here the entry VM that passes the request on gives it up,
+	// so that its final answer arrives in time; at most helperMarginShare of the time left.
+	helperMargin      = 50 * time.Millisecond
+	helperMarginShare = 10
+)
+
+// SetHelpers sets the entry VMs that pass on requests while this one is cut off from all targets.
+func (f *Relay) SetHelpers(h *reach.Helpers) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	h.TakeOver(f.helpers)
+	f.helpers = h
+}
+
+// startAtHelper passes the request on to another entry VM, or returns why none can take it. A request is
+// passed on once.
+func (x *exchange) startAtHelper(ctx context.Context) *placement.Refusal {
+	refusal := &placement.Refusal{Reason: steering.ReasonNoTarget, RetryAfter: retryAfterCut(x.call.ID)}
+	if x.hop != nil || len(x.helpers) >= maxHelpers || x.f.cfg.Peers == nil {
+		x.noCapacity = refusal
+		return refusal
+	}
+	helper, found := x.f.chooseHelper(x)
+	if !found {
+		x.noCapacity = refusal
+		return refusal
+	}
+	x.attempts++
+	x.running++
+	x.atHelper = true
+	x.startedAt = time.Now()
+	x.helpers = append(x.helpers, helper.VM)
+	x.history = append(x.history, tried{Helper: helper.VM, AtMs: time.Since(x.r.Received).Milliseconds(), crossRegion: helper.Region != x.f.cfg.Region})
+	go x.attemptAtHelper(ctx, helper, x.maxAttempts-x.reachedTarget-x.running+1)
+	return nil
+}
+
+// retryAfterCut returns when a caller should come back to a VM that is cut off and finds no other VM.
+func retryAfterCut(id string) time.Duration {
+	spread := rendezvous.Unit(rendezvous.Mix(rendezvous.Hash(id)))
+	return reach.ProbeInterval + time.Duration(spread*float64(reach.ProbeInterval))
+}
+
+func (f *Relay) chooseHelper(x *exchange) (reach.Helper, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.helpers == nil {
+		return reach.Helper{}, false
+	}
+	return f.helpers.For(time.Now(), x.call.ID, x.mayRunIn, x.helpers)
+}
+
+// attemptAtHelper sends the request to another entry VM, with the number of targets it may still reach.
+func (x *exchange) attemptAtHelper(ctx context.Context, helper reach.Helper, attempts int) {
+	e := attemptResult{helper: helper.VM, began: time.Now()}
+	call := upstream.Call{Target: steering.Target(helper.VM), Address: helper.Address, MaxConnections: maxHelperConnections,
+		DialTimeout: min(dialTimeout, max(time.Until(x.deadline), time.Millisecond)),
+		BeforeSend:  func() bool { e.sent = x.sending.begin(); return e.sent }}
+	if x.f.cfg.PeerMeter != nil {
+		call.OnOpen = func(raw net.Conn) net.Conn { return x.f.cfg.PeerMeter(raw, helper.VM) }
+	}
+	e.response, e.err = x.f.cfg.Peers.Do(ctx, call, x.helperRequest(attempts))
+	e.classifyHelper()
+	x.results <- e
+}
+
+func (x *exchange) helperRequest(attempts int) *upstream.Request {
+	header := make(http.Header, len(x.header)+8)
+	for name, values := range x.header {
+		header[name] = values
+	}
+	platform.RemoveIdentity(header)
+	h := hop{from: x.f.cfg.VM, region: x.f.cfg.Region, config: max(x.table.Version, x.f.shownConfig.Load()), attempts: attempts}
+	if x.workspace != nil {
+		h.workspace = x.workspace.Name
+	}
+	h.set(header)
+	left := time.Until(x.deadline)
+	platform.SetDeadline(header, left-min(helperMargin, left/helperMarginShare))
+	return &upstream.Request{Method: x.r.Method, Path: x.r.Path, Host: x.r.Host, Header: header,
+		Body: x.r.Body, BodyRest: x.r.BodyRest, Length: x.r.Length, ID: x.call.ID}
+}
+
+// classifyHelper sets what the response of another entry VM, or the error, proves.
+func (e *attemptResult) classifyHelper() {
+	if e.err != nil {
+		e.unsent = stageOf(e.err) != upstream.Sent
+		e.notRun = e.unsent
+		e.verdict = hopElsewhere
+		return
+	}
+	e.verdict = hopVerdict(e.response.Header.Get(headerHopVerdict))
+	switch e.verdict {
+	case hopDelivered:
+		e.usable = true
+	case hopNotRun, hopElsewhere:
+		e.notRun = true
+	default:
+		e.verdict = hopUnknown
+	}
+}
+
+// handleHelperResult acts on what another entry VM answered.
+func (x *exchange) handleHelperResult(ctx context.Context, e attemptResult) (callerResponse *callers.Response, done bool) {
+	x.atHelper = false
+	if e.sent {
+		x.endedSent++
+	}
+	if e.response != nil {
+		x.noteHelper(e)
+	}
+	switch {
+	case e.usable:
+		removeHopHeaders(e.response.Header)
+		return x.deliver(e), true
+	case e.notRun:
+		return x.notRunAtHelper(ctx, e)
+	}
+	x.maybeRan = true
+	x.reachedTarget++
+	if e.err != nil {
+		x.f.avoidHelper(e.helper)
+		if x.mayRetry(e) && x.retry(ctx, e) {
+			return nil, false
+		}
+	}
+	if x.running > 0 {
+		return nil, false
+	}
+	if e.err == nil && e.response.Status == http.StatusGatewayTimeout {
+		return x.outcomeUnknown(steering.ReasonDeadline), true
+	}
+	return x.outcomeUnknown(steering.ReasonTargetLost), true
+}
+
+// noteHelper records by which configuration another VM handled the request, and how many attempts it made.
+func (x *exchange) noteHelper(e attemptResult) {
+	if version, err := strconv.ParseUint(e.response.Header.Get(headerHopConfig), 10, 64); err == nil && (e.usable || !e.notRun) {
+		for shown := x.f.shownConfig.Load(); version > shown && !x.f.shownConfig.CompareAndSwap(shown, version); {
+			shown = x.f.shownConfig.Load()
+		}
+	}
+	if reached, err := strconv.Atoi(e.response.Header.Get(headerHopReached)); err == nil {
+		x.reachedTarget += max(reached, 0)
+	}
+}
+
+// notRunAtHelper tries another entry VM if the request may run there, and else passes the refusal on.
+func (x *exchange) notRunAtHelper(ctx context.Context, e attemptResult) (callerResponse *callers.Response, done bool) {
+	if e.verdict == hopElsewhere {
+		x.f.avoidHelper(e.helper)
+		streamed := x.r.BodyRest != nil && !e.unsent
+		if !streamed && ctx.Err() == nil && !x.maybeRan && x.startAttempt(ctx) == nil {
+			x.f.cfg.Metrics.Retried("helper")
+			return nil, false
+		}
+	}
+	if x.running > 0 {
+		return nil, false
+	}
+	if x.maybeRan {
+		return x.outcomeUnknown(steering.ReasonTargetLost), true
+	}
+	if e.response == nil {
+		return x.refuse(steering.ReasonPeerUnreachable, retryAfterCut(x.call.ID)), true
+	}
+	reason := steering.Reason(e.response.Header.Get(headerReason))
+	if _, known := steering.Reasons[reason]; !known {
+		reason = steering.ReasonPeerUnreachable
+	}
+	seconds, _ := strconv.ParseFloat(e.response.Header.Get("Retry-After"), 64) // none is 0
+	return x.refuse(reason, time.Duration(seconds*float64(time.Second))), true
+}
+
+func (f *Relay) avoidHelper(vm steering.VM) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.helpers != nil {
+		f.helpers.Avoid(time.Now(), vm)
+	}
+}
+
+// linkRecheck is the pause before an overdue request looks again whether this VM is cut off.
+const linkRecheck = 50 * time.Millisecond
+
+// overdue handles a request whose response is overdue: if this VM is cut off it is passed on, and else
+// hedged. It returns after which time to call it again, or 0.
+func (x *exchange) overdue(ctx context.Context) (again time.Duration) {
+	if x.atHelper {
+		return 0
+	}
+	cutOff, checking := x.f.linksOverdue(x.startedAt)
+	switch {
+	case checking:
+		return linkRecheck
+	case cutOff:
+		x.moveToHelper(ctx)
+	default:
+		x.hedge(ctx)
+	}
+	return 0
+}
+
+// moveToHelper passes an idempotent request on that waits at a target which this VM no longer reaches.
+func (x *exchange) moveToHelper(ctx context.Context) {
+	if !x.route.Kind.Retryable() || x.r.BodyRest != nil || !x.attemptsLeft() || !x.f.takeRetry(x.service) {
+		return
+	}
+	if x.startAtHelper(ctx) != nil {
+		x.f.returnRetry(x.service)
+		return
+	}
+	x.f.cfg.Allowances.RecordExtraRun(x.workspace)
+	x.f.cfg.Metrics.Retried("cut_off")
+}
+
+// unansweredAtHelper notes that another entry VM has not answered in time.
+func (x *exchange) unansweredAtHelper() {
+	if x.atHelper {
+		x.f.avoidHelper(x.helpers[len(x.helpers)-1])
+	}
+}
--- /dev/null
+++ b/node/gateway/relay/hop.go
@@ -0,0 +1,179 @@
+package relay
+
+import (
+	"context"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"heatherlock/node/gateway/callers"
+	"heatherlock/platform"
+	"heatherlock/steering"
+	"heatherlock/steering/routes"
+)
+
+// Headers between entry VMs. They are read only on connections of the listener for entry VMs, and go no
+// further.
+const (
+	hopHeaderPrefix    = "Heatherlock-Hop-"
+	headerHopFrom      = hopHeaderPrefix + "From"
+	headerHopRegion    = hopHeaderPrefix + "Region"
+	headerHopConfig    = hopHeaderPrefix + "Config"
+	headerHopAttempts  = hopHeaderPrefix + "Attempts"
+	headerHopWorkspace = hopHeaderPrefix + "Workspace"
+	headerHopVerdict   = hopHeaderPrefix + "Verdict"
+	headerHopReached   = hopHeaderPrefix + "Reached"
+)
+
+// hopVerdict is what the VM that passes a request on says of its response.
+type hopVerdict string
+
+const (
+	// hopDelivered: the response is that of a target.
+	hopDelivered hopVerdict = "delivered"
+	// hopNotRun: the request has not run, and another VM could not run it either.
+	hopNotRun hopVerdict = "not-run"
+	// hopElsewhere: the request has not run for a reason that concerns this VM alone.
+	hopElsewhere hopVerdict = "elsewhere"
+	// hopUnknown: the request may have run.
+	hopUnknown hopVerdict = "unknown"
+)
+
+// hop is what another entry VM says of a request that it passes on.
+type hop struct {
+	from   steering.VM
+	region steering.Region
+	// config is the oldest configuration by which the request may be handled.
+	config    uint64
+	attempts  int
+	workspace steering.Workspace
+}
+
+// regionOr returns the region of the VM that took the request from its caller; a nil hop means this one.
+func (h *hop) regionOr(own steering.Region) steering.Region {
+	if h == nil {
+		return own
+	}
+	return h.region
+}
+
+func (h *hop) set(to http.Header) {
+	removeHopHeaders(to)
+	to[headerHopFrom] = []string{string(h.from)}
+	to[headerHopRegion] = []string{string(h.region)}
+	to[headerHopConfig] = []string{strconv.FormatUint(h.config, 10)}
+	to[headerHopAttempts] = []string{strconv.Itoa(h.attempts)}
+	if h.workspace != "" {
+		to[headerHopWorkspace] = []string{string(h.workspace)}
+	}
+}
+
+// readHop decodes the headers that set encodes; ok is false if they are missing or invalid.
+func readHop(h http.Header) (read *hop, ok bool) {
+	config, badConfig := strconv.ParseUint(h.Get(headerHopConfig), 10, 64)
+	attempts, badAttempts := strconv.Atoi(h.Get(headerHopAttempts))
+	read = &hop{from: steering.VM(h.Get(headerHopFrom)), region: steering.Region(h.Get(headerHopRegion)), config: config,
+		attempts: attempts, workspace: steering.Workspace(h.Get(headerHopWorkspace))}
+	return read, badConfig == nil && badAttempts == nil && attempts > 0 && read.from != "" && read.region != ""
+}
+
+func removeHopHeaders(h http.Header) {
+	for name := range h {
+		if strings.HasPrefix(name, hopHeaderPrefix) {
+			delete(h, name)
+		}
+	}
+}
+
+// answer marks a response to a request that another VM passed on.
+func (h *hop) answer(r *callers.Response, verdict hopVerdict, t *routes.Table) *callers.Response {
+	removeHopHeaders(r.Header)
+	r.Header[headerHopVerdict] = []string{string(verdict)}
+	if t != nil {
+		r.Header[headerHopConfig] = []string{strconv.FormatUint(t.Version, 10)}
+	}
+	return r
+}
+
+// refuse returns the response to a request that another VM passed on and that has not run. reached is
+// how many attempts reached a target.
+func (h *hop) refuse(f *Relay, s requestInfo, reason steering.Reason, retryAfter time.Duration, reached int, detail []any) *callers.Response {
+	verdict := hopNotRun
+	switch reason {
+	case steering.ReasonNotReady, steering.ReasonConfigBehind, steering.ReasonPeerUnreachable:
+		verdict = hopElsewhere
+	case steering.ReasonNoTarget:
+		if f.CutOff() {
+			verdict = hopElsewhere
+		}
+	}
+	f.cfg.Metrics.Helped(string(verdict))
+	f.logRequest("refused", s, reason, detail)
+	response := localResponse(steering.Reasons[reason].Status, reason, steering.Reasons[reason].Meaning, retryAfter)
+	response.Header[headerHopReached] = []string{strconv.Itoa(reached)}
+	return h.answer(response, verdict, s.table)
+}
+
+// PeerHandler returns the handler of requests that other entry VMs pass on.
+func (f *Relay) PeerHandler() callers.Handler { return peerHandler{f} }
+
+type peerHandler struct{ *Relay }
+
+// Serve implements callers.Handler. The VM that took the request from its caller has checked the API key
+// and the allowance of the workspace.
+func (p peerHandler) Serve(ctx context.Context, r *callers.Request) *callers.Response {
+	f, call := p.Relay, platform.ReadRequest(r.Header)
+	passedOn, ok := readHop(r.Header)
+	if !ok {
+		return p.ErrorResponse(http.StatusBadRequest, "the request was not passed on by an entry VM")
+	}
+	s := requestInfo{id: call.ID}
+	if !f.Ready() {
+		return passedOn.refuse(f, s, steering.ReasonNotReady, notReadyRetryAfter, 0, nil)
+	}
+	e, reason := f.matchPassedOn(r, passedOn)
+	if reason != "" {
+		return passedOn.refuse(f, e.requestInfo(call), reason, notReadyRetryAfter, 0, []any{"passed_on_by", passedOn.from})
+	}
+	response := newExchange(f, e, r, call, passedOn).run(ctx)
+	if response != nil && response.Header.Get(headerHopVerdict) == string(hopDelivered) {
+		f.cfg.Metrics.Helped(string(hopDelivered))
+	}
+	return response
+}
+
+// matchPassedOn finds the route and the workspace of a request that another VM passed on.
+func (f *Relay) matchPassedOn(r *callers.Request, passedOn *hop) (routeMatch, steering.Reason) {
+	e := routeMatch{table: f.table.Load()}
+	var found bool
+	e.route, found = e.table.Match(r.Host, r.Path)
+	e.workspace = e.table.Workspaces.ByName(passedOn.workspace)
+	switch {
+	case e.table.Version < passedOn.config, f.configOutdated(), !found && f.configBehind():
+		return e, steering.ReasonConfigBehind
+	case !found:
+		return e, steering.ReasonNoService
+	case passedOn.workspace != "" && e.workspace == nil, passedOn.workspace == "" && e.table.NeedsKey(e.route):
+		return e, steering.ReasonConfigBehind // the VMs' configurations differ in this workspace
+	case !e.hasAllowedRegion():
+		return e, steering.ReasonNoCommonHomeRegion
+	}
+	return e, ""
+}
+
+// hopHeaderBytes is the space for the headers between entry VMs.
+const hopHeaderBytes = 4 << 10
+
+// PeerLimits returns the limits of requests that other entry VMs pass on. Their idle connections stay open
+// longer than any VM keeps them.
+func (f *Relay) PeerLimits() routes.Limits {
+	limits := f.Limits()
+	if limits.HeaderBytes > 0 {
+		limits.HeaderBytes += hopHeaderBytes
+		limits.IdleTimeout = peerIdleTimeout
+	}
+	return limits
+}
+
+const peerIdleTimeout = 30 * time.Second
--- a/node/gateway/relay/links.go
+++ b/node/gateway/relay/links.go
@@ -1,55 +1,137 @@
 package relay
 
 import (
+	"context"
+	"net"
+	"sync"
 	"time"
 
-	"heatherlock/steering"
+	"heatherlock/node/gateway/upstream"
 	"heatherlock/steering/placement"
+	"heatherlock/steering/reach"
 )
 
-// linkLog summarizes for the log which targets answered lately.
-type linkLog struct {
-	answers     int
-	answeredAt  time.Time
-	unreachable map[steering.Target]int // attempts since the last line, by target
+// CutOff reports whether this VM has lost its links to all targets.
+func (f *Relay) CutOff() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.links.CutOff()
+}
+
+func (f *Relay) linkOpened() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.links.Opened(time.Now())
 }
 
-// note records how an attempt at a target ended.
-func (l *linkLog) note(now time.Time, target steering.Target, o placement.Outcome) {
-	switch o {
-	case placement.Unreachable, placement.Silent:
-		if l.unreachable == nil {
-			l.unreachable = make(map[steering.Target]int)
+// noteLinks records what an attempt showed of the links, and returns the outcome that its target is to be
+// charged with: none while the links are cut. f.mu must be held.
+func (f *Relay) noteLinks(now time.Time, e *attemptResult, outcome placement.Outcome) placement.Outcome {
+	switch outcome {
+	case placement.Served, placement.Failed, placement.Shed, placement.Replaced:
+		f.links.Answered(now)
+	case placement.Unreachable:
+		if f.links.ConnectFailed(now, e.began, e.pick.Target.Name) {
+			go f.checkLinks()
 		}
-		l.unreachable[target]++
-	case placement.Broken, placement.Abandoned:
-	default:
-		l.answers++
-		l.answeredAt = now
+	case placement.Broken, placement.Silent, placement.Abandoned:
 	}
+	if f.links.CutOff() && (outcome == placement.Unreachable || outcome == placement.Broken || outcome == placement.Silent) {
+		return placement.Abandoned
+	}
+	return outcome
 }
 
-// minUnreachable is how many targets must have been unreachable since the last line for another one. A
-// single one is logged when it is passed over.
-const minUnreachable = 3
+// linksOverdue records that an attempt which began at began has no response although it is due.
+func (f *Relay) linksOverdue(began time.Time) (cutOff, checking bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.links.Overdue(time.Now(), began) {
+		go f.checkLinks()
+	}
+	return f.links.CutOff(), f.links.Checking()
+}
 
-// LogLinks logs how many targets were unreachable since the last call, and how many responses arrived
-// meanwhile. It tells a VM that has lost its links from targets that have failed.
-func (f *Relay) LogLinks() {
+// checkLinks finds out whether this VM is cut off from all targets, and if so waits until it no longer is.
+func (f *Relay) checkLinks() {
+	accepted, failed := f.connectSample()
+	now := time.Now()
 	f.mu.Lock()
-	l := f.links
-	f.links = linkLog{answeredAt: l.answeredAt}
+	cutOff := f.links.CheckEnded(now, accepted, failed)
+	since := f.links.TroubleSince()
+	if cutOff {
+		f.cfg.Balancer.Readmit(since)
+		f.poisonFilter.linksCut(now, since)
+	}
 	f.mu.Unlock()
-	if len(l.unreachable) < minUnreachable {
+	f.cfg.Metrics.LinksChecked(cutOff)
+	if !cutOff {
 		return
 	}
-	attempts := 0
-	for _, n := range l.unreachable {
-		attempts += n
+	_ = f.cfg.Log.Log("msg", "cut off from all targets", "tried", failed, "trouble_ms", now.Sub(since).Milliseconds(), "store_age_ms", f.storeAge().Milliseconds()) // the log writer counts dropped lines
+	f.linksChanged()
+	f.awaitLinks(now)
+}
+
+func (f *Relay) linksChanged() {
+	if f.cfg.OnLinksChange != nil {
+		f.cfg.OnLinksChange()
 	}
-	line := []any{"msg", "targets unreachable", "targets", len(l.unreachable), "attempts", attempts, "answers", l.answers, "store_age_ms", f.storeAge().Milliseconds()}
-	if !l.answeredAt.IsZero() {
-		line = append(line, "answered_ms_ago", time.Since(l.answeredAt).Milliseconds())
+}
+
+// awaitLinks returns once this VM reaches targets again.
+func (f *Relay) awaitLinks(since time.Time) {
+	ticker := time.NewTicker(reach.ProbeInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-f.closed:
+			return
+		case <-ticker.C:
+		}
+		accepted, _ := f.connectSample()
+		now := time.Now()
+		f.mu.Lock()
+		restored := f.links.ProbeEnded(now, accepted)
+		f.mu.Unlock()
+		if restored {
+			f.cfg.Pool.CloseUnusedSince(since)
+			_ = f.cfg.Log.Log("msg", "targets reached again", "cut_off_ms", now.Sub(since).Milliseconds()) // the log writer counts dropped lines
+			f.linksChanged()
+			return
+		}
+	}
+}
+
+// connectSample connects to a few targets at the same time, and returns how many accepted. The connections
+// are kept for later requests.
+func (f *Relay) connectSample() (accepted, failed int) {
+	f.mu.Lock()
+	f.checks++
+	sample := f.cfg.Balancer.SampleTargets(time.Now(), f.cfg.Zone, reach.SampleSize, f.checks)
+	f.mu.Unlock()
+	var all sync.WaitGroup
+	errs := make([]error, len(sample))
+	for i, t := range sample {
+		all.Go(func() {
+			errs[i] = f.cfg.Pool.Connect(context.Background(), upstream.Call{Target: t.Name, Generation: t.Generation, Address: t.Address, DialTimeout: dialTimeout,
+				OnOpen: func(raw net.Conn) net.Conn { return f.metered(raw, t) }})
+		})
+	}
+	all.Wait()
+	for _, err := range errs {
+		if err != nil {
+			failed++
+		} else {
+			accepted++
+		}
 	}
-	_ = f.cfg.Log.Log(line...) // the log writer counts dropped lines
+	return accepted, failed
+}
+
+// withdraw undoes the placement of a request that is not sent.
+func (f *Relay) withdraw(p placement.Pick) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.cfg.Balancer.NotSent(time.Now(), p.Target, placement.Abandoned, p.Trial)
 }
--- a/node/gateway/relay/outcomes.go
+++ b/node/gateway/relay/outcomes.go
@@ -74,7 +74,11 @@
 // long after the request arrived, and is being written now.
 func (x *exchange) recordResponse(o losses.Outcome, ready time.Duration) { x.recordEnd(o, "", ready) }
 
+// recordEnd counts the exchange as ended. A request that another entry VM passed on is counted there.
 func (x *exchange) recordEnd(o losses.Outcome, reason steering.Reason, ready time.Duration) {
+	if x.hop != nil {
+		return
+	}
 	r := losses.Request{Outcome: o, Reason: reason, Aim: x.route.Aim, Deadline: x.call.Deadline,
 		Ready: ready, Latency: time.Since(x.r.Received), WarmRunTime: x.warmTime}
 	for _, t := range x.history {
--- a/node/gateway/relay/placement.go
+++ b/node/gateway/relay/placement.go
@@ -11,25 +11,50 @@
 	"heatherlock/steering/placement"
 )
 
-// recordRequest counts an arriving request in the demand and the retry budget of its service. bound
-// is the only region in which the request may run, or "" if there are several.
-func (f *Relay) recordRequest(service steering.Service, bound steering.Region) {
-	now := time.Now()
+// recordRequest counts an arriving request in the demand and the retry budget of its service. Of a request
+// that another entry VM passes on, that one counts the demand and the VM that sends it to a target the
+// budget.
+func (x *exchange) recordRequest() {
+	now, f := time.Now(), x.f
+	bound := x.singleHome()
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.cfg.Balancer.CountRequest(now, service, bound)
-	f.cfg.Retry.RecordRequest(now, service)
+	if x.hop != nil {
+		f.cfg.Balancer.CountRelayed(x.service)
+	} else {
+		f.cfg.Balancer.CountRequest(now, x.service, bound)
+	}
+	if x.hop != nil || !f.links.CutOff() {
+		f.cfg.Retry.RecordRequest(now, x.service)
+	}
 }
 
-func (f *Relay) choose(r placement.Request) (placement.Pick, *placement.Refusal) {
+// linkState says which connections to targets a request may use.
+type linkState uint8
+
+const (
+	linksUp       linkState = iota // any
+	linksOpenOnly                  // those that are open; no new one can be opened
+	linksCut                       // none
+)
+
+// choose places a request unless the links to all targets are cut.
+func (f *Relay) choose(r placement.Request) (placement.Pick, *placement.Refusal, linkState) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	now := time.Now()
+	links := linksUp
+	if f.links.CutOff() {
+		if !f.links.ConnectionsLive(now) {
+			return placement.Pick{}, nil, linksCut
+		}
+		links = linksOpenOnly
+	}
 	pick, refusal := f.cfg.Balancer.Choose(now, r)
 	if refusal == nil {
 		f.cfg.Balancer.RequestPlaced(now, pick.Target, r.Key, pick.Trial)
 	}
-	return pick, refusal
+	return pick, refusal, links
 }
 
 func (f *Relay) takeRetry(service steering.Service) bool {
@@ -76,12 +101,13 @@
 	now := time.Now()
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	report := placement.Report{Outcome: outcomeOf(ctx, *e, sentAt, now)}
+	outcome := outcomeOf(ctx, *e, sentAt, now)
+	f.linkLog.note(now, e.pick.Target.Name, outcome)
+	report := placement.Report{Outcome: f.noteLinks(now, e, outcome)}
 	f.poisonFilter.attemptEnded(now, x.fingerprints, x.verdict, e.pick.Target, sentAt, report.Outcome)
 	if !sentAt.IsZero() {
 		report.Latency = now.Sub(sentAt)
 	}
-	f.links.note(now, e.pick.Target.Name, report.Outcome)
 	f.recordNotice(now, e)
 	if e.info.Load.Unreadable {
 		f.cfg.Metrics.LoadUnreadable()
@@ -112,7 +138,7 @@
 		return placement.Failed
 	case e.err == nil:
 		return placement.Broken
-	case errors.Is(e.err, upstream.ErrConnectionLimit), errors.Is(e.err, errNoCredit), errors.Is(e.err, upstream.ErrWithdrawn):
+	case errors.Is(e.err, upstream.ErrConnectionLimit), errors.Is(e.err, errNoCredit), errors.Is(e.err, upstream.ErrWithdrawn), errors.Is(e.err, upstream.ErrNoConnection):
 		return placement.Abandoned
 	case e.unsent && ctx.Err() == nil:
 		return placement.Unreachable
--- a/node/gateway/relay/poison.go
+++ b/node/gateway/relay/poison.go
@@ -133,6 +133,15 @@
 	return crashedAt
 }
 
+// linksCut withdraws what was learned since the links of this VM to all targets were cut. Broken exchanges
+// and refused connections then say nothing of the requests.
+func (s *poisonFilter) linksCut(now, since time.Time) {
+	for target := range s.pending {
+		s.resolve(now, target, poison.Inconclusive, "")
+	}
+	s.list.RetractLossesSince(now, since)
+}
+
 // restarted records that a target restarted under its name. Its previous generation ended, and a
 // request that was in flight there may be the cause.
 func (s *poisonFilter) restarted(now time.Time, target steering.Target) {
--- a/node/gateway/relay/relay.go
+++ b/node/gateway/relay/relay.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -17,6 +18,7 @@
 	"heatherlock/steering"
 	"heatherlock/steering/identity"
 	"heatherlock/steering/placement"
+	"heatherlock/steering/reach"
 	"heatherlock/steering/retry"
 	"heatherlock/steering/routes"
 )
@@ -73,6 +75,16 @@
 	Meter *volume.Meter
 	// Allowances limits the requests of workspaces; nil means no limits.
 	Allowances Allowances
+	// VM is the name of this entry VM.
+	VM steering.VM
+	// Peers holds the connections to entry VMs that pass on requests while this VM is cut off from all
+	// targets; nil means that none do.
+	Peers *upstream.Pool
+	// PeerMeter wraps a connection to another entry VM so that its bytes are counted. It may be nil.
+	PeerMeter func(net.Conn, steering.VM) net.Conn
+	// OnLinksChange is called when this VM is cut off from all targets, and when it reaches them again. It
+	// may be nil.
+	OnLinksChange func()
 	// TargetLimits lends credits for targets that name a limit; nil means that such targets get no
 	// requests.
 	TargetLimits TargetLimits
@@ -130,9 +142,16 @@
 	// replaced is notified when another configuration is in force.
 	replaced broadcast
 
-	mu           sync.Mutex // guards Balancer, Retry, poisonFilter and links
+	mu           sync.Mutex // guards Balancer, Retry, poisonFilter, links, linkLog and helpers
 	poisonFilter *poisonFilter
-	links        linkLog
+	links        reach.Links
+	linkLog      linkLog
+	helpers      *reach.Helpers // nil until SetHelpers is called
+	checks       uint64         // of the links, which vary the sample of targets
+	// shownConfig is the newest version by which another VM has handled a request for this one.
+	shownConfig atomic.Uint64
+	closed      chan struct{}
+	closeOnce   sync.Once
 
 	outcomeCounts *outcomeCounts
 }
@@ -147,9 +166,12 @@
 	if cfg.TargetLimits == nil {
 		cfg.TargetLimits = closedTargets{}
 	}
-	return &Relay{cfg: cfg, poisonFilter: newPoisonFilter(cfg.TargetHeartbeatInterval, cfg.Log), outcomeCounts: newOutcomeCounts(), started: make(chan struct{})}
+	return &Relay{cfg: cfg, poisonFilter: newPoisonFilter(cfg.TargetHeartbeatInterval, cfg.Log), outcomeCounts: newOutcomeCounts(), started: make(chan struct{}), closed: make(chan struct{})}
 }
 
+// Close ends the attempts to reach targets again.
+func (f *Relay) Close() { f.closeOnce.Do(func() { close(f.closed) }) }
+
 // SetTable puts a configuration in force if it is newer than the current one, and reports whether
 // it did.
 func (f *Relay) SetTable(t *routes.Table) bool {
@@ -266,7 +288,7 @@
 	case "":
 		ok := false
 		if retryAfter, ok = f.cfg.Allowances.Admit(ctx, e.workspace, jitterOf(call.ID)); ok {
-			return newExchange(f, e, r, call).run(ctx)
+			return newExchange(f, e, r, call, nil).run(ctx)
 		}
 		reason = steering.ReasonOverAllowance
 	case steering.ReasonConfigBehind:
@@ -280,7 +302,9 @@
 
 // configBehind reports whether a newer configuration is known to exist. A route that is missing
 // here may be in that one, and a caller does not retry after a 404.
-func (f *Relay) configBehind() bool { return f.cfg.Behind != nil && f.cfg.Behind() }
+func (f *Relay) configBehind() bool {
+	return f.cfg.Behind != nil && f.cfg.Behind() || f.shownConfig.Load() > f.table.Load().Version
+}
 
 func (f *Relay) configOutdated() bool { return f.cfg.ConfigOutdated != nil && f.cfg.ConfigOutdated() }
 
--- a/node/gateway/relay/resolve.go
+++ b/node/gateway/relay/resolve.go
@@ -63,7 +63,7 @@
 	var found bool
 	e.route, found = e.table.Match(r.Host, r.Path)
 	switch {
-	case found && f.configOutdated(), !found && f.configBehind():
+	case found && (f.configOutdated() || f.shownConfig.Load() > e.table.Version && !f.CutOff()), !found && f.configBehind():
 		return e, steering.ReasonConfigBehind
 	case !found:
 		return e, steering.ReasonNoService
--- a/node/gateway/relay/responses.go
+++ b/node/gateway/relay/responses.go
@@ -15,6 +15,7 @@
 // timedOut returns the response to a request whose time is up. Attempts that have not begun to send
 // it no longer will; if no other one may have run it, it has not run.
 func (x *exchange) timedOut() *callers.Response {
+	x.unansweredAtHelper()
 	if begun := x.sending.close(); x.maybeRan || begun > x.endedSent {
 		return x.outcomeUnknown(steering.ReasonDeadline)
 	}
@@ -47,6 +48,9 @@
 // refuse returns the response to a request that has not run.
 func (x *exchange) refuse(reason steering.Reason, retryAfter time.Duration) *callers.Response {
 	x.recordOutcome(losses.Refused, reason)
+	if x.hop != nil {
+		return x.hop.refuse(x.f, x.requestInfo(x.call), reason, retryAfter, x.reachedTarget, x.detail())
+	}
 	x.f.cfg.Allowances.ReturnCredit(x.workspace, reason)
 	return x.f.refuse(x.requestInfo(x.call), reason, retryAfter, x.detail())
 }
@@ -63,7 +67,11 @@
 	if reason == steering.ReasonDeadline {
 		status = http.StatusGatewayTimeout
 	}
-	return localResponse(status, reason, steering.Reasons[reason].Meaning, 0)
+	response := localResponse(status, reason, steering.Reasons[reason].Meaning, 0)
+	if x.hop != nil {
+		return x.hop.answer(response, hopUnknown, x.table)
+	}
+	return response
 }
 
 // detail returns the log fields that describe the request: what was known when it was decided, and
@@ -74,6 +82,9 @@
 	if x.noCapacity != nil && x.noCapacity.Wait > 0 {
 		line = append(line, "shortest_wait_ms", x.noCapacity.Wait.Milliseconds())
 	}
+	if x.hop != nil {
+		line = append(line, "passed_on_by", x.hop.from)
+	}
 	if len(x.history) > 0 {
 		line = append(line, "tries", x.history)
 	}
@@ -85,6 +96,10 @@
 
 // deliver passes a target's response on to the caller.
 func (x *exchange) deliver(e attemptResult) *callers.Response {
+	if x.hop != nil {
+		return x.hop.answer(&callers.Response{Status: e.response.Status, Header: endToEnd(e.response.Header), Body: e.response.Body,
+			BodyRest: e.response.BodyRest, Length: e.response.Length, Close: x.r.BodyRest != nil}, hopDelivered, x.table)
+	}
 	x.f.cfg.Metrics.Served(x.route.Kind, e.response.Status, time.Since(x.r.Received))
 	ready := time.Since(x.r.Received)
 	if len(x.history) > 1 || e.response.Status >= http.StatusInternalServerError {
--- a/node/gateway/shutdown.go
+++ b/node/gateway/shutdown.go
@@ -35,6 +35,7 @@
 	began := time.Now()
 	g.leaving.Store(true)
 	g.callers.StartDrain()
+	g.passedOn.StartDrain()
 	g.fleet.Announce()
 	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
 	g.workers.Go(func() {
@@ -50,7 +51,8 @@
 		if time.Since(began) > acceptFor {
 			_ = listener.Close() // closing it again in later rounds has no effect
 			g.callers.CloseIdle()
-			if g.callers.InFlight() == 0 && g.callers.Connections() == 0 {
+			g.passedOn.CloseIdle()
+			if g.callers.InFlight() == 0 && g.callers.Connections() == 0 && g.passedOn.InFlight() == 0 {
 				break
 			}
 		}
--- a/node/gateway/upstream/conn.go
+++ b/node/gateway/upstream/conn.go
@@ -280,3 +280,9 @@
 	defer c.mu.Unlock()
 	return !c.closed && now.Sub(c.lastUsed) < c.idleTimeout
 }
+
+func (c *conn) unusedSince(since time.Time) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.lastUsed.Before(since)
+}
--- a/node/gateway/upstream/exchange.go
+++ b/node/gateway/upstream/exchange.go
@@ -81,6 +81,9 @@
 // ErrWithdrawn reports that the request was withdrawn before it was sent.
 var ErrWithdrawn = errors.New("upstream: the request was withdrawn before it was sent")
 
+// ErrNoConnection reports that no connection was open and none was to be opened.
+var ErrNoConnection = errors.New("upstream: no connection to the target is open")
+
 // Call holds the destination and the limits of an exchange.
 type Call struct {
 	Target     steering.Target
@@ -90,6 +93,8 @@
 	MaxConnections int
 	// DialTimeout limits a connection attempt.
 	DialTimeout time.Duration
+	// OnlyOpen makes the call fail with ErrNoConnection unless a connection is open already.
+	OnlyOpen bool
 	// BeforeSend, if set, is called before the first byte is written. If it returns false, nothing is
 	// sent and Do returns ErrWithdrawn.
 	BeforeSend func() bool
@@ -104,6 +109,9 @@
 	e := &exchange{request: &http.Request{Method: r.Method}, id: r.ID, done: make(chan result, 1)}
 	c := h.takeIdle(time.Now())
 	if c == nil || !c.start(e) {
+		if call.OnlyOpen {
+			return nil, &Error{Stage: NotConnected, Err: ErrNoConnection}
+		}
 		var err error
 		if c, err = p.connect(ctx, h, call); err != nil {
 			return nil, &Error{Stage: NotConnected, Err: err}
--- a/node/gateway/upstream/pool.go
+++ b/node/gateway/upstream/pool.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"maps"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -108,6 +110,51 @@
 	}
 }
 
+// Connect opens a connection and keeps it for a later call.
+func (p *Pool) Connect(ctx context.Context, call Call) error {
+	c, err := p.connect(ctx, p.poolOf(call.Target, call.Generation), call)
+	if err == nil {
+		c.release()
+	}
+	return err
+}
+
+// HasIdle reports whether a call to the target would find an open connection.
+func (p *Pool) HasIdle(target steering.Target) bool {
+	p.mu.Lock()
+	h := p.targets[target]
+	p.mu.Unlock()
+	if h == nil {
+		return false
+	}
+	now := time.Now()
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return slices.ContainsFunc(h.idle, func(c *conn) bool { return c.usable(now) })
+}
+
+// CloseUnusedSince closes the idle connections that carried nothing since a time.
+func (p *Pool) CloseUnusedSince(since time.Time) {
+	p.mu.Lock()
+	all := slices.Collect(maps.Values(p.targets))
+	p.mu.Unlock()
+	for _, h := range all {
+		var unused []*conn
+		h.mu.Lock()
+		h.idle = slices.DeleteFunc(h.idle, func(c *conn) bool {
+			old := c.unusedSince(since)
+			if old {
+				unused = append(unused, c)
+			}
+			return old
+		})
+		h.mu.Unlock()
+		for _, c := range unused {
+			c.close()
+		}
+	}
+}
+
 func (h *targetPool) closeIdle() {
 	h.mu.Lock()
 	idle := h.idle
--- a/node/gateway/volume/volume.go
+++ b/node/gateway/volume/volume.go
@@ -20,6 +20,8 @@
 	// Requests are requests of callers and the responses to them, between an entry VM and
 	// targets.
 	Requests Purpose = "requests"
+	// PassedOn are requests that this VM hands to other entry VMs while it is cut off from all targets.
+	PassedOn Purpose = "passed_on"
 	// Heartbeats are counted by their sender.
 	Heartbeats Purpose = "heartbeats"
 	// Allowances are reports on the usage of workspaces and the replies to them, each counted by
--- a/steering/placement/balancer.go
+++ b/steering/placement/balancer.go
@@ -166,6 +166,9 @@
 	return v
 }
 
+// CountRelayed counts a request that another entry VM passed on. Its demand is counted there.
+func (b *Balancer) CountRelayed(service steering.Service) { b.service(service).addOverflowToken() }
+
 // CountRequest counts a request from a caller for the demand that is reported to peers. If the
 // request may run in one region only, bound is that region; otherwise it is empty.
 func (b *Balancer) CountRequest(now time.Time, service steering.Service, bound steering.Region) {
@@ -174,6 +177,10 @@
 	if bound != "" {
 		v.pinnedTo(bound).add(now, 1)
 	}
+	v.addOverflowToken()
+}
+
+func (v *serviceState) addOverflowToken() {
 	v.overflowTokens = math.Min(overflowBurst, v.overflowTokens+overflowRate)
 }
 
--- a/steering/placement/state.go
+++ b/steering/placement/state.go
@@ -51,6 +51,7 @@
 	consecutiveBreaks int     // connection failures and timeouts
 	ejectionTime      time.Duration
 	ejected           bool
+	ejectedAt         time.Time
 	probeAt           time.Time // when an ejected target may be probed
 	probing           bool
 	coldTokens        tokenBucket
@@ -136,7 +137,7 @@
 func (s *targetState) eject(now time.Time) {
 	s.setEjected(true)
 	s.ejectionTime = min(max(2*s.ejectionTime, minEjectionTime), maxEjectionTime)
-	s.probeAt = now.Add(s.ejectionTime)
+	s.ejectedAt, s.probeAt = now, now.Add(s.ejectionTime)
 }
 
 // recordKey records that the target has run a key.
--- a/steering/poison/targetstate.go
+++ b/steering/poison/targetstate.go
@@ -35,6 +35,13 @@
 	s[target] = targetState{responded: at}
 }
 
+// RetractLossesSince retracts the losses since a time, because the links over which they were seen were cut.
+func (l *List) RetractLossesSince(now, since time.Time) {
+	for target := range l.TargetsWithLosses(now) {
+		l.retractWhere(now, target, func(n loss) bool { return !n.at.Before(since) })
+	}
+}
+
 // markLost records that a target was lost at a time. It reports whether that changed
 // the state: it does not if the target responded later, or was known to be lost before.
 func (s targetStates) markLost(target steering.Target, at time.Time) bool {
