Leave VMs that reach no target out of the directory

Cause: the directory goes by heartbeats and the store, which this cut leaves whole. Change: VMs that say they are cut off are left out, unless fewer than two others are left; they stay ready and serve through others whoever still comes.

--- a/node/gateway/listeners.go
+++ b/node/gateway/listeners.go
@@ -86,12 +86,18 @@
 // addressesFor returns the addresses of the entry VMs for the callers of a zone: those of the
 // zone, or those of the region if the zone has fewer than minDirectoryEntries, or all if the
 // region has too few as well.
+//
+// VMs that are cut off from all targets are left out, unless too few VMs are not.
 func (g *Gateway) addressesFor(region steering.Region, zone steering.Zone) []string {
 	if named := g.namedIn(zone); len(named) >= minDirectoryEntries {
 		return addressesOf(named)
 	}
 	var inRegion, all []string
-	for _, m := range g.fleet.Serving(g.serves()) {
+	serving := g.fleet.Serving(g.serves())
+	if reaching := g.fleet.WithoutCutOff(serving, g.relay.CutOff()); len(reaching) >= minDirectoryEntries {
+		serving = reaching
+	}
+	for _, m := range serving {
 		all = append(all, m.Callers)
 		if m.Region == region {
 			inRegion = append(inRegion, m.Callers)
@@ -118,7 +124,7 @@
 // highest capacity, as many as the demand of the callers needs, and at least minDirectoryEntries if
 // the zone has as many.
 func (g *Gateway) namedIn(zone steering.Zone) []fleet.Member {
-	vms := g.fleet.ServingIn(zone, g.serves())
+	vms := g.fleet.WithoutCutOff(g.fleet.ServingIn(zone, g.serves()), g.relay.CutOff())
 	slices.SortFunc(vms, func(a, b fleet.Member) int {
 		return cmp.Or(cmp.Compare(b.Capacity, a.Capacity), cmp.Compare(a.Name, b.Name))
 	})
