--- a/node/gateway/relay/links.go
+++ b/node/gateway/relay/links.go
@@ -32,7 +32,7 @@
 		f.links.Answered(now)
 	case placement.Unreachable:
 		if f.links.ConnectFailed(now, e.began, e.pick.Target.Name) {
-			go f.checkLinks()
+			go f.checkLinks(reach.SampleSize)
 		}
 	case placement.Broken, placement.Silent, placement.Abandoned:
 	}
@@ -47,14 +47,18 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.links.Overdue(time.Now(), began) {
-		go f.checkLinks()
+		go f.checkLinks(1)
 	}
 	return f.links.CutOff(), f.links.Checking()
 }
 
 // checkLinks finds out whether this VM is cut off from all targets, and if so waits until it no longer is.
-func (f *Relay) checkLinks() {
-	accepted, failed := f.connectSample()
+// It connects to first targets, and to a whole sample if these do not accept.
+func (f *Relay) checkLinks(first int) {
+	accepted, failed := f.connectSample(first)
+	if accepted == 0 && first < reach.SampleSize {
+		accepted, failed = f.connectSample(reach.SampleSize)
+	}
 	now := time.Now()
 	f.mu.Lock()
 	cutOff := f.links.CheckEnded(now, accepted, failed)
@@ -89,10 +93,10 @@
 			return
 		case <-ticker.C:
 		}
-		accepted, _ := f.connectSample()
+		accepted, _ := f.connectSample(reach.SampleSize)
 		now := time.Now()
 		f.mu.Lock()
-		restored := f.links.ProbeEnded(now, accepted)
+		restored := f.links.ProbeEnded(now, accepted, f.helpers.Any())
 		f.mu.Unlock()
 		if restored {
 			f.cfg.Pool.CloseUnusedSince(since)
@@ -103,12 +107,17 @@
 	}
 }
 
-// connectSample connects to a few targets at the same time, and returns how many accepted. The connections
-// are kept for later requests.
-func (f *Relay) connectSample() (accepted, failed int) {
+// stalledFactor is how many times dialTimeout a sample may take. If it takes longer this VM stood still, and
+// the connections that failed say nothing.
+const stalledFactor = 1.5
+
+// connectSample connects to n targets at the same time, and returns how many accepted. The connections are
+// kept for later requests.
+func (f *Relay) connectSample(n int) (accepted, failed int) {
+	began := time.Now()
 	f.mu.Lock()
 	f.checks++
-	sample := f.cfg.Balancer.SampleTargets(time.Now(), f.cfg.Zone, reach.SampleSize, f.checks)
+	sample := f.cfg.Balancer.SampleTargets(time.Now(), f.cfg.Zone, n, f.checks)
 	f.mu.Unlock()
 	var all sync.WaitGroup
 	errs := make([]error, len(sample))
@@ -126,6 +135,9 @@
 			accepted++
 		}
 	}
+	if time.Since(began) > time.Duration(stalledFactor*float64(dialTimeout)) {
+		failed = 0
+	}
 	return accepted, failed
 }
 
--- a/steering/reach/helpers.go
+++ b/steering/reach/helpers.go
@@ -82,6 +82,9 @@
 	return rendezvous.Score(key, rendezvous.Hash(string(h.VM)), h.weight())
 }
 
+// Any reports whether there are helpers at all; a nil Helpers has none.
+func (h *Helpers) Any() bool { return h != nil && len(h.regions) > 0 }
+
 // Avoid records that a helper could not pass on a request, for a reason of its own.
 func (h *Helpers) Avoid(now time.Time, vm steering.VM) { h.avoid[vm] = now.Add(avoidFor) }
 
--- a/steering/reach/links.go
+++ b/steering/reach/links.go
@@ -106,10 +106,10 @@
 	return true
 }
 
-// ProbeEnded records how many targets accepted a connection while the VM was cut off. It reports
-// whether the VM reaches targets again.
-func (l *Links) ProbeEnded(now time.Time, accepted int) (restored bool) {
-	if accepted == 0 || now.Sub(l.cutSince) < l.hold {
+// ProbeEnded records how many targets accepted a connection while the VM was cut off; helped says
+// whether other VMs pass its requests on. It reports whether the VM reaches targets again.
+func (l *Links) ProbeEnded(now time.Time, accepted int, helped bool) (restored bool) {
+	if accepted == 0 || helped && now.Sub(l.cutSince) < l.hold {
 		return false
 	}
 	l.cutSince, l.restoredAt, l.nextCheck = time.Time{}, now, now
