Test that requests passed on through another VM keep their promises

One VM cut off from its targets and one that reaches them, over real connections: a request that is not idempotent runs once and ends as 502 or 504 when the way to the other VM is reset or hangs; with no VM reachable it is refused within 0.3 s as not run; it is passed on once; attempts count over both VMs; API keys and the headers between VMs go no further; an older configuration and a region that is no home refuse; uploads of 0.9 MB pass whole; a caller that leaves ends the run; nothing learned during a cut remains.

--- /dev/null
+++ b/node/gateway/relay/hop_test.go
@@ -0,0 +1,269 @@
+package relay_test
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"heatherlock/node/gateway/callers"
+	"heatherlock/standin/endpoint"
+	"heatherlock/standin/targetlinks"
+	"heatherlock/steering"
+	"heatherlock/steering/identity"
+	"heatherlock/steering/reach"
+	"heatherlock/steering/routes"
+)
+
+// pair is an entry VM that is cut off from all targets, and another one that reaches them.
+type pair struct {
+	*rig
+	helper             *rig
+	toTargets, toPeers *targetlinks.Links
+	sent               *sentBytes // to the helper
+}
+
+// sentBytes records what is written to connections.
+type sentBytes struct {
+	mu  sync.Mutex
+	all bytes.Buffer
+}
+
+type recordedConn struct {
+	net.Conn
+	to *sentBytes
+}
+
+func (c recordedConn) Write(p []byte) (int, error) {
+	c.to.mu.Lock()
+	c.to.all.Write(p)
+	c.to.mu.Unlock()
+	return c.Conn.Write(p)
+}
+
+func newPair(t *testing.T, work time.Duration) *pair {
+	t.Helper()
+	p := &pair{helper: newRig(t, 2, func(c *endpoint.Config) { c.Work = work }), toTargets: targetlinks.New(), toPeers: targetlinks.New(), sent: &sentBytes{}}
+	p.rig = newRigOf(t, p.helper.targets, p.toTargets.Dial, func(ctx context.Context, address string) (net.Conn, error) {
+		raw, err := p.toPeers.Dial(ctx, address)
+		if err != nil {
+			return nil, err
+		}
+		return recordedConn{raw, p.sent}, nil
+	})
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	assert.NilError(t, err)
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(func() { cancel(); _ = listener.Close() })
+	go func() {
+		_ = callers.NewServer(p.helper.relay.PeerHandler(), p.helper.relay.PeerLimits, 100).Serve(ctx, listener)
+	}() // returns when the listener is closed
+	p.useHelper(listener.Addr().String(), "centro")
+	p.cut(targetlinks.Reset)
+	return p
+}
+
+func (p *pair) useHelper(address string, region steering.Region) {
+	p.relay.SetHelpers(reach.NewHelpers("vm", "centro", []reach.Helper{{VM: "helper", Region: region, Address: address}}, 0))
+}
+
+// cut cuts the links to targets and waits until the VM has noticed.
+func (p *pair) cut(m targetlinks.Mode) {
+	p.toTargets.Set(m)
+	waitFor(p.t, func() bool {
+		p.ask("GET", "/read/notice", "", 300*time.Millisecond)
+		return p.relay.CutOff()
+	})
+}
+
+// runsOf returns how often requests of a path ran.
+func (p *pair) runsOf(path string) int {
+	n := 0
+	for _, r := range p.runs() {
+		if strings.HasPrefix(r.Path, path) {
+			n++
+		}
+	}
+	return n
+}
+
+// Guards against a request that is not idempotent and runs twice, or is told not to have run, because the
+// way through another VM broke after it was sent.
+func TestUnsafeRequestRunsOnceWhenTheHelperIsLost(t *testing.T) {
+	for _, c := range []struct {
+		mode   targetlinks.Mode
+		status int
+	}{{targetlinks.Reset, http.StatusBadGateway}, {targetlinks.Hang, http.StatusGatewayTimeout}} {
+		t.Run(c.mode.String(), func(t *testing.T) {
+			p := newPair(t, 300*time.Millisecond)
+			answered := make(chan reply, 1)
+			go func() { answered <- p.ask("POST", "/buy/1", "x", 1500*time.Millisecond) }()
+			waitFor(t, func() bool { return p.runsOf("/buy/") == 1 })
+			p.toPeers.Set(c.mode)
+			assert.Equal(t, (<-answered).status, c.status)
+			time.Sleep(400 * time.Millisecond)
+			assert.Equal(t, p.runsOf("/buy/"), 1)
+		})
+	}
+}
+
+// Guards against a request that is refused although another VM can be reached a moment later, and against a
+// refusal that is untrue: nothing was sent.
+func TestRequestIsNotRunWhenNoHelperCanBeReached(t *testing.T) {
+	p := newPair(t, work)
+	p.toPeers.Set(targetlinks.Reset)
+	got := p.ask("POST", "/buy/1", "x", 2*time.Second)
+	assert.Equal(t, got.status, http.StatusServiceUnavailable)
+	assert.Check(t, got.header.Get("Retry-After") != "")
+	assert.Check(t, got.took < 300*time.Millisecond, "held for %v", got.took)
+	assert.Equal(t, p.runsOf("/buy/"), 0)
+}
+
+// Guards against a request that goes from VM to VM because the second one is cut off as well.
+func TestRequestIsPassedOnOnce(t *testing.T) {
+	p := newPair(t, work)
+	for _, e := range p.targets {
+		e.Stop()
+	}
+	waitFor(t, func() bool { p.helper.ask("GET", "/read/1", "", 300*time.Millisecond); return p.helper.relay.CutOff() })
+	got := p.ask("GET", "/read/1", "", 2*time.Second)
+	assert.Equal(t, got.status, http.StatusServiceUnavailable)
+	assert.Check(t, got.took < 300*time.Millisecond, "held for %v", got.took)
+}
+
+// Guards against more attempts at targets than the route allows, counted over both VMs.
+func TestAttemptsCountOverBothVMs(t *testing.T) {
+	p := newPair(t, work)
+	p.faults(func(int) endpoint.Fault { return endpoint.Fail })
+	assert.Equal(t, p.ask("GET", "/read/attempts", "", 2*time.Second).status, http.StatusInternalServerError)
+	assert.Check(t, p.runsOf("/read/attempts") <= 3, "%d runs", p.runsOf("/read/attempts"))
+}
+
+// Guards against an API key that leaves the VM where the caller connected, and against a workspace that a
+// caller names itself.
+func TestAPIKeyIsNotPassedOn(t *testing.T) {
+	p := newPair(t, work)
+	const key = "secret-key-of-the-caller"
+	workspace := &identity.Workspace{Name: "baths", Keys: []identity.Digest{identity.DigestOf(key)}}
+	for _, g := range []*rig{p.rig, p.helper} {
+		old := g.relay.Table()
+		g.relay.SetTable(routes.NewTable(2, old.Routes, []*routes.Service{{Name: service, MaxConnections: 50}}, old.Limits, workspace))
+	}
+	r, err := http.NewRequest(http.MethodGet, "http://"+p.address+"/read/secret", nil)
+	assert.NilError(t, err)
+	r.Host = "shop.example"
+	r.Header = http.Header{"X-Request-Id": {"secret-1"}, "X-Deadline-Ms": {"2000"}, "Api-Key": {key}, "X-Tenant": {"other"}, "Heatherlock-Hop-Workspace": {"other"}}
+	response, err := (&http.Transport{DisableKeepAlives: true}).RoundTrip(r)
+	assert.NilError(t, err)
+	defer response.Body.Close()
+	assert.Equal(t, response.StatusCode, http.StatusOK)
+	for name := range response.Header {
+		assert.Check(t, !strings.HasPrefix(name, "Heatherlock-Hop-"), "the caller gets %s", name)
+	}
+	p.sent.mu.Lock()
+	assert.Check(t, p.sent.all.Len() > 0 && !bytes.Contains(p.sent.all.Bytes(), []byte(key)))
+	p.sent.mu.Unlock()
+	for _, run := range p.runs() {
+		if run.ID != "secret-1" {
+			continue
+		}
+		assert.DeepEqual(t, run.Header["X-Tenant"], []string{"baths"})
+		for name := range run.Header {
+			assert.Check(t, name != "Api-Key" && !strings.HasPrefix(name, "Heatherlock-"), "the target gets %s", name)
+		}
+	}
+}
+
+// Guards against callers that are believed what only another VM may say.
+func TestCallersCannotSendWhatVMsSay(t *testing.T) {
+	g := newRig(t, 1, nil)
+	r, err := http.NewRequest(http.MethodGet, "http://"+g.address+"/read/1", nil)
+	assert.NilError(t, err)
+	r.Host = "shop.example"
+	r.Header = http.Header{"X-Request-Id": {"1"}, "Heatherlock-Hop-From": {"vm-2"}, "Heatherlock-Hop-Region": {"norte"}, "Heatherlock-Hop-Config": {"99"}, "Heatherlock-Hop-Attempts": {"1"}}
+	response, err := (&http.Transport{DisableKeepAlives: true}).RoundTrip(r)
+	assert.NilError(t, err)
+	defer response.Body.Close()
+	assert.Equal(t, response.StatusCode, http.StatusOK)
+	assert.Equal(t, response.Header.Get("Heatherlock-Hop-Verdict"), "")
+}
+
+// Guards against a request that is handled by an older configuration than the VM of its caller has in force.
+func TestHelperWithAnOlderConfigurationRefuses(t *testing.T) {
+	p := newPair(t, work)
+	old := p.relay.Table()
+	p.relay.SetTable(routes.NewTable(2, old.Routes, []*routes.Service{{Name: service, MaxConnections: 50}}, old.Limits))
+	got := p.ask("POST", "/buy/1", "x", 2*time.Second)
+	assert.Equal(t, got.status, http.StatusServiceUnavailable)
+	assert.Equal(t, got.header.Get("Heatherlock-Reason"), string(steering.ReasonConfigBehind))
+	assert.Equal(t, p.runsOf("/buy/"), 0)
+}
+
+// Guards against a body that goes to a VM in a region where the request may not run.
+func TestRequestWithHomesIsPassedOnOnlyThere(t *testing.T) {
+	p := newPair(t, work)
+	old := p.relay.Table()
+	home := *old.Routes[1]
+	home.Homes = []steering.Region{"centro"}
+	p.relay.SetTable(routes.NewTable(2, []*routes.Route{&home}, []*routes.Service{{Name: service, MaxConnections: 50}}, old.Limits))
+	p.useHelper("127.0.0.1:1", "norte")
+	before := p.sent.all.Len()
+	assert.Equal(t, p.ask("POST", "/buy/1", "x", time.Second).status, http.StatusServiceUnavailable)
+	assert.Equal(t, p.sent.all.Len(), before)
+}
+
+// Guards against bodies that are changed, cut or held in memory on the way through two VMs.
+func TestUploadsPassThroughBothVMs(t *testing.T) {
+	p := newPair(t, work)
+	body := strings.Repeat("0123456789", 90_000)
+	got := p.ask("POST", "/upload/1", body, 2*time.Second)
+	assert.Equal(t, got.status, http.StatusOK)
+	assert.Assert(t, strings.Contains(got.body, p.targets[0].Body()) || strings.Contains(got.body, p.targets[1].Body()))
+	for _, run := range p.runs() {
+		if strings.HasPrefix(run.Path, "/upload/") {
+			assert.Check(t, run.Body == body, "%d bytes", len(run.Body))
+		}
+	}
+	assert.Equal(t, p.runsOf("/upload/"), 1)
+}
+
+// Guards against work that goes on at a target behind two VMs after the caller has left.
+func TestCallerThatLeavesEndsTheRunBehindTheHelper(t *testing.T) {
+	p := newPair(t, 2*time.Second)
+	conn, err := net.Dial("tcp4", p.address)
+	assert.NilError(t, err)
+	_, err = fmt.Fprintf(conn, "GET /read/left HTTP/1.1\r\nHost: shop.example\r\nX-Request-Id: left-1\r\nX-Deadline-Ms: 3000\r\n\r\n")
+	assert.NilError(t, err)
+	waitFor(t, func() bool { return p.runsOf("/read/left") == 1 })
+	assert.NilError(t, conn.Close())
+	waitFor(t, func() bool {
+		for _, run := range p.runs() {
+			if run.ID == "left-1" && run.Left {
+				return true
+			}
+		}
+		return false
+	})
+}
+
+// Guards against targets that stay ejected, and requests that stay held back, for what a VM saw while its
+// own links were cut.
+func TestNothingIsLearnedOfTargetsDuringACut(t *testing.T) {
+	p := newPair(t, work)
+	for range 3 {
+		assert.Equal(t, p.ask("GET", "/read/same", "", time.Second).status, http.StatusOK)
+		p.toTargets.Set(targetlinks.Open)
+		waitFor(t, func() bool { return !p.relay.CutOff() })
+		before := p.sent.all.Len()
+		assert.Equal(t, p.ask("GET", "/read/same", "", time.Second).status, http.StatusOK)
+		assert.Equal(t, p.sent.all.Len(), before, "passed on although targets are reached")
+		p.cut(targetlinks.Reset)
+	}
+}
--- a/node/gateway/relay/rig_test.go
+++ b/node/gateway/relay/rig_test.go
@@ -80,10 +80,7 @@
 // newRigDialing returns a rig whose connections to targets are opened by dial.
 func newRigDialing(t *testing.T, targets int, change func(*endpoint.Config), dial upstream.DialFunc) *rig {
 	t.Helper()
-	g := &rig{t: t}
-	balancer := placement.NewBalancer("vm", "centro")
-	balancer.SetPeers(map[steering.Region][]steering.VM{"centro": {"vm"}})
-	var placed []placement.Target
+	var started []*endpoint.Endpoint
 	for n := range targets {
 		cfg := endpoint.Config{ID: fmt.Sprint("target-", n), Slots: 3, Queue: 9, Work: work, WarmShare: 1, Keeps: 20}
 		if change != nil {
@@ -92,17 +89,31 @@
 		e, err := endpoint.Start(cfg)
 		assert.NilError(t, err)
 		t.Cleanup(e.Stop)
-		g.targets = append(g.targets, e)
-		placed = append(placed, placement.Target{Name: steering.Target(cfg.ID), Service: service, Address: e.Address(), Zone: "a", Region: "centro", Slots: cfg.Slots})
+		started = append(started, e)
+	}
+	return newRigOf(t, started, dial, upstream.Dial)
+}
+
+// newRigOf returns a rig with targets that run already, and with the function that opens its connections to
+// other entry VMs.
+func newRigOf(t *testing.T, targets []*endpoint.Endpoint, dial, dialPeers upstream.DialFunc) *rig {
+	t.Helper()
+	g := &rig{t: t, targets: targets}
+	balancer := placement.NewBalancer("vm", "centro")
+	balancer.SetPeers(map[steering.Region][]steering.VM{"centro": {"vm"}})
+	var placed []placement.Target
+	for n, e := range targets {
+		placed = append(placed, placement.Target{Name: steering.Target(fmt.Sprint("target-", n)), Service: service, Address: e.Address(), Zone: "a", Region: "centro", Slots: e.Slots()})
 	}
 	balancer.SetTargets(placed)
-	g.relay = relay.New(relay.Config{Region: "centro", Pool: upstream.NewPool(dial, platform.RequestIDOf), Balancer: balancer,
+	g.relay = relay.New(relay.Config{Region: "centro", VM: "vm", Pool: upstream.NewPool(dial, platform.RequestIDOf), Balancer: balancer, Peers: upstream.NewPool(dialPeers, platform.RequestIDOf),
 		Retry: retry.NewSharedBudget(retry.SharedBudgetConfig{Ratio: 0.2, Slack: 64, Window: 10 * time.Second}),
 		Log:   log.NewNopLogger(), MemberCount: func() int { return 1 }, ConfigOutdated: g.outdated.Load, Behind: g.behind.Load, Allowances: g})
 	route := func(name string, kind routes.Kind) *routes.Route {
 		return &routes.Route{Name: name, Host: "shop.example", Prefix: "/" + name + "/", Kind: kind, Timeout: time.Second,
 			Aim: 400 * time.Millisecond, MaxAttempts: 3, KeyAffinity: true, Parts: []routes.WeightedService{{Service: service, Weight: 1}}}
 	}
+	t.Cleanup(g.relay.Close)
 	g.relay.SetTable(routes.NewTable(1, []*routes.Route{route("read", routes.Idempotent), route("buy", routes.AtMostOnce), route("upload", routes.Upload)},
 		[]*routes.Service{{Name: service, MaxConnections: 50}},
 		routes.Limits{HeaderBytes: 8 << 10, BodyBytes: 1 << 20, HeaderTimeout: 300 * time.Millisecond, IdleTimeout: 2 * time.Second}))
--- a/standin/endpoint/endpoint.go
+++ b/standin/endpoint/endpoint.go
@@ -122,6 +122,9 @@
 // Address returns the host:port that the target listens on.
 func (e *Endpoint) Address() string { return e.listener.Addr().String() }
 
+// Slots returns the number of requests that run concurrently.
+func (e *Endpoint) Slots() int { return e.cfg.Slots }
+
 // Stop stops the target and closes its connections immediately. Its port refuses
 // connections from then on, even if the server has not yet begun to accept any: the
 // listener is closed on its own because the server may not know it yet.
