Cut entry VMs off from all targets in the soak, and compare what their callers get

Each entry VM now finds the targets at an address of its own, so that its links can be cut alone: open connections reset, hang or live on, new ones are refused, for 1 to 7 s, one VM to all but one, up to three times in a row. The check is the stated rule: under two thirds of the others' share and more than 10 and 1 in 50 of all first attempts failed, from 4 s after the cut on.

--- a/soak/check.go
+++ b/soak/check.go
@@ -84,6 +84,7 @@
 	sentTo              map[string]*daemon
 	heard               map[statement]time.Time
 	limited             map[string][]time.Time
+	tries               []firstTry
 	requests            int
 	answered            int
 	failedAfterRecovery atomic.Int64 // failed requests in the last part of the run, when all must be served
@@ -107,7 +108,7 @@
 		c.closeConn()
 		c.checkInterrupted(o, d, sent, err)
 	}
-	l.record(o)
+	l.record(o, d, sent)
 	if o.status >= 200 && o.status < 300 && !c.system.isCompleteAnswer(body) {
 		c.system.findings.add("request %s got %q, which is no target's whole answer", o.id, body)
 	}
@@ -203,9 +204,10 @@
 	}
 }
 
-func (l *callLog) record(o outcome) {
+func (l *callLog) record(o outcome, d *daemon, sent time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	l.tries = append(l.tries, firstTry{d, sent, o.status == http.StatusOK})
 	l.requests++
 	if o.status != 0 {
 		l.answered++
--- a/soak/doc.go
+++ b/soak/doc.go
@@ -4,7 +4,7 @@
 //
 // A seed determines the plan: signals that stop, pause, kill and restart entry VMs; a
 // proxy that delays or resets the traffic between entry VMs and targets or the store, or
-// drops it in one or both directions; targets that drain, crash, lose their address to
+// drops it in one or both directions; entry VMs that lose their links to all targets; targets that drain, crash, lose their address to
 // another target or send faulty responses; a store that fails or is restored from an older copy; and
 // new configurations, in sequences that overlap. Timing on a busy machine differs from run to run, so a
 // seed repeats the plan but not the exact interleaving.
--- a/soak/plan.go
+++ b/soak/plan.go
@@ -31,6 +31,7 @@
 	plan = append(plan, workspaceFaults(seed, length)...)
 	plan = append(plan, statementFaults(seed, length)...)
 	plan = append(plan, restoreFaults(seed, length)...)
+	plan = append(plan, linkFaults(seed, length, daemons)...)
 	sort.SliceStable(plan, func(i, j int) bool { return plan[i].at < plan[j].at })
 	return plan
 }
--- a/soak/proxy.go
+++ b/soak/proxy.go
@@ -38,19 +38,30 @@
 	upstream atomic.Value // string
 	mode     atomic.Int32
 
-	mu    sync.Mutex
-	conns map[net.Conn]struct{}
+	mu     sync.Mutex
+	closed bool
+	conns  map[net.Conn]int // by the entry VM that opened them, or anyVM
+	links  map[int]*link
 }
 
+// link is the way of one entry VM to a proxy.
+type link struct {
+	listener net.Listener // nil while the link is cut
+	mode     Mode         // of the open connections during a cut
+}
+
+// anyVM stands for all entry VMs together.
+const anyVM = -1
+
 // newProxy starts a proxy to an upstream address on a free loopback port.
 func newProxy(upstream string) (*proxy, error) {
 	listener, err := net.Listen("tcp4", "127.0.0.1:0")
 	if err != nil {
 		return nil, err
 	}
-	p := &proxy{listener: listener, conns: make(map[net.Conn]struct{})}
+	p := &proxy{listener: listener, conns: make(map[net.Conn]int), links: make(map[int]*link)}
 	p.upstream.Store(upstream)
-	go p.accept()
+	go p.accept(listener, anyVM)
 	return p, nil
 }
 
@@ -67,7 +78,15 @@
 func (p *proxy) resetAll() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	for c := range p.conns {
+	p.resetWhere(func(int) bool { return true })
+}
+
+// resetWhere resets the connections of the entry VMs that match. p.mu must be held.
+func (p *proxy) resetWhere(match func(vm int) bool) {
+	for c, vm := range p.conns {
+		if !match(vm) {
+			continue
+		}
 		if tcp, ok := c.(*net.TCPConn); ok {
 			_ = tcp.SetLinger(0)
 		}
@@ -77,25 +96,43 @@
 
 func (p *proxy) close() {
 	_ = p.listener.Close()
+	p.mu.Lock()
+	p.closed = true
+	for _, l := range p.links {
+		if l.listener != nil {
+			_ = l.listener.Close()
+		}
+	}
+	p.mu.Unlock()
 	p.resetAll()
 }
 
-func (p *proxy) accept() {
+// modeOf returns how the connections of an entry VM are treated.
+func (p *proxy) modeOf(vm int) Mode {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if l := p.links[vm]; l != nil && l.mode != Pass {
+		return l.mode
+	}
+	return Mode(p.mode.Load())
+}
+
+func (p *proxy) accept(listener net.Listener, vm int) {
 	for {
-		from, err := p.listener.Accept()
+		from, err := listener.Accept()
 		if err != nil {
 			return
 		}
-		if Mode(p.mode.Load()) == Reset {
+		if p.modeOf(vm) == Reset {
 			_ = from.(*net.TCPConn).SetLinger(0)
 			_ = from.Close()
 			continue
 		}
-		go p.relay(from)
+		go p.relay(from, vm)
 	}
 }
 
-func (p *proxy) relay(from net.Conn) {
+func (p *proxy) relay(from net.Conn, vm int) {
 	upstream, err := net.DialTimeout("tcp4", p.upstream.Load().(string), time.Second)
 	if err != nil {
 		_ = from.(*net.TCPConn).SetLinger(0)
@@ -103,11 +140,11 @@
 		return
 	}
 	p.mu.Lock()
-	p.conns[from], p.conns[upstream] = struct{}{}, struct{}{}
+	p.conns[from], p.conns[upstream] = vm, vm
 	p.mu.Unlock()
 	var copies sync.WaitGroup
-	copies.Go(func() { p.copyOneWay(upstream, from, false) })
-	copies.Go(func() { p.copyOneWay(from, upstream, true) })
+	copies.Go(func() { p.copyOneWay(upstream, from, vm, false) })
+	copies.Go(func() { p.copyOneWay(from, upstream, vm, true) })
 	copies.Wait()
 	p.mu.Lock()
 	delete(p.conns, from)
@@ -117,11 +154,11 @@
 
 // copyOneWay copies one direction of a connection; answers is set for the direction from
 // the upstream. It forwards a reset as a reset and an orderly close as a close.
-func (p *proxy) copyOneWay(to, from net.Conn, answers bool) {
+func (p *proxy) copyOneWay(to, from net.Conn, vm int, answers bool) {
 	buffer := make([]byte, 16<<10)
 	for {
 		n, err := from.Read(buffer)
-		switch mode := Mode(p.mode.Load()); {
+		switch mode := p.modeOf(vm); {
 		case mode == Blackhole || mode == OneWay && answers:
 			n = 0
 		case mode == Delay:
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -74,6 +74,7 @@
 	s.mu.Lock()
 	s.checkRuns(l)
 	s.checkStatements(l)
+	s.checkLinkCuts(l)
 	s.mu.Unlock()
 	report.Requests, report.Answered, report.Findings = l.requests, l.answered, f.all
 	if len(f.all) == 0 && !o.KeepLogs {
