Play VMs that are cut off from all targets in the fleet in memory, and share their load by capacity once

Without it nothing said what a cut does at 986 VMs. One VM, a zone less one, a zone and two zones are cut off, open connections hang or are reset; the code that decides is the VMs' own, the callers stay. Change: those chosen share equally. In zones with standbys the VMs of the zone are not told of a standby that is cut off.

--- a/cmd/internal/benchfleet/report.go
+++ b/cmd/internal/benchfleet/report.go
@@ -56,8 +56,29 @@
 	return powers
 }
 
-// writeText writes the report as a table.
+// writeText writes the report as tables.
 func (r Report) writeText(out io.Writer) {
+	r.writeFigures(out)
+	for _, row := range r.Rows {
+		row.writeCuts(out)
+	}
+}
+
+// writeCuts writes what happened while VMs were cut off from all targets.
+func (r Row) writeCuts(out io.Writer) {
+	if len(r.Cuts) == 0 {
+		return
+	}
+	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
+	defer w.Flush()
+	fmt.Fprintf(w, "\n%d VMs, cut off from all targets\tcut off\tserved in 3 s\tlater\tknown s\ttold s\thops\tadded ms\tbusiest helper\tB/s a VM\n", r.VMs)
+	for _, c := range r.Cuts {
+		fmt.Fprintf(w, "%s\t%d\t%d of %d\t%d of %d\t%.2f\t%.2f\t%.2f\t%.2f\t%.1f\t%.0f\n",
+			c.Case, c.CutOff, c.Early, c.EarlySent, c.Served, c.Sent, c.KnownSeconds, c.ToldSeconds, c.Hops, c.AddedMillis, c.BusiestHelper, c.Bytes)
+	}
+}
+
+func (r Report) writeFigures(out io.Writer) {
 	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', tabwriter.AlignRight)
 	defer w.Flush()
 	for _, row := range r.Rows {
--- a/cmd/internal/benchfleet/scenario.go
+++ b/cmd/internal/benchfleet/scenario.go
@@ -15,10 +15,11 @@
 	FaultZone    = "zone"    // a zone is lost with its targets
 	FaultHerd    = "herd"    // 55 % of the VMs end at once and start again
 	FaultRestore = "restore" // the store comes back from older copies of itself
+	FaultCut     = "cut"     // VMs lose their links to all targets
 )
 
 // AllFaults are all faults in the order in which they are played.
-var AllFaults = []string{FaultRelease, FaultEnd, FaultZone, FaultHerd, FaultRestore}
+var AllFaults = []string{FaultRelease, FaultEnd, FaultZone, FaultHerd, FaultRestore, FaultCut}
 
 const (
 	startTime  = 10 * time.Second
@@ -65,6 +66,8 @@
 	// RestoreCalls are the calls to the store of all VMs in the 10 s after a restore of the store, and
 	// RestoreBytes what the VM with most sent and pulled in that time, both in the worst case played.
 	RestoreCalls, RestoreBytes int
+	// Cuts are the cuts of VMs from all targets.
+	Cuts []cutLoad `json:",omitempty"`
 	// Seconds are the times until something was known on the last VM; -1 if it was not in 30 s.
 	Seconds map[string]float64
 }
@@ -108,6 +111,8 @@
 			s.playHerd(&r)
 		case FaultRestore:
 			s.playRestores(&r)
+		case FaultCut:
+			s.playCuts(&r)
 		}
 	}
 	return r
--- a/cmd/internal/benchfleet/vm.go
+++ b/cmd/internal/benchfleet/vm.go
@@ -50,6 +50,8 @@
 	tickSoon  bool
 	// turnedAway is set while the store refuses this VM's calls, failing once one was refused.
 	turnedAway, failing bool
+	// cutOff is set while the VM has lost its links to all targets.
+	cutOff *cutOff
 }
 
 // start starts the VM's process.
@@ -101,6 +103,7 @@
 
 func (v *vm) fillBeat(b *fleet.Beat) {
 	b.Serving = v.state.Complete()
+	b.CutOff = v.cutOff != nil && v.cutOff.links.CutOff()
 	b.StoreDigest = v.state.Digest(v.sim.now)
 	b.ReadingStore, b.StoreReadsFail = v.reading, v.failing
 }
--- a/steering/reach/helpers.go
+++ b/steering/reach/helpers.go
@@ -60,7 +60,10 @@
 	own := rendezvous.Hash(string(self))
 	for region, helpers := range h.byRegion {
 		h.regions = append(h.regions, region)
-		h.byRegion[region] = firstBy(own, helpers, helpersPerRegion)
+		h.byRegion[region] = helpers
+		if len(helpers) > helpersPerRegion {
+			h.byRegion[region] = chosenFor(own, helpers)
+		}
 	}
 	slices.Sort(h.regions)
 	h.homeShare = 1
@@ -70,12 +73,17 @@
 	return h
 }
 
-// firstBy returns the first n helpers in the order of a key.
-func firstBy(key uint64, helpers []Helper, n int) []Helper {
+// chosenFor returns helpersPerRegion of the helpers, each with a probability in proportion to its capacity.
+// They share requests equally: in proportion to their capacity it would count twice.
+func chosenFor(key uint64, helpers []Helper) []Helper {
 	slices.SortFunc(helpers, func(a, b Helper) int {
 		return cmp.Or(cmp.Compare(b.score(key), a.score(key)), cmp.Compare(a.VM, b.VM))
 	})
-	return helpers[:min(n, len(helpers))]
+	chosen := slices.Clone(helpers[:helpersPerRegion])
+	for i := range chosen {
+		chosen[i].Capacity = defaultCapacity
+	}
+	return chosen
 }
 
 func (h Helper) score(key uint64) float64 {
