--- a/node/gateway/planted/planted.go
+++ b/node/gateway/planted/planted.go
@@ -21,6 +21,8 @@
 	StaleConfig Name = "stale_config"
 	// ImmediateExit exits on SIGTERM without finishing the running requests.
 	ImmediateExit Name = "cut_on_stop"
+	// NoHelpers refuses requests at a VM that is cut off from all targets instead of passing them on.
+	NoHelpers Name = "no_helpers"
 	// ReusedAddress sends requests to whichever target holds an address, without checking that it
 	// is the intended one.
 	ReusedAddress Name = "reused_address"
--- a/node/gateway/relay/helpers.go
+++ b/node/gateway/relay/helpers.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"heatherlock/node/gateway/callers"
+	"heatherlock/node/gateway/planted"
 	"heatherlock/node/gateway/upstream"
 	"heatherlock/platform"
 	"heatherlock/steering"
@@ -39,7 +40,7 @@
 // passed on once.
 func (x *exchange) startAtHelper(ctx context.Context) *placement.Refusal {
 	refusal := &placement.Refusal{Reason: steering.ReasonNoTarget, RetryAfter: retryAfterCut(x.call.ID)}
-	if x.hop != nil || len(x.helpers) >= maxHelpers || x.f.cfg.Peers == nil {
+	if x.hop != nil || len(x.helpers) >= maxHelpers || x.f.cfg.Peers == nil || planted.Defect == planted.NoHelpers {
 		x.noCapacity = refusal
 		return refusal
 	}
--- a/soak/daemon.go
+++ b/soak/daemon.go
@@ -6,6 +6,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -26,6 +27,7 @@
 	// that fails around that time is no finding.
 	interruptedAt time.Time
 	terminatedAt  time.Time // time of the last SIGTERM
+	signals       []time.Time
 	boots         int
 	stopped       bool
 	ended         chan struct{}
@@ -98,6 +100,9 @@
 func (d *daemon) signal(s syscall.Signal) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	if s != syscall.SIGHUP {
+		d.signals = append(d.signals, time.Now())
+	}
 	switch s {
 	case syscall.SIGTERM:
 		d.terminatedAt = time.Now()
@@ -128,6 +133,14 @@
 	return d.boots, time.Since(d.interruptedAt) > span && time.Since(d.terminatedAt) > span+10*time.Second && d.process != nil
 }
 
+// signalledWithin reports whether the daemon got a signal that kills, stops, pauses or resumes it between
+// two times, or so shortly before that it had not recovered yet.
+func (d *daemon) signalledWithin(from, to time.Time) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return slices.ContainsFunc(d.signals, func(at time.Time) bool { return at.After(from.Add(-linkCutKnown)) && at.Before(to) })
+}
+
 // wasInterrupted reports whether the daemon was killed, paused or resumed after a time.
 func (d *daemon) wasInterrupted(since time.Time) bool {
 	d.mu.Lock()
--- a/soak/links.go
+++ b/soak/links.go
@@ -15,7 +15,9 @@
 const (
 	// linkCutKnown is how long after the links of entry VMs to all targets were cut their callers must be
 	// served like those of others.
-	linkCutKnown = 4 * time.Second
+	linkCutKnown = 3 * time.Second
+	// linkRecovery is the part at the end of a run in which no cut goes on.
+	linkRecovery = 4 * time.Second
 	// minServedShare and the tolerated failures say when callers of such VMs are served too rarely.
 	minServedShare    = 2.0 / 3
 	toleratedFailures = 10
@@ -45,10 +47,10 @@
 	var steps []step
 	at := time.Duration(2500+r.IntN(2000)) * time.Millisecond
 	for range 1 + r.IntN(3) {
-		span := time.Duration(1000+r.IntN(6000)) * time.Millisecond
+		span := time.Duration(1000+r.IntN(8000)) * time.Millisecond
 		mode := []Mode{Reset, Blackhole, Pass}[r.IntN(3)]
 		vms := r.Perm(daemons)[:1+r.IntN(daemons-1)]
-		if at+span > length-recoveryPhase {
+		if at+span > length-linkRecovery {
 			break
 		}
 		steps = append(steps, step{at, fmt.Sprintf("entry VMs %v reach no target for %v, open connections: %s", vms, span, mode), func(s *system) { s.cutLinks(vms, mode, span) }})
@@ -93,7 +95,7 @@
 	for _, cut := range s.linkCuts {
 		var all, sent, served, others, othersServed int
 		for _, t := range l.tries {
-			if t.sent.Before(cut.from.Add(linkCutKnown)) || t.sent.After(cut.to) || t.daemon.wasInterrupted(cut.from) || !s.storeHealthyAround(cut.from) {
+			if t.sent.Before(cut.from.Add(linkCutKnown)) || t.sent.After(cut.to) || t.daemon.signalledWithin(cut.from, cut.to) {
 				continue
 			}
 			all++
