--- a/node/gateway/relay/attempts.go
+++ b/node/gateway/relay/attempts.go
@@ -19,11 +19,7 @@
 
 // attemptResult is the result of an attempt.
 type attemptResult struct {
-	pick placement.Pick
-	// helper is the entry VM to which the request was passed on; empty for an attempt at a target.
-	helper   steering.VM
-	verdict  hopVerdict
-	began    time.Time
+	pick     placement.Pick
 	response *upstream.Response
 	info     platform.Response
 	err      error
@@ -67,7 +63,7 @@
 // recordResult adds the result of an attempt to the history.
 func (x *exchange) recordResult(e attemptResult) {
 	for i := range x.history {
-		if t := &x.history[i]; t.Target == e.pick.Target.Name && t.Helper == e.helper && t.End == "" {
+		if t := &x.history[i]; t.Target == e.pick.Target.Name && t.Helper == "" && t.End == "" {
 			t.End, t.EndMs = e.String(), time.Since(x.r.Received).Milliseconds()
 			t.RestMs = e.info.Rest.Milliseconds()
 			t.report, t.unusable = e.report, e.err == nil && !e.usable && !e.notRun
@@ -154,8 +150,8 @@
 
 // finishAttempt reports the result of an attempt that began at began; sentAt is zero if nothing was sent.
 func (x *exchange) finishAttempt(ctx context.Context, e attemptResult, began, sentAt time.Time) {
-	e.began, e.sent = began, !sentAt.IsZero()
-	x.f.reportResult(ctx, x, &e, sentAt)
+	e.sent = !sentAt.IsZero()
+	x.f.reportResult(ctx, x, &e, began, sentAt)
 	if e.limitHeard != nil {
 		x.f.cfg.TargetLimits.LimitHeard(e.pick.Target, *e.limitHeard)
 	}
@@ -168,18 +164,19 @@
 // opened returns a function that records a connection that was opened to a target, and wraps it so that
 // its bytes are counted.
 func (f *Relay) opened(t placement.Target) func(net.Conn) net.Conn {
+	at := volume.Location{Zone: t.Zone, Region: t.Region}
 	return func(raw net.Conn) net.Conn {
 		f.linkOpened()
-		return f.metered(raw, t)
+		return f.metered(raw, at)
 	}
 }
 
 // metered wraps a connection to a target so that its bytes are counted.
-func (f *Relay) metered(raw net.Conn, t placement.Target) net.Conn {
+func (f *Relay) metered(raw net.Conn, at volume.Location) net.Conn {
 	if f.cfg.Meter == nil {
 		return raw
 	}
-	return f.cfg.Meter.Conn(raw, volume.Requests, volume.Location{Zone: t.Zone, Region: t.Region})
+	return f.cfg.Meter.Conn(raw, volume.Requests, at)
 }
 
 // maxConnections returns this entry VM's share of the connections to a target; 0 means no limit.
--- a/node/gateway/relay/exchange.go
+++ b/node/gateway/relay/exchange.go
@@ -48,15 +48,16 @@
 	hop *hop
 	// helpers are the entry VMs to which this one has passed the request on; atHelper is set while one of
 	// them has it.
-	helpers   []steering.VM
-	atHelper  bool
-	startedAt time.Time // of the last attempt
+	helpers       []steering.VM
+	helperResults chan helperResult // nil until the request is passed on
+	atHelper      bool
+	startedAt     time.Time // of the last attempt
 }
 
 // newExchange returns the exchange for a request of a caller, or for one that another entry VM passed on.
 func newExchange(f *Relay, e routeMatch, r *callers.Request, call platform.RequestInfo, passedOn *hop) *exchange {
 	x := &exchange{routeMatch: e, f: f, r: r, call: call, service: e.route.Service(), maxAttempts: e.route.MaxAttempts, hop: passedOn,
-		header: endToEnd(r.Header), results: make(chan attemptResult, e.route.MaxAttempts+maxExtraAttempts+maxHelpers+1)} // one more for a hedge
+		header: endToEnd(r.Header), results: make(chan attemptResult, e.route.MaxAttempts+maxExtraAttempts+1)} // one more for a hedge
 	platform.RemoveIdentity(x.header)
 	if passedOn != nil {
 		x.maxAttempts = min(x.maxAttempts, passedOn.attempts)
@@ -108,6 +109,11 @@
 			if response, done := x.handleResult(work, e); done {
 				return response
 			}
+		case e := <-x.helperResults:
+			x.running--
+			if response, done := x.handleHelperResult(work, e); done {
+				return response
+			}
 		case <-hedge.C:
 			if again := x.overdue(work); again > 0 {
 				hedge.Reset(again)
@@ -149,9 +155,6 @@
 
 // handleResult acts on the result of an attempt. done reports that callerResponse is final.
 func (x *exchange) handleResult(ctx context.Context, e attemptResult) (callerResponse *callers.Response, done bool) {
-	if e.helper != "" {
-		return x.handleHelperResult(ctx, e)
-	}
 	if !e.unsent {
 		x.reachedTarget++
 	}
--- a/node/gateway/relay/helpers.go
+++ b/node/gateway/relay/helpers.go
@@ -49,6 +49,9 @@
 		x.noCapacity = refusal
 		return refusal
 	}
+	if x.helperResults == nil {
+		x.helperResults = make(chan helperResult, maxHelpers)
+	}
 	x.attempts++
 	x.running++
 	x.atHelper = true
@@ -74,9 +77,35 @@
 	return f.helpers.For(time.Now(), x.call.ID, x.mayRunIn, x.helpers)
 }
 
+// helperResult is what became of a request that was passed on.
+type helperResult struct {
+	helper   steering.VM
+	response *upstream.Response
+	err      error
+	verdict  hopVerdict
+	// sent is set when the request may have been sent to the other VM, even in part.
+	sent bool
+}
+
+// unsent reports whether nothing of the request reached the other VM.
+func (e helperResult) unsent() bool { return e.err != nil && stageOf(e.err) != upstream.Sent }
+
+// String describes the result for the log.
+func (e helperResult) String() string {
+	if e.err != nil {
+		return e.err.Error()
+	}
+	return string(e.verdict) + " " + strconv.Itoa(e.response.Status)
+}
+
+// asAttempt returns the result as that of an attempt at a target.
+func (e helperResult) asAttempt() attemptResult {
+	return attemptResult{response: e.response, err: e.err, sent: e.sent, unsent: e.unsent(), usable: e.verdict == hopDelivered}
+}
+
 // attemptAtHelper sends the request to another entry VM, with the number of targets it may still reach.
 func (x *exchange) attemptAtHelper(ctx context.Context, helper reach.Helper, attempts int) {
-	e := attemptResult{helper: helper.VM, began: time.Now()}
+	e := helperResult{helper: helper.VM}
 	call := upstream.Call{Target: steering.Target(helper.VM), Address: helper.Address, MaxConnections: maxHelperConnections,
 		DialTimeout: min(dialTimeout, max(time.Until(x.deadline), time.Millisecond)),
 		BeforeSend:  func() bool { e.sent = x.sending.begin(); return e.sent }}
@@ -84,8 +113,8 @@
 		call.OnOpen = func(raw net.Conn) net.Conn { return x.f.cfg.PeerMeter(raw, helper.VM) }
 	}
 	e.response, e.err = x.f.cfg.Peers.Do(ctx, call, x.helperRequest(attempts))
-	e.classifyHelper()
-	x.results <- e
+	e.classify()
+	x.helperResults <- e
 }
 
 func (x *exchange) helperRequest(attempts int) *upstream.Request {
@@ -105,46 +134,42 @@
 		Body: x.r.Body, BodyRest: x.r.BodyRest, Length: x.r.Length, ID: x.call.ID}
 }
 
-// classifyHelper sets what the response of another entry VM, or the error, proves.
-func (e *attemptResult) classifyHelper() {
-	if e.err != nil {
-		e.unsent = stageOf(e.err) != upstream.Sent
-		e.notRun = e.unsent
+// classify sets what the response of the other entry VM, or the error, proves.
+func (e *helperResult) classify() {
+	switch {
+	case e.unsent():
 		e.verdict = hopElsewhere
-		return
+	case e.err != nil:
+		e.verdict = hopUnknown
+	default:
+		e.verdict = hopVerdict(e.response.Header.Get(headerHopVerdict))
 	}
-	e.verdict = hopVerdict(e.response.Header.Get(headerHopVerdict))
 	switch e.verdict {
-	case hopDelivered:
-		e.usable = true
-	case hopNotRun, hopElsewhere:
-		e.notRun = true
+	case hopDelivered, hopNotRun, hopElsewhere:
 	default:
 		e.verdict = hopUnknown
 	}
 }
 
 // handleHelperResult acts on what another entry VM answered.
-func (x *exchange) handleHelperResult(ctx context.Context, e attemptResult) (callerResponse *callers.Response, done bool) {
+func (x *exchange) handleHelperResult(ctx context.Context, e helperResult) (callerResponse *callers.Response, done bool) {
 	x.atHelper = false
 	if e.sent {
 		x.endedSent++
 	}
-	if e.response != nil {
-		x.noteHelper(e)
-	}
-	switch {
-	case e.usable:
+	x.noteHelper(e)
+	switch e.verdict {
+	case hopDelivered:
 		removeHopHeaders(e.response.Header)
-		return x.deliver(e), true
-	case e.notRun:
+		return x.deliver(e.asAttempt()), true
+	case hopNotRun, hopElsewhere:
 		return x.notRunAtHelper(ctx, e)
 	}
 	x.maybeRan = true
 	x.reachedTarget++
 	if e.err != nil {
 		x.f.avoidHelper(e.helper)
-		if x.mayRetry(e) && x.retry(ctx, e) {
+		if a := e.asAttempt(); x.mayRetry(a) && x.retry(ctx, a) {
 			return nil, false
 		}
 	}
@@ -157,35 +182,52 @@
 	return x.outcomeUnknown(steering.ReasonTargetLost), true
 }
 
-// noteHelper records by which configuration another VM handled the request, and how many attempts it made.
-func (x *exchange) noteHelper(e attemptResult) {
-	if version, err := strconv.ParseUint(e.response.Header.Get(headerHopConfig), 10, 64); err == nil && (e.usable || !e.notRun) {
-		for shown := x.f.shownConfig.Load(); version > shown && !x.f.shownConfig.CompareAndSwap(shown, version); {
-			shown = x.f.shownConfig.Load()
+// noteHelper records for the log how an attempt at another VM ended, by which configuration that VM handled
+// the request, and how many attempts it made.
+func (x *exchange) noteHelper(e helperResult) {
+	for i := range x.history {
+		if t := &x.history[i]; t.Helper == e.helper && t.End == "" {
+			t.End, t.EndMs = e.String(), time.Since(x.r.Received).Milliseconds()
 		}
 	}
+	if e.response == nil {
+		return
+	}
+	version, err := strconv.ParseUint(e.response.Header.Get(headerHopConfig), 10, 64)
+	if err == nil && (e.verdict == hopDelivered || e.verdict == hopUnknown) {
+		x.f.configShown(version)
+	}
 	if reached, err := strconv.Atoi(e.response.Header.Get(headerHopReached)); err == nil {
 		x.reachedTarget += max(reached, 0)
 	}
 }
 
+// configShown records that another VM handled a request by a version of the configuration.
+func (f *Relay) configShown(version uint64) {
+	for {
+		shown := f.shownConfig.Load()
+		if version <= shown || f.shownConfig.CompareAndSwap(shown, version) {
+			return
+		}
+	}
+}
+
 // notRunAtHelper tries another entry VM if the request may run there, and else passes the refusal on.
-func (x *exchange) notRunAtHelper(ctx context.Context, e attemptResult) (callerResponse *callers.Response, done bool) {
+func (x *exchange) notRunAtHelper(ctx context.Context, e helperResult) (callerResponse *callers.Response, done bool) {
 	if e.verdict == hopElsewhere {
 		x.f.avoidHelper(e.helper)
-		streamed := x.r.BodyRest != nil && !e.unsent
+		streamed := x.r.BodyRest != nil && !e.unsent()
 		if !streamed && ctx.Err() == nil && !x.maybeRan && x.startAttempt(ctx) == nil {
 			x.f.cfg.Metrics.Retried("helper")
 			return nil, false
 		}
 	}
-	if x.running > 0 {
+	switch {
+	case x.running > 0:
 		return nil, false
-	}
-	if x.maybeRan {
+	case x.maybeRan:
 		return x.outcomeUnknown(steering.ReasonTargetLost), true
-	}
-	if e.response == nil {
+	case e.response == nil:
 		return x.refuse(steering.ReasonPeerUnreachable, retryAfterCut(x.call.ID)), true
 	}
 	reason := steering.Reason(e.response.Header.Get(headerReason))
--- a/node/gateway/relay/links.go
+++ b/node/gateway/relay/links.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"heatherlock/node/gateway/upstream"
+	"heatherlock/node/gateway/volume"
+	"heatherlock/steering"
 	"heatherlock/steering/placement"
 	"heatherlock/steering/reach"
 )
@@ -24,14 +26,14 @@
 	f.links.Opened(time.Now())
 }
 
-// noteLinks records what an attempt showed of the links, and returns the outcome that its target is to be
-// charged with: none while the links are cut. f.mu must be held.
-func (f *Relay) noteLinks(now time.Time, e *attemptResult, outcome placement.Outcome) placement.Outcome {
+// noteLinks records what an attempt that began at began showed of the links, and returns the outcome that
+// its target is to be charged with: none while the links are cut. f.mu must be held.
+func (f *Relay) noteLinks(now, began time.Time, target steering.Target, outcome placement.Outcome) placement.Outcome {
 	switch outcome {
 	case placement.Served, placement.Failed, placement.Shed, placement.Replaced:
 		f.links.Answered(now)
 	case placement.Unreachable:
-		if f.links.ConnectFailed(now, e.began, e.pick.Target.Name) {
+		if f.links.ConnectFailed(now, began, target) {
 			go f.checkLinks(reach.SampleSize)
 		}
 	case placement.Broken, placement.Silent, placement.Abandoned:
@@ -124,7 +126,7 @@
 	for i, t := range sample {
 		all.Go(func() {
 			errs[i] = f.cfg.Pool.Connect(context.Background(), upstream.Call{Target: t.Name, Generation: t.Generation, Address: t.Address, DialTimeout: dialTimeout,
-				OnOpen: func(raw net.Conn) net.Conn { return f.metered(raw, t) }})
+				OnOpen: func(raw net.Conn) net.Conn { return f.metered(raw, volume.Location{Zone: t.Zone, Region: t.Region}) }})
 		})
 	}
 	all.Wait()
--- a/node/gateway/relay/placement.go
+++ b/node/gateway/relay/placement.go
@@ -97,13 +97,13 @@
 
 // reportResult reports to the balancer and the poison filter what an attempt showed about its
 // target, and records it in the result.
-func (f *Relay) reportResult(ctx context.Context, x *exchange, e *attemptResult, sentAt time.Time) {
+func (f *Relay) reportResult(ctx context.Context, x *exchange, e *attemptResult, began, sentAt time.Time) {
 	now := time.Now()
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	outcome := outcomeOf(ctx, *e, sentAt, now)
 	f.linkLog.note(now, e.pick.Target.Name, outcome)
-	report := placement.Report{Outcome: f.noteLinks(now, e, outcome)}
+	report := placement.Report{Outcome: f.noteLinks(now, began, e.pick.Target.Name, outcome)}
 	f.poisonFilter.attemptEnded(now, x.fingerprints, x.verdict, e.pick.Target, sentAt, report.Outcome)
 	if !sentAt.IsZero() {
 		report.Latency = now.Sub(sentAt)
