--- a/node/gateway/fleet/golden_internal_test.go
+++ b/node/gateway/fleet/golden_internal_test.go
@@ -57,6 +57,25 @@
 	return b
 }
 
+func cutOffBeat() Beat {
+	b := fullBeat()
+	b.CutOff = true
+	return b
+}
+
+// Guards against a build that takes what it does not know behind the short IDs for another VM.
+func TestFlagsBehindShortIDsAreIgnoredByTheBuildBefore(t *testing.T) {
+	for _, mates := range [][]uint32{nil, {7}, {1<<24 - 1, 0}} {
+		packed := packMates(Beat{Mates: mates, CutOff: true})
+		var known []uint32
+		for rest := packed; len(rest) >= 3; rest = rest[3:] {
+			known = append(known, uint32(rest[0])<<16|uint32(rest[1])<<8|uint32(rest[2]))
+		}
+		assert.DeepEqual(t, known, mates)
+		assert.Equal(t, len(packed), 3*len(mates)+1)
+	}
+}
+
 // Guards against heartbeats that old and new entry VMs decode differently because a field moved, is
 // encoded under another name or uses another flag bit: they would consider each other gone, or a
 // leaving VM to be serving.
@@ -82,6 +101,8 @@
 		"sparse-reads":       {flag(func(b *Beat) { b.ReadingStore = true }), false},
 		"sparse-meets":       {flag(func(b *Beat) { b.WantsReply = true }), false},
 		"sparse-asks":        {flag(func(b *Beat) { b.WantsMembers = true }), false},
+		"full-cut-off":       {cutOffBeat(), false},
+		"sparse-cut-off":     {flag(func(b *Beat) { b.CutOff = true }), false},
 		"sparse-zone-report": {flag(func(b *Beat) { b.ZoneReport = true }), false},
 	} {
 		t.Run(name, func(t *testing.T) {
