Cut the links of an entry VM in the soak whatever VM told it of a target

Cause: the soak's. Each VM found the targets at an address of its own that the store told it; VMs tell targets to one another, so VM 2, which was to be left alone, went by the addresses of VM 3 and was cut off as well (its log: cut off 3.76 s into the run, with no fault of its own planned). Nobody was left to help, and refusals were right. Change: the store tells all the same address, and daemons built for the soak (tag soak) replace its host by their own.

--- a/node/gateway/upstream/pool.go
+++ b/node/gateway/upstream/pool.go
@@ -26,7 +26,7 @@
 // Dial opens a TCP connection with keep-alive probes.
 func Dial(ctx context.Context, address string) (net.Conn, error) {
 	dialer := net.Dialer{KeepAliveConfig: keepAlive}
-	return dialer.DialContext(ctx, "tcp", address)
+	return dialer.DialContext(ctx, "tcp", targetAddress(address))
 }
 
 // Pool keeps the connections to all targets. It is safe for concurrent use.
--- a/soak/daemon.go
+++ b/soak/daemon.go
@@ -17,9 +17,11 @@
 // daemon is one entry VM: a process that is restarted each time it exits.
 type daemon struct {
 	name, ip string
-	dir      string
-	binary   string
-	settings map[string]any
+	// targetsIP is where the daemon finds all targets.
+	targetsIP string
+	dir       string
+	binary    string
+	settings  map[string]any
 
 	mu      sync.Mutex
 	process *os.Process
@@ -86,7 +88,7 @@
 	}
 	defer log.Close()
 	cmd := exec.Command(d.binary, "platform")
-	cmd.Env = append(os.Environ(), platform.SettingsVariable+"="+filepath.Join(d.dir, d.name+".json"))
+	cmd.Env = append(os.Environ(), platform.SettingsVariable+"="+filepath.Join(d.dir, d.name+".json"), linkVariable+"="+d.targetsIP)
 	cmd.Stdout, cmd.Stderr = log, log
 	if err := cmd.Start(); err != nil {
 		return nil, err
--- a/soak/links.go
+++ b/soak/links.go
@@ -1,14 +1,10 @@
 package soak
 
 import (
-	"bytes"
 	"fmt"
 	"math/rand/v2"
 	"net"
-	"net/http"
-	"net/http/httptest"
 	"slices"
-	"strings"
 	"time"
 )
 
@@ -24,8 +20,11 @@
 	toleratedOneIn    = 50
 )
 
-// linkIP returns the address at which an entry VM finds all targets. It is as long as 127.0.0.1.
-func linkIP(vm int) string { return fmt.Sprintf("127.%d.0.%d", 2+vm/9%8, 1+vm%9) }
+// linkIP returns the address at which an entry VM finds all targets. The daemons are built to use it.
+func linkIP(vm int) string { return fmt.Sprintf("127.2.%d.%d", vm/200, 1+vm%200) }
+
+// linkVariable names it to the daemon.
+const linkVariable = "HEATHERLOCK_SOAK_TARGETS_IP"
 
 // linkCut is a time in which entry VMs could not reach any target.
 type linkCut struct {
@@ -121,23 +120,6 @@
 	}
 }
 
-// storeFor serves the store to one entry VM, which finds all targets at its own address.
-func (s *system) storeFor(vm int) *httptest.Server {
-	return httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		recorded := httptest.NewRecorder()
-		s.store.ServeHTTP(recorded, r)
-		for name, values := range recorded.Header() {
-			w.Header()[name] = values
-		}
-		w.WriteHeader(recorded.Code)
-		body := recorded.Body.Bytes()
-		if strings.Contains(r.URL.Path, "/servers") {
-			body = bytes.ReplaceAll(body, []byte(`"127.0.0.1:`), []byte(`"`+linkIP(vm)+":"))
-		}
-		_, _ = w.Write(body) // the entry VM may have left
-	}))
-}
-
 // addLink makes the proxy accept connections of one entry VM at its own address.
 func (p *proxy) addLink(vm int, cut bool) error {
 	p.mu.Lock()
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -22,7 +22,7 @@
 func buildDaemon(t *testing.T, tags string) string {
 	t.Helper()
 	binary := filepath.Join(t.TempDir(), "heatherlockd")
-	cmd := exec.Command("go", "build", "-tags", tags, "-o", binary, "heatherlock/cmd/heatherlockd")
+	cmd := exec.Command("go", "build", "-tags", "soak,"+tags, "-o", binary, "heatherlock/cmd/heatherlockd")
 	cmd.Stderr = os.Stderr
 	assert.NilError(t, cmd.Run())
 	return binary
--- a/soak/system.go
+++ b/soak/system.go
@@ -29,13 +29,12 @@
 
 // system is the deployment under test.
 type system struct {
-	findings *findings
-	store    *metastore.Store
-	// storeServers and storeProxies are the ways of each entry VM to the store.
-	storeServers []*httptest.Server
-	storeProxies []*proxy
-	daemons      []*daemon
-	ports        [7]int
+	findings   *findings
+	store      *metastore.Store
+	server     *httptest.Server
+	storeProxy *proxy
+	daemons    []*daemon
+	ports      [7]int
 
 	mu         sync.Mutex
 	targets    map[string]*target
@@ -72,6 +71,11 @@
 func newSystem(o Options, dir string, f *findings) (*system, error) {
 	s := &system{findings: f, store: metastore.New(), targets: make(map[string]*target), extraKeys: make(map[string][]string), closing: make(chan struct{})}
 	s.linksCut = make([]bool, o.Daemons)
+	s.server = httptest.NewServer(s.store)
+	var err error
+	if s.storeProxy, err = newProxy(strings.TrimPrefix(s.server.URL, "http://")); err != nil {
+		return nil, err
+	}
 	for i := range s.ports {
 		s.ports[i] = o.BasePort + i
 	}
@@ -95,19 +99,13 @@
 func (s *system) addDaemon(n int, dir string, o Options) error {
 	ip := fmt.Sprintf("127.0.%d.%d", 1+n/200, 10+n%200)
 	at := func(i int) string { return fmt.Sprintf("%s:%d", ip, s.ports[i]) }
-	server := s.storeFor(n)
-	way, err := newProxy(strings.TrimPrefix(server.URL, "http://"))
-	if err != nil {
-		return err
-	}
-	s.storeServers, s.storeProxies = append(s.storeServers, server), append(s.storeProxies, way)
-	d := &daemon{name: fmt.Sprint("vm-", n), ip: ip, dir: dir, binary: filepath.Join(o.Binary), ended: make(chan struct{}),
+	d := &daemon{name: fmt.Sprint("vm-", n), ip: ip, targetsIP: linkIP(n), dir: dir, binary: filepath.Join(o.Binary), ended: make(chan struct{}),
 		settings: map[string]any{"vm": fmt.Sprint("vm-", n), "zone": zoneOf(n), "region": "r-" + zoneOf(n),
 			"zones": map[string]string{"a": "r-a", "b": "r-b"}, "ip": ip,
 			"listen":    map[string]string{"callers": at(0), "ready": at(1), "directory": at(2), "control": at(3)},
 			"peerPorts": []int{s.ports[4], s.ports[5]}, "metricsPort": s.ports[6],
 			"seeds": []string{fmt.Sprintf("127.0.1.10:%d", s.ports[3]), fmt.Sprintf("127.0.1.11:%d", s.ports[3])},
-			"store": way.address(), "memoryMB": 200, "cpuShare": 0.3, "linkMbps": 1000, "heartbeatMs": heartbeatInterval.Milliseconds(),
+			"store": s.storeProxy.address(), "memoryMB": 200, "cpuShare": 0.3, "linkMbps": 1000, "heartbeatMs": heartbeatInterval.Milliseconds(),
 			"bounds": map[string]any{"graceS": 6, "retryBudgetRatio": 0.2, "retrySlack": 60, "budgetWindowS": 10, "maxShift": 0.15}}}
 	if err := d.writeSettings(); err != nil {
 		return err
@@ -248,20 +246,14 @@
 func (s *system) disturbStore(f metastore.Faults, m Mode, span time.Duration) {
 	s.recordStoreDisturbance()
 	s.store.SetFaults(f)
-	s.setStoreMode(m)
+	s.storeProxy.set(m)
 	time.AfterFunc(span, func() {
 		s.store.SetFaults(metastore.Faults{})
-		s.setStoreMode(Pass)
+		s.storeProxy.set(Pass)
 		s.recordStoreDisturbance()
 	})
 }
 
-func (s *system) setStoreMode(m Mode) {
-	for _, way := range s.storeProxies {
-		way.set(m)
-	}
-}
-
 func (s *system) recordStoreDisturbance() {
 	s.mu.Lock()
 	s.storeDisturbedAt = append(s.storeDisturbedAt, time.Now())
@@ -298,11 +290,9 @@
 		t.Stop()
 		t.proxy.close()
 	}
-	for n, server := range s.storeServers {
-		s.storeProxies[n].close()
-		server.CloseClientConnections()
-		go server.Close() // Close blocks until hanging requests end, which they do on their own
-	}
+	s.storeProxy.close()
+	s.server.CloseClientConnections()
+	go s.server.Close() // Close blocks until hanging requests end, which they do on their own
 }
 
 // injectFault makes a target apply a fault to one of every so many requests for a span.
