Leave the addresses of VMs alone in daemons built for the soak

Cause: the soak's. The build tag that lets a VM find targets at an address of its own replaced the host of other VMs too, so that no request could be passed on (log: connection refused at the VM's own address for targets). Change: connections to targets have a function of their own.

--- a/node/gateway/gateway.go
+++ b/node/gateway/gateway.go
@@ -109,7 +109,7 @@
 	if err := g.newAllowances(); err != nil {
 		return nil, err
 	}
-	g.pool = upstream.NewPool(upstream.Dial, platform.RequestIDOf)
+	g.pool = upstream.NewPool(upstream.DialTarget, platform.RequestIDOf)
 	g.pool.OnOpen = func() { scope.Counter("gateway_target_connections_opened").Inc(1) }
 	g.store.OnCall = func(call string, err error) {
 		scope.Tagged(map[string]string{"fault": faultName(err)}).Counter("gateway_store_calls").Inc(1)
--- a/node/gateway/upstream/pool.go
+++ b/node/gateway/upstream/pool.go
@@ -26,7 +26,12 @@
 // Dial opens a TCP connection with keep-alive probes.
 func Dial(ctx context.Context, address string) (net.Conn, error) {
 	dialer := net.Dialer{KeepAliveConfig: keepAlive}
-	return dialer.DialContext(ctx, "tcp", targetAddress(address))
+	return dialer.DialContext(ctx, "tcp", address)
+}
+
+// DialTarget opens a connection to a target.
+func DialTarget(ctx context.Context, address string) (net.Conn, error) {
+	return Dial(ctx, targetAddress(address))
 }
 
 // Pool keeps the connections to all targets. It is safe for concurrent use.
