Tell the VM that passes a request on which targets have said that they leave, and be told

Cause: what a target says in a response is known to the VM that heard it; while that VM is cut off another one decides, which the target did not tell, or the other way round. Change: both VMs name such targets of the service (32 at most) with the request and the response, and each closes them.

--- a/node/gateway/relay/hop.go
+++ b/node/gateway/relay/hop.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"net/url"
 	"strconv"
 	"strings"
 	"time"
@@ -10,6 +11,7 @@
 	"heatherlock/node/gateway/callers"
 	"heatherlock/platform"
 	"heatherlock/steering"
+	"heatherlock/steering/placement"
 	"heatherlock/steering/routes"
 )
 
@@ -24,6 +26,7 @@
 	headerHopWorkspace = hopHeaderPrefix + "Workspace"
 	headerHopVerdict   = hopHeaderPrefix + "Verdict"
 	headerHopReached   = hopHeaderPrefix + "Reached"
+	headerHopLeaving   = hopHeaderPrefix + "Leaving"
 )
 
 // hopVerdict is what the VM that passes a request on says of its response.
@@ -48,6 +51,8 @@
 	config    uint64
 	attempts  int
 	workspace steering.Workspace
+	// leaving are the targets of the service that have said that they leave, as encoded by leavings.
+	leaving string
 }
 
 // regionOr returns the region of the VM that took the request from its caller; a nil hop means this one.
@@ -67,6 +72,37 @@
 	if h.workspace != "" {
 		to[headerHopWorkspace] = []string{string(h.workspace)}
 	}
+	if h.leaving != "" {
+		to[headerHopLeaving] = []string{h.leaving}
+	}
+}
+
+// leavings encodes the targets of a service that have said that they leave; empty if there are none. VMs that
+// share a request tell them to each other, since either may be the one that the target told.
+func (f *Relay) leavings(service steering.Service) string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	values := make(url.Values)
+	for name, generation := range f.cfg.Balancer.LeavingsHeard(service) {
+		values.Set(string(name), strconv.FormatInt(int64(generation), 10))
+	}
+	return values.Encode()
+}
+
+// applyLeavings records targets that have told another VM that they leave.
+func (f *Relay) applyLeavings(encoded string) {
+	values, err := url.ParseQuery(encoded)
+	if err != nil || len(values) == 0 {
+		return
+	}
+	now := time.Now()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for name := range values {
+		if generation, err := strconv.ParseInt(values.Get(name), 10, 64); err == nil {
+			f.cfg.Balancer.Heard(now, placement.Target{Name: steering.Target(name), Generation: steering.Generation(generation)}, placement.Notice{Leaving: true})
+		}
+	}
 }
 
 // readHop decodes the headers that set encodes; ok is false if they are missing or invalid.
@@ -74,7 +110,7 @@
 	config, badConfig := strconv.ParseUint(h.Get(headerHopConfig), 10, 64)
 	attempts, badAttempts := strconv.Atoi(h.Get(headerHopAttempts))
 	read = &hop{from: steering.VM(h.Get(headerHopFrom)), region: steering.Region(h.Get(headerHopRegion)), config: config,
-		attempts: attempts, workspace: steering.Workspace(h.Get(headerHopWorkspace))}
+		attempts: attempts, workspace: steering.Workspace(h.Get(headerHopWorkspace)), leaving: h.Get(headerHopLeaving)}
 	return read, badConfig == nil && badAttempts == nil && attempts > 0 && read.from != "" && read.region != ""
 }
 
@@ -136,8 +172,16 @@
 	if reason != "" {
 		return passedOn.refuse(f, e.requestInfo(call), reason, notReadyRetryAfter, 0, []any{"passed_on_by", passedOn.from})
 	}
-	response := newExchange(f, e, r, call, passedOn).run(ctx)
-	if response != nil && response.Header.Get(headerHopVerdict) == string(hopDelivered) {
+	f.applyLeavings(passedOn.leaving)
+	x := newExchange(f, e, r, call, passedOn)
+	response := x.run(ctx)
+	if response == nil {
+		return nil
+	}
+	if leaving := f.leavings(x.service); leaving != "" {
+		response.Header[headerHopLeaving] = []string{leaving}
+	}
+	if response.Header.Get(headerHopVerdict) == string(hopDelivered) {
 		f.cfg.Metrics.Helped(string(hopDelivered))
 	}
 	return response
--- a/node/gateway/relay/hop_test.go
+++ b/node/gateway/relay/hop_test.go
@@ -267,3 +267,35 @@
 		p.cut(targetlinks.Reset)
 	}
 }
+
+// Guards against requests to a target that has told one of the two VMs that it leaves.
+func TestLeavingsAreKnownToBothVMs(t *testing.T) {
+	for _, told := range []string{"the VM that is cut off", "the helper"} {
+		t.Run(told, func(t *testing.T) {
+			p := newPair(t, work)
+			p.targets[0].SetHeader("Server-Leaving", "true")
+			teller := p.rig
+			if told == "the helper" {
+				teller = p.helper
+			} else {
+				p.toTargets.Set(targetlinks.Open)
+				waitFor(t, func() bool { return !p.relay.CutOff() })
+			}
+			for n := 0; p.targets[0].Arrivals() == 0 || n < 20; n++ {
+				teller.askFor(fmt.Sprint("tell", n))
+			}
+			p.targets[0].SetHeader("Server-Leaving", "")
+			p.cut(targetlinks.Reset)
+			before := p.targets[0].Arrivals()
+			for n := range 20 {
+				assert.Equal(t, p.askFor(fmt.Sprint("after", n)).status, http.StatusOK)
+			}
+			p.toTargets.Set(targetlinks.Open)
+			waitFor(t, func() bool { return !p.relay.CutOff() })
+			for n := range 20 {
+				assert.Equal(t, p.askFor(fmt.Sprint("own", n)).status, http.StatusOK)
+			}
+			assert.Equal(t, p.targets[0].Arrivals(), before)
+		})
+	}
+}
--- a/steering/placement/notices.go
+++ b/steering/placement/notices.go
@@ -226,6 +226,20 @@
 	}
 }
 
+// maxLeavings bounds what LeavingsHeard returns.
+const maxLeavings = 32
+
+// LeavingsHeard returns targets of a service that have said to an entry VM that they leave.
+func (b *Balancer) LeavingsHeard(service steering.Service) map[steering.Target]steering.Generation {
+	leaving := make(map[steering.Target]steering.Generation)
+	for name, n := range b.notices {
+		if s := b.byName[name]; n.leaving && s != nil && s.Service == service && s.Generation == n.generation && len(leaving) < maxLeavings {
+			leaving[name] = n.generation
+		}
+	}
+	return leaving
+}
+
 // LimitedCount returns the number of targets that name a limit.
 func (b *Balancer) LimitedCount() int {
 	limited := 0
