Tell rests of targets along with leavings between VMs that share a request

Cause: the VM was cut off, and each request went on through another VM, which the target had not asked. Change: rests go with the request and the response as leavings do.

--- a/node/gateway/relay/helpers.go
+++ b/node/gateway/relay/helpers.go
@@ -123,7 +123,7 @@
 		header[name] = values
 	}
 	platform.RemoveIdentity(header)
-	h := hop{from: x.f.cfg.VM, region: x.f.cfg.Region, config: max(x.table.Version, x.f.shownConfig.Load()), attempts: attempts, leaving: x.f.leavings(x.service)}
+	h := hop{from: x.f.cfg.VM, region: x.f.cfg.Region, config: max(x.table.Version, x.f.shownConfig.Load()), attempts: attempts, closed: x.f.closings(x.service)}
 	if x.workspace != nil {
 		h.workspace = x.workspace.Name
 	}
@@ -193,7 +193,7 @@
 	if e.response == nil {
 		return
 	}
-	x.f.applyLeavings(e.response.Header.Get(headerHopLeaving))
+	x.f.applyClosings(e.response.Header.Get(headerHopClosed))
 	version, err := strconv.ParseUint(e.response.Header.Get(headerHopConfig), 10, 64)
 	if err == nil && (e.verdict == hopDelivered || e.verdict == hopUnknown) {
 		x.f.configShown(version)
--- a/node/gateway/relay/hop.go
+++ b/node/gateway/relay/hop.go
@@ -26,7 +26,7 @@
 	headerHopWorkspace = hopHeaderPrefix + "Workspace"
 	headerHopVerdict   = hopHeaderPrefix + "Verdict"
 	headerHopReached   = hopHeaderPrefix + "Reached"
-	headerHopLeaving   = hopHeaderPrefix + "Leaving"
+	headerHopClosed    = hopHeaderPrefix + "Closed"
 )
 
 // hopVerdict is what the VM that passes a request on says of its response.
@@ -51,8 +51,8 @@
 	config    uint64
 	attempts  int
 	workspace steering.Workspace
-	// leaving are the targets of the service that have said that they leave, as encoded by leavings.
-	leaving string
+	// closed are the targets of the service that leave or rest, as encoded by closings.
+	closed string
 }
 
 // regionOr returns the region of the VM that took the request from its caller; a nil hop means this one.
@@ -72,25 +72,25 @@
 	if h.workspace != "" {
 		to[headerHopWorkspace] = []string{string(h.workspace)}
 	}
-	if h.leaving != "" {
-		to[headerHopLeaving] = []string{h.leaving}
+	if h.closed != "" {
+		to[headerHopClosed] = []string{h.closed}
 	}
 }
 
-// leavings encodes the targets of a service that have said that they leave; empty if there are none. VMs that
-// share a request tell them to each other, since either may be the one that the target told.
-func (f *Relay) leavings(service steering.Service) string {
+// closings encodes the targets of a service that have said that they leave, or that rest; empty if there are
+// none. VMs that share a request tell them to each other, since either may be the one that the target told.
+func (f *Relay) closings(service steering.Service) string {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	values := make(url.Values)
-	for name, generation := range f.cfg.Balancer.LeavingsHeard(service) {
-		values.Set(string(name), strconv.FormatInt(int64(generation), 10))
+	for _, c := range f.cfg.Balancer.Closings(time.Now(), service) {
+		values[string(c.Target)] = []string{strconv.FormatInt(int64(c.Generation), 10), strconv.FormatBool(c.Leaving), strconv.FormatInt(c.Rest.Milliseconds(), 10)}
 	}
 	return values.Encode()
 }
 
-// applyLeavings records targets that have told another VM that they leave.
-func (f *Relay) applyLeavings(encoded string) {
+// applyClosings records what targets have told another VM.
+func (f *Relay) applyClosings(encoded string) {
 	values, err := url.ParseQuery(encoded)
 	if err != nil || len(values) == 0 {
 		return
@@ -98,9 +98,15 @@
 	now := time.Now()
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	for name := range values {
-		if generation, err := strconv.ParseInt(values.Get(name), 10, 64); err == nil {
-			f.cfg.Balancer.Heard(now, placement.Target{Name: steering.Target(name), Generation: steering.Generation(generation)}, placement.Notice{Leaving: true})
+	for name, said := range values {
+		if len(said) < 3 {
+			continue
+		}
+		generation, badGeneration := strconv.ParseInt(said[0], 10, 64)
+		rest, badRest := strconv.ParseInt(said[2], 10, 32)
+		if badGeneration == nil && badRest == nil {
+			f.cfg.Balancer.ApplyClosing(now, placement.Closing{Target: steering.Target(name), Generation: steering.Generation(generation),
+				Leaving: said[1] == "true", Rest: time.Duration(rest) * time.Millisecond})
 		}
 	}
 }
@@ -110,7 +116,7 @@
 	config, badConfig := strconv.ParseUint(h.Get(headerHopConfig), 10, 64)
 	attempts, badAttempts := strconv.Atoi(h.Get(headerHopAttempts))
 	read = &hop{from: steering.VM(h.Get(headerHopFrom)), region: steering.Region(h.Get(headerHopRegion)), config: config,
-		attempts: attempts, workspace: steering.Workspace(h.Get(headerHopWorkspace)), leaving: h.Get(headerHopLeaving)}
+		attempts: attempts, workspace: steering.Workspace(h.Get(headerHopWorkspace)), closed: h.Get(headerHopClosed)}
 	return read, badConfig == nil && badAttempts == nil && attempts > 0 && read.from != "" && read.region != ""
 }
 
@@ -172,14 +178,14 @@
 	if reason != "" {
 		return passedOn.refuse(f, e.requestInfo(call), reason, notReadyRetryAfter, 0, []any{"passed_on_by", passedOn.from})
 	}
-	f.applyLeavings(passedOn.leaving)
+	f.applyClosings(passedOn.closed)
 	x := newExchange(f, e, r, call, passedOn)
 	response := x.run(ctx)
 	if response == nil {
 		return nil
 	}
-	if leaving := f.leavings(x.service); leaving != "" {
-		response.Header[headerHopLeaving] = []string{leaving}
+	if closed := f.closings(x.service); closed != "" {
+		response.Header[headerHopClosed] = []string{closed}
 	}
 	if response.Header.Get(headerHopVerdict) == string(hopDelivered) {
 		f.cfg.Metrics.Helped(string(hopDelivered))
--- a/node/gateway/relay/hop_test.go
+++ b/node/gateway/relay/hop_test.go
@@ -299,3 +299,25 @@
 		})
 	}
 }
+
+// Guards against requests to a target that has asked one of the two VMs for rest.
+func TestRestsAreKnownToBothVMs(t *testing.T) {
+	p := newPair(t, work)
+	p.targets[0].SetHeader("Retry-After", "4")
+	p.targets[0].SetFault(func(*http.Request) endpoint.Fault { return endpoint.Shed })
+	for n := 0; p.targets[0].Arrivals() == 0; n++ {
+		p.helper.askFor(fmt.Sprint("tell", n))
+	}
+	asked := time.Now()
+	p.targets[0].SetHeader("Retry-After", "")
+	p.targets[0].SetFault(nil)
+	assert.Equal(t, p.askFor("passed on").status, http.StatusOK)
+	p.toTargets.Set(targetlinks.Open)
+	waitFor(t, func() bool { return !p.relay.CutOff() })
+	before := p.targets[0].Arrivals()
+	for n := range 20 {
+		assert.Equal(t, p.askFor(fmt.Sprint("own", n)).status, http.StatusOK)
+	}
+	assert.Assert(t, time.Since(asked) < 4*time.Second)
+	assert.Equal(t, p.targets[0].Arrivals(), before)
+}
--- a/steering/placement/notices.go
+++ b/steering/placement/notices.go
@@ -226,18 +226,35 @@
 	}
 }
 
-// maxLeavings bounds what LeavingsHeard returns.
-const maxLeavings = 32
+// maxClosings bounds what Closings returns.
+const maxClosings = 32
 
-// LeavingsHeard returns targets of a service that have said to an entry VM that they leave.
-func (b *Balancer) LeavingsHeard(service steering.Service) map[steering.Target]steering.Generation {
-	leaving := make(map[steering.Target]steering.Generation)
+// Closing is what a target said to an entry VM for which it is to get no requests through that VM.
+type Closing struct {
+	Target     steering.Target
+	Generation steering.Generation
+	Leaving    bool
+	// Rest is how much longer the target wants no request.
+	Rest time.Duration
+}
+
+// Closings returns targets of a service that have said that they leave, or that rest now.
+func (b *Balancer) Closings(now time.Time, service steering.Service) []Closing {
+	var all []Closing
 	for name, n := range b.notices {
-		if s := b.byName[name]; n.leaving && s != nil && s.Service == service && s.Generation == n.generation && len(leaving) < maxLeavings {
-			leaving[name] = n.generation
+		s := b.byName[name]
+		if s == nil || s.Service != service || s.Generation != n.generation || !n.leaving && !n.restUntil.After(now) || len(all) == maxClosings {
+			continue
 		}
+		all = append(all, Closing{Target: name, Generation: n.generation, Leaving: n.leaving, Rest: max(n.restUntil.Sub(now), 0)})
 	}
-	return leaving
+	return all
+}
+
+// ApplyClosing records what a target said to another entry VM, through which or for which this one sends
+// requests.
+func (b *Balancer) ApplyClosing(now time.Time, c Closing) {
+	b.Heard(now, Target{Name: c.Target, Generation: c.Generation}, Notice{Leaving: c.Leaving, Rest: c.Rest})
 }
 
 // LimitedCount returns the number of targets that name a limit.
