Count a VM as reaching targets if a connection was opened during the check

A connection that a request opened while a check was under way cleared the time of the first failure, so that a check that failed all the same took back every ejection there was. Found by reading; the test failed before.

--- a/steering/reach/links.go
+++ b/steering/reach/links.go
@@ -90,11 +90,11 @@
 }
 
 // CheckEnded records how many of a sample of targets accepted a connection. It reports whether the VM
-// is cut off from now on.
+// is cut off from now on. It is not if a connection was opened meanwhile.
 func (l *Links) CheckEnded(now time.Time, accepted, failed int) (cutOff bool) {
 	l.checking = false
 	l.nextCheck = now.Add(checkPause)
-	if accepted > 0 || failed == 0 {
+	if accepted > 0 || failed == 0 || l.troubleSince.IsZero() {
 		return false
 	}
 	l.cutSince = now
--- a/steering/reach/reach_test.go
+++ b/steering/reach/reach_test.go
@@ -38,6 +38,12 @@
 		assert.Check(t, !l.CutOff())
 		assert.Check(t, !l.ConnectFailed(at(400*time.Millisecond), at(300*time.Millisecond), "t1"), "checked too often")
 	})
+	t.Run("a connection was opened meanwhile", func(t *testing.T) {
+		var l reach.Links
+		assert.Check(t, l.ConnectFailed(at(200*time.Millisecond), at(0), "t1"))
+		l.Opened(at(250 * time.Millisecond))
+		assert.Check(t, !l.CheckEnded(at(400*time.Millisecond), 0, reach.SampleSize))
+	})
 	t.Run("no targets are known", func(t *testing.T) {
 		var l reach.Links
 		assert.Check(t, l.Overdue(at(200*time.Millisecond), at(0)))
