--- a/node/gateway/relay/helpers.go
+++ b/node/gateway/relay/helpers.go
@@ -90,6 +90,14 @@
 // unsent reports whether nothing of the request reached the other VM.
 func (e helperResult) unsent() bool { return e.err != nil && stageOf(e.err) != upstream.Sent }
 
+// reason returns why the other VM refused the request, or an empty reason.
+func (e helperResult) reason() steering.Reason {
+	if e.response == nil {
+		return ""
+	}
+	return steering.Reason(e.response.Header.Get(headerReason))
+}
+
 // String describes the result for the log.
 func (e helperResult) String() string {
 	if e.err != nil {
@@ -216,7 +224,9 @@
 // notRunAtHelper tries another entry VM if the request may run there, and else passes the refusal on.
 func (x *exchange) notRunAtHelper(ctx context.Context, e helperResult) (callerResponse *callers.Response, done bool) {
 	if e.verdict == hopElsewhere {
-		x.f.avoidHelper(e.helper)
+		if e.reason() != steering.ReasonConfigBehind { // others are most likely behind as well, and soon none is
+			x.f.avoidHelper(e.helper)
+		}
 		streamed := x.r.BodyRest != nil && !e.unsent()
 		if !streamed && ctx.Err() == nil && !x.maybeRan && x.startAttempt(ctx) == nil {
 			x.f.cfg.Metrics.Retried("helper")
@@ -231,7 +241,7 @@
 	case e.response == nil:
 		return x.refuse(steering.ReasonPeerUnreachable, retryAfterCut(x.call.ID)), true
 	}
-	reason := steering.Reason(e.response.Header.Get(headerReason))
+	reason := e.reason()
 	if _, known := steering.Reasons[reason]; !known {
 		reason = steering.ReasonPeerUnreachable
 	}
--- a/node/gateway/relay/hop.go
+++ b/node/gateway/relay/hop.go
@@ -174,7 +174,7 @@
 	if !f.Ready() {
 		return passedOn.refuse(f, s, steering.ReasonNotReady, notReadyRetryAfter, 0, nil)
 	}
-	e, reason := f.matchPassedOn(r, passedOn)
+	e, reason := f.awaitPassedOn(ctx, r, call, passedOn)
 	if reason != "" {
 		return passedOn.refuse(f, e.requestInfo(call), reason, notReadyRetryAfter, 0, []any{"passed_on_by", passedOn.from})
 	}
@@ -193,6 +193,18 @@
 	return response
 }
 
+// awaitPassedOn is matchPassedOn, but waits a little for a configuration that the other VM has in force
+// already. For the first moments after a change that may be every VM that helps it.
+func (f *Relay) awaitPassedOn(ctx context.Context, r *callers.Request, call platform.RequestInfo, passedOn *hop) (routeMatch, steering.Reason) {
+	for limit := f.keyWaitDeadline(r, call); ; {
+		replaced := f.replaced.changed()
+		e, reason := f.matchPassedOn(r, passedOn)
+		if reason != steering.ReasonConfigBehind || !waitUntil(ctx, limit, replaced) {
+			return e, reason
+		}
+	}
+}
+
 // matchPassedOn finds the route and the workspace of a request that another VM passed on.
 func (f *Relay) matchPassedOn(r *callers.Request, passedOn *hop) (routeMatch, steering.Reason) {
 	e := routeMatch{table: f.table.Load()}
--- a/node/gateway/relay/hop_test.go
+++ b/node/gateway/relay/hop_test.go
@@ -321,3 +321,19 @@
 	assert.Assert(t, time.Since(asked) < 4*time.Second)
 	assert.Equal(t, p.targets[0].Arrivals(), before)
 }
+
+// Guards against requests that are refused for a second because the only helper got a new configuration
+// moments later than the VM that is cut off.
+func TestHelperWaitsForTheConfiguration(t *testing.T) {
+	p := newPair(t, work)
+	old := p.relay.Table()
+	newer := func() *routes.Table {
+		return routes.NewTable(2, old.Routes, []*routes.Service{{Name: service, MaxConnections: 50}}, old.Limits)
+	}
+	p.relay.SetTable(newer())
+	time.AfterFunc(100*time.Millisecond, func() { p.helper.relay.SetTable(newer()) })
+	for end := time.Now().Add(400 * time.Millisecond); time.Now().Before(end); {
+		got := p.ask("POST", "/buy/1", "x", 2*time.Second)
+		assert.Equal(t, got.status, http.StatusOK, "%s", got.header.Get("Heatherlock-Reason"))
+	}
+}
