Show in logs and metrics how a limit of a target is exceeded

Nothing told the three hypotheses apart. Now: responses that name a limit to requests sent without a credit, reports that an owner ignored or took although it sees another owner, the age of the request whose response ended a limit, and limits told by other VMs. No decision changes.

--- a/node/gateway/allowances/targets.go
+++ b/node/gateway/allowances/targets.go
@@ -155,5 +155,20 @@
 		return allowance.Reply{Workspace: r.Workspace, Number: r.Number, Used: r.Used}, true
 	}
 	reply, _, ok := s.targetLedger.Report(now, from, incarnation, t.limit(), r)
+	s.countTargetReport(t, r.Workspace, ok)
 	return reply, ok
 }
+
+// countTargetReport counts a report on a target's limit by what it shows.
+func (s *Service) countTargetReport(t *targetLimit, id allowance.ID, applied bool) {
+	if s.cfg.Scope == nil {
+		return
+	}
+	end := "applied"
+	if owner, _ := allowance.OwnerOf(id, s.candidatesIn(t.region)); !applied {
+		end = "out_of_date"
+	} else if owner != s.cfg.Self && t.region != "" {
+		end = "not_owner"
+	}
+	s.cfg.Scope.Tagged(map[string]string{"end": end}).Counter("gateway_target_limit_reports").Inc(1)
+}
--- a/node/gateway/relay/events.go
+++ b/node/gateway/relay/events.go
@@ -62,6 +62,13 @@
 	}
 }
 
+// UncreditedAtLimit counts a response that names a limit, to a request that was sent without a credit.
+func (e *Metrics) UncreditedAtLimit() {
+	if e != nil {
+		e.scope.Counter("gateway_target_limits_uncredited").Inc(1)
+	}
+}
+
 // LimitUnreadable counts a response whose target names a limit in a form that is not known here.
 func (e *Metrics) LimitUnreadable() {
 	if e != nil {
--- a/node/gateway/relay/notices.go
+++ b/node/gateway/relay/notices.go
@@ -26,7 +26,7 @@
 }
 
 // recordNotice records what a target says of itself in its response. f.mu must be held.
-func (f *Relay) recordNotice(now time.Time, e *attemptResult) {
+func (f *Relay) recordNotice(now time.Time, e *attemptResult, sentAt time.Time) {
 	info, ok := e.noticeOf()
 	if !ok {
 		return
@@ -45,16 +45,20 @@
 			_ = f.cfg.Log.Log("msg", "target says something that is not known here", "target", e.pick.Target.Name, "header", name) // the log writer counts dropped lines
 		}
 	}
+	if info.Limit.Named && !e.pick.Limit.InForce {
+		f.cfg.Metrics.UncreditedAtLimit()
+	}
 	said := placement.Notice{Limited: info.Limit.Named, Limit: info.Limit.PerSecond, Leaving: info.Leaving, Rest: info.Rest, Complete: info.Signed && !info.Limit.Unreadable}
 	changed := f.cfg.Balancer.Heard(now, e.pick.Target, said)
 	if changed.Limit {
 		e.limitHeard = &placement.NamedLimit{InForce: said.Limited, PerSecond: said.Limit, HeardAt: now}
 	}
-	f.logNotice(e.pick.Target, said, changed)
+	f.logNotice(e.pick.Target, said, changed, now.Sub(sentAt))
 }
 
-// logNotice logs what a response changed in what is known of its target.
-func (f *Relay) logNotice(t placement.Target, said placement.Notice, changed placement.NoticeChange) {
+// logNotice logs what a response changed in what is known of its target. age is how long before the response
+// its request was sent.
+func (f *Relay) logNotice(t placement.Target, said placement.Notice, changed placement.NoticeChange, age time.Duration) {
 	if changed.Leaving {
 		f.cfg.Metrics.LeavingHeard()
 		_ = f.cfg.Log.Log("msg", "target says that it leaves", "target", t.Name, "service", t.Service, "store_age_ms", f.storeAge().Milliseconds()) // the log writer counts dropped lines
@@ -69,6 +73,6 @@
 	case changed.Limit && said.Limited:
 		_ = f.cfg.Log.Log("msg", "target names a limit", "target", t.Name, "service", t.Service, "per_second", said.Limit) // the log writer counts dropped lines
 	case changed.Limit:
-		_ = f.cfg.Log.Log("msg", "target names no limit any more", "target", t.Name, "service", t.Service) // the log writer counts dropped lines
+		_ = f.cfg.Log.Log("msg", "target names no limit any more", "target", t.Name, "service", t.Service, "request_age_ms", age.Milliseconds()) // the log writer counts dropped lines
 	}
 }
--- a/node/gateway/relay/placement.go
+++ b/node/gateway/relay/placement.go
@@ -80,7 +80,9 @@
 	now := time.Now()
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.cfg.Balancer.ApplyLimit(now, p.Target, newest)
+	if f.cfg.Balancer.ApplyLimit(now, p.Target, newest) {
+		_ = f.cfg.Log.Log("msg", "limit of a target told by another entry VM", "target", p.Target.Name, "in_force", newest.InForce, "per_second", newest.PerSecond, "heard_ms", now.Sub(newest.HeardAt).Milliseconds()) // the log writer counts dropped lines
+	}
 	if !ok {
 		f.cfg.Balancer.LimitReached(now, p.Target, retryAfter)
 	}
@@ -108,7 +110,7 @@
 	if !sentAt.IsZero() {
 		report.Latency = now.Sub(sentAt)
 	}
-	f.recordNotice(now, e)
+	f.recordNotice(now, e, sentAt)
 	if e.info.Load.Unreadable {
 		f.cfg.Metrics.LoadUnreadable()
 	}
