Add a failing test of a limit that late responses end

A target names a limit of 2.6 requests a second while 60 requests run that it took before. Their responses, 3 to 7 s later, lack the header.

--- a/node/gateway/gateway_test.go
+++ b/node/gateway/gateway_test.go
@@ -179,11 +179,15 @@
 }
 
 func (s *testCluster) request(v *vm, path string) int {
+	return s.requestWithin(v, path, 3*time.Second)
+}
+
+func (s *testCluster) requestWithin(v *vm, path string, deadline time.Duration) int {
 	r, err := http.NewRequest(http.MethodGet, "http://"+v.settings.Listen.Callers+path, nil)
 	assert.NilError(s.t, err)
 	r.Host = "shop.example"
 	r.Header.Set("X-Request-Id", fmt.Sprint("q", s.number.Add(1)))
-	r.Header.Set("X-Deadline-Ms", "3000")
+	r.Header.Set("X-Deadline-Ms", fmt.Sprint(deadline.Milliseconds()))
 	response, err := (&http.Transport{DisableKeepAlives: true}).RoundTrip(r)
 	if err != nil {
 		return 0
--- a/node/gateway/targetlimit_test.go
+++ b/node/gateway/targetlimit_test.go
@@ -2,12 +2,16 @@
 
 import (
 	"fmt"
+	"net/http"
 	"strconv"
+	"strings"
 	"sync"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"heatherlock/standin/endpoint"
 )
 
 const (
@@ -18,6 +22,8 @@
 	limitSlack  = 5
 	// limitSettles is how long after a target has named its limit the bound applies.
 	limitSettles = 2 * time.Second
+	// limitStable is how long after a target has first named its limit the users' bound applies at the latest.
+	limitStable = 4 * time.Second
 )
 
 // requestAll sends requests to all VMs in turn for a time, each on its own.
@@ -71,3 +77,49 @@
 	assert.Check(t, float64(len(arrivals)) >= limit*6/2, "%d requests in 6 s, less than half of the limit", len(arrivals))
 	assert.Check(t, statuses[200] >= 900, "%v", statuses)
 }
+
+// checkLimit checks what a target got in any limitWindow from a time on.
+func (s *testCluster) checkLimit(name string, limit float64, from time.Time) {
+	s.t.Helper()
+	allowed := limit*limitFactor*limitWindow.Seconds() + limitSlack
+	got := mostIn(s.targets[name].ArrivalsAfter(from), limitWindow)
+	assert.Check(s.t, float64(got) <= allowed, "%d requests in %v, allowed %.0f", got, limitWindow, allowed)
+}
+
+// declareLarge declares that a target has far more slots than the others, so that most keys are its.
+func (s *testCluster) declareLarge(name string) {
+	s.store.Put("servers", name, map[string]any{"service": "svc", "address": s.targets[name].Address(), "zone": "a", "slots": 100, "state": "ready", "coldRemainingMs": 0, "version": "v1", "seq": 2})
+}
+
+// Guards against a limit that ends for all VMs with the response to a request which the target took before it
+// named the limit.
+func TestLateResponsesDoNotEndALimit(t *testing.T) {
+	s := newTestCluster(t)
+	for n := range 4 {
+		s.addTarget(fmt.Sprint("u", n))
+	}
+	s.declareLarge("t1")
+	s.routes = append(s.routes, map[string]any{"name": "long", "host": "shop.example", "pathPrefix": "/long/", "kind": "unsafe",
+		"timeoutMs": 9000, "targetLatencyMs": 8000, "service": "svc", "maxAttempts": 1})
+	s.configure()
+	all := s.startAll(12)
+	const long = 60
+	s.targets["t1"].SetFault(func(r *http.Request) endpoint.Fault {
+		if n, found := strings.CutPrefix(r.URL.Path, "/long/"); found {
+			number, _ := strconv.Atoi(n)
+			time.Sleep(3*time.Second + time.Duration(number)*4*time.Second/long)
+		}
+		return endpoint.None
+	})
+	var running sync.WaitGroup
+	for n := range long {
+		running.Go(func() { s.requestWithin(all[n%len(all)], fmt.Sprint("/long/", n), 9*time.Second) })
+	}
+	time.Sleep(500 * time.Millisecond)
+	const limit = 2.6
+	s.targets["t1"].SetHeader("Server-Limit", strconv.FormatFloat(limit, 'f', -1, 64))
+	named := time.Now()
+	s.requestAll(all, 120, 10*time.Second)
+	running.Wait()
+	s.checkLimit("t1", limit, named.Add(limitStable))
+}
