Order what a target says of its limit by when it was asked, not by when it was heard

What callers saw: a target that names a limit got far more than it. Cause: a response was dated by its arrival. One to a request that the target took before it named a limit lacks the header; it arrives a run time later, ends the limit on its VM, and by the owner on all VMs, until each hears the limit again. Change: a statement carries when its request was sent and when its response arrived. It replaces only what was heard before its request was sent; where either may be the later one, the lower limit holds. One function (NamedLimit.With) orders statements in the balancer, the service and messages. The end of a limit is told again until a request has confirmed it that was sent a second later, since the owner may have heard the limit from others meanwhile. A request that was let through because the limit had ended counts as one without a credit if the limit is back before it is sent.

--- a/node/gateway/allowances/targets.go
+++ b/node/gateway/allowances/targets.go
@@ -29,34 +29,59 @@
 	// more.
 	PerSecond float64 `cbor:"2,keyasint,omitempty"`
 	Ended     bool    `cbor:"3,keyasint,omitempty"`
-	// AgeMs is the age of the response that says so, in milliseconds.
-	AgeMs uint32 `cbor:"4,keyasint"`
+	// AgeMs is the age of the response that says so, and RequestAgeMs that of its request, in milliseconds.
+	// Builds before this field send 0.
+	AgeMs        uint32 `cbor:"4,keyasint"`
+	RequestAgeMs uint32 `cbor:"5,keyasint,omitempty"`
 }
 
 func (t *targetLimit) entry(now time.Time, id allowance.ID) limitEntry {
-	return limitEntry{Target: id, PerSecond: t.PerSecond, Ended: !t.InForce, AgeMs: uint32(max(now.Sub(t.HeardAt), 0).Milliseconds())}
+	return limitEntry{Target: id, PerSecond: t.PerSecond, Ended: !t.InForce, AgeMs: ageMs(now, t.HeardAt), RequestAgeMs: ageMs(now, t.AskedAt)}
+}
+
+func ageMs(now, at time.Time) uint32 {
+	if at.IsZero() {
+		return 0
+	}
+	return uint32(min(max(now.Sub(at), 0), maxAge).Milliseconds())
+}
+
+const (
+	// maxAge bounds the ages in messages.
+	maxAge = time.Hour
+	// transitAllowance is added to the age of the request in what another VM tells of a limit, for the time
+	// that the message took. What passes through several VMs must not become newer.
+	transitAllowance = allowance.OwnerTimeout
+)
+
+func (l limitEntry) namedLimit(now time.Time) placement.NamedLimit {
+	age := func(ms uint32) time.Duration { return time.Duration(ms) * time.Millisecond }
+	return placement.NamedLimit{InForce: !l.Ended, PerSecond: l.PerSecond, HeardAt: now.Add(-age(l.AgeMs)),
+		AskedAt: now.Add(-age(max(l.RequestAgeMs, l.AgeMs)) - transitAllowance)}
 }
 
 func (t *targetLimit) limit() allowance.Limit { return allowance.TargetLimit(t.PerSecond) }
 
 // LimitHeard records what a target said of its limit to this VM. The end of a limit is told to the
-// owner, which tells it to the VMs that ask for credits.
-func (s *Service) LimitHeard(t placement.Target, said placement.NamedLimit) {
+// owner, which tells it to the VMs that ask for credits. It returns the limit that holds by what any VM
+// heard.
+func (s *Service) LimitHeard(t placement.Target, said placement.NamedLimit) placement.NamedLimit {
 	now := time.Now()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	id := allowance.TargetID(t.Name, t.Generation)
 	known := s.noteLimit(now, id, t.Region, said)
 	if known.InForce {
-		return
+		return known.NamedLimit
 	}
 	owner, found := allowance.OwnerOf(id, s.candidatesIn(t.Region))
 	if found && owner != s.cfg.Self {
 		s.send(s.peers[owner], datagram{From: s.cfg.Self, Incarnation: s.incarnation}, []limitEntry{known.entry(now, id)})
 	}
+	return known.NamedLimit
 }
 
-// noteLimit records a limit unless a later one is known, and returns the latest.
+// noteLimit records what a target said of its limit, and returns the limit that holds.
 func (s *Service) noteLimit(now time.Time, id allowance.ID, region steering.Region, said placement.NamedLimit) *targetLimit {
 	known := s.targets[id]
 	if known == nil {
@@ -69,9 +94,7 @@
 	if region != "" {
 		known.region = region
 	}
-	if !said.HeardAt.Before(known.HeardAt) {
-		known.NamedLimit = said
-	}
+	known.NamedLimit = known.With(said)
 	if a := s.accounts[id]; a != nil && known.InForce {
 		a.Configure(now, known.limit(), s.members)
 	}
@@ -80,7 +103,7 @@
 
 // mergeLimit records what another VM told of a target's limit.
 func (s *Service) mergeLimit(now time.Time, l limitEntry) {
-	s.noteLimit(now, l.Target, "", placement.NamedLimit{InForce: !l.Ended, PerSecond: l.PerSecond, HeardAt: now.Add(-time.Duration(l.AgeMs) * time.Millisecond)})
+	s.noteLimit(now, l.Target, "", l.namedLimit(now))
 }
 
 // forgetTargets drops the limits of targets of which no VM has heard anything recently.
--- a/node/gateway/allowances/targets_internal_test.go
+++ b/node/gateway/allowances/targets_internal_test.go
@@ -33,6 +33,21 @@
 	assert.Assert(t, err == nil && len(rest) > 0)
 }
 
+// Guards against VMs of different builds that read when a target's request was sent differently.
+func TestGoldenAgeOfRequest(t *testing.T) {
+	conn := &written{}
+	s := New(Config{Self: "vm-1"}, conn)
+	now := time.Unix(1000, 0)
+	said := placement.NamedLimit{AskedAt: now.Add(-7 * time.Second), HeardAt: now.Add(-700 * time.Millisecond)}
+	limits := []limitEntry{(&targetLimit{NamedLimit: said}).entry(now, 3)}
+	s.send(peer{}, datagram{From: "vm-1"}, limits)
+	golden.Assert(t, hexText(conn.raw), "golden/datagram-targets-asked.hex")
+	_, got, err := decode(fromHex(t, "golden/datagram-targets-asked.hex"))
+	assert.NilError(t, err)
+	read := got[0].namedLimit(now)
+	assert.Assert(t, read.HeardAt.Equal(said.HeardAt) && read.AskedAt.Equal(said.AskedAt.Add(-transitAllowance)), "%+v", read)
+}
+
 // Guards against a limit that is lowered while credits are lent under the higher one.
 func TestLoweredLimitEndsItsCredits(t *testing.T) {
 	s := New(Config{Self: "vm-1", Scope: nil}, &written{})
--- a/node/gateway/relay/attempts.go
+++ b/node/gateway/relay/attempts.go
@@ -129,9 +129,13 @@
 // connection.
 func (x *exchange) attempt(ctx context.Context, pick placement.Pick, began time.Time, onlyOpen bool) {
 	var sentAt time.Time
-	if pick.Limit.InForce && !x.f.admitToTarget(ctx, pick) {
-		x.finishAttempt(ctx, x.classify(pick, nil, &upstream.Error{Stage: upstream.NotSent, Err: errNoCredit}), began, sentAt)
-		return
+	if pick.Limit.InForce {
+		newest, ok := x.f.admitToTarget(ctx, pick)
+		if !ok {
+			x.finishAttempt(ctx, x.classify(pick, nil, &upstream.Error{Stage: upstream.NotSent, Err: errNoCredit}), began, sentAt)
+			return
+		}
+		pick.Limit = newest // without a credit if the limit has ended
 	}
 	beforeSend := func() bool {
 		if !x.f.mayStillSend(pick) || !x.sending.begin() {
@@ -153,7 +157,7 @@
 	e.sent = !sentAt.IsZero()
 	x.f.reportResult(ctx, x, &e, began, sentAt)
 	if e.limitHeard != nil {
-		x.f.cfg.TargetLimits.LimitHeard(e.pick.Target, *e.limitHeard)
+		x.f.applyLimit(e.pick.Target, x.f.cfg.TargetLimits.LimitHeard(e.pick.Target, *e.limitHeard))
 	}
 	if e.pick.Limit.InForce && !e.sent && !errors.Is(e.err, errNoCredit) {
 		x.f.cfg.TargetLimits.ReturnTargetCredit(e.pick.Target)
--- a/node/gateway/relay/notices.go
+++ b/node/gateway/relay/notices.go
@@ -48,10 +48,10 @@
 	if info.Limit.Named && !e.pick.Limit.InForce {
 		f.cfg.Metrics.UncreditedAtLimit()
 	}
-	said := placement.Notice{Limited: info.Limit.Named, Limit: info.Limit.PerSecond, Leaving: info.Leaving, Rest: info.Rest, Complete: info.Signed && !info.Limit.Unreadable}
+	said := placement.Notice{Limited: info.Limit.Named, Limit: info.Limit.PerSecond, AskedAt: sentAt, Leaving: info.Leaving, Rest: info.Rest, Complete: info.Signed && !info.Limit.Unreadable}
 	changed := f.cfg.Balancer.Heard(now, e.pick.Target, said)
-	if changed.Limit {
-		e.limitHeard = &placement.NamedLimit{InForce: said.Limited, PerSecond: said.Limit, HeardAt: now}
+	if changed.Limit || changed.LimitEnded {
+		e.limitHeard = &placement.NamedLimit{InForce: said.Limited, PerSecond: said.Limit, AskedAt: sentAt, HeardAt: now}
 	}
 	f.logNotice(e.pick.Target, said, changed, now.Sub(sentAt))
 }
--- a/node/gateway/relay/placement.go
+++ b/node/gateway/relay/placement.go
@@ -73,20 +73,27 @@
 }
 
 // admitToTarget decides whether a request may be sent to the target that it was placed on, which
-// names a limit.
-func (f *Relay) admitToTarget(ctx context.Context, p placement.Pick) bool {
+// names a limit. It returns the limit that holds now; if it is in force, the request has a credit.
+func (f *Relay) admitToTarget(ctx context.Context, p placement.Pick) (newest placement.NamedLimit, ok bool) {
 	newest, retryAfter, ok := f.cfg.TargetLimits.AdmitToTarget(ctx, p.Target, p.Limit)
 	f.cfg.Metrics.TargetCredit(ok)
+	f.applyLimit(p.Target, newest)
+	if !ok {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		f.cfg.Balancer.LimitReached(time.Now(), p.Target, retryAfter)
+	}
+	return newest, ok
+}
+
+// applyLimit records what the target said of its limit to any entry VM.
+func (f *Relay) applyLimit(t placement.Target, newest placement.NamedLimit) {
 	now := time.Now()
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.cfg.Balancer.ApplyLimit(now, p.Target, newest) {
-		_ = f.cfg.Log.Log("msg", "limit of a target told by another entry VM", "target", p.Target.Name, "in_force", newest.InForce, "per_second", newest.PerSecond, "heard_ms", now.Sub(newest.HeardAt).Milliseconds()) // the log writer counts dropped lines
-	}
-	if !ok {
-		f.cfg.Balancer.LimitReached(now, p.Target, retryAfter)
+	if f.cfg.Balancer.ApplyLimit(now, t, newest) {
+		_ = f.cfg.Log.Log("msg", "limit of a target told by another entry VM", "target", t.Name, "in_force", newest.InForce, "per_second", newest.PerSecond, "heard_ms", now.Sub(newest.HeardAt).Milliseconds()) // the log writer counts dropped lines
 	}
-	return ok
 }
 
 // mayStillSend reports whether a request may still be sent to the target that it was placed on. The
--- a/node/gateway/relay/relay.go
+++ b/node/gateway/relay/relay.go
@@ -97,8 +97,9 @@
 	AdmitToTarget(ctx context.Context, t placement.Target, said placement.NamedLimit) (newest placement.NamedLimit, retryAfter time.Duration, ok bool)
 	// ReturnTargetCredit gives back the credit of an admitted request that was not sent.
 	ReturnTargetCredit(t placement.Target)
-	// LimitHeard records a limit that a target named to this VM, or the end of one.
-	LimitHeard(t placement.Target, said placement.NamedLimit)
+	// LimitHeard records a limit that a target named to this VM, or the end of one, and returns the limit
+	// that holds by what any VM heard.
+	LimitHeard(t placement.Target, said placement.NamedLimit) (newest placement.NamedLimit)
 }
 
 // closedTargets is a TargetLimits that lends no credits.
@@ -107,8 +108,10 @@
 func (closedTargets) AdmitToTarget(_ context.Context, _ placement.Target, said placement.NamedLimit) (placement.NamedLimit, time.Duration, bool) {
 	return said, time.Second, !said.InForce
 }
-func (closedTargets) ReturnTargetCredit(placement.Target)               {}
-func (closedTargets) LimitHeard(placement.Target, placement.NamedLimit) {}
+func (closedTargets) ReturnTargetCredit(placement.Target) {}
+func (closedTargets) LimitHeard(_ placement.Target, said placement.NamedLimit) placement.NamedLimit {
+	return said
+}
 
 // Allowances enforces the request allowances of workspaces across all entry VMs.
 type Allowances interface {
--- a/steering/placement/notices.go
+++ b/steering/placement/notices.go
@@ -17,6 +17,9 @@
 	// returnTime is how long it takes until all keys are back on a target that names no limit any
 	// more, or that has rested, but no longer than it has rested. Its caches are cold for most of them.
 	returnTime = 2 * time.Second
+	// endConfirmation is how long after the end of a limit a request has to be sent so that its response
+	// outranks all that other entry VMs may have heard before the end.
+	endConfirmation = time.Second
 )
 
 // Notice is what a target says of itself in a response.
@@ -25,6 +28,8 @@
 	// together.
 	Limited bool
 	Limit   float64
+	// AskedAt is when the request was sent. Zero means that the response arrived at once.
+	AskedAt time.Time
 	// Leaving is set if the target says that it leaves.
 	Leaving bool
 	// Rest is how long the target wants no request from this entry VM; 0 if it does not say.
@@ -40,6 +45,10 @@
 	generation steering.Generation
 	heardAt    time.Time
 	limit      NamedLimit
+	// limitEndedAt is when a limit ended last. endConfirmed is set once a request has been answered without a
+	// limit that was sent endConfirmation later.
+	limitEndedAt time.Time
+	endConfirmed bool
 	// leaving is never taken back.
 	leaving bool
 	// restUntil is until when the target wants no request from this entry VM.
@@ -109,6 +118,9 @@
 type NoticeChange struct {
 	// Limit is set if the target names another limit than before, or none any more.
 	Limit bool
+	// LimitEnded is set while other entry VMs may not take the end of a limit from this one yet, and are to be
+	// told again.
+	LimitEnded bool
 	// Leaving is set if the target says for the first time that it leaves.
 	Leaving bool
 	// Rest is set if the target asks for rest and was not resting.
@@ -138,11 +150,22 @@
 		s.close()
 	}
 	if said.Limited || said.Complete {
-		c.Limit = b.setLimit(now, t, known, NamedLimit{InForce: said.Limited, PerSecond: said.Limit, HeardAt: now})
+		c.Limit = b.setLimit(now, t, known, NamedLimit{InForce: said.Limited, PerSecond: said.Limit, AskedAt: said.AskedAt, HeardAt: now})
 	}
+	c.LimitEnded = !said.Limited && said.Complete && known.confirmEnd(said.AskedAt)
 	return c
 }
 
+// confirmEnd reports whether other entry VMs are to be told that the limit has ended, by the response to a
+// request that was sent at askedAt.
+func (n *notice) confirmEnd(askedAt time.Time) bool {
+	if n.limitEndedAt.IsZero() || n.endConfirmed {
+		return false
+	}
+	n.endConfirmed = !askedAt.Before(n.limitEndedAt.Add(endConfirmation))
+	return true
+}
+
 // rest records that the target wants no request until the given time, after a rest of d.
 func (n *notice) rest(until time.Time, d time.Duration) {
 	n.restUntil = until
@@ -155,16 +178,13 @@
 	return found != nil && found.restUntil.After(now)
 }
 
-// ApplyLimit records what a target said to another entry VM of its limit, unless this one has heard
-// the target say something later. It reports whether the limit has changed.
+// ApplyLimit records what a target said to another entry VM of its limit. It reports whether the limit has
+// changed.
 func (b *Balancer) ApplyLimit(now time.Time, t Target, said NamedLimit) bool {
 	known := b.notices.of(t)
 	if known == nil {
 		known = b.addNotice(now, t)
 	}
-	if !said.HeardAt.After(known.limit.HeardAt) {
-		return false
-	}
 	return b.setLimit(now, t, known, said)
 }
 
@@ -196,14 +216,16 @@
 	return added
 }
 
-// setLimit puts a limit in force or ends it, and reports whether it differs from the one before.
+// setLimit records what a target said of its limit, and reports whether another limit holds than before.
 func (b *Balancer) setLimit(now time.Time, t Target, known *notice, said NamedLimit) bool {
 	before := known.limit
-	known.limit = said
-	if said.InForce == before.InForce && said.PerSecond == before.PerSecond {
+	known.limit = before.With(said)
+	if known.limit.InForce == before.InForce && known.limit.PerSecond == before.PerSecond {
 		return false
 	}
-	if !said.InForce {
+	known.limitEndedAt, known.endConfirmed = time.Time{}, false
+	if !known.limit.InForce {
+		known.limitEndedAt = now
 		known.noCreditUntil, known.returnsAt, known.returnTime = time.Time{}, now, returnTime
 	} else {
 		known.returnsAt = time.Time{}
--- a/steering/placement/types.go
+++ b/steering/placement/types.go
@@ -69,16 +69,6 @@
 	Limit NamedLimit
 }
 
-// NamedLimit is what a target last said of the request rate that it takes.
-type NamedLimit struct {
-	// InForce is set if the target names a limit, of PerSecond requests per second from all entry VMs
-	// together.
-	InForce   bool
-	PerSecond float64
-	// HeardAt is when the response arrived that says so, here or at another entry VM.
-	HeardAt time.Time
-}
-
 // Refusal says why no target was chosen.
 type Refusal struct {
 	Reason steering.Reason
