Tell limits of targets between VMs that share a request

What callers saw: after a cut from all targets, a limited target got requests without credits from each VM that came back, for a run time. Cause: a VM that is cut off hands on responses that came through another VM, and so has told callers of the limit; but it kept only leavings and rests from them. Change: both ends of the way name the limits that they know, with the ages of response and request, the responding target first (32 at most).

--- a/node/gateway/allowances/targets.go
+++ b/node/gateway/allowances/targets.go
@@ -36,28 +36,13 @@
 }
 
 func (t *targetLimit) entry(now time.Time, id allowance.ID) limitEntry {
-	return limitEntry{Target: id, PerSecond: t.PerSecond, Ended: !t.InForce, AgeMs: ageMs(now, t.HeardAt), RequestAgeMs: ageMs(now, t.AskedAt)}
+	told := t.Tell(now)
+	return limitEntry{Target: id, PerSecond: told.PerSecond, Ended: !told.InForce, AgeMs: uint32(told.Age.Milliseconds()), RequestAgeMs: uint32(told.RequestAge.Milliseconds())}
 }
 
-func ageMs(now, at time.Time) uint32 {
-	if at.IsZero() {
-		return 0
-	}
-	return uint32(min(max(now.Sub(at), 0), maxAge).Milliseconds())
-}
-
-const (
-	// maxAge bounds the ages in messages.
-	maxAge = time.Hour
-	// transitAllowance is added to the age of the request in what another VM tells of a limit, for the time
-	// that the message took. What passes through several VMs must not become newer.
-	transitAllowance = allowance.OwnerTimeout
-)
-
-func (l limitEntry) namedLimit(now time.Time) placement.NamedLimit {
+func (l limitEntry) told() placement.ToldLimit {
 	age := func(ms uint32) time.Duration { return time.Duration(ms) * time.Millisecond }
-	return placement.NamedLimit{InForce: !l.Ended, PerSecond: l.PerSecond, HeardAt: now.Add(-age(l.AgeMs)),
-		AskedAt: now.Add(-age(max(l.RequestAgeMs, l.AgeMs)) - transitAllowance)}
+	return placement.ToldLimit{InForce: !l.Ended, PerSecond: l.PerSecond, Age: age(l.AgeMs), RequestAge: age(l.RequestAgeMs)}
 }
 
 func (t *targetLimit) limit() allowance.Limit { return allowance.TargetLimit(t.PerSecond) }
@@ -103,7 +88,7 @@
 
 // mergeLimit records what another VM told of a target's limit.
 func (s *Service) mergeLimit(now time.Time, l limitEntry) {
-	s.noteLimit(now, l.Target, "", l.namedLimit(now))
+	s.noteLimit(now, l.Target, "", l.told().Limit(now))
 }
 
 // forgetTargets drops the limits of targets of which no VM has heard anything recently.
--- a/node/gateway/relay/exchange.go
+++ b/node/gateway/relay/exchange.go
@@ -52,6 +52,8 @@
 	helperResults chan helperResult // nil until the request is passed on
 	atHelper      bool
 	startedAt     time.Time // of the last attempt
+	// responder is the target whose response was passed on to the VM that hop names; empty if none was.
+	responder steering.Target
 }
 
 // newExchange returns the exchange for a request of a caller, or for one that another entry VM passed on.
--- a/node/gateway/relay/helpers.go
+++ b/node/gateway/relay/helpers.go
@@ -131,7 +131,7 @@
 		header[name] = values
 	}
 	platform.RemoveIdentity(header)
-	h := hop{from: x.f.cfg.VM, region: x.f.cfg.Region, config: max(x.table.Version, x.f.shownConfig.Load()), attempts: attempts, closed: x.f.closings(x.service)}
+	h := hop{from: x.f.cfg.VM, region: x.f.cfg.Region, config: max(x.table.Version, x.f.shownConfig.Load()), attempts: attempts, told: x.f.tellNotices(x.service, "")}
 	if x.workspace != nil {
 		h.workspace = x.workspace.Name
 	}
@@ -201,7 +201,7 @@
 	if e.response == nil {
 		return
 	}
-	x.f.applyClosings(e.response.Header.Get(headerHopClosed))
+	x.f.applyTold(readToldNotices(e.response.Header))
 	version, err := strconv.ParseUint(e.response.Header.Get(headerHopConfig), 10, 64)
 	if err == nil && (e.verdict == hopDelivered || e.verdict == hopUnknown) {
 		x.f.configShown(version)
--- a/node/gateway/relay/hop.go
+++ b/node/gateway/relay/hop.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"net/http"
-	"net/url"
 	"strconv"
 	"strings"
 	"time"
@@ -11,7 +10,6 @@
 	"heatherlock/node/gateway/callers"
 	"heatherlock/platform"
 	"heatherlock/steering"
-	"heatherlock/steering/placement"
 	"heatherlock/steering/routes"
 )
 
@@ -27,6 +25,7 @@
 	headerHopVerdict   = hopHeaderPrefix + "Verdict"
 	headerHopReached   = hopHeaderPrefix + "Reached"
 	headerHopClosed    = hopHeaderPrefix + "Closed"
+	headerHopLimits    = hopHeaderPrefix + "Limits"
 )
 
 // hopVerdict is what the VM that passes a request on says of its response.
@@ -51,8 +50,8 @@
 	config    uint64
 	attempts  int
 	workspace steering.Workspace
-	// closed are the targets of the service that leave or rest, as encoded by closings.
-	closed string
+	// told is what targets of the service have said to that VM.
+	told toldNotices
 }
 
 // regionOr returns the region of the VM that took the request from its caller; a nil hop means this one.
@@ -72,43 +71,7 @@
 	if h.workspace != "" {
 		to[headerHopWorkspace] = []string{string(h.workspace)}
 	}
-	if h.closed != "" {
-		to[headerHopClosed] = []string{h.closed}
-	}
-}
-
-// closings encodes the targets of a service that have said that they leave, or that rest; empty if there are
-// none. VMs that share a request tell them to each other, since either may be the one that the target told.
-func (f *Relay) closings(service steering.Service) string {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	values := make(url.Values)
-	for _, c := range f.cfg.Balancer.Closings(time.Now(), service) {
-		values[string(c.Target)] = []string{strconv.FormatInt(int64(c.Generation), 10), strconv.FormatBool(c.Leaving), strconv.FormatInt(c.Rest.Milliseconds(), 10)}
-	}
-	return values.Encode()
-}
-
-// applyClosings records what targets have told another VM.
-func (f *Relay) applyClosings(encoded string) {
-	values, err := url.ParseQuery(encoded)
-	if err != nil || len(values) == 0 {
-		return
-	}
-	now := time.Now()
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	for name, said := range values {
-		if len(said) < 3 {
-			continue
-		}
-		generation, badGeneration := strconv.ParseInt(said[0], 10, 64)
-		rest, badRest := strconv.ParseInt(said[2], 10, 32)
-		if badGeneration == nil && badRest == nil {
-			f.cfg.Balancer.ApplyClosing(now, placement.Closing{Target: steering.Target(name), Generation: steering.Generation(generation),
-				Leaving: said[1] == "true", Rest: time.Duration(rest) * time.Millisecond})
-		}
-	}
+	h.told.set(to)
 }
 
 // readHop decodes the headers that set encodes; ok is false if they are missing or invalid.
@@ -116,7 +79,7 @@
 	config, badConfig := strconv.ParseUint(h.Get(headerHopConfig), 10, 64)
 	attempts, badAttempts := strconv.Atoi(h.Get(headerHopAttempts))
 	read = &hop{from: steering.VM(h.Get(headerHopFrom)), region: steering.Region(h.Get(headerHopRegion)), config: config,
-		attempts: attempts, workspace: steering.Workspace(h.Get(headerHopWorkspace)), closed: h.Get(headerHopClosed)}
+		attempts: attempts, workspace: steering.Workspace(h.Get(headerHopWorkspace)), told: readToldNotices(h)}
 	return read, badConfig == nil && badAttempts == nil && attempts > 0 && read.from != "" && read.region != ""
 }
 
@@ -178,15 +141,13 @@
 	if reason != "" {
 		return passedOn.refuse(f, e.requestInfo(call), reason, notReadyRetryAfter, 0, []any{"passed_on_by", passedOn.from})
 	}
-	f.applyClosings(passedOn.closed)
+	f.applyTold(passedOn.told)
 	x := newExchange(f, e, r, call, passedOn)
 	response := x.run(ctx)
 	if response == nil {
 		return nil
 	}
-	if closed := f.closings(x.service); closed != "" {
-		response.Header[headerHopClosed] = []string{closed}
-	}
+	f.tellNotices(x.service, x.responder).set(response.Header)
 	if response.Header.Get(headerHopVerdict) == string(hopDelivered) {
 		f.cfg.Metrics.Helped(string(hopDelivered))
 	}
--- a/node/gateway/relay/responses.go
+++ b/node/gateway/relay/responses.go
@@ -97,6 +97,7 @@
 // deliver passes a target's response on to the caller.
 func (x *exchange) deliver(e attemptResult) *callers.Response {
 	if x.hop != nil {
+		x.responder = e.pick.Target.Name
 		return x.hop.answer(&callers.Response{Status: e.response.Status, Header: endToEnd(e.response.Header), Body: e.response.Body,
 			BodyRest: e.response.BodyRest, Length: e.response.Length, Close: x.r.BodyRest != nil}, hopDelivered, x.table)
 	}
--- a/node/gateway/targetlimit_test.go
+++ b/node/gateway/targetlimit_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -12,6 +13,7 @@
 	"gotest.tools/v3/assert"
 
 	"heatherlock/standin/endpoint"
+	"heatherlock/standin/targetlinks"
 )
 
 const (
@@ -123,3 +125,82 @@
 	running.Wait()
 	s.checkLimit("t1", limit, named.Add(limitStable))
 }
+
+// toldCalls counts what a target gets from the VMs that have passed on a response which names its limit.
+type toldCalls struct {
+	mu     sync.Mutex
+	sentTo map[string]*vm // by ID of the request
+	told   map[*vm]time.Time
+}
+
+// toldBefore is how long before a request a VM must have passed on such a response for the request to count.
+const toldBefore = 500 * time.Millisecond
+
+// requestAllTold is requestAll for a target whose limit may be named meanwhile.
+func (s *testCluster) requestAllTold(c *toldCalls, all []*vm, perSecond int, d time.Duration) {
+	var running sync.WaitGroup
+	ticker := time.NewTicker(time.Second / time.Duration(perSecond))
+	defer ticker.Stop()
+	for n, end := 0, time.Now().Add(d); time.Now().Before(end); n++ {
+		v, id := all[n%len(all)], fmt.Sprint("told", s.number.Add(1))
+		c.mu.Lock()
+		c.sentTo[id] = v
+		c.mu.Unlock()
+		running.Go(func() {
+			_, header := s.requestNamed(v, id, "/read/"+id, 3*time.Second)
+			c.mu.Lock()
+			defer c.mu.Unlock()
+			if header.Get("Server-Limit") != "" && c.told[v].IsZero() {
+				c.told[v] = time.Now()
+			}
+		})
+		<-ticker.C
+	}
+	running.Wait()
+}
+
+// check checks what a target got in any limitWindow from a time on.
+func (c *toldCalls) check(t *testing.T, target *endpoint.Endpoint, limit float64, from time.Time) {
+	t.Helper()
+	var arrivals []time.Time
+	for _, r := range target.Runs() {
+		if told := c.told[c.sentTo[r.ID]]; !told.IsZero() && r.At.After(told.Add(toldBefore)) && r.At.After(from) {
+			arrivals = append(arrivals, r.At)
+		}
+	}
+	slices.SortFunc(arrivals, time.Time.Compare)
+	allowed := limit*limitFactor*limitWindow.Seconds() + limitSlack
+	got := mostIn(arrivals, limitWindow)
+	assert.Check(t, float64(got) <= allowed, "%d requests in %v from VMs that were told, allowed %.0f", got, limitWindow, allowed)
+}
+
+// Guards against VMs that send to a limited target without credits after a cut, because they have passed its
+// responses on but got them through another VM.
+func TestLimitHeardThroughAnotherVMHolds(t *testing.T) {
+	for _, mode := range []targetlinks.Mode{targetlinks.Hang, targetlinks.Reset} {
+		t.Run(mode.String(), func(t *testing.T) {
+			s := newTestCluster(t)
+			for n := range 4 {
+				s.addTarget(fmt.Sprint("u", n))
+			}
+			s.declareLarge("t1")
+			s.targets["t1"].SetFault(func(*http.Request) endpoint.Fault { time.Sleep(700 * time.Millisecond); return endpoint.None })
+			all := s.startAll(18)
+			const cut, cutFor, limit = 15, 6 * time.Second, 2.6
+			for _, l := range s.targetLinks[:cut] {
+				l.Set(mode)
+			}
+			time.AfterFunc(cutFor, func() {
+				for _, l := range s.targetLinks {
+					l.Set(targetlinks.Open)
+				}
+			})
+			began := time.Now()
+			calls := &toldCalls{sentTo: make(map[string]*vm), told: make(map[*vm]time.Time)}
+			s.requestAllTold(calls, all, 40, time.Second)
+			s.targets["t1"].SetHeader("Server-Limit", strconv.FormatFloat(limit, 'f', -1, 64))
+			s.requestAllTold(calls, all, 120, cutFor+5*time.Second-time.Since(began))
+			calls.check(t, s.targets["t1"], limit, began.Add(time.Second+limitStable))
+		})
+	}
+}
--- a/steering/placement/namedlimit.go
+++ b/steering/placement/namedlimit.go
@@ -14,6 +14,33 @@
 	AskedAt, HeardAt time.Time
 }
 
+// ToldLimit is a NamedLimit as one entry VM tells it to another: with ages, since their clocks differ.
+type ToldLimit struct {
+	InForce   bool
+	PerSecond float64
+	// Age is how long ago the response arrived that says so, and RequestAge how long ago its request was sent.
+	Age, RequestAge time.Duration
+}
+
+const (
+	// maxToldAge bounds the ages.
+	maxToldAge = time.Hour
+	// transitAllowance is added to the age of the request for the time that the message took. What passes
+	// through several VMs must not become newer.
+	transitAllowance = 150 * time.Millisecond
+)
+
+// Tell returns the limit as it is told to another entry VM.
+func (l NamedLimit) Tell(now time.Time) ToldLimit {
+	age := func(at time.Time) time.Duration { return min(max(now.Sub(at), 0), maxToldAge) }
+	return ToldLimit{InForce: l.InForce, PerSecond: l.PerSecond, Age: age(l.HeardAt), RequestAge: age(l.asked())}
+}
+
+// Limit returns the limit that another entry VM told.
+func (t ToldLimit) Limit(now time.Time) NamedLimit {
+	return NamedLimit{InForce: t.InForce, PerSecond: t.PerSecond, HeardAt: now.Add(-t.Age), AskedAt: now.Add(-max(t.RequestAge, t.Age) - transitAllowance)}
+}
+
 // With returns what is to be gone by once the target has said another limit as well, in any order of arrival.
 //
 // A statement replaces one that was heard before its request was sent. If either may be the later one, the
--- a/steering/placement/notices.go
+++ b/steering/placement/notices.go
@@ -1,6 +1,8 @@
 package placement
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
 	"heatherlock/steering"
@@ -188,6 +190,46 @@
 	return b.setLimit(now, t, known, said)
 }
 
+// maxToldLimits bounds what Limits returns.
+const maxToldLimits = 32
+
+// TargetLimit is the limit that a target names, as one entry VM tells it to another.
+type TargetLimit struct {
+	Target     steering.Target
+	Generation steering.Generation
+	Told       ToldLimit
+}
+
+// Limits returns the limits that targets of a service name; that of first, if it names one, and those heard
+// last.
+func (b *Balancer) Limits(now time.Time, service steering.Service, first steering.Target) []TargetLimit {
+	v := b.services[service]
+	if v == nil {
+		return nil
+	}
+	var all []TargetLimit
+	for s := range v.noticed {
+		if limit := b.notices.limitOf(s.Target); limit.InForce {
+			all = append(all, TargetLimit{Target: s.Name, Generation: s.Generation, Told: limit.Tell(now)})
+		}
+	}
+	slices.SortFunc(all, func(a, b TargetLimit) int {
+		if isFirst := a.Target == first; isFirst != (b.Target == first) {
+			if isFirst {
+				return -1
+			}
+			return 1
+		}
+		return cmp.Compare(a.Told.Age, b.Told.Age)
+	})
+	return all[:min(len(all), maxToldLimits)]
+}
+
+// ApplyToldLimit records a limit that another entry VM told.
+func (b *Balancer) ApplyToldLimit(now time.Time, l TargetLimit) {
+	b.ApplyLimit(now, Target{Name: l.Target, Generation: l.Generation}, l.Told.Limit(now))
+}
+
 // LimitReached records that there is no credit for a target before wait has passed.
 func (b *Balancer) LimitReached(now time.Time, t Target, wait time.Duration) {
 	if known := b.notices.of(t); known != nil {
