Report for an account that replaces a forgotten one as another incarnation

What callers saw: a limited target got up to 1.7 times its limit once VMs had sent it nothing for 30 s, and for seconds nothing from some of them. Cause: a VM drops an account that it has not used for 30 s. The next one counts its reports and requests from 0, and the owner, which never dropped what it knew of limits of targets, ignored its reports until their number was above the last one and then took the smaller use for credits that came back. Change: accounts carry the incarnation that was current when they were made; it rises when accounts are dropped. Owners have always taken another incarnation for another process, so the message is as before. Owners drop stale state of limits of targets as they do for workspaces. Class: a counter of somebody else's that starts again is read as one that goes on. The same cause: workspaces' allowances, whose loans are dropped by the owner at about the same time as the account; mended with it. Measured: decisions in simulated time, 12 s of traffic, 32 s without, 20 s of traffic. Now at most what accrues, and 0.9 of it or more, at 12 to 986 VMs.

--- a/node/gateway/allowances/exchange.go
+++ b/node/gateway/allowances/exchange.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"maps"
 	"net"
+	"slices"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -50,30 +52,39 @@
 func (s *Service) sendDueReports(now time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	type recipient struct {
-		owner   steering.VM
-		targets bool
-	}
-	byOwner := make(map[recipient][]allowance.Report)
-	for id, a := range s.accounts {
-		if a.Idle(now) {
-			delete(s.accounts, id)
-			continue
-		}
+	type batch struct {
+		owner       steering.VM
+		targets     bool
+		incarnation uint32
+	}
+	batches := make(map[batch][]allowance.Report)
+	s.dropIdleAccounts(now)
+	for _, a := range s.accounts {
 		if !a.ReportDue(now) {
 			continue
 		}
 		if report, to, ok := s.prepareReport(now, a); ok {
-			key := recipient{to, a.target != nil}
-			byOwner[key] = append(byOwner[key], report)
+			key := batch{to, a.target != nil, a.incarnation}
+			batches[key] = append(batches[key], report)
 		}
 	}
-	for to, reports := range byOwner {
-		for from := 0; from < len(reports); from += maxReportsPerDatagram {
-			s.sendReports(now, s.peers[to.owner], reports[from:min(from+maxReportsPerDatagram, len(reports))], to.targets)
+	for b, reports := range batches {
+		for chunk := range slices.Chunk(reports, maxReportsPerDatagram) {
+			s.sendReports(now, s.peers[b.owner], b.incarnation, chunk, b.targets)
 		}
 	}
 	s.forgetTargets(now)
+	s.targetLedger.DropStale(now)
+}
+
+// dropIdleAccounts drops accounts that were not used for long. What replaces them later counts its reports and
+// requests from the start, and therefore reports as another incarnation.
+func (s *Service) dropIdleAccounts(now time.Time) {
+	before := len(s.accounts)
+	maps.DeleteFunc(s.accounts, func(_ allowance.ID, a *account) bool { return a.Idle(now) })
+	if len(s.accounts) < before {
+		s.incarnation++
+	}
 }
 
 // report sends the report on one workspace to its owner if it is due.
@@ -82,13 +93,14 @@
 		return
 	}
 	if report, to, ok := s.prepareReport(now, a); ok {
-		s.sendReports(now, s.peers[to], []allowance.Report{report}, a.target != nil)
+		s.sendReports(now, s.peers[to], a.incarnation, []allowance.Report{report}, a.target != nil)
 	}
 }
 
-// sendReports sends reports that are all on workspaces, or with targets set all on targets.
-func (s *Service) sendReports(now time.Time, to peer, reports []allowance.Report, targets bool) {
-	d := datagram{From: s.cfg.Self, Incarnation: s.incarnation, Reports: reports}
+// sendReports sends reports of accounts of one incarnation that are all on workspaces, or with targets set all
+// on targets.
+func (s *Service) sendReports(now time.Time, to peer, incarnation uint32, reports []allowance.Report, targets bool) {
+	d := datagram{From: s.cfg.Self, Incarnation: incarnation, Reports: reports}
 	var limits []limitEntry
 	if targets {
 		for _, r := range reports {
@@ -112,7 +124,7 @@
 	report = a.Report(now)
 	report.Workspace = a.id
 	if a.owner == s.cfg.Self {
-		if reply, known := s.handleReport(now, s.cfg.Self, s.incarnation, report); known {
+		if reply, known := s.handleReport(now, s.cfg.Self, a.incarnation, report); known {
 			s.applyReply(now, reply)
 		}
 		return report, "", false
--- a/node/gateway/allowances/service.go
+++ b/node/gateway/allowances/service.go
@@ -48,15 +48,17 @@
 // Service decides which requests of workspaces with an allowance may run, and which may be sent to
 // targets that name a limit. It is safe for concurrent use.
 type Service struct {
-	cfg         Config
-	conn        net.PacketConn
-	incarnation uint32
+	cfg  Config
+	conn net.PacketConn
 
-	mu       sync.Mutex
-	byID     map[allowance.ID]*identity.Workspace
-	accounts map[allowance.ID]*account
-	ledger   *allowance.Ledger
-	live     []allowance.Candidate
+	mu sync.Mutex
+	// incarnation is that of new accounts. Owners take accounts of different incarnations for those of
+	// different processes.
+	incarnation uint32
+	byID        map[allowance.ID]*identity.Workspace
+	accounts    map[allowance.ID]*account
+	ledger      *allowance.Ledger
+	live        []allowance.Candidate
 	// liveIn holds the live VMs by region.
 	liveIn map[steering.Region][]allowance.Candidate
 	// targets holds the limits that targets name, and targetLedger the buckets of those that this VM
@@ -82,6 +84,7 @@
 	*allowance.Account
 	id           allowance.ID
 	replied      chan struct{} // closed at the next reply; nil if no request waits
+	incarnation  uint32
 	owner        steering.VM
 	ownerVersion int // the fleetVersion for which owner was determined
 	// target is the limit of the target that the account is for; nil for a workspace.
@@ -279,7 +282,7 @@
 	id := allowance.IDOf(w.Name)
 	a := s.accounts[id]
 	if a == nil {
-		a = &account{Account: allowance.NewAccount(now, limitOf(w), s.members), id: id, ownerVersion: -1}
+		a = &account{Account: allowance.NewAccount(now, limitOf(w), s.members), id: id, incarnation: s.incarnation, ownerVersion: -1}
 		a.MarkLow(s.lowUntil[id])
 		s.accounts[id] = a
 	}
--- a/node/gateway/allowances/targets.go
+++ b/node/gateway/allowances/targets.go
@@ -129,7 +129,7 @@
 	}
 	a := s.accounts[id]
 	if a == nil {
-		a = &account{Account: allowance.NewAccount(now, limit.limit(), s.members), id: id, ownerVersion: -1, target: limit}
+		a = &account{Account: allowance.NewAccount(now, limit.limit(), s.members), id: id, incarnation: s.incarnation, ownerVersion: -1, target: limit}
 		s.accounts[id] = a
 	}
 	a.RecordArrival(now)
--- a/node/gateway/allowances/targets_internal_test.go
+++ b/node/gateway/allowances/targets_internal_test.go
@@ -59,3 +59,30 @@
 	}
 	assert.Assert(t, ran <= 3, "%d requests at once for a limit of 1 a second", ran)
 }
+
+// Guards against credits that are lent again, or refused, to a VM that has forgotten what it used.
+func TestForgottenAccountGetsNoCreditTwice(t *testing.T) {
+	for _, c := range []struct {
+		perSecond   float64
+		least, most int
+	}{{0.01, 1, 2}, {1000, 10, 10}} {
+		s, target := New(Config{Self: "vm-1"}, &written{}), placement.Target{Name: "t1", Region: "r"}
+		s.SetLivePeers([]Peer{{Name: "vm-1", Region: "r", Address: "127.0.0.1:1"}}, 1)
+		limit, began, admitted := placement.NamedLimit{InForce: true, PerSecond: c.perSecond, HeardAt: time.Now()}, time.Now(), 0
+		for range 10 {
+			if _, _, ok := s.AdmitToTarget(t.Context(), target, limit); ok {
+				admitted++
+			}
+			now := time.Now()
+			s.mu.Lock()
+			for _, a := range s.accounts {
+				s.report(now.Add(2*time.Second), a) // returns what it holds
+			}
+			s.dropIdleAccounts(now.Add(time.Minute))
+			assert.Equal(t, len(s.accounts), 0)
+			s.mu.Unlock()
+		}
+		assert.Check(t, admitted >= c.least && admitted <= c.most, "%d of 10 admitted at %v a second", admitted, c.perSecond)
+		assert.Check(t, time.Since(began) < 10*allowance.OwnerTimeout/2, "%v for 10 requests", time.Since(began))
+	}
+}
--- a/steering/allowance/account.go
+++ b/steering/allowance/account.go
@@ -37,7 +37,8 @@
 	Refused
 )
 
-// Account is an entry VM's state for one workspace. It is not safe for concurrent use.
+// Account is an entry VM's state for one workspace. It is not safe for concurrent use. One that replaces
+// another of the same VM reports as another incarnation.
 type Account struct {
 	limit   Limit
 	members int
--- a/steering/allowance/ledger.go
+++ b/steering/allowance/ledger.go
@@ -226,17 +226,24 @@
 	return wait
 }
 
+// DropStale drops the state of workspaces, targets and VMs without recent reports.
+func (l *Ledger) DropStale(now time.Time) {
+	for id, o := range l.buckets {
+		o.dropStaleLoans(now)
+		if now.Sub(o.lastReportAt) > idleRetention {
+			delete(l.buckets, id)
+		}
+	}
+}
+
 // Overloaded returns the workspaces whose buckets are low while their demand exceeds the rate. It
 // also drops the state of workspaces and VMs without recent reports.
 func (l *Ledger) Overloaded(now time.Time) []ID {
+	l.DropStale(now)
 	var all []ID
 	for id, o := range l.buckets {
 		o.refill(now)
-		o.dropStaleLoans(now)
-		switch {
-		case now.Sub(o.lastReportAt) > idleRetention:
-			delete(l.buckets, id)
-		case o.low() && o.demand(now) > o.limit.Rate:
+		if o.low() && o.demand(now) > o.limit.Rate {
 			all = append(all, id)
 		}
 	}
--- a/steering/allowance/sim_test.go
+++ b/steering/allowance/sim_test.go
@@ -3,6 +3,7 @@
 import (
 	"container/heap"
 	"fmt"
+	"maps"
 	"math"
 	"math/rand/v2"
 	"slices"
@@ -64,7 +65,8 @@
 
 type simAccount struct {
 	*allowance.Account
-	waiting []func(allowance.Verdict)
+	incarnation uint32
+	waiting     []func(allowance.Verdict)
 }
 
 type simWorkspace struct {
@@ -198,6 +200,7 @@
 		if !vm.up || vm.paused {
 			continue
 		}
+		vm.dropIdle(f.now)
 		for _, s := range f.workspaces {
 			if a := vm.accounts[s]; a != nil {
 				f.report(i, s, a)
@@ -207,6 +210,20 @@
 	f.schedule(100*time.Millisecond, f.reportPeriodically)
 }
 
+func (vm *simVM) newAccount(now time.Time, l allowance.Limit) *simAccount {
+	return &simAccount{Account: allowance.NewAccount(now, l, vm.members), incarnation: vm.incarnation}
+}
+
+// dropIdle drops what the daemon drops.
+func (vm *simVM) dropIdle(now time.Time) {
+	before := len(vm.accounts)
+	maps.DeleteFunc(vm.accounts, func(_ *simWorkspace, a *simAccount) bool { return a.Idle(now) })
+	if len(vm.accounts) < before {
+		vm.incarnation++
+	}
+	vm.ledger.DropStale(now)
+}
+
 func (f *fleet) report(i int, s *simWorkspace, a *simAccount) {
 	vm := f.vms[i]
 	if !a.ReportDue(f.now) {
@@ -219,7 +236,7 @@
 		return
 	}
 	j := slices.IndexFunc(f.vms, func(o *simVM) bool { return o.name == owner })
-	incarnation, limitBytes := vm.incarnation, s.limitBytes()
+	incarnation, limitBytes := a.incarnation, s.limitBytes()
 	f.send(i, j, reportBytes+limitBytes, func() {
 		o := f.vms[j]
 		reply, becameLow, ok := o.ledger.Report(f.now, vm.name, incarnation, s.limit, r)
@@ -230,7 +247,7 @@
 			f.broadcastLow(j, s)
 		}
 		f.send(j, i, replyBytes+limitBytes, func() {
-			if vm.incarnation != incarnation || vm.accounts[s] != a {
+			if vm.accounts[s] != a {
 				return
 			}
 			a.ApplyReply(f.now, reply)
@@ -257,7 +274,7 @@
 	for i, vm := range f.vms {
 		f.send(j, i, 12, func() {
 			if vm.accounts[s] == nil {
-				vm.accounts[s] = &simAccount{Account: allowance.NewAccount(f.now, s.limit, vm.members)}
+				vm.accounts[s] = vm.newAccount(f.now, s.limit)
 			}
 			vm.accounts[s].MarkLow(until)
 		})
@@ -329,7 +346,7 @@
 	}
 	a := vm.accounts[s]
 	if a == nil {
-		a = &simAccount{Account: allowance.NewAccount(f.now, s.limit, vm.members)}
+		a = vm.newAccount(f.now, s.limit)
 		vm.accounts[s] = a
 	}
 	a.RecordArrival(f.now)
--- a/steering/allowance/targets_test.go
+++ b/steering/allowance/targets_test.go
@@ -122,6 +122,35 @@
 	}
 }
 
+// Guards against credits that are lent twice, or refused, once VMs have forgotten their accounts of a limit
+// that they had not used for a time.
+func TestLimitOfATargetHoldsAfterAQuietTime(t *testing.T) {
+	for _, vms := range []int{12, 84, 300, 986} {
+		for _, demand := range []float64{12, 40, 200} {
+			t.Run(fmt.Sprint(vms, " VMs, ", demand, " requests/s"), func(t *testing.T) {
+				t.Parallel()
+				f := newTargetFleet(1, vms)
+				for _, s := range f.workspaces {
+					s.demand = demand
+				}
+				f.runTraffic(12 * time.Second)
+				f.advance(32 * time.Second)
+				for _, s := range f.workspaces {
+					s.runs = nil
+				}
+				f.runTraffic(20 * time.Second)
+				f.assertTargetLimits(t, "after a quiet time")
+				for _, s := range f.workspaces {
+					used := float64(len(s.runs)) / (20 * s.limit.Rate)
+					allowed := 1 + s.limit.Burst/(20*s.limit.Rate)
+					assert.Check(t, used <= allowed, "%.2f of a limit of %.1f used, at most %.2f accrues", used, s.limit.Rate, allowed)
+					assert.Check(t, used >= 0.9 || s.demand < 4*s.limit.Rate, "%.2f of a limit of %.1f used", used, s.limit.Rate)
+				}
+			})
+		}
+	}
+}
+
 // updateSomeMemberships makes every second VM lose sight of a zone, so that two VMs own the same
 // limit for a second.
 func (f *fleet) updateSomeMemberships() {
