Let the soak's targets answer late when they name limits, and judge by what they name

The soak took a response without the header for the end of a limit, as the entry VMs did, and so left out what it should have found. It now goes by the target's own naming, and a target takes requests of 1.5 s just before it names a limit; their responses lack it. A planted defect (late_statements) dates statements by arrival.

--- a/node/gateway/relay/notices.go
+++ b/node/gateway/relay/notices.go
@@ -5,6 +5,7 @@
 
 	"github.com/go-faster/errors"
 
+	"heatherlock/node/gateway/planted"
 	"heatherlock/node/gateway/upstream"
 	"heatherlock/platform"
 	"heatherlock/steering/placement"
@@ -49,9 +50,12 @@
 		f.cfg.Metrics.UncreditedAtLimit()
 	}
 	said := placement.Notice{Limited: info.Limit.Named, Limit: info.Limit.PerSecond, AskedAt: sentAt, Leaving: info.Leaving, Rest: info.Rest, Complete: info.Signed && !info.Limit.Unreadable}
+	if planted.Defect == planted.LateStatements {
+		said.AskedAt = now
+	}
 	changed := f.cfg.Balancer.Heard(now, e.pick.Target, said)
 	if changed.Limit || changed.LimitEnded {
-		e.limitHeard = &placement.NamedLimit{InForce: said.Limited, PerSecond: said.Limit, AskedAt: sentAt, HeardAt: now}
+		e.limitHeard = &placement.NamedLimit{InForce: said.Limited, PerSecond: said.Limit, AskedAt: said.AskedAt, HeardAt: now}
 	}
 	f.logNotice(e.pick.Target, said, changed, now.Sub(sentAt))
 }
--- a/soak/check.go
+++ b/soak/check.go
@@ -103,7 +103,7 @@
 	l.mu.Lock()
 	l.sentTo[o.id] = d
 	l.mu.Unlock()
-	body, err := c.exchange(&o, func(h http.Header) { l.hear(c.system.findings, o.id, d, sent, h) })
+	body, err := c.exchange(&o, func(h http.Header) { l.hear(c.system, o.id, d, sent, h) })
 	if err != nil {
 		c.closeConn()
 		c.checkInterrupted(o, d, sent, err)
--- a/soak/statements.go
+++ b/soak/statements.go
@@ -20,6 +20,10 @@
 	limitFactor = 1.5
 	limitSlack  = 5
 	limitHeard  = 500 * time.Millisecond
+	// longRun is how long the requests run that a target takes in the lateAnswers before it names a limit.
+	// Their responses do not name it.
+	longRun     = 1500 * time.Millisecond
+	lateAnswers = 400 * time.Millisecond
 	// maxInRest is how many requests of one entry VM may reach a target in the rest that it asked for,
 	// later than restGrace after it did.
 	maxInRest = 2
@@ -34,6 +38,7 @@
 	daemon *daemon
 	boot   int
 	header string
+	naming int // which of the target's limits; 0 for other statements
 }
 
 // statementFaults draws targets that name a limit, ask for rest, or leave and say so in their
@@ -54,8 +59,37 @@
 }
 
 func (s *system) nameLimit(t *target, span time.Duration) {
-	t.SetHeader("Server-Limit", strconv.FormatFloat(namedLimit, 'f', -1, 64))
-	time.AfterFunc(limitWindow+span, func() { t.SetHeader("Server-Limit", "") })
+	t.SetFault(func(*http.Request) endpoint.Fault { time.Sleep(longRun); return endpoint.None })
+	time.AfterFunc(lateAnswers, func() {
+		t.SetFault(nil)
+		s.setNaming(t, true)
+		t.SetHeader("Server-Limit", strconv.FormatFloat(namedLimit, 'f', -1, 64))
+	})
+	time.AfterFunc(lateAnswers+limitWindow+span, func() {
+		t.SetHeader("Server-Limit", "")
+		s.setNaming(t, false)
+	})
+}
+
+func (s *system) setNaming(t *target, named bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if named {
+		t.naming++
+	}
+	t.limited = named
+}
+
+// naming returns which of its limits a target names now, and 0 if it names none.
+func (s *system) naming(name string) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, t := range s.allTargets {
+		if t.name == name && t.limited {
+			return t.naming
+		}
+	}
+	return 0
 }
 
 func (s *system) askForRest(t *target, span time.Duration) {
@@ -88,24 +122,26 @@
 
 // hear records what a target says in a response that an entry VM passed on, and checks the request:
 // what the VM had heard of the target before bounds what it may send. sent is when the request was.
-func (l *callLog) hear(f *findings, id string, d *daemon, sent time.Time, h http.Header) {
+func (l *callLog) hear(s *system, id string, d *daemon, sent time.Time, h http.Header) {
 	boot, _ := d.undisturbed(0)
 	target := h.Get("X-Instance-Id")
+	naming := s.naming(target)
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	said := statement{target, d, boot, "Server-Leaving"}
+	said := statement{target, d, boot, "Server-Leaving", 0}
 	if heard := l.heard[said]; !heard.IsZero() && sent.After(heard.Add(drainBound)) && !d.wasInterrupted(heard) {
-		f.add("request %s ran at %s %v after a response told %s that it leaves", id, target, sent.Sub(heard), d.name)
+		s.findings.add("request %s ran at %s %v after a response told %s that it leaves", id, target, sent.Sub(heard), d.name)
 	}
 	if h.Get(said.header) != "" && l.heard[said].IsZero() {
 		l.heard[said] = time.Now()
 	}
-	said.header = "Server-Limit"
+	said.header, said.naming = "Server-Limit", naming
 	switch heard := l.heard[said]; {
-	case h.Get(said.header) == "":
-		delete(l.heard, said)
+	case naming == 0:
 	case heard.IsZero():
-		l.heard[said] = time.Now()
+		if h.Get(said.header) != "" {
+			l.heard[said] = time.Now()
+		}
 	case sent.After(heard.Add(limitHeard)) && !d.wasInterrupted(heard):
 		l.limited[target] = append(l.limited[target], sent)
 	}
--- a/soak/system.go
+++ b/soak/system.go
@@ -66,6 +66,8 @@
 	heartbeatsStopped bool      // its entry in the store is not renewed
 	disturbedAt       time.Time
 	rest              time.Duration // asked for while it sheds; zero if it never did
+	naming            int           // how many limits it has named
+	limited           bool          // it names one now
 }
 
 func newSystem(o Options, dir string, f *findings) (*system, error) {
