Lend only the part of a target's limit that VMs with the same view of the fleet share

Suspected: two VMs that both own a limit, because a part of the fleet does not see one of them, lend the whole limit each, and neither notices. Change: heartbeats already name a hash of the live VMs. A VM estimates from those that it hears how many have seen the same set as it does, or another for less than a second, and lends that part of each limit. Allowances of workspaces have a slack for it and stay as they are.

--- a/node/gateway/allowances/service.go
+++ b/node/gateway/allowances/service.go
@@ -67,7 +67,9 @@
 	targetLedger *allowance.Ledger
 	peers        map[steering.VM]peer
 	members      int
-	fleetVersion int // incremented when the live VMs or their weights change
+	liveShare    float64 // of the VMs that are live
+	agreeing     float64 // see SetAgreeingShare
+	fleetVersion int     // incremented when the live VMs or their weights change
 	lowUntil     map[allowance.ID]time.Time
 	counts       *counts
 }
@@ -94,7 +96,7 @@
 // New returns a service that exchanges datagrams on conn. Run must be called to start it.
 func New(cfg Config, conn net.PacketConn) *Service {
 	return &Service{cfg: cfg, conn: conn, incarnation: rand.Uint32(), accounts: make(map[allowance.ID]*account),
-		ledger: allowance.NewLedger(cfg.Slack), targetLedger: allowance.NewLedger(allowance.Slack{}), targets: make(map[allowance.ID]*targetLimit), peers: make(map[steering.VM]peer), members: 1,
+		ledger: allowance.NewLedger(cfg.Slack), targetLedger: allowance.NewLedger(allowance.Slack{}), targets: make(map[allowance.ID]*targetLimit), peers: make(map[steering.VM]peer), members: 1, liveShare: 1, agreeing: 1,
 		lowUntil: make(map[allowance.ID]time.Time), counts: newCounts()}
 }
 
@@ -168,14 +170,24 @@
 		s.fleetVersion++
 	}
 	s.live, s.liveIn, s.peers, s.members = candidates, liveIn, peers, members
-	share := float64(max(len(live), 1)) / float64(members)
-	s.ledger.SetFleetShare(now, share)
-	s.targetLedger.SetFleetShare(now, share)
+	s.liveShare = float64(max(len(live), 1)) / float64(members)
+	s.ledger.SetFleetShare(now, s.liveShare)
+	s.targetLedger.SetFleetShare(now, s.liveShare*s.agreeing)
 	for _, a := range s.accounts {
 		a.Configure(now, a.Limit(), members)
 	}
 }
 
+// SetAgreeingShare sets the share of the live VMs that see the same live VMs as this one, and so the same owners.
+// This VM lends that part of the limits of targets: VMs with another view may take another one for the owner.
+func (s *Service) SetAgreeingShare(share float64) {
+	now := time.Now()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.agreeing = share
+	s.targetLedger.SetFleetShare(now, s.liveShare*s.agreeing)
+}
+
 func sameCandidates(a, b []allowance.Candidate) bool {
 	if len(a) != len(b) {
 		return false
--- a/node/gateway/fleet/fleet.go
+++ b/node/gateway/fleet/fleet.go
@@ -290,6 +290,13 @@
 	return f.roster.MemberCount(f.cfg.Clock())
 }
 
+// AgreeingShare estimates the share of the live VMs that see the same set of live VMs as this one.
+func (f *Fleet) AgreeingShare() float64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.roster.AgreeingShare(f.cfg.Clock())
+}
+
 // RecordCount returns the number of members on record, this VM included.
 func (f *Fleet) RecordCount() int {
 	f.mu.Lock()
--- a/node/gateway/fleet/lists.go
+++ b/node/gateway/fleet/lists.go
@@ -12,6 +12,8 @@
 	// settledAfter is how long all heartbeats received must have named the same set of live VMs as
 	// this VM's before its reports leave out the lists of live VMs, which are most of their size.
 	settledAfter = 2 * time.Second
+	// viewsDifferAfter is how long the set of live VMs of another VM must have differed to count as different.
+	viewsDifferAfter = time.Second
 	// minAskInterval is the time between two questions for the members of one zone, and
 	// maxAskedMembers how many members one question names.
 	minAskInterval  = time.Second
@@ -157,11 +159,35 @@
 	return found
 }
 
-// noteLiveSet records whether a heartbeat named the same set of live VMs as this VM's.
-func (r *Roster) noteLiveSet(now time.Time, same bool) {
+// noteLiveSet records whether a member's heartbeat named the same set of live VMs as this VM's.
+func (r *Roster) noteLiveSet(now time.Time, from steering.VM, same bool) {
 	if !same {
 		r.disagreedAt = now
 	}
+	switch h := r.members[from]; {
+	case h == nil:
+	case same:
+		h.differsSince = time.Time{}
+	case h.differsSince.IsZero():
+		h.differsSince = now
+	}
+}
+
+// AgreeingShare estimates the share of the live VMs, from above 0 to 1, that see the same set of live VMs as this
+// one, from those that send it heartbeats. A set that differs for less than viewsDifferAfter counts as the same:
+// changes are noticed at different times.
+func (r *Roster) AgreeingShare(now time.Time) float64 {
+	heard, agreeing := 1, 1
+	for _, h := range r.all {
+		if h.leaving || !r.heardDirectly(now, h) {
+			continue
+		}
+		heard++
+		if h.differsSince.IsZero() || now.Sub(h.differsSince) < viewsDifferAfter {
+			agreeing++
+		}
+	}
+	return float64(agreeing) / float64(heard)
 }
 
 // settled reports whether all heartbeats of late named the same set of live VMs as this VM's.
--- a/node/gateway/fleet/receive.go
+++ b/node/gateway/fleet/receive.go
@@ -83,7 +83,7 @@
 	reply := f.nextBeat()
 	known := f.membersFor(now, b)
 	same := b.Crowd == f.liveSetHash
-	f.roster.noteLiveSet(now, same)
+	f.roster.noteLiveSet(now, b.From.Name, same)
 	unknown, knows := f.roster.takeUnknown(now, b.From.Zone)
 	query := f.queryBackoff.noteBeat(now, same)
 	// A VM of a zone with standbys lists its members once it knows that this VM's set differs, which
--- a/node/gateway/fleet/roster.go
+++ b/node/gateway/fleet/roster.go
@@ -95,6 +95,9 @@
 	// heartbeat that reported the read instead, a read that hangs would delay all other VMs for as
 	// long as it lasts.
 	readBegan time.Time
+	// differsSince is when the first of its heartbeats named another set of live VMs than this VM's, without one
+	// since that named the same; zero if the last one did.
+	differsSince time.Time
 	// lastSent is when a heartbeat was last sent to it.
 	lastSent time.Time
 }
--- a/node/gateway/gateway.go
+++ b/node/gateway/gateway.go
@@ -209,9 +209,13 @@
 // followMembership passes on changes of the membership until ctx ends, at most one in
 // membershipInterval: while a fleet starts, hundreds of VMs become live one after the other.
 func (g *Gateway) followMembership(ctx context.Context) {
+	ticker := time.NewTicker(agreementInterval)
+	defer ticker.Stop()
 	for ctx.Err() == nil {
 		select {
 		case <-ctx.Done():
+		case <-ticker.C:
+			g.updateAgreement()
 		case <-g.membersChanged:
 			g.updateMembership()
 			sleep(ctx, membershipInterval)
--- a/node/gateway/workspaces.go
+++ b/node/gateway/workspaces.go
@@ -2,6 +2,7 @@
 
 import (
 	"net"
+	"time"
 
 	"github.com/go-faster/errors"
 
@@ -63,6 +64,16 @@
 	g.allowanceService.SetLivePeers(peers, g.fleet.MemberCount())
 }
 
+// agreementInterval is the interval at which the share of VMs with the same view of the fleet is passed on.
+const agreementInterval = 500 * time.Millisecond
+
+// updateAgreement passes on the share of VMs that see the same live VMs as this one.
+func (g *Gateway) updateAgreement() {
+	if g.allowanceService.HasLimits() {
+		g.allowanceService.SetAgreeingShare(g.fleet.AgreeingShare())
+	}
+}
+
 // logWorkspaces logs in one line how many requests of workspaces with an allowance were admitted,
 // refused and not run since the last call, and adds them to the metrics.
 func (g *Gateway) logWorkspaces() {
--- a/steering/allowance/targets_test.go
+++ b/steering/allowance/targets_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -151,6 +152,55 @@
 	}
 }
 
+// Guards against two VMs that own the same limit for as long as a part of the VMs does not see one of them.
+func TestLimitOfATargetHoldsWhileViewsDiffer(t *testing.T) {
+	for _, vms := range []int{12, 96, 986} {
+		for _, unseen := range []time.Duration{2 * time.Second, 4 * time.Second, 8 * time.Second} {
+			t.Run(fmt.Sprint(vms, " VMs, ", unseen), func(t *testing.T) {
+				t.Parallel()
+				f := newTargetFleet(2, vms)
+				f.runTraffic(4 * time.Second)
+				f.hideOwners()
+				f.schedule(viewsCompared, f.lendAgreeingShares)
+				f.runTraffic(unseen)
+				f.updateMembership()
+				f.runTraffic(5 * time.Second)
+				f.assertTargetLimits(t, "views differ")
+			})
+		}
+	}
+}
+
+// hideOwners makes every second VM lose sight of the VMs that own limits, but for these themselves.
+func (f *fleet) hideOwners() {
+	owners := make(map[steering.VM]bool)
+	for _, s := range f.workspaces {
+		owner, _ := allowance.OwnerOf(s.id, f.vms[0].live)
+		owners[owner] = true
+	}
+	for i, vm := range f.vms {
+		if i%2 == 0 && !owners[vm.name] {
+			vm.live = slices.DeleteFunc(slices.Clone(vm.live), func(c allowance.Candidate) bool { return owners[c.VM] })
+		}
+	}
+}
+
+// viewsCompared is how long it takes until a VM goes by other VMs' views: a heartbeat over the longest link, the
+// time for which views may differ, and the time between two comparisons.
+const viewsCompared = 1800 * time.Millisecond
+
+// lendAgreeingShares lets each VM lend the part of the fleet that sees the same VMs as it does.
+func (f *fleet) lendAgreeingShares() {
+	view := func(vm *simVM) string { return fmt.Sprint(vm.live) }
+	sharing := make(map[string]int)
+	for _, vm := range f.vms {
+		sharing[view(vm)]++
+	}
+	for _, vm := range f.vms {
+		vm.ledger.SetFleetShare(f.now, float64(sharing[view(vm)])/float64(len(f.vms)))
+	}
+}
+
 // updateSomeMemberships makes every second VM lose sight of a zone, so that two VMs own the same
 // limit for a second.
 func (f *fleet) updateSomeMemberships() {
