End a trial without requests, and show slots that are held back in status

Change: targets on trial are asked for their load as ejected ones are; one that answers, does not say that it is unhealthy and got no request for 5 s serves again. Status names the declared slots that no request gets (HELD BACK; a field more between VMs and in the API, absent from builds before). The tutorial's test repeats the command, as the page tells its reader, also while slots are held back or in flight; its bound of 20 s and the line that it wants stay.

--- a/api/oas/oas_json_gen.go
+++ b/api/oas/oas_json_gen.go
@@ -3463,6 +3463,12 @@
 		e.FieldStart("slots")
 		e.Int(s.Slots)
 	}
+	{
+		if s.HeldBack.Set {
+			e.FieldStart("heldBack")
+			s.HeldBack.Encode(e)
+		}
+	}
 	{
 		e.FieldStart("inFlight")
 		e.Int(s.InFlight)
@@ -3477,12 +3483,13 @@
 	}
 }
 
-var jsonFieldsNameOfPoolStatus = [5]string{
+var jsonFieldsNameOfPoolStatus = [6]string{
 	0: "service",
 	1: "slots",
-	2: "inFlight",
-	3: "queued",
-	4: "ageMs",
+	2: "heldBack",
+	3: "inFlight",
+	4: "queued",
+	5: "ageMs",
 }
 
 // Decode decodes PoolStatus from json.
@@ -3518,8 +3525,18 @@
 			}(); err != nil {
 				return errors.Wrap(err, "decode field \"slots\"")
 			}
+		case "heldBack":
+			if err := func() error {
+				s.HeldBack.Reset()
+				if err := s.HeldBack.Decode(d); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"heldBack\"")
+			}
 		case "inFlight":
-			requiredBitSet[0] |= 1 << 2
+			requiredBitSet[0] |= 1 << 3
 			if err := func() error {
 				v, err := d.Int()
 				s.InFlight = int(v)
@@ -3531,7 +3548,7 @@
 				return errors.Wrap(err, "decode field \"inFlight\"")
 			}
 		case "queued":
-			requiredBitSet[0] |= 1 << 3
+			requiredBitSet[0] |= 1 << 4
 			if err := func() error {
 				v, err := d.Int()
 				s.Queued = int(v)
@@ -3543,7 +3560,7 @@
 				return errors.Wrap(err, "decode field \"queued\"")
 			}
 		case "ageMs":
-			requiredBitSet[0] |= 1 << 4
+			requiredBitSet[0] |= 1 << 5
 			if err := func() error {
 				v, err := d.Int64()
 				s.AgeMs = int64(v)
@@ -3564,7 +3581,7 @@
 	// Validate required fields.
 	var failures []validate.FieldError
 	for i, mask := range [1]uint8{
-		0b00011111,
+		0b00111011,
 	} {
 		if result := (requiredBitSet[i] & mask) ^ mask; result != 0 {
 			// Mask only required fields and check equality to mask using XOR.
--- a/api/oas/oas_schemas_gen.go
+++ b/api/oas/oas_schemas_gen.go
@@ -1745,8 +1745,11 @@
 
 // Ref: #/components/schemas/PoolStatus
 type PoolStatus struct {
-	Service  string `json:"service"`
-	Slots    int    `json:"slots"`
+	Service string `json:"service"`
+	Slots   int    `json:"slots"`
+	// Declared slots that no request gets now, since their targets are ejected, on trial, starting slowly
+	// or take fewer requests than declared.
+	HeldBack OptInt `json:"heldBack"`
 	InFlight int    `json:"inFlight"`
 	Queued   int    `json:"queued"`
 	AgeMs    int64  `json:"ageMs"`
@@ -1762,6 +1765,11 @@
 	return s.Slots
 }
 
+// GetHeldBack returns the value of HeldBack.
+func (s *PoolStatus) GetHeldBack() OptInt {
+	return s.HeldBack
+}
+
 // GetInFlight returns the value of InFlight.
 func (s *PoolStatus) GetInFlight() int {
 	return s.InFlight
@@ -1787,6 +1795,11 @@
 	s.Slots = val
 }
 
+// SetHeldBack sets the value of HeldBack.
+func (s *PoolStatus) SetHeldBack(val OptInt) {
+	s.HeldBack = val
+}
+
 // SetInFlight sets the value of InFlight.
 func (s *PoolStatus) SetInFlight(val int) {
 	s.InFlight = val
--- a/cmd/heatherlock/tutorial_test.go
+++ b/cmd/heatherlock/tutorial_test.go
@@ -103,9 +103,9 @@
 const settleTime = 20 * time.Second
 
 // unsettled matches the output of a status command that shows that the machine is too
-// busy: an entry VM whose heartbeats are late, or a zone without the newest
-// configuration.
-var unsettled = regexp.MustCompile(`suspect|taking the newest configuration|cut off since`)
+// busy: an entry VM whose heartbeats are late, a zone without the newest configuration,
+// or slots that are held back or still in flight after the run.
+var unsettled = regexp.MustCompile(`suspect|taking the newest configuration|cut off since|\d of \d+ +([1-9]|\d+ +[1-9])`)
 
 // missing returns the first expected line that the output does not contain.
 func (l tutorialCommand) missing(printedText string) (line string, ok bool) {
--- a/cmd/internal/operate/status.go
+++ b/cmd/internal/operate/status.go
@@ -82,10 +82,10 @@
 
 func writePools(out io.Writer, s *oas.DeploymentStatus) error {
 	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
-	fmt.Fprintln(w, "\nPLACE\tSERVICE\tFREE SLOTS\tIN FLIGHT\tQUEUED\tKNOWN")
+	fmt.Fprintln(w, "\nPLACE\tSERVICE\tFREE SLOTS\tHELD BACK\tIN FLIGHT\tQUEUED\tKNOWN")
 	for _, p := range s.Places {
 		for _, pool := range p.Pools {
-			fmt.Fprintf(w, "%s\t%s\t%d of %d\t%d\t%d\t%s ago\n", p.Place, pool.Service, max(pool.Slots-pool.InFlight, 0), pool.Slots, pool.InFlight, pool.Queued, age(pool.AgeMs))
+			fmt.Fprintf(w, "%s\t%s\t%d of %d\t%d\t%d\t%d\t%s ago\n", p.Place, pool.Service, max(pool.Slots-pool.InFlight, 0), pool.Slots, pool.HeldBack.Or(0), pool.InFlight, pool.Queued, age(pool.AgeMs))
 		}
 	}
 	return w.Flush()
--- a/node/admit/admit.go
+++ b/node/admit/admit.go
@@ -280,6 +280,7 @@
 		InFlight: int32(s.InFlight),
 		Slots:    int32(s.Slots),
 		Queued:   int32(s.Queued),
+		Declared: int32(s.Declared),
 	}
 	for _, d := range draining {
 		fact.Draining = append(fact.Draining, &peerpb.TargetFact{Target: string(d.Target), InFlight: int32(d.InFlight)})
--- a/node/admit/pool_state.go
+++ b/node/admit/pool_state.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"sync"
 	"time"
 
@@ -10,6 +11,7 @@
 
 	"heatherlock/node/seam"
 	"heatherlock/steering"
+	"heatherlock/steering/health"
 	"heatherlock/steering/pool"
 	"heatherlock/steering/routing"
 )
@@ -318,16 +320,23 @@
 	return p.pool.Targets(nil)
 }
 
-// targetsToQuery returns the targets whose load endpoint has to be read: those
-// that may still run abandoned requests, and ejected ones, which get no requests
-// that would show their state.
+// targetsToQuery returns the targets whose load endpoint has to be read: those that
+// may still run abandoned requests, and those ejected or on trial, which get few or
+// no requests that would show their state.
 func (p *poolState) targetsToQuery() []routing.Target {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.role != roleOwner {
 		return nil
 	}
-	return p.pool.Unverified(nil)
+	query := p.pool.Unverified(nil)
+	for _, t := range p.pool.Targets(nil) {
+		listed := func(q routing.Target) bool { return q.Name == t.Name }
+		if p.targetHealth.tracker.State(t.Name) == health.Trial && !slices.ContainsFunc(query, listed) {
+			query = append(query, t)
+		}
+	}
+	return query
 }
 
 // applyLoads applies the loads that targets reported.
--- a/node/admit/target_health_test.go
+++ b/node/admit/target_health_test.go
@@ -59,6 +59,25 @@
 	})
 }
 
+// Guards against slots of a target that works again and stay closed for as long as no requests come.
+func TestRecoveredTargetReturnsWithoutRequests(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		z := newZone(t, 3, targets, slots)
+		defer z.close()
+		time.Sleep(time.Second)
+		down := z.targets["target-0"]
+		down.setDown(true)
+		for _, e := range z.vms {
+			z.callers(e, 6, service, 3*time.Second)
+		}
+		time.Sleep(4 * time.Second)
+		assert.Assert(t, z.free(z.owner()) < capacity)
+		down.setDown(false)
+		time.Sleep(20 * time.Second)
+		assert.Equal(t, z.free(z.owner()), capacity)
+	})
+}
+
 // Guards against requests from other zones exceeding the limit of the link into a
 // place because each of several entry VMs applies the limit on its own.
 func TestLinkLimitHoldsOverAllEntryVMs(t *testing.T) {
--- a/node/operator/deployment.go
+++ b/node/operator/deployment.go
@@ -81,7 +81,7 @@
 		}
 		last := &places[len(places)-1]
 		last.Pools = append(last.Pools, oas.PoolStatus{
-			Service: p.Service, Slots: p.Slots, InFlight: p.InFlight, Queued: p.Queued, AgeMs: p.Age.Milliseconds(),
+			Service: p.Service, Slots: p.Slots, HeldBack: oas.NewOptInt(p.HeldBack), InFlight: p.InFlight, Queued: p.Queued, AgeMs: p.Age.Milliseconds(),
 		})
 	}
 	return places
--- a/node/operator/runtime.go
+++ b/node/operator/runtime.go
@@ -60,6 +60,8 @@
 	Region   string
 	Service  string
 	Slots    int
+	// HeldBack is how many declared slots no request gets now.
+	HeldBack int
 	InFlight int
 	Queued   int
 	Age      time.Duration
--- a/node/runtimeinfo.go
+++ b/node/runtimeinfo.go
@@ -93,7 +93,7 @@
 	var all []operator.PoolFact
 	for _, entry := range f.pools(now) {
 		fact := operator.PoolFact{
-			Place: entry.fact.Place, Service: entry.fact.Service, Slots: int(entry.fact.Slots),
+			Place: entry.fact.Place, Service: entry.fact.Service, Slots: int(entry.fact.Slots), HeldBack: max(int(entry.fact.Declared-entry.fact.Slots), 0),
 			InFlight: int(entry.fact.InFlight), Queued: int(entry.fact.Queued), Age: ageOf(entry.asOf, now),
 		}
 		if place := f.place(steering.Place(entry.fact.Place)); place != nil {
--- a/steering/health/config.go
+++ b/steering/health/config.go
@@ -27,6 +27,9 @@
 	EjectionResetAfter time.Duration // 2 min
 	// TrialSuccesses is the number of successful requests that end a trial.
 	TrialSuccesses int // 3
+	// UntriedAfter is how long a trial lasts without a request to a target that answers
+	// requests for its load.
+	UntriedAfter time.Duration // 5 s
 	// ReportTTL is the time for which a target's report that it is unhealthy
 	// is valid. Within this time after a success such a report is ignored.
 	ReportTTL time.Duration // 5 s
@@ -42,6 +45,7 @@
 	defaultMaxEjectionTime        = time.Minute
 	defaultEjectionResetAfter     = 2 * time.Minute
 	defaultTrialSuccesses         = 3
+	defaultUntriedAfter           = 5 * time.Second
 	defaultReportTTL              = 5 * time.Second
 )
 
@@ -55,6 +59,7 @@
 	orDefault(&c.MaxEjectionTime, defaultMaxEjectionTime)
 	orDefault(&c.EjectionResetAfter, defaultEjectionResetAfter)
 	orDefault(&c.TrialSuccesses, defaultTrialSuccesses)
+	orDefault(&c.UntriedAfter, defaultUntriedAfter)
 	orDefault(&c.ReportTTL, defaultReportTTL)
 	return c
 }
--- a/steering/health/tracker.go
+++ b/steering/health/tracker.go
@@ -24,6 +24,7 @@
 	eventReported chart.Event = "reported"
 	eventWaited   chart.Event = "waited"
 	eventPassed   chart.Event = "passed"
+	eventUntried  chart.Event = "untried"
 	eventDoubted  chart.Event = "doubted"
 )
 
@@ -32,13 +33,15 @@
 
 var targetChart = chart.MustLoad("health/target.json", targetSource, chart.Bindings[*chartModel]{
 	States: []chart.State{Serving, Warming, Ejected, Trial},
-	Events: []chart.Event{eventCold, eventWarm, eventFailing, eventReported, eventWaited, eventPassed, eventDoubted},
+	Events: []chart.Event{eventCold, eventWarm, eventFailing, eventReported, eventWaited, eventPassed, eventUntried, eventDoubted},
 	Guards: map[string]func(*chartModel) bool{
 		"mayEject": func(m *chartModel) bool { return m.tracker.mayEject(m.target) },
 	},
 	Actions: map[string]func(*chartModel){
 		"eject":      func(m *chartModel) { m.tracker.eject(m.target) },
-		"startTrial": func(m *chartModel) { m.target.trialSuccessesLeft = m.tracker.cfg.TrialSuccesses },
+		"startTrial": func(m *chartModel) {
+			m.target.trialSuccessesLeft, m.target.triedAt = m.tracker.cfg.TrialSuccesses, m.tracker.now
+		},
 		"forget":     func(m *chartModel) { m.target.resetEvidence() },
 	},
 })
@@ -63,6 +66,7 @@
 	ejectionTime       time.Duration
 	ejectedAt          time.Time
 	trialSuccessesLeft int
+	triedAt            time.Time // start of the trial, or its last outcome
 	earlyTrialUsed     bool // an early trial was granted, and no trial has passed since
 }
 
@@ -150,6 +154,7 @@
 		t.fire(tgt, eventFailing)
 		return
 	}
+	tgt.triedAt = t.now
 	tgt.trialSuccessesLeft--
 	if tgt.trialSuccessesLeft <= 0 {
 		t.fire(tgt, eventPassed)
@@ -181,6 +186,9 @@
 // that was ejected as unreachable is put on trial at once instead of at the end of
 // its ejection. If that trial fails, further calls have no effect until a trial has
 // passed: the load endpoint may respond although the target accepts no requests.
+//
+// A trial ends if there was no request for Config.UntriedAfter that could decide it,
+// unless the target reports that it is unhealthy.
 func (t *Tracker) ObserveReachable(now time.Time, name steering.Target) []Change {
 	t.begin(now)
 	tgt, known := t.targets[name]
@@ -188,6 +196,9 @@
 		t.fire(tgt, eventWaited)
 		tgt.earlyTrialUsed = true // reset when a trial passes
 	}
+	if known && tgt.state == Trial && now.Sub(tgt.triedAt) >= t.cfg.UntriedAfter && !now.Before(tgt.reportedUntil) {
+		t.fire(tgt, eventUntried)
+	}
 	return t.changes
 }
 
--- a/steering/health/tracker_test.go
+++ b/steering/health/tracker_test.go
@@ -9,6 +9,7 @@
 	"pgregory.net/rapid"
 
 	"heatherlock/steering"
+	"heatherlock/steering/chart"
 )
 
 var start = time.Unix(1_000_000, 0)
@@ -201,3 +202,36 @@
 		}
 	})
 }
+
+// Guards against a target that stays on trial for as long as nobody sends the requests that would end it, and
+// against one that returns without requests although it does not answer or says that it is unhealthy.
+func TestTrialWithoutRequestsEnds(t *testing.T) {
+	for name, c := range map[string]struct {
+		answers, healthy bool
+		want             chart.State
+	}{"answers": {true, true, Serving}, "silent": {false, true, Trial}, "unhealthy": {true, false, Trial}} {
+		t.Run(name, func(t *testing.T) {
+			all := names(4)
+			tr := New(Config{})
+			tr.SetTargets(start, all, false)
+			for range defaultConsecutiveFailures {
+				tr.Observe(start, all[0], Failure)
+			}
+			assert.Equal(t, tr.State(all[0]), Ejected)
+			now, triedAt := start, start.Add(defaultBaseEjectionTime)
+			for end := triedAt.Add(defaultUntriedAfter); now.Before(end); now = now.Add(100 * time.Millisecond) {
+				tr.Tick(now)
+				if c.answers {
+					tr.Report(now, all[0], c.healthy)
+					tr.ObserveReachable(now, all[0])
+				}
+				assert.Assert(t, tr.State(all[0]) != Serving, "after %v", now.Sub(start))
+			}
+			if c.answers {
+				tr.Report(now, all[0], c.healthy)
+				tr.ObserveReachable(now, all[0])
+			}
+			assert.Equal(t, tr.State(all[0]), c.want)
+		})
+	}
+}
