Count other views of the fleet as different after half a second

With reports repeated in simulation as the daemon repeats them, two owners lent 66 requests in 4 s of a limit of 10 (allowed 65) with a second. Compared four times a second, views count 1.4 s after they differ at the latest.

--- a/node/gateway/fleet/lists.go
+++ b/node/gateway/fleet/lists.go
@@ -13,7 +13,7 @@
 	// this VM's before its reports leave out the lists of live VMs, which are most of their size.
 	settledAfter = 2 * time.Second
 	// viewsDifferAfter is how long the set of live VMs of another VM must have differed to count as different.
-	viewsDifferAfter = time.Second
+	viewsDifferAfter = 500 * time.Millisecond
 	// minAskInterval is the time between two questions for the members of one zone, and
 	// maxAskedMembers how many members one question names.
 	minAskInterval  = time.Second
--- a/node/gateway/workspaces.go
+++ b/node/gateway/workspaces.go
@@ -65,7 +65,7 @@
 }
 
 // agreementInterval is the interval at which the share of VMs with the same view of the fleet is passed on.
-const agreementInterval = 500 * time.Millisecond
+const agreementInterval = 250 * time.Millisecond
 
 // updateAgreement passes on the share of VMs that see the same live VMs as this one.
 func (g *Gateway) updateAgreement() {
