Wait for the reply of an owner in another region before reporting to it again

What callers saw: at 35 ms between regions a VM got no credits for limited targets of other regions: it reported again after 60 ms, and ignores replies to all reports but the last. Change: a VM waits as long as a request does (150 ms) if the owner is in another region.

--- a/node/gateway/allowances/exchange.go
+++ b/node/gateway/allowances/exchange.go
@@ -117,7 +117,7 @@
 	if a.ownerVersion != s.fleetVersion {
 		owner, _ := allowance.OwnerOf(a.id, s.candidates(a)) // without any live VM the report is not sent
 		if owner != a.owner {
-			a.OwnerChanged()
+			a.OwnerChanged(s.regions[owner] != s.regions[s.cfg.Self])
 		}
 		a.owner, a.ownerVersion = owner, s.fleetVersion
 	}
--- a/node/gateway/allowances/service.go
+++ b/node/gateway/allowances/service.go
@@ -60,7 +60,8 @@
 	ledger      *allowance.Ledger
 	live        []allowance.Candidate
 	// liveIn holds the live VMs by region.
-	liveIn map[steering.Region][]allowance.Candidate
+	liveIn  map[steering.Region][]allowance.Candidate
+	regions map[steering.VM]steering.Region
 	// targets holds the limits that targets name, and targetLedger the buckets of those that this VM
 	// owns.
 	targets      map[allowance.ID]*targetLimit
@@ -150,7 +151,7 @@
 func (s *Service) SetLivePeers(live []Peer, members int) {
 	peers := make(map[steering.VM]peer, len(live))
 	candidates := make([]allowance.Candidate, 0, len(live))
-	liveIn := make(map[steering.Region][]allowance.Candidate)
+	liveIn, regions := make(map[steering.Region][]allowance.Candidate), make(map[steering.VM]steering.Region)
 	for _, p := range live {
 		address, err := net.ResolveUDPAddr("udp4", p.Address)
 		if err != nil {
@@ -161,6 +162,7 @@
 		candidate := allowance.Candidate{VM: p.Name, Hash: allowance.HashOf(p.Name), Weight: p.Weight}
 		candidates = append(candidates, candidate)
 		liveIn[p.Region] = append(liveIn[p.Region], candidate)
+		regions[p.Name] = p.Region
 	}
 	members = max(members, len(live), 1)
 	now := time.Now()
@@ -169,7 +171,7 @@
 	if !sameCandidates(s.live, candidates) {
 		s.fleetVersion++
 	}
-	s.live, s.liveIn, s.peers, s.members = candidates, liveIn, peers, members
+	s.live, s.liveIn, s.regions, s.peers, s.members = candidates, liveIn, regions, peers, members
 	s.liveShare = float64(max(len(live), 1)) / float64(members)
 	s.ledger.SetFleetShare(now, s.liveShare)
 	s.targetLedger.SetFleetShare(now, s.liveShare*s.agreeing)
--- a/node/operator/runtime.go
+++ b/node/operator/runtime.go
@@ -55,11 +55,11 @@
 
 // PoolFact is the load of one service's slots at one place.
 type PoolFact struct {
-	Place    string
-	Zone     string
-	Region   string
-	Service  string
-	Slots    int
+	Place   string
+	Zone    string
+	Region  string
+	Service string
+	Slots   int
 	// HeldBack is how many declared slots no request gets now.
 	HeldBack int
 	InFlight int
--- a/steering/allowance/account.go
+++ b/steering/allowance/account.go
@@ -9,7 +9,9 @@
 	// OwnerTimeout is how long a request waits for the owner's reply. It covers several one-way
 	// trips over the longest link.
 	OwnerTimeout = 150 * time.Millisecond
-	// ReportRetryInterval is how long a VM waits for a reply before it sends another report.
+	// ReportRetryInterval is how long a VM waits for the reply of an owner in its region before it sends
+	// another report. It waits OwnerTimeout for an owner in another region: the replies to all reports but the
+	// last are ignored.
 	ReportRetryInterval = 60 * time.Millisecond
 	// ownerUnresponsiveAfter is how long an owner may leave reports unanswered before a VM
 	// decides without it.
@@ -63,6 +65,7 @@
 
 	unansweredSince time.Time // time of the first unanswered report; zero if there is none
 	lastReportAt    time.Time
+	distantOwner    bool
 	waiting         int // requests that wait for a reply
 
 	localBucket bucket // see AdmitWithoutOwner
@@ -159,8 +162,19 @@
 	return !a.unansweredSince.IsZero() && now.Sub(a.unansweredSince) > ownerUnresponsiveAfter
 }
 
-// OwnerChanged resets the wait for a reply when another VM becomes the owner of the workspace.
-func (a *Account) OwnerChanged() { a.unansweredSince = time.Time{} }
+// OwnerChanged resets the wait for a reply when another VM becomes the owner of the workspace. distant says
+// whether that VM is in another region.
+func (a *Account) OwnerChanged(distant bool) {
+	a.unansweredSince, a.distantOwner = time.Time{}, distant
+}
+
+// retryInterval is how long to wait for a reply before the next report.
+func (a *Account) retryInterval() time.Duration {
+	if a.distantOwner {
+		return OwnerTimeout
+	}
+	return ReportRetryInterval
+}
 
 // ReturnCredit takes back the credit of an admitted request that did not run.
 func (a *Account) ReturnCredit() {
@@ -184,7 +198,7 @@
 func (a *Account) ReportDue(now time.Time) bool {
 	sinceReport := now.Sub(a.lastReportAt)
 	switch {
-	case !a.unansweredSince.IsZero() && sinceReport < ReportRetryInterval:
+	case !a.unansweredSince.IsZero() && sinceReport < a.retryInterval():
 		return false // the reply may still arrive
 	case a.waiting > 0 && a.credits < 1:
 		return !now.Before(a.blockedUntil)
--- a/steering/allowance/sim_test.go
+++ b/steering/allowance/sim_test.go
@@ -24,6 +24,7 @@
 	workspaces []*simWorkspace
 	slack      allowance.Slack
 
+	regionDelay     time.Duration // one way between regions
 	messages, bytes int
 	lossRate        float64
 
@@ -66,6 +67,7 @@
 type simAccount struct {
 	*allowance.Account
 	incarnation uint32
+	owner       steering.VM
 	waiting     []func(allowance.Verdict)
 }
 
@@ -129,7 +131,7 @@
 // distributed over the workspaces in inverse proportion to their rank, and each workspace uses a
 // number of random VMs that grows with its demand.
 func newFleet(seed uint64, vms, workspaces int, total float64) *fleet {
-	f := &fleet{rng: rand.New(rand.NewPCG(seed, 3)), now: time.Unix(1000, 0), startedAt: time.Unix(1000, 0),
+	f := &fleet{rng: rand.New(rand.NewPCG(seed, 3)), now: time.Unix(1000, 0), startedAt: time.Unix(1000, 0), regionDelay: 20 * time.Millisecond,
 		slack: allowance.Slack{Window: 5 * time.Second, Share: 0.1, Requests: 20}}
 	for i := range vms {
 		f.vms = append(f.vms, &simVM{name: steering.VM(fmt.Sprint("vm-", i)), zone: i % zoneCount, up: true, upSince: f.now})
@@ -188,9 +190,6 @@
 		}
 		vm.members = len(f.vms)
 		vm.ledger.SetFleetShare(f.now, float64(max(1, len(vm.live)))/float64(vm.members))
-		for _, a := range vm.accounts {
-			a.OwnerChanged()
-		}
 	}
 }
 
@@ -229,13 +228,17 @@
 	if !a.ReportDue(f.now) {
 		return
 	}
-	r := a.Report(f.now)
-	r.Workspace = s.id
 	owner, ok := allowance.OwnerOf(s.id, vm.live)
 	if !ok {
 		return
 	}
 	j := slices.IndexFunc(f.vms, func(o *simVM) bool { return o.name == owner })
+	if owner != a.owner {
+		a.OwnerChanged(vm.zone%regionCount != f.vms[j].zone%regionCount)
+		a.owner = owner
+	}
+	r := a.Report(f.now)
+	r.Workspace = s.id
 	incarnation, limitBytes := a.incarnation, s.limitBytes()
 	f.send(i, j, reportBytes+limitBytes, func() {
 		o := f.vms[j]
@@ -260,6 +263,14 @@
 	})
 }
 
+// reportWhile sends the reports that are due for as long as a request waits.
+func (f *fleet) reportWhile(i int, s *simWorkspace, a *simAccount, waits func() bool) {
+	if waits() && f.vms[i].accounts[s] == a {
+		f.report(i, s, a)
+		f.schedule(allowance.ReportRetryInterval, func() { f.reportWhile(i, s, a, waits) })
+	}
+}
+
 // limitBytes returns the size of the limit that follows a report or a reply.
 func (s *simWorkspace) limitBytes() int {
 	if s.limit.Strict {
@@ -290,7 +301,7 @@
 		do()
 		return
 	case a.zone%regionCount != b.zone%regionCount:
-		delay = 20 * time.Millisecond
+		delay = f.regionDelay
 	case a.zone != b.zone:
 		delay = 1500 * time.Microsecond
 	}
@@ -379,7 +390,7 @@
 	if a.OwnerUnresponsive(f.now) {
 		limit = 0
 	}
-	f.report(i, s, a)
+	f.reportWhile(i, s, a, func() bool { return !done })
 	f.schedule(limit, func() {
 		if !done {
 			finish(a.AdmitWithoutOwner(f.now))
--- a/steering/allowance/targets_test.go
+++ b/steering/allowance/targets_test.go
@@ -187,7 +187,7 @@
 
 // viewsCompared is how long it takes until a VM goes by other VMs' views: a heartbeat over the longest link, the
 // time for which views may differ, and the time between two comparisons.
-const viewsCompared = 1800 * time.Millisecond
+const viewsCompared = 1400 * time.Millisecond
 
 // lendAgreeingShares lets each VM lend the part of the fleet that sees the same VMs as it does.
 func (f *fleet) lendAgreeingShares() {
@@ -201,6 +201,30 @@
 	}
 }
 
+// Guards against VMs that get no credits, because they ask again before the reply of a distant owner arrives.
+func TestVMsFarFromTheOwnerGetCredits(t *testing.T) {
+	for _, c := range []struct {
+		delay time.Duration
+		least float64
+	}{{20 * time.Millisecond, 0.9}, {35 * time.Millisecond, 0.9}, {70 * time.Millisecond, 0.5}} { // a request waits for one round trip at most
+		t.Run(c.delay.String(), func(t *testing.T) {
+			f := newTargetFleet(1, 84)
+			f.regionDelay = c.delay
+			for _, s := range f.workspaces {
+				owner, _ := allowance.OwnerOf(s.id, f.vms[0].live)
+				at := slices.IndexFunc(f.vms, func(vm *simVM) bool { return vm.name == owner })
+				s.callers = slices.DeleteFunc(s.callers, func(i int) bool { return f.vms[i].zone%regionCount == f.vms[at].zone%regionCount })
+			}
+			f.runTraffic(20 * time.Second)
+			f.assertTargetLimits(t, "far from the owner")
+			for _, s := range f.workspaces {
+				used := float64(len(s.runs)) / (20 * s.limit.Rate)
+				assert.Check(t, used >= c.least, "%.2f of a limit of %.1f used", used, s.limit.Rate)
+			}
+		})
+	}
+}
+
 // updateSomeMemberships makes every second VM lose sight of a zone, so that two VMs own the same
 // limit for a second.
 func (f *fleet) updateSomeMemberships() {
--- a/steering/health/tracker.go
+++ b/steering/health/tracker.go
@@ -38,11 +38,11 @@
 		"mayEject": func(m *chartModel) bool { return m.tracker.mayEject(m.target) },
 	},
 	Actions: map[string]func(*chartModel){
-		"eject":      func(m *chartModel) { m.tracker.eject(m.target) },
+		"eject": func(m *chartModel) { m.tracker.eject(m.target) },
 		"startTrial": func(m *chartModel) {
 			m.target.trialSuccessesLeft, m.target.triedAt = m.tracker.cfg.TrialSuccesses, m.tracker.now
 		},
-		"forget":     func(m *chartModel) { m.target.resetEvidence() },
+		"forget": func(m *chartModel) { m.target.resetEvidence() },
 	},
 })
 
@@ -67,7 +67,7 @@
 	ejectedAt          time.Time
 	trialSuccessesLeft int
 	triedAt            time.Time // start of the trial, or its last outcome
-	earlyTrialUsed     bool // an early trial was granted, and no trial has passed since
+	earlyTrialUsed     bool      // an early trial was granted, and no trial has passed since
 }
 
 // resetEvidence discards the outcomes that led to an ejection, so that they do not
