--- a/node/gateway/planted/planted.go
+++ b/node/gateway/planted/planted.go
@@ -23,8 +23,8 @@
 	ImmediateExit Name = "cut_on_stop"
 	// NoHelpers refuses requests at a VM that is cut off from all targets instead of passing them on.
 	NoHelpers Name = "no_helpers"
-	// LateStatements dates what a target says by the arrival of the response alone.
-	LateStatements Name = "late_statements"
+	// LimitIgnored sends requests to targets that name a limit without credits.
+	LimitIgnored Name = "limit_ignored"
 	// ReusedAddress sends requests to whichever target holds an address, without checking that it
 	// is the intended one.
 	ReusedAddress Name = "reused_address"
--- a/node/gateway/relay/attempts.go
+++ b/node/gateway/relay/attempts.go
@@ -129,7 +129,7 @@
 // connection.
 func (x *exchange) attempt(ctx context.Context, pick placement.Pick, began time.Time, onlyOpen bool) {
 	var sentAt time.Time
-	if pick.Limit.InForce {
+	if pick.Limit.InForce && planted.Defect != planted.LimitIgnored {
 		newest, ok := x.f.admitToTarget(ctx, pick)
 		if !ok {
 			x.finishAttempt(ctx, x.classify(pick, nil, &upstream.Error{Stage: upstream.NotSent, Err: errNoCredit}), began, sentAt)
--- a/node/gateway/relay/notices.go
+++ b/node/gateway/relay/notices.go
@@ -5,7 +5,6 @@
 
 	"github.com/go-faster/errors"
 
-	"heatherlock/node/gateway/planted"
 	"heatherlock/node/gateway/upstream"
 	"heatherlock/platform"
 	"heatherlock/steering/placement"
@@ -50,9 +49,6 @@
 		f.cfg.Metrics.UncreditedAtLimit()
 	}
 	said := placement.Notice{Limited: info.Limit.Named, Limit: info.Limit.PerSecond, AskedAt: sentAt, Leaving: info.Leaving, Rest: info.Rest, Complete: info.Signed && !info.Limit.Unreadable}
-	if planted.Defect == planted.LateStatements {
-		said.AskedAt = now
-	}
 	changed := f.cfg.Balancer.Heard(now, e.pick.Target, said)
 	if changed.Limit || changed.LimitEnded {
 		e.limitHeard = &placement.NamedLimit{InForce: said.Limited, PerSecond: said.Limit, AskedAt: said.AskedAt, HeardAt: now}
--- a/soak/statements.go
+++ b/soak/statements.go
@@ -13,17 +13,18 @@
 
 const (
 	// namedLimit is the limit in requests per second that targets name, far below what they get.
-	namedLimit = 4.0
+	namedLimit = 1.0
 	// limitWindow, limitFactor and limitSlack bound what a target with a limit may get from the entry
 	// VMs that passed on a response naming it limitHeard before or earlier.
 	limitWindow = 4 * time.Second
 	limitFactor = 1.5
 	limitSlack  = 5
 	limitHeard  = 500 * time.Millisecond
-	// longRun is how long the requests run that a target takes in the lateAnswers before it names a limit.
-	// Their responses do not name it.
-	longRun     = 1500 * time.Millisecond
+	// longRun is how long the requests run at most that a target takes in the lateAnswers before it names a
+	// limit. Their responses do not name it. limitedRun is how long those run that it takes while it does.
+	longRun     = 2 * time.Second
 	lateAnswers = 400 * time.Millisecond
+	limitedRun  = 400 * time.Millisecond
 	// maxInRest is how many requests of one entry VM may reach a target in the rest that it asked for,
 	// later than restGrace after it did.
 	maxInRest = 2
@@ -59,13 +60,14 @@
 }
 
 func (s *system) nameLimit(t *target, span time.Duration) {
-	t.SetFault(func(*http.Request) endpoint.Fault { time.Sleep(longRun); return endpoint.None })
+	t.SetFault(func(*http.Request) endpoint.Fault { time.Sleep(rand.N(longRun)); return endpoint.None })
 	time.AfterFunc(lateAnswers, func() {
-		t.SetFault(nil)
+		t.SetFault(func(*http.Request) endpoint.Fault { time.Sleep(limitedRun); return endpoint.None })
 		s.setNaming(t, true)
 		t.SetHeader("Server-Limit", strconv.FormatFloat(namedLimit, 'f', -1, 64))
 	})
 	time.AfterFunc(lateAnswers+limitWindow+span, func() {
+		t.SetFault(nil)
 		t.SetHeader("Server-Limit", "")
 		s.setNaming(t, false)
 	})
