--- a/node/gateway/relay/attempts.go
+++ b/node/gateway/relay/attempts.go
@@ -129,13 +129,16 @@
 // connection.
 func (x *exchange) attempt(ctx context.Context, pick placement.Pick, began time.Time, onlyOpen bool) {
 	var sentAt time.Time
-	if pick.Limit.InForce && planted.Defect != planted.LimitIgnored {
+	if pick.Limit != nil && planted.Defect != planted.LimitIgnored {
 		newest, ok := x.f.admitToTarget(ctx, pick)
 		if !ok {
 			x.finishAttempt(ctx, x.classify(pick, nil, &upstream.Error{Stage: upstream.NotSent, Err: errNoCredit}), began, sentAt)
 			return
 		}
-		pick.Limit = newest // without a credit if the limit has ended
+		pick.Limit = &newest
+		if !newest.InForce {
+			pick.Limit = nil // without a credit
+		}
 	}
 	beforeSend := func() bool {
 		if !x.f.mayStillSend(pick) || !x.sending.begin() {
@@ -159,7 +162,7 @@
 	if e.limitHeard != nil {
 		x.f.applyLimit(e.pick.Target, x.f.cfg.TargetLimits.LimitHeard(e.pick.Target, *e.limitHeard))
 	}
-	if e.pick.Limit.InForce && !e.sent && !errors.Is(e.err, errNoCredit) {
+	if e.pick.Limit != nil && !e.sent && !errors.Is(e.err, errNoCredit) {
 		x.f.cfg.TargetLimits.ReturnTargetCredit(e.pick.Target)
 	}
 	x.results <- e
--- a/node/gateway/relay/notices.go
+++ b/node/gateway/relay/notices.go
@@ -45,7 +45,7 @@
 			_ = f.cfg.Log.Log("msg", "target says something that is not known here", "target", e.pick.Target.Name, "header", name) // the log writer counts dropped lines
 		}
 	}
-	if info.Limit.Named && !e.pick.Limit.InForce {
+	if info.Limit.Named && e.pick.Limit == nil {
 		f.cfg.Metrics.UncreditedAtLimit()
 	}
 	said := placement.Notice{Limited: info.Limit.Named, Limit: info.Limit.PerSecond, AskedAt: sentAt, Leaving: info.Leaving, Rest: info.Rest, Complete: info.Signed && !info.Limit.Unreadable}
--- a/node/gateway/relay/placement.go
+++ b/node/gateway/relay/placement.go
@@ -75,7 +75,7 @@
 // admitToTarget decides whether a request may be sent to the target that it was placed on, which
 // names a limit. It returns the limit that holds now; if it is in force, the request has a credit.
 func (f *Relay) admitToTarget(ctx context.Context, p placement.Pick) (newest placement.NamedLimit, ok bool) {
-	newest, retryAfter, ok := f.cfg.TargetLimits.AdmitToTarget(ctx, p.Target, p.Limit)
+	newest, retryAfter, ok := f.cfg.TargetLimits.AdmitToTarget(ctx, p.Target, *p.Limit)
 	f.cfg.Metrics.TargetCredit(ok)
 	f.applyLimit(p.Target, newest)
 	if !ok {
--- a/steering/allowance/sim_test.go
+++ b/steering/allowance/sim_test.go
@@ -46,7 +46,7 @@
 	reportBytes = 45
 	replyBytes  = 32
 	// limitBytes is the size of the limit of a target that follows each of them.
-	limitBytes = 26
+	limitBytes = 31
 )
 
 type simVM struct {
--- a/steering/placement/balancer.go
+++ b/steering/placement/balancer.go
@@ -223,7 +223,7 @@
 			}
 		}
 		for s := range v.noticed {
-			if !b.notices.limitOf(s.Target).InForce && !b.notices.resting(now, s.Target) {
+			if b.notices.limitOf(s.Target) == nil && !b.notices.resting(now, s.Target) {
 				delete(v.noticed, s)
 			} else if !s.Closed && !s.ejected && !b.unreachable[s.Zone] {
 				byRegion[s.Region] -= float64(s.Slots) - b.usableSlots(now, v, s)
@@ -326,7 +326,7 @@
 	switch {
 	case b.notices.resting(now, s.Target):
 		return 0
-	case limit.InForce:
+	case limit != nil:
 		return math.Min(float64(s.Slots), limit.PerSecond*b.slotTime(v, s))
 	}
 	return float64(s.Slots)
--- a/steering/placement/notices.go
+++ b/steering/placement/notices.go
@@ -78,12 +78,13 @@
 	return nil
 }
 
-// limitOf returns the limit that a target names.
-func (n notices) limitOf(t Target) NamedLimit {
+// limitOf returns the limit that a target names, or nil.
+func (n notices) limitOf(t Target) *NamedLimit {
 	if found := n.of(t); found != nil && found.limit.InForce {
-		return found.limit
+		limit := found.limit
+		return &limit
 	}
-	return NamedLimit{}
+	return nil
 }
 
 // leaving reports whether a target has said that it leaves.
@@ -209,7 +210,7 @@
 	}
 	var all []TargetLimit
 	for s := range v.noticed {
-		if limit := b.notices.limitOf(s.Target); limit.InForce {
+		if limit := b.notices.limitOf(s.Target); limit != nil {
 			all = append(all, TargetLimit{Target: s.Name, Generation: s.Generation, Told: limit.Tell(now)})
 		}
 	}
@@ -247,7 +248,7 @@
 	case known.leaving, known.restUntil.After(now):
 		return false
 	}
-	return p.Limit.InForce || !known.limit.InForce
+	return p.Limit != nil || !known.limit.InForce
 }
 
 // addNotice adds an empty notice of a target.
@@ -326,7 +327,7 @@
 	limited := 0
 	for _, v := range b.services {
 		for s := range v.noticed {
-			if b.notices.limitOf(s.Target).InForce {
+			if b.notices.limitOf(s.Target) != nil {
 				limited++
 			}
 		}
--- a/steering/placement/notices_test.go
+++ b/steering/placement/notices_test.go
@@ -87,7 +87,7 @@
 		for i := range 400 {
 			p, _ := b.Choose(now, placement.Request{Service: "svc", Key: fmt.Sprint("k", i), Region: "centro"})
 			if p.Target.Name == "t0" {
-				return p.Limit.InForce
+				return p.Limit != nil
 			}
 		}
 		t.Fatal("t0 was not picked")
--- a/steering/placement/types.go
+++ b/steering/placement/types.go
@@ -64,9 +64,9 @@
 	Trial bool
 	// OtherRegion marks a request that runs outside the entry VM's region.
 	OtherRegion bool
-	// Limit is the limit that the target names. If it is in force, the request needs a credit for the
+	// Limit is the limit that the target names, or nil. With a limit, the request needs a credit for the
 	// target before it may be sent.
-	Limit NamedLimit
+	Limit *NamedLimit
 }
 
 // Refusal says why no target was chosen.
