Add no tokens to a target's bucket when the share of the fleet grows

What a VM lends of a limit now follows how many VMs share its view, which may change often. Each growth added the grown part of a new bucket's token: 10 requests in 4 s of a limit of 0.5 (allowed 8), 21 of 2.6 (allowed 20.6), simulated with a share that changes ten times a second.

--- a/steering/allowance/ledger.go
+++ b/steering/allowance/ledger.go
@@ -65,8 +65,8 @@
 }
 
 // SetFleetShare sets the fraction of the fleet that this VM can reach, from 0 to 1. The buckets
-// enforce that fraction of each limit. When the fraction grows, each bucket also gains the added
-// fraction of the tokens that a new bucket starts with.
+// enforce that fraction of each limit. When the fraction grows, each bucket of a limit that is not
+// strict also gains the added fraction of the tokens that a new bucket starts with.
 func (l *Ledger) SetFleetShare(now time.Time, fleetShare float64) {
 	if fleetShare == l.fleetShare {
 		return
@@ -75,7 +75,7 @@
 	l.fleetShare = fleetShare
 	for _, o := range l.buckets {
 		o.setLimit(now, l.slack.enforced(o.configured).scaled(fleetShare))
-		if added > 0 {
+		if added > 0 && !o.configured.Strict {
 			o.tokens = math.Min(o.limit.Burst, o.tokens+added*l.slack.initialTokens(o.configured))
 		}
 	}
--- a/steering/allowance/targets_test.go
+++ b/steering/allowance/targets_test.go
@@ -171,6 +171,21 @@
 	}
 }
 
+// Guards against credits that come from a share of the fleet which falls and rises again and again.
+func TestShareThatChangesOftenLendsNothingBeyondTheLimit(t *testing.T) {
+	f := newTargetFleet(1, 12)
+	var flap func(share float64)
+	flap = func(share float64) {
+		for _, vm := range f.vms {
+			vm.ledger.SetFleetShare(f.now, share)
+		}
+		f.schedule(100*time.Millisecond, func() { flap(1.1 - share) })
+	}
+	flap(0.1)
+	f.runTraffic(20 * time.Second)
+	f.assertTargetLimits(t, "a share that changes often")
+}
+
 // hideOwners makes every second VM lose sight of the VMs that own limits, but for these themselves.
 func (f *fleet) hideOwners() {
 	owners := make(map[steering.VM]bool)
