Name limits to another VM without sorting all of them, and look an owner up once

Now the first 32 met are named, the responding target first; which ones differs from request to request. Each report on a limit hashed all VMs of the region for a metric; the owner is kept until the live VMs change. Measured: the tests of both packages pass; the time of either was not measured.

--- a/node/gateway/allowances/targets.go
+++ b/node/gateway/allowances/targets.go
@@ -19,6 +19,9 @@
 	// region is the target's region, if this VM sends requests to the target. One of the VMs there
 	// owns the limit.
 	region steering.Region
+	// owner is the VM that owns the limit as of ownerVersion, a fleetVersion.
+	owner        steering.VM
+	ownerVersion int
 }
 
 // limitEntry tells another VM the limit of a target. It is encoded as a map, so that fields can be
@@ -167,16 +170,29 @@
 	return reply, ok
 }
 
-// countTargetReport counts a report on a target's limit by what it shows.
 func (s *Service) countTargetReport(t *targetLimit, id allowance.ID, applied bool) {
 	if s.cfg.Scope == nil {
 		return
 	}
 	end := "applied"
-	if owner, _ := allowance.OwnerOf(id, s.candidatesIn(t.region)); !applied {
+	switch {
+	case !applied:
 		end = "out_of_date"
-	} else if owner != s.cfg.Self && t.region != "" {
+	case s.ownerOf(t, id) != s.cfg.Self:
 		end = "not_owner"
 	}
 	s.cfg.Scope.Tagged(map[string]string{"end": end}).Counter("gateway_target_limit_reports").Inc(1)
 }
+
+// ownerOf returns the VM that owns a limit, or this VM if it does not know the target's region: it has heard of
+// the limit from others alone then.
+func (s *Service) ownerOf(t *targetLimit, id allowance.ID) steering.VM {
+	if t.region == "" {
+		return s.cfg.Self
+	}
+	if t.owner == "" || t.ownerVersion != s.fleetVersion {
+		t.owner, _ = allowance.OwnerOf(id, s.candidatesIn(t.region)) // without any live VM nobody reports
+		t.ownerVersion = s.fleetVersion
+	}
+	return t.owner
+}
--- a/node/gateway/workspaces.go
+++ b/node/gateway/workspaces.go
@@ -67,7 +67,6 @@
 // agreementInterval is the interval at which the share of VMs with the same view of the fleet is passed on.
 const agreementInterval = 250 * time.Millisecond
 
-// updateAgreement passes on the share of VMs that see the same live VMs as this one.
 func (g *Gateway) updateAgreement() {
 	if g.allowanceService.HasLimits() {
 		g.allowanceService.SetAgreeingShare(g.fleet.AgreeingShare())
--- a/steering/placement/notices.go
+++ b/steering/placement/notices.go
@@ -1,8 +1,6 @@
 package placement
 
 import (
-	"cmp"
-	"slices"
 	"time"
 
 	"heatherlock/steering"
@@ -191,7 +189,7 @@
 	return b.setLimit(now, t, known, said)
 }
 
-// maxToldLimits bounds what Limits returns.
+// maxToldLimits bounds what Limits returns, and so the headers of a request that is passed on.
 const maxToldLimits = 32
 
 // TargetLimit is the limit that a target names, as one entry VM tells it to another.
@@ -201,29 +199,31 @@
 	Told       ToldLimit
 }
 
-// Limits returns the limits that targets of a service name; that of first, if it names one, and those heard
-// last.
+// Limits returns limits that targets of a service name, among them that of first if it names one. If there are
+// more than maxToldLimits, each call returns others.
 func (b *Balancer) Limits(now time.Time, service steering.Service, first steering.Target) []TargetLimit {
 	v := b.services[service]
-	if v == nil {
+	if v == nil || len(v.noticed) == 0 {
 		return nil
 	}
 	var all []TargetLimit
-	for s := range v.noticed {
+	add := func(s *targetState) {
 		if limit := b.notices.limitOf(s.Target); limit != nil {
 			all = append(all, TargetLimit{Target: s.Name, Generation: s.Generation, Told: limit.Tell(now)})
 		}
 	}
-	slices.SortFunc(all, func(a, b TargetLimit) int {
-		if isFirst := a.Target == first; isFirst != (b.Target == first) {
-			if isFirst {
-				return -1
-			}
-			return 1
+	if s := b.byName[first]; s != nil && v.noticed[s] {
+		add(s)
+	}
+	for s := range v.noticed { // in random order
+		if len(all) == maxToldLimits {
+			break
+		}
+		if s.Name != first {
+			add(s)
 		}
-		return cmp.Compare(a.Told.Age, b.Told.Age)
-	})
-	return all[:min(len(all), maxToldLimits)]
+	}
+	return all
 }
 
 // ApplyToldLimit records a limit that another entry VM told.
