--- a/steering/allowance/account.go
+++ b/steering/allowance/account.go
@@ -69,7 +69,7 @@
 	distantOwner    bool
 	roundTrip       time.Duration // of the last report that the owner answered; 0 if it answered none
 	unanswered      int           // reports since the last reply
-	waiting         int // requests that wait for a reply
+	waiting         int           // requests that wait for a reply
 
 	localBucket bucket // see AdmitWithoutOwner
 }
