--- a/node/gateway/relay/attempts.go
+++ b/node/gateway/relay/attempts.go
@@ -114,17 +114,23 @@
 
 func (x *exchange) placementRequest() placement.Request {
 	now := time.Now()
-	r := placement.Request{Service: x.service, ID: x.call.ID, Region: x.hop.regionOr(x.f.cfg.Region), Allowed: x.mayRunIn,
-		TimeLeft: x.deadline.Sub(now), Rank: x.workspace.RankOr(x.route.Rank), Retryable: x.route.Kind.Retryable(), Tried: x.tried}
-	if x.route.KeyAffinity {
-		r.Key = x.call.Key
-	}
+	r := placement.Request{Service: x.service, ID: x.call.ID, Route: x.route.Name, RouteAim: x.route.Aim, RouteRank: x.route.Rank, Region: x.hop.regionOr(x.f.cfg.Region), Zone: x.f.cfg.Zone, Allowed: x.mayRunIn,
+		TimeLeft: x.deadline.Sub(now), Rank: x.workspace.RankOr(x.route.Rank), Retryable: x.route.Kind.Retryable(), Tried: x.tried,
+		Key: x.affinityKey()}
 	if x.route.Aim > 0 {
 		r.Aim = max(x.route.Aim-now.Sub(x.r.Received)-replyMargin, time.Millisecond)
 	}
 	return r
 }
 
+// affinityKey returns the request's key if its route has key affinity.
+func (x *exchange) affinityKey() string {
+	if !x.route.KeyAffinity {
+		return ""
+	}
+	return x.call.Key
+}
+
 // attempt sends the request to one target and reports the result. With onlyOpen set it opens no
 // connection.
 func (x *exchange) attempt(ctx context.Context, pick placement.Pick, began time.Time, onlyOpen bool) {
--- a/node/gateway/relay/placement.go
+++ b/node/gateway/relay/placement.go
@@ -112,7 +112,7 @@
 	defer f.mu.Unlock()
 	outcome := outcomeOf(ctx, *e, sentAt, now)
 	f.linkLog.note(now, e.pick.Target.Name, outcome)
-	report := placement.Report{Outcome: f.noteLinks(now, began, e.pick.Target.Name, outcome)}
+	report := placement.Report{Outcome: f.noteLinks(now, began, e.pick.Target.Name, outcome), Route: x.route.Name, Key: x.affinityKey()}
 	f.poisonFilter.attemptEnded(now, x.fingerprints, x.verdict, e.pick.Target, sentAt, report.Outcome)
 	if !sentAt.IsZero() {
 		report.Latency = now.Sub(sentAt)
@@ -123,6 +123,7 @@
 	}
 	if load := e.info.Load; load.Known {
 		report.LoadKnown, report.Running, report.Waiting = true, load.Running, load.Waiting
+		report.Slowdown = float64(load.RunTimePercent) / 100
 		if !e.notRun {
 			report.Running-- // the target's count includes the request that it responds to
 		}
--- a/steering/placement/choose.go
+++ b/steering/placement/choose.go
@@ -47,6 +47,7 @@
 func (b *Balancer) Choose(now time.Time, r Request) (Pick, *Refusal) {
 	v := b.service(r.Service)
 	v.setDefaults(r.Aim.Seconds())
+	v.routes.record(now, r)
 	key := r.Key
 	if key == "" {
 		key = r.ID
--- /dev/null
+++ b/steering/placement/routemix.go
@@ -0,0 +1,94 @@
+package placement
+
+import (
+	"time"
+
+	"heatherlock/steering"
+)
+
+const (
+	// mixInterval is the time after which the routes of a service are counted anew.
+	mixInterval = 2 * time.Second
+	// minMixShare is the share of a service's requests that a route needs to count. Configurations hold
+	// routes that get next to no requests, and those must not change how the service is treated.
+	minMixShare = 0.05
+	// minMixRequests is how many requests a count needs; with fewer it is continued.
+	minMixRequests = 40
+	// maxMixRoutes bounds the routes that are counted for each service.
+	maxMixRoutes = 64
+)
+
+// routeMix counts the requests of a service by route, to find out whether routes with different
+// latency objectives or ranks share its targets.
+type routeMix struct {
+	since   time.Time
+	total   int
+	byRoute map[string]*routeCount
+	mixed   bool
+	// urgent is the route with the shortest latency objective among those of the lowest rank.
+	urgent routeCount
+}
+
+type routeCount struct {
+	aim      time.Duration
+	rank     int
+	requests int
+}
+
+// record counts a request.
+func (m *routeMix) record(now time.Time, r Request) {
+	if r.Route == "" {
+		return
+	}
+	if m.byRoute == nil {
+		m.byRoute, m.since = make(map[string]*routeCount), now
+	}
+	c := m.byRoute[r.Route]
+	if c == nil {
+		if len(m.byRoute) >= maxMixRoutes {
+			return
+		}
+		c = &routeCount{}
+		m.byRoute[r.Route] = c
+	}
+	c.aim, c.rank = r.RouteAim, r.RouteRank
+	c.requests++
+	m.total++
+	if m.total >= minMixRequests && now.Sub(m.since) >= mixInterval {
+		m.evaluate()
+		m.byRoute, m.total = nil, 0
+	}
+}
+
+func (m *routeMix) evaluate() {
+	m.mixed, m.urgent = false, routeCount{}
+	var first *routeCount
+	for _, c := range m.byRoute {
+		if float64(c.requests) < minMixShare*float64(m.total) {
+			continue
+		}
+		if first == nil {
+			first = c
+		}
+		if c.aim != first.aim || c.rank != first.rank {
+			m.mixed = true
+		}
+		if m.urgent.requests == 0 || c.before(&m.urgent) {
+			m.urgent = *c
+		}
+	}
+}
+
+func (c *routeCount) before(o *routeCount) bool {
+	if c.rank != o.rank {
+		return c.rank < o.rank
+	}
+	return c.aim < o.aim
+}
+
+// Mixed reports whether routes with different latency objectives or ranks shared a service when its
+// requests were last counted. Their requests differ in how long they may wait for a slot.
+func (b *Balancer) Mixed(service steering.Service) bool {
+	v := b.services[service]
+	return v != nil && v.routes.mixed
+}
--- /dev/null
+++ b/steering/placement/routemix_test.go
@@ -0,0 +1,39 @@
+package placement_test
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"heatherlock/steering/placement"
+)
+
+// Guards against treating a service as shared by different routes because of a route that gets next to
+// no requests, and against overlooking one that does get some.
+func TestServiceIsMixedOnlyByRoutesWithRequests(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		rare  int // one request in so many is of the second route
+		aim   time.Duration
+		rank  int
+		mixed bool
+	}{
+		{"other aim", 10, time.Second, 0, true},
+		{"other rank", 10, 400 * time.Millisecond, 1, true},
+		{"few requests", 50, time.Second, 1, false},
+		{"equal routes", 2, 400 * time.Millisecond, 0, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			b := placement.NewBalancer("vm", "norte")
+			for n := range 200 {
+				r := placement.Request{Service: service, Route: "one", RouteAim: 400 * time.Millisecond}
+				if n%c.rare == 0 {
+					r.Route, r.RouteAim, r.RouteRank = "two", c.aim, c.rank
+				}
+				b.Choose(start.Add(time.Duration(n)*20*time.Millisecond), r)
+			}
+			assert.Equal(t, b.Mixed(service), c.mixed)
+		})
+	}
+}
--- a/steering/placement/state.go
+++ b/steering/placement/state.go
@@ -215,6 +215,7 @@
 	arrivals rate
 	// pinned are the rates of the requests that may run in one region only, by that region.
 	pinned map[steering.Region]*rate
+	routes routeMix
 }
 
 func (v *serviceState) pinnedTo(region steering.Region) *rate {
--- a/steering/placement/types.go
+++ b/steering/placement/types.go
@@ -32,8 +32,14 @@
 	Key string
 	// ID replaces the key of a request that has none.
 	ID string
-	// Region is the region of the entry VM.
+	// Route is the name of the request's route, RouteAim the route's latency objective (0 means none) and
+	// RouteRank the route's priority; Rank may be that of the caller's workspace instead.
+	Route     string
+	RouteAim  time.Duration
+	RouteRank int
+	// Region is the region of the entry VM, and Zone its zone.
 	Region steering.Region
+	Zone   steering.Zone
 	// Allowed reports whether the request may run in a region; nil allows all.
 	Allowed func(steering.Region) bool
 	// Aim is the time from now within which the answer has its full value to the caller: the rest
@@ -118,4 +124,10 @@
 	LoadKnown bool
 	Running   int
 	Waiting   int
+	// Slowdown is how long work takes on the target's machine, as a multiple of the usual time; 0 if the
+	// target does not report it.
+	Slowdown float64
+	// Route is the name of the request's route, and Key its affinity key.
+	Route string
+	Key   string
 }
