Bound what a VM holds for callers and targets that read slowly

Cause: a response was held until its caller had read it, without a bound over all connections, and a caller that read slowly for more than 10 s lost its response.

Change: steering/buffers decides about a budget of bytes per VM and a bound per connection; node/gateway/buffering applies it to callers and targets. A write goes on as long as the peer acknowledges bytes. Late responses to requests that have ended are closed, so that their connections are not left open.

--- /dev/null
+++ b/node/gateway/buffering/kernel.go
@@ -0,0 +1,65 @@
+package buffering
+
+import (
+	"net"
+	"syscall"
+
+	"golang.org/x/sys/unix"
+)
+
+// heldBackWindow is the receive buffer in bytes of a connection from which reading has stopped. The
+// kernel would otherwise keep receiving, up to several megabytes.
+const heldBackWindow = 64 << 10
+
+// tcpOf returns the TCP connection below wrappers, or nil.
+func tcpOf(c net.Conn) *net.TCPConn {
+	for {
+		if tcp, ok := c.(*net.TCPConn); ok {
+			return tcp
+		}
+		wrapper, ok := c.(interface{ NetConn() net.Conn })
+		if !ok {
+			return nil
+		}
+		c = wrapper.NetConn()
+	}
+}
+
+// HoldBack bounds what the kernel receives on a connection that is not being read, and returns the
+// bytes that may wait there.
+func HoldBack(c net.Conn) int64 {
+	tcp := tcpOf(c)
+	if tcp == nil {
+		return 0
+	}
+	_ = tcp.SetReadBuffer(heldBackWindow) // an error leaves the larger buffer, which is counted below
+	return max(queued(tcp, unix.TIOCINQ), heldBackWindow)
+}
+
+// unsent returns the bytes that a connection's peer has not acknowledged.
+func unsent(c net.Conn) int64 {
+	if tcp := tcpOf(c); tcp != nil {
+		return queued(tcp, unix.TIOCOUTQ)
+	}
+	return 0
+}
+
+// queued returns the length of a queue of the kernel, or 0 if it is unknown.
+func queued(c syscall.Conn, queue uint) int64 {
+	raw, err := c.SyscallConn()
+	if err != nil {
+		return 0
+	}
+	n := 0
+	_ = raw.Control(func(fd uintptr) { n, _ = unix.IoctlGetInt(int(fd), queue) }) // n stays 0 on an error
+	return int64(n)
+}
+
+// Reset makes closing a connection discard what its peer has not received, and frees that memory.
+// The peer sees a reset, so that a response without a stated length does not look complete.
+func Reset(c net.Conn) {
+	if tcp := tcpOf(c); tcp != nil {
+		_ = tcp.SetLinger(0) // on an error the connection is closed in the usual way
+	}
+	_ = c.Close() // an error makes no difference, as the connection is not used any more
+}
--- a/node/gateway/callers/conn.go
+++ b/node/gateway/callers/conn.go
@@ -2,7 +2,6 @@
 
 import (
 	"bufio"
-	"bytes"
 	"context"
 	"io"
 	"net"
@@ -15,6 +14,8 @@
 	"github.com/go-faster/errors"
 	"golang.org/x/net/http/httpguts"
 
+	"heatherlock/node/gateway/buffering"
+	"heatherlock/steering"
 	"heatherlock/steering/routes"
 )
 
@@ -46,6 +47,7 @@
 	raw           net.Conn
 	limitedReader *limitedReader
 	reader        *bufio.Reader
+	account       *buffering.Account
 	slots         chan struct{} // holds one element for each running request
 	inFlight      atomic.Int64
 	unwritable    atomic.Bool // set when no further response can be written
@@ -70,10 +72,26 @@
 		slots: make(chan struct{}, maxPipelined), lastWritten: first}
 }
 
+// openAccount counts what is held for the caller from now on.
+func (c *conn) openAccount() {
+	if c.server.Buffers == nil {
+		return
+	}
+	if tcp, ok := c.raw.(*net.TCPConn); ok {
+		_ = tcp.SetWriteBuffer(sendBufferSize) // an error leaves a larger buffer, which is counted when the caller stalls
+	}
+	c.account = c.server.Buffers.Open(func() {
+		c.unwritable.Store(true)
+		buffering.Reset(c.raw)
+	})
+}
+
 // serve reads and starts requests until the caller closes the connection or the server has to.
 func (c *conn) serve(ctx context.Context) {
 	defer c.server.remove(c)
 	defer c.raw.Close()
+	c.openAccount()
+	defer c.account.Close()
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	for c.readNext(ctx) {
@@ -121,6 +139,7 @@
 // readNext reads one request and starts it. It returns false when no further request is to be read.
 func (c *conn) readNext(ctx context.Context) bool {
 	limits := c.limits()
+	c.account.AwaitRoom(ctx, func() int { return int(c.inFlight.Load()) })
 	c.limitedReader.remaining = -1
 	if !c.awaitFirstByte(limits.IdleTimeout) {
 		return false
@@ -219,20 +238,30 @@
 		c.sendContinue()
 	}
 	_ = c.raw.SetReadDeadline(time.Now().Add(bodyTimeout))
-	body, rest, status := readBody(r, limits.BodyBytes)
+	claim := c.account.NewClaim()
+	body, rest, status := readBody(r, limits.BodyBytes, claim)
 	if status != 0 {
+		claim.End()
 		if status == statusGone {
 			c.unwritable.Store(true)
 			return false
 		}
-		c.refuse(status, "the body could not be read")
+		detail := "the body could not be read"
+		if status == http.StatusServiceUnavailable {
+			detail = steering.Reasons[steering.ReasonMemoryFull].Meaning
+		}
+		c.refuse(status, detail)
 		return false
 	}
 	request := &Request{Method: r.Method, Path: r.RequestURI, Host: r.Host, Header: r.Header,
 		Body: body, BodyRest: rest, Length: lengthOf(r, body, rest), Received: received}
 	wantsClose := r.Close
 	c.bodyStreaming = rest != nil
-	if !c.start(ctx, request, r, wantsClose) {
+	if rest != nil {
+		request.BodyRest = &restBody{Reader: rest, raw: c.raw}
+	}
+	if !c.start(ctx, request, r, wantsClose, claim) {
+		claim.End()
 		return false
 	}
 	if rest != nil {
@@ -249,16 +278,15 @@
 
 // readBody reads a body of up to maxBufferedBody bytes whole, and the beginning of a longer one;
 // rest yields the remainder. A status other than 0 refuses the request.
-func readBody(r *http.Request, maxBytes int64) (body []byte, rest io.Reader, status int) {
+func readBody(r *http.Request, maxBytes int64, claim *buffering.Claim) (body []byte, rest io.Reader, status int) {
 	if r.ContentLength == 0 {
 		return nil, nil, 0
 	}
-	var buffered bytes.Buffer
-	if r.ContentLength > 0 {
-		buffered.Grow(int(min(r.ContentLength, maxBufferedBody)) + bytes.MinRead)
-	}
-	n, err := io.Copy(&buffered, io.LimitReader(r.Body, maxBufferedBody))
+	body, err := buffering.ReadUpTo(r.Body, claim, min(r.ContentLength, firstBodyBuffer), maxBufferedBody)
+	n := int64(len(body))
 	switch {
+	case errors.Is(err, buffering.ErrNoRoom):
+		return nil, nil, http.StatusServiceUnavailable
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		return nil, nil, http.StatusRequestTimeout
 	case errors.Is(err, io.ErrUnexpectedEOF), isNetError(err):
@@ -268,12 +296,12 @@
 	case maxBytes > 0 && n > maxBytes:
 		return nil, nil, http.StatusRequestEntityTooLarge
 	case n < maxBufferedBody || n == r.ContentLength:
-		return buffered.Bytes(), nil, 0
+		return body, nil, 0
 	}
 	if maxBytes <= 0 {
-		return buffered.Bytes(), r.Body, 0
+		return body, r.Body, 0
 	}
-	return buffered.Bytes(), &boundedBody{from: r.Body, remaining: maxBytes - n}, 0
+	return body, &boundedBody{from: r.Body, remaining: maxBytes - n}, 0
 }
 
 var errBodyTooBig = errors.New("callers: body larger than the limit")
@@ -294,6 +322,23 @@
 	return n, err
 }
 
+// restBody is the remainder of a body, which is read while it is sent to a target.
+type restBody struct {
+	io.Reader
+	raw net.Conn
+}
+
+// Read implements io.Reader. The time limit begins anew with each read, because a target that reads
+// slowly delays the caller.
+func (b *restBody) Read(p []byte) (int, error) {
+	_ = b.raw.SetReadDeadline(time.Now().Add(bodyTimeout))
+	return b.Reader.Read(p)
+}
+
+// HoldBack bounds what the kernel receives of the body while it is not read, and returns the bytes
+// that it may hold.
+func (b *restBody) HoldBack() int64 { return buffering.HoldBack(b.raw) }
+
 // lengthOf returns the length of the body, negative if it is unknown.
 func lengthOf(r *http.Request, body []byte, rest io.Reader) int64 {
 	if rest == nil && r.ContentLength >= 0 {
@@ -305,7 +350,7 @@
 // sendContinue sends 100 Continue to a caller that waits for it before it sends the body.
 func (c *conn) sendContinue() {
 	<-c.lastAnswer()
-	_ = c.raw.SetWriteDeadline(time.Now().Add(writeTimeout))
+	_ = c.raw.SetWriteDeadline(time.Now().Add(continueTimeout))
 	if _, err := io.WriteString(c.raw, "HTTP/1.1 100 Continue\r\n\r\n"); err != nil {
 		c.unwritable.Store(true)
 	}
@@ -321,7 +366,7 @@
 
 // start runs a request in its own goroutine; its response is written after those to earlier
 // requests. It returns false if the connection is about to be closed.
-func (c *conn) start(ctx context.Context, request *Request, r *http.Request, wantsClose bool) bool {
+func (c *conn) start(ctx context.Context, request *Request, r *http.Request, wantsClose bool, claim *buffering.Claim) bool {
 	c.slots <- struct{}{}
 	c.mu.Lock()
 	previous, own := c.lastWritten, make(chan struct{})
@@ -340,12 +385,13 @@
 		defer c.inFlight.Add(-1)
 		defer func() { <-c.slots }()
 		defer close(own)
-		response := c.server.handler.Serve(ctx, request)
+		defer claim.End()
+		response := c.server.handler.Serve(buffering.WithClaim(ctx, claim), request)
 		<-previous
 		if response != nil && response.BeforeWrite != nil {
 			response.BeforeWrite()
 		}
-		c.write(response, r, c.announceClose(own, response, wantsClose || request.BodyRest != nil))
+		c.write(response, r, c.announceClose(own, response, wantsClose || request.BodyRest != nil), claim)
 	}()
 	return true
 }
@@ -363,7 +409,7 @@
 // refuse answers a request that cannot be read and closes the connection after the response.
 func (c *conn) refuse(status int, detail string) {
 	<-c.lastAnswer()
-	c.write(c.server.handler.ErrorResponse(status, detail), &http.Request{Method: http.MethodGet, ProtoMajor: 1, ProtoMinor: 1}, true)
+	c.write(c.server.handler.ErrorResponse(status, detail), &http.Request{Method: http.MethodGet, ProtoMajor: 1, ProtoMinor: 1}, true, nil)
 	c.linger()
 }
 
--- a/node/gateway/callers/server.go
+++ b/node/gateway/callers/server.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"github.com/go-faster/errors"
+
+	"heatherlock/node/gateway/buffering"
 )
 
 // Server serves callers on a listener. It is safe for concurrent use.
@@ -16,6 +18,9 @@
 	limits  LimitsFunc
 	// maxConns bounds the open connections; further ones are closed at once.
 	maxConns int
+	// Buffers counts what is held for callers; nil means no bound. It must not be changed once Serve
+	// is called.
+	Buffers *buffering.VM
 
 	leaving atomic.Bool
 	mu      sync.Mutex
--- a/node/gateway/callers/types.go
+++ b/node/gateway/callers/types.go
@@ -67,9 +67,14 @@
 	maxBufferedBody = 512 << 10
 	// bodyTimeout is how long a caller may take to send a body.
 	bodyTimeout = 10 * time.Second
-	// writeTimeout is how long the caller may take to accept a response, from when the server
-	// begins to write it.
-	writeTimeout = 10 * time.Second
+	// firstBodyBuffer is the part of a body for which memory is reserved before any of it has
+	// arrived. A caller that states a length and sends nothing holds no more than this.
+	firstBodyBuffer = 64 << 10
+	// sendBufferSize bounds what the kernel holds for a caller that does not read; without it, the
+	// kernel takes several megabytes. It sends 64 MB/s over a round trip of 2 ms within a region.
+	sendBufferSize = 128 << 10
+	// continueTimeout is how long the caller may take to accept 100 Continue.
+	continueTimeout = 10 * time.Second
 	// lingerTimeout is how long the remainder of an unwanted body is read and discarded, so that a
 	// connection reset does not discard the response.
 	lingerTimeout  = time.Second
--- a/node/gateway/callers/write.go
+++ b/node/gateway/callers/write.go
@@ -7,24 +7,29 @@
 	"net/http/httputil"
 	"strconv"
 	"time"
+
+	"heatherlock/node/gateway/buffering"
+	"heatherlock/steering/buffers"
 )
 
 const writeBufferSize = 4 << 10
 
 // write writes a response. If its body ends early the connection is closed, so that the response
-// does not look complete.
-func (c *conn) write(a *Response, r *http.Request, closing bool) {
+// does not look complete. The caller may take any time for it as long as it reads.
+func (c *conn) write(a *Response, r *http.Request, closing bool, claim *buffering.Claim) {
 	if a == nil || c.unwritable.Load() {
 		c.abort(a)
 		return
 	}
-	_ = c.raw.SetWriteDeadline(time.Now().Add(writeTimeout))
-	w := bufio.NewWriterSize(c.raw, writeBufferSize)
+	w := bufio.NewWriterSize(&buffering.Writer{Conn: c.raw, Claim: claim, Side: buffers.Caller, HoldBack: holdBackOf(a)}, writeBufferSize)
 	err := writeAnswer(w, a, r, closing)
 	if err == nil {
 		err = w.Flush()
 	}
 	if err != nil {
+		if a.BodyRest != nil && a.Length < 0 && !r.ProtoAtLeast(1, 1) {
+			buffering.Reset(c.raw) // an orderly close would end the body as if it were complete
+		}
 		c.abort(a)
 		return
 	}
@@ -37,6 +42,14 @@
 	}
 }
 
+// holdBackOf returns the function that stops reading a streamed body, or nil.
+func holdBackOf(a *Response) func() int64 {
+	if source, ok := a.BodyRest.(interface{ HoldBack() int64 }); ok {
+		return source.HoldBack
+	}
+	return nil
+}
+
 // abort closes the connection without a complete response.
 func (c *conn) abort(a *Response) {
 	c.unwritable.Store(true)
--- a/node/gateway/gateway.go
+++ b/node/gateway/gateway.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/http"
+	"runtime/debug"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -13,6 +14,7 @@
 	"github.com/go-kit/log"
 
 	"heatherlock/node/gateway/allowances"
+	"heatherlock/node/gateway/buffering"
 	"heatherlock/node/gateway/callers"
 	"heatherlock/node/gateway/catchup"
 	"heatherlock/node/gateway/feed"
@@ -23,6 +25,7 @@
 	"heatherlock/node/telemetry"
 	"heatherlock/platform"
 	"heatherlock/steering"
+	"heatherlock/steering/buffers"
 	"heatherlock/steering/capacity"
 	"heatherlock/steering/placement"
 	"heatherlock/steering/poison"
@@ -73,6 +76,7 @@
 	callers                      *callers.Server
 	// passedOn serves requests that other VMs pass on while they are cut off from all targets.
 	passedOn    *callers.Server
+	buffers     *buffering.VM // counts what is held for slow readers
 	leaving     atomic.Bool
 	coldSenders []steering.VM // guarded by the relay's lock
 	// announced is set once a heartbeat was requested to announce that this VM takes requests.
@@ -128,8 +132,10 @@
 		Metrics: relay.NewMetrics(scope), StoreAge: func() time.Duration { return time.Duration(g.reader.Digest().AgeMs) * time.Millisecond },
 		MemberCount: func() int { return g.fleet.LiveCount() }, Behind: func() bool { _, _, behind := g.reader.Behind(); return behind }, ConfigOutdated: g.outdated,
 		Meter: g.meter, Allowances: g.allowanceService, TargetLimits: g.allowanceService})
+	g.buffers = buffering.NewVM(buffers.NewConfig(settings.MemoryMB, debug.SetMemoryLimit(-1)), logger, scope)
 	g.callers = callers.NewServer(g.relay, g.relay.Limits, maxCallerConnections)
 	g.passedOn = callers.NewServer(g.relay.PeerHandler(), g.relay.PeerLimits, maxCallerConnections)
+	g.callers.Buffers, g.passedOn.Buffers = g.buffers, g.buffers
 	state := feed.NewState(time.Duration(settings.HeartbeatMs)*time.Millisecond, settings.Zones)
 	g.reader = feed.NewReader(g.store, g, state, readerPeers{g}, logger)
 	g.peerClient = newPeerClient()
@@ -444,6 +450,7 @@
 	scope.Gauge("gateway_read_rank").Update(float64(g.reader.Rank()))
 	scope.Gauge("gateway_requests_running").Update(float64(g.callers.InFlight()))
 	scope.Gauge("gateway_caller_connections").Update(float64(g.callers.Connections()))
+	g.buffers.UpdateGauges()
 	for service, left := range tries {
 		scope.Tagged(map[string]string{"service": string(service)}).Gauge("gateway_tries_left").Update(left)
 	}
--- a/node/gateway/relay/relay.go
+++ b/node/gateway/relay/relay.go
@@ -313,10 +313,18 @@
 
 // ErrorResponse implements callers.Handler.
 func (f *Relay) ErrorResponse(status int, detail string) *callers.Response {
-	f.cfg.Metrics.Refused(steering.ReasonBadRequest)
-	return localResponse(status, steering.ReasonBadRequest, detail, 0)
+	reason, retryAfter := steering.ReasonBadRequest, time.Duration(0)
+	if status == http.StatusServiceUnavailable {
+		reason, retryAfter = steering.ReasonMemoryFull, memoryRetryAfter
+	}
+	f.cfg.Metrics.Refused(reason)
+	return localResponse(status, reason, detail, retryAfter)
 }
 
+// memoryRetryAfter is the Retry-After of a VM that may hold no more bytes. A connection may be cut
+// once it has made no progress for that long.
+const memoryRetryAfter = time.Second
+
 // requestInfo identifies a request in log lines. table is the configuration that was in force when
 // the request arrived and that decided it, not the one in force when it ended.
 type requestInfo struct {
--- a/node/gateway/upstream/conn.go
+++ b/node/gateway/upstream/conn.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"strconv"
 	"strings"
 	"sync"
@@ -12,6 +13,7 @@
 
 	"github.com/go-faster/errors"
 
+	"heatherlock/node/gateway/buffering"
 	"heatherlock/node/gateway/planted"
 )
 
@@ -40,6 +42,7 @@
 type exchange struct {
 	request *http.Request // holds only the method, which http.ReadResponse needs
 	id      string
+	claim   *buffering.Claim
 	done    chan result
 }
 
@@ -156,7 +159,9 @@
 // streamResponse passes on a response whose body is read while it is passed on to the caller.
 func (c *conn) streamResponse(e *exchange, response *Response, last bool) bool {
 	ended := make(chan bool, 1)
-	response.BodyRest = &streamedBody{ReadCloser: response.BodyRest, ended: ended, abort: c.close}
+	body := &streamedBody{ReadCloser: response.BodyRest, ended: ended, conn: c}
+	response.BodyRest = body
+	e.claim.AtEnd(func() { _ = body.Close() }) // of a response that is not passed on; Close returns no error
 	e.done <- result{response: response}
 	if whole := <-ended; !whole {
 		return false
@@ -169,7 +174,7 @@
 type streamedBody struct {
 	io.ReadCloser
 	ended chan bool
-	abort func()
+	conn  *conn
 	once  sync.Once
 }
 
@@ -183,12 +188,21 @@
 
 func (s *streamedBody) Close() error {
 	s.once.Do(func() {
-		s.abort()
+		s.conn.close()
 		s.ended <- false
 	})
 	return nil
 }
 
+// HoldBack bounds what the kernel receives of the body while it is not read, and returns the bytes
+// that it may hold. The connection is not reused, as its receive buffer stays small.
+func (s *streamedBody) HoldBack() int64 {
+	s.conn.mu.Lock()
+	s.conn.closeAfter = true
+	s.conn.mu.Unlock()
+	return buffering.HoldBack(s.conn.raw)
+}
+
 // readResponse reads the response to e. It skips interim responses and up to maxMismatched
 // responses to other requests. last reports that the connection must be closed after it. With an
 // error, response holds the status and the header of a response to e that broke off, if any.
@@ -203,7 +217,7 @@
 			continue
 		}
 		c.stopWriting()
-		body, whole, err := readBody(httpResponse.Body)
+		body, whole, err := readBody(httpResponse, e.claim)
 		if err != nil {
 			if c.requestIDOf(httpResponse.Header) == e.id {
 				response = &Response{Status: httpResponse.StatusCode, Header: httpResponse.Header}
@@ -227,15 +241,37 @@
 	}
 }
 
-// readBody reads a body up to maxBufferedBody, and reports whether that was all of it.
-func readBody(body io.Reader) ([]byte, bool, error) {
-	data, err := io.ReadAll(io.LimitReader(body, maxBufferedBody+1))
+// readBody reads a body up to maxBufferedBody, and reports whether that was all of it. If this VM may
+// hold no more, it reads less, and the remainder is streamed. The body of a response that nobody
+// waits for any more is discarded.
+func readBody(r *http.Response, claim *buffering.Claim) ([]byte, bool, error) {
+	if r.Body == http.NoBody {
+		return nil, true, nil
+	}
+	if claim.Ended() {
+		n, err := io.Copy(io.Discard, io.LimitReader(r.Body, maxBufferedBody+1))
+		return nil, n <= maxBufferedBody, err
+	}
+	data, err := buffering.ReadUpTo(r.Body, claim, r.ContentLength, maxBufferedBody+1)
+	if errors.Is(err, buffering.ErrNoRoom) {
+		return data, false, nil
+	}
 	if err != nil {
 		return nil, false, err
 	}
 	return data, len(data) <= maxBufferedBody, nil
 }
 
+// setWriteDeadline sets the deadline of a write, unless stopWriting has ended it.
+func (c *conn) setWriteDeadline(at time.Time) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.closeAfter {
+		return os.ErrDeadlineExceeded
+	}
+	return c.raw.SetWriteDeadline(at)
+}
+
 // stopWriting aborts a request that is still being written. The target has responded already, and
 // would take the rest of the body for another request if the connection were reused.
 func (c *conn) stopWriting() {
--- a/node/gateway/upstream/exchange.go
+++ b/node/gateway/upstream/exchange.go
@@ -12,7 +12,9 @@
 
 	"github.com/go-faster/errors"
 
+	"heatherlock/node/gateway/buffering"
 	"heatherlock/steering"
+	"heatherlock/steering/buffers"
 )
 
 // Request is a request to a target.
@@ -106,7 +108,7 @@
 // Do sends a request and returns the response. A non-nil error is an *Error.
 func (p *Pool) Do(ctx context.Context, call Call, r *Request) (*Response, error) {
 	h := p.poolOf(call.Target, call.Generation)
-	e := &exchange{request: &http.Request{Method: r.Method}, id: r.ID, done: make(chan result, 1)}
+	e := &exchange{request: &http.Request{Method: r.Method}, id: r.ID, claim: buffering.ClaimOf(ctx), done: make(chan result, 1)}
 	c := h.takeIdle(time.Now())
 	if c == nil || !c.start(e) {
 		if call.OnlyOpen {
@@ -138,9 +140,10 @@
 func (c *conn) exchange(ctx context.Context, e *exchange, r *Request) (*Response, error) {
 	stop := context.AfterFunc(ctx, c.close)
 	defer stop()
-	counted := &countingWriter{to: c.raw}
+	counted := &countingWriter{to: c.writerFor(e, r)}
 	err := write(counted, r)
 	if err == nil {
+		_ = c.setWriteDeadline(time.Time{}) // it fails only if the connection is not used again
 		c.requestWritten()
 	}
 	if err != nil {
@@ -156,6 +159,23 @@
 	return got.response, nil
 }
 
+// slowBody is the size of a body from which its target may keep the write waiting: the least send
+// buffer of a connection. Less is taken by the kernel at once.
+const slowBody = 16 << 10
+
+// writerFor returns the writer for a request. That of a large body detects a target that does not
+// read.
+func (c *conn) writerFor(e *exchange, r *Request) io.Writer {
+	if r.BodyRest == nil && len(r.Body) <= slowBody {
+		return c.raw
+	}
+	w := &buffering.Writer{Conn: c.raw, Claim: e.claim, Side: buffers.Target, SetDeadline: c.setWriteDeadline}
+	if source, ok := r.BodyRest.(interface{ HoldBack() int64 }); ok {
+		w.HoldBack = source.HoldBack
+	}
+	return w
+}
+
 // handleWriteError returns the response if one arrived before the request was sent completely, and
 // else the error of the failed write.
 func (c *conn) handleWriteError(e *exchange, counted *countingWriter, err error) (*Response, error) {
--- a/node/gateway/volume/volume.go
+++ b/node/gateway/volume/volume.go
@@ -144,3 +144,6 @@
 	c.meter.Count(c.purpose, c.at, int64(n))
 	return n, err
 }
+
+// NetConn returns the connection that is wrapped.
+func (c *conn) NetConn() net.Conn { return c.Conn }
--- a/steering/reasons.go
+++ b/steering/reasons.go
@@ -47,6 +47,7 @@
 	ReasonSlowSender:         {http.StatusRequestTimeout, "the caller sent its body too slowly", "send again over a better link"},
 	ReasonSlowReader:         {http.StatusRequestTimeout, "the caller took the answer too slowly, and the connection was broken off", "ask again over a better link; only counted, since the answer had begun"},
 	ReasonTooManyConnections: {http.StatusServiceUnavailable, "this entry VM has as many connections as it allows", "use another entry VM of the look-up answer"},
+	ReasonMemoryFull:         {http.StatusServiceUnavailable, "this entry VM holds as many bytes for slow callers and targets as its memory allows", "come back after the time given, or use another entry VM; see docs/operations/slow-readers.md"},
 	ReasonCancelled:          {499, "the caller went away", "none needed"},
 
 	ReasonAPIKeyMissing:      {http.StatusUnauthorized, "the request has no API key", "send the workspace's API key"},
--- a/steering/refusal.go
+++ b/steering/refusal.go
@@ -68,6 +68,7 @@
 	ReasonSlowSender         Reason = "slow_sender"
 	ReasonSlowReader         Reason = "slow_reader"
 	ReasonTooManyConnections Reason = "too_many_connections"
+	ReasonMemoryFull         Reason = "memory_full"
 	ReasonCancelled          Reason = "cancelled"
 
 	ReasonAPIKeyMissing      Reason = "api_key_missing"
