Test, measure and describe slow readers, and play them in the soak

Cause: hundreds of callers that do not read, and targets that stall while they read a body, were tested nowhere.

A caller that closes its connection is noticed while further requests are held back. Kernel send buffers of streamed bodies are bounded.

--- a/node/gateway/buffering/kernel.go
+++ b/node/gateway/buffering/kernel.go
@@ -2,9 +2,6 @@
 
 import (
 	"net"
-	"syscall"
-
-	"golang.org/x/sys/unix"
 )
 
 // heldBackWindow is the receive buffer in bytes of a connection from which reading has stopped. The
@@ -25,6 +22,13 @@
 	}
 }
 
+// LimitSend bounds what the kernel holds of the bytes that were written to a connection.
+func LimitSend(c net.Conn, bytes int) {
+	if tcp := tcpOf(c); tcp != nil {
+		_ = tcp.SetWriteBuffer(bytes) // an error leaves a larger buffer, which is counted once a write is blocked
+	}
+}
+
 // HoldBack bounds what the kernel receives on a connection that is not being read, and returns the
 // bytes that may wait there.
 func HoldBack(c net.Conn) int64 {
@@ -33,28 +37,17 @@
 		return 0
 	}
 	_ = tcp.SetReadBuffer(heldBackWindow) // an error leaves the larger buffer, which is counted below
-	return max(queued(tcp, unix.TIOCINQ), heldBackWindow)
+	return max(queued(tcp, unreadQueue), heldBackWindow)
 }
 
 // unsent returns the bytes that a connection's peer has not acknowledged.
 func unsent(c net.Conn) int64 {
 	if tcp := tcpOf(c); tcp != nil {
-		return queued(tcp, unix.TIOCOUTQ)
+		return queued(tcp, unsentQueue)
 	}
 	return 0
 }
 
-// queued returns the length of a queue of the kernel, or 0 if it is unknown.
-func queued(c syscall.Conn, queue uint) int64 {
-	raw, err := c.SyscallConn()
-	if err != nil {
-		return 0
-	}
-	n := 0
-	_ = raw.Control(func(fd uintptr) { n, _ = unix.IoctlGetInt(int(fd), queue) }) // n stays 0 on an error
-	return int64(n)
-}
-
 // Reset makes closing a connection discard what its peer has not received, and frees that memory.
 // The peer sees a reset, so that a response without a stated length does not look complete.
 func Reset(c net.Conn) {
--- a/node/gateway/callers/conn.go
+++ b/node/gateway/callers/conn.go
@@ -77,9 +77,7 @@
 	if c.server.Buffers == nil {
 		return
 	}
-	if tcp, ok := c.raw.(*net.TCPConn); ok {
-		_ = tcp.SetWriteBuffer(sendBufferSize) // an error leaves a larger buffer, which is counted when the caller stalls
-	}
+	buffering.LimitSend(c.raw, sendBufferSize)
 	c.account = c.server.Buffers.Open(func() {
 		c.unwritable.Store(true)
 		buffering.Reset(c.raw)
@@ -139,13 +137,14 @@
 // readNext reads one request and starts it. It returns false when no further request is to be read.
 func (c *conn) readNext(ctx context.Context) bool {
 	limits := c.limits()
-	c.account.AwaitRoom(ctx, func() int { return int(c.inFlight.Load()) })
 	c.limitedReader.remaining = -1
 	if !c.awaitFirstByte(limits.IdleTimeout) {
 		return false
 	}
 	received := time.Now()
-	_ = c.raw.SetReadDeadline(received.Add(limits.HeaderTimeout))
+	// Only after the first byte: a caller that closes the connection is noticed meanwhile.
+	c.account.AwaitRoom(ctx, func() int { return int(c.inFlight.Load()) })
+	_ = c.raw.SetReadDeadline(time.Now().Add(limits.HeaderTimeout))
 	c.limitedReader.remaining = max(limits.HeaderBytes-c.reader.Buffered(), 1)
 	r, err := http.ReadRequest(c.reader)
 	c.limitedReader.remaining = -1
--- a/node/gateway/relay/rig_test.go
+++ b/node/gateway/relay/rig_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"fmt"
 	"io"
+	"math"
 	"net"
 	"net/http"
 	"strings"
@@ -13,14 +14,17 @@
 	"time"
 
 	"github.com/go-kit/log"
+	"github.com/uber-go/tally/v4"
 	"gotest.tools/v3/assert"
 
+	"heatherlock/node/gateway/buffering"
 	"heatherlock/node/gateway/callers"
 	"heatherlock/node/gateway/relay"
 	"heatherlock/node/gateway/upstream"
 	"heatherlock/platform"
 	"heatherlock/standin/endpoint"
 	"heatherlock/steering"
+	"heatherlock/steering/buffers"
 	"heatherlock/steering/identity"
 	"heatherlock/steering/placement"
 	"heatherlock/steering/retry"
@@ -126,6 +130,7 @@
 	listener, err := net.Listen("tcp4", "127.0.0.1:0")
 	assert.NilError(g.t, err)
 	server := callers.NewServer(g.relay, g.relay.Limits, 100)
+	server.Buffers = buffering.NewVM(buffers.NewConfig(136, math.MaxInt64), log.NewNopLogger(), tally.NoopScope)
 	g.server = server
 	ctx, cancel := context.WithCancel(context.Background())
 	g.t.Cleanup(func() { cancel(); _ = listener.Close() })
--- a/node/gateway/upstream/exchange.go
+++ b/node/gateway/upstream/exchange.go
@@ -163,12 +163,20 @@
 // buffer of a connection. Less is taken by the kernel at once.
 const slowBody = 16 << 10
 
+// streamSendBuffer bounds what the kernel holds of a streamed body; without it, the kernel takes
+// several megabytes before a target that does not read is noticed. It sends 4 MB/s over a round trip of
+// 60 ms to another region.
+const streamSendBuffer = 256 << 10
+
 // writerFor returns the writer for a request. That of a large body detects a target that does not
 // read.
 func (c *conn) writerFor(e *exchange, r *Request) io.Writer {
 	if r.BodyRest == nil && len(r.Body) <= slowBody {
 		return c.raw
 	}
+	if r.BodyRest != nil {
+		buffering.LimitSend(c.raw, streamSendBuffer)
+	}
 	w := &buffering.Writer{Conn: c.raw, Claim: e.claim, Side: buffers.Target, SetDeadline: c.setWriteDeadline}
 	if source, ok := r.BodyRest.(interface{ HoldBack() int64 }); ok {
 		w.HoldBack = source.HoldBack
--- a/soak/plan.go
+++ b/soak/plan.go
@@ -32,6 +32,7 @@
 	plan = append(plan, statementFaults(seed, length)...)
 	plan = append(plan, restoreFaults(seed, length)...)
 	plan = append(plan, linkFaults(seed, length, daemons)...)
+	plan = append(plan, slowFaults(seed, length)...)
 	sort.SliceStable(plan, func(i, j int) bool { return plan[i].at < plan[j].at })
 	return plan
 }
@@ -90,7 +91,11 @@
 // connectionFaults disturb the connections to one target.
 func connectionFaults(r *rand.Rand, at, span time.Duration) []step {
 	mode, pick := Mode(1+r.IntN(4)), r.Uint64()
-	return []step{{at, fmt.Sprintf("the way to a target: %s for %v", mode, span), func(s *system) {
+	return []step{connectionFault(at, span, mode, pick)}
+}
+
+func connectionFault(at, span time.Duration, mode Mode, pick uint64) step {
+	return step{at, fmt.Sprintf("the way to a target: %s for %v", mode, span), func(s *system) {
 		if t := s.pick(pick); t != nil {
 			s.mu.Lock()
 			t.disturbedAt = time.Now()
@@ -98,7 +103,7 @@
 			t.proxy.set(mode)
 			time.AfterFunc(span, func() { t.proxy.set(Pass) })
 		}
-	}}}
+	}}
 }
 
 // targetFaultKinds are the faults that a target can apply to its requests.
--- a/soak/proxy.go
+++ b/soak/proxy.go
@@ -22,9 +22,11 @@
 	OneWay
 	// Reset resets every connection, open or new.
 	Reset
+	// SlowRead reads requests in small pieces with pauses.
+	SlowRead
 )
 
-var modeNames = [...]string{"pass", "delay", "silence", "one way", "reset"}
+var modeNames = [...]string{"pass", "delay", "silence", "one way", "reset", "slow reading"}
 
 // String returns the name of the mode as plans print it.
 func (m Mode) String() string { return modeNames[m] }
@@ -157,7 +159,12 @@
 func (p *proxy) copyOneWay(to, from net.Conn, vm int, answers bool) {
 	buffer := make([]byte, 16<<10)
 	for {
-		n, err := from.Read(buffer)
+		piece := buffer
+		if !answers && p.modeOf(vm) == SlowRead {
+			time.Sleep(slowPause)
+			piece = buffer[:slowPiece]
+		}
+		n, err := from.Read(piece)
 		switch mode := p.modeOf(vm); {
 		case mode == Blackhole || mode == OneWay && answers:
 			n = 0
--- a/steering/buffers/budget.go
+++ b/steering/buffers/budget.go
@@ -40,14 +40,14 @@
 }
 
 const (
-	// memoryShare is the share of a VM's memory that may be held for slow readers. On a VM of 136 MB,
-	// that is 34 MB. The live heap without it is about 20 MB, and the collector, which runs at five
-	// times the live heap or near the runtime's limit of 96 MB, needs room for as much garbage as there
-	// is live data. The remaining 40 MB are for stacks, the binary, and kernel buffers that are not
-	// counted because no write has stalled yet.
+	// memoryShare is the share of a VM's memory that may be held for slow readers: 34 MB on a VM of
+	// 136 MB. The collector lets the heap grow by 40 % between two collections, which makes that up to
+	// 48 MB. The remainder is for the heap without slow readers, for stacks and headers of their
+	// connections (about 40 KB each), and for kernel buffers before a write is found to be blocked,
+	// which are not counted.
 	memoryShare = 0.25
-	// runtimeShare is the largest share of the runtime's memory limit. If held bytes took most of it,
-	// the collector would run continuously and delay all requests.
+	// runtimeShare is the largest share of the runtime's memory limit, if there is one. If held bytes
+	// took most of it, the collector would run continuously and delay all requests.
 	runtimeShare = 1.0 / 3
 	// perConnection allows a whole response of the usual size (256 KB) to be written while three more
 	// wait, or a request's body of 512 KB with its response.
