Refuse requests beyond a workspace's share first while a service is short

The relay asks package fairshare after the allowance whether the share of a request's workspace allows it, and refuses it at once otherwise: reason over_share, status 503, a Retry-After at which the share allows the next request; its credit goes back. Responses are recorded as the room of a service; refusals by placement (no_slot) and shed requests mean that it is short. Without workspaces in the configuration nothing is recorded. Status, metrics, losses and heatherlock workspaces show demand, share and refusals. relay.Shares has Report and Merge for the exchange between VMs, which is not connected.

--- a/cmd/internal/workspaces/command.go
+++ b/cmd/internal/workspaces/command.go
@@ -127,6 +127,7 @@
 		reason, notRun := mostFrequent(r.NotRun)
 		fmt.Fprintf(w, "%s\t%d\t%d\t%d\t%d\t%s\t%s\t%s\t%s\t%s\t%s\n", r.Name, r.Asked, r.Admitted, r.Beyond, notRun, rate, demand, use, vms, r.Owner, reason)
 	}
+	writeShares(w, v.Workspaces)
 	fmt.Fprintf(w, "\n%d entry VMs answered\nKEYS AND LIMITS OF\tCONTENT\tVMS\tIN FORCE ON ALL OF THEM\n", len(v.Asked))
 	for _, c := range v.Configurations {
 		fmt.Fprintf(w, "configuration %d\t%s\t%d\t%v\n", c.Version, c.Content, len(c.VMs), time.Duration(c.InForceMs)*time.Millisecond)
@@ -139,6 +140,20 @@
 	return w.Flush()
 }
 
+// writeShares writes what workspaces ask of services that are short or have refused requests beyond a share.
+func writeShares(w io.Writer, all []WorkspaceTotals) {
+	heading := "\nWORKSPACE\tSERVICE\tRANK\tASKED NOW/S\tSHARE/S\tREFUSED\tSHORT ON\n"
+	for _, r := range all {
+		for _, s := range r.Shares {
+			if !s.Short && s.Refused == 0 {
+				continue
+			}
+			fmt.Fprintf(w, "%s%s\t%s\t%d\t%.1f\t%.1f\t%d\t%d of %d VMs\n", heading, r.Name, s.Service, s.Rank, s.Demand, s.Share.Share, s.Refused, s.ShortOn, s.VMs)
+			heading = ""
+		}
+	}
+}
+
 // mostFrequent returns the reason with the most refusals, and the sum over all reasons.
 func mostFrequent(counts map[steering.Reason]int64) (most steering.Reason, sum int64) {
 	reasons := make([]steering.Reason, 0, len(counts))
--- a/cmd/internal/workspaces/view.go
+++ b/cmd/internal/workspaces/view.go
@@ -30,12 +30,22 @@
 	Beyond   int64 `json:"beyond"`
 	// NotRun counts admitted requests that were refused later without having run, by reason.
 	NotRun map[steering.Reason]int64 `json:"not_run,omitempty"`
+	// Shares holds what the workspace asks of each service, by service and rank.
+	Shares []ShareTotals `json:"shares,omitempty"`
 	// Owner is the VM that owns the allowance. It is empty, and Allowance nil, if none of
 	// the VMs that answered owns it.
 	Owner     steering.VM       `json:"owner,omitempty"`
 	Allowance *status.Allowance `json:"allowance,omitempty"`
 }
 
+// ShareTotals sums what a workspace asks of a service over all VMs that answered.
+type ShareTotals struct {
+	status.Share
+	// ShortOn counts the VMs on which the service is short, of all VMs that the workspace uses.
+	ShortOn int `json:"short_on"`
+	VMs     int `json:"vms"`
+}
+
 // Utilization returns the ratio of the current demand to the declared rate, or 0 if it is not
 // known.
 func (r WorkspaceTotals) Utilization() float64 {
@@ -97,6 +107,9 @@
 		}
 		r.NotRun[reason] += n
 	}
+	for _, s := range w.Shares {
+		r.addShare(s)
+	}
 	// While the VMs' membership views differ, two of them may act as owner. The one with the
 	// higher demand counts, since more callers reach it.
 	if w.Owned != nil && (r.Allowance == nil || w.Owned.Demand > r.Allowance.Demand) {
@@ -104,6 +117,25 @@
 	}
 }
 
+func (r *WorkspaceTotals) addShare(s status.Share) {
+	order := func(t ShareTotals, s status.Share) int {
+		return cmp.Or(cmp.Compare(t.Service, s.Service), cmp.Compare(t.Rank, s.Rank))
+	}
+	at, found := slices.BinarySearchFunc(r.Shares, s, order)
+	if !found {
+		r.Shares = slices.Insert(r.Shares, at, ShareTotals{Share: status.Share{Service: s.Service, Rank: s.Rank}})
+	}
+	t := &r.Shares[at]
+	t.Demand += s.Demand
+	t.Share.Share += s.Share
+	t.Refused += s.Refused
+	t.VMs++
+	if s.Short {
+		t.Short = true
+		t.ShortOn++
+	}
+}
+
 func (v *View) addConfiguration(s *status.Status) {
 	for n := range v.Configurations {
 		c := &v.Configurations[n]
--- a/cmd/internal/workspaces/workspaces_test.go
+++ b/cmd/internal/workspaces/workspaces_test.go
@@ -25,9 +25,10 @@
 
 func serveFleet(t *testing.T) (first *status.Status, control string) {
 	second := &status.Status{VM: "vm-2", ConfigVersion: 7, Config: status.Config{Content: "c", InForceMs: 900},
-		Workspaces: []status.Workspace{{Name: "spa", Admitted: 5, Beyond: 2, Owned: &status.Allowance{Rate: 40, Demand: 10, VMs: 2}}}}
+		Workspaces: []status.Workspace{{Name: "spa", Admitted: 5, Beyond: 2, Shares: []status.Share{{Service: "clips", Rank: 1, Demand: 3, Share: 2, Refused: 4, Short: true}}, Owned: &status.Allowance{Rate: 40, Demand: 10, VMs: 2}}}}
 	first = &status.Status{VM: "vm-1", ConfigVersion: 7, Config: status.Config{Content: "c", InForceMs: 1500},
-		Workspaces: []status.Workspace{{Name: "museum", Admitted: 4}, {Name: "spa", Admitted: 3, NotRun: map[steering.Reason]int64{steering.ReasonNoSlot: 1}}}}
+		Workspaces: []status.Workspace{{Name: "museum", Admitted: 4}, {Name: "spa", Admitted: 3, NotRun: map[steering.Reason]int64{steering.ReasonNoSlot: 1},
+			Shares: []status.Share{{Service: "clips", Rank: 1, Demand: 1.5, Share: 1.5}, {Service: "maps", Demand: 9, Share: 9}}}}}
 	first.Fleet = []status.Peer{{VM: "vm-2", Live: true, Control: serveStatus(t, second)}, {VM: "vm-3", Control: "127.0.0.1:1"}}
 	return first, serveStatus(t, first)
 }
@@ -40,6 +41,8 @@
 	lines := strings.Split(out.String(), "\n")
 	assert.DeepEqual(t, strings.Fields(lines[1]), []string{"spa", "10", "8", "2", "1", "40.0", "10.0", "25%", "2", "vm-2", "no_slot"})
 	assert.DeepEqual(t, strings.Fields(lines[2])[:5], []string{"museum", "4", "4", "0", "0"})
+	assert.DeepEqual(t, strings.Fields(lines[5]), []string{"spa", "clips", "1", "4.5", "3.5", "4", "1", "of", "2", "VMs"})
+	assert.Assert(t, !strings.Contains(out.String(), "maps"), "a service that is not short is shown")
 	assert.Assert(t, strings.Contains(out.String(), "configuration 7") && strings.Contains(out.String(), "900ms"), out.String())
 
 	out.Reset()
--- a/node/gateway/gateway.go
+++ b/node/gateway/gateway.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"slices"
@@ -80,6 +81,7 @@
 	regionSplit      placement.RegionSplit
 	meter            *volume.Meter
 	allowanceService *allowances.Service
+	shares           *relay.Shares
 	servers          []*http.Server
 	workers          sync.WaitGroup
 	// membersChanged is signalled when VMs became live or are no longer.
@@ -109,6 +111,7 @@
 	if err := g.newAllowances(); err != nil {
 		return nil, err
 	}
+	g.shares = relay.NewShares(rand.Uint32(), logger, scope)
 	g.pool = upstream.NewPool(upstream.DialTarget, platform.RequestIDOf)
 	g.pool.OnOpen = func() { scope.Counter("gateway_target_connections_opened").Inc(1) }
 	g.store.OnCall = func(call string, err error) {
@@ -127,7 +130,7 @@
 		},
 		Metrics: relay.NewMetrics(scope), StoreAge: func() time.Duration { return time.Duration(g.reader.Digest().AgeMs) * time.Millisecond },
 		MemberCount: func() int { return g.fleet.LiveCount() }, Behind: func() bool { _, _, behind := g.reader.Behind(); return behind }, ConfigOutdated: g.outdated,
-		Meter: g.meter, Allowances: g.allowanceService, TargetLimits: g.allowanceService})
+		Meter: g.meter, Allowances: g.allowanceService, Shares: g.shares, TargetLimits: g.allowanceService})
 	g.callers = callers.NewServer(g.relay, g.relay.Limits, maxCallerConnections)
 	g.passedOn = callers.NewServer(g.relay.PeerHandler(), g.relay.PeerLimits, maxCallerConnections)
 	state := feed.NewState(time.Duration(settings.HeartbeatMs)*time.Millisecond, settings.Zones)
@@ -366,6 +369,7 @@
 		g.updateRegionSplit()
 		g.updateMembership()
 		g.updateGauges()
+		g.shares.UpdateGauges(time.Now())
 		g.relay.LogOutcomeCounts()
 		g.relay.LogLinks()
 		if time.Since(lastTraffic) >= trafficLogInterval {
--- a/node/gateway/relay/exchange.go
+++ b/node/gateway/relay/exchange.go
@@ -10,6 +10,7 @@
 	"heatherlock/node/gateway/callers"
 	"heatherlock/platform"
 	"heatherlock/steering"
+	"heatherlock/steering/fairshare"
 	"heatherlock/steering/losses"
 	"heatherlock/steering/placement"
 	"heatherlock/steering/poison"
@@ -40,6 +41,7 @@
 	verdict       poison.Verdict
 	history       []tried
 	noCapacity    *placement.Refusal // of the last attempt that found no target with capacity
+	beyondShare   *fairshare.Usage   // set if the share of the workspace does not allow it
 	noRetryReason string             // why it was not retried, for the log
 	warmTime      time.Duration      // last known latency of the service with a warm cache
 
@@ -91,6 +93,9 @@
 	if x.r.BodyRest != nil && x.r.Length > x.table.Limits.BodyBytes {
 		return x.refuse(steering.ReasonBodyTooLarge, 0)
 	}
+	if retryAfter, ok := x.admitToShare(); !ok {
+		return x.refuse(steering.ReasonOverShare, retryAfter)
+	}
 	if retryAfter, held := x.checkPoison(); held {
 		return x.refuse(steering.ReasonPoison, retryAfter)
 	}
--- a/node/gateway/relay/placement.go
+++ b/node/gateway/relay/placement.go
@@ -129,6 +129,9 @@
 		}
 	}
 	e.report = report
+	if report.Outcome == placement.Shed {
+		x.recordShed(now)
+	}
 	if sentAt.IsZero() {
 		f.cfg.Balancer.NotSent(now, e.pick.Target, report.Outcome, e.pick.Trial)
 		return
--- a/node/gateway/relay/relay.go
+++ b/node/gateway/relay/relay.go
@@ -75,6 +75,8 @@
 	Meter *volume.Meter
 	// Allowances limits the requests of workspaces; nil means no limits.
 	Allowances Allowances
+	// Shares divides services that are short between workspaces; nil means that none is.
+	Shares *Shares
 	// VM is the name of this entry VM.
 	VM steering.VM
 	// Peers holds the connections to entry VMs that pass on requests while this VM is cut off from all
--- a/node/gateway/relay/responses.go
+++ b/node/gateway/relay/responses.go
@@ -48,6 +48,7 @@
 // refuse returns the response to a request that has not run.
 func (x *exchange) refuse(reason steering.Reason, retryAfter time.Duration) *callers.Response {
 	x.recordOutcome(losses.Refused, reason)
+	x.recordRefusal(reason)
 	if x.hop != nil {
 		return x.hop.refuse(x.f, x.requestInfo(x.call), reason, retryAfter, x.reachedTarget, x.detail())
 	}
@@ -82,6 +83,9 @@
 	if x.noCapacity != nil && x.noCapacity.Wait > 0 {
 		line = append(line, "shortest_wait_ms", x.noCapacity.Wait.Milliseconds())
 	}
+	if u := x.beyondShare; u != nil {
+		line = append(line, "rank", u.Rank, "demand_per_s", u.Demand, "share_per_s", u.Share)
+	}
 	if x.hop != nil {
 		line = append(line, "passed_on_by", x.hop.from)
 	}
@@ -101,6 +105,7 @@
 		return x.hop.answer(&callers.Response{Status: e.response.Status, Header: endToEnd(e.response.Header), Body: e.response.Body,
 			BodyRest: e.response.BodyRest, Length: e.response.Length, Close: x.r.BodyRest != nil}, hopDelivered, x.table)
 	}
+	x.recordServed()
 	x.f.cfg.Metrics.Served(x.route.Kind, e.response.Status, time.Since(x.r.Received))
 	ready := time.Since(x.r.Received)
 	if len(x.history) > 1 || e.response.Status >= http.StatusInternalServerError {
--- a/node/gateway/relay/rig_test.go
+++ b/node/gateway/relay/rig_test.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"github.com/go-kit/log"
+	"github.com/uber-go/tally/v4"
 	"gotest.tools/v3/assert"
 
 	"heatherlock/node/gateway/callers"
@@ -41,6 +42,7 @@
 	behind atomic.Bool
 	// remaining is how many more requests of workspaces may run; refused counts those beyond.
 	remaining, refused atomic.Int64
+	shares             *relay.Shares
 }
 
 // Admit implements relay.Allowances.
@@ -98,7 +100,7 @@
 // other entry VMs.
 func newRigOf(t *testing.T, targets []*endpoint.Endpoint, dial, dialPeers upstream.DialFunc) *rig {
 	t.Helper()
-	g := &rig{t: t, targets: targets}
+	g := &rig{t: t, targets: targets, shares: relay.NewShares(1, log.NewNopLogger(), tally.NoopScope)}
 	balancer := placement.NewBalancer("vm", "centro")
 	balancer.SetPeers(map[steering.Region][]steering.VM{"centro": {"vm"}})
 	var placed []placement.Target
@@ -108,7 +110,7 @@
 	balancer.SetTargets(placed)
 	g.relay = relay.New(relay.Config{Region: "centro", VM: "vm", Pool: upstream.NewPool(dial, platform.RequestIDOf), Balancer: balancer, Peers: upstream.NewPool(dialPeers, platform.RequestIDOf),
 		Retry: retry.NewSharedBudget(retry.SharedBudgetConfig{Ratio: 0.2, Slack: 64, Window: 10 * time.Second}),
-		Log:   log.NewNopLogger(), MemberCount: func() int { return 1 }, ConfigOutdated: g.outdated.Load, Behind: g.behind.Load, Allowances: g})
+		Log:   log.NewNopLogger(), MemberCount: func() int { return 1 }, ConfigOutdated: g.outdated.Load, Behind: g.behind.Load, Allowances: g, Shares: g.shares})
 	route := func(name string, kind routes.Kind) *routes.Route {
 		return &routes.Route{Name: name, Host: "shop.example", Prefix: "/" + name + "/", Kind: kind, Timeout: time.Second,
 			Aim: 400 * time.Millisecond, MaxAttempts: 3, KeyAffinity: true, Parts: []routes.WeightedService{{Service: service, Weight: 1}}}
--- /dev/null
+++ b/node/gateway/relay/shares_test.go
@@ -0,0 +1,98 @@
+package relay_test
+
+import (
+	"net/http"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/uber-go/tally/v4"
+	"gotest.tools/v3/assert"
+
+	"heatherlock/node/gateway/relay"
+	"heatherlock/standin/endpoint"
+	"heatherlock/steering"
+	"heatherlock/steering/fairshare"
+)
+
+// Guards against a flood of one workspace that is let through to a service that is short, against requests of
+// other workspaces that are refused with it, and against refusals that go on once nothing is short.
+func TestRequestsBeyondTheShareAreRefusedWhileTheServiceIsShort(t *testing.T) {
+	t.Parallel()
+	g := newRig(t, 1, nil)
+	museum, spa := keyed("museum", "secret-1"), keyed("spa", "secret-2")
+	museum.Rate, spa.Rate = 100, 100
+	g.configure(2, museum, spa)
+	g.shares.Configure(g.relay.Table().Workspaces)
+	g.remaining.Store(1000)
+	overShare := func(d time.Duration) (refused []*http.Response) {
+		for end, n := time.Now().Add(d), 0; time.Now().Before(end); n++ {
+			if r := g.readWith("/read/1", "Api-Key: secret-1"); r.Header.Get("Heatherlock-Reason") == string(steering.ReasonOverShare) {
+				refused = append(refused, r)
+			}
+			time.Sleep(10 * time.Millisecond) // refusals are quick: without it the other workspace would ask as often
+			if n%40 == 0 {
+				got := g.readWith("/read/1", "Api-Key: secret-2").Header.Get("Heatherlock-Reason")
+				assert.Check(t, got != string(steering.ReasonOverShare), "a workspace within its share is refused")
+			}
+		}
+		return refused
+	}
+	assert.Equal(t, len(overShare(2200*time.Millisecond)), 0, "refused although the service is not short")
+	g.faults(func(n int) endpoint.Fault {
+		if n%2 == 0 {
+			return endpoint.Shed
+		}
+		return endpoint.None
+	})
+	refused := overShare(2 * time.Second)
+	assert.Assert(t, len(refused) > 0)
+	for _, r := range refused {
+		assert.Equal(t, r.StatusCode, 503)
+		seconds, err := strconv.ParseFloat(r.Header.Get("Retry-After"), 64)
+		assert.NilError(t, err)
+		assert.Assert(t, seconds >= 0.1 && seconds <= 2, "%v", seconds)
+	}
+	usage := g.shares.Usages(time.Now())
+	assert.Equal(t, len(usage), 2)
+	assert.Equal(t, usage[0].Refused, int64(len(refused)))
+	assert.Assert(t, usage[0].Divided && usage[0].Share < usage[0].Demand, "%+v", usage[0])
+	assert.Equal(t, 1000-g.remaining.Load(), int64(len(g.runs())), "credits of refused requests are kept")
+
+	g.faults(func(int) endpoint.Fault { return endpoint.None })
+	time.Sleep(1100 * time.Millisecond)
+	assert.Equal(t, len(overShare(500*time.Millisecond)), 0, "refused although the service is no longer short")
+}
+
+// Guards against a division without workspaces in the configuration, which would cost each request.
+func TestNothingIsDividedWithoutWorkspaces(t *testing.T) {
+	g := newRig(t, 1, nil)
+	g.shares.Configure(g.relay.Table().Workspaces)
+	g.faults(func(int) endpoint.Fault { return endpoint.Shed })
+	assert.Equal(t, g.readWith("/read/1").StatusCode, 503)
+	assert.Equal(t, len(g.shares.Usages(time.Now())), 0)
+	assert.Assert(t, g.shares.Report(time.Now()) == nil)
+}
+
+// Guards against corrupt reports that are not counted, and against a shortage that other VMs see but this one
+// does not hear of.
+func TestReportsOfOtherVMsAreMerged(t *testing.T) {
+	scope := tally.NewTestScope("", nil)
+	s := relay.NewShares(1, log.NewNopLogger(), scope)
+	g := newRig(t, 1, nil)
+	g.configure(2, keyed("museum", "secret-1"))
+	s.Configure(g.relay.Table().Workspaces)
+	other, now := fairshare.NewDivider(2), time.Now()
+	other.RecordShort(now, service, 0)
+	s.Merge(now, "vm-2", other.Report(now))
+	s.Merge(now, "vm-2", []byte("not a report"))
+	counted := int64(0)
+	for name, c := range scope.Snapshot().Counters() {
+		if strings.HasPrefix(name, "gateway_share_reports_unreadable") {
+			counted = c.Value()
+		}
+	}
+	assert.Equal(t, counted, int64(1))
+}
--- a/node/gateway/showstatus.go
+++ b/node/gateway/showstatus.go
@@ -50,7 +50,7 @@
 	if t := g.relay.Table(); t != nil {
 		result.ConfigVersion = t.Version
 	}
-	result.Workspaces = g.allowanceService.WorkspaceStatus()
+	result.Workspaces = g.workspaceRows(now)
 	result.Config, result.Fleet = g.configStatus(now), peerRows(now, g.fleet.ConfigStatus())
 	g.relay.WithBalancer(func(b *placement.Balancer, budget *retry.SharedBudget) {
 		result.Services = serviceRows(now, b, budget, g.regionSplit, s.Region)
--- a/node/gateway/status/golden_test.go
+++ b/node/gateway/status/golden_test.go
@@ -27,7 +27,8 @@
 		Services: []status.Service{{Name: "tickets", Targets: 12, Closed: 13, Cold: 14, Ejected: []steering.Target{"t1"}, Limited: 16, Resting: 17, SaidLeaving: 18, KeysKept: 0.5, TriesLeft: 15.5,
 			RequestsPerSecond: 16.5, RunMs: 110.25}},
 		Workspaces: []status.Workspace{{Name: "w1", Admitted: 21, Beyond: 22, NotRun: map[steering.Reason]int64{steering.ReasonNoSlot: 23},
-			Owned: &status.Allowance{Rate: 24.5, Burst: 25.5, Limit: 26.5, Left: -27.5, Lent: 28.5, Demand: 29.5, VMs: 30, Low: true}}, {Name: "w2"}}}
+			Shares: []status.Share{{Service: "tickets", Rank: 2, Demand: 31.5, Share: 32.5, Refused: 33, Short: true}},
+			Owned:  &status.Allowance{Rate: 24.5, Burst: 25.5, Limit: 26.5, Left: -27.5, Lent: 28.5, Demand: 29.5, VMs: 30, Low: true}}, {Name: "w2"}}}
 }
 
 // Guards against a status that operators' tools can only partly decode, since the tools may be older
--- a/node/gateway/status/status.go
+++ b/node/gateway/status/status.go
@@ -44,7 +44,7 @@
 	CallerConnections int       `json:"caller_connections"`
 	Services          []Service `json:"services"`
 	// Workspaces holds the workspaces with an allowance that this VM owns or has served since it
-	// started, by name.
+	// started, and those that ask something of a service, by name.
 	Workspaces []Workspace `json:"workspaces"`
 }
 
@@ -56,10 +56,27 @@
 	Beyond   int64 `json:"beyond"`
 	// NotRun counts, by reason, the admitted requests that were refused later without having run.
 	NotRun map[steering.Reason]int64 `json:"not_run,omitempty"`
+	// Shares holds what the workspace asks of each service, by service and rank.
+	Shares []Share `json:"shares,omitempty"`
 	// Owned is set on the VM that owns the workspace's allowance.
 	Owned *Allowance `json:"owned,omitempty"`
 }
 
+// Share is what a workspace asks of a service through one VM, and what it gets while the service is short of
+// capacity.
+type Share struct {
+	Service steering.Service `json:"service"`
+	// Rank is the priority of the requests; those of equal rank share.
+	Rank int `json:"rank"`
+	// Demand and Share are in requests per second. They are equal while the service is not short.
+	Demand float64 `json:"demand"`
+	Share  float64 `json:"share"`
+	// Refused counts the requests beyond the share that were refused.
+	Refused int64 `json:"refused"`
+	// Short is set while the service is short.
+	Short bool `json:"short"`
+}
+
 // Allowance is the state of a workspace's token bucket on the VM that owns it.
 type Allowance struct {
 	// Rate and Burst are as configured. Limit is the rate per second at which the owner lends, for
--- a/node/gateway/workspaces.go
+++ b/node/gateway/workspaces.go
@@ -1,12 +1,15 @@
 package gateway
 
 import (
+	"cmp"
 	"net"
+	"slices"
 	"time"
 
 	"github.com/go-faster/errors"
 
 	"heatherlock/node/gateway/allowances"
+	"heatherlock/node/gateway/status"
 	"heatherlock/node/gateway/volume"
 	"heatherlock/platform"
 	"heatherlock/steering"
@@ -38,6 +41,7 @@
 // configureAllowances puts the workspaces of a configuration in force. If they are the first with an
 // allowance, the allowance service does not know the other VMs yet.
 func (g *Gateway) configureAllowances(d *identity.Directory) {
+	g.shares.Configure(d)
 	first := !g.allowanceService.HasLimits()
 	g.allowanceService.Configure(d)
 	if first {
@@ -64,6 +68,20 @@
 	g.allowanceService.SetLivePeers(peers, g.fleet.MemberCount())
 }
 
+// workspaceRows returns the status of the workspaces: what their allowances let run, and what they ask of
+// services.
+func (g *Gateway) workspaceRows(now time.Time) []status.Workspace {
+	rows := g.allowanceService.WorkspaceStatus()
+	for _, u := range g.shares.Usages(now) {
+		at, found := slices.BinarySearchFunc(rows, u.Workspace, func(w status.Workspace, name steering.Workspace) int { return cmp.Compare(w.Name, name) })
+		if !found {
+			rows = slices.Insert(rows, at, status.Workspace{Name: u.Workspace})
+		}
+		rows[at].Shares = append(rows[at].Shares, status.Share{Service: u.Service, Rank: u.Rank, Demand: u.Demand, Share: u.Share, Refused: u.Refused, Short: u.Divided})
+	}
+	return rows
+}
+
 // agreementInterval is the interval at which the share of VMs with the same view of the fleet is passed on.
 const agreementInterval = 250 * time.Millisecond
 
--- a/steering/fairshare/usage.go
+++ b/steering/fairshare/usage.go
@@ -23,15 +23,9 @@
 // Usages returns the state of all workspaces that sent requests lately or were refused any, sorted.
 func (d *Divider) Usages(now time.Time) []Usage {
 	var all []Usage
-	for key, g := range d.groups {
-		divided := g.divided(now)
+	for _, g := range d.groups {
 		for _, f := range g.flows {
-			u := Usage{Request: Request{d.services[key.service], f.workspace, int(key.rank)}, Demand: f.demand.value(now), Refused: f.refused, Divided: divided}
-			u.Share = u.Demand
-			if divided {
-				u.Share = f.rate(now)
-			}
-			if u.Demand >= negligible || u.Refused > 0 {
+			if u := d.usage(now, g, f); u.Demand >= negligible || u.Refused > 0 {
 				all = append(all, u)
 			}
 		}
@@ -42,6 +36,21 @@
 	return all
 }
 
+// Usage returns the state of the workspace of a request that was recorded.
+func (d *Divider) Usage(now time.Time, r Request) Usage {
+	g := d.group(now, r.Service, r.Rank)
+	return d.usage(now, g, g.flow(r.Workspace))
+}
+
+func (d *Divider) usage(now time.Time, g *group, f *flow) Usage {
+	u := Usage{Request: Request{d.services[g.key.service], f.workspace, int(g.key.rank)}, Demand: f.demand.value(now), Refused: f.refused, Divided: g.divided(now)}
+	u.Share = u.Demand
+	if u.Divided {
+		u.Share = f.rate(now)
+	}
+	return u
+}
+
 // Room is the state of one rank of a service.
 type Room struct {
 	Service steering.Service
--- a/steering/losses/golden_test.go
+++ b/steering/losses/golden_test.go
@@ -19,7 +19,8 @@
 			losses.HeadOfLineBlocked: 1, losses.CallerLate: 2, losses.WaitedForSlot: 3, losses.ColdKey: 4, losses.OtherRegion: 5, losses.Other: 6},
 		Refused: map[losses.Cause]int{
 			losses.VMStarting: 11, losses.ConfigBehind: 12, losses.WorkspaceUnknown: 13, losses.OverAllowance: 14, losses.NoCommonHomeRegion: 15,
-			losses.NoTarget: 16, losses.NoSlotPredicted: 17, losses.PoisonRequest: 18, losses.RetryBudgetSpent: 19, losses.DeadlineTooShort: 20},
+			losses.NoTarget: 16, losses.NoSlotPredicted: 17, losses.PoisonRequest: 18, losses.RetryBudgetSpent: 19, losses.DeadlineTooShort: 20,
+			losses.OverShare: 21},
 		Failed: map[losses.Cause]int{
 			losses.TargetShedding: 31, losses.TargetFailing: 32, losses.TargetLost: 33, losses.InvalidResponse: 34, losses.TargetSlow: 35, losses.CallerDisconnected: 36}}
 	sums := []losses.Sum{full, {Kind: losses.Kind{Service: "maps", Repeats: "idempotent"}, Asked: 1}}
--- a/steering/losses/losses.go
+++ b/steering/losses/losses.go
@@ -63,6 +63,8 @@
 	WorkspaceUnknown Cause = "workspace_unknown"
 	// OverAllowance: the workspace had exceeded its allowance, the limit on its request rate.
 	OverAllowance Cause = "over_allowance"
+	// OverShare: the service was short, and the workspace beyond its share of the capacity.
+	OverShare Cause = "over_share"
 	// NoCommonHomeRegion: the route and the workspace have no home region in common.
 	NoCommonHomeRegion Cause = "no_common_home"
 	// NoTarget: the service had no known or reachable target.
@@ -185,6 +187,8 @@
 		return PoisonRequest, true
 	case steering.ReasonOverAllowance:
 		return OverAllowance, true
+	case steering.ReasonOverShare:
+		return OverShare, true
 	case steering.ReasonNoCommonHomeRegion:
 		return NoCommonHomeRegion, true
 	case steering.ReasonAPIKeyMissing, steering.ReasonAPIKeyRepeated, steering.ReasonAPIKeyMalformed, steering.ReasonAPIKeyUnknown:
--- a/steering/reasons.go
+++ b/steering/reasons.go
@@ -55,4 +55,5 @@
 	ReasonAPIKeyUnknown:      {http.StatusUnauthorized, "no workspace holds this API key", "check the key; ask the operator whether it was taken away"},
 	ReasonNoCommonHomeRegion: {http.StatusServiceUnavailable, "the route's and the workspace's home regions have none in common", "change the homes of the route or of the workspace"},
 	ReasonOverAllowance:      {http.StatusTooManyRequests, "the workspace is beyond its allowance of requests", "come back after the time given, or raise the workspace's rate"},
+	ReasonOverShare:          {http.StatusServiceUnavailable, "the service is short of capacity and the workspace is beyond its share of it", "come back after the time given, or add targets to the service"},
 }
--- a/steering/refusal.go
+++ b/steering/refusal.go
@@ -76,6 +76,7 @@
 	ReasonAPIKeyUnknown      Reason = "api_key_unknown"
 	ReasonNoCommonHomeRegion Reason = "no_common_home"
 	ReasonOverAllowance      Reason = "over_allowance"
+	ReasonOverShare          Reason = "over_share"
 )
 
 // Refusal is the typed response that an entry VM sends in place of a target's response.
