--- a/node/gateway/workspaces_test.go
+++ b/node/gateway/workspaces_test.go
@@ -126,6 +126,7 @@
 				continue
 			}
 			asked += w.Admitted + w.Beyond
+			assert.Assert(t, len(w.Shares) == 1 && w.Shares[0].Demand > 0 && !w.Shares[0].Short, "%v", w.Shares)
 			if w.Owned != nil {
 				owners++
 				assert.Equal(t, w.Owned.Rate, 20.0)
--- a/steering/fairshare/doc.go
+++ b/steering/fairshare/doc.go
@@ -17,7 +17,8 @@
 //     and to all less urgent requests, so that a more urgent request is not held back for a less urgent
 //     one. A refused request of one rank does not make another rank short.
 //   - A workspace's share is applied as a ratio of admitted to arriving requests. It is therefore valid
-//     for a part of the callers: a VM that hears some of its peers, or none, divides what it sees.
+//     for a part of the callers: a VM that hears some of its peers, or none, divides what it sees. A
+//     demand that exceeds its share by no more than chance explains is admitted.
 //
 // Entry VMs exchange their rates ([Divider.Report], [Divider.Merge]). Reports expire after seconds.
 // Nothing lasts: a VM that starts admits everything until it has observed the load for two seconds.
