Predict run times by route, target and reported slowdown

Placement predicts the wait from the mean of the runs at the target and the run from its route, on services that are mixed or whose targets report a slowdown. The relay hedges when Pick.HedgeAfter says so. Other services keep their decisions.

--- a/node/gateway/relay/attempts.go
+++ b/node/gateway/relay/attempts.go
@@ -332,8 +332,12 @@
 	x.f.cfg.Metrics.Retried("overdue")
 }
 
-// hedgeDelay returns how long to wait for the first response before the request is hedged.
+// hedgeDelay returns how long to wait for the first response before the request is hedged: what the run
+// times of its route say, if they do.
 func (x *exchange) hedgeDelay() time.Duration {
+	if x.lastPick.HedgeAfter > 0 {
+		return x.lastPick.HedgeAfter
+	}
 	expected := x.lastPick.Expected
 	return max(time.Duration(hedgeFactor*float64(expected)), expected+hedgeExtra)
 }
--- a/steering/placement/balancer.go
+++ b/steering/placement/balancer.go
@@ -7,6 +7,7 @@
 
 	"heatherlock/steering"
 	"heatherlock/steering/rendezvous"
+	"heatherlock/steering/runtimes"
 )
 
 // Balancer holds what one entry VM knows about all targets. It is not safe for concurrent use.
@@ -27,6 +28,7 @@
 	coldSenders int
 	replaced    replacements
 	notices     notices
+	runTimes    *runtimes.Model
 }
 
 // NewBalancer returns a balancer without targets for the entry VM vm in region.
@@ -34,7 +36,7 @@
 	return &Balancer{vm: vm, region: region,
 		byName: make(map[steering.Target]*targetState), services: make(map[steering.Service]*serviceState),
 		unreachable: make(map[steering.Zone]bool), peers: make(map[steering.Region][]uint64),
-		lending: RegionSplit{}, coldSenders: maxColdSenders, replaced: newReplacements(), notices: make(notices)}
+		lending: RegionSplit{}, coldSenders: maxColdSenders, replaced: newReplacements(), notices: make(notices), runTimes: runtimes.New()}
 }
 
 // SetColdSlack sets how many requests per second all entry VMs together may send to a cold target
@@ -107,6 +109,7 @@
 // drop removes a target and all that was learned about it.
 func (b *Balancer) drop(s *targetState) {
 	delete(b.byName, s.Name)
+	b.runTimes.Forget(s.Name)
 	b.replaced.forget(s)
 	s.leaveService()
 }
@@ -245,6 +248,9 @@
 	if s := b.stateOf(t); s != nil {
 		s.inFlight++
 		s.probing = s.probing || probe
+		if s.service.predictsRuns(now) {
+			b.runPlaced(now, s, key)
+		}
 		s.recordKey(now, key)
 	}
 }
@@ -258,6 +264,7 @@
 	}
 	s.release(probe)
 	s.applyLoad(now, r)
+	b.runEnded(now, s, r, queued)
 	switch r.Outcome {
 	case Served:
 		s.recordSuccess()
--- a/steering/placement/choose.go
+++ b/steering/placement/choose.go
@@ -41,6 +41,7 @@
 	wait        float64 // seconds
 	cost        float64 // predicted time until the answer, seconds
 	crossRegion bool
+	prediction  *runPrediction // nil unless the run time is predicted by route
 }
 
 // Choose returns the target for a request, or the reason why there is none.
@@ -64,7 +65,7 @@
 			return pick, nil
 		}
 		if order.passed {
-			return Pick{}, &Refusal{Reason: steering.ReasonNoSlot, RetryAfter: b.retryAfter(v, r, order.waitFor(now, wait), keyHash), Wait: span(wait), WarmRunTime: v.warmEstimate()}
+			return Pick{}, &Refusal{Reason: steering.ReasonNoSlot, RetryAfter: b.retryAfter(v, r, order.waitFor(now, wait), keyHash), Wait: span(wait), WarmRunTime: b.warmRunTime(now, v, r)}
 		}
 	}
 	return Pick{}, &Refusal{Reason: steering.ReasonNoTarget, RetryAfter: minRetryAfter}
@@ -87,6 +88,7 @@
 func (b *Balancer) best(now time.Time, v *serviceState, r Request, order *keyOrder) (Pick, float64, bool) {
 	shortest := math.Inf(1)
 	considered := 0
+	var first *candidate
 	for c := order.next(now); c != nil; c = order.next(now) {
 		if until := b.notices.closedUntil(now, c.targetState, order.key); until.After(now) {
 			order.skipUntil(until)
@@ -97,16 +99,17 @@
 		}
 		b.predict(now, v, r, c)
 		if considered == 0 {
-			shortest = c.wait
+			shortest, first = c.wait, c
+			order.tooSlow = c.tooSlow(r)
 		}
 		probe := c.targetState.ejected && b.probeDue(now, c.targetState, r)
 		switch {
 		case considered == 0 && (probe || b.fits(v, r, c)):
-			return b.pick(v, c), shortest, true
+			return b.pick(now, v, r, c, nil, order), shortest, true
 		case considered == 1:
 			if c.wait == 0 && b.fits(v, r, c) && v.overflowTokens >= 1 {
 				v.overflowTokens--
-				return b.pick(v, c), shortest, true
+				return b.pick(now, v, r, c, first, order), shortest, true
 			}
 			return Pick{}, shortest, false
 		}
@@ -120,8 +123,9 @@
 	return b.maySendCold(s) && s.coldTokens.take(now, coldRateUse*s.ColdRate/float64(b.coldSenders))
 }
 
-func (b *Balancer) pick(v *serviceState, c *candidate) Pick {
-	return Pick{Target: c.targetState.Target, Expected: span(c.cost), Wait: span(c.wait), WarmRunTime: v.warmEstimate(), Rank: c.rank, Trial: c.targetState.ejected, OtherRegion: c.crossRegion,
+func (b *Balancer) pick(now time.Time, v *serviceState, r Request, c, passed *candidate, order *keyOrder) Pick {
+	b.noteRank(now, v, c)
+	return Pick{Target: c.targetState.Target, Expected: span(c.cost), Wait: span(c.wait), WarmRunTime: b.warmRunTime(now, v, r), HedgeAfter: b.hedgeAfter(now, v, r, c, passed, order), Rank: c.rank, Trial: c.targetState.ejected, OtherRegion: c.crossRegion,
 		Limit: b.notices.limitOf(c.targetState.Target)}
 }
 
@@ -135,12 +139,18 @@
 	if c.rank > 0 && !c.targetState.warmFor(now, r.Key) {
 		c.cost += v.coldPenalty()
 	}
+	if v.predictsRuns(now) {
+		b.predictRun(now, v, r, c)
+	}
 }
 
 // fits reports whether the answer is likely to arrive in time. Only the wait is compared with the
 // latency objective, not the run itself: the first request for a key runs cold and misses the
 // objective anyway, and refusing it would keep the target cold forever.
 func (b *Balancer) fits(v *serviceState, r Request, c *candidate) bool {
+	if c.prediction != nil {
+		return b.fitsRun(r, c)
+	}
 	if r.TimeLeft > 0 && span(c.wait+v.warmTime) > r.TimeLeft {
 		return false
 	}
@@ -157,7 +167,7 @@
 // at the same time.
 func (b *Balancer) retryAfter(v *serviceState, r Request, wait float64, keyHash uint64) time.Duration {
 	if math.IsInf(wait, 1) {
-		wait = v.meanTime
+		wait = v.meanRun()
 	}
 	spread := 0.75 + 0.5*rendezvous.Unit(rendezvous.Mix(keyHash^rendezvous.Hash(r.ID)))
 	return min(max(span(wait*spread), minRetryAfter), maxRetryAfter)
--- a/steering/placement/order.go
+++ b/steering/placement/order.go
@@ -144,6 +144,8 @@
 	ignoreExclusion bool
 	// passed is set once a target was returned.
 	passed bool
+	// tooSlow is set if the first target's run is predicted to end too late for the request.
+	tooSlow bool
 	// reopensAt is when the first of the targets that take no request now does again.
 	reopensAt time.Time
 }
@@ -161,6 +163,9 @@
 	if math.IsInf(wait, 1) && !o.reopensAt.IsZero() {
 		return o.reopensAt.Sub(now).Seconds()
 	}
+	if o.tooSlow {
+		return math.Max(wait, slowRetry.Seconds())
+	}
 	return wait
 }
 
--- a/steering/placement/state.go
+++ b/steering/placement/state.go
@@ -65,6 +65,7 @@
 	// target has answered at the address.
 	startID  StartID
 	replaced bool
+	runs     *targetRuns // nil until run times are predicted
 }
 
 // applyDeclared updates the declared properties. A target that was found to be replaced stays
@@ -216,6 +217,7 @@
 	// pinned are the rates of the requests that may run in one region only, by that region.
 	pinned map[steering.Region]*rate
 	routes routeMix
+	runs   serviceRuns
 }
 
 func (v *serviceState) pinnedTo(region steering.Region) *rate {
--- a/steering/placement/types.go
+++ b/steering/placement/types.go
@@ -62,8 +62,12 @@
 	Expected time.Duration
 	// Wait is the part of Expected that the request waits for a slot.
 	Wait time.Duration
-	// WarmRunTime is the service time for warm keys of the service; 0 if none was observed yet.
+	// WarmRunTime is the service time for warm keys of the route, or of the service if that is not known;
+	// 0 if none was observed yet.
 	WarmRunTime time.Duration
+	// HedgeAfter is when, from now, an idempotent request should be sent to a second target; 0 if the
+	// predictions do not say.
+	HedgeAfter time.Duration
 	// Rank is the target's position in the key's order; 0 is the first.
 	Rank int
 	// Trial marks a probe: a request that is sent to an ejected target.
@@ -82,7 +86,8 @@
 	RetryAfter time.Duration
 	// Wait is the shortest predicted wait for a slot.
 	Wait time.Duration
-	// WarmRunTime is the service time for warm keys of the service; 0 if none was observed yet.
+	// WarmRunTime is the service time for warm keys of the route, or of the service if that is not known;
+	// 0 if none was observed yet.
 	WarmRunTime time.Duration
 }
 
