--- a/steering/placement/runs_load_test.go
+++ b/steering/placement/runs_load_test.go
@@ -325,7 +325,7 @@
 	assert.Assert(t, pick.WarmRunTime > 450*time.Millisecond && pick.WarmRunTime < 550*time.Millisecond, "%v", pick.WarmRunTime)
 	slow := sharedBalancer(all, all...)
 	_, refusal = ask(slow, 700*time.Millisecond, false)
-	assert.Assert(t, refusal != nil && refusal.RetryAfter >= 400*time.Millisecond, "%+v", refusal)
+	assert.Assert(t, refusal != nil && refusal.TooSlow && refusal.RetryAfter >= 400*time.Millisecond, "%+v", refusal)
 	_, refusal = ask(slow, 2*time.Second, false)
 	assert.Assert(t, refusal == nil)
 	_, refusal = ask(sharedBalancer(all), 550*time.Millisecond, false) // the 90th percentile fits nowhere
