Let a request that must not be repeated start where every target is cold

Cause: with a cold 90th percentile above the timeout, such a request was refused at the first target that takes its key after the loss of another one, although each other target is as cold.

Change: whether the run is hopeless everywhere is judged for a key that is as warm or cold as at the target. A full first target that can end the run in time still keeps it from a cold second one.

No test reaches the case by itself; the load tests give the same verdicts.

--- a/steering/placement/choose.go
+++ b/steering/placement/choose.go
@@ -107,7 +107,7 @@
 		case considered == 0 && (probe || b.fits(v, r, c)):
 			return b.pick(now, v, r, c, nil, order), shortest, true
 		case considered == 1:
-			if c.wait == 0 && b.fits(v, r, c) && v.overflowTokens >= 1 {
+			if c.wait == 0 && b.fits(v, r, c) && v.overflowTokens >= 1 && !c.endsAtFirst(r, first) {
 				v.overflowTokens--
 				return b.pick(now, v, r, c, first, order), shortest, true
 			}
--- a/steering/placement/runs.go
+++ b/steering/placement/runs.go
@@ -56,8 +56,8 @@
 
 // runPrediction holds the predicted run times of a request at a target.
 type runPrediction struct {
-	// run is that of the request, warm or cold as expected, warm that with a warm key, and usual that
-	// with a warm key at a target of usual speed.
+	// run is that of the request, warm or cold as expected, warm that with a warm key, and usual that of
+	// run at a target of usual speed.
 	run, warm, usual runtimes.Estimate
 	query            runtimes.Query
 }
@@ -110,16 +110,17 @@
 	if s.runs != nil && s.runs.slowdown > 0 {
 		q.Slowdown, q.SlowdownAge = s.runs.slowdown, now.Sub(s.runs.slowdownAt)
 	}
-	p := &runPrediction{warm: b.runTimes.Predict(now, q), usual: b.runTimes.Predict(now, v.query(nil, r))}
+	usual := v.query(nil, r)
+	p := &runPrediction{warm: b.runTimes.Predict(now, q)}
 	if !p.warm.Known {
 		return
 	}
 	p.run = p.warm
 	if c.rank > 0 && !s.warmFor(now, r.Key) && v.runs.laterWarm < minLaterWarm {
-		q.Warm = runtimes.Cold
+		q.Warm, usual.Warm = runtimes.Cold, runtimes.Cold
 		p.run = b.runTimes.Predict(now, q)
 	}
-	p.query = q
+	p.query, p.usual = q, b.runTimes.Predict(now, usual)
 	c.prediction = p
 	c.wait *= b.mixTime(now, v, s, q) / b.slotTime(v, s)
 	c.cost = c.wait + p.run.Median.Seconds()
@@ -162,8 +163,8 @@
 
 // safeRun returns the run time for which there must be time left before a request starts that must not
 // be repeated: the 90th percentile, since a run that is cut at the timeout is lost and its outcome
-// unknown. Where even a usual target needs longer than that, waiting for another one does not help, and
-// the median decides.
+// unknown. Where even a usual target needs longer than that, for a key that is cold as here, waiting for
+// another one does not help, and the median decides.
 func (c *candidate) safeRun(r Request) time.Duration {
 	if c.prediction.usual.P90 > r.TimeLeft {
 		return c.prediction.warm.Median
@@ -176,6 +177,13 @@
 	return c.prediction != nil && !r.Retryable && r.TimeLeft > 0 && c.safeRun(r) > r.TimeLeft
 }
 
+// endsAtFirst reports whether a request that must not be repeated should return to the first target of its
+// key's order, where it is likely to end in time, rather than start at this one, where it is not.
+func (c *candidate) endsAtFirst(r Request, first *candidate) bool {
+	return c.prediction != nil && first.prediction != nil && !r.Retryable && r.TimeLeft > 0 &&
+		c.prediction.run.P90 > r.TimeLeft && first.prediction.usual.P90 <= r.TimeLeft
+}
+
 // warmRunTime returns the service time of a request's route for warm keys, or that of its service.
 func (b *Balancer) warmRunTime(now time.Time, v *serviceState, r Request) time.Duration {
 	if v.predictsRuns(now) {
