Report no run times of which this VM has no recent sample

Cause: the last samples of a class keep some weight, so a VM without requests reported old times as new ones to its peers without end.

Change: a report holds the classes with a sample in the last 30 s. The test of damaged reports covers it.

Run: go test ./steering/runtimes, ./steering/placement -run 'RunTimes|RunsOnce|Samples', pass.

--- a/steering/runtimes/model.go
+++ b/steering/runtimes/model.go
@@ -49,7 +49,9 @@
 	// slowdown is the average reported slowdown; 0 if none was reported.
 	slowdown float64
 	usedAt   time.Time
-	errors   ClassError
+	// observedAt is the time of the last sample of this VM.
+	observedAt time.Time
+	errors     ClassError
 }
 
 // class returns the state of a class, or nil if there is no room for one more.
@@ -190,6 +192,7 @@
 		return
 	}
 	m.sweep(now)
+	c.observedAt = now
 	reported := plausible(s.Slowdown)
 	target := m.target(now, s.Target)
 	if reported > 0 {
--- a/steering/runtimes/model_test.go
+++ b/steering/runtimes/model_test.go
@@ -124,6 +124,7 @@
 	assert.NilError(t, to.Merge(start, "vm-1", report))
 	assert.ErrorIs(t, to.Merge(start, "vm-1", report), runtimes.ErrOld)
 	assert.Equal(t, to.Dropped(), len(report)+3)
+	assert.Assert(t, m.Report(start.Add(31*time.Second)) == nil, "reported old samples as new")
 	assert.Assert(t, to.Predict(start.Add(29*time.Second), runtimes.Query{Class: read}).Known)
 	assert.Assert(t, !to.Predict(start.Add(31*time.Second), runtimes.Query{Class: read}).Known)
 }
--- a/steering/runtimes/report.go
+++ b/steering/runtimes/report.go
@@ -55,7 +55,7 @@
 }
 
 // Report returns the VM's own samples for other VMs, the most used classes first, or nil if there are
-// none. It holds nothing that others reported, so that no sample counts twice.
+// none of the last 30 s. It holds nothing that others reported, so that no sample counts twice.
 func (m *Model) Report(now time.Time) []byte {
 	type entry struct {
 		name   Class
@@ -65,7 +65,7 @@
 	for name, c := range m.classes {
 		c.warm.age(now)
 		c.cold.age(now)
-		if c.warm.weight() >= fewestSamples {
+		if c.warm.weight() >= fewestSamples && now.Sub(c.observedAt) <= peersTTL {
 			entries = append(entries, entry{name, c.warm.weight() + c.cold.weight()})
 		}
 	}
