--- a/node/gateway/relay/responses.go
+++ b/node/gateway/relay/responses.go
@@ -86,6 +86,9 @@
 	if u := x.beyondShare; u != nil {
 		line = append(line, "rank", u.Rank, "demand_per_s", u.Demand, "share_per_s", u.Share)
 	}
+	if x.noCapacity != nil && x.noCapacity.TooSlow {
+		line = append(line, "run_too_slow", true)
+	}
 	if x.hop != nil {
 		line = append(line, "passed_on_by", x.hop.from)
 	}
