Let requests of mixed services wait in the entry VM for room

Cause: on a service that is shared by routes with different latency objectives, patient requests wait in the targets' queues, which are first come, first served, for up to 2.4 s, and urgent ones are late or refused.

Change: placement bounds the predicted wait at a target to what the most urgent route of a mixed service tolerates, and a refusal names the target and when it is likely to have room. steering/waiting holds such requests by target, ordered by latest start; the relay places them again when an attempt ends at the target or at the predicted time. Other services are placed as before.

Run: go vet; go test ./steering/placement ./node/gateway/relay (pass). Effect under load: not measured yet.

--- a/node/gateway/gateway.go
+++ b/node/gateway/gateway.go
@@ -127,7 +127,8 @@
 		},
 		Metrics: relay.NewMetrics(scope), StoreAge: func() time.Duration { return time.Duration(g.reader.Digest().AgeMs) * time.Millisecond },
 		MemberCount: func() int { return g.fleet.LiveCount() }, Behind: func() bool { _, _, behind := g.reader.Behind(); return behind }, ConfigOutdated: g.outdated,
-		Meter: g.meter, Allowances: g.allowanceService, TargetLimits: g.allowanceService})
+		Meter: g.meter, Allowances: g.allowanceService, TargetLimits: g.allowanceService,
+		MemoryBytes: int64(settings.MemoryMB) << 20})
 	g.callers = callers.NewServer(g.relay, g.relay.Limits, maxCallerConnections)
 	g.passedOn = callers.NewServer(g.relay.PeerHandler(), g.relay.PeerLimits, maxCallerConnections)
 	state := feed.NewState(time.Duration(settings.HeartbeatMs)*time.Millisecond, settings.Zones)
--- a/node/gateway/relay/attempts.go
+++ b/node/gateway/relay/attempts.go
@@ -115,7 +115,7 @@
 func (x *exchange) placementRequest() placement.Request {
 	now := time.Now()
 	r := placement.Request{Service: x.service, ID: x.call.ID, Route: x.route.Name, RouteAim: x.route.Aim, RouteRank: x.route.Rank, Region: x.hop.regionOr(x.f.cfg.Region), Zone: x.f.cfg.Zone, Allowed: x.mayRunIn,
-		TimeLeft: x.deadline.Sub(now), Rank: x.workspace.RankOr(x.route.Rank), Retryable: x.route.Kind.Retryable(), Tried: x.tried,
+		TimeLeft: x.deadline.Sub(now), MaxQueue: x.f.holds.maxQueue(), Rank: x.workspace.RankOr(x.route.Rank), Retryable: x.route.Kind.Retryable(), Tried: x.tried,
 		Key: x.affinityKey()}
 	if x.route.Aim > 0 {
 		r.Aim = max(x.route.Aim-now.Sub(x.r.Received)-replyMargin, time.Millisecond)
@@ -168,6 +168,7 @@
 	if e.limitHeard != nil {
 		x.f.applyLimit(e.pick.Target, x.f.cfg.TargetLimits.LimitHeard(e.pick.Target, *e.limitHeard))
 	}
+	x.f.holds.room(x.service, e.pick.Target.Name)
 	if e.pick.Limit != nil && !e.sent && !errors.Is(e.err, errNoCredit) {
 		x.f.cfg.TargetLimits.ReturnTargetCredit(e.pick.Target)
 	}
@@ -286,7 +287,8 @@
 		x.noRetryReason = noRetryBudget
 		return false
 	}
-	if x.startAttempt(ctx) != nil {
+	x.forgetShed(e)
+	if x.startOrHold(x.caller, ctx) != nil {
 		x.noRetryReason = noRetryNoCapacity
 		if !e.unsent {
 			x.f.returnRetry(x.service)
--- a/node/gateway/relay/events.go
+++ b/node/gateway/relay/events.go
@@ -145,6 +145,22 @@
 	}
 }
 
+// Held counts a request that begins to wait in this VM until its target has room.
+func (e *Metrics) Held() {
+	if e != nil {
+		e.scope.Counter("gateway_requests_held").Inc(1)
+	}
+}
+
+// HoldEnded records why and after how long a request no longer waits in this VM.
+func (e *Metrics) HoldEnded(end string, waited time.Duration) {
+	if e != nil {
+		tags := e.scope.Tagged(map[string]string{"end": end})
+		tags.Counter("gateway_holds_ended").Inc(1)
+		tags.Histogram("gateway_held_time", latencies).RecordDuration(waited)
+	}
+}
+
 // Served records the latency of a response that was passed on.
 func (e *Metrics) Served(kind routes.Kind, status int, took time.Duration) {
 	if e != nil {
--- a/node/gateway/relay/exchange.go
+++ b/node/gateway/relay/exchange.go
@@ -44,6 +44,8 @@
 	warmTime      time.Duration      // last known latency of the service with a warm cache
 
 	maxAttempts int
+	held        holdState
+	caller      context.Context // done when the caller leaves
 	// hop is set if another entry VM passed the request on to this one.
 	hop *hop
 	// helpers are the entry VMs to which this one has passed the request on; atHelper is set while one of
@@ -87,6 +89,7 @@
 // run places the request, retries or hedges it as needed, and returns the final response. It
 // returns nil if the caller left.
 func (x *exchange) run(ctx context.Context) *callers.Response {
+	x.caller = ctx
 	x.recordRequest()
 	if x.r.BodyRest != nil && x.r.Length > x.table.Limits.BodyBytes {
 		return x.refuse(steering.ReasonBodyTooLarge, 0)
@@ -96,7 +99,10 @@
 	}
 	work, cancel := x.workContext(ctx)
 	defer cancel()
-	if refusal := x.startAttempt(work); refusal != nil {
+	if refusal := x.startOrHold(ctx, work); refusal != nil {
+		if refusal.Reason == steering.ReasonCancelled {
+			return x.callerLeft()
+		}
 		return x.refuse(refusal.Reason, refusal.RetryAfter)
 	}
 	deadline := time.NewTimer(time.Until(x.deadline))
@@ -123,13 +129,18 @@
 		case <-deadline.C:
 			return x.timedOut()
 		case <-ctx.Done():
-			x.f.cfg.Metrics.Refused(steering.ReasonCancelled)
-			x.recordOutcome(losses.Failed, steering.ReasonCancelled)
-			return nil
+			return x.callerLeft()
 		}
 	}
 }
 
+// callerLeft records that the caller left, and returns no response.
+func (x *exchange) callerLeft() *callers.Response {
+	x.f.cfg.Metrics.Refused(steering.ReasonCancelled)
+	x.recordOutcome(losses.Failed, steering.ReasonCancelled)
+	return nil
+}
+
 // checkPoison reports whether the request is refused because requests like it crashed targets.
 func (x *exchange) checkPoison() (retryAfter time.Duration, held bool) {
 	x.fingerprints = fingerprintsOf(x.service, x.r, x.call)
--- a/node/gateway/relay/hop.go
+++ b/node/gateway/relay/hop.go
@@ -106,7 +106,7 @@
 func (h *hop) refuse(f *Relay, s requestInfo, reason steering.Reason, retryAfter time.Duration, reached int, detail []any) *callers.Response {
 	verdict := hopNotRun
 	switch reason {
-	case steering.ReasonNotReady, steering.ReasonConfigBehind, steering.ReasonPeerUnreachable:
+	case steering.ReasonNotReady, steering.ReasonConfigBehind, steering.ReasonPeerUnreachable, steering.ReasonShuttingDown:
 		verdict = hopElsewhere
 	case steering.ReasonNoTarget:
 		if f.CutOff() {
--- a/node/gateway/relay/links.go
+++ b/node/gateway/relay/links.go
@@ -80,6 +80,7 @@
 }
 
 func (f *Relay) linksChanged() {
+	f.holds.roomAnywhere()
 	if f.cfg.OnLinksChange != nil {
 		f.cfg.OnLinksChange()
 	}
--- a/node/gateway/relay/relay.go
+++ b/node/gateway/relay/relay.go
@@ -88,6 +88,9 @@
 	// TargetLimits lends credits for targets that name a limit; nil means that such targets get no
 	// requests.
 	TargetLimits TargetLimits
+	// MemoryBytes is the memory of this VM's process, which bounds the requests that wait in it; 0 means that
+	// it is not known.
+	MemoryBytes int64
 }
 
 // TargetLimits enforces the limits that targets name, across all entry VMs.
@@ -157,6 +160,7 @@
 	closeOnce   sync.Once
 
 	outcomeCounts *outcomeCounts
+	holds         *holds
 }
 
 var _ callers.Handler = (*Relay)(nil)
@@ -169,9 +173,12 @@
 	if cfg.TargetLimits == nil {
 		cfg.TargetLimits = closedTargets{}
 	}
-	return &Relay{cfg: cfg, poisonFilter: newPoisonFilter(cfg.TargetHeartbeatInterval, cfg.Log), outcomeCounts: newOutcomeCounts(), started: make(chan struct{}), closed: make(chan struct{})}
+	return &Relay{cfg: cfg, poisonFilter: newPoisonFilter(cfg.TargetHeartbeatInterval, cfg.Log), outcomeCounts: newOutcomeCounts(), holds: newHolds(cfg.MemoryBytes), started: make(chan struct{}), closed: make(chan struct{})}
 }
 
+// StartDrain sends the requests that wait in this VM on or refuses them, and lets none wait any more.
+func (f *Relay) StartDrain() { f.holds.drain() }
+
 // Close ends the attempts to reach targets again.
 func (f *Relay) Close() { f.closeOnce.Do(func() { close(f.closed) }) }
 
@@ -218,6 +225,7 @@
 // UpdateTargets updates the changed targets and removes others, or with complete set replaces the
 // set of targets by the changed ones.
 func (f *Relay) UpdateTargets(complete bool, changed []placement.Target, removed []steering.Target) {
+	defer f.holds.roomAnywhere() // without f.mu
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	update := f.cfg.Balancer.UpdateTargets
--- a/node/gateway/relay/responses.go
+++ b/node/gateway/relay/responses.go
@@ -82,6 +82,9 @@
 	if x.noCapacity != nil && x.noCapacity.Wait > 0 {
 		line = append(line, "shortest_wait_ms", x.noCapacity.Wait.Milliseconds())
 	}
+	if x.held.total > 0 {
+		line = append(line, "held_ms", x.held.total.Milliseconds(), "held_until", x.held.end)
+	}
 	if x.hop != nil {
 		line = append(line, "passed_on_by", x.hop.from)
 	}
--- a/node/gateway/shutdown.go
+++ b/node/gateway/shutdown.go
@@ -36,6 +36,7 @@
 	g.leaving.Store(true)
 	g.callers.StartDrain()
 	g.passedOn.StartDrain()
+	g.relay.StartDrain()
 	g.fleet.Announce()
 	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
 	g.workers.Go(func() {
--- a/steering/placement/choose.go
+++ b/steering/placement/choose.go
@@ -48,6 +48,9 @@
 	v := b.service(r.Service)
 	v.setDefaults(r.Aim.Seconds())
 	v.routes.record(now, r)
+	if r.MaxQueue == 0 {
+		r.MaxQueue = v.maxQueue(r)
+	}
 	key := r.Key
 	if key == "" {
 		key = r.ID
@@ -64,7 +67,7 @@
 			return pick, nil
 		}
 		if order.passed {
-			return Pick{}, &Refusal{Reason: steering.ReasonNoSlot, RetryAfter: b.retryAfter(v, r, order.waitFor(now, wait), keyHash), Wait: span(wait), WarmRunTime: v.warmEstimate()}
+			return Pick{}, &Refusal{Reason: steering.ReasonNoSlot, RetryAfter: b.retryAfter(v, r, order.waitFor(now, wait), keyHash), Wait: span(wait), WarmRunTime: v.warmEstimate(), Room: b.roomAt(v, r, order.first, wait)}
 		}
 	}
 	return Pick{}, &Refusal{Reason: steering.ReasonNoTarget, RetryAfter: minRetryAfter}
@@ -97,7 +100,8 @@
 		}
 		b.predict(now, v, r, c)
 		if considered == 0 {
-			shortest = c.wait
+			b.discountOldReport(now, v, r, c)
+			shortest, order.first = c.wait, c.targetState
 		}
 		probe := c.targetState.ejected && b.probeDue(now, c.targetState, r)
 		switch {
@@ -145,11 +149,11 @@
 		return false
 	}
 	if r.Aim <= 0 {
-		return true
+		return r.MaxQueue <= 0 || c.wait <= r.MaxQueue.Seconds()
 	}
 	allowed := math.Max(r.Aim.Seconds()-v.warmTime, minWaitShare*r.Aim.Seconds())
 	allowed *= math.Pow(rankWaitFactor, float64(r.Rank))
-	return c.wait <= allowed
+	return c.wait <= v.allowedWait(r, allowed)
 }
 
 // retryAfter returns when the shortest queue is likely to have drained to about half of the allowed
--- a/steering/placement/order.go
+++ b/steering/placement/order.go
@@ -144,6 +144,8 @@
 	ignoreExclusion bool
 	// passed is set once a target was returned.
 	passed bool
+	// first is the first target that was considered for the request.
+	first *targetState
 	// reopensAt is when the first of the targets that take no request now does again.
 	reopensAt time.Time
 }
--- a/steering/placement/types.go
+++ b/steering/placement/types.go
@@ -51,6 +51,9 @@
 	Rank int
 	// Retryable marks an idempotent request, which may be used to probe an ejected target.
 	Retryable bool
+	// MaxQueue is the longest predicted wait at the target; 0 leaves it to the routes that share the service,
+	// and is no bound if the service is not mixed.
+	MaxQueue time.Duration
 	// Tried holds the targets that have already refused or failed the request.
 	Tried []steering.Target
 }
@@ -84,6 +87,8 @@
 	Wait time.Duration
 	// WarmRunTime is the service time for warm keys of the service; 0 if none was observed yet.
 	WarmRunTime time.Duration
+	// Room is when the key's target is likely to take the request. It is set only if the service is mixed.
+	Room Room
 }
 
 // Outcome is how an exchange with a target ended.
