Order waiting requests by rank, and predict runs of a mixed service by route

Cause: in virtual time, ordering by latest start alone let patient requests with near latest starts go before urgent ones, and one run time for all routes made urgent requests count as late from the start.

Change: requests that can be in time go first, then by rank and latest start. A less urgent request leaves room for one more run at the target. The run time is the median by route.

--- a/node/gateway/relay/hold.go
+++ b/node/gateway/relay/hold.go
@@ -104,8 +104,8 @@
 	}
 }
 
-// offerHold puts the request into the queue, to start while it can be in time or else while it can be served
-// at all. If neither is likely it returns when room is expected.
+// offerHold puts the request into the queue, to start while it can be in time, or once it cannot, while it can
+// be served at all. If it is not likely to start by then, it returns when room is expected.
 func (x *exchange) offerHold(e *waiting.Entry, refusal *placement.Refusal, woken chan wake) (retryAfter time.Duration, held bool) {
 	now := time.Now()
 	used := x.timeUsed()
@@ -115,16 +115,11 @@
 		e.Workspace = x.workspace.Name
 	}
 	e.Target, e.RoomAt, e.Interval = refusal.Room.Target, now.Add(refusal.Room.In), refusal.Room.Interval
-	inTime := x.r.Received.Add(x.route.Aim - used - replyMargin - refusal.WarmRunTime)
-	latest := x.deadline.Add(-refusal.WarmRunTime)
-	for _, e.LatestStart = range []time.Time{inTime, latest} {
-		if !e.LatestStart.After(now) {
-			continue
-		}
-		if held, retryAfter = x.f.holds.offer(e, woken); held {
-			break
-		}
+	e.LatestStart = x.r.Received.Add(x.route.Aim - used - replyMargin - refusal.Room.Run)
+	if e.Late = x.route.Aim <= 0 || !e.LatestStart.After(now); e.Late {
+		e.LatestStart = x.deadline.Add(-refusal.Room.Run)
 	}
+	held, retryAfter = x.f.holds.offer(e, woken)
 	if held && x.held.since.IsZero() {
 		x.held.since = now
 		x.f.cfg.Metrics.Held()
--- /dev/null
+++ b/node/gateway/relay/hold_test.go
@@ -0,0 +1,121 @@
+package relay_test
+
+import (
+	"fmt"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"heatherlock/node/gateway/upstream"
+	"heatherlock/standin/endpoint"
+	"heatherlock/steering/placement"
+	"heatherlock/steering/retry"
+	"heatherlock/steering/routes"
+)
+
+// setMixed makes the service of the rig one that a more urgent route than its own shares.
+func (g *rig) setMixed() {
+	g.relay.WithBalancer(func(b *placement.Balancer, _ *retry.SharedBudget) {
+		for n := range 300 {
+			r := placement.Request{Service: service, Route: "fast", RouteAim: 100 * time.Millisecond, Key: fmt.Sprint(n)}
+			if n%2 == 0 {
+				r.Route, r.RouteAim, r.RouteRank = "slow", time.Second, 1
+			}
+			b.Choose(time.Now().Add(time.Duration(n-300)*10*time.Millisecond), r)
+		}
+	})
+}
+
+// buyAll sends n requests that must run at most once, all with one key, and calls during when they wait.
+func buyAll(rigs []*rig, n int, during func()) (replies []reply) {
+	replies = make([]reply, n)
+	var asking sync.WaitGroup
+	for i := range n {
+		g := rigs[i%len(rigs)]
+		asking.Go(func() { replies[i] = g.ask(http.MethodPost, fmt.Sprintf("/buy/%d", i), "x", 2*time.Second) })
+	}
+	time.Sleep(120 * time.Millisecond)
+	during()
+	asking.Wait()
+	return replies
+}
+
+// checkRuns checks that each request was answered, that none ran twice, and that none ran that was said not to.
+func checkRuns(t *testing.T, g *rig, replies []reply) (served int) {
+	t.Helper()
+	runs := make(map[string]int)
+	for _, run := range g.runs() {
+		runs[run.Path]++
+	}
+	for i, r := range replies {
+		n := runs[fmt.Sprintf("/buy/%d", i)]
+		switch {
+		case r.err != nil:
+			t.Errorf("request %d got no answer: %v", i, r.err)
+		case r.status == http.StatusOK:
+			served++
+			assert.Check(t, n == 1, "request %d was served, and ran %d times", i, n)
+		case r.status == http.StatusServiceUnavailable, r.status == http.StatusNotFound:
+			assert.Check(t, n == 0, "request %d was said not to have run, and ran %d times", i, n)
+		default:
+			t.Errorf("request %d got status %d after %v", i, r.status, r.took)
+		}
+	}
+	return served
+}
+
+func slowTarget(cfg *endpoint.Config) { cfg.Work = 300 * time.Millisecond }
+
+// Guards against requests that get no answer, or run although they were refused, because their VM shuts down or
+// its configuration changes while they wait.
+func TestWaitingRequestsEndWhenTheirVMOrConfigurationDoes(t *testing.T) {
+	t.Parallel()
+	for _, c := range []struct {
+		name   string
+		during func(g *rig)
+		served int // at least
+	}{
+		{"nothing happens", func(*rig) {}, 6},
+		{"shutdown", func(g *rig) { g.relay.StartDrain() }, 3},
+		{"route removed", func(g *rig) {
+			g.relay.SetTable(routes.NewTable(2, nil, nil, g.relay.Table().Limits))
+		}, 3},
+		{"target removed", func(g *rig) { g.relay.SetTargets(nil) }, 3},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			g := newRig(t, 1, slowTarget)
+			g.setMixed()
+			began := time.Now()
+			var ended time.Duration
+			replies := buyAll([]*rig{g}, 9, func() {
+				assert.Check(t, g.relay.Waiting() > 0, "no request waits")
+				c.during(g)
+				waitFor(t, func() bool { return c.name == "nothing happens" || g.relay.Waiting() == 0 })
+				ended = time.Since(began)
+			})
+			served := checkRuns(t, g, replies)
+			assert.Check(t, served >= c.served, "%d served", served)
+			assert.Check(t, ended < 300*time.Millisecond, "requests waited on for %v", ended)
+		})
+	}
+}
+
+// Guards against requests that run twice, or run after a refusal, where the views of VMs differ: each of three
+// VMs sends what it thinks the target has room for, and the target sheds.
+func TestRequestsThatTargetsShedWaitAgain(t *testing.T) {
+	t.Parallel()
+	first := newRig(t, 1, func(cfg *endpoint.Config) { cfg.Work, cfg.Queue = 100*time.Millisecond, 1 })
+	rigs := []*rig{first}
+	for range 2 {
+		rigs = append(rigs, newRigOf(t, first.targets, upstream.Dial, upstream.Dial))
+	}
+	for _, g := range rigs {
+		g.setMixed()
+	}
+	served := checkRuns(t, first, buyAll(rigs, 18, func() {}))
+	assert.Check(t, served >= 9, "%d served", served)
+}
--- a/node/gateway/relay/relay.go
+++ b/node/gateway/relay/relay.go
@@ -179,6 +179,9 @@
 // StartDrain sends the requests that wait in this VM on or refuses them, and lets none wait any more.
 func (f *Relay) StartDrain() { f.holds.drain() }
 
+// Waiting returns the number of requests that wait in this VM until their target has room.
+func (f *Relay) Waiting() int { return int(f.holds.count.Load()) }
+
 // Close ends the attempts to reach targets again.
 func (f *Relay) Close() { f.closeOnce.Do(func() { close(f.closed) }) }
 
--- a/steering/placement/balancer.go
+++ b/steering/placement/balancer.go
@@ -264,6 +264,7 @@
 		if !queued && !r.Saturated(s.Slots) {
 			b.observe(s, r.Latency.Seconds())
 		}
+		s.service.observeRun(r.Route, r.Latency.Seconds(), queued || r.Saturated(s.Slots))
 	case Failed:
 		s.recordFailure(now, false)
 	case Shed:
--- a/steering/placement/choose.go
+++ b/steering/placement/choose.go
@@ -153,7 +153,7 @@
 	}
 	allowed := math.Max(r.Aim.Seconds()-v.warmTime, minWaitShare*r.Aim.Seconds())
 	allowed *= math.Pow(rankWaitFactor, float64(r.Rank))
-	return c.wait <= v.allowedWait(r, allowed)
+	return c.wait <= b.allowedWait(v, r, c, allowed)
 }
 
 // retryAfter returns when the shortest queue is likely to have drained to about half of the allowed
--- a/steering/placement/room.go
+++ b/steering/placement/room.go
@@ -15,8 +15,10 @@
 type Room struct {
 	// Target is the first target of the request's key; empty if the request must not wait for it.
 	Target steering.Target
-	// In is the time until the predicted wait at the target is short enough.
+	// In is the time until a slot of the target is likely to be free for the request.
 	In time.Duration
+	// Run is the predicted run time of the request for a warm key.
+	Run time.Duration
 	// Interval is the mean time between two runs that end at the target while all its slots are taken.
 	Interval time.Duration
 }
@@ -25,23 +27,86 @@
 // tolerates, since a target's queue is first come, first served. It returns 0, which is no bound, for a
 // service that is not mixed.
 func (v *serviceState) maxQueue(r Request) time.Duration {
-	urgent := v.routes.urgent.aim
-	if !v.routes.mixed || r.Route == "" || urgent <= 0 {
+	urgent := &v.routes.urgent
+	if !v.routes.mixed || r.Route == "" || urgent.aim <= 0 {
 		return 0
 	}
-	return span(math.Max(urgent.Seconds()-v.warmTime, minWaitShare*urgent.Seconds()))
+	return span(math.Max(urgent.aim.Seconds()-v.runOf(urgent.name, urgent.aim), minWaitShare*urgent.aim.Seconds()))
 }
 
-// allowedWait limits the wait that a request's own latency objective allows, in seconds, to MaxQueue. A
-// request that misses its objective in any case may wait for MaxQueue.
-func (v *serviceState) allowedWait(r Request, allowed float64) float64 {
-	switch {
-	case r.MaxQueue <= 0 || r.MaxQueue == NoQueueBound:
+// allowedWait limits the wait that a request's own latency objective allows, in seconds, to MaxQueue. On a
+// mixed service the objective is compared with the runs of the request's own route. A request that misses
+// its objective in any case may wait for MaxQueue.
+//
+// A request of a less urgent route must also leave room behind it: the next urgent request waits one interval
+// longer. With the same bound for both, patient requests fill the queue up to it, and urgent ones find none.
+func (b *Balancer) allowedWait(v *serviceState, r Request, c *candidate, allowed float64) float64 {
+	if r.MaxQueue <= 0 || r.MaxQueue == NoQueueBound {
 		return allowed
-	case r.Aim.Seconds() < v.warmTime:
-		return r.MaxQueue.Seconds()
 	}
-	return math.Min(allowed, r.MaxQueue.Seconds())
+	bound := r.MaxQueue.Seconds()
+	if v.routes.lessUrgent(r) {
+		interval := b.slotTime(v, c.targetState) / math.Max(float64(c.targetState.Slots), 1)
+		bound = math.Max(bound-interval, minQueueShare*interval)
+	}
+	slack := r.Aim.Seconds() - v.runOf(r.Route, r.RouteAim)
+	if slack < 0 {
+		return bound
+	}
+	return math.Min(math.Max(slack, allowed), bound)
+}
+
+// minQueueShare is the wait at a target that is always allowed, as a share of the interval between two runs
+// that end there. The load by other entry VMs is an average, so that a target with a free slot may be
+// predicted to have a short wait.
+const minQueueShare = 0.5
+
+// lessUrgent reports whether a request's route is less urgent than the most urgent one of the service.
+func (m *routeMix) lessUrgent(r Request) bool {
+	return r.RouteRank > m.urgent.rank || r.RouteRank == m.urgent.rank && r.RouteAim > m.urgent.aim
+}
+
+// runTimeStep is the share by which the median run time of a route changes with a sample. The median follows
+// a change of a factor of two within about twenty samples, and ignores the few cold and slow runs.
+const runTimeStep = 0.04
+
+// observeRun adds the time of a run to the median of its route, if the service is mixed. A request that may have
+// waited at the target shows only that its run is not longer than this. Such samples count as well, because
+// under overload there are no others.
+func (v *serviceState) observeRun(route string, took float64, mayHaveWaited bool) {
+	if !v.routes.mixed || route == "" || took <= 0 {
+		return
+	}
+	median := v.routeRuns[route]
+	switch {
+	case median == 0 && len(v.routeRuns) >= maxMixRoutes:
+		return
+	case median == 0:
+		median = took
+	case took <= median:
+		median = math.Max(took, median/(1+runTimeStep))
+	case mayHaveWaited:
+		return
+	default:
+		median = math.Min(took, median*(1+runTimeStep))
+	}
+	if v.routeRuns == nil {
+		v.routeRuns = make(map[string]float64)
+	}
+	v.routeRuns[route] = median
+}
+
+// runOf returns the median run time of a route with a latency objective, in seconds. Without samples it is that
+// of warm keys of the service, but no longer than the objective suggests: if it came from the runs of a more
+// patient route, all urgent requests would count as late, and so would never be sampled.
+func (v *serviceState) runOf(route string, aim time.Duration) float64 {
+	if median := v.routeRuns[route]; median > 0 {
+		return median
+	}
+	if aim <= 0 {
+		return v.warmTime
+	}
+	return math.Min(v.warmTime, defaultWarmShare*aim.Seconds())
 }
 
 // discountOldReport shortens the predicted wait at a target of a mixed service to MaxQueue if the last load
@@ -64,6 +129,7 @@
 		return Room{}
 	}
 	interval := b.slotTime(v, s) / float64(s.Slots)
-	in := math.Max(wait-r.MaxQueue.Seconds(), interval)
-	return Room{Target: s.Name, In: span(in), Interval: span(interval)}
+	// The runs at a target are at random points of their time, so that the first of n ends after 1/(n+1) of it.
+	in := math.Max(wait, interval) * float64(s.Slots) / float64(s.Slots+1)
+	return Room{Target: s.Name, Run: span(v.runOf(r.Route, r.RouteAim)), In: span(in), Interval: span(interval)}
 }
--- a/steering/placement/routemix.go
+++ b/steering/placement/routemix.go
@@ -30,6 +30,7 @@
 }
 
 type routeCount struct {
+	name     string
 	aim      time.Duration
 	rank     int
 	requests int
@@ -48,7 +49,7 @@
 		if len(m.byRoute) >= maxMixRoutes {
 			return
 		}
-		c = &routeCount{}
+		c = &routeCount{name: r.Route}
 		m.byRoute[r.Route] = c
 	}
 	c.aim, c.rank = r.RouteAim, r.RouteRank
--- a/steering/placement/state.go
+++ b/steering/placement/state.go
@@ -216,6 +216,8 @@
 	// pinned are the rates of the requests that may run in one region only, by that region.
 	pinned map[steering.Region]*rate
 	routes routeMix
+	// routeRuns are the median run times of a mixed service's routes, in seconds.
+	routeRuns map[string]float64
 }
 
 func (v *serviceState) pinnedTo(region steering.Region) *rate {
--- a/steering/waiting/doc.go
+++ b/steering/waiting/doc.go
@@ -6,10 +6,10 @@
 // So the wait at targets is kept short (placement.Request.MaxQueue), and the requests wait here.
 //
 // Each request waits for the target of its key, in that target's line. Lines do not block each other. A line
-// is ordered by latest start, then rank, then who was refused before, then arrival. At most one request of a
-// line, and few of a service, are being placed at a time, so that a target with one free slot does not wake
-// all that wait for it. Nobody starves: latest starts are fixed, so each request becomes the first of its
-// line or expires.
+// is ordered by whether the latency objective can still be met, then rank, latest start, who was refused
+// before, and arrival. At most one request of a line, and few of a service, are being placed at a time, so
+// that a target with one free slot does not wake all that wait for it. Nobody waits without end: latest
+// starts are fixed, so each request becomes the first of its line or expires.
 //
 // A request is held only if it is likely to start in time: the time until its target has room, plus the runs
 // that those ahead of it need, and the time in which the service has recently started as many requests as
--- a/steering/waiting/queue.go
+++ b/steering/waiting/queue.go
@@ -17,6 +17,8 @@
 	Arrived   time.Time
 	// LatestStart is when the request has to be sent to its target at the latest.
 	LatestStart time.Time
+	// Late is set if the request can no longer be answered within its latency objective.
+	Late bool
 	// Returned is set if the caller was refused before.
 	Returned bool
 	Bytes    int
@@ -28,17 +30,20 @@
 	Interval time.Duration
 }
 
-// compare orders the entries of a line; a negative result means that e leaves first.
+// compare orders the entries of a line; a negative result means that e leaves first. Rank comes before latest
+// start: under a lasting overload, all that have waited for long have the nearest latest starts, and patient
+// requests would go before the urgent ones that just came.
 func (e *Entry) compare(o *Entry) int {
-	return cmp.Or(e.LatestStart.Compare(o.LatestStart), cmp.Compare(e.Rank, o.Rank), compareReturned(e, o),
+	return cmp.Or(compareFlags(o.Late, e.Late), cmp.Compare(e.Rank, o.Rank), e.LatestStart.Compare(o.LatestStart), compareFlags(e.Returned, o.Returned),
 		e.Arrived.Compare(o.Arrived), cmp.Compare(e.ID, o.ID))
 }
 
-func compareReturned(e, o *Entry) int {
+// compareFlags orders what has a flag set first.
+func compareFlags(a, b bool) int {
 	switch {
-	case e.Returned == o.Returned:
+	case a == b:
 		return 0
-	case e.Returned:
+	case a:
 		return -1
 	}
 	return 1
@@ -99,10 +104,10 @@
 // Offer holds a request until its target may have room, or refuses it. A request that Next returned and that
 // found no room is offered again with the same ID. retryAfter is when room is expected for a refused request.
 func (q *Queue) Offer(now time.Time, e Entry) (held bool, retryAfter time.Duration) {
-	q.take(e.ID)
 	v := q.service(e.Service)
+	again := q.take(e.ID) != nil
 	expected := v.expectedStart(now, &e)
-	if expected.After(e.LatestStart) || !q.fits(&e) {
+	if expected.After(e.LatestStart) || !again && !q.fits(&e) {
 		return false, retryAfterOf(expected.Sub(now), e.ID)
 	}
 	q.insert(v, &e)
@@ -213,12 +218,10 @@
 	var expired []Entry
 	for _, v := range q.services {
 		for _, l := range v.lines {
-			for _, e := range slices.Clone(l.entries) {
-				if e.LatestStart.After(now) {
-					break
-				}
-				if e != l.placing {
-					expired = append(expired, *q.take(e.ID))
+			for i := len(l.entries) - 1; i >= 0; i-- {
+				if e := l.entries[i]; e != l.placing && !e.LatestStart.After(now) {
+					q.take(e.ID)
+					expired = append(expired, *e)
 				}
 			}
 		}
@@ -240,14 +243,13 @@
 }
 
 // NextEvent returns when a request may start or expires next; ok is false if none waits. Requests that are
-// being placed, and the lines behind them, count only by their latest start.
+// being placed do not count, and those behind them only by their latest start.
 func (q *Queue) NextEvent() (at time.Time, ok bool) {
 	for _, v := range q.services {
 		for _, l := range v.lines {
 			for _, e := range l.entries {
 				if e != l.placing {
 					at, ok = earlier(at, ok, e.LatestStart)
-					break
 				}
 			}
 			if l.placing == nil && v.placing < maxPlacing {
