--- a/node/gateway/relay/events.go
+++ b/node/gateway/relay/events.go
@@ -152,6 +152,13 @@
 	}
 }
 
+// HoldsFull counts a request that could not wait because of the bounds of what this VM holds.
+func (e *Metrics) HoldsFull() {
+	if e != nil {
+		e.scope.Counter("gateway_holds_full").Inc(1)
+	}
+}
+
 // HoldEnded records why and after how long a request no longer waits in this VM.
 func (e *Metrics) HoldEnded(end string, waited time.Duration) {
 	if e != nil {
--- a/node/gateway/relay/hold.go
+++ b/node/gateway/relay/hold.go
@@ -106,7 +106,7 @@
 
 // offerHold puts the request into the queue, to start while it can be in time, or once it cannot, while it can
 // be served at all. If it is not likely to start by then, it returns when room is expected.
-func (x *exchange) offerHold(e *waiting.Entry, refusal *placement.Refusal, woken chan wake) (retryAfter time.Duration, held bool) {
+func (x *exchange) offerHold(e *waiting.Entry, refusal *placement.Refusal, woken chan wake) (time.Duration, bool) {
 	now := time.Now()
 	used := x.timeUsed()
 	e.Service, e.Rank, e.Arrived, e.Returned = x.service, x.workspace.RankOr(x.route.Rank), x.r.Received, used > 0
@@ -119,7 +119,10 @@
 	if e.Late = x.route.Aim <= 0 || !e.LatestStart.After(now); e.Late {
 		e.LatestStart = x.deadline.Add(-refusal.Room.Run)
 	}
-	held, retryAfter = x.f.holds.offer(e, woken)
+	held, full, retryAfter := x.f.holds.offer(e, woken)
+	if full {
+		x.f.cfg.Metrics.HoldsFull()
+	}
 	if held && x.held.since.IsZero() {
 		x.held.since = now
 		x.f.cfg.Metrics.Held()
--- a/node/gateway/relay/holds.go
+++ b/node/gateway/relay/holds.go
@@ -58,8 +58,8 @@
 }
 
 // offer holds a request, or returns when room is expected for it. woken receives why it stops waiting. An
-// entry without an ID is given one.
-func (h *holds) offer(e *waiting.Entry, woken chan wake) (held bool, retryAfter time.Duration) {
+// entry without an ID is given one. full is set if the bounds allow no more requests.
+func (h *holds) offer(e *waiting.Entry, woken chan wake) (held, full bool, retryAfter time.Duration) {
 	now := time.Now()
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -68,6 +68,7 @@
 		e.ID = h.lastID
 	}
 	held, retryAfter = h.queue.Offer(now, *e)
+	full = !held && !h.queue.Fits(e)
 	h.setWaiter(e.ID, woken, held)
 	if held && h.draining.Load() {
 		woken <- wakeDraining
@@ -75,7 +76,7 @@
 		h.setWaiter(e.ID, nil, false)
 	}
 	h.dispatch(now)
-	return held, retryAfter
+	return held, full, retryAfter
 }
 
 // setWaiter records whether a request waits. h.mu must be held.
--- a/steering/waiting/queue.go
+++ b/steering/waiting/queue.go
@@ -107,15 +107,15 @@
 	v := q.service(e.Service)
 	again := q.take(e.ID) != nil
 	expected := v.expectedStart(now, &e)
-	if expected.After(e.LatestStart) || !again && !q.fits(&e) {
+	if expected.After(e.LatestStart) || !again && !q.Fits(&e) {
 		return false, retryAfterOf(expected.Sub(now), e.ID)
 	}
 	q.insert(v, &e)
 	return true, 0
 }
 
-// fits reports whether the limits allow one more request.
-func (q *Queue) fits(e *Entry) bool {
+// Fits reports whether the limits allow one more request.
+func (q *Queue) Fits(e *Entry) bool {
 	count, bytes := q.limits.Entries, q.limits.Bytes
 	if e.Rank > 0 {
 		count, bytes = int(lowRankShare*float64(count)), int(lowRankShare*float64(bytes))
