--- a/node/gateway/relay/exchange.go
+++ b/node/gateway/relay/exchange.go
@@ -100,7 +100,10 @@
 	work, cancel := x.workContext(ctx)
 	defer cancel()
 	if refusal := x.startOrHold(ctx, work); refusal != nil {
-		if refusal.Reason == steering.ReasonCancelled {
+		if refusal.Reason == steering.ReasonCancelled { // while it waited; it has not run
+			if x.hop == nil {
+				x.f.cfg.Allowances.ReturnCredit(x.workspace, steering.ReasonCancelled)
+			}
 			return x.callerLeft()
 		}
 		return x.refuse(refusal.Reason, refusal.RetryAfter)
--- a/node/gateway/relay/hold.go
+++ b/node/gateway/relay/hold.go
@@ -30,13 +30,36 @@
 // startOrHold starts an attempt. If the request's target has no room, it waits in this VM until there is, as
 // long as it is likely to start in time. It returns why no attempt was started.
 func (x *exchange) startOrHold(caller, work context.Context) *placement.Refusal {
-	refusal := x.startAttempt(work)
+	refusal := x.startAfterCheck(caller, work)
 	if refusal == nil || !x.mayHold(refusal) {
 		return refusal
 	}
 	return x.hold(caller, work, refusal)
 }
 
+// startAfterCheck is startAttempt for a request that may have waited here. If it then finds no target while this
+// VM finds out whether it is cut off from all targets, it waits for the result: all that wait are woken when
+// the links break, and once the VM knows that they are cut, another VM can take them.
+func (x *exchange) startAfterCheck(caller, work context.Context) *placement.Refusal {
+	refusal := x.startAttempt(work)
+	for refusal != nil && refusal.Reason == steering.ReasonNoTarget && x.waited() && x.f.linksChecking() && time.Until(x.deadline) > linkRecheck {
+		if !waitUntil(caller, time.Now().Add(linkRecheck), nil) && caller.Err() != nil {
+			return &placement.Refusal{Reason: steering.ReasonCancelled}
+		}
+		refusal = x.startAttempt(work)
+	}
+	return refusal
+}
+
+// waited reports whether the request has waited in this VM for room.
+func (x *exchange) waited() bool { return x.held.total > 0 || !x.held.since.IsZero() }
+
+func (f *Relay) linksChecking() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.links.Checking()
+}
+
 // mayHold reports whether a request that was refused may wait: nothing of it runs or may have run, and its
 // service is shared by routes that differ in how long they may wait.
 func (x *exchange) mayHold(refusal *placement.Refusal) bool {
@@ -58,7 +81,7 @@
 		if ended != nil {
 			return x.endHold(e.ID, ended, string(ended.Reason))
 		}
-		refusal = x.startAttempt(work)
+		refusal = x.startAfterCheck(caller, work)
 		switch {
 		case refusal == nil:
 			x.heldUntilStart(e.ID)
