Pass on waiting requests that tried all targets before a cut was known

Cause: the requests that wait when all links break are placed on each target in turn within milliseconds.

Change: such a request goes to another VM.

--- a/node/gateway/relay/attempts.go
+++ b/node/gateway/relay/attempts.go
@@ -92,7 +92,9 @@
 // cut off from all targets, another one passes the request on.
 func (x *exchange) startAttempt(ctx context.Context) *placement.Refusal {
 	pick, refusal, links := x.f.choose(x.placementRequest())
-	if links == linksCut || links == linksOpenOnly && refusal == nil && !x.f.cfg.Pool.HasIdle(pick.Target.Name) {
+	// A request that has waited may have tried all targets before the cut was known.
+	triedAll := refusal != nil && refusal.Reason == steering.ReasonNoTarget && x.waited()
+	if links == linksCut || links == linksOpenOnly && (triedAll || refusal == nil && !x.f.cfg.Pool.HasIdle(pick.Target.Name)) {
 		x.f.withdraw(pick)
 		return x.startAtHelper(ctx)
 	}
--- a/node/gateway/relay/hold.go
+++ b/node/gateway/relay/hold.go
@@ -86,7 +86,7 @@
 		case refusal == nil:
 			x.heldUntilStart(e.ID)
 			return nil
-		case why == wakeDraining:
+		case why == wakeDraining && refusal.Reason != steering.ReasonCancelled:
 			refusal = &placement.Refusal{Reason: steering.ReasonShuttingDown, RetryAfter: drainRetryAfter}
 			return x.endHold(e.ID, refusal, string(refusal.Reason))
 		case !x.mayHold(refusal):
