Merge waiting of requests in the entry VM

The waiting of requests takes the run times of routes from the model of run times instead of medians of its own.

--- a/node/gateway/gateway.go
+++ b/node/gateway/gateway.go
@@ -135,7 +135,8 @@
 		},
 		Metrics: relay.NewMetrics(scope), StoreAge: func() time.Duration { return time.Duration(g.reader.Digest().AgeMs) * time.Millisecond },
 		MemberCount: func() int { return g.fleet.LiveCount() }, Behind: func() bool { _, _, behind := g.reader.Behind(); return behind }, ConfigOutdated: g.outdated,
-		Meter: g.meter, Allowances: g.allowanceService, Shares: g.shares, TargetLimits: g.allowanceService})
+		Meter: g.meter, Allowances: g.allowanceService, Shares: g.shares, TargetLimits: g.allowanceService,
+		MemoryBytes: int64(settings.MemoryMB) << 20})
 	g.buffers = buffering.NewVM(buffers.NewConfig(settings.MemoryMB, debug.SetMemoryLimit(-1)), logger, scope)
 	g.callers = callers.NewServer(g.relay, g.relay.Limits, maxCallerConnections)
 	g.passedOn = callers.NewServer(g.relay.PeerHandler(), g.relay.PeerLimits, maxCallerConnections)
--- a/node/gateway/relay/relay.go
+++ b/node/gateway/relay/relay.go
@@ -90,6 +90,9 @@
 	// TargetLimits lends credits for targets that name a limit; nil means that such targets get no
 	// requests.
 	TargetLimits TargetLimits
+	// MemoryBytes is the memory of this VM's process, which bounds the requests that wait in it; 0 means that
+	// it is not known.
+	MemoryBytes int64
 }
 
 // TargetLimits enforces the limits that targets name, across all entry VMs.
@@ -159,6 +162,7 @@
 	closeOnce   sync.Once
 
 	outcomeCounts *outcomeCounts
+	holds         *holds
 }
 
 var _ callers.Handler = (*Relay)(nil)
@@ -171,9 +175,15 @@
 	if cfg.TargetLimits == nil {
 		cfg.TargetLimits = closedTargets{}
 	}
-	return &Relay{cfg: cfg, poisonFilter: newPoisonFilter(cfg.TargetHeartbeatInterval, cfg.Log), outcomeCounts: newOutcomeCounts(), started: make(chan struct{}), closed: make(chan struct{})}
+	return &Relay{cfg: cfg, poisonFilter: newPoisonFilter(cfg.TargetHeartbeatInterval, cfg.Log), outcomeCounts: newOutcomeCounts(), holds: newHolds(cfg.MemoryBytes), started: make(chan struct{}), closed: make(chan struct{})}
 }
 
+// StartDrain sends the requests that wait in this VM on or refuses them, and lets none wait any more.
+func (f *Relay) StartDrain() { f.holds.drain() }
+
+// Waiting returns the number of requests that wait in this VM until their target has room.
+func (f *Relay) Waiting() int { return int(f.holds.count.Load()) }
+
 // Close ends the attempts to reach targets again.
 func (f *Relay) Close() { f.closeOnce.Do(func() { close(f.closed) }) }
 
@@ -220,6 +230,7 @@
 // UpdateTargets updates the changed targets and removes others, or with complete set replaces the
 // set of targets by the changed ones.
 func (f *Relay) UpdateTargets(complete bool, changed []placement.Target, removed []steering.Target) {
+	defer f.holds.roomAnywhere() // without f.mu
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	update := f.cfg.Balancer.UpdateTargets
--- a/steering/placement/choose.go
+++ b/steering/placement/choose.go
@@ -49,6 +49,9 @@
 	v := b.service(r.Service)
 	v.setDefaults(r.Aim.Seconds())
 	v.routes.record(now, r)
+	if r.MaxQueue == 0 {
+		r.MaxQueue = b.maxQueue(now, v, r)
+	}
 	key := r.Key
 	if key == "" {
 		key = r.ID
@@ -65,7 +68,8 @@
 			return pick, nil
 		}
 		if order.passed {
-			return Pick{}, &Refusal{Reason: steering.ReasonNoSlot, RetryAfter: b.retryAfter(v, r, order.waitFor(now, wait), keyHash), Wait: span(wait), TooSlow: order.tooSlow, WarmRunTime: b.warmRunTime(now, v, r)}
+			return Pick{}, &Refusal{Reason: steering.ReasonNoSlot, RetryAfter: b.retryAfter(v, r, order.waitFor(now, wait), keyHash), Wait: span(wait), TooSlow: order.tooSlow,
+				WarmRunTime: b.warmRunTime(now, v, r), Room: b.roomAt(now, v, r, order.first, wait)}
 		}
 	}
 	return Pick{}, &Refusal{Reason: steering.ReasonNoTarget, RetryAfter: minRetryAfter}
@@ -99,15 +103,16 @@
 		}
 		b.predict(now, v, r, c)
 		if considered == 0 {
-			shortest, first = c.wait, c
+			b.discountOldReport(now, v, r, c)
+			shortest, first, order.first = c.wait, c, c.targetState
 			order.tooSlow = c.tooSlow(r)
 		}
 		probe := c.targetState.ejected && b.probeDue(now, c.targetState, r)
 		switch {
-		case considered == 0 && (probe || b.fits(v, r, c)):
+		case considered == 0 && (probe || b.fits(now, v, r, c)):
 			return b.pick(now, v, r, c, nil, order), shortest, true
 		case considered == 1:
-			if c.wait == 0 && b.fits(v, r, c) && v.overflowTokens >= 1 && !c.endsAtFirst(r, first) {
+			if c.wait == 0 && b.fits(now, v, r, c) && v.overflowTokens >= 1 && !c.endsAtFirst(r, first) {
 				v.overflowTokens--
 				return b.pick(now, v, r, c, first, order), shortest, true
 			}
@@ -147,19 +152,19 @@
 // fits reports whether the answer is likely to arrive in time. Only the wait is compared with the
 // latency objective, not the run itself: the first request for a key runs cold and misses the
 // objective anyway, and refusing it would keep the target cold forever.
-func (b *Balancer) fits(v *serviceState, r Request, c *candidate) bool {
+func (b *Balancer) fits(now time.Time, v *serviceState, r Request, c *candidate) bool {
 	if c.prediction != nil {
-		return b.fitsRun(r, c)
+		return b.fitsRun(now, v, r, c)
 	}
 	if r.TimeLeft > 0 && span(c.wait+v.warmTime) > r.TimeLeft {
 		return false
 	}
 	if r.Aim <= 0 {
-		return true
+		return r.MaxQueue <= 0 || c.wait <= r.MaxQueue.Seconds()
 	}
 	allowed := math.Max(r.Aim.Seconds()-v.warmTime, minWaitShare*r.Aim.Seconds())
 	allowed *= math.Pow(rankWaitFactor, float64(r.Rank))
-	return c.wait <= allowed
+	return c.wait <= b.allowedWait(now, v, r, c, allowed)
 }
 
 // retryAfter returns when the shortest queue is likely to have drained to about half of the allowed
--- a/steering/placement/runs.go
+++ b/steering/placement/runs.go
@@ -144,7 +144,7 @@
 // of which half end late, they delay those behind them: in the load test, 1 to 2 in 100 fewer
 // transfers were on time at 60 to 70 % load, and clips were served alike. The run is that of a warm
 // key, as it is without predictions: the first request for a key runs cold and is late anyway.
-func (b *Balancer) fitsRun(r Request, c *candidate) bool {
+func (b *Balancer) fitsRun(now time.Time, v *serviceState, r Request, c *candidate) bool {
 	p := c.prediction
 	run := p.warm.Median
 	if !r.Retryable {
@@ -154,11 +154,11 @@
 		return false
 	}
 	if r.Aim <= 0 {
-		return true
+		return r.MaxQueue <= 0 || c.wait <= r.MaxQueue.Seconds()
 	}
 	allowed := math.Max((r.Aim - p.warm.P90).Seconds(), minWaitShare*r.Aim.Seconds())
 	allowed *= math.Pow(rankWaitFactor, float64(r.Rank))
-	return c.wait <= allowed
+	return c.wait <= b.allowedWait(now, v, r, c, allowed)
 }
 
 // safeRun returns the run time for which there must be time left before a request starts that must not
