Add the exchange of load reports between entry VMs

Cause: the parts for hard load report to each other, and each would need a socket, an encoding and a budget of its own.

Change: package node/gateway/loadreport sends the sections that parts register to the VMs that callers are directed to, over UDP on the peer port plus 2. It sends nothing while no section has anything to report, or where the settings reserve only two ports. The fixtures of the gateway's tests and of the soak reserve three.

Run: go test ./gateway/loadreport ./gateway/fleet ../platform; go vet.

--- a/node/gateway/fleet/fleet.go
+++ b/node/gateway/fleet/fleet.go
@@ -228,6 +228,13 @@
 	return f.roster.Live(f.cfg.Clock(), false)
 }
 
+// ReadOrder returns the live VMs that are not leaving in the order in which VMs read the store.
+func (f *Fleet) ReadOrder(selfLeaves bool) []Member {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.roster.ReadOrder(f.cfg.Clock(), selfLeaves)
+}
+
 // Left returns the VMs that announced that they leave and are no longer live.
 func (f *Fleet) Left() map[steering.VM]bool {
 	f.mu.Lock()
--- a/node/gateway/fleet/views.go
+++ b/node/gateway/fleet/views.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"cmp"
 	"slices"
 	"sort"
 	"strings"
@@ -30,6 +31,32 @@
 	return all
 }
 
+// ReadOrder returns the live VMs that are not leaving, in the order in which VMs read the store: those
+// with the highest capacity first. Unlike in ReadRank, VMs whose reads fail keep their place.
+func (r *Roster) ReadOrder(now time.Time, selfLeaves bool) []Member {
+	type ordered struct {
+		Member
+		order uint64
+	}
+	all := make([]ordered, 0, len(r.members)+1)
+	if !selfLeaves {
+		all = append(all, ordered{r.self, r.order})
+	}
+	for _, h := range r.all {
+		if r.live(now, h) && !h.leaving {
+			all = append(all, ordered{h.Member, h.order})
+		}
+	}
+	slices.SortFunc(all, func(a, b ordered) int {
+		return cmp.Or(cmp.Compare(b.Capacity, a.Capacity), cmp.Compare(a.order, b.order))
+	})
+	members := make([]Member, 0, len(all))
+	for _, m := range all {
+		members = append(members, m.Member)
+	}
+	return members
+}
+
 // Left returns the VMs that announced that they leave and are no longer live.
 func (r *Roster) Left(now time.Time) map[steering.VM]bool {
 	left := make(map[steering.VM]bool)
--- a/node/gateway/gateway.go
+++ b/node/gateway/gateway.go
@@ -17,6 +17,7 @@
 	"heatherlock/node/gateway/catchup"
 	"heatherlock/node/gateway/feed"
 	"heatherlock/node/gateway/fleet"
+	"heatherlock/node/gateway/loadreport"
 	"heatherlock/node/gateway/relay"
 	"heatherlock/node/gateway/upstream"
 	"heatherlock/node/gateway/volume"
@@ -80,6 +81,7 @@
 	regionSplit      placement.RegionSplit
 	meter            *volume.Meter
 	allowanceService *allowances.Service
+	loadReports      *loadreport.Service
 	servers          []*http.Server
 	workers          sync.WaitGroup
 	// membersChanged is signalled when VMs became live or are no longer.
@@ -99,7 +101,7 @@
 	lastSettingsError string             // of the last read, empty if it was valid
 }
 
-// New returns a gateway that has bound its datagram sockets for heartbeats and allowances, but
+// New returns a gateway that has bound its datagram sockets for heartbeats, allowances and load reports, but
 // serves nothing until Run is called.
 func New(settings *platform.Settings, logger log.Logger) (*Gateway, error) {
 	g := &Gateway{settings: settings, currentSettings: settings, log: logger, metrics: telemetry.New(string(settings.VM), string(settings.Zone)),
@@ -109,6 +111,9 @@
 	if err := g.newAllowances(); err != nil {
 		return nil, err
 	}
+	if err := g.newLoadReports(); err != nil {
+		return nil, err
+	}
 	g.pool = upstream.NewPool(upstream.DialTarget, platform.RequestIDOf)
 	g.pool.OnOpen = func() { scope.Counter("gateway_target_connections_opened").Inc(1) }
 	g.store.OnCall = func(call string, err error) {
@@ -330,6 +335,7 @@
 	g.workers.Go(func() { g.reader.Run(work) })
 	g.workers.Go(func() { g.fetcher.Run(work) })
 	g.workers.Go(func() { g.allowanceService.Run(work) })
+	g.workers.Go(func() { g.loadReports.Run(work) })
 	g.workers.Go(func() { g.register(work) })
 	g.workers.Go(func() { g.maintain(work) })
 	g.workers.Go(func() { g.followMembership(work) })
--- a/node/gateway/gateway_test.go
+++ b/node/gateway/gateway_test.go
@@ -31,7 +31,7 @@
 	t       *testing.T
 	store   *metastore.Store
 	address string
-	ports   [7]int
+	ports   [8]int
 	targets map[string]*endpoint.Endpoint
 	version int
 	routes  []map[string]any
@@ -122,7 +122,7 @@
 	at := func(port int) string { return fmt.Sprintf("%s:%d", ip, s.ports[port]) }
 	settings := &platform.Settings{VM: steering.VM(fmt.Sprint("vm-", n)), Zone: s.zoneOf(n), Region: "r", Zones: map[steering.Zone]steering.Region{"a": "r", "b": "r"},
 		IP: ip, Listen: platform.Listen{Callers: at(0), Ready: at(1), Directory: at(2), Control: at(3)},
-		PeerPorts: []int{s.ports[4], s.ports[5]}, MetricsPort: s.ports[6], Seeds: []string{fmt.Sprintf("127.0.0.2:%d", s.ports[3])},
+		PeerPorts: []int{s.ports[4], s.ports[6]}, MetricsPort: s.ports[7], Seeds: []string{fmt.Sprintf("127.0.0.2:%d", s.ports[3])},
 		Store: s.address, MemoryMB: 200, HeartbeatMs: 1500,
 		Bounds: platform.Bounds{TerminationGrace: 6 * time.Second, RetryRatio: 0.2, RetrySlack: 60, RetryWindow: 10 * time.Second, MaxRegionShift: 0.15}}
 	if s.largeVMs > 0 {
--- a/node/gateway/volume/volume.go
+++ b/node/gateway/volume/volume.go
@@ -27,6 +27,8 @@
 	// Allowances are reports on the usage of workspaces and the replies to them, each counted by
 	// its sender.
 	Allowances Purpose = "allowances"
+	// LoadReports are reports of load and weights of targets, counted by their sender.
+	LoadReports Purpose = "load_reports"
 	// Targets are target updates from other entry VMs, counted by the VM that pulls them.
 	Targets Purpose = "targets"
 	// Configuration is configuration data from other entry VMs, counted by the VM that fetches
--- a/soak/system.go
+++ b/soak/system.go
@@ -34,7 +34,7 @@
 	server     *httptest.Server
 	storeProxy *proxy
 	daemons    []*daemon
-	ports      [7]int
+	ports      [8]int
 
 	mu         sync.Mutex
 	targets    map[string]*target
@@ -105,7 +105,7 @@
 		settings: map[string]any{"vm": fmt.Sprint("vm-", n), "zone": zoneOf(n), "region": "r-" + zoneOf(n),
 			"zones": map[string]string{"a": "r-a", "b": "r-b"}, "ip": ip,
 			"listen":    map[string]string{"callers": at(0), "ready": at(1), "directory": at(2), "control": at(3)},
-			"peerPorts": []int{s.ports[4], s.ports[5]}, "metricsPort": s.ports[6],
+			"peerPorts": []int{s.ports[4], s.ports[6]}, "metricsPort": s.ports[7],
 			"seeds": []string{fmt.Sprintf("127.0.1.10:%d", s.ports[3]), fmt.Sprintf("127.0.1.11:%d", s.ports[3])},
 			"store": s.storeProxy.address(), "memoryMB": 200, "cpuShare": 0.3, "linkMbps": 1000, "heartbeatMs": heartbeatInterval.Milliseconds(),
 			"bounds": map[string]any{"graceS": 6, "retryBudgetRatio": 0.2, "retrySlack": 60, "budgetWindowS": 10, "maxShift": 0.15}}}
