Move keys from overloaded targets by weights from one balancer a region

Change: package steering/balance computes weights, package placement orders targets by slots and weight in eighths and samples reported loads, and package loadreport reports loads to the balancer of each region, distributes its weights and keeps them in the store. Status and metrics show the weights. In use only for mixed services and for targets that report the fourth figure.

Run: go test ./steering/balance ./steering/placement ./node/gateway/loadreport ./node/gateway/status; go vet.

--- a/node/gateway/gateway.go
+++ b/node/gateway/gateway.go
@@ -82,6 +82,8 @@
 	meter            *volume.Meter
 	allowanceService *allowances.Service
 	loadReports      *loadreport.Service
+	// weightedServices holds the services with gauges of weights; only maintain uses it.
+	weightedServices map[steering.Service]bool
 	servers          []*http.Server
 	workers          sync.WaitGroup
 	// membersChanged is signalled when VMs became live or are no longer.
@@ -105,7 +107,7 @@
 // serves nothing until Run is called.
 func New(settings *platform.Settings, logger log.Logger) (*Gateway, error) {
 	g := &Gateway{settings: settings, currentSettings: settings, log: logger, metrics: telemetry.New(string(settings.VM), string(settings.Zone)),
-		store: platform.NewStore(settings.Store), regionSplit: placement.RegionSplit{}, peaks: make(map[steering.Zone]peak), membersChanged: make(chan struct{}, 1),
+		store: platform.NewStore(settings.Store), regionSplit: placement.RegionSplit{}, peaks: make(map[steering.Zone]peak), weightedServices: make(map[steering.Service]bool), membersChanged: make(chan struct{}, 1),
 		meter: volume.NewMeter(volume.Location{Zone: settings.Zone, Region: settings.Region})}
 	scope := g.metrics.Scope
 	if err := g.newAllowances(); err != nil {
@@ -425,10 +427,12 @@
 	var ejected, replaced []steering.Target
 	var tries map[steering.Service]float64
 	var limited int
+	var weights map[steering.Service]placement.ServiceWeights
 	kept := make(map[steering.Service]float64)
 	g.relay.WithBalancer(func(balancer *placement.Balancer, budget *retry.SharedBudget) {
 		ejected, replaced = balancer.Ejected(), balancer.Replaced()
 		limited = balancer.LimitedCount()
+		weights = balancer.WeightsByService()
 		tries = budget.Available(time.Now())
 		for service := range g.regionSplit {
 			kept[service] = g.regionSplit.LocalShare(service, g.settings.Region)
@@ -436,6 +440,7 @@
 	})
 	g.logEjected(ejected)
 	g.logReplaced(replaced)
+	g.updateWeightGauges(weights)
 	scope.Gauge("gateway_targets_ejected").Update(float64(len(ejected)))
 	scope.Gauge("gateway_targets_replaced").Update(float64(len(replaced)))
 	scope.Gauge("gateway_targets_limited").Update(float64(limited))
--- a/node/gateway/loadreport/service.go
+++ b/node/gateway/loadreport/service.go
@@ -21,9 +21,9 @@
 	interval = time.Second
 	// maxReceivers bounds the VMs to which sections are sent.
 	maxReceivers = 64
-	// sectionBytesPerSecond is what a VM sends of registered sections, over all receivers. With more
-	// receivers, each gets them less often.
-	sectionBytesPerSecond = 1000
+	// bytesPerSecond is what a VM sends, over all receivers, but for the weights that the balancer sends.
+	// With more receivers, each gets the registered sections less often.
+	bytesPerSecond = 1000
 )
 
 // Section is one kind of report. IDs up to 15 are reserved for this package.
@@ -78,6 +78,7 @@
 	peers    Peers
 	peersAt  time.Time
 	senders  map[steering.VM]position
+	weights  *weights // nil without UseWeights
 	// nextRound is when sections are sent next.
 	nextRound time.Time
 }
@@ -126,18 +127,23 @@
 		case <-ctx.Done():
 			return
 		case now := <-ticker.C:
-			s.Tick(now)
+			s.Tick(ctx, now)
 		}
 	}
 }
 
 // Tick sends what is due. Run calls it once a second.
-func (s *Service) Tick(now time.Time) {
-	s.sendSections(now)
+func (s *Service) Tick(ctx context.Context, now time.Time) {
+	reported := 0
+	if s.weights != nil {
+		reported = s.weights.tick(ctx, now)
+	}
+	s.sendSections(now, max(bytesPerSecond-reported, bytesPerSecond/4))
 }
 
-// sendSections sends the registered sections to the VMs that callers are directed to, if they are due.
-func (s *Service) sendSections(now time.Time) {
+// sendSections sends the registered sections to the VMs that callers are directed to, if they are due,
+// within a budget of bytes per second.
+func (s *Service) sendSections(now time.Time, budget int) {
 	s.mu.Lock()
 	sections, due := s.ids(), !now.Before(s.nextRound)
 	s.mu.Unlock()
@@ -157,7 +163,7 @@
 	for _, to := range s.receivers(now) {
 		sent += s.send(to, byRegion[to.Region])
 	}
-	rounds := max(1, (sent+sectionBytesPerSecond-1)/sectionBytesPerSecond)
+	rounds := max(1, (sent+budget-1)/budget)
 	s.mu.Lock()
 	// Half an interval is left for the ticker to be early.
 	s.nextRound = now.Add(time.Duration(rounds)*interval - interval/2)
@@ -178,7 +184,7 @@
 	var all []sectionData
 	for _, section := range sections {
 		if section.Fill == nil {
-			continue
+			continue // sent by this package itself, or only received
 		}
 		if data := section.Fill(now, to); len(data) > 0 {
 			all = append(all, sectionData{ID: section.ID, Data: data})
--- a/node/gateway/loadreport/service_test.go
+++ b/node/gateway/loadreport/service_test.go
@@ -47,7 +47,7 @@
 	all[1].Register(loadreport.Section{ID: 20, Fill: func(time.Time, steering.Region) []byte { return nil },
 		Apply: func(_ time.Time, from steering.VM, data []byte) { got <- string(from) + " " + string(data) }})
 	go all[1].Run(t.Context())
-	all[0].Tick(time.Now())
+	all[0].Tick(t.Context(), time.Now())
 	assert.Equal(t, <-got, "vm-0 to norte")
 	assert.Equal(t, sent[1].Load(), int64(0))
 }
@@ -58,7 +58,7 @@
 	all[0].Register(loadreport.Section{ID: 20, Fill: func(time.Time, steering.Region) []byte { return make([]byte, 120) }})
 	now := time.Now()
 	for n := range 60 {
-		all[0].Tick(now.Add(time.Duration(n) * time.Second))
+		all[0].Tick(t.Context(), now.Add(time.Duration(n)*time.Second))
 	}
 	assert.Assert(t, sent[0].Load() > 0 && sent[0].Load() <= 66*1000, "%d bytes in 60 s", sent[0].Load())
 }
--- a/node/gateway/loadreports.go
+++ b/node/gateway/loadreports.go
@@ -4,6 +4,7 @@
 	"maps"
 	"net"
 	"slices"
+	"time"
 
 	"github.com/go-faster/errors"
 
@@ -12,6 +13,8 @@
 	"heatherlock/node/gateway/volume"
 	"heatherlock/platform"
 	"heatherlock/steering"
+	"heatherlock/steering/placement"
+	"heatherlock/steering/retry"
 )
 
 // newLoadReports creates the service that exchanges load reports. Without a reserved port for it,
@@ -33,9 +36,46 @@
 		Log: g.log, Scope: g.metrics.Scope, Peers: g.loadReportPeers, OnSend: func(to steering.VM, bytes int) {
 			g.meter.Count(volume.LoadReports, g.fleet.LocationOf(to), int64(bytes))
 		}}, conn)
+	g.loadReports.UseWeights(loadreport.WeightsConfig{Samples: g.loadSamples, Targets: g.weightTargets, SetWeights: g.setWeights,
+		Store: &weightStore{store: g.store}})
 	return nil
 }
 
+func (g *Gateway) loadSamples(now time.Time) (samples []placement.LoadSample) {
+	g.relay.WithBalancer(func(b *placement.Balancer, _ *retry.SharedBudget) { samples = b.LoadSamples(now) })
+	return samples
+}
+
+func (g *Gateway) weightTargets(now time.Time, region steering.Region) (targets []placement.TargetWeight) {
+	g.relay.WithBalancer(func(b *placement.Balancer, _ *retry.SharedBudget) { targets = b.TargetWeights(now, region) })
+	return targets
+}
+
+func (g *Gateway) setWeights(weights map[steering.Target]float64) {
+	g.relay.WithBalancer(func(b *placement.Balancer, _ *retry.SharedBudget) { b.SetWeights(weights) })
+}
+
+// updateWeightGauges exports how many targets of each service have a weight below 1, and which share of
+// its keys moved for that. Services whose weights are 1 again are set to 0.
+func (g *Gateway) updateWeightGauges(byService map[steering.Service]placement.ServiceWeights) {
+	for service := range g.weightedServices {
+		if _, found := byService[service]; !found {
+			g.setWeightGauges(service, placement.ServiceWeights{})
+			delete(g.weightedServices, service)
+		}
+	}
+	for service, w := range byService {
+		g.weightedServices[service] = true
+		g.setWeightGauges(service, w)
+	}
+}
+
+func (g *Gateway) setWeightGauges(service steering.Service, w placement.ServiceWeights) {
+	scope := g.metrics.Scope.Tagged(map[string]string{"service": string(service)})
+	scope.Gauge("gateway_weights_below_one").Update(float64(len(w.Targets)))
+	scope.Gauge("gateway_weights_keys_moved").Update(w.Moved)
+}
+
 // regions returns the regions in the settings in alphabetical order.
 func (g *Gateway) regions() []steering.Region {
 	found := make(map[steering.Region]bool)
--- a/node/gateway/showstatus.go
+++ b/node/gateway/showstatus.go
@@ -54,7 +54,9 @@
 	result.Config, result.Fleet = g.configStatus(now), peerRows(now, g.fleet.ConfigStatus())
 	g.relay.WithBalancer(func(b *placement.Balancer, budget *retry.SharedBudget) {
 		result.Services = serviceRows(now, b, budget, g.regionSplit, s.Region)
+		addWeights(result.Services, b.WeightsByService())
 	})
+	result.Balancers = g.balancerRows(now)
 	return result
 }
 
--- a/node/gateway/status/status.go
+++ b/node/gateway/status/status.go
@@ -40,14 +40,28 @@
 	EvacuatedZones []steering.Zone `json:"evacuated_zones"`
 	// RequestsRunning and CallerConnections count the requests in flight and the open connections
 	// of callers on this VM.
-	RequestsRunning   int       `json:"requests_running"`
-	CallerConnections int       `json:"caller_connections"`
-	Services          []Service `json:"services"`
+	RequestsRunning   int `json:"requests_running"`
+	CallerConnections int `json:"caller_connections"`
+	// Balancers holds, by region, the VMs that compute the weights of targets; it is empty where no
+	// service uses weights.
+	Balancers []Balancer `json:"balancers,omitempty"`
+	Services  []Service  `json:"services"`
 	// Workspaces holds the workspaces with an allowance that this VM owns or has served since it
 	// started, by name.
 	Workspaces []Workspace `json:"workspaces"`
 }
 
+// Balancer is the VM that computes the weights of a region's targets, as this VM sees it.
+type Balancer struct {
+	Region steering.Region `json:"region"`
+	VM     steering.VM     `json:"vm"`
+	// From is the VM whose weights are in force, Number and AgeMs are the number and age of the last
+	// that it sent.
+	From   steering.VM `json:"from,omitempty"`
+	Number uint32      `json:"number"`
+	AgeMs  int64       `json:"age_ms"`
+}
+
 // Workspace counts a workspace's requests on one VM since it started.
 type Workspace struct {
 	Name steering.Workspace `json:"name"`
@@ -102,6 +116,18 @@
 	// takes on a warm target.
 	RequestsPerSecond float64 `json:"requests_per_second"`
 	RunMs             float64 `json:"run_ms"`
+	// WeightsBelowOne counts the targets that get fewer keys since they were overloaded, KeysMoved is
+	// about the share of the service's keys that other targets have for them. Weights holds the lowest
+	// weights.
+	WeightsBelowOne int      `json:"weights_below_one,omitempty"`
+	KeysMoved       float64  `json:"keys_moved,omitempty"`
+	Weights         []Weight `json:"weights,omitempty"`
+}
+
+// Weight is the weight of a target among the targets of its service, from 1/8 to 1.
+type Weight struct {
+	Target steering.Target `json:"target"`
+	Weight float64         `json:"weight"`
 }
 
 // Config describes the configuration in force on the VM and the newest one that it knows of.
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -21,7 +21,7 @@
 	Callers int
 	// Binary is the path of the daemon's executable.
 	Binary string
-	// BasePort is the first of seven consecutive ports used on the address of each entry VM.
+	// BasePort is the first of eight consecutive ports used on the address of each entry VM.
 	BasePort int
 	// KeepLogs keeps the logs of the daemons. A run with findings keeps them in any case.
 	KeepLogs bool
--- a/steering/placement/balancer.go
+++ b/steering/placement/balancer.go
@@ -27,6 +27,10 @@
 	coldSenders int
 	replaced    replacements
 	notices     notices
+	// weightSteps holds the targets with a weight below 1, also those that are not declared now.
+	weightSteps map[steering.Target]int
+	// sampled holds the targets with load samples.
+	sampled []*targetState
 }
 
 // NewBalancer returns a balancer without targets for the entry VM vm in region.
@@ -87,8 +91,9 @@
 // declare updates a target's declared properties; s is nil for a target that is not known.
 func (b *Balancer) declare(s *targetState, t Target) {
 	if s == nil {
-		s = &targetState{hash: rendezvous.Hash(string(t.Name))}
+		s = &targetState{Target: Target{Name: t.Name}, hash: rendezvous.Hash(string(t.Name))}
 		b.byName[t.Name] = s
+		b.applyWeight(s)
 	}
 	b.replaced.forget(s)
 	v := b.service(t.Service)
@@ -258,6 +263,7 @@
 	}
 	s.release(probe)
 	s.applyLoad(now, r)
+	b.sampleLoad(now, s, r)
 	switch r.Outcome {
 	case Served:
 		s.recordSuccess()
--- a/steering/placement/order.go
+++ b/steering/placement/order.go
@@ -10,8 +10,8 @@
 
 // regionTable holds the open targets of a service in one region.
 type regionTable struct {
-	// classes holds the targets by their number of slots, which is their weight in the order of a
-	// key.
+	// classes holds the targets by their number of slots and their weight level. The product of both
+	// is their weight in the order of a key.
 	classes []weightClass
 	count   int
 	// byZone holds the number of targets and slots of each zone.
@@ -22,6 +22,7 @@
 // are read for each request, but only few targets.
 type weightClass struct {
 	slots   int
+	steps   int // of weightSteps
 	hashes  []uint64
 	targets []*targetState
 }
@@ -56,12 +57,12 @@
 	zone := t.byZone[s.Zone]
 	t.byZone[s.Zone] = zoneCount{targets: zone.targets + 1, slots: zone.slots + float64(s.Slots)}
 	for i := range t.classes {
-		if c := &t.classes[i]; c.slots == s.Slots {
+		if c := &t.classes[i]; c.slots == s.Slots && c.steps == s.weightSteps {
 			c.hashes, c.targets = append(c.hashes, s.hash), append(c.targets, s)
 			return
 		}
 	}
-	t.classes = append(t.classes, weightClass{slots: s.Slots, hashes: []uint64{s.hash}, targets: []*targetState{s}})
+	t.classes = append(t.classes, weightClass{slots: s.Slots, steps: s.weightSteps, hashes: []uint64{s.hash}, targets: []*targetState{s}})
 }
 
 // slotsWithout returns the number of slots outside of some zones.
@@ -85,7 +86,7 @@
 func (t *regionTable) first(key uint64, n int) []scored {
 	best := make([]scored, 0, n+1)
 	for _, c := range t.classes {
-		weight := float64(c.slots)
+		weight := c.weight()
 		// A hash has a higher score than the last of the best if its unit value is higher than
 		// least. The logarithm in the score is thus computed for few targets only.
 		least := leastUnit(best, n, weight)
--- a/steering/placement/state.go
+++ b/steering/placement/state.go
@@ -40,6 +40,12 @@
 	// service is the state of the target's service, and index the position in its targets.
 	service *serviceState
 	index   int
+	// weightSteps is the target's weight, in multiples of 1/weightSteps.
+	weightSteps int
+	// loadSum is the sum of the loads that the target reported in loadSamples responses since the last
+	// call of LoadSamples.
+	loadSum     float64
+	loadSamples int
 
 	inFlight      int       // requests sent by this entry VM
 	othersLoad    float64   // load by other entry VMs at the last report
@@ -216,6 +222,8 @@
 	// pinned are the rates of the requests that may run in one region only, by that region.
 	pinned map[steering.Region]*rate
 	routes routeMix
+	// slowdownAt is when a target last reported how slow its machine is.
+	slowdownAt time.Time
 }
 
 func (v *serviceState) pinnedTo(region steering.Region) *rate {
