Put weights in force between entry VMs

Cause: the reports of loads were never sent, since wrapping a nil error gives an error, and the load of an idle target was reported as 12.45, since the balancer of requests counts without the request that responded and gets -1.

Change: both are mended, and loads below 0 are taken for 0. The stand-in for targets can report a load that a test sets.

--- a/node/gateway/loadreport/messages.go
+++ b/node/gateway/loadreport/messages.go
@@ -58,10 +58,13 @@
 	packed := make([]byte, 0, len(entries)*loadEntryBytes)
 	for _, e := range entries {
 		packed = binary.BigEndian.AppendUint32(packed, e.hash)
-		packed = append(packed, uint8(min(math.Round(e.mean*loadSteps), math.MaxUint8)), uint8(min(e.responses, math.MaxUint8)))
+		packed = append(packed, uint8(min(max(math.Round(e.mean*loadSteps), 0), math.MaxUint8)), uint8(min(e.responses, math.MaxUint8)))
 	}
 	raw, err := cbor.Marshal(loadsMessage{Entries: packed})
-	return raw, errors.Wrap(err, "loadreport: encode loads")
+	if err != nil {
+		return nil, errors.Wrap(err, "loadreport: encode loads")
+	}
+	return raw, nil
 }
 
 func decodeLoads(raw []byte) ([]loadEntry, error) {
@@ -94,7 +97,10 @@
 		packed = binary.BigEndian.AppendUint32(packed, hash<<levelBits|uint32(eighths))
 	}
 	raw, err := cbor.Marshal(weightsMessage{Region: region, Start: m.Term.Start, Number: m.Term.Number, First: m.First, Last: m.Last, Entries: packed})
-	return raw, errors.Wrap(err, "loadreport: encode weights")
+	if err != nil {
+		return nil, errors.Wrap(err, "loadreport: encode weights")
+	}
+	return raw, nil
 }
 
 func decodeWeights(raw []byte) (steering.Region, balance.Message, error) {
--- a/node/gateway/loadreport/weights.go
+++ b/node/gateway/loadreport/weights.go
@@ -221,9 +221,11 @@
 			continue
 		}
 		raw, err := encodeLoads(selectLoads(all, entries, w.turn))
-		if err == nil {
-			bytes += w.service.send(peers.Live[at], []sectionData{{ID: sectionLoads, Data: raw}})
+		if err != nil {
+			_ = w.service.cfg.Log.Log("msg", "cannot encode loads", "err", err) // the log writer counts dropped lines
+			continue
 		}
+		bytes += w.service.send(peers.Live[at], []sectionData{{ID: sectionLoads, Data: raw}})
 	}
 	return bytes
 }
--- a/standin/endpoint/endpoint.go
+++ b/standin/endpoint/endpoint.go
@@ -97,6 +97,7 @@
 	opened  int
 	// headers are set in every response.
 	headers map[string]string
+	load    string // reported instead of the real one, unless empty
 	// arrivals are the times at which requests were received.
 	arrivals []time.Time
 }
@@ -152,6 +153,13 @@
 	e.headers[name] = value
 }
 
+// SetLoad sets the load that further responses report, or the real one if it is empty.
+func (e *Endpoint) SetLoad(load string) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.load = load
+}
+
 // ArrivalsAfter returns the times at which requests were received after t, in order.
 func (e *Endpoint) ArrivalsAfter(t time.Time) []time.Time {
 	e.mu.Lock()
@@ -269,7 +277,11 @@
 func (e *Endpoint) setLoadHeader(w http.ResponseWriter) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	w.Header().Set("X-Server-Load", fmt.Sprintf("%d,%d,%d", e.running, e.waiting, e.cfg.Slots))
+	load := e.load
+	if load == "" {
+		load = fmt.Sprintf("%d,%d,%d", e.running, e.waiting, e.cfg.Slots)
+	}
+	w.Header().Set("X-Server-Load", load)
 }
 
 // runTime returns the time of a run for an object and marks the object as the most
--- a/steering/placement/weights.go
+++ b/steering/placement/weights.go
@@ -23,7 +23,8 @@
 	Target  steering.Target
 	Service steering.Service
 	Region  steering.Region
-	// Mean is the mean of the running and waiting requests, divided by the target's slots.
+	// Mean is the mean of the running and waiting requests, without the one that responded, divided by the
+	// target's slots. What a response sees of other requests is, on average, the load over time.
 	Mean      float64
 	Responses int
 }
@@ -116,7 +117,7 @@
 		b.sampled = append(b.sampled, s)
 	}
 	s.loadSamples++
-	s.loadSum += float64(r.Running+r.Waiting) / float64(s.Slots)
+	s.loadSum += float64(max(r.Running+r.Waiting, 0)) / float64(s.Slots)
 }
 
 // LoadSamples returns the mean load of each target that responded since the last call, for services
