--- a/node/gateway/loadreport/saver.go
+++ b/node/gateway/loadreport/saver.go
@@ -15,6 +15,9 @@
 	saveInterval = 5 * time.Second
 	// maxSavedAge is the age above which weights in the store are ignored: the load has changed.
 	maxSavedAge = 30 * time.Second
+	// saveRefresh is the age at which unchanged weights are written again. Without it, weights that have
+	// come to rest would be ignored after maxSavedAge, and keys would run cold after a restart of all VMs.
+	saveRefresh = 20 * time.Second
 	// storeWait bounds a call to the store.
 	storeWait = 2 * time.Second
 	// maxSavedWeights bounds the weights in the store, to about 10 KB.
@@ -97,7 +100,8 @@
 	return nil, false
 }
 
-// save writes weights that differ from those written last, at most once in saveInterval.
+// save writes weights that differ from those written last, at most once in saveInterval, and weights below
+// 1 again after saveRefresh.
 func (s *saver) save(ctx context.Context, now time.Time, of *Service, weights Saved) {
 	if s.store == nil {
 		return
@@ -107,7 +111,9 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.busy || now.Sub(s.savedAt) < saveInterval || maps.Equal(s.saved, weights.Weights) {
+	unchanged := maps.Equal(s.saved, weights.Weights)
+	outdated := len(weights.Weights) > 0 && now.Sub(s.savedAt) >= saveRefresh
+	if s.busy || now.Sub(s.savedAt) < saveInterval || unchanged && !outdated {
 		return
 	}
 	s.busy, s.savedAt = true, now
--- a/node/gateway/loadreport/service.go
+++ b/node/gateway/loadreport/service.go
@@ -22,8 +22,9 @@
 	// maxReceivers bounds the VMs to which sections are sent.
 	maxReceivers = 64
 	// bytesPerSecond is what a VM sends, over all receivers, but for the weights that the balancer sends.
-	// With more receivers, each gets the registered sections less often.
-	bytesPerSecond = 1000
+	// With more receivers, each gets the registered sections less often. A round of sections is sent whole, so
+	// that some minutes have a part of a round more than others; this leaves 5 % of 1 KB for it.
+	bytesPerSecond = 950
 )
 
 // Section is one kind of report. IDs up to 15 are reserved for this package.
--- a/node/gateway/loadreport/weights.go
+++ b/node/gateway/loadreport/weights.go
@@ -30,8 +30,8 @@
 	// maxWeightInterval is the longest interval between two messages to a receiver; it is below
 	// balance.WeightTTL. Weights that do not fit are left out, the highest first.
 	maxWeightInterval = 8 * time.Second
-	// weightsEnvelopeBytes is an upper bound of a datagram of weights without its entries.
-	weightsEnvelopeBytes = packetHeaderBytes + envelopeBytes + 48
+	// weightsEnvelopeBytes is an upper bound of a datagram of weights without its entries and names.
+	weightsEnvelopeBytes = packetHeaderBytes + 64
 	// maxWeightEntries is the number of weights in a datagram.
 	maxWeightEntries = (maxDatagramBytes - envelopeBytes - 48) / weightEntryBytes
 	// maxLoggedChanges bounds the targets in one log line.
@@ -299,10 +299,12 @@
 	if len(weights) > 0 {
 		w.lastBelow = now
 	}
+	receivers := w.receivers(now, peers)
+	lowest(weights, w.entriesFor(len(receivers)))
 	term := balance.Term{Start: w.region.Since().UnixMilli(), Number: w.number}
 	self := w.service.cfg.Self
 	w.holder(region).Apply(now, self, self, balance.Message{Term: term, Last: maxHash, Levels: weights})
-	w.sendWeights(now, peers, term, weights)
+	w.sendWeights(now, receivers, term, weights)
 	w.saver.save(ctx, now, w.service, Saved{By: self, Term: term, At: now, Weights: w.region.Weights()})
 }
 
@@ -355,16 +357,10 @@
 
 // sendWeights sends the weights if they have changed or were not sent for weightRefresh, as often as the
 // budget allows.
-func (w *weights) sendWeights(now time.Time, peers Peers, term balance.Term, weights map[uint32]float64) {
+func (w *weights) sendWeights(now time.Time, receivers []Peer, term balance.Term, weights map[uint32]float64) {
 	if now.Before(w.nextSend) || !w.dirty && now.Sub(w.sentAt) < weightRefresh-interval/2 || now.Sub(w.lastBelow) > balance.WeightTTL {
 		return
 	}
-	receivers := w.receivers(now, peers)
-	if len(receivers) == 0 {
-		return
-	}
-	room := int(weightBytesPerSecond*maxWeightInterval.Seconds()) / len(receivers)
-	lowest(weights, max(1, (room-weightsEnvelopeBytes)/weightEntryBytes))
 	var sections []sectionData
 	for _, m := range split(term, weights, maxWeightEntries) {
 		raw, err := encodeWeights(w.service.cfg.Region, m)
@@ -379,7 +375,16 @@
 		sent += w.service.send(to, sections)
 	}
 	w.dirty, w.sentAt = false, now
-	w.nextSend = now.Add(time.Duration(float64(sent)/weightBytesPerSecond*float64(time.Second)) - interval/2)
+	rounds := max(1, (sent+weightBytesPerSecond-1)/weightBytesPerSecond)
+	w.nextSend = now.Add(time.Duration(rounds)*interval - interval/2) // the ticker may be early
+}
+
+// entriesFor returns how many weights can be sent to a number of receivers in maxWeightInterval. The balancer
+// uses no others itself, or its keys would run cold.
+func (w *weights) entriesFor(receivers int) int {
+	room := int(weightBytesPerSecond*maxWeightInterval.Seconds()) / max(receivers, 1)
+	room -= weightsEnvelopeBytes + len(w.service.cfg.Self) + len(w.service.cfg.Region)
+	return max(1, room/weightEntryBytes)
 }
 
 // lowest leaves the n lowest weights.
@@ -396,7 +401,7 @@
 }
 
 // receivers returns the VMs that get the weights: those that reported, and those that callers are directed
-// to, at most maxReceivers.
+// to.
 func (w *weights) receivers(now time.Time, peers Peers) []Peer {
 	maps.DeleteFunc(w.reporters, func(_ steering.VM, at time.Time) bool { return now.Sub(at) > balance.WeightTTL })
 	var receivers []Peer
@@ -410,7 +415,7 @@
 			receivers = append(receivers, p)
 		}
 	}
-	return receivers[:min(len(receivers), maxReceivers)]
+	return receivers
 }
 
 // putInForce puts the weights of all regions in force if they have changed.
