Merge the balance of targets, and divide regions by occupied slots

One function says where the parts are in use (uneven). Regions with targets that share machines are divided by how long requests occupy slots. go test of steering/placement, waiting, balance, runtimes and node/gateway/relay, status, loadreport: passed.

--- a/node/gateway/gateway.go
+++ b/node/gateway/gateway.go
@@ -20,6 +20,7 @@
 	"heatherlock/node/gateway/catchup"
 	"heatherlock/node/gateway/feed"
 	"heatherlock/node/gateway/fleet"
+	"heatherlock/node/gateway/loadreport"
 	"heatherlock/node/gateway/relay"
 	"heatherlock/node/gateway/upstream"
 	"heatherlock/node/gateway/volume"
@@ -87,6 +88,9 @@
 	meter            *volume.Meter
 	allowanceService *allowances.Service
 	shares           *relay.Shares
+	loadReports      *loadreport.Service
+	// weightedServices holds the services with gauges of weights; only maintain uses it.
+	weightedServices map[steering.Service]bool
 	servers          []*http.Server
 	workers          sync.WaitGroup
 	// membersChanged is signalled when VMs became live or are no longer.
@@ -106,17 +110,20 @@
 	lastSettingsError string             // of the last read, empty if it was valid
 }
 
-// New returns a gateway that has bound its datagram sockets for heartbeats and allowances, but
+// New returns a gateway that has bound its datagram sockets for heartbeats, allowances and load reports, but
 // serves nothing until Run is called.
 func New(settings *platform.Settings, logger log.Logger) (*Gateway, error) {
 	g := &Gateway{settings: settings, currentSettings: settings, log: logger, metrics: telemetry.New(string(settings.VM), string(settings.Zone)),
-		store: platform.NewStore(settings.Store), regionSplit: placement.RegionSplit{}, peaks: make(map[steering.Zone]peak), membersChanged: make(chan struct{}, 1),
+		store: platform.NewStore(settings.Store), regionSplit: placement.RegionSplit{}, peaks: make(map[steering.Zone]peak), weightedServices: make(map[steering.Service]bool), membersChanged: make(chan struct{}, 1),
 		meter: volume.NewMeter(volume.Location{Zone: settings.Zone, Region: settings.Region})}
 	scope := g.metrics.Scope
 	if err := g.newAllowances(); err != nil {
 		return nil, err
 	}
 	g.shares = relay.NewShares(rand.Uint32(), logger, scope)
+	if err := g.newLoadReports(); err != nil {
+		return nil, err
+	}
 	g.pool = upstream.NewPool(upstream.DialTarget, platform.RequestIDOf)
 	g.pool.OnOpen = func() { scope.Counter("gateway_target_connections_opened").Inc(1) }
 	g.store.OnCall = func(call string, err error) {
@@ -341,6 +348,7 @@
 	g.workers.Go(func() { g.reader.Run(work) })
 	g.workers.Go(func() { g.fetcher.Run(work) })
 	g.workers.Go(func() { g.allowanceService.Run(work) })
+	g.workers.Go(func() { g.loadReports.Run(work) })
 	g.workers.Go(func() { g.register(work) })
 	g.workers.Go(func() { g.maintain(work) })
 	g.workers.Go(func() { g.followMembership(work) })
@@ -395,7 +403,7 @@
 	g.relay.WithBalancer(func(balancer *placement.Balancer, _ *retry.SharedBudget) {
 		demand[g.settings.Region].AddAll(balancer.Demand(time.Now()))
 		balancer.SetServiceTimes(placement.Runs(demand))
-		g.regionSplit = placement.NextRegionSplit(g.regionSplit, placement.SplitInput{Demand: demand, Slots: balancer.Slots(time.Now()), Regions: g.regionCount(), MaxRegionShift: g.bounds.Load().MaxRegionShift})
+		g.regionSplit = placement.NextRegionSplit(g.regionSplit, placement.SplitInput{Demand: demand, Slots: balancer.Slots(time.Now()), OccupancyFactors: balancer.OccupancyFactors(time.Now()), Regions: g.regionCount(), MaxRegionShift: g.bounds.Load().MaxRegionShift})
 		balancer.SetRegionSplit(g.regionSplit)
 	})
 }
@@ -431,12 +439,14 @@
 	var ejected, replaced []steering.Target
 	var tries map[steering.Service]float64
 	var limited int
+	var weights map[steering.Service]placement.ServiceWeights
 	kept := make(map[steering.Service]float64)
 	var runErrors []runtimes.ClassError
 	var runReportsDropped int
 	g.relay.WithBalancer(func(balancer *placement.Balancer, budget *retry.SharedBudget) {
 		ejected, replaced = balancer.Ejected(), balancer.Replaced()
 		limited = balancer.LimitedCount()
+		weights = balancer.WeightsByService()
 		tries = budget.Available(time.Now())
 		runErrors, runReportsDropped = balancer.RunTimes().Errors(), balancer.RunTimes().Dropped()
 		for service := range g.regionSplit {
@@ -446,6 +456,7 @@
 	g.updateRunTimeGauges(runErrors, runReportsDropped)
 	g.logEjected(ejected)
 	g.logReplaced(replaced)
+	g.updateWeightGauges(weights)
 	scope.Gauge("gateway_targets_ejected").Update(float64(len(ejected)))
 	scope.Gauge("gateway_targets_replaced").Update(float64(len(replaced)))
 	scope.Gauge("gateway_targets_limited").Update(float64(limited))
--- a/steering/placement/choose.go
+++ b/steering/placement/choose.go
@@ -144,7 +144,7 @@
 	if c.rank > 0 && !c.targetState.warmFor(now, r.Key) {
 		c.cost += v.coldPenalty()
 	}
-	if v.predictsRuns(now) {
+	if v.uneven(now) {
 		b.predictRun(now, v, r, c)
 	}
 }
--- a/steering/placement/offload.go
+++ b/steering/placement/offload.go
@@ -53,6 +53,9 @@
 	Demand map[steering.Region]DemandOf
 	// Slots are the slots that are open now.
 	Slots Slots
+	// OccupancyFactors hold how long a request of a service occupies a slot, as a multiple of the service
+	// time for warm keys; a service without an entry counts with 1.
+	OccupancyFactors map[steering.Service]float64
 	// Regions is the number of regions of the deployment.
 	Regions int
 	// MaxRegionShift is the largest share of a region's requests that may change region within 2 s.
@@ -77,7 +80,11 @@
 	plans := make(map[steering.Service]*plan, len(s.Slots))
 	runs := Runs(s.Demand)
 	for service, capacity := range s.Slots {
-		load, pinned := loadOf(service, s.Demand, runs[service])
+		run := runs[service]
+		if factor := s.OccupancyFactors[service]; factor > 0 {
+			run.RunMs *= float32(factor)
+		}
+		load, pinned := loadOf(service, s.Demand, run)
 		plans[service] = newPlan(service, now, load, pinned, capacity, s.Regions)
 	}
 	next := make(RegionSplit, len(plans))
--- a/steering/placement/runs.go
+++ b/steering/placement/runs.go
@@ -9,9 +9,6 @@
 )
 
 const (
-	// slowdownTTL is how long a service counts as one whose targets report slowdowns after the last such
-	// report.
-	slowdownTTL = time.Minute
 	// mixWeight is the weight of a request in the mean run time of a service's requests, and
 	// targetMixWeight the same for those of one target, of which each entry VM sees fewer.
 	mixWeight       = 0.02
@@ -28,7 +25,6 @@
 
 // serviceRuns is what a service needs in addition while its run times are predicted by route.
 type serviceRuns struct {
-	slowdownAt time.Time // of the last reported slowdown
 	// mix is the mean run time of the service's requests, in seconds; 0 if unknown.
 	mix float64
 	// laterWarm is the share of warm runs at targets that are not the first of their key's order. It is 1 at
@@ -65,15 +61,9 @@
 // RunTimes returns the model of run times, for its reports and errors.
 func (b *Balancer) RunTimes() *runtimes.Model { return b.runTimes }
 
-// predictsRuns reports whether the run times of a service are predicted by route. They are where routes
-// that differ share it, and where its targets report slowdowns; elsewhere one mean serves as well.
-func (v *serviceState) predictsRuns(now time.Time) bool {
-	return v.routes.mixed || now.Sub(v.runs.slowdownAt) < slowdownTTL
-}
-
 // noteRank records the position of a chosen target in its key's order for runPlaced.
 func (b *Balancer) noteRank(now time.Time, v *serviceState, c *candidate) {
-	if v.predictsRuns(now) {
+	if v.uneven(now) {
 		c.targetState.runState().rank = c.rank
 	}
 }
@@ -186,7 +176,7 @@
 
 // warmRunTime returns the service time of a request's route for warm keys, or that of its service.
 func (b *Balancer) warmRunTime(now time.Time, v *serviceState, r Request) time.Duration {
-	if v.predictsRuns(now) {
+	if v.uneven(now) {
 		if e := b.runTimes.Predict(now, v.query(nil, r)); e.Known {
 			return e.Median
 		}
@@ -253,9 +243,9 @@
 	if r.Slowdown > 0 {
 		t := s.runState()
 		t.slowdown, t.slowdownAt = r.Slowdown, now
-		v.runs.slowdownAt = now
+		v.slowdownAt = now
 	}
-	if !v.predictsRuns(now) {
+	if !v.uneven(now) {
 		v.runs.mix = 0 // the mean of the service stands again
 		return
 	}
@@ -318,7 +308,7 @@
 func (b *Balancer) RunTimesInUse(now time.Time) map[steering.Service]bool {
 	used := make(map[steering.Service]bool)
 	for name, v := range b.services {
-		if v.predictsRuns(now) {
+		if v.uneven(now) {
 			used[name] = true
 		}
 	}
