Give targets owners where routes that differ share them

Change: each target has one owner in its zone; other VMs pass requests for it on.

Run: go test ./steering/queueowner ./steering/losses ./steering/placement, owners in ./node/gateway/relay: passed.

--- a/node/gateway/gateway.go
+++ b/node/gateway/gateway.go
@@ -31,6 +31,7 @@
 	"heatherlock/steering/capacity"
 	"heatherlock/steering/placement"
 	"heatherlock/steering/poison"
+	"heatherlock/steering/queueowner"
 	"heatherlock/steering/retry"
 	"heatherlock/steering/routes"
 	"heatherlock/steering/runtimes"
@@ -84,6 +85,8 @@
 	coldSenders []steering.VM // guarded by the relay's lock
 	// announced is set once a heartbeat was requested to announce that this VM takes requests.
 	announced        atomic.Bool
+	ownersMu         sync.Mutex
+	ownerVMs         []queueowner.VM // of the last update of the owners
 	regionSplit      placement.RegionSplit
 	meter            *volume.Meter
 	allowanceService *allowances.Service
@@ -247,6 +250,7 @@
 	g.updateAllowancePeers()
 	g.updateReachability()
 	g.updateHelpers()
+	g.updateOwners()
 }
 
 // updateColdSenders passes the VMs of this region that callers are directed to to placement, which
--- a/node/gateway/relay/attempts.go
+++ b/node/gateway/relay/attempts.go
@@ -91,6 +91,9 @@
 // startAttempt places the request and starts an attempt, or returns why no target was found. If this VM is
 // cut off from all targets, another one passes the request on.
 func (x *exchange) startAttempt(ctx context.Context) *placement.Refusal {
+	if x.startAtOwner(ctx) {
+		return nil
+	}
 	pick, refusal, links := x.f.choose(x.placementRequest())
 	// A request that has waited may have tried all targets before the cut was known.
 	triedAll := refusal != nil && refusal.Reason == steering.ReasonNoTarget && x.waited()
--- a/node/gateway/relay/events.go
+++ b/node/gateway/relay/events.go
@@ -183,3 +183,10 @@
 		e.scope.Tagged(tags).Histogram("gateway_latency", latencies).RecordDuration(took)
 	}
 }
+
+// PassedToOwner counts a request that was passed on to the owner of its target.
+func (e *Metrics) PassedToOwner() {
+	if e != nil {
+		e.scope.Counter("gateway_passed_to_owner").Inc(1)
+	}
+}
--- a/node/gateway/relay/exchange.go
+++ b/node/gateway/relay/exchange.go
@@ -14,6 +14,7 @@
 	"heatherlock/steering/losses"
 	"heatherlock/steering/placement"
 	"heatherlock/steering/poison"
+	"heatherlock/steering/queueowner"
 )
 
 // exchange is the state of one caller's request while it is being served.
@@ -56,6 +57,12 @@
 	helperResults chan helperResult // nil until the request is passed on
 	atHelper      bool
 	startedAt     time.Time // of the last attempt
+	// owner is the VM to which the request is to be passed on, nil if none is; ownerLost is closed once it is
+	// no longer live.
+	owner     *queueowner.VM
+	ownerLost <-chan struct{}
+	// causeToldByOwner is why the request is not answered in time, as the VM says to which it was passed on.
+	causeToldByOwner losses.Cause
 	// responder is the target whose response was passed on to the VM that hop names; empty if none was.
 	responder steering.Target
 }
@@ -92,6 +99,7 @@
 // returns nil if the caller left.
 func (x *exchange) run(ctx context.Context) *callers.Response {
 	x.caller = ctx
+	x.planOwner()
 	x.recordRequest()
 	if x.r.BodyRest != nil && x.r.Length > x.table.Limits.BodyBytes {
 		return x.refuse(steering.ReasonBodyTooLarge, 0)
--- a/node/gateway/relay/helpers.go
+++ b/node/gateway/relay/helpers.go
@@ -12,6 +12,7 @@
 	"heatherlock/node/gateway/upstream"
 	"heatherlock/platform"
 	"heatherlock/steering"
+	"heatherlock/steering/losses"
 	"heatherlock/steering/placement"
 	"heatherlock/steering/reach"
 	"heatherlock/steering/rendezvous"
@@ -58,7 +59,7 @@
 	x.startedAt = time.Now()
 	x.helpers = append(x.helpers, helper.VM)
 	x.history = append(x.history, tried{Helper: helper.VM, AtMs: time.Since(x.r.Received).Milliseconds(), crossRegion: helper.Region != x.f.cfg.Region})
-	go x.attemptAtHelper(ctx, helper, x.maxAttempts-x.reachedTarget-x.running+1)
+	go x.attemptAtHelper(ctx, helper, x.maxAttempts-x.reachedTarget-x.running+1, maxHelperConnections)
 	return nil
 }
 
@@ -112,9 +113,9 @@
 }
 
 // attemptAtHelper sends the request to another entry VM, with the number of targets it may still reach.
-func (x *exchange) attemptAtHelper(ctx context.Context, helper reach.Helper, attempts int) {
+func (x *exchange) attemptAtHelper(ctx context.Context, helper reach.Helper, attempts, maxConnections int) {
 	e := helperResult{helper: helper.VM}
-	call := upstream.Call{Target: steering.Target(helper.VM), Address: helper.Address, MaxConnections: maxHelperConnections,
+	call := upstream.Call{Target: steering.Target(helper.VM), Address: helper.Address, MaxConnections: maxConnections,
 		DialTimeout: min(dialTimeout, max(time.Until(x.deadline), time.Millisecond)),
 		BeforeSend:  func() bool { e.sent = x.sending.begin(); return e.sent }}
 	if x.f.cfg.PeerMeter != nil {
@@ -202,6 +203,7 @@
 		return
 	}
 	x.f.applyTold(readToldNotices(e.response.Header))
+	x.causeToldByOwner = losses.Cause(e.response.Header.Get(headerHopCause))
 	version, err := strconv.ParseUint(e.response.Header.Get(headerHopConfig), 10, 64)
 	if err == nil && (e.verdict == hopDelivered || e.verdict == hopUnknown) {
 		x.f.configShown(version)
@@ -255,6 +257,9 @@
 	if f.helpers != nil {
 		f.helpers.Avoid(time.Now(), vm)
 	}
+	if f.owners.owners != nil {
+		f.owners.owners.Avoid(time.Now(), vm)
+	}
 }
 
 // linkRecheck is the pause before an overdue request looks again whether this VM is cut off.
--- a/node/gateway/relay/hop.go
+++ b/node/gateway/relay/hop.go
@@ -26,6 +26,7 @@
 	headerHopReached   = hopHeaderPrefix + "Reached"
 	headerHopClosed    = hopHeaderPrefix + "Closed"
 	headerHopLimits    = hopHeaderPrefix + "Limits"
+	headerHopCause     = hopHeaderPrefix + "Cause" // of what the caller loses, if it does; builds before send none
 )
 
 // hopVerdict is what the VM that passes a request on says of its response.
@@ -148,6 +149,8 @@
 		return nil
 	}
 	f.tellNotices(x.service, x.responder).set(response.Header)
+	verdict := hopVerdict(response.Header.Get(headerHopVerdict))
+	response.Header[headerHopCause] = []string{string(x.causeOfLoss(verdict, steering.Reason(response.Header.Get(headerReason))))}
 	if response.Header.Get(headerHopVerdict) == string(hopDelivered) {
 		f.cfg.Metrics.Helped(string(hopDelivered))
 	}
--- a/node/gateway/relay/outcomes.go
+++ b/node/gateway/relay/outcomes.go
@@ -79,15 +79,37 @@
 	if x.hop != nil {
 		return
 	}
-	r := losses.Request{Outcome: o, Reason: reason, Aim: x.route.Aim, Deadline: x.call.Deadline,
+	x.f.outcomeCounts.add(kindOf(x.route, x.service), x.lossesRequest(o, reason, ready))
+}
+
+// lossesRequest describes the exchange for the attribution of what callers lose.
+func (x *exchange) lossesRequest(o losses.Outcome, reason steering.Reason, ready time.Duration) losses.Request {
+	r := losses.Request{PassedOn: x.causeToldByOwner, Outcome: o, Reason: reason, Aim: x.route.Aim, Deadline: x.call.Deadline,
 		Ready: ready, Latency: time.Since(x.r.Received), WarmRunTime: x.warmTime}
 	for _, t := range x.history {
 		if t.End == "" && reason == "" {
 			continue // lost the race against the other attempt of a hedged request
 		}
-		r.Tries = append(r.Tries, t.summary(x.r.Received))
+		if t.Helper == "" {
+			r.Tries = append(r.Tries, t.summary(x.r.Received))
+		}
+	}
+	return r
+}
+
+// causeOfLoss returns the cause for which the exchange is not answered in time, or would not be if its caller
+// had little time left. It is told to the VM that passed the request on.
+func (x *exchange) causeOfLoss(verdict hopVerdict, reason steering.Reason) losses.Cause {
+	outcome := losses.Late
+	switch verdict {
+	case hopNotRun, hopElsewhere:
+		outcome = losses.Refused
+	case hopUnknown:
+		outcome = losses.Failed
 	}
-	x.f.outcomeCounts.add(kindOf(x.route, x.service), r)
+	r := x.lossesRequest(outcome, reason, time.Since(x.r.Received))
+	r.Aim = min(r.Aim, r.Ready-1) // it counts as late
+	return losses.CauseOf(r)
 }
 
 // summary returns what an attempt showed about its target. An attempt that has not ended counts as
--- a/node/gateway/relay/placement.go
+++ b/node/gateway/relay/placement.go
@@ -24,7 +24,7 @@
 	} else {
 		f.cfg.Balancer.CountRequest(now, x.service, bound)
 	}
-	if x.hop != nil || !f.links.CutOff() {
+	if x.owner == nil && (x.hop != nil || !f.links.CutOff()) {
 		f.cfg.Retry.RecordRequest(now, x.service)
 	}
 }
--- a/node/gateway/relay/relay.go
+++ b/node/gateway/relay/relay.go
@@ -155,7 +155,8 @@
 	links        reach.Links
 	linkLog      linkLog
 	helpers      *reach.Helpers // nil until SetHelpers is called
-	checks       uint64         // of the links, which vary the sample of targets
+	owners       ownerTable
+	checks       uint64 // of the links, which vary the sample of targets
 	// shownConfig is the newest version by which another VM has handled a request for this one.
 	shownConfig atomic.Uint64
 	closed      chan struct{}
--- a/steering/losses/losses.go
+++ b/steering/losses/losses.go
@@ -151,16 +151,24 @@
 	// WarmRunTime is the duration of a warm run of the service; 0 if it is not known.
 	WarmRunTime time.Duration
 	Tries       []Try
+	// PassedOn is the cause that another entry VM found, to which the request was passed on; empty if it was
+	// not, or if that VM said nothing.
+	PassedOn Cause
 }
 
 // CauseOf returns why a request was not answered within its latency objective.
 func CauseOf(r Request) Cause {
-	if cause, ok := causeOfReason(r); ok {
-		return cause
+	if r.PassedOn == "" || r.Reason == steering.ReasonCancelled {
+		if cause, ok := causeOfReason(r); ok {
+			return cause
+		}
 	}
 	if r.Outcome == Late && r.TimeUsed+r.Ready <= r.Aim {
 		return HeadOfLineBlocked
 	}
+	if r.PassedOn != "" {
+		return r.PassedOn
+	}
 	for _, t := range r.Tries[:max(len(r.Tries)-1, 0)] {
 		if cause, ok := causeOfFailedTry(t); ok {
 			return cause
--- a/steering/placement/choose.go
+++ b/steering/placement/choose.go
@@ -125,6 +125,9 @@
 
 // takeColdToken reports whether one more request may go to a cold target, and counts it.
 func (b *Balancer) takeColdToken(now time.Time, s *targetState) bool {
+	if b.owned != nil && s.service.hasOwners(now) {
+		return b.owned(s.Target) && s.coldTokens.take(now, coldRateUse*s.ColdRate)
+	}
 	return b.maySendCold(s) && s.coldTokens.take(now, coldRateUse*s.ColdRate/float64(b.coldSenders))
 }
 
