Wait until a connection is held back instead of a fixed time, and shorten the tests

Cause: TestTargetThatStallsWhileItReadsABody failed once at load 30: it looked 600 ms after the body began, in a moment when the kernel had just taken bytes and the next write had not yet lasted 250 ms.

Change: the tests wait for the same state within 5 s. The property test does the same steps in fewer lines.

--- a/node/gateway/callers/slow_test.go
+++ b/node/gateway/callers/slow_test.go
@@ -15,6 +15,7 @@
 	"strings"
 	"sync/atomic"
 	"testing"
+	"testing/iotest"
 	"time"
 
 	"github.com/go-kit/log"
@@ -117,11 +118,22 @@
 }
 
 func (g *rig) awaitReleased() {
+	g.t.Helper()
+	g.await(func(held int64, heldBack int) bool { return held == 0 && heldBack == 0 })
+}
+
+// awaitHeldBack waits until a connection is held back, and returns the bytes held then.
+func (g *rig) awaitHeldBack() int64 {
+	g.t.Helper()
+	return g.await(func(_ int64, heldBack int) bool { return heldBack == 1 })
+}
+
+func (g *rig) await(met func(int64, int) bool) int64 {
 	g.t.Helper()
 	for end := time.Now().Add(5 * time.Second); ; time.Sleep(5 * time.Millisecond) {
 		held, heldBack := g.vm.Held()
-		if held == 0 && heldBack == 0 {
-			return
+		if met(held, heldBack) {
+			return held
 		}
 		assert.Assert(g.t, time.Now().Before(end), "%d bytes, %d connections", held, heldBack)
 	}
@@ -169,9 +181,7 @@
 	for _, request := range []string{get("/8000000"), get("/chunked"), "GET /chunked HTTP/1.0\r\n\r\n"} {
 		g := newRig(t, bounds(8<<20))
 		conn := g.send(request)
-		time.Sleep(500 * time.Millisecond)
-		_, heldBack := g.vm.Held()
-		assert.Equal(t, heldBack, 1)
+		g.awaitHeldBack()
 		g.awaitReleased()
 		assert.Equal(t, g.cuts("stalled_caller"), int64(1))
 		_, _, err := read(conn)
@@ -183,21 +193,24 @@
 func TestCallerThatReadsAByteAtATimeGetsAll(t *testing.T) {
 	g := newRig(t, bounds(8<<20))
 	conn := g.send(get("/700000"))
-	n := 0
-	_, body, err := read(readerFunc(func(p []byte) (int, error) {
-		if n++; n%2000 == 0 {
-			time.Sleep(10 * time.Millisecond)
-		}
-		return conn.Read(p[:1])
-	}))
+	_, body, err := read(iotest.OneByteReader(&pausingReader{Reader: conn}))
 	assert.NilError(t, err)
 	assert.Assert(t, bytes.Equal(body, data[:700000]))
 	g.awaitReleased()
 }
 
-type readerFunc func([]byte) (int, error)
+// pausingReader pauses for 10 ms after each 2,000 reads.
+type pausingReader struct {
+	io.Reader
+	reads int
+}
 
-func (f readerFunc) Read(p []byte) (int, error) { return f(p) }
+func (r *pausingReader) Read(p []byte) (int, error) {
+	if r.reads++; r.reads%2000 == 0 {
+		time.Sleep(10 * time.Millisecond)
+	}
+	return r.Reader.Read(p)
+}
 
 // Guards against a target that stops reading a body and so holds its caller's bytes for ever. The
 // caller gets a response.
@@ -205,9 +218,8 @@
 	g := newRig(t, bounds(8<<20))
 	conn := g.send("POST /unread HTTP/1.1\r\nHost: h\r\nContent-Length: 8388608\r\n\r\n")
 	go func() { _, _ = conn.Write(data) }() // ends with the connection
-	time.Sleep(600 * time.Millisecond)
-	held, heldBack := g.vm.Held()
-	assert.Assert(t, held >= 512<<10 && held <= 2<<20 && heldBack == 1, "%d bytes, %d connections", held, heldBack)
+	held := g.awaitHeldBack()
+	assert.Assert(t, held >= 512<<10 && held <= 2<<20, "%d bytes", held)
 	status, _, err := read(conn)
 	assert.NilError(t, err)
 	assert.Equal(t, status, http.StatusBadGateway)
--- a/steering/buffers/budget_test.go
+++ b/steering/buffers/budget_test.go
@@ -1,7 +1,9 @@
 package buffers_test
 
 import (
+	"maps"
 	"math"
+	"slices"
 	"testing"
 	"time"
 
@@ -34,15 +36,13 @@
 			if len(conns) == 0 {
 				t.Skip("no connection")
 			}
-			ids := make([]buffers.ID, 0, len(conns))
-			for id := buffers.ID(1); len(ids) < len(conns); id++ {
-				if conns[id] != nil {
-					ids = append(ids, id)
-				}
-			}
+			ids := slices.Sorted(maps.Keys(conns))
 			id := rapid.SampledFrom(ids).Draw(t, "connection")
 			return id, conns[id]
 		}
+		on := func(f func(buffers.ID, *connection)) func(*rapid.T) {
+			return func(t *rapid.T) { f(pick(t)) }
+		}
 		sum := func() (held int64) {
 			for _, c := range conns {
 				held += c.held
@@ -50,32 +50,19 @@
 			return held
 		}
 		t.Repeat(map[string]func(*rapid.T){
-			"open": func(*rapid.T) { conns[b.Open()] = &connection{} },
-			"close": func(t *rapid.T) {
-				id, _ := pick(t)
-				b.Close(id)
-				delete(conns, id)
-			},
+			"open":     func(*rapid.T) { conns[b.Open()] = &connection{} },
+			"close":    on(func(id buffers.ID, _ *connection) { b.Close(id); delete(conns, id) }),
+			"progress": on(func(id buffers.ID, c *connection) { c.progress = now; b.Progress(now, id) }),
+			"unblock":  on(func(id buffers.ID, c *connection) { c.blocked = max(c.blocked-1, 0); b.Unblocked(id) }),
 			"pass time": func(t *rapid.T) {
 				now = now.Add(time.Duration(rapid.IntRange(1, 3000).Draw(t, "ms")) * time.Millisecond)
 			},
-			"block": func(t *rapid.T) {
-				id, c := pick(t)
+			"block": on(func(id buffers.ID, c *connection) {
 				if c.blocked++; c.blocked == 1 {
 					c.progress = now
 				}
 				b.Blocked(now, id, buffers.Caller)
-			},
-			"progress": func(t *rapid.T) {
-				id, c := pick(t)
-				c.progress = now
-				b.Progress(now, id)
-			},
-			"unblock": func(t *rapid.T) {
-				id, c := pick(t)
-				c.blocked = max(c.blocked-1, 0)
-				b.Unblocked(id)
-			},
+			}),
 			"release": func(t *rapid.T) {
 				id, c := pick(t)
 				bytes := rapid.Int64Range(0, c.held).Draw(t, "bytes")
