Split the exchange of weights into files by step

Change: sending and status are in files of their own; no change of behaviour.

Run: go vet and go test ./gateway/loadreport.

--- a/node/gateway/loadreport/weights.go
+++ b/node/gateway/loadreport/weights.go
@@ -3,7 +3,6 @@
 import (
 	"cmp"
 	"context"
-	"fmt"
 	"maps"
 	"slices"
 	"sync"
@@ -358,69 +357,6 @@
 	return named
 }
 
-// sendWeights sends the weights if they have changed or were not sent for weightRefresh, as often as the
-// budget allows.
-func (w *weights) sendWeights(now time.Time, receivers []Peer, term balance.Term, weights map[uint32]float64) {
-	if now.Before(w.nextSend) || !w.dirty && now.Sub(w.sentAt) < weightRefresh-interval/2 || now.Sub(w.lastBelow) > balance.WeightTTL {
-		return
-	}
-	var sections []sectionData
-	for _, m := range split(term, weights, maxWeightEntries) {
-		raw, err := encodeWeights(w.service.cfg.Region, m)
-		if err != nil {
-			_ = w.service.cfg.Log.Log("msg", "cannot encode weights", "err", err) // the log writer counts dropped lines
-			return
-		}
-		sections = append(sections, sectionData{ID: sectionWeights, Data: raw})
-	}
-	sent := 0
-	for _, to := range receivers {
-		sent += w.service.send(to, sections)
-	}
-	w.dirty, w.sentAt = false, now
-	rounds := max(1, (sent+weightBytesPerSecond-1)/weightBytesPerSecond)
-	w.nextSend = now.Add(time.Duration(rounds)*interval - interval/2) // the ticker may be early
-}
-
-// entriesFor returns how many weights can be sent to a number of receivers in maxWeightInterval. The balancer
-// uses no others itself, or its keys would run cold.
-func (w *weights) entriesFor(receivers int) int {
-	room := int(weightBytesPerSecond*maxWeightInterval.Seconds()) / max(receivers, 1)
-	room -= weightsEnvelopeBytes + len(w.service.cfg.Self) + len(w.service.cfg.Region)
-	return max(1, room/weightEntryBytes)
-}
-
-// lowest leaves the n lowest weights.
-func lowest(weights map[uint32]float64, n int) {
-	if len(weights) <= n {
-		return
-	}
-	hashes := slices.SortedFunc(maps.Keys(weights), func(a, b uint32) int {
-		return cmp.Or(cmp.Compare(weights[a], weights[b]), cmp.Compare(a, b))
-	})
-	for _, hash := range hashes[n:] {
-		delete(weights, hash)
-	}
-}
-
-// receivers returns the VMs that get the weights: those that reported, and those that callers are directed
-// to.
-func (w *weights) receivers(now time.Time, peers Peers) []Peer {
-	maps.DeleteFunc(w.reporters, func(_ steering.VM, at time.Time) bool { return now.Sub(at) > balance.WeightTTL })
-	var receivers []Peer
-	for _, p := range peers.Live {
-		if _, reports := w.reporters[p.Name]; reports && p.Name != w.service.cfg.Self {
-			receivers = append(receivers, p)
-		}
-	}
-	for _, p := range peers.Named {
-		if _, reports := w.reporters[p.Name]; !reports && p.Name != w.service.cfg.Self {
-			receivers = append(receivers, p)
-		}
-	}
-	return receivers
-}
-
 // namesInterval is the interval at which unchanged weights are put in force anew, for targets that were not
 // known before. Looking up the targets of all regions each second would hold up requests.
 const namesInterval = 5 * time.Second
@@ -447,47 +383,3 @@
 		w.SetWeights(all)
 	}
 }
-
-func (w *weights) logChanges(changes []balance.Change) {
-	slices.SortFunc(changes, func(a, b balance.Change) int { return cmp.Compare(b.Load, a.Load) })
-	var rows []string
-	for _, c := range changes[:min(len(changes), maxLoggedChanges)] {
-		rows = append(rows, fmt.Sprintf("%s %g to %g, load %.2f of %.0f responses, %d ms ago", c.Target, c.From, c.To, c.Load, c.Responses, c.ReportedAgo.Milliseconds()))
-	}
-	_ = w.service.cfg.Log.Log("msg", "target weights changed", "region", w.service.cfg.Region, "count", len(changes), "targets", rows) // the log writer counts dropped lines
-	w.service.cfg.Scope.Counter("gateway_weight_changes").Inc(int64(len(changes)))
-}
-
-// BalancerStatus describes the weights of a region as a VM has them in force.
-type BalancerStatus struct {
-	Region   steering.Region
-	Balancer steering.VM
-	// From is the VM whose weights are in force, Age their age.
-	From   steering.VM
-	Age    time.Duration
-	Number uint32
-}
-
-// Balancers returns the balancers of the regions, if services use weights.
-func (s *Service) Balancers(now time.Time) []BalancerStatus {
-	w := s.weights
-	if w == nil {
-		return nil
-	}
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	var all []BalancerStatus
-	for _, region := range s.cfg.Regions {
-		if w.balancers[region] == "" {
-			continue
-		}
-		status := BalancerStatus{Region: region, Balancer: w.balancers[region]}
-		if h := w.holders[region]; h != nil {
-			var term balance.Term
-			status.From, term, status.Age = h.From(now)
-			status.Number = term.Number
-		}
-		all = append(all, status)
-	}
-	return all
-}
