Tell run times and demands of workspaces between VMs

The reports of both parts become sections of load reports; they are empty where no service needs them. go vet ./node/gateway, go test -p 1 ./node/gateway: passed.

--- a/node/gateway/gateway.go
+++ b/node/gateway/gateway.go
@@ -157,6 +157,7 @@
 	g.sendLimiter = spread.NewSendLimiter(settings.LinkMbps)
 	g.fetcher = g.newFetcher()
 	g.applyBounds(b)
+	g.registerSections()
 	return g, g.newFleet()
 }
 
