Let requests wait only where targets have owners

Change: placement bounds the wait at a target, and the relay holds requests, only where owners are set and the service has them. Tests set an owner.

Run: go test ./steering/placement ./steering/waiting ./node/gateway/relay: passed.

--- a/node/gateway/relay/hold.go
+++ b/node/gateway/relay/hold.go
@@ -98,16 +98,16 @@
 // forgetShed lets the request go to the same target again that refused it, if the service's requests wait here
 // for room: their keys are warm there, and the queue of the target, which was full, gets shorter.
 func (x *exchange) forgetShed(e attemptResult) {
-	if !e.notRun || e.unsent || e.info.WrongTarget || e.info.Rest > 0 || x.f.holds.draining.Load() || !x.f.mixed(x.service) {
+	if !e.notRun || e.unsent || e.info.WrongTarget || e.info.Rest > 0 || x.f.holds.draining.Load() || !x.f.holdsRequests(x.service) {
 		return
 	}
 	x.tried = slices.DeleteFunc(slices.Clone(x.tried), func(t steering.Target) bool { return t == e.pick.Target.Name })
 }
 
-func (f *Relay) mixed(service steering.Service) bool {
+func (f *Relay) holdsRequests(service steering.Service) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.cfg.Balancer.Mixed(service)
+	return f.cfg.Balancer.Holds(time.Now(), service)
 }
 
 // awaitRoom waits until the request may be placed again, or returns why it must not be.
--- a/node/gateway/relay/hold_test.go
+++ b/node/gateway/relay/hold_test.go
@@ -13,13 +13,16 @@
 	"heatherlock/node/gateway/upstream"
 	"heatherlock/standin/endpoint"
 	"heatherlock/standin/targetlinks"
+	"heatherlock/steering"
 	"heatherlock/steering/placement"
+	"heatherlock/steering/queueowner"
 	"heatherlock/steering/retry"
 	"heatherlock/steering/routes"
 )
 
 // setMixed makes the service of the rig one that a more urgent route than its own shares.
 func (g *rig) setMixed() {
+	g.relay.SetOwners(queueowner.New("vm", []queueowner.VM{{Name: "vm", Zone: "a"}}), func(steering.VM) bool { return true })
 	g.relay.WithBalancer(func(b *placement.Balancer, _ *retry.SharedBudget) {
 		for n := range 300 {
 			r := placement.Request{Service: service, Route: "fast", RouteAim: 100 * time.Millisecond, Key: fmt.Sprint(n)}
--- a/steering/placement/room.go
+++ b/steering/placement/room.go
@@ -26,10 +26,10 @@
 
 // maxQueue returns the longest wait at a target for a request of the service: what its most urgent route
 // tolerates, since a target's queue is first come, first served. It returns 0, which is no bound, for a
-// service that is not mixed.
+// service whose targets have no owners.
 func (b *Balancer) maxQueue(now time.Time, v *serviceState, r Request) time.Duration {
 	urgent := &v.routes.urgent
-	if !v.routes.mixed || r.Route == "" || urgent.aim <= 0 {
+	if !b.holds(now, v) || r.Route == "" || urgent.aim <= 0 {
 		return 0
 	}
 	return span(math.Max(urgent.aim.Seconds()-b.runOf(now, v, r.Service, urgent.name, urgent.aim), minWaitShare*urgent.aim.Seconds()))
--- a/steering/waiting/load_test.go
+++ b/steering/waiting/load_test.go
@@ -87,6 +87,7 @@
 	}
 	for n := range vms {
 		b := placement.NewBalancer(steering.VM(fmt.Sprint("vm-", n)), "norte")
+		b.SetOwned(func(placement.Target) bool { return true })
 		b.SetTargets(targets)
 		p.vms = append(p.vms, &simVM{b, waiting.NewQueue(waiting.Limits{Entries: 500, Bytes: 8 << 20}), make(map[uint64]*simRequest)})
 	}
