Refuse requests beyond a workspace's share only where their target has no room

Change: a share is asked only when placement finds no room at the request's target, at the VM that places it; a target that refuses with free slots does not make its service short.

--- a/node/gateway/relay/exchange.go
+++ b/node/gateway/relay/exchange.go
@@ -61,6 +61,8 @@
 	// no longer live.
 	owner     *queueowner.VM
 	ownerLost <-chan struct{}
+	// passedToOwner is set once the request was passed on.
+	passedToOwner bool
 	// causeToldByOwner is why the request is not answered in time, as the VM says to which it was passed on.
 	causeToldByOwner losses.Cause
 	// responder is the target whose response was passed on to the VM that hop names; empty if none was.
@@ -104,9 +106,7 @@
 	if x.r.BodyRest != nil && x.r.Length > x.table.Limits.BodyBytes {
 		return x.refuse(steering.ReasonBodyTooLarge, 0)
 	}
-	if retryAfter, ok := x.admitToShare(); !ok {
-		return x.refuse(steering.ReasonOverShare, retryAfter)
-	}
+	x.recordDemand()
 	if retryAfter, held := x.checkPoison(); held {
 		return x.refuse(steering.ReasonPoison, retryAfter)
 	}
--- a/node/gateway/relay/hold.go
+++ b/node/gateway/relay/hold.go
@@ -31,6 +31,12 @@
 // long as it is likely to start in time. It returns why no attempt was started.
 func (x *exchange) startOrHold(caller, work context.Context) *placement.Refusal {
 	refusal := x.startAfterCheck(caller, work)
+	if refusal != nil && refusal.Reason == steering.ReasonNoSlot {
+		if retryAfter, ok := x.admitToShare(); !ok {
+			refusal = &placement.Refusal{Reason: steering.ReasonOverShare, RetryAfter: retryAfter, Wait: refusal.Wait, WarmRunTime: refusal.WarmRunTime}
+			x.noCapacity = refusal
+		}
+	}
 	if refusal == nil || !x.mayHold(refusal) {
 		return refusal
 	}
--- a/node/gateway/relay/owners.go
+++ b/node/gateway/relay/owners.go
@@ -86,7 +86,7 @@
 	if owner == nil {
 		return false
 	}
-	x.owner = nil
+	x.owner, x.passedToOwner = nil, true
 	if x.helperResults == nil {
 		x.helperResults = make(chan helperResult, maxHelpers+1)
 	}
--- a/node/gateway/relay/placement.go
+++ b/node/gateway/relay/placement.go
@@ -130,7 +130,7 @@
 	}
 	e.report = report
 	if report.Outcome == placement.Shed {
-		x.recordShed(now)
+		x.recordShed(now, report, e.pick.Target.Slots)
 	}
 	if sentAt.IsZero() {
 		f.cfg.Balancer.NotSent(now, e.pick.Target, report.Outcome, e.pick.Trial)
--- a/node/gateway/relay/responses.go
+++ b/node/gateway/relay/responses.go
@@ -106,12 +106,12 @@
 
 // deliver passes a target's response on to the caller.
 func (x *exchange) deliver(e attemptResult) *callers.Response {
+	x.recordServed()
 	if x.hop != nil {
 		x.responder = e.pick.Target.Name
 		return x.hop.answer(&callers.Response{Status: e.response.Status, Header: endToEnd(e.response.Header), Body: e.response.Body,
 			BodyRest: e.response.BodyRest, Length: e.response.Length, Close: x.r.BodyRest != nil}, hopDelivered, x.table)
 	}
-	x.recordServed()
 	x.f.cfg.Metrics.Served(x.route.Kind, e.response.Status, time.Since(x.r.Received))
 	ready := time.Since(x.r.Received)
 	if len(x.history) > 1 || e.response.Status >= http.StatusInternalServerError {
--- a/node/gateway/relay/shares.go
+++ b/node/gateway/relay/shares.go
@@ -12,6 +12,7 @@
 	"heatherlock/steering"
 	"heatherlock/steering/fairshare"
 	"heatherlock/steering/identity"
+	"heatherlock/steering/placement"
 )
 
 // shortLogInterval bounds the log lines about a service that is divided.
@@ -101,12 +102,17 @@
 	}
 }
 
-// admit decides on a request that the allowance of its workspace admitted. If it refuses the request, it
-// returns the state of the workspace.
-func (s *Shares) admit(now time.Time, r fairshare.Request) (retryAfter time.Duration, refused *fairshare.Usage) {
+func (s *Shares) record(now time.Time, r fairshare.Request) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.divider.Record(now, r)
+}
+
+// admit decides on a request whose target has no room. If it refuses the request, it returns the state of the
+// workspace.
+func (s *Shares) admit(now time.Time, r fairshare.Request) (retryAfter time.Duration, refused *fairshare.Usage) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	ok, retryAfter := s.divider.Admit(now, r)
 	if ok {
 		return 0, nil
@@ -129,9 +135,9 @@
 }
 
 // shareRequest returns what counts of the request in the division of its service. ok is false if the
-// request is not divided: it has no workspace, or another entry VM passes it on and has decided already.
+// request is not divided: it has no workspace, or was passed on to the owner of its target, which decides.
 func (x *exchange) shareRequest() (r fairshare.Request, ok bool) {
-	if x.workspace == nil || x.hop != nil || x.f.cfg.Shares == nil {
+	if x.workspace == nil || x.f.cfg.Shares == nil || x.owner != nil || x.passedToOwner {
 		return r, false
 	}
 	return fairshare.Request{Service: x.service, Workspace: x.workspace.Name, Rank: x.rank()}, true
@@ -140,8 +146,16 @@
 // rank returns the priority of the request.
 func (x *exchange) rank() int { return x.workspace.RankOr(x.route.Rank) }
 
-// admitToShare decides whether the share of the request's workspace allows the request. If it does not,
-// the request is refused at once.
+// recordDemand counts the request in the demand of its workspace.
+func (x *exchange) recordDemand() {
+	if r, divided := x.shareRequest(); divided {
+		x.f.cfg.Shares.record(time.Now(), r)
+	}
+}
+
+// admitToShare decides whether a request whose target has no room may wait for it. Of a workspace beyond its share
+// it is refused at once. A request whose target has room is never refused: a service that is short at one
+// target may have room at another.
 func (x *exchange) admitToShare() (retryAfter time.Duration, ok bool) {
 	r, divided := x.shareRequest()
 	if !divided {
@@ -158,9 +172,10 @@
 	}
 }
 
-// recordShed records that a target refused the request without running it.
-func (x *exchange) recordShed(now time.Time) {
-	if x.table.Workspaces != nil && x.f.cfg.Shares != nil {
+// recordShed records that a full target refused the request. One that refuses with free slots is not short of
+// room.
+func (x *exchange) recordShed(now time.Time, r placement.Report, slots int) {
+	if x.table.Workspaces != nil && x.f.cfg.Shares != nil && r.Saturated(slots) {
 		x.f.cfg.Shares.recordShort(now, x.service, x.rank())
 	}
 }
