--- a/node/gateway/owners.go
+++ b/node/gateway/owners.go
@@ -24,5 +24,9 @@
 	}
 	g.ownerVMs = all
 	g.metrics.Scope.Gauge("gateway_target_owners").Update(float64(len(all)))
-	g.relay.SetOwners(queueowner.New(g.settings.VM, all), func(vm steering.VM) bool { return g.fleet.IsLive(vm) })
+	live := make(map[steering.VM]bool) // read here, because SetOwners holds the relay's lock
+	for _, m := range g.fleet.Live() {
+		live[m.Name] = true
+	}
+	g.relay.SetOwners(queueowner.New(g.settings.VM, all), func(vm steering.VM) bool { return live[vm] })
 }
