--- a/steering/queueowner/owners.go
+++ b/steering/queueowner/owners.go
@@ -11,6 +11,9 @@
 // which a VM that ended is noticed.
 const avoidFor = time.Second
 
+// maxCached bounds the cache of owners, since targets come and go while the VMs stay.
+const maxCached = 20_000
+
 // VM is an entry VM that may own targets.
 type VM struct {
 	Name    steering.VM
@@ -69,6 +72,9 @@
 			owner, best, found = c.VM, score, true
 		}
 	}
+	if len(o.cache) >= maxCached {
+		clear(o.cache)
+	}
 	if found {
 		o.cache[target] = owner
 	}
