--- a/steering/placement/locate.go
+++ b/steering/placement/locate.go
@@ -49,7 +49,9 @@
 
 // holds reports whether requests of a service wait in this VM for room. They do where targets have owners: a VM
 // that sends a target one request in many holds requests by outdated loads, and refuses many after a wait.
-func (b *Balancer) holds(now time.Time, v *serviceState) bool { return b.owned != nil && v.hasOwners(now) }
+func (b *Balancer) holds(now time.Time, v *serviceState) bool {
+	return b.owned != nil && v.hasOwners(now)
+}
 
 // Holds is holds for a service by name.
 func (b *Balancer) Holds(now time.Time, service steering.Service) bool {
