Use weights where targets have owners

Change: weights need routes that differ and targets with machines of their own, as owners do.

Run: go test ./steering/placement -run 'Weights|LoadSamples', ./node/gateway -run Weights: passed.

--- a/steering/placement/weights.go
+++ b/steering/placement/weights.go
@@ -91,16 +91,16 @@
 // weight returns the weight of the target in the order of a key.
 func (c *weightClass) weight() float64 { return float64(c.slots*c.steps) / weightSteps }
 
-// UsesWeights reports whether the targets of a service get weights: if routes with different latency
-// objectives or ranks share it, or its targets report how slow their machines are.
+// UsesWeights reports whether the targets of a service get weights. They do where they have owners: there the
+// reported loads are those of all requests.
 func (b *Balancer) UsesWeights(now time.Time, service steering.Service) bool {
 	v := b.services[service]
-	return v != nil && v.uneven(now)
+	return v != nil && v.hasOwners(now)
 }
 
 // sampleLoad adds a reported load to the samples of the target.
 func (b *Balancer) sampleLoad(now time.Time, s *targetState, r Report) {
-	if !r.LoadKnown || s.Slots <= 0 || !s.service.uneven(now) {
+	if !r.LoadKnown || s.Slots <= 0 || !s.service.hasOwners(now) {
 		return
 	}
 	if s.loadSamples == 0 {
@@ -118,7 +118,7 @@
 	}
 	samples := make([]LoadSample, 0, len(b.sampled))
 	for _, s := range b.sampled {
-		if b.byName[s.Name] == s && s.service.uneven(now) {
+		if b.byName[s.Name] == s && s.service.hasOwners(now) {
 			samples = append(samples, LoadSample{Target: s.Name, Service: s.Service, Region: s.Region,
 				Mean: s.loadSum / float64(s.loadSamples), Responses: s.loadSamples})
 		}
