Let the parts for competing callers need workspaces

Change: a service counts as shared by routes that differ only if requests of workspaces reach it: only there do callers compete whom an operator tells apart. The tests name a workspace.

--- a/node/gateway/gateway_test.go
+++ b/node/gateway/gateway_test.go
@@ -38,6 +38,8 @@
 	number  atomic.Int64
 	// workspaces are part of the configuration; without any, requests need no API key.
 	workspaces []map[string]any
+	// apiKey is sent with each request unless it is empty.
+	apiKey string
 	// logs, if set, receives the log lines of the VMs.
 	logs *safeBuffer
 	// zones is the number of availability zones that VMs are spread over; 0 and 1 mean one.
@@ -194,6 +196,9 @@
 	assert.NilError(s.t, err)
 	r.Host = "shop.example"
 	r.Header.Set("X-Request-Id", id)
+	if s.apiKey != "" {
+		r.Header.Set("Api-Key", s.apiKey)
+	}
 	r.Header.Set("X-Deadline-Ms", fmt.Sprint(deadline.Milliseconds()))
 	response, err := (&http.Transport{DisableKeepAlives: true}).RoundTrip(r)
 	if err != nil {
--- a/node/gateway/relay/attempts.go
+++ b/node/gateway/relay/attempts.go
@@ -122,7 +122,7 @@
 
 func (x *exchange) placementRequest() placement.Request {
 	now := time.Now()
-	r := placement.Request{Service: x.service, ID: x.call.ID, Route: x.route.Name, RouteAim: x.route.Aim, RouteRank: x.route.Rank, Region: x.hop.regionOr(x.f.cfg.Region), Zone: x.f.cfg.Zone, Allowed: x.mayRunIn,
+	r := placement.Request{Service: x.service, ID: x.call.ID, Route: x.route.Name, RouteAim: x.route.Aim, RouteRank: x.route.Rank, Workspace: x.workspace != nil, Region: x.hop.regionOr(x.f.cfg.Region), Zone: x.f.cfg.Zone, Allowed: x.mayRunIn,
 		TimeLeft: x.deadline.Sub(now), MaxQueue: x.f.holds.maxQueue(), Rank: x.workspace.RankOr(x.route.Rank), Retryable: x.route.Kind.Retryable(), Tried: x.tried,
 		Key: x.affinityKey()}
 	if x.route.Aim > 0 {
--- a/node/gateway/weights_test.go
+++ b/node/gateway/weights_test.go
@@ -56,6 +56,8 @@
 	}
 	s.route("look", "safe")
 	s.routes[len(s.routes)-1]["targetLatencyMs"] = 500
+	s.apiKey = secret + "all"
+	s.workspace("all", 1e6, s.apiKey)
 	s.configure()
 	for name, target := range s.targets {
 		target.SetLoad("0,0,3")
--- a/steering/placement/routemix.go
+++ b/steering/placement/routemix.go
@@ -24,7 +24,9 @@
 	since   time.Time
 	total   int
 	byRoute map[string]*routeCount
-	mixed   bool
+	// ofWorkspaces counts the requests of workspaces.
+	ofWorkspaces int
+	mixed        bool
 	// urgent is the route with the shortest latency objective among those of the lowest rank.
 	urgent routeCount
 }
@@ -55,14 +57,20 @@
 	c.aim, c.rank = r.RouteAim, r.RouteRank
 	c.requests++
 	m.total++
+	if r.Workspace {
+		m.ofWorkspaces++
+	}
 	if m.total >= minMixRequests && now.Sub(m.since) >= mixInterval {
 		m.evaluate()
-		m.byRoute, m.total = nil, 0
+		m.byRoute, m.total, m.ofWorkspaces = nil, 0, 0
 	}
 }
 
 func (m *routeMix) evaluate() {
 	m.mixed, m.urgent = false, routeCount{}
+	if float64(m.ofWorkspaces) < minMixShare*float64(m.total) {
+		return
+	}
 	var first *routeCount
 	for _, c := range m.byRoute {
 		if float64(c.requests) < minMixShare*float64(m.total) {
@@ -87,8 +95,8 @@
 	return c.aim < o.aim
 }
 
-// Mixed reports whether routes with different latency objectives or ranks shared a service when its
-// requests were last counted. Their requests differ in how long they may wait for a slot.
+// Mixed reports whether routes with different latency objectives or ranks, and workspaces, shared a service when
+// its requests were last counted. Its callers compete for slots, and differ in how long they may wait for one.
 func (b *Balancer) Mixed(service steering.Service) bool {
 	v := b.services[service]
 	return v != nil && v.routes.mixed
--- a/steering/placement/types.go
+++ b/steering/placement/types.go
@@ -37,6 +37,8 @@
 	Route     string
 	RouteAim  time.Duration
 	RouteRank int
+	// Workspace is set if the request belongs to a workspace.
+	Workspace bool
 	// Region is the region of the entry VM, and Zone its zone.
 	Region steering.Region
 	Zone   steering.Zone
