Keep the way to an owner open while a large response is read

Cause: the context of an attempt at an owner was cancelled when its response had begun, which would cut a response that is streamed. Comments say where parts are in use.

go test ./node/gateway/relay (owners, waiting, shares): passed.

--- a/node/gateway/relay/owners.go
+++ b/node/gateway/relay/owners.go
@@ -23,7 +23,7 @@
 }
 
 // SetOwners sets the owners of targets; nil means that each VM sends its callers' requests itself. Requests that
-// were passed on to a VM that is no longer an owner and not live are given up: their connections may hang.
+// were passed on to a VM that is no longer live are given up: their connections may hang.
 func (f *Relay) SetOwners(o *queueowner.Owners, live func(steering.VM) bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -97,16 +97,19 @@
 	x.helpers = append(x.helpers, owner.Name)
 	x.history = append(x.history, tried{Helper: owner.Name, Zone: owner.Zone, AtMs: time.Since(x.r.Received).Milliseconds(), crossRegion: owner.Region != x.f.cfg.Region})
 	x.f.cfg.Metrics.PassedToOwner()
+	// The context outlives the attempt, because a large response is still read from the owner after it.
 	ctx, cancel := context.WithCancel(ctx)
+	ended := make(chan struct{})
 	go func() {
 		select {
 		case <-x.ownerLost:
 			cancel()
+		case <-ended:
 		case <-ctx.Done():
 		}
 	}()
 	go func() {
-		defer cancel()
+		defer close(ended)
 		x.attemptAtHelper(ctx, reach.Helper{VM: owner.Name, Region: owner.Region, Address: owner.Address}, x.maxAttempts, maxOwnerConnections)
 	}()
 	return true
--- a/steering/fairshare/divider.go
+++ b/steering/fairshare/divider.go
@@ -15,9 +15,9 @@
 	// divideInterval is the pause between two divisions of the same service and rank.
 	divideInterval = 100 * time.Millisecond
 	// quietAfter is how long no request must have been refused or shed until the room grows, and growth
-	// the factor by which it then grows at each division. After 200 ms and by 1.03, one VM of twelve or
-	// more often sees no refusal although the service is full: in the load test, 0.92 of the others'
-	// requests were served with 12 VMs and 0.89 with 195.
+	// the factor by which it then grows at each division. Of many VMs, one often sees no refusal for a
+	// fifth of a second although the service is full; a shorter pause or a larger factor would let the
+	// flood through there.
 	quietAfter = 500 * time.Millisecond
 	growth     = 1.02
 	// warmup is how long a rank of a service is observed before it is divided: responses come later than
--- a/steering/placement/locate.go
+++ b/steering/placement/locate.go
@@ -34,10 +34,10 @@
 	return v.hasOwners(now)
 }
 
-// hasOwners reports whether one VM has to decide what reaches a target of the service: routes with different
-// latency objectives or ranks share it, and its targets have machines of their own. Where machines are slow by
-// turns, the time of the runs varies more than the wait, and an owner gains callers less than the bytes of
-// the way through it cost.
+// hasOwners reports whether one VM has to decide what reaches a target of the service: its callers compete for
+// slots (see Mixed), and its targets have machines of their own. Where machines are slow by turns, the time of
+// the runs varies more than the wait, and an owner gains callers less than the bytes of the way through it
+// cost.
 func (v *serviceState) hasOwners(now time.Time) bool { return v.routes.mixed && !v.sharesMachines(now) }
 
 // SetOwned sets which targets this VM owns; nil means that targets have no owners. Only the owner of a
--- a/steering/placement/occupancy.go
+++ b/steering/placement/occupancy.go
@@ -7,10 +7,10 @@
 	"heatherlock/steering"
 )
 
-// Regions whose capacity is scarce are divided by how long requests occupy slots, not by how long they
-// run with a warm key: cold runs, long runs and slow machines occupy slots as well. With the warm time
-// alone a region with few targets keeps more keys than its slots can serve, while other regions have
-// room.
+// Keys of a service whose targets share machines are divided between regions by how long requests occupy
+// slots, not by how long they run with a warm key: slow machines and long runs occupy slots as well. With the
+// warm time alone a region with few targets keeps more keys than its slots can serve, while other regions
+// have room.
 
 const (
 	// maxOccupancyFactor bounds the ratio of the two times. A service whose runs are mostly cold takes 3 to
@@ -37,8 +37,8 @@
 	v.occupied += math.Max(occupancyWeight, 1/float64(v.occupancySamples)) * (took - v.occupied)
 }
 
-// OccupancyFactors returns for each service whose targets share their machines how long a request occupies a slot, as a multiple of
-// the service time for warm keys. It is at least 1.
+// OccupancyFactors returns for each service whose targets share their machines how long a request occupies a
+// slot, as a multiple of the service time for warm keys. It is at least 1.
 func (b *Balancer) OccupancyFactors(now time.Time) map[steering.Service]float64 {
 	factors := make(map[steering.Service]float64)
 	for name, v := range b.services {
--- a/steering/placement/uneven.go
+++ b/steering/placement/uneven.go
@@ -7,8 +7,8 @@
 const slowdownTTL = 30 * time.Second
 
 // uneven reports whether the requests or the targets of a service differ so much that one mean run time does
-// not describe them: routes with different latency objectives or ranks share it, or its targets report how
-// slow their machines are. Other services are placed without what this takes.
+// not describe them: its callers compete for slots (see Mixed), or its targets report how slow their machines
+// are. Other services are placed by one mean.
 func (v *serviceState) uneven(now time.Time) bool {
 	return v.routes.mixed || v.sharesMachines(now)
 }
--- a/steering/runtimes/model.go
+++ b/steering/runtimes/model.go
@@ -23,7 +23,7 @@
 	// slowPhase is the mean time for which a reported slowdown holds. Phases of 600 ms were measured on
 	// targets that share machines.
 	slowPhase = 600 * time.Millisecond
-	// coldFactor is the ratio of cold to warm run times until cold runs are observed. 3.3 was measured.
+	// coldFactor is the ratio of cold to warm run times until cold runs are observed.
 	coldFactor = 3.0
 	// averageWeight is the weight of a new sample in the averages by class: about the last 50 count.
 	averageWeight = 0.02
