--- a/review/2/run.sh
+++ b/review/3/run.sh
@@ -3,4 +3,4 @@
 # broken, 0 if it held, 2 if the case could not run. TROUBLE=0 leaves out the disruption.
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/heatherlockd ] && [ -x target/review-rig ] || { echo "build first: the deploy file, then review/build.sh" >&2; exit 2; }
-exec target/review-rig pipelined-stop review/2/record.txt
+exec target/review-rig pipelined-stop review/3/record.txt
