--- a/review/standins/rig/daemon.go
+++ b/review/standins/rig/daemon.go
@@ -28,6 +28,7 @@
 	started bool // run was called
 	stopped bool // the rig ends it
 	leaving bool // it got SIGTERM, and is not started again
+	stops   []time.Time
 	exits   []string
 	ended   chan struct{}
 }
@@ -161,6 +162,32 @@
 	time.AfterFunc(graceTime, func() { _ = process.Kill() })
 }
 
+// restart sends SIGTERM, and SIGKILL after the grace time. The process is started again when it has ended.
+func (m *machine) restart() {
+	m.mu.Lock()
+	m.stops = append(m.stops, time.Now())
+	process := m.process
+	m.mu.Unlock()
+	if process == nil {
+		return
+	}
+	m.record.note("SIGTERM to %s, which is started again", m.name)
+	_ = process.Signal(syscall.SIGTERM)                      // the process may have just ended
+	time.AfterFunc(graceTime, func() { _ = process.Kill() }) // as above
+}
+
+// stoppedBefore returns the last SIGTERM before a time.
+func (m *machine) stoppedBefore(at time.Time) (stop time.Time, found bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, s := range m.stops {
+		if s.Before(at) {
+			stop, found = s, true
+		}
+	}
+	return stop, found
+}
+
 // stop ends the process for good.
 func (m *machine) stop() {
 	m.mu.Lock()
--- a/review/standins/rig/deployment.go
+++ b/review/standins/rig/deployment.go
@@ -114,6 +114,15 @@
 	_ = os.RemoveAll(d.dir)
 }
 
+func (d *deployment) byName(name string) *machine {
+	for _, m := range d.machines {
+		if m.name == name {
+			return m
+		}
+	}
+	return nil
+}
+
 func (d *deployment) byFront(address string) *machine {
 	for _, m := range d.machines {
 		if m.at(m.ports.front) == address {
--- a/review/standins/rig/main.go
+++ b/review/standins/rig/main.go
@@ -28,6 +28,7 @@
 }
 
 var scenarios = map[string]scenario{
+	"rolling-restart":  {zonesOfRegion, []string{nearZone, nearZone, farZone, farZone}, restartInTurn, 0},
 	"silent-endpoints": {zonesOfRegion, []string{nearZone, nearZone, farZone, farZone}, leaveSilentEndpoints, 3},
 	"pipelined-stop":   {zonesOfRegion, []string{nearZone, nearZone, farZone, farZone}, stopUnderPipelines, 0},
 }
--- a/review/standins/rig/record.go
+++ b/review/standins/rig/record.go
@@ -20,10 +20,11 @@
 
 // execution is what endpoints did with a request.
 type execution struct {
-	count    int
-	finished bool
-	dropped  bool
-	at       time.Time
+	count      int
+	finished   bool
+	dropped    bool
+	at         time.Time
+	finishedAt time.Time
 }
 
 func newRecord(path string) (*record, error) {
@@ -62,7 +63,7 @@
 func (r *record) finished(id string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.runs[id].finished = true
+	r.runs[id].finished, r.runs[id].finishedAt = true, time.Now()
 }
 
 func (r *record) dropped(id string) {
--- a/review/standins/rig/store.go
+++ b/review/standins/rig/store.go
@@ -19,6 +19,7 @@
 	endpoints []*endpoint
 	seq       map[string]int
 	version   int
+	tenants   int // how many tenants the configuration names
 }
 
 // heartbeatInterval is how often an endpoint writes its entry (heartbeatMs of the settings).
@@ -85,6 +86,10 @@
 	for _, name := range services {
 		used = append(used, map[string]any{"name": name, "healthPath": "/health", "maxConns": 390, "coldStartS": 3.0, "coldPerS": 10.0})
 	}
-	s.objects.Put("config", "main", map[string]any{"version": fmt.Sprint("r", s.version), "routes": listed, "services": used,
+	tenants := []any{}
+	for n := range s.tenants {
+		tenants = append(tenants, map[string]any{"name": fmt.Sprint("tenant-", n), "apiKeys": []string{fmt.Sprint("key-", n)}, "ratePerS": 500, "burst": 500})
+	}
+	s.objects.Put("config", "main", map[string]any{"version": fmt.Sprint("r", s.version), "routes": listed, "services": used, "tenants": tenants,
 		"limits": map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 67108864, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000}})
 }
