Keep a request's bytes reserved until its last attempt ends

Callers saw: while some of them left uploads at targets that read nothing, an entry VM ended by itself and took every request in hand with it (LOST).

Cause: a request's claim ended and its connection's account was closed when the caller left, while an attempt that must run at most once went on. The check of its blocked write asked the ended claim for bytes, was refused, and 1 s later cut a connection that was no longer there: a nil pointer. Until then the budget counted less than was held.

Change: attempts, and the reader of a connection to a target, retain the claim; the last holder returns the bytes. A claim that has ended sends nothing. What End means to responses that nobody waits for is unchanged.

Why it works: what may be cut exists as long as anything can cut it.

--- a/node/gateway/relay/attempts.go
+++ b/node/gateway/relay/attempts.go
@@ -9,6 +9,7 @@
 
 	"github.com/go-faster/errors"
 
+	"heatherlock/node/gateway/buffering"
 	"heatherlock/node/gateway/planted"
 	"heatherlock/node/gateway/upstream"
 	"heatherlock/node/gateway/volume"
@@ -116,10 +117,24 @@
 	x.history = append(x.history, tried{Target: pick.Target.Name, Zone: pick.Target.Zone, Rank: pick.Rank, Trial: pick.Trial,
 		ExpectedMs: pick.Expected.Milliseconds(), WaitMs: pick.Wait.Milliseconds(), AtMs: x.startedAt.Sub(x.r.Received).Milliseconds(),
 		slots: pick.Target.Slots, crossRegion: pick.OtherRegion})
-	go x.attempt(ctx, pick, x.startedAt, links == linksOpenOnly)
+	began := x.startedAt
+	runAttempt(ctx, func() { x.attempt(ctx, pick, began, links == linksOpenOnly) })
 	return nil
 }
 
+// runAttempt runs an attempt in its own goroutine. The bytes of the request stay reserved until the attempt
+// has ended, also if the caller leaves before.
+func runAttempt(ctx context.Context, attempt func()) {
+	claim := buffering.ClaimOf(ctx)
+	if !claim.Retain() {
+		claim = nil // the request has been answered; upstream sends nothing
+	}
+	go func() {
+		defer claim.Release()
+		attempt()
+	}()
+}
+
 func (x *exchange) placementRequest() placement.Request {
 	now := time.Now()
 	r := placement.Request{Service: x.service, ID: x.call.ID, Route: x.route.Name, RouteAim: x.route.Aim, RouteRank: x.route.Rank, Workspace: x.workspace != nil, Region: x.hop.regionOr(x.f.cfg.Region), Zone: x.f.cfg.Zone, Allowed: x.mayRunIn,
--- a/node/gateway/relay/helpers.go
+++ b/node/gateway/relay/helpers.go
@@ -59,7 +59,8 @@
 	x.startedAt = time.Now()
 	x.helpers = append(x.helpers, helper.VM)
 	x.history = append(x.history, tried{Helper: helper.VM, AtMs: time.Since(x.r.Received).Milliseconds(), crossRegion: helper.Region != x.f.cfg.Region})
-	go x.attemptAtHelper(ctx, helper, x.maxAttempts-x.reachedTarget-x.running+1, maxHelperConnections)
+	attempts := x.maxAttempts - x.reachedTarget - x.running + 1
+	runAttempt(ctx, func() { x.attemptAtHelper(ctx, helper, attempts, maxHelperConnections) })
 	return nil
 }
 
--- a/node/gateway/relay/owners.go
+++ b/node/gateway/relay/owners.go
@@ -108,9 +108,10 @@
 		case <-ctx.Done():
 		}
 	}()
-	go func() {
+	attempts := x.maxAttempts
+	runAttempt(ctx, func() {
 		defer close(ended)
-		x.attemptAtHelper(ctx, reach.Helper{VM: owner.Name, Region: owner.Region, Address: owner.Address}, x.maxAttempts, maxOwnerConnections)
-	}()
+		x.attemptAtHelper(ctx, reach.Helper{VM: owner.Name, Region: owner.Region, Address: owner.Address}, attempts, maxOwnerConnections)
+	})
 	return true
 }
--- a/node/gateway/upstream/conn.go
+++ b/node/gateway/upstream/conn.go
@@ -135,6 +135,10 @@
 	if e == nil {
 		return false // closed by the target, or bytes that belong to no request
 	}
+	if !e.claim.Retain() {
+		return false // the write failed, and its request was answered without waiting any longer
+	}
+	defer e.claim.Release()
 	if err != nil {
 		e.done <- result{err: err}
 		return false
@@ -248,7 +252,7 @@
 	if r.Body == http.NoBody {
 		return nil, true, nil
 	}
-	if claim.Ended() {
+	if claim.Answered() {
 		n, err := io.Copy(io.Discard, io.LimitReader(r.Body, maxBufferedBody+1))
 		return nil, n <= maxBufferedBody, err
 	}
--- a/node/gateway/upstream/exchange.go
+++ b/node/gateway/upstream/exchange.go
@@ -105,10 +105,15 @@
 	OnOpen func(net.Conn) net.Conn
 }
 
-// Do sends a request and returns the response. A non-nil error is an *Error.
+// Do sends a request and returns the response. A non-nil error is an *Error. It holds the claim that ctx
+// carries until it returns, and nothing is sent if that has ended.
 func (p *Pool) Do(ctx context.Context, call Call, r *Request) (*Response, error) {
 	h := p.poolOf(call.Target, call.Generation)
 	e := &exchange{request: &http.Request{Method: r.Method}, id: r.ID, claim: buffering.ClaimOf(ctx), done: make(chan result, 1)}
+	if !e.claim.Retain() {
+		return nil, &Error{Stage: NotConnected, Err: ErrWithdrawn}
+	}
+	defer e.claim.Release()
 	c := h.takeIdle(time.Now())
 	if c == nil || !c.start(e) {
 		if call.OnlyOpen {
