Let a VM that leaves answer what was passed on to it

Callers saw: while entry VMs were stopped in turn, purchases that targets ran were answered 502 (LOST).

Cause: the relay gave up what it had passed on to VMs that Fleet.Live leaves out, and a VM that announces that it leaves is left out at once. Behind it: what was passed on was looked at only when the list of owners changed, and VMs of other zones stop hearing a leaving VM after 2 s, as its zone no longer lists it.

Change: steering/presence keeps live, leaving, ended, lost and unknown apart, and says of each whether it is given anything new and whether it is expected to answer. Requests that were passed on, to owners and to VMs that help one that is cut off, are given up when their process is not expected to answer: it is no longer heard or has been replaced. A leaving VM sends heartbeats to those that wait for it. A request names the process that it is for (Heatherlock-Hop-To, ignored by builds before), so that a process that started again takes nothing meant for the one before. Connections to targets are divided among leaving VMs as well. New: gateway_passed_on_given_up and a log line.

Why it works: nothing is broken off as long as the process that has it is heard.

--- a/node/gateway/fleet/fleet.go
+++ b/node/gateway/fleet/fleet.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"net"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -15,6 +16,7 @@
 	"heatherlock/steering"
 	"heatherlock/steering/placement"
 	"heatherlock/steering/poison"
+	"heatherlock/steering/presence"
 )
 
 // fullBeatEvery is the number of heartbeats of which one reports demand and repeats facts on
@@ -37,6 +39,9 @@
 	OnMembersChange func()
 	// Incarnation distinguishes this process from earlier ones; 0 draws one at random.
 	Incarnation uint32
+	// WaitingVMs, if set, returns the VMs for which this one has requests. While it leaves, it sends them
+	// heartbeats itself, since its zone does not list it any more.
+	WaitingVMs func() []steering.VM
 	// Clock returns the current time; nil means time.Now.
 	Clock func() time.Time
 	// OnSend, if set, is called for each datagram sent with the receiver, of which only the
@@ -64,6 +69,8 @@
 	introductions int
 	// size is the number of live VMs as of the last tick, this VM included.
 	size atomic.Int64
+	// answering is the same with the VMs that leave.
+	answering atomic.Int64
 }
 
 // New returns a fleet that sends and receives on conn. Run starts it.
@@ -169,6 +176,7 @@
 	changes := f.roster.Scan(now)
 	f.liveSetHash = f.roster.fullSetHash(!f.leaving)
 	f.size.Store(int64(changes.Live) + 1)
+	f.answering.Store(int64(changes.Live+changes.Leaving) + 1)
 	f.introductions = maxIntroductions
 	askSeeds := changes.Live == 0 && now.Sub(f.startedAt) >= seedDelay
 	b := f.nextBeat()
@@ -178,10 +186,33 @@
 	full := b.Number%fullBeatEvery == 1
 	b.Suspects = f.cfg.Suspects(full)
 	f.sendAll(f.formsOf(now, b, full, to))
+	if b.Leaving {
+		f.sendToWaiting(b, to)
+	}
 	if askSeeds {
 		f.askSeeds(b)
 	}
-	return len(changes.Heard)+len(changes.Lost) > 0, f.Interval()
+	return len(changes.Heard)+len(changes.Lost)+len(changes.Ended) > 0, f.Interval()
+}
+
+// sendToWaiting sends a heartbeat that says nothing of other VMs to those that wait for responses of this one,
+// but for those that were sent one already.
+func (f *Fleet) sendToWaiting(b Beat, sent []Member) {
+	if f.cfg.WaitingVMs == nil {
+		return
+	}
+	b.Suspects = nil
+	for _, name := range f.cfg.WaitingVMs() {
+		if slices.ContainsFunc(sent, func(m Member) bool { return m.Name == name }) {
+			continue
+		}
+		f.mu.Lock()
+		h := f.roster.members[name]
+		f.mu.Unlock()
+		if h != nil {
+			f.send(b, h.Peer)
+		}
+	}
 }
 
 // Interval returns the time between two ticks.
@@ -213,6 +244,7 @@
 func (f *Fleet) logChanges(c Changes) {
 	f.logNames("entry VM heard", c.Heard)
 	f.logNames("entry VM no longer heard", c.Lost)
+	f.logNames("entry VM that left is no longer heard", c.Ended)
 }
 
 func (f *Fleet) logNames(msg string, names []steering.VM) {
@@ -221,7 +253,15 @@
 	}
 }
 
-// Live returns the live members that are not leaving, this VM included.
+// Process returns what is known of the process of another VM.
+func (f *Fleet) Process(name steering.VM) presence.Process {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.roster.Process(f.cfg.Clock(), name)
+}
+
+// Live returns the live members that are not leaving, this VM included. Members that leave still answer the
+// requests that they have; see Process.
 func (f *Fleet) Live() []Member {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -246,6 +286,10 @@
 // called for each try of a request, so it must not list the VMs.
 func (f *Fleet) LiveCount() int { return max(int(f.size.Load()), 1) }
 
+// AnsweringCount returns the number of VMs that were live or leaving at the last tick, this VM included.
+// All of these use connections to targets. It is called for each try of a request.
+func (f *Fleet) AnsweringCount() int { return max(int(f.answering.Load()), 1) }
+
 // Serving returns the members that take requests. selfServes says whether this VM does.
 func (f *Fleet) Serving(selfServes bool) []Member {
 	f.mu.Lock()
--- a/node/gateway/fleet/roster.go
+++ b/node/gateway/fleet/roster.go
@@ -82,9 +82,9 @@
 	// this zone sends heartbeats to.
 	standby  bool
 	monitors [monitorsPerStandby]uint64
-	// wasLive is set if it was live and not leaving at the last tick.
-	wasLive bool
-	beat    Beat
+	// wasLive is set if it was live and not leaving at the last tick, wasLeaving if it was leaving.
+	wasLive, wasLeaving bool
+	beat                Beat
 	// lastBeatAt is when its own last heartbeat was received, configSince when the first one was
 	// that reported its configuration in force.
 	lastBeatAt  time.Time
--- a/node/gateway/fleet/views.go
+++ b/node/gateway/fleet/views.go
@@ -13,6 +13,7 @@
 	"heatherlock/node/gateway/volume"
 	"heatherlock/steering"
 	"heatherlock/steering/placement"
+	"heatherlock/steering/presence"
 )
 
 // Live returns the live members that are not leaving, by name. It includes this VM unless
@@ -31,6 +32,19 @@
 	return all
 }
 
+// Process returns what is known of the process of another VM.
+func (r *Roster) Process(now time.Time, name steering.VM) presence.Process {
+	h := r.members[name]
+	if h == nil {
+		return presence.Process{}
+	}
+	return presence.Process{State: r.stateOf(now, h), Incarnation: presence.Incarnation(h.beat.Incarnation)}
+}
+
+func (r *Roster) stateOf(now time.Time, h *peerState) presence.State {
+	return presence.Of(r.live(now, h), !h.lastSeen.IsZero(), h.leaving)
+}
+
 // ReadOrder returns the live VMs that are not leaving, in the order in which VMs read the store: those
 // with the highest capacity first. Unlike in ReadRank, VMs whose reads fail keep their place.
 func (r *Roster) ReadOrder(now time.Time, selfLeaves bool) []Member {
@@ -68,11 +82,13 @@
 	return left
 }
 
-// Changes are the VMs that became live, or are no longer, since the last call of Scan.
+// Changes are the VMs that became live, or are no longer, since the last call of Scan. Ended are those
+// that left and are no longer heard.
 type Changes struct {
-	Heard, Lost []steering.VM
-	// Live is the number of live VMs that are not leaving, without this one.
-	Live int
+	Heard, Lost, Ended []steering.VM
+	// Live is the number of live VMs that are not leaving, and Leaving that of those that are, without
+	// this one.
+	Live, Leaving int
 }
 
 // Scan returns which VMs became live or are no longer since its last call, and updates the hash of
@@ -81,7 +97,14 @@
 	var c Changes
 	r.liveSetHash = 0
 	for _, h := range r.all {
-		live := r.live(now, h) && !h.leaving
+		state := r.stateOf(now, h)
+		if h.wasLeaving && state == presence.Ended {
+			c.Ended = append(c.Ended, h.Name)
+		}
+		if h.wasLeaving = state == presence.Leaving; h.wasLeaving {
+			c.Leaving++
+		}
+		live := state == presence.Live
 		if live {
 			c.Live++
 			r.liveSetHash ^= uint32(h.id)
--- a/node/gateway/gateway.go
+++ b/node/gateway/gateway.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -31,6 +32,7 @@
 	"heatherlock/steering/capacity"
 	"heatherlock/steering/placement"
 	"heatherlock/steering/poison"
+	"heatherlock/steering/presence"
 	"heatherlock/steering/queueowner"
 	"heatherlock/steering/retry"
 	"heatherlock/steering/routes"
@@ -60,6 +62,7 @@
 // Gateway is an entry VM of the users' platform.
 type Gateway struct {
 	settings    *platform.Settings
+	incarnation uint32 // distinguishes this process from earlier ones of the VM; never 0
 	log         log.Logger
 	metrics     *telemetry.Metrics
 	store       *platform.Store
@@ -117,7 +120,7 @@
 // serves nothing until Run is called.
 func New(settings *platform.Settings, logger log.Logger) (*Gateway, error) {
 	g := &Gateway{settings: settings, currentSettings: settings, log: logger, metrics: telemetry.New(string(settings.VM), string(settings.Zone)),
-		store: platform.NewStore(settings.Store), regionSplit: placement.RegionSplit{}, peaks: make(map[steering.Zone]peak), weightedServices: make(map[steering.Service]bool), membersChanged: make(chan struct{}, 1),
+		incarnation: rand.Uint32N(math.MaxUint32) + 1, store: platform.NewStore(settings.Store), regionSplit: placement.RegionSplit{}, peaks: make(map[steering.Zone]peak), weightedServices: make(map[steering.Service]bool), membersChanged: make(chan struct{}, 1),
 		meter: volume.NewMeter(volume.Location{Zone: settings.Zone, Region: settings.Region})}
 	scope := g.metrics.Scope
 	if err := g.newAllowances(); err != nil {
@@ -139,12 +142,12 @@
 		Balancer: placement.NewBalancer(settings.VM, settings.Region),
 		Retry:    retry.NewSharedBudget(retryConfig(b)),
 		Log:      logger, TargetHeartbeatInterval: time.Duration(settings.HeartbeatMs) * time.Millisecond,
-		VM: settings.VM, Peers: upstream.NewPool(upstream.Dial, platform.RequestIDOf), OnLinksChange: g.linksChanged,
+		VM: settings.VM, Incarnation: presence.Incarnation(g.incarnation), Peers: upstream.NewPool(upstream.Dial, platform.RequestIDOf), OnLinksChange: g.linksChanged,
 		PeerMeter: func(raw net.Conn, to steering.VM) net.Conn {
 			return g.meter.Conn(raw, volume.PassedOn, g.fleet.LocationOf(to))
 		},
 		Metrics: relay.NewMetrics(scope), StoreAge: func() time.Duration { return time.Duration(g.reader.Digest().AgeMs) * time.Millisecond },
-		MemberCount: func() int { return g.fleet.LiveCount() }, Behind: func() bool { _, _, behind := g.reader.Behind(); return behind }, ConfigOutdated: g.outdated,
+		MemberCount: func() int { return g.fleet.AnsweringCount() }, Behind: func() bool { _, _, behind := g.reader.Behind(); return behind }, ConfigOutdated: g.outdated,
 		Meter: g.meter, Allowances: g.allowanceService, Shares: g.shares, TargetLimits: g.allowanceService,
 		MemoryBytes: int64(settings.MemoryMB) << 20})
 	g.buffers = buffering.NewVM(buffers.NewConfig(settings.MemoryMB, debug.SetMemoryLimit(-1)), logger, scope)
@@ -196,6 +199,7 @@
 		seeds = append(seeds, platform.PeerAddressOf(host, g.settings.PeerPorts))
 	}
 	g.fleet = fleet.New(fleet.Config{Self: g.self(), Seeds: seeds, Log: g.log, FillBeat: g.fillHeartbeat,
+		Incarnation: g.incarnation, WaitingVMs: g.relay.WaitingVMs,
 		Suspects:   func(all bool) []poison.Fact { return g.relay.TakePoisonFacts(time.Now(), all) },
 		HandleBeat: g.handleHeartbeat, OnMembersChange: g.signalMembersChanged,
 		OnSend: func(to fleet.Member, bytes int) { g.meter.Count(volume.Heartbeats, locationOf(to), int64(bytes)) }}, conn)
--- a/node/gateway/helpers.go
+++ b/node/gateway/helpers.go
@@ -19,7 +19,7 @@
 	}
 	var all []reach.Helper
 	for _, m := range g.fleet.WithoutCutOff(g.fleet.Serving(false), true) {
-		all = append(all, reach.Helper{VM: m.Name, Region: m.Region, Address: m.Peer, Capacity: float64(m.Capacity)})
+		all = append(all, reach.Helper{VM: m.Name, Incarnation: g.fleet.Process(m.Name).Incarnation, Region: m.Region, Address: m.Peer, Capacity: float64(m.Capacity)})
 	}
 	g.relay.SetHelpers(reach.NewHelpers(g.settings.VM, g.settings.Region, all, g.regionDemand()))
 }
--- a/node/gateway/relay/events.go
+++ b/node/gateway/relay/events.go
@@ -8,6 +8,7 @@
 	"github.com/uber-go/tally/v4"
 
 	"heatherlock/steering"
+	"heatherlock/steering/presence"
 	"heatherlock/steering/routes"
 )
 
@@ -184,6 +185,18 @@
 	}
 }
 
+// GivenUp counts requests that were passed on and given up, by the state of the VM that had them.
+func (e *Metrics) GivenUp(state presence.State, restarted bool, requests int) {
+	if e == nil {
+		return
+	}
+	why := state.String()
+	if restarted {
+		why = "restarted"
+	}
+	e.scope.Tagged(map[string]string{"state": why}).Counter("gateway_passed_on_given_up").Inc(int64(requests))
+}
+
 // PassedToOwner counts a request that was passed on to the owner of its target.
 func (e *Metrics) PassedToOwner() {
 	if e != nil {
--- a/node/gateway/relay/exchange.go
+++ b/node/gateway/relay/exchange.go
@@ -57,10 +57,8 @@
 	helperResults chan helperResult // nil until the request is passed on
 	atHelper      bool
 	startedAt     time.Time // of the last attempt
-	// owner is the VM to which the request is to be passed on, nil if none is; ownerLost is closed once it is
-	// no longer live.
-	owner     *queueowner.VM
-	ownerLost <-chan struct{}
+	// owner is the VM to which the request is to be passed on, nil if none is.
+	owner *queueowner.VM
 	// passedToOwner is set once the request was passed on.
 	passedToOwner bool
 	// causeToldByOwner is why the request is not answered in time, as the VM says to which it was passed on.
--- a/node/gateway/relay/helpers.go
+++ b/node/gateway/relay/helpers.go
@@ -7,6 +7,8 @@
 	"strconv"
 	"time"
 
+	"github.com/go-faster/errors"
+
 	"heatherlock/node/gateway/callers"
 	"heatherlock/node/gateway/planted"
 	"heatherlock/node/gateway/upstream"
@@ -116,24 +118,29 @@
 // attemptAtHelper sends the request to another entry VM, with the number of targets it may still reach.
 func (x *exchange) attemptAtHelper(ctx context.Context, helper reach.Helper, attempts, maxConnections int) {
 	e := helperResult{helper: helper.VM}
+	ctx, end := x.f.awaitProcess(ctx, process{helper.VM, helper.Incarnation})
+	defer end()
 	call := upstream.Call{Target: steering.Target(helper.VM), Address: helper.Address, MaxConnections: maxConnections,
 		DialTimeout: min(dialTimeout, max(time.Until(x.deadline), time.Millisecond)),
 		BeforeSend:  func() bool { e.sent = x.sending.begin(); return e.sent }}
 	if x.f.cfg.PeerMeter != nil {
 		call.OnOpen = func(raw net.Conn) net.Conn { return x.f.cfg.PeerMeter(raw, helper.VM) }
 	}
-	e.response, e.err = x.f.cfg.Peers.Do(ctx, call, x.helperRequest(attempts))
+	e.response, e.err = x.f.cfg.Peers.Do(ctx, call, x.helperRequest(helper, attempts))
+	if e.err != nil && errors.Is(context.Cause(ctx), errProcessGone) {
+		e.err = &upstream.Error{Stage: stageOf(e.err), Err: errProcessGone}
+	}
 	e.classify()
 	x.helperResults <- e
 }
 
-func (x *exchange) helperRequest(attempts int) *upstream.Request {
+func (x *exchange) helperRequest(to reach.Helper, attempts int) *upstream.Request {
 	header := make(http.Header, len(x.header)+8)
 	for name, values := range x.header {
 		header[name] = values
 	}
 	platform.RemoveIdentity(header)
-	h := hop{from: x.f.cfg.VM, region: x.f.cfg.Region, config: max(x.table.Version, x.f.shownConfig.Load()), attempts: attempts, told: x.f.tellNotices(x.service, "")}
+	h := hop{from: x.f.cfg.VM, to: to.Incarnation, region: x.f.cfg.Region, config: max(x.table.Version, x.f.shownConfig.Load()), attempts: attempts, told: x.f.tellNotices(x.service, "")}
 	if x.workspace != nil {
 		h.workspace = x.workspace.Name
 	}
@@ -258,8 +265,8 @@
 	if f.helpers != nil {
 		f.helpers.Avoid(time.Now(), vm)
 	}
-	if f.owners.owners != nil {
-		f.owners.owners.Avoid(time.Now(), vm)
+	if f.owners != nil {
+		f.owners.Avoid(time.Now(), vm)
 	}
 }
 
--- a/node/gateway/relay/hold_test.go
+++ b/node/gateway/relay/hold_test.go
@@ -13,7 +13,6 @@
 	"heatherlock/node/gateway/upstream"
 	"heatherlock/standin/endpoint"
 	"heatherlock/standin/targetlinks"
-	"heatherlock/steering"
 	"heatherlock/steering/placement"
 	"heatherlock/steering/queueowner"
 	"heatherlock/steering/retry"
@@ -22,7 +21,7 @@
 
 // setMixed makes the service of the rig one that a more urgent route than its own shares.
 func (g *rig) setMixed() {
-	g.relay.SetOwners(queueowner.New("vm", []queueowner.VM{{Name: "vm", Zone: "a"}}), func(steering.VM) bool { return true })
+	g.relay.SetOwners(queueowner.New("vm", []queueowner.VM{{Name: "vm", Zone: "a"}}))
 	g.relay.WithBalancer(func(b *placement.Balancer, _ *retry.SharedBudget) {
 		for n := range 300 {
 			r := placement.Request{Service: service, Route: "fast", RouteAim: 100 * time.Millisecond, Workspace: true, Key: fmt.Sprint(n)}
--- a/node/gateway/relay/hop.go
+++ b/node/gateway/relay/hop.go
@@ -10,6 +10,7 @@
 	"heatherlock/node/gateway/callers"
 	"heatherlock/platform"
 	"heatherlock/steering"
+	"heatherlock/steering/presence"
 	"heatherlock/steering/routes"
 )
 
@@ -18,6 +19,7 @@
 const (
 	hopHeaderPrefix    = "Heatherlock-Hop-"
 	headerHopFrom      = hopHeaderPrefix + "From"
+	headerHopTo        = hopHeaderPrefix + "To" // incarnation of the process that is meant; builds before send none
 	headerHopRegion    = hopHeaderPrefix + "Region"
 	headerHopConfig    = hopHeaderPrefix + "Config"
 	headerHopAttempts  = hopHeaderPrefix + "Attempts"
@@ -45,7 +47,9 @@
 
 // hop is what another entry VM says of a request that it passes on.
 type hop struct {
-	from   steering.VM
+	from steering.VM
+	// to is the process that the request is for; 0 if that VM knows only the name.
+	to     presence.Incarnation
 	region steering.Region
 	// config is the oldest configuration by which the request may be handled.
 	config    uint64
@@ -66,6 +70,9 @@
 func (h *hop) set(to http.Header) {
 	removeHopHeaders(to)
 	to[headerHopFrom] = []string{string(h.from)}
+	if h.to != 0 {
+		to[headerHopTo] = []string{strconv.FormatUint(uint64(h.to), 10)}
+	}
 	to[headerHopRegion] = []string{string(h.region)}
 	to[headerHopConfig] = []string{strconv.FormatUint(h.config, 10)}
 	to[headerHopAttempts] = []string{strconv.Itoa(h.attempts)}
@@ -79,7 +86,8 @@
 func readHop(h http.Header) (read *hop, ok bool) {
 	config, badConfig := strconv.ParseUint(h.Get(headerHopConfig), 10, 64)
 	attempts, badAttempts := strconv.Atoi(h.Get(headerHopAttempts))
-	read = &hop{from: steering.VM(h.Get(headerHopFrom)), region: steering.Region(h.Get(headerHopRegion)), config: config,
+	to, _ := strconv.ParseUint(h.Get(headerHopTo), 10, 32) // 0 if there is none
+	read = &hop{from: steering.VM(h.Get(headerHopFrom)), to: presence.Incarnation(to), region: steering.Region(h.Get(headerHopRegion)), config: config,
 		attempts: attempts, workspace: steering.Workspace(h.Get(headerHopWorkspace)), told: readToldNotices(h)}
 	return read, badConfig == nil && badAttempts == nil && attempts > 0 && read.from != "" && read.region != ""
 }
@@ -135,7 +143,10 @@
 		return p.ErrorResponse(http.StatusBadRequest, "the request was not passed on by an entry VM")
 	}
 	s := requestInfo{id: call.ID}
-	if !f.Ready() {
+	f.countWaiting(passedOn.from)
+	defer f.countAnswered(passedOn.from)
+	if !f.Ready() || passedOn.to != 0 && passedOn.to != f.cfg.Incarnation {
+		// One that is for an earlier process of this VM is given up once the new one is heard.
 		return passedOn.refuse(f, s, steering.ReasonNotReady, notReadyRetryAfter, 0, nil)
 	}
 	e, reason := f.awaitPassedOn(ctx, r, call, passedOn)
@@ -157,6 +168,18 @@
 	return response
 }
 
+func (f *Relay) countWaiting(vm steering.VM) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.waitingVMs.begin(vm)
+}
+
+func (f *Relay) countAnswered(vm steering.VM) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.waitingVMs.end(vm)
+}
+
 // awaitPassedOn is matchPassedOn, but waits a little for a configuration that the other VM has in force
 // already. For the first moments after a change that may be every VM that helps it.
 func (f *Relay) awaitPassedOn(ctx context.Context, r *callers.Request, call platform.RequestInfo, passedOn *hop) (routeMatch, steering.Reason) {
--- a/node/gateway/relay/owners_test.go
+++ b/node/gateway/relay/owners_test.go
@@ -17,6 +17,7 @@
 	"heatherlock/standin/targetlinks"
 	"heatherlock/steering"
 	"heatherlock/steering/placement"
+	"heatherlock/steering/presence"
 	"heatherlock/steering/queueowner"
 	"heatherlock/steering/retry"
 )
@@ -27,9 +28,8 @@
 	owner   *rig
 	toOwner *targetlinks.Links
 	// direct counts the connections of the first VM to targets.
-	direct    atomic.Int64
-	ownerLive atomic.Bool
-	vms       []queueowner.VM
+	direct atomic.Int64
+	vms    []queueowner.VM
 }
 
 func newOwnedPair(t *testing.T, work time.Duration) *ownedPair {
@@ -46,7 +46,6 @@
 	go func() {
 		_ = callers.NewServer(p.owner.relay.PeerHandler(), p.owner.relay.PeerLimits, 100).Serve(ctx, listener)
 	}() // returns when the listener is closed
-	p.ownerLive.Store(true)
 	p.vms = []queueowner.VM{{Name: "owner", Zone: "a", Region: "centro", Address: listener.Addr().String()}}
 	p.setOwners()
 	p.mixRoutes()
@@ -54,7 +53,16 @@
 }
 
 func (p *ownedPair) setOwners() {
-	p.relay.SetOwners(queueowner.New("vm", p.vms), func(steering.VM) bool { return p.ownerLive.Load() })
+	p.relay.SetOwners(queueowner.New("vm", p.vms))
+}
+
+// hear tells the first VM what the membership says of the owner, which is no owner any more unless it is live.
+func (p *ownedPair) hear(state presence.State, incarnation presence.Incarnation) {
+	if !state.TakesRequests() {
+		p.vms = nil
+	}
+	p.setOwners()
+	p.relay.GiveUpAbandoned(func(steering.VM) presence.Process { return presence.Process{State: state, Incarnation: incarnation} })
 }
 
 // mixRoutes lets routes with different latency objectives share the service, so that its targets have owners.
@@ -99,9 +107,7 @@
 			go func() { answered <- p.ask(c.method, c.path, "", 900*time.Millisecond) }()
 			waitFor(t, func() bool { return len(p.runs()) == 1 })
 			p.toOwner.Set(targetlinks.Hang)
-			p.ownerLive.Store(false)
-			p.vms = nil
-			p.setOwners()
+			p.hear(presence.Lost, 0)
 			got := <-answered
 			assert.Equal(t, got.status, c.status)
 			assert.Check(t, got.took < 800*time.Millisecond, "%v", got.took)
@@ -128,3 +134,75 @@
 	grown := left(p.rig) - first + left(p.owner) - owner
 	assert.Check(t, grown < 4*0.2+3, "the budget grew by %.2f", grown) // it also grows with time
 }
+
+// Guards against a purchase that is broken off and answered 502, while a target runs it, because the owner that has
+// it announced that it leaves.
+func TestRequestsAtAnOwnerThatLeaves(t *testing.T) {
+	p := newOwnedPair(t, 500*time.Millisecond)
+	answered := make(chan reply, 1)
+	go func() { answered <- p.ask("POST", "/buy/1", "x", 900*time.Millisecond) }()
+	waitFor(t, func() bool { return len(p.runs()) == 1 })
+	p.owner.relay.StartDrain()
+	for range 5 {
+		p.hear(presence.Leaving, 0)
+	}
+	assert.Equal(t, p.ask("GET", "/read/1", "", time.Second).status, http.StatusOK)
+	assert.Assert(t, p.direct.Load() > 0, "the owner gets nothing new")
+	assert.Equal(t, (<-answered).status, http.StatusOK)
+}
+
+// Guards against a purchase that waits until its deadline for an owner which is killed, or hangs, after it has
+// announced that it leaves: from then on the list of owners does not change any more.
+func TestRequestsAtAnOwnerThatIsKilledWhileItLeaves(t *testing.T) {
+	for _, c := range []struct {
+		method, path    string
+		status, maxRuns int
+	}{{"GET", "/read/1", http.StatusOK, 3}, {"POST", "/buy/1", http.StatusBadGateway, 1}} {
+		t.Run(c.method, func(t *testing.T) {
+			p := newOwnedPair(t, 300*time.Millisecond)
+			answered := make(chan reply, 1)
+			go func() { answered <- p.ask(c.method, c.path, "", 900*time.Millisecond) }()
+			waitFor(t, func() bool { return len(p.runs()) == 1 })
+			p.hear(presence.Leaving, 0)
+			p.toOwner.Set(targetlinks.Hang)
+			p.hear(presence.Ended, 0)
+			got := <-answered
+			assert.Equal(t, got.status, c.status)
+			assert.Check(t, got.took < 800*time.Millisecond, "%v", got.took)
+			assert.Check(t, len(p.runs()) <= c.maxRuns, "%d runs", len(p.runs()))
+		})
+	}
+}
+
+// Guards against requests that wait for an earlier process of a VM which started again under its name before
+// anyone noticed its end, and against requests that the new process has and that are given up for the old one.
+func TestRequestsAtAnOwnerThatStartedAgain(t *testing.T) {
+	p := newOwnedPair(t, 300*time.Millisecond)
+	p.vms[0].Incarnation = 1
+	p.setOwners()
+	assert.Equal(t, p.ask("POST", "/buy/0", "x", 900*time.Millisecond).status, http.StatusOK)
+	assert.Assert(t, p.direct.Load() > 0, "the process that runs now is another one, and takes nothing that is not for it")
+
+	p = newOwnedPair(t, 300*time.Millisecond)
+	answered := make(chan reply, 1)
+	go func() { answered <- p.ask("POST", "/buy/1", "x", 900*time.Millisecond) }()
+	waitFor(t, func() bool { return len(p.runs()) == 1 })
+	p.hear(presence.Live, 2)
+	assert.Equal(t, (<-answered).status, http.StatusOK, "which process has it is not known")
+}
+
+// Guards against purchases that wait at a leaving owner for room which its own callers take, and against an untrue
+// "not run" of them: they run elsewhere at once.
+func TestRequestsThatWaitAtAnOwnerThatLeaves(t *testing.T) {
+	p := newOwnedPair(t, 300*time.Millisecond)
+	p.owner.setMixed()
+	replies := buyAll([]*rig{p.rig}, 24, func() {
+		p.hear(presence.Leaving, 0)
+		p.owner.relay.StartDrain()
+	})
+	served := checkRuns(t, p.owner, replies)
+	assert.Check(t, served >= 6, "%d served", served)
+	for i, r := range replies {
+		assert.Check(t, r.status != http.StatusBadGateway, "purchase %d has an unknown outcome", i)
+	}
+}
--- a/node/gateway/relay/relay.go
+++ b/node/gateway/relay/relay.go
@@ -18,6 +18,8 @@
 	"heatherlock/steering"
 	"heatherlock/steering/identity"
 	"heatherlock/steering/placement"
+	"heatherlock/steering/presence"
+	"heatherlock/steering/queueowner"
 	"heatherlock/steering/reach"
 	"heatherlock/steering/retry"
 	"heatherlock/steering/routes"
@@ -77,8 +79,9 @@
 	Allowances Allowances
 	// Shares divides services that are short between workspaces; nil means that none is.
 	Shares *Shares
-	// VM is the name of this entry VM.
-	VM steering.VM
+	// VM is the name of this entry VM, and Incarnation that of its process.
+	VM          steering.VM
+	Incarnation presence.Incarnation
 	// Peers holds the connections to entry VMs that pass on requests while this VM is cut off from all
 	// targets; nil means that none do.
 	Peers *upstream.Pool
@@ -150,12 +153,14 @@
 	// replaced is notified when another configuration is in force.
 	replaced broadcast
 
-	mu           sync.Mutex // guards Balancer, Retry, poisonFilter, links, linkLog and helpers
+	mu           sync.Mutex // guards Balancer, Retry and the fields up to checks
 	poisonFilter *poisonFilter
 	links        reach.Links
 	linkLog      linkLog
-	helpers      *reach.Helpers // nil until SetHelpers is called
-	owners       ownerTable
+	helpers      *reach.Helpers     // nil until SetHelpers is called
+	owners       *queueowner.Owners // nil if this VM sends its callers' requests itself
+	passedOn     passedOnTable
+	waitingVMs   waitingVMs
 	checks       uint64 // of the links, which vary the sample of targets
 	// shownConfig is the newest version by which another VM has handled a request for this one.
 	shownConfig atomic.Uint64
@@ -176,7 +181,7 @@
 	if cfg.TargetLimits == nil {
 		cfg.TargetLimits = closedTargets{}
 	}
-	return &Relay{cfg: cfg, poisonFilter: newPoisonFilter(cfg.TargetHeartbeatInterval, cfg.Log), outcomeCounts: newOutcomeCounts(), holds: newHolds(cfg.MemoryBytes), started: make(chan struct{}), closed: make(chan struct{})}
+	return &Relay{cfg: cfg, passedOn: make(passedOnTable), waitingVMs: make(waitingVMs), poisonFilter: newPoisonFilter(cfg.TargetHeartbeatInterval, cfg.Log), outcomeCounts: newOutcomeCounts(), holds: newHolds(cfg.MemoryBytes), started: make(chan struct{}), closed: make(chan struct{})}
 }
 
 // StartDrain sends the requests that wait in this VM on or refuses them, and lets none wait any more.
--- a/steering/queueowner/owners.go
+++ b/steering/queueowner/owners.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"heatherlock/steering"
+	"heatherlock/steering/presence"
 	"heatherlock/steering/rendezvous"
 )
 
@@ -16,10 +17,12 @@
 
 // VM is an entry VM that may own targets.
 type VM struct {
-	Name    steering.VM
-	Zone    steering.Zone
-	Region  steering.Region
-	Address string // for requests that other VMs pass on
+	Name steering.VM
+	// Incarnation is that of its process, as far as is known.
+	Incarnation presence.Incarnation
+	Zone        steering.Zone
+	Region      steering.Region
+	Address     string // for requests that other VMs pass on
 	// Capacity is how many requests per second the VM can forward; 0 if it is not known.
 	Capacity float64
 }
--- a/steering/reach/helpers.go
+++ b/steering/reach/helpers.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"heatherlock/steering"
+	"heatherlock/steering/presence"
 	"heatherlock/steering/rendezvous"
 )
 
@@ -23,9 +24,11 @@
 
 // Helper is an entry VM that reaches targets.
 type Helper struct {
-	VM      steering.VM
-	Region  steering.Region
-	Address string
+	VM steering.VM
+	// Incarnation is that of its process, as far as is known.
+	Incarnation presence.Incarnation
+	Region      steering.Region
+	Address     string
 	// Capacity is how many requests per second the VM can forward; 0 if it is not known.
 	Capacity float64
 }
