Close each connection with the response to the last request read

Callers saw: connections on which a request was always sent ahead were cut 5.5 s after the SIGTERM of their entry VM, with requests in hand that targets ran (LOST).

Cause: a leaving VM closed a connection with a response only if no later request had been read from it, which never holds on such a connection, and nothing else ended the reading.

Change: steering/gracefulstop decides which request may still be read and which response closes, and plans the steps of a stop. What is closed with a response is read for up to 1 s more, so that unread bytes do not reset it. A request that is half read when draining begins is finished; it was dropped, or answered 408 as if its connection were idle. Listeners for look-ups and control calls finish what they answer. New: the number of connections accepted, in a gauge and in the lines of the stop.

Why it works: no connection goes on being read once a response that can close it is to come.

--- a/node/gateway/callers/conn.go
+++ b/node/gateway/callers/conn.go
@@ -16,6 +16,7 @@
 
 	"heatherlock/node/gateway/buffering"
 	"heatherlock/steering"
+	"heatherlock/steering/gracefulstop"
 	"heatherlock/steering/routes"
 )
 
@@ -55,13 +56,12 @@
 
 	mu          sync.Mutex
 	lastWritten chan struct{} // closed when the response to the newest request has been written
-	// closeAnnounced is set once a response has announced that the connection will be closed. The
-	// caller repeats every request that it sent after the one so answered, so none that is read
-	// later may run.
-	closeAnnounced bool
-	// bodyStreaming is set while a running request reads the remainder of its body from the
-	// connection.
-	bodyStreaming bool
+	// closing decides which response closes the connection. The caller repeats every request that it
+	// sent after the one so answered, so none that is read later may run.
+	closing gracefulstop.Connection
+	// streamed is the remainder of a body that a running request reads from the connection, nil if none
+	// does. Only serve uses it.
+	streamed *restBody
 }
 
 func newConn(s *Server, raw net.Conn) *conn {
@@ -98,12 +98,21 @@
 		cancel()
 	}
 	c.done.Wait()
+	if c.closeAnnounced() {
+		c.linger()
+	}
+}
+
+func (c *conn) closeAnnounced() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.closing.Closed()
 }
 
 // waitForCallerClose reads and discards input while requests run and reports whether the caller
 // closed the connection before they ended.
 func (c *conn) waitForCallerClose() bool {
-	if c.inFlight.Load() == 0 || c.bodyStreaming {
+	if c.inFlight.Load() == 0 || c.streamed != nil {
 		return false
 	}
 	if c.unwritable.Load() {
@@ -138,7 +147,7 @@
 func (c *conn) readNext(ctx context.Context) bool {
 	limits := c.limits()
 	c.limitedReader.remaining = -1
-	if !c.awaitFirstByte(limits.IdleTimeout) {
+	if !c.awaitFirstByte(limits.IdleTimeout) || !c.beginRead() {
 		return false
 	}
 	received := time.Now()
@@ -255,9 +264,9 @@
 	request := &Request{Method: r.Method, Path: r.RequestURI, Host: r.Host, Header: r.Header,
 		Body: body, BodyRest: rest, Length: lengthOf(r, body, rest), Received: received}
 	wantsClose := r.Close
-	c.bodyStreaming = rest != nil
 	if rest != nil {
-		request.BodyRest = &restBody{Reader: rest, raw: c.raw}
+		c.streamed = &restBody{from: rest, raw: c.raw}
+		request.BodyRest = c.streamed
 	}
 	if !c.start(ctx, request, r, wantsClose, claim) {
 		claim.End()
@@ -323,15 +332,38 @@
 
 // restBody is the remainder of a body, which is read while it is sent to a target.
 type restBody struct {
-	io.Reader
-	raw net.Conn
+	from io.Reader
+	raw  net.Conn
+
+	reading sync.Mutex // held during Read
+	mu      sync.Mutex
+	ended   bool
 }
 
 // Read implements io.Reader. The time limit begins anew with each read, because a target that reads
 // slowly delays the caller.
 func (b *restBody) Read(p []byte) (int, error) {
+	b.reading.Lock()
+	defer b.reading.Unlock()
+	b.mu.Lock()
+	if b.ended {
+		b.mu.Unlock()
+		return 0, io.ErrUnexpectedEOF
+	}
 	_ = b.raw.SetReadDeadline(time.Now().Add(bodyTimeout))
-	return b.Reader.Read(p)
+	b.mu.Unlock()
+	return b.from.Read(p)
+}
+
+// end makes Read fail from now on, and returns when none is running. An attempt that goes on after the
+// response would otherwise take bytes from whoever reads the connection next.
+func (b *restBody) end() {
+	b.mu.Lock()
+	b.ended = true
+	_ = b.raw.SetReadDeadline(time.Unix(1, 0)) // ends a Read that is running
+	b.mu.Unlock()
+	b.reading.Lock()
+	defer b.reading.Unlock()
 }
 
 // HoldBack bounds what the kernel receives of the body while it is not read, and returns the bytes
@@ -363,13 +395,20 @@
 	return c.lastWritten
 }
 
+// beginRead reports whether the request whose first byte has arrived may be read.
+func (c *conn) beginRead() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.closing.BeginRead(c.server.draining.Load())
+}
+
 // start runs a request in its own goroutine; its response is written after those to earlier
 // requests. It returns false if the connection is about to be closed.
 func (c *conn) start(ctx context.Context, request *Request, r *http.Request, wantsClose bool, claim *buffering.Claim) bool {
 	c.slots <- struct{}{}
 	c.mu.Lock()
 	previous, own := c.lastWritten, make(chan struct{})
-	if c.closeAnnounced {
+	if !c.closing.Start() {
 		c.mu.Unlock()
 		return false
 	}
@@ -390,19 +429,17 @@
 		if response != nil && response.BeforeWrite != nil {
 			response.BeforeWrite()
 		}
-		c.write(response, r, c.announceClose(own, response, wantsClose || request.BodyRest != nil), claim)
+		c.write(response, r, c.closesWith(response, wantsClose || request.BodyRest != nil), claim)
 	}()
 	return true
 }
 
-// announceClose decides whether the connection is closed after a response, and records it. While
-// the server is leaving it is, unless further requests already run: these are answered first.
-func (c *conn) announceClose(own chan struct{}, a *Response, closing bool) bool {
+// closesWith decides whether the connection is closed with a response. With last set nothing is read behind
+// its request.
+func (c *conn) closesWith(a *Response, last bool) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	closing = closing || a != nil && a.Close || c.server.leaving.Load() && c.lastWritten == own
-	c.closeAnnounced = c.closeAnnounced || closing
-	return closing
+	return c.closing.Respond(c.server.draining.Load(), last || a != nil && a.Close)
 }
 
 // refuse answers a request that cannot be read and closes the connection after the response.
@@ -415,6 +452,9 @@
 // linger keeps reading for a while: closing a connection with unread bytes would reset it, and the
 // caller would lose the response.
 func (c *conn) linger() {
+	if c.streamed != nil {
+		c.streamed.end()
+	}
 	if tcp, ok := c.raw.(*net.TCPConn); ok {
 		_ = tcp.CloseWrite()
 	}
@@ -424,7 +464,9 @@
 }
 
 func (c *conn) closeIfIdle() {
-	if c.inFlight.Load() == 0 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.closing.Idle() && !c.closing.Closed() {
 		_ = c.raw.SetReadDeadline(time.Unix(1, 0))
 	}
 }
--- a/node/gateway/callers/server.go
+++ b/node/gateway/callers/server.go
@@ -22,10 +22,11 @@
 	// is called.
 	Buffers *buffering.VM
 
-	leaving atomic.Bool
-	mu      sync.Mutex
-	conns   map[*conn]struct{}
-	running atomic.Int64
+	draining atomic.Bool
+	mu       sync.Mutex
+	conns    map[*conn]struct{}
+	running  atomic.Int64
+	accepted atomic.Int64
 }
 
 // NewServer returns a server that passes requests to h and keeps at most maxConns connections open.
@@ -66,6 +67,7 @@
 		_ = raw.Close() // the caller uses another entry VM
 		return
 	}
+	s.accepted.Add(1)
 	go c.serve(ctx)
 }
 
@@ -75,10 +77,14 @@
 	s.mu.Unlock()
 }
 
-// StartDrain makes the server close each connection after its next response.
-func (s *Server) StartDrain() { s.leaving.Store(true) }
+// StartDrain makes the server close each connection with a response: that to the last request which has been
+// read or is being read, or if there is none, that to the next one.
+func (s *Server) StartDrain() { s.draining.Store(true) }
 
-// CloseIdle closes the connections that have no request running.
+// Accepted returns the number of connections that were accepted since the server was created.
+func (s *Server) Accepted() int64 { return s.accepted.Load() }
+
+// CloseIdle closes the connections on which no request is being read or has no response yet.
 func (s *Server) CloseIdle() {
 	s.mu.Lock()
 	all := make([]*conn, 0, len(s.conns))
--- a/node/gateway/gateway.go
+++ b/node/gateway/gateway.go
@@ -373,7 +373,7 @@
 	g.relay.LogOutcomeCounts()
 	g.logTraffic()
 	g.logWorkspaces()
-	_ = g.log.Log("msg", "stopped", "vm", g.settings.VM)
+	_ = g.log.Log("msg", "stopped", "vm", g.settings.VM, "connections_accepted", g.callers.Accepted())
 	return nil
 }
 
@@ -480,6 +480,7 @@
 	scope.Gauge("gateway_read_rank").Update(float64(g.reader.Rank()))
 	scope.Gauge("gateway_requests_running").Update(float64(g.callers.InFlight()))
 	scope.Gauge("gateway_caller_connections").Update(float64(g.callers.Connections()))
+	scope.Gauge("gateway_caller_connections_accepted").Update(float64(g.callers.Accepted()))
 	g.buffers.UpdateGauges()
 	for service, left := range tries {
 		scope.Tagged(map[string]string{"service": string(service)}).Gauge("gateway_tries_left").Update(left)
--- a/node/gateway/listeners.go
+++ b/node/gateway/listeners.go
@@ -2,11 +2,13 @@
 
 import (
 	"cmp"
+	"context"
 	"math"
 	"net"
 	"net/http"
 	"slices"
 	"strconv"
+	"sync"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -55,10 +57,22 @@
 	return nil
 }
 
+// serverCloseTime is how long a stopping VM waits for look-ups and control calls that are being answered.
+const serverCloseTime = 200 * time.Millisecond
+
+// closeServers closes the listeners other than those for requests. What is being answered is finished first.
 func (g *Gateway) closeServers() {
+	ctx, cancel := context.WithTimeout(context.Background(), serverCloseTime)
+	defer cancel()
+	var all sync.WaitGroup
 	for _, server := range g.servers {
-		_ = server.Close() // the process ends
+		all.Go(func() {
+			if server.Shutdown(ctx) != nil {
+				_ = server.Close() // the process ends
+			}
+		})
 	}
+	all.Wait()
 }
 
 func (g *Gateway) serveDirectory(w http.ResponseWriter, r *http.Request) {
