Let one VM at a time lend an allowance while its owner leaves

Callers saw: nothing was reported. A workspace could get up to 1.6 times its allowance while the VM that lends it was leaving, and two thirds of it while another of three VMs was.

Cause: a leaving VM counted itself as live and went on as owner for its own callers, while the others had chosen another owner; and an owner lent the share of the VMs that do not leave, though those that do still use credits.

Change: a leaving VM leaves itself out of the owners and reports to the new one. The share that is lent counts all VMs that are heard. SetLivePeers becomes SetFleet, which names the three facts.

Why it works: at any time one VM lends, and what it lends follows from who may spend it.

--- a/node/gateway/allowances/fleet_test.go
+++ b/node/gateway/allowances/fleet_test.go
@@ -119,7 +119,7 @@
 	for n, p := range f.peers {
 		s := allowances.New(allowances.Config{Self: p.Name, Log: log.NewNopLogger(), Scope: tally.NoopScope}, &memConn{fleet: f, address: addressOf(n), stop: make(chan struct{})})
 		f.vms = append(f.vms, &limitedVM{service: s, notices: placement.NewBalancer(p.Name, p.Region)})
-		s.SetLivePeers(f.peers, size)
+		s.SetFleet(allowances.Fleet{Live: f.peers, Members: size})
 		go s.Run(ctx)
 	}
 	return f
@@ -335,7 +335,7 @@
 	without := slices.DeleteFunc(slices.Clone(f.peers), func(p allowances.Peer) bool { return p.Name == owner })
 	for n, v := range f.vms {
 		if n%2 == 0 && f.peers[n].Name != owner {
-			v.service.SetLivePeers(without, len(f.peers))
+			v.service.SetFleet(allowances.Fleet{Live: without, Members: len(f.peers)})
 		}
 		time.AfterFunc(viewsCompared, func() { v.service.SetAgreeingShare(share) })
 	}
--- a/node/gateway/allowances/service.go
+++ b/node/gateway/allowances/service.go
@@ -68,7 +68,7 @@
 	targetLedger *allowance.Ledger
 	peers        map[steering.VM]peer
 	members      int
-	liveShare    float64 // of the VMs that are live
+	liveShare    float64 // of the VMs that are heard
 	agreeing     float64 // see SetAgreeingShare
 	fleetVersion int     // incremented when the live VMs or their weights change
 	lowUntil     map[allowance.ID]time.Time
@@ -146,9 +146,19 @@
 	return len(s.byID) > 0 || len(s.targets) > 0
 }
 
-// SetLivePeers sets the live entry VMs, including this one, and the number of entry VMs in the
-// fleet.
-func (s *Service) SetLivePeers(live []Peer, members int) {
+// Fleet are the entry VMs among which allowances are divided.
+type Fleet struct {
+	// Live are the VMs that may own an allowance: this one as well, unless it leaves.
+	Live []Peer
+	// Answering is the number of VMs that are heard, with those that leave, which still use credits.
+	Answering int
+	// Members is the number of VMs in the fleet, with those that are not heard.
+	Members int
+}
+
+// SetFleet sets the entry VMs.
+func (s *Service) SetFleet(f Fleet) {
+	live, members := f.Live, f.Members
 	peers := make(map[steering.VM]peer, len(live))
 	candidates := make([]allowance.Candidate, 0, len(live))
 	liveIn, regions := make(map[steering.Region][]allowance.Candidate), make(map[steering.VM]steering.Region)
@@ -164,7 +174,8 @@
 		liveIn[p.Region] = append(liveIn[p.Region], candidate)
 		regions[p.Name] = p.Region
 	}
-	members = max(members, len(live), 1)
+	answering := max(f.Answering, len(live), 1)
+	members = max(members, answering)
 	now := time.Now()
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -172,7 +183,7 @@
 		s.fleetVersion++
 	}
 	s.live, s.liveIn, s.regions, s.peers, s.members = candidates, liveIn, regions, peers, members
-	s.liveShare = float64(max(len(live), 1)) / float64(members)
+	s.liveShare = float64(answering) / float64(members)
 	s.ledger.SetFleetShare(now, s.liveShare)
 	s.targetLedger.SetFleetShare(now, s.liveShare*s.agreeing)
 	for _, a := range s.accounts {
--- a/node/gateway/allowances/service_test.go
+++ b/node/gateway/allowances/service_test.go
@@ -41,7 +41,7 @@
 	for n, conn := range conns {
 		s := allowances.New(allowances.Config{Self: g.peers[n].Name, Log: log.NewNopLogger(), Scope: tally.NoopScope,
 			Slack: allowance.Slack{Window: 5 * time.Second, Share: 0.1, Requests: 20}, OnLowBucket: func() { g.low.Add(1) }}, conn)
-		s.SetLivePeers(g.peers, size)
+		s.SetFleet(allowances.Fleet{Live: g.peers, Members: size})
 		s.Configure(identity.NewDirectory(w))
 		ctx, stop := context.WithCancel(t.Context())
 		g.stops = append(g.stops, stop)
--- a/node/gateway/allowances/targets_internal_test.go
+++ b/node/gateway/allowances/targets_internal_test.go
@@ -45,7 +45,7 @@
 // Guards against a limit that is lowered while credits are lent under the higher one.
 func TestLoweredLimitEndsItsCredits(t *testing.T) {
 	s := New(Config{Self: "vm-1", Scope: nil}, &written{})
-	s.SetLivePeers([]Peer{{Name: "vm-1", Region: "r", Address: "127.0.0.1:1"}}, 1)
+	s.SetFleet(Fleet{Live: []Peer{{Name: "vm-1", Region: "r", Address: "127.0.0.1:1"}}, Members: 1})
 	target := placement.Target{Name: "t1", Region: "r"}
 	now := time.Now()
 	for range 40 {
@@ -67,7 +67,7 @@
 		least, most int
 	}{{0.01, 1, 2}, {1000, 10, 10}} {
 		s, target := New(Config{Self: "vm-1"}, &written{}), placement.Target{Name: "t1", Region: "r"}
-		s.SetLivePeers([]Peer{{Name: "vm-1", Region: "r", Address: "127.0.0.1:1"}}, 1)
+		s.SetFleet(Fleet{Live: []Peer{{Name: "vm-1", Region: "r", Address: "127.0.0.1:1"}}, Members: 1})
 		limit, began, admitted := placement.NamedLimit{InForce: true, PerSecond: c.perSecond, HeardAt: time.Now()}, time.Now(), 0
 		for range 10 {
 			if _, _, ok := s.AdmitToTarget(t.Context(), target, limit); ok {
--- a/node/gateway/shutdown.go
+++ b/node/gateway/shutdown.go
@@ -28,6 +28,7 @@
 	g.passedOn.StartDrain()
 	g.relay.StartDrain()
 	g.fleet.Announce()
+	g.updateAllowancePeers()
 	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
 	g.workers.Go(func() {
 		defer cancel()
--- a/node/gateway/workspaces.go
+++ b/node/gateway/workspaces.go
@@ -49,8 +49,9 @@
 	}
 }
 
-// updateAllowancePeers passes the live VMs and the number of entry VMs to the allowance service,
-// which needs them only for workspaces with an allowance and targets that name a limit.
+// updateAllowancePeers passes the entry VMs to the allowance service, which needs them only for workspaces with an
+// allowance and targets that name a limit. A VM that leaves owns none any more: the others have chosen another
+// owner, and two that lend would lend twice as much.
 func (g *Gateway) updateAllowancePeers() {
 	if !g.allowanceService.HasLimits() {
 		return
@@ -58,6 +59,9 @@
 	live := g.fleet.Live()
 	peers := make([]allowances.Peer, 0, len(live))
 	for _, m := range live {
+		if m.Name == g.settings.VM && g.leaving.Load() && len(live) > 1 {
+			continue
+		}
 		address, err := platform.AllowanceAddressOf(m.Peer)
 		if err != nil {
 			_ = g.log.Log("msg", "entry VM has no valid address for allowances", "peer", m.Name, "err", err) // the log writer counts dropped lines
@@ -65,7 +69,7 @@
 		}
 		peers = append(peers, allowances.Peer{Name: m.Name, Region: m.Region, Address: address, Weight: float64(m.Capacity)})
 	}
-	g.allowanceService.SetLivePeers(peers, g.fleet.MemberCount())
+	g.allowanceService.SetFleet(allowances.Fleet{Live: peers, Answering: g.fleet.AnsweringCount(), Members: g.fleet.MemberCount()})
 }
 
 // workspaceRows returns the status of the workspaces: what their allowances let run, and what they ask of
