Ask for the age of the store's copy without the placement lock

Callers saw: nothing yet.

Cause: a response in which a target says that it leaves was logged with the age of the store's copy under the placement lock; the store reader holds its own lock while it passes targets on, for which it waits for that one.

Change: the line is logged after the lock is released. node/lock holds the order of the locks, and with the build tag lockorder its mutexes report two that are taken in both orders (go-deadlock). The short soak plays such a build, and takes any process that ends with an error for a finding, whatever signals it got.

Evidence: TestStoreAgeIsAskedForWithoutThePlacementLock got no response in 3 s before. Why it works: the reader is not asked while anything that it may wait for is held.

--- a/node/gateway/allowances/service.go
+++ b/node/gateway/allowances/service.go
@@ -10,6 +10,7 @@
 	"github.com/go-kit/log"
 	"github.com/uber-go/tally/v4"
 
+	"heatherlock/node/lock"
 	"heatherlock/steering"
 	"heatherlock/steering/allowance"
 	"heatherlock/steering/identity"
@@ -51,7 +52,7 @@
 	cfg  Config
 	conn net.PacketConn
 
-	mu sync.Mutex
+	mu lock.Mutex
 	// incarnation is that of new accounts. Owners take accounts of different incarnations for those of
 	// different processes.
 	incarnation uint32
--- a/node/gateway/buffering/vm.go
+++ b/node/gateway/buffering/vm.go
@@ -1,12 +1,12 @@
 package buffering
 
 import (
-	"sync"
 	"time"
 
 	"github.com/go-kit/log"
 	"github.com/uber-go/tally/v4"
 
+	"heatherlock/node/lock"
 	"heatherlock/steering/buffers"
 )
 
@@ -29,7 +29,7 @@
 	log   log.Logger
 	scope tally.Scope
 
-	mu       sync.Mutex
+	mu       lock.Mutex
 	budget   *buffers.Budget
 	accounts map[buffers.ID]*Account
 	released chan struct{} // closed and replaced when bytes are released while a reservation waits
--- a/node/gateway/callers/conn.go
+++ b/node/gateway/callers/conn.go
@@ -15,6 +15,7 @@
 	"golang.org/x/net/http/httpguts"
 
 	"heatherlock/node/gateway/buffering"
+	"heatherlock/node/lock"
 	"heatherlock/steering"
 	"heatherlock/steering/gracefulstop"
 	"heatherlock/steering/routes"
@@ -54,7 +55,7 @@
 	unwritable    atomic.Bool // set when no further response can be written
 	done          sync.WaitGroup
 
-	mu          sync.Mutex
+	mu          lock.Mutex
 	lastWritten chan struct{} // closed when the response to the newest request has been written
 	// closing decides which response closes the connection. The caller repeats every request that it
 	// sent after the one so answered, so none that is read later may run.
@@ -335,8 +336,8 @@
 	from io.Reader
 	raw  net.Conn
 
-	reading sync.Mutex // held during Read
-	mu      sync.Mutex
+	reading lock.Mutex // held during Read
+	mu      lock.Mutex
 	ended   bool
 }
 
--- a/node/gateway/callers/server.go
+++ b/node/gateway/callers/server.go
@@ -3,13 +3,13 @@
 import (
 	"context"
 	"net"
-	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/go-faster/errors"
 
 	"heatherlock/node/gateway/buffering"
+	"heatherlock/node/lock"
 )
 
 // Server serves callers on a listener. It is safe for concurrent use.
@@ -23,7 +23,7 @@
 	Buffers *buffering.VM
 
 	draining atomic.Bool
-	mu       sync.Mutex
+	mu       lock.Mutex
 	conns    map[*conn]struct{}
 	running  atomic.Int64
 	accepted atomic.Int64
--- a/node/gateway/feed/reader.go
+++ b/node/gateway/feed/reader.go
@@ -8,6 +8,7 @@
 
 	"github.com/go-kit/log"
 
+	"heatherlock/node/lock"
 	"heatherlock/platform"
 	"heatherlock/steering"
 	"heatherlock/steering/routes"
@@ -91,7 +92,7 @@
 	log   log.Logger
 	peers Peers
 
-	mu       sync.Mutex
+	mu       lock.Mutex
 	state    *State
 	interval time.Duration
 	failing  bool
--- a/node/gateway/fleet/fleet.go
+++ b/node/gateway/fleet/fleet.go
@@ -13,6 +13,7 @@
 
 	"heatherlock/node/gateway/feed"
 	"heatherlock/node/gateway/volume"
+	"heatherlock/node/lock"
 	"heatherlock/steering"
 	"heatherlock/steering/placement"
 	"heatherlock/steering/poison"
@@ -55,7 +56,7 @@
 	conn        net.PacketConn
 	incarnation uint32
 
-	mu         sync.Mutex
+	mu         lock.Mutex
 	roster     *Roster
 	beatNumber uint64
 	wake       chan struct{}
--- a/node/gateway/gateway.go
+++ b/node/gateway/gateway.go
@@ -25,6 +25,7 @@
 	"heatherlock/node/gateway/relay"
 	"heatherlock/node/gateway/upstream"
 	"heatherlock/node/gateway/volume"
+	"heatherlock/node/lock"
 	"heatherlock/node/telemetry"
 	"heatherlock/platform"
 	"heatherlock/steering"
@@ -88,7 +89,7 @@
 	coldSenders []steering.VM // guarded by the relay's lock
 	// announced is set once a heartbeat was requested to announce that this VM takes requests.
 	announced        atomic.Bool
-	ownersMu         sync.Mutex
+	ownersMu         lock.Mutex
 	ownerVMs         []queueowner.VM // of the last update of the owners
 	regionSplit      placement.RegionSplit
 	meter            *volume.Meter
@@ -108,10 +109,10 @@
 	newest atomic.Pointer[newestConfig]
 	page   statusPage
 
-	peaksMu sync.Mutex
+	peaksMu lock.Mutex
 	peaks   map[steering.Zone]peak // of caller demand, for the directory
 
-	reloadMu          sync.Mutex
+	reloadMu          lock.Mutex
 	currentSettings   *platform.Settings // from the last valid read
 	lastSettingsError string             // of the last read, empty if it was valid
 }
--- a/node/gateway/loadreport/saver.go
+++ b/node/gateway/loadreport/saver.go
@@ -3,9 +3,9 @@
 import (
 	"context"
 	"maps"
-	"sync"
 	"time"
 
+	"heatherlock/node/lock"
 	"heatherlock/steering"
 	"heatherlock/steering/balance"
 )
@@ -57,7 +57,7 @@
 type saver struct {
 	store Store
 
-	mu      sync.Mutex
+	mu      lock.Mutex
 	busy    bool
 	asked   bool // weights were requested; they are in loaded once busy is unset
 	loaded  Saved
--- a/node/gateway/loadreport/service.go
+++ b/node/gateway/loadreport/service.go
@@ -13,6 +13,7 @@
 	"github.com/go-kit/log"
 	"github.com/uber-go/tally/v4"
 
+	"heatherlock/node/lock"
 	"heatherlock/steering"
 )
 
@@ -73,7 +74,7 @@
 	conn        net.PacketConn // nil if there is no port for reports
 	incarnation uint32
 
-	mu       sync.Mutex
+	mu       lock.Mutex
 	number   uint64
 	sections map[uint8]Section
 	peers    Peers
--- a/node/gateway/loadreport/weights.go
+++ b/node/gateway/loadreport/weights.go
@@ -5,9 +5,9 @@
 	"context"
 	"maps"
 	"slices"
-	"sync"
 	"time"
 
+	"heatherlock/node/lock"
 	"heatherlock/steering"
 	"heatherlock/steering/balance"
 	"heatherlock/steering/placement"
@@ -58,7 +58,7 @@
 	WeightsConfig
 	service *Service
 
-	mu        sync.Mutex
+	mu        lock.Mutex
 	region    *balance.Region
 	holders   map[steering.Region]*balance.Holder
 	balancers map[steering.Region]steering.VM
--- a/node/gateway/planted/planted.go
+++ b/node/gateway/planted/planted.go
@@ -23,6 +23,8 @@
 	ImmediateExit Name = "cut_on_stop"
 	// NoHelpers refuses requests at a VM that is cut off from all targets instead of passing them on.
 	NoHelpers Name = "no_helpers"
+	// LockOrder asks the store reader for something while the placement lock is held.
+	LockOrder Name = "lock_order"
 	// LimitIgnored sends requests to targets that name a limit without credits.
 	LimitIgnored Name = "limit_ignored"
 	// ReusedAddress sends requests to whichever target holds an address, without checking that it
--- a/node/gateway/relay/events.go
+++ b/node/gateway/relay/events.go
@@ -2,11 +2,11 @@
 
 import (
 	"strconv"
-	"sync"
 	"time"
 
 	"github.com/uber-go/tally/v4"
 
+	"heatherlock/node/lock"
 	"heatherlock/steering"
 	"heatherlock/steering/presence"
 	"heatherlock/steering/routes"
@@ -16,7 +16,7 @@
 type Metrics struct {
 	scope tally.Scope
 
-	mu sync.Mutex
+	mu lock.Mutex
 	// unknownHeaders holds the names that have a counter of their own.
 	unknownHeaders map[string]bool
 }
--- a/node/gateway/relay/holds.go
+++ b/node/gateway/relay/holds.go
@@ -1,10 +1,10 @@
 package relay
 
 import (
-	"sync"
 	"sync/atomic"
 	"time"
 
+	"heatherlock/node/lock"
 	"heatherlock/steering"
 	"heatherlock/steering/placement"
 	"heatherlock/steering/waiting"
@@ -37,7 +37,7 @@
 	count    atomic.Int64 // of waiters, to be read without mu
 	draining atomic.Bool
 
-	mu      sync.Mutex
+	mu      lock.Mutex
 	queue   *waiting.Queue
 	waiters map[uint64]chan wake
 	lastID  uint64
--- a/node/gateway/relay/locks_test.go
+++ b/node/gateway/relay/locks_test.go
@@ -1,6 +1,7 @@
 package relay_test
 
 import (
+	"net/http"
 	"sync"
 	"testing"
 	"time"
@@ -49,3 +50,32 @@
 		assert.Assert(t, false, "heartbeat and store reader deadlocked")
 	}
 }
+
+// Guards against an entry VM that answers nothing until it is killed: a response in which a target says that it
+// leaves is logged with the age of the store's copy, for which the store reader is asked, and the reader holds
+// its lock while it waits for the placement lock.
+func TestStoreAgeIsAskedForWithoutThePlacementLock(t *testing.T) {
+	g := newRig(t, 2, nil)
+	asked := make(chan struct{}, 10)
+	g.storeAge = func() time.Duration {
+		g.relay.CutOff() // takes the placement lock, as the reader does after its own
+		asked <- struct{}{}
+		return time.Second
+	}
+	for _, e := range g.targets {
+		e.SetHeader("Server-Leaving", "1")
+	}
+	answered := make(chan reply, 1)
+	go func() { answered <- g.ask("GET", "/read/1", "", time.Second) }()
+	select {
+	case got := <-answered:
+		assert.Equal(t, got.status, http.StatusOK)
+	case <-time.After(3 * time.Second):
+		t.Fatal("the VM answers nothing")
+	}
+	select {
+	case <-asked:
+	case <-time.After(time.Second):
+		t.Fatal("the age of the store's copy is not logged")
+	}
+}
--- a/node/gateway/relay/notices.go
+++ b/node/gateway/relay/notices.go
@@ -25,11 +25,18 @@
 	return info, !info.WrongTarget
 }
 
+// heardNotice is what a target said of itself in a response, and what that changed.
+type heardNotice struct {
+	said    placement.Notice
+	changed placement.NoticeChange
+	age     time.Duration // from the request to the response
+}
+
 // recordNotice records what a target says of itself in its response. f.mu must be held.
-func (f *Relay) recordNotice(now time.Time, e *attemptResult, sentAt time.Time) {
+func (f *Relay) recordNotice(now time.Time, e *attemptResult, sentAt time.Time) (heard heardNotice) {
 	info, ok := e.noticeOf()
 	if !ok {
-		return
+		return heard
 	}
 	if info.Limit.Unreadable {
 		f.cfg.Metrics.LimitUnreadable()
@@ -53,12 +60,14 @@
 	if changed.Limit || changed.LimitEnded {
 		e.limitHeard = &placement.NamedLimit{InForce: said.Limited, PerSecond: said.Limit, AskedAt: said.AskedAt, HeardAt: now}
 	}
-	f.logNotice(e.pick.Target, said, changed, now.Sub(sentAt))
+	return heardNotice{said, changed, now.Sub(sentAt)}
 }
 
-// logNotice logs what a response changed in what is known of its target. age is how long before the response
-// its request was sent.
-func (f *Relay) logNotice(t placement.Target, said placement.Notice, changed placement.NoticeChange, age time.Duration) {
+// logNotice logs what a response changed in what is known of its target. It must be called without f.mu: it asks
+// for the age of the store's copy, and the reader of the store holds its own lock while it passes targets on, for
+// which it waits for f.mu.
+func (f *Relay) logNotice(t placement.Target, heard heardNotice) {
+	said, changed := heard.said, heard.changed
 	if changed.Leaving {
 		f.cfg.Metrics.LeavingHeard()
 		_ = f.cfg.Log.Log("msg", "target says that it leaves", "target", t.Name, "service", t.Service, "store_age_ms", f.storeAge().Milliseconds()) // the log writer counts dropped lines
@@ -73,6 +82,6 @@
 	case changed.Limit && said.Limited:
 		_ = f.cfg.Log.Log("msg", "target names a limit", "target", t.Name, "service", t.Service, "per_second", said.Limit) // the log writer counts dropped lines
 	case changed.Limit:
-		_ = f.cfg.Log.Log("msg", "target names no limit any more", "target", t.Name, "service", t.Service, "request_age_ms", age.Milliseconds()) // the log writer counts dropped lines
+		_ = f.cfg.Log.Log("msg", "target names no limit any more", "target", t.Name, "service", t.Service, "request_age_ms", heard.age.Milliseconds()) // the log writer counts dropped lines
 	}
 }
--- a/node/gateway/relay/outcomes.go
+++ b/node/gateway/relay/outcomes.go
@@ -2,9 +2,9 @@
 
 import (
 	"net/http"
-	"sync"
 	"time"
 
+	"heatherlock/node/lock"
 	"heatherlock/platform"
 	"heatherlock/steering"
 	"heatherlock/steering/losses"
@@ -16,7 +16,7 @@
 // callers lose without a log line for each request: at 2,400 requests per second over all entry
 // VMs, such lines would use more CPU than the requests themselves.
 type outcomeCounts struct {
-	mu    sync.Mutex
+	mu    lock.Mutex
 	tally *losses.Tally
 }
 
--- a/node/gateway/relay/placement.go
+++ b/node/gateway/relay/placement.go
@@ -6,6 +6,7 @@
 
 	"github.com/go-faster/errors"
 
+	"heatherlock/node/gateway/planted"
 	"heatherlock/node/gateway/upstream"
 	"heatherlock/steering"
 	"heatherlock/steering/placement"
@@ -107,6 +108,12 @@
 // reportResult reports to the balancer and the poison filter what an attempt showed about its
 // target, and records it in the result.
 func (f *Relay) reportResult(ctx context.Context, x *exchange, e *attemptResult, began, sentAt time.Time) {
+	heard := f.recordAttempt(ctx, x, e, began, sentAt)
+	f.logNotice(e.pick.Target, heard)
+}
+
+// recordAttempt is reportResult without the log line of what the target said of itself.
+func (f *Relay) recordAttempt(ctx context.Context, x *exchange, e *attemptResult, began, sentAt time.Time) (heard heardNotice) {
 	now := time.Now()
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -117,7 +124,10 @@
 	if !sentAt.IsZero() {
 		report.Latency = now.Sub(sentAt)
 	}
-	f.recordNotice(now, e, sentAt)
+	heard = f.recordNotice(now, e, sentAt)
+	if planted.Defect == planted.LockOrder && heard.changed.Leaving {
+		f.storeAge()
+	}
 	if e.info.Load.Unreadable {
 		f.cfg.Metrics.LoadUnreadable()
 	}
@@ -134,9 +144,10 @@
 	}
 	if sentAt.IsZero() {
 		f.cfg.Balancer.NotSent(now, e.pick.Target, report.Outcome, e.pick.Trial)
-		return
+		return heard
 	}
 	f.cfg.Balancer.RequestEnded(now, e.pick.Target, report, e.pick.Trial, e.pick.Wait > 0)
+	return heard
 }
 
 func outcomeOf(ctx context.Context, e attemptResult, sentAt, now time.Time) placement.Outcome {
--- a/node/gateway/relay/relay.go
+++ b/node/gateway/relay/relay.go
@@ -14,6 +14,7 @@
 	"heatherlock/node/gateway/planted"
 	"heatherlock/node/gateway/upstream"
 	"heatherlock/node/gateway/volume"
+	"heatherlock/node/lock"
 	"heatherlock/platform"
 	"heatherlock/steering"
 	"heatherlock/steering/identity"
@@ -153,7 +154,7 @@
 	// replaced is notified when another configuration is in force.
 	replaced broadcast
 
-	mu           sync.Mutex // guards Balancer, Retry and the fields up to checks
+	mu           lock.Mutex // guards Balancer, Retry and the fields up to checks
 	poisonFilter *poisonFilter
 	links        reach.Links
 	linkLog      linkLog
--- a/node/gateway/relay/resolve.go
+++ b/node/gateway/relay/resolve.go
@@ -2,12 +2,12 @@
 
 import (
 	"context"
-	"sync"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
 
 	"heatherlock/node/gateway/callers"
+	"heatherlock/node/lock"
 	"heatherlock/platform"
 	"heatherlock/steering"
 	"heatherlock/steering/identity"
@@ -155,7 +155,7 @@
 
 // broadcast wakes all goroutines that wait for a change. The zero value is ready to use.
 type broadcast struct {
-	mu sync.Mutex
+	mu lock.Mutex
 	ch chan struct{}
 }
 
--- a/node/gateway/relay/rig_test.go
+++ b/node/gateway/relay/rig_test.go
@@ -46,6 +46,8 @@
 	// remaining is how many more requests of workspaces may run; refused counts those beyond.
 	remaining, refused atomic.Int64
 	shares             *relay.Shares
+	// storeAge, if set, is called for the age of the store's copy. It must be set before the first request.
+	storeAge func() time.Duration
 }
 
 // Admit implements relay.Allowances.
@@ -113,7 +115,13 @@
 	balancer.SetTargets(placed)
 	g.relay = relay.New(relay.Config{Region: "centro", VM: "vm", Pool: upstream.NewPool(dial, platform.RequestIDOf), Balancer: balancer, Peers: upstream.NewPool(dialPeers, platform.RequestIDOf),
 		Retry: retry.NewSharedBudget(retry.SharedBudgetConfig{Ratio: 0.2, Slack: 64, Window: 10 * time.Second}),
-		Log:   log.NewNopLogger(), MemberCount: func() int { return 1 }, ConfigOutdated: g.outdated.Load, Behind: g.behind.Load, Allowances: g, Shares: g.shares})
+		Log:   log.NewNopLogger(), MemberCount: func() int { return 1 }, ConfigOutdated: g.outdated.Load, Behind: g.behind.Load, Allowances: g, Shares: g.shares,
+		StoreAge: func() time.Duration {
+			if g.storeAge == nil {
+				return 0
+			}
+			return g.storeAge()
+		}})
 	route := func(name string, kind routes.Kind) *routes.Route {
 		return &routes.Route{Name: name, Host: "shop.example", Prefix: "/" + name + "/", Kind: kind, Timeout: time.Second,
 			Aim: 400 * time.Millisecond, MaxAttempts: 3, KeyAffinity: true, Parts: []routes.WeightedService{{Service: service, Weight: 1}}}
--- a/node/gateway/relay/sending.go
+++ b/node/gateway/relay/sending.go
@@ -1,11 +1,11 @@
 package relay
 
-import "sync"
+import "heatherlock/node/lock"
 
 // sending decides whether attempts of an exchange may still send its request. Once it is closed, no
 // attempt sends it any more, so that a request that no target has received is known not to run.
 type sending struct {
-	mu     sync.Mutex
+	mu     lock.Mutex
 	closed bool
 	begun  int
 }
--- a/node/gateway/relay/shares.go
+++ b/node/gateway/relay/shares.go
@@ -2,13 +2,13 @@
 
 import (
 	"strconv"
-	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/go-kit/log"
 	"github.com/uber-go/tally/v4"
 
+	"heatherlock/node/lock"
 	"heatherlock/steering"
 	"heatherlock/steering/fairshare"
 	"heatherlock/steering/identity"
@@ -26,7 +26,7 @@
 	scope       tally.Scope
 	active      atomic.Bool // whether there are workspaces
 
-	mu       sync.Mutex
+	mu       lock.Mutex
 	divider  *fairshare.Divider
 	loggedAt map[steering.Service]time.Time
 }
--- a/node/gateway/statuspage.go
+++ b/node/gateway/statuspage.go
@@ -4,10 +4,10 @@
 	"context"
 	"html/template"
 	"net/http"
-	"sync"
 	"time"
 
 	"heatherlock/node/gateway/status"
+	"heatherlock/node/lock"
 )
 
 // pagePath is the path of the page that shows operators which configuration the fleet follows.
@@ -19,7 +19,7 @@
 
 // statusPage caches the view of which configuration each VM follows.
 type statusPage struct {
-	mu   sync.Mutex
+	mu   lock.Mutex
 	view status.FleetView
 	at   time.Time
 }
--- a/node/gateway/targetlog.go
+++ b/node/gateway/targetlog.go
@@ -2,9 +2,9 @@
 
 import (
 	"sort"
-	"sync"
 
 	"heatherlock/node/gateway/feed"
+	"heatherlock/node/lock"
 	"heatherlock/platform"
 	"heatherlock/steering"
 	"heatherlock/steering/placement"
@@ -15,7 +15,7 @@
 
 // targetLog holds the target states that were last logged, so that only changes are logged.
 type targetLog struct {
-	mu       sync.Mutex
+	mu       lock.Mutex
 	known    map[steering.Target]loggedTarget
 	ejected  map[steering.Target]bool
 	replaced map[steering.Target]bool
--- a/node/gateway/upstream/conn.go
+++ b/node/gateway/upstream/conn.go
@@ -15,6 +15,7 @@
 
 	"heatherlock/node/gateway/buffering"
 	"heatherlock/node/gateway/planted"
+	"heatherlock/node/lock"
 )
 
 const (
@@ -62,7 +63,7 @@
 	// requestIDOf returns the ID of the request to which a response belongs.
 	requestIDOf func(http.Header) string
 
-	mu      sync.Mutex
+	mu      lock.Mutex
 	current *exchange
 	closed  bool
 	// writing is set while the request is still being written.
--- a/node/gateway/upstream/pool.go
+++ b/node/gateway/upstream/pool.go
@@ -6,11 +6,11 @@
 	"net"
 	"net/http"
 	"slices"
-	"sync"
 	"time"
 
 	"github.com/go-faster/errors"
 
+	"heatherlock/node/lock"
 	"heatherlock/steering"
 )
 
@@ -42,7 +42,7 @@
 	// OnOpen, if set, is called after each connection is opened.
 	OnOpen func()
 
-	mu      sync.Mutex
+	mu      lock.Mutex
 	targets map[steering.Target]*targetPool
 }
 
@@ -58,7 +58,7 @@
 	// generation is the last known generation of the target. It is guarded by the Pool's mu.
 	generation steering.Generation
 
-	mu   sync.Mutex
+	mu   lock.Mutex
 	idle []*conn
 	open int
 }
--- a/node/gateway/volume/volume.go
+++ b/node/gateway/volume/volume.go
@@ -8,8 +8,8 @@
 
 import (
 	"net"
-	"sync"
 
+	"heatherlock/node/lock"
 	"heatherlock/steering"
 )
 
@@ -76,7 +76,7 @@
 type Meter struct {
 	self Location
 
-	mu     sync.Mutex
+	mu     lock.Mutex
 	sums   Sums
 	totals map[Purpose]int64
 }
--- a/soak/daemon.go
+++ b/soak/daemon.go
@@ -69,8 +69,8 @@
 		stopped := d.stopped
 		d.process = nil
 		d.mu.Unlock()
-		if unexpected {
-			report("%s ended by itself: %v %v", d.name, state, err)
+		if unexpected || failed(state) {
+			report("%s ended by itself: %v %v; its last words:\n%s", d.name, state, err, d.lastWords())
 		}
 		if stopped {
 			return
@@ -79,6 +79,22 @@
 	}
 }
 
+// failed reports whether a process ended with an error of its own: a panic, or two locks taken in both orders. It
+// does whatever signals it got, unless one of them ended it.
+func failed(state *os.ProcessState) bool { return state != nil && state.Exited() && !state.Success() }
+
+// lastWordsBytes is how much of the end of a log is shown for a process that ended by itself.
+const lastWordsBytes = 4 << 10
+
+// lastWords returns the end of the daemon's log.
+func (d *daemon) lastWords() string {
+	log, err := os.ReadFile(filepath.Join(d.dir, d.name+".log"))
+	if err != nil {
+		return err.Error()
+	}
+	return string(log[max(len(log)-lastWordsBytes, 0):])
+}
+
 func (d *daemon) start() (*os.Process, error) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -47,6 +47,24 @@
 	}
 }
 
+// TestLocksAreTakenInOneOrder guards against an entry VM that answers nothing any more because two
+// of its locks were taken in both orders. Such a build ends as soon as it sees that, whether or not the
+// two meet.
+func TestLocksAreTakenInOneOrder(t *testing.T) {
+	binary := buildDaemon(t, "lockorder")
+	for seed := *first; seed < *first+uint64(*seeds); seed++ {
+		o := options(seed, binary)
+		o.BasePort += 4000
+		report, err := Run(o)
+		assert.NilError(t, err)
+		for _, finding := range report.Findings {
+			if strings.Contains(finding, "ended by itself") {
+				t.Errorf("seed %d: %s", seed, finding)
+			}
+		}
+	}
+}
+
 var replayFailed = flag.Bool("soak.cases", false, "play the seeds that have failed")
 
 // failedSeeds maps seeds that once failed to the observed failure and its cause as far as it
@@ -81,7 +99,7 @@
 	if !*planted {
 		t.Skip("takes several minutes; run with -soak.planted")
 	}
-	for name, finding := range map[string]string{"twice": "ran twice", "falsely_not_run": "and ran", "crossed": "the answer to", "leaving_ignored": "after it said that it leaves",
+	for name, finding := range map[string]string{"lock_order": "ended by itself", "twice": "ran twice", "falsely_not_run": "and ran", "crossed": "the answer to", "leaving_ignored": "after it said that it leaves",
 		"stale_config": "does not know route", "cut_on_stop": "was cut by", "no_helpers": "reached no target and served", "reused_address": "ran at another service", "limit_ignored": "names a limit of"} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
