Drop log lines that are written after the log was closed

Callers saw: nothing; a process could end with a panic after the last response of a stop.

Cause: BoundedWriter closed the channel of its lines, and a goroutine that outlives the stop sent on it. Change: closing is told by a channel of its own; what is written later is dropped. Evidence: TestLineAfterCloseIsDropped panicked before (send on closed channel).

--- a/node/telemetry/bounded.go
+++ b/node/telemetry/bounded.go
@@ -31,12 +31,13 @@
 	rate    *rate.Limiter
 	dropped atomic.Int64
 	closing sync.Once
+	closed  chan struct{}
 	done    chan struct{}
 }
 
 // NewBoundedWriter returns a BoundedWriter that writes to to. Close stops its goroutine.
 func NewBoundedWriter(to io.Writer) *BoundedWriter {
-	w := &BoundedWriter{to: to, lines: make(chan []byte, maxQueuedLines), done: make(chan struct{}),
+	w := &BoundedWriter{to: to, lines: make(chan []byte, maxQueuedLines), closed: make(chan struct{}), done: make(chan struct{}),
 		rate: rate.NewLimiter(linesPerSecond, lineBurst)}
 	go w.run()
 	return w
@@ -60,10 +61,10 @@
 // Dropped returns the number of dropped lines that the log hasn't reported yet, and resets it.
 func (w *BoundedWriter) Dropped() int64 { return w.dropped.Swap(0) }
 
-// Close writes the queued lines, waits at most one second for this, and stops the writer. Write
-// must not be called after Close.
+// Close writes the queued lines, waits at most one second for this, and stops the writer. A line that
+// is written later, by a goroutine that outlives its VM's stop, is dropped.
 func (w *BoundedWriter) Close() error {
-	w.closing.Do(func() { close(w.lines) })
+	w.closing.Do(func() { close(w.closed) })
 	select {
 	case <-w.done:
 	case <-time.After(time.Second): // the log isn't read; don't keep the process from exiting
@@ -73,11 +74,33 @@
 
 func (w *BoundedWriter) run() {
 	defer close(w.done)
-	for line := range w.lines {
-		if n := w.dropped.Load(); n > 0 && len(w.lines) == 0 {
-			w.dropped.Add(-n)
-			line = append(line, fmt.Appendf(nil, `{"level":"warn","msg":"lines left out","dropped_lines":%d}`+"\n", n)...)
+	for {
+		select {
+		case line := <-w.lines:
+			w.write(line)
+		case <-w.closed:
+			w.writeQueued()
+			return
 		}
-		_, _ = w.to.Write(line) // there is nowhere to report an error of the log itself
 	}
 }
+
+// writeQueued writes the lines that are queued now.
+func (w *BoundedWriter) writeQueued() {
+	for {
+		select {
+		case line := <-w.lines:
+			w.write(line)
+		default:
+			return
+		}
+	}
+}
+
+func (w *BoundedWriter) write(line []byte) {
+	if n := w.dropped.Load(); n > 0 && len(w.lines) == 0 {
+		w.dropped.Add(-n)
+		line = append(line, fmt.Appendf(nil, `{"level":"warn","msg":"lines left out","dropped_lines":%d}`+"\n", n)...)
+	}
+	_, _ = w.to.Write(line) // there is nowhere to report an error of the log itself
+}
--- a/node/telemetry/bounded_test.go
+++ b/node/telemetry/bounded_test.go
@@ -45,3 +45,16 @@
 	assert.Assert(t, written >= 400 && written < 600, "%d lines", written)
 	assert.Assert(t, strings.Contains(out.String(), `"dropped_lines":`), out.String()[:200])
 }
+
+// Guards against a process that ends with a panic at the very end of a stop, because a goroutine that outlives it
+// writes a log line.
+func TestLineAfterCloseIsDropped(t *testing.T) {
+	var out bytes.Buffer
+	w := telemetry.NewBoundedWriter(&out)
+	_, _ = w.Write([]byte("before\n")) // never fails
+	assert.NilError(t, w.Close())
+	_, err := w.Write([]byte("after\n"))
+	assert.NilError(t, err)
+	assert.NilError(t, w.Close())
+	assert.Equal(t, out.String(), "before\n")
+}
