Wake waiting requests without blocking under their lock

Callers saw: nothing yet; all attempts of a VM that shuts down could hang until it was killed.

Cause: a request that is being placed keeps its place in the list of waiting ones. If the VM began to drain then, it was told so, and if it was offered again before it had read that, it was told once more on a channel of one place, under the lock that every attempt needs. Change: no reason is sent by blocking; the first one stays. The three other places that sent under the lock go through the same function. Evidence: TestRequestOfferedAgainWhileTheVMDrains hung before (3 s).

--- a/node/gateway/relay/holds.go
+++ b/node/gateway/relay/holds.go
@@ -71,7 +71,7 @@
 	full = !held && !h.queue.Fits(e)
 	h.setWaiter(e.ID, woken, held)
 	if held && h.draining.Load() {
-		woken <- wakeDraining
+		h.wake(e.ID, wakeDraining)
 		h.queue.Remove(e.ID)
 		h.setWaiter(e.ID, nil, false)
 	}
@@ -79,6 +79,15 @@
 	return held, full, retryAfter
 }
 
+// wake tells a request why it stops waiting. It does not block: a request that has not taken an earlier reason yet
+// will find out that it may not start. h.mu must be held.
+func (h *holds) wake(id uint64, why wake) {
+	select {
+	case h.waiters[id] <- why:
+	default:
+	}
+}
+
 // setWaiter records whether a request waits. h.mu must be held.
 func (h *holds) setWaiter(id uint64, woken chan wake, waits bool) {
 	if waits {
@@ -132,12 +141,9 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.draining.Store(true)
-	for id, woken := range h.waiters {
+	for id := range h.waiters {
 		h.queue.Remove(id)
-		select {
-		case woken <- wakeDraining:
-		default: // being placed, or expired; it is not held again
-		}
+		h.wake(id, wakeDraining)
 	}
 	clear(h.waiters)
 	h.count.Store(0)
@@ -156,12 +162,12 @@
 // must be held.
 func (h *holds) dispatch(now time.Time) {
 	for _, e := range h.queue.Expired(now) {
-		h.waiters[e.ID] <- wakeExpired
+		h.wake(e.ID, wakeExpired)
 		h.setWaiter(e.ID, nil, false)
 	}
 	for _, service := range h.queue.Services() {
 		for e, ok := h.queue.Next(now, service); ok; e, ok = h.queue.Next(now, service) {
-			h.waiters[e.ID] <- wakeRoom
+			h.wake(e.ID, wakeRoom)
 		}
 	}
 	next, ok := h.queue.NextEvent()
