Count running requests where room on their connection is signalled

Callers saw: a connection with uploads and a request sent ahead could hang.

Cause: the end of a request signalled room before its connection stopped counting it as running. A reader that looked in between waited for another signal, and none came. Change: the account counts the requests itself, under the lock under which their bytes are released. Why it works: the count, the bytes and the signal change in one step.

--- a/node/gateway/buffering/claim.go
+++ b/node/gateway/buffering/claim.go
@@ -20,6 +20,8 @@
 	// claims counts those that have not ended; closed is set by Close. Both are guarded by the VM's lock.
 	claims int
 	closed bool
+	// running counts the claims that have not been answered, and is guarded by the VM's lock.
+	running int
 	// room is signalled when a request of the connection ends.
 	room chan struct{}
 }
@@ -57,15 +59,15 @@
 	}
 }
 
-// AwaitRoom waits until a further request may be read from the connection. running returns the
-// number of requests that run.
-func (a *Account) AwaitRoom(ctx context.Context, running func() int) {
+// AwaitRoom waits until a further request may be read from the connection. It must not be called while a request
+// is being read.
+func (a *Account) AwaitRoom(ctx context.Context) {
 	if a == nil {
 		return
 	}
 	for {
 		a.vm.mu.Lock()
-		ok := a.vm.budget.MayReadOn(a.id, running())
+		ok := a.vm.budget.MayReadOn(a.id, a.running)
 		a.vm.mu.Unlock()
 		if ok {
 			return
@@ -107,6 +109,7 @@
 	a.vm.mu.Lock()
 	defer a.vm.mu.Unlock()
 	a.claims++
+	a.running++
 	return &Claim{account: a, holders: 1}
 }
 
@@ -216,6 +219,7 @@
 	var atEnd []func()
 	if !c.answered {
 		c.answered = true
+		c.account.running--
 		c.drop()
 		atEnd, c.atEnd = c.atEnd, nil
 	}
--- a/node/gateway/callers/conn.go
+++ b/node/gateway/callers/conn.go
@@ -153,7 +153,7 @@
 	}
 	received := time.Now()
 	// Only after the first byte: a caller that closes the connection is noticed meanwhile.
-	c.account.AwaitRoom(ctx, func() int { return int(c.inFlight.Load()) })
+	c.account.AwaitRoom(ctx)
 	_ = c.raw.SetReadDeadline(time.Now().Add(limits.HeaderTimeout))
 	c.limitedReader.remaining = max(limits.HeaderBytes-c.reader.Buffered(), 1)
 	r, err := http.ReadRequest(c.reader)
