Keep the list of VMs while those that are cut off are left out

Callers saw: empty addresses in directory responses while all VMs but one had lost their links to all targets.

Cause: WithoutCutOff deleted in the memory of its argument, which addressesFor used once more. Change: it works on a copy. The other callers used the result only. Evidence: TestDirectoryWhileOneVMReachesTargets got two empty addresses of three before.

--- a/node/gateway/cutoff_directory_test.go
+++ b/node/gateway/cutoff_directory_test.go
@@ -60,3 +60,23 @@
 		within(t, 2*time.Second, "served again", func() bool { return s.request(v, "/read/3") == 200 })
 	}
 }
+
+// Guards against directory responses with empty addresses, at which callers connect to nobody, while all VMs but
+// one have lost their links to targets.
+func TestDirectoryWhileOneVMReachesTargets(t *testing.T) {
+	t.Parallel()
+	s := newTestCluster(t)
+	all := s.startAll(3)
+	for _, l := range s.targetLinks[1:] {
+		l.Set(targetlinks.Reset)
+	}
+	for _, v := range all[1:] {
+		s.request(v, "/read/1")
+	}
+	time.Sleep(time.Second)
+	for _, v := range all {
+		listed := s.listed(v)
+		assert.Equal(t, len(listed), 3, "%v", listed)
+		assert.Assert(t, !slices.Contains(listed, ""), "%v", listed)
+	}
+}
--- a/node/gateway/fleet/fleet.go
+++ b/node/gateway/fleet/fleet.go
@@ -305,8 +305,8 @@
 	return f.roster.ServingIn(f.cfg.Clock(), zone, selfServes)
 }
 
-// WithoutCutOff returns the members that are not known to be cut off from all targets, in the memory of
-// all. selfCutOff says whether this VM is.
+// WithoutCutOff returns the members that are not known to be cut off from all targets. selfCutOff says
+// whether this VM is.
 func (f *Fleet) WithoutCutOff(all []Member, selfCutOff bool) []Member {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/node/gateway/fleet/views.go
+++ b/node/gateway/fleet/views.go
@@ -178,7 +178,7 @@
 // WithoutCutOff returns the members that are not known to be cut off from all targets. selfCutOff says
 // whether this VM is.
 func (r *Roster) WithoutCutOff(all []Member, selfCutOff bool) []Member {
-	return slices.DeleteFunc(all, func(m Member) bool {
+	return slices.DeleteFunc(slices.Clone(all), func(m Member) bool {
 		if m.Name == r.self.Name {
 			return selfCutOff
 		}
