Bound and count what the kernel takes of a streamed body from its first byte

Callers saw: nothing; a VM held up to 3.6 MB for one upload, of which up to 2 MB were counted by nobody.

Cause: a caller's receive buffer was bounded only once a write to the target had been blocked for 250 ms. Until then the kernel took as much as its own limit allows. Change: the buffer is 256 KB from the start, as large as the send buffer to the target, and both are reserved before the first byte of a streamed body is passed on. Without room for them the request is refused at once.

--- a/node/gateway/buffering/kernel.go
+++ b/node/gateway/buffering/kernel.go
@@ -29,6 +29,14 @@
 	}
 }
 
+// LimitReceive bounds what the kernel receives on a connection before it is read. Without it, the kernel's own
+// limit applies, which is several megabytes.
+func LimitReceive(c net.Conn, bytes int) {
+	if tcp := tcpOf(c); tcp != nil {
+		_ = tcp.SetReadBuffer(bytes) // an error leaves a larger buffer, which is counted once a write is blocked
+	}
+}
+
 // HoldBack bounds what the kernel receives on a connection that is not being read, and returns the
 // bytes that may wait there.
 func HoldBack(c net.Conn) int64 {
--- a/node/gateway/buffering/writer.go
+++ b/node/gateway/buffering/writer.go
@@ -33,13 +33,15 @@
 	// HoldBack, if set, is called when the write is first held back. It stops the source of the bytes,
 	// and returns how many bytes the kernel may hold for it.
 	HoldBack func() int64
+	// Reserved are bytes of the claim that were reserved for what the kernel holds for the peer and the source.
+	Reserved int64
 	// SetDeadline, if set, sets the write deadline instead of Conn; it returns an error once the write
 	// must end.
 	SetDeadline func(time.Time) error
 
 	progress time.Time // zero while the write is not held back
 	unsent   int64
-	counted  int64 // kernel bytes that are reserved
+	counted  int64 // kernel bytes that are reserved beyond Reserved
 	stopped  bool  // the source was held back
 	source   int64 // bytes that the kernel may hold for the source
 }
@@ -159,7 +161,7 @@
 	if isCut {
 		return ErrStalled
 	}
-	grown := w.unsent + w.source - w.counted
+	grown := w.unsent + w.source - w.Reserved - w.counted
 	if stalled < maxStall && c.Reserve(grown) {
 		w.counted += max(grown, 0)
 		return nil
--- a/node/gateway/callers/conn.go
+++ b/node/gateway/callers/conn.go
@@ -79,6 +79,7 @@
 		return
 	}
 	buffering.LimitSend(c.raw, sendBufferSize)
+	buffering.LimitReceive(c.raw, receiveBufferSize)
 	c.account = c.server.Buffers.Open(func() {
 		c.unwritable.Store(true)
 		buffering.Reset(c.raw)
@@ -306,6 +307,8 @@
 		return nil, nil, http.StatusRequestEntityTooLarge
 	case n < maxBufferedBody || n == r.ContentLength:
 		return body, nil, 0
+	case !claim.Reserve(streamReserve):
+		return nil, nil, http.StatusServiceUnavailable
 	}
 	if maxBytes <= 0 {
 		return body, r.Body, 0
@@ -371,6 +374,9 @@
 // that it may hold.
 func (b *restBody) HoldBack() int64 { return buffering.HoldBack(b.raw) }
 
+// Reserved returns how many bytes of the claim were reserved for what the kernel holds of the body.
+func (*restBody) Reserved() int64 { return streamReserve }
+
 // lengthOf returns the length of the body, negative if it is unknown.
 func lengthOf(r *http.Request, body []byte, rest io.Reader) int64 {
 	if rest == nil && r.ContentLength >= 0 {
--- a/node/gateway/callers/slow_test.go
+++ b/node/gateway/callers/slow_test.go
@@ -261,3 +261,43 @@
 	assert.Equal(t, status, http.StatusOK)
 	g.awaitReleased()
 }
+
+// Guards against a VM of 136 MB that is killed because hundreds of callers upload large bodies to targets which read
+// nothing: each holds what was read, and as much again in the kernel from the first byte that is streamed. Those
+// for which there is no room are refused at once.
+func TestHundredsOfStalledUploads(t *testing.T) {
+	cfg := buffers.NewConfig(136, math.MaxInt64)
+	cfg.MaxStall = 3 * time.Second
+	g := newRig(t, cfg)
+	const uploads = 500
+	statuses := make(chan int, uploads)
+	for range uploads {
+		conn := g.send("POST /unread HTTP/1.1\r\nHost: h\r\nContent-Length: 2097152\r\n\r\n")
+		go func() { _, _ = conn.Write(data[:2<<20]) }() // ends with the connection
+		go func() {
+			status, _, _ := read(conn) // 0 if the connection was cut
+			statuses <- status
+		}()
+	}
+	var mostHeld int64
+	var mostHeap uint64
+	answered := make(map[int]int)
+	for n := 0; n < uploads; {
+		select {
+		case status := <-statuses:
+			answered[status]++
+			n++
+		case <-time.After(20 * time.Millisecond):
+			held, _ := g.vm.Held()
+			mostHeld = max(mostHeld, held)
+			var m runtime.MemStats
+			runtime.ReadMemStats(&m)
+			mostHeap = max(mostHeap, m.HeapInuse)
+		}
+	}
+	t.Logf("answers by status: %v; most held %d MB, most heap %d MB with 500 callers and the target", answered, mostHeld>>20, mostHeap>>20)
+	assert.Assert(t, mostHeld <= cfg.Total && mostHeld > cfg.Total/2)
+	assert.Assert(t, mostHeap < 136<<20)
+	assert.Assert(t, answered[http.StatusServiceUnavailable] > uploads/2, "refused at once: they have not run")
+	g.awaitReleased()
+}
--- a/node/gateway/callers/types.go
+++ b/node/gateway/callers/types.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"time"
 
+	"heatherlock/node/gateway/upstream"
 	"heatherlock/steering/routes"
 )
 
@@ -73,6 +74,12 @@
 	// sendBufferSize bounds what the kernel holds for a caller that does not read; without it, the
 	// kernel takes several megabytes. It sends 64 MB/s over a round trip of 2 ms within a region.
 	sendBufferSize = 128 << 10
+	// receiveBufferSize bounds what the kernel receives of a caller before it is read, as much as it sends
+	// to a target of a body that is streamed (upstream.StreamSendBuffer): 4 MB/s over a round trip of 60 ms.
+	receiveBufferSize = upstream.StreamSendBuffer
+	// streamReserve is what the kernel may hold of a body that is streamed: on its way from the caller, and
+	// to the target.
+	streamReserve = receiveBufferSize + upstream.StreamSendBuffer
 	// continueTimeout is how long the caller may take to accept 100 Continue.
 	continueTimeout = 10 * time.Second
 	// lingerTimeout is how long the remainder of an unwanted body is read and discarded, so that a
--- a/node/gateway/upstream/exchange.go
+++ b/node/gateway/upstream/exchange.go
@@ -33,6 +33,16 @@
 	ID string
 }
 
+// Source is a body that is read from a connection while it is sent.
+type Source interface {
+	io.Reader
+	// HoldBack bounds what the kernel receives of the body while it is not read, and returns the bytes that
+	// it may hold.
+	HoldBack() int64
+	// Reserved returns how many bytes of the claim were reserved for what the kernel holds of the body.
+	Reserved() int64
+}
+
 // Response is a target's response.
 type Response struct {
 	Status int
@@ -168,10 +178,10 @@
 // buffer of a connection. Less is taken by the kernel at once.
 const slowBody = 16 << 10
 
-// streamSendBuffer bounds what the kernel holds of a streamed body; without it, the kernel takes
+// StreamSendBuffer bounds what the kernel holds of a streamed body; without it, the kernel takes
 // several megabytes before a target that does not read is noticed. It sends 4 MB/s over a round trip of
 // 60 ms to another region.
-const streamSendBuffer = 256 << 10
+const StreamSendBuffer = 256 << 10
 
 // writerFor returns the writer for a request. That of a large body detects a target that does not
 // read.
@@ -180,11 +190,11 @@
 		return c.raw
 	}
 	if r.BodyRest != nil {
-		buffering.LimitSend(c.raw, streamSendBuffer)
+		buffering.LimitSend(c.raw, StreamSendBuffer)
 	}
 	w := &buffering.Writer{Conn: c.raw, Claim: e.claim, Side: buffers.Target, SetDeadline: c.setWriteDeadline}
-	if source, ok := r.BodyRest.(interface{ HoldBack() int64 }); ok {
-		w.HoldBack = source.HoldBack
+	if source, ok := r.BodyRest.(Source); ok {
+		w.HoldBack, w.Reserved = source.HoldBack, source.Reserved()
 	}
 	return w
 }
