Play requests sent ahead, uploads that are left, and owners that leave in the soak

Change: three parts with targets and callers of their own (pipelines, uploads, owners), each drawn from the seed and left out on request; a check that no process ends with an error, that each calm one answers, and that nothing is held once the callers have left. Flags to play an earlier daemon and one with the race detector.

--- a/soak/links.go
+++ b/soak/links.go
@@ -167,7 +167,7 @@
 		p.resetWhere(func(of int) bool { return of == vm })
 	}
 	l.mode = Pass
-	l.listener, err = net.Listen("tcp4", net.JoinHostPort(linkIP(vm), port))
+	l.listener, err = p.listen(net.JoinHostPort(linkIP(vm), port))
 	if err == nil {
 		go p.accept(l.listener, vm)
 	}
--- a/soak/plan.go
+++ b/soak/plan.go
@@ -33,10 +33,14 @@
 	plan = append(plan, restoreFaults(seed, length)...)
 	plan = append(plan, linkFaults(seed, length, daemons)...)
 	plan = append(plan, slowFaults(seed, length)...)
-	sort.SliceStable(plan, func(i, j int) bool { return plan[i].at < plan[j].at })
+	sortPlan(plan)
 	return plan
 }
 
+func sortPlan(plan []step) {
+	sort.SliceStable(plan, func(i, j int) bool { return plan[i].at < plan[j].at })
+}
+
 // planner draws the steps of a plan.
 type planner struct {
 	*rand.Rand
--- a/soak/proxy.go
+++ b/soak/proxy.go
@@ -24,19 +24,26 @@
 	Reset
 	// SlowRead reads requests in small pieces with pauses.
 	SlowRead
+	// Silent reads nothing and forwards nothing. Connections stay open.
+	Silent
 )
 
-var modeNames = [...]string{"pass", "delay", "silence", "one way", "reset", "slow reading"}
+var modeNames = [...]string{"pass", "delay", "silence", "one way", "reset", "slow reading", "silent"}
 
 // String returns the name of the mode as plans print it.
 func (m Mode) String() string { return modeNames[m] }
 
+// silentCheck is how often a silent proxy looks whether it still is.
+const silentCheck = 20 * time.Millisecond
+
 // chunkDelay is the delay that mode Delay adds to each chunk of up to 16 KiB.
 const chunkDelay = 60 * time.Millisecond
 
 // proxy forwards TCP connections to a target or the store.
 type proxy struct {
 	listener net.Listener
+	// listen opens its listeners.
+	listen   func(address string) (net.Listener, error)
 	upstream atomic.Value // string
 	mode     atomic.Int32
 
@@ -57,11 +64,15 @@
 
 // newProxy starts a proxy to an upstream address on a free loopback port.
 func newProxy(upstream string) (*proxy, error) {
-	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	return newProxyListening(upstream, func(address string) (net.Listener, error) { return net.Listen("tcp4", address) })
+}
+
+func newProxyListening(upstream string, listen func(address string) (net.Listener, error)) (*proxy, error) {
+	listener, err := listen("127.0.0.1:0")
 	if err != nil {
 		return nil, err
 	}
-	p := &proxy{listener: listener, conns: make(map[net.Conn]int), links: make(map[int]*link)}
+	p := &proxy{listener: listener, listen: listen, conns: make(map[net.Conn]int), links: make(map[int]*link)}
 	p.upstream.Store(upstream)
 	go p.accept(listener, anyVM)
 	return p, nil
@@ -96,6 +107,12 @@
 	}
 }
 
+func (p *proxy) isClosed() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.closed
+}
+
 func (p *proxy) close() {
 	_ = p.listener.Close()
 	p.mu.Lock()
@@ -164,6 +181,9 @@
 			time.Sleep(slowPause)
 			piece = buffer[:slowPiece]
 		}
+		for p.modeOf(vm) == Silent && !p.isClosed() {
+			time.Sleep(silentCheck)
+		}
 		n, err := from.Read(piece)
 		switch mode := p.modeOf(vm); {
 		case mode == Blackhole || mode == OneWay && answers:
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -23,6 +23,8 @@
 	Binary string
 	// BasePort is the first of eight consecutive ports used on the address of each entry VM.
 	BasePort int
+	// Without names the parts that are left out.
+	Without []string
 	// KeepLogs keeps the logs of the daemons. A run with findings keeps them in any case.
 	KeepLogs bool
 }
@@ -64,13 +66,28 @@
 	l := &callLog{refused: make(map[string]int), served: make(map[string]bool),
 		sentTo: make(map[string]*daemon), heard: make(map[statement]time.Time), limited: make(map[string][]time.Time)}
 	plan := newPlan(o.Seed, o.Length, o.Daemons)
+	for _, p := range o.parts() {
+		if p.plan != nil {
+			plan = append(plan, p.plan(o)...)
+		}
+	}
+	sortPlan(plan)
 	report := Report{Seed: o.Seed}
 	var all sync.WaitGroup
 	all.Go(func() { s.runPlan(plan, &report) })
 	for n := range o.Callers {
 		all.Go(func() { s.runCaller(n, o, l) })
 	}
+	for _, p := range o.parts() {
+		if p.run != nil {
+			all.Go(func() { p.run(s, o) })
+		}
+	}
+	watched := make(chan struct{})
+	go s.watchDaemons(watched)
 	all.Wait()
+	close(watched)
+	s.checkReleased()
 	s.mu.Lock()
 	s.checkRuns(l)
 	s.checkStatements(l)
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -17,19 +17,29 @@
 	first   = flag.Uint64("soak.seed", 1, "the first seed")
 	length  = flag.Duration("soak.length", 20*time.Second, "length of a run")
 	daemons = flag.Int("soak.daemons", 5, "entry VMs")
+	without = flag.String("soak.without", "", "parts to leave out, separated by commas")
+	build   = flag.String("soak.binary", "", "the daemon to play instead of the one that is built, such as an earlier one")
+	race    = flag.Bool("soak.race", false, "build the daemon with the race detector")
 )
 
 func buildDaemon(t *testing.T, tags string) string {
 	t.Helper()
+	if *build != "" {
+		return *build
+	}
 	binary := filepath.Join(t.TempDir(), "heatherlockd")
-	cmd := exec.Command("go", "build", "-tags", "soak,"+tags, "-o", binary, "heatherlock/cmd/heatherlockd")
+	arguments := []string{"build", "-tags", "soak," + tags, "-o", binary}
+	if *race {
+		arguments = append(arguments, "-race")
+	}
+	cmd := exec.Command("go", append(arguments, "heatherlock/cmd/heatherlockd")...)
 	cmd.Stderr = os.Stderr
 	assert.NilError(t, cmd.Run())
 	return binary
 }
 
 func options(seed uint64, binary string) Options {
-	return Options{Seed: seed, Length: *length, Daemons: *daemons, Targets: 8, Callers: 12, Binary: binary, BasePort: 23000 + int(seed%400)*8}
+	return Options{Seed: seed, Length: *length, Daemons: *daemons, Targets: 8, Callers: 12, Binary: binary, Without: strings.Split(*without, ","), BasePort: 23000 + int(seed%400)*8}
 }
 
 // TestGuaranteesHoldUnderRandomFaults guards against violated guarantees (a request that
--- a/soak/system.go
+++ b/soak/system.go
@@ -39,10 +39,14 @@
 	mu         sync.Mutex
 	targets    map[string]*target
 	allTargets []*target // including stopped ones
-	nextTarget int
-	version    int
-	config     map[string]any // as written last
-	routes     []map[string]any
+	// partTargets are those of services that only one part of the soak uses. The plans of other parts do
+	// not disturb them, but entry VMs are cut off from them as from all targets.
+	partTargets  []*target
+	partServices []string
+	nextTarget   int
+	version      int
+	config       map[string]any // as written last
+	routes       []map[string]any
 	// extraKeys are the temporary API keys of each workspace; loweredWorkspace names the
 	// workspace whose allowance is reduced at present, or is empty.
 	extraKeys        map[string][]string
@@ -60,6 +64,7 @@
 type target struct {
 	*endpoint.Endpoint
 	name              string
+	service           string
 	proxy             *proxy
 	seq               int
 	drainingSince     time.Time // when its entry in the store became draining; zero before
@@ -88,6 +93,14 @@
 	}
 	s.addRoute("read", "safe")
 	s.addRoute("buy", "unsafe")
+	for _, p := range o.parts() {
+		if p.prepare == nil {
+			continue
+		}
+		if err := p.prepare(s); err != nil {
+			return nil, err
+		}
+	}
 	s.writeConfig()
 	for n := range o.Daemons {
 		if err := s.addDaemon(n, dir, o); err != nil {
@@ -137,7 +150,7 @@
 			return err
 		}
 	}
-	t := &target{Endpoint: e, name: name, proxy: p}
+	t := &target{Endpoint: e, name: name, service: serviceName, proxy: p}
 	s.nextTarget++
 	s.targets[name] = t
 	s.allTargets = append(s.allTargets, t)
@@ -152,7 +165,7 @@
 		state = "draining"
 	}
 	t.seq++
-	s.store.Put("servers", t.name, map[string]any{"service": serviceName, "address": t.proxy.address(), "zone": zoneOf(len(t.name) + int(t.name[len(t.name)-1])),
+	s.store.Put("servers", t.name, map[string]any{"service": t.service, "address": t.proxy.address(), "zone": zoneOf(len(t.name) + int(t.name[len(t.name)-1])),
 		"slots": targetSlots, "state": state, "coldRemainingMs": 0, "version": "v1", "seq": t.seq})
 }
 
@@ -170,6 +183,9 @@
 				s.writeEntry(t)
 			}
 		}
+		for _, t := range s.partTargets {
+			s.writeEntry(t)
+		}
 		s.mu.Unlock()
 	}
 }
@@ -238,7 +254,7 @@
 	defer s.mu.Unlock()
 	s.version += 2
 	s.config = map[string]any{"version": fmt.Sprint("r", s.version), "routes": s.routes, "tenants": s.tenants(),
-		"services": []any{map[string]any{"name": serviceName, "healthPath": "/health", "maxConns": 200}},
+		"services": s.services(),
 		"limits":   map[string]any{"maxHeaderBytes": 8192, "maxBodyBytes": 1 << 20, "headerTimeoutMs": 2000, "idleTimeoutMs": 5000}}
 	s.store.Put("config", "main", s.config)
 	return s.version
