--- a/node/lock/doc.go
+++ b/node/lock/doc.go
@@ -11,7 +11,7 @@
 //  1. gateway.Gateway: reloadMu, ownersMu, peaksMu, those of targetLog and statusPage
 //  2. feed.Reader.mu, which is held while changes are passed to the gateway (feed.Sink)
 //  3. relay.Relay.mu, the placement lock; loadreport.Service.mu
-//  4. relay: holds.mu, broadcast.mu, Shares.mu, outcomeCounts.mu, sending.mu; poolless locks of exchanges
+//  4. relay: holds.mu, broadcast.mu, Shares.mu, outcomeCounts.mu, and sending.mu of a request
 //  5. allowances.Service.mu
 //  6. fleet.Fleet.mu, volume.Meter.mu
 //  7. upstream: Pool.mu, then targetPool.mu, then conn.mu
