--- a/soak/pipelines.go
+++ b/soak/pipelines.go
@@ -13,18 +13,32 @@
 
 // pipelines are callers that always have a request behind the one being answered, on connections that they use until
 // a response closes them or the process is gone.
-var pipelines = part{name: "pipelines", run: func(s *system, o Options) {
-	var all sync.WaitGroup
-	for n := range pipelineCallers {
-		all.Go(func() { s.runPipelines(o, n) })
-	}
-	all.Wait()
-}}
+var pipelines = part{name: "pipelines",
+	prepare: func(s *system) error {
+		s.addPartRoute("shelf", "safe", pipelineService, time.Second, 2*time.Second, 0)
+		for n := range pipelineTargets {
+			if err := s.addPartTarget(pipelineService, n, pipelineRun, listenPlain); err != nil {
+				return err
+			}
+		}
+		return nil
+	},
+	run: func(s *system, o Options) {
+		var all sync.WaitGroup
+		for n := range pipelineCallers {
+			all.Go(func() { s.runPipelines(o, n) })
+		}
+		all.Wait()
+	}}
 
 const (
-	pipelineCallers  = 4
-	pipelineInterval = 8 * time.Millisecond // less than a run takes
-	pipelineAhead    = 8
+	pipelineService = "shelf"
+	pipelineTargets = 4
+	pipelineRun     = 60 * time.Millisecond
+	pipelineCallers = 4
+	// pipelineInterval is so short that several requests are always without a response.
+	pipelineInterval = 15 * time.Millisecond
+	pipelineAhead    = 12
 )
 
 func (s *system) runPipelines(o Options, caller int) {
@@ -67,7 +81,7 @@
 				c.sent++
 				id := fmt.Sprint(c.name, "-", c.sent)
 				waiting = append(waiting, id)
-				_, _ = fmt.Fprintf(conn, "GET /read/1 HTTP/1.1\r\nHost: %s\r\nX-Request-Id: %s\r\nX-Deadline-Ms: %d\r\nApi-Key: %s\r\n\r\n", host, id, callDeadline.Milliseconds(), apiKeyOf(workspaceNames[0])) // what was answered is still read
+				_, _ = fmt.Fprintf(conn, "GET /shelf/1 HTTP/1.1\r\nHost: %s\r\nX-Request-Id: %s\r\nX-Deadline-Ms: %d\r\nApi-Key: %s\r\n\r\n", host, id, callDeadline.Milliseconds(), apiKeyOf(workspaceNames[0])) // what was answered is still read
 			}
 			mu.Unlock()
 		}
