Read a member's address under the lock of the fleet

Cause: a leaving VM read the address of a VM that waits for it after the lock was released, while a heartbeat of that VM may change it. Change: the address is copied under the lock. The test of a leaving VM no longer changes the settings of a fleet that runs. Evidence: go test -race of node/gateway/fleet failed before, by the test's own writes alone; TestLeavingVM... passes three times with it.

--- a/node/gateway/fleet/fleet.go
+++ b/node/gateway/fleet/fleet.go
@@ -207,15 +207,22 @@
 		if slices.ContainsFunc(sent, func(m Member) bool { return m.Name == name }) {
 			continue
 		}
-		f.mu.Lock()
-		h := f.roster.members[name]
-		f.mu.Unlock()
-		if h != nil {
-			f.send(b, h.Peer)
+		if address := f.peerAddress(name); address != "" {
+			f.send(b, address)
 		}
 	}
 }
 
+// peerAddress returns the address for heartbeats of a member, or "" if it is not known.
+func (f *Fleet) peerAddress(name steering.VM) string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if h := f.roster.members[name]; h != nil {
+		return h.Peer
+	}
+	return ""
+}
+
 // Interval returns the time between two ticks.
 func (f *Fleet) Interval() time.Duration {
 	f.mu.Lock()
--- a/node/gateway/fleet/leaving_internal_test.go
+++ b/node/gateway/fleet/leaving_internal_test.go
@@ -19,17 +19,13 @@
 		ctx, cancel := context.WithCancel(t.Context())
 		defer cancel()
 		c := newTestFleet(ctx, 30, 3)
-		leaving := c.fleets[0]
-		left := false
-		leaving.cfg.FillBeat = func(b *Beat) { c.fillBeat(b); b.Leaving, b.Serving = left, !left }
-		leaving.cfg.WaitingVMs = func() []steering.VM { return []steering.VM{"vm-3", "vm-4", "vm-29"} }
 		time.Sleep(5 * time.Second)
-		left = true
-		leaving.Announce()
+		c.leaving.Store(steering.VM("vm-0"))
+		c.fleets[0].Announce()
 		for range 50 {
 			time.Sleep(100 * time.Millisecond)
 			synctest.Wait()
-			for _, n := range []int{3, 4, 29} {
+			for _, n := range []int{3, 4, 29} { // the VMs that wait for it
 				assert.Equal(t, c.fleets[n].Process("vm-0").State, presence.Leaving)
 				assert.Assert(t, !c.fleets[n].IsLive("vm-0"))
 				assert.Equal(t, c.fleets[n].AnsweringCount(), 30)
--- a/node/gateway/fleet/size_test.go
+++ b/node/gateway/fleet/size_test.go
@@ -101,18 +101,22 @@
 	stops   []context.CancelFunc
 	// demand is the request rate of each VM's callers.
 	demand atomic.Int64
+	// leaving is the name of the VM that leaves, and waiting are those for which it has requests.
+	leaving atomic.Value // steering.VM
+	waiting []steering.VM
 }
 
 // newTestFleet starts size VMs within 0.3 s. As at the start of a deployment, each VM has read the
 // records of those that wrote theirs before it.
 func newTestFleet(ctx context.Context, size, zones int) *testFleet {
-	c := &testFleet{network: &network{conns: make(map[string]*memoryConn)}}
+	c := &testFleet{network: &network{conns: make(map[string]*memoryConn)}, waiting: []steering.VM{"vm-3", "vm-4", "vm-29"}}
 	var records []Member
 	for i := range size {
 		self := Member{Name: steering.VM(fmt.Sprintf("vm-%d", i)), Zone: steering.Zone(fmt.Sprintf("zone-%d", i%zones)), Region: "here",
 			Peer: fmt.Sprintf("10.0.%d.%d:7620", i/250, i%250+1), Control: fmt.Sprintf("10.0.%d.%d:8649", i/250, i%250+1), Callers: fmt.Sprintf("10.0.%d.%d:8641", i/250, i%250+1)}
 		f := New(Config{Self: self, Log: log.NewNopLogger(), FillBeat: c.fillBeat, HandleBeat: func(Beat) {}, OnMembersChange: func() {},
-			Suspects: func(bool) []poison.Fact { return nil }}, c.network.listen(self.Peer))
+			WaitingVMs: func() []steering.VM { return c.waiting },
+			Suspects:   func(bool) []poison.Fact { return nil }}, c.network.listen(self.Peer))
 		f.Add(records)
 		records = append(records, self)
 		running, stop := context.WithCancel(ctx)
@@ -135,7 +139,8 @@
 }
 
 func (c *testFleet) fillBeat(b *Beat) {
-	b.Serving = true
+	b.Leaving = c.leaving.Load() == b.From.Name
+	b.Serving = !b.Leaving
 	b.ConfigContent = 0xfedcba98
 	b.Demand = placement.DemandOf{"s": {Rate: float32(c.demand.Load()), RunMs: 110, Runs: 100}}
 }
