Tell requests that a stop breaks off from those whose callers left, and count unmatched responses

Change: the context of a request says that the server stops; such a request is logged with its tries and counted (gateway_requests_broken_off); a stop logs what is unanswered at its end; a response that waited half a second or more behind earlier ones is logged; unmatched responses are counted (gateway_responses_unmatched), and a try says whether the rejection of its target named the request. No logic is changed. Measured: the tests of relay, upstream and callers pass.

--- a/node/gateway/callers/types.go
+++ b/node/gateway/callers/types.go
@@ -6,6 +6,8 @@
 	"net/http"
 	"time"
 
+	"github.com/go-faster/errors"
+
 	"heatherlock/node/gateway/upstream"
 	"heatherlock/steering/routes"
 )
@@ -53,6 +55,10 @@
 	ErrorResponse(status int, detail string) *Response
 }
 
+// ErrStopped is the cause of a request's context that is done because the server stops, not because the caller
+// left.
+var ErrStopped = errors.New("callers: the server stops")
+
 // LimitsFunc returns the limits in force. Limits without HeaderBytes mean that no configuration is
 // known yet.
 type LimitsFunc func() routes.Limits
--- a/node/gateway/gateway.go
+++ b/node/gateway/gateway.go
@@ -139,6 +139,8 @@
 	g.store.OnBytes = func(bytes int) { g.meter.Count(volume.Store, volume.Location{}, int64(bytes)) }
 	g.store.OnEpoch = g.storeRestored
 	b := settings.Bounds
+	relayMetrics := relay.NewMetrics(scope)
+	g.pool.OnUnmatched = relayMetrics.Unmatched
 	g.relay = relay.New(relay.Config{Region: settings.Region, Zone: settings.Zone, Pool: g.pool,
 		Balancer: placement.NewBalancer(settings.VM, settings.Region),
 		Retry:    retry.NewSharedBudget(retryConfig(b)),
@@ -147,7 +149,7 @@
 		PeerMeter: func(raw net.Conn, to steering.VM) net.Conn {
 			return g.meter.Conn(raw, volume.PassedOn, g.fleet.LocationOf(to))
 		},
-		Metrics: relay.NewMetrics(scope), StoreAge: func() time.Duration { return time.Duration(g.reader.Digest().AgeMs) * time.Millisecond },
+		Metrics: relayMetrics, StoreAge: func() time.Duration { return time.Duration(g.reader.Digest().AgeMs) * time.Millisecond },
 		MemberCount: func() int { return g.fleet.AnsweringCount() }, Behind: func() bool { _, _, behind := g.reader.Behind(); return behind }, ConfigOutdated: g.outdated,
 		Meter: g.meter, Allowances: g.allowanceService, Shares: g.shares, TargetLimits: g.allowanceService,
 		MemoryBytes: int64(settings.MemoryMB) << 20})
@@ -338,7 +340,8 @@
 // Run serves until ctx ends, and then shuts down gracefully. It returns an error if a listener
 // cannot be opened.
 func (g *Gateway) Run(ctx context.Context) error {
-	work, stop := context.WithCancel(context.Background())
+	work, cancel := context.WithCancelCause(context.Background())
+	stop := func() { cancel(callers.ErrStopped) }
 	defer stop()
 	listener, err := net.Listen("tcp4", g.settings.Listen.Callers)
 	if err != nil {
--- a/node/gateway/relay/attempts.go
+++ b/node/gateway/relay/attempts.go
@@ -81,6 +81,8 @@
 		return "no answer: " + e.err.Error()
 	case e.info.WrongTarget:
 		return "another target has the address"
+	case e.notRun && e.info.RequestID == "":
+		return "refused by the target, not run, without a request ID"
 	case e.notRun:
 		return "refused by the target, not run"
 	case !e.usable:
--- a/node/gateway/relay/events.go
+++ b/node/gateway/relay/events.go
@@ -44,6 +44,25 @@
 	}
 }
 
+// BrokenOffByStop counts a request that had no answer when the stop of this VM ended.
+func (e *Metrics) BrokenOffByStop() {
+	if e != nil {
+		e.scope.Counter("gateway_requests_broken_off").Inc(1)
+	}
+}
+
+// Unmatched counts a response of a target that is not the answer to the request in flight: it names another
+// request, or none.
+func (e *Metrics) Unmatched(named bool) {
+	if e != nil {
+		names := "none"
+		if named {
+			names = "other"
+		}
+		e.scope.Tagged(map[string]string{"names": names}).Counter("gateway_responses_unmatched").Inc(1)
+	}
+}
+
 // RunTooSlow counts a placement that was refused because the request must not be repeated and its run was
 // predicted to end after its timeout.
 func (e *Metrics) RunTooSlow() {
--- a/node/gateway/relay/exchange.go
+++ b/node/gateway/relay/exchange.go
@@ -148,8 +148,12 @@
 	}
 }
 
-// callerLeft records that the caller left, and returns no response.
+// callerLeft records that the caller left or that this VM stops, and returns no response.
 func (x *exchange) callerLeft() *callers.Response {
+	if errors.Is(context.Cause(x.caller), callers.ErrStopped) {
+		x.f.cfg.Metrics.BrokenOffByStop()
+		x.f.logRequest("broken off by the end of the stop", x.requestInfo(x.call), "", x.detail())
+	}
 	x.f.cfg.Metrics.Refused(steering.ReasonCancelled)
 	x.recordOutcome(losses.Failed, steering.ReasonCancelled)
 	return nil
--- a/node/gateway/relay/responses.go
+++ b/node/gateway/relay/responses.go
@@ -119,7 +119,12 @@
 	}
 	return &callers.Response{Status: e.response.Status, Header: endToEnd(e.response.Header), Body: e.response.Body,
 		BodyRest: e.response.BodyRest, Length: e.response.Length, Close: x.r.BodyRest != nil,
-		BeforeWrite: func() { x.recordResponse(outcomeOfStatus(e.response.Status), ready) }}
+		BeforeWrite: func() {
+			x.recordResponse(outcomeOfStatus(e.response.Status), ready)
+			if waited := time.Since(x.r.Received) - ready; waited >= longHold && x.f.holds.mayLog(time.Now()) {
+				x.f.logRequest("response waited for earlier ones", x.requestInfo(x.call), "", append(x.detail(), "waited_ms", waited.Milliseconds()))
+			}
+		}}
 }
 
 func formatSeconds(d time.Duration) string {
--- a/node/gateway/shutdown.go
+++ b/node/gateway/shutdown.go
@@ -51,4 +51,7 @@
 		}
 		time.Sleep(shutdownPollInterval)
 	}
+	if running, passedOn := g.callers.InFlight(), g.passedOn.InFlight(); running+passedOn > 0 {
+		_ = g.log.Log("msg", "stop ends with requests unanswered", "running", running, "for_other_vms", passedOn, "took_ms", time.Since(began).Milliseconds()) // the log writer counts dropped lines
+	}
 }
--- a/node/gateway/upstream/conn.go
+++ b/node/gateway/upstream/conn.go
@@ -62,6 +62,7 @@
 	pool *targetPool
 	// requestIDOf returns the ID of the request to which a response belongs.
 	requestIDOf func(http.Header) string
+	onUnmatched func(named bool)
 
 	mu      lock.Mutex
 	current *exchange
@@ -74,8 +75,8 @@
 	idleTimeout time.Duration
 }
 
-func newConn(raw net.Conn, pool *targetPool, requestIDOf func(http.Header) string) *conn {
-	return &conn{raw: raw, in: bufio.NewReaderSize(raw, readBufferSize), pool: pool, requestIDOf: requestIDOf, idleTimeout: defaultIdleTimeout}
+func newConn(raw net.Conn, target *targetPool, p *Pool) *conn {
+	return &conn{raw: raw, in: bufio.NewReaderSize(raw, readBufferSize), pool: target, requestIDOf: p.requestIDOf, onUnmatched: p.OnUnmatched, idleTimeout: defaultIdleTimeout}
 }
 
 // start assigns the connection to an exchange. It returns false if the connection is closed or in
@@ -230,6 +231,9 @@
 			return response, true, errors.Wrap(err, "read response body")
 		}
 		id := c.requestIDOf(httpResponse.Header)
+		if id != e.id && c.onUnmatched != nil {
+			c.onUnmatched(id != "")
+		}
 		if planted.Defect != planted.MismatchedResponse && id != e.id && (id != "" || httpResponse.StatusCode < http.StatusMultipleChoices) {
 			if mismatched++; mismatched > maxMismatched || !whole {
 				return nil, true, errors.Errorf("response belongs to request %q", id)
--- a/node/gateway/upstream/pool.go
+++ b/node/gateway/upstream/pool.go
@@ -41,6 +41,9 @@
 	requestIDOf func(http.Header) string
 	// OnOpen, if set, is called after each connection is opened.
 	OnOpen func()
+	// OnUnmatched, if set, is called for each response that is not the answer to the request in flight, with
+	// whether it names another request.
+	OnUnmatched func(named bool)
 
 	mu      lock.Mutex
 	targets map[steering.Target]*targetPool
@@ -231,7 +234,7 @@
 	if call.OnOpen != nil {
 		raw = call.OnOpen(raw)
 	}
-	c := newConn(raw, h, p.requestIDOf)
+	c := newConn(raw, h, p)
 	go c.readLoop()
 	return c, nil
 }
