Answer what a VM has before its stop ends, and start nothing that would outlive it

Callers saw connections closed without an answer 5.5 s after the SIGTERM of an entry VM (LOST), also for requests whose response was ready behind another one. Cause: the end of the process bounded none of the work in it; deadlines, waits and what was told to owners of targets went by the caller and the route alone, and the end cancelled the rest as if callers had left.

Change: placement refuses what is not likely to end before its VM stops; owners return requests that wait for a VM which announces that it leaves; 0.2 s before its end, in the last sixth of the time until SIGKILL, a VM gives each request a final response, 503 if nothing was sent and 502 otherwise, behind which ready responses follow. A new header between VMs tells the time left; builds before send none, and ignore it.

Measured: the tests of node/gateway, steering and cmd/heatherlock pass.

--- a/node/gateway/fleet/fleet.go
+++ b/node/gateway/fleet/fleet.go
@@ -40,9 +40,9 @@
 	OnMembersChange func()
 	// Incarnation distinguishes this process from earlier ones; 0 draws one at random.
 	Incarnation uint32
-	// WaitingVMs, if set, returns the VMs for which this one has requests. While it leaves, it sends them
-	// heartbeats itself, since its zone does not list it any more.
-	WaitingVMs func() []steering.VM
+	// RequestPeers, if set, returns the VMs for which this one has requests, and those that have requests for it.
+	// While it leaves, it sends them heartbeats itself, since its zone does not list it any more.
+	RequestPeers func() []steering.VM
 	// Clock returns the current time; nil means time.Now.
 	Clock func() time.Time
 	// OnSend, if set, is called for each datagram sent with the receiver, of which only the
@@ -199,11 +199,11 @@
 // sendToWaiting sends a heartbeat that says nothing of other VMs to those that wait for responses of this one,
 // but for those that were sent one already.
 func (f *Fleet) sendToWaiting(b Beat, sent []Member) {
-	if f.cfg.WaitingVMs == nil {
+	if f.cfg.RequestPeers == nil {
 		return
 	}
 	b.Suspects = nil
-	for _, name := range f.cfg.WaitingVMs() {
+	for _, name := range f.cfg.RequestPeers() {
 		if slices.ContainsFunc(sent, func(m Member) bool { return m.Name == name }) {
 			continue
 		}
--- a/node/gateway/fleet/size_test.go
+++ b/node/gateway/fleet/size_test.go
@@ -115,8 +115,8 @@
 		self := Member{Name: steering.VM(fmt.Sprintf("vm-%d", i)), Zone: steering.Zone(fmt.Sprintf("zone-%d", i%zones)), Region: "here",
 			Peer: fmt.Sprintf("10.0.%d.%d:7620", i/250, i%250+1), Control: fmt.Sprintf("10.0.%d.%d:8649", i/250, i%250+1), Callers: fmt.Sprintf("10.0.%d.%d:8641", i/250, i%250+1)}
 		f := New(Config{Self: self, Log: log.NewNopLogger(), FillBeat: c.fillBeat, HandleBeat: func(Beat) {}, OnMembersChange: func() {},
-			WaitingVMs: func() []steering.VM { return c.waiting },
-			Suspects:   func(bool) []poison.Fact { return nil }}, c.network.listen(self.Peer))
+			RequestPeers: func() []steering.VM { return c.waiting },
+			Suspects:     func(bool) []poison.Fact { return nil }}, c.network.listen(self.Peer))
 		f.Add(records)
 		records = append(records, self)
 		running, stop := context.WithCancel(ctx)
--- a/node/gateway/gateway.go
+++ b/node/gateway/gateway.go
@@ -202,7 +202,7 @@
 		seeds = append(seeds, platform.PeerAddressOf(host, g.settings.PeerPorts))
 	}
 	g.fleet = fleet.New(fleet.Config{Self: g.self(), Seeds: seeds, Log: g.log, FillBeat: g.fillHeartbeat,
-		Incarnation: g.incarnation, WaitingVMs: g.relay.WaitingVMs,
+		Incarnation: g.incarnation, RequestPeers: g.relay.RequestPeers,
 		Suspects:   func(all bool) []poison.Fact { return g.relay.TakePoisonFacts(time.Now(), all) },
 		HandleBeat: g.handleHeartbeat, OnMembersChange: g.signalMembersChanged,
 		OnSend: func(to fleet.Member, bytes int) { g.meter.Count(volume.Heartbeats, locationOf(to), int64(bytes)) }}, conn)
--- a/node/gateway/owners.go
+++ b/node/gateway/owners.go
@@ -4,6 +4,8 @@
 	"slices"
 	"strings"
 
+	"heatherlock/steering"
+	"heatherlock/steering/presence"
 	"heatherlock/steering/queueowner"
 )
 
@@ -20,6 +22,7 @@
 	g.setOwners(all)
 	// Also if the owners are the same: a VM that leaves is no owner any more, and may be killed before it has answered.
 	g.relay.GiveUpAbandoned(g.fleet.Process)
+	g.relay.ReturnWaitingOf(func(vm steering.VM) presence.State { return g.fleet.Process(vm).State })
 }
 
 func (g *Gateway) setOwners(all []queueowner.VM) {
--- a/node/gateway/relay/attempts.go
+++ b/node/gateway/relay/attempts.go
@@ -94,6 +94,9 @@
 // startAttempt places the request and starts an attempt, or returns why no target was found. If this VM is
 // cut off from all targets, another one passes the request on.
 func (x *exchange) startAttempt(ctx context.Context) *placement.Refusal {
+	if x.stopOver {
+		return &placement.Refusal{Reason: steering.ReasonShuttingDown, RetryAfter: drainRetryAfter}
+	}
 	if x.startAtOwner(ctx) {
 		return nil
 	}
@@ -140,7 +143,7 @@
 func (x *exchange) placementRequest() placement.Request {
 	now := time.Now()
 	r := placement.Request{Service: x.service, ID: x.call.ID, Route: x.route.Name, RouteAim: x.route.Aim, RouteRank: x.route.Rank, Workspace: x.workspace != nil, Region: x.hop.regionOr(x.f.cfg.Region), Zone: x.f.cfg.Zone, Allowed: x.mayRunIn,
-		TimeLeft: x.deadline.Sub(now), MaxQueue: x.f.holds.maxQueue(), Rank: x.workspace.RankOr(x.route.Rank), Retryable: x.route.Kind.Retryable(), Tried: x.tried,
+		TimeLeft: x.deadline.Sub(now), StopsIn: x.stopsIn(now), MaxQueue: x.f.holds.maxQueue(), Rank: x.workspace.RankOr(x.route.Rank), Retryable: x.route.Kind.Retryable(), Tried: x.tried,
 		Key: x.affinityKey()}
 	if x.route.Aim > 0 {
 		r.Aim = max(x.route.Aim-now.Sub(x.r.Received)-replyMargin, time.Millisecond)
--- a/node/gateway/relay/exchange.go
+++ b/node/gateway/relay/exchange.go
@@ -63,6 +63,8 @@
 	passedToOwner bool
 	// causeToldByOwner is why the request is not answered in time, as the VM says to which it was passed on.
 	causeToldByOwner losses.Cause
+	// stopOver is set once this VM has stopped waiting for attempts.
+	stopOver bool
 	// responder is the target whose response was passed on to the VM that hop names; empty if none was.
 	responder steering.Target
 }
@@ -126,14 +128,11 @@
 	for {
 		select {
 		case e := <-x.results:
-			x.running--
-			x.recordResult(e)
-			if response, done := x.handleResult(work, e); done {
+			if response, done := x.attemptEnded(work, e); done {
 				return response
 			}
 		case e := <-x.helperResults:
-			x.running--
-			if response, done := x.handleHelperResult(work, e); done {
+			if response, done := x.helperEnded(work, e); done {
 				return response
 			}
 		case <-hedge.C:
@@ -142,12 +141,27 @@
 			}
 		case <-deadline.C:
 			return x.timedOut()
+		case <-x.f.stop.over:
+			return x.endAtStop(work)
 		case <-ctx.Done():
 			return x.callerLeft()
 		}
 	}
 }
 
+// attemptEnded acts on the result of an attempt at a target.
+func (x *exchange) attemptEnded(work context.Context, e attemptResult) (response *callers.Response, done bool) {
+	x.running--
+	x.recordResult(e)
+	return x.handleResult(work, e)
+}
+
+// helperEnded acts on the result of an attempt at another entry VM.
+func (x *exchange) helperEnded(work context.Context, e helperResult) (response *callers.Response, done bool) {
+	x.running--
+	return x.handleHelperResult(work, e)
+}
+
 // callerLeft records that the caller left or that this VM stops, and returns no response.
 func (x *exchange) callerLeft() *callers.Response {
 	if errors.Is(context.Cause(x.caller), callers.ErrStopped) {
--- a/node/gateway/relay/helpers.go
+++ b/node/gateway/relay/helpers.go
@@ -144,6 +144,7 @@
 	if x.workspace != nil {
 		h.workspace = x.workspace.Name
 	}
+	h.answerAt = x.stopsAt()
 	h.set(header)
 	left := time.Until(x.deadline)
 	platform.SetDeadline(header, left-min(helperMargin, left/helperMarginShare))
--- a/node/gateway/relay/hold.go
+++ b/node/gateway/relay/hold.go
@@ -92,7 +92,7 @@
 		case refusal == nil:
 			x.heldUntilStart(e.ID)
 			return nil
-		case why == wakeDraining && refusal.Reason != steering.ReasonCancelled:
+		case (why == wakeDraining || why == wakeOriginLeaves) && refusal.Reason != steering.ReasonCancelled:
 			refusal = &placement.Refusal{Reason: steering.ReasonShuttingDown, RetryAfter: drainRetryAfter}
 			return x.endHold(e.ID, refusal, string(refusal.Reason))
 		case !x.mayHold(refusal):
@@ -148,7 +148,14 @@
 	if e.Late = x.route.Aim <= 0 || !e.LatestStart.After(now); e.Late {
 		e.LatestStart = x.deadline.Add(-refusal.Room.Run)
 	}
-	held, full, retryAfter := x.f.holds.offer(e, woken)
+	if stop := x.stopsAt(); !stop.IsZero() && stop.Add(-refusal.Room.Run).Before(e.LatestStart) {
+		e.LatestStart = stop.Add(-refusal.Room.Run)
+	}
+	from := steering.VM("")
+	if x.hop != nil {
+		from = x.hop.from
+	}
+	held, full, retryAfter := x.f.holds.offer(e, woken, from)
 	if full {
 		x.f.cfg.Metrics.HoldsFull()
 	}
--- a/node/gateway/relay/hold_test.go
+++ b/node/gateway/relay/hold_test.go
@@ -85,7 +85,7 @@
 		served int // at least
 	}{
 		{"nothing happens", func(*rig) {}, 6},
-		{"shutdown", func(g *rig) { g.relay.StartDrain() }, 3},
+		{"shutdown", func(g *rig) { g.relay.StartDrain(time.Now().Add(stopTime)) }, 3},
 		{"route removed", func(g *rig) {
 			g.relay.SetTable(routes.NewTable(2, nil, nil, g.relay.Table().Limits))
 		}, 3},
--- a/node/gateway/relay/holds.go
+++ b/node/gateway/relay/holds.go
@@ -27,11 +27,19 @@
 type wake uint8
 
 const (
-	wakeRoom     wake = iota // its target may have room
-	wakeExpired              // its latest start has passed
-	wakeDraining             // this VM is shutting down
+	wakeRoom         wake = iota // its target may have room
+	wakeExpired                  // its latest start has passed
+	wakeDraining                 // this VM is shutting down
+	wakeOriginLeaves             // the VM that passed the request on is shutting down
 )
 
+// waiter is a request that waits.
+type waiter struct {
+	woken chan wake
+	// from is the VM that passed the request on, empty if none did.
+	from steering.VM
+}
+
 // holds keeps the requests that wait in this VM until their target has room.
 type holds struct {
 	count    atomic.Int64 // of waiters, to be read without mu
@@ -39,7 +47,7 @@
 
 	mu      lock.Mutex
 	queue   *waiting.Queue
-	waiters map[uint64]chan wake
+	waiters map[uint64]waiter
 	lastID  uint64
 	timer   *time.Timer // nil until the first request waits
 
@@ -54,12 +62,12 @@
 	if bytes <= 0 {
 		bytes = defaultHeldBytes
 	}
-	return &holds{queue: waiting.NewQueue(waiting.Limits{Entries: bytes / heldOverhead, Bytes: bytes}), waiters: make(map[uint64]chan wake)}
+	return &holds{queue: waiting.NewQueue(waiting.Limits{Entries: bytes / heldOverhead, Bytes: bytes}), waiters: make(map[uint64]waiter)}
 }
 
-// offer holds a request, or returns when room is expected for it. woken receives why it stops waiting. An
-// entry without an ID is given one. full is set if the bounds allow no more requests.
-func (h *holds) offer(e *waiting.Entry, woken chan wake) (held, full bool, retryAfter time.Duration) {
+// offer holds a request, or returns when room is expected for it. woken receives why it stops waiting; from is the
+// VM that passed it on, if any. An entry without an ID is given one. full is set if the bounds allow no more requests.
+func (h *holds) offer(e *waiting.Entry, woken chan wake, from steering.VM) (held, full bool, retryAfter time.Duration) {
 	now := time.Now()
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -69,11 +77,16 @@
 	}
 	held, retryAfter = h.queue.Offer(now, *e)
 	full = !held && !h.queue.Fits(e)
-	h.setWaiter(e.ID, woken, held)
+	if held {
+		h.waiters[e.ID] = waiter{woken, from}
+	} else {
+		delete(h.waiters, e.ID)
+	}
+	h.count.Store(int64(len(h.waiters)))
 	if held && h.draining.Load() {
 		h.wake(e.ID, wakeDraining)
 		h.queue.Remove(e.ID)
-		h.setWaiter(e.ID, nil, false)
+		h.removeWaiter(e.ID)
 	}
 	h.dispatch(now)
 	return held, full, retryAfter
@@ -83,18 +96,14 @@
 // will find out that it may not start. h.mu must be held.
 func (h *holds) wake(id uint64, why wake) {
 	select {
-	case h.waiters[id] <- why:
+	case h.waiters[id].woken <- why:
 	default:
 	}
 }
 
-// setWaiter records whether a request waits. h.mu must be held.
-func (h *holds) setWaiter(id uint64, woken chan wake, waits bool) {
-	if waits {
-		h.waiters[id] = woken
-	} else {
-		delete(h.waiters, id)
-	}
+// removeWaiter records that a request does not wait any more. h.mu must be held.
+func (h *holds) removeWaiter(id uint64) {
+	delete(h.waiters, id)
 	h.count.Store(int64(len(h.waiters)))
 }
 
@@ -108,7 +117,7 @@
 	} else {
 		h.queue.Remove(id)
 	}
-	h.setWaiter(id, nil, false)
+	h.removeWaiter(id)
 	h.dispatch(now)
 }
 
@@ -149,6 +158,20 @@
 	h.count.Store(0)
 }
 
+// returnWaitingOf wakes the requests that a VM has passed on, because it is shutting down.
+func (h *holds) returnWaitingOf(vm steering.VM) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for id, w := range h.waiters {
+		if w.from == vm {
+			h.wake(id, wakeOriginLeaves)
+			h.queue.Remove(id)
+			h.removeWaiter(id)
+		}
+	}
+	h.dispatch(time.Now())
+}
+
 // maxQueue returns the bound of the wait at targets. Requests of a VM that is shutting down may wait there as
 // long as their own latency objective allows, since they cannot wait here.
 func (h *holds) maxQueue() time.Duration {
@@ -163,7 +186,7 @@
 func (h *holds) dispatch(now time.Time) {
 	for _, e := range h.queue.Expired(now) {
 		h.wake(e.ID, wakeExpired)
-		h.setWaiter(e.ID, nil, false)
+		h.removeWaiter(e.ID)
 	}
 	for _, service := range h.queue.Services() {
 		for e, ok := h.queue.Next(now, service); ok; e, ok = h.queue.Next(now, service) {
--- a/node/gateway/relay/holds_internal_test.go
+++ b/node/gateway/relay/holds_internal_test.go
@@ -15,13 +15,13 @@
 	h := newHolds(0)
 	woken := make(chan wake, 1)
 	e := waiting.Entry{Service: "tickets", Target: "t1", RoomAt: time.Now(), LatestStart: time.Now().Add(time.Minute)}
-	held, _, _ := h.offer(&e, woken)
+	held, _, _ := h.offer(&e, woken, "")
 	assert.Assert(t, held)
 	assert.Equal(t, <-woken, wakeRoom)
 	h.drain()
 	offered := make(chan bool, 1)
 	go func() {
-		h.offer(&e, woken)
+		h.offer(&e, woken, "")
 		h.end(e.ID, false)
 		offered <- true
 	}()
--- a/node/gateway/relay/hop.go
+++ b/node/gateway/relay/hop.go
@@ -28,7 +28,8 @@
 	headerHopReached   = hopHeaderPrefix + "Reached"
 	headerHopClosed    = hopHeaderPrefix + "Closed"
 	headerHopLimits    = hopHeaderPrefix + "Limits"
-	headerHopCause     = hopHeaderPrefix + "Cause" // of what the caller loses, if it does; builds before send none
+	headerHopAnswerMs  = hopHeaderPrefix + "Answer-Ms" // until the VM that passes it on stops; none if it does not, and from builds before
+	headerHopCause     = hopHeaderPrefix + "Cause"     // of what the caller loses, if it does; builds before send none
 )
 
 // hopVerdict is what the VM that passes a request on says of its response.
@@ -55,6 +56,9 @@
 	config    uint64
 	attempts  int
 	workspace steering.Workspace
+	// answerAt is when the VM that took the request stops waiting for the response, because it stops; zero if it
+	// does not stop.
+	answerAt time.Time
 	// told is what targets of the service have said to that VM.
 	told toldNotices
 }
@@ -79,6 +83,9 @@
 	if h.workspace != "" {
 		to[headerHopWorkspace] = []string{string(h.workspace)}
 	}
+	if !h.answerAt.IsZero() {
+		to[headerHopAnswerMs] = []string{strconv.FormatInt(max(time.Until(h.answerAt).Milliseconds(), 1), 10)}
+	}
 	h.told.set(to)
 }
 
@@ -89,6 +96,9 @@
 	to, _ := strconv.ParseUint(h.Get(headerHopTo), 10, 32) // 0 if there is none
 	read = &hop{from: steering.VM(h.Get(headerHopFrom)), to: presence.Incarnation(to), region: steering.Region(h.Get(headerHopRegion)), config: config,
 		attempts: attempts, workspace: steering.Workspace(h.Get(headerHopWorkspace)), told: readToldNotices(h)}
+	if ms, err := strconv.ParseInt(h.Get(headerHopAnswerMs), 10, 32); err == nil && ms > 0 {
+		read.answerAt = time.Now().Add(time.Duration(ms) * time.Millisecond)
+	}
 	return read, badConfig == nil && badAttempts == nil && attempts > 0 && read.from != "" && read.region != ""
 }
 
@@ -115,8 +125,12 @@
 func (h *hop) refuse(f *Relay, s requestInfo, reason steering.Reason, retryAfter time.Duration, reached int, detail []any) *callers.Response {
 	verdict := hopNotRun
 	switch reason {
-	case steering.ReasonNotReady, steering.ReasonConfigBehind, steering.ReasonPeerUnreachable, steering.ReasonShuttingDown:
+	case steering.ReasonNotReady, steering.ReasonConfigBehind, steering.ReasonPeerUnreachable:
 		verdict = hopElsewhere
+	case steering.ReasonShuttingDown:
+		if f.stop.answerAt.Load() != 0 { // and not just the VM that passed the request on
+			verdict = hopElsewhere
+		}
 	case steering.ReasonNoTarget:
 		if f.CutOff() {
 			verdict = hopElsewhere
--- a/node/gateway/relay/owners_test.go
+++ b/node/gateway/relay/owners_test.go
@@ -142,7 +142,7 @@
 	answered := make(chan reply, 1)
 	go func() { answered <- p.ask("POST", "/buy/1", "x", 900*time.Millisecond) }()
 	waitFor(t, func() bool { return len(p.runs()) == 1 })
-	p.owner.relay.StartDrain()
+	p.owner.relay.StartDrain(time.Now().Add(stopTime))
 	for range 5 {
 		p.hear(presence.Leaving, 0)
 	}
@@ -198,7 +198,7 @@
 	p.owner.setMixed()
 	replies := buyAll([]*rig{p.rig}, 24, func() {
 		p.hear(presence.Leaving, 0)
-		p.owner.relay.StartDrain()
+		p.owner.relay.StartDrain(time.Now().Add(stopTime))
 	})
 	served := checkRuns(t, p.owner, replies)
 	assert.Check(t, served >= 6, "%d served", served)
@@ -206,3 +206,43 @@
 		assert.Check(t, r.status != http.StatusBadGateway, "purchase %d has an unknown outcome", i)
 	}
 }
+
+// Guards against requests that are neither started nor refused before their VM stops, because they wait at an owner
+// which goes on.
+func TestRequestsOfAVMThatLeavesDoNotWaitAtTheOwner(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		// leave makes the first VM leave, before it takes the requests or while they wait.
+		before bool
+		leave  func(p *ownedPair)
+	}{
+		{"before", true, func(p *ownedPair) { p.relay.StartDrain(time.Now().Add(400 * time.Millisecond)) }},
+		{"while they wait", false, func(p *ownedPair) {
+			p.owner.relay.ReturnWaitingOf(func(steering.VM) presence.State { return presence.Leaving })
+		}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			p := newOwnedPair(t, 300*time.Millisecond)
+			p.owner.setMixed()
+			if c.before {
+				c.leave(p)
+			}
+			began := time.Now()
+			var left time.Duration
+			replies := buyAll([]*rig{p.rig}, 24, func() {
+				if !c.before {
+					assert.Check(t, p.owner.relay.Waiting() > 0, "no request waits")
+					c.leave(p)
+				}
+				waitFor(t, func() bool { return p.owner.relay.Waiting() == 0 })
+				left = time.Since(began)
+			})
+			served := checkRuns(t, p.owner, replies)
+			assert.Check(t, served >= 3, "%d served", served) // what the slots of their target take at once
+			assert.Check(t, left < 500*time.Millisecond, "requests waited on for %v", left)
+			for i, r := range replies {
+				assert.Check(t, r.status != http.StatusBadGateway, "purchase %d has an unknown outcome", i)
+			}
+		})
+	}
+}
--- a/node/gateway/relay/passedon.go
+++ b/node/gateway/relay/passedon.go
@@ -116,6 +116,16 @@
 	}
 }
 
+// RequestPeers returns the VMs for which this one has requests, and those that have requests for it.
+func (f *Relay) RequestPeers() []steering.VM {
+	all := f.WaitingVMs()
+	for _, p := range f.processes() {
+		all = append(all, p.vm)
+	}
+	slices.Sort(all)
+	return slices.Compact(all)
+}
+
 // WaitingVMs returns the VMs for which this one has requests.
 func (f *Relay) WaitingVMs() []steering.VM {
 	f.mu.Lock()
--- a/node/gateway/relay/relay.go
+++ b/node/gateway/relay/relay.go
@@ -170,6 +170,7 @@
 
 	outcomeCounts *outcomeCounts
 	holds         *holds
+	stop          stopState
 }
 
 var _ callers.Handler = (*Relay)(nil)
@@ -182,12 +183,9 @@
 	if cfg.TargetLimits == nil {
 		cfg.TargetLimits = closedTargets{}
 	}
-	return &Relay{cfg: cfg, passedOn: make(passedOnTable), waitingVMs: make(waitingVMs), poisonFilter: newPoisonFilter(cfg.TargetHeartbeatInterval, cfg.Log), outcomeCounts: newOutcomeCounts(), holds: newHolds(cfg.MemoryBytes), started: make(chan struct{}), closed: make(chan struct{})}
+	return &Relay{cfg: cfg, passedOn: make(passedOnTable), waitingVMs: make(waitingVMs), poisonFilter: newPoisonFilter(cfg.TargetHeartbeatInterval, cfg.Log), outcomeCounts: newOutcomeCounts(), holds: newHolds(cfg.MemoryBytes), stop: stopState{over: make(chan struct{})}, started: make(chan struct{}), closed: make(chan struct{})}
 }
 
-// StartDrain sends the requests that wait in this VM on or refuses them, and lets none wait any more.
-func (f *Relay) StartDrain() { f.holds.drain() }
-
 // Waiting returns the number of requests that wait in this VM until their target has room.
 func (f *Relay) Waiting() int { return int(f.holds.count.Load()) }
 
--- a/node/gateway/relay/rig_test.go
+++ b/node/gateway/relay/rig_test.go
@@ -75,6 +75,9 @@
 }
 
 const (
+	// stopTime is how long a VM that stops still waits for responses.
+	stopTime = 3 * time.Second
+
 	service = steering.Service("tickets")
 	work    = 30 * time.Millisecond
 )
--- a/node/gateway/shutdown.go
+++ b/node/gateway/shutdown.go
@@ -16,17 +16,18 @@
 // and callers that it leaves, and goes on serving callers that use a cached directory response. Once
 // those that cache it for no longer than stated have asked again, it ends each connection with a
 // response. Then it closes the port, because a request accepted later would be cut off when the process
-// is killed. It returns when no request runs and no connection is open, or shortly before the process
-// would be killed.
+// is killed. What still runs shortly before the process would be killed gets a final response. It returns
+// when no request runs and no connection is open, or when there is no time left to write responses.
 func (g *Gateway) shutdown(listener net.Listener) {
 	_ = g.log.Log("msg", "leaving", "running", g.callers.InFlight(), "connections", g.callers.Connections(), "connections_accepted", g.callers.Accepted()) // the log writer counts dropped lines
 	if planted.Defect == planted.ImmediateExit {
 		return
 	}
 	began := time.Now()
+	plan := gracefulstop.Plan(g.bounds.Load().TerminationGrace, g.directoryTTL())
 	g.leaving.Store(true)
 	g.passedOn.StartDrain()
-	g.relay.StartDrain()
+	g.relay.StartDrain(began.Add(plan.Answer))
 	g.fleet.Announce()
 	g.updateAllowancePeers()
 	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
@@ -36,7 +37,6 @@
 			_ = g.log.Log("msg", "cannot remove own record from the store", "err", err) // the log writer counts dropped lines
 		}
 	})
-	plan := gracefulstop.Plan(g.bounds.Load().TerminationGrace, g.directoryTTL())
 	for since := time.Since(began); since < plan.End; since = time.Since(began) {
 		if since >= plan.Keep {
 			g.callers.StartDrain() // starting it again in later rounds has no effect
@@ -49,6 +49,9 @@
 				break
 			}
 		}
+		if since >= plan.Answer {
+			g.relay.EndStop() // ending it again in later rounds has no effect
+		}
 		time.Sleep(shutdownPollInterval)
 	}
 	if running, passedOn := g.callers.InFlight(), g.passedOn.InFlight(); running+passedOn > 0 {
--- a/steering/gracefulstop/gracefulstop_test.go
+++ b/steering/gracefulstop/gracefulstop_test.go
@@ -69,9 +69,10 @@
 		grace := time.Duration(rapid.IntRange(0, 120_000).Draw(t, "grace ms")) * time.Millisecond
 		ttl := time.Duration(rapid.IntRange(0, 30_000).Draw(t, "ttl ms")) * time.Millisecond
 		s := gracefulstop.Plan(grace, ttl)
-		assert.Assert(t, 0 <= s.Keep && s.Keep <= s.Accept && s.Accept <= s.End && s.End <= grace)
+		assert.Assert(t, 0 <= s.Keep && s.Keep <= s.Accept && s.Accept <= s.Answer && s.Answer <= s.End && s.End <= grace)
+		assert.Assert(t, s.Answer >= min(grace*5/6, s.End), "what a target runs is not broken off before the last sixth")
 		assert.Assert(t, s.Accept <= grace/2, "what is accepted last has half of the time to run")
 	})
 	s := gracefulstop.Plan(6*time.Second, 2*time.Second)
-	assert.Equal(t, s, gracefulstop.Schedule{Keep: 2 * time.Second, Accept: 2800 * time.Millisecond, End: 5500 * time.Millisecond})
+	assert.Equal(t, s, gracefulstop.Schedule{Keep: 2 * time.Second, Accept: 2800 * time.Millisecond, Answer: 5300 * time.Millisecond, End: 5500 * time.Millisecond})
 }
--- a/steering/gracefulstop/schedule.go
+++ b/steering/gracefulstop/schedule.go
@@ -14,6 +14,10 @@
 	keepShare = 0.75
 	// killMargin is the part of the time until SIGKILL that is left unused.
 	killMargin = 500 * time.Millisecond
+	// answerTime is the time for writing the final responses to requests that still run.
+	answerTime = 200 * time.Millisecond
+	// runShare is the part of the time until SIGKILL for which work at targets is not broken off.
+	runShare = 5.0 / 6
 )
 
 // Schedule holds the steps of a stop, as times since the VM was told to stop.
@@ -22,7 +26,10 @@
 	Keep time.Duration
 	// Accept is until when new connections are accepted. From then on idle ones are closed.
 	Accept time.Duration
-	// End is when the process ends, whatever still runs.
+	// Answer is until when requests run. From then on each that has no response yet gets a final one of
+	// the VM itself, and with it what is ready behind it on its connection.
+	Answer time.Duration
+	// End is when the process ends, whatever is still being written.
 	End time.Duration
 }
 
@@ -30,5 +37,7 @@
 // directory responses for directoryTTL.
 func Plan(grace, directoryTTL time.Duration) Schedule {
 	accept := min(directoryTTL+acceptMargin, time.Duration(acceptShare*float64(grace)))
-	return Schedule{Keep: min(directoryTTL, time.Duration(keepShare*float64(accept))), Accept: accept, End: max(grace-killMargin, accept)}
+	end := max(grace-killMargin, accept)
+	answer := min(max(end-answerTime, time.Duration(runShare*float64(grace)), accept), end)
+	return Schedule{Keep: min(directoryTTL, time.Duration(keepShare*float64(accept))), Accept: accept, Answer: answer, End: end}
 }
--- a/steering/losses/losses.go
+++ b/steering/losses/losses.go
@@ -100,6 +100,8 @@
 	// HeadOfLineBlocked: the response was ready in time but waited for the responses to
 	// requests that the caller had sent earlier on the same connection.
 	HeadOfLineBlocked Cause = "behind_other_answers"
+	// VMStopping: the entry VM was shutting down, and had no time left for the request.
+	VMStopping Cause = "vm_stopping"
 	// CallerDisconnected: the caller closed the connection or cancelled the request.
 	CallerDisconnected Cause = "caller_left"
 	// Other: none of the other causes applies.
@@ -203,6 +205,8 @@
 		return WorkspaceUnknown, true
 	case steering.ReasonCancelled:
 		return CallerDisconnected, true
+	case steering.ReasonShuttingDown:
+		return VMStopping, true
 	}
 	if len(r.Tries) > 0 {
 		return "", false // failed tries take precedence over the reasons below
--- a/steering/losses/losses_test.go
+++ b/steering/losses/losses_test.go
@@ -56,6 +56,7 @@
 		"shed, no retry budget": {refusedOrFailed(Refused, steering.ReasonRetryBudget, placement.Shed), TargetShedding},
 		"shed":                  {refusedOrFailed(Refused, steering.ReasonShed, placement.Shed), TargetShedding},
 		"failed, then no slot":  {refusedOrFailed(Refused, steering.ReasonNoSlot, placement.Unreachable), TargetLost},
+		"VM stopping":           {refusedOrFailed(Failed, steering.ReasonShuttingDown, placement.Silent), VMStopping},
 		"VM starting":           {refusedOrFailed(Refused, steering.ReasonNotReady), VMStarting},
 		"config behind":         {refusedOrFailed(Refused, steering.ReasonConfigBehind), ConfigBehind},
 		"poison":                {refusedOrFailed(Refused, steering.ReasonPoison), PoisonRequest},
--- a/steering/placement/choose.go
+++ b/steering/placement/choose.go
@@ -67,6 +67,9 @@
 		if ok {
 			return pick, nil
 		}
+		if order.passed && order.endsLate {
+			return Pick{}, &Refusal{Reason: steering.ReasonShuttingDown, RetryAfter: minRetryAfter, Wait: span(wait), WarmRunTime: b.warmRunTime(now, v, r)}
+		}
 		if order.passed {
 			return Pick{}, &Refusal{Reason: steering.ReasonNoSlot, RetryAfter: b.retryAfter(v, r, order.waitFor(now, wait), keyHash), Wait: span(wait), TooSlow: order.tooSlow,
 				WarmRunTime: b.warmRunTime(now, v, r), Room: b.roomAt(now, v, r, order.first, wait)}
@@ -105,7 +108,7 @@
 		if considered == 0 {
 			b.discountOldReport(now, v, r, c)
 			shortest, first, order.first = c.wait, c, c.targetState
-			order.tooSlow = c.tooSlow(r)
+			order.tooSlow, order.endsLate = c.tooSlow(r), !c.endsBeforeStop(r)
 		}
 		probe := c.targetState.ejected && b.probeDue(now, c.targetState, r)
 		switch {
@@ -156,6 +159,9 @@
 // latency objective, not the run itself: the first request for a key runs cold and misses the
 // objective anyway, and refusing it would keep the target cold forever.
 func (b *Balancer) fits(now time.Time, v *serviceState, r Request, c *candidate) bool {
+	if !c.endsBeforeStop(r) {
+		return false
+	}
 	if c.prediction != nil {
 		return b.fitsRun(now, v, r, c)
 	}
@@ -170,6 +176,19 @@
 	return c.wait <= b.allowedWait(now, v, r, c, allowed)
 }
 
+// endsBeforeStop reports whether a request is likely to end before the VM that has it stops. A run that must not
+// be repeated is lost if it is broken off, so that it needs time for the 90th percentile where that is known.
+func (c *candidate) endsBeforeStop(r Request) bool {
+	if r.StopsIn <= 0 {
+		return true
+	}
+	end := span(c.cost)
+	if c.prediction != nil && !r.Retryable {
+		end = span(c.wait) + c.prediction.run.P90
+	}
+	return end <= r.StopsIn
+}
+
 // retryAfter returns when the shortest queue is likely to have drained to about half of the allowed
 // wait. It is varied by the hash of key and request ID, so that refused callers do not all return
 // at the same time.
--- a/steering/placement/order.go
+++ b/steering/placement/order.go
@@ -147,6 +147,8 @@
 	passed bool
 	// tooSlow is set if the first target's run is predicted to end too late for the request.
 	tooSlow bool
+	// endsLate is set if the first target's run is predicted to end after its VM stops.
+	endsLate bool
 	// first is the first target that was considered for the request.
 	first *targetState
 	// reopensAt is when the first of the targets that take no request now does again.
--- a/steering/placement/placement_test.go
+++ b/steering/placement/placement_test.go
@@ -261,3 +261,26 @@
 	_, refusal := b.Choose(start, none)
 	assert.Equal(t, refusal.Reason, steering.ReasonNoTarget)
 }
+
+// Guards against requests that are started although their VM stops before they are likely to end, and are broken off
+// then; other VMs could have taken them.
+func TestRequestIsRefusedIfItsVMStopsBeforeItEnds(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		b := newBalancer("vm", targets(2, "centro")...)
+		for n := range 50 { // runs take 100 ms
+			_, refusal := serve(b, start.Add(time.Duration(n)*time.Second), request("key"), placement.Served)
+			assert.Assert(t, refusal == nil)
+		}
+		r := request("key")
+		r.StopsIn = time.Duration(rapid.IntRange(0, 400).Draw(t, "ms")) * time.Millisecond
+		r.Retryable = rapid.Bool().Draw(t, "retryable")
+		pick, refusal := b.Choose(start.Add(time.Minute), r)
+		switch {
+		case r.StopsIn == 0 || r.StopsIn > 150*time.Millisecond:
+			assert.Assert(t, refusal == nil, "there is time: %+v", refusal)
+		case r.StopsIn < 80*time.Millisecond:
+			assert.Assert(t, refusal != nil && refusal.Reason == steering.ReasonShuttingDown, "%+v", pick)
+		}
+		assert.Assert(t, refusal != nil || r.StopsIn == 0 || pick.Expected <= r.StopsIn)
+	})
+}
--- a/steering/placement/types.go
+++ b/steering/placement/types.go
@@ -49,6 +49,9 @@
 	Aim time.Duration
 	// TimeLeft is the time from now until the request's deadline. Zero means no deadline.
 	TimeLeft time.Duration
+	// StopsIn is the time from now until the entry VM that took the request from its caller, or this one, stops.
+	// Zero means that neither does. What is not likely to end by then is refused, as other VMs can take it.
+	StopsIn time.Duration
 	// Rank is the priority among the requests of a service; 0 is the highest.
 	Rank int
 	// Retryable marks an idempotent request, which may be used to probe an ejected target.
--- a/steering/presence/presence.go
+++ b/steering/presence/presence.go
@@ -41,6 +41,10 @@
 // TakesRequests reports whether the VM may be given anything new.
 func (s State) TakesRequests() bool { return s == Live }
 
+// Leaves reports whether the VM has announced that it leaves, so that it has little time left for what others do
+// for it.
+func (s State) Leaves() bool { return s == Leaving || s == Ended }
+
 // Answers reports whether the VM is expected to answer the requests that it has.
 func (s State) Answers() bool { return s == Live || s == Leaving }
 
