Take a rejection for proof only if it names the request

Callers could be told that a purchase had not run, or have it run twice, although a target ran it. Cause: a response without a request ID was taken for the answer to the request in flight if its status was 300 or more, and its X-Not-Executed or 421 was believed; a target may send bytes that belong to no request. Change: steering/notrun states what proves that a request has not run; responses that name another request or none are skipped and counted; every response between VMs names its request now, those of the build before are accepted by their verdict. The stand-in's targets can send such rejections.

Not shown to be what the users' machines did.

--- a/node/gateway/gateway.go
+++ b/node/gateway/gateway.go
@@ -138,6 +138,8 @@
 	}
 	g.store.OnBytes = func(bytes int) { g.meter.Count(volume.Store, volume.Location{}, int64(bytes)) }
 	g.store.OnEpoch = g.storeRestored
+	peers := upstream.NewPool(upstream.Dial, platform.RequestIDOf)
+	peers.AcceptUnnamed = relay.IsPeerResponse
 	b := settings.Bounds
 	relayMetrics := relay.NewMetrics(scope)
 	g.pool.OnUnmatched = relayMetrics.Unmatched
@@ -145,7 +147,7 @@
 		Balancer: placement.NewBalancer(settings.VM, settings.Region),
 		Retry:    retry.NewSharedBudget(retryConfig(b)),
 		Log:      logger, TargetHeartbeatInterval: time.Duration(settings.HeartbeatMs) * time.Millisecond,
-		VM: settings.VM, Incarnation: presence.Incarnation(g.incarnation), Peers: upstream.NewPool(upstream.Dial, platform.RequestIDOf), OnLinksChange: g.linksChanged,
+		VM: settings.VM, Incarnation: presence.Incarnation(g.incarnation), Peers: peers, OnLinksChange: g.linksChanged,
 		PeerMeter: func(raw net.Conn, to steering.VM) net.Conn {
 			return g.meter.Conn(raw, volume.PassedOn, g.fleet.LocationOf(to))
 		},
--- a/node/gateway/relay/attempts.go
+++ b/node/gateway/relay/attempts.go
@@ -15,6 +15,7 @@
 	"heatherlock/node/gateway/volume"
 	"heatherlock/platform"
 	"heatherlock/steering"
+	"heatherlock/steering/notrun"
 	"heatherlock/steering/placement"
 )
 
@@ -81,8 +82,6 @@
 		return "no answer: " + e.err.Error()
 	case e.info.WrongTarget:
 		return "another target has the address"
-	case e.notRun && e.info.RequestID == "":
-		return "refused by the target, not run, without a request ID"
 	case e.notRun:
 		return "refused by the target, not run"
 	case !e.usable:
@@ -249,11 +248,11 @@
 	e := attemptResult{pick: pick, response: response, err: err}
 	if err != nil {
 		e.unsent = stageOf(err) != upstream.Sent
-		e.notRun = e.unsent
+		e.notRun = notrun.Of(notrun.Evidence{Sent: !e.unsent, RequestID: x.call.ID}) != notrun.None
 		return e
 	}
 	e.info = platform.ReadResponse(response.Status, response.Header)
-	e.notRun = e.info.NotRun
+	e.notRun = notrun.Of(notrun.Evidence{Sent: true, RequestID: x.call.ID, ResponseID: e.info.RequestID, Rejects: e.info.NotRun}) != notrun.None
 	switch {
 	case e.notRun:
 	case response.Status < http.StatusMultipleChoices:
--- a/node/gateway/relay/helpers.go
+++ b/node/gateway/relay/helpers.go
@@ -15,6 +15,7 @@
 	"heatherlock/platform"
 	"heatherlock/steering"
 	"heatherlock/steering/losses"
+	"heatherlock/steering/notrun"
 	"heatherlock/steering/placement"
 	"heatherlock/steering/reach"
 	"heatherlock/steering/rendezvous"
@@ -94,6 +95,11 @@
 // unsent reports whether nothing of the request reached the other VM.
 func (e helperResult) unsent() bool { return e.err != nil && stageOf(e.err) != upstream.Sent }
 
+// evidence is what the attempt showed of whether the request has run.
+func (e helperResult) evidence() notrun.Evidence {
+	return notrun.Evidence{Sent: !e.unsent(), Returned: e.err == nil && (e.verdict == hopNotRun || e.verdict == hopElsewhere)}
+}
+
 // reason returns why the other VM refused the request, or an empty reason.
 func (e helperResult) reason() steering.Reason {
 	if e.response == nil {
@@ -176,11 +182,11 @@
 		x.endedSent++
 	}
 	x.noteHelper(e)
-	switch e.verdict {
-	case hopDelivered:
+	switch {
+	case e.verdict == hopDelivered:
 		removeHopHeaders(e.response.Header)
 		return x.deliver(e.asAttempt()), true
-	case hopNotRun, hopElsewhere:
+	case notrun.Of(e.evidence()) != notrun.None:
 		return x.notRunAtHelper(ctx, e)
 	}
 	x.maybeRan = true
--- a/node/gateway/relay/hop.go
+++ b/node/gateway/relay/hop.go
@@ -46,6 +46,10 @@
 	hopUnknown hopVerdict = "unknown"
 )
 
+// IsPeerResponse reports whether a response that names no request is that of another entry VM. Builds before name the
+// request only in responses of targets; connections between VMs carry one request at a time, and nothing else.
+func IsPeerResponse(h http.Header) bool { return h.Get(headerHopVerdict) != "" }
+
 // hop is what another entry VM says of a request that it passes on.
 type hop struct {
 	from steering.VM
@@ -149,9 +153,18 @@
 type peerHandler struct{ *Relay }
 
 // Serve implements callers.Handler. The VM that took the request from its caller has checked the API key
-// and the allowance of the workspace.
+// and the allowance of the workspace. Each response names the request, as those of targets do.
 func (p peerHandler) Serve(ctx context.Context, r *callers.Request) *callers.Response {
-	f, call := p.Relay, platform.ReadRequest(r.Header)
+	call := platform.ReadRequest(r.Header)
+	response := p.serve(ctx, r, call)
+	if response != nil {
+		platform.SetRequestID(response.Header, call.ID)
+	}
+	return response
+}
+
+func (p peerHandler) serve(ctx context.Context, r *callers.Request, call platform.RequestInfo) *callers.Response {
+	f := p.Relay
 	passedOn, ok := readHop(r.Header)
 	if !ok {
 		return p.ErrorResponse(http.StatusBadRequest, "the request was not passed on by an entry VM")
--- a/node/gateway/upstream/conn.go
+++ b/node/gateway/upstream/conn.go
@@ -16,6 +16,7 @@
 	"heatherlock/node/gateway/buffering"
 	"heatherlock/node/gateway/planted"
 	"heatherlock/node/lock"
+	"heatherlock/steering/notrun"
 )
 
 const (
@@ -63,6 +64,8 @@
 	// requestIDOf returns the ID of the request to which a response belongs.
 	requestIDOf func(http.Header) string
 	onUnmatched func(named bool)
+	// acceptUnnamed is that of the pool.
+	acceptUnnamed func(http.Header) bool
 
 	mu      lock.Mutex
 	current *exchange
@@ -76,7 +79,7 @@
 }
 
 func newConn(raw net.Conn, target *targetPool, p *Pool) *conn {
-	return &conn{raw: raw, in: bufio.NewReaderSize(raw, readBufferSize), pool: target, requestIDOf: p.requestIDOf, onUnmatched: p.OnUnmatched, idleTimeout: defaultIdleTimeout}
+	return &conn{raw: raw, in: bufio.NewReaderSize(raw, readBufferSize), pool: target, requestIDOf: p.requestIDOf, onUnmatched: p.OnUnmatched, acceptUnnamed: p.AcceptUnnamed, idleTimeout: defaultIdleTimeout}
 }
 
 // start assigns the connection to an exchange. It returns false if the connection is closed or in
@@ -231,10 +234,11 @@
 			return response, true, errors.Wrap(err, "read response body")
 		}
 		id := c.requestIDOf(httpResponse.Header)
-		if id != e.id && c.onUnmatched != nil {
-			c.onUnmatched(id != "")
-		}
-		if planted.Defect != planted.MismatchedResponse && id != e.id && (id != "" || httpResponse.StatusCode < http.StatusMultipleChoices) {
+		unnamed := id == "" && c.acceptUnnamed != nil && c.acceptUnnamed(httpResponse.Header)
+		if planted.Defect != planted.MismatchedResponse && !unnamed && !notrun.Belongs(e.id, id) {
+			if c.onUnmatched != nil {
+				c.onUnmatched(id != "")
+			}
 			if mismatched++; mismatched > maxMismatched || !whole {
 				return nil, true, errors.Errorf("response belongs to request %q", id)
 			}
--- a/node/gateway/upstream/pool.go
+++ b/node/gateway/upstream/pool.go
@@ -41,6 +41,9 @@
 	requestIDOf func(http.Header) string
 	// OnOpen, if set, is called after each connection is opened.
 	OnOpen func()
+	// AcceptUnnamed reports whether a response that names no request is the answer to the request in flight; nil
+	// means that none is.
+	AcceptUnnamed func(http.Header) bool
 	// OnUnmatched, if set, is called for each response that is not the answer to the request in flight, with
 	// whether it names another request.
 	OnUnmatched func(named bool)
--- a/standin/endpoint/endpoint.go
+++ b/standin/endpoint/endpoint.go
@@ -56,6 +56,11 @@
 	Shed
 	// Early responds with 400 before it reads the request body.
 	Early
+	// Unnamed sends a rejection without a request ID, as bytes that belong to no request, and then runs the request.
+	Unnamed
+	// ShedTwice sheds the request, and sends the same rejection once more where the next response on the
+	// connection is due.
+	ShedTwice
 	// Unproven responds with 503 after the run, without X-Not-Executed.
 	Unproven
 	// Fail responds with 500 after the run.
@@ -115,7 +120,7 @@
 // StartOn starts a target on a listener, which Stop closes.
 func StartOn(cfg Config, listener net.Listener) *Endpoint {
 	e := &Endpoint{cfg: cfg, listener: listener, slots: make(chan struct{}, cfg.Slots), warm: make(map[string]time.Time), headers: make(map[string]string)}
-	e.server = &http.Server{Handler: e, ConnState: e.connState}
+	e.server = &http.Server{Handler: e, ConnState: e.connState, ConnContext: withStray}
 	go func() { _ = e.server.Serve(listener) }() // returns after Stop
 	return e
 }
@@ -229,7 +234,8 @@
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
-	if fault == Shed || !e.acquireSlot(r.Context()) {
+	e.sendStray(r, fault)
+	if fault == Shed || fault == ShedTwice || !e.acquireSlot(r.Context()) {
 		e.mu.Lock()
 		e.sheds = append(e.sheds, Run{ID: r.Header.Get("X-Request-Id"), At: time.Now(), Rest: e.headers["Retry-After"] != ""})
 		e.mu.Unlock()
