Send each try of a request on a connection of its own

Callers could be told that a purchase had not run although a target ran it. Cause: where requests wait in the VM for room, one that its target rejects goes to the same target again, on the connection on which the rejection came; a target that sends its response twice then answers the new try with the old rejection, which names the request. Change: a connection carries the tries of one request once each.

Cost in new connections: not measured yet.

--- a/node/gateway/relay/attempts.go
+++ b/node/gateway/relay/attempts.go
@@ -181,7 +181,7 @@
 		return true
 	}
 	response, err := x.f.cfg.Pool.Do(ctx, upstream.Call{
-		Target: pick.Target.Name, Generation: pick.Target.Generation, Address: pick.Target.Address,
+		Target: pick.Target.Name, Generation: pick.Target.Generation, Address: pick.Target.Address, Tries: &x.tries,
 		MaxConnections: x.maxConnections(), DialTimeout: min(dialTimeout, max(time.Until(x.deadline), time.Millisecond)),
 		BeforeSend: beforeSend, OnOpen: x.f.opened(pick.Target), OnlyOpen: onlyOpen,
 	}, x.targetRequest(pick))
--- a/node/gateway/relay/exchange.go
+++ b/node/gateway/relay/exchange.go
@@ -8,6 +8,7 @@
 	"github.com/go-faster/errors"
 
 	"heatherlock/node/gateway/callers"
+	"heatherlock/node/gateway/upstream"
 	"heatherlock/platform"
 	"heatherlock/steering"
 	"heatherlock/steering/fairshare"
@@ -31,6 +32,7 @@
 	running       int // attempts in flight
 	reachedTarget int // attempts that reached a target
 	attempts      int
+	tries         upstream.Tries
 	// sending is shared with the attempts; endedSent is how many that sent the request have ended.
 	sending   sending
 	endedSent int
--- a/node/gateway/relay/strayrejection_test.go
+++ b/node/gateway/relay/strayrejection_test.go
@@ -40,3 +40,29 @@
 		assert.Check(t, runs[path] == 1, "%s ran %d times", path, runs[path])
 	}
 }
+
+// Guards against the same where the rejection names the request: that of an earlier try, sent again where the response
+// to the next try on the same connection is due.
+func TestCopyOfARejectionProvesNothingForTheNextTry(t *testing.T) {
+	g := newRig(t, 1, nil)
+	g.setMixed() // so that a request goes to the target again that has rejected it
+	g.faults(func(n int) endpoint.Fault {
+		if n%3 != 0 {
+			return endpoint.ShedTwice
+		}
+		return endpoint.None
+	})
+	for n := range 20 {
+		path := fmt.Sprint("/buy/", n)
+		got := g.ask(http.MethodPost, path, "x", time.Second)
+		assert.Check(t, got.err)
+		runs := 0
+		for _, run := range g.runs() {
+			if run.Path == path {
+				runs++
+			}
+		}
+		assert.Check(t, got.status != http.StatusServiceUnavailable || runs == 0, "%s was refused as not run, and ran", path)
+		assert.Check(t, runs <= 1, "%s ran %d times", path, runs)
+	}
+}
--- a/node/gateway/upstream/exchange.go
+++ b/node/gateway/upstream/exchange.go
@@ -103,6 +103,8 @@
 	Address    string
 	// MaxConnections limits the connections to the target from this entry VM; 0 means no limit.
 	MaxConnections int
+	// Tries are the earlier tries of the request; nil if there will be one only.
+	Tries *Tries
 	// DialTimeout limits a connection attempt.
 	DialTimeout time.Duration
 	// OnlyOpen makes the call fail with ErrNoConnection unless a connection is open already.
@@ -124,7 +126,7 @@
 		return nil, &Error{Stage: NotConnected, Err: ErrWithdrawn}
 	}
 	defer e.claim.Release()
-	c := h.takeIdle(time.Now())
+	c := h.takeIdle(time.Now(), call.Tries)
 	if c == nil || !c.start(e) {
 		if call.OnlyOpen {
 			return nil, &Error{Stage: NotConnected, Err: ErrNoConnection}
@@ -141,6 +143,7 @@
 		c.release()
 		return nil, &Error{Stage: NotSent, Err: ErrWithdrawn}
 	}
+	call.Tries.add(c)
 	return c.exchange(ctx, e, r)
 }
 
--- a/node/gateway/upstream/pool.go
+++ b/node/gateway/upstream/pool.go
@@ -176,26 +176,31 @@
 	}
 }
 
-// takeIdle returns the idle connection that was used last, or nil. Surplus connections thus stay
-// idle until they time out.
-func (h *targetPool) takeIdle(now time.Time) *conn {
+// takeIdle returns the idle connection that was used last and carried none of the tries, or nil. Surplus
+// connections thus stay idle until they time out.
+func (h *targetPool) takeIdle(now time.Time, tries *Tries) *conn {
 	for {
-		h.mu.Lock()
-		n := len(h.idle)
-		if n == 0 {
-			h.mu.Unlock()
-			return nil
-		}
-		c := h.idle[n-1]
-		h.idle = h.idle[:n-1]
-		h.mu.Unlock()
-		if c.usable(now) {
+		c := h.removeNewest(tries)
+		if c == nil || c.usable(now) {
 			return c
 		}
 		c.close()
 	}
 }
 
+// removeNewest removes the idle connection that was used last and carried none of the tries, and returns it.
+func (h *targetPool) removeNewest(tries *Tries) *conn {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for n := len(h.idle) - 1; n >= 0; n-- {
+		if c := h.idle[n]; !tries.used(c) {
+			h.idle = slices.Delete(h.idle, n, n+1)
+			return c
+		}
+	}
+	return nil
+}
+
 func (h *targetPool) putIdle(c *conn) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
--- a/node/lock/doc.go
+++ b/node/lock/doc.go
@@ -14,7 +14,7 @@
 //  4. relay: holds.mu, broadcast.mu, Shares.mu, outcomeCounts.mu, and sending.mu of a request
 //  5. allowances.Service.mu
 //  6. fleet.Fleet.mu, volume.Meter.mu
-//  7. upstream: Pool.mu, then targetPool.mu, then conn.mu
+//  7. upstream: Pool.mu, then targetPool.mu, then conn.mu or Tries.mu
 //  8. callers: Server.mu, conn.mu, those of a streamed body; buffering.VM.mu
 //  9. what writes logs and metrics
 //
