Ask busy targets whether they are cold while the store cannot say so

Callers' targets that became cold within an outage of the store got full traffic (FAILBACK). Cause: that a target is cold was read from its entry alone, and what is not known was taken for warm. Change: while what is known of the store is older than 2 s, a VM asks a target's health path before it sends a request, if all VMs together send the target more than a cold one may get; a target that does not say counts as cold until the next check. The decision is in steering/placement; design 190 has the ways weighed.

--- a/node/gateway/gateway.go
+++ b/node/gateway/gateway.go
@@ -247,6 +247,7 @@
 		case <-ctx.Done():
 		case <-ticker.C:
 			g.updateAgreement()
+			g.relay.SetStoreAge(time.Duration(g.reader.Digest().AgeMs) * time.Millisecond)
 		case <-g.membersChanged:
 			g.updateMembership()
 			sleep(ctx, membershipInterval)
--- a/node/gateway/relay/attempts.go
+++ b/node/gateway/relay/attempts.go
@@ -173,6 +173,10 @@
 			pick.Limit = nil // without a credit
 		}
 	}
+	if x.turnedCold(ctx, pick) {
+		x.finishAttempt(ctx, x.classify(pick, nil, &upstream.Error{Stage: upstream.NotSent, Err: errTurnedCold}), began, sentAt)
+		return
+	}
 	beforeSend := func() bool {
 		if !x.f.mayStillSend(pick) || !x.sending.begin() {
 			return false
@@ -333,6 +337,8 @@
 	switch {
 	case errors.Is(e.err, errNoCredit):
 		return "target_limit"
+	case errors.Is(e.err, errTurnedCold):
+		return "cold"
 	case e.unsent:
 		return "unreachable"
 	case e.info.WrongTarget:
--- a/node/gateway/relay/events.go
+++ b/node/gateway/relay/events.go
@@ -51,6 +51,20 @@
 	}
 }
 
+// ColdCheck counts a target that was asked whether it is cold, by what it answered.
+func (e *Metrics) ColdCheck(said, cold bool) {
+	if e != nil {
+		end := "warm"
+		switch {
+		case !said:
+			end = "no_answer"
+		case cold:
+			end = "cold"
+		}
+		e.scope.Tagged(map[string]string{"end": end}).Counter("gateway_target_cold_checks").Inc(1)
+	}
+}
+
 // Unmatched counts a response of a target that is not the answer to the request in flight: it names another
 // request, or none.
 func (e *Metrics) Unmatched(named bool) {
--- a/node/gateway/relay/exchange.go
+++ b/node/gateway/relay/exchange.go
@@ -205,7 +205,7 @@
 	if !e.unsent {
 		x.reachedTarget++
 	}
-	if errors.Is(e.err, errNoCredit) {
+	if errors.Is(e.err, errNoCredit) || errors.Is(e.err, errTurnedCold) {
 		x.attempts-- // the target was not tried
 	}
 	if e.sent {
--- a/node/gateway/relay/placement.go
+++ b/node/gateway/relay/placement.go
@@ -162,7 +162,7 @@
 		return placement.Failed
 	case e.err == nil:
 		return placement.Broken
-	case errors.Is(e.err, upstream.ErrConnectionLimit), errors.Is(e.err, errNoCredit), errors.Is(e.err, upstream.ErrWithdrawn), errors.Is(e.err, upstream.ErrNoConnection):
+	case errors.Is(e.err, upstream.ErrConnectionLimit), errors.Is(e.err, errNoCredit), errors.Is(e.err, errTurnedCold), errors.Is(e.err, upstream.ErrWithdrawn), errors.Is(e.err, upstream.ErrNoConnection):
 		return placement.Abandoned
 	case e.unsent && ctx.Err() == nil:
 		return placement.Unreachable
--- a/node/gateway/relay/relay.go
+++ b/node/gateway/relay/relay.go
@@ -162,7 +162,10 @@
 	owners       *queueowner.Owners // nil if this VM sends its callers' requests itself
 	passedOn     passedOnTable
 	waitingVMs   waitingVMs
+	coldChecks   coldChecks
 	checks       uint64 // of the links, which vary the sample of targets
+	// storeAway is set while what is known of the store is old.
+	storeAway atomic.Bool
 	// shownConfig is the newest version by which another VM has handled a request for this one.
 	shownConfig atomic.Uint64
 	closed      chan struct{}
@@ -183,7 +186,7 @@
 	if cfg.TargetLimits == nil {
 		cfg.TargetLimits = closedTargets{}
 	}
-	return &Relay{cfg: cfg, passedOn: make(passedOnTable), waitingVMs: make(waitingVMs), poisonFilter: newPoisonFilter(cfg.TargetHeartbeatInterval, cfg.Log), outcomeCounts: newOutcomeCounts(), holds: newHolds(cfg.MemoryBytes), stop: stopState{over: make(chan struct{})}, started: make(chan struct{}), closed: make(chan struct{})}
+	return &Relay{cfg: cfg, passedOn: make(passedOnTable), coldChecks: make(coldChecks), waitingVMs: make(waitingVMs), poisonFilter: newPoisonFilter(cfg.TargetHeartbeatInterval, cfg.Log), outcomeCounts: newOutcomeCounts(), holds: newHolds(cfg.MemoryBytes), stop: stopState{over: make(chan struct{})}, started: make(chan struct{}), closed: make(chan struct{})}
 }
 
 // Waiting returns the number of requests that wait in this VM until their target has room.
--- a/standin/endpoint/endpoint.go
+++ b/standin/endpoint/endpoint.go
@@ -111,6 +111,9 @@
 	// headers are set in every response.
 	headers map[string]string
 	load    string // reported instead of the real one, unless empty
+	// coldUntil is when the target is warm, as its health path says; checks counts the answers there.
+	coldUntil time.Time
+	checks    int
 	// arrivals are the times at which requests were received.
 	arrivals []time.Time
 }
@@ -224,6 +227,10 @@
 // ServeHTTP serves a request. It rejects with 421 a request that expects another
 // instance, and sheds with 503 and X-Not-Executed if slots and queue are full.
 func (e *Endpoint) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if r.URL.Path == HealthPath {
+		e.serveHealth(w)
+		return
+	}
 	e.mu.Lock()
 	e.arrived++
 	e.arrivals = append(e.arrivals, time.Now())
--- /dev/null
+++ b/standin/endpoint/health.go
@@ -0,0 +1,33 @@
+package endpoint
+
+import (
+	"net/http"
+	"strconv"
+	"time"
+)
+
+// HealthPath is the path of the health check, which is no request.
+const HealthPath = "/health"
+
+// SetCold makes the health check say for a time that the target is cold.
+func (e *Endpoint) SetCold(left time.Duration) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.coldUntil = time.Now().Add(left)
+}
+
+// Checks returns the number of health checks that were answered.
+func (e *Endpoint) Checks() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.checks
+}
+
+func (e *Endpoint) serveHealth(w http.ResponseWriter) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.checks++
+	w.Header().Set("X-Instance-Id", e.cfg.ID)
+	w.Header().Set("X-Cold-Ms", strconv.FormatInt(max(time.Until(e.coldUntil).Milliseconds(), 0), 10))
+	w.WriteHeader(http.StatusOK)
+}
--- a/steering/placement/balancer.go
+++ b/steering/placement/balancer.go
@@ -26,9 +26,11 @@
 	lending      RegionSplit
 	// coldSenders is how many entry VMs may send requests to one cold target.
 	coldSenders int
-	replaced    replacements
-	notices     notices
-	runTimes    *runtimes.Model
+	// storeAway is set while what is known of the store is old.
+	storeAway bool
+	replaced  replacements
+	notices   notices
+	runTimes  *runtimes.Model
 	// owned reports whether this VM owns a target; nil if targets have no owners.
 	owned func(Target) bool
 	// weightSteps holds the targets with a weight below 1, also those that are not declared now.
@@ -254,6 +256,7 @@
 func (b *Balancer) RequestPlaced(now time.Time, t Target, key string, probe bool) {
 	if s := b.stateOf(t); s != nil {
 		s.inFlight++
+		s.coldChecks.countPlaced(now)
 		s.probing = s.probing || probe
 		if s.service.uneven(now) {
 			b.runPlaced(now, s, key)
--- a/steering/placement/choose.go
+++ b/steering/placement/choose.go
@@ -136,7 +136,7 @@
 
 func (b *Balancer) pick(now time.Time, v *serviceState, r Request, c, passed *candidate, order *keyOrder) Pick {
 	b.noteRank(now, v, c)
-	return Pick{Target: c.targetState.Target, Expected: span(c.cost), Wait: span(c.wait), WarmRunTime: b.warmRunTime(now, v, r), HedgeAfter: b.hedgeAfter(now, v, r, c, passed, order), Rank: c.rank, Trial: c.targetState.ejected, OtherRegion: c.crossRegion,
+	return Pick{Target: c.targetState.Target, Expected: span(c.cost), Wait: span(c.wait), WarmRunTime: b.warmRunTime(now, v, r), HedgeAfter: b.hedgeAfter(now, v, r, c, passed, order), Rank: c.rank, Trial: c.targetState.ejected, Cold: c.targetState.cold(now), OtherRegion: c.crossRegion,
 		Limit: b.notices.limitOf(c.targetState.Target)}
 }
 
--- a/steering/placement/state.go
+++ b/steering/placement/state.go
@@ -61,6 +61,7 @@
 	probeAt           time.Time // when an ejected target may be probed
 	probing           bool
 	coldTokens        tokenBucket
+	coldChecks        coldChecks
 	warmKeys          map[string]time.Time
 	// coldSender says whether this entry VM may send to the target while it is cold, as of
 	// coldSenderVersion of the balancer's peers.
@@ -107,7 +108,9 @@
 	s.reportedAt = now
 }
 
-func (s *targetState) cold(now time.Time) bool { return now.Before(s.ColdUntil) }
+func (s *targetState) cold(now time.Time) bool {
+	return now.Before(s.ColdUntil) || now.Before(s.coldChecks.until)
+}
 
 // recordSuccess lowers the failure rate and reinstates the target once the rate is low enough.
 func (s *targetState) recordSuccess() {
--- a/steering/placement/types.go
+++ b/steering/placement/types.go
@@ -80,6 +80,8 @@
 	Rank int
 	// Trial marks a probe: a request that is sent to an ejected target.
 	Trial bool
+	// Cold marks a request that is counted in what a cold target may get.
+	Cold bool
 	// OtherRegion marks a request that runs outside the entry VM's region.
 	OtherRegion bool
 	// Limit is the limit that the target names, or nil. With a limit, the request needs a credit for the
