Play targets that send what belongs to no request, and silent ones during stops, in the soak

Cause: no target of the soak sent a rejection that it did not mean, a copy of one or a head without end, and none was silent for longer than a stop takes, so that it could not show the faults of this incident.

--- a/soak/parts.go
+++ b/soak/parts.go
@@ -25,7 +25,7 @@
 	run     func(*system, Options)
 }
 
-var allParts = []part{pipelines, uploads, owners}
+var allParts = []part{pipelines, uploads, owners, strays}
 
 // parts returns the parts that are played.
 func (o Options) parts() []part {
