--- a/node/gateway/relay/coldcheck_test.go
+++ b/node/gateway/relay/coldcheck_test.go
@@ -19,7 +19,7 @@
 
 // Guards against full traffic to a target that becomes cold while the store, which would say so, is away.
 func TestTargetThatBecomesColdWhileTheStoreIsAway(t *testing.T) {
-	const coldRate, allowed = 10, 20 // requests per second; what is allowed leaves room for VMs that do not agree
+	const coldRate, allowed = 10, 20           // requests per second; what is allowed leaves room for VMs that do not agree
 	vms := []steering.VM{"vm", "vm-1", "vm-2"} // each of the three is called vm
 	first := newRig(t, 2, func(c *endpoint.Config) { c.Slots, c.Work = 12, 15*time.Millisecond })
 	rigs := []*rig{first}
