Log when a VM begins to place a service in another way

What was missing: nothing said when a VM finds that a service is mixed, from when on its requests go through the owners of targets and wait in the VM for room.

Change: a log line for each service and change.

--- a/node/gateway/gateway.go
+++ b/node/gateway/gateway.go
@@ -92,6 +92,7 @@
 	ownersMu         lock.Mutex
 	ownerVMs         []queueowner.VM // of the last update of the owners
 	regionSplit      placement.RegionSplit
+	mixedServices    map[steering.Service]bool // as logged last
 	meter            *volume.Meter
 	allowanceService *allowances.Service
 	shares           *relay.Shares
@@ -399,6 +400,7 @@
 	for ctx.Err() == nil {
 		sleep(ctx, maintenanceInterval)
 		g.updateRegionSplit()
+		g.logMixedServices()
 		g.updateMembership()
 		g.updateGauges()
 		g.shares.UpdateGauges(time.Now())
@@ -424,6 +426,18 @@
 	})
 }
 
+// logMixedServices logs which services became mixed or are no longer. Their requests are placed in another way then.
+func (g *Gateway) logMixedServices() {
+	var mixed map[steering.Service]bool
+	g.relay.WithBalancer(func(balancer *placement.Balancer, _ *retry.SharedBudget) { mixed = balancer.MixedServices() })
+	for service, is := range mixed {
+		if is != g.mixedServices[service] {
+			_ = g.log.Log("msg", "service is placed in another way", "service", service, "mixed", is) // the log writer counts dropped lines
+		}
+	}
+	g.mixedServices = mixed
+}
+
 // logTraffic logs the bytes exchanged since the last call in one line, and adds them to the
 // metrics.
 func (g *Gateway) logTraffic() {
--- a/steering/placement/routemix.go
+++ b/steering/placement/routemix.go
@@ -101,3 +101,12 @@
 	v := b.services[service]
 	return v != nil && v.routes.mixed
 }
+
+// MixedServices returns for each service whether it is mixed.
+func (b *Balancer) MixedServices() map[steering.Service]bool {
+	mixed := make(map[steering.Service]bool, len(b.services))
+	for name, v := range b.services {
+		mixed[name] = v.routes.mixed
+	}
+	return mixed
+}
