Take a target that says it is warm for warm, though it says it is ill

What callers saw: in an outage of the store, requests to a target whose health path says that it is ill, truly or not, were limited to what a cold target gets, and the rest refused.

Cause: the check for cold targets took an answer that is not 200 for one that does not say whether the target is cold, though it names X-Cold-Ms. Class: two statements of one answer read as one.

Change: the answer's X-Cold-Ms counts whatever its status, if the target that was asked gave it; ill without it still counts as cold.

Related: passive health goes by answers to requests alone, and is not touched.

--- a/node/gateway/relay/coldcheck.go
+++ b/node/gateway/relay/coldcheck.go
@@ -97,5 +97,5 @@
 		return 0, false
 	}
 	health := platform.ReadHealth(response.Status, response.Header)
-	return health.ColdLeft, health.Healthy || health.ColdLeft > 0
+	return health.ColdLeft, health.Healthy || health.ColdKnown && health.Target == string(pick.Target.Name)
 }
--- a/node/gateway/relay/coldcheck_test.go
+++ b/node/gateway/relay/coldcheck_test.go
@@ -84,3 +84,17 @@
 	}
 	assert.Equal(t, g.targets[0].Checks(), 0)
 }
+
+// Guards against a warm target that gets no more than a cold one while the store is away, because its health path says that it is ill.
+func TestIllTargetThatSaysItIsWarmIsNotCold(t *testing.T) {
+	g := newRig(t, 1, nil)
+	old := g.relay.Table()
+	g.relay.SetTable(routes.NewTable(2, old.Routes, []*routes.Service{{Name: service, MaxConnections: 50, HealthPath: endpoint.HealthPath}}, old.Limits))
+	g.relay.SetTargets([]placement.Target{{Name: "target-0", Service: service, Address: g.targets[0].Address(), Zone: "a", Region: "centro", Slots: 3, ColdRate: 1}})
+	g.relay.SetStoreAge(5 * time.Second)
+	g.targets[0].SetIll()
+	for n := range 40 {
+		assert.Check(t, g.ask(http.MethodGet, "/read/1", "", time.Second).status == http.StatusOK, "request %d", n)
+	}
+	assert.Check(t, g.targets[0].Checks() > 0)
+}
--- a/standin/endpoint/endpoint.go
+++ b/standin/endpoint/endpoint.go
@@ -114,6 +114,7 @@
 	// coldUntil is when the target is warm, as its health path says; checks counts the answers there.
 	coldUntil time.Time
 	checks    int
+	ill       bool // as its health path says
 	// arrivals are the times at which requests were received.
 	arrivals []time.Time
 }
--- a/standin/endpoint/health.go
+++ b/standin/endpoint/health.go
@@ -16,6 +16,13 @@
 	e.coldUntil = time.Now().Add(left)
 }
 
+// SetIll makes the health check say that the target is ill, whatever it does with requests.
+func (e *Endpoint) SetIll() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.ill = true
+}
+
 // Checks returns the number of health checks that were answered.
 func (e *Endpoint) Checks() int {
 	e.mu.Lock()
@@ -29,5 +36,9 @@
 	e.checks++
 	w.Header().Set("X-Instance-Id", e.cfg.ID)
 	w.Header().Set("X-Cold-Ms", strconv.FormatInt(max(time.Until(e.coldUntil).Milliseconds(), 0), 10))
-	w.WriteHeader(http.StatusOK)
+	status := http.StatusOK
+	if e.ill {
+		status = http.StatusServiceUnavailable
+	}
+	w.WriteHeader(status)
 }
