Count the attempts of an owner that is lost

What callers saw: a safe request ran at more targets than its route allows, up to 2 x maxAttempts - 1 (BUDGET). Found by the review by reading.

Cause: an owner may use all attempts of a request and tells how many only in its response. When it is lost there is none, and the VM that passed the request on counted one. Class: what a process has done is told only at the end, which a lost process does not reach.

Change: before each attempt after the first, the owner sends an interim response (102) that says how many attempts it has sent. The VM counts them if the owner is lost. The owner waits for the other VM to take it for 200 ms at most; the connection is closed otherwise.

Not covered: an owner that is lost while the interim response is on its way.

--- a/node/gateway/callers/conn.go
+++ b/node/gateway/callers/conn.go
@@ -424,6 +424,8 @@
 	c.done.Add(1)
 	c.mu.Unlock()
 	c.server.running.Add(1)
+	interim := &interimResponses{conn: c, previous: previous}
+	request.Interim = interim.send
 	go func() {
 		defer c.done.Done()
 		defer c.server.running.Add(-1)
@@ -433,6 +435,7 @@
 		defer claim.End()
 		response := c.server.handler.Serve(buffering.WithClaim(ctx, claim), request)
 		<-previous
+		interim.end()
 		if response != nil && response.BeforeWrite != nil {
 			response.BeforeWrite()
 		}
--- a/node/gateway/callers/types.go
+++ b/node/gateway/callers/types.go
@@ -26,6 +26,9 @@
 	Length int64
 	// Received is when the first byte of the request arrived.
 	Received time.Time
+	// Interim sends an interim response (102), unless the response or an earlier one of the connection is still to be
+	// written or has been. Callers take one only if they are entry VMs. It may be nil.
+	Interim func(http.Header)
 }
 
 // Response is a response to a caller.
@@ -86,6 +89,9 @@
 	// streamReserve is what the kernel may hold of a body that is streamed: on its way from the caller, and
 	// to the target.
 	streamReserve = receiveBufferSize + upstream.StreamSendBuffer
+	// interimTimeout is how long another entry VM may take to accept an interim response: twice the longest round trip
+	// between regions.
+	interimTimeout = 200 * time.Millisecond
 	// continueTimeout is how long the caller may take to accept 100 Continue.
 	continueTimeout = 10 * time.Second
 	// lingerTimeout is how long the remainder of an unwanted body is read and discarded, so that a
--- a/node/gateway/relay/attempts.go
+++ b/node/gateway/relay/attempts.go
@@ -181,6 +181,7 @@
 		if !x.f.mayStillSend(pick) || !x.sending.begin() {
 			return false
 		}
+		x.tellAttempt()
 		sentAt = time.Now()
 		return true
 	}
--- a/node/gateway/relay/helpers.go
+++ b/node/gateway/relay/helpers.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/http"
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -90,6 +91,8 @@
 	verdict  hopVerdict
 	// sent is set when the request may have been sent to the other VM, even in part.
 	sent bool
+	// attempts is how many attempts the other VM has sent to targets, as far as it said before its response.
+	attempts int
 }
 
 // unsent reports whether nothing of the request reached the other VM.
@@ -132,7 +135,14 @@
 	if x.f.cfg.PeerMeter != nil {
 		call.OnOpen = func(raw net.Conn) net.Conn { return x.f.cfg.PeerMeter(raw, helper.VM) }
 	}
-	e.response, e.err = x.f.cfg.Peers.Do(ctx, call, x.helperRequest(helper, attempts))
+	request, told := x.helperRequest(helper, attempts), atomic.Int64{}
+	request.OnInterim = func(h http.Header) {
+		if n, err := strconv.Atoi(h.Get(headerHopReached)); err == nil {
+			told.Store(int64(n))
+		}
+	}
+	e.response, e.err = x.f.cfg.Peers.Do(ctx, call, request)
+	e.attempts = int(told.Load())
 	if e.err != nil && errors.Is(context.Cause(ctx), errProcessGone) {
 		e.err = &upstream.Error{Stage: stageOf(e.err), Err: errProcessGone}
 	}
@@ -190,7 +200,7 @@
 		return x.notRunAtHelper(ctx, e)
 	}
 	x.maybeRan = true
-	x.reachedTarget++
+	x.reachedTarget += max(e.attempts, 1)
 	if e.err != nil {
 		x.f.avoidHelper(e.helper)
 		if a := e.asAttempt(); x.mayRetry(a) && x.retry(ctx, a) {
--- a/node/gateway/relay/hop.go
+++ b/node/gateway/relay/hop.go
@@ -106,6 +106,17 @@
 	return read, badConfig == nil && badAttempts == nil && attempts > 0 && read.from != "" && read.region != ""
 }
 
+// tellAttempt tells the VM that passed the request on how many attempts have been sent, before each after the first.
+// Without it that VM would count one if this one is lost, and might exceed what the route allows.
+func (x *exchange) tellAttempt() {
+	if x.hop == nil || x.r.Interim == nil {
+		return
+	}
+	if n := x.sending.count(); n > 1 {
+		x.r.Interim(http.Header{headerHopReached: {strconv.Itoa(n)}})
+	}
+}
+
 func removeHopHeaders(h http.Header) {
 	for name := range h {
 		if strings.HasPrefix(name, hopHeaderPrefix) {
--- a/node/gateway/relay/owners_test.go
+++ b/node/gateway/relay/owners_test.go
@@ -116,6 +116,26 @@
 	}
 }
 
+// Guards against a request that reaches more targets than its route allows, since its VM counts one attempt of a lost owner that made several.
+func TestAttemptsOfALostOwnerAreCounted(t *testing.T) {
+	p := newOwnedPair(t, work)
+	p.faults(func(n int) endpoint.Fault { // the owner's second attempt is the one that is never answered
+		if n == 2 {
+			return endpoint.Dark
+		}
+		return endpoint.LoseAnswer
+	})
+	answered := make(chan reply, 1)
+	go func() { answered <- p.ask("GET", "/read/1", "", 900*time.Millisecond) }()
+	arrivals := func() int { return p.targets[0].Arrivals() + p.targets[1].Arrivals() }
+	waitFor(t, func() bool { return arrivals() == 2 })
+	time.Sleep(50 * time.Millisecond) // what the owner said arrives
+	p.toOwner.Set(targetlinks.Hang)
+	p.hear(presence.Lost, 0)
+	assert.Equal(t, (<-answered).status, http.StatusBadGateway)
+	assert.Equal(t, arrivals(), 3, "of 3 that the route allows")
+}
+
 // Guards against a retry budget that grows at both VMs with each request.
 func TestRequestCountsForTheRetryBudgetOnce(t *testing.T) {
 	p := newOwnedPair(t, work)
--- a/node/gateway/relay/sending.go
+++ b/node/gateway/relay/sending.go
@@ -21,6 +21,13 @@
 	return true
 }
 
+// count returns how many attempts have begun to send.
+func (s *sending) count() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.begun
+}
+
 // close makes begin return false from now on, and returns how many attempts have begun to send.
 func (s *sending) close() int {
 	s.mu.Lock()
--- a/node/gateway/upstream/conn.go
+++ b/node/gateway/upstream/conn.go
@@ -46,6 +46,8 @@
 	id      string
 	claim   *buffering.Claim
 	done    chan result
+	// onInterim is that of the request.
+	onInterim func(http.Header)
 }
 
 type result struct {
@@ -219,7 +221,7 @@
 // error, response holds the status and the header of a response to e that broke off, if any.
 func (c *conn) readResponse(e *exchange) (response *Response, last bool, err error) {
 	mismatched := 0
-	heads := heads{in: c.in, bounded: c.head, request: e.request, remaining: maxHeadBytes}
+	heads := heads{in: c.in, bounded: c.head, request: e.request, onInterim: e.onInterim, remaining: maxHeadBytes}
 	for {
 		httpResponse, err := heads.next(e.claim)
 		if err != nil {
--- a/node/gateway/upstream/exchange.go
+++ b/node/gateway/upstream/exchange.go
@@ -31,6 +31,8 @@
 	Length int64
 	// ID is the request ID, which the response must repeat.
 	ID string
+	// OnInterim, if set, is called with the header of each interim response, also after Do has returned.
+	OnInterim func(http.Header)
 }
 
 // Source is a body that is read from a connection while it is sent.
@@ -121,7 +123,7 @@
 // carries until it returns, and nothing is sent if that has ended.
 func (p *Pool) Do(ctx context.Context, call Call, r *Request) (*Response, error) {
 	h := p.poolOf(call.Target, call.Generation)
-	e := &exchange{request: &http.Request{Method: r.Method}, id: r.ID, claim: buffering.ClaimOf(ctx), done: make(chan result, 1)}
+	e := &exchange{request: &http.Request{Method: r.Method}, id: r.ID, onInterim: r.OnInterim, claim: buffering.ClaimOf(ctx), done: make(chan result, 1)}
 	if !e.claim.Retain() {
 		return nil, &Error{Stage: NotConnected, Err: ErrWithdrawn}
 	}
--- a/node/gateway/upstream/head.go
+++ b/node/gateway/upstream/head.go
@@ -63,6 +63,7 @@
 	request   *http.Request
 	remaining int
 	interim   int
+	onInterim func(http.Header) // may be nil
 }
 
 // next returns the next response that is not an interim one. Its body is read without the bound.
@@ -80,5 +81,8 @@
 		if h.interim++; h.interim > maxInterim {
 			return nil, ErrTooManyInterim
 		}
+		if h.onInterim != nil {
+			h.onInterim(response.Header)
+		}
 	}
 }
--- a/node/lock/doc.go
+++ b/node/lock/doc.go
@@ -15,7 +15,7 @@
 //  5. allowances.Service.mu
 //  6. fleet.Fleet.mu, volume.Meter.mu
 //  7. upstream: Pool.mu, then targetPool.mu, then conn.mu or Tries.mu
-//  8. callers: Server.mu, conn.mu, those of a streamed body; buffering.VM.mu
+//  8. callers: Server.mu, conn.mu, those of a streamed body and of interim responses; buffering.VM.mu
 //  9. what writes logs and metrics
 //
 // In particular nothing asks the reader of the store for anything while it holds the placement lock. A
