--- a/node/gateway/relay/exchange.go
+++ b/node/gateway/relay/exchange.go
@@ -58,6 +58,7 @@
 	helpers       []steering.VM
 	helperResults chan helperResult // nil until the request is passed on
 	atHelper      bool
+	noHelper      bool      // whether none was found
 	startedAt     time.Time // of the last attempt
 	// owner is the VM to which the request is to be passed on, nil if none is.
 	owner *queueowner.VM
--- a/node/gateway/relay/helpers.go
+++ b/node/gateway/relay/helpers.go
@@ -51,7 +51,7 @@
 	}
 	helper, found := x.f.chooseHelper(x)
 	if !found {
-		x.noCapacity = refusal
+		x.noCapacity, x.noHelper = refusal, true
 		return refusal
 	}
 	if x.helperResults == nil {
@@ -194,6 +194,7 @@
 	x.noteHelper(e)
 	switch {
 	case e.verdict == hopDelivered:
+		x.f.helperAnswered(e.helper)
 		removeHopHeaders(e.response.Header)
 		return x.deliver(e.asAttempt()), true
 	case notrun.Of(e.evidence()) != notrun.None:
@@ -276,6 +277,16 @@
 	return x.refuse(reason, time.Duration(seconds*float64(time.Second))), true
 }
 
+// countHelpers is reach.Helpers.Count.
+func (f *Relay) countHelpers() (known, avoided int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.helpers == nil {
+		return 0, 0
+	}
+	return f.helpers.Count(time.Now())
+}
+
 func (f *Relay) avoidHelper(vm steering.VM) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -287,6 +298,18 @@
 	}
 }
 
+// helperAnswered notes that another entry VM has delivered the response of a target.
+func (f *Relay) helperAnswered(vm steering.VM) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.helpers != nil {
+		f.helpers.Answered(vm)
+	}
+	if f.owners != nil {
+		f.owners.Answered(vm)
+	}
+}
+
 // linkRecheck is the pause before an overdue request looks again whether this VM is cut off.
 const linkRecheck = 50 * time.Millisecond
 
--- a/node/gateway/relay/hop_test.go
+++ b/node/gateway/relay/hop_test.go
@@ -114,6 +114,19 @@
 	}
 }
 
+// Guards against a VM that is cut off and refuses all requests for a second after one that its only helper answers late.
+func TestHelperThatAnswersIsAskedAgain(t *testing.T) {
+	p := newPair(t, 300*time.Millisecond)
+	first := make(chan reply, 1)
+	go func() { first <- p.ask("GET", "/read/1", "", 2*time.Second) }()
+	waitFor(t, func() bool { return p.runsOf("/read/1") == 1 })
+	p.toPeers.Set(targetlinks.Hang)
+	assert.Assert(t, p.ask("GET", "/read/2", "", 200*time.Millisecond).status != http.StatusOK)
+	p.toPeers.Set(targetlinks.Open)
+	assert.Equal(t, (<-first).status, http.StatusOK)
+	assert.Equal(t, p.ask("GET", "/read/3", "", 2*time.Second).status, http.StatusOK)
+}
+
 // Guards against a request that is refused although another VM can be reached a moment later, and against a
 // refusal that is untrue: nothing was sent.
 func TestRequestIsNotRunWhenNoHelperCanBeReached(t *testing.T) {
--- a/node/gateway/relay/responses.go
+++ b/node/gateway/relay/responses.go
@@ -95,6 +95,10 @@
 	if x.hop != nil {
 		line = append(line, "passed_on_by", x.hop.from)
 	}
+	if x.noHelper {
+		known, avoided := x.f.countHelpers()
+		line = append(line, "helpers", known, "helpers_avoided", avoided)
+	}
 	if len(x.history) > 0 {
 		line = append(line, "tries", x.history)
 	}
--- a/steering/queueowner/owners.go
+++ b/steering/queueowner/owners.go
@@ -102,6 +102,9 @@
 // Avoid records that a VM did not take a request, for a reason of its own.
 func (o *Owners) Avoid(now time.Time, vm steering.VM) { o.avoid[vm] = now.Add(avoidFor) }
 
+// Answered records that a VM has answered a request that it took, so that it gets further ones.
+func (o *Owners) Answered(vm steering.VM) { delete(o.avoid, vm) }
+
 // Live reports whether a VM may own targets.
 func (o *Owners) Live(vm steering.VM) bool {
 	for _, zone := range o.byZone {
--- a/steering/reach/helpers.go
+++ b/steering/reach/helpers.go
@@ -99,6 +99,23 @@
 // Avoid records that a helper could not pass on a request, for a reason of its own.
 func (h *Helpers) Avoid(now time.Time, vm steering.VM) { h.avoid[vm] = now.Add(avoidFor) }
 
+// Answered records that a helper has passed a request on and answered. It is asked again then: what it did not take in
+// time had a reason of its own.
+func (h *Helpers) Answered(vm steering.VM) { delete(h.avoid, vm) }
+
+// Count returns how many helpers are known, and how many of them are not asked now.
+func (h *Helpers) Count(now time.Time) (known, avoided int) {
+	for _, helpers := range h.byRegion {
+		for _, helper := range helpers {
+			known++
+			if now.Before(h.avoid[helper.VM]) {
+				avoided++
+			}
+		}
+	}
+	return known, avoided
+}
+
 // TakeOver keeps what an earlier choice of helpers learned.
 func (h *Helpers) TakeOver(earlier *Helpers) {
 	if earlier != nil {
--- a/steering/reach/reach_test.go
+++ b/steering/reach/reach_test.go
@@ -143,6 +143,17 @@
 	assert.Check(t, counts["b"] > 250 && counts["c"] > 250, "%v", counts)
 }
 
+// Guards against a helper that is not asked though it answers.
+func TestHelperThatAnswersIsNoLongerAvoided(t *testing.T) {
+	h := reach.NewHelpers("self", "r0", []reach.Helper{{VM: "a", Region: "r0"}}, 0)
+	h.Avoid(at(0), "a")
+	_, found := h.For(at(100*time.Millisecond), "id", anywhere, nil)
+	assert.Check(t, !found)
+	h.Answered("a")
+	_, found = h.For(at(100*time.Millisecond), "id", anywhere, nil)
+	assert.Check(t, found)
+}
+
 // Guards against requests that go to a region where they may not run, to a VM that has already refused
 // them, or to one that could not help a moment ago.
 func TestHelperIsAllowedAndNotTried(t *testing.T) {
