Let the soak chill a target while the store is away

Its outages of the store were short, ended by one another, and no target of it was ever cold.

Change: the part `chills`: a service of two targets that name a cold rate, an outage of six to eight seconds that no other fault of the store ends, and a target that turns cold three to four seconds into it.

--- a/soak/parts.go
+++ b/soak/parts.go
@@ -25,7 +25,7 @@
 	run     func(*system, Options)
 }
 
-var allParts = []part{pipelines, uploads, owners, strays}
+var allParts = []part{pipelines, uploads, owners, strays, chills}
 
 // parts returns the parts that are played.
 func (o Options) parts() []part {
@@ -70,7 +70,11 @@
 func (s *system) services() []any {
 	all := []any{map[string]any{"name": serviceName, "healthPath": "/health", "maxConns": 200}}
 	for _, name := range s.partServices {
-		all = append(all, map[string]any{"name": name, "healthPath": "/health", "maxConns": 200})
+		service := map[string]any{"name": name, "healthPath": "/health", "maxConns": 200}
+		if name == loftService {
+			service["coldStartS"], service["coldPerS"] = chillSpan.Seconds(), loftColdRate
+		}
+		all = append(all, service)
 	}
 	return all
 }
--- a/soak/system.go
+++ b/soak/system.go
@@ -54,6 +54,7 @@
 	// storeDisturbedAt are the times at which a fault of the store or of the
 	// connections to it began or ended.
 	storeDisturbedAt []time.Time
+	storeAwayUntil   time.Time // until when it is silent whatever else disturbs it
 	closing          chan struct{}
 	// linkCuts are the times in which entry VMs reached no target, and linksCut tells which do now.
 	linkCuts []*linkCut
@@ -166,7 +167,7 @@
 	}
 	t.seq++
 	s.store.Put("servers", t.name, map[string]any{"service": t.service, "address": t.proxy.address(), "zone": zoneOf(len(t.name) + int(t.name[len(t.name)-1])),
-		"slots": targetSlots, "state": state, "coldRemainingMs": 0, "version": "v1", "seq": t.seq})
+		"slots": targetSlots, "state": state, "coldRemainingMs": t.ColdLeft().Milliseconds(), "version": "v1", "seq": t.seq})
 }
 
 // writeHeartbeats renews the entries of all running targets every heartbeatInterval.
@@ -262,14 +263,35 @@
 
 // disturbStore injects faults into the store and the connections to it for a span.
 func (s *system) disturbStore(f metastore.Faults, m Mode, span time.Duration) {
+	if s.setStoreFaults(f, m) {
+		time.AfterFunc(span, func() { s.setStoreFaults(metastore.Faults{}, Pass) })
+	}
+}
+
+// keepStoreAway makes the store silent for a span, whatever else disturbs it meanwhile.
+func (s *system) keepStoreAway(span time.Duration) {
+	s.setStoreFaults(metastore.Faults{Silent: metastore.All}, Pass)
+	s.mu.Lock()
+	s.storeAwayUntil = time.Now().Add(span)
+	s.mu.Unlock()
+	time.AfterFunc(span, func() { s.setStoreFaults(metastore.Faults{}, Pass) })
+	for at := time.Second; at < span; at += time.Second { // it is not healthy in between
+		time.AfterFunc(at, s.recordStoreDisturbance)
+	}
+}
+
+// setStoreFaults reports false if it changed nothing, as the store is kept away.
+func (s *system) setStoreFaults(f metastore.Faults, m Mode) bool {
+	s.mu.Lock()
+	away := time.Now().Before(s.storeAwayUntil)
+	s.mu.Unlock()
+	if away {
+		return false
+	}
 	s.recordStoreDisturbance()
 	s.store.SetFaults(f)
 	s.storeProxy.set(m)
-	time.AfterFunc(span, func() {
-		s.store.SetFaults(metastore.Faults{})
-		s.storeProxy.set(Pass)
-		s.recordStoreDisturbance()
-	})
+	return true
 }
 
 func (s *system) recordStoreDisturbance() {
--- a/standin/endpoint/health.go
+++ b/standin/endpoint/health.go
@@ -16,6 +16,13 @@
 	e.coldUntil = time.Now().Add(left)
 }
 
+// ColdLeft returns for how much longer the target is cold, 0 if it is not.
+func (e *Endpoint) ColdLeft() time.Duration {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return max(time.Until(e.coldUntil), 0)
+}
+
 // SetIll makes the health check say that the target is ill, whatever it does with requests.
 func (e *Endpoint) SetIll() {
 	e.mu.Lock()
