--- a/node/gateway/relay/owners_test.go
+++ b/node/gateway/relay/owners_test.go
@@ -119,6 +119,8 @@
 // Guards against a request that reaches more targets than its route allows, since its VM counts one attempt of a lost owner that made several.
 func TestAttemptsOfALostOwnerAreCounted(t *testing.T) {
 	p := newOwnedPair(t, work)
+	p.setPatient(50)
+	p.owner.setPatient(50)
 	p.faults(func(n int) endpoint.Fault { // the owner's second attempt is the one that is never answered
 		if n == 2 {
 			return endpoint.Dark
@@ -126,7 +128,7 @@
 		return endpoint.LoseAnswer
 	})
 	answered := make(chan reply, 1)
-	go func() { answered <- p.ask("GET", "/read/1", "", 900*time.Millisecond) }()
+	go func() { answered <- p.ask("GET", "/read/1", "", patience) }()
 	arrivals := func() int { return p.targets[0].Arrivals() + p.targets[1].Arrivals() }
 	waitFor(t, func() bool { return arrivals() == 2 })
 	time.Sleep(50 * time.Millisecond) // what the owner said arrives
