--- a/steering/placement/routemix.go
+++ b/steering/placement/routemix.go
@@ -14,9 +14,6 @@
 	minMixShare = 0.05
 	// minMixRequests is how many requests a count needs; with fewer it is continued.
 	minMixRequests = 40
-	// minFirstRequests is how many requests a route needs to count before the first count is complete. With one, a
-	// route that gets next to no requests would decide.
-	minFirstRequests = 2
 	// maxMixRoutes bounds the routes that are counted for each service.
 	maxMixRoutes = 64
 )
@@ -30,8 +27,6 @@
 	// ofWorkspaces counts the requests of workspaces.
 	ofWorkspaces int
 	mixed        bool
-	// counted is set once a count is complete.
-	counted bool
 	// urgent is the route with the shortest latency objective among those of the lowest rank.
 	urgent routeCount
 }
@@ -65,26 +60,20 @@
 	if r.Workspace {
 		m.ofWorkspaces++
 	}
-	switch {
-	case m.total >= minMixRequests && now.Sub(m.since) >= mixInterval:
-		m.evaluate(1)
-		m.byRoute, m.total, m.ofWorkspaces, m.counted = nil, 0, 0, true
-	case !m.counted:
-		// Otherwise the way in which requests are placed would change in the first seconds, and many would change
-		// region with it.
-		m.evaluate(minFirstRequests)
+	if m.total >= minMixRequests && now.Sub(m.since) >= mixInterval {
+		m.evaluate()
+		m.byRoute, m.total, m.ofWorkspaces = nil, 0, 0
 	}
 }
 
-// evaluate finds out whether the service is mixed, by routes with at least that many requests.
-func (m *routeMix) evaluate(least int) {
+func (m *routeMix) evaluate() {
 	m.mixed, m.urgent = false, routeCount{}
 	if float64(m.ofWorkspaces) < minMixShare*float64(m.total) {
 		return
 	}
 	var first *routeCount
 	for _, c := range m.byRoute {
-		if float64(c.requests) < minMixShare*float64(m.total) || c.requests < least {
+		if float64(c.requests) < minMixShare*float64(m.total) {
 			continue
 		}
 		if first == nil {
--- a/steering/placement/routemix_test.go
+++ b/steering/placement/routemix_test.go
@@ -39,19 +39,3 @@
 		})
 	}
 }
-
-// Guards against requests that change region, seconds after the first, because their VM only then places them as those of a mixed service.
-func TestServiceIsMixedFromItsFirstRequests(t *testing.T) {
-	b := placement.NewBalancer("vm", "norte")
-	for n, c := range []struct {
-		route string
-		mixed bool
-	}{{"one", false}, {"one", false}, {"two", false}, {"one", false}, {"two", true}, {"one", true}} {
-		r := placement.Request{Service: service, Workspace: true, Route: c.route, RouteAim: 400 * time.Millisecond}
-		if c.route == "two" {
-			r.RouteAim = time.Second
-		}
-		b.Choose(start.Add(time.Duration(n)*20*time.Millisecond), r)
-		assert.Equal(t, b.Mixed(service), c.mixed, "after %d", n+1)
-	}
-}
