Log by what a VM uses or closes targets other than the store's word

An on-call engineer could not tell why a target that had been gone got requests again: "targets came" names neither the source nor what the VM knew of the target before. Three lines now do, each with the source (store or peer), the age of what was known before and the position: targets kept though the store does not list them, targets listed again that get nothing until they write, and targets opened by time alone. No logic is changed.

--- a/node/gateway/feed/configread.go
+++ b/node/gateway/feed/configread.go
@@ -46,7 +46,7 @@
 // ApplyConfig puts a configuration that was fetched from peers in force if it is newer than the
 // current one.
 func (r *Reader) ApplyConfig(x *spread.Index) {
-	r.update(func() bool {
+	r.update(fromStore, func() bool {
 		if !r.state.SetTable(time.Now(), x.Table()) {
 			return false
 		}
@@ -120,7 +120,7 @@
 func (r *Reader) applyConfigRead(began time.Time, c platform.Config, err error) {
 	r.noteRejected(c)
 	unusable := err == nil && r.Rejected() != nil
-	r.update(func() bool {
+	r.update(fromStore, func() bool {
 		changed := r.state.ApplyConfigRead(time.Now(), c.Table, c.At)
 		if unusable {
 			r.state.NewestUnusable(began)
--- a/node/gateway/feed/exchange.go
+++ b/node/gateway/feed/exchange.go
@@ -259,6 +259,9 @@
 			s.holdRemovalsUntil = maxTime(s.holdRemovalsUntil, now.Add(reappearWindow))
 		}
 		old := s.targets[e.Name]
+		if e.Missing && (old == nil || !old.Missing) {
+			s.decided.kept = append(s.decided.kept, e.Name)
+		}
 		if old != nil && e.Generation < old.Generation || old == nil && e.Generation < s.removed[e.Name].generation {
 			received[e.Name] = true
 			continue // the entry of an earlier process, which has ended
--- a/node/gateway/feed/lasting.go
+++ b/node/gateway/feed/lasting.go
@@ -55,11 +55,11 @@
 //
 // Within an epoch the store's order of changes is that of the target, and what it lists last holds. After
 // a restore, or if the store does not list the entry, it counts only if the target wrote it after what is
-// known.
-func (l *lasting) noteEntry(t *Entry, at storepos.Position, gone removal, silentUntil time.Time) {
+// known. It reports whether it closes a target that is listed again.
+func (l *lasting) noteEntry(t *Entry, at storepos.Position, gone removal, silentUntil time.Time) (closed bool) {
 	if t.Leaving {
 		l.leaving[t.Name] = leavingEntry{t.Generation, t.Beat, at}
-		return
+		return false
 	}
 	left := l.leaving[t.Name]
 	listedLater := !t.Missing && left.at.Epoch == at.Epoch && at.After(left.at)
@@ -68,7 +68,9 @@
 	}
 	if (at.Restored(gone.at) || t.Missing && !gone.at.IsZero()) && t.Generation <= gone.generation {
 		l.relisted[t.Name] = silentUntil
+		return true
 	}
+	return false
 }
 
 // noteWrite records that a target has written its entry. It reports whether that opens the target.
@@ -135,6 +137,7 @@
 	for _, name := range targets {
 		s.unplaced[name] = true
 	}
+	s.decided.opened = append(s.decided.opened, targets...)
 	for _, zone := range zones {
 		s.endEvacuation(now, zone)
 		s.allUnplaced = true
--- a/node/gateway/feed/placement.go
+++ b/node/gateway/feed/placement.go
@@ -31,6 +31,16 @@
 	return all
 }
 
+// Open reports whether a target is known and may get requests.
+func (s *State) Open(name steering.Target) bool {
+	t := s.targets[name]
+	if t == nil {
+		return false
+	}
+	p, known := s.placementOf(t)
+	return known && !p.Closed
+}
+
 // TakeChanges returns the targets that changed since the last call, and whether there are any.
 func (s *State) TakeChanges() (TargetUpdate, bool) {
 	u := TargetUpdate{Complete: s.allUnplaced, Total: len(s.targets), GenerationOf: s.Generation}
--- a/node/gateway/feed/reader.go
+++ b/node/gateway/feed/reader.go
@@ -194,7 +194,7 @@
 // Merge applies a peer's digest and reports whether to request an update from that peer.
 func (r *Reader) Merge(m Digest) (pull bool) {
 	r.store.NoteEpoch(m.Epoch)
-	r.update(func() (changed bool) {
+	r.update("peers", func() (changed bool) {
 		pull, changed = r.state.Merge(time.Now(), m)
 		return changed
 	})
@@ -216,19 +216,25 @@
 	return r.state.UpdateSince(time.Now(), since)
 }
 
-// Apply applies an update that a peer sent.
-func (r *Reader) Apply(k Update) {
+// Apply applies an update that the peer from sent.
+func (r *Reader) Apply(from string, k Update) {
 	r.store.NoteEpoch(k.Digest.Epoch)
-	r.update(func() bool { return r.state.Apply(time.Now(), k) })
+	r.update(from, func() bool { return r.state.Apply(time.Now(), k) })
 }
 
-// update runs change, which modifies the state, and passes the results on to the sink.
-func (r *Reader) update(change func() bool) {
+// fromStore is where reads come from, in logs.
+const fromStore = "store"
+
+// update runs change, which modifies the state by what came from the store or a peer, and passes the results on
+// to the sink.
+func (r *Reader) update(from string, change func() bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	age, _ := r.state.Age(time.Now())
 	version, complete := r.state.version(), r.state.Complete()
 	_, known, _ := r.state.Behind(time.Now())
 	change()
+	r.logDecisions(from, age, r.state.at)
 	if r.state.version() > version {
 		r.sink.ConfigChanged(r.state.Table(), known)
 	}
@@ -297,7 +303,7 @@
 // the read, its parts may show different states of the store, and the next read is due at once.
 func (r *Reader) readSucceeded(began time.Time, epoch uint64) {
 	restored := epoch > 0 && r.store.Epoch() > epoch
-	r.update(func() bool {
+	r.update(fromStore, func() bool {
 		if !restored {
 			r.state.MarkRead(began)
 		}
@@ -325,7 +331,12 @@
 	if first && ctx.Err() == nil {
 		_ = r.log.Log("msg", "store does not answer", "err", err, "state_age_ms", age.Milliseconds()) // as above
 	}
-	sleep(ctx, min(retryDelay*time.Duration(1+r.Rank()), maxRetryDelay))
+	sleep(ctx, RetryDelay(r.Rank()))
+}
+
+// RetryDelay returns the delay after a failed read by the VM of a rank.
+func RetryDelay(rank int) time.Duration {
+	return min(retryDelay*time.Duration(1+rank), maxRetryDelay)
 }
 
 // positions returns from where to read the changes of each kind; the zero position means that all
@@ -348,7 +359,7 @@
 		if all.At.Restored(since) {
 			_ = r.log.Log("msg", "targets listed after a restore of the store", "position", all.At, "known_position", since) // the log writer counts the lines that it drops
 		}
-		r.update(func() bool { return r.state.SetTargets(time.Now(), all) })
+		r.update(fromStore, func() bool { return r.state.SetTargets(time.Now(), all) })
 		r.reportUnusable(all.InvalidEntries, all.Targets)
 	}
 	return err
@@ -361,7 +372,7 @@
 		if err != nil {
 			return err
 		}
-		r.update(func() bool { return r.state.ApplyTargetChanges(time.Now(), found) })
+		r.update(fromStore, func() bool { return r.state.ApplyTargetChanges(time.Now(), found) })
 		r.reportUnusable(found.InvalidEntries, found.Valid())
 		if len(found.Changes) < cutPage || !found.At.After(since) {
 			return nil
@@ -387,7 +398,7 @@
 	if !since.IsZero() {
 		changes, at, err := r.store.EvacuationChanges(ctx, since, 0)
 		if err == nil {
-			r.update(func() bool { return r.state.ApplyEvacuationChanges(time.Now(), changes, at) })
+			r.update(fromStore, func() bool { return r.state.ApplyEvacuationChanges(time.Now(), changes, at) })
 		}
 		if platform.FaultOf(err) != platform.FaultRevisionExpired {
 			return err
@@ -395,7 +406,7 @@
 	}
 	zones, at, err := r.store.Evacuations(ctx)
 	if err == nil {
-		r.update(func() bool { return r.state.SetEvacuations(time.Now(), zones, at) })
+		r.update(fromStore, func() bool { return r.state.SetEvacuations(time.Now(), zones, at) })
 	}
 	return err
 }
--- a/node/gateway/feed/state.go
+++ b/node/gateway/feed/state.go
@@ -119,6 +119,7 @@
 	// none.
 	readAt  time.Time
 	lasting lasting
+	decided decisions
 	// holdRemovalsUntil is set after an outage of the store: until then, targets whose entries are
 	// missing are kept. It is zero if there are none.
 	holdRemovalsUntil time.Time
@@ -285,6 +286,9 @@
 	if now.Before(s.holdRemovalsUntil) && !t.Leaving {
 		changed := !t.Missing
 		t.Missing = true
+		if changed {
+			s.decided.kept = append(s.decided.kept, name)
+		}
 		return changed
 	}
 	return s.drop(name)
@@ -358,7 +362,9 @@
 		}
 		if t := s.targets[name]; t != nil {
 			t.changed = s.at
-			s.lasting.noteEntry(t, s.at, s.removed[name], s.silentUntil(now))
+			if s.lasting.noteEntry(t, s.at, s.removed[name], s.silentUntil(now)) {
+				s.decided.heldClosed = append(s.decided.heldClosed, name)
+			}
 			delete(s.removed, name)
 			continue
 		}
--- a/node/gateway/peersync.go
+++ b/node/gateway/peersync.go
@@ -111,7 +111,7 @@
 			}
 		}
 		began := time.Now()
-		bytes, err := g.pull(b.From.Control)
+		bytes, err := g.pull(b.From)
 		g.meter.Count(volume.Targets, locationOf(b.From), bytes)
 		g.countPull(bytes, err)
 		if err != nil {
@@ -160,12 +160,12 @@
 
 // pull fetches and applies all target updates that a peer has and this VM lacks. It returns the
 // number of bytes received, also on error.
-func (g *Gateway) pull(address string) (bytes int64, err error) {
+func (g *Gateway) pull(from fleet.Member) (bytes int64, err error) {
 	since := g.reader.KnownPosition()
 	query := url.Values{paramSince: {strconv.FormatInt(since.Revision, 10)}, paramEpoch: {strconv.FormatUint(since.Epoch, 10)}}
 	ctx, stall := platform.WithStallTimeout(context.Background(), pullTimeout)
 	defer stall.Release()
-	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+pathKnown+"?"+query.Encode(), nil)
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+from.Control+pathKnown+"?"+query.Encode(), nil)
 	if err != nil {
 		return 0, errors.Wrap(err, "gateway: create request")
 	}
@@ -185,7 +185,7 @@
 	}
 	// A response does not age on its way, which takes long on a narrow link or if this VM stands still.
 	known.Digest.AgeMs += time.Since(asked).Milliseconds()
-	g.reader.Apply(known)
+	g.reader.Apply(string(from.Name), known)
 	return body.bytes, nil
 }
 
