Order what is known of a target in one place, and keep missing targets once for each outage

Callers' requests could reach targets that were gone or had said that they leave. Cause: each way in (list, change, update of a peer, removal, restore) ranked what it brought by a rule of its own. A later position of the store counted as a later word of the target, also where the store had done an older write late; a removal kept the start of the target and not its count of writes; a hold after an outage began anew with each read of which another part failed, and with each VM that was told of a missing target, so that it went through a fleet.

Change: steering/departure states the order (start, count of writes, leaving before gone) and holds the latest departure of each target; only a later word of the target undoes one. Updates carry the departures of what they remove or list although it departed, with the count of writes, and for how much longer a missing target is kept; builds before ignore both, and send neither. A test finds comparisons of counts of writes elsewhere. A hold begins once for each outage and ends without a whole read.

--- a/node/gateway/feed/changes_test.go
+++ b/node/gateway/feed/changes_test.go
@@ -13,6 +13,7 @@
 
 	"heatherlock/platform"
 	"heatherlock/steering"
+	"heatherlock/steering/departure"
 	"heatherlock/steering/placement"
 	"heatherlock/steering/storepos"
 )
@@ -100,6 +101,7 @@
 			for _, k := range []*Update{&got, &want} {
 				slices.SortFunc(k.Entries, func(a, b Entry) int { return cmp.Compare(a.Name, b.Name) })
 				slices.Sort(k.Gone)
+				slices.SortFunc(k.Departures, func(a, b departure.Departure) int { return cmp.Compare(a.Target, b.Target) })
 			}
 			assert.Equal(t, fmt.Sprint(got), fmt.Sprint(want), "since %d", since)
 		}
--- a/node/gateway/feed/comparisons_test.go
+++ b/node/gateway/feed/comparisons_test.go
@@ -25,6 +25,40 @@
 	return false
 }
 
+// namesBeat reports whether an expression is a count of writes of a target, by its name.
+func namesBeat(e ast.Expr) bool {
+	switch e := e.(type) {
+	case *ast.Ident:
+		return e.Name == "beat"
+	case *ast.SelectorExpr:
+		return e.Sel.Name == "Beat"
+	}
+	return false
+}
+
+// comparesBeats reports whether a node orders the counts of writes of two entries.
+func comparesBeats(n ast.Node) bool {
+	b, ok := n.(*ast.BinaryExpr)
+	if !ok {
+		return false
+	}
+	switch b.Op {
+	case token.LSS, token.LEQ, token.GTR, token.GEQ:
+		return namesBeat(b.X) && namesBeat(b.Y)
+	}
+	return false
+}
+
+// Guards against one more order of what is known of a target, beside that of departure.Word: a later count of writes says
+// nothing without the start that it belongs to.
+func TestWordsOfTargetsAreOrderedInOnePlace(t *testing.T) {
+	inspectSources(t, func(files *token.FileSet, n ast.Node) {
+		if comparesBeats(n) {
+			t.Errorf("%s: use departure.Word", files.Position(n.Pos()))
+		}
+	})
+}
+
 // comparesRevisions reports whether a node orders a revision and something else than 0, or computes with
 // it as with a clock.
 func comparesRevisions(n ast.Node) bool {
@@ -52,6 +86,16 @@
 // Guards against code that orders states of the store by their revisions alone, which a restore of the
 // store sets back.
 func TestRevisionsAreOrderedByPositionsOnly(t *testing.T) {
+	inspectSources(t, func(files *token.FileSet, n ast.Node) {
+		if comparesRevisions(n) {
+			t.Errorf("%s: use storepos.Position", files.Position(n.Pos()))
+		}
+	})
+}
+
+// inspectSources calls inspect with each node of the sources that handle what the store holds, without tests.
+func inspectSources(t *testing.T, inspect func(*token.FileSet, ast.Node)) {
+	t.Helper()
 	files := token.NewFileSet()
 	parsed := 0
 	for _, root := range []string{"..", "../../../platform"} {
@@ -65,8 +109,8 @@
 			}
 			parsed++
 			ast.Inspect(file, func(n ast.Node) bool {
-				if comparesRevisions(n) {
-					t.Errorf("%s: use storepos.Position", files.Position(n.Pos()))
+				if n != nil {
+					inspect(files, n)
 				}
 				return true
 			})
--- /dev/null
+++ b/node/gateway/feed/departures_test.go
@@ -0,0 +1,85 @@
+package feed_test
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"heatherlock/node/gateway/feed"
+	"heatherlock/platform"
+	"heatherlock/steering"
+)
+
+func open(s *feed.State, name steering.Target) bool { return s.Open(name) }
+
+// Guards against VMs that open a target whose leaving they know, because another VM has read an older write of it that
+// the store did late.
+func TestLateWriteDoesNotOpenTargetThatLeaves(t *testing.T) {
+	knows, other := readAll(at(10), target("a", 6, true)), readAll(at(5), target("a", 4, false))
+	other.SetTargets(start, listed([]platform.Target{target("a", 5, false)}, 20))
+	other.MarkRead(start)
+	for range 2 {
+		exchange(start, other, knows)
+	}
+	assert.Equal(t, knows.KnownPosition(), at(20))
+	assert.Assert(t, !open(knows, "a"))
+	other.ApplyTargetChanges(start, changed([]platform.TargetChange{{Target: target("a", 7, false)}}, 21))
+	assert.Assert(t, open(other, "a"), "the target has written that it does not leave")
+}
+
+// Guards against requests to a target that has removed its entry, because an older write of it is done late.
+func TestLateWriteDoesNotOpenTargetThatIsGone(t *testing.T) {
+	s, peer := readAll(at(10), target("a", 6, false)), readAll(at(10), target("a", 3, false))
+	s.ApplyTargetChanges(start, changed([]platform.TargetChange{removed("a")}, 11))
+	exchange(start, s, peer)
+	for _, beat := range []int64{5, 6} {
+		revision := 8 + 2*beat
+		s.ApplyTargetChanges(start, changed([]platform.TargetChange{{Target: target("a", beat, false)}}, revision))
+		exchange(start, s, peer)
+		assert.Assert(t, !open(s, "a") && !open(peer, "a"), "beat %d", beat)
+		assert.Equal(t, peer.Digest(start).Content, s.Digest(start).Content)
+	}
+	s.ApplyTargetChanges(start, changed([]platform.TargetChange{{Target: target("a", 7, false)}}, 30))
+	exchange(start, s, peer)
+	assert.Assert(t, open(s, "a") && open(peer, "a"), "its entry had expired, and it writes again")
+}
+
+// Guards against targets that are used for as long as one part of each read fails, although their entries are gone.
+func TestHoldAfterOutageEndsAlthoughReadsFailInPart(t *testing.T) {
+	s := readAll(at(10), target("a", 1, false), target("b", 1, false))
+	now := start
+	for revision := int64(11); revision < 41; revision++ { // the targets can be read, and nothing marks the read as whole
+		now = now.Add(time.Second)
+		var changes []platform.TargetChange
+		if revision == 20 {
+			changes = append(changes, removed("a"))
+		}
+		s.ApplyTargetChanges(now, changed(changes, revision))
+		if now.Sub(start) > 15*time.Second {
+			assert.Assert(t, !open(s, "a"), "%v after the removal", now.Sub(start)-10*time.Second)
+		}
+	}
+}
+
+// Guards against a chain of VMs that each keep a missing target for the whole time that one VM may keep it.
+func TestMissingTargetIsKeptNoLongerByThoseThatAreTold(t *testing.T) {
+	const keptFor = 2200 * time.Millisecond // as long as targets have to write their entries again
+	vms := make([]*feed.State, 6)
+	for i := range vms {
+		vms[i] = readAll(at(10), target("a", 1, false))
+	}
+	now := start.Add(10 * time.Second)
+	vms[0].SetTargets(now, listed(nil, 20))
+	end := now.Add(keptFor)
+	for i := range vms[1:] {
+		assert.Assert(t, open(vms[i], "a"))
+		now = now.Add(300 * time.Millisecond)
+		vms[i].MarkRead(now)
+		exchange(now, vms[i], vms[i+1])
+	}
+	for i, s := range vms {
+		s.EndHolds(end.Add(10 * time.Millisecond))
+		assert.Assert(t, !open(s, "a"), "vm %d", i)
+	}
+}
--- a/node/gateway/feed/exchange.go
+++ b/node/gateway/feed/exchange.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"heatherlock/steering"
+	"heatherlock/steering/departure"
 	"heatherlock/steering/storepos"
 )
 
@@ -128,6 +129,9 @@
 	SinceEpoch uint64            `json:"sinceEpoch,omitempty"`
 	Entries    []Entry           `json:"entries,omitempty"`
 	Gone       []steering.Target `json:"gone,omitempty"`
+	// Departures are those of Gone, and of the Entries that get no requests although they allow them. Builds before
+	// this field send none.
+	Departures []departure.Departure `json:"departures,omitempty"`
 }
 
 // since returns the position after which the update holds all changes; zero if it holds all targets.
@@ -170,6 +174,15 @@
 func (s *State) addAll(now time.Time, k *Update) {
 	for name := range s.targets {
 		k.Entries = append(k.Entries, s.entryFor(now, name))
+		s.addDeparture(k, name)
+	}
+}
+
+// addDeparture adds the departure of a target to an update, if the update does not show it.
+func (s *State) addDeparture(k *Update, name steering.Target) {
+	t := s.targets[name]
+	if d, known := s.lasting.departures.Of(name); known && (t == nil || !t.Leaving && s.lasting.closes(t)) {
+		k.Departures = append(k.Departures, d)
 	}
 }
 
@@ -194,17 +207,22 @@
 		if t := s.targets[name]; t != nil {
 			if t.changed.After(since) {
 				k.Entries = append(k.Entries, s.entryFor(now, name))
+				s.addDeparture(k, name)
 			}
 		} else if e, found := s.removed[name]; found && e.at.After(since) {
 			k.Gone = append(k.Gone, name)
+			s.addDeparture(k, name)
 		}
 	}
 }
 
-// entryFor returns the entry of a target with its remaining cold time as of now.
+// entryFor returns the entry of a target with its remaining times as of now.
 func (s *State) entryFor(now time.Time, name steering.Target) Entry {
 	e := *s.targets[name]
 	e.ColdFor = max(e.coldUntil.Sub(now), 0)
+	if e.Missing {
+		e.MissingFor = max(s.missing[name].Sub(now), time.Millisecond)
+	}
 	return e
 }
 
@@ -224,6 +242,7 @@
 		s.historyStart = at
 	}
 	known := s.at
+	s.noteDepartures(now, k.Departures)
 	names := s.applyEntries(now, k)
 	s.advance(now, at)
 	changed = s.recordChanges(now, names) || changed
@@ -253,20 +272,16 @@
 	received := make(map[steering.Target]bool, len(k.Entries))
 	for _, e := range k.Entries {
 		e.coldUntil = coldUntil(now, e.ColdFor)
-		e.ColdFor = 0
+		missingFor := e.MissingFor
+		e.ColdFor, e.MissingFor = 0, 0
 		s.shareStrings(&e.Target)
-		if e.Missing {
-			s.holdRemovalsUntil = maxTime(s.holdRemovalsUntil, now.Add(reappearWindow))
-		}
 		old := s.targets[e.Name]
-		if e.Missing && (old == nil || !old.Missing) {
-			s.decided.kept = append(s.decided.kept, e.Name)
-		}
 		if old != nil && e.Generation < old.Generation || old == nil && e.Generation < s.removed[e.Name].generation {
 			received[e.Name] = true
 			continue // the entry of an earlier process, which has ended
 		}
-		if old == nil || old.hash() != e.hash() || old.Zone != e.Zone || e.coldUntil.After(old.coldUntil.Add(minColdExtension)) {
+		s.keepMissing(now, e, missingFor)
+		if old == nil || old.hash() != e.hash() || old.Zone != e.Zone || e.coldUntil.After(old.coldUntil.Add(minColdExtension)) || s.lasting.closes(old) {
 			names = append(names, e.Name)
 		} else {
 			e.changed = old.changed
@@ -275,7 +290,7 @@
 		received[e.Name] = true
 	}
 	for _, name := range k.Gone {
-		if s.drop(name) {
+		if s.remove(now, name) {
 			names = append(names, name)
 		}
 	}
@@ -283,16 +298,25 @@
 		return names
 	}
 	for name := range s.targets {
-		if !received[name] && s.drop(name) {
+		if !received[name] && s.remove(now, name) {
 			names = append(names, name)
 		}
 	}
 	return names
 }
 
-func maxTime(a, b time.Time) time.Time {
-	if a.After(b) {
-		return a
+// keepMissing keeps a target that a peer keeps although its entry is missing, no longer than the peer does.
+func (s *State) keepMissing(now time.Time, e Entry, left time.Duration) {
+	if !e.Missing {
+		delete(s.missing, e.Name)
+		return
+	}
+	if _, kept := s.missing[e.Name]; kept {
+		return
+	}
+	if left <= 0 {
+		left = reappearWindow
 	}
-	return b
+	s.missing[e.Name] = now.Add(min(left, reappearWindow))
+	s.decided.kept = append(s.decided.kept, e.Name)
 }
--- a/node/gateway/feed/golden_test.go
+++ b/node/gateway/feed/golden_test.go
@@ -16,6 +16,7 @@
 	"heatherlock/node/gateway/feed"
 	"heatherlock/platform"
 	"heatherlock/steering"
+	"heatherlock/steering/departure"
 )
 
 // hexText encodes binary data as lines of hexadecimal digits, so that diffs are readable.
@@ -48,6 +49,11 @@
 			Gone: []steering.Target{"t3", "t4"}},
 		"epoch": {Digest: feed.Digest{Epoch: 7, Revision: 5000, Content: 2, Config: 17, Newest: 17, ConfigRevision: 4980, AgeMs: 905}, Since: 6000, SinceEpoch: 6,
 			Gone: []steering.Target{"t3"}},
+		"departures": {Digest: feed.Digest{Revision: 5000, Content: 2, Config: 17, Newest: 17, ConfigRevision: 4980, AgeMs: 905}, Since: 4000,
+			Entries: []feed.Entry{{Target: platform.Target{Name: "t1", Generation: 1700000000123, Service: "tickets", Address: "10.0.2.1:80", Zone: "norte-a",
+				Slots: 3, Beat: 4}, Missing: true, MissingFor: 1200 * time.Millisecond}},
+			Gone:       []steering.Target{"t3"},
+			Departures: []departure.Departure{{Target: "t1", Generation: 1700000000123, Beat: 5}, {Target: "t3", Beat: 900, Gone: true}}},
 		"empty": {},
 	} {
 		t.Run(name, func(t *testing.T) {
--- a/node/gateway/feed/lasting.go
+++ b/node/gateway/feed/lasting.go
@@ -5,6 +5,7 @@
 
 	"heatherlock/platform"
 	"heatherlock/steering"
+	"heatherlock/steering/departure"
 	"heatherlock/steering/storepos"
 )
 
@@ -13,35 +14,26 @@
 // one that is used too soon gets requests that it must not get.
 const rewriteWindow = 10 * time.Second
 
-// lasting holds what stays true of targets and zones although the store was restored from a copy that
-// says otherwise. It is kept apart from the copy of the store, which follows the store, so that VMs
-// agree on that one.
+// lasting holds what stays true of targets and zones although the store says otherwise: it was restored from an older
+// copy, or completes older writes late. It is kept apart from the copy of the store, which follows the store, so that
+// VMs agree on that one.
 type lasting struct {
-	// leaving holds the targets that leave, as of the entries that said so.
-	leaving map[steering.Target]leavingEntry
-	// relisted holds the targets that were gone and are back only because the store was restored or a
-	// peer holds back their removal, with the time by which the store has removed those that are silent.
+	departures departure.Ledger
+	// relisted holds the targets that were gone and are listed again although they have said nothing since, with
+	// the time by which the store has removed those that are silent.
 	relisted map[steering.Target]time.Time
 	// evacuated holds the zones whose evacuation the restored store does not list, with the time until
 	// which it goes on.
 	evacuated map[steering.Zone]time.Time
 }
 
-// leavingEntry is an entry that said that its target leaves.
-type leavingEntry struct {
-	generation steering.Generation
-	beat       int64
-	at         storepos.Position
-}
-
 func newLasting() lasting {
-	return lasting{leaving: make(map[steering.Target]leavingEntry), relisted: make(map[steering.Target]time.Time), evacuated: make(map[steering.Zone]time.Time)}
+	return lasting{departures: departure.NewLedger(), relisted: make(map[steering.Target]time.Time), evacuated: make(map[steering.Zone]time.Time)}
 }
 
 // closes reports whether a target gets no requests although its entry allows them.
 func (l *lasting) closes(t *Entry) bool {
-	left, found := l.leaving[t.Name]
-	if found && t.Generation <= left.generation && t.Beat <= left.beat {
+	if d, known := l.departures.Of(t.Name); known && !d.Gone && !t.Word().After(d.Word()) {
 		return true
 	}
 	_, relisted := l.relisted[t.Name]
@@ -51,42 +43,54 @@
 
 // noteEntry records a changed entry at a position of the store. gone is the removal of the target
 // that the entry undoes, if any, and silentUntil the time by which the store has removed the entry of a
-// target that does not write it.
+// target that does not write it. It reports whether it closes a target that is listed again.
 //
-// Within an epoch the store's order of changes is that of the target, and what it lists last holds. After
-// a restore, or if the store does not list the entry, it counts only if the target wrote it after what is
-// known. It reports whether it closes a target that is listed again.
+// An entry undoes a departure only if the target wrote it later. After a restore, or if the store does not list the
+// entry, that is not enough: what was known of the removed entry may be older than the entry was.
 func (l *lasting) noteEntry(t *Entry, at storepos.Position, gone removal, silentUntil time.Time) (closed bool) {
 	if t.Leaving {
-		l.leaving[t.Name] = leavingEntry{t.Generation, t.Beat, at}
+		l.departures.Note(t.departure(false))
 		return false
 	}
-	left := l.leaving[t.Name]
-	listedLater := !t.Missing && left.at.Epoch == at.Epoch && at.After(left.at)
-	if listedLater || t.Generation > left.generation || t.Beat > left.beat {
-		delete(l.leaving, t.Name)
+	d, departed := l.departures.Of(t.Name)
+	unsure := at.Restored(gone.at) || t.Missing
+	if departed && t.Word().After(d.Word()) && (!unsure || !d.Gone || t.Generation > d.Generation) {
+		l.departures.Revoke(t.Name)
+		delete(l.relisted, t.Name)
+		return false
 	}
-	if (at.Restored(gone.at) || t.Missing && !gone.at.IsZero()) && t.Generation <= gone.generation {
-		l.relisted[t.Name] = silentUntil
-		return true
+	if departed && d.Gone && t.Generation <= d.Generation {
+		return l.relist(t.Name, silentUntil)
 	}
 	return false
 }
 
-// noteWrite records that a target has written its entry. It reports whether that opens the target.
-func (l *lasting) noteWrite(name steering.Target) bool {
-	_, found := l.relisted[name]
-	delete(l.relisted, name)
-	return found
+// relist closes a target that is listed again, and reports whether it was open.
+func (l *lasting) relist(name steering.Target, silentUntil time.Time) bool {
+	if _, found := l.relisted[name]; found {
+		return false
+	}
+	l.relisted[name] = silentUntil
+	return true
+}
+
+// noteWrite records that a target has written its entry, which opens it unless it departed later.
+func (l *lasting) noteWrite(t *Entry) {
+	if l.departures.Holds(t.Name, t.Word()) {
+		return
+	}
+	l.departures.Revoke(t.Name)
+	delete(l.relisted, t.Name)
+}
+
+// departure returns the departure of the target as of the entry.
+func (t *Entry) departure(gone bool) departure.Departure {
+	return departure.Departure{Target: t.Name, Generation: t.Generation, Beat: t.Beat, Gone: gone}
 }
 
 // forget drops what is recorded of targets that are neither known nor remembered as removed.
 func (l *lasting) forget(remembered func(steering.Target) bool) {
-	for name := range l.leaving {
-		if !remembered(name) {
-			delete(l.leaving, name)
-		}
-	}
+	l.departures.Trim(remembered)
 	for name := range l.relisted {
 		if !remembered(name) {
 			delete(l.relisted, name)
@@ -112,6 +116,7 @@
 func (l *lasting) expire(readAt time.Time, listed func(steering.Target) bool) (targets []steering.Target, zones []steering.Zone) {
 	for name, until := range l.relisted {
 		if !readAt.Before(until) && listed(name) {
+			l.departures.Revoke(name) // the store would have removed it if the target were silent
 			delete(l.relisted, name)
 			targets = append(targets, name)
 		}
--- a/node/gateway/feed/state.go
+++ b/node/gateway/feed/state.go
@@ -35,8 +35,10 @@
 	platform.Target
 	// ColdFor is how much longer the target is cold, counted from when the update was sent.
 	ColdFor time.Duration `json:"coldFor,omitempty"`
-	// Missing is set if the entry was absent when the store was read right after an outage.
-	Missing bool `json:"missing,omitempty"`
+	// Missing is set if the entry was absent when the store was read right after an outage, and MissingFor is how
+	// much longer the target is kept, counted from when the update was sent. Builds before this field send none.
+	Missing    bool          `json:"missing,omitempty"`
+	MissingFor time.Duration `json:"missingFor,omitempty"`
 
 	coldUntil time.Time
 	// changed is a position at which the entry was as it is now and before which it differed. A
@@ -74,6 +76,8 @@
 	at storepos.Position
 	// generation is the target's last known generation.
 	generation steering.Generation
+	// noted is when this VM learned of it.
+	noted time.Time
 }
 
 // State is an entry VM's copy of what the store holds. It is not safe for concurrent use.
@@ -94,8 +98,8 @@
 	// set, all targets have to be placed anew.
 	unplaced    map[steering.Target]bool
 	allUnplaced bool
-	// coldAt is a position at which some target had become cold again. turnedCold is set while the
-	// changes of one read are applied and one of them shows that.
+	// coldAt is a position at which some target had become cold again, or got requests again that had departed: the
+	// hash covers neither. turnedCold is set while the changes of one read are applied and one of them shows that.
 	coldAt     storepos.Position
 	turnedCold bool
 	// historyStart is the position after which all changes of targets are recorded.
@@ -120,16 +124,18 @@
 	readAt  time.Time
 	lasting lasting
 	decided decisions
-	// holdRemovalsUntil is set after an outage of the store: until then, targets whose entries are
-	// missing are kept. It is zero if there are none.
-	holdRemovalsUntil time.Time
+	// holdRemovalsUntil is set after an outage of the store: until then, targets whose entries are found missing
+	// are kept. heldAfter is the read before the outage.
+	holdRemovalsUntil, heldAfter time.Time
+	// missing holds the targets whose entries are missing and that are kept, with the time until which they are.
+	missing map[steering.Target]time.Time
 }
 
 // NewState returns an empty state. heartbeatInterval is how often targets write to the store;
 // targets in zones that regions does not name are ignored.
 func NewState(heartbeatInterval time.Duration, regions map[steering.Zone]steering.Region) *State {
 	return &State{heartbeatInterval: heartbeatInterval, regions: regions, targets: make(map[steering.Target]*Entry), removed: make(map[steering.Target]removal),
-		hashes: make(map[steering.Target]uint64), unplaced: make(map[steering.Target]bool), strings: make(map[string]string), evacuated: make(map[steering.Zone]bool), coldZones: make(map[steering.Zone]time.Time), lasting: newLasting()}
+		hashes: make(map[steering.Target]uint64), unplaced: make(map[steering.Target]bool), strings: make(map[string]string), evacuated: make(map[steering.Zone]bool), coldZones: make(map[steering.Zone]time.Time), lasting: newLasting(), missing: make(map[steering.Target]time.Time)}
 }
 
 // Age returns the age of the read of the store that the state is based on. ok is false if there was
@@ -156,11 +162,11 @@
 
 // detectOutage is called before the result of a read is applied. If the read before it is so old
 // that entries may have expired in an outage, or the store was restored and may lack entries, removals
-// are held back for reappearWindow.
+// are held back for reappearWindow, once for each outage: reads of which another part fails do not prolong that.
 func (s *State) detectOutage(now time.Time, at storepos.Position) {
-	expired := !s.readAt.IsZero() && now.Sub(s.readAt) > maxMissedHeartbeats*s.heartbeatInterval
+	expired := s.outOfTouch(now) && !s.heldAfter.Equal(s.readAt)
 	if expired || at.Restored(s.at) {
-		s.holdRemovalsUntil = now.Add(reappearWindow)
+		s.holdRemovalsUntil, s.heldAfter = now.Add(reappearWindow), s.readAt
 	}
 }
 
@@ -180,7 +186,7 @@
 		}
 	}
 	for _, bad := range all.InvalidEntries {
-		if s.drop(bad.Name) {
+		if s.drop(now, bad.Name) {
 			changed = append(changed, bad.Name)
 		}
 	}
@@ -197,7 +203,13 @@
 	}
 	s.advance(now, all.At)
 	s.inconsistent = false
-	return s.recordChanges(now, changed)
+	return s.endRead(now, changed)
+}
+
+// endRead records the changes of a read.
+func (s *State) endRead(now time.Time, names []steering.Target) bool {
+	changed := s.recordChanges(now, names)
+	return s.EndHolds(now) || changed
 }
 
 // coldTargets returns the targets that are cold. After a restore of the store they count as having
@@ -227,7 +239,7 @@
 		}
 	}
 	s.at = found.At
-	return s.recordChanges(now, changed)
+	return s.endRead(now, changed)
 }
 
 // applyTargetChange applies one change and reports whether anything relevant changed.
@@ -236,7 +248,7 @@
 	case c.Removed:
 		return s.entryMissing(now, c.Target.Name)
 	case c.Invalid:
-		return s.drop(c.Target.Name)
+		return s.drop(now, c.Target.Name)
 	}
 	return s.upsert(now, c.Target)
 }
@@ -250,22 +262,28 @@
 	}
 	if old == nil || t.Generation > old.Generation {
 		s.targets[t.Name] = &Entry{Target: t, coldUntil: coldUntil(now, t.ColdLeft)}
+		delete(s.missing, t.Name)
 		return true
 	}
-	if t.Before(old.Target) {
+	if old.Word().After(t.Word()) {
 		return false // an older state of the entry that arrived late
 	}
 	changed := old.Leaving != t.Leaving || old.Slots != t.Slots || old.Address != t.Address || old.Service != t.Service || old.Zone != t.Zone || old.Missing
-	if t.Beat > old.Beat {
+	closed, wrote := s.lasting.closes(old), t.Word().After(old.Word())
+	if wrote {
 		turnedCold := t.ColdLeft > 0 && !now.Before(old.coldUntil)
 		s.turnedCold = s.turnedCold || turnedCold
-		opened := s.lasting.noteWrite(t.Name)
-		changed = changed || turnedCold || opened
+		changed = changed || turnedCold
 		old.coldUntil = coldUntil(now, t.ColdLeft)
 	}
-	old.Missing = false
-	old.Target = t
-	return changed
+	old.Missing, old.Target = false, t
+	delete(s.missing, t.Name)
+	if wrote && !t.Leaving {
+		s.lasting.noteWrite(old)
+	}
+	opened := closed && !s.lasting.closes(old)
+	s.turnedCold = s.turnedCold || opened
+	return changed || opened
 }
 
 func coldUntil(now time.Time, left time.Duration) time.Time {
@@ -277,21 +295,32 @@
 
 // entryMissing handles the absence of a target's entry. Right after an outage of the store it may
 // only mean that the target could not write; the target is kept until holdRemovalsUntil, unless it
-// was leaving.
+// has departed.
 func (s *State) entryMissing(now time.Time, name steering.Target) bool {
 	t := s.targets[name]
 	if t == nil {
 		return false
 	}
-	if now.Before(s.holdRemovalsUntil) && !t.Leaving {
-		changed := !t.Missing
-		t.Missing = true
-		if changed {
+	until, missing := s.missing[name]
+	if !missing {
+		until = s.holdRemovalsUntil
+	}
+	if now.Before(until) && !t.Leaving && !s.lasting.departures.Holds(name, t.Word()) {
+		t.Missing, s.missing[name] = true, until
+		if !missing {
 			s.decided.kept = append(s.decided.kept, name)
 		}
-		return changed
+		return !missing
 	}
-	return s.drop(name)
+	return s.remove(now, name)
+}
+
+// remove removes a target whose entry is gone, and reports whether it was known.
+func (s *State) remove(now time.Time, name steering.Target) bool {
+	if t := s.targets[name]; t != nil {
+		s.lasting.departures.Note(t.departure(true))
+	}
+	return s.drop(now, name)
 }
 
 // shareStrings replaces the names of services and zones by one copy of each. Thousands of targets
@@ -311,28 +340,25 @@
 	return text
 }
 
-// drop removes a target and reports whether it was known. The position of the removal is set by
-// recordChanges.
-func (s *State) drop(name steering.Target) bool {
+// drop removes a target, which may be back with its next write, and reports whether it was known. The position of the
+// removal is set by recordChanges.
+func (s *State) drop(now time.Time, name steering.Target) bool {
 	t := s.targets[name]
 	if t == nil {
 		return false
 	}
 	delete(s.targets, name)
-	s.removed[name] = removal{at: s.removed[name].at, generation: t.Generation}
+	delete(s.missing, name)
+	s.removed[name] = removal{at: s.removed[name].at, generation: t.Generation, noted: now}
 	return true
 }
 
-// dropMissing removes the targets whose entries are still missing once removals are no longer held
-// back after an outage. It reports whether it removed any.
+// dropMissing removes the targets whose entries are still missing at the end of the time for which they are kept after
+// an outage. It reports whether it removed any.
 func (s *State) dropMissing(now time.Time) bool {
-	if s.holdRemovalsUntil.IsZero() || now.Before(s.holdRemovalsUntil) {
-		return false
-	}
-	s.holdRemovalsUntil = time.Time{}
 	var changed []steering.Target
-	for name, t := range s.targets {
-		if t.Missing && s.drop(name) {
+	for name, until := range s.missing {
+		if !now.Before(until) && s.remove(now, name) {
 			changed = append(changed, name)
 		}
 	}
@@ -369,7 +395,7 @@
 			continue
 		}
 		delete(s.lasting.relisted, name)
-		s.removed[name] = removal{at: s.at, generation: s.removed[name].generation}
+		s.removed[name] = removal{at: s.at, generation: s.removed[name].generation, noted: now}
 	}
 	s.trimRemoved()
 	s.history.trim(max(minHistory, len(s.targets)))
