Ignore reads of targets that an update of a peer has overtaken

A target that a VM knew to be gone got requests again until the next update, and the VM's position fell. Cause: of a slow read that ended after an update of a peer only the epoch was compared, and its position was taken over. Change: a read that shows no later position than the one known is ignored; the pages of a read go on from the known position.

TestSlowReadDoesNotUndoUpdateOfPeer failed before (position 95 for 100, with changes and with a list).

--- a/node/gateway/feed/departures_test.go
+++ b/node/gateway/feed/departures_test.go
@@ -45,6 +45,28 @@
 	assert.Assert(t, open(s, "a") && open(peer, "a"), "its entry had expired, and it writes again")
 }
 
+// Guards against a target that is back, and a position that falls, because a slow read ends after an update of a peer.
+func TestSlowReadDoesNotUndoUpdateOfPeer(t *testing.T) {
+	reader := readAll(at(90), target("a", 1, false), target("b", 1, false))
+	reader.ApplyTargetChanges(start, changed([]platform.TargetChange{removed("a")}, 100))
+	for name, slowRead := range map[string]func(*feed.State){
+		"changes": func(s *feed.State) {
+			s.ApplyTargetChanges(start, changed([]platform.TargetChange{{Target: target("a", 2, false)}}, 95))
+		},
+		"list": func(s *feed.State) {
+			s.SetTargets(start, listed([]platform.Target{target("a", 2, false), target("b", 1, false)}, 95))
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := readAll(at(90), target("a", 1, false), target("b", 1, false))
+			exchange(start, reader, s)
+			slowRead(s)
+			assert.Equal(t, s.KnownPosition(), at(100))
+			assert.Assert(t, !open(s, "a") && open(s, "b"))
+		})
+	}
+}
+
 // Guards against targets that are used for as long as one part of each read fails, although their entries are gone.
 func TestHoldAfterOutageEndsAlthoughReadsFailInPart(t *testing.T) {
 	s := readAll(at(10), target("a", 1, false), target("b", 1, false))
--- a/node/gateway/feed/reader.go
+++ b/node/gateway/feed/reader.go
@@ -377,7 +377,8 @@
 		if len(found.Changes) < cutPage || !found.At.After(since) {
 			return nil
 		}
-		since = found.At
+		known, _, _ := r.positions()
+		since = storepos.Later(found.At, known)
 	}
 	return nil
 }
--- a/node/gateway/feed/state.go
+++ b/node/gateway/feed/state.go
@@ -170,11 +170,17 @@
 	}
 }
 
+// outdated reports whether a read shows no more of the targets than is known. It was overtaken by an update of
+// a peer, and what it shows may have changed since.
+func (s *State) outdated(at storepos.Position) bool {
+	return s.at.Restored(at) || !s.inconsistent && !at.After(s.at)
+}
+
 // SetTargets applies a complete list of targets and reports whether anything relevant changed. A list
-// of an earlier epoch than the one known is ignored.
+// that shows no later position than the one known is ignored.
 func (s *State) SetTargets(now time.Time, all platform.TargetList) bool {
-	if s.at.Restored(all.At) {
-		return false
+	if s.outdated(all.At) {
+		return s.EndHolds(now)
 	}
 	s.detectOutage(now, all.At)
 	listed := make(map[steering.Target]bool, len(all.Targets))
@@ -228,8 +234,8 @@
 // ApplyTargetChanges applies the changes of targets since the last read and reports whether
 // anything relevant changed.
 func (s *State) ApplyTargetChanges(now time.Time, found platform.TargetChanges) bool {
-	if s.at.Restored(found.At) {
-		return false
+	if s.outdated(found.At) {
+		return s.EndHolds(now)
 	}
 	s.detectOutage(now, found.At)
 	var changed []steering.Target
