Ask other VMs for departures after a time out of touch, and after a start

Requests reached a target 7.9 s after its entry was removed. Cause: a VM that was cut off cannot tell that from an outage of the store. What its first read no longer lists it keeps for 2.2 s, as targets may have to write their entries again, although all other VMs know that those are gone; being the VM with the latest position it is told nothing by them. A VM that starts knows no departures that a restored store has lost; hashes are equal, so nobody told it.

Change: a VM that has learned nothing for three heartbeats of targets, or that starts, asks others for the departures since (`GET /v1/departures`), first those that come back into hearing, until one has known all that happened meanwhile; what it is told closes targets at once and stays until the target says something later.

TestStartedVMIsToldOfLeavingsThatTheStoreLost, TestVMThatWasCutOffIsToldWhatIsGone and TestVMThatStartsIsToldOfLeavingThatTheStoreLost (of the daemon) are new; the last one fails without the call in peersync.go. Measured: the tests of feed, departure and these pass.

--- a/cmd/internal/benchfleet/vm.go
+++ b/cmd/internal/benchfleet/vm.go
@@ -11,6 +11,7 @@
 	"heatherlock/node/gateway/fleet"
 	"heatherlock/platform"
 	"heatherlock/steering"
+	"heatherlock/steering/departure"
 	"heatherlock/steering/poison"
 	"heatherlock/steering/routes"
 	"heatherlock/steering/storepos"
@@ -20,6 +21,7 @@
 type counters struct {
 	Datagrams, DatagramBytes int
 	PullBytes, StoreBytes    int
+	Enquiries, EnquiryBytes  int
 	Work                     time.Duration
 }
 
@@ -47,6 +49,9 @@
 	reading   bool
 	recorded  bool // the records of the others were read
 	pulling   bool
+	enquiry   *departure.Enquiry
+	peers     map[steering.VM]*vm // that were heard
+	lacking   storepos.Position   // since when departures may be unknown
 	tickSoon  bool
 	// turnedAway is set while the store refuses this VM's calls, failing once one was refused.
 	turnedAway, failing bool
@@ -61,6 +66,7 @@
 	v.reading, v.recorded, v.pulling, v.tickSoon, v.failing = false, false, false, false, false
 	v.state = feed.NewState(targetHeartbeat, v.sim.regions)
 	v.state.SetTable(v.sim.now, tableOf(1))
+	v.enquiry, v.peers = departure.NewEnquiry(feed.OutOfTouchAfter(targetHeartbeat)), make(map[steering.VM]*vm)
 	v.fleet = fleet.New(fleet.Config{Self: v.self, Log: log.NewNopLogger(), Incarnation: v.life, Clock: func() time.Time { return v.sim.now },
 		FillBeat: v.fillBeat, HandleBeat: v.handleBeat, Suspects: func(bool) []poison.Fact { return nil }}, &port{v})
 	v.later(0, v.tick)
@@ -110,6 +116,7 @@
 
 func (v *vm) handleBeat(b fleet.Beat) {
 	pull, _ := v.state.Merge(v.sim.now, b.StoreDigest)
+	v.noteHeard(b)
 	if !pull || v.pulling {
 		return
 	}
@@ -125,6 +132,69 @@
 	})
 }
 
+// noteHeard records a heartbeat, and begins to ask for departures if this VM has been out of touch.
+func (v *vm) noteHeard(b fleet.Beat) {
+	if b.StoreDigest.Revision > 0 {
+		v.enquiry.Heard(v.sim.now, b.From.Name)
+		v.peers[b.From.Name] = v.sim.network.byPeer[b.From.Peer]
+	}
+	gap, ended := v.state.TakeGap()
+	if !ended {
+		return
+	}
+	if gap.Since.IsZero() {
+		gap.Since = v.state.KnownPosition()
+	}
+	active := v.enquiry.Active(v.sim.now)
+	v.lacking = gap.Since
+	v.enquiry.Begin(v.sim.now, gap.Length)
+	if !active {
+		v.enquire()
+	}
+}
+
+// enquire asks other VMs for departures until one has told all or the enquiry ends.
+func (v *vm) enquire() {
+	if !v.enquiry.Active(v.sim.now) {
+		return
+	}
+	v.later(departure.PollInterval, v.enquire)
+	if name, ask := v.enquiry.Next(v.sim.now); ask {
+		v.askDepartures(v.peers[name], v.lacking)
+	}
+}
+
+// askDepartures asks one VM for departures.
+func (v *vm) askDepartures(peer *vm, since storepos.Position) {
+	n, answered := v.sim.network, false
+	v.later(pullTimeout, func() {
+		if !answered {
+			v.enquiry.Answered(0)
+		}
+	})
+	n.after(3*n.delay(v, peer), func() { // connect and request
+		if !peer.running || !n.reaches(v, peer) {
+			return
+		}
+		told := peer.state.DeparturesSince(v.sim.now, since)
+		raw, err := cbor.Marshal(told)
+		if err != nil {
+			panic(err) // the daemon sends the same type
+		}
+		life := v.life
+		n.transfer(peer, v, len(raw), func() {
+			if !v.running || v.life != life {
+				return
+			}
+			answered = true
+			v.count.EnquiryBytes += len(raw)
+			v.count.Enquiries++
+			v.work(func() { v.state.NoteDepartures(v.sim.now, told) })
+			v.enquiry.Answered(time.Duration(told.KnownForMs) * time.Millisecond)
+		})
+	})
+}
+
 // pullTimeout is how long a VM waits for the response of a peer.
 const pullTimeout = 1200 * time.Millisecond
 
--- a/node/gateway/feed/departures.go
+++ b/node/gateway/feed/departures.go
@@ -3,9 +3,35 @@
 import (
 	"time"
 
+	"heatherlock/steering"
 	"heatherlock/steering/departure"
+	"heatherlock/steering/storepos"
 )
 
+// recentRemoval is how long removals are told to every VM that asks for departures, whatever it knows. The store may
+// complete a write seconds late and so list a target again that has removed its entry.
+const recentRemoval = 10 * time.Second
+
+// touch is for how long this VM has known all that happened in the store.
+type touch struct {
+	// since is when it began to; zero if nothing is known yet.
+	since time.Time
+	// gap is set once it was out of touch, until that is taken. gapLength is for how long, and before the position
+	// that was known then.
+	gap       bool
+	gapLength time.Duration
+	before    storepos.Position
+	// lost is when the latest gap began; zero for the time before the first data.
+	lost time.Time
+}
+
+// Gap is a time in which a VM learned nothing of the store. Departures in it may be unknown to the VM.
+type Gap struct {
+	Length time.Duration
+	// Since is the position known at its beginning.
+	Since storepos.Position
+}
+
 // OutOfTouchAfter returns how old what a VM knows may become before entries may have expired and departures been
 // missed since; heartbeat is how often targets write theirs.
 func OutOfTouchAfter(heartbeat time.Duration) time.Duration { return maxMissedHeartbeats * heartbeat }
@@ -14,7 +40,58 @@
 	return !s.readAt.IsZero() && now.Sub(s.readAt) > OutOfTouchAfter(s.heartbeatInterval)
 }
 
-// noteDepartures records departures that another VM knows.
+// noteGap is called before new data of targets is applied, and records that this VM was out of touch until now.
+func (s *State) noteGap(now time.Time) {
+	switch {
+	case s.touch.since.IsZero():
+		s.touch = touch{since: now, gap: true, before: s.at}
+	case s.outOfTouch(now) && !s.touch.since.After(s.readAt):
+		s.touch = touch{since: now, gap: true, gapLength: now.Sub(s.readAt), before: s.at, lost: s.readAt}
+	}
+}
+
+// TakeGap returns the gap that has ended since the last call; ended is false if there was none. The first data that a
+// VM learns ends a gap as well.
+func (s *State) TakeGap() (g Gap, ended bool) {
+	g, ended = Gap{s.touch.gapLength, s.touch.before}, s.touch.gap
+	s.touch.gap = false
+	return g, ended
+}
+
+// Departures are the departures that a VM tells another.
+type Departures struct {
+	All []departure.Departure `json:"all,omitempty"`
+	// KnownForMs is for how long the VM has known all that happened in the store, in milliseconds.
+	KnownForMs int64 `json:"knownFor,omitempty"`
+}
+
+// DeparturesSince returns the departures that a VM may lack which has learned nothing since a position.
+func (s *State) DeparturesSince(now time.Time, since storepos.Position) Departures {
+	var told Departures
+	if !s.touch.since.IsZero() && !s.outOfTouch(now) {
+		told.KnownForMs = now.Sub(s.touch.since).Milliseconds()
+	}
+	since.Epoch = s.inOwnEpoch(since.Epoch)
+	s.lasting.departures.All(func(d departure.Departure) {
+		gone, removed := s.removed[d.Target]
+		if s.targets[d.Target] != nil || removed && (gone.at.After(since) || now.Sub(gone.noted) < recentRemoval) {
+			told.All = append(told.All, d)
+		}
+	})
+	return told
+}
+
+// NoteDepartures records departures that another VM knows, and reports whether any changes what gets requests.
+// If that VM has known all since before the latest gap of this one, so does this one from now on.
+func (s *State) NoteDepartures(now time.Time, told Departures) bool {
+	before := len(s.unplaced)
+	s.noteDepartures(now, told.All)
+	if since := now.Add(-time.Duration(told.KnownForMs) * time.Millisecond); since.Before(s.touch.since) && (s.touch.lost.IsZero() || !since.After(s.touch.lost)) {
+		s.touch.since = since
+	}
+	return len(s.unplaced) > before
+}
+
 func (s *State) noteDepartures(now time.Time, all []departure.Departure) {
 	for _, d := range all {
 		t := s.targets[d.Target]
@@ -42,3 +119,22 @@
 	}
 	s.trimRemoved()
 }
+
+// TakeGap returns the gap in what this VM knows that has ended since the last call; ended is false if there was none.
+func (r *Reader) TakeGap() (g Gap, ended bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.state.TakeGap()
+}
+
+// DeparturesSince returns the departures that a VM may lack which has learned nothing since a position.
+func (r *Reader) DeparturesSince(since storepos.Position) Departures {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.state.DeparturesSince(time.Now(), since)
+}
+
+// NoteDepartures records departures that the peer from knows.
+func (r *Reader) NoteDepartures(from steering.VM, told Departures) {
+	r.update(string(from), func() bool { return r.state.NoteDepartures(time.Now(), told) })
+}
--- a/node/gateway/feed/departures_test.go
+++ b/node/gateway/feed/departures_test.go
@@ -9,8 +9,16 @@
 	"heatherlock/node/gateway/feed"
 	"heatherlock/platform"
 	"heatherlock/steering"
+	"heatherlock/steering/departure"
+	"heatherlock/steering/storepos"
 )
 
+// tell passes on what one VM knows of departures to another, as after a gap in what that one knows.
+func tell(now time.Time, from, to *feed.State) {
+	gap, _ := to.TakeGap()
+	to.NoteDepartures(now, from.DeparturesSince(now, gap.Since))
+}
+
 func open(s *feed.State, name steering.Target) bool { return s.Open(name) }
 
 // Guards against VMs that open a target whose leaving they know, because another VM has read an older write of it that
@@ -24,6 +32,8 @@
 	}
 	assert.Equal(t, knows.KnownPosition(), at(20))
 	assert.Assert(t, !open(knows, "a"))
+	tell(start, knows, other)
+	assert.Assert(t, !open(other, "a"), "it was told")
 	other.ApplyTargetChanges(start, changed([]platform.TargetChange{{Target: target("a", 7, false)}}, 21))
 	assert.Assert(t, open(other, "a"), "the target has written that it does not leave")
 }
@@ -45,6 +55,19 @@
 	assert.Assert(t, open(s, "a") && open(peer, "a"), "its entry had expired, and it writes again")
 }
 
+// Guards against a VM that started after the store was restored from an older copy and is never told that a target leaves.
+func TestStartedVMIsToldOfLeavingsThatTheStoreLost(t *testing.T) {
+	knows := readAll(restoredAt(0, 900), target("a", 6, true))
+	knows.SetTargets(start, list(restoredAt(1, 850), target("a", 5, false)))
+	knows.MarkRead(start)
+	started := readAll(restoredAt(1, 850), target("a", 5, false))
+	exchange(start, knows, started)
+	_, ended := started.TakeGap()
+	assert.Assert(t, ended, "it is to ask")
+	tell(start, knows, started)
+	assert.Assert(t, !open(started, "a"))
+}
+
 // Guards against a target that is back, and a position that falls, because a slow read ends after an update of a peer.
 func TestSlowReadDoesNotUndoUpdateOfPeer(t *testing.T) {
 	reader := readAll(at(90), target("a", 1, false), target("b", 1, false))
@@ -105,3 +128,26 @@
 		assert.Assert(t, !open(s, "a"), "vm %d", i)
 	}
 }
+
+// Guards against a VM that was cut off, takes that for an outage of the store, and uses a target that the others know to be
+// gone.
+func TestVMThatWasCutOffIsToldWhatIsGone(t *testing.T) {
+	entries := []platform.Target{target("gone", 3, false), target("stays", 3, false)}
+	knows, away := readAll(at(10), entries...), readAll(at(10), entries...)
+	away.TakeGap()
+	knows.ApplyTargetChanges(start, changed([]platform.TargetChange{removed("gone")}, 12))
+	now := start.Add(8 * time.Second)
+	knows.MarkRead(now)
+	away.ApplyTargetChanges(now, changed([]platform.TargetChange{removed("gone")}, 30))
+	away.MarkRead(now)
+	assert.Assert(t, open(away, "gone"), "the store may have been away")
+	exchange(now, away, knows)
+	assert.Assert(t, !open(knows, "gone"))
+	gap, ended := away.TakeGap()
+	assert.Assert(t, ended && gap.Length == 8*time.Second && gap.Since == at(10))
+	told := knows.DeparturesSince(now, gap.Since)
+	assert.DeepEqual(t, told, feed.Departures{All: []departure.Departure{{Target: "gone", Beat: 3, Gone: true}}, KnownForMs: 8000})
+	away.NoteDepartures(now, told)
+	assert.Assert(t, !open(away, "gone") && open(away, "stays"))
+	assert.Equal(t, away.DeparturesSince(now, storepos.Position{}).KnownForMs, int64(8000), "it knows as much now")
+}
--- a/node/gateway/feed/exchange.go
+++ b/node/gateway/feed/exchange.go
@@ -241,6 +241,7 @@
 	if s.at.IsZero() {
 		s.historyStart = at
 	}
+	s.noteGap(now)
 	known := s.at
 	s.noteDepartures(now, k.Departures)
 	names := s.applyEntries(now, k)
--- a/node/gateway/feed/state.go
+++ b/node/gateway/feed/state.go
@@ -129,6 +129,7 @@
 	holdRemovalsUntil, heldAfter time.Time
 	// missing holds the targets whose entries are missing and that are kept, with the time until which they are.
 	missing map[steering.Target]time.Time
+	touch   touch
 }
 
 // NewState returns an empty state. heartbeatInterval is how often targets write to the store;
@@ -182,6 +183,7 @@
 	if s.outdated(all.At) {
 		return s.EndHolds(now)
 	}
+	s.noteGap(now)
 	s.detectOutage(now, all.At)
 	listed := make(map[steering.Target]bool, len(all.Targets))
 	var changed []steering.Target
@@ -237,6 +239,7 @@
 	if s.outdated(found.At) {
 		return s.EndHolds(now)
 	}
+	s.noteGap(now)
 	s.detectOutage(now, found.At)
 	var changed []steering.Target
 	for _, c := range found.Changes {
--- a/node/gateway/gateway.go
+++ b/node/gateway/gateway.go
@@ -75,6 +75,7 @@
 	sendLimiter *spread.SendLimiter // limits what this VM sends to peers
 	peerClient  *http.Client
 	pulling     atomic.Bool
+	enquirer    *enquirer
 	// recordsRead is set once the records of the other VMs were read, or could not be.
 	recordsRead atomic.Bool
 	// registered is set once this VM is on record and knows the others. recordsEpoch is the epoch of the
@@ -163,6 +164,7 @@
 	state := feed.NewState(time.Duration(settings.HeartbeatMs)*time.Millisecond, settings.Zones)
 	g.reader = feed.NewReader(g.store, g, state, readerPeers{g}, logger)
 	g.peerClient = newPeerClient()
+	g.enquirer = newEnquirer(settings)
 	g.sendLimiter = spread.NewSendLimiter(settings.LinkMbps)
 	g.fetcher = g.newFetcher()
 	g.applyBounds(b)
--- a/node/gateway/peersync.go
+++ b/node/gateway/peersync.go
@@ -21,7 +21,6 @@
 	"heatherlock/steering/placement"
 	"heatherlock/steering/retry"
 	"heatherlock/steering/spread"
-	"heatherlock/steering/storepos"
 )
 
 const (
@@ -90,6 +89,7 @@
 	}
 	newest, _, _ := g.reader.Behind()
 	pull := g.reader.Merge(b.StoreDigest)
+	g.noteHeard(b)
 	g.recordNewest(newest, b)
 	if _, _, behind := g.reader.Behind(); behind {
 		g.fetcher.Wake()
@@ -196,14 +196,13 @@
 	mux.HandleFunc("GET "+status.Path, g.serveStatus)
 	mux.HandleFunc("GET "+pagePath+"{$}", g.serveStatusPage)
 	mux.Handle("POST "+catchup.Path, g.newConfigHandler())
+	mux.HandleFunc("GET "+pathDepartures, g.serveDepartures)
 	mux.HandleFunc("GET "+pathKnown, func(w http.ResponseWriter, r *http.Request) {
-		since, err := strconv.ParseInt(r.URL.Query().Get(paramSince), 10, 64)
-		if err != nil {
-			http.Error(w, "since must be a number", http.StatusBadRequest)
+		since, ok := positionOf(w, r)
+		if !ok {
 			return
 		}
-		epoch, _ := strconv.ParseUint(r.URL.Query().Get(paramEpoch), 10, 64) // 0 if the peer names none
-		update := g.reader.UpdateSince(storepos.Position{Epoch: epoch, Revision: since})
+		update := g.reader.UpdateSince(since)
 		if _, ok := g.sendLimiter.Reserve(time.Now(), spread.LinkLoad{Bytes: entryBytes * len(update.Entries), Outline: true}); !ok {
 			g.metrics.Scope.Counter("gateway_targets_asked_in_vain").Inc(1)
 			http.Error(w, "the link is full; ask another entry VM", http.StatusServiceUnavailable)
--- a/node/gateway/restore_test.go
+++ b/node/gateway/restore_test.go
@@ -105,3 +105,22 @@
 		assert.Equal(t, len(s.listed(v)), 2)
 	}
 }
+
+// Guards against a VM that starts after the store was restored and uses a target whose leaving the store has lost.
+func TestVMThatStartsIsToldOfLeavingThatTheStoreLost(t *testing.T) {
+	t.Parallel()
+	s := newTestCluster(t)
+	s.startAll(2)
+	copied := s.store.Copy()
+	s.register("t1", "draining", 7)
+	time.Sleep(drainBound)
+	s.store.Restore(copied)
+	started := s.start(3)
+	within(t, 5*time.Second, "ready", func() bool { return s.ready(started) })
+	within(t, 5*time.Second, "told", func() bool { return s.metric(started, "heatherlock_gateway_departures_asked", "whole") > 0 })
+	before := s.targets["t1"].Arrivals()
+	for i := range 40 {
+		assert.Equal(t, s.request(started, fmt.Sprint("/read/", i)), 200)
+	}
+	assert.Check(t, s.targets["t1"].Arrivals() == before, "%d requests", s.targets["t1"].Arrivals()-before)
+}
--- a/steering/departure/departure_test.go
+++ b/steering/departure/departure_test.go
@@ -1,7 +1,9 @@
 package departure_test
 
 import (
+	"fmt"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
@@ -33,3 +35,47 @@
 		assert.Assert(t, !a.Holds("a", departure.Word{Generation: known.Generation, Beat: known.Beat + 1}))
 	})
 }
+
+// Guards against a VM that asks those that were cut off with it, asks all of a large fleet, or asks nobody.
+func TestVMsThatComeBackAreAskedFirst(t *testing.T) {
+	const silence = 4500 * time.Millisecond
+	now := time.Unix(1000, 0)
+	e := departure.NewEnquiry(silence)
+	next := func() steering.VM {
+		vm, _ := e.Next(now)
+		return vm
+	}
+	e.Heard(now, "fellow")
+	e.Heard(now, "other")
+	assert.Equal(t, next(), steering.VM(""), "it was not out of touch")
+	for range 10 {
+		now = now.Add(time.Second)
+		e.Heard(now, "fellow")
+	}
+	e.Heard(now, "other") // before it knows that it was out of touch
+	e.Begin(now, 9*time.Second)
+	assert.Equal(t, next(), steering.VM("other"))
+	e.Heard(now, "another")
+	assert.Equal(t, next(), steering.VM(""), "one at a time")
+	e.Answered(time.Second)
+	assert.Equal(t, next(), steering.VM("another"), "the first one knows too little")
+	e.Answered(0)
+	assert.Equal(t, next(), steering.VM(""), "the others were cut off as well")
+	now = now.Add(time.Second)
+	assert.Equal(t, next(), steering.VM("fellow"), "it may have been told")
+	e.Answered(time.Minute)
+	e.Heard(now, "third")
+	assert.Assert(t, next() == "" && !e.Active(now), "one that knows has told")
+
+	e.Begin(now, 0)
+	asked := 0
+	for i := range 100 {
+		now = now.Add(departure.PollInterval / 10)
+		e.Heard(now, steering.VM(fmt.Sprint("new-", i)))
+		if next() != "" {
+			asked++
+			e.Answered(0)
+		}
+	}
+	assert.Assert(t, asked > 0 && asked < 10, "%d asked", asked)
+}
