Tell VMs that start or were out of touch which targets have said that they leave

A VM that restarts sent requests to a target that had said in its responses that it leaves, until its own first response said so; while the store is away or still lists the target as ready nothing else told it. Change: the response to a question for departures names those targets as well (`said`), and the VM that asks records them as it does what another VM tells with a request that it passes on: they are never taken back for that start of the target.

TestVMThatStartsIsToldWhatTargetsSaid fails without the record.

--- a/node/gateway/departures.go
+++ b/node/gateway/departures.go
@@ -17,6 +17,8 @@
 	"heatherlock/platform"
 	"heatherlock/steering"
 	"heatherlock/steering/departure"
+	"heatherlock/steering/placement"
+	"heatherlock/steering/retry"
 	"heatherlock/steering/spread"
 	"heatherlock/steering/storepos"
 )
@@ -123,7 +125,12 @@
 		_ = g.log.Log("msg", "peer did not tell departures", "peer", peer.Name, "took_ms", time.Since(began).Milliseconds(), "err", err) // the log writer counts dropped lines
 	} else {
 		g.reader.NoteDepartures(peer.Name, told)
-		_ = g.log.Log("msg", "departures told", "peer", peer.Name, "count", len(told.All), "since", since, "peer_known_ms", told.KnownForMs, "took_ms", time.Since(began).Milliseconds()) // as above
+		g.relay.WithBalancer(func(b *placement.Balancer, _ *retry.SharedBudget) {
+			for _, d := range told.Said {
+				b.ApplyClosing(began, placement.Closing{Target: d.Target, Generation: d.Generation, Leaving: true})
+			}
+		})
+		_ = g.log.Log("msg", "departures told", "peer", peer.Name, "count", len(told.All), "said", len(told.Said), "since", since, "peer_known_ms", told.KnownForMs, "took_ms", time.Since(began).Milliseconds()) // as above
 	}
 	g.metrics.Scope.Tagged(map[string]string{"end": outcome}).Counter("gateway_departures_asked").Inc(1)
 	g.enquirer.answered(time.Duration(told.KnownForMs) * time.Millisecond)
@@ -162,7 +169,12 @@
 		return
 	}
 	told := g.reader.DeparturesSince(since)
-	if _, ok := g.sendLimiter.Reserve(time.Now(), spread.LinkLoad{Bytes: departureBytes * len(told.All), Outline: true}); !ok {
+	g.relay.WithBalancer(func(b *placement.Balancer, _ *retry.SharedBudget) {
+		for _, c := range b.Leavings() {
+			told.Said = append(told.Said, departure.Departure{Target: c.Target, Generation: c.Generation})
+		}
+	})
+	if _, ok := g.sendLimiter.Reserve(time.Now(), spread.LinkLoad{Bytes: departureBytes * (len(told.All) + len(told.Said)), Outline: true}); !ok {
 		g.metrics.Scope.Counter("gateway_departures_asked_in_vain").Inc(1)
 		http.Error(w, "the link is full; ask another entry VM", http.StatusServiceUnavailable)
 		return
--- a/node/gateway/feed/departures.go
+++ b/node/gateway/feed/departures.go
@@ -61,6 +61,8 @@
 // Departures are the departures that a VM tells another.
 type Departures struct {
 	All []departure.Departure `json:"all,omitempty"`
+	// Said are the targets that have said in a response that they leave, which the store may not know.
+	Said []departure.Departure `json:"said,omitempty"`
 	// KnownForMs is for how long the VM has known all that happened in the store, in milliseconds.
 	KnownForMs int64 `json:"knownFor,omitempty"`
 }
--- a/node/gateway/feed/golden_test.go
+++ b/node/gateway/feed/golden_test.go
@@ -70,7 +70,8 @@
 
 // Guards against departures that old and new entry VMs decode differently: a VM would go on using targets that are gone.
 func TestGoldenDepartures(t *testing.T) {
-	told := feed.Departures{All: []departure.Departure{{Target: "t1", Generation: 1700000000123, Beat: 5}, {Target: "t3", Beat: 900, Gone: true}}, KnownForMs: 61_000}
+	told := feed.Departures{All: []departure.Departure{{Target: "t1", Generation: 1700000000123, Beat: 5}, {Target: "t3", Beat: 900, Gone: true}},
+		Said: []departure.Departure{{Target: "t4", Generation: 1700000000123}}, KnownForMs: 61_000}
 	raw, err := cbor.Marshal(told)
 	assert.NilError(t, err)
 	golden.Assert(t, hexText(raw), "golden/departures.hex")
--- a/node/gateway/leaving_test.go
+++ b/node/gateway/leaving_test.go
@@ -43,3 +43,23 @@
 	requests(60)
 	assert.Check(t, s.targets["t1"].Arrivals() == before, "%d requests once it is listed again", s.targets["t1"].Arrivals()-before)
 }
+
+// Guards against a VM that starts and sends requests to a target that has said to others that it leaves, while the store lists
+// it as ready.
+func TestVMThatStartsIsToldWhatTargetsSaid(t *testing.T) {
+	t.Parallel()
+	s := newTestCluster(t)
+	all := s.startAll(2)
+	s.targets["t1"].SetHeader("Server-Leaving", "1")
+	for i := range 60 {
+		assert.Equal(t, s.request(all[i%2], fmt.Sprint("/read/", i)), 200)
+	}
+	started := s.start(3)
+	within(t, 5*time.Second, "ready", func() bool { return s.ready(started) })
+	within(t, 5*time.Second, "told", func() bool { return s.metric(started, "heatherlock_gateway_departures_asked", "whole") > 0 })
+	before := s.targets["t1"].Arrivals()
+	for i := range 40 {
+		assert.Equal(t, s.request(started, fmt.Sprint("/read/", i)), 200)
+	}
+	assert.Check(t, s.targets["t1"].Arrivals() == before, "%d requests", s.targets["t1"].Arrivals()-before)
+}
--- a/steering/placement/notices.go
+++ b/steering/placement/notices.go
@@ -316,6 +316,17 @@
 	return all
 }
 
+// Leavings returns all targets that have said to this entry VM, or to one that told it, that they leave.
+func (b *Balancer) Leavings() []Closing {
+	var all []Closing
+	for name, n := range b.notices {
+		if n.leaving {
+			all = append(all, Closing{Target: name, Generation: n.generation, Leaving: true})
+		}
+	}
+	return all
+}
+
 // ApplyClosing records what a target said to another entry VM, through which or for which this one sends
 // requests.
 func (b *Balancer) ApplyClosing(now time.Time, c Closing) {
