--- a/cmd/internal/benchfleet/report.go
+++ b/cmd/internal/benchfleet/report.go
@@ -33,7 +33,9 @@
 	}
 	all = append(all,
 		figure{"calls to the store of all VMs in the 10 s after a restore", func(r Row) float64 { return float64(r.RestoreCalls) }},
-		figure{"kB of the busiest VM in the 10 s after a restore", func(r Row) float64 { return float64(r.RestoreBytes) / 1000 }})
+		figure{"kB of the busiest VM in the 10 s after a restore", func(r Row) float64 { return float64(r.RestoreBytes) / 1000 }},
+		figure{"questions for departures of all VMs after some came back", func(r Row) float64 { return float64(r.ReturnQuestions) }},
+		figure{"kB pulled by all VMs after some came back", func(r Row) float64 { return float64(r.ReturnBytes) / 1000 }})
 	for _, name := range times {
 		all = append(all, figure{"s, " + name, func(r Row) float64 { return r.Seconds[name] }})
 	}
--- a/cmd/internal/benchfleet/returns.go
+++ b/cmd/internal/benchfleet/returns.go
@@ -61,9 +61,18 @@
 		returned = append(returned, v)
 	}
 	s.after(c.reached, func() { s.network.away = nil })
+	for _, v := range s.vms {
+		v.count = counters{}
+	}
 	took, ok := s.until(faultLimit, func() bool { return !s.usedBy(returned, gone) })
 	r.recordWorst(TimeReturned, took, ok)
 	s.advance(max(targetHeartbeat-took, 0))
+	questions, bytes := 0, 0
+	for _, v := range s.vms {
+		questions += v.count.Enquiries
+		bytes += v.count.PullBytes + v.count.EnquiryBytes
+	}
+	r.ReturnQuestions, r.ReturnBytes = max(r.ReturnQuestions, questions), max(r.ReturnBytes, bytes)
 }
 
 // leave removes the entries of one of leaveEvery targets, counted from the one at first.
--- a/cmd/internal/benchfleet/scenario.go
+++ b/cmd/internal/benchfleet/scenario.go
@@ -67,6 +67,9 @@
 	// RestoreCalls are the calls to the store of all VMs in the 10 s after a restore of the store, and
 	// RestoreBytes what the VM with most sent and pulled in that time, both in the worst case played.
 	RestoreCalls, RestoreBytes int
+	// ReturnQuestions are the questions for departures of all VMs in the heartbeat of targets after VMs came back, and
+	// ReturnBytes what all VMs pulled from each other in that time, both in the worst case played.
+	ReturnQuestions, ReturnBytes int
 	// Cuts are the cuts of VMs from all targets.
 	Cuts []cutLoad `json:",omitempty"`
 	// Seconds are the times until something was known on the last VM; -1 if it was not in 30 s.
