--- a/node/gateway/feed/state.go
+++ b/node/gateway/feed/state.go
@@ -281,7 +281,7 @@
 		s.lasting.noteWrite(old)
 	}
 	opened := closed && !s.lasting.closes(old)
-	s.turnedCold = s.turnedCold || opened
+	s.turnedCold = s.turnedCold || opened && !changed
 	return changed || opened
 }
 
