List a store again that goes back without a new epoch

Since a read that shows no later position than the one known is ignored. A store that goes back and names no epoch would be ignored until its revision passes what was known: VMs would use targets that are gone, without a log line. Found by reading the change once more; the users' pages say that a store which is restored names its epoch, so nobody has seen it. Change: a read carries the position that was known when it began. One that ends before that position makes the VM list all targets, from which it goes on; one that only lies behind what peers have told meanwhile is ignored as before.

--- a/node/gateway/feed/departures.go
+++ b/node/gateway/feed/departures.go
@@ -12,16 +12,17 @@
 // complete a write seconds late and so list a target again that has removed its entry.
 const recentRemoval = 10 * time.Second
 
-// touch is for how long this VM has known all that happened in the store.
+// touch says for how long this VM has known all that happened in the store. Others rely on that when they ask it.
 type touch struct {
-	// since is when it began to; zero if nothing is known yet.
+	// since is the time from which on it has missed nothing; zero if it knows nothing yet.
 	since time.Time
-	// gap is set once it was out of touch, until that is taken. gapLength is for how long, and before the position
-	// that was known then.
+	// gap is set from the end of a gap until TakeGap is called. gapLength is how long it lasted, and before the
+	// position known at its beginning.
 	gap       bool
 	gapLength time.Duration
 	before    storepos.Position
-	// lost is when the latest gap began; zero for the time before the first data.
+	// lost is when the latest gap began. It is zero if that is the time before the first data, which another VM
+	// can always make up for.
 	lost time.Time
 }
 
--- a/node/gateway/feed/departures_test.go
+++ b/node/gateway/feed/departures_test.go
@@ -151,3 +151,21 @@
 	assert.Assert(t, !open(away, "gone") && open(away, "stays"))
 	assert.Equal(t, away.DeparturesSince(now, storepos.Position{}).KnownForMs, int64(8000), "it knows as much now")
 }
+
+// Guards against a VM that reads nothing more, because the store went back to an earlier revision and named no new epoch.
+func TestStoreThatWentBackIsListedAgain(t *testing.T) {
+	s := readAll(at(100), target("a", 1, false))
+	wentBack := changed(nil, 95)
+	wentBack.Since = at(100)
+	s.ApplyTargetChanges(start, wentBack)
+	assert.Assert(t, s.KnownPosition().IsZero(), "the next read is to be a list")
+	all := listed([]platform.Target{target("a", 1, false), target("b", 1, false)}, 95)
+	s.SetTargets(start, all)
+	assert.Assert(t, open(s, "a") && open(s, "b"))
+	assert.Equal(t, s.KnownPosition(), at(95))
+
+	all = listed([]platform.Target{target("c", 1, false)}, 90)
+	all.Since = at(95)
+	s.SetTargets(start, all)
+	assert.Assert(t, open(s, "c") && !open(s, "a"))
+}
--- a/node/gateway/feed/exchange.go
+++ b/node/gateway/feed/exchange.go
@@ -216,7 +216,7 @@
 	}
 }
 
-// entryFor returns the entry of a target with its remaining times as of now.
+// entryFor returns the entry of a target with times that count from now, since clocks of VMs differ.
 func (s *State) entryFor(now time.Time, name steering.Target) Entry {
 	e := *s.targets[name]
 	e.ColdFor = max(e.coldUntil.Sub(now), 0)
--- a/node/gateway/feed/reader.go
+++ b/node/gateway/feed/reader.go
@@ -356,6 +356,7 @@
 	}
 	all, err := r.store.Targets(ctx)
 	if err == nil {
+		all.Since = since
 		if all.At.Restored(since) {
 			_ = r.log.Log("msg", "targets listed after a restore of the store", "position", all.At, "known_position", since) // the log writer counts the lines that it drops
 		}
@@ -372,6 +373,7 @@
 		if err != nil {
 			return err
 		}
+		found.Since = since
 		r.update(fromStore, func() bool { return r.state.ApplyTargetChanges(time.Now(), found) })
 		r.reportUnusable(found.InvalidEntries, found.Valid())
 		if len(found.Changes) < cutPage || !found.At.After(since) {
--- a/node/gateway/feed/state.go
+++ b/node/gateway/feed/state.go
@@ -167,9 +167,18 @@
 	return s.at.Restored(at) || !s.inconsistent && !at.After(s.at)
 }
 
+// distrust makes this VM read or request all targets if the store is at an earlier position than was known when a
+// read began. It has gone back without a new epoch, and its changes cannot be told from those that were known.
+func (s *State) distrust(since, at storepos.Position) {
+	if at.Before(since) && !since.Restored(at) {
+		s.inconsistent = true
+	}
+}
+
 // SetTargets applies a complete list of targets and reports whether anything relevant changed. A list
 // that shows no later position than the one known is ignored.
 func (s *State) SetTargets(now time.Time, all platform.TargetList) bool {
+	s.distrust(all.Since, all.At)
 	if s.outdated(all.At) {
 		return s.EndHolds(now)
 	}
@@ -226,8 +235,9 @@
 // ApplyTargetChanges applies the changes of targets since the last read and reports whether
 // anything relevant changed.
 func (s *State) ApplyTargetChanges(now time.Time, found platform.TargetChanges) bool {
-	if s.outdated(found.At) {
-		return s.EndHolds(now)
+	s.distrust(found.Since, found.At)
+	if s.inconsistent || s.outdated(found.At) {
+		return s.EndHolds(now) // an inconsistent state needs all targets, not changes
 	}
 	s.noteGap(now)
 	s.detectOutage(now, found.At)
