--- a/node/gateway/departures.go
+++ b/node/gateway/departures.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 	"net/url"
+	"slices"
 	"strconv"
 	"time"
 
@@ -27,9 +28,10 @@
 	// pathDepartures is the path at which an entry VM serves the departures of targets that it knows to its
 	// peers. Builds before it respond with 404.
 	pathDepartures = "/v1/departures"
-	// departureBytes is an upper estimate of the size of a departure in a response.
+	// departureBytes is an upper estimate of the size of a departure in a response: its name and two numbers.
 	departureBytes = 64
-	// maxDeparturesBytes bounds a response.
+	// maxDeparturesBytes bounds what a peer can make this VM hold. A VM remembers as many removed targets as it
+	// has targets, which are tens of thousands at most.
 	maxDeparturesBytes = 4 << 20
 )
 
@@ -38,13 +40,12 @@
 	mu      lock.Mutex
 	enquiry *departure.Enquiry
 	since   storepos.Position
-	heard   map[steering.VM]fleet.Member
 	running bool
 }
 
 func newEnquirer(settings *platform.Settings) *enquirer {
 	silence := feed.OutOfTouchAfter(time.Duration(settings.HeartbeatMs) * time.Millisecond)
-	return &enquirer{enquiry: departure.NewEnquiry(silence), heard: make(map[steering.VM]fleet.Member)}
+	return &enquirer{enquiry: departure.NewEnquiry(silence)}
 }
 
 // begin begins an enquiry after a gap in what this VM knows. It reports whether a worker has to be started.
@@ -59,21 +60,20 @@
 }
 
 // note records a heartbeat of a VM that knows the contents of the store.
-func (e *enquirer) note(now time.Time, from fleet.Member) {
+func (e *enquirer) note(now time.Time, from steering.VM) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.enquiry.Heard(now, from.Name)
-	e.heard[from.Name] = from
+	e.enquiry.Heard(now, from)
 }
 
 // next returns the VM to ask now and from which position on; active is false once the enquiry has ended.
-func (e *enquirer) next(now time.Time) (peer fleet.Member, since storepos.Position, ask, active bool) {
+func (e *enquirer) next(now time.Time) (peer steering.VM, since storepos.Position, ask, active bool) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	name, ask := e.enquiry.Next(now)
+	peer, ask = e.enquiry.Next(now)
 	active = ask || e.enquiry.Active(now)
 	e.running = active
-	return e.heard[name], e.since, ask, active
+	return peer, e.since, ask, active
 }
 
 func (e *enquirer) answered(knows time.Duration) {
@@ -86,7 +86,7 @@
 func (g *Gateway) noteHeard(b fleet.Beat) {
 	now := time.Now()
 	if b.StoreDigest.Revision > 0 {
-		g.enquirer.note(now, b.From)
+		g.enquirer.note(now, b.From.Name)
 	}
 	gap, ended := g.reader.TakeGap()
 	if !ended {
@@ -115,29 +115,36 @@
 	}
 }
 
-// askDepartures asks one VM for departures.
-func (g *Gateway) askDepartures(peer fleet.Member, since storepos.Position) {
+// askDepartures asks one VM for departures. What it tells outlasts later news of the store, so that a response that
+// arrives late does no harm.
+func (g *Gateway) askDepartures(peer steering.VM, since storepos.Position) {
 	began := time.Now()
 	told, err := g.fetchDepartures(peer, since)
 	outcome := "whole"
 	if err != nil {
 		outcome = "broken_off"
-		_ = g.log.Log("msg", "peer did not tell departures", "peer", peer.Name, "took_ms", time.Since(began).Milliseconds(), "err", err) // the log writer counts dropped lines
+		_ = g.log.Log("msg", "peer did not tell departures", "peer", peer, "took_ms", time.Since(began).Milliseconds(), "err", err) // the log writer counts dropped lines
 	} else {
-		g.reader.NoteDepartures(peer.Name, told)
+		g.reader.NoteDepartures(peer, told)
 		g.relay.WithBalancer(func(b *placement.Balancer, _ *retry.SharedBudget) {
 			for _, d := range told.Said {
 				b.ApplyClosing(began, placement.Closing{Target: d.Target, Generation: d.Generation, Leaving: true})
 			}
 		})
-		_ = g.log.Log("msg", "departures told", "peer", peer.Name, "count", len(told.All), "said", len(told.Said), "since", since, "peer_known_ms", told.KnownForMs, "took_ms", time.Since(began).Milliseconds()) // as above
+		_ = g.log.Log("msg", "departures told", "peer", peer, "count", len(told.All), "said", len(told.Said), "since", since, "peer_known_ms", told.KnownForMs, "took_ms", time.Since(began).Milliseconds()) // as above
 	}
 	g.metrics.Scope.Tagged(map[string]string{"end": outcome}).Counter("gateway_departures_asked").Inc(1)
 	g.enquirer.answered(time.Duration(told.KnownForMs) * time.Millisecond)
 }
 
 // fetchDepartures asks a peer for the departures that a VM may lack which has learned nothing since a position.
-func (g *Gateway) fetchDepartures(from fleet.Member, since storepos.Position) (told feed.Departures, err error) {
+func (g *Gateway) fetchDepartures(peer steering.VM, since storepos.Position) (told feed.Departures, err error) {
+	all := g.fleet.Live()
+	i := slices.IndexFunc(all, func(m fleet.Member) bool { return m.Name == peer })
+	if i < 0 {
+		return told, errors.New("gateway: the peer is no longer heard")
+	}
+	from := all[i]
 	query := url.Values{paramSince: {strconv.FormatInt(since.Revision, 10)}, paramEpoch: {strconv.FormatUint(since.Epoch, 10)}}
 	ctx, stall := platform.WithStallTimeout(context.Background(), pullTimeout)
 	defer stall.Release()
@@ -162,7 +169,8 @@
 	return told, nil
 }
 
-// serveDepartures answers a peer that asks for departures.
+// serveDepartures tells a peer the departures that it may lack. On a full link the peer is sent elsewhere rather than kept
+// waiting: it goes on using targets meanwhile.
 func (g *Gateway) serveDepartures(w http.ResponseWriter, r *http.Request) {
 	since, ok := positionOf(w, r)
 	if !ok {
--- a/steering/departure/departure.go
+++ b/steering/departure/departure.go
@@ -43,12 +43,13 @@
 	return c > 0 || c == 0 && d.Gone && !o.Gone
 }
 
-// Ledger holds the latest departure of each target. The zero value is not ready to use; see NewLedger.
+// Ledger holds the latest departure of each target, also of targets that are not listed now: they may be listed again by
+// an older write.
 type Ledger struct {
 	known map[steering.Target]Departure
 }
 
-// NewLedger returns an empty ledger.
+// NewLedger returns a ledger without departures. The zero value cannot record any.
 func NewLedger() Ledger { return Ledger{make(map[steering.Target]Departure)} }
 
 // Note records a departure unless a later one of the target is known. It reports whether it was recorded.
@@ -75,7 +76,8 @@
 // Revoke forgets the departure of a target, which has said something later.
 func (l Ledger) Revoke(name steering.Target) { delete(l.known, name) }
 
-// Trim drops the departures of targets that are not to be remembered.
+// Trim drops the departures of targets that are not to be remembered, so that the ledger does not grow with each target
+// that ever was.
 func (l Ledger) Trim(remembered func(steering.Target) bool) {
 	for name := range l.known {
 		if !remembered(name) {
--- a/steering/departure/enquiry.go
+++ b/steering/departure/enquiry.go
@@ -40,8 +40,14 @@
 	answering bool
 }
 
-// hearing is when a VM was heard last, when it came back into hearing, and when it was asked last.
-type hearing struct{ last, returned, asked time.Time }
+// hearing is what an enquiry knows of another VM.
+type hearing struct {
+	last time.Time // of its heartbeats
+	// returned is when it was heard again after a silence: it was on the other side of a cut, or one of them
+	// stood still.
+	returned time.Time
+	asked    time.Time // last
+}
 
 // NewEnquiry returns an enquiry that has not begun. silence is the time without a read of the store from which on a VM is
 // out of touch.
@@ -120,7 +126,8 @@
 	}
 }
 
-// trim forgets VMs that have not been heard for long, once there are many.
+// trim bounds the memory for VMs of earlier names. One that is forgotten counts as back when it is heard again, which
+// costs one question at most.
 func (e *Enquiry) trim(now time.Time) {
 	if len(e.heard) < manyVMs {
 		return
