Note a time out of touch whatever ends it, and let it end by what knows only

A VM that was cut off could count as one that had missed nothing, ask nobody, and tell others so: it used targets that had left for as long as the store listed an older write of them, and made those that knew use them again. Cause: a gap was noted where changes were applied, and not where a VM takes over the position of one with equal targets, nor with a read that shows nothing new; and what a VM told that was cut off as well ended a gap. Change: a gap ends with data that is not itself out of date, on each way in.

--- a/cmd/internal/benchfleet/report.go
+++ b/cmd/internal/benchfleet/report.go
@@ -35,6 +35,7 @@
 		figure{"calls to the store of all VMs in the 10 s after a restore", func(r Row) float64 { return float64(r.RestoreCalls) }},
 		figure{"kB of the busiest VM in the 10 s after a restore", func(r Row) float64 { return float64(r.RestoreBytes) / 1000 }},
 		figure{"questions for departures of all VMs after some came back", func(r Row) float64 { return float64(r.ReturnQuestions) }},
+		figure{"cases in which a VM used targets again that had left", func(r Row) float64 { return float64(r.Reopened) }},
 		figure{"kB pulled by all VMs after some came back", func(r Row) float64 { return float64(r.ReturnBytes) / 1000 }})
 	for _, name := range times {
 		all = append(all, figure{"s, " + name, func(r Row) float64 { return r.Seconds[name] }})
--- a/cmd/internal/benchfleet/returns.go
+++ b/cmd/internal/benchfleet/returns.go
@@ -1,6 +1,7 @@
 package benchfleet
 
 import (
+	"slices"
 	"time"
 
 	"heatherlock/platform"
@@ -10,20 +11,29 @@
 // returnCase is a cut of some VMs from the store and from all other VMs.
 type returnCase struct {
 	zone bool // a whole zone; else every fourth VM
-	// forgets is set if the store has dropped its history meanwhile, says if targets report that they leave
-	// before their entries are removed, and reached is how much later than the store the other VMs are
-	// reached again.
-	forgets, says bool
-	reached       time.Duration
+	// forgets is set if the store has dropped its history meanwhile. reached is how much later than the store the
+	// other VMs are reached again.
+	forgets bool
+	word    lastWord
+	reached time.Duration
 }
 
+// lastWord is what the store holds in the end of a target that leaves.
+type lastWord string
+
+const (
+	silent  lastWord = "silent"  // its entry is removed without a word
+	says    lastWord = "says"    // it reports that it leaves, and its entry is removed
+	rewrite lastWord = "rewrite" // it reports that it leaves, and the store completes an older write late
+)
+
 func returnCases() []returnCase {
 	var all []returnCase
 	for _, zone := range []bool{false, true} {
 		for _, forgets := range []bool{false, true} {
-			for _, says := range []bool{false, true} {
+			for _, word := range []lastWord{silent, says, rewrite} {
 				for _, reached := range []time.Duration{0, 400 * time.Millisecond} {
-					all = append(all, returnCase{zone, forgets, says, reached})
+					all = append(all, returnCase{zone, forgets, word, reached})
 				}
 			}
 		}
@@ -50,23 +60,38 @@
 			s.network.away[v], v.turnedAway = true, true
 		}
 	}
-	gone := s.leave(n, c.says)
+	gone := s.leave(n, c.word)
 	s.advance(awayTime)
 	if c.forgets {
 		s.store.forgotten = s.store.revision
 	}
-	var returned []*vm
-	for v := range s.network.away {
-		v.turnedAway = false
-		returned = append(returned, v)
+	var returned, others []*vm
+	for _, v := range s.vms {
+		if s.network.away[v] {
+			v.turnedAway = false
+			returned = append(returned, v)
+			continue
+		}
+		others = append(others, v)
 	}
 	s.after(c.reached, func() { s.network.away = nil })
 	for _, v := range s.vms {
 		v.count = counters{}
 	}
-	took, ok := s.until(faultLimit, func() bool { return !s.usedBy(returned, gone) })
+	reopened := false
+	took, ok := s.until(faultLimit, func() bool {
+		reopened = reopened || s.usedBy(others, gone)
+		return !s.usedBy(returned, gone)
+	})
 	r.recordWorst(TimeReturned, took, ok)
-	s.advance(max(targetHeartbeat-took, 0))
+	s.until(max(targetHeartbeat-took, 0), func() bool {
+		reopened = reopened || s.usedBy(s.vms, gone)
+		return false
+	})
+	if reopened {
+		r.Reopened++
+	}
+	s.store.remove(func(t platform.Target) bool { return slices.Contains(gone, t.Name) })
 	questions, bytes := 0, 0
 	for _, v := range s.vms {
 		questions += v.count.Enquiries
@@ -75,8 +100,8 @@
 	r.ReturnQuestions, r.ReturnBytes = max(r.ReturnQuestions, questions), max(r.ReturnBytes, bytes)
 }
 
-// leave removes the entries of one of leaveEvery targets, counted from the one at first.
-func (s *sim) leave(first int, says bool) []steering.Target {
+// leave makes one of leaveEvery targets leave, counted from the one at first.
+func (s *sim) leave(first int, word lastWord) []steering.Target {
 	chosen := make(map[steering.Target]bool)
 	var names []steering.Target
 	for i := first; i < len(s.store.targets); i += leaveEvery {
@@ -84,9 +109,13 @@
 		names = append(names, s.store.targets[i].Name)
 	}
 	match := func(t platform.Target) bool { return chosen[t.Name] }
-	if says {
-		s.store.change(match, func(t *platform.Target) { t.Leaving = true })
-		s.advance(time.Second)
+	if word != silent {
+		s.store.change(match, func(t *platform.Target) { t.Leaving, t.Beat = true, t.Beat+1 })
+		s.advance(2 * time.Second) // known to all that are not away
+	}
+	if word == rewrite {
+		s.store.change(match, func(t *platform.Target) { t.Leaving, t.Beat = false, t.Beat-2 }) // change counts one write
+		return names
 	}
 	s.store.remove(match)
 	return names
--- a/cmd/internal/benchfleet/scenario.go
+++ b/cmd/internal/benchfleet/scenario.go
@@ -70,6 +70,8 @@
 	// ReturnQuestions are the questions for departures of all VMs in the heartbeat of targets after VMs came back, and
 	// ReturnBytes what all VMs pulled from each other in that time, both in the worst case played.
 	ReturnQuestions, ReturnBytes int
+	// Reopened is in how many cases a VM used targets again that had left and that it had closed.
+	Reopened int
 	// Cuts are the cuts of VMs from all targets.
 	Cuts []cutLoad `json:",omitempty"`
 	// Seconds are the times until something was known on the last VM; -1 if it was not in 30 s.
--- a/node/gateway/feed/departures.go
+++ b/node/gateway/feed/departures.go
@@ -41,9 +41,11 @@
 	return !s.readAt.IsZero() && now.Sub(s.readAt) > OutOfTouchAfter(s.heartbeatInterval)
 }
 
-// noteGap is called before new data of targets is applied, and records that this VM was out of touch until now.
-func (s *State) noteGap(now time.Time) {
+// noteGap is called before data of targets is applied that reflects the store at a time, and records that this VM was out
+// of touch until now. What another VM tells that is out of touch itself ends no gap.
+func (s *State) noteGap(now, reflects time.Time) {
 	switch {
+	case now.Sub(reflects) > OutOfTouchAfter(s.heartbeatInterval):
 	case s.touch.since.IsZero():
 		s.touch = touch{since: now, gap: true, before: s.at}
 	case s.outOfTouch(now) && !s.touch.since.After(s.readAt):
--- a/node/gateway/feed/departures_test.go
+++ b/node/gateway/feed/departures_test.go
@@ -21,6 +21,25 @@
 
 func open(s *feed.State, name steering.Target) bool { return s.Open(name) }
 
+// Guards against a VM that was out of touch and takes itself for one that knows, because the targets of the VM that it hears first are
+// equal to its own.
+func TestGapIsNotedAlsoIfTheTargetsAreEqual(t *testing.T) {
+	s, peer := readAll(at(10), target("a", 1, false)), readAll(at(10), target("a", 1, false))
+	s.TakeGap()
+	now := start.Add(8 * time.Second)
+	fellow := readAll(at(10), target("a", 1, false))
+	s.Merge(now, fellow.Digest(now))
+	_, ended := s.TakeGap()
+	assert.Assert(t, !ended, "the other one was cut off as well")
+	peer.ApplyTargetChanges(now, changed(nil, 20))
+	peer.MarkRead(now)
+	pull, _ := s.Merge(now, peer.Digest(now))
+	assert.Assert(t, !pull && s.KnownPosition() == at(20))
+	gap, ended := s.TakeGap()
+	assert.Assert(t, ended && gap.Since == at(10))
+	assert.Equal(t, s.DeparturesSince(now, at(20)).KnownForMs, int64(0))
+}
+
 // Guards against VMs that open a target whose leaving they know, because another VM has read an older write of it that
 // the store did late.
 func TestLateWriteDoesNotOpenTargetThatLeaves(t *testing.T) {
--- a/node/gateway/feed/exchange.go
+++ b/node/gateway/feed/exchange.go
@@ -39,6 +39,11 @@
 	return storepos.Position{Epoch: m.Epoch, Revision: revision}
 }
 
+// readAt returns when the read of the store began that the digest is based on.
+func (m Digest) readAt(now time.Time) time.Time {
+	return now.Add(-time.Duration(m.AgeMs) * time.Millisecond)
+}
+
 // inOwnEpoch returns an epoch that a peer names, or that of the state if the peer is of a build that
 // names none.
 func (s *State) inOwnEpoch(epoch uint64) uint64 {
@@ -90,6 +95,7 @@
 		// heartbeats are missing. Each VM resolves that by itself.
 		return newer, changed
 	}
+	s.noteGap(now, m.readAt(now))
 	s.advance(now, at)
 	if s.inconsistent {
 		s.inconsistent, s.historyStart = false, at // equal hashes show that the targets are correct after all
@@ -241,7 +247,7 @@
 	if s.at.IsZero() {
 		s.historyStart = at
 	}
-	s.noteGap(now)
+	s.noteGap(now, k.Digest.readAt(now))
 	known := s.at
 	s.noteDepartures(now, k.Departures)
 	names := s.applyEntries(now, k)
--- a/node/gateway/feed/state.go
+++ b/node/gateway/feed/state.go
@@ -178,11 +178,11 @@
 // SetTargets applies a complete list of targets and reports whether anything relevant changed. A list
 // that shows no later position than the one known is ignored.
 func (s *State) SetTargets(now time.Time, all platform.TargetList) bool {
+	s.noteGap(now, now)
 	s.distrust(all.Since, all.At)
 	if s.outdated(all.At) {
 		return s.EndHolds(now)
 	}
-	s.noteGap(now)
 	s.detectOutage(now, all.At)
 	listed := make(map[steering.Target]bool, len(all.Targets))
 	var changed []steering.Target
@@ -235,11 +235,11 @@
 // ApplyTargetChanges applies the changes of targets since the last read and reports whether
 // anything relevant changed.
 func (s *State) ApplyTargetChanges(now time.Time, found platform.TargetChanges) bool {
+	s.noteGap(now, now)
 	s.distrust(found.Since, found.At)
 	if s.inconsistent || s.outdated(found.At) {
 		return s.EndHolds(now) // an inconsistent state needs all targets, not changes
 	}
-	s.noteGap(now)
 	s.detectOutage(now, found.At)
 	var changed []steering.Target
 	for _, c := range found.Changes {
