Reset a connection that ends with a body of unknown length, whatever ends it

What callers saw: a caller of HTTP/1.0 that reads a response of unknown length gets a part of it and an orderly end of the connection if the entry VM's process ends meanwhile, and takes the part for the whole. Nobody is known to have seen it.

Cause: such a body ends with its connection, and a break-off was marked by code that runs when a write fails. When the process ends, by the end of its stop, SIGKILL or a crash, the kernel closes the connection in the usual way.

Change: while such a body is written, the connection is set to be reset on close; that is undone once the body is complete.

--- a/node/gateway/buffering/kernel.go
+++ b/node/gateway/buffering/kernel.go
@@ -56,11 +56,23 @@
 	return 0
 }
 
+// ResetOnClose sets whether closing a connection resets it, also if the kernel closes it because the process ends. What its
+// peer has not received is then discarded.
+func ResetOnClose(c net.Conn, on bool) {
+	tcp := tcpOf(c)
+	if tcp == nil {
+		return
+	}
+	seconds := -1 // the kernel's default
+	if on {
+		seconds = 0
+	}
+	_ = tcp.SetLinger(seconds) // on an error the connection is closed in the usual way
+}
+
 // Reset makes closing a connection discard what its peer has not received, and frees that memory.
 // The peer sees a reset, so that a response without a stated length does not look complete.
 func Reset(c net.Conn) {
-	if tcp := tcpOf(c); tcp != nil {
-		_ = tcp.SetLinger(0) // on an error the connection is closed in the usual way
-	}
+	ResetOnClose(c, true)
 	_ = c.Close() // an error makes no difference, as the connection is not used any more
 }
--- a/node/gateway/callers/write.go
+++ b/node/gateway/callers/write.go
@@ -21,18 +21,24 @@
 		c.abort(a)
 		return
 	}
+	// The end of the connection is the end of such a body. Until it is complete, the connection is reset by
+	// whatever ends it, the end of the process included.
+	endsBody := a.BodyRest != nil && a.Length < 0 && !r.ProtoAtLeast(1, 1)
+	if endsBody {
+		buffering.ResetOnClose(c.raw, true)
+	}
 	w := bufio.NewWriterSize(&buffering.Writer{Conn: c.raw, Claim: claim, Side: buffers.Caller, HoldBack: holdBackOf(a)}, writeBufferSize)
 	err := writeAnswer(w, a, r, closing)
 	if err == nil {
 		err = w.Flush()
 	}
 	if err != nil {
-		if a.BodyRest != nil && a.Length < 0 && !r.ProtoAtLeast(1, 1) {
-			buffering.Reset(c.raw) // an orderly close would end the body as if it were complete
-		}
 		c.abort(a)
 		return
 	}
+	if endsBody {
+		buffering.ResetOnClose(c.raw, false)
+	}
 	if closing {
 		c.unwritable.Store(true)
 		_ = c.raw.SetReadDeadline(time.Now().Add(lingerTimeout))
--- a/node/gateway/stopend_test.go
+++ b/node/gateway/stopend_test.go
@@ -67,3 +67,37 @@
 	assert.Equal(t, len(s.targets["t1"].Runs())+len(s.targets["t2"].Runs()) > 0, true)
 	assert.NilError(t, <-v.done)
 }
+
+// Guards against an upload that ends without an answer because its caller is still sending the body when its VM has to end.
+func TestUploadInProgressIsAnsweredBeforeAStopEnds(t *testing.T) {
+	t.Parallel()
+	s := newTestCluster(t)
+	s.route("photo", "upload")
+	s.routes[len(s.routes)-1]["timeoutMs"] = 20_000
+	s.configure()
+	v := s.startAll(2)[0]
+	within(t, 3*time.Second, "routes", func() bool { return s.request(v, "/read/1") == 200 })
+	conn, err := net.Dial("tcp4", v.settings.Listen.Callers)
+	assert.NilError(t, err)
+	defer conn.Close()
+	_, err = fmt.Fprintf(conn, "PUT /photo/1 HTTP/1.1\r\nHost: shop.example\r\nX-Request-Id: up-1\r\nX-Deadline-Ms: 18000\r\nContent-Length: 1000000\r\n\r\n")
+	assert.NilError(t, err)
+	_, err = conn.Write(make([]byte, 600<<10))
+	assert.NilError(t, err)
+	go func() { // ends with the connection
+		for {
+			if _, err := conn.Write(make([]byte, 1<<10)); err != nil {
+				return
+			}
+			time.Sleep(50 * time.Millisecond)
+		}
+	}()
+	time.Sleep(200 * time.Millisecond)
+	v.stop()
+	began := time.Now()
+	assert.NilError(t, conn.SetReadDeadline(began.Add(6*time.Second)))
+	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	assert.NilError(t, err, "no answer after %v", time.Since(began))
+	assert.Equal(t, response.StatusCode, http.StatusBadGateway)
+	assert.NilError(t, <-v.done)
+}
