--- a/soak/chills.go
+++ b/soak/chills.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"strings"
 	"sync"
 	"time"
 )
@@ -81,6 +82,7 @@
 func (s *system) checkChill(t *target, coldAt time.Time) {
 	arrivals := t.ArrivedAfter(coldAt)
 	first, most, early, by := 0, 0, 0, make(map[string]int)
+	var each []string
 	for n, a := range arrivals {
 		if a.At.After(coldAt.Add(chillSpan)) {
 			break
@@ -92,12 +94,13 @@
 		if known, ok := s.thawSent.Load(a.ID); ok {
 			request := known.(thawed)
 			by[request.vm]++
+			each = append(each, fmt.Sprintf("%s sent to %s at %d ms, arrived at %d ms", a.ID, request.vm, request.sent.Sub(coldAt).Milliseconds(), a.At.Sub(coldAt).Milliseconds()))
 			if request.sent.Before(coldAt) {
 				early++
 			}
 		}
 	}
 	if most > loftAllowed {
-		s.findings.add("%s got %d requests in a second while it was cold and the store was away, %d allowed; in all %v by entry VM, %d sent before it", t.name, most, loftAllowed, by, early)
+		s.findings.add("%s got %d requests in a second while it was cold and the store was away, %d allowed; in all %v by entry VM, %d sent before it: %s", t.name, most, loftAllowed, by, early, strings.Join(each, "; "))
 	}
 }
