Compare the age of the store's read with the clock at each request

Cause: whether the store is away was a flag that a periodic task sets, and that began as "it is not". A VM that has just started, or has stood still, sent without asking the target for up to half a second. A digest without data says age 0, which was taken for a read just now. Class: a mode that follows from a time is set from time to time and begins in the wrong state.

Change: the time of the read is noted, and each request compares it with the clock; until it is noted the store counts as away.

TestTargetsAreAskedOnceTheReadIsTooOldWhateverTellsIt failed before in both of its cases. TestColdChecksOnlyWhereTheyMatter says the time of a read where it set the flag. Tests of relay, feed and placement pass.

--- a/node/gateway/feed/reader.go
+++ b/node/gateway/feed/reader.go
@@ -154,10 +154,15 @@
 
 // Known reports whether the contents of the store are known.
 func (r *Reader) Known() bool {
+	_, known := r.Age()
+	return known
+}
+
+// Age returns how old the read of the store is that the state is based on. known is false if there was none.
+func (r *Reader) Age() (age time.Duration, known bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	_, known := r.state.Age(time.Now())
-	return known
+	return r.state.Age(time.Now())
 }
 
 // Rank returns how many entry VMs read the store before this one.
--- a/node/gateway/gateway.go
+++ b/node/gateway/gateway.go
@@ -152,7 +152,7 @@
 		PeerMeter: func(raw net.Conn, to steering.VM) net.Conn {
 			return g.meter.Conn(raw, volume.PassedOn, g.fleet.LocationOf(to))
 		},
-		Metrics: relayMetrics, StoreAge: func() time.Duration { return time.Duration(g.reader.Digest().AgeMs) * time.Millisecond },
+		Metrics: relayMetrics, StoreAge: g.storeAge,
 		MemberCount: func() int { return g.fleet.AnsweringCount() }, Behind: func() bool { _, _, behind := g.reader.Behind(); return behind }, ConfigOutdated: g.outdated,
 		Meter: g.meter, Allowances: g.allowanceService, Shares: g.shares, TargetLimits: g.allowanceService,
 		MemoryBytes: int64(settings.MemoryMB) << 20})
@@ -171,6 +171,15 @@
 	return g, g.newFleet()
 }
 
+// storeAge returns how old what this VM knows of the store is; 0 if it knows nothing.
+func (g *Gateway) storeAge() time.Duration {
+	age, known := g.reader.Age()
+	if !known {
+		return 0
+	}
+	return age
+}
+
 // storeRestored is called when the store has been restored from an older copy of itself.
 func (g *Gateway) storeRestored(before, after uint64) {
 	known := g.reader.Digest()
@@ -249,7 +258,9 @@
 		case <-ctx.Done():
 		case <-ticker.C:
 			g.updateAgreement()
-			g.relay.SetStoreAge(time.Duration(g.reader.Digest().AgeMs) * time.Millisecond)
+			if age, known := g.reader.Age(); known {
+				g.relay.SetStoreAge(age)
+			}
 		case <-g.membersChanged:
 			g.updateMembership()
 			sleep(ctx, membershipInterval)
--- a/node/gateway/maintenance.go
+++ b/node/gateway/maintenance.go
@@ -112,7 +112,7 @@
 	newest, behindFor, _ := g.reader.Behind()
 	scope.Gauge("gateway_config_newest").Update(float64(newest))
 	scope.Gauge("gateway_config_behind_ms").Update(float64(behindFor.Milliseconds()))
-	scope.Gauge("gateway_store_age_ms").Update(float64(g.reader.Digest().AgeMs))
+	scope.Gauge("gateway_store_age_ms").Update(float64(g.storeAge().Milliseconds()))
 	scope.Gauge("gateway_store_revision").Update(float64(g.reader.Digest().Revision))
 	scope.Gauge("gateway_store_epoch").Update(float64(g.store.Epoch()))
 	scope.Gauge("gateway_read_rank").Update(float64(g.reader.Rank()))
--- a/node/gateway/relay/coldcheck.go
+++ b/node/gateway/relay/coldcheck.go
@@ -22,22 +22,26 @@
 // coldChecks are the checks that run, by target. Each is closed when it has ended.
 type coldChecks map[steering.Target]chan struct{}
 
-// SetStoreAge passes on how old what this VM knows of the store is.
+// SetStoreAge passes on how old what this VM knows of the store is now.
 func (f *Relay) SetStoreAge(age time.Duration) {
-	away := age > placement.ColdKnownFor
-	if f.storeAway.Swap(away) == away {
-		return
-	}
+	readAt := time.Now().Add(-age)
+	f.storeReadAt.Store(&readAt)
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.cfg.Balancer.SetStoreAway(away)
+	f.cfg.Balancer.SetStoreRead(readAt)
+}
+
+// storeAway reports whether the store cannot say what has become cold. It does not take the lock, as each request asks.
+func (f *Relay) storeAway(now time.Time) bool {
+	readAt := f.storeReadAt.Load()
+	return readAt == nil || placement.StoreAway(now, *readAt)
 }
 
 // turnedCold reports whether the target of a pick has become cold while the store cannot say so. It asks the target,
 // or waits for the answer to a check that runs.
 func (x *exchange) turnedCold(ctx context.Context, pick placement.Pick) bool {
 	f, t := x.f, pick.Target
-	if !f.storeAway.Load() {
+	if !f.storeAway(time.Now()) {
 		return false
 	}
 	for range 2 { // the second time, to find out what the check of another request showed
--- a/node/gateway/relay/coldcheck_test.go
+++ b/node/gateway/relay/coldcheck_test.go
@@ -9,6 +9,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"heatherlock/node/gateway/relay"
 	"heatherlock/node/gateway/upstream"
 	"heatherlock/standin/endpoint"
 	"heatherlock/steering"
@@ -98,3 +99,26 @@
 	}
 	assert.Check(t, g.targets[0].Checks() > 0)
 }
+
+// Guards against full traffic to a target that has become cold, from a VM that has just started or stood still while the store is away.
+func TestTargetsAreAskedOnceTheReadIsTooOldWhateverTellsIt(t *testing.T) {
+	for name, known := range map[string]func(*relay.Relay){
+		"just started": func(*relay.Relay) {},
+		"told before then": func(f *relay.Relay) {
+			f.SetStoreAge(placement.ColdKnownFor - 50*time.Millisecond)
+			time.Sleep(100 * time.Millisecond)
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := newRig(t, 1, nil)
+			old := g.relay.Table()
+			g.relay.SetTable(routes.NewTable(2, old.Routes, []*routes.Service{{Name: service, MaxConnections: 50, HealthPath: endpoint.HealthPath}}, old.Limits))
+			g.relay.SetTargets([]placement.Target{{Name: "target-0", Service: service, Address: g.targets[0].Address(), Zone: "a", Region: "centro", Slots: 3, ColdRate: 1}})
+			known(g.relay)
+			for range 20 {
+				assert.Equal(t, g.ask(http.MethodGet, "/read/1", "", time.Second).status, http.StatusOK)
+			}
+			assert.Assert(t, g.targets[0].Checks() > 0)
+		})
+	}
+}
--- a/node/gateway/relay/relay.go
+++ b/node/gateway/relay/relay.go
@@ -164,8 +164,8 @@
 	waitingVMs   waitingVMs
 	coldChecks   coldChecks
 	checks       uint64 // of the links, which vary the sample of targets
-	// storeAway is set while what is known of the store is old.
-	storeAway atomic.Bool
+	// storeReadAt is as of when the store is known; nil until SetStoreAge is called.
+	storeReadAt atomic.Pointer[time.Time]
 	// shownConfig is the newest version by which another VM has handled a request for this one.
 	shownConfig atomic.Uint64
 	closed      chan struct{}
--- a/steering/placement/balancer.go
+++ b/steering/placement/balancer.go
@@ -26,11 +26,11 @@
 	lending      RegionSplit
 	// coldSenders is how many entry VMs may send requests to one cold target.
 	coldSenders int
-	// storeAway is set while what is known of the store is old.
-	storeAway bool
-	replaced  replacements
-	notices   notices
-	runTimes  *runtimes.Model
+	// storeReadAt is as of when the store is known; zero if it is not.
+	storeReadAt time.Time
+	replaced    replacements
+	notices     notices
+	runTimes    *runtimes.Model
 	// owned reports whether this VM owns a target; nil if targets have no owners.
 	owned func(Target) bool
 	// weightSteps holds the targets with a weight below 1, also those that are not declared now.
--- a/steering/placement/coldchecks.go
+++ b/steering/placement/coldchecks.go
@@ -57,15 +57,20 @@
 	return rate
 }
 
-// SetStoreAway sets whether what is known of the store is older than ColdKnownFor, so that a target may have become
-// cold without its entry saying so here.
-func (b *Balancer) SetStoreAway(away bool) { b.storeAway = away }
+// StoreAway reports whether what is known of the store, as it was at readAt, is older than ColdKnownFor, so that a target
+// may have become cold without its entry saying so here. Nothing is known with a zero readAt.
+func StoreAway(now, readAt time.Time) bool {
+	return readAt.IsZero() || now.Sub(readAt) > ColdKnownFor
+}
+
+// SetStoreRead sets as of when the store is known.
+func (b *Balancer) SetStoreRead(at time.Time) { b.storeReadAt = at }
 
 // ColdCheckDue reports whether a target is to be asked whether it is cold before a request is sent to it: the store
 // does not tell, and all VMs together send so much that a cold target would get too much.
 func (b *Balancer) ColdCheckDue(now time.Time, t Target) bool {
 	s := b.stateOf(t)
-	if !b.storeAway || s == nil || s.ColdRate <= 0 || s.cold(now) {
+	if !StoreAway(now, b.storeReadAt) || s == nil || s.ColdRate <= 0 || s.cold(now) {
 		return false
 	}
 	rate := s.coldChecks.rate(now) * b.sendersTo(now, s)
--- a/steering/placement/coldchecks_test.go
+++ b/steering/placement/coldchecks_test.go
@@ -33,7 +33,7 @@
 		for i := range vms {
 			vms[i] = newBalancer(names[i], all...)
 			vms[i].SetPeers(map[steering.Region][]steering.VM{"centro": names})
-			vms[i].SetStoreAway(true)
+			vms[i].SetStoreRead(start.Add(-time.Minute))
 		}
 		turned := start.Add(6 * time.Second)
 		warm := turned.Add(3 * time.Second)
@@ -98,9 +98,11 @@
 			all := targets(1, "centro")
 			all[0].ColdRate = c.coldRate
 			b := newBalancer("vm", all...)
-			b.SetStoreAway(c.away)
 			due := false
 			for now := start; now.Before(start.Add(10 * time.Second)); now = now.Add(c.every) {
+				if !c.away {
+					b.SetStoreRead(now)
+				}
 				pick, _ := serve(b, now, request("key"), placement.Served)
 				due = due || b.ColdCheckDue(now, pick.Target)
 			}
