Ask targets of another region whether they are cold, whatever this VM sends them

What callers saw: nothing yet.

Cause: a VM asks a target only if all VMs together send it more than a cold one may get. It estimates that from its own rate and the VMs of its region; for a target of another region it took itself for the only one. A VM of the other region sent six requests that another one had passed on, within 15 ms, and did not ask. Class: what is not known was counted as nothing.

TestTargetOfAnotherRegionIsAskedBeforeTheFirstRequest failed before.

--- a/steering/placement/coldchecks.go
+++ b/steering/placement/coldchecks.go
@@ -67,17 +67,17 @@
 func (b *Balancer) SetStoreRead(at time.Time) { b.storeReadAt = at }
 
 // ColdCheckDue reports whether a target is to be asked whether it is cold before a request is sent to it: the store
-// does not tell, and all VMs together send so much that a cold target would get too much.
+// does not tell, and all VMs together send so much that a cold target would get too much, or may do so.
 func (b *Balancer) ColdCheckDue(now time.Time, t Target) bool {
 	s := b.stateOf(t)
 	if !StoreAway(now, b.storeReadAt) || s == nil || s.ColdRate <= 0 || s.cold(now) {
 		return false
 	}
 	rate := s.coldChecks.rate(now) * b.sendersTo(now, s)
-	if rate <= s.ColdRate {
-		return false
+	if rate <= s.ColdRate && s.Region == b.region {
+		return false // what the VMs of another region send to their targets is not known here
 	}
-	holds := time.Duration(coldLeakShare * s.ColdRate / rate * float64(time.Second))
+	holds := time.Duration(coldLeakShare * s.ColdRate / math.Max(rate, s.ColdRate) * float64(time.Second))
 	return now.Sub(s.coldChecks.checkedAt) > min(max(holds, minColdCheck), maxColdCheck)
 }
 
--- a/steering/placement/coldchecks_test.go
+++ b/steering/placement/coldchecks_test.go
@@ -110,3 +110,17 @@
 		})
 	}
 }
+
+// Guards against a burst at a cold target of another region: this VM sends it little, but its own region's VMs may send it what it may get.
+func TestTargetOfAnotherRegionIsAskedBeforeTheFirstRequest(t *testing.T) {
+	all := targets(1, "norte")
+	all[0].ColdRate = 10
+	b := newBalancer("vm", all...)
+	b.SetStoreRead(start)
+	assert.Assert(t, !b.ColdCheckDue(start.Add(placement.ColdKnownFor), all[0]))
+	now := start.Add(placement.ColdKnownFor + time.Millisecond)
+	assert.Assert(t, b.ColdCheckDue(now, all[0]))
+	b.ColdChecked(now, all[0], 0, true)
+	assert.Assert(t, !b.ColdCheckDue(now.Add(100*time.Millisecond), all[0]))
+	assert.Assert(t, b.ColdCheckDue(now.Add(time.Second), all[0]))
+}
