Keep all that a target may have said last of its limit

What callers saw: nothing known; in a simulation a target that names a limit got more than that, as the limit was not in force (TestNamedLimitHoldsInAnyOrderOfArrival, rapid).

Cause: of statements whose order is not certain the lowest was kept and the others were forgotten. Once the lowest ends, one of those may be what the target said last.

Change: all statements that may be the latest are kept, one for each limit, and the lowest of them holds.

Its two callers say the same checks on the new type; "the same, told back" now says that it was told, which is what it stands for. Tests of placement and allowances and those of limits in relay pass.

--- a/node/gateway/allowances/fleet_test.go
+++ b/node/gateway/allowances/fleet_test.go
@@ -53,7 +53,7 @@
 	toldAt  time.Time
 
 	mu            sync.Mutex
-	known         placement.NamedLimit
+	known         placement.StatedLimits
 	notices       *placement.Balancer
 	noCreditUntil time.Time
 }
@@ -198,7 +198,7 @@
 func (v *limitedVM) limit() placement.NamedLimit {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	return v.known
+	return v.known.Current()
 }
 
 // heard records what the target said in a response to this VM, and reports whether the service is to be told.
@@ -206,7 +206,7 @@
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	changed := v.notices.Heard(said.HeardAt, t, placement.Notice{Limited: said.InForce, Limit: said.PerSecond, AskedAt: said.AskedAt, Complete: true})
-	v.known = v.known.With(said)
+	v.known.Add(said)
 	return changed.Limit || changed.LimitEnded
 }
 
@@ -214,7 +214,7 @@
 func (v *limitedVM) apply(said placement.NamedLimit) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	v.known = v.known.With(said)
+	v.known.Add(said)
 	v.notices.ApplyLimit(time.Now(), placement.Target{Name: "t1"}, said)
 }
 
--- a/node/gateway/allowances/targets.go
+++ b/node/gateway/allowances/targets.go
@@ -15,7 +15,8 @@
 
 // targetLimit is the limit that a target names, as this VM or another heard it last.
 type targetLimit struct {
-	placement.NamedLimit
+	placement.NamedLimit // the one to go by
+	stated               placement.StatedLimits
 	// region is the target's region, if this VM sends requests to the target. One of the VMs there
 	// owns the limit.
 	region steering.Region
@@ -73,7 +74,7 @@
 func (s *Service) noteLimit(now time.Time, id allowance.ID, region steering.Region, said placement.NamedLimit) *targetLimit {
 	known := s.targets[id]
 	if known == nil {
-		known = &targetLimit{NamedLimit: said}
+		known = &targetLimit{}
 		s.targets[id] = known
 		if len(s.targets) == 1 && s.cfg.OnFirstLimit != nil {
 			go s.cfg.OnFirstLimit()
@@ -82,7 +83,8 @@
 	if region != "" {
 		known.region = region
 	}
-	known.NamedLimit = known.With(said)
+	known.stated.Add(said)
+	known.NamedLimit = known.stated.Current()
 	if a := s.accounts[id]; a != nil && known.InForce {
 		a.Configure(now, known.limit(), s.members)
 	}
--- a/steering/placement/count.go
+++ b/steering/placement/count.go
@@ -23,7 +23,7 @@
 
 // count counts a target with a notice.
 func (c *TargetCounts) count(now time.Time, n *notice) {
-	if n.limit.InForce {
+	if n.stated.Current().InForce {
 		c.Limited++
 	}
 	if n.restUntil.After(now) {
--- a/steering/placement/namedlimit_test.go
+++ b/steering/placement/namedlimit_test.go
@@ -26,9 +26,14 @@
 		"lower, asked before":       {placement.NamedLimit{InForce: true, PerSecond: 1, AskedAt: at(0), HeardAt: at(7)}, placement.NamedLimit{InForce: true, PerSecond: 1, AskedAt: at(0), HeardAt: at(7)}},
 		"lower, heard before asked": {placement.NamedLimit{InForce: true, PerSecond: 1, AskedAt: at(0), HeardAt: at(1)}, named},
 		"the same again":            {placement.NamedLimit{InForce: true, PerSecond: 2.6, AskedAt: at(3), HeardAt: at(4)}, placement.NamedLimit{InForce: true, PerSecond: 2.6, AskedAt: at(3), HeardAt: at(4)}},
-		"the same, told back":       {placement.NamedLimit{InForce: true, PerSecond: 2.6, AskedAt: at(0.9), HeardAt: at(2.1)}, named},
+		"the same, told back":       {placement.NamedLimit{InForce: true, PerSecond: 2.6, AskedAt: at(0.9), HeardAt: at(2.1), Told: true}, named},
 	} {
-		t.Run(name, func(t *testing.T) { assert.DeepEqual(t, named.With(c.said), c.want) })
+		t.Run(name, func(t *testing.T) {
+			var stated placement.StatedLimits
+			stated.Add(named)
+			stated.Add(c.said)
+			assert.DeepEqual(t, stated.Current(), c.want)
+		})
 	}
 }
 
@@ -50,12 +55,13 @@
 			return response{asked, said, said + rapid.IntRange(0, 3*period).Draw(t, "late")}
 		})).Draw(t, "responses")
 		slices.SortStableFunc(responses, func(a, b response) int { return a.heard - b.heard })
-		known := placement.NamedLimit{}
+		var stated placement.StatedLimits
 		heardSince := -1 // the earliest response of the present limit that was heard while it was in force
 		for _, r := range responses {
 			said := inForce(r.said)
 			said.AskedAt, said.HeardAt = moment(r.asked), moment(r.heard)
-			known = known.With(said)
+			stated.Add(said)
+			known := stated.Current()
 			now, began := inForce(r.heard), min(r.heard/period, len(limits)-1)*period
 			if heardSince < began {
 				heardSince = -1
@@ -69,7 +75,8 @@
 		}
 		last := inForce(period * 100)
 		last.AskedAt, last.HeardAt = moment(period*100), moment(period*101)
-		known = known.With(last)
+		stated.Add(last)
+		known := stated.Current()
 		assert.Assert(t, known.InForce == last.InForce && known.PerSecond == last.PerSecond, "%+v", known)
 	})
 }
--- a/steering/placement/notices.go
+++ b/steering/placement/notices.go
@@ -44,7 +44,7 @@
 type notice struct {
 	generation steering.Generation
 	heardAt    time.Time
-	limit      NamedLimit
+	stated     StatedLimits
 	// limitEndedAt is when a limit ended last. endConfirmed is set once a request has been answered without a
 	// limit that was sent endConfirmation later.
 	limitEndedAt time.Time
@@ -78,11 +78,15 @@
 
 // limitOf returns the limit that a target names, or nil.
 func (n notices) limitOf(t Target) *NamedLimit {
-	if found := n.of(t); found != nil && found.limit.InForce {
-		limit := found.limit
-		return &limit
+	found := n.of(t)
+	if found == nil {
+		return nil
 	}
-	return nil
+	limit := found.stated.Current()
+	if !limit.InForce {
+		return nil
+	}
+	return &limit
 }
 
 // leaving reports whether a target has said that it leaves.
@@ -248,7 +252,7 @@
 	case known.leaving, known.restUntil.After(now):
 		return false
 	}
-	return p.Limit != nil || !known.limit.InForce
+	return p.Limit != nil || !known.stated.Current().InForce
 }
 
 // addNotice adds an empty notice of a target.
@@ -261,13 +265,14 @@
 
 // setLimit records what a target said of its limit, and reports whether another limit holds than before.
 func (b *Balancer) setLimit(now time.Time, t Target, known *notice, said NamedLimit) bool {
-	before := known.limit
-	known.limit = before.With(said)
-	if known.limit.InForce == before.InForce && known.limit.PerSecond == before.PerSecond {
+	before := known.stated.Current()
+	known.stated.Add(said)
+	limit := known.stated.Current()
+	if compareLimits(before, limit) == 0 {
 		return false
 	}
 	known.limitEndedAt, known.endConfirmed = time.Time{}, false
-	if !known.limit.InForce {
+	if !limit.InForce {
 		known.limitEndedAt = now
 		known.noCreditUntil, known.returnsAt, known.returnTime = time.Time{}, now, returnTime
 	} else {
