Tell goroutines, connections to targets and accounts of callers in the metrics

What a VM holds for callers and targets that have left could be seen in bytes and connections only. Four gauges tell the rest: gateway_goroutines, gateway_target_connections, gateway_target_pools and gateway_caller_accounts. TestPageOfMetrics, and the tests of upstream and buffering, pass.

--- a/node/gateway/buffering/vm.go
+++ b/node/gateway/buffering/vm.go
@@ -48,6 +48,10 @@
 	held, heldBack := v.Held()
 	v.scope.Gauge("gateway_held_bytes").Update(float64(held))
 	v.scope.Gauge("gateway_connections_held_back").Update(float64(heldBack))
+	v.mu.Lock()
+	accounts := len(v.accounts)
+	v.mu.Unlock()
+	v.scope.Gauge("gateway_caller_accounts").Update(float64(accounts))
 }
 
 // Held returns the bytes that are held, and the number of connections that are held back.
--- a/node/gateway/maintenance.go
+++ b/node/gateway/maintenance.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"runtime"
 	"time"
 
 	"heatherlock/node/gateway/volume"
@@ -120,6 +121,10 @@
 	scope.Gauge("gateway_caller_connections").Update(float64(g.callers.Connections()))
 	scope.Gauge("gateway_caller_connections_accepted").Update(float64(g.callers.Accepted()))
 	g.buffers.UpdateGauges()
+	pools, connections := g.pool.Held()
+	scope.Gauge("gateway_target_pools").Update(float64(pools))
+	scope.Gauge("gateway_target_connections").Update(float64(connections))
+	scope.Gauge("gateway_goroutines").Update(float64(runtime.NumGoroutine()))
 	for service, left := range tries {
 		scope.Tagged(map[string]string{"service": string(service)}).Gauge("gateway_tries_left").Update(left)
 	}
--- a/node/gateway/upstream/pool.go
+++ b/node/gateway/upstream/pool.go
@@ -144,6 +144,19 @@
 	return slices.ContainsFunc(h.idle, func(c *conn) bool { return c.usable(now) })
 }
 
+// Held returns for how many targets the pool holds anything, and how many connections are open.
+func (p *Pool) Held() (targets, connections int) {
+	p.mu.Lock()
+	all := slices.Collect(maps.Values(p.targets))
+	p.mu.Unlock()
+	for _, h := range all {
+		h.mu.Lock()
+		connections += h.open
+		h.mu.Unlock()
+	}
+	return len(all), connections
+}
+
 // CloseUnusedSince closes the idle connections that carried nothing since a time.
 func (p *Pool) CloseUnusedSince(since time.Time) {
 	p.mu.Lock()
