Let a finish end a loss of the same moment in any order of arrival

What callers saw: nothing known; in a simulation a page that is asked for all the time was refused on two of three VMs while the third served it (TestBusyPageRecovers, rapid).

Cause: losses up to the time of a normal finish do not count, but a loss of that very moment that was heard after the finish did. VMs that heard the two in different orders went on differently, and the one that serves the page has nothing more to tell.

Two VMs finish a copy in the step in which the third loses a target; only the third, which hears of the finishes after its loss, goes on.

Change: a loss counts only if it is later than the finish, as the record says.

TestFinishEndsALossOfTheSameMomentInAnyOrder failed before in one of its two orders.

--- a/steering/poison/share.go
+++ b/steering/poison/share.go
@@ -164,7 +164,7 @@
 	l.markLost(now, f.Target, at)
 	weak := l.recordTargetLoss(now, f.Target, at)
 	r := l.record(now, f.ID)
-	if at.Before(r.cleared) {
+	if !at.After(r.cleared) {
 		return
 	}
 	n := loss{target: f.Target, count: min(f.Deaths, maxFactLosses), at: at, weak: weak, onTrial: f.Alone}
--- a/steering/poison/targetstate_test.go
+++ b/steering/poison/targetstate_test.go
@@ -175,3 +175,18 @@
 		}
 	})
 }
+
+// Guards against a page that one VM serves and others refuse, because a loss and a normal finish at the same moment reach them in
+// different orders.
+func TestFinishEndsALossOfTheSameMomentInAnyOrder(t *testing.T) {
+	now := time.Unix(1000, 0)
+	page := Fingerprints{Content: 7, BodyComplete: true}
+	id := page.Content
+	finished, lost := Fact{ID: id}, Fact{ID: id, Target: targetOf(1), Deaths: 2, Alone: true}
+	for name, facts := range map[string][]Fact{"loss first": {lost, finished}, "finish first": {finished, lost}} {
+		l := New(Config{})
+		l.MergeFacts(now.Add(-time.Second), []Fact{{ID: id, Target: targetOf(0), Deaths: 1}})
+		l.MergeFacts(now, facts)
+		assert.Assert(t, l.Check(now, page, true).Kind != Refuse, name)
+	}
+}
