Check goroutines, accounts and connections of targets that are gone in the soak

A run now notes how many goroutines each VM has before the first caller comes, and checks them at its end; with -soak.settle it waits until attempts of callers that have left must have ended (they go on for up to 30 s where the caller states no deadline), and checks the accounts too. A VM that holds something gets SIGQUIT, so that its goroutines are in its log.

Builds with a planted leak were not played to the end.

--- a/soak/parts.go
+++ b/soak/parts.go
@@ -105,7 +105,8 @@
 const (
 	// answerBound is how long an entry VM without recent faults may take to answer a readiness probe.
 	answerBound = 3 * time.Second
-	// releaseBound is how long after the last caller has left an entry VM may still hold something for callers.
+	// releaseBound is how long after the last caller has left an entry VM may still hold something for callers, beside
+	// attempts that go on.
 	releaseBound = 6 * time.Second
 )
 
@@ -135,17 +136,23 @@
 	}
 }
 
-// checkReleased checks that entry VMs hold nothing for callers once these have left.
-func (s *system) checkReleased() {
+// checkReleased checks that entry VMs hold nothing for callers once these have left, and with settle that attempts have
+// ended as well.
+func (s *system) checkReleased(settle bool) {
 	left := time.Now()
+	if settle {
+		time.Sleep(longestAttempt)
+	}
+	bound := time.Since(left) + releaseBound
 	for _, d := range s.daemons {
 		held := []string{"not asked"}
-		for len(held) > 0 && time.Since(left) < releaseBound {
+		for len(held) > 0 && time.Since(left) < bound {
 			time.Sleep(300 * time.Millisecond)
-			held = s.heldBy(d)
+			held = s.heldBy(d, time.Since(left))
 		}
 		if len(held) > 0 {
-			s.findings.add("%s holds something %v after the last caller has left: %v", d.name, releaseBound, held)
+			d.signal(syscall.SIGQUIT) // its goroutines are in its log then
+			s.findings.add("%s holds something %v after the last caller has left: %v", d.name, bound, held)
 		}
 	}
 }
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -25,6 +25,8 @@
 	BasePort int
 	// Without names the parts that are left out.
 	Without []string
+	// Settle waits until attempts whose callers have left must have ended, before it is checked what is held.
+	Settle bool
 	// KeepLogs keeps the logs of the daemons. A run with findings keeps them in any case.
 	KeepLogs bool
 }
@@ -60,6 +62,9 @@
 	if err := s.awaitReady(); err != nil {
 		return Report{Logs: dir}, err
 	}
+	if err := s.noteGoroutines(); err != nil {
+		return Report{Logs: dir}, err
+	}
 	f.mu.Lock()
 	f.began = time.Now()
 	f.mu.Unlock()
@@ -87,7 +92,7 @@
 	go s.watchDaemons(watched)
 	all.Wait()
 	close(watched)
-	s.checkReleased()
+	s.checkReleased(o.Settle)
 	s.mu.Lock()
 	s.checkRuns(l)
 	s.checkStatements(l)
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -19,6 +19,7 @@
 	daemons = flag.Int("soak.daemons", 5, "entry VMs")
 	without = flag.String("soak.without", "", "parts to leave out, separated by commas")
 	build   = flag.String("soak.binary", "", "the daemon to play instead of the one that is built, such as an earlier one")
+	settle  = flag.Bool("soak.settle", false, "wait half a minute after each run, and check what is held then")
 	race    = flag.Bool("soak.race", false, "build the daemon with the race detector")
 )
 
@@ -39,7 +40,7 @@
 }
 
 func options(seed uint64, binary string) Options {
-	return Options{Seed: seed, Length: *length, Daemons: *daemons, Targets: 8, Callers: 12, Binary: binary, Without: strings.Split(*without, ","), BasePort: 23000 + int(seed%400)*8}
+	return Options{Seed: seed, Length: *length, Daemons: *daemons, Targets: 8, Callers: 12, Binary: binary, Without: strings.Split(*without, ","), Settle: *settle, BasePort: 23000 + int(seed%400)*8}
 }
 
 // TestGuaranteesHoldUnderRandomFaults guards against violated guarantees (a request that
--- a/soak/system.go
+++ b/soak/system.go
@@ -60,6 +60,8 @@
 	// linkCuts are the times in which entry VMs reached no target, and linksCut tells which do now.
 	linkCuts []*linkCut
 	linksCut []bool
+	// goroutinesBefore is the most that an entry VM had before the first caller came.
+	goroutinesBefore float64
 }
 
 // target is a target that entry VMs reach through a proxy.
