Take the steps of a stop by what is due, also after a standstill

What callers saw: a VM that stands still while it leaves broke off what it had in hand without an answer, and so each request that came later: it went on accepting connections, and never ended by itself.

Cause: a loop that looks at the clock took the steps of a stop, and ended with the time for the whole of it. If the VM stood still across the rest of that time, neither the final responses were given nor the port was closed, on which the process then waited. Class: a step that is due only between two times is left out by who is not looking then.

Change: steering/gracefulstop says what is due by the time alone, and each step stays due. Final responses get their time although theirs has passed. The port is closed in any case. The soak finds VMs that go on although they were told to stop.

TestStepsOfAStopAreDueAfterAStandstill, and the tests of stops in node/gateway pass.

--- a/node/gateway/gateway.go
+++ b/node/gateway/gateway.go
@@ -386,6 +386,7 @@
 	_ = g.log.Log("msg", "started", "vm", g.settings.VM, "zone", g.settings.Zone)
 	<-ctx.Done()
 	g.shutdown(listener)
+	_ = listener.Close()
 	_ = peers.Close() // nothing runs there any more
 	stop()
 	g.closeServers()
--- a/node/gateway/shutdown.go
+++ b/node/gateway/shutdown.go
@@ -37,11 +37,16 @@
 			_ = g.log.Log("msg", "cannot remove own record from the store", "err", err) // the log writer counts dropped lines
 		}
 	})
-	for since := time.Since(began); since < plan.End; since = time.Since(began) {
-		if since >= plan.Keep {
+	progress := gracefulstop.NewProgress(plan)
+	for {
+		due := progress.Next(time.Since(began))
+		if due.Close {
 			g.callers.StartDrain() // starting it again in later rounds has no effect
 		}
-		if since > plan.Accept {
+		if due.Answer {
+			g.relay.EndStop() // ending it again in later rounds has no effect
+		}
+		if due.Reject {
 			_ = listener.Close() // closing it again in later rounds has no effect
 			g.callers.CloseIdle()
 			g.passedOn.CloseIdle()
@@ -49,8 +54,8 @@
 				break
 			}
 		}
-		if since >= plan.Answer {
-			g.relay.EndStop() // ending it again in later rounds has no effect
+		if due.End {
+			break
 		}
 		time.Sleep(shutdownPollInterval)
 	}
--- a/soak/daemon.go
+++ b/soak/daemon.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"fmt"
 	"os"
 	"os/exec"
@@ -29,12 +30,20 @@
 	// that fails around that time is no finding.
 	interruptedAt time.Time
 	terminatedAt  time.Time // time of the last SIGTERM
+	terminated    int       // the boot that got it
 	signals       []time.Time
 	boots         int
 	stopped       bool
 	ended         chan struct{}
 }
 
+const (
+	// stopBound is the time within which an entry VM ends that is told to stop: its grace time, and room for a busy machine.
+	stopBound = 8 * time.Second
+	// longestPause is longer than an entry VM is paused.
+	longestPause = 4 * time.Second
+)
+
 // restartPause is the delay between the exit of a process and its restart.
 const restartPause = 300 * time.Millisecond
 
@@ -59,6 +68,9 @@
 	defer close(d.ended)
 	for {
 		process, err := d.start()
+		if errors.Is(err, errStopped) {
+			return
+		}
 		if err != nil {
 			report("%s did not start: %v", d.name, err)
 			return
@@ -95,9 +107,15 @@
 	return string(log[max(len(log)-lastWordsBytes, 0):])
 }
 
+// errStopped reports that stop was called.
+var errStopped = errors.New("soak: the run is over")
+
 func (d *daemon) start() (*os.Process, error) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	if d.stopped {
+		return nil, errStopped
+	}
 	log, err := os.OpenFile(filepath.Join(d.dir, d.name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	if err != nil {
 		return nil, err
@@ -123,7 +141,7 @@
 	}
 	switch s {
 	case syscall.SIGTERM:
-		d.terminatedAt = time.Now()
+		d.terminatedAt, d.terminated = time.Now(), d.boots
 	case syscall.SIGKILL, syscall.SIGSTOP, syscall.SIGCONT:
 		d.interruptedAt = time.Now()
 	}
@@ -151,6 +169,13 @@
 	return d.boots, time.Since(d.interruptedAt) > span && time.Since(d.terminatedAt) > span+10*time.Second && d.process != nil
 }
 
+// overdue reports whether the daemon goes on although it was told to stop, and is not paused.
+func (d *daemon) overdue() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.process != nil && d.terminated == d.boots && time.Since(d.terminatedAt) > stopBound && time.Since(d.interruptedAt) > longestPause
+}
+
 // signalledWithin reports whether the daemon got a signal that kills, stops, pauses or resumes it between
 // two times, or so shortly before that it had not recovered yet.
 func (d *daemon) signalledWithin(from, to time.Time) bool {
--- a/soak/parts.go
+++ b/soak/parts.go
@@ -120,6 +120,10 @@
 		case <-time.After(time.Second):
 		}
 		for _, d := range s.daemons {
+			if d.overdue() {
+				d.signal(syscall.SIGQUIT) // its goroutines are in its log then
+				s.findings.add("%s goes on although it was told to stop", d.name)
+			}
 			boot, calm := d.undisturbed(quietPeriod)
 			if !calm {
 				continue
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -2,14 +2,19 @@
 
 import (
 	"flag"
+	"fmt"
+	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"heatherlock/standin/endpoint"
 )
 
 var (
@@ -76,6 +81,58 @@
 	}
 }
 
+// Guards against an entry VM that stands still while it leaves, and afterwards neither answers what it has nor ends.
+func TestVMThatStandsStillDuringItsStopEnds(t *testing.T) {
+	o := options(1, buildDaemon(t, ""))
+	o.BasePort += 8000
+	o.Daemons, o.Without = 2, []string{"pipelines", "uploads", "owners", "strays", "chills"}
+	s, err := newSystem(o, t.TempDir(), &findings{began: time.Now()})
+	assert.NilError(t, err)
+	defer s.close()
+	s.addPartRoute("long", "safe", serviceName, 400*time.Millisecond, 20*time.Second, 0)
+	version := s.writeConfig()
+	assert.NilError(t, s.awaitReady())
+	d := s.daemons[0]
+	for gauges := map[string]float64{}; gauges["gateway_config_version"] < float64(version); time.Sleep(100 * time.Millisecond) {
+		gauges, err = s.gaugesOf(d)
+		assert.NilError(t, err)
+	}
+	for _, x := range s.allTargets {
+		x.SetFault(func(*http.Request) endpoint.Fault { return endpoint.Dark })
+	}
+	request, err := http.NewRequest(http.MethodGet, fmt.Sprintf("http://%s/long/1", d.address(s.ports[0])), nil)
+	assert.NilError(t, err)
+	request.Host = host
+	request.Header.Set("Api-Key", apiKeyOf(workspaceNames[0]))
+	request.Header.Set("X-Request-Id", "long-1")
+	request.Header.Set("X-Deadline-Ms", "18000")
+	status := make(chan int, 1)
+	go func() {
+		response, err := http.DefaultTransport.RoundTrip(request)
+		if err != nil {
+			status <- 0
+			return
+		}
+		_ = response.Body.Close()
+		status <- response.StatusCode
+	}()
+	time.Sleep(300 * time.Millisecond)
+	d.signal(syscall.SIGTERM)
+	time.Sleep(time.Second)
+	d.signal(syscall.SIGSTOP)
+	time.Sleep(6 * time.Second) // the whole of its grace time
+	d.signal(syscall.SIGCONT)
+	assert.Equal(t, <-status, http.StatusBadGateway)
+	ended := func() bool {
+		d.mu.Lock()
+		defer d.mu.Unlock()
+		return d.process == nil || d.boots > 1
+	}
+	for end := time.Now().Add(3 * time.Second); !ended(); time.Sleep(50 * time.Millisecond) {
+		assert.Assert(t, time.Now().Before(end), "it goes on")
+	}
+}
+
 var replayFailed = flag.Bool("soak.cases", false, "play the seeds that have failed")
 
 // failedSeeds maps seeds that once failed to the observed failure and its cause as far as it
--- a/steering/gracefulstop/gracefulstop_test.go
+++ b/steering/gracefulstop/gracefulstop_test.go
@@ -76,3 +76,26 @@
 	s := gracefulstop.Plan(6*time.Second, 2*time.Second)
 	assert.Equal(t, s, gracefulstop.Schedule{Keep: 2 * time.Second, Accept: 2800 * time.Millisecond, Answer: 5300 * time.Millisecond, End: 5500 * time.Millisecond})
 }
+
+// Guards against a step of a stop that is left out, and requests that get no final response, because the VM stood still when it was due.
+func TestStepsOfAStopAreDueAfterAStandstill(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		plan := gracefulstop.Plan(time.Duration(rapid.IntRange(1, 30).Draw(t, "grace"))*time.Second, 2*time.Second)
+		p := gracefulstop.NewProgress(plan)
+		answered := time.Duration(-1)
+		for since := time.Duration(0); ; since += time.Duration(rapid.IntRange(1, 9000).Draw(t, "ms")) * time.Millisecond {
+			due := p.Next(since)
+			assert.Equal(t, due.Close, since >= plan.Keep)
+			assert.Equal(t, due.Reject, since > plan.Accept)
+			assert.Equal(t, due.Answer, since >= plan.Answer)
+			if due.Answer && answered < 0 {
+				answered = since
+			}
+			if due.End {
+				assert.Assert(t, due.Close && due.Reject && due.Answer && since >= plan.End && since-answered >= plan.End-plan.Answer)
+				return
+			}
+			assert.Assert(t, since < plan.End || since-answered < plan.End-plan.Answer)
+		}
+	})
+}
