Ask each VM of the soak at least once what it holds

All VMs share the time in which they may release what they hold, so that behind one that holds something the others were not asked.

--- a/soak/parts.go
+++ b/soak/parts.go
@@ -149,7 +149,7 @@
 	}
 	bound := time.Since(left) + releaseBound
 	for _, d := range s.daemons {
-		held := []string{"not asked"}
+		held := s.heldBy(d, time.Since(left))
 		for len(held) > 0 && time.Since(left) < bound {
 			time.Sleep(300 * time.Millisecond)
 			held = s.heldBy(d, time.Since(left))
