Count VMs that leave among those that send to a target which may be cold

What callers saw: nothing yet.

Cause: a VM asks a target whether it is cold if all VMs together send it more than a cold one may get, by its own rate times the VMs that callers are directed to. Those that leave are not among them, though their callers keep connections for a while.

Change: VMs of the region that leave and are heard count as senders.

TestLeavingVMsCountAsSendersOfColdChecks: no question without them, one with them. The tests of cold checks in placement and relay, and those of fleet, pass.

--- a/node/gateway/fleet/fleet.go
+++ b/node/gateway/fleet/fleet.go
@@ -312,6 +312,13 @@
 	return f.roster.ServingIn(f.cfg.Clock(), zone, selfServes)
 }
 
+// LeavingIn returns the number of other members of a zone that are heard and leave.
+func (f *Fleet) LeavingIn(zone steering.Zone) int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.roster.LeavingIn(f.cfg.Clock(), zone)
+}
+
 // WithoutCutOff returns the members that are not known to be cut off from all targets. selfCutOff says
 // whether this VM is.
 func (f *Fleet) WithoutCutOff(all []Member, selfCutOff bool) []Member {
--- a/node/gateway/fleet/views.go
+++ b/node/gateway/fleet/views.go
@@ -175,6 +175,17 @@
 	return all
 }
 
+// LeavingIn returns the number of other members of a zone that are heard and leave.
+func (r *Roster) LeavingIn(now time.Time, zone steering.Zone) int {
+	n := 0
+	for _, h := range r.zones[zone] {
+		if r.live(now, h) && h.leaving {
+			n++
+		}
+	}
+	return n
+}
+
 // WithoutCutOff returns the members that are not known to be cut off from all targets. selfCutOff says
 // whether this VM is.
 func (r *Roster) WithoutCutOff(all []Member, selfCutOff bool) []Member {
--- a/node/gateway/gateway.go
+++ b/node/gateway/gateway.go
@@ -282,16 +282,19 @@
 // VMs without callers, and cold targets would hardly get any requests.
 func (g *Gateway) updateColdSenders() {
 	var names []steering.VM
+	leaving := 0
 	for zone, region := range g.settings.Zones {
 		if region != g.settings.Region {
 			continue
 		}
+		leaving += g.fleet.LeavingIn(zone)
 		for _, m := range g.namedIn(zone) {
 			names = append(names, m.Name)
 		}
 	}
 	slices.Sort(names)
 	g.relay.WithBalancer(func(balancer *placement.Balancer, _ *retry.SharedBudget) {
+		balancer.SetLeavingPeers(leaving)
 		if !slices.Equal(names, g.coldSenders) {
 			g.coldSenders = names
 			balancer.SetPeers(map[steering.Region][]steering.VM{g.settings.Region: names})
--- a/steering/placement/balancer.go
+++ b/steering/placement/balancer.go
@@ -26,6 +26,8 @@
 	lending      RegionSplit
 	// coldSenders is how many entry VMs may send requests to one cold target.
 	coldSenders int
+	// leavingPeers is how many other VMs of this region leave.
+	leavingPeers int
 	// storeReadAt is as of when the store is known; zero if it is not.
 	storeReadAt time.Time
 	replaced    replacements
--- a/steering/placement/coldchecks.go
+++ b/steering/placement/coldchecks.go
@@ -81,12 +81,16 @@
 	return now.Sub(s.coldChecks.checkedAt) > min(max(holds, minColdCheck), maxColdCheck)
 }
 
+// SetLeavingPeers sets how many VMs of this region leave. Their callers keep connections to them for a while, so that they
+// send requests although no caller is directed to them any more.
+func (b *Balancer) SetLeavingPeers(n int) { b.leavingPeers = n }
+
 // sendersTo returns how many VMs send requests to a target, if all of them get as many from their callers.
 func (b *Balancer) sendersTo(now time.Time, s *targetState) float64 {
 	if b.owned != nil && s.service.hasOwners(now) {
 		return 1
 	}
-	return 1 + float64(len(b.peers[s.Region]))
+	return 1 + float64(len(b.peers[s.Region])+b.leavingPeers)
 }
 
 // ColdChecked records the result of a check: for how much longer the target is cold, 0 if it is not. A target that did
--- a/steering/placement/coldchecks_test.go
+++ b/steering/placement/coldchecks_test.go
@@ -124,3 +124,19 @@
 	assert.Assert(t, !b.ColdCheckDue(now.Add(100*time.Millisecond), all[0]))
 	assert.Assert(t, b.ColdCheckDue(now.Add(time.Second), all[0]))
 }
+
+// Guards against full traffic to a cold target from VMs that leave, each of which takes those of its region that stay for all that send.
+func TestLeavingVMsCountAsSendersOfColdChecks(t *testing.T) {
+	all := targets(1, "centro")
+	all[0].ColdRate = 10
+	for leaving, want := range []bool{false, true} {
+		b := newBalancer("vm", all...)
+		b.SetLeavingPeers(leaving)
+		due := false
+		for now := start; now.Before(start.Add(10 * time.Second)); now = now.Add(150 * time.Millisecond) {
+			pick, _ := serve(b, now, request("key"), placement.Served)
+			due = due || b.ColdCheckDue(now, pick.Target)
+		}
+		assert.Equal(t, due, want, "%d leave", leaving)
+	}
+}
