--- a/node/gateway/allowances/fleet_test.go
+++ b/node/gateway/allowances/fleet_test.go
@@ -142,8 +142,8 @@
 // request sends a request from a caller of v to the target, unless its limit rules that out.
 func (f *limitFleet) request(v *limitedVM, run time.Duration) {
 	sender := v
-	if v.helper != nil {
-		sender = v.helper
+	if helper := v.throughHelper(); helper != nil {
+		sender = helper
 		sender.apply(v.limit().Tell(time.Now()).Limit(time.Now()))
 		defer func() { v.apply(sender.limit().Tell(time.Now()).Limit(time.Now())) }()
 	}
@@ -195,6 +195,19 @@
 	return v.noCreditUntil
 }
 
+// throughHelper returns the VM that sends the requests of this one, or nil.
+func (v *limitedVM) throughHelper() *limitedVM {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.helper
+}
+
+func (v *limitedVM) setHelper(helper *limitedVM) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.helper = helper
+}
+
 func (v *limitedVM) limit() placement.NamedLimit {
 	v.mu.Lock()
 	defer v.mu.Unlock()
@@ -234,11 +247,18 @@
 	}
 }
 
+// arrived returns the requests that have reached the target.
+func (f *limitFleet) arrived() []arrival {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return slices.Clone(f.arrivals)
+}
+
 // check checks what the target got from VMs that were told, and how much of its limit was used until end.
 func (f *limitFleet) check(end time.Duration, leastUsed float64) {
 	f.t.Helper()
 	first, most, told, used := 0, 0, []time.Duration(nil), 0
-	for _, a := range f.arrivals {
+	for _, a := range f.arrived() {
 		if a.at > f.named+limitStable && a.at < end {
 			if a.credited {
 				used++
@@ -288,9 +308,9 @@
 		f.callUntil(20 * time.Second)
 		f.check(20*time.Second, 0.9)
 		f.callUntil(23 * time.Second)
-		before := len(f.arrivals)
+		before := len(f.arrived())
 		f.callUntil(26 * time.Second)
-		served := float64(len(f.arrivals)-before) / (3 * demandFactor * f.limit)
+		served := float64(len(f.arrived())-before) / (3 * demandFactor * f.limit)
 		assert.Check(f.t, served >= 0.75, "%.2f of the requests from 3 s after the limit's end on", served)
 	})
 }
@@ -301,11 +321,11 @@
 	playLimits(t, func(f *limitFleet) {
 		cut := len(f.vms) * 5 / 6
 		for _, v := range f.vms[:cut] {
-			v.helper = f.vms[cut+f.rng.IntN(len(f.vms)-cut)]
+			v.setHelper(f.vms[cut+f.rng.IntN(len(f.vms)-cut)])
 		}
 		f.callUntil(9 * time.Second)
 		for _, v := range f.vms {
-			v.helper = nil
+			v.setHelper(nil)
 		}
 		f.callUntil(20 * time.Second)
 		f.check(20*time.Second, 0.9)
