Tell connections to and from other entry VMs in the metrics, and count them in the soak

The check was wrong; it counts them by the new gauge gateway_peer_connections instead, and is as strict for all else. TestPageOfMetrics passes.

--- a/node/gateway/gateway.go
+++ b/node/gateway/gateway.go
@@ -68,6 +68,8 @@
 	store       *platform.Store
 	relay       *relay.Relay
 	pool        *upstream.Pool
+	// peerPool holds the connections by which requests are passed on to other VMs.
+	peerPool    *upstream.Pool
 	fleet       *fleet.Fleet
 	reader      *feed.Reader
 	fetcher     *catchup.Fetcher
@@ -139,8 +141,8 @@
 	}
 	g.store.OnBytes = func(bytes int) { g.meter.Count(volume.Store, volume.Location{}, int64(bytes)) }
 	g.store.OnEpoch = g.storeRestored
-	peers := upstream.NewPool(upstream.Dial, platform.RequestIDOf)
-	peers.AcceptUnnamed = relay.IsPeerResponse
+	g.peerPool = upstream.NewPool(upstream.Dial, platform.RequestIDOf)
+	g.peerPool.AcceptUnnamed = relay.IsPeerResponse
 	b := settings.Bounds
 	relayMetrics := relay.NewMetrics(scope)
 	g.pool.OnUnmatched = relayMetrics.Unmatched
@@ -148,7 +150,7 @@
 		Balancer: placement.NewBalancer(settings.VM, settings.Region),
 		Retry:    retry.NewSharedBudget(retryConfig(b)),
 		Log:      logger, TargetHeartbeatInterval: time.Duration(settings.HeartbeatMs) * time.Millisecond,
-		VM: settings.VM, Incarnation: presence.Incarnation(g.incarnation), Peers: peers, OnLinksChange: g.linksChanged,
+		VM: settings.VM, Incarnation: presence.Incarnation(g.incarnation), Peers: g.peerPool, OnLinksChange: g.linksChanged,
 		PeerMeter: func(raw net.Conn, to steering.VM) net.Conn {
 			return g.meter.Conn(raw, volume.PassedOn, g.fleet.LocationOf(to))
 		},
--- a/node/gateway/maintenance.go
+++ b/node/gateway/maintenance.go
@@ -124,6 +124,8 @@
 	pools, connections := g.pool.Held()
 	scope.Gauge("gateway_target_pools").Update(float64(pools))
 	scope.Gauge("gateway_target_connections").Update(float64(connections))
+	_, toPeers := g.peerPool.Held()
+	scope.Gauge("gateway_peer_connections").Update(float64(toPeers + g.passedOn.Connections()))
 	scope.Gauge("gateway_goroutines").Update(float64(runtime.NumGoroutine()))
 	for service, left := range tries {
 		scope.Tagged(map[string]string{"service": string(service)}).Gauge("gateway_tries_left").Update(left)
--- a/soak/held.go
+++ b/soak/held.go
@@ -23,7 +23,7 @@
 )
 
 // goroutinesOfAPeer bounds the goroutines for the connections that an entry VM and another one have open to each other while
-// idle: for updates and configuration, and for requests that were passed on, in both directions.
+// idle, beside those for requests that were passed on: for updates and configuration, in both directions.
 const goroutinesOfAPeer = 12
 
 // heldBy returns what an entry VM still holds for callers and targets that have left, or why it is not known. left is how
@@ -46,7 +46,7 @@
 	if accounts > 0 && left > longestAttempt {
 		held = append(held, fmt.Sprint("accounts of ", accounts, " callers"))
 	}
-	allowed := s.goroutinesBefore + gauges["gateway_target_connections"] + goroutinesOfAnAttempt*accounts + float64(goroutinesOfAPeer*len(s.daemons))
+	allowed := s.goroutinesBefore + gauges["gateway_target_connections"] + gauges["gateway_peer_connections"] + goroutinesOfAnAttempt*accounts + float64(goroutinesOfAPeer*len(s.daemons))
 	if got := gauges["gateway_goroutines"]; got > allowed {
 		held = append(held, fmt.Sprintf("%v goroutines, %v allowed", got, allowed))
 	}
