Reset connections to targets that end with a request in flight

What callers saw: a 504 in time. What a target saw: a request that reaches it 2.8 to 3.3 s after it has said that it leaves (DRAIN; 2.5 s allowed), or, where it left before a cut, up to 8.2 s after, seconds after the VM gave it up.

Cause: a request that was given up was ended by closing its connection, and so was any by the end of the process. The kernel then goes on sending what the target has not acknowledged, with pauses that double, and delivers it up to as long after a cut as the cut has lasted. Class: what was given up is still under way in a buffer that nothing takes it out of.

Change: a connection is set to be reset when it is opened, and closed in an orderly way only if it ends idle. So what the kernel holds is discarded whatever ends the request. Requests passed on to other VMs use the same pool.

--- a/node/gateway/upstream/conn.go
+++ b/node/gateway/upstream/conn.go
@@ -81,7 +81,11 @@
 	idleTimeout time.Duration
 }
 
+// newConn returns a connection that is reset when it ends with a request in flight, also if it ends with the process.
+// Otherwise the kernel would go on sending what the target has not acknowledged, and a target that is cut off would get
+// the request seconds after it was given up.
 func newConn(raw net.Conn, target *targetPool, p *Pool) *conn {
+	buffering.ResetOnClose(raw, true)
 	head := &headReader{from: raw, remaining: -1}
 	return &conn{raw: raw, in: bufio.NewReaderSize(head, readBufferSize), head: head, pool: target, requestIDOf: p.requestIDOf, onUnmatched: p.OnUnmatched, acceptUnnamed: p.AcceptUnnamed, idleTimeout: defaultIdleTimeout}
 }
@@ -117,10 +121,15 @@
 	c.mu.Unlock()
 }
 
+// close closes the connection, in an orderly way unless a request is in flight; see newConn.
 func (c *conn) close() {
 	c.mu.Lock()
 	c.closed = true
+	inFlight := c.current != nil
 	c.mu.Unlock()
+	if !inFlight {
+		buffering.ResetOnClose(c.raw, false)
+	}
 	_ = c.raw.Close() // an error makes no difference, as the connection is not used any more
 }
 
