--- a/node/gateway/feed/departures_test.go
+++ b/node/gateway/feed/departures_test.go
@@ -188,3 +188,31 @@
 	s.SetTargets(start, all)
 	assert.Assert(t, open(s, "c") && !open(s, "a"))
 }
+
+// Guards against a VM that starts after a target was gone for long, and uses it because another VM comes back that was cut off and keeps it.
+func TestStartedVMUsesNoTargetThatOnlyReturningVMsKnow(t *testing.T) {
+	for name, pass := range map[string]func(from, to *feed.State, now time.Time){
+		"changes":     func(from, to *feed.State, now time.Time) { exchange(now, from, to) },
+		"all targets": func(from, to *feed.State, now time.Time) { to.Apply(now, from.UpdateSince(now, storepos.Position{})) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			returns := readAll(at(10), target("a", 1, false), target("b", 1, false))
+			started := feed.NewState(beat, regions)
+			now := start.Add(20 * time.Second)
+			for revision := int64(20); revision < 40; revision++ {
+				now = now.Add(time.Second)
+				started.SetTargets(now, listed([]platform.Target{target("b", revision, false)}, revision))
+				started.MarkRead(now)
+			}
+			returns.SetTargets(now, listed([]platform.Target{target("b", 40, false)}, 40))
+			returns.MarkRead(now)
+			assert.Assert(t, open(returns, "a"), "its entry may have expired in an outage")
+			pass(returns, started, now)
+			assert.Equal(t, started.KnownPosition(), at(40))
+			assert.Assert(t, !open(started, "a") && open(started, "b"))
+			assert.Equal(t, started.Digest(now).Content, returns.Digest(now).Content)
+			started.ApplyTargetChanges(now, changed([]platform.TargetChange{{Target: target("a", 2, false)}}, 41))
+			assert.Assert(t, open(started, "a"), "it writes again")
+		})
+	}
+}
