Close targets that only VMs which come back still keep

Cause: a VM that comes back from a cut keeps for 2.2 s what the store no longer lists, as after an outage of the store, and tells others. Those that know the target to be gone hold it closed. One that started after the removal does not know, and one that has not read the removal yet neither: they opened it, or kept it. Departures of the last ten seconds are told to VMs that start, which is a bound on time where the target may work on for any time. Class: what one VM infers about the store outranks what another one knows of it, as in the first cause of the incident.

Change: an entry that the store does not list and that another VM keeps is taken for gone by a VM that has been in touch for as long as targets have to write again after an outage (2.2 s): it has seen each target that writes. So a hold is taken over only by VMs that were out of touch as well, that have just started, or for which the store was restored. The copy and its hash do not change.

--- a/node/gateway/feed/departures_test.go
+++ b/node/gateway/feed/departures_test.go
@@ -216,3 +216,19 @@
 		})
 	}
 }
+
+// Guards against a VM that uses a target for longer than the rules allow, because it hears of the end first from a VM that was cut off.
+func TestVMInTouchTakesOverNoHoldOfReturningVM(t *testing.T) {
+	returns, inTouch := readAll(at(10), target("a", 1, false)), readAll(at(10), target("a", 1, false))
+	now := start.Add(10 * time.Second)
+	inTouch.ApplyTargetChanges(now.Add(-5*time.Second), changed(nil, 20))
+	inTouch.MarkRead(now.Add(-time.Second))
+	returns.SetTargets(now, listed(nil, 30))
+	returns.MarkRead(now)
+	exchange(now, returns, inTouch)
+	assert.Assert(t, open(returns, "a") && !open(inTouch, "a"))
+
+	lateStart := feed.NewState(beat, regions)
+	exchange(now, returns, lateStart)
+	assert.Assert(t, open(lateStart, "a"), "for a VM that has just started the target may write again")
+}
--- a/node/gateway/feed/exchange.go
+++ b/node/gateway/feed/exchange.go
@@ -250,9 +250,12 @@
 	s.noteGap(now, k.Digest.readAt(now))
 	known := s.at
 	s.noteDepartures(now, k.Departures)
+	gone := s.goneAmong(now, k.Entries, at)
 	names := s.applyEntries(now, k)
 	s.advance(now, at)
 	changed = s.recordChanges(now, names) || changed
+	s.noteDepartures(now, gone)
+	changed = changed || len(gone) > 0
 	s.coldAt = storepos.Later(s.coldAt, k.Digest.position(k.Digest.ColdRevision))
 	s.inconsistent = k.Since != 0 && s.contentHash != k.Digest.Content
 	if s.inconsistent {
--- a/node/gateway/feed/missing.go
+++ b/node/gateway/feed/missing.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"heatherlock/steering"
+	"heatherlock/steering/departure"
 	"heatherlock/steering/storepos"
 )
 
@@ -63,6 +64,21 @@
 	s.decided.kept = append(s.decided.kept, e.Name)
 }
 
+// goneAmong returns the departures of the entries that another VM keeps although the store does not list them, if this VM
+// knows better: it has been in touch for so long that it would have seen each target that writes. Only a VM that was out
+// of touch as well, or has started just now, cannot tell the end of a target from an outage or a restore of the store.
+func (s *State) goneAmong(now time.Time, entries []Entry, at storepos.Position) (gone []departure.Departure) {
+	if s.touch.since.IsZero() || s.outOfTouch(now) || now.Sub(s.touch.since) < reappearWindow || at.Restored(s.at) {
+		return nil
+	}
+	for _, e := range entries {
+		if _, kept := s.missing[e.Name]; e.Missing && !kept {
+			gone = append(gone, e.departure(true))
+		}
+	}
+	return gone
+}
+
 // drop removes a target, which may be back with its next write, and reports whether it was known. The position of the
 // removal is set by recordChanges.
 func (s *State) drop(now time.Time, name steering.Target) bool {
