End a gap in what a VM knows only by a later read of the store

What callers saw: nothing. In the fleet in memory 32 of 50 VMs of a zone that comes back use targets that are gone for 2.75 s (2.5 s allowed), ask nobody, and tell others that they have known all for seconds.

Cause: VMs that are cut off together tell each other the read of the store that they all have, and its age differs by milliseconds. When one of them counted as out of touch by its own age, a read of a fellow that was some milliseconds younger ended the gap, in the midst of the cut; the true end was then taken for one that had been noted. Class: the age of what is known compared with a bound where two reads have to be compared with each other.

Change: data ends a gap if it shows the store three heartbeats of targets later than the last read, not if that read is so old. TestSameReadToldAgainEndsNoGap failed before.

--- a/node/gateway/feed/departures.go
+++ b/node/gateway/feed/departures.go
@@ -42,13 +42,15 @@
 }
 
 // noteGap is called before data of targets is applied that reflects the store at a time, and records that this VM was out
-// of touch until now. What another VM tells that is out of touch itself ends no gap.
+// of touch until now. What another VM tells that is out of touch itself ends no gap, and neither does a read that is hardly
+// later than the last one: VMs that are cut off together tell each other the same read.
 func (s *State) noteGap(now, reflects time.Time) {
 	switch {
 	case now.Sub(reflects) > OutOfTouchAfter(s.heartbeatInterval):
 	case s.touch.since.IsZero():
 		s.touch = touch{since: now, gap: true, before: s.at}
-	case s.outOfTouch(now) && !s.touch.since.After(s.readAt):
+	case s.touch.since.After(s.readAt):
+	case reflects.Sub(s.readAt) > OutOfTouchAfter(s.heartbeatInterval):
 		s.touch = touch{since: now, gap: true, gapLength: now.Sub(s.readAt), before: s.at, lost: s.readAt}
 	}
 }
--- a/node/gateway/feed/departures_test.go
+++ b/node/gateway/feed/departures_test.go
@@ -40,6 +40,23 @@
 	assert.Equal(t, s.DeparturesSince(now, at(20)).KnownForMs, int64(0))
 }
 
+// Guards against a VM that asks nobody after a cut, because a VM that was cut off with it has told it the same read of the store again.
+func TestSameReadToldAgainEndsNoGap(t *testing.T) {
+	s, fellow := readAll(at(10), target("a", 1, false)), readAll(at(10), target("a", 1, false))
+	s.TakeGap()
+	fellow.MarkRead(start.Add(20 * time.Millisecond))
+	now := start.Add(feed.OutOfTouchAfter(beat) + 10*time.Millisecond)
+	s.Merge(now, fellow.Digest(now))
+	_, ended := s.TakeGap()
+	assert.Assert(t, !ended, "it is still cut off")
+
+	now = start.Add(8 * time.Second)
+	s.ApplyTargetChanges(now, changed(nil, 20))
+	s.MarkRead(now)
+	gap, ended := s.TakeGap()
+	assert.Assert(t, ended && gap.Since == at(10))
+}
+
 // Guards against VMs that open a target whose leaving they know, because another VM has read an older write of it that
 // the store did late.
 func TestLateWriteDoesNotOpenTargetThatLeaves(t *testing.T) {
