End the hold of a VM that comes back as soon as any other VM knows the store

What callers saw: nothing.

Cause: an enquiry looks for a VM that has known all since before the gap. But the end of a hold needs less: a VM that has been in touch for as long as targets have to write again knows that what the store does not list is gone, whenever it started.

Change: a response to an enquiry says whether the VM is settled in this sense. A VM that is told so by one closes all that it keeps although the store does not list it, and passes that on to those that ask it. Not while the store was restored within 2.2 s, on either side. The new field is left out if it is not set; the build before ignores it and sends none.

TestVMThatNeverKnewTargetEndsHoldOfReturningVM failed before (it knows the store for long).

--- a/cmd/internal/benchfleet/returns.go
+++ b/cmd/internal/benchfleet/returns.go
@@ -16,6 +16,8 @@
 	forgets bool
 	word    lastWord
 	reached time.Duration
+	// starts is set if some of the other VMs start again meanwhile, long after the targets have left.
+	starts bool
 }
 
 // lastWord is what the store holds in the end of a target that leaves.
@@ -33,10 +35,11 @@
 		for _, forgets := range []bool{false, true} {
 			for _, word := range []lastWord{silent, says, rewrite} {
 				for _, reached := range []time.Duration{0, 400 * time.Millisecond} {
-					all = append(all, returnCase{zone, forgets, word, reached})
+					all = append(all, returnCase{zone: zone, forgets: forgets, word: word, reached: reached})
 				}
 			}
 		}
+		all = append(all, returnCase{zone: zone, word: silent, starts: true})
 	}
 	return all
 }
@@ -44,6 +47,9 @@
 // awayTime is how long VMs are cut off: longer than entries of silent targets last.
 const awayTime = 3*targetHeartbeat + 2*time.Second
 
+// startsAfter is how long after targets have left VMs start: VMs that knew them tell those that start nothing of it then.
+const startsAfter = 12 * time.Second
+
 // playReturns cuts VMs off while targets leave, and measures how long those VMs use the targets after they
 // have come back.
 func (s *sim) playReturns(r *Row) {
@@ -61,6 +67,10 @@
 		}
 	}
 	gone := s.leave(n, c.word)
+	if c.starts {
+		s.advance(startsAfter)
+		s.restartOthers()
+	}
 	s.advance(awayTime)
 	if c.forgets {
 		s.store.forgotten = s.store.revision
@@ -75,6 +85,7 @@
 		others = append(others, v)
 	}
 	s.after(c.reached, func() { s.network.away = nil })
+	s.store.change(func(t platform.Target) bool { return t.Name == s.store.targets[0].Name }, func(t *platform.Target) { t.Slots++ })
 	for _, v := range s.vms {
 		v.count = counters{}
 	}
@@ -100,6 +111,16 @@
 	r.ReturnQuestions, r.ReturnBytes = max(r.ReturnQuestions, questions), max(r.ReturnBytes, bytes)
 }
 
+// restartOthers ends and starts every third VM of those that are not away.
+func (s *sim) restartOthers() {
+	for i, v := range s.vms {
+		if i%3 == 2 && !s.network.away[v] {
+			v.running = false
+			v.start()
+		}
+	}
+}
+
 // leave makes one of leaveEvery targets leave, counted from the one at first.
 func (s *sim) leave(first int, word lastWord) []steering.Target {
 	chosen := make(map[steering.Target]bool)
--- a/node/gateway/feed/departures.go
+++ b/node/gateway/feed/departures.go
@@ -24,6 +24,8 @@
 	// lost is when the latest gap began. It is zero if that is the time before the first data, which another VM
 	// can always make up for.
 	lost time.Time
+	// settled is set once a VM that was settled has told this one of departures since the gap.
+	settled bool
 }
 
 // Gap is a time in which a VM learned nothing of the store. Departures in it may be unknown to the VM.
@@ -41,6 +43,14 @@
 	return !s.readAt.IsZero() && now.Sub(s.readAt) > OutOfTouchAfter(s.heartbeatInterval)
 }
 
+// settled reports whether what the store does not list is gone. It may not be while targets have time to write their entries
+// again after an outage or a restore of the store, and a VM that was out of touch itself cannot tell an outage from its
+// own cut.
+func (s *State) settled(now time.Time) bool {
+	inTouch := !s.touch.since.IsZero() && !s.outOfTouch(now)
+	return inTouch && (s.touch.settled || now.Sub(s.touch.since) >= reappearWindow) && !now.Before(s.restoredUntil)
+}
+
 // noteGap is called before data of targets is applied that reflects the store at a time, and records that this VM was out
 // of touch until now. What another VM tells that is out of touch itself ends no gap, and neither does a read that is hardly
 // later than the last one: VMs that are cut off together tell each other the same read.
@@ -70,6 +80,8 @@
 	Said []departure.Departure `json:"said,omitempty"`
 	// KnownForMs is for how long the VM has known all that happened in the store, in milliseconds.
 	KnownForMs int64 `json:"knownFor,omitempty"`
+	// Settled is set if targets that the store does not list are gone. Builds before this field send none.
+	Settled bool `json:"settled,omitempty"`
 }
 
 // DeparturesSince returns the departures that a VM may lack which has learned nothing since a position.
@@ -78,6 +90,7 @@
 	if !s.touch.since.IsZero() && !s.outOfTouch(now) {
 		told.KnownForMs = now.Sub(s.touch.since).Milliseconds()
 	}
+	told.Settled = s.settled(now)
 	since.Epoch = s.inOwnEpoch(since.Epoch)
 	s.lasting.departures.All(func(d departure.Departure) {
 		gone, removed := s.removed[d.Target]
@@ -93,12 +106,25 @@
 func (s *State) NoteDepartures(now time.Time, told Departures) bool {
 	before := len(s.unplaced)
 	s.noteDepartures(now, told.All)
+	if told.Settled && !now.Before(s.restoredUntil) {
+		s.settle(now)
+	}
 	if since := now.Add(-time.Duration(told.KnownForMs) * time.Millisecond); since.Before(s.touch.since) && (s.touch.lost.IsZero() || !since.After(s.touch.lost)) {
 		s.touch.since = since
 	}
 	return len(s.unplaced) > before
 }
 
+// settle closes the targets that are kept although the store does not list them, and ends the time for which further ones are.
+func (s *State) settle(now time.Time) {
+	s.touch.settled, s.holdRemovalsUntil = true, now
+	var gone []departure.Departure
+	for name := range s.missing {
+		gone = append(gone, s.targets[name].departure(true))
+	}
+	s.noteDepartures(now, gone)
+}
+
 func (s *State) noteDepartures(now time.Time, all []departure.Departure) {
 	for _, d := range all {
 		t := s.targets[d.Target]
--- a/node/gateway/feed/departures_test.go
+++ b/node/gateway/feed/departures_test.go
@@ -182,7 +182,7 @@
 	gap, ended := away.TakeGap()
 	assert.Assert(t, ended && gap.Length == 8*time.Second && gap.Since == at(10))
 	told := knows.DeparturesSince(now, gap.Since)
-	assert.DeepEqual(t, told, feed.Departures{All: []departure.Departure{{Target: "gone", Beat: 3, Gone: true}}, KnownForMs: 8000})
+	assert.DeepEqual(t, told, feed.Departures{All: []departure.Departure{{Target: "gone", Beat: 3, Gone: true}}, KnownForMs: 8000, Settled: true})
 	away.NoteDepartures(now, told)
 	assert.Assert(t, !open(away, "gone") && open(away, "stays"))
 	assert.Equal(t, away.DeparturesSince(now, storepos.Position{}).KnownForMs, int64(8000), "it knows as much now")
@@ -249,3 +249,37 @@
 	exchange(now, returns, lateStart)
 	assert.Assert(t, open(lateStart, "a"), "for a VM that has just started the target may write again")
 }
+
+// Guards against a VM that comes back and uses a target that is gone for as long as its hold lasts, since the VMs that it asks have
+// started after the removal.
+func TestVMThatNeverKnewTargetEndsHoldOfReturningVM(t *testing.T) {
+	now := start.Add(20 * time.Second)
+	for name, c := range map[string]struct {
+		startedFor time.Duration
+		restored   bool
+		open       bool
+	}{
+		"it knows the store for long": {startedFor: 3 * time.Second},
+		"it has just started":         {startedFor: time.Second, open: true},
+		"the store was restored":      {startedFor: 3 * time.Second, restored: true, open: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			started := feed.NewState(beat, regions)
+			started.SetTargets(now.Add(-c.startedFor), listed(nil, 20))
+			started.MarkRead(now.Add(-c.startedFor))
+			position := at(30)
+			if c.restored {
+				position = restoredAt(1, 5)
+			}
+			started.SetTargets(now, list(position))
+			started.MarkRead(now)
+			returns := readAll(at(10), target("a", 1, false))
+			returns.SetTargets(now, list(position))
+			returns.MarkRead(now)
+			tell(now, started, returns)
+			assert.Equal(t, open(returns, "a"), c.open)
+			returns.ApplyTargetChanges(now, platform.TargetChanges{Changes: []platform.TargetChange{{Target: target("a", 2, false)}}, At: storepos.Position{Epoch: position.Epoch, Revision: 40}})
+			assert.Assert(t, open(returns, "a"), "it writes again")
+		})
+	}
+}
--- a/node/gateway/feed/golden_test.go
+++ b/node/gateway/feed/golden_test.go
@@ -70,12 +70,16 @@
 
 // Guards against departures that old and new entry VMs decode differently: a VM would go on using targets that are gone.
 func TestGoldenDepartures(t *testing.T) {
-	told := feed.Departures{All: []departure.Departure{{Target: "t1", Generation: 1700000000123, Beat: 5}, {Target: "t3", Beat: 900, Gone: true}},
-		Said: []departure.Departure{{Target: "t4", Generation: 1700000000123}}, KnownForMs: 61_000}
-	raw, err := cbor.Marshal(told)
-	assert.NilError(t, err)
-	golden.Assert(t, hexText(raw), "golden/departures.hex")
-	var got feed.Departures
-	assert.NilError(t, cbor.Unmarshal(fromHex(t, "golden/departures.hex"), &got))
-	assert.DeepEqual(t, got, told)
+	for file, told := range map[string]feed.Departures{
+		"golden/departures.hex": {All: []departure.Departure{{Target: "t1", Generation: 1700000000123, Beat: 5}, {Target: "t3", Beat: 900, Gone: true}},
+			Said: []departure.Departure{{Target: "t4", Generation: 1700000000123}}, KnownForMs: 61_000},
+		"golden/departures-settled.hex": {All: []departure.Departure{{Target: "t3", Beat: 900, Gone: true}}, KnownForMs: 3_000, Settled: true},
+	} {
+		raw, err := cbor.Marshal(told)
+		assert.NilError(t, err)
+		golden.Assert(t, hexText(raw), file)
+		var got feed.Departures
+		assert.NilError(t, cbor.Unmarshal(fromHex(t, file), &got))
+		assert.DeepEqual(t, got, told)
+	}
 }
--- a/node/gateway/feed/lasting.go
+++ b/node/gateway/feed/lasting.go
@@ -153,6 +153,7 @@
 // advance sets the position to which the targets correspond.
 func (s *State) advance(now time.Time, at storepos.Position) {
 	if at.Restored(s.at) {
+		s.restoredUntil = now.Add(reappearWindow)
 		for name := range s.lasting.relisted {
 			s.lasting.relisted[name] = s.silentUntil(now)
 		}
--- a/node/gateway/feed/missing.go
+++ b/node/gateway/feed/missing.go
@@ -65,10 +65,9 @@
 }
 
 // goneAmong returns the departures of the entries that another VM keeps although the store does not list them, if this VM
-// knows better: it has been in touch for so long that it would have seen each target that writes. Only a VM that was out
-// of touch as well, or has started just now, cannot tell the end of a target from an outage or a restore of the store.
+// knows better.
 func (s *State) goneAmong(now time.Time, entries []Entry, at storepos.Position) (gone []departure.Departure) {
-	if s.touch.since.IsZero() || s.outOfTouch(now) || now.Sub(s.touch.since) < reappearWindow || at.Restored(s.at) {
+	if !s.settled(now) || at.Restored(s.at) {
 		return nil
 	}
 	for _, e := range entries {
--- a/node/gateway/feed/state.go
+++ b/node/gateway/feed/state.go
@@ -127,6 +127,8 @@
 	// holdRemovalsUntil is set after an outage of the store: until then, targets whose entries are found missing
 	// are kept. heldAfter is the read before the outage.
 	holdRemovalsUntil, heldAfter time.Time
+	// restoredUntil is set after a restore of the store: until then targets have time to write their entries again.
+	restoredUntil time.Time
 	// missing holds the targets whose entries are missing and that are kept, with the time until which they are.
 	missing map[steering.Target]time.Time
 	touch   touch
