Keep the cold time of a target unless a later write of it says otherwise

A VM that knows a target to be cold gets all targets from another VM, which has read an older write of the target that the store did late: the target counts as warm there, and gets full traffic (FAILBACK).

Cause: entries that another VM tells replaced those known, with their cold times, whatever write they are of. Class: an older statement of a target outranks a newer one, because it is told by a VM at a later position of the store.

Change: the later cold time is kept unless the entry that is told is of a later write. TestLateWriteDoesNotWarmTargetThatIsCold failed before; the other tests of the package hold, those drawn with rapid with 2,000 draws.

--- a/node/gateway/feed/departures_test.go
+++ b/node/gateway/feed/departures_test.go
@@ -283,3 +283,19 @@
 		})
 	}
 }
+
+// Guards against full traffic to a cold target, because another VM has read an older write of it that the store did late.
+func TestLateWriteDoesNotWarmTargetThatIsCold(t *testing.T) {
+	cold := target("a", 6, false)
+	cold.ColdLeft = 10 * time.Second
+	knows, other := readAll(at(10), cold), readAll(at(5), target("a", 4, false))
+	other.SetTargets(start, listed([]platform.Target{target("a", 5, false)}, 20))
+	other.MarkRead(start)
+	knows.Apply(start, other.UpdateSince(start, storepos.Position{}))
+	assert.Equal(t, knows.KnownPosition(), at(20))
+	assert.Assert(t, placedByName(knows)["a"].ColdUntil.Equal(start.Add(10*time.Second)), "it has not written since")
+
+	other.SetTargets(start, listed([]platform.Target{target("a", 7, false)}, 21))
+	knows.Apply(start, other.UpdateSince(start, storepos.Position{}))
+	assert.Assert(t, !placedByName(knows)["a"].ColdUntil.After(start), "it has written that it is warm")
+}
--- a/node/gateway/feed/exchange.go
+++ b/node/gateway/feed/exchange.go
@@ -290,6 +290,9 @@
 			received[e.Name] = true
 			continue // the entry of an earlier process, which has ended
 		}
+		if old != nil && !e.Word().After(old.Word()) && old.coldUntil.After(e.coldUntil) {
+			e.coldUntil = old.coldUntil // only a later write says that the target is warm
+		}
 		s.keepMissing(now, e, missingFor)
 		if old == nil || old.hash() != e.hash() || old.Zone != e.Zone || e.coldUntil.After(old.coldUntil.Add(minColdExtension)) || s.lasting.closes(old) {
 			names = append(names, e.Name)
