Send the first requests of a mixed service through the owners of their targets

Change: until the first count is complete, requests go through owners as soon as two routes that differ have two requests each, if this VM has seen the same owners for 2 s. A VM that has just started sends by itself, as before.

TestFirstRequestsOfMixedServiceGoThroughOwners failed before (settled, after five requests).

--- a/node/gateway/relay/owners.go
+++ b/node/gateway/relay/owners.go
@@ -19,6 +19,7 @@
 func (f *Relay) SetOwners(o *queueowner.Owners) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	f.cfg.Balancer.SetOwnersSince(time.Now())
 	if o != nil {
 		o.TakeOver(f.owners)
 		f.cfg.Balancer.SetOwned(func(t placement.Target) bool { return o.Owns(t.Name, t.Zone) })
--- a/steering/placement/balancer.go
+++ b/steering/placement/balancer.go
@@ -35,6 +35,8 @@
 	runTimes    *runtimes.Model
 	// owned reports whether this VM owns a target; nil if targets have no owners.
 	owned func(Target) bool
+	// ownersSince is since when the owners are the same.
+	ownersSince time.Time
 	// weightSteps holds the targets with a weight below 1, also those that are not declared now.
 	weightSteps map[steering.Target]int
 	// sampled holds the targets with load samples.
--- a/steering/placement/locate.go
+++ b/steering/placement/locate.go
@@ -27,11 +27,24 @@
 	return Target{}, false
 }
 
+// settledOwners is how long the owners of targets have to be the same before they are used for a service of which only few
+// requests are known. A VM that has just started hears the others one after another, and what it passes on to one
+// that is the owner for a moment may be broken off.
+const settledOwners = 2 * time.Second
+
+// SetOwnersSince sets since when the owners of targets are the same as seen by this VM.
+func (b *Balancer) SetOwnersSince(at time.Time) { b.ownersSince = at }
+
 // HasOwners reports whether the targets of a request's service have owners, and counts the request's route.
+//
+// The first requests go through owners as well, as soon as routes that differ are seen. A VM that sends them itself knows no
+// load by others until runs have ended, so that all VMs together overfill a region with few targets; once they change to
+// owners, these refuse nearly all for as long as the queues last, and many requests change their region.
 func (b *Balancer) HasOwners(now time.Time, r Request) bool {
 	v := b.service(r.Service)
 	v.routes.record(now, r)
-	return v.hasOwners(now)
+	settled := !b.ownersSince.IsZero() && now.Sub(b.ownersSince) >= settledOwners
+	return v.hasOwners(now) || settled && v.routes.mixedFromFirst() && !v.sharesMachines(now)
 }
 
 // hasOwners reports whether one VM has to decide what reaches a target of the service: its callers compete for
--- a/steering/placement/routemix.go
+++ b/steering/placement/routemix.go
@@ -14,6 +14,9 @@
 	minMixShare = 0.05
 	// minMixRequests is how many requests a count needs; with fewer it is continued.
 	minMixRequests = 40
+	// minFirstRequests is how many requests a route needs to count before the first count is complete. With one, a
+	// route that gets next to no requests would decide.
+	minFirstRequests = 2
 	// maxMixRoutes bounds the routes that are counted for each service.
 	maxMixRoutes = 64
 )
@@ -27,6 +30,8 @@
 	// ofWorkspaces counts the requests of workspaces.
 	ofWorkspaces int
 	mixed        bool
+	// counted is set once a count is complete. Until then, mixedSoFar says what the requests so far show.
+	counted, mixedSoFar bool
 	// urgent is the route with the shortest latency objective among those of the lowest rank.
 	urgent routeCount
 }
@@ -61,31 +66,36 @@
 		m.ofWorkspaces++
 	}
 	if m.total >= minMixRequests && now.Sub(m.since) >= mixInterval {
-		m.evaluate()
-		m.byRoute, m.total, m.ofWorkspaces = nil, 0, 0
+		m.mixed, m.urgent = m.compare(1)
+		m.byRoute, m.total, m.ofWorkspaces, m.counted = nil, 0, 0, true
+		return
+	}
+	if !m.counted && !m.mixedSoFar {
+		m.mixedSoFar, _ = m.compare(minFirstRequests)
 	}
 }
 
-func (m *routeMix) evaluate() {
-	m.mixed, m.urgent = false, routeCount{}
+// compare finds out whether the service is mixed, and its most urgent route, by the routes with at least that many requests.
+func (m *routeMix) compare(least int) (mixed bool, urgent routeCount) {
 	if float64(m.ofWorkspaces) < minMixShare*float64(m.total) {
-		return
+		return false, urgent
 	}
 	var first *routeCount
 	for _, c := range m.byRoute {
-		if float64(c.requests) < minMixShare*float64(m.total) {
+		if float64(c.requests) < minMixShare*float64(m.total) || c.requests < least {
 			continue
 		}
 		if first == nil {
 			first = c
 		}
 		if c.aim != first.aim || c.rank != first.rank {
-			m.mixed = true
+			mixed = true
 		}
-		if m.urgent.requests == 0 || c.before(&m.urgent) {
-			m.urgent = *c
+		if urgent.requests == 0 || c.before(&urgent) {
+			urgent = *c
 		}
 	}
+	return mixed, urgent
 }
 
 func (c *routeCount) before(o *routeCount) bool {
@@ -95,6 +105,9 @@
 	return c.aim < o.aim
 }
 
+// mixedFromFirst reports whether the service is mixed as far as the requests before the first complete count show.
+func (m *routeMix) mixedFromFirst() bool { return !m.counted && m.mixedSoFar }
+
 // Mixed reports whether routes with different latency objectives or ranks, and workspaces, shared a service when
 // its requests were last counted. Its callers compete for slots, and differ in how long they may wait for one.
 func (b *Balancer) Mixed(service steering.Service) bool {
--- a/steering/placement/routemix_test.go
+++ b/steering/placement/routemix_test.go
@@ -39,3 +39,29 @@
 		})
 	}
 }
+
+// Guards against requests that change their region, seconds after the first, because their VM only then goes by the owners of targets.
+func TestFirstRequestsOfMixedServiceGoThroughOwners(t *testing.T) {
+	for name, c := range map[string]struct {
+		settledFor time.Duration
+		workspace  bool
+		owners     [6]bool // after each request
+	}{
+		"settled":               {10 * time.Second, true, [6]bool{4: true, 5: true}},
+		"owners changed lately": {time.Second, true, [6]bool{}},
+		"no workspaces":         {10 * time.Second, false, [6]bool{}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			b := placement.NewBalancer("vm", "norte")
+			b.SetOwnersSince(start.Add(-c.settledFor))
+			for n, route := range []string{"one", "one", "two", "one", "two", "one"} {
+				r := placement.Request{Service: service, Workspace: c.workspace, Route: route, RouteAim: 400 * time.Millisecond}
+				if route == "two" {
+					r.RouteAim = time.Second
+				}
+				assert.Equal(t, b.HasOwners(start.Add(time.Duration(n)*20*time.Millisecond), r), c.owners[n], "after %d", n+1)
+				assert.Assert(t, !b.Mixed(service), "run times are not known yet")
+			}
+		})
+	}
+}
