--- a/node/gateway/departures.go
+++ b/node/gateway/departures.go
@@ -131,7 +131,7 @@
 				b.ApplyClosing(began, placement.Closing{Target: d.Target, Generation: d.Generation, Leaving: true})
 			}
 		})
-		_ = g.log.Log("msg", "departures told", "peer", peer, "count", len(told.All), "said", len(told.Said), "since", since, "peer_known_ms", told.KnownForMs, "took_ms", time.Since(began).Milliseconds()) // as above
+		_ = g.log.Log("msg", "departures told", "peer", peer, "count", len(told.All), "said", len(told.Said), "since", since, "peer_known_ms", told.KnownForMs, "peer_settled", told.Settled, "took_ms", time.Since(began).Milliseconds()) // as above
 	}
 	g.metrics.Scope.Tagged(map[string]string{"end": outcome}).Counter("gateway_departures_asked").Inc(1)
 	g.enquirer.answered(time.Duration(told.KnownForMs) * time.Millisecond)
