Note a gap that begins right after the first read, or right after the end of another gap

What callers saw: nothing; found by reading the change anew. A VM that is cut off before its second read of the store notes no gap when it is back: it asks nobody for departures, claims to have known all the while, and tells others that it knows the store. After an outage of the store it would close all targets until they have written again.

Cause: that a gap was noted already was concluded from the time at which it ended being later than the time at which the last read began. Both are of the same read after a gap, so that the next gap counted as noted as well. Class: two events told apart by times that are not of the same kind.

Change: a gap counts as noted if the last read is the one before which it began.

--- a/cmd/internal/benchfleet/returns.go
+++ b/cmd/internal/benchfleet/returns.go
@@ -85,6 +85,7 @@
 		others = append(others, v)
 	}
 	s.after(c.reached, func() { s.network.away = nil })
+	// Others pull from the VMs that come back only if these know a later position of the store.
 	s.store.change(func(t platform.Target) bool { return t.Name == s.store.targets[0].Name }, func(t *platform.Target) { t.Slots++ })
 	for _, v := range s.vms {
 		v.count = counters{}
--- a/node/gateway/feed/departures.go
+++ b/node/gateway/feed/departures.go
@@ -59,7 +59,7 @@
 	case now.Sub(reflects) > OutOfTouchAfter(s.heartbeatInterval):
 	case s.touch.since.IsZero():
 		s.touch = touch{since: now, gap: true, before: s.at}
-	case s.touch.since.After(s.readAt):
+	case s.touch.lost.Equal(s.readAt): // noted already
 	case reflects.Sub(s.readAt) > OutOfTouchAfter(s.heartbeatInterval):
 		s.touch = touch{since: now, gap: true, gapLength: now.Sub(s.readAt), before: s.at, lost: s.readAt}
 	}
--- a/node/gateway/feed/departures_test.go
+++ b/node/gateway/feed/departures_test.go
@@ -57,6 +57,24 @@
 	assert.Assert(t, ended && gap.Since == at(10))
 }
 
+// Guards against a VM that is cut off right after its first read, asks nobody when it is back, and claims to have known all the while.
+func TestGapRightAfterTheFirstReadIsNoted(t *testing.T) {
+	s := feed.NewState(beat, regions)
+	s.SetTargets(start, listed([]platform.Target{target("a", 1, false)}, 10))
+	s.MarkRead(start.Add(-10 * time.Millisecond)) // when the read began
+	s.TakeGap()
+	now := start.Add(8 * time.Second)
+	s.SetTargets(now, listed(nil, 20))
+	s.MarkRead(now.Add(-10 * time.Millisecond))
+	gap, ended := s.TakeGap()
+	assert.Assert(t, ended && gap.Since == at(10))
+	told := s.DeparturesSince(now, at(20))
+	assert.Assert(t, !told.Settled && told.KnownForMs == 0, "%+v", told)
+	s.ApplyTargetChanges(now.Add(time.Second), changed(nil, 21))
+	_, ended = s.TakeGap()
+	assert.Assert(t, !ended, "one gap is noted once")
+}
+
 // Guards against VMs that open a target whose leaving they know, because another VM has read an older write of it that
 // the store did late.
 func TestLateWriteDoesNotOpenTargetThatLeaves(t *testing.T) {
