Go on asking for departures after eight VMs that do not know

What callers saw: nothing.

Cause: an enquiry ends after eight questions. Right after a cut, before the others are reached, those that are heard again are mostly VMs that were cut off as well; once eight of them have been asked nobody is, though all are told within a second or two. Class: a bound on cost that ends what it should only slow down.

Evidence: each of the VMs that still use the target has asked eight VMs, and its enquiry is over.

Change: after eight questions an enquiry goes on, with one question a second, until it ends after 10 s. At most 18 questions instead of 8 where nobody knows. TestEnquiryGoesOnAfterVMsThatDoNotKnow failed before (8 asked); the fleet in memory holds with 4, 12 and 100 VMs. 400 and 986 VMs were not played again before this commit.

--- a/steering/departure/departure_test.go
+++ b/steering/departure/departure_test.go
@@ -79,3 +79,27 @@
 	}
 	assert.Assert(t, asked > 0 && asked < 10, "%d asked", asked)
 }
+
+// Guards against a VM that uses targets which are gone for good, because the first VMs that it has asked knew as little as it did.
+func TestEnquiryGoesOnAfterVMsThatDoNotKnow(t *testing.T) {
+	now := time.Unix(1000, 0)
+	e := departure.NewEnquiry(4500 * time.Millisecond)
+	e.Begin(now, 9*time.Second)
+	asked := make(map[steering.VM]bool)
+	ask := func(d time.Duration) {
+		for end := now.Add(d); now.Before(end); now = now.Add(departure.PollInterval) {
+			if vm, ok := e.Next(now); ok {
+				asked[vm] = true
+				e.Answered(0)
+			}
+		}
+	}
+	for i := range 30 {
+		e.Heard(now, steering.VM(fmt.Sprint("fellow-", i)))
+	}
+	ask(time.Second)
+	quick := len(asked)
+	e.Heard(now, "knows")
+	ask(time.Minute)
+	assert.Assert(t, quick == 8 && len(asked) > quick && len(asked) <= quick+10, "%d, then %d asked", quick, len(asked))
+}
--- a/steering/departure/enquiry.go
+++ b/steering/departure/enquiry.go
@@ -7,8 +7,10 @@
 )
 
 const (
-	// maxAsked bounds the VMs that one enquiry asks. After a fault that all VMs share none of them can tell.
-	maxAsked = 8
+	// quickQuestions is how many VMs an enquiry asks one right after the other, and latePause the time between two
+	// further questions. After a fault that many VMs share most of them cannot tell, but are told meanwhile.
+	quickQuestions = 8
+	latePause      = time.Second
 	// enquiryTime is how long an enquiry lasts at most: by then the VMs that can be reached are heard again.
 	enquiryTime = 10 * time.Second
 	// fellowWait is how long a VM waits for others to come back into hearing before it asks one that was heard all
@@ -61,7 +63,7 @@
 }
 
 // Active reports whether the enquiry has begun and may ask further VMs.
-func (e *Enquiry) Active(now time.Time) bool { return now.Before(e.until) && e.asked < maxAsked }
+func (e *Enquiry) Active(now time.Time) bool { return now.Before(e.until) }
 
 // Heard records a heartbeat of another VM.
 func (e *Enquiry) Heard(now time.Time, vm steering.VM) {
@@ -76,7 +78,8 @@
 
 // Next returns the VM to ask now; ask is false if there is none. A call of Answered must follow if it is true.
 func (e *Enquiry) Next(now time.Time) (vm steering.VM, ask bool) {
-	if !e.Active(now) || e.answering {
+	late := e.asked >= quickQuestions
+	if !e.Active(now) || e.answering || late && now.Sub(e.askedAt) < latePause {
 		return "", false
 	}
 	fellows := now.Sub(e.begun) >= fellowWait && now.Sub(e.askedAt) >= fellowPause
