Take no reset for the end of a response without a length

Callers saw: a target answered a long upload at once with a 200 without a length, sent a part of its body and reset the connection. The caller got the part as the whole answer.

Cause: the kernel reports the failure of a connection once. The write of the request took the report (ECONNRESET), and the read of the response got what had arrived and then an orderly end, which is the end of such a body. A property of the connection was judged by one of its two users from what only the other was told.

Change: responses.Conn reports an end only if no write has taken a failure, and waits for a write in progress, which may have taken it already; that write is ended, as nothing can be answered any more. EPIPE takes nothing: it follows an orderly end, or a report that somebody else got. A write that this side ended says nothing of the connection. Targets, other entry VMs, the store, objects, peers' calls over HTTP/1.1, loads, probes and the tools are read through it. Calls over HTTP/2 state the ends of their bodies.

Why it works: the error of each write is noted before it returns, and a read that sees the end returns only once no write is under way. One connection costs one allocation more; a request costs two locks a write and nothing else; a body without a length costs the same lock at its end.

--- a/cmd/internal/caller/caller.go
+++ b/cmd/internal/caller/caller.go
@@ -11,6 +11,7 @@
 	"sync/atomic"
 	"time"
 
+	"heatherlock/responses"
 	"heatherlock/standin/witness"
 )
 
@@ -93,12 +94,12 @@
 	if config.WrapDial != nil {
 		dial = config.WrapDial(dial)
 	}
-	client := &http.Client{Transport: &http.Transport{
+	client := &http.Client{Transport: responses.NewTransport(&http.Transport{
 		DialContext:         dial,
 		MaxIdleConnsPerHost: maxIdle,
 		IdleConnTimeout:     30 * time.Second,
 		DisableCompression:  true,
-	}}
+	})}
 	return &Caller{config: config, client: client, instanceID: rand.Text(), lookupCache: newLookupCache(client, config.Bootstrap, config.Phase)}
 }
 
--- a/cmd/internal/client/options.go
+++ b/cmd/internal/client/options.go
@@ -12,6 +12,7 @@
 	"github.com/integrii/flaggy"
 
 	"heatherlock/cmd/internal/command"
+	"heatherlock/responses"
 )
 
 // Environment variables that are used if the corresponding flags are not given.
@@ -112,7 +113,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &http.Client{Transport: bearerTransport{token: token, next: transport}}, nil
+	return &http.Client{Transport: bearerTransport{token: token, next: responses.NewTransport(transport)}}, nil
 }
 
 func (o Options) tlsConfig() (*tls.Config, error) {
--- a/cmd/internal/quickstart/system.go
+++ b/cmd/internal/quickstart/system.go
@@ -15,6 +15,7 @@
 	"heatherlock/node/static"
 	"heatherlock/node/tlsconf"
 	"heatherlock/objects"
+	"heatherlock/responses"
 	"heatherlock/standin/deploy"
 	"heatherlock/standin/platform"
 	"heatherlock/standin/target"
@@ -281,7 +282,7 @@
 	if err != nil {
 		return false
 	}
-	reply, err := http.DefaultClient.Do(r)
+	reply, err := responses.NewClient().Do(r)
 	if err != nil {
 		return false
 	}
--- a/cmd/internal/vmstatus/fleet.go
+++ b/cmd/internal/vmstatus/fleet.go
@@ -5,7 +5,6 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	"net/http"
 	"text/tabwriter"
 	"time"
 
@@ -13,6 +12,7 @@
 
 	"heatherlock/cmd/internal/command"
 	"heatherlock/node/gateway/status"
+	"heatherlock/responses"
 )
 
 const (
@@ -66,11 +66,12 @@
 // fetchFleet queries the given VMs in order until one answers, and then one VM of each other
 // zone.
 func fetchFleet(ctx context.Context, controls []string) (status.FleetView, error) {
-	first, err := status.FetchAny(ctx, http.DefaultClient, controls)
+	client := responses.NewClient()
+	first, err := status.FetchAny(ctx, client, controls)
 	if err != nil {
 		return status.FleetView{}, command.Failf(command.Unreachable, "check the addresses, and whether those entry VMs run", "none of %d entry VMs answered: %v", len(controls), err)
 	}
-	return status.Gather(ctx, http.DefaultClient, first), nil
+	return status.Gather(ctx, client, first), nil
 }
 
 // writeFleetTables prints the configuration versions by zone, and the VMs that do not use the
--- a/cmd/internal/vmstatus/vmstatus.go
+++ b/cmd/internal/vmstatus/vmstatus.go
@@ -8,7 +8,6 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	"net/http"
 	"strconv"
 	"strings"
 	"text/tabwriter"
@@ -18,6 +17,7 @@
 
 	"heatherlock/cmd/internal/command"
 	"heatherlock/node/gateway/status"
+	"heatherlock/responses"
 )
 
 // Formats that --output accepts.
@@ -98,7 +98,7 @@
 }
 
 func fetchEach(ctx context.Context, addresses []string) []answer {
-	statuses, errs := status.FetchEach(ctx, http.DefaultClient, addresses)
+	statuses, errs := status.FetchEach(ctx, responses.NewClient(), addresses)
 	answers := make([]answer, len(addresses))
 	for i, address := range addresses {
 		answers[i] = answer{Control: address, Status: statuses[i]}
--- a/cmd/internal/workspaces/command.go
+++ b/cmd/internal/workspaces/command.go
@@ -6,7 +6,6 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	"net/http"
 	"slices"
 	"strings"
 	"text/tabwriter"
@@ -17,6 +16,7 @@
 
 	"heatherlock/cmd/internal/command"
 	"heatherlock/node/gateway/status"
+	"heatherlock/responses"
 	"heatherlock/steering"
 )
 
@@ -78,7 +78,8 @@
 // fetchView requests the status of one VM and then that of each VM that the first one lists
 // as live.
 func (o *options) fetchView(ctx context.Context) (View, error) {
-	first, err := status.FetchAny(ctx, http.DefaultClient, o.controls)
+	client := responses.NewClient()
+	first, err := status.FetchAny(ctx, client, o.controls)
 	if err != nil {
 		return View{}, command.Failf(command.Unreachable, "check the addresses, and whether those entry VMs run", "none of %d entry VMs answered: %v", len(o.controls), err)
 	}
@@ -88,7 +89,7 @@
 			liveControls = append(liveControls, p.Control)
 		}
 	}
-	answers, errs := status.FetchEach(ctx, http.DefaultClient, liveControls)
+	answers, errs := status.FetchEach(ctx, client, liveControls)
 	all, unanswered := []*status.Status{first}, []string(nil)
 	for n, s := range answers {
 		if errs[n] != nil {
--- a/node/admit/load.go
+++ b/node/admit/load.go
@@ -7,6 +7,8 @@
 	"net/http"
 
 	"github.com/go-faster/errors"
+
+	"heatherlock/responses"
 )
 
 // Load is the load that a target reports at its load endpoint.
@@ -24,9 +26,11 @@
 
 // HTTPLoadReader reads loads from the /load endpoints of the targets.
 type HTTPLoadReader struct {
-	Client *http.Client // http.DefaultClient if nil
+	Client *http.Client // one with the settings of http.DefaultClient if nil
 }
 
+var defaultLoadClient = responses.NewClient()
+
 // maxLoadBytes bounds the response body of a load endpoint.
 const maxLoadBytes = 4096
 
@@ -38,7 +42,7 @@
 	}
 	client := h.Client
 	if client == nil {
-		client = http.DefaultClient
+		client = defaultLoadClient
 	}
 	reply, err := client.Do(request)
 	if err != nil {
--- a/node/components.go
+++ b/node/components.go
@@ -22,6 +22,7 @@
 	"heatherlock/peer"
 	"heatherlock/peer/peerpb"
 	"heatherlock/platform"
+	"heatherlock/responses"
 	"heatherlock/steering/lookup"
 )
 
@@ -78,8 +79,8 @@
 	// they would delay heartbeats on a shared connection.
 	calls := withStallTimeout(withDial(peer.NewControlClient(p.peerClientTLS()), options.Dial))
 	acquires := withDial(peer.NewHTTPClient(p.peerClientTLS()), options.Dial)
-	if transport, ok := acquires.Transport.(*http.Transport); ok {
-		transport.MaxConnsPerHost = admit.MaxAcquireCalls
+	if transport, ok := acquires.Transport.(*responses.Transport); ok {
+		transport.Unwrap().MaxConnsPerHost = admit.MaxAcquireCalls
 	}
 	loads := loadClient(options.Dial)
 	p.clients = []*http.Client{calls, acquires, loads}
@@ -155,7 +156,7 @@
 const loadTimeout = time.Second
 
 func loadClient(dial forward.Dial) *http.Client {
-	return &http.Client{Timeout: loadTimeout, Transport: &http.Transport{DialContext: dial, IdleConnTimeout: idleTimeout}}
+	return &http.Client{Timeout: loadTimeout, Transport: responses.NewTransport(&http.Transport{DialContext: dial, IdleConnTimeout: idleTimeout})}
 }
 
 // withStallTimeout wraps the client's transport so that a call whose context carries a
@@ -169,8 +170,14 @@
 
 // withDial makes a client for calls between entry VMs connect with dial, unless dial is nil.
 func withDial(client *http.Client, dial forward.Dial) *http.Client {
-	if transport, ok := client.Transport.(*http.Transport); ok && dial != nil {
+	if dial == nil {
+		return client
+	}
+	switch transport := client.Transport.(type) {
+	case *http.Transport:
 		transport.DialContext = dial
+	case *responses.Transport:
+		transport.SetDial(dial)
 	}
 	return client
 }
--- a/node/forward/conn.go
+++ b/node/forward/conn.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"github.com/go-faster/errors"
+
+	"heatherlock/responses"
 )
 
 // countedConn is a connection that can prove whether a request was sent on it.
@@ -125,7 +127,7 @@
 		if err != nil {
 			return nil, err
 		}
-		return &countedConn{Conn: inner}, nil
+		return &countedConn{Conn: responses.NewConn(inner)}, nil
 	}
 	return &http.Transport{
 		DialContext:            dial,
--- a/node/forward/fakes_test.go
+++ b/node/forward/fakes_test.go
@@ -92,6 +92,8 @@
 	stored  map[steering.Key]*fakeRun
 	scope   tally.TestScope
 	log     bytes.Buffer
+	// dialTarget, if set, opens connections in place of the network of the testbed.
+	dialTarget Dial
 }
 
 func newTestbed(t *testing.T) *testbed {
@@ -142,7 +144,7 @@
 		down: map[steering.VM]bool{}, stored: map[steering.Key]*fakeRun{}, scope: tally.NewTestScope("", nil)}
 	e.Forwarder = New(Config{
 		Self: m, Limits: static.Settings{}.WithDefaults().Limits, Configs: e, Members: e, Admitter: e, Caps: e, RemoteZones: e,
-		LookupResolver: e, Leaver: e, Outcomes: e, Suspects: e, Retries: e, Dial: w.net.Dial, Scope: e.scope, Log: w.failOnErrorLog(log.NewJSONLogger(log.NewSyncWriter(&e.log))),
+		LookupResolver: e, Leaver: e, Outcomes: e, Suspects: e, Retries: e, Dial: e.dial, Scope: e.scope, Log: w.failOnErrorLog(log.NewJSONLogger(log.NewSyncWriter(&e.log))),
 	})
 	w.serve([]string{callerA, callerB}[i], &http.Server{
 		Handler: e, ConnContext: e.ConnContext, ConnState: e.ConnState, DisableGeneralOptionsHandler: true,
@@ -152,6 +154,13 @@
 	return e
 }
 
+func (e *entryVM) dial(ctx context.Context, network, address string) (net.Conn, error) {
+	if e.dialTarget != nil {
+		return e.dialTarget(ctx, network, address)
+	}
+	return e.w.net.Dial(ctx, network, address)
+}
+
 // target serves handler as a target and counts the requests it received. A second call replaces the
 // handler.
 func (w *testbed) target(name string, handler http.HandlerFunc) {
--- a/node/forward/poison.go
+++ b/node/forward/poison.go
@@ -16,6 +16,7 @@
 
 	"heatherlock/node/seam"
 	"heatherlock/peer/peerpb"
+	"heatherlock/responses"
 	"heatherlock/steering"
 	"heatherlock/steering/poison"
 	"heatherlock/steering/routing"
@@ -95,7 +96,7 @@
 		// connections.
 		prober: &http.Client{
 			Timeout:   probeTimeout,
-			Transport: &http.Transport{DialContext: c.Dial, DisableKeepAlives: true},
+			Transport: responses.NewTransport(&http.Transport{DialContext: c.Dial, DisableKeepAlives: true}),
 		},
 		counters: suspectCounters{
 			losses:       c.Scope.Counter("suspect_losses"),
--- a/node/gateway/export_test.go
+++ b/node/gateway/export_test.go
@@ -3,15 +3,15 @@
 import (
 	"context"
 	"net"
-	"net/http"
 
 	"heatherlock/node/gateway/upstream"
 	"heatherlock/node/gateway/volume"
+	"heatherlock/responses"
 )
 
 // DialPeersBy sets the function that opens connections to peers. It must be called before Run.
 func (g *Gateway) DialPeersBy(dial func(ctx context.Context, network, address string) (net.Conn, error)) {
-	g.peerClient.Transport.(*http.Transport).DialContext = dial
+	g.peerClient.Transport.(*responses.Transport).SetDial(dial)
 }
 
 // HeartbeatBytes returns the number of heartbeat bytes sent since the gateway was created.
--- a/node/gateway/peersync.go
+++ b/node/gateway/peersync.go
@@ -18,6 +18,7 @@
 	"heatherlock/node/gateway/status"
 	"heatherlock/node/gateway/volume"
 	"heatherlock/platform"
+	"heatherlock/responses"
 	"heatherlock/steering/placement"
 	"heatherlock/steering/retry"
 	"heatherlock/steering/spread"
@@ -43,8 +44,8 @@
 
 func newPeerClient() *http.Client {
 	dialer := &net.Dialer{Timeout: pullTimeout, KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: 2 * time.Second, Interval: time.Second, Count: 2}}
-	return &http.Client{Transport: &http.Transport{DialContext: dialer.DialContext,
-		MaxIdleConnsPerHost: 1, IdleConnTimeout: 10 * time.Second, DisableCompression: true, MaxResponseHeaderBytes: maxPeerHeaderBytes}}
+	return &http.Client{Transport: responses.NewTransport(&http.Transport{DialContext: dialer.DialContext,
+		MaxIdleConnsPerHost: 1, IdleConnTimeout: 10 * time.Second, DisableCompression: true, MaxResponseHeaderBytes: maxPeerHeaderBytes})}
 }
 
 // readerPeers implements feed.Peers. It looks up the fleet on each call, because the reader is
--- a/node/gateway/relay/hop_test.go
+++ b/node/gateway/relay/hop_test.go
@@ -50,7 +50,15 @@
 
 func newPair(t *testing.T, work time.Duration) *pair {
 	t.Helper()
-	p := &pair{helper: newRig(t, 2, func(c *endpoint.Config) { c.Work = work }), toTargets: targetlinks.New(), toPeers: targetlinks.New(), sent: &sentBytes{}}
+	p := newPairOf(t, newRig(t, 2, func(c *endpoint.Config) { c.Work = work }))
+	p.cut(targetlinks.Reset)
+	return p
+}
+
+// newPairOf returns a pair whose helper runs already, and whose links are not cut yet.
+func newPairOf(t *testing.T, helper *rig) *pair {
+	t.Helper()
+	p := &pair{helper: helper, toTargets: targetlinks.New(), toPeers: targetlinks.New(), sent: &sentBytes{}}
 	p.rig = newRigOf(t, p.helper.targets, p.toTargets.Dial, func(ctx context.Context, address string) (net.Conn, error) {
 		raw, err := p.toPeers.Dial(ctx, address)
 		if err != nil {
@@ -66,7 +74,6 @@
 		_ = callers.NewServer(p.helper.relay.PeerHandler(), p.helper.relay.PeerLimits, 100).Serve(ctx, listener)
 	}() // returns when the listener is closed
 	p.useHelper(listener.Addr().String(), "centro")
-	p.cut(targetlinks.Reset)
 	return p
 }
 
--- a/node/gateway/upstream/pool.go
+++ b/node/gateway/upstream/pool.go
@@ -11,6 +11,7 @@
 	"github.com/go-faster/errors"
 
 	"heatherlock/node/lock"
+	"heatherlock/responses"
 	"heatherlock/steering"
 )
 
@@ -249,6 +250,7 @@
 		h.mu.Unlock()
 		return nil, err
 	}
+	raw = responses.NewConn(raw)
 	if p.OnOpen != nil {
 		p.OnOpen()
 	}
--- a/objects/client.go
+++ b/objects/client.go
@@ -13,6 +13,8 @@
 
 	"github.com/go-faster/errors"
 	"github.com/uber-go/tally/v4"
+
+	"heatherlock/responses"
 )
 
 // Headers of the platform's HTTP API.
@@ -85,14 +87,14 @@
 }
 
 func newHTTPClient() *http.Client {
-	return &http.Client{Transport: &http.Transport{
+	return &http.Client{Transport: responses.NewTransport(&http.Transport{
 		DialContext:         (&net.Dialer{Timeout: DefaultTimeout}).DialContext,
 		MaxIdleConns:        maxIdleConnections,
 		MaxIdleConnsPerHost: maxIdleConnections,
 		IdleConnTimeout:     idleTimeout,
 		// The default of 10 MB is more than an entry VM can hold for each of several calls.
 		MaxResponseHeaderBytes: 64 << 10,
-	}}
+	})}
 }
 
 // ListReply is the body of the response to a list call.
--- a/peer/clients.go
+++ b/peer/clients.go
@@ -10,6 +10,7 @@
 	"github.com/go-faster/errors"
 
 	"heatherlock/peer/peerpb"
+	"heatherlock/responses"
 )
 
 const (
@@ -31,7 +32,7 @@
 // connections to each peer. A nil tlsConfig means plain TCP.
 func NewHTTPClient(tlsConfig *tls.Config) *http.Client {
 	return &http.Client{
-		Transport: &http.Transport{
+		Transport: responses.NewTransport(&http.Transport{
 			DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
 			TLSClientConfig:     tlsConfig,
 			TLSHandshakeTimeout: dialTimeout,
@@ -40,7 +41,7 @@
 			MaxIdleConns:        maxIdleConns,
 			IdleConnTimeout:     idleTimeout,
 			DisableCompression:  true, // avoids an Accept-Encoding header on small messages
-		},
+		}),
 	}
 }
 
--- a/standin/endpoint/endpoint.go
+++ b/standin/endpoint/endpoint.go
@@ -78,6 +78,8 @@
 	// UnframedReset responds without Content-Length and resets the connection in the
 	// middle of the body.
 	UnframedReset
+	// Scripted responds with the bytes set by SetScript.
+	Scripted
 )
 
 // Run is a request that a target started to run.
@@ -115,6 +117,8 @@
 	coldUntil time.Time
 	checks    int
 	ill       bool // as its health path says
+	script    Script
+	open      []net.Conn // that scripted responses left open
 	// arrivals are the requests received, in order.
 	arrivals []Arrival
 }
@@ -149,6 +153,7 @@
 func (e *Endpoint) Stop() {
 	_ = e.listener.Close()
 	_ = e.server.Close()
+	e.closeOpen()
 }
 
 // SetFault sets the function that chooses the fault for each request. Nil means None
@@ -349,6 +354,11 @@
 		_ = http.NewResponseController(w).Flush() // an error is ignored: tests check what the caller receives
 		return
 	}
+	script, scripted := e.scriptOf(fault)
+	if scripted && script.Early {
+		e.play(w, r, script)
+		return
+	}
 	body, err := io.ReadAll(r.Body)
 	if err != nil {
 		panic(http.ErrAbortHandler)
@@ -371,6 +381,10 @@
 		return
 	}
 	e.setLoadHeader(w)
+	if scripted {
+		e.play(w, r, script)
+		return
+	}
 	e.answer(w, r, fault)
 }
 
