Reset the caller's connection when a response without a length is broken off

Callers of the product's own data path (node/forward) saw: a target reset its connection within a response without a length, or within chunks that were passed on to HTTP/1.0, and they got the part as the whole answer. Found while the reset during an upload was followed to the caller.

Cause: such a response ends with the caller's connection. The data path broke it off by letting the server close that connection, which ends it in order. Class: the mark of a break-off was left to a layer that knows no break-offs.

Change: the connection of a request is known to the data path, on the listener for peers as well, and is reset to break a response off. It is the TCP connection that is reset, as TLS would first tell the caller that its data ends in order. While such a response is written, its connection is one that the kernel resets on close, so that the end of the process shows as well, as in node/gateway. The limit on connections hid the accepted ones; it reveals them now.

Why it works: a reset is no end of a body in any version. Two system calls a response without a length; none for others.

--- a/node/forward/forward.go
+++ b/node/forward/forward.go
@@ -13,6 +13,7 @@
 	"github.com/go-kit/log"
 	"github.com/uber-go/tally/v4"
 
+	"heatherlock/node/gateway/buffering"
 	"heatherlock/node/seam"
 	"heatherlock/node/static"
 	"heatherlock/steering"
@@ -173,6 +174,7 @@
 		if x.body != nil {
 			x.body.interrupt() // otherwise the server first waits for the rest of the body
 		}
+		x.resetCaller()
 		// Panicking is the only way for a handler to abort a connection.
 		panic(http.ErrAbortHandler)
 	}
@@ -229,7 +231,33 @@
 	if parsed, err := netip.ParseAddrPort(c.RemoteAddr().String()); err == nil {
 		info.address = parsed.Addr().Unmap()
 	}
-	return context.WithValue(ctx, connKey{}, info)
+	return context.WithValue(WithConn(ctx, c), connKey{}, info)
+}
+
+// netConnKey is the context key of a caller's or a peer's connection.
+type netConnKey struct{}
+
+// WithConn makes the connection of requests known to the data path, which resets it to break a response off. It is meant
+// for http.Server.ConnContext of a listener whose requests go to ServePeer; ConnContext includes it.
+func WithConn(ctx context.Context, c net.Conn) context.Context {
+	return context.WithValue(ctx, netConnKey{}, c)
+}
+
+// netConn returns the connection of the request if nothing else uses it at the same time, or nil.
+func (x *exchange) netConn() net.Conn {
+	c, ok := x.r.Context().Value(netConnKey{}).(net.Conn)
+	if !ok || x.r.ProtoMajor != 1 {
+		return nil
+	}
+	return c
+}
+
+// resetCaller resets the caller's connection. The server would close it in order, which is the end of a response that has
+// neither a length nor chunks.
+func (x *exchange) resetCaller() {
+	if c := x.netConn(); c != nil {
+		buffering.Reset(c)
+	}
 }
 
 // ConnState tracks the end of caller connections. It is meant for http.Server.ConnState.
--- a/node/forward/relay.go
+++ b/node/forward/relay.go
@@ -3,12 +3,14 @@
 import (
 	"context"
 	"io"
+	"net"
 	"net/http"
 	"sync"
 	"time"
 
 	"github.com/go-faster/errors"
 
+	"heatherlock/node/gateway/buffering"
 	"heatherlock/node/seam"
 	"heatherlock/steering"
 	"heatherlock/steering/request"
@@ -43,6 +45,10 @@
 	if complete && up.complete != nil {
 		up.complete(tryResult{kind: outcomeOf(res.StatusCode), inFlight: up.inFlight, slots: up.slots})
 	}
+	toCaller := x.closeDelimited(res)
+	if toCaller != nil {
+		buffering.ResetOnClose(toCaller, true) // also if this process ends before the response does
+	}
 	x.sendHeader(up, res)
 	x.callerWriter = newCallerWriter(x.w, x.f.limits.BodyMinBytesPerSec)
 	defer x.callerWriter.release()
@@ -54,6 +60,9 @@
 		}
 	}
 	x.finishTrailers(res)
+	if toCaller != nil {
+		buffering.ResetOnClose(toCaller, false)
+	}
 	x.fire(request.Complete)
 	if x.recorder != nil {
 		x.recorder.Complete(res.Trailer)
@@ -65,6 +74,14 @@
 	return newTryResult(outcomeOf(res.StatusCode), nil)
 }
 
+// closeDelimited returns the caller's connection if its end is the end of the response to the caller, or nil.
+func (x *exchange) closeDelimited(res *http.Response) net.Conn {
+	if endsByClose(res, x.r.Method) || res.ContentLength < 0 && !x.r.ProtoAtLeast(1, 1) {
+		return x.netConn()
+	}
+	return nil
+}
+
 // outcomeOf classifies a complete response by its status.
 func outcomeOf(status int) seam.OutcomeKind {
 	if status >= http.StatusInternalServerError {
--- a/node/listeners.go
+++ b/node/listeners.go
@@ -12,6 +12,7 @@
 	"github.com/go-kit/log/level"
 	"golang.org/x/net/netutil"
 
+	"heatherlock/node/forward"
 	"heatherlock/node/static"
 	"heatherlock/node/tlsconf"
 	"heatherlock/peer"
@@ -87,7 +88,7 @@
 // serve runs a server until it is shut down. Each listener has its own limit on connections, so
 // that a flood of caller connections does not affect peers and operators.
 func serve(server *http.Server, listener net.Listener, maxConns int) error {
-	limited := netutil.LimitListener(listener, maxConns)
+	limited := limitListener(listener, maxConns)
 	serveOn := server.Serve
 	if server.TLSConfig != nil {
 		serveOn = func(l net.Listener) error { return server.ServeTLS(l, "", "") }
@@ -99,6 +100,46 @@
 	return err
 }
 
+// limitListener accepts at most maxConns connections at a time from a listener. Each connection has a method NetConn, which
+// returns the accepted one: the data path resets it where nothing else shows that a response is not complete.
+func limitListener(listener net.Listener, maxConns int) net.Listener {
+	inner := &lastAccepted{Listener: listener}
+	return revealingListener{Listener: netutil.LimitListener(inner, maxConns), inner: inner}
+}
+
+// lastAccepted remembers the connection that was accepted last. A server accepts from one goroutine.
+type lastAccepted struct {
+	net.Listener
+	conn net.Conn
+}
+
+func (l *lastAccepted) Accept() (c net.Conn, err error) {
+	l.conn, err = l.Listener.Accept()
+	return l.conn, err
+}
+
+type revealingListener struct {
+	net.Listener
+	inner *lastAccepted
+}
+
+func (l revealingListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return revealedConn{Conn: c, accepted: l.inner.conn}, nil
+}
+
+// revealedConn is a limited connection that gives access to the accepted one.
+type revealedConn struct {
+	net.Conn
+	accepted net.Conn
+}
+
+// NetConn returns the accepted connection.
+func (c revealedConn) NetConn() net.Conn { return c.accepted }
+
 // newServers returns the HTTP servers for the daemon's listeners.
 func (n *Node) newServers() *servers {
 	forwarder := n.components.forward
@@ -132,6 +173,7 @@
 		MaxHeaderBytes:    controlHeaderBytes,
 		ErrorLog:          errorLog,
 	}
+	server.ConnContext = forward.WithConn
 	server.Protocols = peer.ServerProtocols()
 	if certificates != nil {
 		server.TLSConfig = certificates.Server()
