Refuse a response whose status or version no response has

Callers saw on other systems: a target in trouble sent an answer with status 000, and they got it as an answer. Here: one with a body that looks like a response was answered by that body, with any status its author likes; one with nothing behind it kept the caller until the deadline; node/forward answered with no response at all, as the server panics on status 0. Status 600 was passed on, as was what followed a 101 that nobody asked for, and a write to the store answered with 000 counted as confirmed.

Cause: net/http parses any three digits as a status, and each reader drew its own line below them: "under 200 is interim" in node/gateway/upstream, "under 300 is success" in the store's client. Class: what is a response is decided by each of its readers, from a parse that is more tolerant than any of them.

Change: responses.Check is the one rule, for final and interim heads: HTTP/1 (or HTTP/2 where it was agreed on), status 100 to 599, no 101. Targets, other entry VMs, store, objects, peers and tools ask it. 600 and beyond are refused rather than passed on: they have no class, so that neither "served" nor "not run" can be told (RFC 9110, section 15, lets a client treat them as 5xx). Such a response says nothing of its request: 502, reason answer_malformed, repeated elsewhere only if it may run twice (retry reason malformed). It counts against its target as a broken connection does; nothing of its head is used, the store's epoch included; its connection is closed.

Why it works: no reader gets a response whose status has no meaning, so that none has to guess one.

--- a/cmd/internal/offline/whylog.go
+++ b/cmd/internal/offline/whylog.go
@@ -241,7 +241,7 @@
 		return fmt.Sprintf("outcome unknown: no answer of %s within the %d ms that the route allows", lastTarget(l), l.Timeout)
 	case l.Reason == steering.ReasonTargetLost:
 		return fmt.Sprintf("outcome unknown: %s broke off with the request in its hands", lastTarget(l))
-	case l.Reason == steering.ReasonResponseMismatched:
+	case l.Reason == steering.ReasonResponseMismatched, l.Reason == steering.ReasonResponseMalformed:
 		return fmt.Sprintf("outcome unknown: %s sent an answer that could not be passed on", lastTarget(l))
 	case l.Reason == "":
 		return fmt.Sprintf("passed on with status %d after %d tries", l.Status, len(l.Tries))
--- a/node/forward/classify.go
+++ b/node/forward/classify.go
@@ -7,6 +7,7 @@
 	"github.com/go-faster/errors"
 
 	"heatherlock/node/seam"
+	"heatherlock/responses"
 	"heatherlock/steering"
 )
 
@@ -27,6 +28,8 @@
 		return newTryResult(seam.OutcomeUnreachable, steering.Refuse(steering.ReasonDeadline, 0, "the deadline passed before the request was sent"))
 	case cause != nil:
 		return newTryResult(seam.OutcomeCancelled, &steering.Refusal{Reason: steering.ReasonCancelled, Ran: ranIf(sent), Detail: "the caller went away"})
+	case errors.Is(err, responses.ErrMalformed):
+		return newTryResult(seam.OutcomeBroken, steering.RefuseUnknown(steering.ReasonResponseMalformed, err.Error()))
 	case sent:
 		return newTryResult(seam.OutcomeBroken, steering.RefuseUnknown(steering.ReasonTargetLost, fmt.Sprintf("no answer: %v", err)))
 	default:
--- a/node/forward/retry.go
+++ b/node/forward/retry.go
@@ -100,7 +100,7 @@
 	}
 	switch refusal.Reason {
 	case steering.ReasonShed, steering.ReasonTargetFailed, steering.ReasonTargetLost,
-		steering.ReasonResponseTruncated, steering.ReasonResponseMismatched:
+		steering.ReasonResponseTruncated, steering.ReasonResponseMismatched, steering.ReasonResponseMalformed:
 		return x.allowRetry(refusal.Reason, refusal.Ran)
 	}
 	return false
--- a/node/forward/try.go
+++ b/node/forward/try.go
@@ -9,7 +9,10 @@
 	"strconv"
 	"time"
 
+	"github.com/go-faster/errors"
+
 	"heatherlock/node/seam"
+	"heatherlock/responses"
 	"heatherlock/steering"
 	"heatherlock/steering/poison"
 )
@@ -86,6 +89,11 @@
 		return s
 	}
 	s.res, s.err = up.transport.RoundTrip(x.buildRequest(ctx, up, payload, s.conn))
+	if s.err == nil {
+		if s.err = responses.Check(s.res); s.err != nil {
+			_ = s.res.Body.Close()
+		}
+	}
 	s.sent = s.err == nil || s.conn.abandon()
 	up.onSent(s.sent)
 	return s
@@ -100,7 +108,7 @@
 	if s.err != nil {
 		s.payload.detach()
 		result := x.failed(s.err, s.sent)
-		result.connectionBroken = result.kind == seam.OutcomeBroken
+		result.connectionBroken = result.kind == seam.OutcomeBroken && !errors.Is(s.err, responses.ErrMalformed)
 		return result
 	}
 	result := x.handleResponse(s.upstream, s.res, s.conn)
@@ -143,8 +151,11 @@
 	}
 	x.setBody(out, payload)
 	trace := &httptrace.ClientTrace{GotConn: conn.gotConn}
-	if !up.suppressInterim {
-		trace.Got1xxResponse = x.relayInterim
+	trace.Got1xxResponse = func(code int, header textproto.MIMEHeader) error {
+		if err := responses.CheckStatus(code); err != nil || up.suppressInterim {
+			return err
+		}
+		return x.relayInterim(code, header)
 	}
 	return out.WithContext(httptrace.WithClientTrace(ctx, trace))
 }
--- a/node/gateway/relay/attempts.go
+++ b/node/gateway/relay/attempts.go
@@ -14,6 +14,7 @@
 	"heatherlock/node/gateway/upstream"
 	"heatherlock/node/gateway/volume"
 	"heatherlock/platform"
+	"heatherlock/responses"
 	"heatherlock/steering"
 	"heatherlock/steering/notrun"
 	"heatherlock/steering/placement"
@@ -346,6 +347,8 @@
 		return "address_reused"
 	case e.notRun:
 		return "shed"
+	case errors.Is(e.err, responses.ErrMalformed):
+		return "malformed"
 	case e.err != nil:
 		return "broken"
 	}
--- a/node/gateway/relay/responses.go
+++ b/node/gateway/relay/responses.go
@@ -6,8 +6,11 @@
 	"strconv"
 	"time"
 
+	"github.com/go-faster/errors"
+
 	"heatherlock/node/gateway/callers"
 	"heatherlock/node/gateway/planted"
+	"heatherlock/responses"
 	"heatherlock/steering"
 	"heatherlock/steering/losses"
 )
@@ -39,6 +42,9 @@
 	if e.err == nil {
 		return x.outcomeUnknown(steering.ReasonResponseMismatched)
 	}
+	if errors.Is(e.err, responses.ErrMalformed) {
+		return x.outcomeUnknown(steering.ReasonResponseMalformed)
+	}
 	return x.outcomeUnknown(steering.ReasonTargetLost)
 }
 
--- a/node/gateway/upstream/head.go
+++ b/node/gateway/upstream/head.go
@@ -8,6 +8,7 @@
 	"github.com/go-faster/errors"
 
 	"heatherlock/node/gateway/buffering"
+	"heatherlock/responses"
 )
 
 const (
@@ -75,6 +76,9 @@
 		if err != nil {
 			return nil, errors.Wrap(err, "read response")
 		}
+		if err := responses.Check(response); err != nil {
+			return nil, err
+		}
 		if response.StatusCode >= http.StatusOK {
 			return response, nil
 		}
--- a/responses/transport.go
+++ b/responses/transport.go
@@ -1,7 +1,9 @@
 package responses
 
 import (
+	"net"
 	"net/http"
+	"net/http/httptrace"
 )
 
 // Transport is an http.RoundTripper that returns no response that is not to be believed. The body of a response that
@@ -34,5 +36,21 @@
 // CloseIdleConnections closes the connections that carry no request.
 func (t *Transport) CloseIdleConnections() { t.inner.CloseIdleConnections() }
 
-// RoundTrip implements http.RoundTripper.
-func (t *Transport) RoundTrip(r *http.Request) (*http.Response, error) { return t.inner.RoundTrip(r) }
+// RoundTrip implements http.RoundTripper. The connection of a malformed response is closed.
+func (t *Transport) RoundTrip(r *http.Request) (*http.Response, error) {
+	var conn net.Conn
+	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) { conn = info.Conn }}
+	response, err := t.inner.RoundTrip(r.WithContext(httptrace.WithClientTrace(r.Context(), trace)))
+	if err != nil {
+		return nil, err
+	}
+	if err := Check(response); err != nil {
+		_ = response.Body.Close()
+		if conn != nil {
+			_ = conn.Close()
+		}
+		return nil, err
+	}
+	response.Request = r
+	return response, nil
+}
--- a/responses/transport_test.go
+++ b/responses/transport_test.go
@@ -7,8 +7,10 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 
+	"github.com/go-faster/errors"
 	"gotest.tools/v3/assert"
 
 	"heatherlock/responses"
@@ -65,3 +67,51 @@
 	got, err := io.ReadAll(response.Body)
 	assert.Check(t, err != nil, "taken for complete: %q", got)
 }
+
+// malformedHeads are responses whose heads break the protocol.
+var malformedHeads = map[string]string{
+	"status 000":                  "HTTP/1.1 000 \r\nContent-Length: 2\r\n\r\n{}",
+	"status 099":                  "HTTP/1.1 099 Low\r\nContent-Length: 2\r\n\r\n{}",
+	"status with a sign":          "HTTP/1.1 +20 OK\r\nContent-Length: 2\r\n\r\n{}",
+	"status 600":                  "HTTP/1.1 600 High\r\nContent-Length: 2\r\n\r\n{}",
+	"unasked switch of protocols": "HTTP/1.1 101 Switching Protocols\r\nConnection: Upgrade\r\nUpgrade: other\r\n\r\n{}",
+	"version 2":                   "HTTP/2.0 200 OK\r\nContent-Length: 2\r\n\r\n{}",
+}
+
+// Guards against a malformed response of the store or of a peer that is taken for an answer, and against a further use of
+// its connection.
+func TestTransportRefusesMalformedResponses(t *testing.T) {
+	for name, text := range malformedHeads {
+		t.Run(name, func(t *testing.T) {
+			var served atomic.Int64
+			url := serve(t, func(c *net.TCPConn, _ *http.Request) {
+				answer := text
+				if served.Add(1) > 1 {
+					answer = "HTTP/1.1 200 OK\r\nX-Remote: " + c.RemoteAddr().String() + "\r\nContent-Length: 2\r\n\r\n{}"
+				}
+				_, _ = io.WriteString(c, answer) // the test fails without it
+			})
+			var local []string
+			transport := responses.NewTransport(&http.Transport{DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
+				c, err := (&net.Dialer{}).DialContext(ctx, network, address)
+				if err == nil {
+					local = append(local, c.LocalAddr().String())
+				}
+				return c, err
+			}})
+			defer transport.CloseIdleConnections()
+			client := http.Client{Transport: transport}
+			response, err := client.Get(url)
+			if err == nil {
+				_, err = io.ReadAll(response.Body)
+				_ = response.Body.Close()
+			}
+			assert.Check(t, errors.Is(err, responses.ErrMalformed), "%v", err)
+			response, err = client.Get(url)
+			assert.NilError(t, err)
+			defer response.Body.Close()
+			assert.Equal(t, len(local), 2)
+			assert.Equal(t, response.Header.Get("X-Remote"), local[1])
+		})
+	}
+}
--- a/standin/witness/callers.go
+++ b/standin/witness/callers.go
@@ -157,7 +157,8 @@
 	switch {
 	case t.Ran == RanNo || t.Excused:
 	case u.entryVMKilled && isHomeGone(t.Reason):
-	case t.Reason == string(steering.ReasonResponseTruncated) || t.Reason == string(steering.ReasonResponseMismatched):
+	case t.Reason == string(steering.ReasonResponseTruncated) || t.Reason == string(steering.ReasonResponseMismatched) ||
+		t.Reason == string(steering.ReasonResponseMalformed):
 		u.answerLost = true
 	default:
 		u.recordCut(t.Reason + " by " + t.EntryVM)
--- a/steering/reasons.go
+++ b/steering/reasons.go
@@ -41,6 +41,7 @@
 	ReasonKeysFull:           {http.StatusServiceUnavailable, "this entry VM keeps as many request keys as its memory bound allows", "come back after the time given with the same key, or raise limits.outcomeBytes"},
 	ReasonResponseNotKept:    {http.StatusConflict, "the request ran, but its answer was too large to keep", "read the outcome from the service itself"},
 	ReasonResponseTruncated:  {http.StatusBadGateway, "the target's answer ended early", "repeat only if the request is idempotent"},
+	ReasonResponseMalformed:  {http.StatusBadGateway, "the target's answer broke the protocol", "repeat only if the request is idempotent; inspect the target"},
 	ReasonResponseMismatched: {http.StatusBadGateway, "the target answered a different request", "repeat only if the request is idempotent; inspect the target"},
 	ReasonBadRequest:         {http.StatusBadRequest, "the request is malformed", "correct the part named in the detail"},
 	ReasonBodyTooLarge:       {http.StatusRequestEntityTooLarge, "the body is larger than the service allows", "send less, or raise the Service's maxBodyBytes"},
--- a/steering/refusal.go
+++ b/steering/refusal.go
@@ -63,6 +63,7 @@
 	ReasonResponseNotKept    Reason = "answer_not_kept"
 	ReasonResponseTruncated  Reason = "answer_cut"
 	ReasonResponseMismatched Reason = "answer_crossed"
+	ReasonResponseMalformed  Reason = "answer_malformed"
 	ReasonBadRequest         Reason = "bad_request"
 	ReasonBodyTooLarge       Reason = "body_too_large"
 	ReasonSlowSender         Reason = "slow_sender"
