Refuse a response with a field whose name is none

Callers saw on other systems: a target in trouble sent a head in which the name of a field held a blank or a control byte, and they got it as an answer, with a body that was not the target's. Here: after "Content-Length : 5" the body went on until the connection ended, after "Transfer-Encoding : chunked" the chunks' framing became the body, and a blank in the name of any field, in interim responses and trailers too, was accepted and the line dropped. Control bytes, tabs and DEL in names, empty names and control bytes in values were refused already; the tests keep that.

Cause: net/http takes a blank for a part of a name, so that a field that frames the body becomes an unknown one. Class: as with the status, each reader took for sound what a tolerant parser had returned.

Change: responses.Check also looks at the names, as it does for interim heads and trailers (CheckInterim, CheckTrailer). A response whose trailer breaks the protocol is refused where nothing of it is with the caller yet, and broken off where it is.

Why it works: a field that might frame the body is either known by its name or makes the response none.

--- a/node/forward/malformed_test.go
+++ b/node/forward/malformed_test.go
@@ -20,12 +20,22 @@
 
 // malformedHeads are responses whose heads break the protocol.
 var malformedHeads = map[string]string{
-	"status 000":                     "HTTP/1.1 000 \r\n" + named + sized,
-	"status 000 in front of another": "HTTP/1.1 000 None\r\n" + named + "\r\n" + usual,
-	"status 099":                     "HTTP/1.1 099 Low\r\n" + named + sized,
-	"status 600":                     "HTTP/1.1 600 High\r\n" + named + sized,
-	"unasked switch of protocols":    "HTTP/1.1 101 Switching Protocols\r\n" + named + "Connection: Upgrade\r\nUpgrade: other\r\n\r\n" + usual,
-	"version 2":                      "HTTP/2.0 200 OK\r\n" + named + sized,
+	"status 000":                       "HTTP/1.1 000 \r\n" + named + sized,
+	"status 000 in front of another":   "HTTP/1.1 000 None\r\n" + named + "\r\n" + usual,
+	"status 099":                       "HTTP/1.1 099 Low\r\n" + named + sized,
+	"status 600":                       "HTTP/1.1 600 High\r\n" + named + sized,
+	"unasked switch of protocols":      "HTTP/1.1 101 Switching Protocols\r\n" + named + "Connection: Upgrade\r\nUpgrade: other\r\n\r\n" + usual,
+	"version 2":                        "HTTP/2.0 200 OK\r\n" + named + sized,
+	"blank in a name":                  "HTTP/1.1 200 OK\r\n" + named + "X Bad: 1\r\n" + sized,
+	"blank behind Content-Length":      "HTTP/1.1 200 OK\r\n" + named + "Content-Length : {length}\r\n\r\n{body}",
+	"blank behind Transfer-Encoding":   "HTTP/1.1 200 OK\r\n" + named + "Transfer-Encoding : chunked\r\n\r\n2\r\nno\r\n0\r\n\r\n",
+	"blank in front of the first name": "HTTP/1.1 200 OK\r\n X-Bad: 1\r\n" + named + sized,
+	"tab in a name":                    "HTTP/1.1 200 OK\r\n" + named + "X\tBad: 1\r\n" + sized,
+	"control byte in a name":           "HTTP/1.1 200 OK\r\n" + named + "X\x01Bad: 1\r\n" + sized,
+	"interim with a blank in a name":   "HTTP/1.1 103 Early Hints\r\nX Bad: 1\r\n\r\n" + usual,
+	"interim with a control byte":      "HTTP/1.1 103 Early Hints\r\nX\x01Bad: 1\r\n\r\n" + usual,
+	"trailer with a blank in a name":   "HTTP/1.1 200 OK\r\n" + named + "Transfer-Encoding: chunked\r\n\r\n2\r\nno\r\n0\r\nX Bad: 1\r\n\r\n",
+	"trailer with a control byte":      "HTTP/1.1 200 OK\r\n" + named + "Transfer-Encoding: chunked\r\n\r\n2\r\nno\r\n0\r\nX\x01Bad: 1\r\n\r\n",
 }
 
 // Guards against a response whose head breaks the protocol and that is passed on, or read with another body than was sent.
@@ -56,3 +66,27 @@
 		}
 	}
 }
+
+// Guards against a lawful response that is refused because its head is unusual.
+func TestUnusualResponseIsPassedOn(t *testing.T) {
+	for name, text := range map[string]string{
+		"folded line":          "HTTP/1.1 200 OK\r\n" + named + "X-Good: 1\r\n Content-Length: 2\r\n" + sized,
+		"bare line feeds":      strings.ReplaceAll(usual, "\r\n", "\n"),
+		"blanks around values": "HTTP/1.1 200 Fabulous\r\nX-Request-Id:     {id}  \r\n" + sized,
+		"names in lower case":  "HTTP/1.1 200\r\n" + strings.ToLower(named) + "content-length: {length}\r\n\r\n{body}",
+		"HTTP/1.0":             "HTTP/1.0 200 OK\r\n" + named + sized,
+		"interim in front":     "HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n" + usual,
+		"trailer":              "HTTP/1.1 200 OK\r\n" + named + "Transfer-Encoding: chunked\r\n\r\n9\r\nthe whole\r\n0\r\nx-sum: 1\r\n\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			inTestbed(t, func(t *testing.T, w *testbed) {
+				w.rawTarget("t1", func(id string, out io.Writer) {
+					_, _ = io.WriteString(out, endpoint.Script{Text: text}.Expand(id, "the whole"))
+				})
+				res, body, err := w.do("POST", "/", nil)
+				assert.NilError(t, err)
+				assert.Check(t, res.StatusCode == http.StatusOK && body == "the whole", "%v %q", res, body)
+			})
+		})
+	}
+}
--- a/node/forward/relay.go
+++ b/node/forward/relay.go
@@ -12,6 +12,7 @@
 
 	"heatherlock/node/gateway/buffering"
 	"heatherlock/node/seam"
+	"heatherlock/responses"
 	"heatherlock/steering"
 	"heatherlock/steering/request"
 )
@@ -107,7 +108,7 @@
 	}
 	n, err = res.Body.Read(buf)
 	if err == io.EOF {
-		return n, true, nil
+		return n, true, responses.CheckTrailer(res)
 	}
 	return n, false, err
 }
@@ -164,7 +165,7 @@
 		x.timer.Stop() // the time spent writing to the caller is limited by callerWriter
 		x.forwardChunk(buf[:n], flush)
 		if err == io.EOF {
-			return nil
+			return responses.CheckTrailer(res)
 		}
 		if err != nil {
 			return err
@@ -223,6 +224,9 @@
 	if context.Cause(x.ctx) != nil {
 		return newTryResult(seam.OutcomeCancelled, steering.RefuseUnknown(steering.ReasonCancelled, "the caller went away"))
 	}
+	if errors.Is(err, responses.ErrMalformed) {
+		return newTryResult(seam.OutcomeBroken, steering.RefuseUnknown(steering.ReasonResponseMalformed, err.Error()))
+	}
 	result := newTryResult(seam.OutcomeBroken, steering.RefuseUnknown(steering.ReasonResponseTruncated, err.Error()))
 	result.connectionBroken = true
 	return result
--- a/node/forward/response.go
+++ b/node/forward/response.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"heatherlock/node/seam"
+	"heatherlock/responses"
 	"heatherlock/steering"
 )
 
@@ -88,7 +89,7 @@
 
 func (x *exchange) discard(res *http.Response, conn *exchangeConn) {
 	n, err := io.CopyN(io.Discard, res.Body, discardBytes)
-	if err != io.EOF || n == discardBytes || !x.bodySent() {
+	if err != io.EOF || n == discardBytes || !x.bodySent() || responses.CheckTrailer(res) != nil {
 		conn.abandon()
 	}
 	_ = res.Body.Close()
--- a/node/forward/try.go
+++ b/node/forward/try.go
@@ -152,7 +152,7 @@
 	x.setBody(out, payload)
 	trace := &httptrace.ClientTrace{GotConn: conn.gotConn}
 	trace.Got1xxResponse = func(code int, header textproto.MIMEHeader) error {
-		if err := responses.CheckStatus(code); err != nil || up.suppressInterim {
+		if err := responses.CheckInterim(code, http.Header(header)); err != nil || up.suppressInterim {
 			return err
 		}
 		return x.relayInterim(code, header)
--- a/node/gateway/upstream/conn.go
+++ b/node/gateway/upstream/conn.go
@@ -16,6 +16,7 @@
 	"heatherlock/node/gateway/buffering"
 	"heatherlock/node/gateway/planted"
 	"heatherlock/node/lock"
+	"heatherlock/responses"
 	"heatherlock/steering/notrun"
 )
 
@@ -181,7 +182,7 @@
 // streamResponse passes on a response whose body is read while it is passed on to the caller.
 func (c *conn) streamResponse(e *exchange, response *Response, last bool) bool {
 	ended := make(chan bool, 1)
-	body := &streamedBody{ReadCloser: response.BodyRest, ended: ended, conn: c}
+	body := &streamedBody{ReadCloser: response.BodyRest, response: response.parsed, ended: ended, conn: c}
 	response.BodyRest = body
 	e.claim.AtEnd(func() { _ = body.Close() }) // of a response that is not passed on; Close returns no error
 	e.done <- result{response: response}
@@ -195,13 +196,19 @@
 // aborts the exchange.
 type streamedBody struct {
 	io.ReadCloser
-	ended chan bool
-	conn  *conn
-	once  sync.Once
+	response *http.Response // of which this is the body
+	ended    chan bool
+	conn     *conn
+	once     sync.Once
 }
 
 func (s *streamedBody) Read(p []byte) (int, error) {
 	n, err := s.ReadCloser.Read(p)
+	if err == io.EOF {
+		if malformed := responses.CheckTrailer(s.response); malformed != nil {
+			err = malformed
+		}
+	}
 	if err != nil {
 		s.once.Do(func() { s.ended <- err == io.EOF })
 	}
@@ -258,7 +265,7 @@
 		}
 		response = &Response{Status: httpResponse.StatusCode, Header: httpResponse.Header, Body: body, Length: httpResponse.ContentLength}
 		if !whole {
-			response.BodyRest = httpResponse.Body
+			response.BodyRest, response.parsed = httpResponse.Body, httpResponse
 		}
 		c.setIdleTimeout(httpResponse.Header)
 		return response, last || httpResponse.Close, nil
@@ -274,6 +281,9 @@
 	}
 	if claim.Answered() {
 		n, err := io.Copy(io.Discard, io.LimitReader(r.Body, maxBufferedBody+1))
+		if err == nil && n <= maxBufferedBody {
+			err = responses.CheckTrailer(r)
+		}
 		return nil, n <= maxBufferedBody, err
 	}
 	data, err := buffering.ReadUpTo(r.Body, claim, r.ContentLength, maxBufferedBody+1)
@@ -283,7 +293,10 @@
 	if err != nil {
 		return nil, false, err
 	}
-	return data, len(data) <= maxBufferedBody, nil
+	if len(data) > maxBufferedBody {
+		return data, false, nil
+	}
+	return data, true, responses.CheckTrailer(r)
 }
 
 // setWriteDeadline sets the deadline of a write, unless stopWriting has ended it.
--- a/node/gateway/upstream/exchange.go
+++ b/node/gateway/upstream/exchange.go
@@ -54,6 +54,8 @@
 	BodyRest io.ReadCloser
 	// Length is the stated length; negative if none was stated.
 	Length int64
+	// parsed is the response to which BodyRest belongs; nil without.
+	parsed *http.Response
 }
 
 // Stage describes how far an exchange got.
--- a/responses/transport.go
+++ b/responses/transport.go
@@ -1,9 +1,13 @@
 package responses
 
 import (
+	"io"
 	"net"
 	"net/http"
 	"net/http/httptrace"
+	"net/textproto"
+
+	"github.com/go-faster/errors"
 )
 
 // Transport is an http.RoundTripper that returns no response that is not to be believed. The body of a response that
@@ -39,18 +43,50 @@
 // RoundTrip implements http.RoundTripper. The connection of a malformed response is closed.
 func (t *Transport) RoundTrip(r *http.Request) (*http.Response, error) {
 	var conn net.Conn
-	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) { conn = info.Conn }}
+	var interim error
+	trace := &httptrace.ClientTrace{
+		GotConn: func(info httptrace.GotConnInfo) { conn = info.Conn },
+		Got1xxResponse: func(status int, header textproto.MIMEHeader) error {
+			interim = CheckInterim(status, http.Header(header))
+			return interim
+		},
+	}
 	response, err := t.inner.RoundTrip(r.WithContext(httptrace.WithClientTrace(r.Context(), trace)))
 	if err != nil {
 		return nil, err
 	}
-	if err := Check(response); err != nil {
-		_ = response.Body.Close()
+	giveUp := func() {
 		if conn != nil {
-			_ = conn.Close()
+			_ = conn.Close() // an error makes no difference, as the connection is not used any more
 		}
+	}
+	if err := errors.Join(interim, Check(response)); err != nil {
+		_ = response.Body.Close() // as above
+		giveUp()
 		return nil, err
 	}
 	response.Request = r
+	if response.ContentLength < 0 {
+		response.Body = &checkedBody{ReadCloser: response.Body, response: response, giveUp: giveUp}
+	}
 	return response, nil
 }
+
+// checkedBody is a body that fails where its trailer breaks the protocol.
+type checkedBody struct {
+	io.ReadCloser
+	response *http.Response
+	giveUp   func() // closes the connection
+}
+
+func (b *checkedBody) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	if err != io.EOF {
+		return n, err
+	}
+	if malformed := CheckTrailer(b.response); malformed != nil {
+		b.giveUp()
+		err = malformed
+	}
+	return n, err
+}
--- a/responses/transport_test.go
+++ b/responses/transport_test.go
@@ -70,12 +70,16 @@
 
 // malformedHeads are responses whose heads break the protocol.
 var malformedHeads = map[string]string{
-	"status 000":                  "HTTP/1.1 000 \r\nContent-Length: 2\r\n\r\n{}",
-	"status 099":                  "HTTP/1.1 099 Low\r\nContent-Length: 2\r\n\r\n{}",
-	"status with a sign":          "HTTP/1.1 +20 OK\r\nContent-Length: 2\r\n\r\n{}",
-	"status 600":                  "HTTP/1.1 600 High\r\nContent-Length: 2\r\n\r\n{}",
-	"unasked switch of protocols": "HTTP/1.1 101 Switching Protocols\r\nConnection: Upgrade\r\nUpgrade: other\r\n\r\n{}",
-	"version 2":                   "HTTP/2.0 200 OK\r\nContent-Length: 2\r\n\r\n{}",
+	"status 000":                     "HTTP/1.1 000 \r\nContent-Length: 2\r\n\r\n{}",
+	"status 099":                     "HTTP/1.1 099 Low\r\nContent-Length: 2\r\n\r\n{}",
+	"status with a sign":             "HTTP/1.1 +20 OK\r\nContent-Length: 2\r\n\r\n{}",
+	"status 600":                     "HTTP/1.1 600 High\r\nContent-Length: 2\r\n\r\n{}",
+	"unasked switch of protocols":    "HTTP/1.1 101 Switching Protocols\r\nConnection: Upgrade\r\nUpgrade: other\r\n\r\n{}",
+	"blank in a name":                "HTTP/1.1 200 OK\r\nX Bad: 1\r\nContent-Length: 2\r\n\r\n{}",
+	"blank behind a name":            "HTTP/1.1 200 OK\r\nContent-Length : 9\r\nContent-Length: 2\r\n\r\n{}",
+	"interim with a blank in a name": "HTTP/1.1 103 Early Hints\r\nX Bad: 1\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}",
+	"trailer with a blank in a name": "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\n{}\r\n0\r\nX Bad: 1\r\n\r\n",
+	"version 2":                      "HTTP/2.0 200 OK\r\nContent-Length: 2\r\n\r\n{}",
 }
 
 // Guards against a malformed response of the store or of a peer that is taken for an answer, and against a further use of
