Refuse an HTTP/1.0 response that states a transfer encoding

Callers got: the framing of its chunks as the body of a 200, and nothing but that where the connection stayed open until the deadline (a minute in node/forward).

Cause: HTTP/1.0 knows no transfer encodings. net/http drops the field of such a response without a trace and reads the body as if it had not been there. RFC 9112, section 6.1, calls the framing faulty, even with a length. Class: as with names, what frames the body is lost in a tolerant parse; here nothing of it is left to be checked.

Evidence: the cases "chunks of HTTP/1.0" and "chunks and a length of HTTP/1.0" in both engines, and that of the client of store and peers, failed before.

Change: responses.Conn, through which all responses are read, looks for the field in the head of a response of HTTP/1.0, and returns ErrMalformed in its place. Whoever writes a request says that a head is due (ExpectHead). Responses of HTTP/1.1 are told apart by their first eight bytes; HTTP/1.0 without the field is served as before, with or without a length.

Why it works: the bytes are seen before the parser drops them. Not covered: such a response behind an interim one of HTTP/1.1, and within TLS.

--- a/node/forward/conn.go
+++ b/node/forward/conn.go
@@ -21,7 +21,7 @@
 // elsewhere. The proof is to count the bytes on the connection and to close it for good before the
 // count is read.
 type countedConn struct {
-	net.Conn
+	*responses.Conn
 	mu      sync.Mutex
 	sent    int64
 	closed  bool
@@ -163,6 +163,7 @@
 		return
 	}
 	base := conn.sentBytes()
+	conn.ExpectHead()
 	conn.setOnClose(e.onClose)
 	e.mu.Lock()
 	defer e.mu.Unlock()
--- a/node/forward/malformed_test.go
+++ b/node/forward/malformed_test.go
@@ -20,6 +20,8 @@
 
 // malformedHeads are responses whose heads break the protocol.
 var malformedHeads = map[string]string{
+	"chunks of HTTP/1.0":               "HTTP/1.0 200 OK\r\n" + named + "Transfer-Encoding: chunked\r\n\r\n2\r\nno\r\n0\r\n\r\n",
+	"chunks and a length of HTTP/1.0":  "HTTP/1.0 200 OK\r\ntransfer-encoding:chunked\r\n" + named + "Content-Length: 2\r\n\r\nno",
 	"status 000":                       "HTTP/1.1 000 \r\n" + named + sized,
 	"status 000 in front of another":   "HTTP/1.1 000 None\r\n" + named + "\r\n" + usual,
 	"status 099":                       "HTTP/1.1 099 Low\r\n" + named + sized,
--- a/node/gateway/relay/malformed_test.go
+++ b/node/gateway/relay/malformed_test.go
@@ -15,6 +15,8 @@
 
 // malformedHeads are responses whose heads break the protocol.
 var malformedHeads = map[string]string{
+	"chunks of HTTP/1.0":                   "HTTP/1.0 200 OK\r\n" + named + "Transfer-Encoding: chunked\r\n\r\n2\r\nno\r\n0\r\n\r\n",
+	"chunks and a length of HTTP/1.0":      "HTTP/1.0 200 OK\r\ntransfer-encoding:chunked\r\n" + named + "Content-Length: 2\r\n\r\nno",
 	"status 000":                           "HTTP/1.1 000 \r\n" + named + sized,
 	"status 000 without a body":            "HTTP/1.1 000 None\r\n" + named + zeroed,
 	"status 000 in front of a response":    "HTTP/1.1 000 None\r\n" + named + "\r\n" + usual,
@@ -100,6 +102,7 @@
 	"names of unusual bytes":     "HTTP/1.1 200 OK\r\n" + named + "x!#$%&'*+.^_`|~9: 1\r\n" + sized,
 	"empty value":                "HTTP/1.1 200 OK\r\n" + named + "X-Empty:\r\n" + sized,
 	"bytes beyond ASCII":         "HTTP/1.1 200 OK\r\n" + named + "X-Name: \xe9\xff\r\n" + sized,
+	"HTTP/1.0 without a length":  "HTTP/1.0 200 OK\r\n" + named + "\r\nthe whole\r\nTransfer-Encoding: chunked\r\n",
 	"HTTP/1.0":                   "HTTP/1.0 200 OK\r\n" + named + sized,
 	"interim responses in front": "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 199 Soon\r\nX-A: 1\r\n\r\n" + usual,
 	"trailer":                    "HTTP/1.1 200 OK\r\n" + named + "Transfer-Encoding: chunked\r\n\r\n9\r\nthe whole\r\n0\r\nx-sum: 1\r\n\r\n",
--- a/node/gateway/upstream/pool.go
+++ b/node/gateway/upstream/pool.go
@@ -250,14 +250,15 @@
 		h.mu.Unlock()
 		return nil, err
 	}
-	raw = responses.NewConn(raw)
+	read := responses.NewConn(raw)
+	raw = read
 	if p.OnOpen != nil {
 		p.OnOpen()
 	}
 	if call.OnOpen != nil {
 		raw = call.OnOpen(raw)
 	}
-	c := newConn(raw, h, p)
+	c := newConn(raw, read, h, p)
 	go c.readLoop()
 	return c, nil
 }
--- a/responses/conn.go
+++ b/responses/conn.go
@@ -6,6 +6,7 @@
 	"net"
 	"os"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -35,15 +36,19 @@
 // an end that looks like an orderly one. A response without a length would be taken for complete. Read therefore asks the
 // writes before it reports an end, and waits for one in progress, which may have taken the report already.
 //
-// There may be one reader and one writer at a time, as with net.Conn.
+// There may be one reader at a time, and any number of writers.
 type Conn struct {
 	net.Conn
 
 	mu      sync.Mutex
 	idle    sync.Cond // signalled when no write is in progress
-	writing bool
-	ended   bool  // the reader has seen the end
-	failure error // the first failure that a write took from the reader
+	writing int       // writes in progress
+	ended   bool      // the reader has seen the end
+	failure error     // the first failure that a write took from the reader
+
+	// expectsHead is set if the next bytes begin a response.
+	expectsHead atomic.Bool
+	head        legacyScan // used by the reader alone
 }
 
 // NewConn returns a Conn over c.
@@ -56,9 +61,18 @@
 // NetConn returns the connection that is wrapped.
 func (c *Conn) NetConn() net.Conn { return c.Conn }
 
-// Read implements net.Conn.
+// ExpectHead tells that a request is about to be written, so that the next bytes begin its response.
+func (c *Conn) ExpectHead() { c.expectsHead.Store(true) }
+
+// Read implements net.Conn. It returns ErrMalformed in place of a head that net/http would read as another one.
 func (c *Conn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
+	if n > 0 && c.expectsHead.Swap(false) {
+		c.head.start()
+	}
+	if c.head.found(p[:n]) {
+		return 0, errLegacyFraming
+	}
 	if err != io.EOF { // net.Conn returns it unwrapped
 		return n, err
 	}
@@ -73,10 +87,10 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.ended = true
-	if c.writing {
+	if c.writing > 0 {
 		_ = c.Conn.SetWriteDeadline(time.Unix(1, 0)) // it fails only on a closed connection, whose writes end
 	}
-	for c.writing {
+	for c.writing > 0 {
 		c.idle.Wait()
 	}
 	return c.failure
@@ -89,11 +103,11 @@
 		c.mu.Unlock()
 		return 0, ErrEnded
 	}
-	c.writing = true
+	c.writing++
 	c.mu.Unlock()
 	n, err := c.Conn.Write(p)
 	c.mu.Lock()
-	c.writing = false
+	c.writing--
 	if c.failure == nil && takesFailure(err) {
 		c.failure = err
 	}
--- a/responses/transport.go
+++ b/responses/transport.go
@@ -45,7 +45,12 @@
 	var conn net.Conn
 	var interim error
 	trace := &httptrace.ClientTrace{
-		GotConn: func(info httptrace.GotConnInfo) { conn = info.Conn },
+		GotConn: func(info httptrace.GotConnInfo) {
+			conn = info.Conn
+			if plain, ok := conn.(*Conn); ok {
+				plain.ExpectHead()
+			}
+		},
 		Got1xxResponse: func(status int, header textproto.MIMEHeader) error {
 			interim = CheckInterim(status, http.Header(header))
 			return interim
--- a/responses/transport_test.go
+++ b/responses/transport_test.go
@@ -73,6 +73,7 @@
 	"status 000":                     "HTTP/1.1 000 \r\nContent-Length: 2\r\n\r\n{}",
 	"status 099":                     "HTTP/1.1 099 Low\r\nContent-Length: 2\r\n\r\n{}",
 	"status with a sign":             "HTTP/1.1 +20 OK\r\nContent-Length: 2\r\n\r\n{}",
+	"chunks of HTTP/1.0":             "HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\n{}\r\n0\r\n\r\n",
 	"status 600":                     "HTTP/1.1 600 High\r\nContent-Length: 2\r\n\r\n{}",
 	"unasked switch of protocols":    "HTTP/1.1 101 Switching Protocols\r\nConnection: Upgrade\r\nUpgrade: other\r\n\r\n{}",
 	"blank in a name":                "HTTP/1.1 200 OK\r\nX Bad: 1\r\nContent-Length: 2\r\n\r\n{}",
