--- a/responses/transport_test.go
+++ b/responses/transport_test.go
@@ -9,6 +9,7 @@
 	"strings"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"github.com/go-faster/errors"
 	"gotest.tools/v3/assert"
@@ -105,7 +106,7 @@
 				return c, err
 			}})
 			defer transport.CloseIdleConnections()
-			client := http.Client{Transport: transport}
+			client := http.Client{Transport: transport, Timeout: 5 * time.Second}
 			response, err := client.Get(url)
 			if err == nil {
 				_, err = io.ReadAll(response.Body)
