Pass a reset during an upload on as a reset in the soak's proxies

The soak could not show a response that is reset while an upload is written: its proxies have a reader and a writer for each connection too, and where the writer learned of the reset they closed the other side in order. They read through responses.Conn now. Found while it was asked why the soak, which plays resets in responses without a length, never showed the incident.

--- a/soak/proxy.go
+++ b/soak/proxy.go
@@ -1,11 +1,14 @@
 package soak
 
 import (
+	"errors"
 	"io"
 	"net"
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"heatherlock/responses"
 )
 
 // Mode is how a proxy treats the traffic of its connections.
@@ -162,8 +165,9 @@
 	p.conns[from], p.conns[upstream] = vm, vm
 	p.mu.Unlock()
 	var copies sync.WaitGroup
-	copies.Go(func() { p.copyOneWay(upstream, from, vm, false) })
-	copies.Go(func() { p.copyOneWay(from, upstream, vm, true) })
+	near, far := responses.NewConn(from), responses.NewConn(upstream)
+	copies.Go(func() { p.copyOneWay(far, near, vm, false) })
+	copies.Go(func() { p.copyOneWay(near, far, vm, true) })
 	copies.Wait()
 	p.mu.Lock()
 	delete(p.conns, from)
@@ -173,7 +177,7 @@
 
 // copyOneWay copies one direction of a connection; answers is set for the direction from
 // the upstream. It forwards a reset as a reset and an orderly close as a close.
-func (p *proxy) copyOneWay(to, from net.Conn, vm int, answers bool) {
+func (p *proxy) copyOneWay(to, from *responses.Conn, vm int, answers bool) {
 	buffer := make([]byte, 16<<10)
 	for {
 		piece := buffer
@@ -199,8 +203,8 @@
 		if err == nil {
 			continue
 		}
-		if err != io.EOF {
-			_ = to.(*net.TCPConn).SetLinger(0)
+		if err != io.EOF && !errors.Is(err, responses.ErrEnded) {
+			_ = to.NetConn().(*net.TCPConn).SetLinger(0)
 		}
 		_ = to.Close()
 		_ = from.Close()
