Draw broken responses in the soak

A part of its own, `broken`: uploads and short requests in HTTP/1.0 and 1.1 at targets that answer early without a length and reset, end within a head, or break the protocol in eight ways.

--- a/soak/parts.go
+++ b/soak/parts.go
@@ -25,7 +25,7 @@
 	run     func(*system, Options)
 }
 
-var allParts = []part{pipelines, uploads, owners, strays, chills}
+var allParts = []part{pipelines, uploads, owners, strays, chills, broken}
 
 // parts returns the parts that are played.
 func (o Options) parts() []part {
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -85,7 +85,7 @@
 func TestVMThatStandsStillDuringItsStopEnds(t *testing.T) {
 	o := options(1, buildDaemon(t, ""))
 	o.BasePort += 8000
-	o.Daemons, o.Without = 2, []string{"pipelines", "uploads", "owners", "strays", "chills"}
+	o.Daemons, o.Without = 2, []string{"pipelines", "uploads", "owners", "strays", "chills", "broken"}
 	s, err := newSystem(o, t.TempDir(), &findings{began: time.Now()})
 	assert.NilError(t, err)
 	defer s.close()
