Tell a malformed response from a broken connection in logs and counters

On-call engineers saw target_died, retry reason broken and the cause target_gone for a target that sends bytes which are no response, as for one whose connection breaks, and looked for the wrong fault.

Cause: the parser's errors and the connection's came as one error. The reader of heads now knows whether its last read failed: if it did not, the bytes were there and broke the protocol. Such a response has reason answer_malformed, retry reason malformed and cause answer_spoiled, whatever the library or this system dislikes in it. What callers get (502) and what counts against the target is as before. In node/forward the library's own parse errors still count as a target that broke off.

TestMalformedResponseIsNotPassedOn checks the reason (the cases that the library refuses failed before).

--- a/node/gateway/relay/attempts.go
+++ b/node/gateway/relay/attempts.go
@@ -69,7 +69,7 @@
 		if t := &x.history[i]; t.Target == e.pick.Target.Name && t.Helper == "" && t.End == "" {
 			t.End, t.EndMs = e.String(), time.Since(x.r.Received).Milliseconds()
 			t.RestMs = e.info.Rest.Milliseconds()
-			t.report, t.unusable = e.report, e.err == nil && !e.usable && !e.notRun
+			t.report, t.unusable = e.report, e.err == nil && !e.usable && !e.notRun || errors.Is(e.err, responses.ErrMalformed)
 		}
 	}
 }
--- a/node/gateway/relay/malformed_test.go
+++ b/node/gateway/relay/malformed_test.go
@@ -9,6 +9,7 @@
 	"gotest.tools/v3/assert"
 
 	"heatherlock/standin/endpoint"
+	"heatherlock/steering"
 )
 
 const zeroed = "Content-Length: 0\r\n\r\n"
@@ -59,6 +60,7 @@
 				got := g.ask(http.MethodPost, "/buy/1", "x", scriptTime)
 				assert.NilError(t, got.err)
 				assert.Check(t, got.status == http.StatusBadGateway, "it may have run: status %d %v %q", got.status, got.header, got.body)
+				assert.Equal(t, got.header.Get("Heatherlock-Reason"), string(steering.ReasonResponseMalformed))
 				assert.Check(t, got.took < scriptTime/3, "%v", got.took)
 				assert.Equal(t, len(g.runs()), 1)
 
--- a/node/gateway/upstream/conn.go
+++ b/node/gateway/upstream/conn.go
@@ -251,7 +251,7 @@
 			if c.requestIDOf(httpResponse.Header) == e.id {
 				response = &Response{Status: httpResponse.StatusCode, Header: httpResponse.Header}
 			}
-			return response, true, errors.Wrap(err, "read response body")
+			return response, true, c.head.classify(err, "read response body")
 		}
 		id := c.requestIDOf(httpResponse.Header)
 		unnamed := id == "" && c.acceptUnnamed != nil && c.acceptUnnamed(httpResponse.Header)
--- a/node/gateway/upstream/head.go
+++ b/node/gateway/upstream/head.go
@@ -35,10 +35,18 @@
 	// remaining is how many further bytes the heads may take; negative while no head is read.
 	remaining int
 	claim     *buffering.Claim
+	// err is the last error of Read.
+	err error
 }
 
 // Read implements io.Reader.
 func (h *headReader) Read(p []byte) (int, error) {
+	n, err := h.read(p)
+	h.err = err
+	return n, err
+}
+
+func (h *headReader) read(p []byte) (int, error) {
 	if h.remaining == 0 {
 		return 0, ErrHeadTooLarge
 	}
@@ -57,6 +65,14 @@
 	return n, err
 }
 
+// classify returns the error of a part of a response that could not be parsed. It is malformed if its bytes could be read.
+func (h *headReader) classify(err error, doing string) error {
+	if h.err == nil {
+		return errors.Wrapf(responses.ErrMalformed, "%s: %v", doing, err)
+	}
+	return errors.Wrap(err, doing)
+}
+
 // heads reads the heads of the responses to one request.
 type heads struct {
 	in        *bufio.Reader
@@ -74,7 +90,7 @@
 		response, err := http.ReadResponse(h.in, h.request)
 		h.remaining, h.bounded.claim, h.bounded.remaining = h.bounded.remaining, nil, -1
 		if err != nil {
-			return nil, errors.Wrap(err, "read response")
+			return nil, h.bounded.classify(err, "read response")
 		}
 		if err := responses.Check(response); err != nil {
 			return nil, err
--- a/steering/losses/losses.go
+++ b/steering/losses/losses.go
@@ -82,7 +82,7 @@
 	TargetFailing Cause = "target_failing"
 	// TargetLost: the target accepted no connection, or the connection broke.
 	TargetLost Cause = "target_gone"
-	// InvalidResponse: the target's response was complete but could not be forwarded.
+	// InvalidResponse: the target's response was complete but could not be forwarded, or broke the protocol.
 	InvalidResponse Cause = "answer_spoiled"
 	// TargetSlow: the target sent no response, or took longer than even a cold run takes.
 	TargetSlow Cause = "target_slow"
@@ -124,7 +124,7 @@
 	Outcome placement.Outcome
 	// Latency is the time from the start of the try to its end.
 	Latency time.Duration
-	// InvalidResponse is set if the response was complete but could not be forwarded.
+	// InvalidResponse is set if the response was complete but could not be forwarded, or broke the protocol.
 	InvalidResponse bool
 	// Saturated is set if the target reported with its response that all its slots were
 	// taken.
