--- a/node/forward/malformed_test.go
+++ b/node/forward/malformed_test.go
@@ -92,3 +92,22 @@
 		})
 	}
 }
+
+// Guards against a response that ends within its head and is completed by this VM.
+func TestResponseCutWithinItsHeadIsNotPassedOn(t *testing.T) {
+	for name, head := range map[string]string{"length": usual, "interim": "HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n" + usual,
+		"chunks": "HTTP/1.1 200 OK\r\n" + named + "Transfer-Encoding: chunked\r\n\r\n"} {
+		inTestbed(t, func(t *testing.T, w *testbed) {
+			end := strings.LastIndex(head, "\r\n\r\n") + 3
+			for n := range end + 1 {
+				w.rawTarget("t1", func(_ string, out io.Writer) {
+					_, _ = io.WriteString(out, strings.Replace(head, "{length}", "9", 1)[:n])
+					_ = out.(io.Closer).Close()
+				})
+				res, body, err := w.do("POST", "/", nil)
+				assert.NilError(t, err)
+				assert.Check(t, res.StatusCode == http.StatusBadGateway, "%s cut at %d: %v %q", name, n, res, body)
+			}
+		})
+	}
+}
--- a/node/gateway/relay/malformed_test.go
+++ b/node/gateway/relay/malformed_test.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"strings"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
@@ -134,3 +135,23 @@
 	got := g.ask(http.MethodGet, "/read/1", "", scriptTime)
 	assert.Check(t, got.err != nil, "status %d, %d bytes", got.status, len(got.body))
 }
+
+// Guards against a promise that a request has not run, taken from a response that breaks the protocol or breaks off.
+func TestBrokenRejectionPromisesNothing(t *testing.T) {
+	rejection := "HTTP/1.1 503 Full\r\n" + named + "X-Not-Executed: 1\r\n"
+	for name, script := range map[string]endpoint.Script{
+		"malformed":              {Text: rejection + "X Bad: 1\r\n" + zeroed},
+		"malformed interim":      {Text: "HTTP/1.1 000 None\r\n\r\n" + rejection + zeroed},
+		"reset without a length": {Text: rejection + "\r\npart", Pause: 20 * time.Millisecond, End: endpoint.EndReset},
+		"cut within its head":    {Text: rejection},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := newRig(t, 2, nil)
+			g.scripted(script)
+			got := g.ask(http.MethodPost, "/buy/1", "x", scriptTime)
+			assert.NilError(t, got.err)
+			assert.Equal(t, got.status, http.StatusBadGateway)
+			assert.Equal(t, len(g.runs()), 1)
+		})
+	}
+}
