--- a/responses/transport.go
+++ b/responses/transport.go
@@ -10,8 +10,8 @@
 	"github.com/go-faster/errors"
 )
 
-// Transport is an http.RoundTripper that returns no response that is not to be believed. The body of a response that
-// turns out so later fails.
+// Transport is an http.RoundTripper that refuses malformed responses. Reading a body fails if it is broken off, or if its
+// trailer is malformed.
 type Transport struct {
 	inner *http.Transport
 }
