Take no proof from a refusal that breaks off

Callers of the product's own data path could get: "not run", or a second run, for a request whose target stated so in a response that broke off or whose trailer breaks the protocol. No caller is known to have.

Cause: node/forward read the statement in the head and ignored how the body ended; node/gateway took such a response for no proof. Class: as before, two readers with rules of their own.

Change: a refusal of a target or of another entry VM that breaks off is unknown (answer_cut).

--- a/node/forward/malformed_test.go
+++ b/node/forward/malformed_test.go
@@ -111,3 +111,27 @@
 		})
 	}
 }
+
+// Guards against a promise that a request has not run, taken from a refusal that breaks off or breaks the protocol.
+func TestBrokenRefusalPromisesNothing(t *testing.T) {
+	refusal := "HTTP/1.1 503 Full\r\n" + named + "Target-Not-Run: true\r\n"
+	for name, text := range map[string]string{
+		"cut within its body": refusal + "Content-Length: 9\r\n\r\nfull",
+		"malformed":           refusal + "X Bad: 1\r\nContent-Length: 0\r\n\r\n",
+		"malformed trailer":   refusal + "Transfer-Encoding: chunked\r\n\r\n0\r\nX Bad: 1\r\n\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			inTestbed(t, func(t *testing.T, w *testbed) {
+				w.target("t2", ok)
+				w.rawTarget("t1", func(id string, out io.Writer) {
+					_, _ = io.WriteString(out, endpoint.Script{Text: text}.Expand(id, ""))
+					_ = out.(io.Closer).Close()
+				})
+				res, body, err := w.do("POST", "/", nil)
+				assert.NilError(t, err)
+				assert.Check(t, res.StatusCode == http.StatusBadGateway && res.Header.Get(headerRan) == "unknown", "%v %q", res, body)
+				assert.Equal(t, w.ran("t2"), 0)
+			})
+		})
+	}
+}
--- a/node/forward/response.go
+++ b/node/forward/response.go
@@ -31,10 +31,12 @@
 	case res.StatusCode == http.StatusServiceUnavailable && firstValue(res.Header, targetNotRun) == "true":
 		result = newTryResult(seam.OutcomeShed, steering.Refuse(steering.ReasonShed, retryAfter(res.Header), "the target refused without running it"))
 		result.rest = retryAfter(res.Header)
-		x.discard(res, conn)
+		if err := x.discard(res, conn); err != nil {
+			result = brokenOffRefusal(err)
+		}
 	case x.retryOnStatus(res.StatusCode):
 		result = newTryResult(seam.OutcomeFailed, steering.RefuseUnknown(steering.ReasonTargetFailed, fmt.Sprintf("the target answered %d", res.StatusCode)))
-		x.discard(res, conn)
+		_ = x.discard(res, conn) // whole or not, it is a failure
 	default:
 		result = x.relay(up, res, conn)
 	}
@@ -61,10 +63,17 @@
 		Reason: reason, Ran: parseRan(firstValue(res.Header, headerRan)),
 		RetryAfter: peerRetryAfter(res.Header), Detail: "refused by " + firstValue(res.Header, headerVia),
 	}
-	x.discard(res, conn)
+	if err := x.discard(res, conn); err != nil {
+		return brokenOffRefusal(err)
+	}
 	return newTryResult(seam.OutcomeShed, refusal)
 }
 
+// brokenOffRefusal returns the result for a refusal that broke off or broke the protocol. It proves nothing of its request.
+func brokenOffRefusal(err error) tryResult {
+	return newTryResult(seam.OutcomeBroken, steering.RefuseUnknown(steering.ReasonResponseTruncated, "a refusal broke off: "+err.Error()))
+}
+
 // mismatchedID reports whether a response carries the ID of another request in the header field
 // name. If required is set, a response without the field is mismatched too.
 func mismatchedID(h http.Header, name, want string, required bool) bool {
@@ -87,12 +96,18 @@
 // reused.
 const discardBytes = 4 << 10
 
-func (x *exchange) discard(res *http.Response, conn *exchangeConn) {
+// discard reads an unwanted response, and returns an error if it broke off or broke the protocol in what was read.
+func (x *exchange) discard(res *http.Response, conn *exchangeConn) error {
 	n, err := io.CopyN(io.Discard, res.Body, discardBytes)
-	if err != io.EOF || n == discardBytes || !x.bodySent() || responses.CheckTrailer(res) != nil {
+	ended := err == io.EOF
+	if ended {
+		err = responses.CheckTrailer(res)
+	}
+	if err != nil || !ended || n == discardBytes || !x.bodySent() {
 		conn.abandon()
 	}
 	_ = res.Body.Close()
+	return err
 }
 
 // bodySent reports whether all of the caller's body has been read.
