--- a/node/gateway/upstream/conn.go
+++ b/node/gateway/upstream/conn.go
@@ -61,11 +61,11 @@
 
 // conn is a connection to a target.
 type conn struct {
-	raw  net.Conn
-	read *responses.Conn // below raw
-	in   *bufio.Reader   // reads from head
-	head *headReader
-	pool *targetPool
+	raw     net.Conn
+	checked *responses.Conn // below raw
+	in      *bufio.Reader   // reads from head
+	head    *headReader
+	pool    *targetPool
 	// requestIDOf returns the ID of the request to which a response belongs.
 	requestIDOf func(http.Header) string
 	onUnmatched func(named bool)
@@ -86,10 +86,10 @@
 // newConn returns a connection that is reset when it ends with a request in flight, also if it ends with the process.
 // Otherwise the kernel would go on sending what the target has not acknowledged, and a target that is cut off would get
 // the request seconds after it was given up.
-func newConn(raw net.Conn, read *responses.Conn, target *targetPool, p *Pool) *conn {
+func newConn(raw net.Conn, checked *responses.Conn, target *targetPool, p *Pool) *conn {
 	buffering.ResetOnClose(raw, true)
 	head := &headReader{from: raw, remaining: -1}
-	return &conn{raw: raw, read: read, in: bufio.NewReaderSize(head, readBufferSize), head: head, pool: target, requestIDOf: p.requestIDOf, onUnmatched: p.OnUnmatched, acceptUnnamed: p.AcceptUnnamed, idleTimeout: defaultIdleTimeout}
+	return &conn{raw: raw, checked: checked, in: bufio.NewReaderSize(head, readBufferSize), head: head, pool: target, requestIDOf: p.requestIDOf, onUnmatched: p.OnUnmatched, acceptUnnamed: p.AcceptUnnamed, idleTimeout: defaultIdleTimeout}
 }
 
 // start assigns the connection to an exchange. It returns false if the connection is closed or in
@@ -101,7 +101,7 @@
 		return false
 	}
 	c.current, c.writing, c.closeAfter = e, true, false
-	c.read.ExpectHead()
+	c.checked.ExpectHead()
 	return true
 }
 
--- a/node/gateway/upstream/pool.go
+++ b/node/gateway/upstream/pool.go
@@ -250,15 +250,15 @@
 		h.mu.Unlock()
 		return nil, err
 	}
-	read := responses.NewConn(raw)
-	raw = read
+	checked := responses.NewConn(raw)
+	raw = checked
 	if p.OnOpen != nil {
 		p.OnOpen()
 	}
 	if call.OnOpen != nil {
 		raw = call.OnOpen(raw)
 	}
-	c := newConn(raw, read, h, p)
+	c := newConn(raw, checked, h, p)
 	go c.readLoop()
 	return c, nil
 }
--- a/standin/endpoint/scripted.go
+++ b/standin/endpoint/scripted.go
@@ -16,9 +16,9 @@
 	Text string
 	// Early responds before the body of the request is read.
 	Early bool
-	// End is what happens to the connection after that, and Pause how long after the text.
+	// Pause is how long after the text the response ends.
 	Pause time.Duration
-	End ScriptEnd
+	End   ScriptEnd
 }
 
 // ScriptEnd is how a scripted response ends.
