Let no request on the connection of a response that is still to be checked

Callers could get: a failure of their own request, or bytes of another's response as its answer, as it was sent on a connection whose response had just been refused. Found by reading the change again; no caller is known to have.

Cause: net/http makes a connection idle as soon as a response has no body, or its chunks have ended, and hands it to the next request. Responses were checked after that, and the connection was closed under whoever had it by then. Class: an order between two users of a connection was left to a race.

Evidence: TestConnectionOfMalformedResponseCarriesNoOtherRequest.

Change: whoever takes a connection waits until the response before has been accepted or the connection closed (Conn.Begin, Accept). On a closed one nothing is written, and the library takes another. A response without a trailer is accepted with its head, one with a trailer at its end and before a slow caller takes it. A body that is given up before its end closes its connection, as the library does. Exchanges over HTTP/2 share a connection and do not wait.

Why it works: the check comes before the next write in every order of the two goroutines, and no request is hurt by the response to another. It costs a lock more an exchange.

--- a/node/forward/conn.go
+++ b/node/forward/conn.go
@@ -162,8 +162,8 @@
 	if !ok {
 		return
 	}
+	conn.Begin()
 	base := conn.sentBytes()
-	conn.ExpectHead()
 	conn.setOnClose(e.onClose)
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -182,6 +182,16 @@
 	return conn.closeAndCount() > base
 }
 
+// accept lets the connection carry other exchanges, once the response has been checked to its end.
+func (e *exchangeConn) accept() {
+	e.mu.Lock()
+	conn := e.conn
+	e.mu.Unlock()
+	if conn != nil {
+		conn.Accept()
+	}
+}
+
 // release removes the close callback, so that the connection can serve other exchanges.
 func (e *exchangeConn) release() {
 	e.mu.Lock()
--- a/node/forward/malformed_test.go
+++ b/node/forward/malformed_test.go
@@ -4,6 +4,8 @@
 	"io"
 	"net/http"
 	"strings"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -135,3 +137,37 @@
 		})
 	}
 }
+
+// Guards against a request that is sent on the connection of a malformed response, as the library has made it idle before the
+// response is checked.
+func TestConnectionOfMalformedResponseCarriesNoOtherRequest(t *testing.T) {
+	for name, text := range map[string]string{
+		"head":    "HTTP/1.1 200 OK\r\n" + named + "X Bad: 1\r\nContent-Length: 0\r\n\r\n",
+		"trailer": "HTTP/1.1 200 OK\r\n" + named + "Transfer-Encoding: chunked\r\n\r\n2\r\nno\r\n0\r\nX Bad: 1\r\n\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			inTestbed(t, func(t *testing.T, w *testbed) {
+				w.snapshot.Places["p-a"].Targets = w.snapshot.Places["p-a"].Targets[:1]
+				w.a.targets.MaxConnsPerHost = 2
+				var spoilt sync.Map // connections on which a malformed response was sent
+				var reused atomic.Int64
+				w.rawTarget("t1", func(id string, out io.Writer) {
+					if _, again := spoilt.LoadOrStore(out, true); again {
+						reused.Add(1)
+					}
+					_, _ = io.WriteString(out, strings.ReplaceAll(text, "{id}", id))
+				})
+				var all sync.WaitGroup
+				for range 8 {
+					all.Go(func() {
+						for range 25 {
+							_, _, _ = w.do("POST", "/", nil) // what is answered is the matter of other tests
+						}
+					})
+				}
+				all.Wait()
+				assert.Equal(t, reused.Load(), int64(0))
+			})
+		})
+	}
+}
--- a/node/forward/relay.go
+++ b/node/forward/relay.go
@@ -36,7 +36,7 @@
 	defer res.Body.Close()
 	buf := buffers.Get().(*[relayBufferBytes]byte)
 	defer buffers.Put(buf)
-	n, complete, err := readFirstChunk(res, x.r.Method, buf[:])
+	n, complete, err := readFirstChunk(res, x.r.Method, buf[:], conn)
 	if err != nil {
 		conn.abandon()
 		return x.truncatedBeforeHeader(err)
@@ -55,7 +55,7 @@
 	defer x.callerWriter.release()
 	x.forwardChunk(buf[:n], false)
 	if !complete {
-		if err := x.stream(res, buf[:]); err != nil {
+		if err := x.stream(res, buf[:], conn); err != nil {
 			conn.abandon()
 			return x.truncatedAfterHeader(err)
 		}
@@ -93,7 +93,7 @@
 
 // readFirstChunk reads the first chunk of a response, and all of it if it is short and of known
 // length.
-func readFirstChunk(res *http.Response, method string, buf []byte) (n int, complete bool, err error) {
+func readFirstChunk(res *http.Response, method string, buf []byte, conn *exchangeConn) (n int, complete bool, err error) {
 	if method == http.MethodHead || res.Body == http.NoBody || res.ContentLength == 0 {
 		return 0, true, nil
 	}
@@ -108,7 +108,7 @@
 	}
 	n, err = res.Body.Read(buf)
 	if err == io.EOF {
-		return n, true, responses.CheckTrailer(res)
+		return n, true, checkEnd(res, conn)
 	}
 	return n, false, err
 }
@@ -154,7 +154,7 @@
 }
 
 // stream relays the rest of a response chunk by chunk.
-func (x *exchange) stream(res *http.Response, buf []byte) error {
+func (x *exchange) stream(res *http.Response, buf []byte, conn *exchangeConn) error {
 	flush := res.ContentLength < 0
 	if flush {
 		x.callerWriter.flush()
@@ -163,11 +163,12 @@
 		x.timer.Reset(maxResponseStall)
 		n, err := res.Body.Read(buf)
 		x.timer.Stop() // the time spent writing to the caller is limited by callerWriter
-		x.forwardChunk(buf[:n], flush)
-		if err == io.EOF {
-			return responses.CheckTrailer(res)
+		ended := err == io.EOF
+		if ended {
+			err = checkEnd(res, conn) // before the caller takes the rest, for which other requests would wait
 		}
-		if err != nil {
+		x.forwardChunk(buf[:n], flush)
+		if err != nil || ended {
 			return err
 		}
 		if x.callerGone && x.recorder == nil {
--- a/node/forward/response.go
+++ b/node/forward/response.go
@@ -92,6 +92,18 @@
 	return newTryResult(seam.OutcomeBroken, steering.RefuseUnknown(steering.ReasonResponseMismatched, "the answer carries the id of another request"))
 }
 
+// checkEnd checks what is left of a response whose body has ended. Its connection may carry other exchanges after that.
+func checkEnd(res *http.Response, conn *exchangeConn) error {
+	if !responses.HasTrailer(res) {
+		return nil // checked with its head
+	}
+	if err := responses.CheckTrailer(res); err != nil {
+		return err
+	}
+	conn.accept()
+	return nil
+}
+
 // discardBytes is how much of an unwanted response is read at most so that its connection can be
 // reused.
 const discardBytes = 4 << 10
@@ -101,7 +113,7 @@
 	n, err := io.CopyN(io.Discard, res.Body, discardBytes)
 	ended := err == io.EOF
 	if ended {
-		err = responses.CheckTrailer(res)
+		err = checkEnd(res, conn)
 	}
 	if err != nil || !ended || n == discardBytes || !x.bodySent() {
 		conn.abandon()
--- a/node/forward/try.go
+++ b/node/forward/try.go
@@ -90,11 +90,15 @@
 	}
 	s.res, s.err = up.transport.RoundTrip(x.buildRequest(ctx, up, payload, s.conn))
 	if s.err == nil {
-		if s.err = responses.Check(s.res); s.err != nil {
-			_ = s.res.Body.Close()
-		}
+		s.err = responses.Check(s.res)
 	}
 	s.sent = s.err == nil || s.conn.abandon()
+	switch {
+	case s.err != nil && s.res != nil:
+		_ = s.res.Body.Close()
+	case s.err == nil && !responses.HasTrailer(s.res):
+		s.conn.accept()
+	}
 	up.onSent(s.sent)
 	return s
 }
--- a/responses/conn.go
+++ b/responses/conn.go
@@ -13,8 +13,8 @@
 	"github.com/go-faster/errors"
 )
 
-// ErrEnded is returned by writes to a connection whose other side has ended it.
-var ErrEnded = errors.New("responses: the other side has ended the connection")
+// ErrEnded is returned by writes to a connection that has ended, with nothing written.
+var ErrEnded = errors.New("responses: the connection has ended")
 
 // BrokenOffError reports a connection that failed while a request was written. What was read from it is not complete.
 type BrokenOffError struct {
@@ -41,9 +41,10 @@
 	net.Conn
 
 	mu      sync.Mutex
-	idle    sync.Cond // signalled when no write is in progress
+	changed sync.Cond // signalled when one of the following changes
 	writing int       // writes in progress
-	ended   bool      // the reader has seen the end
+	ended   bool      // the reader has seen the end, or this side has closed the connection
+	due     bool      // a response is due that has not been accepted
 	failure error     // the first failure that a write took from the reader
 
 	// expectsHead is set if the next bytes begin a response.
@@ -54,13 +55,44 @@
 // NewConn returns a Conn over c.
 func NewConn(c net.Conn) *Conn {
 	conn := &Conn{Conn: c}
-	conn.idle.L = &conn.mu
+	conn.changed.L = &conn.mu
 	return conn
 }
 
 // NetConn returns the connection that is wrapped.
 func (c *Conn) NetConn() net.Conn { return c.Conn }
 
+// Begin is ExpectHead for a request that net/http sends. The library may hand out a connection before the response on it has
+// been checked, so Begin waits until that is accepted or the connection closed. What is written after that fails with nothing
+// sent, and the library takes another connection.
+func (c *Conn) Begin() {
+	c.mu.Lock()
+	for c.due && !c.ended {
+		c.changed.Wait()
+	}
+	c.due = true
+	c.mu.Unlock()
+	c.ExpectHead()
+}
+
+// Accept tells that the response that was due has been checked to its end. Whoever refuses it closes the connection.
+func (c *Conn) Accept() {
+	c.mu.Lock()
+	c.due = false
+	c.mu.Unlock()
+	c.changed.Broadcast()
+}
+
+// Close implements net.Conn.
+func (c *Conn) Close() error {
+	err := c.Conn.Close()
+	c.mu.Lock()
+	c.ended = true
+	c.mu.Unlock()
+	c.changed.Broadcast()
+	return err
+}
+
 // ExpectHead tells that a request is about to be written, so that the next bytes begin its response.
 func (c *Conn) ExpectHead() { c.expectsHead.Store(true) }
 
@@ -90,8 +122,9 @@
 	if c.writing > 0 {
 		_ = c.Conn.SetWriteDeadline(time.Unix(1, 0)) // it fails only on a closed connection, whose writes end
 	}
+	c.changed.Broadcast()
 	for c.writing > 0 {
-		c.idle.Wait()
+		c.changed.Wait()
 	}
 	return c.failure
 }
@@ -112,7 +145,7 @@
 		c.failure = err
 	}
 	c.mu.Unlock()
-	c.idle.Signal()
+	c.changed.Broadcast()
 	return n, err
 }
 
--- a/responses/head.go
+++ b/responses/head.go
@@ -57,3 +57,6 @@
 
 // CheckTrailer is checkFields for the trailer of a response whose body has been read to its end.
 func CheckTrailer(r *http.Response) error { return checkFields(r.Trailer) }
+
+// HasTrailer reports whether a response may have a trailer, so that it is not checked before its body has ended.
+func HasTrailer(r *http.Response) bool { return r.ContentLength < 0 && r.Body != http.NoBody }
--- a/responses/transport.go
+++ b/responses/transport.go
@@ -1,6 +1,7 @@
 package responses
 
 import (
+	"crypto/tls"
 	"io"
 	"net"
 	"net/http"
@@ -42,13 +43,12 @@
 
 // RoundTrip implements http.RoundTripper. The connection of a malformed response is closed.
 func (t *Transport) RoundTrip(r *http.Request) (*http.Response, error) {
-	var conn net.Conn
+	var conn *Conn
 	var interim error
 	trace := &httptrace.ClientTrace{
 		GotConn: func(info httptrace.GotConnInfo) {
-			conn = info.Conn
-			if plain, ok := conn.(*Conn); ok {
-				plain.ExpectHead()
+			if conn = connOf(info.Conn); conn != nil {
+				conn.Begin()
 			}
 		},
 		Got1xxResponse: func(status int, header textproto.MIMEHeader) error {
@@ -58,30 +58,55 @@
 	}
 	response, err := t.inner.RoundTrip(r.WithContext(httptrace.WithClientTrace(r.Context(), trace)))
 	if err != nil {
+		conn.refuse()
 		return nil, err
 	}
-	giveUp := func() {
-		if conn != nil {
-			_ = conn.Close() // an error makes no difference, as the connection is not used any more
-		}
-	}
 	if err := errors.Join(interim, Check(response)); err != nil {
-		_ = response.Body.Close() // as above
-		giveUp()
+		conn.refuse()
+		_ = response.Body.Close() // an error makes no difference, as the connection is closed
 		return nil, err
 	}
 	response.Request = r
-	if response.ContentLength < 0 {
-		response.Body = &checkedBody{ReadCloser: response.Body, response: response, giveUp: giveUp}
+	if HasTrailer(response) {
+		response.Body = &checkedBody{ReadCloser: response.Body, response: response, conn: conn}
+		return response, nil
 	}
+	conn.accept()
 	return response, nil
 }
 
+// connOf returns the Conn that carries one exchange at a time below c, or nil. Over HTTP/2, exchanges share it.
+func connOf(c net.Conn) *Conn {
+	if secure, ok := c.(*tls.Conn); ok {
+		if secure.ConnectionState().NegotiatedProtocol == "h2" {
+			return nil
+		}
+		c = secure.NetConn()
+	}
+	conn, _ := c.(*Conn)
+	return conn
+}
+
+// refuse closes the connection, unless it is nil.
+func (c *Conn) refuse() {
+	if c != nil {
+		_ = c.Close() // an error makes no difference, as the connection is not used any more
+	}
+}
+
+// accept is Accept, unless the connection is nil.
+func (c *Conn) accept() {
+	if c != nil {
+		c.Accept()
+	}
+}
+
 // checkedBody is a body that fails where its trailer breaks the protocol.
 type checkedBody struct {
 	io.ReadCloser
 	response *http.Response
-	giveUp   func() // closes the connection
+	conn     *Conn // may be nil
+	checked  bool  // set at the end of the body
 }
 
 func (b *checkedBody) Read(p []byte) (int, error) {
@@ -90,8 +115,19 @@
 		return n, err
 	}
 	if malformed := CheckTrailer(b.response); malformed != nil {
-		b.giveUp()
-		err = malformed
+		b.conn.refuse()
+		return n, malformed
 	}
+	b.checked = true
+	b.conn.accept()
 	return n, err
 }
+
+// Close implements io.Closer. A connection whose response was not read to its end carries no other.
+func (b *checkedBody) Close() error {
+	err := b.ReadCloser.Close()
+	if !b.checked {
+		b.conn.refuse()
+	}
+	return err
+}
--- a/responses/transport_test.go
+++ b/responses/transport_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -121,3 +122,45 @@
 		})
 	}
 }
+
+// Guards against a request that is sent on the connection of a malformed response, as the library has made it idle before the
+// response is checked.
+func TestConnectionOfMalformedResponseCarriesNoOtherRequest(t *testing.T) {
+	for name, text := range map[string]string{
+		"head":    "HTTP/1.1 200 OK\r\nX Bad: 1\r\nContent-Length: 0\r\n\r\n",
+		"status":  "HTTP/1.1 000 None\r\nContent-Length: 0\r\n\r\n",
+		"trailer": "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\n{}\r\n0\r\nX Bad: 1\r\n\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			var spoilt sync.Map // connections on which a malformed response was sent
+			var reused, answered atomic.Int64
+			url := serve(t, func(c *net.TCPConn, _ *http.Request) {
+				if _, again := spoilt.LoadOrStore(c, true); again {
+					reused.Add(1)
+				}
+				_, _ = io.WriteString(c, text) // the client then counts no malformed response
+			})
+			transport := responses.NewTransport(&http.Transport{MaxConnsPerHost: 2})
+			defer transport.CloseIdleConnections()
+			client := http.Client{Transport: transport, Timeout: 10 * time.Second}
+			var all sync.WaitGroup
+			for range 8 {
+				all.Go(func() {
+					for range 50 {
+						response, err := client.Get(url)
+						if err == nil {
+							_, err = io.ReadAll(response.Body)
+							_ = response.Body.Close()
+						}
+						if errors.Is(err, responses.ErrMalformed) {
+							answered.Add(1)
+						}
+					}
+				})
+			}
+			all.Wait()
+			assert.Equal(t, reused.Load(), int64(0))
+			assert.Equal(t, answered.Load(), int64(400), "a request failed with the response to another one")
+		})
+	}
+}
