Take no proof from a refusal of a hedged try that breaks off

TestBrokenRefusalOfAHedgedTryPromisesNothing (the second try's refusal breaks off) failed before.

Change: the statement counts only if the refusal was read without an error. Whether a try's connection broke is now said where its error is classified, so that a malformed response is no crash of the target for hedged tries either.

--- a/node/forward/classify.go
+++ b/node/forward/classify.go
@@ -31,7 +31,9 @@
 	case errors.Is(err, responses.ErrMalformed):
 		return newTryResult(seam.OutcomeBroken, steering.RefuseUnknown(steering.ReasonResponseMalformed, err.Error()))
 	case sent:
-		return newTryResult(seam.OutcomeBroken, steering.RefuseUnknown(steering.ReasonTargetLost, fmt.Sprintf("no answer: %v", err)))
+		result := newTryResult(seam.OutcomeBroken, steering.RefuseUnknown(steering.ReasonTargetLost, fmt.Sprintf("no answer: %v", err)))
+		result.connectionBroken = true
+		return result
 	default:
 		return newTryResult(seam.OutcomeUnreachable, steering.Refuse(steering.ReasonTargetFailed, 0, fmt.Sprintf("not sent: %v", err)))
 	}
--- a/node/forward/hedge.go
+++ b/node/forward/hedge.go
@@ -218,14 +218,13 @@
 		result = *s.notStarted
 	case s.err != nil && !cancelled:
 		result = x.failed(s.err, s.sent)
-		result.connectionBroken = result.kind == seam.OutcomeBroken
 	case s.err != nil && !s.sent:
 		result.refusal = steering.Refuse(steering.ReasonCancelled, 0, "another try answered first")
 	case s.err == nil:
-		x.discard(s.res, s.conn)
+		err := x.discard(s.res, s.conn)
 		switch {
 		case usableResponse(s):
-		case firstValue(s.res.Header, targetNotRun) == "true":
+		case err == nil && firstValue(s.res.Header, targetNotRun) == "true":
 			result = newTryResult(seam.OutcomeShed, steering.Refuse(steering.ReasonShed, 0, "the target refused without running it"))
 			result.rest = retryAfter(s.res.Header)
 		default:
--- a/node/forward/malformed_test.go
+++ b/node/forward/malformed_test.go
@@ -171,3 +171,37 @@
 		})
 	}
 }
+
+// Guards against "not run" that is told of a hedged request because one of its tries got a refusal that broke off.
+func TestBrokenRefusalOfAHedgedTryPromisesNothing(t *testing.T) {
+	inTestbed(t, func(t *testing.T, w *testbed) {
+		service := w.snapshot.Services["tickets"]
+		service.RetryPercent, service.HedgeAfter = 100, 50*time.Millisecond
+		w.a.retries = NewRetries(w.a, w.a.scope)
+		w.target("t1", ok)
+		w.target("t2", ok)
+		for range 40 {
+			w.send(w.a, "GET", "")
+		}
+		w.a.targets.CloseIdleConnections()
+		refuse := func(name string, after time.Duration, length string) {
+			w.rawTarget(name, func(id string, out io.Writer) {
+				time.Sleep(after)
+				text := "HTTP/1.1 503 Full\r\n" + named + "Target-Not-Run: true\r\nContent-Length: " + length + "\r\n\r\nfull"
+				_, _ = io.WriteString(out, strings.ReplaceAll(text, "{id}", id))
+				_ = out.(io.Closer).Close()
+			})
+		}
+		for broken, lengths := range map[string][2]string{"none": {"4", "4"}, "the first": {"9", "4"}, "the second": {"4", "9"}} {
+			refuse("t1", 100*time.Millisecond, lengths[0])
+			refuse("t2", 200*time.Millisecond, lengths[1])
+			res, _, err := w.do("GET", "/", nil)
+			assert.NilError(t, err)
+			ran := "unknown"
+			if broken == "none" {
+				ran = "no"
+			}
+			assert.Check(t, res.Header.Get(headerRan) == ran, "%s broke off: %s %s", broken, res.Header.Get(headerRan), res.Header.Get(headerReason))
+		}
+	})
+}
--- a/node/forward/try.go
+++ b/node/forward/try.go
@@ -9,8 +9,6 @@
 	"strconv"
 	"time"
 
-	"github.com/go-faster/errors"
-
 	"heatherlock/node/seam"
 	"heatherlock/responses"
 	"heatherlock/steering"
@@ -111,9 +109,7 @@
 	}
 	if s.err != nil {
 		s.payload.detach()
-		result := x.failed(s.err, s.sent)
-		result.connectionBroken = result.kind == seam.OutcomeBroken && !errors.Is(s.err, responses.ErrMalformed)
-		return result
+		return x.failed(s.err, s.sent)
 	}
 	result := x.handleResponse(s.upstream, s.res, s.conn)
 	if !result.relayed() {
