Move the stall timeout of responses out of platform/

platform/ is to translate the users' words only. The stall timeout is about responses of any process and is used by the product's own engine as well (node/dynamic, node/components).

--- a/node/components.go
+++ b/node/components.go
@@ -21,7 +21,6 @@
 	"heatherlock/objects"
 	"heatherlock/peer"
 	"heatherlock/peer/peerpb"
-	"heatherlock/platform"
 	"heatherlock/responses"
 	"heatherlock/steering/lookup"
 )
@@ -160,10 +159,10 @@
 }
 
 // withStallTimeout wraps the client's transport so that a call whose context carries a
-// platform.StallTimeout may take longer than its timeout while its response keeps arriving.
+// responses.StallTimeout may take longer than its timeout while its response keeps arriving.
 func withStallTimeout(client *http.Client) *http.Client {
 	if transport, ok := client.Transport.(*http.Transport); ok {
-		client.Transport = platform.StallTransport{Transport: transport}
+		client.Transport = responses.StallTransport{Transport: transport}
 	}
 	return client
 }
--- a/node/dynamic/audit.go
+++ b/node/dynamic/audit.go
@@ -9,7 +9,7 @@
 
 	"heatherlock/node/seam"
 	"heatherlock/peer/peerpb"
-	"heatherlock/platform"
+	"heatherlock/responses"
 	"heatherlock/steering/config"
 )
 
@@ -52,7 +52,7 @@
 
 func (s *Syncer) audit(ctx context.Context, address string) {
 	local := s.set.Load()
-	callCtx, stall := platform.WithStallTimeout(ctx, fetchTimeout)
+	callCtx, stall := responses.WithStallTimeout(ctx, fetchTimeout)
 	defer stall.Release()
 	reply, err := s.config.Peer(address).FetchConfig(callCtx, &peerpb.FetchConfigRequest{HaveVersion: local.Version()})
 	if err != nil {
--- a/node/dynamic/peers.go
+++ b/node/dynamic/peers.go
@@ -13,7 +13,7 @@
 
 	"heatherlock/node/seam"
 	"heatherlock/peer/peerpb"
-	"heatherlock/platform"
+	"heatherlock/responses"
 	"heatherlock/steering/config"
 )
 
@@ -192,7 +192,7 @@
 	if have > 0 {
 		timeout = s.deltaTimeout.get()
 	}
-	ctx, stall := platform.WithStallTimeout(ctx, timeout)
+	ctx, stall := responses.WithStallTimeout(ctx, timeout)
 	defer stall.Release()
 	reply, err := s.config.Peer(address).FetchConfig(ctx, &peerpb.FetchConfigRequest{HaveVersion: have})
 	s.deltaTimeout.record(ctx.Err() != nil)
--- a/node/dynamic/stall_test.go
+++ b/node/dynamic/stall_test.go
@@ -13,7 +13,7 @@
 
 	"heatherlock/peer"
 	"heatherlock/peer/peerpb"
-	"heatherlock/platform"
+	"heatherlock/responses"
 )
 
 // Guards against an entry VM on a slow link that never starts: a whole configuration of
@@ -44,21 +44,21 @@
 	}))
 	t.Cleanup(server.CloseClientConnections)
 	fetch := func(transport http.RoundTripper) (*peerpb.FetchConfigReply, error) {
-		ctx, stall := platform.WithStallTimeout(t.Context(), minDeltaTimeout)
+		ctx, stall := responses.WithStallTimeout(t.Context(), minDeltaTimeout)
 		defer stall.Release()
 		clients := peer.NewClients(&http.Client{Transport: transport})
 		got, err := clients.To(strings.TrimPrefix(server.URL, "http://")).FetchConfig(ctx, &peerpb.FetchConfigRequest{})
 		return got, stall.Cause(err)
 	}
-	got, err := fetch(platform.StallTransport{Transport: &http.Transport{}})
+	got, err := fetch(responses.StallTransport{Transport: &http.Transport{}})
 	assert.NilError(t, err)
 	assert.Equal(t, len(got.Objects), pieces)
 	_, err = fetch(&http.Transport{})
-	assert.ErrorIs(t, err, platform.ErrStalled, "a transport that does not report progress")
+	assert.ErrorIs(t, err, responses.ErrStalled, "a transport that does not report progress")
 	stop = 3
 	began := time.Now()
-	_, err = fetch(platform.StallTransport{Transport: &http.Transport{}})
-	assert.ErrorIs(t, err, platform.ErrStalled)
+	_, err = fetch(responses.StallTransport{Transport: &http.Transport{}})
+	assert.ErrorIs(t, err, responses.ErrStalled)
 	assert.Assert(t, time.Since(began) < 3*minDeltaTimeout, "the fetch ended after %v", time.Since(began))
 }
 
@@ -72,7 +72,7 @@
 	}))
 	t.Cleanup(server.Close)
 	transport := server.Client().Transport.(*http.Transport)
-	clients := peer.NewClients(&http.Client{Transport: platform.StallTransport{Transport: transport}})
+	clients := peer.NewClients(&http.Client{Transport: responses.StallTransport{Transport: transport}})
 	_, err := clients.To(strings.TrimPrefix(server.URL, "https://")).FetchConfig(t.Context(), &peerpb.FetchConfigRequest{})
 	assert.NilError(t, err)
 	assert.Equal(t, len(called), 1)
--- a/node/gateway/catchup/call.go
+++ b/node/gateway/catchup/call.go
@@ -11,7 +11,7 @@
 	"github.com/fxamacker/cbor/v2"
 	"github.com/go-faster/errors"
 
-	"heatherlock/platform"
+	"heatherlock/responses"
 	"heatherlock/steering/spread"
 )
 
@@ -36,7 +36,7 @@
 	if err != nil {
 		return result, errors.Wrap(err, "catchup: encode request")
 	}
-	ctx, stall := platform.WithStallTimeout(ctx, fetchTimeout)
+	ctx, stall := responses.WithStallTimeout(ctx, fetchTimeout)
 	defer stall.Release()
 	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+Path, bytes.NewReader(body))
 	if err != nil {
--- a/node/gateway/departures.go
+++ b/node/gateway/departures.go
@@ -16,6 +16,7 @@
 	"heatherlock/node/gateway/volume"
 	"heatherlock/node/lock"
 	"heatherlock/platform"
+	"heatherlock/responses"
 	"heatherlock/steering"
 	"heatherlock/steering/departure"
 	"heatherlock/steering/placement"
@@ -146,7 +147,7 @@
 	}
 	from := all[i]
 	query := url.Values{paramSince: {strconv.FormatInt(since.Revision, 10)}, paramEpoch: {strconv.FormatUint(since.Epoch, 10)}}
-	ctx, stall := platform.WithStallTimeout(context.Background(), pullTimeout)
+	ctx, stall := responses.WithStallTimeout(context.Background(), pullTimeout)
 	defer stall.Release()
 	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+from.Control+pathDepartures+"?"+query.Encode(), nil)
 	if err != nil {
--- a/node/gateway/peersync.go
+++ b/node/gateway/peersync.go
@@ -17,7 +17,6 @@
 	"heatherlock/node/gateway/fleet"
 	"heatherlock/node/gateway/status"
 	"heatherlock/node/gateway/volume"
-	"heatherlock/platform"
 	"heatherlock/responses"
 	"heatherlock/steering/placement"
 	"heatherlock/steering/retry"
@@ -164,7 +163,7 @@
 func (g *Gateway) pull(from fleet.Member) (bytes int64, err error) {
 	since := g.reader.KnownPosition()
 	query := url.Values{paramSince: {strconv.FormatInt(since.Revision, 10)}, paramEpoch: {strconv.FormatUint(since.Epoch, 10)}}
-	ctx, stall := platform.WithStallTimeout(context.Background(), pullTimeout)
+	ctx, stall := responses.WithStallTimeout(context.Background(), pullTimeout)
 	defer stall.Release()
 	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+from.Control+pathKnown+"?"+query.Encode(), nil)
 	if err != nil {
--- a/responses/doc.go
+++ b/responses/doc.go
@@ -6,5 +6,5 @@
 //     where a write of the request has taken the report of a reset.
 //   - HTTP/1.0 knows no transfer encodings. [Conn] refuses a response that states one, since net/http drops the field.
 //
-// [Transport] applies all of this to clients of net/http.
+// [Transport] applies all of this to clients of net/http. [StallTimeout] bounds how long a response may pause, whatever its size.
 package responses
--- a/platform/stall.go
+++ b/responses/stall.go
@@ -1,4 +1,4 @@
-package platform
+package responses
 
 import (
 	"context"
