Mend races of the fleet tests in node

TestCapHoldsThroughReplacementAndOutage makes callers from several goroutines and starts and ends daemons beside them; the list of callers and the map of daemons had no lock. go test -race ./node reported the first on in three of three runs, and the second once that was mended. No check is changed.

--- a/node/fleet_test.go
+++ b/node/fleet_test.go
@@ -186,7 +186,9 @@
 	assert.NilError(f.t, err)
 	ctx, stop := context.WithCancel(context.Background())
 	d := &daemon{Node: n, vm: vm, zone: zone, stop: stop, done: make(chan error, 1)}
+	f.mu.Lock()
 	f.daemons[vm] = d
+	f.mu.Unlock()
 	at := n.Addresses()
 	f.store.SetVM(objects.VM{Name: vm, Zone: zone, Region: string(settings.Region), State: objects.VMLive,
 		CallerAddress: at.Caller, PeerAddress: at.Peer, OperatorAddress: at.Operator})
@@ -197,24 +199,35 @@
 // crash kills the daemon of an entry VM; it notifies neither callers nor peers.
 func (f *fleet) crash(vm string) {
 	f.t.Helper()
+	f.mu.Lock()
 	d := f.daemons[vm]
 	delete(f.daemons, vm)
+	f.mu.Unlock()
 	d.Kill()
 	assert.NilError(f.t, <-d.done)
 	d.stop()
 }
 
+// daemon returns the running daemon of an entry VM.
+func (f *fleet) daemon(vm string) *daemon {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.daemons[vm]
+}
+
 // caller returns a caller whose home is in the given zone, according to its address.
 func (f *fleet) caller(zone string) *http.Client {
 	host := f.net.Host("callers", fmt.Sprintf("10.%d.77.1", strings.Index("ab", zone)+1))
 	client := &http.Client{Transport: &http.Transport{DialContext: host.Dial}}
+	f.mu.Lock()
+	defer f.mu.Unlock()
 	f.clients = append(f.clients, client)
 	return client
 }
 
 // lookup asks an entry VM which entry VMs to use for a service.
 func (f *fleet) lookup(client *http.Client, vm, service string) (lookups.Answer, error) {
-	res, err := client.Get("http://" + f.daemons[vm].Addresses().Caller + lookups.Path + "?service=" + service)
+	res, err := client.Get("http://" + f.daemon(vm).Addresses().Caller + lookups.Path + "?service=" + service)
 	if err != nil {
 		return lookups.Answer{}, err
 	}
@@ -260,7 +273,7 @@
 // send sends one try of a request, reports it to the witness and returns the reply.
 func (f *fleet) send(client *http.Client, e callSpec) (reply, error) {
 	if e.address == "" {
-		e.address = f.daemons[e.vm].Addresses().Caller
+		e.address = f.daemon(e.vm).Addresses().Caller
 	}
 	f.mu.Lock()
 	f.tries++
