Say why in comments that only said what

Comments of the change on broken responses that a newcomer stumbles over: what they describe stood in its name already, or the reason was missing. No code is changed.

--- a/node/forward/brokenoff_test.go
+++ b/node/forward/brokenoff_test.go
@@ -66,8 +66,8 @@
 	assert.Check(t, counterValue(w.a, "answers_aborted") == 1 || counterValue(w.a, "refusals") == 1)
 }
 
-// Guards against a response that a VM has broken off and that looks complete to its caller, because the connection that
-// ends it is closed in order.
+// Guards against a part of a response that its caller takes for all of it, because the VM that breaks it off closes the
+// connection in order.
 func TestBrokenOffResponseDoesNotLookComplete(t *testing.T) {
 	for framing, head := range map[string]string{"without a length": "\r\nthe whole", "in chunks": "Transfer-Encoding: chunked\r\n\r\n9\r\nthe whole\r\n"} {
 		for _, version := range []string{"1.0", "1.1"} {
--- a/node/forward/forward.go
+++ b/node/forward/forward.go
@@ -234,7 +234,7 @@
 	return context.WithValue(WithConn(ctx, c), connKey{}, info)
 }
 
-// netConnKey is the context key of a caller's or a peer's connection.
+// netConnKey is the context key of the connection on which a request came.
 type netConnKey struct{}
 
 // WithConn makes the connection of requests known to the data path, which resets it to break a response off. It is meant
--- a/node/forward/malformed_test.go
+++ b/node/forward/malformed_test.go
@@ -42,7 +42,7 @@
 	"trailer with a control byte":      "HTTP/1.1 200 OK\r\n" + named + "Transfer-Encoding: chunked\r\n\r\n2\r\nno\r\n0\r\nX\x01Bad: 1\r\n\r\n",
 }
 
-// Guards against a response whose head breaks the protocol and that is passed on, or read with another body than was sent.
+// Guards against a malformed response that callers get as an answer, with its own body or with another one.
 func TestMalformedResponseIsNotPassedOn(t *testing.T) {
 	for name, text := range malformedHeads {
 		for end, closes := range map[string]bool{"closed": true, "open": false} {
@@ -95,7 +95,7 @@
 	}
 }
 
-// Guards against a response that ends within its head and is completed by this VM.
+// Guards against a response that ends within its head and that callers get as a complete one.
 func TestResponseCutWithinItsHeadIsNotPassedOn(t *testing.T) {
 	for name, head := range map[string]string{"length": usual, "interim": "HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n" + usual,
 		"chunks": "HTTP/1.1 200 OK\r\n" + named + "Transfer-Encoding: chunked\r\n\r\n"} {
--- a/node/forward/relay.go
+++ b/node/forward/relay.go
@@ -75,7 +75,8 @@
 	return newTryResult(outcomeOf(res.StatusCode), nil)
 }
 
-// closeDelimited returns the caller's connection if its end is the end of the response to the caller, or nil.
+// closeDelimited returns the caller's connection if nothing but its end tells the caller that the response is complete, and
+// nil otherwise.
 func (x *exchange) closeDelimited(res *http.Response) net.Conn {
 	if endsByClose(res, x.r.Method) || res.ContentLength < 0 && !x.r.ProtoAtLeast(1, 1) {
 		return x.netConn()
--- a/node/gateway/buffering/kernel.go
+++ b/node/gateway/buffering/kernel.go
@@ -71,8 +71,8 @@
 }
 
 // Reset makes closing a connection discard what its peer has not received, and frees that memory.
-// The peer sees a reset, so that a response without a stated length does not look complete. The TCP connection itself is
-// closed: TLS above it would first tell the peer that its data ends in order.
+// The peer sees a reset, so that a response without a stated length does not look complete. Reset closes the TCP connection
+// itself, because a TLS connection above it would first announce an orderly end to the peer.
 func Reset(c net.Conn) {
 	ResetOnClose(c, true)
 	if tcp := tcpOf(c); tcp != nil {
--- a/node/gateway/relay/hop_test.go
+++ b/node/gateway/relay/hop_test.go
@@ -55,7 +55,7 @@
 	return p
 }
 
-// newPairOf returns a pair whose helper runs already, and whose links are not cut yet.
+// newPairOf returns a pair with a given helper. Both VMs reach the targets until cut is called.
 func newPairOf(t *testing.T, helper *rig) *pair {
 	t.Helper()
 	p := &pair{helper: helper, toTargets: targetlinks.New(), toPeers: targetlinks.New(), sent: &sentBytes{}}
--- a/node/gateway/relay/malformed_test.go
+++ b/node/gateway/relay/malformed_test.go
@@ -50,7 +50,7 @@
 	"head of another response":             "HTTP/1.1 200 OK\r\n" + named + "HTTP/1.1 200 OK\r\n" + sized,
 }
 
-// Guards against a response whose head breaks the protocol and that is passed on, or read with another body than was sent.
+// Guards against a malformed response that callers get as an answer, with its own body or with another one.
 func TestMalformedResponseIsNotPassedOn(t *testing.T) {
 	for name, text := range malformedHeads {
 		for end, how := range map[string]endpoint.ScriptEnd{"closed": endpoint.EndClosed, "open": endpoint.EndOpen} {
@@ -74,7 +74,7 @@
 	}
 }
 
-// Guards against a response that ends within its head and is completed by this VM.
+// Guards against a response that ends within its head and that callers get as a complete one.
 func TestResponseCutWithinItsHeadIsNotPassedOn(t *testing.T) {
 	heads := map[string]string{"length": usual, "chunks": "HTTP/1.1 200 OK\r\n" + named + "Transfer-Encoding: chunked\r\n\r\n",
 		"interim": "HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n" + usual}
@@ -93,7 +93,7 @@
 	}
 }
 
-// unusualHeads are responses whose heads are lawful, though few servers send such.
+// unusualHeads are responses that a stricter reading than the protocol's would refuse.
 var unusualHeads = map[string]string{
 	"folded line":                "HTTP/1.1 200 OK\r\n" + named + "X-Good: 1\r\n Content-Length: 2\r\n" + sized,
 	"folded line with a colon":   "HTTP/1.1 200 OK\r\n" + named + "X-Good: 1\r\n : 1\r\n" + sized,
--- a/node/gateway/upstream/head.go
+++ b/node/gateway/upstream/head.go
@@ -35,7 +35,7 @@
 	// remaining is how many further bytes the heads may take; negative while no head is read.
 	remaining int
 	claim     *buffering.Claim
-	// err is the last error of Read.
+	// err is the last error of Read. While it is nil, a response that could not be read is malformed, and not broken off.
 	err error
 }
 
@@ -65,7 +65,8 @@
 	return n, err
 }
 
-// classify returns the error of a part of a response that could not be parsed. It is malformed if its bytes could be read.
+// classify returns the error for a part of a response that could not be read or parsed. Without an error from the connection,
+// the bytes that arrived break the protocol.
 func (h *headReader) classify(err error, doing string) error {
 	if h.err == nil {
 		return errors.Wrapf(responses.ErrMalformed, "%s: %v", doing, err)
--- a/node/listeners.go
+++ b/node/listeners.go
@@ -100,14 +100,15 @@
 	return err
 }
 
-// limitListener accepts at most maxConns connections at a time from a listener. Each connection has a method NetConn, which
-// returns the accepted one: the data path resets it where nothing else shows that a response is not complete.
+// limitListener accepts at most maxConns connections at a time from a listener. Unlike those of netutil, its connections have
+// a method NetConn, so that the data path can reset the TCP connection to break a response off.
 func limitListener(listener net.Listener, maxConns int) net.Listener {
 	inner := &lastAccepted{Listener: listener}
 	return revealingListener{Listener: netutil.LimitListener(inner, maxConns), inner: inner}
 }
 
-// lastAccepted remembers the connection that was accepted last. A server accepts from one goroutine.
+// lastAccepted remembers the connection that was accepted last, which netutil hides. One is enough, as a server accepts from
+// one goroutine.
 type lastAccepted struct {
 	net.Listener
 	conn net.Conn
@@ -118,6 +119,7 @@
 	return l.conn, err
 }
 
+// revealingListener pairs each limited connection with the accepted one.
 type revealingListener struct {
 	net.Listener
 	inner *lastAccepted
