Tell in the log why a request found no route, and which routes a configuration changed

A refusal for want of a route named neither host nor path, nor what the VM knew of the configuration; a rejection by the connection itself (400, 408, 413, 431) left no line and counted as bad_request whatever it was; a configuration in force did not say who told it, up to where the store was read, or which routes came and went.

Change: those fields; a reason of their own for headers that are too large and for slow senders; routes.Table.Compare.

The cost was not measured: a lock of the reader and a line for each refusal of this kind, a comparison of the routes for each new version.

--- a/node/gateway/callers/bench_test.go
+++ b/node/gateway/callers/bench_test.go
@@ -36,7 +36,7 @@
 	got, err := f.pool.Do(ctx, upstream.Call{Target: "t", Address: f.to, DialTimeout: time.Second},
 		&upstream.Request{Method: r.Method, Path: r.Path, Host: "h", Header: http.Header{}, Body: r.Body, BodyRest: r.BodyRest, Length: r.Length, ID: "x"})
 	if err != nil {
-		return f.ErrorResponse(http.StatusBadGateway, err.Error())
+		return f.Reject(callers.Rejection{Status: http.StatusBadGateway, Detail: err.Error()})
 	}
 	return &callers.Response{Status: got.Status, Header: http.Header{}, Body: got.Body}
 }
--- a/node/gateway/callers/conn.go
+++ b/node/gateway/callers/conn.go
@@ -164,7 +164,7 @@
 		return false
 	}
 	if status, detail := checkHeader(r, limits); status != 0 {
-		c.refuse(status, detail)
+		c.reject(status, detail, r)
 		return false
 	}
 	return c.readBodyAndStart(ctx, r, received, limits)
@@ -193,13 +193,13 @@
 func (c *conn) refuseUnreadable(err error) {
 	switch {
 	case errors.Is(err, errHeaderTooBig):
-		c.refuse(http.StatusRequestHeaderFieldsTooLarge, "the header is larger than the limit")
+		c.reject(http.StatusRequestHeaderFieldsTooLarge, "the header is larger than the limit", nil)
 	case errors.Is(err, os.ErrDeadlineExceeded):
-		c.refuse(http.StatusRequestTimeout, "the header did not come in time")
+		c.reject(http.StatusRequestTimeout, "the header did not come in time", nil)
 	case errors.Is(err, io.EOF), errors.Is(err, io.ErrUnexpectedEOF), isNetError(err):
 		c.unwritable.Store(true)
 	default:
-		c.refuse(http.StatusBadRequest, "the request is malformed")
+		c.reject(http.StatusBadRequest, "the request is malformed", nil)
 	}
 }
 
@@ -260,7 +260,7 @@
 		if status == http.StatusServiceUnavailable {
 			detail = steering.Reasons[steering.ReasonMemoryFull].Meaning
 		}
-		c.refuse(status, detail)
+		c.reject(status, detail, r)
 		return false
 	}
 	request := &Request{Method: r.Method, Path: r.RequestURI, Host: r.Host, Header: r.Header,
@@ -452,10 +452,15 @@
 	return c.closing.Respond(c.server.draining.Load(), last || a != nil && a.Close)
 }
 
-// refuse answers a request that cannot be read and closes the connection after the response.
-func (c *conn) refuse(status int, detail string) {
+// reject answers a request that is not passed to the handler, and closes the connection after the response. r is nil
+// if the head of the request could not be read.
+func (c *conn) reject(status int, detail string, r *http.Request) {
 	<-c.lastAnswer()
-	c.write(c.server.handler.ErrorResponse(status, detail), &http.Request{Method: http.MethodGet, ProtoMajor: 1, ProtoMinor: 1}, true, nil)
+	rejection := Rejection{Status: status, Detail: detail}
+	if r != nil {
+		rejection.Host, rejection.Path, rejection.Header = r.Host, r.RequestURI, r.Header
+	}
+	c.write(c.server.handler.Reject(rejection), &http.Request{Method: http.MethodGet, ProtoMajor: 1, ProtoMinor: 1}, true, nil)
 	c.linger()
 }
 
--- a/node/gateway/callers/drain_test.go
+++ b/node/gateway/callers/drain_test.go
@@ -61,9 +61,9 @@
 	return &callers.Response{Status: http.StatusOK, Header: http.Header{"X-Path": {r.Path}}, Body: []byte(r.Path), Length: int64(len(r.Path))}
 }
 
-// ErrorResponse implements callers.Handler.
-func (*drainRig) ErrorResponse(status int, detail string) *callers.Response {
-	return &callers.Response{Status: status, Header: http.Header{}, Body: []byte(detail)}
+// Reject implements callers.Handler.
+func (*drainRig) Reject(r callers.Rejection) *callers.Response {
+	return &callers.Response{Status: r.Status, Header: http.Header{}, Body: []byte(r.Detail)}
 }
 
 func (g *drainRig) runs(path string) int {
--- a/node/gateway/callers/slow_test.go
+++ b/node/gateway/callers/slow_test.go
@@ -85,14 +85,14 @@
 	got, err := g.pool.Do(ctx, upstream.Call{Target: "t", Address: g.target, DialTimeout: time.Second},
 		&upstream.Request{Method: r.Method, Path: r.Path, Host: "h", Header: http.Header{}, Body: r.Body, BodyRest: r.BodyRest, Length: r.Length, ID: "x"})
 	if err != nil {
-		return g.ErrorResponse(http.StatusBadGateway, err.Error())
+		return g.Reject(callers.Rejection{Status: http.StatusBadGateway, Detail: err.Error()})
 	}
 	return &callers.Response{Status: got.Status, Header: http.Header{}, Body: got.Body, BodyRest: got.BodyRest, Length: got.Length}
 }
 
-// ErrorResponse implements callers.Handler.
-func (*rig) ErrorResponse(status int, detail string) *callers.Response {
-	return &callers.Response{Status: status, Header: http.Header{}, Body: []byte(detail)}
+// Reject implements callers.Handler.
+func (*rig) Reject(r callers.Rejection) *callers.Response {
+	return &callers.Response{Status: r.Status, Header: http.Header{}, Body: []byte(r.Detail)}
 }
 
 // send opens a connection with a small receive buffer and sends text.
--- a/node/gateway/callers/types.go
+++ b/node/gateway/callers/types.go
@@ -53,9 +53,18 @@
 	// Serve returns the response to a request. ctx is done when the caller closes the connection.
 	// If it returns nil, the connection is closed without a response.
 	Serve(ctx context.Context, r *Request) *Response
-	// ErrorResponse returns the response to a request that cannot be read or is refused by its
-	// header.
-	ErrorResponse(status int, detail string) *Response
+	// Reject returns the response to a request that is not passed to Serve.
+	Reject(r Rejection) *Response
+}
+
+// Rejection is a request that cannot be read, or that its head or the size of its body rules out.
+type Rejection struct {
+	// Status is that of the response, and Detail what is wrong.
+	Status int
+	Detail string
+	// Host, Path and Header are those of the request; they are empty if its head could not be read.
+	Host, Path string
+	Header     http.Header
 }
 
 // ErrStopped is the cause of a request's context that is done because the server stops, not because the caller
--- a/node/gateway/config.go
+++ b/node/gateway/config.go
@@ -4,7 +4,9 @@
 	"time"
 
 	"heatherlock/node/gateway/catchup"
+	"heatherlock/node/gateway/feed"
 	"heatherlock/node/gateway/fleet"
+	"heatherlock/node/gateway/relay"
 	"heatherlock/node/gateway/volume"
 	"heatherlock/steering"
 	"heatherlock/steering/spread"
@@ -45,6 +47,34 @@
 	return max(bound-discoveryTime, bound/2)
 }
 
+// configKnowledge returns what this VM knows of the configuration.
+func (g *Gateway) configKnowledge() relay.ConfigKnowledge {
+	newest, _, _ := g.reader.Behind()
+	at, since := g.reader.ConfigReadUntil()
+	return relay.ConfigKnowledge{Newest: newest, ReadUntil: at, InForceSince: since}
+}
+
+// maxLoggedRoutes bounds the names of routes in one log line.
+const maxLoggedRoutes = 12
+
+// logConfigChange logs a configuration that is in force from now on, and which routes it brings, takes away or changes.
+func (g *Gateway) logConfigChange(c feed.ConfigChange) {
+	line := []any{"msg", "configuration in force", "config", c.Table.Version, "routes", len(c.Table.Routes), "known_ms", c.Known.Milliseconds(),
+		"from", c.From, "config_read_until", c.ReadUntil}
+	if c.Replaced != nil {
+		difference := c.Table.Compare(c.Replaced)
+		for _, part := range []struct {
+			name   string
+			routes []string
+		}{{"added", difference.Added}, {"removed", difference.Removed}, {"changed", difference.Changed}} {
+			if len(part.routes) > 0 {
+				line = append(line, "routes_"+part.name, len(part.routes), part.name, part.routes[:min(len(part.routes), maxLoggedRoutes)])
+			}
+		}
+	}
+	_ = g.log.Log(line...) // the log writer counts dropped lines
+}
+
 // newestConfig is the newest version known to exist, and the VM that first announced it.
 type newestConfig struct {
 	version uint64
--- a/node/gateway/feed/configread.go
+++ b/node/gateway/feed/configread.go
@@ -6,6 +6,7 @@
 
 	"heatherlock/platform"
 	"heatherlock/steering/spread"
+	"heatherlock/steering/storepos"
 )
 
 // configReadWait is how long a read of the store waits for the configuration once the targets and
@@ -46,7 +47,7 @@
 // ApplyConfig puts a configuration that was fetched from peers in force if it is newer than the
 // current one.
 func (r *Reader) ApplyConfig(x *spread.Index) {
-	r.update(fromStore, func() bool {
+	r.update(fromPeers, func() bool {
 		if !r.state.SetTable(time.Now(), x.Table()) {
 			return false
 		}
@@ -163,6 +164,14 @@
 	return index.Table().Version, index.Outline().ContentHash(), r.state.tableSince, true
 }
 
+// ConfigReadUntil returns the position of the store up to which this VM knows all configurations, and when it put
+// the one in force in force.
+func (r *Reader) ConfigReadUntil() (at storepos.Position, inForceSince time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.state.configAt, r.state.tableSince
+}
+
 // ContentHash returns the hash of the content of the configuration in force, or 0 if the hash has
 // not been computed yet.
 func (r *Reader) ContentHash() uint64 {
--- a/node/gateway/feed/reader.go
+++ b/node/gateway/feed/reader.go
@@ -57,9 +57,8 @@
 // Sink receives what a Reader learns. ConfigChanged and TargetsChanged are called with the Reader's
 // lock held.
 type Sink interface {
-	// ConfigChanged is called with each newer configuration and with how long this VM has known
-	// that it exists.
-	ConfigChanged(t *routes.Table, known time.Duration)
+	// ConfigChanged is called with each newer configuration.
+	ConfigChanged(c ConfigChange)
 	// TargetsChanged is called when targets, the evacuated zones or the rates of cold targets
 	// changed.
 	TargetsChanged(TargetUpdate)
@@ -72,6 +71,18 @@
 	ReadSucceeded()
 }
 
+// ConfigChange is a newer configuration that is put in force.
+type ConfigChange struct {
+	// Table is the configuration, and Replaced the one in force before, or nil.
+	Table, Replaced *routes.Table
+	// Known is how long this VM has known that it exists.
+	Known time.Duration
+	// From is where it came from: the store, or peers.
+	From string
+	// ReadUntil is the position of the store up to which this VM knows all configurations.
+	ReadUntil storepos.Position
+}
+
 // Peers is what a Reader needs to know about the other entry VMs.
 type Peers interface {
 	// ReadRank returns how many entry VMs read the store before this one. fails says whether this
@@ -199,7 +210,7 @@
 // Merge applies a peer's digest and reports whether to request an update from that peer.
 func (r *Reader) Merge(m Digest) (pull bool) {
 	r.store.NoteEpoch(m.Epoch)
-	r.update("peers", func() (changed bool) {
+	r.update(fromPeers, func() (changed bool) {
 		pull, changed = r.state.Merge(time.Now(), m)
 		return changed
 	})
@@ -227,8 +238,11 @@
 	r.update(from, func() bool { return r.state.Apply(time.Now(), k) })
 }
 
-// fromStore is where reads come from, in logs.
-const fromStore = "store"
+// fromStore and fromPeers are where data comes from, in logs.
+const (
+	fromStore = "store"
+	fromPeers = "peers"
+)
 
 // update runs change, which modifies the state by what came from the store or a peer, and passes the results on
 // to the sink.
@@ -236,12 +250,12 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	age, _ := r.state.Age(time.Now())
-	version, complete := r.state.version(), r.state.Complete()
+	replaced, version, complete := r.state.Table(), r.state.version(), r.state.Complete()
 	_, known, _ := r.state.Behind(time.Now())
 	change()
 	r.logDecisions(from, age, r.state.at)
 	if r.state.version() > version {
-		r.sink.ConfigChanged(r.state.Table(), known)
+		r.sink.ConfigChanged(ConfigChange{Table: r.state.Table(), Replaced: replaced, Known: known, From: from, ReadUntil: r.state.configAt})
 	}
 	if !r.state.Complete() {
 		return
--- a/node/gateway/gateway.go
+++ b/node/gateway/gateway.go
@@ -36,7 +36,6 @@
 	"heatherlock/steering/presence"
 	"heatherlock/steering/queueowner"
 	"heatherlock/steering/retry"
-	"heatherlock/steering/routes"
 	"heatherlock/steering/spread"
 )
 
@@ -155,7 +154,7 @@
 			return g.meter.Conn(raw, volume.PassedOn, g.fleet.LocationOf(to))
 		},
 		Metrics: relayMetrics, StoreAge: g.storeAge,
-		MemberCount: func() int { return g.fleet.AnsweringCount() }, Behind: func() bool { _, _, behind := g.reader.Behind(); return behind }, ConfigOutdated: g.outdated,
+		MemberCount: func() int { return g.fleet.AnsweringCount() }, Behind: func() bool { _, _, behind := g.reader.Behind(); return behind }, ConfigOutdated: g.outdated, ConfigKnowledge: g.configKnowledge,
 		Meter: g.meter, Allowances: g.allowanceService, Shares: g.shares, TargetLimits: g.allowanceService,
 		MemoryBytes: int64(settings.MemoryMB) << 20})
 	g.buffers = buffering.NewVM(buffers.NewConfig(settings.MemoryMB, debug.SetMemoryLimit(-1)), logger, scope)
@@ -316,9 +315,9 @@
 }
 
 // ConfigChanged implements feed.Sink.
-func (g *Gateway) ConfigChanged(t *routes.Table, known time.Duration) {
-	if g.relay.SetTable(t) {
-		_ = g.log.Log("msg", "configuration in force", "config", t.Version, "routes", len(t.Routes), "known_ms", known.Milliseconds()) // the log writer counts dropped lines
+func (g *Gateway) ConfigChanged(c feed.ConfigChange) {
+	if t := c.Table; g.relay.SetTable(t) {
+		g.logConfigChange(c)
 		g.configureAllowances(t.Workspaces)
 		g.metrics.Scope.Gauge("gateway_config_version").Update(float64(t.Version))
 		g.fleet.Announce() // VMs that are behind fetch it from VMs that announced it
--- a/node/gateway/relay/hop.go
+++ b/node/gateway/relay/hop.go
@@ -178,7 +178,7 @@
 	f := p.Relay
 	passedOn, ok := readHop(r.Header)
 	if !ok {
-		return p.ErrorResponse(http.StatusBadRequest, "the request was not passed on by an entry VM")
+		return p.Reject(callers.Rejection{Status: http.StatusBadRequest, Detail: "the request was not passed on by an entry VM", Host: r.Host, Path: r.Path, Header: r.Header})
 	}
 	s := requestInfo{id: call.ID}
 	f.countWaiting(passedOn.from)
@@ -189,7 +189,11 @@
 	}
 	e, reason := f.awaitPassedOn(ctx, r, call, passedOn)
 	if reason != "" {
-		return passedOn.refuse(f, e.requestInfo(call), reason, notReadyRetryAfter, 0, []any{"passed_on_by", passedOn.from})
+		detail := []any{"passed_on_by", passedOn.from}
+		if reason == steering.ReasonNoService {
+			detail = append(detail, f.unmatched(r)...)
+		}
+		return passedOn.refuse(f, e.requestInfo(call), reason, notReadyRetryAfter, 0, detail)
 	}
 	f.applyTold(passedOn.told)
 	x := newExchange(f, e, r, call, passedOn)
--- a/node/gateway/relay/relay.go
+++ b/node/gateway/relay/relay.go
@@ -24,6 +24,7 @@
 	"heatherlock/steering/reach"
 	"heatherlock/steering/retry"
 	"heatherlock/steering/routes"
+	"heatherlock/steering/storepos"
 )
 
 // Time limits and retry limits of one exchange.
@@ -74,6 +75,8 @@
 	// ConfigOutdated reports whether the configuration in force must no longer be used. It may be
 	// nil.
 	ConfigOutdated func() bool
+	// ConfigKnowledge returns what this VM knows of the configuration, for log lines. It may be nil.
+	ConfigKnowledge func() ConfigKnowledge
 	// Meter counts the bytes exchanged with targets. It may be nil.
 	Meter *volume.Meter
 	// Allowances limits the requests of workspaces; nil means no limits.
@@ -99,6 +102,16 @@
 	MemoryBytes int64
 }
 
+// ConfigKnowledge is what an entry VM knows of the configuration.
+type ConfigKnowledge struct {
+	// Newest is the newest version known to exist.
+	Newest uint64
+	// ReadUntil is the position of the store up to which this VM knows all configurations.
+	ReadUntil storepos.Position
+	// InForceSince is when this VM put the configuration in force.
+	InForceSince time.Time
+}
+
 // TargetLimits enforces the limits that targets name, across all entry VMs.
 type TargetLimits interface {
 	// AdmitToTarget decides whether a request may be sent to a target that names a limit. If it may
@@ -318,9 +331,10 @@
 	case steering.ReasonConfigBehind:
 		retryAfter = notReadyRetryAfter
 	}
-	if reason != steering.ReasonNoService {
-		f.recordRefused(e.route, call, reason)
+	if reason == steering.ReasonNoService {
+		return f.refuse(e.requestInfo(call), reason, retryAfter, f.unmatched(r))
 	}
+	f.recordRefused(e.route, call, reason)
 	return f.refuse(e.requestInfo(call), reason, retryAfter, nil)
 }
 
@@ -332,14 +346,47 @@
 
 func (f *Relay) configOutdated() bool { return f.cfg.ConfigOutdated != nil && f.cfg.ConfigOutdated() }
 
-// ErrorResponse implements callers.Handler.
-func (f *Relay) ErrorResponse(status int, detail string) *callers.Response {
-	reason, retryAfter := steering.ReasonBadRequest, time.Duration(0)
-	if status == http.StatusServiceUnavailable {
-		reason, retryAfter = steering.ReasonMemoryFull, memoryRetryAfter
+// rejectionReasons holds the reasons of rejections by status. All others are malformed requests.
+var rejectionReasons = map[int]steering.Reason{
+	http.StatusRequestTimeout:              steering.ReasonSlowSender,
+	http.StatusRequestEntityTooLarge:       steering.ReasonBodyTooLarge,
+	http.StatusRequestHeaderFieldsTooLarge: steering.ReasonHeaderTooLarge,
+	http.StatusServiceUnavailable:          steering.ReasonMemoryFull,
+}
+
+// Reject implements callers.Handler.
+func (f *Relay) Reject(r callers.Rejection) *callers.Response {
+	reason, known := rejectionReasons[r.Status]
+	if !known {
+		reason = steering.ReasonBadRequest
+	}
+	retryAfter := time.Duration(0)
+	if reason == steering.ReasonMemoryFull {
+		retryAfter = memoryRetryAfter
 	}
 	f.cfg.Metrics.Refused(reason)
-	return localResponse(status, reason, detail, retryAfter)
+	f.logRequest("refused", requestInfo{table: f.table.Load(), id: platform.ReadRequest(r.Header).ID}, reason,
+		append(addressed(r.Host, r.Path), "status", r.Status, "detail", r.Detail))
+	return localResponse(r.Status, reason, r.Detail, retryAfter)
+}
+
+// maxLoggedPath bounds the part of a request's path in one log line, in bytes.
+const maxLoggedPath = 100
+
+// addressed returns the log fields by which a request was matched, or was not.
+func addressed(host, path string) []any {
+	return []any{"host", host[:min(len(host), maxLoggedPath)], "path", path[:min(len(path), maxLoggedPath)]}
+}
+
+// unmatched returns the log fields of a request for which no route was found: what it asked for, and what this
+// VM knows of the configuration.
+func (f *Relay) unmatched(r *callers.Request) []any {
+	line := addressed(r.Host, r.Path)
+	if f.cfg.ConfigKnowledge == nil {
+		return line
+	}
+	k := f.cfg.ConfigKnowledge()
+	return append(line, "newest", k.Newest, "config_read_until", k.ReadUntil, "in_force_ms", time.Since(k.InForceSince).Milliseconds())
 }
 
 // memoryRetryAfter is the Retry-After of a VM that may hold no more bytes. A connection may be cut
--- a/steering/refusal.go
+++ b/steering/refusal.go
@@ -66,6 +66,7 @@
 	ReasonResponseMalformed  Reason = "answer_malformed"
 	ReasonBadRequest         Reason = "bad_request"
 	ReasonBodyTooLarge       Reason = "body_too_large"
+	ReasonHeaderTooLarge     Reason = "header_too_large"
 	ReasonSlowSender         Reason = "slow_sender"
 	ReasonSlowReader         Reason = "slow_reader"
 	ReasonTooManyConnections Reason = "too_many_connections"
--- a/steering/routes/routes_test.go
+++ b/steering/routes/routes_test.go
@@ -58,3 +58,20 @@
 		}
 	})
 }
+
+// Guards against a change of routes that the log does not tell, or tells of routes that are as they were.
+func TestCompareNamesTheRoutesThatDiffer(t *testing.T) {
+	route := func(name string, change func(*routes.Route)) *routes.Route {
+		r := &routes.Route{Name: name, Host: "a.example", Prefix: "/" + name + "/", Parts: []routes.WeightedService{{Service: "s", Weight: 1}}, Homes: []steering.Region{"r"}}
+		if change != nil {
+			change(r)
+		}
+		return r
+	}
+	table := func(all ...*routes.Route) *routes.Table { return routes.NewTable(1, all, nil, routes.Limits{}) }
+	old := table(route("same", nil), route("gone", nil), route("split", nil), route("home", nil), route("public", nil))
+	now := table(route("new", nil), route("same", nil), route("split", func(r *routes.Route) { r.Parts[0].Weight = 2 }),
+		route("home", func(r *routes.Route) { r.Homes = nil }), route("public", func(r *routes.Route) { r.Public = true }))
+	assert.DeepEqual(t, now.Compare(old), routes.Difference{Added: []string{"new"}, Removed: []string{"gone"}, Changed: []string{"home", "public", "split"}})
+	assert.DeepEqual(t, now.Compare(now), routes.Difference{})
+}
