--- a/soak/daemon.go
+++ b/soak/daemon.go
@@ -32,7 +32,9 @@
 	terminatedAt  time.Time // time of the last SIGTERM
 	terminated    int       // the boot that got it
 	signals       []time.Time
+	pausedAt      time.Time // when it was last paused or resumed
 	boots         int
+	bootedAt      time.Time
 	stopped       bool
 	ended         chan struct{}
 }
@@ -129,6 +131,7 @@
 	}
 	d.process = cmd.Process
 	d.boots++
+	d.bootedAt = time.Now()
 	return cmd.Process, nil
 }
 
@@ -139,6 +142,9 @@
 	if s != syscall.SIGHUP {
 		d.signals = append(d.signals, time.Now())
 	}
+	if s == syscall.SIGSTOP || s == syscall.SIGCONT {
+		d.pausedAt = time.Now()
+	}
 	switch s {
 	case syscall.SIGTERM:
 		d.terminatedAt, d.terminated = time.Now(), d.boots
@@ -184,6 +190,20 @@
 	return slices.ContainsFunc(d.signals, func(at time.Time) bool { return at.After(from.Add(-linkCutKnown)) && at.Before(to) })
 }
 
+// startedAnew reports whether the process has got no signal since its start.
+func (d *daemon) startedAnew() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.process != nil && d.bootedAt.After(d.interruptedAt) && d.bootedAt.After(d.terminatedAt)
+}
+
+// resumedWithin reports whether the daemon was paused or resumed within a span.
+func (d *daemon) resumedWithin(span time.Duration) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return time.Since(d.pausedAt) < span
+}
+
 // wasInterrupted reports whether the daemon was killed, paused or resumed after a time.
 func (d *daemon) wasInterrupted(since time.Time) bool {
 	d.mu.Lock()
--- a/soak/parts.go
+++ b/soak/parts.go
@@ -25,7 +25,16 @@
 	run     func(*system, Options)
 }
 
-var allParts = []part{pipelines, uploads, owners, strays, chills, broken}
+var allParts = []part{pipelines, uploads, owners, strays, chills, broken, versions}
+
+// partNames returns the names of all parts.
+func partNames() []string {
+	var names []string
+	for _, p := range allParts {
+		names = append(names, p.name)
+	}
+	return names
+}
 
 // parts returns the parts that are played.
 func (o Options) parts() []part {
--- a/soak/plan.go
+++ b/soak/plan.go
@@ -37,6 +37,15 @@
 	return plan
 }
 
+// thin leaves out all but one in so many steps. A copy of the store is no fault and stays.
+func thin(plan []step, sparse int) []step {
+	n := 0
+	return slices.DeleteFunc(plan, func(st step) bool {
+		n++
+		return sparse > 1 && n%sparse != 0 && st.description != storeCopied
+	})
+}
+
 func sortPlan(plan []step) {
 	sort.SliceStable(plan, func(i, j int) bool { return plan[i].at < plan[j].at })
 }
--- a/soak/restores.go
+++ b/soak/restores.go
@@ -14,6 +14,7 @@
 	// rewriteDelay is how long after a restore the operator writes the configuration again. Targets
 	// write their entries with their heartbeats.
 	rewriteDelay = 300 * time.Millisecond
+	storeCopied  = "the store is copied"
 )
 
 // restoreFaults restore the store from copies that are up to three seconds old, one to three times in a
@@ -27,9 +28,10 @@
 			away := time.Duration(max(r.IntN(1200)-600, 0)) * time.Millisecond
 			when := at + time.Duration(n)*restoreGap
 			var copied metastore.Copy
+			var copiedAt time.Time
 			steps = append(steps,
-				step{when - lost, "the store is copied", func(s *system) { copied = s.store.Copy() }},
-				step{when, fmt.Sprintf("the store is away for %v and comes back from a copy %v old", away, lost), func(s *system) { s.restoreStore(copied, away) }})
+				step{when - lost, storeCopied, func(s *system) { copiedAt, copied = time.Now(), s.store.Copy() }},
+				step{when, fmt.Sprintf("the store is away for %v and comes back from a copy %v old", away, lost), func(s *system) { s.restoreStore(copied, copiedAt, away) }})
 		}
 	}
 	return steps
@@ -37,15 +39,20 @@
 
 // restoreStore restores the store after it was away for a time. What was lost is written again by those
 // who wrote it, and entries of targets that have stopped expire.
-func (s *system) restoreStore(copied metastore.Copy, away time.Duration) {
+func (s *system) restoreStore(copied metastore.Copy, copiedAt time.Time, away time.Duration) {
 	if away > 0 {
 		s.disturbStore(metastore.Faults{Silent: metastore.All}, Reset, away)
 	}
-	time.AfterFunc(away, func() { s.store.Restore(copied) })
+	time.AfterFunc(away, func() {
+		if s.versions != nil {
+			s.versions.Lost(copiedAt)
+		}
+		s.store.Restore(copied)
+	})
 	time.AfterFunc(away+rewriteDelay, func() {
 		s.mu.Lock()
 		defer s.mu.Unlock()
-		s.store.Put("config", "main", s.config)
+		s.putConfig()
 	})
 	time.AfterFunc(away+3*heartbeatInterval, func() {
 		s.mu.Lock()
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -27,6 +27,10 @@
 	Without []string
 	// Settle waits until attempts whose callers have left must have ended, before it is checked what is held.
 	Settle bool
+	// Sparse leaves out all but one in so many faults of the plan; 0 and 1 leave out none. The faults of parts stay.
+	Sparse int
+	// LoseAll kills all entry VMs at once at the end, right after a configuration was confirmed.
+	LoseAll bool
 	// KeepLogs keeps the logs of the daemons. A run with findings keeps them in any case.
 	KeepLogs bool
 }
@@ -37,7 +41,10 @@
 	Plan     []string
 	Requests int
 	Answered int
-	Findings []string
+	// Questions is how many requests showed by which version they were handled, and Required how many of them by one that had
+	// to be in force.
+	Questions, Required int
+	Findings            []string
 	// Logs is the directory with the logs of the daemons, or empty if it was removed.
 	Logs string
 }
@@ -70,7 +77,7 @@
 	f.mu.Unlock()
 	l := &callLog{refused: make(map[string]int), served: make(map[string]bool),
 		sentTo: make(map[string]*daemon), heard: make(map[statement]time.Time), limited: make(map[string][]time.Time)}
-	plan := newPlan(o.Seed, o.Length, o.Daemons)
+	plan := thin(newPlan(o.Seed, o.Length, o.Daemons), o.Sparse)
 	for _, p := range o.parts() {
 		if p.plan != nil {
 			plan = append(plan, p.plan(o)...)
@@ -92,12 +99,20 @@
 	go s.watchDaemons(watched)
 	all.Wait()
 	close(watched)
+	if o.LoseAll {
+		if err := s.loseAll(o); err != nil {
+			return Report{Logs: dir}, err
+		}
+	}
 	s.checkReleased(o.Settle)
 	s.mu.Lock()
 	s.checkRuns(l)
 	s.checkStatements(l)
 	s.checkLinkCuts(l)
 	s.mu.Unlock()
+	if s.versions != nil {
+		report.Questions, report.Required = s.versions.Judged()
+	}
 	report.Requests, report.Answered, report.Findings = l.requests, l.answered, f.all
 	if len(f.all) == 0 && !o.KeepLogs {
 		return report, os.RemoveAll(dir)
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -7,6 +7,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strings"
 	"syscall"
 	"testing"
@@ -63,6 +64,25 @@
 	}
 }
 
+// Guards against entry VMs that handle a request as an older version than the newest one in force: by another service, by a
+// route that has gone, or as if a route were not there.
+func TestRequestsAreHandledByTheNewestConfiguration(t *testing.T) {
+	binary := buildDaemon(t, "")
+	for seed := *first; seed < *first+uint64(*seeds); seed++ {
+		o := options(seed, binary)
+		o.BasePort -= 4000
+		o.Callers, o.Sparse, o.LoseAll = 4, 12, true
+		o.Without = slices.DeleteFunc(partNames(), func(name string) bool { return name == versions.name })
+		report, err := Run(o)
+		assert.NilError(t, err)
+		t.Logf("seed %d: %d faults and changes, %d questions, %d of them for a confirmed version", seed, len(report.Plan), report.Questions, report.Required)
+		assert.Assert(t, report.Required > 0)
+		if len(report.Findings) > 0 {
+			t.Errorf("seed %d violated a guarantee; logs in %s\nplan:\n%s\nfindings:\n%s", seed, report.Logs, strings.Join(report.Plan, "\n"), strings.Join(report.Findings, "\n"))
+		}
+	}
+}
+
 // TestLocksAreTakenInOneOrder guards against an entry VM that answers nothing any more because two
 // of its locks were taken in both orders. Such a build ends as soon as it sees that, whether or not the
 // two meet.
@@ -85,7 +105,7 @@
 func TestVMThatStandsStillDuringItsStopEnds(t *testing.T) {
 	o := options(1, buildDaemon(t, ""))
 	o.BasePort += 8000
-	o.Daemons, o.Without = 2, []string{"pipelines", "uploads", "owners", "strays", "chills", "broken"}
+	o.Daemons, o.Without = 2, partNames()
 	s, err := newSystem(o, t.TempDir(), &findings{began: time.Now()})
 	assert.NilError(t, err)
 	defer s.close()
--- a/soak/system.go
+++ b/soak/system.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"encoding/json"
 	"fmt"
 	"net/http"
 	"net/http/httptest"
@@ -11,6 +12,7 @@
 
 	"heatherlock/standin/endpoint"
 	"heatherlock/standin/metastore"
+	"heatherlock/standin/witness"
 )
 
 // Parameters of the deployment. Targets are fast, so that each second of a run has many
@@ -45,7 +47,7 @@
 	partServices []string
 	nextTarget   int
 	version      int
-	config       map[string]any // as written last
+	config       any // as written last
 	routes       []map[string]any
 	// extraKeys are the temporary API keys of each workspace; loweredWorkspace names the
 	// workspace whose allowance is reduced at present, or is empty.
@@ -62,6 +64,9 @@
 	linksCut []bool
 	// goroutinesBefore is the most that an entry VM had before the first caller came.
 	goroutinesBefore float64
+	// versions and changing are nil without the part that uses them.
+	versions *witness.Versions
+	changing *changing
 }
 
 // target is a target that entry VMs reach through a proxy.
@@ -257,13 +262,31 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.version += 2
-	s.config = map[string]any{"version": fmt.Sprint("r", s.version), "routes": s.routes, "tenants": s.tenants(),
+	config := map[string]any{"version": fmt.Sprint("r", s.version), "routes": s.routes, "tenants": s.tenants(),
 		"services": s.services(),
 		"limits":   map[string]any{"maxHeaderBytes": 8192, "maxBodyBytes": 1 << 20, "headerTimeoutMs": 2000, "idleTimeoutMs": 5000}}
-	s.store.Put("config", "main", s.config)
+	s.config = s.addChanging(config)
+	s.putConfig()
 	return s.version
 }
 
+// putConfig writes the newest configuration. The caller holds s.mu.
+func (s *system) putConfig() {
+	s.store.Put("config", "main", s.config)
+	if s.versions != nil {
+		s.versions.Confirmed(s.version, time.Now())
+	}
+}
+
+// encode returns the JSON text of a value that has one.
+func encode(value any) []byte {
+	raw, err := json.Marshal(value)
+	if err != nil {
+		panic(err)
+	}
+	return raw
+}
+
 // disturbStore injects faults into the store and the connections to it for a span.
 func (s *system) disturbStore(f metastore.Faults, m Mode, span time.Duration) {
 	if s.setStoreFaults(f, m) {
