Never count a change in the store that cannot be read as read

What callers saw: a configuration that was confirmed is not in force at any entry VM, with no line in a log, until the next one is written.

Cause: a watch left out the events that it could not decode and returned the position after them. The reader of the store went on from there and told its peers that position, which they adopted for the same version; nobody read the configuration again. The same for evacuations without a readable name, and for targets. An evacuation whose event was malformed but named counted as started, also if it had ended. Class: what a VM has read up to is recorded apart from what it has applied.

Change: a watch with an event that may be a change of what its caller asks for fails with FaultIncomplete; the reader then reads all objects of the kind in the same read, as after a 410, on all three paths. A position is now only one up to which every change was applied or rejected. A line and heatherlock_gateway_store_lists tell of it.

--- a/node/gateway/feed/configread.go
+++ b/node/gateway/feed/configread.go
@@ -101,26 +101,43 @@
 }
 
 // readConfig reads the configurations written since the last known position, or the whole
-// configuration if the store no longer has the changes since then.
+// configuration if the changes since then cannot all be read.
 func (r *Reader) readConfig(ctx context.Context, began time.Time) error {
 	_, since, _ := r.positions()
 	if !since.IsZero() {
 		next, err := r.store.ConfigChanges(ctx, since, 0)
-		if platform.FaultOf(err) != platform.FaultRevisionExpired {
-			r.applyConfigRead(began, next, err)
+		if err == nil {
+			r.applyConfigRead(began, next)
+		}
+		if !r.mustList("configuration", err) {
 			return err
 		}
 	}
 	next, err := r.store.Config(ctx)
-	r.applyConfigRead(began, next, err)
+	if err == nil {
+		r.applyConfigRead(began, next)
+	}
 	return err
 }
 
-// applyConfigRead applies the result of a read. A failed read may still return the position to
-// continue from, but it is no evidence about newer versions.
-func (r *Reader) applyConfigRead(began time.Time, c platform.Config, err error) {
+// mustList reports whether the objects of a kind have to be listed because of the error of a watch. Only that a change
+// cannot be read is logged: the store may drop its history at any time.
+func (r *Reader) mustList(kind string, err error) bool {
+	if !platform.MustList(err) {
+		return false
+	}
+	fault := platform.FaultOf(err)
+	r.sink.ListedAnew(kind, fault)
+	if fault == platform.FaultIncomplete {
+		_ = r.log.Log("msg", "changes in the store cannot be read in full, all objects are read", "kind", kind, "err", err) // the log writer counts the lines that it drops
+	}
+	return true
+}
+
+// applyConfigRead applies the result of a read that began at a time.
+func (r *Reader) applyConfigRead(began time.Time, c platform.Config) {
 	r.noteRejected(c)
-	unusable := err == nil && r.Rejected() != nil
+	unusable := r.Rejected() != nil
 	r.update(fromStore, func() bool {
 		changed := r.state.ApplyConfigRead(time.Now(), c.Table, c.At)
 		if unusable {
--- a/node/gateway/feed/reader.go
+++ b/node/gateway/feed/reader.go
@@ -65,6 +65,9 @@
 	// InvalidEntries is called after each read that found target entries from which no usable
 	// target can be read.
 	InvalidEntries(entries []platform.InvalidEntry)
+	// ListedAnew is called when all objects of a kind are read because the changes could not be, with the
+	// fault of the store that required it.
+	ListedAnew(kind string, fault platform.Fault)
 	// ReadStarted is called when a read of the store begins, except while reads fail, and
 	// ReadSucceeded when a read has succeeded.
 	ReadStarted()
@@ -369,7 +372,7 @@
 func (r *Reader) readTargets(ctx context.Context) error {
 	since, _, _ := r.positions()
 	if !since.IsZero() {
-		if err := r.readTargetChanges(ctx, since); platform.FaultOf(err) != platform.FaultRevisionExpired {
+		if err := r.readTargetChanges(ctx, since); !r.mustList("targets", err) {
 			return err
 		}
 	}
@@ -422,7 +425,7 @@
 		if err == nil {
 			r.update(fromStore, func() bool { return r.state.ApplyEvacuationChanges(time.Now(), changes, at) })
 		}
-		if platform.FaultOf(err) != platform.FaultRevisionExpired {
+		if !r.mustList("evacuations", err) {
 			return err
 		}
 	}
--- a/node/gateway/peersync.go
+++ b/node/gateway/peersync.go
@@ -17,6 +17,7 @@
 	"heatherlock/node/gateway/fleet"
 	"heatherlock/node/gateway/status"
 	"heatherlock/node/gateway/volume"
+	"heatherlock/platform"
 	"heatherlock/responses"
 	"heatherlock/steering/placement"
 	"heatherlock/steering/retry"
@@ -64,6 +65,11 @@
 	return v
 }
 
+// ListedAnew implements feed.Sink.
+func (g *Gateway) ListedAnew(kind string, fault platform.Fault) {
+	g.metrics.Scope.Tagged(map[string]string{"kind": kind, "fault": fault.String()}).Counter("gateway_store_lists").Inc(1)
+}
+
 // ReadStarted implements feed.Sink.
 func (g *Gateway) ReadStarted() { g.fleet.Announce() }
 
--- a/soak/versions.go
+++ b/soak/versions.go
@@ -150,7 +150,7 @@
 		pauses = append(pauses, time.Duration(50+r.IntN(500))*time.Millisecond)
 	}
 	for _, d := range s.daemons {
-		idlePause := time.Duration(500+r.IntN(3500)) * time.Millisecond
+		idlePause := time.Duration(3000+r.IntN(1000)) * time.Millisecond // longer than the apply bound, and within four fifths of the shortest idle timeout
 		all.Go(func() {
 			fresh, kept := &http.Transport{DisableKeepAlives: true}, &http.Transport{}
 			at := began
