Do not pass on the position of a configuration that this VM has rejected

What callers saw: in a rolling update to a build that can use a newer configuration, routes stay as the older one has them.

Cause: a VM that rejects a configuration goes on with the one in force and told its peers the position of the store after the rejected one, up to which "no newer configuration than this exists". Peers with the same version adopted it, a VM of the newer build among them, and did not read the rejected one when their turn to read came. Class: a position told apart from what was applied up to it.

Change: the digest of such a VM names no position for configurations until it has read one that it can use. The message does not change: 0 means none, as after a restore of the store.

No mixed fleet of real processes was run.

--- a/node/gateway/feed/exchange.go
+++ b/node/gateway/feed/exchange.go
@@ -16,6 +16,9 @@
 	if s.readAt.IsZero() || s.inconsistent {
 		return Digest{Config: m.Config, Newest: m.Newest} // peers cannot rely on the other fields
 	}
+	if s.configRejected {
+		m.ConfigRevision = 0
+	}
 	for zone := range s.evacuated {
 		m.Evacuated = append(m.Evacuated, zone)
 	}
--- a/node/gateway/feed/state.go
+++ b/node/gateway/feed/state.go
@@ -112,6 +112,8 @@
 	table         *routes.Table
 	tableSince    time.Time // when table was put in force here
 	configAt      storepos.Position
+	// configRejected is set while the newest configuration up to configAt is one that this VM cannot use.
+	configRejected bool
 	// newest is the newest configuration version known to exist. behindSince is when this VM
 	// first knew of a version newer than the one in force, or the zero time if it knows of none.
 	newest      uint64
--- a/node/gateway/feed/unreadable_test.go
+++ b/node/gateway/feed/unreadable_test.go
@@ -63,3 +63,18 @@
 	}
 	assert.Assert(t, back.watches == 2 && listed["configuration"] == 2, "%d watches, %v", back.watches, listed)
 }
+
+// Guards against a VM that never reads a configuration that it can use because a VM of another build has rejected it.
+func TestRejectedConfigurationIsReadByPeersThemselves(t *testing.T) {
+	rejecting, peer := readAll(at(10)), readAll(at(10))
+	now := start.Add(time.Second)
+	rejecting.ApplyConfigRead(now, nil, at(20))
+	rejecting.NewestUnusable(now)
+	exchange(now, rejecting, peer)
+	assert.Equal(t, peer.Digest(now).ConfigRevision, int64(10))
+	rejecting.ApplyConfigRead(now, table(4), at(30))
+	peer.SetTable(now, table(4))
+	exchange(now, rejecting, peer)
+	peer.SetTargets(now, listed(nil, 30))
+	assert.Equal(t, peer.Digest(now).ConfigRevision, int64(30))
+}
--- a/node/gateway/feed/versions.go
+++ b/node/gateway/feed/versions.go
@@ -15,12 +15,17 @@
 // restored from a copy that lacks them, and the operator writes them again.
 func (s *State) ApplyConfigRead(now time.Time, t *routes.Table, at storepos.Position) bool {
 	s.configAt = storepos.Later(s.configAt, at)
+	if t != nil {
+		s.configRejected = false
+	}
 	return s.SetTable(now, t)
 }
 
 // NewestUnusable records that a read of the store that started at began found that this VM cannot use
-// the newest configuration. If it had learned of a newer version before, it waits for it no longer.
+// the newest configuration. If it had learned of a newer version before, it waits for it no longer. Peers are not told
+// up to where this VM has read: one of another build may be able to use what this one cannot, and has to read it itself.
 func (s *State) NewestUnusable(began time.Time) {
+	s.configRejected = true
 	if !s.behindSince.IsZero() && began.After(s.behindSince) {
 		s.newest, s.behindSince = s.version(), time.Time{}
 	}
