Judge a request by the limits in force when it comes

What callers saw: on a connection that was idle while a configuration raised maxHeaderBytes, 431 for a header that it allows, for as long as the connection had been idle; and connections closed after the old idleTimeoutMs long after a longer one was confirmed, though callers use one that has been idle for up to four fifths of the new one.

Cause: the limits were taken before the wait for the first byte of a request, and the deadline of that wait was set once. Class: a value of the configuration is kept across a wait that may outlast the version.

Change: the limits are taken once the request has begun to come. When the idle timeout expires it is looked up again; a connection to which a longer one applies now stays. Closing idle connections at a stop sets a mark, since a deadline in the past no longer says why the wait ended.

TestRequestOnIdleConnectionIsJudgedByNewLimits (431 for 200) and TestIdleConnectionIsKeptForTheNewTimeout (closed) fail on the parent. Not changed, and allowed: a shorter timeout closes a connection that waits already only when the longer one ends. A header of up to 4 KB that comes at once is accepted under a smaller limit.

--- a/node/gateway/callers/conn.go
+++ b/node/gateway/callers/conn.go
@@ -53,6 +53,7 @@
 	slots         chan struct{} // holds one element for each running request
 	inFlight      atomic.Int64
 	unwritable    atomic.Bool // set when no further response can be written
+	endIdle       atomic.Bool // set when the connection is to be closed for being idle, whatever the timeout
 	done          sync.WaitGroup
 
 	mu          lock.Mutex
@@ -147,12 +148,13 @@
 
 // readNext reads one request and starts it. It returns false when no further request is to be read.
 func (c *conn) readNext(ctx context.Context) bool {
-	limits := c.limits()
 	c.limitedReader.remaining = -1
-	if !c.awaitFirstByte(limits.IdleTimeout) || !c.beginRead() {
+	if !c.awaitFirstByte() || !c.beginRead() {
 		return false
 	}
 	received := time.Now()
+	// Those in force when the request comes, not when the connection became idle.
+	limits := c.limits()
 	// Only after the first byte: a caller that closes the connection is noticed meanwhile.
 	c.account.AwaitRoom(ctx)
 	_ = c.raw.SetReadDeadline(time.Now().Add(limits.HeaderTimeout))
@@ -170,11 +172,15 @@
 	return c.readBodyAndStart(ctx, r, received, limits)
 }
 
-// awaitFirstByte waits for the first byte of a request. The idle timeout does not apply while
-// earlier requests run.
-func (c *conn) awaitFirstByte(idle time.Duration) bool {
+// awaitFirstByte waits for the first byte of a request. The idle timeout is the one in force when it ends, and does not
+// apply while earlier requests run.
+func (c *conn) awaitFirstByte() bool {
+	began := time.Now()
 	for {
-		_ = c.raw.SetReadDeadline(time.Now().Add(idle))
+		_ = c.raw.SetReadDeadline(began.Add(c.limits().IdleTimeout))
+		if c.endIdle.Load() && c.inFlight.Load() == 0 {
+			return false
+		}
 		_, err := c.reader.Peek(1)
 		if err == nil {
 			return true
@@ -183,7 +189,10 @@
 			c.unwritable.Store(true)
 			return false
 		}
-		if c.inFlight.Load() == 0 {
+		switch {
+		case c.inFlight.Load() > 0:
+			began = time.Now()
+		case c.endIdle.Load(), !time.Now().Before(began.Add(c.limits().IdleTimeout)):
 			return false
 		}
 	}
@@ -482,6 +491,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.closing.Idle() && !c.closing.Closed() {
+		c.endIdle.Store(true)
 		_ = c.raw.SetReadDeadline(time.Unix(1, 0))
 	}
 }
