Count the idle time of a connection from its last response

What callers saw: a connection closed by an entry VM milliseconds after a response, or with the next request on the way, though it had not been idle.

Cause: the idle timeout began with the wait for the next request, which begins when the last one has been read, not when it has been answered. A request that took most of the timeout left its connection the rest of it.

Change: the time of the last response is kept, and the wait ends that much later. TestIdleTimeCountsFromTheResponse fails on the parent (no response to the request 0.4 s after the first response, with a timeout of 0.6 s).

--- a/node/gateway/callers/conn.go
+++ b/node/gateway/callers/conn.go
@@ -58,6 +58,7 @@
 
 	mu          lock.Mutex
 	lastWritten chan struct{} // closed when the response to the newest request has been written
+	idleSince   time.Time     // when the last response was written, or when the connection was accepted
 	// closing decides which response closes the connection. The caller repeats every request that it
 	// sent after the one so answered, so none that is read later may run.
 	closing gracefulstop.Connection
@@ -71,7 +72,7 @@
 	first := make(chan struct{})
 	close(first)
 	return &conn{server: s, raw: raw, limitedReader: src, reader: bufio.NewReaderSize(src, readBufferSize),
-		slots: make(chan struct{}, maxPipelined), lastWritten: first}
+		slots: make(chan struct{}, maxPipelined), lastWritten: first, idleSince: time.Now()}
 }
 
 // openAccount counts what is held for the caller from now on.
@@ -172,12 +173,10 @@
 	return c.readBodyAndStart(ctx, r, received, limits)
 }
 
-// awaitFirstByte waits for the first byte of a request. The idle timeout is the one in force when it ends, and does not
-// apply while earlier requests run.
+// awaitFirstByte waits for the first byte of a request. The idle timeout is the one in force when it ends.
 func (c *conn) awaitFirstByte() bool {
-	began := time.Now()
 	for {
-		_ = c.raw.SetReadDeadline(began.Add(c.limits().IdleTimeout))
+		_ = c.raw.SetReadDeadline(c.idleUntil())
 		if c.endIdle.Load() && c.inFlight.Load() == 0 {
 			return false
 		}
@@ -189,15 +188,31 @@
 			c.unwritable.Store(true)
 			return false
 		}
-		switch {
-		case c.inFlight.Load() > 0:
-			began = time.Now()
-		case c.endIdle.Load(), !time.Now().Before(began.Add(c.limits().IdleTimeout)):
+		if c.inFlight.Load() == 0 && (c.endIdle.Load() || !time.Now().Before(c.idleUntil())) {
 			return false
 		}
 	}
 }
 
+// idleUntil returns when the connection will have been idle for the idle timeout, if no request comes. It is not idle
+// while a request has no response yet.
+func (c *conn) idleUntil() time.Time {
+	timeout := c.limits().IdleTimeout
+	if c.inFlight.Load() > 0 {
+		return time.Now().Add(timeout)
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.idleSince.Add(timeout)
+}
+
+// noteIdle records that a response has been written.
+func (c *conn) noteIdle() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.idleSince = time.Now()
+}
+
 // refuseUnreadable answers a request whose header cannot be read, unless the connection is broken.
 func (c *conn) refuseUnreadable(err error) {
 	switch {
@@ -439,6 +454,7 @@
 		defer c.done.Done()
 		defer c.server.running.Add(-1)
 		defer c.inFlight.Add(-1)
+		defer c.noteIdle() // before the request counts as done
 		defer func() { <-c.slots }()
 		defer close(own)
 		defer claim.End()
--- a/node/gateway/callers/limits_test.go
+++ b/node/gateway/callers/limits_test.go
@@ -81,3 +81,17 @@
 	_, err := idle.Read(make([]byte, 1))
 	assert.ErrorContains(t, err, "EOF", "it is closed after the new time")
 }
+
+// Guards against a connection that is closed right after a response, because the idle timeout counts from the request.
+func TestIdleTimeCountsFromTheResponse(t *testing.T) {
+	g := newLimitsRig(t, limitsOf(1000, 600*time.Millisecond))
+	conn := g.dial()
+	for range 3 {
+		assert.Equal(t, g.exchange(conn, "/500", 10), http.StatusOK)
+		time.Sleep(400 * time.Millisecond)
+	}
+	began := time.Now()
+	_, err := conn.Read(make([]byte, 1))
+	assert.ErrorContains(t, err, "EOF")
+	assert.Assert(t, time.Since(began) < 500*time.Millisecond, "idle for longer than the timeout")
+}
