Ask on connections that stay open, and let some changes of the configuration be unreadable, in the soak

Cause: the part versions closed each response without reading it, so its kept and its idle connections were new ones; versions followed each other too fast for one that is not in force to show; a fault that was thinned out could leave an allowance lowered; and the bound was that of the other checks, 4 s, not the 2.5 s of the settings.

Change: responses are read, an idle connection is opened by a short request before the long one, some gaps between versions are longer, and the store's stand-in sends one change of the configuration in four without a readable name. -soak.sparse, -soak.plain.

--- a/soak/plan.go
+++ b/soak/plan.go
@@ -37,12 +37,15 @@
 	return plan
 }
 
-// thin leaves out all but one in so many steps. A copy of the store is no fault and stays.
+// thin leaves out all but one in so many faults. Steps that harm nothing or end a fault stay.
 func thin(plan []step, sparse int) []step {
 	n := 0
 	return slices.DeleteFunc(plan, func(st step) bool {
+		if st.description == storeCopied || st.description == allowanceRestored {
+			return false
+		}
 		n++
-		return sparse > 1 && n%sparse != 0 && st.description != storeCopied
+		return sparse > 1 && n%sparse != 0
 	})
 }
 
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -29,6 +29,8 @@
 	Settle bool
 	// Sparse leaves out all but one in so many faults of the plan; 0 and 1 leave out none. The faults of parts stay.
 	Sparse int
+	// Plain writes each configuration as one encoder does, and lets all of its changes be read, which earlier daemons need.
+	Plain bool
 	// LoseAll kills all entry VMs at once at the end, right after a configuration was confirmed.
 	LoseAll bool
 	// KeepLogs keeps the logs of the daemons. A run with findings keeps them in any case.
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -25,6 +25,8 @@
 	daemons = flag.Int("soak.daemons", 5, "entry VMs")
 	without = flag.String("soak.without", "", "parts to leave out, separated by commas")
 	build   = flag.String("soak.binary", "", "the daemon to play instead of the one that is built, such as an earlier one")
+	sparse  = flag.Int("soak.sparse", 12, "leave out all but one in so many faults beside changes of the configuration")
+	plain   = flag.Bool("soak.plain", false, "write configurations in one notation of JSON, and let all of their changes be read")
 	settle  = flag.Bool("soak.settle", false, "wait half a minute after each run, and check what is held then")
 	race    = flag.Bool("soak.race", false, "build the daemon with the race detector")
 )
@@ -71,7 +73,7 @@
 	for seed := *first; seed < *first+uint64(*seeds); seed++ {
 		o := options(seed, binary)
 		o.BasePort -= 4000
-		o.Callers, o.Sparse, o.LoseAll = 4, 12, true
+		o.Callers, o.Sparse, o.Plain, o.LoseAll = 4, *sparse, *plain, true
 		o.Without = slices.DeleteFunc(partNames(), func(name string) bool { return name == versions.name })
 		report, err := Run(o)
 		assert.NilError(t, err)
--- a/soak/system.go
+++ b/soak/system.go
@@ -67,6 +67,7 @@
 	// versions and changing are nil without the part that uses them.
 	versions *witness.Versions
 	changing *changing
+	plain    bool // as in Options
 }
 
 // target is a target that entry VMs reach through a proxy.
@@ -85,7 +86,7 @@
 }
 
 func newSystem(o Options, dir string, f *findings) (*system, error) {
-	s := &system{findings: f, store: metastore.New(), targets: make(map[string]*target), extraKeys: make(map[string][]string), closing: make(chan struct{})}
+	s := &system{findings: f, store: metastore.New(), targets: make(map[string]*target), extraKeys: make(map[string][]string), closing: make(chan struct{}), plain: o.Plain}
 	s.linksCut = make([]bool, o.Daemons)
 	s.server = httptest.NewServer(s.store)
 	var err error
--- a/soak/versions.go
+++ b/soak/versions.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"io"
 	"maps"
 	"math/rand/v2"
 	"net/http"
@@ -21,7 +22,10 @@
 // split, and with headers that only some versions allow. Each is held against the versions that the operator wrote.
 var versions = part{name: "versions",
 	prepare: func(s *system) error {
-		s.versions = witness.NewVersions(applyBound)
+		s.versions = witness.NewVersions(configApplyBound)
+		s.store.Unreadable = func(kind string, revision int64) bool {
+			return kind == "config" && !s.plain && revision%unreadableEvery == 0
+		}
 		s.changing = &changing{routes: make(map[string][]string), headerBytes: smallHeader, idle: 5 * time.Second, random: rand.New(rand.NewPCG(1, 29))}
 		for n, service := range versionServices {
 			for k := range 2 {
@@ -36,7 +40,7 @@
 	plan: func(o Options) []step {
 		r := o.random(29)
 		var plan []step
-		for at := 2 * time.Second; at < o.Length-recoveryPhase; at += time.Duration(100+r.IntN(2500)) * time.Millisecond {
+		for at := 2 * time.Second; at < o.Length-recoveryPhase; at += time.Duration(100+r.IntN(2500)+r.IntN(4)/3*longChangeGap) * time.Millisecond {
 			for n := range 1 + r.IntN(2)*r.IntN(8) { // often one, sometimes a storm
 				change := drawChange(r)
 				plan = append(plan, step{at + time.Duration(n)*60*time.Millisecond, change.name, func(s *system) { s.change(change) }})
@@ -54,6 +58,12 @@
 	smallHeader, largeHeader   = 8192, 15000
 	paddedHeader               = 11000 // between the two
 	paddedProbe                = "padded"
+	// configApplyBound is the time after which the settings of the daemons (configApplyMs) require a version to be in force.
+	configApplyBound = 2500 * time.Millisecond
+	// longChangeGap, in milliseconds, shows a version that is not in force before the next one replaces it.
+	longChangeGap = 4000
+	// unreadableEvery is how often a watch sends a change of the configuration without a readable name.
+	unreadableEvery = 4
 )
 
 // changing is what the operator changes in the versions. Its lock is that of the system.
@@ -127,6 +137,9 @@
 	config["routes"] = all
 	config["limits"] = map[string]any{"maxHeaderBytes": c.headerBytes, "maxBodyBytes": 1 << 20, "headerTimeoutMs": 2000, "idleTimeoutMs": c.idle.Milliseconds()}
 	s.versions.Sent(s.version, allowed)
+	if s.plain {
+		return config
+	}
 	return metastore.Reencode(encode(config), c.random)
 }
 
@@ -153,6 +166,7 @@
 		idlePause := time.Duration(3000+r.IntN(1000)) * time.Millisecond // longer than the apply bound, and within four fifths of the shortest idle timeout
 		all.Go(func() {
 			fresh, kept := &http.Transport{DisableKeepAlives: true}, &http.Transport{}
+			defer kept.CloseIdleConnections()
 			at := began
 			for n, pause := range pauses {
 				at = at.Add(pause)
@@ -162,7 +176,9 @@
 		})
 		all.Go(func() {
 			idle := &http.Transport{}
+			defer idle.CloseIdleConnections()
 			for time.Since(began) < length {
+				s.ask(d, idle, "v0")
 				time.Sleep(idlePause)
 				s.ask(d, idle, paddedProbe)
 			}
@@ -200,7 +216,11 @@
 	if err != nil {
 		return false
 	}
+	_, err = io.Copy(io.Discard, response.Body) // a connection is kept only if all was read
 	_ = response.Body.Close()
+	if err != nil {
+		return false
+	}
 	if now, _ := s.inTouch(d); now != boot {
 		return false
 	}
--- a/soak/workspaces.go
+++ b/soak/workspaces.go
@@ -78,11 +78,13 @@
 	}
 }
 
+const allowanceRestored = "and raised again"
+
 // allowanceReduction lowers the rate of a workspace to lowRate for a span.
 func allowanceReduction(at time.Duration, name string, span time.Duration) []step {
 	return []step{
 		{at, "the allowance of " + name + " is lowered far", func(s *system) { s.reduceAllowance(name) }},
-		{at + span, "and raised again", func(s *system) { s.reduceAllowance("") }},
+		{at + span, allowanceRestored, func(s *system) { s.reduceAllowance("") }},
 	}
 }
 
--- a/standin/metastore/http.go
+++ b/standin/metastore/http.go
@@ -171,7 +171,7 @@
 		}
 		if len(events) > 0 {
 			s.hangIfSilent(r)
-			reply(w, http.StatusOK, map[string]any{"events": events, "storeRevision": revision})
+			reply(w, http.StatusOK, map[string]any{"events": s.encodeEvents(events), "storeRevision": revision})
 			return
 		}
 		select {
@@ -186,6 +186,20 @@
 	}
 }
 
+// encodeEvents returns events as a watch sends them.
+func (s *Store) encodeEvents(events []Event) []any {
+	all := make([]any, 0, len(events))
+	for _, event := range events {
+		if s.Unreadable == nil || !s.Unreadable(event.kind, event.revision) {
+			all = append(all, event)
+			continue
+		}
+		all = append(all, map[string]any{"removed": event.Removed, "object": map[string]any{
+			"metadata": map[string]any{"name": []string{event.Object.Metadata.Name}}, "spec": event.Object.Spec}})
+	}
+	return all
+}
+
 // hangIfSilent holds up the answer to a watch that was taken before the store fell silent.
 func (s *Store) hangIfSilent(r *http.Request) {
 	s.mu.Lock()
--- a/standin/metastore/store.go
+++ b/standin/metastore/store.go
@@ -37,6 +37,8 @@
 	// PageSize is the largest number of objects in a page of a list. Set it before
 	// use.
 	PageSize int
+	// Unreadable selects the changes that watches send without a readable name. Nil selects none. Set it before use.
+	Unreadable func(kind string, revision int64) bool
 
 	mu       sync.Mutex
 	era      int
