Let the VM that took a request judge its size, not the one it is passed on to

What callers saw: 502 "target_died" for a request that the configuration allows, for up to the time to apply a configuration after it raised maxHeaderBytes or maxBodyBytes, through entry VMs that pass requests on.

Cause: a VM judged requests of other entry VMs by the limits of its own configuration, on the connection, before it looks whether it has the configuration by which the request is to be handled. The rejection bears none of the headers between VMs and was taken for a lost target.

Change: what entry VMs pass on to each other has bounds of its own: 1 MB of header in 3 s, and bodies as large as the VM that took the request allows, held as before.

TestHelperTakesWhatNewerLimitsAllow fails on the parent (502 for a header of 20 KB).

--- a/node/gateway/relay/hop.go
+++ b/node/gateway/relay/hop.go
@@ -253,18 +253,18 @@
 	return e, ""
 }
 
-// hopHeaderBytes is the space for the headers between entry VMs.
-const hopHeaderBytes = 4 << 10
+// maxHopHeaderBytes bounds what one connection of another entry VM can make this one hold for a header. It is far above
+// what a configuration allows callers.
+const maxHopHeaderBytes = 1 << 20
 
-// PeerLimits returns the limits of requests that other entry VMs pass on. Their idle connections stay open
-// longer than any VM keeps them.
+// PeerLimits returns the limits of requests that other entry VMs pass on. The VM that took a request from its caller has
+// judged it by the limits of the configuration, which may be newer than the one in force here, so only what protects this
+// VM applies. Idle connections stay open longer than any VM keeps them.
 func (f *Relay) PeerLimits() routes.Limits {
-	limits := f.Limits()
-	if limits.HeaderBytes > 0 {
-		limits.HeaderBytes += hopHeaderBytes
-		limits.IdleTimeout = peerIdleTimeout
-	}
-	return limits
+	return routes.Limits{HeaderBytes: maxHopHeaderBytes, HeaderTimeout: peerHeaderTimeout, IdleTimeout: peerIdleTimeout}
 }
 
+// peerHeaderTimeout is how long another entry VM may take to send a header, several round trips over the longest link.
+const peerHeaderTimeout = 3 * time.Second
+
 const peerIdleTimeout = 30 * time.Second
--- a/node/gateway/relay/hop_test.go
+++ b/node/gateway/relay/hop_test.go
@@ -357,3 +357,23 @@
 		assert.Equal(t, got.status, http.StatusOK, "%s", got.header.Get("Heatherlock-Reason"))
 	}
 }
+
+// Guards against a request that a helper judges by older limits than the VM that took it from its caller.
+func TestHelperTakesWhatNewerLimitsAllow(t *testing.T) {
+	p := newPair(t, work)
+	old := p.relay.Table()
+	newer := func() *routes.Table {
+		return routes.NewTable(2, old.Routes, []*routes.Service{{Name: service, MaxConnections: 50}},
+			routes.Limits{HeaderBytes: 40 << 10, BodyBytes: 4 << 20, HeaderTimeout: time.Second, IdleTimeout: 2 * time.Second})
+	}
+	for n, ask := range []func() reply{
+		func() reply { return p.askWithKey(strings.Repeat("k", 20<<10), "GET", "/read/1", "", 2*time.Second) },
+		func() reply { return p.ask("POST", "/upload/1", strings.Repeat("0123456789", 200_000), 2*time.Second) },
+	} {
+		p.helper.relay.SetTable(old)
+		p.relay.SetTable(newer())
+		time.AfterFunc(100*time.Millisecond, func() { p.helper.relay.SetTable(newer()) })
+		got := ask()
+		assert.Equal(t, got.status, http.StatusOK, "%d: %s, %v", n, got.header.Get("Heatherlock-Reason"), got.err)
+	}
+}
