Hold a request to the limits of the configuration that handles it

What callers saw: at a VM that has just started, requests that every configuration forbids are run, and ones that it allows may be answered 431.

Cause: a VM accepts requests before it knows a configuration, judges them by default limits (16 KB of header), and lets them wait for the first one. It then handled them by that configuration's routes and the default's limits. Besides, the part of a header that came with the first byte was not counted, so a limit under 4 KB did not hold.

Change: requests carry the length of their head, and the match of a request looks at the limits as well as at the route, so both are of one configuration; also when a request that waited is matched again. The default limits only protect the VM: 256 KB.

On the parent fail TestRequestReadDuringStartupIsHeldToTheLimits (200 for 431), TestHeaderIsNotRejectedBeforeALimitIsKnown (431 for 200) and TestShortHeaderIsHeldToASmallLimit.

--- a/node/gateway/callers/conn.go
+++ b/node/gateway/callers/conn.go
@@ -159,9 +159,15 @@
 	// Only after the first byte: a caller that closes the connection is noticed meanwhile.
 	c.account.AwaitRoom(ctx)
 	_ = c.raw.SetReadDeadline(time.Now().Add(limits.HeaderTimeout))
-	c.limitedReader.remaining = max(limits.HeaderBytes-c.reader.Buffered(), 1)
+	buffered := c.reader.Buffered()
+	granted := max(limits.HeaderBytes-buffered, 1)
+	c.limitedReader.remaining = granted
 	r, err := http.ReadRequest(c.reader)
+	headLength := buffered + granted - c.limitedReader.remaining - c.reader.Buffered()
 	c.limitedReader.remaining = -1
+	if err == nil && headLength > limits.HeaderBytes { // it came with the first byte
+		err = errHeaderTooBig
+	}
 	if err != nil {
 		c.refuseUnreadable(err)
 		return false
@@ -170,7 +176,7 @@
 		c.reject(status, detail, r)
 		return false
 	}
-	return c.readBodyAndStart(ctx, r, received, limits)
+	return c.readBodyAndStart(ctx, r, headLength, received, limits)
 }
 
 // awaitFirstByte waits for the first byte of a request. The idle timeout is the one in force when it ends.
@@ -267,7 +273,7 @@
 
 // readBodyAndStart reads the body, or its beginning, and starts the request. It returns false when
 // no further request is to be read.
-func (c *conn) readBodyAndStart(ctx context.Context, r *http.Request, received time.Time, limits routes.Limits) bool {
+func (c *conn) readBodyAndStart(ctx context.Context, r *http.Request, headLength int, received time.Time, limits routes.Limits) bool {
 	if r.Header.Get("Expect") != "" && r.ContentLength != 0 {
 		c.sendContinue()
 	}
@@ -288,7 +294,7 @@
 		return false
 	}
 	request := &Request{Method: r.Method, Path: r.RequestURI, Host: r.Host, Header: r.Header,
-		Body: body, BodyRest: rest, Length: lengthOf(r, body, rest), Received: received}
+		Body: body, BodyRest: rest, Length: lengthOf(r, body, rest), HeadLength: headLength, Received: received}
 	wantsClose := r.Close
 	if rest != nil {
 		c.streamed = &restBody{from: rest, raw: c.raw}
--- a/node/gateway/callers/limits_test.go
+++ b/node/gateway/callers/limits_test.go
@@ -57,7 +57,7 @@
 // Guards against a request that is judged by the limits of the time when its connection became idle.
 func TestRequestOnIdleConnectionIsJudgedByNewLimits(t *testing.T) {
 	for _, c := range []struct{ before, after, status int }{
-		{8000, 20000, http.StatusOK}, {20000, 8000, http.StatusRequestHeaderFieldsTooLarge}} {
+		{8000, 20000, http.StatusOK}, {20000, 8000, http.StatusRequestHeaderFieldsTooLarge}, {20000, 300, http.StatusRequestHeaderFieldsTooLarge}} {
 		g := newLimitsRig(t, limitsOf(c.before, 5*time.Second))
 		unused, used := g.dial(), g.dial()
 		assert.Equal(t, g.exchange(used, "/0", 10), http.StatusOK)
@@ -95,3 +95,18 @@
 	assert.ErrorContains(t, err, "EOF")
 	assert.Assert(t, time.Since(began) < 500*time.Millisecond, "idle for longer than the timeout")
 }
+
+// Guards against a header that is accepted although it is over a limit, because it came with the first byte.
+func TestShortHeaderIsHeldToASmallLimit(t *testing.T) {
+	const around = len("GET /0 HTTP/1.1\r\nHost: a.example\r\nX-Padding: \r\n\r\n")
+	g := newLimitsRig(t, limitsOf(1000, time.Second))
+	conn := g.dial()
+	assert.Equal(t, g.exchange(conn, "/0", 1000-around), http.StatusOK)
+	assert.Equal(t, g.exchange(conn, "/0", 1000-around+1), http.StatusRequestHeaderFieldsTooLarge)
+}
+
+// Guards against a VM that rejects what the configuration allows because it does not know the configuration yet.
+func TestHeaderIsNotRejectedBeforeALimitIsKnown(t *testing.T) {
+	g := newLimitsRig(t, routes.Limits{})
+	assert.Equal(t, g.exchange(g.dial(), "/0", 60<<10), http.StatusOK)
+}
--- a/node/gateway/callers/types.go
+++ b/node/gateway/callers/types.go
@@ -24,6 +24,8 @@
 	BodyRest io.Reader
 	// Length is the length of the whole body; it is negative for a chunked body.
 	Length int64
+	// HeadLength is the length in bytes of the request line and the header fields as they came.
+	HeadLength int
 	// Received is when the first byte of the request arrived.
 	Received time.Time
 	// Interim sends an interim response (102), unless the response or an earlier one of the connection is still to be
@@ -75,8 +77,8 @@
 // known yet.
 type LimitsFunc func() routes.Limits
 
-// defaultLimits apply until a configuration is known.
-var defaultLimits = routes.Limits{HeaderBytes: 16 << 10, BodyBytes: 64 << 20, HeaderTimeout: 3 * time.Second, IdleTimeout: 15 * time.Second}
+// defaultLimits protect this VM until a configuration is known, whose limits then apply to the requests that wait for it.
+var defaultLimits = routes.Limits{HeaderBytes: 256 << 10, BodyBytes: 64 << 20, HeaderTimeout: 3 * time.Second, IdleTimeout: 15 * time.Second}
 
 const (
 	// maxPipelined is how many requests of one connection run at the same time.
--- a/node/gateway/relay/resolve.go
+++ b/node/gateway/relay/resolve.go
@@ -57,7 +57,8 @@
 	}
 }
 
-// match finds the route and the workspace of a request in the configuration in force.
+// match finds the route and the workspace of a request in the configuration in force. The limits are checked once more,
+// since another configuration may have been in force when the request was read, or none yet.
 func (f *Relay) match(r *callers.Request, call platform.RequestInfo) (routeMatch, steering.Reason) {
 	e := routeMatch{table: f.table.Load()}
 	var found bool
@@ -65,6 +66,10 @@
 	switch {
 	case found && (f.configOutdated() || f.shownConfig.Load() > e.table.Version && !f.CutOff()), !found && f.configBehind():
 		return e, steering.ReasonConfigBehind
+	case r.HeadLength > e.table.Limits.HeaderBytes && e.table.Limits.HeaderBytes > 0:
+		return e, steering.ReasonHeaderTooLarge
+	case r.Length > e.table.Limits.BodyBytes && e.table.Limits.BodyBytes > 0:
+		return e, steering.ReasonBodyTooLarge
 	case !found:
 		return e, steering.ReasonNoService
 	}
--- a/node/gateway/relay/start_test.go
+++ b/node/gateway/relay/start_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -64,6 +65,16 @@
 	}
 }
 
+// Guards against a request that is handled by a configuration but judged by the limits from before it was known.
+func TestRequestReadDuringStartupIsHeldToTheLimits(t *testing.T) {
+	t.Parallel()
+	g, makeReady := newStartingRig(t)
+	time.AfterFunc(100*time.Millisecond, makeReady)
+	got := g.askWithKey(strings.Repeat("k", 11<<10), http.MethodGet, "/read/1", "", 2*time.Second)
+	assert.Equal(t, got.status, http.StatusRequestHeaderFieldsTooLarge, "the configuration allows 8 KB")
+	assert.Equal(t, g.ask(http.MethodGet, "/read/1", "", 2*time.Second).status, http.StatusOK)
+}
+
 // A VM that does not become ready refuses requests no later than its Retry-After, and earlier for
 // callers with a short deadline.
 func TestStartupWaitIsBoundedByRetryAfter(t *testing.T) {
