--- a/soak/versions.go
+++ b/soak/versions.go
@@ -261,10 +261,8 @@
 	return boot, calm && s.storeHealthy(quietPeriod)
 }
 
-const (
-	// lossRounds is how long entry VMs are asked after the loss of all at once.
-	lossRounds = 8 * time.Second
-)
+// lossRounds is how long entry VMs are asked after the loss of all at once.
+const lossRounds = 8 * time.Second
 
 // loseAll kills all entry VMs right after the store has confirmed a version that changes all routes, and checks what they know
 // when they are back.
