Reserve memory for long heads of requests

Cause: found by reading once more. They raised what one connection may send as a head, to 256 KB before a configuration is known and to 1 MB between entry VMs, and nothing counted these bytes: a thousand connections could hold 256 MB of a VM that has 184. Heads within a configured limit were not counted either. Class: a size that the other side chooses, without a bound.

Change: what exceeds 16 KB of a head is reserved from the memory for callers, 16 KB at a time as it comes, and released with the request; without room the answer is 503 with the reason memory_full. Heads and bodies have files of their own.

--- a/node/gateway/callers/conn.go
+++ b/node/gateway/callers/conn.go
@@ -12,7 +12,6 @@
 	"time"
 
 	"github.com/go-faster/errors"
-	"golang.org/x/net/http/httpguts"
 
 	"heatherlock/node/gateway/buffering"
 	"heatherlock/node/lock"
@@ -21,40 +20,19 @@
 	"heatherlock/steering/routes"
 )
 
-var errHeaderTooBig = errors.New("callers: header larger than the limit")
-
-// limitedReader limits how many bytes one request header may take.
-type limitedReader struct {
-	from      net.Conn
-	remaining int // bytes; negative means no limit
-}
-
-func (s *limitedReader) Read(p []byte) (int, error) {
-	if s.remaining == 0 {
-		return 0, errHeaderTooBig
-	}
-	if s.remaining > 0 && len(p) > s.remaining {
-		p = p[:s.remaining]
-	}
-	n, err := s.from.Read(p)
-	if s.remaining > 0 {
-		s.remaining -= n
-	}
-	return n, err
-}
-
 // conn is a caller's connection.
 type conn struct {
-	server        *Server
-	raw           net.Conn
-	limitedReader *limitedReader
-	reader        *bufio.Reader
-	account       *buffering.Account
-	slots         chan struct{} // holds one element for each running request
-	inFlight      atomic.Int64
-	unwritable    atomic.Bool // set when no further response can be written
-	endIdle       atomic.Bool // set when the connection is to be closed for being idle, whatever the timeout
-	done          sync.WaitGroup
+	server     *Server
+	raw        net.Conn
+	source     *headSource
+	reader     *bufio.Reader
+	account    *buffering.Account
+	headClaim  *buffering.Claim // holds the memory of a long head until its request starts, nil if there is none
+	slots      chan struct{}    // holds one element for each running request
+	inFlight   atomic.Int64
+	unwritable atomic.Bool // set when no further response can be written
+	endIdle    atomic.Bool // set when the connection is to be closed for being idle, whatever the timeout
+	done       sync.WaitGroup
 
 	mu          lock.Mutex
 	lastWritten chan struct{} // closed when the response to the newest request has been written
@@ -68,11 +46,12 @@
 }
 
 func newConn(s *Server, raw net.Conn) *conn {
-	src := &limitedReader{from: raw, remaining: -1}
 	first := make(chan struct{})
 	close(first)
-	return &conn{server: s, raw: raw, limitedReader: src, reader: bufio.NewReaderSize(src, readBufferSize),
-		slots: make(chan struct{}, maxPipelined), lastWritten: first, idleSince: time.Now()}
+	c := &conn{server: s, raw: raw, slots: make(chan struct{}, maxPipelined), lastWritten: first, idleSince: time.Now()}
+	c.source = &headSource{from: raw, remaining: -1, reserve: c.reserveHead}
+	c.reader = bufio.NewReaderSize(c.source, readBufferSize)
+	return c
 }
 
 // openAccount counts what is held for the caller from now on.
@@ -129,7 +108,7 @@
 		_ = c.raw.SetReadDeadline(time.Unix(1, 0)) // ends the read below
 	}()
 	_ = c.raw.SetReadDeadline(time.Time{})
-	c.limitedReader.remaining = -1
+	c.source.remaining = -1
 	_, err := io.Copy(io.Discard, c.reader)
 	select {
 	case <-finished:
@@ -149,34 +128,12 @@
 
 // readNext reads one request and starts it. It returns false when no further request is to be read.
 func (c *conn) readNext(ctx context.Context) bool {
-	c.limitedReader.remaining = -1
+	c.source.remaining = -1
 	if !c.awaitFirstByte() || !c.beginRead() {
 		return false
 	}
-	received := time.Now()
-	// Those in force when the request comes, not when the connection became idle.
-	limits := c.limits()
-	// Only after the first byte: a caller that closes the connection is noticed meanwhile.
-	c.account.AwaitRoom(ctx)
-	_ = c.raw.SetReadDeadline(time.Now().Add(limits.HeaderTimeout))
-	buffered := c.reader.Buffered()
-	granted := max(limits.HeaderBytes-buffered, 1)
-	c.limitedReader.remaining = granted
-	r, err := http.ReadRequest(c.reader)
-	headLength := buffered + granted - c.limitedReader.remaining - c.reader.Buffered()
-	c.limitedReader.remaining = -1
-	if err == nil && headLength > limits.HeaderBytes { // it came with the first byte
-		err = errHeaderTooBig
-	}
-	if err != nil {
-		c.refuseUnreadable(err)
-		return false
-	}
-	if status, detail := checkHeader(r, limits); status != 0 {
-		c.reject(status, detail, r)
-		return false
-	}
-	return c.readBodyAndStart(ctx, r, headLength, received, limits)
+	h, ok := c.readHead(ctx)
+	return ok && c.readBodyAndStart(ctx, h)
 }
 
 // awaitFirstByte waits for the first byte of a request. The idle timeout is the one in force when it ends.
@@ -219,67 +176,16 @@
 	c.idleSince = time.Now()
 }
 
-// refuseUnreadable answers a request whose header cannot be read, unless the connection is broken.
-func (c *conn) refuseUnreadable(err error) {
-	switch {
-	case errors.Is(err, errHeaderTooBig):
-		c.reject(http.StatusRequestHeaderFieldsTooLarge, "the header is larger than the limit", nil)
-	case errors.Is(err, os.ErrDeadlineExceeded):
-		c.reject(http.StatusRequestTimeout, "the header did not come in time", nil)
-	case errors.Is(err, io.EOF), errors.Is(err, io.ErrUnexpectedEOF), isNetError(err):
-		c.unwritable.Store(true)
-	default:
-		c.reject(http.StatusBadRequest, "the request is malformed", nil)
-	}
-}
-
-func isNetError(err error) bool {
-	var e *net.OpError
-	return errors.As(err, &e)
-}
-
-// checkHeader returns the status and detail with which to refuse a request because of its header,
-// or 0 to accept it.
-func checkHeader(r *http.Request, limits routes.Limits) (int, string) {
-	switch {
-	case r.Host == "" && r.ProtoAtLeast(1, 1):
-		return http.StatusBadRequest, "no Host"
-	case !validHeader(r.Header):
-		return http.StatusBadRequest, "a header field is malformed"
-	case r.Method == http.MethodConnect:
-		return http.StatusMethodNotAllowed, "CONNECT is not served"
-	case limits.BodyBytes > 0 && r.ContentLength > limits.BodyBytes:
-		return http.StatusRequestEntityTooLarge, "the body is larger than the limit"
-	}
-	return 0, ""
-}
-
-// validHeader reports whether all header fields are well formed. The parser accepts some fields
-// that another server would interpret differently, which would allow request smuggling: a second
-// request hidden in the first.
-func validHeader(h http.Header) bool {
-	for name, values := range h {
-		if !httpguts.ValidHeaderFieldName(name) {
-			return false
-		}
-		for _, value := range values {
-			if !httpguts.ValidHeaderFieldValue(value) {
-				return false
-			}
-		}
-	}
-	return true
-}
-
 // readBodyAndStart reads the body, or its beginning, and starts the request. It returns false when
 // no further request is to be read.
-func (c *conn) readBodyAndStart(ctx context.Context, r *http.Request, headLength int, received time.Time, limits routes.Limits) bool {
+func (c *conn) readBodyAndStart(ctx context.Context, h head) bool {
+	r := h.Request
 	if r.Header.Get("Expect") != "" && r.ContentLength != 0 {
 		c.sendContinue()
 	}
 	_ = c.raw.SetReadDeadline(time.Now().Add(bodyTimeout))
-	claim := c.account.NewClaim()
-	body, rest, status := readBody(r, limits.BodyBytes, claim)
+	claim := c.takeClaim()
+	body, rest, status := readBody(r, h.limits.BodyBytes, claim)
 	if status != 0 {
 		claim.End()
 		if status == statusGone {
@@ -294,7 +200,7 @@
 		return false
 	}
 	request := &Request{Method: r.Method, Path: r.RequestURI, Host: r.Host, Header: r.Header,
-		Body: body, BodyRest: rest, Length: lengthOf(r, body, rest), HeadLength: headLength, Received: received}
+		Body: body, BodyRest: rest, Length: lengthOf(r, body, rest), HeadLength: h.length, Received: h.received}
 	wantsClose := r.Close
 	if rest != nil {
 		c.streamed = &restBody{from: rest, raw: c.raw}
@@ -313,108 +219,6 @@
 	return !wantsClose
 }
 
-// statusGone marks a caller that closed the connection before the end of a body.
-const statusGone = -1
-
-// readBody reads a body of up to maxBufferedBody bytes whole, and the beginning of a longer one;
-// rest yields the remainder. A status other than 0 refuses the request.
-func readBody(r *http.Request, maxBytes int64, claim *buffering.Claim) (body []byte, rest io.Reader, status int) {
-	if r.ContentLength == 0 {
-		return nil, nil, 0
-	}
-	body, err := buffering.ReadUpTo(r.Body, claim, min(r.ContentLength, firstBodyBuffer), maxBufferedBody)
-	n := int64(len(body))
-	switch {
-	case errors.Is(err, buffering.ErrNoRoom):
-		return nil, nil, http.StatusServiceUnavailable
-	case errors.Is(err, os.ErrDeadlineExceeded):
-		return nil, nil, http.StatusRequestTimeout
-	case errors.Is(err, io.ErrUnexpectedEOF), isNetError(err):
-		return nil, nil, statusGone
-	case err != nil:
-		return nil, nil, http.StatusBadRequest
-	case maxBytes > 0 && n > maxBytes:
-		return nil, nil, http.StatusRequestEntityTooLarge
-	case n < maxBufferedBody || n == r.ContentLength:
-		return body, nil, 0
-	case !claim.Reserve(streamReserve):
-		return nil, nil, http.StatusServiceUnavailable
-	}
-	if maxBytes <= 0 {
-		return body, r.Body, 0
-	}
-	return body, &boundedBody{from: r.Body, remaining: maxBytes - n}, 0
-}
-
-var errBodyTooBig = errors.New("callers: body larger than the limit")
-
-// boundedBody fails once more than a limit was read. Returning io.EOF there instead would pass on a
-// truncated body as a complete one.
-type boundedBody struct {
-	from      io.Reader
-	remaining int64
-}
-
-func (b *boundedBody) Read(p []byte) (int, error) {
-	n, err := b.from.Read(p)
-	b.remaining -= int64(n)
-	if b.remaining < 0 {
-		return 0, errBodyTooBig
-	}
-	return n, err
-}
-
-// restBody is the remainder of a body, which is read while it is sent to a target.
-type restBody struct {
-	from io.Reader
-	raw  net.Conn
-
-	reading lock.Mutex // held during Read
-	mu      lock.Mutex
-	ended   bool
-}
-
-// Read implements io.Reader. The time limit begins anew with each read, because a target that reads
-// slowly delays the caller.
-func (b *restBody) Read(p []byte) (int, error) {
-	b.reading.Lock()
-	defer b.reading.Unlock()
-	b.mu.Lock()
-	if b.ended {
-		b.mu.Unlock()
-		return 0, io.ErrUnexpectedEOF
-	}
-	_ = b.raw.SetReadDeadline(time.Now().Add(bodyTimeout))
-	b.mu.Unlock()
-	return b.from.Read(p)
-}
-
-// end makes Read fail from now on, and returns when none is running. An attempt that goes on after the
-// response would otherwise take bytes from whoever reads the connection next.
-func (b *restBody) end() {
-	b.mu.Lock()
-	b.ended = true
-	_ = b.raw.SetReadDeadline(time.Unix(1, 0)) // ends a Read that is running
-	b.mu.Unlock()
-	b.reading.Lock()
-	defer b.reading.Unlock()
-}
-
-// HoldBack bounds what the kernel receives of the body while it is not read, and returns the bytes
-// that it may hold.
-func (b *restBody) HoldBack() int64 { return buffering.HoldBack(b.raw) }
-
-// Reserved returns how many bytes of the claim were reserved for what the kernel holds of the body.
-func (*restBody) Reserved() int64 { return streamReserve }
-
-// lengthOf returns the length of the body, negative if it is unknown.
-func lengthOf(r *http.Request, body []byte, rest io.Reader) int64 {
-	if rest == nil && r.ContentLength >= 0 {
-		return int64(len(body))
-	}
-	return r.ContentLength
-}
-
 // sendContinue sends 100 Continue to a caller that waits for it before it sends the body.
 func (c *conn) sendContinue() {
 	<-c.lastAnswer()
@@ -504,7 +308,7 @@
 	if tcp, ok := c.raw.(*net.TCPConn); ok {
 		_ = tcp.CloseWrite()
 	}
-	c.limitedReader.remaining = -1
+	c.source.remaining = -1
 	_ = c.raw.SetReadDeadline(time.Now().Add(lingerTimeout))
 	_, _ = io.Copy(io.Discard, c.reader) // input after the response is discarded
 }
