--- a/node/dynamic/reader.go
+++ b/node/dynamic/reader.go
@@ -108,6 +108,10 @@
 	return err
 }
 
+// errUnnamedChange is the cause of an error if it is not known which object a change is for, or whether it is newer than what
+// is known. No revision after it may count as read.
+var errUnnamedChange = errors.New("a change names no object or no later version")
+
 // watch applies the changes after revision since and returns the revision to
 // continue from.
 func (s *Syncer) watch(ctx context.Context, since int64, wait time.Duration) (int64, error) {
@@ -118,6 +122,11 @@
 	if revision < since {
 		return since, errors.New("watch returned a revision before its start revision")
 	}
+	for _, e := range events {
+		if e.Object.Kind == "" || e.Object.Name == "" || e.Object.Version <= since {
+			return since, &objects.Error{Kind: objects.Gone, Op: objects.OpWatch, Err: errUnnamedChange}
+		}
+	}
 	s.confirm()
 	changes := make([]config.Object, 0, len(events))
 	for _, e := range events {
--- a/objects/client.go
+++ b/objects/client.go
@@ -231,8 +231,9 @@
 	if response.StatusCode >= http.StatusMultipleChoices {
 		return statusError(k, response)
 	}
-	if err := json.NewDecoder(io.LimitReader(response.Body, maxReplyBytes)).Decode(out); err != nil {
-		return decodeError(k, err)
+	body := &io.LimitedReader{R: response.Body, N: maxReplyBytes}
+	if err := json.NewDecoder(body).Decode(out); err != nil {
+		return decodeError(k, err, body.N <= 0)
 	}
 	return nil
 }
@@ -273,12 +274,17 @@
 	return errors.As(err, &op) && op.Op == "dial"
 }
 
-// decodeError classifies a response body that was cut off or is not valid JSON. A write may have
-// taken effect all the same, so it is Unknown.
-func decodeError(k call, err error) error {
+// decodeError classifies a call whose response cannot be read. A read may be repeated, and a write may have taken effect. The
+// same watch would bring the same response if it is complete and malformed, or too large, so the objects have to be listed.
+func decodeError(k call, err error, tooLarge bool) error {
 	kind := Unavailable
-	if IsWrite(k.op) {
+	var syntax *json.SyntaxError
+	var wrongType *json.UnmarshalTypeError
+	switch {
+	case IsWrite(k.op):
 		kind = Unknown
+	case k.op == OpWatch && (tooLarge || errors.As(err, &syntax) || errors.As(err, &wrongType)):
+		kind = Gone
 	}
 	return &Error{Kind: kind, Op: k.op, Object: k.object, Err: errors.Wrap(err, "read response body")}
 }
--- a/objects/errors.go
+++ b/objects/errors.go
@@ -14,7 +14,7 @@
 const (
 	NotFound    ErrorKind = "not_found"
 	Conflict    ErrorKind = "conflict"    // the given version is not the stored one, or the object to create exists
-	Gone        ErrorKind = "gone"        // the watch revision is too old to continue from
+	Gone        ErrorKind = "gone"        // a watch cannot continue from its revision: it is too old, or the changes since then cannot be read
 	TooLarge    ErrorKind = "too_large"   // the value exceeds MaxValueBytes
 	Unavailable ErrorKind = "unavailable" // the platform could not be reached or did not serve the call; nothing was written
 	Throttled   ErrorKind = "throttled"   // a rate limit was exceeded; nothing was written
